--- /dev/null
+++ b/src/checked.rs
@@ -0,0 +1,160 @@
+//! Reads a JSON object field by field and collects everything that is wrong with it.
+
+use std::net::SocketAddr;
+
+use serde_json::{Map, Value};
+
+use crate::error::Problem;
+
+/// Similarity from which an unknown field is taken for a misspelt one.
+const LIKELY_MISSPELT: f64 = 0.75;
+
+/// An object being read. Call `finish` at the end, so that unknown fields are reported.
+pub struct Fields<'a> {
+    object: Map<String, Value>,
+    path: String,
+    known: Vec<&'static str>,
+    problems: &'a mut Vec<Problem>,
+}
+
+impl<'a> Fields<'a> {
+    /// Starts reading `value`, found at `path` (empty for the whole document).
+    pub fn new(value: &Value, path: &str, problems: &'a mut Vec<Problem>) -> Fields<'a> {
+        let object = match value {
+            Value::Object(object) => object.clone(),
+            other => {
+                problems.push(Problem {
+                    path: if path.is_empty() { "document".into() } else { path.into() },
+                    message: format!("{other} is not an object"),
+                    remedy: "write a JSON object in braces".into(),
+                });
+                Map::new()
+            }
+        };
+        Fields { object, path: path.to_string(), known: Vec::new(), problems }
+    }
+
+    /// The path of a field of this object.
+    pub fn path_of(&self, name: &str) -> String {
+        if self.path.is_empty() { name.to_string() } else { format!("{}.{name}", self.path) }
+    }
+
+    /// Takes a raw field.
+    pub fn raw(&mut self, name: &'static str) -> Option<Value> {
+        self.known.push(name);
+        self.object.get(name).cloned().filter(|value| !value.is_null())
+    }
+
+    /// Reports a problem with a field.
+    pub fn problem(&mut self, name: &str, message: String, remedy: &str) {
+        let path = self.path_of(name);
+        self.problems.push(Problem { path, message, remedy: remedy.to_string() });
+    }
+
+    /// A whole number within `min..=max`, or `default` if absent.
+    pub fn number(&mut self, name: &'static str, default: u64, min: u64, max: u64) -> u64 {
+        let Some(value) = self.raw(name) else { return default };
+        match value.as_u64().filter(|number| (min..=max).contains(number)) {
+            Some(number) => number,
+            None => {
+                let remedy = format!("give a whole number from {min} to {max}");
+                self.problem(name, format!("{value} is not accepted"), &remedy);
+                default
+            }
+        }
+    }
+
+    /// A text, or `None` if absent.
+    pub fn optional_text(&mut self, name: &'static str) -> Option<String> {
+        match self.raw(name)? {
+            Value::String(text) if !text.is_empty() => Some(text),
+            other => {
+                self.problem(name, format!("{other} is not accepted"), "give a non-empty text");
+                None
+            }
+        }
+    }
+
+    /// A text that must be there.
+    pub fn text(&mut self, name: &'static str, remedy: &str) -> String {
+        if !self.object.contains_key(name) {
+            self.known.push(name);
+            self.problem(name, "is missing".into(), remedy);
+            return String::new();
+        }
+        self.optional_text(name).unwrap_or_default()
+    }
+
+    /// An address as `ip:port` that must be there.
+    pub fn address(&mut self, name: &'static str) -> SocketAddr {
+        let text = self.text(name, "give an address as IP:PORT, for example 127.0.0.1:8080");
+        match text.parse() {
+            Ok(address) => address,
+            Err(_) => {
+                if !text.is_empty() {
+                    self.problem(name, format!("{text:?} is not an address"), "give IP:PORT");
+                }
+                SocketAddr::from(([127, 0, 0, 1], 0))
+            }
+        }
+    }
+
+    /// A yes or no, or `default` if absent.
+    pub fn flag(&mut self, name: &'static str, default: bool) -> bool {
+        match self.raw(name) {
+            None => default,
+            Some(Value::Bool(flag)) => flag,
+            Some(other) => {
+                self.problem(name, format!("{other} is not accepted"), "give true or false");
+                default
+            }
+        }
+    }
+
+    /// Reads an inner object; an absent one is read as `{}`.
+    pub fn object<T>(&mut self, name: &'static str, read: impl FnOnce(Fields<'_>) -> T) -> T {
+        let value = self.raw(name).unwrap_or_else(|| Value::Object(Map::new()));
+        let path = self.path_of(name);
+        read(Fields::new(&value, &path, self.problems))
+    }
+
+    /// Reads a list of objects; an absent one is empty.
+    pub fn list<T>(&mut self, name: &'static str, read: impl Fn(Fields<'_>) -> T) -> Vec<T> {
+        let path = self.path_of(name);
+        match self.raw(name) {
+            None => Vec::new(),
+            Some(Value::Array(items)) => items
+                .iter()
+                .enumerate()
+                .map(|(i, item)| read(Fields::new(item, &format!("{path}[{i}]"), self.problems)))
+                .collect(),
+            Some(other) => {
+                self.problem(name, format!("{other} is not a list"), "give a list in brackets");
+                Vec::new()
+            }
+        }
+    }
+
+    /// Reports fields that nothing asked for.
+    pub fn finish(self) {
+        for name in self.object.keys().filter(|name| !self.known.contains(&name.as_str())) {
+            let remedy = match nearest(name, &self.known) {
+                Some(known) => format!("did you mean {known:?}? else remove it"),
+                None => format!("remove it; known fields: {}", self.known.join(", ")),
+            };
+            let path =
+                if self.path.is_empty() { name.clone() } else { format!("{}.{name}", self.path) };
+            self.problems.push(Problem { path, message: "unknown field".into(), remedy });
+        }
+    }
+}
+
+/// The known name most like `name`, if one is like it enough.
+pub fn nearest<'n>(name: &str, known: &[&'n str]) -> Option<&'n str> {
+    known
+        .iter()
+        .map(|known| (strsim::jaro_winkler(name, known), *known))
+        .filter(|(likeness, _)| *likeness >= LIKELY_MISSPELT)
+        .max_by(|a, b| a.0.total_cmp(&b.0))
+        .map(|(_, known)| known)
+}
--- /dev/null
+++ b/src/commands/config_patch.rs
@@ -0,0 +1,75 @@
+//! `config patch`: submits a patch against a number of the configuration.
+
+use std::path::PathBuf;
+
+use rand::RngExt;
+use serde_json::Value;
+
+use crate::error::{Error, Result};
+use crate::queries::node;
+use crate::settings::read_json;
+
+/// Attempts to submit a patch whose answer was lost. Each sends the same id, so it is one patch.
+const ATTEMPTS: u32 = 3;
+
+/// What to submit.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Options {
+    /// Operators' address of any node.
+    pub node: String,
+    /// A file with a JSON merge patch.
+    pub file: PathBuf,
+    /// The number that it was made against; the newest if `None`.
+    pub base: Option<u64>,
+    /// The patch's id; drawn if `None`.
+    pub patch_id: Option<String>,
+}
+
+/// Submits a patch and prints its number.
+///
+/// # Errors
+/// Why it was not accepted, or that no node answered.
+pub fn run(options: &Options) -> Result<()> {
+    let patch = read_json(&options.file)?;
+    let patch_id = options
+        .patch_id
+        .clone()
+        .unwrap_or_else(|| format!("p-{:032x}", rand::rng().random::<u128>()));
+    super::block_on(async {
+        let base = match options.base {
+            Some(base) => base,
+            None => newest(&options.node).await?,
+        };
+        let mut last = None;
+        for _ in 0..ATTEMPTS {
+            match submit(&options.node, &patch, base, &patch_id).await {
+                Ok(answer) => {
+                    println!("{answer}");
+                    return Ok(());
+                }
+                Err(error @ Error::Failed { .. }) => return Err(error),
+                Err(error) => last = Some(error),
+            }
+        }
+        eprintln!("the answer was lost; send it again with --base {base} --id {patch_id}");
+        Err(last.unwrap_or(Error::Failed { message: "no attempt was made".into() }))
+    })
+}
+
+async fn newest(node: &str) -> Result<u64> {
+    let request = node::client()?.get(format!("{node}/v1/config"));
+    let answer = node::answer(node, request).await?;
+    let value: Value = serde_json::from_str(&answer).unwrap_or_default();
+    value["number"].as_u64().ok_or_else(|| {
+        Error::ask(node, "its answer names no number", "check that it is an operators' address")
+    })
+}
+
+async fn submit(node: &str, patch: &Value, base: u64, patch_id: &str) -> Result<String> {
+    let request = node::client()?
+        .patch(format!("{node}/v1/config"))
+        .header("if-match", format!("\"{base}\""))
+        .header("idempotency-key", patch_id)
+        .json(patch);
+    node::answer(node, request).await
+}
--- /dev/null
+++ b/src/commands/emulate.rs
@@ -0,0 +1,21 @@
+//! `emulate`: runs stand-ins for targets and the platform.
+
+use std::path::Path;
+
+use crate::emulator::{Emulator, EmulatorSettings};
+use crate::error::Result;
+use crate::telemetry::logs;
+
+/// Runs stand-ins until SIGTERM or SIGINT.
+///
+/// # Errors
+/// If they can't start.
+pub fn run(file: &Path) -> Result<()> {
+    let settings = EmulatorSettings::read(file)?;
+    logs::start(&settings.log)?;
+    super::block_on(async {
+        let (_emulator, platform) = Emulator::start(settings).await?;
+        println!("ready platform=http://{platform}");
+        super::until_asked_to_end().await
+    })
+}
--- /dev/null
+++ b/src/commands/key_new.rs
@@ -0,0 +1,26 @@
+//! `key new`: writes a new key for the nodes.
+
+use std::fs::OpenOptions;
+use std::io::Write;
+use std::os::unix::fs::OpenOptionsExt;
+use std::path::Path;
+
+use rand::RngExt;
+
+use crate::error::{Error, Result};
+
+/// Writes a new key that only its owner may read.
+///
+/// # Errors
+/// `Error::Start` if the file is there already or can't be written.
+pub fn run(file: &Path) -> Result<()> {
+    let failed = |source| {
+        let name = file.display().to_string();
+        Error::start(&name, source, "name a new file in a folder that this user may write")
+    };
+    let key: [u8; 32] = rand::rng().random();
+    let hex: String = key.iter().map(|byte| format!("{byte:02x}")).collect();
+    let mut opened =
+        OpenOptions::new().write(true).create_new(true).mode(0o600).open(file).map_err(failed)?;
+    writeln!(opened, "{hex}").map_err(failed)
+}
--- /dev/null
+++ b/src/commands/load.rs
@@ -0,0 +1,80 @@
+//! `load`: sends a workload to nodes and checks the answers.
+
+use std::path::PathBuf;
+
+use serde_json::json;
+
+use crate::emulator::ledger::Counts;
+use crate::error::{Error, Result};
+use crate::load::bound::Bound;
+use crate::load::{Deployment, Figures, Plan, Target, Workload, send_all};
+use crate::queries::node;
+
+/// What to send.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Options {
+    /// Callers' addresses of nodes.
+    pub nodes: Vec<String>,
+    /// The emulator's address.
+    pub platform: Option<String>,
+    /// The workload.
+    pub plan: Plan,
+    /// Where to write the figures.
+    pub json: Option<PathBuf>,
+    /// Policy in the printed configuration.
+    pub policy: String,
+    /// Only print settings of the emulator.
+    pub print_emulator: bool,
+    /// Only print a configuration.
+    pub print_config: bool,
+}
+
+/// Sends a workload and prints its figures.
+///
+/// # Errors
+/// If it can't be sent, or if an answer was wrong, lost or doubled.
+pub fn run(options: &Options) -> Result<()> {
+    let deployment = Deployment::new(options.plan.shape, &options.policy);
+    if options.print_emulator || options.print_config {
+        let value = if options.print_emulator { &deployment.emulator } else { &deployment.config };
+        println!("{value:#}");
+        return Ok(());
+    }
+    super::block_on(async {
+        let workload = Workload::generate(&options.plan);
+        let bound = Bound::of(&workload);
+        let before = counts(options).await?;
+        let target = Target { nodes: options.nodes.clone() };
+        let samples = send_all(target, workload.arrivals).await?;
+        let after = counts(options).await?;
+        let figures = Figures::of(&samples, &before, &after);
+        println!("{}", figures.table());
+        println!(
+            "bound: share recomputed {:.1} %, time to first token p95 {:.1} ms",
+            bound.recomputed_share * 100.0,
+            bound.first_token_p95_ms
+        );
+        if let Some(file) = &options.json {
+            let value = json!({
+                "workload": options.plan.shape.name(), "rate": options.plan.rate,
+                "seconds": options.plan.seconds, "seed": options.plan.seed, "figures": figures,
+                "bound_recomputed_share": bound.recomputed_share,
+                "bound_first_token_p95_ms": bound.first_token_p95_ms,
+            });
+            std::fs::write(file, format!("{value:#}\n"))
+                .map_err(|source| Error::start("--json", source, "name a file to write"))?;
+        }
+        if figures.is_safe() {
+            return Ok(());
+        }
+        Err(Error::Failed { message: "answers were wrong, lost or doubled; see above".into() })
+    })
+}
+
+async fn counts(options: &Options) -> Result<Counts> {
+    let Some(platform) = &options.platform else { return Ok(Counts::default()) };
+    let request = node::client()?.get(format!("{platform}/ledger"));
+    let text = node::answer(platform, request).await?;
+    serde_json::from_str(&text)
+        .map_err(|source| Error::ask(platform, source, "check that it is an emulator"))
+}
--- /dev/null
+++ b/src/commands/mod.rs
@@ -0,0 +1,45 @@
+//! Operators' verbs that change or run something.
+
+pub mod config_patch;
+pub mod demo;
+pub mod emulate;
+pub mod key_new;
+pub mod load;
+pub mod replicas;
+pub mod serve;
+
+use std::future::Future;
+
+use crate::error::{Error, Result};
+
+/// Runs a future on a new runtime with all cores.
+///
+/// # Errors
+/// `Error::Start` if there is no runtime, else what the future returns.
+pub fn block_on<T>(future: impl Future<Output = Result<T>>) -> Result<T> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .map_err(|source| Error::start("runtime", source, "raise the limits of this user"))?;
+    let result = runtime.block_on(future);
+    runtime.shutdown_background();
+    result
+}
+
+/// Waits until the process is asked to end.
+///
+/// # Errors
+/// `Error::Start` if signals can't be taken.
+pub async fn until_asked_to_end() -> Result<()> {
+    use tokio::signal::unix::{SignalKind, signal};
+    let take = |kind| {
+        signal(kind).map_err(|source| Error::start("signals", source, "report this as a defect"))
+    };
+    let mut terminate = take(SignalKind::terminate())?;
+    let mut interrupt = take(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/commands/replicas.rs
@@ -0,0 +1,34 @@
+//! `replicas`: changes the replicas of the log, one at a time.
+
+use serde_json::json;
+
+use crate::error::Result;
+use crate::log::raft::Change;
+use crate::queries::node;
+
+/// What to change.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Options {
+    /// Operators' address of any node.
+    pub node: String,
+    /// The change.
+    pub change: Change,
+}
+
+/// Changes the replicas.
+///
+/// # Errors
+/// Why the change was not accepted.
+pub fn run(options: &Options) -> Result<()> {
+    let body = match options.change {
+        Change::AddLearner(id) => json!({"add_learner": id}),
+        Change::Promote(id) => json!({"promote": id}),
+        Change::Remove(id) => json!({"remove": id}),
+    };
+    super::block_on(async {
+        let client = node::client()?;
+        let request = client.post(format!("{}/v1/replicas", options.node)).json(&body);
+        println!("{}", node::answer(&options.node, request).await?);
+        Ok(())
+    })
+}
--- /dev/null
+++ b/src/config/book.rs
@@ -0,0 +1,163 @@
+//! The numbered configuration as replicas and nodes hold it, and how news of it travel.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value};
+
+use super::{Config, patch};
+use crate::error::Problem;
+use crate::ids::ConfigNumber;
+
+/// Patches kept so that a node that is a little behind gets only those.
+const PATCHES_KEPT: usize = 256;
+
+/// One number of the configuration.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Numbered {
+    /// The number. 0 is the empty configuration, before the first patch.
+    pub number: ConfigNumber,
+    /// The document.
+    pub document: Value,
+    /// The document, read and checked.
+    pub config: Config,
+}
+
+/// The newest configuration known here and the patches that led to it.
+///
+/// Invariant: the number never falls.
+#[derive(Clone, Debug)]
+pub struct Book {
+    newest: Arc<Numbered>,
+    /// The last patches, each with the number that it made; consecutive, the last is the newest.
+    patches: VecDeque<(ConfigNumber, String)>,
+}
+
+/// What a node needs to get from its number to a newer one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Update {
+    /// Nothing: it has the newest number.
+    None,
+    /// Patches as JSON text, each with the number that it makes, in order.
+    Patches(Vec<(ConfigNumber, String)>),
+    /// The whole document as JSON text.
+    Whole(ConfigNumber, String),
+}
+
+/// An update can't be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unusable {
+    /// It leads to a lower number than the one known here.
+    Older,
+    /// It does not follow on the number known here, or is damaged.
+    Broken,
+}
+
+impl Default for Book {
+    fn default() -> Book {
+        let empty = Numbered { document: Value::Object(Map::new()), ..Numbered::default() };
+        Book { newest: Arc::new(empty), patches: VecDeque::new() }
+    }
+}
+
+impl Book {
+    /// The newest configuration.
+    pub fn newest(&self) -> &Arc<Numbered> {
+        &self.newest
+    }
+
+    /// The newest number.
+    pub fn number(&self) -> ConfigNumber {
+        self.newest.number
+    }
+
+    /// The number, patch text and age order of the patches that are still kept.
+    pub fn patches(&self) -> impl Iterator<Item = &(ConfigNumber, String)> {
+        self.patches.iter()
+    }
+
+    /// What a patch would make of the newest document.
+    ///
+    /// # Errors
+    /// Everything that is wrong with the result.
+    pub fn patched(&self, change: &Value) -> Result<Numbered, Vec<Problem>> {
+        let mut document = self.newest.document.clone();
+        patch::merge(&mut document, change);
+        let config = Config::from_value(&document)?;
+        Ok(Numbered { number: self.number() + 1, document, config })
+    }
+
+    /// Makes a patched document the newest.
+    pub fn accept(&mut self, next: Numbered, patch_text: String) {
+        debug_assert_eq!(next.number, self.number() + 1);
+        self.patches.push_back((next.number, patch_text));
+        while self.patches.len() > PATCHES_KEPT {
+            self.patches.pop_front();
+        }
+        self.newest = Arc::new(next);
+    }
+
+    /// What somebody with number `has` needs to get to the newest one.
+    pub fn update_since(&self, has: ConfigNumber) -> Update {
+        if has >= self.number() {
+            return Update::None;
+        }
+        let first = self.patches.front().map_or(ConfigNumber::MAX, |(number, _)| *number);
+        if first > has + 1 {
+            return self.whole();
+        }
+        let missing = self.patches.iter().filter(|(number, _)| *number > has);
+        Update::Patches(missing.cloned().collect())
+    }
+
+    /// Takes over kept patches, the last of which made the newest number.
+    pub fn remember(&mut self, patches: Vec<(ConfigNumber, String)>) {
+        if patches.last().is_none_or(|(number, _)| *number == self.number()) {
+            self.patches = patches.into();
+        }
+    }
+
+    /// The whole newest document as an update.
+    pub fn whole(&self) -> Update {
+        Update::Whole(self.number(), self.newest.document.to_string())
+    }
+
+    /// Takes an update.
+    ///
+    /// # Errors
+    /// If it must not or can't be used; nothing has changed then.
+    pub fn take(&mut self, update: &Update) -> Result<(), Unusable> {
+        match update {
+            Update::None => Ok(()),
+            Update::Whole(number, text) => self.replace(*number, text),
+            Update::Patches(patches) => {
+                let mut next = self.clone();
+                for (number, text) in patches {
+                    if *number <= next.number() {
+                        continue;
+                    }
+                    let change: Value = serde_json::from_str(text).map_err(|_| Unusable::Broken)?;
+                    let made = next.patched(&change).map_err(|_| Unusable::Broken)?;
+                    if made.number != *number {
+                        return Err(Unusable::Broken);
+                    }
+                    next.accept(made, text.clone());
+                }
+                *self = next;
+                Ok(())
+            }
+        }
+    }
+
+    fn replace(&mut self, number: ConfigNumber, text: &str) -> Result<(), Unusable> {
+        if number < self.number() {
+            return Err(Unusable::Older);
+        }
+        let document: Value = serde_json::from_str(text).map_err(|_| Unusable::Broken)?;
+        let config = Config::from_value(&document).map_err(|_| Unusable::Broken)?;
+        self.newest = Arc::new(Numbered { number, document, config });
+        self.patches.clear();
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/emulator/knobs.rs
@@ -0,0 +1,84 @@
+//! Faults that a test or an operator of the emulator can set on a target.
+
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+
+use crate::ids::TargetId;
+
+/// Sets a fault on a target.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SetFault {
+    /// The target.
+    pub target: TargetId,
+    /// The fault.
+    pub fault: Fault,
+}
+
+/// What goes wrong.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Fault {
+    /// The process dies with all its connections.
+    Die,
+    /// It starts again, with empty memory.
+    Restart,
+    /// The platform lists it as leaving.
+    Leave,
+    /// Faults while it runs, replacing the ones set before.
+    Set(Knobs),
+}
+
+/// Faults while a target runs.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Knobs {
+    /// Each answer breaks off after this many tokens (engines) or before its first byte (services).
+    pub break_after_tokens: Option<u32>,
+    /// How many answers break off before the fault ends; `None` for all.
+    pub break_count: Option<u32>,
+    /// Chunks carry the id of another request.
+    pub crossed: bool,
+    /// Each answer starts this much later.
+    pub delay_ms: u64,
+    /// Everything is refused with 503, provably not run.
+    pub refuse: bool,
+    /// Its link is slower by this factor; 0 counts as 1.
+    pub link_slower: f64,
+    /// It has no room for anything new.
+    pub full: bool,
+    /// What it stores is damaged on the way out.
+    pub damage: bool,
+}
+
+/// The faults set on one target.
+#[derive(Default)]
+pub struct Faults {
+    knobs: Mutex<Knobs>,
+}
+
+impl Faults {
+    /// The faults in force.
+    pub fn get(&self) -> Knobs {
+        self.knobs.lock().clone()
+    }
+
+    /// Replaces them.
+    pub fn set(&self, knobs: Knobs) {
+        *self.knobs.lock() = knobs;
+    }
+
+    /// After how many tokens the answer that starts now breaks off, if it does.
+    pub fn take_break(&self) -> Option<u32> {
+        let mut knobs = self.knobs.lock();
+        let after = knobs.break_after_tokens?;
+        match knobs.break_count {
+            Some(0) => None,
+            Some(count) => {
+                knobs.break_count = Some(count - 1);
+                Some(after)
+            }
+            None => Some(after),
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/callers.rs
@@ -0,0 +1,249 @@
+//! Callers' HTTP: who asks, for what kind of request, and which interface answers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt;
+use serde_json::json;
+use warp::http::{Method, StatusCode};
+
+use super::{Code, Refusal, prompts, services};
+use crate::clock::{BootTime, boot_now};
+use crate::config::{Kind, Numbered};
+use crate::edge::chat::Shape;
+use crate::http::{self, BodyError, Request, Response};
+use crate::ids::{AccountId, KindId, RequestId};
+use crate::limits::Wants;
+use crate::limits::admission::Reason;
+use crate::node::Node;
+use crate::node::places::Place;
+use crate::telemetry::logs::quoted;
+use crate::telemetry::metrics::label;
+
+const KIND_HEADER: &str = "x-kumquatpost-kind";
+const DEADLINE_HEADER: &str = "x-kumquatpost-deadline-ms";
+const REPEATABLE_HEADER: &str = "x-kumquatpost-repeatable";
+const IDEMPOTENCY_HEADER: &str = "idempotency-key";
+const MAX_ID_BYTES: usize = 256;
+const DEFAULT_KIND: &str = "default";
+/// When to come back to a node that is not fresh: its lease may be renewed by then.
+const NOT_FRESH_RETRY: Duration = Duration::from_secs(1);
+
+/// A caller's request with everything that was found out about it.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// The configuration that it runs under to its end.
+    pub config: Arc<Numbered>,
+    /// Whose it is.
+    pub account: AccountId,
+    /// Its id, given by the caller or drawn.
+    pub request_id: RequestId,
+    /// The name of its kind.
+    pub kind_id: KindId,
+    /// Its kind.
+    pub kind: Kind,
+    /// Whether it may run twice without harm.
+    pub repeatable: bool,
+    /// When it came.
+    pub came_at: BootTime,
+    /// When its first token is due.
+    pub deadline: BootTime,
+}
+
+/// Answers one request.
+pub async fn handle(node: Arc<Node>, request: Request) -> Response {
+    match (&request.method, request.path.as_str()) {
+        (&Method::GET, "/health/live") => http::text(StatusCode::OK, "live\n".into()),
+        (&Method::GET, "/health/ready") => ready(&node),
+        (&Method::GET, "/metrics") => http::text(StatusCode::OK, node.metrics.text()),
+        _ => match served(&node, request).await {
+            Ok(response) => response,
+            Err(refusal) => refusal.response(),
+        },
+    }
+}
+
+async fn served(node: &Arc<Node>, request: Request) -> Result<Response, Refusal> {
+    let method = request.method.clone();
+    let path = request.path.clone();
+    if method == Method::GET && path == "/v1/models" {
+        return models(node, &request);
+    }
+    if let Some(shape) = Shape::of_path(&path).filter(|_| method == Method::POST) {
+        let call = Call::read(node, &request)?;
+        return prompts::serve(node, call, &request, shape).await;
+    }
+    if let ["v1", "services", service, ..] = request.segments().as_slice() {
+        let service = service.to_string();
+        return services::serve(node, &request, &service).await;
+    }
+    Err(Refusal::not_run(Code::NotFound, format!("no interface {method} {path}")))
+}
+
+fn ready(node: &Node) -> Response {
+    if node.is_ready() {
+        return http::text(StatusCode::OK, "ready\n".into());
+    }
+    http::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n".into())
+}
+
+fn models(node: &Node, request: &Request) -> Result<Response, Refusal> {
+    let config = admitting(node)?;
+    identify(&config, request)?;
+    let models: Vec<_> = config
+        .config
+        .models
+        .keys()
+        .map(|id| json!({"id": id, "object": "model", "created": 0, "owned_by": "kumquatpost"}))
+        .collect();
+    Ok(http::json(StatusCode::OK, &json!({"object": "list", "data": models})))
+}
+
+/// The configuration in force, if the node admits requests.
+pub fn admitting(node: &Node) -> Result<Arc<Numbered>, Refusal> {
+    if node.is_stopping() {
+        let refusal = Refusal::not_run(Code::ShuttingDown, "this node is shutting down");
+        return Err(refusal.after(NOT_FRESH_RETRY));
+    }
+    node.in_force().filter(|config| config.number > 0).ok_or_else(|| {
+        let message = "this node can't know whether its configuration is in force";
+        Refusal::not_run(Code::NotFresh, message).after(NOT_FRESH_RETRY)
+    })
+}
+
+fn identify(config: &Numbered, request: &Request) -> Result<AccountId, Refusal> {
+    let bearer = request.header("authorization").and_then(|value| value.strip_prefix("Bearer "));
+    let account = bearer.and_then(|key| config.config.account_of_key(key.trim()));
+    account
+        .cloned()
+        .ok_or_else(|| Refusal::not_run(Code::WrongKey, "the bearer key is missing or unknown"))
+}
+
+impl Call {
+    /// Finds out who asks and for what.
+    ///
+    /// # Errors
+    /// What is wrong with the request, or that this node does not admit any.
+    pub fn read(node: &Node, request: &Request) -> Result<Call, Refusal> {
+        let config = admitting(node)?;
+        let account = identify(&config, request)?;
+        if let Err(error) = &request.body {
+            return Err(body_refusal(*error));
+        }
+        let kind_id = request.header(KIND_HEADER).unwrap_or(DEFAULT_KIND).to_string();
+        let Some(kind) = config.config.kind(&kind_id) else {
+            let known = config.config.kinds.keys().cloned().collect::<Vec<_>>().join(", ");
+            let message = format!("no kind {kind_id:?}; there are: {known}");
+            return Err(Refusal::not_run(Code::UnknownKind, message));
+        };
+        let came_at = boot_now();
+        let deadline_ms = deadline_ms(request)?.unwrap_or(kind.deadline_ms);
+        // A caller can tighten whether it repeats, never loosen it.
+        let repeatable = kind.repeatable && request.header(REPEATABLE_HEADER) != Some("false");
+        Ok(Call {
+            request_id: request_id(request)?,
+            config,
+            account,
+            kind_id,
+            kind,
+            repeatable,
+            came_at,
+            deadline: came_at + Duration::from_millis(deadline_ms),
+        })
+    }
+
+    /// Waits for a place to run.
+    ///
+    /// # Errors
+    /// That it was given up on, and when to come back.
+    pub async fn take_place(&self, node: &Node) -> Result<Place, Refusal> {
+        let account = self.config.config.accounts.get(&self.account);
+        let nodes = node.live().len().max(1) as u32;
+        let wants = Wants {
+            account: self.account.clone(),
+            weight: account.map_or(1, |account| account.weight),
+            account_running: account.map_or(1, |a| a.max_running.div_ceil(nodes).max(1)),
+            priority: self.kind.priority,
+            deadline: self.deadline,
+        };
+        let place = node.places.take(wants).await.map_err(|refused| {
+            let (code, message) = match refused.reason {
+                Reason::QueueFull => (Code::QueueFull, "too many requests wait already"),
+                Reason::Deadline => (Code::Deadline, "it would wait past its deadline"),
+            };
+            Refusal::not_run(code, message).after(refused.retry_after)
+        })?;
+        // Time has passed in the queue.
+        self.still_admitted(node)?;
+        Ok(place)
+    }
+
+    /// Checks again, right before a dispatch, that the request may still be sent.
+    ///
+    /// # Errors
+    /// If the node's lease has ended or the deadline has passed.
+    pub fn still_admitted(&self, node: &Node) -> Result<(), Refusal> {
+        if node.in_force().is_none() {
+            let message = "this node's freshness lease ended before the request was sent";
+            return Err(Refusal::not_run(Code::NotFresh, message).after(NOT_FRESH_RETRY));
+        }
+        if boot_now() >= self.deadline {
+            let refusal = Refusal::not_run(Code::Deadline, "its deadline has passed");
+            return Err(refusal.after(node.places.retry_after()));
+        }
+        Ok(())
+    }
+
+    /// Records how the request ended, in a log line and in the metrics.
+    pub fn log_end(&self, node: &Node, what: &str, result: Result<(), &Refusal>) {
+        let code = result.map_or_else(|refusal| refusal.code.parts().0, |()| "ok");
+        let execution = result.map_or_else(|refusal| refusal.execution.as_str(), |()| "ran");
+        let took = boot_now().saturating_sub(self.came_at);
+        log::info!(
+            "event=request_ended request={} account={} kind={} what={} code={code} \
+             execution={execution} took_ms={}",
+            quoted(&self.request_id),
+            quoted(&self.account),
+            quoted(&self.kind_id),
+            quoted(what),
+            took.as_millis(),
+        );
+        let labels =
+            [label("kind", &self.kind_id), label("account", &self.account), label("code", code)];
+        node.metrics.requests.add(1, &labels);
+    }
+}
+
+fn body_refusal(error: BodyError) -> Refusal {
+    match error {
+        BodyError::TooLarge(limit) => {
+            Refusal::not_run(Code::TooLarge, format!("the body is longer than {limit} bytes"))
+        }
+        BodyError::Broken => Refusal::not_run(Code::BadRequest, "the body broke off"),
+    }
+}
+
+fn deadline_ms(request: &Request) -> Result<Option<u64>, Refusal> {
+    let Some(text) = request.header(DEADLINE_HEADER) else { return Ok(None) };
+    match text.parse::<u64>() {
+        Ok(ms) if ms > 0 => Ok(Some(ms.min(86_400_000))),
+        _ => {
+            let message = format!("{DEADLINE_HEADER}: {text:?} is not a number of milliseconds");
+            Err(Refusal::not_run(Code::BadRequest, message))
+        }
+    }
+}
+
+fn request_id(request: &Request) -> Result<RequestId, Refusal> {
+    let Some(text) = request.header(IDEMPOTENCY_HEADER) else {
+        return Ok(format!("r-{:032x}", rand::rng().random::<u128>()));
+    };
+    let plain = !text.is_empty()
+        && text.len() <= MAX_ID_BYTES
+        && text.bytes().all(|byte| byte.is_ascii_graphic());
+    if plain {
+        return Ok(text.to_string());
+    }
+    let message = format!("{IDEMPOTENCY_HEADER}: use 1 to {MAX_ID_BYTES} visible ASCII characters");
+    Err(Refusal::not_run(Code::BadRequest, message))
+}
--- /dev/null
+++ b/src/entry/operators.rs
@@ -0,0 +1,267 @@
+//! Operators' HTTP: the numbered configuration, status, replicas, and fault knobs of tests.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde_json::{Value, json};
+use warp::http::{Method, StatusCode};
+
+use crate::config::Update;
+use crate::http::{self, Request, Response};
+use crate::ids::NodeId;
+use crate::log::raft::Change;
+use crate::log::state::{Command, Patch, PatchAnswer, Reply};
+use crate::node::Node;
+use crate::node::decisions::NoLeader;
+
+const RETRY_AFTER_S: &str = "1";
+
+/// Answers one request.
+pub async fn handle(node: Arc<Node>, request: Request) -> Response {
+    match (&request.method, request.segments().as_slice()) {
+        (&Method::GET, ["v1", "config"]) => get_config(&node, &request).await,
+        (&Method::PATCH, ["v1", "config"]) => patch_config(&node, &request).await,
+        (&Method::GET, ["v1", "config", "history"]) => history(&node).await,
+        (&Method::GET, ["v1", "status"]) => http::json(StatusCode::OK, &node.status_json()),
+        (&Method::POST, ["v1", "replicas"]) => change_replicas(&node, &request).await,
+        (&Method::POST, ["v1", "faults"]) => set_faults(&node, &request),
+        (&Method::GET, ["metrics"]) => http::text(StatusCode::OK, node.metrics.text()),
+        (&Method::GET, ["health", "live"]) => http::text(StatusCode::OK, "live\n".into()),
+        _ => {
+            let message = "no such interface; there are GET and PATCH /v1/config, \
+                           GET /v1/config/history, GET /v1/status, POST /v1/replicas, GET /metrics";
+            error(StatusCode::NOT_FOUND, "not_found", message)
+        }
+    }
+}
+
+async fn get_config(node: &Arc<Node>, request: &Request) -> Response {
+    // Always the whole document, since the reader has none.
+    let read = node.read_config(0).await;
+    if request.parameter("local") == Some("true") || read.is_err() {
+        return local_config(node, request);
+    }
+    let mut book = crate::config::Book::default();
+    match read {
+        Ok(update) if book.take(&update).is_ok() => config(book.number(), &book.newest().document),
+        _ => no_leader(),
+    }
+}
+
+/// What this node has, which may be old; only if the reader asks for just that.
+fn local_config(node: &Node, request: &Request) -> Response {
+    if request.parameter("local") != Some("true") {
+        return no_leader();
+    }
+    match node.in_force() {
+        Some(numbered) => config(numbered.number, &numbered.document),
+        None => no_leader(),
+    }
+}
+
+fn config(number: u64, document: &Value) -> Response {
+    let mut response = http::json(StatusCode::OK, &json!({"number": number, "config": document}));
+    http::set_header(&mut response, "etag", &format!("\"{number}\""));
+    response
+}
+
+async fn patch_config(node: &Arc<Node>, request: &Request) -> Response {
+    let patch = match read_patch(request) {
+        Ok(patch) => patch,
+        Err(refused) => return error(refused.status, refused.code, &refused.message),
+    };
+    match node.decide(Command::Patch(patch)).await {
+        Ok(Reply::Patch(answer)) => patch_answer(&answer),
+        _ => no_leader(),
+    }
+}
+
+/// A request of an operator that can't be understood.
+struct Refused {
+    status: StatusCode,
+    code: &'static str,
+    message: String,
+}
+
+fn read_patch(request: &Request) -> Result<Patch, Refused> {
+    let refused = |status, code, message: String| Refused { status, code, message };
+    let required = StatusCode::PRECONDITION_REQUIRED;
+    let Some(if_match) = request.header("if-match") else {
+        let message = "send If-Match: \"N\" with the number that the patch was made against";
+        return Err(refused(required, "if_match_missing", message.into()));
+    };
+    let Ok(base) = if_match.trim().trim_matches('"').parse() else {
+        let message = format!("If-Match: {if_match:?} is not a number; send If-Match: \"N\"");
+        return Err(refused(StatusCode::BAD_REQUEST, "if_match_invalid", message));
+    };
+    let Some(patch_id) = request.header("idempotency-key").filter(|id| !id.is_empty()) else {
+        let message = "send an Idempotency-Key, so that a resend gets the first answer again";
+        return Err(refused(required, "idempotency_key_missing", message.into()));
+    };
+    let value: Value = request.json().map_err(|reason| {
+        let message = format!("the body is not JSON: {reason}; send a JSON merge patch");
+        refused(StatusCode::BAD_REQUEST, "patch_invalid", message)
+    })?;
+    Ok(Patch { patch_id: patch_id.to_string(), base, text: value.to_string() })
+}
+
+fn patch_answer(answer: &PatchAnswer) -> Response {
+    match answer {
+        PatchAnswer::Accepted(number) => {
+            let mut response = http::json(StatusCode::OK, &json!({"number": number}));
+            http::set_header(&mut response, "etag", &format!("\"{number}\""));
+            response
+        }
+        PatchAnswer::Raced(current) => {
+            let message = format!(
+                "another patch was accepted first; read number {current}, then send yours with \
+                 If-Match: \"{current}\" and a new Idempotency-Key"
+            );
+            let body = json!({"error": {"code": "raced", "message": message}, "number": current});
+            let mut response = http::json(StatusCode::PRECONDITION_FAILED, &body);
+            http::set_header(&mut response, "etag", &format!("\"{current}\""));
+            response
+        }
+        PatchAnswer::Invalid(problems) => {
+            let body = json!({"error": {"code": "invalid", "message": problems.join(" | ")}});
+            http::json(StatusCode::UNPROCESSABLE_ENTITY, &body)
+        }
+        PatchAnswer::IdReused => {
+            let message = "this Idempotency-Key belongs to another patch; use a new one";
+            error(StatusCode::UNPROCESSABLE_ENTITY, "id_reused", message)
+        }
+    }
+}
+
+async fn history(node: &Arc<Node>) -> Response {
+    // Number 0 has no patches of its own, so the update lists all that are kept.
+    let read = node.read_config(node.number().saturating_sub(HISTORY_LEN)).await;
+    let patches: Vec<Value> = match read {
+        Ok(Update::Patches(patches)) => patches
+            .iter()
+            .rev()
+            .map(|(number, text)| {
+                let patch: Value = serde_json::from_str(text).unwrap_or(Value::Null);
+                json!({"number": number, "patch": patch})
+            })
+            .collect(),
+        Ok(Update::Whole(number, text)) => {
+            let document: Value = serde_json::from_str(&text).unwrap_or(Value::Null);
+            vec![json!({"number": number, "document": document})]
+        }
+        Ok(Update::None) => Vec::new(),
+        Err(NoLeader) => return no_leader(),
+    };
+    http::json(StatusCode::OK, &json!({"history": patches}))
+}
+
+/// Numbers that the history goes back, at the most.
+const HISTORY_LEN: u64 = 50;
+
+async fn change_replicas(node: &Arc<Node>, request: &Request) -> Response {
+    #[derive(Deserialize)]
+    #[serde(rename_all = "snake_case", deny_unknown_fields)]
+    enum Wanted {
+        AddLearner(NodeId),
+        Promote(NodeId),
+        Remove(NodeId),
+    }
+    let change = match request.json::<Wanted>() {
+        Ok(Wanted::AddLearner(node)) => Change::AddLearner(node),
+        Ok(Wanted::Promote(node)) => Change::Promote(node),
+        Ok(Wanted::Remove(node)) => Change::Remove(node),
+        Err(reason) => {
+            let message = format!(
+                "{reason}; send {{\"add_learner\": N}}, {{\"promote\": N}} or \
+                         {{\"remove\": N}}"
+            );
+            return error(StatusCode::BAD_REQUEST, "change_invalid", &message);
+        }
+    };
+    match node.change_replicas(change).await {
+        Ok(Ok(())) => http::json(StatusCode::OK, &json!({"changed": true})),
+        Ok(Err(reason)) => error(StatusCode::CONFLICT, "change_refused", &reason),
+        Err(NoLeader) => no_leader(),
+    }
+}
+
+fn set_faults(node: &Node, request: &Request) -> Response {
+    #[derive(Deserialize)]
+    #[serde(deny_unknown_fields)]
+    struct Faults {
+        cut_off_from: BTreeSet<NodeId>,
+    }
+    if !node.settings.fault_knobs {
+        let message = "fault knobs are off; set fault_knobs and environment test";
+        return error(StatusCode::FORBIDDEN, "fault_knobs_off", message);
+    }
+    match request.json::<Faults>() {
+        Ok(faults) => {
+            log::warn!("event=fault_set cut_off_from={:?}", faults.cut_off_from);
+            node.links.set_cut(faults.cut_off_from);
+            http::json(StatusCode::OK, &json!({"set": true}))
+        }
+        Err(reason) => error(StatusCode::BAD_REQUEST, "fault_invalid", &reason),
+    }
+}
+
+impl Node {
+    /// What operators see of this node.
+    pub fn status_json(&self) -> Value {
+        let in_force = self.in_force();
+        let replica = self.replica_status().map(|status| {
+            let raft = &status.raft;
+            json!({
+                "term": raft.term, "is_leader": raft.is_leader, "leader": raft.leader,
+                "commit": raft.commit, "last": raft.last, "recovering": raft.recovering,
+                "stopped": raft.stopped, "voters": raft.members.voters,
+                "learners": raft.members.learners, "number": status.number,
+                "in_force": status.in_force, "claims": status.claims,
+            })
+        });
+        let live: Vec<Value> = self
+            .live()
+            .iter()
+            .map(|member| {
+                json!({"node": member.node, "failure_domain": member.failure_domain,
+                       "status": format!("{:?}", member.status).to_lowercase()})
+            })
+            .collect();
+        let router = self.router.lock();
+        let engines: Vec<Value> = router
+            .view()
+            .engines
+            .iter()
+            .map(|(id, engine)| {
+                json!({"target": id, "takes_work": engine.takes_work,
+                       "suspect": engine.health.is_suspect(), "running": engine.running,
+                       "trust": engine.residency.trust()})
+            })
+            .collect();
+        json!({
+            "node": self.settings.node_id,
+            "fresh": in_force.is_some(),
+            "ready": !self.is_stopping() && in_force.is_some(),
+            "number": self.number(),
+            "running": self.places.running(),
+            "waiting": self.places.waiting(),
+            "contexts": self.catalog.lock().len(),
+            "peer_sent_bytes": self.links.sent_bytes(),
+            "replica": replica,
+            "live": live,
+            "engines": engines,
+        })
+    }
+}
+
+fn no_leader() -> Response {
+    let message = "no leader of the replicated log answered; see /v1/status, then try again";
+    let mut response = error(StatusCode::SERVICE_UNAVAILABLE, "no_leader", message);
+    http::set_header(&mut response, "retry-after", RETRY_AFTER_S);
+    response
+}
+
+fn error(status: StatusCode, code: &str, message: &str) -> Response {
+    http::json(status, &json!({"error": {"code": code, "message": message}}))
+}
--- /dev/null
+++ b/src/entry/prompts.rs
@@ -0,0 +1,162 @@
+//! Prompts: reads the request, finds what is kept of its context, runs it, and answers.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use tokio::sync::mpsc;
+
+use super::answers::{self, Part, Wanted};
+use super::callers::Call;
+use super::once::{self, Claimed, Held};
+use super::run::Run;
+use super::{Code, Refusal};
+use crate::claims::Outcome;
+use crate::config::Model;
+use crate::edge::chat::{PromptRequest, Shape, Usage};
+use crate::http::{Request, Response};
+use crate::node::Node;
+use crate::node::places::Place;
+use crate::prompt::{Chain, Owner};
+
+/// Parts that wait for a slow caller; the run waits when there are more.
+const PARTS_WAITING: usize = 64;
+
+/// A prompt that was read and checked.
+pub struct Prompt {
+    /// Who asks and for what kind.
+    pub call: Call,
+    /// The interface.
+    pub shape: Shape,
+    /// The body as it came.
+    pub body: serde_json::Value,
+    /// The model in the configuration.
+    pub model: Model,
+    /// The model's name.
+    pub model_id: String,
+    /// The prompt in blocks.
+    pub chain: Chain,
+}
+
+/// The answer of a prompt marked not repeatable, as it is recorded.
+#[derive(Serialize, Deserialize)]
+struct Record {
+    text: String,
+    finish: String,
+    usage: Usage,
+}
+
+/// Answers a prompt.
+///
+/// # Errors
+/// Why there is no answer.
+pub async fn serve(
+    node: &Arc<Node>,
+    call: Call,
+    request: &Request,
+    shape: Shape,
+) -> Result<Response, Refusal> {
+    let (prompt, wanted) = read(call, request, shape)?;
+    let mut held = None;
+    if !prompt.call.repeatable {
+        let digest = once::digest(&[shape.path().as_bytes(), &request.bytes()]);
+        match once::claim(node, &prompt.call, digest).await? {
+            Claimed::Mine(claim) => held = Some(claim),
+            Claimed::Ran(outcome) => return recorded(wanted, &outcome),
+        }
+    }
+    let place = prompt.call.take_place(node).await.inspect_err(|refusal| {
+        prompt.call.log_end(node, &prompt.model_id, Err(refusal));
+    })?;
+    let (sender, parts) = mpsc::channel(PARTS_WAITING);
+    tokio::spawn(run(node.clone(), prompt, held, place, sender));
+    Ok(answers::respond(wanted, parts).await)
+}
+
+/// Runs a prompt to its end, whether or not the caller stays.
+async fn run(
+    node: Arc<Node>,
+    prompt: Prompt,
+    held: Option<Held>,
+    place: Place,
+    sender: mpsc::Sender<Part>,
+) {
+    let call = prompt.call.clone();
+    let model_id = prompt.model_id.clone();
+    let mut run = Run::new(node.clone(), prompt, held, sender);
+    let result = run.to_end().await;
+    call.log_end(&node, &model_id, result.as_ref().map(|_| ()));
+    let (held, sender) = run.into_parts();
+    match result {
+        Ok(whole) => {
+            let (finish, usage) = (whole.finish.clone(), whole.usage);
+            if let Some(held) = held {
+                let record = Record { text: whole.text, finish: whole.finish, usage };
+                held.record(outcome(&record)).await;
+            }
+            // The caller may have hung up; then nobody needs the end.
+            let _ = sender.send(Part::End { finish, usage }).await;
+        }
+        Err(refusal) => {
+            let _ = sender.send(Part::Failed(refusal)).await;
+        }
+    }
+    drop(place);
+}
+
+fn read(call: Call, request: &Request, shape: Shape) -> Result<(Prompt, Wanted), Refusal> {
+    let bad = |message: String| Refusal::not_run(Code::BadRequest, message);
+    let body: serde_json::Value =
+        request.json().map_err(|reason| bad(format!("the body is not JSON: {reason}")))?;
+    let asked: PromptRequest = serde_json::from_value(body.clone())
+        .map_err(|reason| bad(format!("the body is not a prompt: {reason}")))?;
+    let missing = match shape {
+        Shape::Chat => asked.messages.is_empty().then_some("messages"),
+        Shape::Text => asked.prompt.is_none().then_some("prompt"),
+    };
+    if let Some(field) = missing {
+        return Err(bad(format!("{field}: is missing or empty")));
+    }
+    let models = &call.config.config.models;
+    let Some(model) = models.get(&asked.model).cloned() else {
+        let known = models.keys().cloned().collect::<Vec<_>>().join(", ");
+        let message = format!("no model {:?}; there are: {known}", asked.model);
+        return Err(Refusal::not_run(Code::UnknownModel, message));
+    };
+    let owner = Owner {
+        account: call.account.clone(),
+        model: asked.model.clone(),
+        weight_version: model.weight_version.clone(),
+        adapter: String::new(),
+    };
+    let prefix = match shape {
+        Shape::Chat => "chatcmpl",
+        Shape::Text => "cmpl",
+    };
+    let wanted = Wanted {
+        shape,
+        model: asked.model.clone(),
+        id: format!("{prefix}-{}", call.request_id),
+        stream: asked.stream,
+        usage: asked.wants_usage(),
+    };
+    let chain = Chain::new(&owner, &asked.prompt_text());
+    let model_id = asked.model;
+    Ok((Prompt { call, shape, body, model, model_id, chain }, wanted))
+}
+
+fn outcome(record: &Record) -> Outcome {
+    Outcome {
+        status: 200,
+        content_type: "application/json".into(),
+        body: serde_json::to_vec(record).ok(),
+    }
+}
+
+fn recorded(wanted: Wanted, outcome: &Outcome) -> Result<Response, Refusal> {
+    let body = outcome.body.as_deref().unwrap_or_default();
+    let Ok(record) = serde_json::from_slice::<Record>(body) else {
+        let message = "it ran before, and its answer was too long to keep";
+        return Err(Refusal::may_have_run(Code::AlreadyClaimed, message));
+    };
+    Ok(answers::recorded(wanted, record.text, record.finish, record.usage))
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,32 @@
+//! kumquatpost: a serving system for language-model prompts that return after long gaps.
+//!
+//! Decisions are state machines without I/O, fed `(message, now)`; thin shells around them do the
+//! I/O. README.md says what it does, docs/design/ why it is built this way.
+
+pub mod checked;
+pub mod claims;
+
+pub mod cli;
+pub mod clock;
+pub mod commands;
+pub mod config;
+pub mod edge;
+pub mod emulator;
+pub mod entry;
+pub mod error;
+pub mod http;
+pub mod ids;
+pub mod lease;
+pub mod limits;
+pub mod load;
+pub mod log;
+pub mod membership;
+pub mod node;
+pub mod peer;
+pub mod prompt;
+pub mod queries;
+pub mod replica;
+pub mod route;
+pub mod settings;
+pub mod telemetry;
+pub mod whereabouts;
--- /dev/null
+++ b/src/limits/admission.rs
@@ -0,0 +1,312 @@
+//! Admission at one node: strict bounds, priority, then fairness between accounts.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use crate::clock::BootTime;
+use crate::ids::AccountId;
+
+/// Shortest and longest Retry-After that is worked out.
+const RETRY_AFTER_RANGE: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(60));
+/// Weight of the newest finished request in the rate.
+const RATE_STEP: f64 = 0.05;
+/// One place of this many goes to the request that waits longest, so that none starves.
+const OLDEST_FIRST_ONE_IN: u64 = 16;
+/// Assumed time between two finished requests until some have finished.
+const ASSUMED_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Names a waiting request.
+pub type Ticket = u64;
+
+/// A request that wants to run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Wants {
+    /// Whose it is.
+    pub account: AccountId,
+    /// The account's share of a full queue; at least 1.
+    pub weight: u32,
+    /// Requests of the account that may run on this node at once.
+    pub account_running: u32,
+    /// 0 goes first.
+    pub priority: u8,
+    /// When its answer is due.
+    pub deadline: BootTime,
+}
+
+/// What becomes of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Offer {
+    /// It runs now. `finish` must be called.
+    Run,
+    /// It waits; `start_next` names it later, or `expire` does.
+    Wait(Ticket),
+    /// It was given up on at once.
+    Refused(Refused),
+}
+
+/// Why a request was given up on, and when to come back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refused {
+    /// Why.
+    pub reason: Reason,
+    /// When a later try makes sense.
+    pub retry_after: Duration,
+}
+
+/// Why a request was given up on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// The queue is full.
+    QueueFull,
+    /// It would have waited past its deadline.
+    Deadline,
+}
+
+/// Requests that run and wait at one node.
+#[derive(Clone, Debug)]
+pub struct Admission {
+    /// Most that run at once.
+    capacity: usize,
+    queue_len: usize,
+    running: usize,
+    waiting: usize,
+    /// Invariant: `waiting` is the number of requests in here; no queue in it is empty.
+    queues: BTreeMap<u8, BTreeMap<AccountId, VecDeque<Waiting>>>,
+    accounts: BTreeMap<AccountId, Account>,
+    next_ticket: Ticket,
+    picks: u64,
+    interval: Duration,
+    last_finish: Option<BootTime>,
+}
+
+#[derive(Clone, Debug)]
+struct Waiting {
+    ticket: Ticket,
+    weight: u32,
+    account_running: u32,
+    deadline: BootTime,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Account {
+    running: u32,
+    /// Places taken so far, divided by the weight.
+    served: f64,
+}
+
+impl Admission {
+    /// An idle node that lets `capacity` requests run and `queue_len` wait.
+    pub fn new(capacity: usize, queue_len: usize) -> Admission {
+        Admission {
+            capacity,
+            queue_len,
+            running: 0,
+            waiting: 0,
+            queues: BTreeMap::new(),
+            accounts: BTreeMap::new(),
+            next_ticket: 1,
+            picks: 0,
+            interval: ASSUMED_INTERVAL,
+            last_finish: None,
+        }
+    }
+
+    /// Changes how many may run. Running requests are never stopped for it.
+    pub fn set_capacity(&mut self, capacity: usize) {
+        self.capacity = capacity.max(1);
+    }
+
+    /// Requests that run.
+    pub fn running(&self) -> usize {
+        self.running
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting
+    }
+
+    /// When a request that is refused now should come back.
+    pub fn retry_after(&self) -> Duration {
+        let (shortest, longest) = RETRY_AFTER_RANGE;
+        self.expected_wait(self.waiting).clamp(shortest, longest)
+    }
+
+    /// Takes a request.
+    pub fn offer(&mut self, wants: Wants, now: BootTime) -> Offer {
+        let account = self.accounts.entry(wants.account.clone()).or_default();
+        let account_free = account.running < wants.account_running;
+        if self.running < self.capacity && account_free && self.waiting == 0 {
+            self.start(&wants.account, wants.weight);
+            return Offer::Run;
+        }
+        if self.waiting >= self.queue_len {
+            return self.refuse(Reason::QueueFull);
+        }
+        let ahead = self.ahead_of(wants.priority);
+        let blocked_by_capacity = self.running >= self.capacity;
+        if blocked_by_capacity && now + self.expected_wait(ahead) >= wants.deadline {
+            return self.refuse(Reason::Deadline);
+        }
+        if now >= wants.deadline {
+            return self.refuse(Reason::Deadline);
+        }
+        Offer::Wait(self.enqueue(wants))
+    }
+
+    /// The next request that may run now, if any. `finish` must be called for it.
+    pub fn start_next(&mut self) -> Option<Ticket> {
+        if self.running >= self.capacity || self.waiting == 0 {
+            return None;
+        }
+        self.picks += 1;
+        let (priority, account) = if self.picks.is_multiple_of(OLDEST_FIRST_ONE_IN) {
+            self.oldest().or_else(|| self.first())?
+        } else {
+            self.first()?
+        };
+        let waiting = self.take(priority, &account, None)?;
+        self.start(&account, waiting.weight);
+        Some(waiting.ticket)
+    }
+
+    /// Records that a running request of an account ended.
+    pub fn finish(&mut self, account: &str, now: BootTime) {
+        self.running = self.running.saturating_sub(1);
+        if let Some(account) = self.accounts.get_mut(account) {
+            account.running = account.running.saturating_sub(1);
+        }
+        if let Some(last) = self.last_finish {
+            let newest = now.saturating_sub(last).as_secs_f64();
+            let smoothed = self.interval.as_secs_f64();
+            self.interval = Duration::from_secs_f64(smoothed + RATE_STEP * (newest - smoothed));
+        }
+        self.last_finish = Some(now);
+        self.forget_idle_accounts();
+    }
+
+    /// Takes a request that gave up out of the queue. False if it isn't waiting.
+    pub fn withdraw(&mut self, ticket: Ticket) -> bool {
+        let place = self.queues.iter().find_map(|(priority, accounts)| {
+            let holds = |queue: &VecDeque<Waiting>| queue.iter().any(|w| w.ticket == ticket);
+            accounts.iter().find(|(_, q)| holds(q)).map(|(account, _)| (*priority, account.clone()))
+        });
+        place.is_some_and(|(priority, account)| {
+            self.take(priority, &account, Some(ticket)).is_some()
+        })
+    }
+
+    /// Takes out the requests whose deadline has come; each must be answered at once.
+    pub fn expire(&mut self, now: BootTime) -> Vec<Ticket> {
+        let late: Vec<Ticket> = self
+            .queues
+            .values()
+            .flat_map(BTreeMap::values)
+            .flatten()
+            .filter(|waiting| waiting.deadline <= now)
+            .map(|waiting| waiting.ticket)
+            .collect();
+        late.into_iter().filter(|ticket| self.withdraw(*ticket)).collect()
+    }
+
+    fn refuse(&self, reason: Reason) -> Offer {
+        Offer::Refused(Refused { reason, retry_after: self.retry_after() })
+    }
+
+    fn expected_wait(&self, ahead: usize) -> Duration {
+        self.interval.saturating_mul(u32::try_from(ahead + 1).unwrap_or(u32::MAX))
+    }
+
+    fn ahead_of(&self, priority: u8) -> usize {
+        let before = self.queues.range(..=priority);
+        before.flat_map(|(_, accounts)| accounts.values()).map(VecDeque::len).sum()
+    }
+
+    fn enqueue(&mut self, wants: Wants) -> Ticket {
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        self.waiting += 1;
+        // An account that was idle must not have saved up places.
+        let floor = self.least_served();
+        let account = self.accounts.entry(wants.account.clone()).or_default();
+        account.served = account.served.max(floor);
+        let queue =
+            self.queues.entry(wants.priority).or_default().entry(wants.account).or_default();
+        queue.push_back(Waiting {
+            ticket,
+            weight: wants.weight.max(1),
+            account_running: wants.account_running,
+            deadline: wants.deadline,
+        });
+        ticket
+    }
+
+    fn least_served(&self) -> f64 {
+        let waiting = self.queues.values().flat_map(BTreeMap::keys);
+        let served = waiting.filter_map(|id| self.accounts.get(id)).map(|account| account.served);
+        served.min_by(f64::total_cmp).unwrap_or(0.0)
+    }
+
+    fn may_run(&self, account: &AccountId, queue: &VecDeque<Waiting>) -> bool {
+        let running = self.accounts.get(account).map_or(0, |account| account.running);
+        queue.front().is_some_and(|waiting| running < waiting.account_running)
+    }
+
+    /// The first priority with a request that may run, and in it the account served least.
+    fn first(&self) -> Option<(u8, AccountId)> {
+        self.queues.iter().find_map(|(priority, accounts)| {
+            let served = |id: &AccountId| self.accounts.get(id).map_or(0.0, |a| a.served);
+            accounts
+                .iter()
+                .filter(|(id, queue)| self.may_run(id, queue))
+                .min_by(|(a, _), (b, _)| served(a).total_cmp(&served(b)))
+                .map(|(id, _)| (*priority, id.clone()))
+        })
+    }
+
+    fn oldest(&self) -> Option<(u8, AccountId)> {
+        let places = self.queues.iter().flat_map(|(priority, accounts)| {
+            accounts.iter().map(move |(id, queue)| (*priority, id, queue))
+        });
+        places
+            .filter(|(_, id, queue)| self.may_run(id, queue))
+            .min_by_key(|(_, _, queue)| queue.front().map(|waiting| waiting.ticket))
+            .map(|(priority, id, _)| (priority, id.clone()))
+    }
+
+    fn take(
+        &mut self,
+        priority: u8,
+        account: &AccountId,
+        ticket: Option<Ticket>,
+    ) -> Option<Waiting> {
+        let accounts = self.queues.get_mut(&priority)?;
+        let queue = accounts.get_mut(account)?;
+        let position = match ticket {
+            Some(ticket) => queue.iter().position(|waiting| waiting.ticket == ticket)?,
+            None => 0,
+        };
+        let waiting = queue.remove(position)?;
+        if queue.is_empty() {
+            accounts.remove(account);
+        }
+        if accounts.is_empty() {
+            self.queues.remove(&priority);
+        }
+        self.waiting -= 1;
+        Some(waiting)
+    }
+
+    fn start(&mut self, account: &AccountId, weight: u32) {
+        self.running += 1;
+        let account = self.accounts.entry(account.clone()).or_default();
+        account.running += 1;
+        account.served += 1.0 / f64::from(weight.max(1));
+    }
+
+    fn forget_idle_accounts(&mut self) {
+        if self.waiting == 0 {
+            self.accounts.retain(|_, account| account.running > 0);
+        }
+    }
+}
--- /dev/null
+++ b/src/limits/mod.rs
@@ -0,0 +1,5 @@
+//! Limits: how many requests run and wait at a node, and who goes next.
+
+pub mod admission;
+
+pub use admission::{Admission, Offer, Refused, Ticket, Wants};
--- /dev/null
+++ b/src/log/disk.rs
@@ -0,0 +1,278 @@
+//! Durable storage of one replica: a vote file, a snapshot file, and an append-only log file of
+//! checksummed records.
+//!
+//! Only synced bytes count. A record whose end never became durable is cut off at the start. A
+//! mark file tells how long the log file was after the last sync; if the valid part is shorter,
+//! synced bytes were lost, and the replica must not vote until it has caught up.
+
+use std::fs::{File, OpenOptions};
+use std::io::{self, Read, Seek, SeekFrom, Write};
+use std::os::unix::fs::FileExt;
+use std::path::{Path, PathBuf};
+
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use super::raft::Recovered;
+use super::types::{Entry, Index, Persist, Snapshot, Vote};
+use crate::error::{Error, Result};
+
+const VOTE_FILE: &str = "vote";
+const LOG_FILE: &str = "log";
+const SNAPSHOT_FILE: &str = "snapshot";
+const MARK_FILE: &str = "mark";
+const LOCK_FILE: &str = "lock";
+/// Length and checksum before each record.
+const HEADER_BYTES: usize = 8;
+/// Length of the mark file: a length and a flag.
+const MARK_BYTES: usize = 9;
+/// A longer record is taken for damage.
+const MAX_RECORD_BYTES: usize = 256 << 20;
+
+#[derive(Serialize, Deserialize)]
+enum Record {
+    Append(Entry),
+    /// Entries from this index on are void.
+    TruncateFrom(Index),
+}
+
+/// The files of one replica.
+pub struct Disk {
+    folder: PathBuf,
+    log: File,
+    mark: File,
+    log_bytes: u64,
+    /// Whether synced bytes were lost and the replica has not caught up since.
+    lost: bool,
+    // Held for as long as the process lives: two processes must not share a folder.
+    _lock: File,
+}
+
+impl Disk {
+    /// Opens or creates the files in a folder.
+    ///
+    /// # Errors
+    /// `Error::Start` if the folder can't be used, is used by another process, or holds a log
+    /// without its vote.
+    pub fn open(folder: &Path) -> Result<(Disk, Recovered)> {
+        let remedy = "check the folder's owner, mount and free space";
+        let failed = |source: io::Error| Error::start("data_folder", source, remedy);
+        std::fs::create_dir_all(folder).map_err(failed)?;
+        let lock = File::create(folder.join(LOCK_FILE)).map_err(failed)?;
+        lock.try_lock().map_err(|_| {
+            let reason = format!("{} is in use", folder.display());
+            Error::start("data_folder", reason, "stop the other process or name another folder")
+        })?;
+        let vote = read_whole::<Vote>(&folder.join(VOTE_FILE)).map_err(failed)?;
+        let snapshot = read_whole::<Snapshot>(&folder.join(SNAPSHOT_FILE)).map_err(failed)?;
+        let log_path = folder.join(LOG_FILE);
+        let is_new = !log_path.exists();
+        let mut log = OpenOptions::new()
+            .read(true)
+            .write(true)
+            .create(true)
+            .truncate(false)
+            .open(&log_path)
+            .map_err(failed)?;
+        let mark = OpenOptions::new()
+            .read(true)
+            .write(true)
+            .create(true)
+            .truncate(false)
+            .open(folder.join(MARK_FILE))
+            .map_err(failed)?;
+        let (records, valid_bytes) = read_records(&mut log).map_err(failed)?;
+        let (marked_bytes, marked_lost) = read_mark(&mark);
+        let was_used = snapshot.is_some() || !records.is_empty() || marked_bytes > 0;
+        let without_vote = vote.is_none() && was_used;
+        if without_vote {
+            let reason = format!("{} holds a log but no valid vote", folder.display());
+            let remedy = "replace this replica by one with a new node_id and an empty folder";
+            return Err(Error::start("data_folder", reason, remedy));
+        }
+        log.set_len(valid_bytes).map_err(failed)?;
+        log.sync_all().map_err(failed)?;
+        if is_new {
+            sync_folder(folder).map_err(failed)?;
+        }
+        let lost = marked_lost || marked_bytes > valid_bytes;
+        let recovered = Recovered {
+            vote: vote.unwrap_or_default(),
+            lost,
+            entries: entries_after(&snapshot, records),
+            snapshot,
+        };
+        let folder = folder.to_path_buf();
+        let disk = Disk { folder, log, mark, log_bytes: valid_bytes, lost, _lock: lock };
+        disk.write_mark().and_then(|()| disk.mark.sync_data()).map_err(failed)?;
+        Ok((disk, recovered))
+    }
+
+    /// Makes changes durable. After an error nothing more may be written: what is durable is not
+    /// known then.
+    ///
+    /// # Errors
+    /// Those of the operating system.
+    pub fn save(&mut self, persist: &Persist, kept: &[Entry]) -> io::Result<()> {
+        if let Some(vote) = &persist.vote {
+            self.replace(VOTE_FILE, vote)?;
+        }
+        if let Some(snapshot) = &persist.snapshot {
+            self.replace(SNAPSHOT_FILE, snapshot)?;
+            return self.rewrite_log(kept);
+        }
+        let mut bytes = Vec::new();
+        if let Some(index) = persist.truncate_from {
+            push_record(&mut bytes, &Record::TruncateFrom(index))?;
+        }
+        for entry in &persist.append {
+            push_record(&mut bytes, &Record::Append(entry.clone()))?;
+        }
+        if bytes.is_empty() {
+            return Ok(());
+        }
+        self.log.seek(SeekFrom::Start(self.log_bytes))?;
+        self.log.write_all(&bytes)?;
+        self.log.sync_data()?;
+        self.log_bytes += bytes.len() as u64;
+        self.write_mark()
+    }
+
+    /// Records that the replica has caught up after a loss.
+    ///
+    /// # Errors
+    /// Those of the operating system.
+    pub fn caught_up(&mut self) -> io::Result<()> {
+        self.lost = false;
+        self.write_mark()?;
+        self.mark.sync_data()
+    }
+
+    /// Whether synced bytes were lost and the replica has not caught up since.
+    pub fn has_lost(&self) -> bool {
+        self.lost
+    }
+
+    /// Length of the log file.
+    pub fn log_bytes(&self) -> u64 {
+        self.log_bytes
+    }
+
+    /// Closes the files. Everything saved is durable already.
+    pub fn close(self) {}
+
+    /// Replaces the log file by one that holds only `kept`.
+    fn rewrite_log(&mut self, kept: &[Entry]) -> io::Result<()> {
+        let mut bytes = Vec::new();
+        for entry in kept {
+            push_record(&mut bytes, &Record::Append(entry.clone()))?;
+        }
+        // The mark first: a shorter log under the old mark would look like a loss.
+        self.log_bytes = 0;
+        self.write_mark()?;
+        self.mark.sync_data()?;
+        let path = self.folder.join(LOG_FILE);
+        replace_file(&self.folder, LOG_FILE, &bytes)?;
+        self.log = OpenOptions::new().read(true).write(true).open(path)?;
+        self.log_bytes = bytes.len() as u64;
+        self.write_mark()
+    }
+
+    /// Not synced: it survives the death of the process, and tells of lost bytes then.
+    fn write_mark(&self) -> io::Result<()> {
+        let mut bytes = [0; MARK_BYTES];
+        bytes[..8].copy_from_slice(&self.log_bytes.to_le_bytes());
+        bytes[8] = self.lost.into();
+        self.mark.write_all_at(&bytes, 0)
+    }
+
+    fn replace<T: Serialize>(&self, name: &str, value: &T) -> io::Result<()> {
+        let mut bytes = Vec::new();
+        push_record(&mut bytes, value)?;
+        replace_file(&self.folder, name, &bytes)
+    }
+}
+
+fn replace_file(folder: &Path, name: &str, bytes: &[u8]) -> io::Result<()> {
+    let draft = folder.join(format!("{name}.draft"));
+    let mut file = File::create(&draft)?;
+    file.write_all(bytes)?;
+    file.sync_all()?;
+    std::fs::rename(&draft, folder.join(name))?;
+    sync_folder(folder)
+}
+
+fn sync_folder(folder: &Path) -> io::Result<()> {
+    File::open(folder)?.sync_all()
+}
+
+fn push_record<T: Serialize>(bytes: &mut Vec<u8>, record: &T) -> io::Result<()> {
+    let body = postcard::to_stdvec(record).map_err(io::Error::other)?;
+    bytes.extend_from_slice(&(body.len() as u32).to_le_bytes());
+    bytes.extend_from_slice(&crc32fast::hash(&body).to_le_bytes());
+    bytes.extend_from_slice(&body);
+    Ok(())
+}
+
+/// The first record in `bytes` and its length; `None` if it is not whole.
+fn first_record<T: DeserializeOwned>(bytes: &[u8]) -> Option<(T, usize)> {
+    let length = u32::from_le_bytes(bytes.get(..4)?.try_into().ok()?) as usize;
+    let checksum = u32::from_le_bytes(bytes.get(4..HEADER_BYTES)?.try_into().ok()?);
+    if length > MAX_RECORD_BYTES {
+        return None;
+    }
+    let body = bytes.get(HEADER_BYTES..HEADER_BYTES + length)?;
+    if crc32fast::hash(body) != checksum {
+        return None;
+    }
+    Some((postcard::from_bytes(body).ok()?, HEADER_BYTES + length))
+}
+
+fn read_whole<T: DeserializeOwned>(path: &Path) -> io::Result<Option<T>> {
+    match std::fs::read(path) {
+        Ok(bytes) => Ok(first_record(&bytes).map(|(value, _)| value)),
+        Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
+        Err(error) => Err(error),
+    }
+}
+
+fn read_records(log: &mut File) -> io::Result<(Vec<Record>, u64)> {
+    let mut bytes = Vec::new();
+    log.read_to_end(&mut bytes)?;
+    let mut records = Vec::new();
+    let mut valid = 0;
+    while let Some((record, length)) = first_record(&bytes[valid..]) {
+        records.push(record);
+        valid += length;
+    }
+    Ok((records, valid as u64))
+}
+
+/// The length of the log file after the last sync, and whether synced bytes were lost.
+fn read_mark(mark: &File) -> (u64, bool) {
+    let mut bytes = [0; MARK_BYTES];
+    if mark.read_exact_at(&mut bytes, 0).is_err() {
+        return (0, false);
+    }
+    let mut length = [0; 8];
+    length.copy_from_slice(&bytes[..8]);
+    (u64::from_le_bytes(length), bytes[8] != 0)
+}
+
+/// The entries that follow on a snapshot without a gap.
+fn entries_after(snapshot: &Option<Snapshot>, records: Vec<Record>) -> Vec<Entry> {
+    let mut entries: Vec<Entry> = Vec::new();
+    for record in records {
+        match record {
+            Record::TruncateFrom(index) => entries.retain(|entry| entry.index < index),
+            Record::Append(entry) => entries.push(entry),
+        }
+    }
+    let mut next = snapshot.as_ref().map_or(1, |snapshot| snapshot.index + 1);
+    entries.retain(|entry| {
+        let follows = entry.index == next;
+        next += u64::from(follows);
+        follows
+    });
+    entries
+}
--- /dev/null
+++ b/src/log/raft/election.rs
@@ -0,0 +1,172 @@
+//! Elections: pre-vote, votes, and a fresh leader's first steps.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use super::{Leader, Progress, Raft, Role};
+use crate::clock::BootTime;
+use crate::ids::NodeId;
+use crate::log::types::{Index, Message, Payload, Term, Vote};
+
+impl Raft {
+    pub(super) fn may_stand(&self) -> bool {
+        self.members.voters.contains(&self.id) && self.recovering.is_none()
+    }
+
+    pub(super) fn start_pre_vote(&mut self, now: BootTime) {
+        self.leader = None;
+        self.role = Role::PreCandidate { granted: BTreeSet::from([self.id]) };
+        self.reset_election(now);
+        let (last_term, last_index) = self.log.last();
+        let term = self.vote.term + 1;
+        self.ask_voters(Message::PreVote { term, last_index, last_term });
+        self.count_pre_votes(now);
+    }
+
+    pub(super) fn on_pre_vote(
+        &mut self,
+        from: NodeId,
+        term: Term,
+        last: (Term, Index),
+        now: BootTime,
+    ) {
+        let granted =
+            term > self.vote.term && last >= self.log.last() && !self.has_live_leader(now);
+        let reply_term = if granted { term } else { self.vote.term };
+        let reply = Message::PreVoteReply { term: reply_term, granted };
+        self.effects.late.push((from, reply));
+    }
+
+    pub(super) fn on_pre_vote_reply(
+        &mut self,
+        from: NodeId,
+        term: Term,
+        granted: bool,
+        now: BootTime,
+    ) {
+        if !granted {
+            if term > self.vote.term {
+                self.follow(term, None, now);
+            }
+            return;
+        }
+        if term != self.vote.term + 1 {
+            return;
+        }
+        if let Role::PreCandidate { granted } = &mut self.role {
+            granted.insert(from);
+            self.count_pre_votes(now);
+        }
+    }
+
+    pub(super) fn on_request_vote(
+        &mut self,
+        from: NodeId,
+        term: Term,
+        last: (Term, Index),
+        now: BootTime,
+    ) {
+        // Leases rest on this: no other leader while the last one may still count on us.
+        if self.has_live_leader(now) {
+            return;
+        }
+        if term > self.vote.term {
+            self.follow(term, None, now);
+        }
+        let free = self.vote.voted_for.is_none_or(|voted_for| voted_for == from);
+        let granted = term == self.vote.term
+            && free
+            && last >= self.log.last()
+            && self.recovering.is_none()
+            && matches!(self.role, Role::Follower);
+        if granted {
+            self.vote.voted_for = Some(from);
+            self.effects.persist.vote = Some(self.vote);
+            self.reset_election(now);
+        }
+        self.effects.late.push((from, Message::VoteReply { term: self.vote.term, granted }));
+    }
+
+    pub(super) fn on_vote_reply(&mut self, from: NodeId, term: Term, granted: bool, now: BootTime) {
+        if term > self.vote.term {
+            self.follow(term, None, now);
+            return;
+        }
+        if term < self.vote.term || !granted {
+            return;
+        }
+        if let Role::Candidate { granted } = &mut self.role {
+            granted.insert(from);
+            self.count_votes(now);
+        }
+    }
+
+    /// Whether a leader was heard so recently that nobody else may be elected.
+    fn has_live_leader(&self, now: BootTime) -> bool {
+        matches!(self.role, Role::Leader(_)) || now < self.heard_leader + self.timing.election
+    }
+
+    fn count_pre_votes(&mut self, now: BootTime) {
+        let Role::PreCandidate { granted } = &self.role else { return };
+        if self.is_quorum(granted) {
+            self.stand(now);
+        }
+    }
+
+    fn stand(&mut self, now: BootTime) {
+        self.vote = Vote { term: self.vote.term + 1, voted_for: Some(self.id) };
+        self.effects.persist.vote = Some(self.vote);
+        self.role = Role::Candidate { granted: BTreeSet::from([self.id]) };
+        self.reset_election(now);
+        let (last_term, last_index) = self.log.last();
+        let term = self.vote.term;
+        self.ask_voters(Message::RequestVote { term, last_index, last_term });
+        self.count_votes(now);
+    }
+
+    fn count_votes(&mut self, now: BootTime) {
+        let Role::Candidate { granted } = &self.role else { return };
+        if self.is_quorum(granted) {
+            self.lead(now);
+        }
+    }
+
+    fn lead(&mut self, now: BootTime) {
+        let next = self.log.last_index() + 1;
+        let progress: BTreeMap<NodeId, Progress> = self
+            .members
+            .all()
+            .filter(|id| *id != self.id)
+            .map(|id| (id, Progress::new(next)))
+            .collect();
+        self.role = Role::Leader(Leader {
+            first_index: next,
+            progress,
+            heartbeat_at: now,
+            round: 0,
+            rounds: VecDeque::new(),
+            confirmed_at: now,
+            reads: Vec::new(),
+            next_read: 1,
+            broadcast_due: true,
+        });
+        self.leader = Some(self.id);
+        let appended = self.append_own(Payload::Noop);
+        debug_assert!(appended.is_ok(), "this replica has just become the leader");
+    }
+
+    pub(super) fn is_quorum(&self, granted: &BTreeSet<NodeId>) -> bool {
+        granted.intersection(&self.members.voters).count() >= self.members.quorum()
+    }
+
+    fn ask_voters(&mut self, message: Message) {
+        let others = self.members.voters.iter().filter(|id| **id != self.id);
+        // Late: the candidate's own vote must be durable before others count on it.
+        self.effects.late.extend(others.map(|id| (*id, message.clone())));
+    }
+}
+
+impl Progress {
+    pub(super) fn new(next: Index) -> Progress {
+        Progress { next, matched: 0, acked_round: 0, snapshot_sent: None }
+    }
+}
--- /dev/null
+++ b/src/log/raft/mod.rs
@@ -0,0 +1,409 @@
+//! Raft as a state machine without I/O: fed messages and time, it returns effects.
+//!
+//! The caller takes the effects after each input or a few of them, sends `early`, makes `persist`
+//! durable, calls `persisted`, sends `late`, and applies what is committed, in this order.
+
+mod change;
+mod election;
+mod entries;
+mod replication;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+use super::types::{Entry, Index, Members, Message, Payload, Persist, Snapshot, Term, Vote};
+use crate::clock::BootTime;
+use crate::ids::NodeId;
+pub use change::{Change, ChangeError};
+use entries::Entries;
+
+/// What of an election timeout is given up for clocks that run at different rates.
+const DRIFT_PART: u32 = 10;
+
+/// Periods of the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RaftTiming {
+    /// How often a leader sends heartbeats.
+    pub heartbeat: Duration,
+    /// How long a replica waits for a leader before it stands; drawn between this and twice this.
+    pub election: Duration,
+}
+
+/// What a replica finds on its disk.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Recovered {
+    /// The vote.
+    pub vote: Vote,
+    /// The snapshot.
+    pub snapshot: Option<Snapshot>,
+    /// Entries after the snapshot.
+    pub entries: Vec<Entry>,
+    /// Whether synced bytes were lost, so that what this replica acknowledged may be missing.
+    pub lost: bool,
+}
+
+/// Names a read that waits for confirmation.
+pub type ReadId = u64;
+
+/// What the caller must do.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Effects {
+    /// Messages that may leave before `persist` is durable.
+    pub early: Vec<(NodeId, Message)>,
+    /// What must be durable first.
+    pub persist: Persist,
+    /// Messages that may leave only then.
+    pub late: Vec<(NodeId, Message)>,
+    /// A snapshot that replaces the state machine's state.
+    pub restore: Option<Snapshot>,
+    /// Entries to apply, in order.
+    pub committed: Vec<Entry>,
+    /// Reads that may be answered once the entry at the index is applied.
+    pub reads: Vec<(ReadId, Index)>,
+}
+
+impl Effects {
+    /// Whether there is nothing to do.
+    pub fn is_empty(&self) -> bool {
+        *self == Effects::default()
+    }
+}
+
+/// This replica does not lead.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NotLeader {
+    /// Who does, as far as is known.
+    pub leader: Option<NodeId>,
+}
+
+/// One replica.
+#[derive(Clone, Debug)]
+pub struct Raft {
+    id: NodeId,
+    timing: RaftTiming,
+    random: SmallRng,
+    /// Durable before any late message that depends on it leaves. The term never falls.
+    vote: Vote,
+    log: Entries,
+    /// The replicas by the last `Members` entry in the log, committed or not.
+    members: Members,
+    role: Role,
+    leader: Option<NodeId>,
+    /// When a leader of the current term was heard last; starts at the start, so that a replica
+    /// that forgot what it heard does not vote too early.
+    heard_leader: BootTime,
+    election_at: BootTime,
+    /// Never falls, and never passes the last index.
+    commit: Index,
+    /// Entries up to here were handed out. Never passes `commit`.
+    applied: Index,
+    /// Entries up to here are durable here.
+    persisted: Index,
+    /// Set while synced bytes are known to be lost: no vote until caught up.
+    recovering: Option<Recovering>,
+    /// Set for good once the disk has failed.
+    stopped: bool,
+    effects: Effects,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Recovering {
+    /// The leader's last index at the first contact.
+    until: Option<Index>,
+}
+
+#[derive(Clone, Debug)]
+enum Role {
+    Follower,
+    PreCandidate { granted: BTreeSet<NodeId> },
+    Candidate { granted: BTreeSet<NodeId> },
+    Leader(Leader),
+}
+
+#[derive(Clone, Debug)]
+struct Leader {
+    /// The entry written on election; once it is committed, so is all before it.
+    first_index: Index,
+    progress: BTreeMap<NodeId, Progress>,
+    heartbeat_at: BootTime,
+    round: u64,
+    /// Rounds that no quorum has answered yet, with the time they were sent.
+    rounds: VecDeque<(u64, BootTime)>,
+    /// When the last round that a quorum answered was sent.
+    confirmed_at: BootTime,
+    reads: Vec<PendingRead>,
+    next_read: ReadId,
+    /// Whether entries or reads wait for a broadcast.
+    broadcast_due: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct PendingRead {
+    id: ReadId,
+    index: Index,
+    /// The round that confirms it; `None` until it is sent.
+    round: Option<u64>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Progress {
+    next: Index,
+    matched: Index,
+    acked_round: u64,
+    snapshot_sent: Option<BootTime>,
+}
+
+/// What operators see of a replica.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RaftStatus {
+    /// Its term.
+    pub term: Term,
+    /// Whether it leads.
+    pub is_leader: bool,
+    /// Who leads, as far as is known.
+    pub leader: Option<NodeId>,
+    /// The commit index.
+    pub commit: Index,
+    /// The last index.
+    pub last: Index,
+    /// The replicas.
+    pub members: Members,
+    /// Whether it withholds votes until it has caught up.
+    pub recovering: bool,
+    /// Whether its disk has failed.
+    pub stopped: bool,
+}
+
+impl Raft {
+    /// A replica as it starts. `members` counts only while nothing was ever written.
+    pub fn new(
+        id: NodeId,
+        members: Members,
+        timing: RaftTiming,
+        recovered: Recovered,
+        seed: u64,
+        now: BootTime,
+    ) -> Raft {
+        let recovering = recovered.lost.then_some(Recovering { until: None });
+        let snapshot_index = recovered.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+        let restore = recovered.snapshot.clone();
+        let log = Entries::new(recovered.snapshot, recovered.entries, members);
+        let mut raft = Raft {
+            id,
+            timing,
+            random: SmallRng::seed_from_u64(seed),
+            vote: recovered.vote,
+            members: log.members(),
+            role: Role::Follower,
+            leader: None,
+            heard_leader: now,
+            election_at: now,
+            commit: snapshot_index,
+            applied: snapshot_index,
+            persisted: log.last_index(),
+            log,
+            recovering,
+            stopped: false,
+            effects: Effects { restore, ..Effects::default() },
+        };
+        raft.reset_election(now);
+        raft
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: BootTime) {
+        if self.stopped {
+            return;
+        }
+        match &self.role {
+            Role::Leader(leader) => {
+                if now >= leader.confirmed_at + self.timing.election * 2 {
+                    self.follow(self.vote.term, None, now);
+                } else if now >= leader.heartbeat_at {
+                    self.broadcast(now);
+                }
+            }
+            _ if now >= self.election_at && self.may_stand() => self.start_pre_vote(now),
+            _ => {}
+        }
+    }
+
+    /// Takes a message.
+    pub fn receive(&mut self, from: NodeId, message: Message, now: BootTime) {
+        if self.stopped {
+            return;
+        }
+        match message {
+            Message::PreVote { term, last_index, last_term } => {
+                self.on_pre_vote(from, term, (last_term, last_index), now);
+            }
+            Message::PreVoteReply { term, granted } => {
+                self.on_pre_vote_reply(from, term, granted, now);
+            }
+            Message::RequestVote { term, last_index, last_term } => {
+                self.on_request_vote(from, term, (last_term, last_index), now);
+            }
+            Message::VoteReply { term, granted } => self.on_vote_reply(from, term, granted, now),
+            Message::Append { .. } => self.on_append(from, message, now),
+            Message::AppendReply { term, result, round } => {
+                self.on_append_reply(from, term, result, round, now);
+            }
+            Message::InstallSnapshot { term, snapshot, last_index, round } => {
+                self.on_snapshot(from, term, snapshot, last_index, round, now);
+            }
+        }
+    }
+
+    /// Appends a command. It is decided once its index is committed in the returned term.
+    ///
+    /// # Errors
+    /// If this replica does not lead.
+    pub fn propose(&mut self, command: Vec<u8>) -> Result<(Term, Index), NotLeader> {
+        let payload = Payload::Command(Arc::new(command));
+        self.append_own(payload)
+    }
+
+    /// Starts a read of the newest state; `Effects::reads` tells when it may be answered.
+    ///
+    /// # Errors
+    /// If this replica does not lead, or has committed nothing in its term yet.
+    pub fn read(&mut self) -> Result<ReadId, NotLeader> {
+        let not_leader = NotLeader { leader: self.leader };
+        let commit = self.commit;
+        let Role::Leader(leader) = &mut self.role else { return Err(not_leader) };
+        if commit < leader.first_index {
+            return Err(not_leader);
+        }
+        let id = leader.next_read;
+        leader.next_read += 1;
+        leader.reads.push(PendingRead { id, index: commit, round: None });
+        leader.broadcast_due = true;
+        Ok(id)
+    }
+
+    /// Takes everything that must be done now.
+    pub fn take_effects(&mut self, now: BootTime) -> Effects {
+        if let Role::Leader(leader) = &self.role
+            && leader.broadcast_due
+        {
+            self.broadcast(now);
+        }
+        self.hand_out_committed();
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Records that everything up to `index` is durable here.
+    pub fn persisted(&mut self, index: Index) {
+        self.persisted = self.persisted.max(index.min(self.log.last_index()));
+        if self.recovering.is_some_and(|r| r.until.is_some_and(|until| self.persisted >= until)) {
+            self.recovering = None;
+        }
+        self.advance_commit();
+    }
+
+    /// Records that the disk has failed: this replica votes and acknowledges no more.
+    pub fn disk_failed(&mut self) {
+        self.stopped = true;
+        self.role = Role::Follower;
+        self.leader = None;
+        self.effects = Effects::default();
+    }
+
+    /// Replaces the entries up to `index`, which must be applied, by the state at it.
+    pub fn compact(&mut self, index: Index, data: Vec<u8>) {
+        if index > self.applied || index <= self.log.snapshot_index() {
+            return;
+        }
+        self.effects.persist.snapshot = self.log.compact(index, data).cloned();
+    }
+
+    /// Whether this replica surely leads at `now`: nobody else can have been elected yet.
+    pub fn holds_leadership(&self, now: BootTime) -> bool {
+        let Role::Leader(leader) = &self.role else { return false };
+        let safe = self.timing.election - self.timing.election / DRIFT_PART;
+        self.commit >= leader.first_index && now < leader.confirmed_at + safe
+    }
+
+    /// The last index that was handed out to be applied.
+    pub fn applied(&self) -> Index {
+        self.applied
+    }
+
+    /// The last index in the log.
+    pub fn last_index(&self) -> Index {
+        self.log.last_index()
+    }
+
+    /// All entries after the snapshot.
+    pub fn kept_entries(&self) -> Vec<Entry> {
+        self.log.range(self.log.snapshot_index() + 1, self.log.last_index())
+    }
+
+    /// Index of the last snapshot.
+    pub fn snapshot_index(&self) -> Index {
+        self.log.snapshot_index()
+    }
+
+    /// The term.
+    pub fn term(&self) -> Term {
+        self.vote.term
+    }
+
+    /// What operators see.
+    pub fn status(&self) -> RaftStatus {
+        RaftStatus {
+            term: self.vote.term,
+            is_leader: matches!(self.role, Role::Leader(_)),
+            leader: self.leader,
+            commit: self.commit,
+            last: self.log.last_index(),
+            members: self.members.clone(),
+            recovering: self.recovering.is_some(),
+            stopped: self.stopped,
+        }
+    }
+
+    fn append_own(&mut self, payload: Payload) -> Result<(Term, Index), NotLeader> {
+        let not_leader = NotLeader { leader: self.leader };
+        let term = self.vote.term;
+        let index = self.log.last_index() + 1;
+        let Role::Leader(leader) = &mut self.role else { return Err(not_leader) };
+        leader.broadcast_due = true;
+        if let Payload::Members(members) = &payload {
+            self.members = members.clone();
+        }
+        let entry = Entry { index, term, payload };
+        self.effects.persist.append.push(entry.clone());
+        self.log.append(entry);
+        Ok((term, index))
+    }
+
+    fn hand_out_committed(&mut self) {
+        let from = self.applied.max(self.log.snapshot_index()) + 1;
+        if from > self.commit {
+            return;
+        }
+        self.effects.committed.extend(self.log.range(from, self.commit));
+        self.applied = self.commit;
+    }
+
+    fn reset_election(&mut self, now: BootTime) {
+        let spread: f64 = self.random.random();
+        self.election_at = now + self.timing.election + self.timing.election.mul_f64(spread);
+    }
+
+    /// Becomes a follower in `term`, of `leader` if one is known.
+    fn follow(&mut self, term: Term, leader: Option<NodeId>, now: BootTime) {
+        if term > self.vote.term {
+            self.vote = Vote { term, voted_for: None };
+            self.effects.persist.vote = Some(self.vote);
+        }
+        self.role = Role::Follower;
+        self.leader = leader;
+        self.reset_election(now);
+    }
+}
--- /dev/null
+++ b/src/log/raft/replication.rs
@@ -0,0 +1,284 @@
+//! Replication: the leader's broadcasts, the followers' answers, commits and reads.
+
+use std::time::Duration;
+
+use super::{Leader, Progress, Raft, Recovering, Role};
+use crate::clock::BootTime;
+use crate::ids::NodeId;
+use crate::log::types::{Index, Message, Mismatch, Payload, Snapshot, Term};
+
+/// A snapshot is sent again if it was not acknowledged within this time.
+const SNAPSHOT_RESEND: Duration = Duration::from_secs(2);
+
+impl Raft {
+    /// Sends entries or a heartbeat to every other replica.
+    pub(super) fn broadcast(&mut self, now: BootTime) {
+        let members = self.members.clone();
+        let Role::Leader(leader) = &mut self.role else { return };
+        leader.broadcast_due = false;
+        leader.heartbeat_at = now + self.timing.heartbeat;
+        leader.round += 1;
+        leader.rounds.push_back((leader.round, now));
+        for read in leader.reads.iter_mut().filter(|read| read.round.is_none()) {
+            read.round = Some(leader.round);
+        }
+        let last = self.log.last_index();
+        leader.progress.retain(|id, _| members.all().any(|member| member == *id));
+        for id in members.all().filter(|id| *id != self.id) {
+            leader.progress.entry(id).or_insert(Progress::new(last + 1));
+        }
+        let others: Vec<NodeId> = leader.progress.keys().copied().collect();
+        for id in others {
+            self.send_to(id, now);
+        }
+        // A lone voter confirms itself.
+        self.confirm_rounds();
+    }
+
+    fn send_to(&mut self, id: NodeId, now: BootTime) {
+        let last_index = self.log.last_index();
+        let Role::Leader(leader) = &mut self.role else { return };
+        let Some(progress) = leader.progress.get_mut(&id) else { return };
+        let (term, commit, round) = (self.vote.term, self.commit, leader.round);
+        let prev_index = progress.next - 1;
+        let message = match (self.log.term_at(prev_index), self.log.snapshot()) {
+            (Some(prev_term), _) => {
+                let entries = self.log.batch(progress.next);
+                progress.next += entries.len() as Index;
+                Message::Append { term, prev_index, prev_term, entries, commit, last_index, round }
+            }
+            (None, Some(snapshot)) => {
+                let waits = progress.snapshot_sent.is_some_and(|at| now < at + SNAPSHOT_RESEND);
+                if waits {
+                    return;
+                }
+                progress.snapshot_sent = Some(now);
+                Message::InstallSnapshot { term, snapshot: snapshot.clone(), last_index, round }
+            }
+            (None, None) => return,
+        };
+        // Early: a leader's own copy counts only once it is durable here too.
+        self.effects.early.push((id, message));
+    }
+
+    pub(super) fn on_append(&mut self, from: NodeId, message: Message, now: BootTime) {
+        let Message::Append { term, prev_index, prev_term, entries, commit, last_index, round } =
+            message
+        else {
+            return;
+        };
+        if !self.accept_leader(from, term, round, last_index, now) {
+            return;
+        }
+        if prev_index > self.log.last_index() {
+            let hint = self.log.last_index();
+            self.answer(from, Err(Mismatch { hint }), round);
+            return;
+        }
+        if prev_index >= self.log.snapshot_index()
+            && self.log.term_at(prev_index) != Some(prev_term)
+        {
+            let hint = self.log.before_term_of(prev_index);
+            self.answer(from, Err(Mismatch { hint }), round);
+            return;
+        }
+        let equal_until = prev_index + entries.len() as Index;
+        let mut members_changed = false;
+        for entry in entries {
+            if entry.index <= self.log.snapshot_index() {
+                continue;
+            }
+            match self.log.term_at(entry.index) {
+                Some(present) if present == entry.term => continue,
+                Some(_) => {
+                    self.truncate_from(entry.index);
+                    members_changed = true;
+                }
+                None => {}
+            }
+            members_changed |= matches!(entry.payload, Payload::Members(_));
+            self.effects.persist.append.push(entry.clone());
+            self.log.append(entry);
+        }
+        if members_changed {
+            self.members = self.log.members();
+        }
+        self.commit = self.commit.max(commit.min(equal_until));
+        self.answer(from, Ok(equal_until.max(self.log.snapshot_index())), round);
+    }
+
+    pub(super) fn on_snapshot(
+        &mut self,
+        from: NodeId,
+        term: Term,
+        snapshot: Snapshot,
+        last_index: Index,
+        round: u64,
+        now: BootTime,
+    ) {
+        if !self.accept_leader(from, term, round, last_index, now) {
+            return;
+        }
+        let index = snapshot.index;
+        if index > self.commit {
+            let follows_on = self.log.term_at(index) == Some(snapshot.term);
+            self.log.install(snapshot.clone());
+            self.members = self.log.members();
+            self.commit = index;
+            self.applied = index;
+            self.effects.committed.clear();
+            let persist = &mut self.effects.persist;
+            // Entries that were to be appended before are in the snapshot or void.
+            persist.append.retain(|entry| follows_on && entry.index > index);
+            if !follows_on {
+                persist.truncate_from = Some(persist.truncate_from.unwrap_or(0).max(index + 1));
+                self.persisted = index;
+            }
+            self.effects.persist.snapshot = Some(snapshot.clone());
+            self.effects.restore = Some(snapshot);
+        }
+        self.answer(from, Ok(index), round);
+    }
+
+    /// Whether `from` leads in this term; answers it if not.
+    fn accept_leader(
+        &mut self,
+        from: NodeId,
+        term: Term,
+        round: u64,
+        last_index: Index,
+        now: BootTime,
+    ) -> bool {
+        if term < self.vote.term {
+            let hint = self.log.last_index();
+            self.answer(from, Err(Mismatch { hint }), round);
+            return false;
+        }
+        self.follow(term, Some(from), now);
+        self.heard_leader = now;
+        if let Some(Recovering { until: until @ None }) = &mut self.recovering {
+            *until = Some(last_index);
+        }
+        true
+    }
+
+    fn truncate_from(&mut self, index: Index) {
+        debug_assert!(index > self.commit, "a committed entry must never be void");
+        self.log.truncate_from(index);
+        self.persisted = self.persisted.min(index - 1);
+        let persist = &mut self.effects.persist;
+        persist.append.retain(|entry| entry.index < index);
+        let earlier = persist.truncate_from.unwrap_or(index);
+        persist.truncate_from = Some(earlier.min(index));
+    }
+
+    fn answer(&mut self, to: NodeId, result: Result<Index, Mismatch>, round: u64) {
+        // Late: what is acknowledged here must be durable.
+        let reply = Message::AppendReply { term: self.vote.term, result, round };
+        self.effects.late.push((to, reply));
+    }
+
+    pub(super) fn on_append_reply(
+        &mut self,
+        from: NodeId,
+        term: Term,
+        result: Result<Index, Mismatch>,
+        round: u64,
+        now: BootTime,
+    ) {
+        if term > self.vote.term {
+            self.follow(term, None, now);
+            return;
+        }
+        let last = self.log.last_index();
+        let Role::Leader(leader) = &mut self.role else { return };
+        let Some(progress) = leader.progress.get_mut(&from) else { return };
+        if term < self.vote.term {
+            return;
+        }
+        progress.acked_round = progress.acked_round.max(round);
+        let behind = match result {
+            Ok(index) => {
+                progress.snapshot_sent = None;
+                progress.matched = progress.matched.max(index.min(last));
+                progress.next = progress.next.max(progress.matched + 1);
+                progress.next <= last
+            }
+            Err(Mismatch { hint }) => {
+                progress.next = (hint + 1).min(progress.next).max(1);
+                true
+            }
+        };
+        self.confirm_rounds();
+        self.advance_commit();
+        if behind {
+            self.send_to(from, now);
+        }
+    }
+
+    /// Commits what a quorum has made durable, if it is of this term.
+    pub(super) fn advance_commit(&mut self) {
+        let Role::Leader(leader) = &self.role else { return };
+        let own = self.persisted;
+        let candidate = quorum_value(&self.members.voters, self.members.quorum(), |id| {
+            if id == self.id { own } else { leader.progress.get(&id).map_or(0, |p| p.matched) }
+        });
+        if candidate > self.commit && self.log.term_at(candidate) == Some(self.vote.term) {
+            self.commit = candidate;
+            self.step_down_if_removed();
+        }
+    }
+
+    /// Finds the last round that a quorum answered, and releases the reads it confirms.
+    fn confirm_rounds(&mut self) {
+        let Role::Leader(leader) = &mut self.role else { return };
+        let round = leader.round;
+        let confirmed = quorum_value(&self.members.voters, self.members.quorum(), |id| {
+            if id == self.id {
+                round
+            } else {
+                leader.progress.get(&id).map_or(0, |p| p.acked_round)
+            }
+        });
+        leader.confirm(confirmed);
+        let ready = leader.reads.iter().filter(|read| read.is_confirmed(confirmed));
+        self.effects.reads.extend(ready.map(|read| (read.id, read.index)));
+        leader.reads.retain(|read| !read.is_confirmed(confirmed));
+    }
+
+    fn step_down_if_removed(&mut self) {
+        let removed = !self.members.voters.contains(&self.id);
+        if removed && self.log.members_index() <= self.commit {
+            self.role = Role::Follower;
+            self.leader = None;
+        }
+    }
+}
+
+impl super::PendingRead {
+    fn is_confirmed(&self, confirmed: u64) -> bool {
+        self.round.is_some_and(|round| round <= confirmed)
+    }
+}
+
+impl Leader {
+    fn confirm(&mut self, confirmed: u64) {
+        while let Some((round, sent_at)) = self.rounds.front().copied()
+            && round <= confirmed
+        {
+            self.confirmed_at = self.confirmed_at.max(sent_at);
+            self.rounds.pop_front();
+        }
+    }
+}
+
+/// The highest value that at least a quorum of voters has reached.
+fn quorum_value(
+    voters: &std::collections::BTreeSet<NodeId>,
+    quorum: usize,
+    value: impl Fn(NodeId) -> u64,
+) -> u64 {
+    let mut values: Vec<u64> = voters.iter().map(|id| value(*id)).collect();
+    values.sort_unstable_by(|a, b| b.cmp(a));
+    values.get(quorum - 1).copied().unwrap_or(0)
+}
--- /dev/null
+++ b/src/node/answering.rs
@@ -0,0 +1,121 @@
+//! Answers other nodes.
+
+use std::sync::Arc;
+
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use tokio::sync::oneshot;
+
+use super::Node;
+use crate::clock::boot_now;
+use crate::ids::NodeId;
+use crate::log::Message;
+use crate::log::raft::ChangeError;
+use crate::peer::PeerHandler;
+use crate::peer::message::{Answer, Ask, Renew};
+use crate::replica::{self, Undecided};
+use crate::whereabouts::Seen;
+
+impl PeerHandler for Node {
+    fn log(&self, from: NodeId, message: Message) {
+        if let Some(replica) = &self.replica {
+            let sending = replica.address.send(replica::FromPeer(from, message)).detach();
+            // An unbounded mailbox takes it at once; it is gone only when the process ends.
+            drop(sending.now_or_never());
+        }
+    }
+
+    fn answer(self: Arc<Node>, from: NodeId, ask: Ask) -> BoxFuture<'static, Answer> {
+        async move {
+            match ask {
+                Ask::Renew(renew) if renew.as_relay => self.grant_as_relay(from, renew),
+                Ask::Renew(renew) => self.grant_as_leader(from, renew).await,
+                Ask::Propose(command) => {
+                    let (sender, decided) = oneshot::channel();
+                    self.tell_replica(replica::Propose(command, sender)).await;
+                    decision(decided.await.ok(), Answer::Decided)
+                }
+                Ask::ReadConfig { has } => {
+                    let (sender, read) = oneshot::channel();
+                    self.tell_replica(replica::ReadConfig(has, sender)).await;
+                    decision(read.await.ok(), Answer::Config)
+                }
+                Ask::ChangeReplicas(change) => {
+                    let (sender, changed) = oneshot::channel();
+                    self.tell_replica(replica::ChangeReplicas(change, sender)).await;
+                    match changed.await {
+                        Ok(Err(ChangeError::NotLeader(other))) => Answer::NotLeader(other.leader),
+                        Ok(result) => {
+                            Answer::ReplicasChanged(result.map_err(|error| remedy(error).into()))
+                        }
+                        Err(_) => Answer::Unable,
+                    }
+                }
+                Ask::Lookup { root } => {
+                    if self.in_force().is_none() {
+                        return Answer::Unable;
+                    }
+                    Answer::Kept(self.catalog.lock().lookup(root, boot_now()))
+                }
+                Ask::Seen(seen) => self.take_seen(&seen),
+                Ask::Written(written) => {
+                    self.catalog.lock().written(&written, boot_now());
+                    Answer::Done
+                }
+                Ask::Status => Answer::Status(self.status_json().to_string()),
+            }
+        }
+        .boxed()
+    }
+}
+
+impl Node {
+    async fn tell_replica<M>(&self, message: M)
+    where
+        M: Send + 'static,
+        replica::Replica: xtra::Handler<M, Return = ()>,
+    {
+        if let Some(replica) = &self.replica {
+            // If the actor is gone, the sender in the message is dropped, which tells the asker.
+            drop(replica.address.send(message).detach().await);
+        }
+    }
+
+    async fn grant_as_leader(&self, child: NodeId, renew: Renew) -> Answer {
+        let Some(replica) = &self.replica else { return Answer::NotLeader(None) };
+        let grant = replica::Grant { child, has: renew.has, acked: renew.acked };
+        match replica.address.send(grant).await {
+            Ok(Ok((lasts, number, update))) => {
+                Answer::Granted { lasts_ms: lasts.as_millis() as u64, number, update }
+            }
+            Ok(Err(leader)) => Answer::NotLeader(leader),
+            Err(_) => Answer::Unable,
+        }
+    }
+
+    fn take_seen(&self, seen: &Seen) -> Answer {
+        if self.in_force().is_none() {
+            return Answer::Unable;
+        }
+        let fills = self.store_fills();
+        Answer::Export(self.catalog.lock().seen(seen, &fills, boot_now()))
+    }
+}
+
+fn decision<T>(result: Option<Result<T, Undecided>>, answer: impl Fn(T) -> Answer) -> Answer {
+    match result {
+        Some(Ok(value)) => answer(value),
+        Some(Err(Undecided::NotLeader(leader))) => Answer::NotLeader(leader),
+        Some(Err(Undecided::Unknown)) | None => Answer::Unable,
+    }
+}
+
+fn remedy(error: ChangeError) -> &'static str {
+    match error {
+        ChangeError::NotLeader(_) => "another node leads; ask again",
+        ChangeError::InProgress => "another change is not committed yet; ask again in a moment",
+        ChangeError::NotCaughtUp => "the learner has not caught up yet; ask again in a moment",
+        ChangeError::NoSuchChange => "the node is one already, or is none; see the status",
+        ChangeError::LastVoter => "the last voter can't be removed; add another one first",
+    }
+}
--- /dev/null
+++ b/src/node/watching.rs
@@ -0,0 +1,98 @@
+//! Watches targets: the platform's list, engines' loads and cache events, stores' reports.
+
+use std::sync::Arc;
+
+use futures::future::join_all;
+
+use super::{Node, every};
+use crate::clock::boot_now;
+use crate::membership::shell::TellLeaving;
+use crate::route::targets::Leaving;
+
+impl Node {
+    /// Reads the platform's list, and what other nodes saw leaving, again and again.
+    pub(super) async fn watch_platform(self: Arc<Node>) {
+        every(self.settings.timing.platform_poll, || async {
+            self.read_platform().await;
+            true
+        })
+        .await;
+    }
+
+    /// Reads targets' reports again and again.
+    pub(super) async fn watch_targets(self: Arc<Node>) {
+        every(self.settings.timing.load_poll, || async {
+            self.read_targets().await;
+            true
+        })
+        .await;
+    }
+
+    async fn read_platform(self: &Arc<Node>) {
+        let heard = std::mem::take(&mut self.known.lock().heard_leaving);
+        let mut news = self.router.lock().take_leaving(&heard);
+        match self.client.targets(&self.settings.platform_url).await {
+            Ok(list) => news.extend(self.router.lock().take_list(list)),
+            // The last list serves on; targets' own refusals and health decide meanwhile.
+            Err(error) => log::warn!("event=platform_unreadable error={:?}", error.to_string()),
+        }
+        for leaving in news {
+            self.tell_leaving(leaving).await;
+        }
+    }
+
+    async fn tell_leaving(&self, leaving: Leaving) {
+        log::info!(
+            "event=target_leaving target={} incarnation={}",
+            leaving.target,
+            leaving.incarnation
+        );
+        drop(self.membership.send(TellLeaving(leaving)).detach().await);
+    }
+
+    async fn read_targets(self: &Arc<Node>) {
+        let nodes = self.known.lock().live.len();
+        let (engines, stores) = {
+            let mut router = self.router.lock();
+            router.set_nodes(nodes);
+            let engines: Vec<(String, String, u64)> = router
+                .view()
+                .engines
+                .iter()
+                .map(|(id, engine)| (id.clone(), engine.url.clone(), engine.residency.last_event()))
+                .collect();
+            let stores: Vec<(String, String)> =
+                router.view().stores.iter().map(|(id, s)| (id.clone(), s.url.clone())).collect();
+            (engines, stores)
+        };
+        let reading_engines =
+            engines.iter().map(|(id, url, last_event)| self.read_engine(id, url, *last_event));
+        let reading_stores = stores.iter().map(|(id, url)| self.read_store(id, url));
+        tokio::join!(join_all(reading_engines), join_all(reading_stores));
+        let capacity = self.router.lock().capacity(boot_now());
+        self.places.set_capacity(capacity);
+    }
+
+    async fn read_engine(&self, id: &str, url: &str, last_event: u64) {
+        let (load, events) =
+            tokio::join!(self.client.load(url), self.client.events(url, last_event));
+        let now = boot_now();
+        let mut router = self.router.lock();
+        match load {
+            Ok(report) => router.take_load(id, report, now),
+            Err(_) => router.engine_failed(id, now),
+        }
+        if let Ok(events) = events {
+            router.take_events(id, &events);
+        }
+    }
+
+    async fn read_store(&self, id: &str, url: &str) {
+        let report = self.client.store(url).await;
+        let now = boot_now();
+        match report {
+            Ok(report) => self.router.lock().take_store(id, report, now),
+            Err(_) => self.router.lock().store_failed(id, now),
+        }
+    }
+}
--- /dev/null
+++ b/src/peer/links.rs
@@ -0,0 +1,324 @@
+//! Connections between nodes: one outgoing connection to each peer that is talked to.
+
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, OnceLock};
+use std::time::Duration;
+
+use futures::future::BoxFuture;
+use parking_lot::{Mutex, RwLock};
+use rand::RngExt;
+use snafu::Snafu;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, mpsc, oneshot};
+
+use super::auth::{CODE_BYTES, NONCE_BYTES, PeerKey, Stream};
+use super::message::{Answer, Ask, Frame};
+use crate::ids::NodeId;
+use crate::log::Message;
+
+/// Frames that wait for one connection; more are dropped, as on a lost network.
+const QUEUE_LEN: usize = 4_096;
+/// Largest frame.
+const MAX_FRAME_BYTES: usize = 256 << 20;
+/// Connecting and shaking hands must end within this time.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Pause before a failed connection is tried again.
+const RECONNECT: Duration = Duration::from_millis(50);
+/// Questions that are answered at a time, over all connections.
+const ANSWERED_AT_ONCE: usize = 4_096;
+
+/// What a node does with frames of others. The edge between transport and node.
+pub trait PeerHandler: Send + Sync {
+    /// Takes a message between replicas.
+    fn log(&self, from: NodeId, message: Message);
+    /// Answers a question.
+    fn answer(self: Arc<Self>, from: NodeId, ask: Ask) -> BoxFuture<'static, Answer>;
+}
+
+/// Why there is no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+pub enum AskError {
+    /// No answer came in time. The question may have had its effect.
+    #[snafu(display("no answer in time; check that the node runs and can be reached"))]
+    Timeout,
+    /// The node's address is not known.
+    #[snafu(display("unknown node; list it in the settings"))]
+    Unknown,
+}
+
+/// All connections of a node.
+pub struct Links {
+    me: NodeId,
+    key: PeerKey,
+    addresses: RwLock<HashMap<NodeId, SocketAddr>>,
+    outgoing: Mutex<HashMap<NodeId, mpsc::Sender<Frame>>>,
+    waiting: Mutex<HashMap<u64, oneshot::Sender<Answer>>>,
+    next_ask: AtomicU64,
+    answering: Semaphore,
+    handler: OnceLock<Arc<dyn PeerHandler>>,
+    /// Nodes that a test has cut off from this one.
+    cut: RwLock<BTreeSet<NodeId>>,
+    sent_bytes: AtomicU64,
+}
+
+impl Links {
+    /// Connections of `me`, none open yet.
+    pub fn new(me: NodeId, key: PeerKey, addresses: HashMap<NodeId, SocketAddr>) -> Arc<Links> {
+        Arc::new(Links {
+            me,
+            key,
+            addresses: RwLock::new(addresses),
+            outgoing: Mutex::new(HashMap::new()),
+            waiting: Mutex::new(HashMap::new()),
+            next_ask: AtomicU64::new(1),
+            answering: Semaphore::new(ANSWERED_AT_ONCE),
+            handler: OnceLock::new(),
+            cut: RwLock::new(BTreeSet::new()),
+            sent_bytes: AtomicU64::new(0),
+        })
+    }
+
+    /// Sets who takes the frames; call it once, before anything is accepted.
+    pub fn set_handler(&self, handler: Arc<dyn PeerHandler>) {
+        // A second call would be a defect of the caller; the first handler stays.
+        drop(self.handler.set(handler));
+    }
+
+    /// Records where a node is reached.
+    pub fn set_address(&self, node: NodeId, address: SocketAddr) {
+        let changed = self.addresses.write().insert(node, address) != Some(address);
+        if changed {
+            self.outgoing.lock().remove(&node);
+        }
+    }
+
+    /// Cuts this node off from others, in both directions. For tests.
+    pub fn set_cut(&self, nodes: BTreeSet<NodeId>) {
+        *self.cut.write() = nodes;
+    }
+
+    /// Whether a test has cut `node` off.
+    pub fn is_cut(&self, node: NodeId) -> bool {
+        self.cut.read().contains(&node)
+    }
+
+    /// Bytes sent to other nodes so far.
+    pub fn sent_bytes(&self) -> u64 {
+        self.sent_bytes.load(Ordering::Relaxed)
+    }
+
+    /// Sends a message between replicas. It may be lost.
+    pub fn send(self: &Arc<Links>, to: NodeId, message: Message) {
+        self.queue(to, Frame::Log(message));
+    }
+
+    /// Asks a node; this node itself is asked without a connection.
+    ///
+    /// # Errors
+    /// If no answer came within `timeout`.
+    pub async fn ask(
+        self: &Arc<Links>,
+        to: NodeId,
+        ask: Ask,
+        timeout: Duration,
+    ) -> Result<Answer, AskError> {
+        if to == self.me {
+            let handler = self.handler.get().cloned().ok_or(AskError::Unknown)?;
+            let answer = tokio::time::timeout(timeout, handler.answer(self.me, ask)).await;
+            return answer.map_err(|_| AskError::Timeout);
+        }
+        if !self.addresses.read().contains_key(&to) {
+            return Err(AskError::Unknown);
+        }
+        let number = self.next_ask.fetch_add(1, Ordering::Relaxed);
+        let (sender, receiver) = oneshot::channel();
+        self.waiting.lock().insert(number, sender);
+        self.queue(to, Frame::Ask(number, ask));
+        let answer = tokio::time::timeout(timeout, receiver).await;
+        self.waiting.lock().remove(&number);
+        match answer {
+            Ok(Ok(answer)) => Ok(answer),
+            _ => Err(AskError::Timeout),
+        }
+    }
+
+    /// Accepts connections for as long as the process lives.
+    pub async fn accept(self: Arc<Links>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    tokio::spawn(self.clone().serve(stream));
+                }
+                Err(error) => {
+                    log::warn!("event=peer_accept_failed error={:?}", error.to_string());
+                    tokio::time::sleep(RECONNECT).await;
+                }
+            }
+        }
+    }
+
+    fn queue(self: &Arc<Links>, to: NodeId, frame: Frame) {
+        if self.is_cut(to) {
+            return;
+        }
+        let mut outgoing = self.outgoing.lock();
+        let sender = outgoing.entry(to).or_insert_with(|| {
+            let (sender, receiver) = mpsc::channel(QUEUE_LEN);
+            tokio::spawn(self.clone().keep_connected(to, receiver));
+            sender
+        });
+        // A full queue loses the frame; whoever needs an answer asks again.
+        drop(sender.try_send(frame));
+    }
+
+    async fn keep_connected(self: Arc<Links>, to: NodeId, mut frames: mpsc::Receiver<Frame>) {
+        while let Some(first) = frames.recv().await {
+            let connected = tokio::time::timeout(HANDSHAKE_TIMEOUT, self.connect(to)).await;
+            if let Ok(Ok((read, write, incoming, outgoing))) = connected {
+                let mut writer = Writer { links: self.clone(), write, stream: outgoing };
+                let reader = tokio::spawn(self.clone().read_answers(to, read, incoming));
+                if writer.send(&first).await.is_ok() {
+                    writer.send_all(to, &mut frames).await;
+                }
+                reader.abort();
+            } else {
+                tokio::time::sleep(RECONNECT).await;
+                // What waited is stale by now.
+                while frames.try_recv().is_ok() {}
+            }
+        }
+    }
+
+    async fn connect(
+        &self,
+        to: NodeId,
+    ) -> std::io::Result<(OwnedReadHalf, OwnedWriteHalf, Stream, Stream)> {
+        let address = self.addresses.read().get(&to).copied();
+        let address = address.ok_or_else(|| std::io::Error::other("unknown node"))?;
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let (mut read, mut write) = stream.into_split();
+        let nonce: [u8; NONCE_BYTES] = rand::rng().random();
+        write.write_u64_le(self.me).await?;
+        write.write_all(&nonce).await?;
+        let mut theirs = [0; NONCE_BYTES];
+        read.read_exact(&mut theirs).await?;
+        let (outgoing, incoming) = self.key.session(&nonce, &theirs, (self.me, to));
+        Ok((read, write, incoming, outgoing))
+    }
+
+    async fn serve(self: Arc<Links>, stream: TcpStream) {
+        let shaken = tokio::time::timeout(HANDSHAKE_TIMEOUT, self.shake(stream)).await;
+        let Ok(Ok((from, read, write, incoming, outgoing))) = shaken else { return };
+        let (answers, queue) = mpsc::channel(QUEUE_LEN);
+        let writer = Writer { links: self.clone(), write, stream: outgoing };
+        let writing = tokio::spawn(writer.send_queue(from, queue));
+        let mut reader = Reader { read: BufReader::new(read), stream: incoming };
+        while let Ok(frame) = reader.next().await {
+            if self.is_cut(from) {
+                continue;
+            }
+            let Some(handler) = self.handler.get().cloned() else { break };
+            match frame {
+                Frame::Log(message) => handler.log(from, message),
+                Frame::Ask(number, ask) => {
+                    let (links, answers) = (self.clone(), answers.clone());
+                    tokio::spawn(async move {
+                        let Ok(_permit) = links.answering.acquire().await else { return };
+                        let answer = handler.answer(from, ask).await;
+                        drop(answers.send(Frame::Answer(number, answer)).await);
+                    });
+                }
+                Frame::Answer(..) => break,
+            }
+        }
+        writing.abort();
+    }
+
+    async fn shake(
+        &self,
+        stream: TcpStream,
+    ) -> std::io::Result<(NodeId, OwnedReadHalf, OwnedWriteHalf, Stream, Stream)> {
+        stream.set_nodelay(true)?;
+        let (mut read, mut write) = stream.into_split();
+        let from = read.read_u64_le().await?;
+        let mut theirs = [0; NONCE_BYTES];
+        read.read_exact(&mut theirs).await?;
+        let nonce: [u8; NONCE_BYTES] = rand::rng().random();
+        write.write_all(&nonce).await?;
+        let (incoming, outgoing) = self.key.session(&theirs, &nonce, (from, self.me));
+        Ok((from, read, write, incoming, outgoing))
+    }
+
+    async fn read_answers(self: Arc<Links>, from: NodeId, read: OwnedReadHalf, stream: Stream) {
+        let mut reader = Reader { read: BufReader::new(read), stream };
+        while let Ok(frame) = reader.next().await {
+            if self.is_cut(from) {
+                continue;
+            }
+            let Frame::Answer(number, answer) = frame else { break };
+            if let Some(waiting) = self.waiting.lock().remove(&number) {
+                drop(waiting.send(answer));
+            }
+        }
+        // The next frame opens a new connection.
+        self.outgoing.lock().remove(&from);
+    }
+}
+
+struct Writer {
+    links: Arc<Links>,
+    write: OwnedWriteHalf,
+    stream: Stream,
+}
+
+impl Writer {
+    async fn send(&mut self, frame: &Frame) -> std::io::Result<()> {
+        let body = postcard::to_stdvec(frame).map_err(std::io::Error::other)?;
+        let mut bytes = Vec::with_capacity(4 + CODE_BYTES + body.len());
+        bytes.extend_from_slice(&(body.len() as u32).to_le_bytes());
+        bytes.extend_from_slice(&self.stream.seal(&body));
+        bytes.extend_from_slice(&body);
+        self.links.sent_bytes.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+        self.write.write_all(&bytes).await
+    }
+
+    async fn send_all(&mut self, to: NodeId, frames: &mut mpsc::Receiver<Frame>) {
+        while let Some(frame) = frames.recv().await {
+            if self.links.is_cut(to) {
+                continue;
+            }
+            if self.send(&frame).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    async fn send_queue(mut self, to: NodeId, mut frames: mpsc::Receiver<Frame>) {
+        self.send_all(to, &mut frames).await;
+    }
+}
+
+struct Reader {
+    read: BufReader<OwnedReadHalf>,
+    stream: Stream,
+}
+
+impl Reader {
+    async fn next(&mut self) -> std::io::Result<Frame> {
+        let length = self.read.read_u32_le().await? as usize;
+        if length > MAX_FRAME_BYTES {
+            return Err(std::io::Error::other("frame too large"));
+        }
+        let mut code = [0; CODE_BYTES];
+        self.read.read_exact(&mut code).await?;
+        let mut body = vec![0; length];
+        self.read.read_exact(&mut body).await?;
+        self.stream.open(&body, &code).map_err(|_| std::io::Error::other("not authentic"))?;
+        postcard::from_bytes(&body).map_err(std::io::Error::other)
+    }
+}
--- /dev/null
+++ b/src/peer/message.rs
@@ -0,0 +1,91 @@
+//! What nodes say to each other.
+
+use serde::{Deserialize, Serialize};
+
+use crate::config::Update;
+use crate::ids::{BlockKey, ConfigNumber, NodeId};
+use crate::log::Message;
+use crate::log::raft::Change;
+use crate::log::state::{Command, Reply};
+use crate::whereabouts::{Kept, Seen, Written};
+
+/// One frame of a connection.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Frame {
+    /// Between replicas; no answer.
+    Log(Message),
+    /// A question.
+    Ask(u64, Ask),
+    /// The answer to the question with this number.
+    Answer(u64, Answer),
+}
+
+/// A question.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Ask {
+    /// Renews a freshness lease.
+    Renew(Renew),
+    /// Has a command decided. Only the leader does.
+    Propose(Command),
+    /// Reads the configuration, confirmed by a quorum. Only the leader does.
+    ReadConfig {
+        /// The number that the asker has.
+        has: ConfigNumber,
+    },
+    /// Changes the replicas. Only the leader does.
+    ChangeReplicas(Change),
+    /// What is kept of contexts that begin with this block? The answer pins it for a while.
+    Lookup {
+        /// The first block.
+        root: BlockKey,
+    },
+    /// A prompt was answered.
+    Seen(Seen),
+    /// An export ended.
+    Written(Written),
+    /// For the operators' pages.
+    Status,
+}
+
+/// Renews a freshness lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Renew {
+    /// The number that the asker has.
+    pub has: ConfigNumber,
+    /// The number that all nodes below the asker have.
+    pub acked: ConfigNumber,
+    /// Whether the asked node shall grant as a relay; else it must be the leader.
+    pub as_relay: bool,
+}
+
+/// An answer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Answer {
+    /// A freshness lease, counted from when the asker sent its renewal.
+    Granted {
+        /// How long it lasts.
+        lasts_ms: u64,
+        /// The number that the asker has once it has applied the update.
+        number: ConfigNumber,
+        /// How it gets there.
+        update: Update,
+    },
+    /// The command was decided.
+    Decided(Reply),
+    /// The configuration.
+    Config(Update),
+    /// The change of the replicas is committed, or why not.
+    ReplicasChanged(Result<(), String>),
+    /// What is kept.
+    Kept(Vec<Kept>),
+    /// It would be worth exporting this.
+    Export(Option<crate::whereabouts::ExportPlan>),
+    /// Done.
+    Done,
+    /// For the operators' pages, as JSON text.
+    Status(String),
+    /// The asked node does not lead; this one may.
+    NotLeader(Option<NodeId>),
+    /// The asked node can't answer now, for example since its own lease has ended.
+    Unable,
+}
--- /dev/null
+++ b/src/replica.rs
@@ -0,0 +1,415 @@
+//! The actor around one replica of the log: its disk, its messages, its clients.
+//!
+//! Inputs that wait in the mailbox are taken together, so that one sync makes many durable.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::{oneshot, watch};
+use xtra::prelude::*;
+
+use crate::clock::{BootTime, boot_now, unix_ms};
+use crate::config::Update;
+use crate::ids::{ConfigNumber, NodeId};
+use crate::lease::Grantor;
+use crate::log::disk::Disk;
+use crate::log::raft::{Change, ChangeError, Effects, NotLeader, Raft, RaftStatus, ReadId};
+use crate::log::state::{Command, PatchAnswer, Reply, State};
+use crate::log::{Index, Message, Payload, Term};
+use crate::peer::Links;
+use crate::telemetry::metrics::Metrics;
+
+/// Inputs taken before their effects are made durable, at the most.
+const BATCH: usize = 256;
+/// Entries after which a snapshot replaces them.
+const SNAPSHOT_EVERY: Index = 4_096;
+
+/// The actor.
+#[derive(xtra::Actor)]
+pub struct Replica {
+    raft: Raft,
+    /// `None` only while a save is under way, or after the disk has failed.
+    disk: Option<Disk>,
+    state: State,
+    links: Arc<Links>,
+    metrics: Arc<Metrics>,
+    lease: Duration,
+    /// Leases granted; `None` while this replica does not surely lead.
+    grantor: Option<Grantor>,
+    /// The term that `grantor` is for.
+    grantor_term: Term,
+    decisions: BTreeMap<Index, (Term, Waiter)>,
+    reads: BTreeMap<ReadId, ReadWaiter>,
+    /// Accepted numbers that are not known to be in force everywhere, with their times.
+    not_in_force: BTreeMap<ConfigNumber, BootTime>,
+    in_force: ConfigNumber,
+    batched: usize,
+    status: watch::Sender<ReplicaStatus>,
+}
+
+/// What operators see of a replica.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ReplicaStatus {
+    /// Of the log.
+    pub raft: RaftStatus,
+    /// The newest number applied here.
+    pub number: ConfigNumber,
+    /// The number in force everywhere; known only to the leader.
+    pub in_force: ConfigNumber,
+    /// Claims held.
+    pub claims: usize,
+}
+
+/// Why there was no decision here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Undecided {
+    /// This replica does not lead; this one may.
+    NotLeader(Option<NodeId>),
+    /// Leadership was lost on the way: it may or may not be decided.
+    Unknown,
+}
+
+type DecisionSender = oneshot::Sender<Result<Reply, Undecided>>;
+
+enum Waiter {
+    Command(DecisionSender),
+    Change(oneshot::Sender<Result<(), ChangeError>>),
+}
+
+struct ReadWaiter {
+    has: ConfigNumber,
+    sender: oneshot::Sender<Result<Update, Undecided>>,
+}
+
+/// A message from another replica.
+pub struct FromPeer(pub NodeId, pub Message);
+
+/// Have a command decided.
+pub struct Propose(pub Command, pub DecisionSender);
+
+/// Read the configuration, confirmed by a quorum.
+pub struct ReadConfig(pub ConfigNumber, pub oneshot::Sender<Result<Update, Undecided>>);
+
+/// Change the replicas.
+pub struct ChangeReplicas(pub Change, pub oneshot::Sender<Result<(), ChangeError>>);
+
+/// Grant a freshness lease to `child`, which has number `has` and below which all have `acked`.
+pub struct Grant {
+    /// The node that asks.
+    pub child: NodeId,
+    /// The number that it has.
+    pub has: ConfigNumber,
+    /// The number that all below it have.
+    pub acked: ConfigNumber,
+}
+
+/// Time passes.
+pub struct Tick;
+
+impl Replica {
+    /// The actor, not started yet. The receiver shows its status.
+    pub fn new(
+        raft: Raft,
+        disk: Disk,
+        state: State,
+        links: Arc<Links>,
+        metrics: Arc<Metrics>,
+        lease: Duration,
+    ) -> (Replica, watch::Receiver<ReplicaStatus>) {
+        let status = ReplicaStatus { raft: raft.status(), number: 0, in_force: 0, claims: 0 };
+        let (sender, receiver) = watch::channel(status);
+        let replica = Replica {
+            raft,
+            disk: Some(disk),
+            state,
+            links,
+            metrics,
+            lease,
+            grantor: None,
+            grantor_term: 0,
+            decisions: BTreeMap::new(),
+            reads: BTreeMap::new(),
+            not_in_force: BTreeMap::new(),
+            in_force: 0,
+            batched: 0,
+            status: sender,
+        };
+        (replica, receiver)
+    }
+
+    /// Makes effects happen, unless more inputs wait that can share the sync.
+    async fn settle(&mut self, context: &mut Context<Self>) {
+        self.batched += 1;
+        let waiting = context.mailbox().address().try_upgrade().map_or(0, |address| address.len());
+        if waiting > 0 && self.batched < BATCH {
+            return;
+        }
+        self.batched = 0;
+        loop {
+            let effects = self.raft.take_effects(boot_now());
+            if effects.is_empty() {
+                break;
+            }
+            self.carry_out(effects).await;
+        }
+        self.compact();
+        self.publish();
+    }
+
+    async fn carry_out(&mut self, effects: Effects) {
+        for (to, message) in effects.early {
+            self.links.send(to, message);
+        }
+        if !effects.persist.is_empty() && !self.save(effects.persist).await {
+            return;
+        }
+        for (to, message) in effects.late {
+            self.links.send(to, message);
+        }
+        if let Some(snapshot) = effects.restore {
+            if self.state.restore(&snapshot.data).is_err() {
+                log::error!("event=snapshot_damaged remedy=\"replace this replica\"");
+                self.raft.disk_failed();
+                return;
+            }
+            let index = snapshot.index;
+            self.decisions.retain(|waiting, _| *waiting > index);
+        }
+        for entry in effects.committed {
+            let reply = match &entry.payload {
+                Payload::Command(bytes) => postcard::from_bytes(bytes).ok().map(|c| self.apply(&c)),
+                Payload::Noop | Payload::Members(_) => None,
+            };
+            self.answer(entry.index, entry.term, reply);
+        }
+        for (read, _) in effects.reads {
+            // All that is committed has been applied above, so the state is new enough.
+            if let Some(waiter) = self.reads.remove(&read) {
+                drop(waiter.sender.send(Ok(self.state.book().update_since(waiter.has))));
+            }
+        }
+    }
+
+    /// Returns false if the disk has failed; this replica takes no part any more then.
+    async fn save(&mut self, persist: crate::log::Persist) -> bool {
+        let Some(mut disk) = self.disk.take() else { return false };
+        let kept = if persist.snapshot.is_some() { self.raft.kept_entries() } else { Vec::new() };
+        let last = self.raft.last_index();
+        let saved = tokio::task::spawn_blocking(move || {
+            let result = disk.save(&persist, &kept);
+            (disk, result)
+        })
+        .await;
+        match saved {
+            Ok((disk, Ok(()))) => {
+                self.disk = Some(disk);
+                self.raft.persisted(last);
+                self.finish_recovery();
+                true
+            }
+            Ok((_, Err(error))) => self.stop(&error.to_string()),
+            Err(error) => self.stop(&error.to_string()),
+        }
+    }
+
+    fn stop(&mut self, reason: &str) -> bool {
+        log::error!(
+            "event=disk_failed reason={reason:?} effect=\"votes and acknowledges no more\" \
+             remedy=\"mend or replace the disk, then restart\""
+        );
+        self.raft.disk_failed();
+        self.grantor = None;
+        self.decisions.clear();
+        self.reads.clear();
+        self.publish();
+        false
+    }
+
+    fn finish_recovery(&mut self) {
+        let recovering = self.raft.status().recovering;
+        if let Some(disk) = &mut self.disk
+            && disk.has_lost()
+            && !recovering
+        {
+            match disk.caught_up() {
+                Ok(()) => log::info!("event=replica_caught_up"),
+                Err(error) => log::warn!("event=mark_failed reason={:?}", error.to_string()),
+            }
+        }
+    }
+
+    fn apply(&mut self, command: &Command) -> Reply {
+        let reply = self.state.apply(command);
+        if let Reply::Patch(PatchAnswer::Accepted(number)) = &reply
+            && self.state.config().number == *number
+        {
+            log::info!("event=config_accepted number={number}");
+            self.not_in_force.insert(*number, boot_now());
+        }
+        reply
+    }
+
+    fn answer(&mut self, index: Index, term: Term, reply: Option<Reply>) {
+        let Some((expected, waiter)) = self.decisions.remove(&index) else { return };
+        match waiter {
+            Waiter::Command(sender) => {
+                let result = reply.filter(|_| expected == term).ok_or(Undecided::Unknown);
+                drop(sender.send(result));
+            }
+            Waiter::Change(sender) => {
+                let result = if expected == term { Ok(()) } else { Err(ChangeError::InProgress) };
+                // The asker may have given up waiting.
+                let _ = sender.send(result);
+            }
+        }
+    }
+
+    fn compact(&mut self) {
+        if self.raft.applied() >= self.raft.snapshot_index() + SNAPSHOT_EVERY {
+            self.raft.compact(self.raft.applied(), self.state.snapshot());
+        }
+    }
+
+    /// The grantor, if this replica surely leads at `now`.
+    fn leading_grantor(&mut self, now: BootTime) -> Option<&mut Grantor> {
+        if !self.raft.holds_leadership(now) {
+            return None;
+        }
+        if self.grantor.is_none() || self.grantor_term != self.raft.term() {
+            self.grantor = Some(Grantor::new(self.lease, now));
+            self.grantor_term = self.raft.term();
+        }
+        self.grantor.as_mut()
+    }
+
+    fn track_in_force(&mut self, now: BootTime) {
+        let number = self.state.config().number;
+        let Some(grantor) = self.leading_grantor(now) else { return };
+        let floor = grantor.floor(number, now);
+        self.in_force = self.in_force.max(floor);
+        while let Some((number, accepted_at)) = self.not_in_force.first_key_value()
+            && *number <= floor
+        {
+            let took = now.saturating_sub(*accepted_at);
+            log::info!("event=config_in_force number={number} took_ms={}", took.as_millis());
+            self.metrics.in_force_s.record(took.as_secs_f64(), &[]);
+            self.not_in_force.pop_first();
+        }
+    }
+
+    fn publish(&mut self) {
+        let status = ReplicaStatus {
+            raft: self.raft.status(),
+            number: self.state.config().number,
+            in_force: self.in_force,
+            claims: self.state.claims().len(),
+        };
+        let before = self.status.borrow().raft.clone();
+        if before.is_leader != status.raft.is_leader || before.leader != status.raft.leader {
+            log::info!(
+                "event=leader_changed term={} leader={} here={}",
+                status.raft.term,
+                status.raft.leader.unwrap_or(0),
+                status.raft.is_leader,
+            );
+        }
+        self.status.send_replace(status);
+    }
+}
+
+impl Handler<FromPeer> for Replica {
+    type Return = ();
+
+    async fn handle(&mut self, message: FromPeer, context: &mut Context<Self>) {
+        self.raft.receive(message.0, message.1, boot_now());
+        self.settle(context).await;
+    }
+}
+
+impl Handler<Tick> for Replica {
+    type Return = ();
+
+    async fn handle(&mut self, _tick: Tick, context: &mut Context<Self>) {
+        let now = boot_now();
+        self.raft.tick(now);
+        self.track_in_force(now);
+        if !self.raft.status().is_leader {
+            self.reads.clear();
+        }
+        self.settle(context).await;
+    }
+}
+
+impl Handler<Propose> for Replica {
+    type Return = ();
+
+    async fn handle(&mut self, propose: Propose, context: &mut Context<Self>) {
+        let Propose(command, sender) = propose;
+        let command = stamped(command);
+        // Cannot fail: commands hold only types that the codec writes.
+        let bytes = postcard::to_stdvec(&command).unwrap_or_default();
+        match self.raft.propose(bytes) {
+            Ok((term, index)) => {
+                self.decisions.insert(index, (term, Waiter::Command(sender)));
+            }
+            Err(NotLeader { leader }) => drop(sender.send(Err(Undecided::NotLeader(leader)))),
+        }
+        self.settle(context).await;
+    }
+}
+
+impl Handler<ReadConfig> for Replica {
+    type Return = ();
+
+    async fn handle(&mut self, read: ReadConfig, context: &mut Context<Self>) {
+        let ReadConfig(has, sender) = read;
+        match self.raft.read() {
+            Ok(id) => {
+                self.reads.insert(id, ReadWaiter { has, sender });
+            }
+            Err(NotLeader { leader }) => drop(sender.send(Err(Undecided::NotLeader(leader)))),
+        }
+        self.settle(context).await;
+    }
+}
+
+impl Handler<ChangeReplicas> for Replica {
+    type Return = ();
+
+    async fn handle(&mut self, change: ChangeReplicas, context: &mut Context<Self>) {
+        let ChangeReplicas(change, sender) = change;
+        match self.raft.propose_change(change) {
+            Ok((term, index)) => {
+                self.decisions.insert(index, (term, Waiter::Change(sender)));
+            }
+            Err(error) => drop(sender.send(Err(error))),
+        }
+        self.settle(context).await;
+    }
+}
+
+impl Handler<Grant> for Replica {
+    type Return = Result<(Duration, ConfigNumber, Update), Option<NodeId>>;
+
+    async fn handle(&mut self, grant: Grant, context: &mut Context<Self>) -> Self::Return {
+        self.settle(context).await;
+        let now = boot_now();
+        let leader = self.raft.status().leader;
+        let number = self.state.config().number;
+        let update = self.state.book().update_since(grant.has);
+        let lease = self.lease;
+        let Some(grantor) = self.leading_grantor(now) else { return Err(leader) };
+        Ok((grantor.grant(grant.child, grant.acked, lease, now), number, update))
+    }
+}
+
+/// Sets the leader's time where a command needs one.
+fn stamped(command: Command) -> Command {
+    match command {
+        Command::Claim { key, digest, token, .. } => {
+            Command::Claim { key, digest, token, at_ms: unix_ms() }
+        }
+        other => other,
+    }
+}
--- /dev/null
+++ b/src/route/mod.rs
@@ -0,0 +1,19 @@
+//! Routing: which engine runs a request, and what becomes of a target that fails.
+//!
+//! Everything here is free of I/O and fed `now`; `crate::node` reads reports and sends requests.
+
+pub mod decide;
+pub mod health;
+pub mod residency;
+pub mod retry;
+pub mod router;
+pub mod targets;
+pub mod view;
+
+pub use decide::{Ask, Decision, Import, decide};
+pub use health::Health;
+pub use residency::Residency;
+pub use retry::RetryBudget;
+pub use router::{Dispatch, Ended, Router};
+pub use targets::Targets;
+pub use view::{EngineView, StoreView, View};
--- /dev/null
+++ b/src/route/router.rs
@@ -0,0 +1,299 @@
+//! A node's routing state: targets, their reports, and the bookkeeping around each decision.
+
+use std::time::Duration;
+
+use super::decide::{Ask, Decision, decide, rendezvous};
+use super::health::Fault;
+use super::retry::RetryBudget;
+use super::targets::{Leaving, Targets};
+use super::view::{EngineView, StoreView, View};
+use crate::clock::BootTime;
+use crate::config::{Policy, Prices};
+use crate::edge::api::{CacheEvents, LoadReport, Role, StoreReport, Target, TargetList};
+use crate::edge::chat::Usage;
+use crate::ids::{Incarnation, NodeId, TargetId};
+use crate::prompt::{BLOCK_TOKENS, Chain};
+
+/// Routing state of one node.
+#[derive(Clone, Debug)]
+pub struct Router {
+    node_id: NodeId,
+    watched_engines: usize,
+    targets: Targets,
+    view: View,
+    budget: RetryBudget,
+    decisions: u64,
+}
+
+/// How a dispatch ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Ended {
+    /// With a whole answer.
+    Whole(Usage),
+    /// The target did not run it, for a good reason.
+    Refused,
+    /// The target failed it.
+    Failed,
+    /// The caller gave it up.
+    Cancelled,
+}
+
+/// A dispatch that runs; hand it back to `end`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Dispatch {
+    /// What was decided.
+    pub decision: Decision,
+    /// The engine's base URL.
+    pub url: String,
+    /// The base URL of the store to import from.
+    pub store_url: Option<String>,
+    /// Whether the engine may be asked again for the same text.
+    pub reproducible: bool,
+    incarnation: Incarnation,
+}
+
+impl Router {
+    /// A router that knows no target yet and watches at most `watched_engines` of each model.
+    pub fn new(node_id: NodeId, watched_engines: usize) -> Router {
+        Router {
+            node_id,
+            watched_engines,
+            targets: Targets::default(),
+            view: View { nodes: 1, ..View::default() },
+            budget: RetryBudget::default(),
+            decisions: node_id.wrapping_mul(7),
+        }
+    }
+
+    /// What decisions read.
+    pub fn view(&self) -> &View {
+        &self.view
+    }
+
+    /// The known targets.
+    pub fn targets(&self) -> &Targets {
+        &self.targets
+    }
+
+    /// Records how many nodes are live.
+    pub fn set_nodes(&mut self, nodes: usize) {
+        self.view.nodes = nodes.max(1);
+    }
+
+    /// Takes the platform's list. Returns the targets newly seen leaving.
+    pub fn take_list(&mut self, list: TargetList) -> Vec<Leaving> {
+        let news = self.targets.take(list);
+        let watched = self.watched();
+        self.view.engines.retain(|id, _| watched.iter().any(|target| target.id == *id));
+        for target in &watched {
+            self.place_engine(target);
+        }
+        let stores: Vec<Target> =
+            self.targets.iter().filter(|target| target.role == Role::Store).cloned().collect();
+        self.view.stores.retain(|id, _| stores.iter().any(|store| store.id == *id));
+        for store in stores {
+            let url_changed =
+                self.view.stores.get(&store.id).is_some_and(|known| known.url != store.url);
+            if url_changed {
+                self.view.stores.remove(&store.id);
+            }
+            self.view
+                .stores
+                .entry(store.id.clone())
+                .or_insert_with(|| StoreView::new(&store.url, &store.failure_domain));
+        }
+        self.refresh_leaving();
+        news
+    }
+
+    /// Records targets that another node saw leaving. Returns those that were news.
+    pub fn take_leaving(&mut self, leaving: &[Leaving]) -> Vec<Leaving> {
+        let news = leaving.iter().filter(|one| self.targets.leave(one)).cloned().collect();
+        self.refresh_leaving();
+        news
+    }
+
+    /// Takes an engine's load report that was read at `now`.
+    pub fn take_load(&mut self, id: &str, report: LoadReport, now: BootTime) {
+        if let Some(engine) = self.view.engines.get_mut(id) {
+            let at = now.saturating_sub(Duration::from_millis(report.age_ms));
+            engine.take_report(report, at);
+        }
+    }
+
+    /// Takes an engine's cache events.
+    pub fn take_events(&mut self, id: &str, events: &CacheEvents) {
+        if let Some(engine) = self.view.engines.get_mut(id) {
+            engine.residency.take(events);
+        }
+    }
+
+    /// Takes a store's report that was read at `now`.
+    pub fn take_store(&mut self, id: &str, report: StoreReport, now: BootTime) {
+        if let Some(store) = self.view.stores.get_mut(id) {
+            store.unreported_bytes = 0;
+            store.health.succeeded();
+            store.report = Some((now, report));
+        }
+    }
+
+    /// A store as this node sees it.
+    pub fn store_mut(&mut self, id: &str) -> Option<&mut StoreView> {
+        self.view.stores.get_mut(id)
+    }
+
+    /// Records that a store could not be asked.
+    pub fn store_failed(&mut self, id: &str, now: BootTime) {
+        if let Some(store) = self.view.stores.get_mut(id) {
+            store.health.failed(Fault::Target, now);
+        }
+    }
+
+    /// Records that an engine could not be asked for its report.
+    pub fn engine_failed(&mut self, id: &str, now: BootTime) {
+        if let Some(engine) = self.view.engines.get_mut(id) {
+            engine.health.failed(Fault::Target, now);
+        }
+    }
+
+    /// A number for the next request that differs from one to the next.
+    pub fn draw(&mut self) -> u64 {
+        self.decisions = self.decisions.wrapping_add(1);
+        self.decisions
+    }
+
+    /// Decides and books the dispatch; `None` if no engine may take the request.
+    pub fn begin(
+        &mut self,
+        policy: Policy,
+        prices: &Prices,
+        ask: &Ask<'_>,
+        now: BootTime,
+    ) -> Option<Dispatch> {
+        let decision = decide(policy, prices, &self.view, ask, now)?;
+        let engine = self.view.engines.get_mut(&decision.engine)?;
+        engine.running += 1;
+        engine.unreported.push_back((now, decision.prefill_tokens));
+        // Known before the engine says so: the next request with this context goes there too.
+        engine.residency.expect(&ask.chain.keys);
+        let dispatch = Dispatch {
+            url: engine.url.clone(),
+            store_url: None,
+            reproducible: engine.fresh_report(now).is_some_and(|report| report.reproducible),
+            incarnation: engine.incarnation,
+            decision,
+        };
+        Some(self.book_import(dispatch))
+    }
+
+    /// Books a dispatch's end.
+    pub fn end(&mut self, dispatch: &Dispatch, chain: &Chain, ended: Ended, now: BootTime) {
+        let Some(engine) = self.view.engines.get_mut(&dispatch.decision.engine) else { return };
+        if engine.incarnation != dispatch.incarnation {
+            return;
+        }
+        engine.running = engine.running.saturating_sub(1);
+        match ended {
+            Ended::Whole(usage) => {
+                engine.health.succeeded();
+                let details = usage.prompt_tokens_details;
+                let resident = details.cached_tokens.saturating_sub(details.imported_tokens);
+                let found = resident as usize / BLOCK_TOKENS;
+                let believed = dispatch.decision.resident_blocks;
+                engine.residency.proved(&chain.keys, believed, found);
+            }
+            Ended::Refused => engine.residency.withdraw(&chain.keys),
+            Ended::Failed => {
+                engine.residency.withdraw(&chain.keys);
+                engine.health.failed(Fault::Target, now);
+            }
+            Ended::Cancelled => {}
+        }
+    }
+
+    /// Records a request that is sent for the first time.
+    pub fn earn_retry(&mut self) {
+        self.budget.earn();
+    }
+
+    /// Takes one retry from the budget; false if there is none.
+    pub fn spend_retry(&mut self) -> bool {
+        self.budget.spend()
+    }
+
+    /// Requests that this node may run at once on the engines of all models: its share of twice
+    /// their batches, so that the next one is there when a place gets free.
+    pub fn capacity(&self, now: BootTime) -> usize {
+        let places: usize = self
+            .view
+            .engines
+            .values()
+            .filter(|engine| engine.takes_work)
+            .filter_map(|engine| engine.fresh_report(now))
+            .map(|report| report.max_batch as usize * 2)
+            .sum();
+        places.div_ceil(self.view.nodes).max(1)
+    }
+
+    /// The engines that this node watches: of each model those with the highest rendezvous weight
+    /// for this node, so that all nodes together watch all engines.
+    fn watched(&self) -> Vec<Target> {
+        let mut engines: Vec<(u64, &Target)> = self
+            .targets
+            .iter()
+            .filter(|target| matches!(target.role, Role::Engine { .. }))
+            .map(|target| (rendezvous(self.node_id.into(), &target.id), target))
+            .collect();
+        engines.sort_by_key(|(weight, _)| std::cmp::Reverse(*weight));
+        let mut of_model: std::collections::BTreeMap<&str, usize> = Default::default();
+        engines
+            .into_iter()
+            .filter(|(_, target)| {
+                let Role::Engine { model } = &target.role else { return false };
+                let watched = of_model.entry(model).or_default();
+                *watched += 1;
+                *watched <= self.watched_engines
+            })
+            .map(|(_, target)| target.clone())
+            .collect()
+    }
+
+    fn place_engine(&mut self, target: &Target) {
+        let Role::Engine { model } = &target.role else { return };
+        let known = self.view.engines.get(&target.id).map(|engine| engine.incarnation);
+        if known != Some(target.incarnation) {
+            let engine =
+                EngineView::new(model, &target.url, &target.failure_domain, target.incarnation);
+            self.view.engines.insert(target.id.clone(), engine);
+        }
+    }
+
+    fn refresh_leaving(&mut self) {
+        for target in self.targets.iter() {
+            let takes_work = self.targets.takes_work(target);
+            if let Some(engine) = self.view.engines.get_mut(&target.id) {
+                engine.takes_work = takes_work;
+            }
+            if let Some(store) = self.view.stores.get_mut(&target.id) {
+                store.takes_work = takes_work;
+            }
+        }
+    }
+
+    fn book_import(&mut self, mut dispatch: Dispatch) -> Dispatch {
+        if let Some(import) = &dispatch.decision.import
+            && let Some(store) = self.view.stores.get_mut(&import.store)
+        {
+            store.unreported_bytes += import.object.size_bytes;
+            dispatch.store_url = Some(store.url.clone());
+        }
+        dispatch
+    }
+}
+
+impl Dispatch {
+    /// The engine.
+    pub fn engine(&self) -> &TargetId {
+        &self.decision.engine
+    }
+}
--- /dev/null
+++ b/src/route/view.rs
@@ -0,0 +1,153 @@
+//! What a node knows of engines and stores when it decides.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use super::health::Health;
+use super::residency::Residency;
+use crate::clock::BootTime;
+use crate::edge::api::{LoadReport, StoreReport};
+use crate::ids::{DomainId, Incarnation, ModelId, TargetId};
+
+/// A load report older than this says nothing any more.
+pub const REPORT_VALID: Duration = Duration::from_secs(3);
+
+/// Everything that a decision reads.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// Engines by id.
+    pub engines: BTreeMap<TargetId, EngineView>,
+    /// Stores by id.
+    pub stores: BTreeMap<TargetId, StoreView>,
+    /// Live nodes, this one among them; at least 1.
+    pub nodes: usize,
+}
+
+/// One engine as this node sees it.
+#[derive(Clone, Debug)]
+pub struct EngineView {
+    /// Its model.
+    pub model: ModelId,
+    /// Its base URL.
+    pub url: String,
+    /// Its failure domain.
+    pub failure_domain: DomainId,
+    /// The start of it that this view is of.
+    pub incarnation: Incarnation,
+    /// Whether it takes new work.
+    pub takes_work: bool,
+    /// Its last load report and when that was true, on this node's clock.
+    pub report: Option<(BootTime, LoadReport)>,
+    /// Health as this node sees it.
+    pub health: Health,
+    /// What is believed to be in its cache.
+    pub residency: Residency,
+    /// This node's requests that run there.
+    pub running: u32,
+    /// Times and prefill tokens of this node's dispatches that the report can't know of yet.
+    pub unreported: VecDeque<(BootTime, u64)>,
+}
+
+/// One store as this node sees it.
+#[derive(Clone, Debug)]
+pub struct StoreView {
+    /// Its base URL.
+    pub url: String,
+    /// Its failure domain.
+    pub failure_domain: DomainId,
+    /// Whether it takes new work.
+    pub takes_work: bool,
+    /// Its last report and when it was read.
+    pub report: Option<(BootTime, StoreReport)>,
+    /// Health as this node sees it.
+    pub health: Health,
+    /// Bytes of transfers that this node started since the report.
+    pub unreported_bytes: u64,
+}
+
+impl EngineView {
+    /// A new engine of which nothing is known yet.
+    pub fn new(
+        model: &str,
+        url: &str,
+        failure_domain: &str,
+        incarnation: Incarnation,
+    ) -> EngineView {
+        EngineView {
+            model: model.to_string(),
+            url: url.to_string(),
+            failure_domain: failure_domain.to_string(),
+            incarnation,
+            takes_work: true,
+            report: None,
+            health: Health::default(),
+            residency: Residency::default(),
+            running: 0,
+            unreported: VecDeque::new(),
+        }
+    }
+
+    /// The report, if it is young enough to mean anything.
+    pub fn fresh_report(&self, now: BootTime) -> Option<&LoadReport> {
+        let (at, report) = self.report.as_ref()?;
+        (now.saturating_sub(*at) < REPORT_VALID).then_some(report)
+    }
+
+    /// Takes a report that was true at `at`.
+    pub fn take_report(&mut self, report: LoadReport, at: BootTime) {
+        while self.unreported.front().is_some_and(|(sent, _)| *sent <= at) {
+            self.unreported.pop_front();
+        }
+        self.report = Some((at, report));
+    }
+
+    /// Prefill tokens waiting there: the reported ones and this node's later ones.
+    pub fn queued_tokens(&self, now: BootTime) -> u64 {
+        let reported = self.fresh_report(now).map_or(0, |report| report.queued_prefill_tokens);
+        reported + self.unreported.iter().map(|(_, tokens)| tokens).sum::<u64>()
+    }
+
+    /// Requests running or waiting there: the reported ones and this node's later ones.
+    pub fn requests(&self, now: BootTime) -> u32 {
+        let reported =
+            self.fresh_report(now).map_or(self.running, |report| report.running + report.waiting);
+        reported + self.unreported.len() as u32
+    }
+}
+
+impl StoreView {
+    /// A new store of which nothing is known yet.
+    pub fn new(url: &str, failure_domain: &str) -> StoreView {
+        StoreView {
+            url: url.to_string(),
+            failure_domain: failure_domain.to_string(),
+            takes_work: true,
+            report: None,
+            health: Health::default(),
+            unreported_bytes: 0,
+        }
+    }
+
+    /// How long a transfer of `bytes` that starts now would take; `None` if that is unknown.
+    pub fn transfer_time(&self, bytes: u64, now: BootTime) -> Option<Duration> {
+        let (at, report) = self.report.as_ref()?;
+        let age = now.saturating_sub(*at);
+        if age >= REPORT_VALID || report.link_bytes_per_s <= 0.0 {
+            return None;
+        }
+        let backlog = Duration::from_millis(report.backlog_ms).saturating_sub(age);
+        let queued = (self.unreported_bytes + bytes) as f64 / report.link_bytes_per_s;
+        Some(backlog + Duration::from_secs_f64(queued))
+    }
+
+    /// Share of its capacity that is used, of 1; 1 if unknown.
+    pub fn fill(&self) -> f64 {
+        match &self.report {
+            Some((_, report)) if report.capacity_bytes > 0 => {
+                report.used_bytes as f64 / report.capacity_bytes as f64
+            }
+            _ => 1.0,
+        }
+    }
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,282 @@
+//! Settings of `serve`: read from JSON and checked whole before anything starts.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::str::FromStr;
+use std::time::Duration;
+
+use log::LevelFilter;
+use serde_json::Value;
+
+use crate::checked::Fields;
+use crate::error::{Error, Problem, Result};
+use crate::ids::{DomainId, NodeId};
+use crate::telemetry::logs::LogSettings;
+
+const MAX_MS: u64 = 86_400_000;
+const MAX_BODY_BYTES: u64 = 64 << 20;
+/// A renewal must be able to fail this often before a lease ends.
+const RENEWALS_PER_LEASE: u32 = 2;
+
+/// Settings of one node.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// This node; unique, and never given to another host later.
+    pub node_id: NodeId,
+    /// The region that this node is in.
+    pub region: String,
+    /// The failure domain that this node is in.
+    pub failure_domain: DomainId,
+    /// Where callers' HTTP is served.
+    pub callers_address: SocketAddr,
+    /// Where operators' HTTP is served.
+    pub operators_address: SocketAddr,
+    /// Where other nodes reach this one, over TCP and UDP.
+    pub peer_address: SocketAddr,
+    /// File with the key that authenticates nodes to each other.
+    pub key_file: PathBuf,
+    /// Folder for durable state; needed by replicas only.
+    pub data_folder: Option<PathBuf>,
+    /// Base URL of the platform's list of targets.
+    pub platform_url: String,
+    /// All nodes known at the start, this one among them. At least one is a replica.
+    pub nodes: Vec<NodeSettings>,
+    /// Proposed as the first configuration while the number is still 0.
+    pub first_config: Option<Value>,
+    /// Logging.
+    pub log: LogSettings,
+    /// Periods and timeouts.
+    pub timing: Timing,
+    /// Bounds on what this node holds.
+    pub bounds: Bounds,
+    /// Lets `POST /v1/faults` cut this node off from others; only where `environment` is `test`.
+    pub fault_knobs: bool,
+}
+
+/// Another node as the settings name it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NodeSettings {
+    /// The node.
+    pub node_id: NodeId,
+    /// Where it is reached over TCP and UDP.
+    pub peer_address: SocketAddr,
+    /// Its failure domain.
+    pub failure_domain: DomainId,
+    /// Whether it votes in the replicated log.
+    pub replica: bool,
+}
+
+/// Periods and timeouts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Timing {
+    /// How long a freshness lease lasts. At least twice `renew`.
+    pub lease: Duration,
+    /// How often a node renews its freshness lease.
+    pub renew: Duration,
+    /// How often a leader sends heartbeats.
+    pub heartbeat: Duration,
+    /// How long a replica waits for a leader before it stands for election; at least 3 heartbeats.
+    pub election: Duration,
+    /// How often a node probes another one.
+    pub probe: Duration,
+    /// How often an engine's load and cache events are read.
+    pub load_poll: Duration,
+    /// How often the platform's list is read.
+    pub platform_poll: Duration,
+    /// How long connecting to a target may take.
+    pub connect: Duration,
+    /// How long a graceful shutdown waits for running requests.
+    pub shutdown: Duration,
+    /// How long the claim and outcome of a request marked not repeatable are kept.
+    pub claim_retention: Duration,
+}
+
+/// Bounds on what this node holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// Requests that may wait for an engine; one more is refused at once.
+    pub queue_len: usize,
+    /// Requests that this node runs on one engine at a time.
+    pub engine_running: usize,
+    /// Largest body of a request.
+    pub body_bytes: usize,
+    /// Entries of kept contexts that this node owns.
+    pub context_entries: usize,
+    /// Engines of one model that this node watches.
+    pub watched_engines: usize,
+}
+
+impl Settings {
+    /// Reads and checks the settings in a file.
+    ///
+    /// # Errors
+    /// `Error::Start` if the file can't be read, `Error::Invalid` with everything that is wrong.
+    pub fn read(path: &Path) -> Result<Settings> {
+        Settings::from_value(&read_json(path)?, &path.display().to_string())
+    }
+
+    /// Checks settings that were already parsed; `file` names them in errors.
+    ///
+    /// # Errors
+    /// `Error::Invalid` with everything that is wrong.
+    pub fn from_value(value: &Value, file: &str) -> Result<Settings> {
+        let mut problems = Vec::new();
+        let settings = settings(value, &mut problems);
+        settings.check(&mut problems);
+        if problems.is_empty() {
+            return Ok(settings);
+        }
+        Err(Error::Invalid { file: file.to_string(), problems })
+    }
+
+    /// The replicas that the settings name.
+    pub fn replicas(&self) -> Vec<NodeId> {
+        self.nodes.iter().filter(|node| node.replica).map(|node| node.node_id).collect()
+    }
+
+    /// Whether this node is a replica.
+    pub fn is_replica(&self) -> bool {
+        self.replicas().contains(&self.node_id)
+    }
+
+    fn check(&self, problems: &mut Vec<Problem>) {
+        let mut report = |path: &str, message: String, remedy: &str| {
+            problems.push(Problem { path: path.into(), message, remedy: remedy.into() });
+        };
+        if self.timing.lease < self.timing.renew * RENEWALS_PER_LEASE {
+            let message = format!("{} is shorter than two renewals", self.timing.lease.as_millis());
+            report("timing.lease_ms", message, "raise it to at least twice timing.renew_ms");
+        }
+        if self.timing.election < self.timing.heartbeat * 3 {
+            let message = format!("{} is too short", self.timing.election.as_millis());
+            report("timing.election_ms", message, "raise it to three times timing.heartbeat_ms");
+        }
+        if !self.nodes.iter().any(|node| node.node_id == self.node_id) {
+            report("nodes", format!("node {} is missing", self.node_id), "list this node as well");
+        }
+        let mut ids: Vec<NodeId> = self.nodes.iter().map(|node| node.node_id).collect();
+        ids.sort_unstable();
+        if ids.windows(2).any(|pair| pair[0] == pair[1]) {
+            report("nodes", "a node_id stands twice".into(), "give each node its own id");
+        }
+        if self.replicas().is_empty() {
+            report("nodes", "no node is a replica".into(), "mark one, three or five as replica");
+        }
+        if self.is_replica() && self.data_folder.is_none() {
+            let remedy = "name a folder on a disk of this host";
+            report("data_folder", "is missing on a replica".into(), remedy);
+        }
+        if !self.platform_url.is_empty() && !self.platform_url.starts_with("http://") {
+            let message = format!("{:?} is not accepted", self.platform_url);
+            report("platform_url", message, "give a URL that starts with http://");
+        }
+    }
+}
+
+/// Reads a JSON file.
+///
+/// # Errors
+/// `Error::Start` if the file can't be read or is not JSON.
+pub fn read_json(path: &Path) -> Result<Value> {
+    let file = path.display().to_string();
+    let text = std::fs::read_to_string(path)
+        .map_err(|source| Error::start(&file, source, "name a file that this user may read"))?;
+    serde_json::from_str(&text).map_err(|source| {
+        let problem = Problem {
+            path: format!("line {}", source.line()),
+            message: source.to_string(),
+            remedy: "mend the JSON there".into(),
+        };
+        Error::Invalid { file, problems: vec![problem] }
+    })
+}
+
+fn settings(value: &Value, problems: &mut Vec<Problem>) -> Settings {
+    let mut fields = Fields::new(value, "", problems);
+    let environment = fields.optional_text("environment").unwrap_or_else(|| "production".into());
+    if !["production", "test"].contains(&environment.as_str()) {
+        fields.problem("environment", format!("{environment:?}"), "give production or test");
+    }
+    let fault_knobs = fields.flag("fault_knobs", false);
+    if fault_knobs && environment != "test" {
+        let remedy = "remove it, or set environment to test";
+        fields.problem("fault_knobs", "true is refused in production".into(), remedy);
+    }
+    let node_id = fields.number("node_id", 0, 1, u32::MAX.into());
+    if node_id == 0 {
+        fields.problem("node_id", "is missing".into(), "give this node a number from 1");
+    }
+    let settings = Settings {
+        node_id,
+        region: fields.text("region", "name this node's region"),
+        failure_domain: fields.text("failure_domain", "name this node's failure domain"),
+        callers_address: fields.address("callers_address"),
+        operators_address: fields.address("operators_address"),
+        peer_address: fields.address("peer_address"),
+        key_file: fields.text("key_file", "name the file with the nodes' shared key").into(),
+        data_folder: fields.optional_text("data_folder").map(PathBuf::from),
+        platform_url: fields.text("platform_url", "give the URL of the platform's list"),
+        nodes: fields.list("nodes", node_settings),
+        first_config: fields.raw("first_config"),
+        log: fields.object("log", log_settings),
+        timing: fields.object("timing", timing),
+        bounds: fields.object("bounds", bounds),
+        fault_knobs,
+    };
+    fields.finish();
+    settings
+}
+
+fn node_settings(mut fields: Fields<'_>) -> NodeSettings {
+    let node = NodeSettings {
+        node_id: fields.number("node_id", 0, 1, u32::MAX.into()),
+        peer_address: fields.address("peer_address"),
+        failure_domain: fields.text("failure_domain", "name the node's failure domain"),
+        replica: fields.flag("replica", false),
+    };
+    fields.finish();
+    node
+}
+
+/// Reads the `log` object, which `serve` and `emulate` share.
+pub fn log_settings(mut fields: Fields<'_>) -> LogSettings {
+    let text = fields.optional_text("level").unwrap_or_else(|| "info".into());
+    let level = LevelFilter::from_str(&text).unwrap_or_else(|_| {
+        let remedy = "give off, error, warn, info, debug or trace";
+        fields.problem("level", format!("{text:?} is not a level"), remedy);
+        LevelFilter::Info
+    });
+    let settings = LogSettings { level, file: fields.optional_text("file").map(PathBuf::from) };
+    fields.finish();
+    settings
+}
+
+fn timing(mut fields: Fields<'_>) -> Timing {
+    let mut period = |name, default| Duration::from_millis(fields.number(name, default, 1, MAX_MS));
+    let timing = Timing {
+        lease: period("lease_ms", 3_000),
+        renew: period("renew_ms", 1_000),
+        heartbeat: period("heartbeat_ms", 100),
+        election: period("election_ms", 600),
+        probe: period("probe_ms", 500),
+        load_poll: period("load_poll_ms", 250),
+        platform_poll: period("platform_poll_ms", 500),
+        connect: period("connect_ms", 500),
+        shutdown: period("shutdown_ms", 30_000),
+        claim_retention: period("claim_retention_ms", 86_400_000),
+    };
+    fields.finish();
+    timing
+}
+
+fn bounds(mut fields: Fields<'_>) -> Bounds {
+    let bounds = Bounds {
+        queue_len: fields.number("queue_len", 256, 1, 1_000_000) as usize,
+        engine_running: fields.number("engine_running", 32, 1, 100_000) as usize,
+        body_bytes: fields.number("body_bytes", 4 << 20, 1, MAX_BODY_BYTES) as usize,
+        context_entries: fields.number("context_entries", 100_000, 1, 10_000_000) as usize,
+        watched_engines: fields.number("watched_engines", 64, 1, 10_000) as usize,
+    };
+    fields.finish();
+    bounds
+}
--- /dev/null
+++ b/src/telemetry/logs.rs
@@ -0,0 +1,54 @@
+//! Logs: one line of key=value pairs for each event, through log4rs.
+
+use std::path::PathBuf;
+
+use log::LevelFilter;
+use log4rs::append::console::{ConsoleAppender, Target};
+use log4rs::append::file::FileAppender;
+use log4rs::config::{Appender, Config, Root};
+use log4rs::encode::pattern::PatternEncoder;
+
+use crate::error::{Error, Result};
+
+const PATTERN: &str = "ts={d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} level={l} {m}{n}";
+
+/// Where log lines go and which.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LogSettings {
+    /// The least severe level that is written.
+    pub level: LevelFilter,
+    /// The file to append to; standard error if `None`.
+    pub file: Option<PathBuf>,
+}
+
+/// Starts logging for this process.
+///
+/// # Errors
+/// `Error::Start` if the file can't be opened or logging was started before.
+pub fn start(settings: &LogSettings) -> Result<()> {
+    let encoder = Box::new(PatternEncoder::new(PATTERN));
+    let appender: Box<dyn log4rs::append::Append> =
+        match &settings.file {
+            Some(path) => Box::new(FileAppender::builder().encoder(encoder).build(path).map_err(
+                |source| Error::start("log.file", source, "name a file that this user may write"),
+            )?),
+            None => {
+                Box::new(ConsoleAppender::builder().target(Target::Stderr).encoder(encoder).build())
+            }
+        };
+    let config = Config::builder()
+        .appender(Appender::builder().build("out", appender))
+        .logger(log4rs::config::Logger::builder().build("kumquatpost", settings.level))
+        .build(Root::builder().appender("out").build(settings.level.min(LevelFilter::Warn)))
+        .map_err(|source| Error::start("log", source, "check the log settings"))?;
+    log4rs::init_config(config)
+        .map_err(|source| Error::start("log", source, "start logging once a process"))?;
+    Ok(())
+}
+
+/// Quotes a value for a log line if it holds spaces, quotes or line breaks.
+pub fn quoted(value: &str) -> String {
+    let plain = !value.is_empty()
+        && !value.contains(|c: char| c.is_whitespace() || c == '"' || c == '=' || c.is_control());
+    if plain { value.to_string() } else { format!("{value:?}") }
+}
--- /dev/null
+++ b/src/telemetry/metrics.rs
@@ -0,0 +1,74 @@
+//! Metrics through OpenTelemetry, shown as Prometheus text.
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+use crate::error::{Error, Result};
+
+/// The instruments of one node. Names and units are listed in docs/OPERATING.md.
+pub struct Metrics {
+    registry: Registry,
+    // Kept so that the instruments stay connected to the registry.
+    _provider: SdkMeterProvider,
+    /// Requests answered, by kind, account and result code.
+    pub requests: Counter<u64>,
+    /// Time to first token in seconds, by kind.
+    pub first_token_s: Histogram<f64>,
+    /// Prompt tokens of answered requests.
+    pub prompt_tokens: Counter<u64>,
+    /// Prompt tokens that an engine found resident or imported, so did not recompute.
+    pub reused_tokens: Counter<u64>,
+    /// Bytes of KV cache moved over links to and from stores, by direction.
+    pub link_bytes: Counter<u64>,
+    /// The configuration number in force on this node.
+    pub config_number: Gauge<u64>,
+    /// Seconds from the acceptance of a configuration until it was in force everywhere.
+    pub in_force_s: Histogram<f64>,
+    /// Dispatches to targets, by target and outcome.
+    pub dispatches: Counter<u64>,
+}
+
+impl Metrics {
+    /// Builds the instruments.
+    ///
+    /// # Errors
+    /// `Error::Start` if the exporter can't be built.
+    pub fn new() -> Result<Metrics> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(|source| Error::start("metrics", source, "report this as a defect"))?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("kumquatpost");
+        Ok(Metrics {
+            registry,
+            requests: meter.u64_counter("kumquatpost_requests").build(),
+            first_token_s: meter.f64_histogram("kumquatpost_first_token").with_unit("s").build(),
+            prompt_tokens: meter.u64_counter("kumquatpost_prompt_tokens").build(),
+            reused_tokens: meter.u64_counter("kumquatpost_reused_tokens").build(),
+            link_bytes: meter.u64_counter("kumquatpost_link").with_unit("By").build(),
+            config_number: meter.u64_gauge("kumquatpost_config_number").build(),
+            in_force_s: meter.f64_histogram("kumquatpost_config_in_force").with_unit("s").build(),
+            dispatches: meter.u64_counter("kumquatpost_dispatches").build(),
+            _provider: provider,
+        })
+    }
+
+    /// All metrics as Prometheus text.
+    pub fn text(&self) -> String {
+        let mut buffer = Vec::new();
+        let families = self.registry.gather();
+        if let Err(error) = TextEncoder::new().encode(&families, &mut buffer) {
+            log::warn!("event=metrics_encode_failed error={:?}", error.to_string());
+        }
+        String::from_utf8_lossy(&buffer).into_owned()
+    }
+}
+
+/// A label of a metric.
+pub fn label(name: &'static str, value: &str) -> KeyValue {
+    KeyValue::new(name, value.to_string())
+}
--- /dev/null
+++ b/src/telemetry/mod.rs
@@ -0,0 +1,4 @@
+//! What operators see: logs, metrics and the report on service-level burn.
+
+pub mod logs;
+pub mod metrics;
--- /dev/null
+++ b/src/whereabouts/owners.rs
@@ -0,0 +1,35 @@
+//! Which nodes own what is known of a context: rendezvous hashing over live nodes.
+
+use crate::ids::{BlockKey, DomainId, NodeId};
+
+/// A live node and where it is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NodePlace {
+    /// The node.
+    pub node: NodeId,
+    /// Its failure domain.
+    pub failure_domain: DomainId,
+}
+
+/// The owners of a context, first the one that decides; the second is in another failure domain
+/// where there is one. Empty only if there is no node.
+pub fn owners(root: BlockKey, nodes: &[NodePlace]) -> Vec<NodeId> {
+    let weight = |place: &NodePlace| weight(root, place.node);
+    let Some(first) = nodes.iter().max_by_key(|place| weight(place)) else { return Vec::new() };
+    let elsewhere = nodes
+        .iter()
+        .filter(|place| place.failure_domain != first.failure_domain)
+        .max_by_key(|place| weight(place));
+    let second = elsewhere.or_else(|| {
+        nodes.iter().filter(|place| place.node != first.node).max_by_key(|place| weight(place))
+    });
+    std::iter::once(first).chain(second).map(|place| place.node).collect()
+}
+
+/// The key is uniform already, so a multiplicative mix with the node is enough.
+fn weight(root: BlockKey, node: NodeId) -> u64 {
+    let mut mixed = (root as u64) ^ node.wrapping_mul(0x9E37_79B9_7F4A_7C15);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+    mixed ^ (mixed >> 31)
+}
--- /dev/null
+++ b/tests/process/main.rs
@@ -0,0 +1,5 @@
+//! Tests that drive the real binary as separate processes on loopback.
+
+mod interface;
+mod serving;
+mod testenv;
--- /dev/null
+++ b/tests/process/serving.rs
@@ -0,0 +1,51 @@
+//! A prompt goes in at any node and its whole answer comes back.
+
+use kumquatpost::emulator::answer::Answer;
+use kumquatpost::prompt::Owner;
+use serde_json::Value;
+
+use crate::testenv::{ACCOUNTS, Plan, TestEnv};
+
+/// The answer that the stand-in engines give to an account's prompt.
+pub fn expected(account: &str, prompt: &str, tokens: u32) -> String {
+    let owner = Owner {
+        account: account.into(),
+        model: "mechanic".into(),
+        weight_version: "v1".into(),
+        adapter: String::new(),
+    };
+    Answer::new(&owner, &format!("<|user|> {prompt}\n"), tokens).text()
+}
+
+#[test]
+fn whole_and_streamed_answers_of_two_accounts_at_three_nodes() {
+    let env = TestEnv::start(Plan::default());
+    for node in 0..3 {
+        for account in ACCOUNTS {
+            let prompt = format!("gearbox history {node}");
+            let whole: Value = env.ask(node, account, &prompt, 12).json().expect("JSON");
+            let content = &whole["choices"][0]["message"]["content"];
+            assert_eq!(content, &Value::String(expected(account, &prompt, 12)));
+            assert_eq!(whole["object"], "chat.completion");
+            assert_eq!(whole["choices"][0]["finish_reason"], "stop");
+            assert_eq!(whole["usage"]["completion_tokens"], 12);
+
+            let streamed = env.prompt(node, account, &prompt, 12, true).send().expect("an answer");
+            let text = streamed.text().expect("a whole stream");
+            let mut events: Vec<&str> =
+                text.lines().filter_map(|line| line.strip_prefix("data: ")).collect();
+            assert_eq!(events.pop(), Some("[DONE]"), "the end mark comes last");
+            let chunks: Vec<Value> =
+                events.iter().map(|data| serde_json::from_str(data).expect("JSON")).collect();
+            assert!(chunks.iter().all(|chunk| chunk["object"] == "chat.completion.chunk"));
+            assert!(chunks.iter().all(|chunk| chunk["id"] == chunks[0]["id"]));
+            let pieces: String = chunks
+                .iter()
+                .filter_map(|chunk| chunk["choices"][0]["delta"]["content"].as_str())
+                .collect();
+            assert_eq!(pieces, expected(account, &prompt, 12));
+            let last = chunks.last().expect("chunks");
+            assert_eq!(last["choices"][0]["finish_reason"], "stop");
+        }
+    }
+}
--- /dev/null
+++ b/tests/process/testenv.rs
@@ -0,0 +1,332 @@
+//! Runs the binary's processes in a folder of their own, and ends all of them at the end.
+
+use std::io::{BufRead, BufReader};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+use kumquatpost::config::document::key_hash;
+use reqwest::blocking::{Client, Response};
+use serde_json::{Value, json};
+use tempfile::TempDir;
+
+/// Whatever is waited for must have come by then.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Accounts of the tests, each with key `key-of-NAME`.
+pub const ACCOUNTS: [&str; 2] = ["anna", "bibek"];
+
+/// A process that is killed when it is dropped.
+pub struct Process {
+    child: Child,
+    /// The values of the line that it printed when it was ready.
+    pub ready: Vec<(String, String)>,
+}
+
+impl Process {
+    /// Starts `kumquatpost ARGS` and waits until it prints that it is ready.
+    pub fn start(args: &[&str]) -> Process {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_kumquatpost"))
+            .args(args)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the binary starts");
+        let mut line = String::new();
+        let stdout = child.stdout.take().expect("its output is piped");
+        BufReader::new(stdout).read_line(&mut line).expect("its output can be read");
+        assert!(line.starts_with("ready "), "not ready: {line:?}");
+        let values = line.split_whitespace().filter_map(|word| word.split_once('='));
+        let ready = values.map(|(name, value)| (name.into(), value.into())).collect();
+        Process { child, ready }
+    }
+
+    pub fn value(&self, name: &str) -> &str {
+        let found = self.ready.iter().find(|(key, _)| key == name);
+        &found.unwrap_or_else(|| panic!("no {name} in {:?}", self.ready)).1
+    }
+
+    /// Sends a signal by its name, for example `STOP`.
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill").args(["-s", name, &id]).status().expect("kill runs");
+        assert!(status.success());
+    }
+
+    pub fn kill(&mut self) {
+        self.child.kill().expect("the process can be killed");
+        self.child.wait().expect("the process ends");
+    }
+
+    /// Waits for the process to end, and returns its exit code.
+    pub fn exit_code(&mut self) -> Option<i32> {
+        until("the process ends", || self.child.try_wait().expect("it can be waited for")).code()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        drop(self.child.kill());
+        drop(self.child.wait());
+    }
+}
+
+/// Nodes and stand-ins.
+pub struct TestEnv {
+    pub folder: TempDir,
+    pub emulator: Process,
+    pub nodes: Vec<Process>,
+    pub settings: Vec<PathBuf>,
+    pub client: Client,
+}
+
+/// What a test wants to differ from the usual.
+pub struct Plan {
+    pub nodes: usize,
+    pub replicas: usize,
+    pub emulator: Value,
+    pub timing: Value,
+    pub bounds: Value,
+}
+
+impl Default for Plan {
+    fn default() -> Plan {
+        Plan {
+            nodes: 3,
+            replicas: 3,
+            emulator: emulator(),
+            timing: json!({"lease_ms": 1500, "renew_ms": 300, "probe_ms": 200,
+                           "election_ms": 400, "heartbeat_ms": 50,
+                           "load_poll_ms": 50, "platform_poll_ms": 100}),
+            bounds: json!({}),
+        }
+    }
+}
+
+/// Three engines, two stores and a service.
+pub fn emulator() -> Value {
+    let domains = ["patan", "bhaktapur", "kirtipur"];
+    let engines: Vec<Value> = (0..3)
+        .map(|i| {
+            json!({"id": format!("engine-{i}"), "model": "mechanic",
+                   "failure_domain": domains[i], "prefill_tokens_per_s": 100_000,
+                   "load_lag_ms": 20, "event_lag_ms": 20})
+        })
+        .collect();
+    json!({
+        "engines": engines,
+        "stores": [{"id": "store-0", "failure_domain": "patan"},
+                   {"id": "store-1", "failure_domain": "bhaktapur"}],
+        "services": [{"id": "order-0", "service": "part-order", "failure_domain": "patan"},
+                     {"id": "order-1", "service": "part-order", "failure_domain": "kirtipur"}],
+        "platform_lag_ms": 50, "log": {"level": "warn"},
+    })
+}
+
+/// The configuration that the tests start from.
+pub fn config() -> Value {
+    let account = |name: &str| json!({"key_blake3": key_hash(&format!("key-of-{name}"))});
+    json!({
+        "accounts": {"anna": account("anna"), "bibek": account("bibek")},
+        "kinds": {"counter": {"priority": 0}, "order": {"priority": 0, "repeatable": false}},
+        "models": {"mechanic": {"weight_version": "v1"}},
+        "services": {"part-order": {"repeatable": false}},
+    })
+}
+
+impl TestEnv {
+    pub fn start(plan: Plan) -> TestEnv {
+        let folder = TempDir::new().expect("a folder");
+        let write = |name: &str, value: &Value| -> PathBuf {
+            let path = folder.path().join(name);
+            std::fs::write(&path, value.to_string()).expect("settings can be written");
+            path
+        };
+        let emulator_settings = write("emulate.json", &plan.emulator);
+        let emulator = Process::start(&["emulate", "--settings", text(&emulator_settings)]);
+        let key_file = folder.path().join("key");
+        std::fs::write(&key_file, "k".repeat(64)).expect("the key can be written");
+        let peers: Vec<SocketAddr> = (0..plan.nodes).map(|_| free_address()).collect();
+        let domains = ["patan", "bhaktapur", "kirtipur"];
+        let nodes: Vec<Value> = peers
+            .iter()
+            .enumerate()
+            .map(|(i, peer)| {
+                json!({"node_id": i + 1, "peer_address": peer, "replica": i < plan.replicas,
+                       "failure_domain": domains[i % 3]})
+            })
+            .collect();
+        let settings: Vec<PathBuf> = (0..plan.nodes)
+            .map(|i| {
+                let value = json!({
+                    "environment": "test", "fault_knobs": true, "node_id": i + 1,
+                    "region": "kathmandu", "failure_domain": domains[i % 3],
+                    "callers_address": free_address(), "operators_address": free_address(),
+                    "peer_address": peers[i], "key_file": key_file,
+                    "data_folder": folder.path().join(format!("data-{}", i + 1)),
+                    "platform_url": emulator.value("platform"), "nodes": nodes,
+                    "first_config": config(), "log": {"level": "warn"},
+                    "timing": plan.timing, "bounds": plan.bounds,
+                });
+                write(&format!("node-{}.json", i + 1), &value)
+            })
+            .collect();
+        let nodes = settings
+            .iter()
+            .map(|file| Process::start(&["serve", "--settings", text(file)]))
+            .collect();
+        let client = Client::builder().no_proxy().timeout(PATIENCE).build().expect("a client");
+        let env = TestEnv { folder, emulator, nodes, settings, client };
+        for node in 0..plan.nodes {
+            env.until_ready(node);
+        }
+        env
+    }
+
+    /// Starts a node again with its settings and data.
+    pub fn restart(&mut self, node: usize) {
+        self.nodes[node] = Process::start(&["serve", "--settings", text(&self.settings[node])]);
+    }
+
+    pub fn callers(&self, node: usize) -> String {
+        format!("http://{}", self.nodes[node].value("callers"))
+    }
+
+    pub fn operators(&self, node: usize) -> String {
+        format!("http://{}", self.nodes[node].value("operators"))
+    }
+
+    pub fn until_ready(&self, node: usize) {
+        let url = format!("{}/health/ready", self.callers(node));
+        until("the node is ready", || {
+            let ready = self.client.get(&url).send().is_ok_and(|r| r.status().is_success());
+            let engines = self.status(node)["engines"].as_array().map_or(0, Vec::len);
+            (ready && engines > 0).then_some(())
+        });
+        // A first prompt proves that engines' loads are known.
+        until("a prompt is answered", || {
+            let response = self.ask(node, "anna", "warm up", 1);
+            response.status().is_success().then_some(())
+        });
+    }
+
+    pub fn status(&self, node: usize) -> Value {
+        let url = format!("{}/v1/status", self.operators(node));
+        let response = self.client.get(url).send();
+        response.ok().and_then(|response| response.json().ok()).unwrap_or_default()
+    }
+
+    /// The node that leads the log.
+    pub fn leader(&self) -> usize {
+        until("there is a leader", || {
+            (0..self.nodes.len())
+                .find(|node| self.status(*node)["replica"]["is_leader"] == Value::Bool(true))
+        })
+    }
+
+    /// A whole answer to a prompt.
+    pub fn ask(&self, node: usize, account: &str, prompt: &str, tokens: u32) -> Response {
+        self.prompt(node, account, prompt, tokens, false).send().expect("the node answers")
+    }
+
+    pub fn prompt(
+        &self,
+        node: usize,
+        account: &str,
+        prompt: &str,
+        tokens: u32,
+        stream: bool,
+    ) -> reqwest::blocking::RequestBuilder {
+        self.client
+            .post(format!("{}/v1/chat/completions", self.callers(node)))
+            .bearer_auth(format!("key-of-{account}"))
+            .json(&json!({"model": "mechanic", "max_tokens": tokens, "stream": stream,
+                          "messages": [{"role": "user", "content": prompt}]}))
+    }
+
+    /// Orders a part under an id.
+    pub fn order(
+        &self,
+        node: usize,
+        account: &str,
+        id: &str,
+        body: &str,
+    ) -> reqwest::Result<Response> {
+        self.client
+            .post(format!("{}/v1/services/part-order/orders", self.callers(node)))
+            .bearer_auth(format!("key-of-{account}"))
+            .header("idempotency-key", id)
+            .body(body.to_string())
+            .send()
+    }
+
+    pub fn patch(
+        &self,
+        node: usize,
+        base: u64,
+        id: &str,
+        patch: &Value,
+    ) -> reqwest::Result<Response> {
+        self.client
+            .patch(format!("{}/v1/config", self.operators(node)))
+            .header("if-match", format!("\"{base}\""))
+            .header("idempotency-key", id)
+            .json(patch)
+            .send()
+    }
+
+    pub fn set_fault(&self, target: &str, fault: Value) {
+        let url = format!("{}/faults", self.emulator.value("platform"));
+        let body = json!({"target": target, "fault": fault});
+        let response = self.client.post(url).json(&body).send().expect("the emulator answers");
+        assert!(response.status().is_success(), "{}", response.text().unwrap_or_default());
+    }
+
+    /// Cuts a node off from others, in both directions.
+    pub fn cut(&self, node: usize, others: &[usize]) {
+        let ids: Vec<usize> = others.iter().map(|other| other + 1).collect();
+        let url = format!("{}/v1/faults", self.operators(node));
+        let response = self.client.post(url).json(&json!({"cut_off_from": ids})).send();
+        assert!(response.expect("the node answers").status().is_success());
+    }
+
+    pub fn ledger(&self) -> Value {
+        let url = format!("{}/ledger", self.emulator.value("platform"));
+        self.client.get(url).send().expect("the emulator answers").json().expect("JSON")
+    }
+
+    /// How often a request started to run on any target.
+    pub fn runs(&self, request_id: &str) -> u64 {
+        let ledger = self.ledger();
+        let runs = ledger["runs"].as_object().expect("runs");
+        let is_of = |id: &str| id == request_id || id.starts_with(&format!("{request_id}~"));
+        runs.iter().filter(|(id, _)| is_of(id)).filter_map(|(_, n)| n.as_u64()).sum()
+    }
+}
+
+/// Runs the binary to its end.
+pub fn run(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_kumquatpost")).args(args).output().expect("the binary runs")
+}
+
+/// Looks again and again until there is something, and fails if there never is.
+pub fn until<T>(what: &str, mut look: impl FnMut() -> Option<T>) -> T {
+    let end = Instant::now() + PATIENCE;
+    loop {
+        if let Some(found) = look() {
+            return found;
+        }
+        assert!(Instant::now() < end, "waited in vain: {what}");
+        std::thread::yield_now();
+        std::thread::park_timeout(Duration::from_millis(20));
+    }
+}
+
+pub fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port is free");
+    listener.local_addr().expect("it has an address")
+}
+
+pub fn text(path: &std::path::Path) -> &str {
+    path.to_str().expect("the path is text")
+}
