Prove what must always hold, on a virtual clock and with real processes

Cause: nothing was shown under failure. Found on the way: test nodes took each other's ports; each test now has loopback addresses of its own.

--- /dev/null
+++ b/.ci/mutations.py
@@ -0,0 +1,161 @@
+#!/usr/bin/env python3
+"""Removes one safeguard at a time from a scratch copy and expects the named test to fail.
+
+Usage: .ci/mutations.py [WORD]   only the mutations whose name contains WORD
+"""
+import pathlib, shutil, subprocess, sys, tempfile
+
+# name, file, text, replacement, test target, test filter
+MUTATIONS = [
+    ("vote twice in a term", "src/log/raft/election.rs",
+     "let free = self.vote.voted_for.is_none_or(|voted_for| voted_for == from);", "let free = true;", "logic", "log_schedules"),
+    ("vote for a shorter log", "src/log/raft/election.rs",
+     "            && free\n            && last >= self.log.last()", "            && free", "logic", "log_schedules"),
+    ("vote while a leader may count on us", "src/log/raft/election.rs",
+     "        if self.has_live_leader(now) {\n            return;\n        }", "", "logic", "log_schedules"),
+    ("vote while recovering", "src/log/raft/election.rs",
+     "            && self.recovering.is_none()\n            && matches!", "            && matches!", "logic", "log_schedules"),
+    ("stand while recovering", "src/log/raft/election.rs",
+     "self.members.voters.contains(&self.id) && self.recovering.is_none()", "self.members.voters.contains(&self.id)", "logic", "log_schedules"),
+    ("no pre-vote", "src/log/raft/election.rs",
+     "let granted =\n            term > self.vote.term && last >= self.log.last() && !self.has_live_leader(now);", "let granted = true;", "logic", "replicas"),
+    ("acknowledge before it is durable", "src/log/raft/replication.rs",
+     "        self.effects.late.push((to, reply));", "        self.effects.early.push((to, reply));", "logic", "log_schedules"),
+    ("a leader counts what it has not synced", "src/log/raft/replication.rs",
+     "let own = self.persisted;", "let own = self.log.last_index();", "logic", "log_schedules"),
+    ("commit entries of earlier terms by counting", "src/log/raft/replication.rs",
+     "&& self.log.term_at(candidate) == Some(self.vote.term)", "", "logic", "log_schedules"),
+    ("a minority commits", "src/log/raft/replication.rs",
+     "values.get(quorum - 1)", "values.get(quorum.saturating_sub(2))", "logic", "log_schedules"),
+    ("append without a matching entry before", "src/log/raft/replication.rs",
+     "&& self.log.term_at(prev_index) != Some(prev_term)", "&& false", "logic", "log_schedules"),
+    ("read without a quorum", "src/log/raft/replication.rs",
+     "self.round.is_some_and(|round| round <= confirmed)", "true", "logic", "replicas::an_isolated"),
+    ("no check-quorum", "src/log/raft/mod.rs",
+     "if now >= leader.confirmed_at + self.timing.election * 2 {", "if false {", "logic", "replicas::an_isolated"),
+    ("sure to lead for too long", "src/log/raft/mod.rs",
+     "self.commit >= leader.first_index && now < leader.confirmed_at + safe", "self.commit >= leader.first_index", "logic", "log"),
+    ("two changes of replicas at once", "src/log/raft/change.rs",
+     "self.log.members_index() > self.commit || self.commit < leader.first_index", "false", "logic", "replicas::only_one"),
+    ("promote a learner that lacks entries", "src/log/raft/change.rs",
+     "if matched + CAUGHT_UP_WITHIN < self.log.last_index() || matched == 0 {", "if false {", "logic", "replicas::a_learner"),
+    ("a failed disk goes on", "src/log/raft/mod.rs",
+     "        self.stopped = true;", "", "logic", "replicas::a_replica_whose_disk"),
+    ("lost bytes are not noticed", "src/log/disk.rs",
+     "let lost = marked_lost || marked_bytes > valid_bytes;", "let lost = false;", "logic", "disk"),
+    ("a loss is forgotten at the next start", "src/log/disk.rs",
+     "let lost = marked_lost || marked_bytes > valid_bytes;", "let lost = marked_bytes > valid_bytes;", "logic", "disk"),
+    ("records without a checksum", "src/log/disk.rs",
+     "if crc32fast::hash(body) != checksum {", "if false && checksum == 0 {", "logic", "disk"),
+    ("a log without its vote is used", "src/log/disk.rs",
+     "let without_vote = vote.is_none() && was_used;", "let without_vote = false && was_used;", "logic", "disk"),
+    ("two processes share a folder", "src/log/disk.rs",
+     "        lock.try_lock().map_err", "        Ok::<(), ()>(()).map_err", "logic", "disk"),
+    ("a patch against an old number wins", "src/log/state.rs",
+     "if patch.base != self.book.number() {", "if false {", "logic", "configuration"),
+    ("resent patches are not remembered", "src/log/state.rs",
+     "if let Some((first, answer)) = self.answers.get(&patch.patch_id) {", "if let Some((first, answer)) = self.answers.get(&patch.patch_id).filter(|_| false) {", "logic", "configuration"),
+    ("answers are not in the snapshot", "src/log/state.rs",
+     "answers: answers.collect(),", "answers: answers.take(0).collect(),", "logic", "configuration"),
+    ("a lower number is applied", "src/config/book.rs",
+     "        if number < self.number() {\n            return Err(Unusable::Older);\n        }", "", "logic", "configuration"),
+    ("a lease counts from its answer", "src/lease.rs",
+     "self.ends = self.ends.max(sent_at + safe);", "self.ends = self.ends.max(sent_at + safe * 2);", "logic", "lease"),
+    ("a relay's leases outlast its own", "src/lease.rs",
+     "let lasts = self.lease.min(own_remaining);", "let lasts = if own_remaining.is_zero() { own_remaining } else { self.lease };", "logic", "lease"),
+    ("a new grantor knows all leases", "src/lease.rs",
+     "unknown_until: now + lease,", "unknown_until: now,", "logic", "lease"),
+    ("leases end at once in the books", "src/lease.rs",
+     "let live = self.children.values().filter(|granted| granted.ends > now);", "let live = self.children.values().filter(|granted| granted.ends > now + self.lease);", "logic", "lease"),
+    ("a held claim is granted again", "src/claims.rs",
+     "Progress::Held => return ClaimAnswer::Held(claim.token),", "Progress::Held => {}", "logic", "claims"),
+    ("the same id with other content", "src/claims.rs",
+     "_ if claim.digest != digest => return ClaimAnswer::IdReused,", "", "logic", "claims"),
+    ("a release by anybody", "src/claims.rs",
+     "Some(claim) if claim.token == token && claim.progress == Progress::Held => {", "Some(claim) if claim.progress == Progress::Held => {", "logic", "claims"),
+    ("a claim after its release", "src/claims.rs",
+     "Progress::Released if claim.token == token => return ClaimAnswer::Withdrawn,", "", "logic", "claims"),
+    ("claims forgotten too early", "src/claims.rs",
+     "&& at_ms + self.retention_ms < self.now_ms", "&& at_ms < self.now_ms", "logic", "claims"),
+    ("a crossed chunk is relayed", "src/entry/relay.rs",
+     "if chunk.id != self.expected_id {", "if false {", "logic", "relay"),
+    ("two generations are spliced", "src/entry/relay.rs",
+     "if !text.is_char_boundary(common) || text[..common] != missing[..common] {", "if !text.is_char_boundary(common) {", "logic", "relay"),
+    ("an early end mark counts", "src/entry/relay.rs",
+     "if self.finish.is_none() || self.repeated < self.sent.len() {", "if false {", "logic", "relay"),
+    ("a copy that is being written is handed out", "src/whereabouts/catalog.rs",
+     "context.copies.iter_mut().filter(|copy| copy.state == CopyState::Committed);", "context.copies.iter_mut().filter(|copy| copy.state != CopyState::Freeing);", "logic", "catalog"),
+    ("a copy that is being freed is handed out", "src/whereabouts/catalog.rs",
+     "context.copies.iter_mut().filter(|copy| copy.state == CopyState::Committed);", "context.copies.iter_mut().filter(|copy| !matches!(copy.state, CopyState::Writing { .. }));", "logic", "catalog"),
+    ("freed under a reader", "src/whereabouts/catalog.rs",
+     ".filter(|copy| copy.state == CopyState::Freeing && copy.pinned_until <= now)", ".filter(|copy| copy.state == CopyState::Freeing)", "logic", "catalog"),
+    ("a new owner frees at once", "src/whereabouts/catalog.rs",
+     "        if now < self.no_free_until {\n            return Vec::new();\n        }", "", "logic", "catalog"),
+    ("a late write counts", "src/whereabouts/catalog.rs",
+     "if !matches!(copy.state, CopyState::Writing { .. }) {", "if false {", "logic", "catalog"),
+    ("keys without the account", "src/prompt.rs",
+     "for part in [&owner.account, &owner.model,", "for part in [&owner.model, &owner.model,", "logic", "catalog"),
+    ("keys without the weight version", "src/prompt.rs",
+     "&owner.weight_version, &owner.adapter]", "&owner.adapter, &owner.adapter]", "logic", "catalog"),
+    ("another prompt's copy is imported", "src/route/decide.rs",
+     "if blocks == 0 || ask.chain.keys.get(blocks - 1) != Some(&object.key) {", "if blocks == 0 {", "logic", "decide"),
+    ("an engine of another version is chosen", "src/route/decide.rs",
+     "report.weight_version.as_ref() == Some(ask.weight_version)\n                && ", "", "logic", "decide"),
+    ("leaving is taken back", "src/route/targets.rs",
+     "self.leaving.get(&target.id).is_none_or(|leaving| *leaving < target.incarnation)", "target.presence == Presence::Live", "logic", "targets"),
+    ("a datagram is taken twice", "src/peer/auth.rs",
+     "if behind >= WINDOW || self.taken & (1 << behind) != 0 {", "if behind >= WINDOW {", "logic", "auth"),
+    ("frames may be moved", "src/peer/auth.rs",
+     "hasher.update(&self.next.to_le_bytes()).update(", "hasher.update(", "logic", "auth"),
+    ("the queue has no bound", "src/limits/admission.rs",
+     "if self.waiting >= self.queue_len {", "if false {", "logic", "admission"),
+    ("low priority starves", "src/limits/admission.rs",
+     "if self.picks.is_multiple_of(OLDEST_FIRST_ONE_IN) {", "if false {", "logic", "admission"),
+    ("admits without a lease", "src/node/freshness.rs",
+     "self.holder.is_fresh(now).then(|| self.book.newest().clone())", "Some(self.book.newest().clone())", "process", "frozen"),
+    ("a shutdown does not wait", "src/node/mod.rs",
+     "while self.places.running() + self.places.waiting() > 0 && boot_now() < end {", "while false && boot_now() < end {", "process", "planned_stop"),
+    ("an order is retried after it may have run", "src/entry/services.rs",
+     "                return Err(failed(&instance, &reason, true));", "                last = failed(&instance, &reason, true);", "process", "an_order_runs"),
+    ("no claim before an order", "src/entry/services.rs",
+     "    if call.repeatable {\n        let _place", "    if call.repeatable || true {\n        let _place", "process", "an_order_runs"),
+    ("a damaged import is used", "src/emulator/engine.rs",
+     "(crc32fast::hash(&content) == object.checksum).then_some(())", "Some(())", "process", "damaged"),
+]
+
+
+def main():
+    word = sys.argv[1] if len(sys.argv) > 1 else ""
+    top = pathlib.Path(__file__).resolve().parent.parent
+    scratch = pathlib.Path(tempfile.mkdtemp(prefix="kumquatpost-mutations-"))
+    survived = []
+    try:
+        copy = scratch / "copy"
+        shutil.copytree(top, copy, ignore=shutil.ignore_patterns("target", ".git"))
+        for name, file, text, replacement, target, test in MUTATIONS:
+            if word not in name:
+                continue
+            path = copy / file
+            original = path.read_text()
+            if original.count(text) < 1:
+                survived.append(f"{name}: its text is not in {file}")
+                print(f"stale    {name}", flush=True)
+                continue
+            path.write_text(original.replace(text, replacement))
+            command = ["cargo", "test", "-q", "--test", target, test]
+            environment = {**__import__("os").environ, "CARGO_TARGET_DIR": str(scratch / "target"), "RUST_BACKTRACE": "0"}
+            run = subprocess.run(command, cwd=copy, env=environment, capture_output=True, text=True)
+            path.write_text(original)
+            built = "test result" in run.stdout
+            caught = run.returncode != 0 and built
+            print(f"{'caught  ' if caught else 'survived' if built else 'no build'} {name}", flush=True)
+            if not caught:
+                survived.append(name if built else f"{name}: does not build")
+    finally:
+        shutil.rmtree(scratch, ignore_errors=True)
+    print(f"{len(survived)} not caught: {survived}")
+    return 1 if survived else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/commands/demo.rs
+++ b/src/commands/demo.rs
@@ -1,6 +1,6 @@
 //! `demo`: a node and stand-ins in one process; prompts of a few accounts that return.
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
@@ -126,13 +126,14 @@
 ) -> Result<Settings> {
     let key_file = folder.path.join("key");
     super::key_new::run(&key_file)?;
-    let peer = free_address()?;
+    // Nobody else has to find the only node.
+    let peer = "127.0.0.1:0";
     let value = json!({
         "environment": "test", "node_id": 1, "region": "demo", "failure_domain": "here",
         "callers_address": "127.0.0.1:0", "operators_address": "127.0.0.1:0",
-        "peer_address": peer.to_string(), "key_file": key_file,
+        "peer_address": peer, "key_file": key_file,
         "data_folder": folder.path.join("data"), "platform_url": format!("http://{platform}"),
-        "nodes": [{"node_id": 1, "peer_address": peer.to_string(), "failure_domain": "here",
+        "nodes": [{"node_id": 1, "peer_address": peer, "failure_domain": "here",
                    "replica": true}],
         "first_config": deployment.config,
         "timing": {"election_ms": 300},
@@ -140,13 +141,6 @@
     Settings::from_value(&value, "demo")
 }
 
-/// A loopback address that was free a moment ago.
-fn free_address() -> Result<SocketAddr> {
-    let failed = |source| Error::start("demo", source, "free a port");
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).map_err(failed)?;
-    listener.local_addr().map_err(failed)
-}
-
 /// A folder of its own that is removed at the end.
 struct Folder {
     path: PathBuf,
--- /dev/null
+++ b/tests/logic/configuration.rs
@@ -0,0 +1,136 @@
+//! The numbered configuration: races, resends, news, and what is invalid.
+
+use kumquatpost::config::book::Unusable;
+use kumquatpost::config::{Book, Config, Update};
+use kumquatpost::log::state::{Command, Patch, PatchAnswer, Reply, State};
+use serde_json::{Value, json};
+
+fn patch(state: &mut State, id: &str, base: u64, change: &Value) -> PatchAnswer {
+    let patch = Patch { patch_id: id.into(), base, text: change.to_string() };
+    match state.apply(&Command::Patch(patch)) {
+        Reply::Patch(answer) => answer,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn kind(priority: u64) -> Value {
+    json!({"kinds": {"k": {"priority": priority}}})
+}
+
+#[test]
+fn of_two_racing_operators_exactly_one_wins() {
+    let mut state = State::new(1_000);
+    assert_eq!(patch(&mut state, "a", 0, &kind(1)), PatchAnswer::Accepted(1));
+    assert_eq!(patch(&mut state, "b", 0, &kind(2)), PatchAnswer::Raced(1));
+    assert_eq!(state.config().config.kinds["k"].priority, 1);
+}
+
+#[test]
+fn a_resend_gets_the_first_answer_also_hundreds_later_and_after_a_snapshot() {
+    let mut state = State::new(1_000);
+    patch(&mut state, "first", 0, &kind(1));
+    let raced = patch(&mut state, "raced", 0, &kind(2));
+    let invalid = patch(&mut state, "invalid", 1, &kind(99));
+    for number in 1..600 {
+        patch(&mut state, &format!("p{number}"), number, &kind(number % 8));
+    }
+    let mut restored = State::new(1_000);
+    restored.restore(&state.snapshot()).expect("a snapshot");
+    for state in [&mut state, &mut restored] {
+        assert_eq!(patch(state, "first", 0, &kind(1)), PatchAnswer::Accepted(1));
+        assert_eq!(patch(state, "raced", 0, &kind(2)), raced);
+        assert_eq!(patch(state, "invalid", 1, &kind(99)), invalid);
+        assert_eq!(patch(state, "first", 0, &kind(3)), PatchAnswer::IdReused);
+        assert_eq!(patch(state, "first", 600, &kind(1)), PatchAnswer::IdReused);
+        assert_eq!(state.config().number, 600);
+    }
+    assert_eq!(state.config(), restored.config());
+}
+
+#[test]
+fn an_invalid_result_is_refused_with_field_and_remedy_and_takes_no_number() {
+    let account = |key: &str| json!({"key_blake3": key.repeat(64)});
+    let cases = [
+        (kind(8), "kinds.k.priority"),
+        (json!({"models": {"m": {"weight_version": ""}}}), "models.m.weight_version"),
+        (json!({"accounts": {"a": account("1"), "b": account("1")}}), "accounts.b.key_blake3"),
+        (json!({"accounts": {"a": {"key_blake3": "12"}}}), "accounts.a.key_blake3"),
+        (json!({"prices": {"link_s_per_mib": -1.0}}), "prices"),
+        (json!({"knds": {}}), "unknown field `knds`"),
+        (json!({"kinds": {"k": {"priority": 1, "objective": {"share": 1.5}}}}), "objective.share"),
+        (json!(7), "document"),
+    ];
+    let mut state = State::new(1_000);
+    for (number, (change, field)) in cases.iter().enumerate() {
+        let answer = patch(&mut state, &number.to_string(), 0, change);
+        let PatchAnswer::Invalid(problems) = answer else { panic!("{field}: {answer:?}") };
+        assert!(problems[0].contains(field) && problems[0].contains("; "), "{problems:?}");
+    }
+    assert_eq!(state.config().number, 0);
+}
+
+#[test]
+fn a_merge_patch_merges_removes_and_replaces() {
+    let cases = [
+        (json!({"a": 1}), json!({"b": 2}), json!({"a": 1, "b": 2})),
+        (json!({"a": {"b": 1, "c": 2}}), json!({"a": {"b": null}}), json!({"a": {"c": 2}})),
+        (json!({"a": [1]}), json!({"a": [2, 3]}), json!({"a": [2, 3]})),
+        (json!({"a": 1}), json!({"a": {"b": 1, "c": null}}), json!({"a": {"b": 1}})),
+    ];
+    for (mut document, change, expected) in cases {
+        kumquatpost::config::patch::merge(&mut document, &change);
+        assert_eq!(document, expected, "{change}");
+    }
+}
+
+#[test]
+fn news_lead_from_any_number_to_the_newest_and_never_back() {
+    let mut state = State::new(1_000);
+    let mut copies = vec![Book::default()];
+    for number in 0..400 {
+        patch(&mut state, &number.to_string(), number, &kind(number % 8));
+        let mut copy = copies[copies.len() - 1].clone();
+        copy.take(&state.book().update_since(number)).expect("one patch");
+        copies.push(copy);
+    }
+    for copy in &mut copies {
+        let update = state.book().update_since(copy.number());
+        let far_behind = copy.number() < 400 - 256;
+        assert_eq!(matches!(update, Update::Whole(..)), far_behind, "from {}", copy.number());
+        copy.take(&update).expect("an update");
+        assert_eq!(copy.newest(), state.config());
+    }
+    let old = Update::Whole(3, "{}".into());
+    assert_eq!(copies[0].take(&old), Err(Unusable::Older));
+    let gap = Update::Patches(vec![(402, "{}".into())]);
+    assert_eq!(copies[0].take(&gap), Err(Unusable::Broken));
+    let seen = Update::Patches(vec![(399, "{}".into()), (400, "{}".into())]);
+    assert_eq!(copies[0].take(&seen), Ok(()), "what is known already is passed over");
+    assert_eq!(copies[0].newest(), state.config());
+}
+
+#[test]
+fn a_damaged_snapshot_is_refused() {
+    let mut state = State::new(1_000);
+    patch(&mut state, "a", 0, &kind(1));
+    let bytes = state.snapshot();
+    for length in 0..bytes.len() {
+        assert!(State::new(1_000).restore(&bytes[..length]).is_err(), "cut to {length}");
+    }
+}
+
+#[test]
+fn fencing_numbers_grow_also_over_a_snapshot() {
+    let mut state = State::new(1_000);
+    assert_eq!(state.apply(&Command::Fence), Reply::Fence(1));
+    let mut restored = State::new(1_000);
+    restored.restore(&state.snapshot()).expect("a snapshot");
+    assert_eq!(restored.apply(&Command::Fence), Reply::Fence(2));
+}
+
+#[test]
+fn a_kind_that_is_not_configured_is_unknown_but_for_the_default() {
+    let config = Config::default();
+    assert!(config.kind("default").is_some_and(|kind| kind.repeatable));
+    assert!(config.kind("other").is_none());
+}
--- /dev/null
+++ b/tests/logic/main.rs
@@ -0,0 +1,16 @@
+//! Tests of the decisions on a virtual clock: tables of faults and seeded random schedules.
+
+mod admission;
+mod auth;
+mod catalog;
+mod claims;
+mod configuration;
+mod decide;
+mod disk;
+mod lease;
+mod log_schedules;
+mod log_world;
+mod relay;
+mod replicas;
+mod swim;
+mod targets;
--- a/tests/process/testenv.rs
+++ b/tests/process/testenv.rs
@@ -1,9 +1,10 @@
 //! Runs the binary's processes in a folder of their own, and ends all of them at the end.
 
 use std::io::{BufRead, BufReader};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
 use kumquatpost::config::document::key_hash;
@@ -14,6 +15,9 @@
 /// Whatever is waited for must have come by then.
 const PATIENCE: Duration = Duration::from_secs(20);
 
+/// Where the nodes of a test listen for each other.
+const PEER_PORT: u16 = 7_000;
+
 /// Accounts of the tests, each with key `key-of-NAME`.
 pub const ACCOUNTS: [&str; 2] = ["anna", "bibek"];
 
@@ -35,6 +39,11 @@
         let mut line = String::new();
         let stdout = child.stdout.take().expect("its output is piped");
         BufReader::new(stdout).read_line(&mut line).expect("its output can be read");
+        Process::adopt(child, &line)
+    }
+
+    /// A process that printed this line when it was ready.
+    pub fn adopt(child: Child, line: &str) -> Process {
         assert!(line.starts_with("ready "), "not ready: {line:?}");
         let values = line.split_whitespace().filter_map(|word| word.split_once('='));
         let ready = values.map(|(name, value)| (name.into(), value.into())).collect();
@@ -146,7 +155,10 @@
         let emulator = Process::start(&["emulate", "--settings", text(&emulator_settings)]);
         let key_file = folder.path().join("key");
         std::fs::write(&key_file, "k".repeat(64)).expect("the key can be written");
-        let peers: Vec<SocketAddr> = (0..plan.nodes).map(|_| free_address()).collect();
+        let network = own_network();
+        let peers: Vec<SocketAddr> = (1..=plan.nodes)
+            .map(|n| SocketAddr::from(([127, network.0, network.1, n as u8], PEER_PORT)))
+            .collect();
         let domains = ["patan", "bhaktapur", "kirtipur"];
         let nodes: Vec<Value> = peers
             .iter()
@@ -161,7 +173,7 @@
                 let value = json!({
                     "environment": "test", "fault_knobs": true, "node_id": i + 1,
                     "region": "kathmandu", "failure_domain": domains[i % 3],
-                    "callers_address": free_address(), "operators_address": free_address(),
+                    "callers_address": "127.0.0.1:0", "operators_address": "127.0.0.1:0",
                     "peer_address": peers[i], "key_file": key_file,
                     "data_folder": folder.path().join(format!("data-{}", i + 1)),
                     "platform_url": emulator.value("platform"), "nodes": nodes,
@@ -322,9 +334,12 @@
     }
 }
 
-pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port is free");
-    listener.local_addr().expect("it has an address")
+/// Two middle bytes of loopback addresses that no other test uses, so that nodes can have known
+/// ports that nobody else takes.
+fn own_network() -> (u8, u8) {
+    static NEXT: AtomicU8 = AtomicU8::new(0);
+    let first = 1 + (std::process::id() % 250) as u8;
+    (first, NEXT.fetch_add(1, Ordering::Relaxed))
 }
 
 pub fn text(path: &std::path::Path) -> &str {
