Order engines from the log's leader, a few loads at a time

Cause: nothing moved engines to another weight version. Change: orders carry a fencing number from the log; the planner keeps the serving floor of each failure domain and a bound on loads at a time; a new leader waits before it orders an engine that ignores fencing. A model has a next_version while it is rolled out; each request keeps one version.

--- a/src/config/document.rs
+++ b/src/config/document.rs
@@ -74,6 +74,10 @@
 pub struct Model {
     /// The weight version that new requests use.
     pub weight_version: WeightVersion,
+    /// The version that engines are moved to, a few at a time. New requests use either meanwhile,
+    /// each one version to its end. Make it `weight_version` when all engines have it.
+    #[serde(default)]
+    pub next_version: Option<WeightVersion>,
     /// How requests are routed.
     #[serde(default)]
     pub policy: Policy,
@@ -160,6 +164,13 @@
     blake3::hash(key.as_bytes()).to_hex().to_string()
 }
 
+impl Model {
+    /// Whether new requests may use a version.
+    pub fn serves(&self, version: &WeightVersion) -> bool {
+        self.weight_version == *version || self.next_version.as_ref() == Some(version)
+    }
+}
+
 impl Config {
     /// Reads and checks a document.
     ///
--- a/src/entry/prompts.rs
+++ b/src/entry/prompts.rs
@@ -11,9 +11,10 @@
 use super::run::Run;
 use super::{Code, Refusal};
 use crate::claims::Outcome;
-use crate::config::Model;
+use crate::config::Policy;
 use crate::edge::chat::{PromptRequest, Shape, Usage};
 use crate::http::{Request, Response};
+use crate::ids::WeightVersion;
 use crate::node::Node;
 use crate::node::places::Place;
 use crate::prompt::{Chain, Owner};
@@ -29,8 +30,10 @@
     pub shape: Shape,
     /// The body as it came.
     pub body: serde_json::Value,
-    /// The model in the configuration.
-    pub model: Model,
+    /// How it is routed.
+    pub policy: Policy,
+    /// The weight version that answers it, to its end.
+    pub weight_version: WeightVersion,
     /// The model's name.
     pub model_id: String,
     /// The prompt in blocks.
@@ -55,7 +58,7 @@
     request: &Request,
     shape: Shape,
 ) -> Result<Response, Refusal> {
-    let (prompt, wanted) = read(call, request, shape)?;
+    let (prompt, wanted) = read(node, call, request, shape)?;
     let mut held = None;
     if !prompt.call.repeatable {
         let digest = once::digest(&[shape.path().as_bytes(), &request.bytes()]);
@@ -103,7 +106,12 @@
     drop(place);
 }
 
-fn read(call: Call, request: &Request, shape: Shape) -> Result<(Prompt, Wanted), Refusal> {
+fn read(
+    node: &Node,
+    call: Call,
+    request: &Request,
+    shape: Shape,
+) -> Result<(Prompt, Wanted), Refusal> {
     let bad = |message: String| Refusal::not_run(Code::BadRequest, message);
     let body: serde_json::Value =
         request.json().map_err(|reason| bad(format!("the body is not JSON: {reason}")))?;
@@ -122,10 +130,15 @@
         let message = format!("no model {:?}; there are: {known}", asked.model);
         return Err(Refusal::not_run(Code::UnknownModel, message));
     };
+    let weight_version = {
+        let mut router = node.router.lock();
+        let draw = router.draw();
+        router.version_for(&asked.model, &model, draw, call.came_at)
+    };
     let owner = Owner {
         account: call.account.clone(),
         model: asked.model.clone(),
-        weight_version: model.weight_version.clone(),
+        weight_version: weight_version.clone(),
         adapter: String::new(),
     };
     let prefix = match shape {
@@ -141,7 +154,8 @@
     };
     let chain = Chain::new(&owner, &asked.prompt_text());
     let model_id = asked.model;
-    Ok((Prompt { call, shape, body, model, model_id, chain }, wanted))
+    let policy = model.policy;
+    Ok((Prompt { call, shape, body, policy, weight_version, model_id, chain }, wanted))
 }
 
 fn outcome(record: &Record) -> Outcome {
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -140,14 +140,14 @@
         let draw = router.draw();
         let ask = Ask {
             model: &self.prompt.model_id,
-            weight_version: &self.prompt.model.weight_version,
+            weight_version: &self.prompt.weight_version,
             chain: &self.prompt.chain,
             kept: &self.kept,
             avoid: &self.avoid,
             draw,
         };
         let prices = &call.config.config.prices;
-        let dispatch = router.begin(self.prompt.model.policy, prices, &ask, now);
+        let dispatch = router.begin(self.prompt.policy, prices, &ask, now);
         drop(router);
         dispatch.ok_or_else(|| {
             let message = format!("no engine of model {:?} takes work now", self.prompt.model_id);
@@ -172,7 +172,7 @@
             import: import_order(dispatch),
             stream,
             account: &call.account,
-            weight_version: &self.prompt.model.weight_version,
+            weight_version: &self.prompt.weight_version,
             priority: call.kind.priority,
             once: !call.repeatable,
         });
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod log;
 pub mod membership;
 pub mod node;
+pub mod orders;
 pub mod peer;
 pub mod prompt;
 pub mod queries;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -4,6 +4,7 @@
 pub mod decisions;
 pub mod freshness;
 pub mod keeping;
+pub mod ordering;
 pub mod places;
 pub mod watching;
 
@@ -209,6 +210,7 @@
         tokio::spawn(self.clone().watch_targets());
         tokio::spawn(self.clone().keep_contexts());
         tokio::spawn(self.clone().expire_waiting());
+        tokio::spawn(self.clone().keep_ordering());
         if self.settings.first_config.is_some() {
             tokio::spawn(self.clone().propose_first_config());
         }
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -104,6 +104,9 @@
     pub acked: ConfigNumber,
 }
 
+/// Does this replica surely lead now? In which term?
+pub struct Leads;
+
 /// Time passes.
 pub struct Tick;
 
@@ -404,6 +407,14 @@
     }
 }
 
+impl Handler<Leads> for Replica {
+    type Return = Option<Term>;
+
+    async fn handle(&mut self, _leads: Leads, _context: &mut Context<Self>) -> Self::Return {
+        self.raft.holds_leadership(boot_now()).then(|| self.raft.term())
+    }
+}
+
 /// Sets the leader's time where a command needs one.
 fn stamped(command: Command) -> Command {
     match command {
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -8,10 +8,10 @@
 use super::targets::{Leaving, Targets};
 use super::view::{EngineView, StoreView, View};
 use crate::clock::BootTime;
-use crate::config::{Policy, Prices};
+use crate::config::{Model, Policy, Prices};
 use crate::edge::api::{CacheEvents, LoadReport, Role, StoreReport, Target, TargetList};
 use crate::edge::chat::Usage;
-use crate::ids::{Incarnation, NodeId, TargetId};
+use crate::ids::{Incarnation, NodeId, TargetId, WeightVersion};
 use crate::prompt::{BLOCK_TOKENS, Chain};
 
 /// Routing state of one node.
@@ -221,6 +221,21 @@
         self.budget.spend()
     }
 
+    /// The weight version for a new request: of those in service, each in proportion to the
+    /// engines that have it.
+    pub fn version_for(&self, id: &str, model: &Model, draw: u64, now: BootTime) -> WeightVersion {
+        let Some(next) = &model.next_version else { return model.weight_version.clone() };
+        let engines = self.view.engines.values();
+        let versions: Vec<&WeightVersion> = engines
+            .filter(|engine| engine.model == id && engine.takes_work)
+            .filter_map(|engine| engine.fresh_report(now)?.weight_version.as_ref())
+            .filter(|version| model.serves(version))
+            .collect();
+        let has_next = versions.iter().filter(|version| **version == next).count();
+        let drawn = draw as usize % versions.len().max(1);
+        if drawn < has_next { next.clone() } else { model.weight_version.clone() }
+    }
+
     /// Requests that this node may run at once on the engines of all models: its share of twice
     /// their batches, so that the next one is there when a place gets free.
     pub fn capacity(&self, now: BootTime) -> usize {
--- a/tests/logic/main.rs
+++ b/tests/logic/main.rs
@@ -10,6 +10,7 @@
 mod lease;
 mod log_schedules;
 mod log_world;
+mod orders;
 mod relay;
 mod replicas;
 mod swim;
--- /dev/null
+++ b/tests/logic/orders.rs
@@ -0,0 +1,116 @@
+//! Orders to engines: a few loads at a time, never below the floor, never mixed between leaders.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use kumquatpost::config::{Model, Policy};
+use kumquatpost::orders::{EngineState, ORDER_TIMEOUT, Planner};
+
+const START: Duration = Duration::from_secs(100);
+const LEASE: Duration = Duration::from_secs(1);
+
+fn engine(id: &str, domain: &str, version: Option<&str>) -> EngineState {
+    EngineState {
+        id: id.into(),
+        model: "m".into(),
+        failure_domain: domain.into(),
+        version: version.map(str::to_string),
+        takes_work: true,
+        checks_fencing: true,
+    }
+}
+
+fn models(floor: u32, concurrent_loads: u32) -> BTreeMap<String, Model> {
+    let model = Model {
+        weight_version: "v1".into(),
+        next_version: Some("v2".into()),
+        policy: Policy::Cost,
+        floor,
+        concurrent_loads,
+    };
+    BTreeMap::from([("m".to_string(), model)])
+}
+
+fn ids(
+    planner: &mut Planner,
+    models: &BTreeMap<String, Model>,
+    engines: &[EngineState],
+) -> Vec<String> {
+    let late = START + LEASE + ORDER_TIMEOUT;
+    planner.plan(models, engines, late).into_iter().map(|planned| planned.engine).collect()
+}
+
+#[test]
+fn a_roll_out_keeps_the_floor_and_ends() {
+    for (floor, loads) in [(1, 2), (2, 4), (1, 1)] {
+        let models = models(floor, loads);
+        let mut engines: Vec<EngineState> =
+            (0..9).map(|n| engine(&format!("e{n}"), &format!("d{}", n % 3), Some("v1"))).collect();
+        let mut planner = Planner::new(LEASE, START);
+        for round in 0.. {
+            for id in ids(&mut planner, &models, &engines) {
+                engines.iter_mut().filter(|e| e.id == id).for_each(|e| e.version = None);
+            }
+            let loading = engines.iter().filter(|e| e.version.is_none()).count();
+            assert!(loading <= loads as usize);
+            for domain in ["d0", "d1", "d2"] {
+                let here = engines.iter().filter(|e| e.failure_domain == domain);
+                let serving = here.filter(|e| e.version.is_some()).count();
+                assert!(serving >= floor as usize, "floor {floor} in {domain}");
+            }
+            // One load ends.
+            match engines.iter_mut().find(|e| e.version.is_none()) {
+                Some(engine) => engine.version = Some("v2".into()),
+                None => break,
+            }
+            assert!(round < 50, "it goes on");
+        }
+        assert!(engines.iter().all(|e| e.version.as_deref() == Some("v2")));
+    }
+}
+
+#[test]
+fn what_is_not_ordered() {
+    let models = models(1, 4);
+    let pair = |change: fn(&mut EngineState)| {
+        let mut engines = vec![engine("a", "d", Some("v1")), engine("b", "d", Some("v2"))];
+        change(&mut engines[0]);
+        engines
+    };
+    type Case = (&'static str, fn(&mut EngineState), usize);
+    let cases: [Case; 5] = [
+        ("one that has the old version", |_| (), 1),
+        ("one that loads already", |e| e.version = None, 0),
+        ("one that has it", |e| e.version = Some("v2".into()), 0),
+        ("one of a model that is not configured", |e| e.model = "x".into(), 0),
+        ("one with an unknown version", |e| e.version = Some("v0".into()), 1),
+    ];
+    for (what, change, count) in cases {
+        let mut planner = Planner::new(LEASE, START);
+        assert_eq!(ids(&mut planner, &models, &pair(change)).len(), count, "{what}");
+    }
+    let mut planner = Planner::new(LEASE, START);
+    let lone = [engine("a", "d", Some("v1"))];
+    assert!(ids(&mut planner, &models, &lone).is_empty(), "the only one of its domain");
+    let engines = pair(|_| ());
+    assert_eq!(ids(&mut planner, &models, &engines), ["a"]);
+    assert!(ids(&mut planner, &models, &engines).is_empty(), "ordered already");
+    planner.refused(&"a".to_string());
+    assert_eq!(ids(&mut planner, &models, &engines), ["a"], "it did not take the order");
+}
+
+#[test]
+fn a_new_leader_waits_before_it_orders_an_engine_that_ignores_fencing() {
+    let models = models(0, 4);
+    let mut ignoring = engine("a", "d", Some("v1"));
+    ignoring.checks_fencing = false;
+    let engines = [ignoring, engine("b", "d", Some("v1"))];
+    let mut planner = Planner::new(LEASE, START);
+    let early = START + LEASE + ORDER_TIMEOUT - Duration::from_millis(1);
+    let planned = planner.plan(&models, &engines, early);
+    assert_eq!(planned.len(), 1);
+    assert_eq!(planned[0].engine, "b");
+    let planned = planner.plan(&models, &engines, START + LEASE + ORDER_TIMEOUT);
+    assert_eq!(planned.len(), 1);
+    assert_eq!(planned[0].engine, "a");
+}
--- a/tests/process/failures.rs
+++ b/tests/process/failures.rs
@@ -422,3 +422,39 @@
     });
     assert_eq!(env.ledger()["imported_tokens"].as_u64(), Some(0));
 }
+
+#[test]
+fn a_weight_roll_out_goes_on_over_a_change_of_leader_and_no_request_fails() {
+    let mut plan = Plan::default();
+    let engines: Vec<Value> = (0..6)
+        .map(|i| {
+            let domain = ["patan", "bhaktapur", "kirtipur"][i % 3];
+            json!({"id": format!("engine-{i}"), "model": "mechanic", "failure_domain": domain,
+                   "load_lag_ms": 20, "checks_fencing": i % 2 == 0})
+        })
+        .collect();
+    plan.emulator["engines"] = json!(engines);
+    let mut env = TestEnv::start(plan);
+    let leader = env.leader();
+    let others: Vec<usize> = (0..3).filter(|node| *node != leader).collect();
+    let next = json!({"models": {"mechanic": {"next_version": "v2"}}});
+    patch_until_answered(&env, &others, 1, "roll", &next);
+    until("the first engines were ordered", || {
+        let orders = env.ledger()["orders"].as_object().map_or(0, serde_json::Map::len);
+        (orders > 0).then_some(())
+    });
+    env.nodes[leader].kill();
+    let mut asked = 0;
+    until("all engines were ordered", || {
+        asked += 1;
+        let response = env.ask(others[asked % 2], "anna", &format!("meanwhile {asked}"), 2);
+        assert!(response.status().is_success(), "{}", response.text().unwrap_or_default());
+        let orders = env.ledger()["orders"].as_object().map_or(0, serde_json::Map::len);
+        (orders == 6).then_some(())
+    });
+    for (engine, fencing) in env.ledger()["orders"].as_object().expect("orders") {
+        let numbers: Vec<u64> =
+            fencing.as_array().expect("numbers").iter().filter_map(Value::as_u64).collect();
+        assert!(numbers.is_sorted(), "{engine}: {numbers:?}");
+    }
+}
