Lease shares of accounts' limits; make decisions, orders and the list cheaper

Cause: capacity showed what does not fit at the two-year size: planning orders grew with the square of the engines, every node read the whole list of targets twice a second, engine views took 1.5 MB each, a decision over 220 candidates took 25 us (aim: under 20), and memory slopes read 0, since memory that was freed before hid the growth. Accounts' limits were split evenly over nodes. Change: tallies in the planner; no copies of ids in a decision and a quicker hash; blocks remembered for all engines together bounded at 131,072; conditional reads of the list; memory measured first and never freed. Owners lease shares of an account's limit in proportion to demand. The second owner of a context learns its copies from inventories. Lines of libraries are pairs. Reading engines' reports still does not fit.

--- a/docs/measurements/compare.py
+++ b/docs/measurements/compare.py
@@ -20,7 +20,7 @@
 import urllib.request
 
 TOP = pathlib.Path(__file__).resolve().parent.parent.parent
-BINARY = TOP / "target/release/kumquatpost"
+BINARY = os.environ.get("KUMQUATPOST_BINARY", TOP / "target/release/kumquatpost")
 # Requests a second that cold prefill of every prompt would saturate:
 # engines of the long model * 20,000 tokens/s / (0.70 * about 2,000 tokens).
 CAPACITY = {"gearworks": 12 * 20_000 / 1_400, "portal": 20 * 20_000 / 1_400}
--- a/src/capacity/roles.rs
+++ b/src/capacity/roles.rs
@@ -2,6 +2,7 @@
 
 use super::size::TwoYears;
 use super::slopes::{Slopes, append_wire_bytes};
+use crate::route::residency::MOST_BLOCKS;
 
 /// Share of requests that are marked not repeatable, assumed.
 const CLAIMED_SHARE: f64 = 0.02;
@@ -19,6 +20,12 @@
 const REPORT_READS_PER_S: f64 = 4.0;
 /// Engines of one model that a node watches, by the default settings.
 const WATCHED_PER_MODEL: f64 = 64.0;
+/// Blocks remembered of all engines' caches together.
+const ALL_BLOCKS: f64 = 131_072.0;
+/// Changes of a target a day that make a node read the whole list: starts, leavings, failures.
+const LIST_CHANGES_PER_DAY: f64 = 2_000.0;
+/// A read of a list that has not changed, with headers.
+const UNCHANGED_BYTES: f64 = 300.0;
 /// Plans of orders a second of the leader.
 const PLANS_PER_S: f64 = 3.3;
 /// Seconds for which claims are kept.
@@ -102,13 +109,13 @@
         messages_per_s: 0.0,
         bytes_per_s: 0.0,
         core: core(requests * decide_us),
-        memory_bytes: slopes.engine_view_bytes.at(WATCHED_PER_MODEL * size.models),
+        memory_bytes: slopes.engine_view_bytes.each / MOST_BLOCKS as f64 * ALL_BLOCKS,
         control: true,
         set_aside: false,
         formula: format!(
             "{requests:.1} decisions/s × {decide_us:.1} µs at {WATCHED_PER_MODEL:.0} candidates; \
-             memory of {:.0} engine views with full caches",
-            WATCHED_PER_MODEL * size.models
+             memory of {ALL_BLOCKS:.0} remembered blocks × {:.0} bytes",
+            slopes.engine_view_bytes.each / MOST_BLOCKS as f64
         ),
         mechanism: "pure decision over the watched engines of one model",
     }
@@ -134,20 +141,24 @@
 
 fn target_list(slopes: &Slopes, size: &TwoYears) -> Role {
     let list_us = slopes.list_us.at(size.engines);
+    let changes_per_s = LIST_CHANGES_PER_DAY / 86_400.0;
     Role {
         name: "reading the platform's list",
         messages_per_s: LIST_READS_PER_S * 2.0,
-        bytes_per_s: slopes.list_bytes.at(size.engines) * LIST_READS_PER_S,
-        core: core(list_us * LIST_READS_PER_S),
+        bytes_per_s: slopes.list_bytes.at(size.engines) * changes_per_s
+            + UNCHANGED_BYTES * LIST_READS_PER_S,
+        core: core(list_us * changes_per_s),
         memory_bytes: slopes.list_bytes.at(size.engines) * 2.0,
         control: true,
         set_aside: false,
         formula: format!(
-            "{LIST_READS_PER_S:.0} reads/s × {list_us:.0} µs and {:.0} bytes for {:.0} targets",
+            "{LIST_READS_PER_S:.0} conditional reads/s × {UNCHANGED_BYTES:.0} bytes; \
+             {LIST_CHANGES_PER_DAY:.0} changes a day (assumed) × {list_us:.0} µs and {:.0} bytes for \
+             {:.0} targets",
             slopes.list_bytes.at(size.engines),
             size.engines
         ),
-        mechanism: "every node reads the whole list; leaving also spreads with membership",
+        mechanism: "conditional reads with an ETag; leaving also spreads with membership",
     }
 }
 
@@ -159,13 +170,13 @@
         messages_per_s: looked_up * 4.0,
         // Asked and answering: every node does both.
         bytes_per_s: looked_up * slopes.context_wire_bytes.at(PROMPT_BLOCKS) * 2.0,
-        core: core(looked_up * slopes.catalog_us.at(contexts)),
+        core: core(looked_up * slopes.catalog_us.at_by_logarithm(contexts)),
         memory_bytes: slopes.catalog_bytes.at(contexts),
         control: false,
         set_aside: false,
         formula: format!(
             "{looked_up:.1} lookups and notes/s × {:.1} µs; {contexts:.0} contexts × {:.0} bytes",
-            slopes.catalog_us.at(contexts),
+            slopes.catalog_us.at_by_logarithm(contexts),
             slopes.catalog_bytes.each
         ),
         mechanism: "two owners by rendezvous hashing; rebuilt from inventories",
@@ -240,7 +251,7 @@
         name: "claims, one group",
         messages_per_s: claimed * 2.0 * (2.0 + FOLLOWERS * 2.0),
         bytes_per_s: claimed * slopes.claim_log_bytes.each * (1.0 + FOLLOWERS),
-        core: core(claimed * slopes.claim_us.at(held)),
+        core: core(claimed * slopes.claim_us.at_by_logarithm(held)),
         memory_bytes: slopes.claim_bytes.at(held),
         control: true,
         set_aside: true,
@@ -248,7 +259,7 @@
             "{claimed:.0} claims/s ({:.0} % of requests) × {:.0} µs; {held:.0} held for a day × \
              {:.0} bytes; {syncs:.0} syncs/s × {sync_us:.0} µs: the disk is {:.0} % busy",
             CLAIMED_SHARE * 100.0,
-            slopes.claim_us.at(held),
+            slopes.claim_us.at_by_logarithm(held),
             slopes.claim_bytes.each,
             syncs * sync_us / SECONDS_TO_US * 100.0
         ),
@@ -280,10 +291,7 @@
 }
 
 fn orders(slopes: &Slopes, size: &TwoYears) -> Role {
-    // Planning looks at all engines for each engine, so it grows with the square.
-    let largest = slopes.plan_us.points.last().map_or(1.0, |point| point.size);
-    let at_largest = slopes.plan_us.points.last().map_or(0.0, |point| point.cost);
-    let plan_us = at_largest * (size.engines / largest).powi(2);
+    let plan_us = slopes.plan_us.at(size.engines);
     Role {
         name: "orders",
         messages_per_s: PLANS_PER_S,
--- a/src/capacity/slopes.rs
+++ b/src/capacity/slopes.rs
@@ -23,6 +23,7 @@
 use crate::peer::auth::CODE_BYTES;
 use crate::peer::message::{Answer, Ask, Frame, Renew};
 use crate::prompt::{BLOCK_TOKENS, Chain, Owner};
+use crate::route::residency::MOST_BLOCKS;
 use crate::route::{Ask as RouteAsk, EngineView, Router, View, decide};
 use crate::whereabouts::{Catalog, Kept, Position, Seen, Written};
 
@@ -115,6 +116,12 @@
         Slope { name, points, base, each }
     }
 
+    /// The cost at a size beyond those measured, if it grows with the logarithm of the size.
+    pub fn at_by_logarithm(&self, size: f64) -> f64 {
+        let Some(largest) = self.points.last() else { return 0.0 };
+        largest.cost * (size.max(2.0).ln() / largest.size.max(2.0).ln()).max(1.0)
+    }
+
     /// The cost at a size.
     pub fn at(&self, size: f64) -> f64 {
         self.base + self.each * size
@@ -142,6 +149,11 @@
             swim.iter().map(|one| Point { size: one.0, cost: cost(one) }).collect()
         };
         let few = [1_000, 10_000, 50_000, 100_000];
+        // Memory first, while none that was freed can be used again.
+        let engine_view_bytes =
+            Slope::measure("engine views, bytes by engines", &[16, 64, 256], engine_view_bytes);
+        let catalog_bytes = Slope::measure("catalog, bytes by contexts", &few, catalog_bytes);
+        let claim_bytes = Slope::measure("claims, bytes by claims held", &few, claim_bytes);
         Ok(Slopes {
             decide_us: Slope::measure(
                 "decision, µs by candidates",
@@ -154,14 +166,14 @@
                 chain_us,
             ),
             catalog_us: Slope::measure("lookup and note, µs by contexts", &few, catalog_us),
-            catalog_bytes: Slope::measure("catalog, bytes by contexts", &few, catalog_bytes),
+            catalog_bytes,
             context_wire_bytes: Slope::measure(
                 "lookup and note, wire bytes by blocks",
                 &[4, 16, 64],
                 context_wire_bytes,
             ),
             claim_us: Slope::measure("claim and outcome, µs by claims held", &few, claim_us),
-            claim_bytes: Slope::measure("claims, bytes by claims held", &few, claim_bytes),
+            claim_bytes,
             claim_log_bytes: Slope::measure(
                 "claim and outcome, log bytes by claims",
                 &[1, 10, 100],
@@ -192,17 +204,17 @@
                 &[23, 220, 4_600],
                 |targets| json_bytes(&target_list(targets)),
             ),
-            engine_view_bytes: Slope::measure(
-                "engine views, bytes by engines",
-                &[64, 300, 1_000],
-                engine_view_bytes,
-            ),
+            engine_view_bytes,
             report_bytes: Slope::measure(
                 "load reports, bytes by engines",
                 &[1, 10, 100],
                 |engines| engines as f64 * (json_bytes(&report()) + HTTP_HEADER_BYTES),
             ),
-            plan_us: Slope::measure("planning orders, µs by engines", &[23, 220, 1_000], plan_us),
+            plan_us: Slope::measure(
+                "planning orders, µs by engines",
+                &[23, 220, 1_000, 4_600],
+                plan_us,
+            ),
         })
     }
 
@@ -249,14 +261,12 @@
     times[times.len() / 2]
 }
 
-/// Growth of this process's resident memory while `make` makes something, which is returned so
-/// that it lives until after the measurement.
+/// Growth of this process's resident memory while `make` makes something. That is never freed:
+/// memory that is free already would hide the growth of the next measurement.
 fn resident_growth<T>(make: impl FnOnce() -> T) -> f64 {
     let before = resident_bytes();
-    let made = make();
-    let growth = resident_bytes() - before;
-    drop(made);
-    growth.max(0.0)
+    std::mem::forget(std::hint::black_box(make()));
+    (resident_bytes() - before).max(0.0)
 }
 
 fn resident_bytes() -> f64 {
@@ -611,8 +621,9 @@
         (0..engines as u128)
             .map(|number| {
                 let mut engine = engine_view();
-                // A full cache of what is remembered: 16,384 blocks.
-                let keys: Vec<u128> = (0..16_384).map(|block| (number << 32) | block).collect();
+                // Each remembers as much as it may.
+                let keys: Vec<u128> =
+                    (0..MOST_BLOCKS as u128).map(|block| (number << 32) | block).collect();
                 engine.residency.expect(&keys);
                 engine
             })
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -9,6 +9,7 @@
 
 use crate::checked::nearest;
 use crate::commands::{self, config_patch, demo, load, replicas};
+use crate::config::document::key_hash;
 use crate::error::{Error, Result};
 use crate::ids::NodeId;
 use crate::load::workload::GAP_MEDIAN;
@@ -29,6 +30,7 @@
   replicas add|promote|remove    change the replicas of the log
   config patch                   change the configuration
   key new FILE                   write a new key for the nodes
+  key hash KEY                   show an account's key as the configuration holds it
 queries:
   check-settings FILE            check settings of serve
   config get|history             show the configuration
@@ -76,6 +78,8 @@
     ConfigPatch(config_patch::Options),
     /// Write a new key.
     KeyNew(PathBuf),
+    /// Show the hash of an account's key.
+    KeyHash(String),
     /// Check settings.
     CheckSettings(PathBuf),
     /// Show the configuration.
@@ -153,6 +157,10 @@
         Command::Replicas(options) => replicas::run(&options),
         Command::ConfigPatch(options) => config_patch::run(&options),
         Command::KeyNew(file) => commands::key_new::run(&file),
+        Command::KeyHash(key) => {
+            println!("{}", key_hash(&key));
+            Ok(())
+        }
         Command::CheckSettings(file) => queries::check_settings::run(&file),
         Command::ConfigGet { node } => queries::node::print(&node, "/v1/config"),
         Command::ConfigHistory { node } => queries::node::print(&node, "/v1/config/history"),
@@ -264,10 +272,11 @@
 }
 
 fn key(args: &mut Arguments) -> Result<Command> {
-    let verb: String = free(args, "new")?;
+    let verb: String = free(args, "new or hash")?;
     match verb.as_str() {
         "new" => Ok(Command::KeyNew(file(args)?)),
-        other => Err(unknown("verb", other, &["new"])),
+        "hash" => Ok(Command::KeyHash(free(args, "an account's bearer key")?)),
+        other => Err(unknown("verb", other, &["new", "hash"])),
     }
 }
 
@@ -350,7 +359,9 @@
              \x20 --base N       patch: the number that it was made against; the newest if not given\n\
              \x20 --id ID        patch: give the same id to send a patch again; drawn if not given\n"
         ),
-        "key" => "new FILE: write a new key for the nodes; no file may be there yet\n".into(),
+        "key" => "new FILE: write a new key for the nodes; no file may be there yet\n\
+                  \x20 hash KEY: show an account's bearer key as the configuration holds it\n"
+            .into(),
         "check-settings" => "FILE: check settings of serve, all errors at once\n".into(),
         "report" => "burn: report how fast error budgets are used up\n\
                      \x20 --node URL     operators' address of a node; may be given more than once\n\
--- a/src/config/book.rs
+++ b/src/config/book.rs
@@ -1,14 +1,15 @@
 //! The numbered configuration as replicas and nodes hold it, and how news of it travel.
 
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value};
 
-use super::{Config, patch};
+use super::document::key_hash;
+use super::{Account, Config, patch};
 use crate::error::Problem;
-use crate::ids::ConfigNumber;
+use crate::ids::{AccountId, ConfigNumber};
 
 /// Patches kept so that a node that is a little behind gets only those.
 const PATCHES_KEPT: usize = 256;
@@ -22,6 +23,23 @@
     pub document: Value,
     /// The document, read and checked.
     pub config: Config,
+    /// Accounts by the hash of their key. Invariant: those of `config`.
+    accounts_by_key: HashMap<String, AccountId>,
+}
+
+impl Numbered {
+    /// Numbers a checked document.
+    pub fn new(number: ConfigNumber, document: Value, config: Config) -> Numbered {
+        let by_key =
+            |(id, account): (&AccountId, &Account)| (account.key_blake3.clone(), id.clone());
+        let accounts_by_key = config.accounts.iter().map(by_key).collect();
+        Numbered { number, document, config, accounts_by_key }
+    }
+
+    /// The account that a bearer key belongs to.
+    pub fn account_of_key(&self, key: &str) -> Option<&AccountId> {
+        self.accounts_by_key.get(&key_hash(key))
+    }
 }
 
 /// The newest configuration known here and the patches that led to it.
@@ -85,7 +103,7 @@
         let mut document = self.newest.document.clone();
         patch::merge(&mut document, change);
         let config = Config::from_value(&document)?;
-        Ok(Numbered { number: self.number() + 1, document, config })
+        Ok(Numbered::new(self.number() + 1, document, config))
     }
 
     /// Makes a patched document the newest.
@@ -156,7 +174,7 @@
         }
         let document: Value = serde_json::from_str(text).map_err(|_| Unusable::Broken)?;
         let config = Config::from_value(&document).map_err(|_| Unusable::Broken)?;
-        self.newest = Arc::new(Numbered { number, document, config });
+        self.newest = Arc::new(Numbered::new(number, document, config));
         self.patches.clear();
         Ok(())
     }
--- a/src/config/document.rs
+++ b/src/config/document.rs
@@ -185,12 +185,6 @@
         if problems.is_empty() { Ok(config) } else { Err(problems) }
     }
 
-    /// The account that a bearer key belongs to.
-    pub fn account_of_key(&self, key: &str) -> Option<&AccountId> {
-        let hash = key_hash(key);
-        self.accounts.iter().find(|(_, account)| account.key_blake3 == hash).map(|(id, _)| id)
-    }
-
     /// The kind with this name; `default` exists always.
     pub fn kind(&self, id: &str) -> Option<Kind> {
         let fallback = (id == "default").then(|| Kind {
--- a/src/edge/client.rs
+++ b/src/edge/client.rs
@@ -163,12 +163,27 @@
         drop(sent.timeout(REPORT_TIMEOUT).send().await);
     }
 
-    /// The platform's list.
+    /// The platform's list with its ETag; `None` if it is still the one with the ETag `known`. A
+    /// platform that gives no ETag sends the whole list each time.
     ///
     /// # Errors
     /// `Error::Ask` if it can't be read.
-    pub async fn targets(&self, platform_url: &str) -> Result<TargetList> {
-        self.read(&format!("{platform_url}/targets")).await
+    pub async fn targets(
+        &self,
+        platform_url: &str,
+        known: &str,
+    ) -> Result<Option<(TargetList, String)>> {
+        let url = format!("{platform_url}/targets");
+        let failed = |source| Error::ask(&url, source, "check that it runs at this URL");
+        let request = self.pooled.get(&url).timeout(REPORT_TIMEOUT).header("if-none-match", known);
+        let response = request.send().await.map_err(failed)?;
+        if response.status() == StatusCode::NOT_MODIFIED {
+            return Ok(None);
+        }
+        expect_success(&url, response.status())?;
+        let etag = response.headers().get("etag").and_then(|value| value.to_str().ok());
+        let etag = etag.unwrap_or_default().to_string();
+        Ok(Some((response.json().await.map_err(failed)?, etag)))
     }
 
     /// An engine's load.
--- a/src/emulator/host.rs
+++ b/src/emulator/host.rs
@@ -119,7 +119,7 @@
 
     fn handle(&self, request: &Request) -> Response {
         match (&request.method, request.segments().as_slice()) {
-            (&Method::GET, ["targets"]) => http::json(StatusCode::OK, &self.platform.shown()),
+            (&Method::GET, ["targets"]) => self.show_targets(request),
             (&Method::GET, ["ledger"]) => http::json(StatusCode::OK, &self.ledger.counts()),
             (&Method::POST, ["faults"]) => match request.json::<SetFault>() {
                 Ok(order) => self.set_fault(order),
@@ -129,6 +129,19 @@
         }
     }
 
+    fn show_targets(&self, request: &Request) -> Response {
+        let list = self.platform.shown();
+        let text = serde_json::to_string(&list).unwrap_or_default();
+        let etag = format!("\"{:08x}\"", crc32fast::hash(text.as_bytes()));
+        let mut response = if request.header("if-none-match") == Some(etag.as_str()) {
+            http::text(StatusCode::NOT_MODIFIED, String::new())
+        } else {
+            http::json(StatusCode::OK, &list)
+        };
+        http::set_header(&mut response, "etag", &etag);
+        response
+    }
+
     fn set_fault(&self, order: SetFault) -> Response {
         let mut targets = self.targets.lock();
         let Some(running) = targets.get_mut(&order.target) else {
--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -125,7 +125,7 @@
 
 fn identify(config: &Numbered, request: &Request) -> Result<AccountId, Refusal> {
     let bearer = request.header("authorization").and_then(|value| value.strip_prefix("Bearer "));
-    let account = bearer.and_then(|key| config.config.account_of_key(key.trim()));
+    let account = bearer.and_then(|key| config.account_of_key(key.trim()));
     account
         .cloned()
         .ok_or_else(|| Refusal::not_run(Code::WrongKey, "the bearer key is missing or unknown"))
@@ -168,13 +168,13 @@
     ///
     /// # Errors
     /// That it was given up on, and when to come back.
-    pub async fn take_place(&self, node: &Node) -> Result<Place, Refusal> {
+    pub async fn take_place(&self, node: &Arc<Node>) -> Result<Place, Refusal> {
         let account = self.config.config.accounts.get(&self.account);
-        let nodes = node.live().len().max(1) as u32;
+        let limit = account.map_or(1, |account| account.max_running);
         let wants = Wants {
             account: self.account.clone(),
             weight: account.map_or(1, |account| account.weight),
-            account_running: account.map_or(1, |a| a.max_running.div_ceil(nodes).max(1)),
+            account_limit: node.share_of(&self.account, limit).await,
             priority: self.kind.priority,
             deadline: self.deadline,
         };
--- a/src/limits/admission.rs
+++ b/src/limits/admission.rs
@@ -25,8 +25,8 @@
     pub account: AccountId,
     /// The account's share of a full queue; at least 1.
     pub weight: u32,
-    /// Requests of the account that may run on this node at once.
-    pub account_running: u32,
+    /// Requests of the account that may run on this node at once, from now on.
+    pub account_limit: u32,
     /// 0 goes first.
     pub priority: u8,
     /// When its answer is due.
@@ -83,13 +83,15 @@
 struct Waiting {
     ticket: Ticket,
     weight: u32,
-    account_running: u32,
     deadline: BootTime,
 }
 
 #[derive(Clone, Debug, Default)]
 struct Account {
     running: u32,
+    waiting: u32,
+    /// Most that may run.
+    limit: u32,
     /// Places taken so far, divided by the weight.
     served: f64,
 }
@@ -126,6 +128,18 @@
         self.waiting
     }
 
+    /// Changes how many requests of an account may run.
+    pub fn set_account_limit(&mut self, account: &str, limit: u32) {
+        if let Some(account) = self.accounts.get_mut(account) {
+            account.limit = limit;
+        }
+    }
+
+    /// Requests of an account that run or wait.
+    pub fn demand(&self, account: &str) -> u32 {
+        self.accounts.get(account).map_or(0, |account| account.running + account.waiting)
+    }
+
     /// When a request that is refused now should come back.
     pub fn retry_after(&self) -> Duration {
         let (shortest, longest) = RETRY_AFTER_RANGE;
@@ -135,7 +149,8 @@
     /// Takes a request.
     pub fn offer(&mut self, wants: Wants, now: BootTime) -> Offer {
         let account = self.accounts.entry(wants.account.clone()).or_default();
-        let account_free = account.running < wants.account_running;
+        account.limit = wants.account_limit;
+        let account_free = account.running < account.limit;
         if self.running < self.capacity && account_free && self.waiting == 0 {
             self.start(&wants.account, wants.weight);
             return Offer::Run;
@@ -230,14 +245,10 @@
         let floor = self.least_served();
         let account = self.accounts.entry(wants.account.clone()).or_default();
         account.served = account.served.max(floor);
+        account.waiting += 1;
         let queue =
             self.queues.entry(wants.priority).or_default().entry(wants.account).or_default();
-        queue.push_back(Waiting {
-            ticket,
-            weight: wants.weight.max(1),
-            account_running: wants.account_running,
-            deadline: wants.deadline,
-        });
+        queue.push_back(Waiting { ticket, weight: wants.weight.max(1), deadline: wants.deadline });
         ticket
     }
 
@@ -247,9 +258,8 @@
         served.min_by(f64::total_cmp).unwrap_or(0.0)
     }
 
-    fn may_run(&self, account: &AccountId, queue: &VecDeque<Waiting>) -> bool {
-        let running = self.accounts.get(account).map_or(0, |account| account.running);
-        queue.front().is_some_and(|waiting| running < waiting.account_running)
+    fn may_run(&self, account: &AccountId) -> bool {
+        self.accounts.get(account).is_some_and(|account| account.running < account.limit)
     }
 
     /// The first priority with a request that may run, and in it the account served least.
@@ -258,7 +268,7 @@
             let served = |id: &AccountId| self.accounts.get(id).map_or(0.0, |a| a.served);
             accounts
                 .iter()
-                .filter(|(id, queue)| self.may_run(id, queue))
+                .filter(|(id, _)| self.may_run(id))
                 .min_by(|(a, _), (b, _)| served(a).total_cmp(&served(b)))
                 .map(|(id, _)| (*priority, id.clone()))
         })
@@ -269,7 +279,7 @@
             accounts.iter().map(move |(id, queue)| (*priority, id, queue))
         });
         places
-            .filter(|(_, id, queue)| self.may_run(id, queue))
+            .filter(|(_, id, _)| self.may_run(id))
             .min_by_key(|(_, _, queue)| queue.front().map(|waiting| waiting.ticket))
             .map(|(priority, id, _)| (priority, id.clone()))
     }
@@ -294,6 +304,9 @@
             self.queues.remove(&priority);
         }
         self.waiting -= 1;
+        if let Some(account) = self.accounts.get_mut(account) {
+            account.waiting -= 1;
+        }
         Some(waiting)
     }
 
--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -1,5 +1,6 @@
 //! Limits: how many requests run and wait at a node, and who goes next.
 
 pub mod admission;
+pub mod shares;
 
 pub use admission::{Admission, Offer, Refused, Ticket, Wants};
--- a/src/node/answering.rs
+++ b/src/node/answering.rs
@@ -62,6 +62,7 @@
                     self.catalog.lock().written(&written, boot_now());
                     Answer::Done
                 }
+                Ask::Share(demand) => self.grant_share(from, &demand),
                 Ask::Status => Answer::Status(self.status_json().to_string()),
             }
         }
--- a/src/node/keeping.rs
+++ b/src/node/keeping.rs
@@ -129,7 +129,11 @@
     }
 
     async fn free_copies(self: &Arc<Node>) {
-        let orders = self.catalog.lock().tick(&self.store_fills(), boot_now());
+        let places = self.node_places();
+        let me = self.settings.node_id;
+        // Only the first owner frees; the second one is ready to take its place.
+        let decides = |root: BlockKey| owners(root, &places).first() == Some(&me);
+        let orders = self.catalog.lock().tick(&self.store_fills(), decides, boot_now());
         for order in orders {
             let Some(url) = self.store_url(&order.store) else { continue };
             let freed =
@@ -144,7 +148,7 @@
     async fn rebuild(self: &Arc<Node>) {
         let places = self.node_places();
         let me = self.settings.node_id;
-        let owns = |root: BlockKey| owners(root, &places).first() == Some(&me);
+        let owns = |root: BlockKey| owners(root, &places).contains(&me);
         self.catalog.lock().hand_over(owns);
         let stores: Vec<(TargetId, String)> = {
             let router = self.router.lock();
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -6,6 +6,7 @@
 pub mod keeping;
 pub mod ordering;
 pub mod places;
+pub mod sharing;
 pub mod watching;
 
 use std::collections::HashMap;
@@ -44,6 +45,7 @@
 use crate::whereabouts::{Catalog, NodePlace};
 use freshness::Fresh;
 use places::Places;
+use sharing::Sharing;
 
 /// How often timers of the log and of membership are looked at.
 const TICK: Duration = Duration::from_millis(10);
@@ -68,6 +70,7 @@
     pub places: Places,
     /// Counts against the service levels.
     pub burn: Mutex<Burn>,
+    sharing: Mutex<Sharing>,
     fresh: Mutex<Fresh>,
     known: Arc<Mutex<Known>>,
     membership: Address<Membership>,
@@ -121,6 +124,7 @@
             catalog: Mutex::new(Catalog::new(settings.bounds.context_entries, boot)),
             places: Places::new(settings.bounds.queue_len),
             burn: Mutex::new(Burn::default()),
+            sharing: Mutex::new(Sharing::new(settings.timing.lease)),
             fresh: Mutex::new(Fresh::new(settings.timing.lease, now)),
             known,
             membership,
@@ -215,6 +219,7 @@
         tokio::spawn(self.clone().keep_contexts());
         tokio::spawn(self.clone().expire_waiting());
         tokio::spawn(self.clone().keep_ordering());
+        tokio::spawn(self.clone().keep_shares());
         if self.settings.first_config.is_some() {
             tokio::spawn(self.clone().propose_first_config());
         }
--- a/src/node/places.rs
+++ b/src/node/places.rs
@@ -71,6 +71,18 @@
         inner.start_next();
     }
 
+    /// Requests of an account that run or wait.
+    pub fn demand(&self, account: &str) -> u32 {
+        self.inner.lock().admission.demand(account)
+    }
+
+    /// Changes how many requests of an account may run.
+    pub fn set_account_limit(&self, account: &str, limit: u32) {
+        let mut inner = self.inner.lock();
+        inner.admission.set_account_limit(account, limit);
+        inner.start_next();
+    }
+
     /// Waits for a place.
     ///
     /// # Errors
--- a/src/node/watching.rs
+++ b/src/node/watching.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use futures::future::join_all;
+use tokio::time::MissedTickBehavior;
 
 use super::{Node, every};
 use crate::clock::boot_now;
@@ -12,11 +13,13 @@
 impl Node {
     /// Reads the platform's list, and what other nodes saw leaving, again and again.
     pub(super) async fn watch_platform(self: Arc<Node>) {
-        every(self.settings.timing.platform_poll, || async {
-            self.read_platform().await;
-            true
-        })
-        .await;
+        let mut etag = String::new();
+        let mut interval = tokio::time::interval(self.settings.timing.platform_poll);
+        interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            interval.tick().await;
+            self.read_platform(&mut etag).await;
+        }
     }
 
     /// Reads targets' reports again and again.
@@ -28,11 +31,15 @@
         .await;
     }
 
-    async fn read_platform(self: &Arc<Node>) {
+    async fn read_platform(self: &Arc<Node>, etag: &mut String) {
         let heard = std::mem::take(&mut self.known.lock().heard_leaving);
         let mut news = self.router.lock().take_leaving(&heard);
-        match self.client.targets(&self.settings.platform_url).await {
-            Ok(list) => news.extend(self.router.lock().take_list(list)),
+        match self.client.targets(&self.settings.platform_url, etag).await {
+            Ok(Some((list, new_etag))) => {
+                news.extend(self.router.lock().take_list(list));
+                *etag = new_etag;
+            }
+            Ok(None) => {}
             // The last list serves on; targets' own refusals and health decide meanwhile.
             Err(error) => log::warn!("event=platform_unreadable error={:?}", error.to_string()),
         }
--- a/src/orders/mod.rs
+++ b/src/orders/mod.rs
@@ -73,6 +73,7 @@
         now: BootTime,
     ) -> Vec<Planned> {
         self.forget_done(engines, now);
+        let mut tally = self.tally(models, engines);
         let mut planned = Vec::new();
         for engine in engines {
             let Some(model) = models.get(&engine.model) else { continue };
@@ -80,10 +81,9 @@
             let may_load = engine.version.as_ref().is_some_and(|version| version != wanted)
                 && !self.sent.contains_key(&engine.id)
                 && (engine.checks_fencing || now >= self.unfenced_from)
-                && self.loading(engines, None) < LOADS_AT_ONCE
-                && self.loading(engines, Some(&engine.model)) < model.concurrent_loads as usize
-                && self.keeps_floor(engine, model, engines);
+                && tally.allows(engine, model);
             if may_load {
+                tally.start(engine, model);
                 self.sent.insert(engine.id.clone(), Sent { version: wanted.clone(), at: now });
                 planned.push(Planned { engine: engine.id.clone(), version: wanted.clone() });
             }
@@ -97,6 +97,7 @@
     }
 
     fn forget_done(&mut self, engines: &[EngineState], now: BootTime) {
+        // There are few orders under way, so looking through all engines for each is cheap.
         self.sent.retain(|id, sent| {
             let state = engines.iter().find(|engine| engine.id == *id);
             let is_done = state.is_none_or(|state| state.version.as_ref() == Some(&sent.version));
@@ -104,30 +105,57 @@
         });
     }
 
-    /// Engines that load or were just told to, of one model or of all.
-    fn loading(&self, engines: &[EngineState], model: Option<&ModelId>) -> usize {
-        engines
-            .iter()
-            .filter(|engine| model.is_none_or(|model| engine.model == *model))
-            .filter(|engine| engine.version.is_none() || self.sent.contains_key(&engine.id))
-            .count()
+    fn tally<'e>(
+        &self,
+        models: &BTreeMap<ModelId, Model>,
+        engines: &'e [EngineState],
+    ) -> Tally<'e> {
+        let mut tally = Tally::default();
+        for engine in engines {
+            if engine.version.is_none() || self.sent.contains_key(&engine.id) {
+                tally.loading += 1;
+                *tally.loading_of.entry(&engine.model).or_default() += 1;
+            } else if models.get(&engine.model).is_some_and(|model| serves(engine, model)) {
+                *tally.serving.entry((&engine.model, &engine.failure_domain)).or_default() += 1;
+            }
+        }
+        tally
+    }
+}
+
+/// How many engines load and serve.
+#[derive(Default)]
+struct Tally<'e> {
+    /// Engines that load or were just told to.
+    loading: usize,
+    /// Those of each model.
+    loading_of: BTreeMap<&'e ModelId, usize>,
+    /// Engines that serve, by model and failure domain.
+    serving: BTreeMap<(&'e ModelId, &'e DomainId), usize>,
+}
+
+impl<'e> Tally<'e> {
+    /// Whether an engine may load now: enough others of its failure domain go on serving, and not
+    /// too many load.
+    fn allows(&self, engine: &'e EngineState, model: &Model) -> bool {
+        let here = (&engine.model, &engine.failure_domain);
+        let serving = self.serving.get(&here).copied().unwrap_or(0);
+        let keeps_floor = !serves(engine, model) || serving > model.floor as usize;
+        let loading = self.loading_of.get(&engine.model).copied().unwrap_or(0);
+        keeps_floor && self.loading < LOADS_AT_ONCE && loading < model.concurrent_loads as usize
     }
 
-    /// Whether enough engines of its failure domain go on serving while this one loads.
-    fn keeps_floor(&self, engine: &EngineState, model: &Model, engines: &[EngineState]) -> bool {
-        let serves = |engine: &EngineState| {
-            let known = engine.version.as_ref().is_some_and(|version| model.serves(version));
-            known && engine.takes_work && !self.sent.contains_key(&engine.id)
-        };
-        if !serves(engine) {
-            return true;
+    /// Counts an engine as loading from now on.
+    fn start(&mut self, engine: &'e EngineState, model: &Model) {
+        self.loading += 1;
+        *self.loading_of.entry(&engine.model).or_default() += 1;
+        let here = (&engine.model, &engine.failure_domain);
+        if let Some(serving) = self.serving.get_mut(&here).filter(|_| serves(engine, model)) {
+            *serving = serving.saturating_sub(1);
         }
-        let others = engines.iter().filter(|other| {
-            other.id != engine.id
-                && other.model == engine.model
-                && other.failure_domain == engine.failure_domain
-                && serves(other)
-        });
-        others.count() >= model.floor as usize
     }
 }
+
+fn serves(engine: &EngineState, model: &Model) -> bool {
+    engine.takes_work && engine.version.as_ref().is_some_and(|version| model.serves(version))
+}
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -4,6 +4,7 @@
 
 use crate::config::Update;
 use crate::ids::{BlockKey, ConfigNumber, NodeId};
+use crate::limits::shares::{Demand, Share};
 use crate::log::Message;
 use crate::log::raft::Change;
 use crate::log::state::{Command, Reply};
@@ -43,6 +44,8 @@
     Seen(Seen),
     /// An export ended.
     Written(Written),
+    /// Asks the owner of an account for a share of its limit.
+    Share(Demand),
     /// For the operators' pages.
     Status,
 }
@@ -80,6 +83,8 @@
     Kept(Vec<Kept>),
     /// It would be worth exporting this.
     Export(Option<crate::whereabouts::ExportPlan>),
+    /// A share of an account's limit.
+    Share(Share),
     /// Done.
     Done,
     /// For the operators' pages, as JSON text.
--- a/src/queries/capacity.rs
+++ b/src/queries/capacity.rs
@@ -4,6 +4,8 @@
 use crate::error::{Error, Result};
 
 const MEBIBYTE: f64 = 1_048_576.0;
+/// Memory of a host set aside, assumed.
+const SET_ASIDE_MEMORY_BYTES: f64 = 16_384.0 * MEBIBYTE;
 
 /// Measures and prints the tables of docs/CAPACITY.md.
 ///
@@ -64,13 +66,13 @@
 }
 
 /// What does not fit, in plain words. The limits are those of control on one node; on hosts set
-/// aside a whole core and all memory of the host may be used.
+/// aside a whole core and the memory of the host may be used.
 fn verdict(role: &Role, size: &TwoYears) -> String {
     if !role.control {
         return "serves requests".into();
     }
     let (cores, memory) = if role.set_aside {
-        (1.0, f64::INFINITY)
+        (1.0, SET_ASIDE_MEMORY_BYTES)
     } else {
         (size.limit_core, size.limit_memory_bytes)
     };
--- a/src/route/decide.rs
+++ b/src/route/decide.rs
@@ -83,7 +83,7 @@
         Policy::Cost => return cheapest(&candidates, prices, view, ask, now),
     };
     let (id, engine) = chosen?;
-    Some(plan(id, engine, None, ask, now).decision)
+    Some(plan(id, engine, None, ask, now).into_decision())
 }
 
 fn may_take(id: &TargetId, engine: &EngineView, ask: &Ask<'_>, now: BootTime) -> bool {
@@ -98,11 +98,27 @@
 }
 
 /// A way to run a request on one engine, with what it costs.
-struct Plan {
-    decision: Decision,
+struct Plan<'p> {
+    engine: &'p TargetId,
+    import: Option<&'p Usable>,
+    resident_blocks: usize,
+    prefill_tokens: f64,
+    first_token_s: f64,
     cost_s: f64,
 }
 
+impl Plan<'_> {
+    fn into_decision(self) -> Decision {
+        Decision {
+            engine: self.engine.clone(),
+            import: self.import.map(|usable| usable.import.clone()),
+            resident_blocks: self.resident_blocks,
+            prefill_tokens: self.prefill_tokens.round() as u64,
+            first_token: Duration::from_secs_f64(self.first_token_s),
+        }
+    }
+}
+
 fn cheapest(
     candidates: &[(&TargetId, &EngineView)],
     prices: &Prices,
@@ -113,9 +129,9 @@
     let imports = usable_imports(view, ask, now);
     let mut plans: Vec<Plan> = Vec::with_capacity(candidates.len());
     for (id, engine) in candidates {
-        let mut best = priced(plan(id, engine, None, ask, now), None, prices);
+        let mut best = priced(plan(id, engine, None, ask, now), prices);
         for import in &imports {
-            let other = priced(plan(id, engine, Some(import), ask, now), Some(import), prices);
+            let other = priced(plan(id, engine, Some(import), ask, now), prices);
             if other.cost_s < best.cost_s {
                 best = other;
             }
@@ -126,7 +142,7 @@
     let limit = least + EQUAL_WITHIN.as_secs_f64();
     let equals: Vec<Plan> = plans.into_iter().filter(|plan| plan.cost_s <= limit).collect();
     let drawn = ask.draw as usize % equals.len().max(1);
-    equals.into_iter().nth(drawn).map(|plan| plan.decision)
+    equals.into_iter().nth(drawn).map(Plan::into_decision)
 }
 
 /// An import that can be had now, and how long it takes.
@@ -154,13 +170,13 @@
     usable
 }
 
-fn plan(
-    id: &TargetId,
+fn plan<'p>(
+    id: &'p TargetId,
     engine: &EngineView,
-    import: Option<&Usable>,
+    import: Option<&'p Usable>,
     ask: &Ask<'_>,
     now: BootTime,
-) -> Plan {
+) -> Plan<'p> {
     let resident = engine.residency.resident(&ask.chain.keys);
     let believed = resident as f64 * engine.residency.trust();
     let imported = import.map_or(0, |usable| usable.import.object.blocks as usize);
@@ -174,20 +190,21 @@
     let transfer = import.map_or(Duration::ZERO, |usable| usable.transfer);
     // The import runs while others prefill, so the longer of the two waits counts.
     let wait = waiting(engine, now).max(transfer);
-    let first_token = wait + Duration::from_secs_f64(prefill_tokens / rate);
-    let decision = Decision {
-        engine: id.clone(),
-        import: import.map(|usable| usable.import.clone()),
+    let first_token_s = wait.as_secs_f64() + prefill_tokens / rate;
+    Plan {
+        engine: id,
+        import,
         resident_blocks: resident,
-        prefill_tokens: prefill_tokens.round() as u64,
-        first_token,
-    };
-    Plan { decision, cost_s: first_token.as_secs_f64() }
+        prefill_tokens,
+        first_token_s,
+        cost_s: first_token_s,
+    }
 }
 
-fn priced(mut plan: Plan, import: Option<&Usable>, prices: &Prices) -> Plan {
-    let link_mib = import.map_or(0.0, |usable| usable.import.object.size_bytes as f64 / MEBIBYTE);
-    let recomputed = plan.decision.prefill_tokens as f64 / KILOTOKEN;
+fn priced<'p>(mut plan: Plan<'p>, prices: &Prices) -> Plan<'p> {
+    let link_mib =
+        plan.import.map_or(0.0, |usable| usable.import.object.size_bytes as f64 / MEBIBYTE);
+    let recomputed = plan.prefill_tokens / KILOTOKEN;
     plan.cost_s += link_mib * prices.link_s_per_mib;
     plan.cost_s += recomputed * prices.recompute_s_per_kilotoken;
     plan
--- a/src/route/residency.rs
+++ b/src/route/residency.rs
@@ -1,12 +1,14 @@
 //! What is known of the prefixes in one engine's cache, from late and gapped events.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
+
+use rustc_hash::FxHashMap;
 
 use crate::edge::api::{CacheChange, CacheEvents};
 use crate::ids::{BlockKey, Incarnation};
 
-/// Blocks remembered for each engine; the longest unused go first.
-const BLOCKS_KEPT: usize = 16_384;
+/// Blocks remembered for one engine, at the most; the longest unused go first.
+pub const MOST_BLOCKS: usize = 16_384;
 /// Weight of the newest proof in the trust.
 const TRUST_STEP: f64 = 0.1;
 /// Trust never falls below this, so that it can recover.
@@ -21,7 +23,8 @@
     last_event: u64,
     /// Share of believed tokens that proved to be resident, of 1.
     trust: f64,
-    by_key: HashMap<BlockKey, u64>,
+    capacity: usize,
+    by_key: FxHashMap<BlockKey, u64>,
     /// Invariant: the inverse of `by_key`.
     by_use: BTreeMap<u64, BlockKey>,
     next_use: u64,
@@ -33,7 +36,8 @@
             incarnation: 0,
             last_event: 0,
             trust: 1.0,
-            by_key: HashMap::new(),
+            capacity: MOST_BLOCKS,
+            by_key: FxHashMap::default(),
             by_use: BTreeMap::new(),
             next_use: 0,
         }
@@ -51,6 +55,12 @@
         self.trust
     }
 
+    /// Changes how many blocks are remembered.
+    pub fn set_capacity(&mut self, blocks: usize) {
+        self.capacity = blocks.min(MOST_BLOCKS);
+        self.forget_beyond_capacity();
+    }
+
     /// Number of blocks remembered.
     pub fn len(&self) -> usize {
         self.by_key.len()
@@ -70,7 +80,8 @@
     pub fn take(&mut self, read: &CacheEvents) {
         if read.incarnation != self.incarnation {
             // It started again with an empty cache.
-            *self = Residency { incarnation: read.incarnation, ..Residency::default() };
+            let (incarnation, capacity) = (read.incarnation, self.capacity);
+            *self = Residency { incarnation, capacity, ..Residency::default() };
         }
         for event in read.events.iter() {
             if event.seq <= self.last_event {
@@ -117,7 +128,11 @@
             self.by_use.remove(&used);
         }
         self.by_use.insert(self.next_use, key);
-        while self.by_key.len() > BLOCKS_KEPT {
+        self.forget_beyond_capacity();
+    }
+
+    fn forget_beyond_capacity(&mut self) {
+        while self.by_key.len() > self.capacity {
             let Some((_, oldest)) = self.by_use.pop_first() else { break };
             self.by_key.remove(&oldest);
         }
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -14,6 +14,9 @@
 use crate::ids::{Incarnation, NodeId, TargetId, WeightVersion};
 use crate::prompt::{BLOCK_TOKENS, Chain};
 
+/// Blocks remembered for all engines together: about 93 bytes each.
+const ALL_BLOCKS: usize = 131_072;
+
 /// Routing state of one node.
 #[derive(Clone, Debug)]
 pub struct Router {
@@ -102,6 +105,10 @@
                 .entry(store.id.clone())
                 .or_insert_with(|| StoreView::new(&store.url, &store.failure_domain));
         }
+        let blocks = ALL_BLOCKS / self.view.engines.len().max(1);
+        for engine in self.view.engines.values_mut() {
+            engine.residency.set_capacity(blocks);
+        }
         self.refresh_leaving();
         news
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -96,8 +96,6 @@
 pub struct Bounds {
     /// Requests that may wait for an engine; one more is refused at once.
     pub queue_len: usize,
-    /// Requests that this node runs on one engine at a time.
-    pub engine_running: usize,
     /// Largest body of a request.
     pub body_bytes: usize,
     /// Entries of kept contexts that this node owns.
@@ -272,7 +270,6 @@
 fn bounds(mut fields: Fields<'_>) -> Bounds {
     let bounds = Bounds {
         queue_len: fields.number("queue_len", 256, 1, 1_000_000) as usize,
-        engine_running: fields.number("engine_running", 32, 1, 100_000) as usize,
         body_bytes: fields.number("body_bytes", 4 << 20, 1, MAX_BODY_BYTES) as usize,
         context_entries: fields.number("context_entries", 100_000, 1, 10_000_000) as usize,
         watched_engines: fields.number("watched_engines", 64, 1, 10_000) as usize,
--- a/src/telemetry/logs.rs
+++ b/src/telemetry/logs.rs
@@ -3,14 +3,18 @@
 use std::path::PathBuf;
 
 use log::LevelFilter;
+use log4rs::append::Append;
 use log4rs::append::console::{ConsoleAppender, Target};
 use log4rs::append::file::FileAppender;
-use log4rs::config::{Appender, Config, Root};
+use log4rs::config::{Appender, Config, Logger, Root};
 use log4rs::encode::pattern::PatternEncoder;
 
 use crate::error::{Error, Result};
 
 const PATTERN: &str = "ts={d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} level={l} {m}{n}";
+/// Lines of libraries, which are no pairs by themselves.
+const LIBRARY_PATTERN: &str =
+    "ts={d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} level={l} event=library source={t} message=<{m}>{n}";
 
 /// Where log lines go and which.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -26,26 +30,34 @@
 /// # Errors
 /// `Error::Start` if the file can't be opened or logging was started before.
 pub fn start(settings: &LogSettings) -> Result<()> {
-    let encoder = Box::new(PatternEncoder::new(PATTERN));
-    let appender: Box<dyn log4rs::append::Append> =
-        match &settings.file {
-            Some(path) => Box::new(FileAppender::builder().encoder(encoder).build(path).map_err(
-                |source| Error::start("log.file", source, "name a file that this user may write"),
-            )?),
-            None => {
-                Box::new(ConsoleAppender::builder().target(Target::Stderr).encoder(encoder).build())
-            }
-        };
+    let ours = Logger::builder().appender("ours").additive(false);
+    let libraries = Root::builder().appender("libraries");
     let config = Config::builder()
-        .appender(Appender::builder().build("out", appender))
-        .logger(log4rs::config::Logger::builder().build("kumquatpost", settings.level))
-        .build(Root::builder().appender("out").build(settings.level.min(LevelFilter::Warn)))
+        .appender(Appender::builder().build("ours", appender(settings, PATTERN)?))
+        .appender(Appender::builder().build("libraries", appender(settings, LIBRARY_PATTERN)?))
+        .logger(ours.build("kumquatpost", settings.level))
+        .build(libraries.build(settings.level.min(LevelFilter::Warn)))
         .map_err(|source| Error::start("log", source, "check the log settings"))?;
     log4rs::init_config(config)
         .map_err(|source| Error::start("log", source, "start logging once a process"))?;
     Ok(())
 }
 
+fn appender(settings: &LogSettings, pattern: &str) -> Result<Box<dyn Append>> {
+    let encoder = Box::new(PatternEncoder::new(pattern));
+    match &settings.file {
+        Some(path) => match FileAppender::builder().encoder(encoder).build(path) {
+            Ok(appender) => Ok(Box::new(appender)),
+            Err(source) => {
+                Err(Error::start("log.file", source, "name a file that this user may write"))
+            }
+        },
+        None => {
+            Ok(Box::new(ConsoleAppender::builder().target(Target::Stderr).encoder(encoder).build()))
+        }
+    }
+}
+
 /// Quotes a value for a log line if it holds spaces, quotes or line breaks.
 pub fn quoted(value: &str) -> String {
     let plain = !value.is_empty()
--- a/src/whereabouts/catalog.rs
+++ b/src/whereabouts/catalog.rs
@@ -179,8 +179,8 @@
         }
     }
 
-    /// Takes a store's inventory: learns of copies of contexts that this node owns, and forgets
-    /// those that are gone.
+    /// Takes a store's inventory: learns of copies of contexts that this node owns, as first or
+    /// second owner, and forgets those that are gone.
     pub fn rebuild(
         &mut self,
         store: &TargetId,
@@ -231,11 +231,17 @@
         self.by_age.retain(|(_, root)| owns(*root));
     }
 
-    /// Lets time pass: what must be freed now. An order is repeated until `freed` is called.
-    pub fn tick(&mut self, fills: &BTreeMap<TargetId, f64>, now: BootTime) -> Vec<FreeOrder> {
+    /// Lets time pass: what must be freed now, of the contexts that this node `decides` on. An
+    /// order is repeated until `freed` is called.
+    pub fn tick(
+        &mut self,
+        fills: &BTreeMap<TargetId, f64>,
+        decides: impl Fn(BlockKey) -> bool,
+        now: BootTime,
+    ) -> Vec<FreeOrder> {
         for (store, fill) in fills {
             if *fill > HIGH_FILL {
-                self.make_room(store, now);
+                self.make_room(store, &decides, now);
             }
         }
         for copy in self.contexts.values_mut().flat_map(|context| &mut context.copies) {
@@ -247,6 +253,7 @@
         copies
             .chain(&self.orphans)
             .filter(|copy| copy.state == CopyState::Freeing && copy.pinned_until <= now)
+            .filter(|copy| decides(copy.object.root))
             .map(|copy| FreeOrder {
                 store: copy.store.clone(),
                 root: copy.object.root,
@@ -339,12 +346,12 @@
     }
 
     /// Marks the copies in a store that are worth least: those unused for longest.
-    fn make_room(&mut self, store: &TargetId, now: BootTime) {
+    fn make_room(&mut self, store: &TargetId, decides: impl Fn(BlockKey) -> bool, now: BootTime) {
         let mut copies: Vec<&mut Copy> = self
             .contexts
             .values_mut()
             .flat_map(|context| &mut context.copies)
-            .filter(|copy| copy.store == *store && copy.state != CopyState::Freeing)
+            .filter(|copy| copy.store == *store && decides(copy.object.root))
             .filter(|copy| copy.state == CopyState::Committed && copy.pinned_until <= now)
             .collect();
         let count = (copies.len() as f64 * FREED_AT_ONCE).ceil() as usize;
--- a/tests/logic/admission.rs
+++ b/tests/logic/admission.rs
@@ -11,7 +11,7 @@
     Wants {
         account: account.into(),
         weight: 1,
-        account_running: 100,
+        account_limit: 100,
         priority,
         deadline: NOW + Duration::from_secs(60),
     }
@@ -101,7 +101,7 @@
 #[test]
 fn an_account_runs_no_more_than_its_limit_and_does_not_block_others() {
     let mut admission = Admission::new(10, 10);
-    let limited = Wants { account_running: 1, ..wants("a", 0) };
+    let limited = Wants { account_limit: 1, ..wants("a", 0) };
     assert_eq!(admission.offer(limited.clone(), NOW), Offer::Run);
     let second = ticket(admission.offer(limited, NOW));
     assert_eq!(admission.start_next(), None, "its limit is reached");
--- a/tests/logic/catalog.rs
+++ b/tests/logic/catalog.rs
@@ -73,7 +73,7 @@
     assert!(catalog.lookup(seen.root, START).is_empty(), "failed, whatever comes late");
     let mut catalog = Catalog::new(100, 1);
     let plan = catalog.seen(&seen, &fills(0.1), START).expect("worth an export");
-    catalog.tick(&fills(0.1), START + WRITE_TIMEOUT);
+    catalog.tick(&fills(0.1), |_| true, START + WRITE_TIMEOUT);
     catalog.written(&done(&plan), START + WRITE_TIMEOUT);
     assert!(catalog.lookup(seen.root, START).is_empty(), "given up, whatever comes late");
 }
@@ -84,13 +84,16 @@
     let read_at = START + Duration::from_secs(50);
     assert_eq!(catalog.lookup(seen.root, read_at).len(), 1);
     let full = fills(0.95);
-    assert!(catalog.tick(&full, read_at + PIN - Duration::from_millis(1)).is_empty(), "pinned");
-    let orders = catalog.tick(&full, read_at + PIN);
+    assert!(
+        catalog.tick(&full, |_| true, read_at + PIN - Duration::from_millis(1)).is_empty(),
+        "pinned"
+    );
+    let orders = catalog.tick(&full, |_| true, read_at + PIN);
     assert_eq!(orders.len(), 1);
     assert!(catalog.lookup(seen.root, read_at + PIN).is_empty(), "freeing");
-    assert_eq!(catalog.tick(&full, read_at + PIN * 2), orders, "again until it is freed");
+    assert_eq!(catalog.tick(&full, |_| true, read_at + PIN * 2), orders, "again until it is freed");
     catalog.freed(&orders[0]);
-    assert!(catalog.tick(&full, read_at + PIN * 3).is_empty());
+    assert!(catalog.tick(&full, |_| true, read_at + PIN * 3).is_empty());
 }
 
 #[test]
@@ -102,9 +105,9 @@
     assert_eq!(catalog.clone().lookup(object.root, START).len(), 1, "found in the inventory");
     for second in 0..PIN.as_secs() {
         let at = START + Duration::from_secs(second);
-        assert!(catalog.tick(&fills(0.99), at).is_empty(), "after {second} s");
+        assert!(catalog.tick(&fills(0.99), |_| true, at).is_empty(), "after {second} s");
     }
-    assert_eq!(catalog.tick(&fills(0.99), START + PIN).len(), 1);
+    assert_eq!(catalog.tick(&fills(0.99), |_| true, START + PIN).len(), 1);
 }
 
 #[test]
@@ -160,7 +163,7 @@
         }
     }
     assert_eq!(catalog.len(), 10);
-    let orders = catalog.tick(&fills(0.1), START + PIN * 3);
+    let orders = catalog.tick(&fills(0.1), |_| true, START + PIN * 3);
     assert_eq!(orders.len(), 20, "no room is lost in the store");
 }
 
@@ -262,7 +265,7 @@
                 }
                 _ => {
                     let fill = if random.random_bool(0.5) { 0.95 } else { 0.2 };
-                    for order in catalog.tick(&fills(fill), now) {
+                    for order in catalog.tick(&fills(fill), |_| true, now) {
                         let read = readers.iter().any(|(key, generation, until)| {
                             *key == order.key && *generation == order.generation && *until > now
                         });
@@ -277,3 +280,11 @@
         }
     }
 }
+
+#[test]
+fn a_second_owner_frees_nothing() {
+    let (mut catalog, seen, _) = with_one();
+    let late = START + PIN * 2;
+    assert!(catalog.tick(&fills(0.99), |_| false, late).is_empty());
+    assert_eq!(catalog.lookup(seen.root, late).len(), 1);
+}
--- a/tests/logic/main.rs
+++ b/tests/logic/main.rs
@@ -15,6 +15,7 @@
 mod orders;
 mod relay;
 mod replicas;
+mod shares;
 mod swim;
 mod targets;
 mod votes;
