Let an engine's queue drain between its reports

A report is 100 to 350 ms old, and a node's later dispatches counted as queued until a report that was newer came, although an engine prefills a cold prompt in about 100 ms: idle engines looked busy. Change: the queue drains at the engine's rate since the report.

--- a/src/route/view.rs
+++ b/src/route/view.rs
@@ -102,10 +102,22 @@
         self.report = Some((at, report));
     }
 
-    /// Prefill tokens waiting there: the reported ones and this node's later ones.
+    /// Prefill tokens waiting there: the reported ones and the later dispatches, less what the
+    /// engine has prefilled since at its rate.
     pub fn queued_tokens(&self, now: BootTime) -> u64 {
-        let reported = self.fresh_report(now).map_or(0, |report| report.queued_prefill_tokens);
-        reported + self.unreported.iter().map(|(_, tokens)| tokens).sum::<u64>()
+        let Some((reported_at, report)) = &self.report else {
+            return self.unreported.iter().map(|(_, tokens)| tokens).sum();
+        };
+        let (mut at, mut queued) = (*reported_at, report.queued_prefill_tokens as f64);
+        let mut drain = |queued: f64, until: BootTime| {
+            let passed = until.saturating_sub(at).as_secs_f64();
+            at = at.max(until);
+            (queued - passed * report.prefill_tokens_per_s).max(0.0)
+        };
+        for (sent_at, tokens) in &self.unreported {
+            queued = drain(queued, *sent_at) + *tokens as f64;
+        }
+        drain(queued, now) as u64
     }
 
     /// Requests running or waiting there: the reported ones and this node's later ones.
