Tell the other nodes of each dispatch

Cause: of eight nodes each knows its own dispatches only, and reports are 100 to 350 ms old: within that time the others' choices are as good as random, so cold prompts meet on one engine while others idle. Change: a node tells up to 15 others of each dispatch in one frame without an answer; it counts like an own dispatch until a report can show it, and no longer than 3 s. Beyond 16 nodes nothing is told.

--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -165,6 +165,9 @@
         let prices = &call.config.config.prices;
         let dispatch = router.begin(self.prompt.policy, prices, &ask, now);
         drop(router);
+        if let Some(dispatch) = &dispatch {
+            self.node.tell_dispatched(&dispatch.news());
+        }
         dispatch.ok_or_else(|| {
             let message = format!("no engine of model {:?} takes work now", self.prompt.model_id);
             let refusal = Refusal::not_run(Code::NoTarget, message).after(NO_TARGET_RETRY);
--- a/src/node/answering.rs
+++ b/src/node/answering.rs
@@ -12,10 +12,13 @@
 use crate::log::Message;
 use crate::log::raft::ChangeError;
 use crate::peer::PeerHandler;
-use crate::peer::message::{Answer, Ask, Renew};
+use crate::peer::message::{Answer, Ask, Dispatched, Renew};
 use crate::replica::{self, Undecided};
 use crate::whereabouts::Seen;
 
+/// Nodes among which each dispatch is told to all others, at the most.
+const NODES_TOLD: usize = 16;
+
 impl PeerHandler for Node {
     fn log(&self, from: NodeId, message: Message) {
         if let Some(replica) = &self.replica {
@@ -25,6 +28,10 @@
         }
     }
 
+    fn dispatched(&self, dispatched: &Dispatched) {
+        self.router.lock().take_dispatched(dispatched, boot_now());
+    }
+
     fn answer(self: Arc<Node>, from: NodeId, ask: Ask) -> BoxFuture<'static, Answer> {
         async move {
             match ask {
@@ -71,6 +78,18 @@
 }
 
 impl Node {
+    /// Tells the other nodes of a dispatch, so that they don't choose the same engine for want of
+    /// news. Beyond a few nodes that costs more than it saves.
+    pub fn tell_dispatched(&self, dispatched: &Dispatched) {
+        let others: Vec<NodeId> = {
+            let known = self.known.lock();
+            known.live.iter().skip(1).map(|member| member.node).collect()
+        };
+        if others.len() < NODES_TOLD {
+            others.iter().for_each(|node| self.links.tell(*node, dispatched.clone()));
+        }
+    }
+
     async fn tell_replica<M>(&self, message: M)
     where
         M: Send + 'static,
--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -16,7 +16,7 @@
 use tokio::sync::{Semaphore, mpsc, oneshot};
 
 use super::auth::{CODE_BYTES, NONCE_BYTES, PeerKey, Stream};
-use super::message::{Answer, Ask, Frame};
+use super::message::{Answer, Ask, Dispatched, Frame};
 use crate::ids::NodeId;
 use crate::log::Message;
 
@@ -35,6 +35,8 @@
 pub trait PeerHandler: Send + Sync {
     /// Takes a message between replicas.
     fn log(&self, from: NodeId, message: Message);
+    /// Takes news of a dispatch by another node.
+    fn dispatched(&self, dispatched: &Dispatched);
     /// Answers a question.
     fn answer(self: Arc<Self>, from: NodeId, ask: Ask) -> BoxFuture<'static, Answer>;
 }
@@ -116,6 +118,11 @@
         self.queue(to, Frame::Log(message));
     }
 
+    /// Tells a node of a dispatch. It may be lost.
+    pub fn tell(self: &Arc<Links>, to: NodeId, dispatched: Dispatched) {
+        self.queue(to, Frame::Dispatched(dispatched));
+    }
+
     /// Asks a node; this node itself is asked without a connection.
     ///
     /// # Errors
@@ -225,6 +232,7 @@
             let Some(handler) = self.handler.get().cloned() else { break };
             match frame {
                 Frame::Log(message) => handler.log(from, message),
+                Frame::Dispatched(dispatched) => handler.dispatched(&dispatched),
                 Frame::Ask(number, ask) => {
                     let (links, answers) = (self.clone(), answers.clone());
                     tokio::spawn(async move {
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::config::Update;
-use crate::ids::{BlockKey, ConfigNumber, NodeId};
+use crate::ids::{BlockKey, ConfigNumber, Incarnation, NodeId, TargetId};
 use crate::limits::shares::{Demand, Share};
 use crate::log::Message;
 use crate::log::raft::Change;
@@ -15,12 +15,25 @@
 pub enum Frame {
     /// Between replicas; no answer.
     Log(Message),
+    /// News of a dispatch; no answer.
+    Dispatched(Dispatched),
     /// A question.
     Ask(u64, Ask),
     /// The answer to the question with this number.
     Answer(u64, Answer),
 }
 
+/// A node sent a request to an engine, which the engine's next report can't show yet.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Dispatched {
+    /// The engine.
+    pub engine: TargetId,
+    /// The start of it.
+    pub incarnation: Incarnation,
+    /// Tokens that it must prefill.
+    pub prefill_tokens: u64,
+}
+
 /// A question.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Ask {
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -12,6 +12,7 @@
 use crate::edge::api::{CacheEvents, LoadReport, Role, StoreReport, Target, TargetList};
 use crate::edge::chat::Usage;
 use crate::ids::{Incarnation, NodeId, TargetId, WeightVersion};
+use crate::peer::message::Dispatched;
 use crate::prompt::{BLOCK_TOKENS, Chain};
 
 /// Blocks remembered for all engines together: about 93 bytes each.
@@ -128,6 +129,15 @@
         }
     }
 
+    /// Takes the news that another node sent a request to an engine.
+    pub fn take_dispatched(&mut self, dispatched: &Dispatched, now: BootTime) {
+        if let Some(engine) = self.view.engines.get_mut(&dispatched.engine)
+            && engine.incarnation == dispatched.incarnation
+        {
+            engine.note_dispatch(dispatched.prefill_tokens, now);
+        }
+    }
+
     /// Takes an engine's cache events.
     pub fn take_events(&mut self, id: &str, events: &CacheEvents) {
         if let Some(engine) = self.view.engines.get_mut(id) {
@@ -180,7 +190,7 @@
         let decision = decide(policy, prices, &self.view, ask, now)?;
         let engine = self.view.engines.get_mut(&decision.engine)?;
         engine.running += 1;
-        engine.unreported.push_back((now, decision.prefill_tokens));
+        engine.note_dispatch(decision.prefill_tokens, now);
         // Known before the engine says so: the next request with this context goes there too.
         engine.residency.expect(&ask.chain.keys);
         let dispatch = Dispatch {
@@ -314,6 +324,15 @@
 }
 
 impl Dispatch {
+    /// What other nodes are told of it.
+    pub fn news(&self) -> Dispatched {
+        Dispatched {
+            engine: self.decision.engine.clone(),
+            incarnation: self.incarnation,
+            prefill_tokens: self.decision.prefill_tokens,
+        }
+    }
+
     /// The engine.
     pub fn engine(&self) -> &TargetId {
         &self.decision.engine
--- a/src/route/view.rs
+++ b/src/route/view.rs
@@ -94,6 +94,15 @@
         (now.saturating_sub(*at) < REPORT_VALID).then_some(report)
     }
 
+    /// Records a dispatch by this or another node, of so many tokens to prefill.
+    pub fn note_dispatch(&mut self, prefill_tokens: u64, now: BootTime) {
+        // Without reports, for example of a dead engine, only the last few seconds count.
+        while self.unreported.front().is_some_and(|(sent, _)| *sent + REPORT_VALID < now) {
+            self.unreported.pop_front();
+        }
+        self.unreported.push_back((now, prefill_tokens));
+    }
+
     /// Takes a report that was true at `at`.
     pub fn take_report(&mut self, report: LoadReport, at: BootTime) {
         while self.unreported.front().is_some_and(|(sent, _)| *sent <= at) {
--- a/tests/logic/decide.rs
+++ b/tests/logic/decide.rs
@@ -3,9 +3,12 @@
 use std::time::Duration;
 
 use kumquatpost::config::{Policy, Prices};
-use kumquatpost::edge::api::{KeptObject, LoadReport, StoreReport};
+use kumquatpost::edge::api::{
+    KeptObject, LoadReport, Presence, Role, StoreReport, Target, TargetList,
+};
+use kumquatpost::peer::message::Dispatched;
 use kumquatpost::prompt::{BLOCK_TOKENS, Chain, Owner};
-use kumquatpost::route::{Ask, Decision, EngineView, StoreView, View, decide};
+use kumquatpost::route::{Ask, Decision, EngineView, Router, StoreView, View, decide};
 
 const NOW: Duration = Duration::from_secs(100);
 const BLOCKS: usize = 20;
@@ -183,3 +186,33 @@
         assert_eq!(chosen.len(), different, "{policy:?}");
     }
 }
+
+#[test]
+fn news_of_another_nodes_dispatch_count_for_this_start_of_the_engine_only() {
+    let target = Target {
+        id: "e".into(),
+        incarnation: 2,
+        role: Role::Engine { model: "mechanic".into() },
+        url: "http://e".into(),
+        failure_domain: "patan".into(),
+        presence: Presence::Live,
+        checks_fencing: true,
+    };
+    let mut router = Router::new(1, 64);
+    router.take_list(TargetList { targets: vec![target] });
+    let queued = |router: &Router| router.view().engines["e"].queued_tokens(NOW);
+    let mut tell = |engine: &str, incarnation| {
+        let engine = engine.to_string();
+        router.take_dispatched(&Dispatched { engine, incarnation, prefill_tokens: 700 }, NOW);
+        queued(&router)
+    };
+    assert_eq!(tell("e", 1), 0, "an earlier start");
+    assert_eq!(tell("x", 2), 0, "an engine that is not known");
+    assert_eq!(tell("e", 2), 700);
+    for second in 0..10_000 {
+        let now = NOW + Duration::from_secs(second);
+        let news = Dispatched { engine: "e".into(), incarnation: 2, prefill_tokens: 1 };
+        router.take_dispatched(&news, now);
+    }
+    assert!(router.view().engines["e"].unreported.len() < 10, "bounded without reports");
+}
