--- a/docs/measurements/compare.py
+++ b/docs/measurements/compare.py
@@ -26,6 +26,8 @@
 CAPACITY = {"gearworks": 12 * 20_000 / 1_400, "portal": 20 * 20_000 / 1_400}
 POLICIES = ["round_robin", "least_load", "prefix_sticky", "cost"]
 DOMAINS = {"gearworks": ["patan", "bhaktapur", "kirtipur"], "portal": ["east", "north", "south"]}
+# For whoever tunes the decision: KUMQUATPOST_LOG='{"level": "debug", "file": "/tmp/reuse.log"}'.
+LOG = json.loads(os.environ.get("KUMQUATPOST_LOG", "null"))
 NETWORK = 200 + os.getpid() % 50
 
 
@@ -86,7 +88,7 @@
             "node_id": n + 1, "region": shape, "failure_domain": domains[n % 3],
             "callers_address": "127.0.0.1:0", "operators_address": "127.0.0.1:0", "peer_address": peer,
             "key_file": str(folder / "key"), "data_folder": str(folder / f"data-{n + 1}") if n < 3 else None,
-            "platform_url": platform, "nodes": listed, "first_config": config, "log": {"level": "error"},
+            "platform_url": platform, "nodes": listed, "first_config": config, "log": LOG or {"level": "error"},
         }
         file = folder / f"node-{n + 1}.json"
         file.write_text(json.dumps(settings))
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -341,12 +341,30 @@
         };
         let labels = [label("target", dispatch.engine()), label("outcome", outcome)];
         self.node.metrics.dispatches.add(1, &labels);
+        self.log_reuse(dispatch, ended);
         if let Some(import) = &dispatch.decision.import {
             let bytes = import.object.size_bytes;
             self.node.metrics.link_bytes.add(bytes, &[label("direction", "import")]);
         }
     }
 
+    /// What was believed of the context and what proved true, for whoever tunes the decision.
+    fn log_reuse(&self, dispatch: &Dispatch, ended: Ended) {
+        let Ended::Whole(usage) = ended else { return };
+        let kept = self.kept.iter().map(|(_, object)| object.blocks).max().unwrap_or(0);
+        let imported = dispatch.decision.import.as_ref().map_or(0, |import| import.object.blocks);
+        log::debug!(
+            "event=reuse request={} target={} blocks={} kept={kept} import={imported} believed={} \
+             cached_tokens={} imported_tokens={}",
+            quoted(&self.prompt.call.request_id),
+            dispatch.engine(),
+            self.prompt.chain.keys.len(),
+            dispatch.decision.resident_blocks,
+            usage.prompt_tokens_details.cached_tokens,
+            usage.prompt_tokens_details.imported_tokens,
+        );
+    }
+
     /// A refusal as the caller gets it: `not_run` only if no dispatch may have run.
     fn final_refusal(&self, mut refusal: Refusal) -> Refusal {
         if self.may_have_run {
