Refuse at once what no engine can begin in time; let begun answers run on

Cause: a deadline was looked at in the node's queue alone. And it was looked at before every dispatch, so an answer that had begun was not restarted on another engine once its deadline, which is for the first token, had passed. Change: the decision's estimate refuses with a Retry-After before anything is booked; a restart needs the lease alone. Links of stores drain between reports as engines' queues do, and other nodes are told of imports.

--- /dev/null
+++ b/src/capacity/costs.rs
@@ -0,0 +1,462 @@
+//! What one thing costs on this machine, at a given size.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use serde::Serialize;
+use serde_json::json;
+
+use super::slopes::Point;
+use crate::claims::{ClaimKey, ClaimToken, Outcome};
+use crate::config::document::key_hash;
+use crate::config::{Book, Policy, Prices, Update};
+use crate::edge::api::{KeptObject, LoadReport, Presence, Role, Target, TargetList};
+use crate::error::{Error, Result};
+use crate::ids::NodeId;
+use crate::lease::Grantor;
+use crate::log::disk::Disk;
+use crate::log::state::{Command, State};
+use crate::log::{Entry, Message, Payload, Persist};
+use crate::membership::{Member, Packet, Status, Swim, SwimTiming};
+use crate::orders::{EngineState, Planner};
+use crate::peer::auth::CODE_BYTES;
+use crate::peer::message::{Answer, Ask, Frame, Renew};
+use crate::prompt::{BLOCK_TOKENS, Chain, Owner};
+use crate::route::residency::MOST_BLOCKS;
+use crate::route::{Ask as RouteAsk, EngineView, Router, View, decide};
+use crate::whereabouts::{Catalog, Kept, Position, Seen, Written};
+
+/// Length and code before each frame.
+const FRAME_OVERHEAD_BYTES: usize = 4 + CODE_BYTES;
+/// Sender, receiver, start, number and code around each datagram.
+const DATAGRAM_OVERHEAD_BYTES: usize = 32 + CODE_BYTES;
+/// Blocks of a typical context: about 2,000 tokens.
+const CONTEXT_BLOCKS: u32 = 16;
+const NOW: Duration = Duration::from_secs(10_000);
+
+/// Request and answer headers of one poll of a report, about.
+pub(super) const HTTP_HEADER_BYTES: f64 = 250.0;
+
+/// Microseconds of one call, as the median of several rounds.
+fn median_us(rounds: usize, calls: usize, mut call: impl FnMut(usize)) -> f64 {
+    let mut times: Vec<f64> = (0..rounds)
+        .map(|round| {
+            let start = Instant::now();
+            (0..calls).for_each(|number| call(round * calls + number));
+            start.elapsed().as_secs_f64() * 1e6 / calls as f64
+        })
+        .collect();
+    times.sort_by(f64::total_cmp);
+    times[times.len() / 2]
+}
+
+/// Growth of this process's resident memory while `make` makes something. That is never freed:
+/// memory that is free already would hide the growth of the next measurement.
+fn resident_growth<T>(make: impl FnOnce() -> T) -> f64 {
+    let before = resident_bytes();
+    std::mem::forget(std::hint::black_box(make()));
+    (resident_bytes() - before).max(0.0)
+}
+
+fn resident_bytes() -> f64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages: f64 = text.split(' ').nth(1).and_then(|pages| pages.parse().ok()).unwrap_or(0.0);
+    pages * 4_096.0
+}
+
+pub(super) fn json_bytes<T: Serialize>(value: &T) -> f64 {
+    serde_json::to_vec(value).map_or(0.0, |bytes| bytes.len() as f64)
+}
+
+fn wire_bytes(frame: &Frame) -> usize {
+    postcard::to_stdvec(frame).map_or(0, |bytes| bytes.len()) + FRAME_OVERHEAD_BYTES
+}
+
+fn owner() -> Owner {
+    Owner {
+        account: "account-1234".into(),
+        model: "model-12".into(),
+        weight_version: "v1".into(),
+        adapter: String::new(),
+    }
+}
+
+pub(super) fn report() -> LoadReport {
+    LoadReport {
+        incarnation: 1,
+        age_ms: 100,
+        running: 10,
+        waiting: 2,
+        queued_prefill_tokens: 5_000,
+        max_batch: 16,
+        prefill_tokens_per_s: 20_000.0,
+        kv_bytes_per_token: 65_536,
+        weight_version: Some("v1".into()),
+        reproducible: true,
+    }
+}
+
+fn engine_view() -> EngineView {
+    let mut engine = EngineView::new("model-12", "http://10.0.0.1:8000", "domain-1", 1);
+    engine.take_report(report(), NOW);
+    engine
+}
+
+pub(super) fn decide_us(candidates: usize) -> f64 {
+    let prompt = "word ".repeat(CONTEXT_BLOCKS as usize * BLOCK_TOKENS);
+    let chain = Chain::new(&owner(), &prompt);
+    let mut view = View { nodes: 8, ..View::default() };
+    for number in 0..candidates {
+        let mut engine = engine_view();
+        // Each engine has some other contexts; a few have this one.
+        engine.residency.expect(&[number as u128]);
+        if number % 50 == 0 {
+            engine.residency.expect(&chain.keys);
+        }
+        view.engines.insert(format!("engine-{number}"), engine);
+    }
+    let version = "v1".to_string();
+    let prices = Prices::default();
+    median_us(9, 200.min(200_000 / candidates.max(1)).max(5), |number| {
+        let ask = RouteAsk {
+            model: "model-12",
+            weight_version: &version,
+            chain: &chain,
+            kept: &[],
+            avoid: &[],
+            draw: number as u64,
+        };
+        std::hint::black_box(decide(Policy::Cost, &prices, &view, &ask, NOW));
+    })
+}
+
+pub(super) fn chain_us(tokens: usize) -> f64 {
+    let prompt = "teardown ".repeat(tokens);
+    let owner = owner();
+    median_us(9, 50, |_| {
+        std::hint::black_box(Chain::new(&owner, &prompt));
+    })
+}
+
+fn seen(number: u128, blocks: u32) -> Seen {
+    let key = |blocks: u32| (number << 32) | u128::from(blocks);
+    let positions = (1..=blocks).map(|n| Position { blocks: n, key: key(n) }).collect();
+    Seen { root: key(1), positions }
+}
+
+fn fills() -> BTreeMap<String, f64> {
+    BTreeMap::from([("store-0".to_string(), 0.3), ("store-1".to_string(), 0.4)])
+}
+
+/// A catalog in which every context has one committed copy.
+fn catalog(contexts: usize) -> Catalog {
+    let mut catalog = Catalog::new(contexts * 2, 1);
+    for number in 0..contexts as u128 {
+        let seen = seen(number, CONTEXT_BLOCKS);
+        if let Some(plan) = catalog.seen(&seen, &fills(), NOW) {
+            let kept = Kept { store: plan.store.clone(), object: object(&seen, plan.generation) };
+            let (root, key, generation) = (plan.root, plan.position.key, plan.generation);
+            catalog.written(&Written { root, key, generation, kept: Some(kept) }, NOW);
+        }
+    }
+    catalog
+}
+
+fn object(seen: &Seen, generation: u64) -> KeptObject {
+    let last = seen.positions.last().copied().unwrap_or(Position { blocks: 0, key: 0 });
+    KeptObject {
+        root: seen.root,
+        key: last.key,
+        generation,
+        blocks: last.blocks,
+        size_bytes: 131_000_000,
+        checksum: 7,
+    }
+}
+
+pub(super) fn catalog_us(contexts: usize) -> f64 {
+    let mut catalog = catalog(contexts);
+    let fills = fills();
+    median_us(9, 1_000, |number| {
+        let seen = seen((number * 7_919 % contexts) as u128, CONTEXT_BLOCKS);
+        std::hint::black_box(catalog.lookup(seen.root, NOW));
+        std::hint::black_box(catalog.seen(&seen, &fills, NOW));
+    })
+}
+
+pub(super) fn catalog_bytes(contexts: usize) -> f64 {
+    resident_growth(|| catalog(contexts))
+}
+
+pub(super) fn context_wire_bytes(blocks: usize) -> f64 {
+    let seen = seen(7, blocks as u32);
+    let kept = Kept { store: "store-0".into(), object: object(&seen, 1) };
+    let frames = [
+        Frame::Ask(1_000_000, Ask::Lookup { root: seen.root }),
+        Frame::Answer(1_000_000, Answer::Kept(vec![kept])),
+        Frame::Ask(1_000_001, Ask::Seen(seen)),
+        Frame::Answer(1_000_001, Answer::Export(None)),
+    ];
+    frames.iter().map(wire_bytes).sum::<usize>() as f64
+}
+
+fn claim_commands(number: u64) -> [Command; 2] {
+    let key = ClaimKey {
+        account: format!("account-{}", number % 3_000),
+        request_id: format!("r-{number:032x}"),
+    };
+    let token = ClaimToken { node: number % 1_500, boot: 1_790_000_000_000, count: number };
+    let outcome = Outcome {
+        status: 200,
+        content_type: "application/json".into(),
+        body: Some(vec![b'x'; 200]),
+    };
+    [
+        Command::Claim { key: key.clone(), digest: [7; 16], token, at_ms: 1 },
+        Command::Record { key, token, outcome },
+    ]
+}
+
+fn state_with_claims(claims: usize) -> State {
+    let mut state = State::new(u64::MAX / 2);
+    for number in 0..claims as u64 {
+        claim_commands(number).iter().for_each(|command| {
+            state.apply(command);
+        });
+    }
+    state
+}
+
+pub(super) fn claim_us(claims: usize) -> f64 {
+    let mut state = state_with_claims(claims);
+    median_us(9, 500, |number| {
+        for command in claim_commands((claims + number) as u64) {
+            std::hint::black_box(state.apply(&command));
+        }
+    })
+}
+
+pub(super) fn claim_bytes(claims: usize) -> f64 {
+    resident_growth(|| state_with_claims(claims))
+}
+
+pub(super) fn claim_log_bytes(claims: usize) -> f64 {
+    let bytes = |command: &Command| postcard::to_stdvec(command).map_or(0, |bytes| bytes.len());
+    (0..claims as u64)
+        .flat_map(claim_commands)
+        .map(|command| {
+            let payload = Payload::Command(vec![0; bytes(&command)].into());
+            let entry = Entry { index: 1_000_000, term: 10, payload };
+            postcard::to_stdvec(&entry).map_or(0.0, |bytes| bytes.len() as f64 + 8.0)
+        })
+        .sum()
+}
+
+pub(super) fn sync_points(folder: &Path) -> Result<Vec<Point>> {
+    let failed = |source: std::io::Error| Error::start("capacity", source, "free the disk");
+    let (mut disk, _) = Disk::open(&folder.join("sync"))?;
+    let mut index = 0;
+    let mut points = Vec::new();
+    for batch in [1, 16, 64, 256] {
+        let mut times = Vec::new();
+        for _ in 0..30 {
+            let append = (0..batch)
+                .map(|_| {
+                    index += 1;
+                    Entry { index, term: 1, payload: Payload::Command(vec![7; 150].into()) }
+                })
+                .collect();
+            let persist = Persist { append, ..Persist::default() };
+            let start = Instant::now();
+            disk.save(&persist, &[]).map_err(failed)?;
+            times.push(start.elapsed().as_secs_f64() * 1e6);
+        }
+        times.sort_by(f64::total_cmp);
+        points.push(Point { size: f64::from(batch), cost: times[times.len() / 2] });
+    }
+    disk.close();
+    Ok(points)
+}
+
+pub(super) fn document(accounts: usize) -> serde_json::Value {
+    let accounts: serde_json::Map<String, serde_json::Value> = (0..accounts)
+        .map(|number| {
+            let key_blake3 = key_hash(&number.to_string());
+            (format!("account-{number}"), json!({"key_blake3": key_blake3, "max_running": 64}))
+        })
+        .collect();
+    let models: serde_json::Map<String, serde_json::Value> =
+        (0..21).map(|n| (format!("model-{n}"), json!({"weight_version": "v1"}))).collect();
+    json!({"accounts": accounts, "models": models})
+}
+
+pub(super) fn patch_us(accounts: usize) -> f64 {
+    let mut book = Book::default();
+    let document = document(accounts);
+    if let Ok(next) = book.patched(&document) {
+        book.accept(next, document.to_string());
+    }
+    median_us(5, 4, |number| {
+        let change = json!({"accounts": {"account-1": {"max_running": 1 + number}}});
+        if let Ok(next) = book.patched(&change) {
+            book.accept(next, change.to_string());
+        }
+    })
+}
+
+pub(super) fn grant_us(leases: usize) -> f64 {
+    let mut grantor = Grantor::new(Duration::from_secs(3), NOW);
+    for child in 0..leases as u64 {
+        grantor.grant(child, 1, Duration::from_secs(3), NOW);
+    }
+    median_us(9, 500, |number| {
+        let child = (number % leases) as NodeId;
+        std::hint::black_box(grantor.grant(child, 2, Duration::from_secs(3), NOW));
+        std::hint::black_box(grantor.floor(2, NOW));
+    })
+}
+
+pub(super) fn renew_wire_bytes(patches: usize) -> f64 {
+    let text = json!({"accounts": {"account-1234": {"max_running": 640}}}).to_string();
+    let patches: Vec<(u64, String)> =
+        (0..patches as u64).map(|n| (1_000_000 + n, text.clone())).collect();
+    let update = if patches.is_empty() { Update::None } else { Update::Patches(patches) };
+    let renew = Renew { has: 1_000_000, acked: 1_000_000, as_relay: true };
+    let frames = [
+        Frame::Ask(1_000_000, Ask::Renew(renew)),
+        Frame::Answer(1_000_000, Answer::Granted { lasts_ms: 3_000, number: 1_000_001, update }),
+    ];
+    frames.iter().map(wire_bytes).sum::<usize>() as f64
+}
+
+fn member(node: NodeId) -> Member {
+    Member {
+        node,
+        address: SocketAddr::from((Ipv4Addr::new(10, 0, (node >> 8) as u8, node as u8), 7_000)),
+        failure_domain: format!("domain-{}", node % 14),
+        incarnation: 1_790_000_000_000,
+        status: Status::Alive,
+    }
+}
+
+/// Processor microseconds and sent bytes of membership at one node in one second, with as many
+/// nodes, one of which dies.
+pub(super) fn swim(nodes: usize) -> (f64, f64) {
+    const SECONDS: u64 = 30;
+    const STEP: Duration = Duration::from_millis(100);
+    let timing = SwimTiming { probe: Duration::from_millis(500) };
+    let seeds: Vec<Member> = (1..=nodes as NodeId).map(member).collect();
+    let mut all: HashMap<NodeId, Swim> = (1..=nodes as NodeId)
+        .map(|node| (node, Swim::new(member(node), seeds.clone(), timing, node, NOW)))
+        .collect();
+    let mut packets: Vec<(NodeId, NodeId, Packet)> = Vec::new();
+    let (mut sent_bytes, mut now) = (0, NOW);
+    let start = Instant::now();
+    let mut coding = Duration::ZERO;
+    while now < NOW + Duration::from_secs(SECONDS) {
+        now += STEP;
+        let mut next = Vec::new();
+        for (from, to, packet) in packets.drain(..) {
+            if let Some(swim) = all.get_mut(&to) {
+                next.extend(swim.receive(from, packet, now).into_iter().map(|(n, p)| (to, n, p)));
+            }
+        }
+        for (id, swim) in &mut all {
+            next.extend(swim.tick(now).into_iter().map(|(to, packet)| (*id, to, packet)));
+        }
+        // Sent in whole; the time of encoding counts, that of counting does not.
+        let encoding = Instant::now();
+        for (_, _, packet) in &next {
+            sent_bytes += postcard::to_stdvec(packet).map_or(0, |bytes| bytes.len());
+            sent_bytes += DATAGRAM_OVERHEAD_BYTES;
+        }
+        coding += encoding.elapsed();
+        packets = next;
+        if now == NOW + Duration::from_secs(5) {
+            all.remove(&1);
+        }
+    }
+    let per_node_second = nodes as f64 * SECONDS as f64;
+    let took = start.elapsed().max(coding);
+    (took.as_secs_f64() * 1e6 / per_node_second, sent_bytes as f64 / per_node_second)
+}
+
+pub(super) fn target_list(targets: usize) -> TargetList {
+    let target = |number: usize| Target {
+        id: format!("engine-{number}"),
+        incarnation: 1,
+        role: Role::Engine { model: format!("model-{}", number % 21) },
+        url: format!("http://10.0.{}.{}:8000", number / 256, number % 256),
+        failure_domain: format!("domain-{}", number % 14),
+        presence: Presence::Live,
+        checks_fencing: true,
+    };
+    TargetList { targets: (0..targets).map(target).collect() }
+}
+
+pub(super) fn list_us(targets: usize) -> f64 {
+    let mut router = Router::new(1, 64);
+    let list = target_list(targets);
+    let text = serde_json::to_string(&list).unwrap_or_default();
+    median_us(5, 3, |_| {
+        if let Ok(list) = serde_json::from_str(&text) {
+            std::hint::black_box(router.take_list(list));
+        }
+    })
+}
+
+pub(super) fn engine_view_bytes(engines: usize) -> f64 {
+    resident_growth(|| {
+        (0..engines as u128)
+            .map(|number| {
+                let mut engine = engine_view();
+                // Each remembers as much as it may.
+                let keys: Vec<u128> =
+                    (0..MOST_BLOCKS as u128).map(|block| (number << 32) | block).collect();
+                engine.residency.expect(&keys);
+                engine
+            })
+            .collect::<Vec<EngineView>>()
+    })
+}
+
+pub(super) fn plan_us(engines: usize) -> f64 {
+    let mut book = Book::default();
+    let document = document(1);
+    if let Ok(next) = book.patched(&document) {
+        book.accept(next, document.to_string());
+    }
+    let models = book.newest().config.models.clone();
+    let states: Vec<EngineState> = (0..engines)
+        .map(|number| EngineState {
+            id: format!("engine-{number}"),
+            model: format!("model-{}", number % 21),
+            failure_domain: format!("domain-{}", number % 14),
+            version: Some("v0".into()),
+            takes_work: true,
+            checks_fencing: true,
+        })
+        .collect();
+    median_us(5, 3, |_| {
+        let mut planner = Planner::new(Duration::from_secs(1), Duration::ZERO);
+        std::hint::black_box(planner.plan(&models, &states, NOW));
+    })
+}
+
+/// Bytes on the wire of one entry between replicas.
+pub fn append_wire_bytes(entry_bytes: usize) -> f64 {
+    let payload = Payload::Command(vec![0; entry_bytes].into());
+    let entry = Entry { index: 1_000_000, term: 10, payload };
+    let message = Message::Append {
+        term: 10,
+        prev_index: 1_000_000,
+        prev_term: 10,
+        entries: vec![entry],
+        commit: 1_000_000,
+        last_index: 1_000_001,
+        round: 1_000_000,
+    };
+    wire_bytes(&Frame::Log(message)) as f64
+}
--- a/src/capacity/mod.rs
+++ b/src/capacity/mod.rs
@@ -1,5 +1,6 @@
 //! Capacity: slopes measured on this machine, and each role worked out at the two-year size.
 
+pub mod costs;
 pub mod roles;
 pub mod size;
 pub mod slopes;
--- a/src/capacity/roles.rs
+++ b/src/capacity/roles.rs
@@ -1,7 +1,8 @@
 //! Each role at the two-year size, worked out from the slopes.
 
+use super::costs::append_wire_bytes;
 use super::size::TwoYears;
-use super::slopes::{Slopes, append_wire_bytes};
+use super::slopes::Slopes;
 use crate::route::residency::MOST_BLOCKS;
 
 /// Share of requests that are marked not repeatable, assumed.
--- a/src/emulator/engine.rs
+++ b/src/emulator/engine.rs
@@ -5,7 +5,6 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use futures::stream;
 use parking_lot::Mutex;
 use serde_json::json;
@@ -19,13 +18,13 @@
 use super::ledger::Ledger;
 use super::settings::EngineSettings;
 use super::store;
+use super::stream::{Generation, Parts, Progress, Step, StreamId};
 use crate::edge::api::{
     ATTEMPT_HEADER, BeginWrite, CacheChange, CacheEvent, CacheEvents, CancelOrder, CommitWrite,
     EngineOrder, ExportOrder, ImportOrder, KeptObject, LoadReport, NOT_RUN_HEADER, OWNER_HEADER,
     PRIORITY_HEADER, REQUEST_HEADER, VERSION_HEADER,
 };
-use crate::edge::chat::{Chunk, PromptDetails, PromptRequest, Shape, Usage};
-use crate::edge::sse;
+use crate::edge::chat::{PromptDetails, PromptRequest, Shape, Usage};
 use crate::http::{self, Request, Response};
 use crate::ids::{BlockKey, Incarnation};
 use crate::prompt::{BLOCK_TOKENS, Chain, Owner};
@@ -72,15 +71,6 @@
     answer_order: VecDeque<StreamId>,
 }
 
-type StreamId = String;
-
-/// One answer while and after it is generated.
-struct Generation {
-    answer: Answer,
-    shape: Shape,
-    progress: watch::Sender<Progress>,
-}
-
 /// A request on its way through the engine.
 struct Work {
     generation: Arc<Generation>,
@@ -91,13 +81,6 @@
     import: Option<ImportOrder>,
 }
 
-#[derive(Clone, Copy, Default)]
-struct Progress {
-    produced: u32,
-    cancelled: bool,
-    usage: Usage,
-}
-
 impl Engine {
     /// Starts an engine with empty memory. Must be called inside a tokio runtime.
     pub fn start(
@@ -511,75 +494,6 @@
     }
 }
 
-enum Step {
-    Tokens,
-    Usage,
-    Done,
-    End,
-}
-
-/// The parts of one streamed answer that are still to be sent.
-struct Parts {
-    id: StreamId,
-    model: String,
-    generation: Arc<Generation>,
-    receiver: watch::Receiver<Progress>,
-    next: u32,
-    break_at: Option<u32>,
-    step: Step,
-}
-
-impl Parts {
-    async fn next(mut self) -> Option<(Result<Bytes, std::io::Error>, Parts)> {
-        let data = match self.step {
-            Step::Tokens => self.token().await?,
-            Step::Usage => {
-                self.step = Step::Done;
-                let usage = Some(self.receiver.borrow().usage);
-                self.write(Chunk { id: self.id.clone(), usage, ..Chunk::default() })
-            }
-            Step::Done => {
-                self.step = Step::End;
-                Ok(sse::DONE.to_string())
-            }
-            Step::End => return None,
-        };
-        if data.is_err() {
-            self.step = Step::End;
-        }
-        Some((data.map(|data| Bytes::from(sse::event(&data))), self))
-    }
-
-    async fn token(&mut self) -> Option<Result<String, std::io::Error>> {
-        if self.break_at.is_some_and(|at| self.next >= at) {
-            return Some(Err(std::io::Error::other("broken on demand")));
-        }
-        let next = self.next;
-        let tokens = self.generation.answer.tokens();
-        let progress = self
-            .receiver
-            .wait_for(|progress| progress.produced > next || progress.cancelled)
-            .await
-            .map(|progress| *progress);
-        let cancelled = progress.is_ok_and(|progress| progress.produced <= next);
-        if cancelled || next >= tokens {
-            return Some(Err(std::io::Error::other("cancelled")));
-        }
-        self.next += 1;
-        let last = self.next == tokens;
-        if last {
-            self.step = Step::Usage;
-        }
-        let finish = last.then(|| "stop".to_string());
-        let text = self.generation.answer.token(next);
-        Some(self.write(Chunk { id: self.id.clone(), text, finish, usage: None }))
-    }
-
-    fn write(&self, chunk: Chunk) -> Result<String, std::io::Error> {
-        Ok(chunk.write(self.generation.shape, &self.model, 0))
-    }
-}
-
 /// A refusal that proves that nothing was run.
 fn refusal(status: StatusCode, message: &str) -> Response {
     let mut response = http::json(status, &json!({"error": {"message": message}}));
--- a/src/emulator/mod.rs
+++ b/src/emulator/mod.rs
@@ -14,6 +14,7 @@
 pub mod service;
 pub mod settings;
 pub mod store;
+mod stream;
 
 pub use host::Emulator;
 pub use settings::EmulatorSettings;
--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -195,10 +195,7 @@
     /// # Errors
     /// If the node's lease has ended or the deadline has passed.
     pub fn still_admitted(&self, node: &Node) -> Result<(), Refusal> {
-        if node.in_force().is_none() {
-            let message = "this node's freshness lease ended before the request was sent";
-            return Err(Refusal::not_run(Code::NotFresh, message).after(NOT_FRESH_RETRY));
-        }
+        self.still_fresh(node)?;
         if boot_now() >= self.deadline {
             let refusal = Refusal::not_run(Code::Deadline, "its deadline has passed");
             return Err(refusal.after(node.places.retry_after()));
@@ -206,6 +203,18 @@
         Ok(())
     }
 
+    /// Checks, right before a dispatch, that the node may still send requests.
+    ///
+    /// # Errors
+    /// If the node's lease has ended.
+    pub fn still_fresh(&self, node: &Node) -> Result<(), Refusal> {
+        if node.in_force().is_some() {
+            return Ok(());
+        }
+        let message = "this node's freshness lease ended before the request was sent";
+        Err(Refusal::not_run(Code::NotFresh, message).after(NOT_FRESH_RETRY))
+    }
+
     /// Records how the request ended: in a log line, in the metrics, and against its service
     /// level. `what` is the model or service.
     pub fn log_end(&self, node: &Node, what: &str, end: End<'_>) {
--- a/src/entry/operators.rs
+++ b/src/entry/operators.rs
@@ -8,7 +8,7 @@
 use warp::http::{Method, StatusCode};
 
 use crate::clock::boot_now;
-use crate::config::Update;
+use crate::config::{Book, Update};
 use crate::http::{self, Request, Response};
 use crate::ids::NodeId;
 use crate::log::raft::Change;
@@ -17,6 +17,8 @@
 use crate::node::decisions::NoLeader;
 
 const RETRY_AFTER_S: &str = "1";
+/// Numbers that the history goes back, at the most.
+const HISTORY_LEN: u64 = 50;
 
 /// Answers one request.
 pub async fn handle(node: Arc<Node>, request: Request) -> Response {
@@ -41,23 +43,19 @@
 }
 
 async fn get_config(node: &Arc<Node>, request: &Request) -> Response {
-    // Always the whole document, since the reader has none.
-    let read = node.read_config(0).await;
-    if request.parameter("local") == Some("true") || read.is_err() {
-        return local_config(node, request);
+    if request.parameter("local") == Some("true") {
+        return local_config(node);
     }
-    let mut book = crate::config::Book::default();
-    match read {
+    // From number 0, since the reader has none of it.
+    let mut book = Book::default();
+    match node.read_config(0).await {
         Ok(update) if book.take(&update).is_ok() => config(book.number(), &book.newest().document),
         _ => no_leader(),
     }
 }
 
-/// What this node has, which may be old; only if the reader asks for just that.
-fn local_config(node: &Node, request: &Request) -> Response {
-    if request.parameter("local") != Some("true") {
-        return no_leader();
-    }
+/// What is in force at this node; it may be a lease behind the newest.
+fn local_config(node: &Node) -> Response {
     match node.in_force() {
         Some(numbered) => config(numbered.number, &numbered.document),
         None => no_leader(),
@@ -139,7 +137,6 @@
 }
 
 async fn history(node: &Arc<Node>) -> Response {
-    // Number 0 has no patches of its own, so the update lists all that are kept.
     let read = node.read_config(node.number().saturating_sub(HISTORY_LEN)).await;
     let patches: Vec<Value> = match read {
         Ok(Update::Patches(patches)) => patches
@@ -160,9 +157,6 @@
     http::json(StatusCode::OK, &json!({"history": patches}))
 }
 
-/// Numbers that the history goes back, at the most.
-const HISTORY_LEN: u64 = 50;
-
 async fn change_replicas(node: &Arc<Node>, request: &Request) -> Response {
     #[derive(Deserialize)]
     #[serde(rename_all = "snake_case", deny_unknown_fields)]
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -12,14 +12,14 @@
 use super::prompts::Prompt;
 use super::relay::{Fault, Relay};
 use super::{Code, Execution, Refusal};
-use crate::clock::boot_now;
+use crate::clock::{BootTime, boot_now};
 use crate::edge::api::{ImportOrder, KeptObject};
 use crate::edge::chat::Usage;
 use crate::edge::client::{CallError, PromptCall, StreamRef};
 use crate::edge::sse::{Events, Oversized};
 use crate::ids::{Attempt, TargetId};
 use crate::node::Node;
-use crate::route::{Ask, Dispatch, Ended};
+use crate::route::{Ask, Dispatch, Ended, NoEngine};
 use crate::telemetry::logs::quoted;
 use crate::telemetry::metrics::label;
 
@@ -150,7 +150,12 @@
 
     fn choose(&self) -> Result<Dispatch, Refusal> {
         let call = &self.prompt.call;
-        call.still_admitted(&self.node).map_err(|refusal| self.final_refusal(refusal))?;
+        let has_begun = self.first_token.is_some();
+        let admitted =
+            if has_begun { call.still_fresh(&self.node) } else { call.still_admitted(&self.node) };
+        admitted.map_err(|refusal| self.final_refusal(refusal))?;
+        // The deadline is for the first token: an answer that has begun runs to its end.
+        let deadline = if has_begun { BootTime::MAX } else { call.deadline };
         let now = boot_now();
         let mut router = self.node.router.lock();
         let draw = router.draw();
@@ -163,16 +168,26 @@
             draw,
         };
         let prices = &call.config.config.prices;
-        let dispatch = router.begin(self.prompt.policy, prices, &ask, now);
+        let begun = router.begin(self.prompt.policy, prices, &ask, deadline, now);
         drop(router);
-        if let Some(dispatch) = &dispatch {
-            self.node.tell_dispatched(&dispatch.news());
-        }
-        dispatch.ok_or_else(|| {
-            let message = format!("no engine of model {:?} takes work now", self.prompt.model_id);
-            let refusal = Refusal::not_run(Code::NoTarget, message).after(NO_TARGET_RETRY);
-            self.final_refusal(refusal)
-        })
+        let dispatch = begun.map_err(|reason| self.no_engine(reason))?;
+        self.node.tell_dispatched(&dispatch.news());
+        Ok(dispatch)
+    }
+
+    fn no_engine(&self, reason: NoEngine) -> Refusal {
+        let refusal = match reason {
+            NoEngine::NoneTakesWork => {
+                let message =
+                    format!("no engine of model {:?} takes work now", self.prompt.model_id);
+                Refusal::not_run(Code::NoTarget, message).after(NO_TARGET_RETRY)
+            }
+            NoEngine::TooLate(late) => {
+                let message = "no engine would give the first token by the deadline";
+                Refusal::not_run(Code::Deadline, message).after(late)
+            }
+        };
+        self.final_refusal(refusal)
     }
 
     async fn dispatch(&mut self, dispatch: &Dispatch) -> Result<Whole, Broken> {
--- a/src/log/disk.rs
+++ b/src/log/disk.rs
@@ -108,8 +108,9 @@
         Ok((disk, recovered))
     }
 
-    /// Makes changes durable. After an error nothing more may be written: what is durable is not
-    /// known then.
+    /// Makes changes durable. `kept` are all entries after the snapshot, those of `persist` among
+    /// them; they are needed only with a snapshot. After an error nothing more may be written: what
+    /// is durable is not known then.
     ///
     /// # Errors
     /// Those of the operating system.
--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -24,6 +24,8 @@
 const QUEUE_LEN: usize = 4_096;
 /// Largest frame.
 const MAX_FRAME_BYTES: usize = 256 << 20;
+/// Largest first frame: until it has been checked, anybody may be sending it.
+const MAX_FIRST_FRAME_BYTES: usize = 1 << 20;
 /// Connecting and shaking hands must end within this time.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Pause before a failed connection is tried again.
@@ -224,7 +226,7 @@
         let (answers, queue) = mpsc::channel(QUEUE_LEN);
         let writer = Writer { links: self.clone(), write, stream: outgoing };
         let writing = tokio::spawn(writer.send_queue(from, queue));
-        let mut reader = Reader { read: BufReader::new(read), stream: incoming };
+        let mut reader = Reader { read: BufReader::new(read), stream: incoming, is_known: false };
         while let Ok(frame) = reader.next().await {
             if self.is_cut(from) {
                 continue;
@@ -263,7 +265,7 @@
     }
 
     async fn read_answers(self: Arc<Links>, from: NodeId, read: OwnedReadHalf, stream: Stream) {
-        let mut reader = Reader { read: BufReader::new(read), stream };
+        let mut reader = Reader { read: BufReader::new(read), stream, is_known: false };
         while let Ok(frame) = reader.next().await {
             if self.is_cut(from) {
                 continue;
@@ -314,12 +316,15 @@
 struct Reader {
     read: BufReader<OwnedReadHalf>,
     stream: Stream,
+    /// Whether a frame has been checked already.
+    is_known: bool,
 }
 
 impl Reader {
     async fn next(&mut self) -> std::io::Result<Frame> {
         let length = self.read.read_u32_le().await? as usize;
-        if length > MAX_FRAME_BYTES {
+        let limit = if self.is_known { MAX_FRAME_BYTES } else { MAX_FIRST_FRAME_BYTES };
+        if length > limit {
             return Err(std::io::Error::other("frame too large"));
         }
         let mut code = [0; CODE_BYTES];
@@ -327,6 +332,7 @@
         let mut body = vec![0; length];
         self.read.read_exact(&mut body).await?;
         self.stream.open(&body, &code).map_err(|_| std::io::Error::other("not authentic"))?;
+        self.is_known = true;
         postcard::from_bytes(&body).map_err(std::io::Error::other)
     }
 }
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -32,6 +32,17 @@
     pub incarnation: Incarnation,
     /// Tokens that it must prefill.
     pub prefill_tokens: u64,
+    /// What it imports first.
+    pub import: Option<Importing>,
+}
+
+/// An import that uses a store's link.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Importing {
+    /// The store.
+    pub store: TargetId,
+    /// Bytes moved.
+    pub size_bytes: u64,
 }
 
 /// A question.
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -14,6 +14,6 @@
 pub use health::Health;
 pub use residency::Residency;
 pub use retry::RetryBudget;
-pub use router::{Dispatch, Ended, Router};
+pub use router::{Dispatch, Ended, NoEngine, Router};
 pub use targets::Targets;
 pub use view::{EngineView, StoreView, View};
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -12,7 +12,7 @@
 use crate::edge::api::{CacheEvents, LoadReport, Role, StoreReport, Target, TargetList};
 use crate::edge::chat::Usage;
 use crate::ids::{Incarnation, NodeId, TargetId, WeightVersion};
-use crate::peer::message::Dispatched;
+use crate::peer::message::{Dispatched, Importing};
 use crate::prompt::{BLOCK_TOKENS, Chain};
 
 /// Blocks remembered for all engines together: about 93 bytes each.
@@ -42,6 +42,15 @@
     Cancelled,
 }
 
+/// Why no engine gets a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoEngine {
+    /// None of its model and version takes work now.
+    NoneTakesWork,
+    /// The best one would give the first token so much after the deadline.
+    TooLate(Duration),
+}
+
 /// A dispatch that runs; hand it back to `end`.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Dispatch {
@@ -136,6 +145,11 @@
         {
             engine.note_dispatch(dispatched.prefill_tokens, now);
         }
+        if let Some(Importing { store, size_bytes }) = &dispatched.import
+            && let Some(store) = self.view.stores.get_mut(store)
+        {
+            store.note_transfer(*size_bytes, now);
+        }
     }
 
     /// Takes an engine's cache events.
@@ -148,9 +162,8 @@
     /// Takes a store's report that was read at `now`.
     pub fn take_store(&mut self, id: &str, report: StoreReport, now: BootTime) {
         if let Some(store) = self.view.stores.get_mut(id) {
-            store.unreported_bytes = 0;
             store.health.succeeded();
-            store.report = Some((now, report));
+            store.take_report(report, now);
         }
     }
 
@@ -179,16 +192,25 @@
         self.decisions
     }
 
-    /// Decides and books the dispatch; `None` if no engine may take the request.
+    /// Decides and books the dispatch. `deadline` is when the first token is due.
+    ///
+    /// # Errors
+    /// Why no engine gets the request; nothing is booked then.
     pub fn begin(
         &mut self,
         policy: Policy,
         prices: &Prices,
         ask: &Ask<'_>,
+        deadline: BootTime,
         now: BootTime,
-    ) -> Option<Dispatch> {
-        let decision = decide(policy, prices, &self.view, ask, now)?;
-        let engine = self.view.engines.get_mut(&decision.engine)?;
+    ) -> Result<Dispatch, NoEngine> {
+        let decision =
+            decide(policy, prices, &self.view, ask, now).ok_or(NoEngine::NoneTakesWork)?;
+        let late = (now + decision.first_token).saturating_sub(deadline);
+        if !late.is_zero() {
+            return Err(NoEngine::TooLate(late));
+        }
+        let engine = self.view.engines.get_mut(&decision.engine).ok_or(NoEngine::NoneTakesWork)?;
         engine.running += 1;
         engine.note_dispatch(decision.prefill_tokens, now);
         // Known before the engine says so: the next request with this context goes there too.
@@ -200,7 +222,7 @@
             incarnation: engine.incarnation,
             decision,
         };
-        Some(self.book_import(dispatch))
+        Ok(self.book_import(dispatch, now))
     }
 
     /// Books a dispatch's end.
@@ -312,11 +334,11 @@
         }
     }
 
-    fn book_import(&mut self, mut dispatch: Dispatch) -> Dispatch {
+    fn book_import(&mut self, mut dispatch: Dispatch, now: BootTime) -> Dispatch {
         if let Some(import) = &dispatch.decision.import
             && let Some(store) = self.view.stores.get_mut(&import.store)
         {
-            store.unreported_bytes += import.object.size_bytes;
+            store.note_transfer(import.object.size_bytes, now);
             dispatch.store_url = Some(store.url.clone());
         }
         dispatch
@@ -330,6 +352,10 @@
             engine: self.decision.engine.clone(),
             incarnation: self.incarnation,
             prefill_tokens: self.decision.prefill_tokens,
+            import: self.decision.import.as_ref().map(|import| Importing {
+                store: import.store.clone(),
+                size_bytes: import.object.size_bytes,
+            }),
         }
     }
 
--- a/src/route/view.rs
+++ b/src/route/view.rs
@@ -62,8 +62,8 @@
     pub report: Option<(BootTime, StoreReport)>,
     /// Health as this node sees it.
     pub health: Health,
-    /// Bytes of transfers that this node started since the report.
-    pub unreported_bytes: u64,
+    /// Times and bytes of transfers that started after the report.
+    pub unreported: VecDeque<(BootTime, u64)>,
 }
 
 impl EngineView {
@@ -146,20 +146,39 @@
             takes_work: true,
             report: None,
             health: Health::default(),
-            unreported_bytes: 0,
+            unreported: VecDeque::new(),
         }
     }
 
-    /// How long a transfer of `bytes` that starts now would take; `None` if that is unknown.
+    /// How long a transfer of `bytes` that starts now would take; `None` if that is unknown. The
+    /// link works off what waits for it, the reported backlog and the later transfers.
     pub fn transfer_time(&self, bytes: u64, now: BootTime) -> Option<Duration> {
-        let (at, report) = self.report.as_ref()?;
-        let age = now.saturating_sub(*at);
-        if age >= REPORT_VALID || report.link_bytes_per_s <= 0.0 {
+        let (reported_at, report) = self.report.as_ref()?;
+        let rate = report.link_bytes_per_s;
+        if now.saturating_sub(*reported_at) >= REPORT_VALID || rate <= 0.0 {
             return None;
         }
-        let backlog = Duration::from_millis(report.backlog_ms).saturating_sub(age);
-        let queued = (self.unreported_bytes + bytes) as f64 / report.link_bytes_per_s;
-        Some(backlog + Duration::from_secs_f64(queued))
+        let took = |bytes: u64| Duration::from_secs_f64(bytes as f64 / rate);
+        let free_at = *reported_at + Duration::from_millis(report.backlog_ms);
+        let free_at = self
+            .unreported
+            .iter()
+            .fold(free_at, |free_at, (started_at, bytes)| free_at.max(*started_at) + took(*bytes));
+        Some(free_at.saturating_sub(now) + took(bytes))
+    }
+
+    /// Records a transfer that starts now.
+    pub fn note_transfer(&mut self, bytes: u64, now: BootTime) {
+        while self.unreported.front().is_some_and(|(at, _)| *at + REPORT_VALID < now) {
+            self.unreported.pop_front();
+        }
+        self.unreported.push_back((now, bytes));
+    }
+
+    /// Takes a report that was read at `now`.
+    pub fn take_report(&mut self, report: StoreReport, now: BootTime) {
+        self.unreported.clear();
+        self.report = Some((now, report));
     }
 
     /// Share of its capacity that is used, of 1; 1 if unknown.
--- a/tests/logic/decide.rs
+++ b/tests/logic/decide.rs
@@ -166,6 +166,20 @@
     assert_eq!(engine.queued_tokens(at(1_000)), 0, "all of it is done by then");
 }
 
+#[test]
+fn a_link_works_off_what_waits_for_it() {
+    let at = |ms| NOW + Duration::from_millis(ms);
+    // 1 MB a millisecond, 50 ms behind.
+    let mut store = store(50);
+    let time = |store: &StoreView, ms| store.transfer_time(20_000_000, at(ms));
+    assert_eq!(time(&store, 0), Some(Duration::from_millis(70)));
+    store.note_transfer(100_000_000, at(30));
+    assert_eq!(time(&store, 30), Some(Duration::from_millis(140)));
+    assert_eq!(time(&store, 140), Some(Duration::from_millis(30)));
+    assert_eq!(time(&store, 400), Some(Duration::from_millis(20)), "all of it is done");
+    assert_eq!(time(&store, 3_000), None, "an old report says nothing");
+}
+
 #[test]
 fn equals_share_the_load_and_sticky_keeps_to_one() {
     let names: Vec<String> = (0..6).map(|n| format!("e{n}")).collect();
@@ -203,7 +217,10 @@
     let queued = |router: &Router| router.view().engines["e"].queued_tokens(NOW);
     let mut tell = |engine: &str, incarnation| {
         let engine = engine.to_string();
-        router.take_dispatched(&Dispatched { engine, incarnation, prefill_tokens: 700 }, NOW);
+        router.take_dispatched(
+            &Dispatched { engine, incarnation, prefill_tokens: 700, import: None },
+            NOW,
+        );
         queued(&router)
     };
     assert_eq!(tell("e", 1), 0, "an earlier start");
@@ -211,7 +228,8 @@
     assert_eq!(tell("e", 2), 700);
     for second in 0..10_000 {
         let now = NOW + Duration::from_secs(second);
-        let news = Dispatched { engine: "e".into(), incarnation: 2, prefill_tokens: 1 };
+        let news =
+            Dispatched { engine: "e".into(), incarnation: 2, prefill_tokens: 1, import: None };
         router.take_dispatched(&news, now);
     }
     assert!(router.view().engines["e"].unreported.len() < 10, "bounded without reports");
--- a/tests/process/failures.rs
+++ b/tests/process/failures.rs
@@ -248,9 +248,17 @@
 fn an_answer_survives_the_death_of_its_engine() {
     let env = TestEnv::start(Plan::default());
     let prompt = "survive this";
-    let response = env.prompt(1, "bibek", prompt, 300, true).send().expect("an answer");
+    // The deadline is for the first token; when the engine dies it has passed.
+    let response = env
+        .prompt(1, "bibek", prompt, 600, true)
+        .header("x-kumquatpost-deadline-ms", "500")
+        .send()
+        .expect("an answer");
     let mut lines = BufReader::new(response).lines();
-    lines.next().expect("a first chunk").expect("it can be read");
+    let mut whole = String::new();
+    for line in lines.by_ref().take(2 * 300) {
+        push_content(&mut whole, &line.expect("it can be read"));
+    }
     let running = until("an engine runs it", || {
         let status = env.status(1);
         let engines = status["engines"].as_array().expect("engines").clone();
@@ -258,18 +266,17 @@
         busy.map(|engine| engine["target"].as_str().expect("its name").to_string())
     });
     env.set_fault(&running, json!("die"));
-    let mut whole = String::new();
     for line in lines {
-        let line = line.expect("it can be read");
-        let Some(data) = line.strip_prefix("data: ") else { continue };
-        let Ok(chunk) = serde_json::from_str::<Value>(data) else { continue };
-        whole.push_str(chunk["choices"][0]["delta"]["content"].as_str().unwrap_or_default());
+        push_content(&mut whole, &line.expect("it can be read"));
     }
-    let expected = expected("bibek", prompt, 300);
-    assert!(
-        expected.ends_with(&whole) && whole.len() > expected.len() * 9 / 10,
-        "one whole answer"
-    );
+    assert_eq!(whole, expected("bibek", prompt, 600), "one whole answer");
+}
+
+/// Adds the text that a line of a stream carries.
+fn push_content(text: &mut String, line: &str) {
+    let Some(data) = line.strip_prefix("data: ") else { return };
+    let Ok(chunk) = serde_json::from_str::<Value>(data) else { return };
+    text.push_str(chunk["choices"][0]["delta"]["content"].as_str().unwrap_or_default());
 }
 
 #[test]
@@ -458,3 +465,28 @@
         assert!(numbers.is_sorted(), "{engine}: {numbers:?}");
     }
 }
+
+#[test]
+fn a_prompt_that_no_engine_can_begin_in_time_is_refused_at_once() {
+    let mut plan = Plan { nodes: 1, replicas: 1, ..Plan::default() };
+    plan.emulator["engines"] = json!([
+        {"id": "slow", "model": "mechanic", "failure_domain": "patan", "prefill_tokens_per_s": 100,
+         "load_lag_ms": 20}
+    ]);
+    let env = TestEnv::start(plan);
+    let prompt = |text: &str, id: &str, deadline_ms: &str| {
+        env.prompt(0, "anna", text, 2, false)
+            .header("idempotency-key", id)
+            .header("x-kumquatpost-deadline-ms", deadline_ms)
+            .send()
+            .expect("answered")
+    };
+    let refused = prompt(&"word ".repeat(1_000), "late", "2000");
+    assert_eq!(refused.status(), 503);
+    let retry_after = refused.headers()["retry-after"].to_str().expect("text").to_string();
+    let body: Value = refused.json().expect("JSON");
+    assert_eq!((execution(&body), &body["error"]["code"]), ("not_run", &json!("deadline")));
+    assert!((7..=9).contains(&retry_after.parse().unwrap_or(0)), "{retry_after} s");
+    assert_eq!(env.runs("late"), 0);
+    assert!(prompt("a short one", "early", "2000").status().is_success());
+}
