--- a/tests/logic/leading.rs
+++ b/tests/logic/leading.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use kumquatpost::log::raft::{Raft, Recovered};
-use kumquatpost::log::{Entry, Members, Message, Payload, Vote};
+use kumquatpost::log::Message;
+use kumquatpost::log::raft::Raft;
 
-use crate::log_world::TIMING;
+use crate::log_world::replica_in_term_5;
 
 const START: Duration = Duration::from_secs(100);
 const LATER: Duration = Duration::from_secs(200);
@@ -13,10 +13,7 @@
 /// Replica 1 of three, just elected in term 6, with entries 1 to 4 of term 5 that nobody is known
 /// to have, and entry 5 of its own that is not durable yet.
 fn leader() -> Raft {
-    let entries = (1..=4).map(|index| Entry { index, term: 5, payload: Payload::Noop }).collect();
-    let vote = Vote { term: 5, voted_for: None };
-    let recovered = Recovered { vote, entries, ..Recovered::default() };
-    let mut raft = Raft::new(1, Members::of([1, 2, 3]), TIMING, recovered, 1, START);
+    let mut raft = replica_in_term_5(START);
     raft.tick(LATER);
     raft.receive(2, Message::PreVoteReply { term: 6, granted: true }, LATER);
     raft.receive(2, Message::VoteReply { term: 6, granted: true }, LATER);
--- a/tests/logic/log_world.rs
+++ b/tests/logic/log_world.rs
@@ -7,7 +7,7 @@
 
 use kumquatpost::ids::NodeId;
 use kumquatpost::log::raft::{Change, Effects, Raft, RaftTiming, Recovered};
-use kumquatpost::log::{Entry, Index, Members, Message, Payload, Persist, Term};
+use kumquatpost::log::{Entry, Index, Members, Message, Payload, Persist, Term, Vote};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
@@ -17,6 +17,14 @@
 /// Clocks run at most this much faster or slower: well within what leases allow for.
 const DRIFT: f64 = 0.02;
 
+/// Replica 1 of three in term 5, with entries 1 to 4 of term 5.
+pub fn replica_in_term_5(now: Duration) -> Raft {
+    let entries = (1..=4).map(|index| Entry { index, term: 5, payload: Payload::Noop }).collect();
+    let vote = Vote { term: 5, voted_for: None };
+    let recovered = Recovered { vote, entries, ..Recovered::default() };
+    Raft::new(1, Members::of([1, 2, 3]), TIMING, recovered, 1, now)
+}
+
 /// One replica: its disk always, its process only while it runs.
 pub struct Replica {
     pub raft: Option<Raft>,
--- a/tests/logic/votes.rs
+++ b/tests/logic/votes.rs
@@ -5,18 +5,14 @@
 use kumquatpost::log::raft::{Raft, Recovered};
 use kumquatpost::log::{Entry, Members, Message, Payload, Vote};
 
-use crate::log_world::TIMING;
+use crate::log_world::{TIMING, replica_in_term_5};
 
 const START: Duration = Duration::from_secs(100);
 /// Long after any leader was heard.
 const LATER: Duration = Duration::from_secs(200);
 
-/// Replica 1 of three in term 5, with entries 1 to 4 of term 5.
 fn replica() -> Raft {
-    let entries = (1..=4).map(|index| Entry { index, term: 5, payload: Payload::Noop }).collect();
-    let vote = Vote { term: 5, voted_for: None };
-    let recovered = Recovered { vote, entries, ..Recovered::default() };
-    Raft::new(1, Members::of([1, 2, 3]), TIMING, recovered, 1, START)
+    replica_in_term_5(START)
 }
 
 fn request(term: u64, last_term: u64, last_index: u64) -> Message {
