--- a/docs/measurements/compare.py
+++ b/docs/measurements/compare.py
@@ -26,7 +26,7 @@
 CAPACITY = {"gearworks": 12 * 20_000 / 1_400, "portal": 20 * 20_000 / 1_400}
 POLICIES = ["round_robin", "least_load", "prefix_sticky", "cost"]
 DOMAINS = {"gearworks": ["patan", "bhaktapur", "kirtipur"], "portal": ["east", "north", "south"]}
-# For whoever tunes the decision: KUMQUATPOST_LOG='{"level": "debug", "file": "/tmp/reuse.log"}'.
+# For whoever tunes the decision: KUMQUATPOST_LOG='{"level": "debug", "file": "reuse.log"}'.
 LOG = json.loads(os.environ.get("KUMQUATPOST_LOG", "null"))
 NETWORK = 200 + os.getpid() % 50
 
