Split the process tests and the stand-in engine by job

Change: failures.rs for nodes, requests.rs for what callers get, asking.rs for what both use; transfer.rs.

--- a/.ci/mutations.py
+++ b/.ci/mutations.py
@@ -126,7 +126,7 @@
      "                return Err(failed(&instance, &reason, true));", "                last = failed(&instance, &reason, true);", "process", "an_order_runs"),
     ("no claim before an order", "src/entry/services.rs",
      "    if call.repeatable {\n        let _place", "    if call.repeatable || true {\n        let _place", "process", "an_order_runs"),
-    ("a damaged import is used", "src/emulator/engine.rs",
+    ("a damaged import is used", "src/emulator/transfer.rs",
      "(crc32fast::hash(&content) == object.checksum).then_some(())", "Some(())", "process", "damaged"),
 ]
 
--- a/src/emulator/engine.rs
+++ b/src/emulator/engine.rs
@@ -19,10 +19,11 @@
 use super::settings::EngineSettings;
 use super::store;
 use super::stream::{Generation, Parts, Progress, Step, StreamId};
+use super::transfer;
 use crate::edge::api::{
-    ATTEMPT_HEADER, BeginWrite, CacheChange, CacheEvent, CacheEvents, CancelOrder, CommitWrite,
-    EngineOrder, ExportOrder, ImportOrder, KeptObject, LoadReport, NOT_RUN_HEADER, OWNER_HEADER,
-    PRIORITY_HEADER, REQUEST_HEADER, VERSION_HEADER,
+    ATTEMPT_HEADER, CacheChange, CacheEvent, CacheEvents, CancelOrder, EngineOrder, ExportOrder,
+    ImportOrder, KeptObject, LoadReport, NOT_RUN_HEADER, OWNER_HEADER, PRIORITY_HEADER,
+    REQUEST_HEADER, VERSION_HEADER,
 };
 use crate::edge::chat::{PromptDetails, PromptRequest, Shape, Usage};
 use crate::http::{self, Request, Response};
@@ -282,7 +283,7 @@
         if self.state.lock().cache.resident(&chain.keys) >= blocks {
             return 0;
         }
-        match self.fetch(&store_url, &object).await {
+        match transfer::fetch(&self.client, &store_url, &object).await {
             Some(()) => {
                 let mut state = self.state.lock();
                 let changes = state.cache.store(&chain.keys[..blocks]);
@@ -296,16 +297,6 @@
         }
     }
 
-    async fn fetch(&self, store_url: &str, object: &KeptObject) -> Option<()> {
-        let url = store::object_url(store_url, object.key, object.generation);
-        let response = self.client.get(url).send().await.ok()?;
-        if response.status() != reqwest::StatusCode::OK {
-            return None;
-        }
-        let content = response.bytes().await.ok()?;
-        (crc32fast::hash(&content) == object.checksum).then_some(())
-    }
-
     async fn export(self: &Arc<Engine>, request: &Request) -> Response {
         let Ok(order) = request.json::<ExportOrder>() else {
             return http::text(StatusCode::BAD_REQUEST, "the body is not an export order".into());
@@ -324,36 +315,12 @@
                 * self.settings.kv_bytes_per_token,
             checksum: crc32fast::hash(&content),
         };
-        match self.send(&order, &object, content).await {
+        match transfer::send(&self.client, &order, &object, content).await {
             Ok(()) => http::json(StatusCode::OK, &object),
             Err(status) => http::text(status, "the store did not take it".into()),
         }
     }
 
-    async fn send(
-        &self,
-        order: &ExportOrder,
-        object: &KeptObject,
-        content: Vec<u8>,
-    ) -> Result<(), StatusCode> {
-        let begin = BeginWrite { object: object.clone(), owner_epoch: order.owner_epoch };
-        let begin_url = format!("{}/objects", order.store_url);
-        let url = store::object_url(&order.store_url, object.key, object.generation);
-        let commit = CommitWrite { checksum: object.checksum };
-        let steps = [
-            self.client.post(begin_url).json(&begin),
-            self.client.put(url.clone()).body(content),
-            self.client.post(format!("{url}/commit")).json(&commit),
-        ];
-        for step in steps {
-            let response = step.send().await.map_err(|_| StatusCode::BAD_GATEWAY)?;
-            if !response.status().is_success() {
-                return Err(response.status());
-            }
-        }
-        Ok(())
-    }
-
     fn keep(&self, id: &str, generation: &Arc<Generation>) {
         let mut state = self.state.lock();
         state.answers.insert(id.to_string(), generation.clone());
--- a/src/emulator/mod.rs
+++ b/src/emulator/mod.rs
@@ -15,6 +15,7 @@
 pub mod settings;
 pub mod store;
 mod stream;
+mod transfer;
 
 pub use host::Emulator;
 pub use settings::EmulatorSettings;
--- /dev/null
+++ b/tests/process/requests.rs
@@ -0,0 +1,281 @@
+//! What callers get when targets fail, leave, or change, and when nodes die under a request.
+
+use std::io::{BufRead, BufReader};
+
+use serde_json::{Value, json};
+
+use crate::asking::{execution, patch_until_answered};
+use crate::serving::expected;
+use crate::testenv::{Plan, TestEnv, until};
+
+#[test]
+fn a_planned_stop_cuts_off_no_request_in_progress() {
+    let mut env = TestEnv::start(Plan::default());
+    let prompt = "a long diagnosis";
+    let response = env.prompt(0, "anna", prompt, 400, true).send().expect("an answer");
+    let mut lines = BufReader::new(response).lines();
+    lines.next().expect("a first chunk").expect("it can be read");
+    env.nodes[0].signal("TERM");
+    let ready = format!("{}/health/ready", env.callers(0));
+    until("it turns not ready", || {
+        env.client.get(&ready).send().map_or(true, |r| r.status() == 503).then_some(())
+    });
+    let refused = env.prompt(0, "anna", "too late", 2, false).send();
+    if let Ok(refused) = refused {
+        let body: Value = refused.json().expect("JSON");
+        assert_eq!(
+            (execution(&body), &body["error"]["code"]),
+            ("not_run", &json!("shutting_down"))
+        );
+    }
+    let rest: Vec<String> = lines.map(|line| line.expect("it can be read")).collect();
+    assert!(rest.iter().any(|line| line == "data: [DONE]"), "the answer is whole");
+    assert_eq!(env.nodes[0].exit_code(), Some(0));
+}
+
+#[test]
+fn an_answer_survives_the_death_of_its_engine() {
+    let env = TestEnv::start(Plan::default());
+    let prompt = "survive this";
+    // The deadline is for the first token; when the engine dies it has passed.
+    let response = env
+        .prompt(1, "bibek", prompt, 600, true)
+        .header("x-kumquatpost-deadline-ms", "500")
+        .send()
+        .expect("an answer");
+    let mut lines = BufReader::new(response).lines();
+    let mut whole = String::new();
+    for line in lines.by_ref().take(2 * 300) {
+        push_content(&mut whole, &line.expect("it can be read"));
+    }
+    let running = until("an engine runs it", || {
+        let status = env.status(1);
+        let engines = status["engines"].as_array().expect("engines").clone();
+        let busy = engines.iter().find(|engine| engine["running"].as_u64() > Some(0));
+        busy.map(|engine| engine["target"].as_str().expect("its name").to_string())
+    });
+    env.set_fault(&running, json!("die"));
+    for line in lines {
+        push_content(&mut whole, &line.expect("it can be read"));
+    }
+    assert_eq!(whole, expected("bibek", prompt, 600), "one whole answer");
+}
+
+/// Adds the text that a line of a stream carries.
+fn push_content(text: &mut String, line: &str) {
+    let Some(data) = line.strip_prefix("data: ") else { return };
+    let Ok(chunk) = serde_json::from_str::<Value>(data) else { return };
+    text.push_str(chunk["choices"][0]["delta"]["content"].as_str().unwrap_or_default());
+}
+
+#[test]
+fn broken_and_crossed_streams_end_in_the_callers_own_whole_answer_or_none() {
+    let env = TestEnv::start(Plan::default());
+    let cases = [
+        ("broken once", json!({"break_after_tokens": 3, "break_count": 1})),
+        ("crossed", json!({"crossed": true})),
+        ("refusing", json!({"refuse": true})),
+        ("broken at once", json!({"break_after_tokens": 0, "break_count": 2})),
+    ];
+    for (what, knobs) in cases {
+        for target in ["engine-0", "engine-1"] {
+            env.set_fault(target, json!({"set": knobs}));
+        }
+        for number in 0..6 {
+            let prompt = format!("{what} {number}");
+            let body: Value = env.ask(number % 3, "anna", &prompt, 8).json().expect("JSON");
+            let content = &body["choices"][0]["message"]["content"];
+            assert_eq!(content, &json!(expected("anna", &prompt, 8)), "{what}: {body}");
+        }
+        for target in ["engine-0", "engine-1"] {
+            env.set_fault(target, json!({"set": {}}));
+        }
+    }
+    // With every engine crossing, there is no answer rather than a wrong one.
+    for target in ["engine-0", "engine-1", "engine-2"] {
+        env.set_fault(target, json!({"set": {"crossed": true}}));
+    }
+    let response = env.ask(0, "anna", "all crossed", 8);
+    assert!(response.status().is_server_error());
+    let body: Value = response.json().expect("JSON");
+    assert_eq!(execution(&body), "may_have_run");
+}
+
+#[test]
+fn an_order_runs_at_most_once_whatever_is_resent_and_whoever_dies() {
+    let mut env = TestEnv::start(Plan::default());
+    // The answer is recorded: a resend at any node gets it again.
+    let first = env.order(0, "anna", "order-1", "gear").expect("answered").text().expect("text");
+    for node in 0..3 {
+        let again = env.order(node, "anna", "order-1", "gear").expect("answered");
+        assert!(again.status().is_success());
+        assert_eq!(again.text().expect("text"), first);
+    }
+    assert_eq!(env.runs("order-1"), 1);
+    let other = env.order(1, "anna", "order-1", "shaft").expect("answered");
+    assert_eq!(other.status(), 422, "the same id with other content");
+    assert_eq!(
+        env.order(1, "bibek", "order-1", "gear").expect("answered").status(),
+        200,
+        "another account's"
+    );
+    assert_eq!(env.runs("order-1"), 2, "once for each account");
+
+    // The call breaks off after it ran: unknown outcome, and never a second run.
+    for target in ["order-0", "order-1"] {
+        env.set_fault(target, json!({"set": {"break_after_tokens": 0}}));
+    }
+    let broken: Value =
+        env.order(0, "anna", "order-2", "gear").expect("answered").json().expect("JSON");
+    assert_eq!(execution(&broken), "may_have_run");
+    for node in 0..3 {
+        let again = env.order(node, "anna", "order-2", "gear").expect("answered");
+        assert_eq!(again.status(), 409);
+        assert_eq!(execution(&again.json().expect("JSON")), "may_have_run");
+    }
+    assert_eq!(env.runs("order-2"), 1);
+
+    // Nothing takes it: provably not run, so a later resend runs it.
+    for target in ["order-0", "order-1"] {
+        env.set_fault(target, json!({"set": {"refuse": true}}));
+    }
+    let refused: Value =
+        env.order(0, "anna", "order-3", "gear").expect("answered").json().expect("JSON");
+    assert_eq!(execution(&refused), "not_run");
+    assert_eq!(env.runs("order-3"), 0);
+    for target in ["order-0", "order-1"] {
+        env.set_fault(target, json!({"set": {}}));
+    }
+    until("the claim was given back", || {
+        env.order(2, "anna", "order-3", "gear").is_ok_and(|r| r.status().is_success()).then_some(())
+    });
+    assert_eq!(env.runs("order-3"), 1);
+
+    // The node that holds the claim is killed while the call runs.
+    for target in ["order-0", "order-1"] {
+        env.set_fault(target, json!({"set": {"delay_ms": 1500}}));
+    }
+    std::thread::scope(|scope| {
+        let sender = scope.spawn(|| env.order(0, "anna", "order-4", "gear").is_ok());
+        until("it runs", || (env.runs("order-4") == 1).then_some(()));
+        env.nodes[0].signal("KILL");
+        drop(sender.join());
+    });
+    env.nodes[0].kill();
+    let resent = until("another node answers", || {
+        let response = env.order(1, "anna", "order-4", "gear").ok()?;
+        (response.status() != 503).then_some(response)
+    });
+    assert_eq!(resent.status(), 409);
+    assert_eq!(execution(&resent.json().expect("JSON")), "may_have_run");
+    assert_eq!(env.runs("order-4"), 1);
+}
+
+#[test]
+fn a_leaving_target_gets_no_new_work_from_any_node() {
+    let env = TestEnv::start(Plan::default());
+    env.set_fault("engine-1", json!("leave"));
+    until("every node knows", || {
+        let knows = |node: usize| {
+            let engines = env.status(node)["engines"].clone();
+            let engines = engines.as_array().expect("engines").clone();
+            engines.iter().any(|e| e["target"] == "engine-1" && e["takes_work"] == false)
+        };
+        (0..3).all(knows).then_some(())
+    });
+    let before = env.ledger()["by_target"]["engine-1"].as_u64();
+    for number in 0..30 {
+        assert!(env.ask(number % 3, "anna", &format!("leave {number}"), 2).status().is_success());
+    }
+    assert_eq!(env.ledger()["by_target"]["engine-1"].as_u64(), before);
+}
+
+#[test]
+fn a_damaged_or_lost_kept_block_is_recomputed_never_used() {
+    let env = TestEnv::start(Plan::default());
+    let history = "tooth wear ".repeat(700);
+    let ask = |prompt: &str| -> Value { env.ask(0, "anna", prompt, 4).json().expect("JSON") };
+    let check = |body: &Value, prompt: &str| {
+        let content = &body["choices"][0]["message"]["content"];
+        assert_eq!(content, &json!(expected("anna", prompt, 4)));
+    };
+    check(&ask(&history), &history);
+    until("it is exported", || (env.ledger()["export_bytes"].as_u64() > Some(0)).then_some(()));
+    // All engines lose their caches; what the stores send is damaged.
+    for target in ["store-0", "store-1"] {
+        env.set_fault(target, json!({"set": {"damage": true}}));
+    }
+    for target in ["engine-0", "engine-1", "engine-2"] {
+        env.set_fault(target, json!("restart"));
+    }
+    until("an import was tried and refused", || {
+        let prompt = format!("{history} and now?");
+        let response = env.ask(0, "anna", &prompt, 4);
+        if response.status().is_success() {
+            check(&response.json().expect("JSON"), &prompt);
+        }
+        (env.ledger()["failed_imports"].as_u64() > Some(0)).then_some(())
+    });
+    assert_eq!(env.ledger()["imported_tokens"].as_u64(), Some(0));
+}
+
+#[test]
+fn a_weight_roll_out_goes_on_over_a_change_of_leader_and_no_request_fails() {
+    let mut plan = Plan::default();
+    let engines: Vec<Value> = (0..6)
+        .map(|i| {
+            let domain = ["patan", "bhaktapur", "kirtipur"][i % 3];
+            json!({"id": format!("engine-{i}"), "model": "mechanic", "failure_domain": domain,
+                   "load_lag_ms": 20, "checks_fencing": i % 2 == 0})
+        })
+        .collect();
+    plan.emulator["engines"] = json!(engines);
+    let mut env = TestEnv::start(plan);
+    let leader = env.leader();
+    let others: Vec<usize> = (0..3).filter(|node| *node != leader).collect();
+    let next = json!({"models": {"mechanic": {"next_version": "v2"}}});
+    patch_until_answered(&env, &others, 1, "roll", &next);
+    until("the first engines were ordered", || {
+        let orders = env.ledger()["orders"].as_object().map_or(0, serde_json::Map::len);
+        (orders > 0).then_some(())
+    });
+    env.nodes[leader].kill();
+    let mut asked = 0;
+    until("all engines were ordered", || {
+        asked += 1;
+        let response = env.ask(others[asked % 2], "anna", &format!("meanwhile {asked}"), 2);
+        assert!(response.status().is_success(), "{}", response.text().unwrap_or_default());
+        let orders = env.ledger()["orders"].as_object().map_or(0, serde_json::Map::len);
+        (orders == 6).then_some(())
+    });
+    for (engine, fencing) in env.ledger()["orders"].as_object().expect("orders") {
+        let numbers: Vec<u64> =
+            fencing.as_array().expect("numbers").iter().filter_map(Value::as_u64).collect();
+        assert!(numbers.is_sorted(), "{engine}: {numbers:?}");
+    }
+}
+
+#[test]
+fn a_prompt_that_no_engine_can_begin_in_time_is_refused_at_once() {
+    let mut plan = Plan { nodes: 1, replicas: 1, ..Plan::default() };
+    plan.emulator["engines"] = json!([
+        {"id": "slow", "model": "mechanic", "failure_domain": "patan", "prefill_tokens_per_s": 100,
+         "load_lag_ms": 20}
+    ]);
+    let env = TestEnv::start(plan);
+    let prompt = |text: &str, id: &str, deadline_ms: &str| {
+        env.prompt(0, "anna", text, 2, false)
+            .header("idempotency-key", id)
+            .header("x-kumquatpost-deadline-ms", deadline_ms)
+            .send()
+            .expect("answered")
+    };
+    let refused = prompt(&"word ".repeat(1_000), "late", "2000");
+    assert_eq!(refused.status(), 503);
+    let retry_after = refused.headers()["retry-after"].to_str().expect("text").to_string();
+    let body: Value = refused.json().expect("JSON");
+    assert_eq!((execution(&body), &body["error"]["code"]), ("not_run", &json!("deadline")));
+    assert!((7..=9).contains(&retry_after.parse().unwrap_or(0)), "{retry_after} s");
+    assert_eq!(env.runs("late"), 0);
+    assert!(prompt("a short one", "early", "2000").status().is_success());
+}
