--- a/src/cli.rs
+++ b/src/cli.rs
@@ -24,6 +24,8 @@
 
 commands:
   serve --settings FILE          run a node
+  entry                          take callers of a deployment on the platform's host
+  replica                        keep the state of a deployment on the platform's host
   emulate --settings FILE        run stand-ins for targets and the platform
   demo                           run a node and stand-ins, send prompts, check the answers
   load                           send a workload to nodes and check the answers
@@ -44,6 +46,8 @@
 
 const COMMANDS: &[&str] = &[
     "serve",
+    "entry",
+    "replica",
     "emulate",
     "demo",
     "load",
@@ -66,6 +70,10 @@
     Print(String),
     /// Run a node.
     Serve(PathBuf),
+    /// Take callers of a deployment.
+    Entry,
+    /// Keep the state of a deployment.
+    Replica,
     /// Run stand-ins.
     Emulate(PathBuf),
     /// Run the demonstration.
@@ -120,6 +128,8 @@
     let (command, flags) = match name.as_str() {
         "help" => (Command::Print(HELP.into()), &[][..]),
         "serve" => (Command::Serve(args.value_from_str("--settings").map_err(usage)?), SETTINGS),
+        "entry" => (Command::Entry, &[][..]),
+        "replica" => (Command::Replica, &[][..]),
         "emulate" => {
             (Command::Emulate(args.value_from_str("--settings").map_err(usage)?), SETTINGS)
         }
@@ -151,6 +161,8 @@
             Ok(())
         }
         Command::Serve(file) => commands::serve::run(&file),
+        Command::Entry => commands::roles::entry(),
+        Command::Replica => commands::roles::replica(),
         Command::Emulate(file) => commands::emulate::run(&file),
         Command::Demo(options) => demo::run(&options),
         Command::Load(options) => load::run(&options),
@@ -330,6 +342,10 @@
 
 fn help_of(command: &str) -> String {
     let options = match command {
+        "entry" | "replica" => {
+            "run one role of a deployment; the platform names its settings file in the environment\n"
+                .into()
+        }
         "serve" => "run a node\n  --settings FILE   settings in JSON, see examples/serve.json\n".into(),
         "emulate" => {
             "run stand-ins\n  --settings FILE   settings in JSON, see examples/emulate.json\n".into()
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -6,6 +6,7 @@
 pub mod key_new;
 pub mod load;
 pub mod replicas;
+pub mod roles;
 pub mod serve;
 
 use std::future::Future;
--- /dev/null
+++ b/src/commands/roles.rs
@@ -0,0 +1,40 @@
+//! `entry` and `replica`: run one role of a deployment on the platform's host.
+
+use std::future::Future;
+
+use log::LevelFilter;
+use tokio::task::LocalSet;
+
+use crate::error::{Error, Result};
+use crate::host::HostSettings;
+use crate::telemetry::logs::{self, LogSettings};
+use crate::{control, gateway, platform};
+
+/// Runs an entry until SIGTERM or SIGINT.
+///
+/// # Errors
+/// If it can't start.
+pub fn entry() -> Result<()> {
+    run(gateway::run::run)
+}
+
+/// Runs a replica until SIGTERM or SIGINT.
+///
+/// # Errors
+/// If it can't start.
+pub fn replica() -> Result<()> {
+    run(control::run::run)
+}
+
+/// These hosts have a part of one core, so one thread does all the work.
+fn run<F: Future<Output = Result<()>>>(role: impl FnOnce(HostSettings) -> F) -> Result<()> {
+    let host = platform::settings::read()?;
+    logs::start(&LogSettings { level: LevelFilter::Info, file: None })?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|source| Error::start("runtime", source, "raise the limits of this user"))?;
+    let result = LocalSet::new().block_on(&runtime, role(host));
+    runtime.shutdown_background();
+    result
+}
--- /dev/null
+++ b/src/control/frames.rs
@@ -0,0 +1,105 @@
+//! What replicas and entries say to each other, and how it is framed on a connection.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::IpAddr;
+use std::sync::Arc;
+
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use tokio::io::{AsyncRead, AsyncReadExt};
+
+use crate::deployment::Deployment;
+use crate::fleet::Roster;
+use crate::ids::{DomainId, ModelId, NodeId};
+use crate::log::Message;
+
+/// A longer frame is taken for damage. Larger than any deployment with its text: a body of an
+/// operator's call is at most 4 MiB.
+const MAX_FRAME_BYTES: usize = 16 << 20;
+/// The length before each frame.
+const HEADER_BYTES: usize = 4;
+
+/// The first frame on each connection: who opened it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Introduction {
+    /// Another replica; `ToReplica` frames follow, nothing is sent back.
+    Replica {
+        /// Its id.
+        node: NodeId,
+        /// Its host.
+        ip: IpAddr,
+    },
+    /// An entry; `News` is sent back.
+    Entry {
+        /// Its host's name.
+        name: String,
+        /// Its failure domain.
+        failure_domain: DomainId,
+    },
+}
+
+/// From replica to replica.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum ToReplica {
+    /// Of the log.
+    Log(Message),
+    /// The sender wants to be a replica.
+    Join,
+    /// The list of targets.
+    Roster(NumberedRoster),
+    /// The list with this number was read again and is the same.
+    RosterUnchanged(u64),
+    /// Entries that are connected to the sender.
+    Entries(BTreeSet<String>),
+}
+
+/// A list of targets with its place among other lists.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct NumberedRoster {
+    /// Higher than that of every list that its reader had seen.
+    pub number: u64,
+    /// The list.
+    pub roster: Arc<Roster>,
+}
+
+/// From a replica to an entry. What is said holds until it is said otherwise.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum News {
+    /// The sender had all that was committed just now.
+    Current {
+        /// Hosts of all replicas.
+        replicas: BTreeSet<IpAddr>,
+        /// How many entries there are.
+        entries: u32,
+    },
+    /// The newest deployment.
+    Deployment(Arc<Deployment>),
+    /// The newest weights of each model.
+    Weights(Arc<BTreeMap<ModelId, u64>>),
+    /// The list of targets.
+    Roster(NumberedRoster),
+}
+
+/// Writes a frame.
+pub fn encode<T: Serialize>(frame: &T) -> Arc<[u8]> {
+    // Cannot fail: frames hold only types that the codec writes.
+    let body = postcard::to_stdvec(frame).unwrap_or_default();
+    let mut bytes = Vec::with_capacity(HEADER_BYTES + body.len());
+    bytes.extend_from_slice(&(body.len() as u32).to_le_bytes());
+    bytes.extend_from_slice(&body);
+    bytes.into()
+}
+
+/// Reads the next frame.
+///
+/// # Errors
+/// If the connection ends, or what comes is no such frame.
+pub async fn read<T: DeserializeOwned>(from: &mut (impl AsyncRead + Unpin)) -> std::io::Result<T> {
+    let length = from.read_u32_le().await? as usize;
+    if length > MAX_FRAME_BYTES {
+        return Err(std::io::Error::other("frame too large"));
+    }
+    let mut body = vec![0; length];
+    from.read_exact(&mut body).await?;
+    postcard::from_bytes(&body).map_err(std::io::Error::other)
+}
--- /dev/null
+++ b/src/control/identity.rs
@@ -0,0 +1,91 @@
+//! Who a replica is: an id that lives and dies with its disk.
+//!
+//! The replicas that found the system derive their ids from the seeds, so that all name the same
+//! first voters without talking. A disk that is empty later belongs to a new replica with a new id,
+//! which must not be taken for the one whose votes and acknowledgements were lost.
+
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::io::{self, Write};
+use std::net::IpAddr;
+use std::path::Path;
+
+use rand::RngExt;
+use serde::{Deserialize, Serialize};
+
+use crate::error::{Error, Result};
+use crate::host::HostSettings;
+use crate::ids::NodeId;
+
+const IDENTITY_FILE: &str = "identity";
+const LOG_FOLDER: &str = "replica";
+
+/// A replica's durable identity.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Identity {
+    /// The replica.
+    pub node: NodeId,
+    /// The replicas that founded the system and their hosts, where this one knows them for sure.
+    pub founders: BTreeMap<NodeId, IpAddr>,
+}
+
+impl Identity {
+    /// Reads the identity on this disk, or makes one and keeps it.
+    ///
+    /// # Errors
+    /// If the disk can't be used.
+    pub fn open(folder: &Path, host: &HostSettings) -> Result<Identity> {
+        let remedy = "check the folder's owner, mount and free space";
+        let failed = |source: io::Error| Error::start("data_folder", source, remedy);
+        std::fs::create_dir_all(folder).map_err(failed)?;
+        let path = folder.join(IDENTITY_FILE);
+        let read = match std::fs::read(&path) {
+            Ok(bytes) => serde_json::from_slice(&bytes).ok(),
+            Err(error) if error.kind() == io::ErrorKind::NotFound => None,
+            Err(error) => return Err(failed(error)),
+        };
+        if let Some(identity) = read {
+            return Ok(identity);
+        }
+        let identity = Identity::new(host);
+        // What lies there without a readable identity can't be trusted to be this replica's.
+        match std::fs::remove_dir_all(folder.join(LOG_FOLDER)) {
+            Err(error) if error.kind() != io::ErrorKind::NotFound => return Err(failed(error)),
+            _ => {}
+        }
+        identity.save(folder).map_err(failed)?;
+        Ok(identity)
+    }
+
+    /// The folder of this replica's log.
+    pub fn log_folder(folder: &Path) -> std::path::PathBuf {
+        folder.join(LOG_FOLDER)
+    }
+
+    fn new(host: &HostSettings) -> Identity {
+        let founders = match host.is_first_start {
+            true => host.seeds.iter().map(|seed| (founder_id(seed.ip()), seed.ip())).collect(),
+            false => BTreeMap::new(),
+        };
+        let own = founder_id(host.ip);
+        let node = if founders.contains_key(&own) { own } else { rand::rng().random() };
+        Identity { node, founders }
+    }
+
+    fn save(&self, folder: &Path) -> io::Result<()> {
+        let draft = folder.join(format!("{IDENTITY_FILE}.draft"));
+        let mut file = File::create(&draft)?;
+        file.write_all(&serde_json::to_vec(self)?)?;
+        file.sync_all()?;
+        std::fs::rename(&draft, folder.join(IDENTITY_FILE))?;
+        File::open(folder)?.sync_all()
+    }
+}
+
+/// The id of a replica that founds the system on a host.
+fn founder_id(ip: IpAddr) -> NodeId {
+    let hash = blake3::hash(ip.to_string().as_bytes());
+    let mut bytes = [0; 8];
+    bytes.copy_from_slice(&hash.as_bytes()[..8]);
+    NodeId::from_le_bytes(bytes)
+}
--- /dev/null
+++ b/src/control/links.rs
@@ -0,0 +1,90 @@
+//! Connections to other replicas: one outgoing connection to each host, for frames one way.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+
+use super::frames::{Introduction, encode};
+use crate::ids::NodeId;
+use crate::net;
+
+/// Frames that wait for a connection. The log sends again what is lost.
+const QUEUE_LEN: usize = 64;
+/// Longest time to connect: replicas are a few milliseconds apart.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Pause after a failure.
+const RECONNECT: Duration = Duration::from_millis(100);
+/// A connection whose bytes are not acknowledged for this long is given up.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(600);
+
+/// Outgoing connections of one replica.
+pub struct Links {
+    me: NodeId,
+    ip: IpAddr,
+    port: u16,
+    outgoing: RefCell<HashMap<IpAddr, mpsc::Sender<Arc<[u8]>>>>,
+}
+
+impl Links {
+    /// No connections yet. Replicas listen at the same port on all hosts.
+    pub fn new(me: NodeId, ip: IpAddr, port: u16) -> Links {
+        Links { me, ip, port, outgoing: RefCell::default() }
+    }
+
+    /// Queues a frame for a host. A full queue loses it.
+    pub fn send(&self, to: IpAddr, frame: Arc<[u8]>) {
+        let mut outgoing = self.outgoing.borrow_mut();
+        let sender = outgoing.entry(to).or_insert_with(|| {
+            let (sender, receiver) = mpsc::channel(QUEUE_LEN);
+            let introduction = encode(&Introduction::Replica { node: self.me, ip: self.ip });
+            let address = SocketAddr::new(to, self.port);
+            tokio::task::spawn_local(keep_connected(address, introduction, receiver));
+            sender
+        });
+        // Whoever waits for an answer asks again.
+        drop(sender.try_send(frame));
+    }
+}
+
+async fn keep_connected(
+    to: SocketAddr,
+    introduction: Arc<[u8]>,
+    mut frames: mpsc::Receiver<Arc<[u8]>>,
+) {
+    while let Some(first) = frames.recv().await {
+        match net::connect(to, CONNECT_TIMEOUT, UNACKNOWLEDGED).await {
+            Ok(stream) => {
+                if let Err(error) = write_all(stream, &introduction, first, &mut frames).await {
+                    log::info!("event=replica_lost to={to} reason={:?}", error.to_string());
+                }
+            }
+            Err(_) => tokio::time::sleep(RECONNECT).await,
+        }
+        // What waited is stale by now.
+        while frames.try_recv().is_ok() {}
+    }
+}
+
+async fn write_all(
+    mut stream: TcpStream,
+    introduction: &[u8],
+    first: Arc<[u8]>,
+    frames: &mut mpsc::Receiver<Arc<[u8]>>,
+) -> std::io::Result<()> {
+    stream.write_all(introduction).await?;
+    stream.write_all(&first).await?;
+    while let Some(frame) = frames.recv().await {
+        stream.write_all(&frame).await?;
+    }
+    Ok(())
+}
+
+/// The links of a replica, shared by its tasks.
+pub type SharedLinks = Rc<Links>;
--- /dev/null
+++ b/src/control/mod.rs
@@ -0,0 +1,14 @@
+//! Replicas: the replicated state of a deployment, its operators, and news for entries.
+
+pub mod forming;
+pub mod frames;
+pub mod identity;
+pub mod links;
+pub mod news;
+pub mod operators;
+pub mod ordering;
+pub mod replica;
+pub mod roster_reader;
+pub mod run;
+pub mod state;
+pub mod weights;
--- /dev/null
+++ b/src/control/news.rs
@@ -0,0 +1,149 @@
+//! Serves connections from other replicas and from entries at the port for peers.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+
+use super::frames::{self, Introduction, News, ToReplica, encode};
+use super::replica::{Input, Shared};
+use crate::net;
+
+/// How often an entry is told that what it knows is current.
+pub const CURRENT_EVERY: Duration = Duration::from_millis(250);
+/// A replica that has not heard of its leader for this long keeps silent, so that entries turn to
+/// another one. Several heartbeats.
+const CURRENT_WITHIN: Duration = Duration::from_millis(500);
+/// Longest time for the first frame.
+const INTRODUCTION_TIMEOUT: Duration = Duration::from_secs(1);
+/// A connection whose bytes are not acknowledged for this long is given up.
+const UNACKNOWLEDGED: Duration = Duration::from_secs(1);
+/// Pause after a failed accept.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(50);
+
+/// Accepts connections for as long as the process lives.
+pub async fn accept(listener: TcpListener, shared: Rc<Shared>, inputs: mpsc::Sender<Input>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let (shared, inputs) = (shared.clone(), inputs.clone());
+                tokio::task::spawn_local(async move {
+                    if let Err(error) = serve(stream, shared, inputs).await {
+                        log::debug!("event=peer_gone reason={:?}", error.to_string());
+                    }
+                });
+            }
+            Err(error) => {
+                log::warn!("event=accept_failed reason={:?}", error.to_string());
+                tokio::time::sleep(ACCEPT_AGAIN).await;
+            }
+        }
+    }
+}
+
+async fn serve(
+    stream: TcpStream,
+    shared: Rc<Shared>,
+    inputs: mpsc::Sender<Input>,
+) -> std::io::Result<()> {
+    net::notice_silence(&stream, UNACKNOWLEDGED)?;
+    let (read, write) = stream.into_split();
+    let mut read = BufReader::new(read);
+    let introduction = frames::read(&mut read);
+    match tokio::time::timeout(INTRODUCTION_TIMEOUT, introduction).await?? {
+        Introduction::Replica { node, ip } => loop {
+            let frame: ToReplica = frames::read(&mut read).await?;
+            if inputs.send(Input::Frame { node, ip, frame }).await.is_err() {
+                return Ok(());
+            }
+        },
+        Introduction::Entry { name, failure_domain } => {
+            log::info!("event=entry_connected entry={name} failure_domain={failure_domain}");
+            *shared.own_entries.borrow_mut().entry(name.clone()).or_default() += 1;
+            let ended = tell_entry(read, write, &shared).await;
+            let mut entries = shared.own_entries.borrow_mut();
+            if let Some(count) = entries.get_mut(&name) {
+                *count -= 1;
+            }
+            entries.retain(|_, count| *count > 0);
+            log::info!(
+                "event=entry_gone entry={name} reason={:?}",
+                ended.err().map(|e| e.to_string())
+            );
+            Ok(())
+        }
+    }
+}
+
+/// Tells an entry all there is to know, and then what changes, until it goes.
+async fn tell_entry(
+    mut read: BufReader<OwnedReadHalf>,
+    mut write: OwnedWriteHalf,
+    shared: &Shared,
+) -> std::io::Result<()> {
+    let mut belief = shared.belief.subscribe();
+    let mut roster = shared.roster.subscribe();
+    belief.mark_changed();
+    roster.mark_changed();
+    let mut known = Told::default();
+    let mut current = tokio::time::interval(CURRENT_EVERY);
+    loop {
+        let mut bytes = Vec::new();
+        let is_current = shared.is_current(CURRENT_WITHIN);
+        tokio::select! {
+            ended = read.read_u8() => return ended.map(drop),
+            changed = belief.changed() => changed.map_err(std::io::Error::other)?,
+            changed = roster.changed() => changed.map_err(std::io::Error::other)?,
+            _ = current.tick() => if is_current {
+                bytes.extend_from_slice(&current_news(shared));
+            },
+        }
+        // What this replica has is told only once it is sure not to be behind: an entry that has
+        // just started would otherwise act on an old deployment.
+        if shared.is_current(CURRENT_WITHIN) {
+            known.add_news(shared, &mut bytes);
+        }
+        if !bytes.is_empty() {
+            write.write_all(&bytes).await?;
+        }
+    }
+}
+
+/// What an entry was told last.
+#[derive(Default)]
+struct Told {
+    version: u64,
+    weights: Option<std::sync::Arc<std::collections::BTreeMap<String, u64>>>,
+    roster: Option<u64>,
+}
+
+impl Told {
+    /// Adds what the entry does not know yet.
+    fn add_news(&mut self, shared: &Shared, bytes: &mut Vec<u8>) {
+        let belief = shared.belief.borrow();
+        let roster = shared.roster.borrow();
+        if self.roster != Some(roster.number) {
+            self.roster = Some(roster.number);
+            bytes.extend_from_slice(&encode(&News::Roster(roster.clone())));
+        }
+        if self.weights.as_ref() != Some(&belief.state.weights) {
+            self.weights = Some(belief.state.weights.clone());
+            bytes.extend_from_slice(&encode(&News::Weights(belief.state.weights.clone())));
+        }
+        if let Some(published) = &belief.state.published
+            && published.version() > self.version
+        {
+            self.version = published.version();
+            bytes.extend_from_slice(&encode(&News::Deployment(published.deployment.clone())));
+        }
+    }
+}
+
+fn current_news(shared: &Shared) -> std::sync::Arc<[u8]> {
+    let replicas: BTreeSet<_> = shared.belief.borrow().state.places.values().copied().collect();
+    encode(&News::Current { replicas, entries: shared.entries.get().max(1) })
+}
--- /dev/null
+++ b/src/control/operators.rs
@@ -0,0 +1,189 @@
+//! Operators' HTTP at a replica: publish and read deployments, name weights.
+
+use std::convert::Infallible;
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{CONTENT_TYPE, LOCATION};
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+
+use super::replica::{Input, Undecided};
+use super::state::{Command, Published, Reply};
+use crate::deployment::Deployment;
+use crate::ids::ModelId;
+use crate::net;
+use crate::platform::operator;
+
+/// Largest body of a call.
+const MAX_BODY_BYTES: usize = 8 << 20;
+/// A decision that takes longer is answered as unknown; operators turn to another replica after a
+/// second.
+const DECISION_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// A connection whose bytes are not acknowledged for this long is given up.
+const UNACKNOWLEDGED: Duration = Duration::from_secs(3);
+/// Pause after a failed accept.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(50);
+
+/// What operators ask for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum OperatorCall {
+    /// Publish a valid deployment.
+    Publish {
+        /// The deployment.
+        deployment: Deployment,
+        /// The text that it was read from.
+        text: Vec<u8>,
+    },
+    /// Show the newest deployment.
+    ReadDeployment,
+    /// Name new weights.
+    NameWeights {
+        /// The model.
+        model: ModelId,
+        /// The version.
+        version: u64,
+    },
+}
+
+type Answer = Response<Full<Bytes>>;
+
+/// Serves operators at one replica.
+pub struct Operators {
+    /// Takes commands.
+    pub inputs: mpsc::Sender<Input>,
+    /// The port at which all replicas serve operators.
+    pub port: u16,
+}
+
+impl Operators {
+    /// Accepts connections for as long as the process lives.
+    pub async fn accept(self: Rc<Operators>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => drop(tokio::task::spawn_local(self.clone().serve(stream))),
+                Err(error) => {
+                    log::warn!("event=accept_failed reason={:?}", error.to_string());
+                    tokio::time::sleep(ACCEPT_AGAIN).await;
+                }
+            }
+        }
+    }
+
+    async fn serve(self: Rc<Operators>, stream: TcpStream) {
+        if let Err(error) = net::notice_silence(&stream, UNACKNOWLEDGED) {
+            log::warn!("event=connection_not_set reason={:?}", error.to_string());
+        }
+        let service = service_fn(move |request| {
+            let operators = self.clone();
+            async move { Ok::<Answer, Infallible>(operators.answer(request).await) }
+        });
+        let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+        if let Err(error) = served {
+            log::debug!("event=operator_gone reason={:?}", error.to_string());
+        }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Answer {
+        let (head, body) = request.into_parts();
+        let path = head.uri.path().to_string();
+        let Ok(body) = Limited::new(body, MAX_BODY_BYTES).collect().await else {
+            return text(StatusCode::BAD_REQUEST, "the body is too large or broke off".into());
+        };
+        let answer = match operator::decode(&head.method, &path, &body.to_bytes()) {
+            Ok(OperatorCall::ReadDeployment) => self.read(&path).await,
+            Ok(OperatorCall::Publish { deployment, text }) => {
+                let published =
+                    Published { text: Arc::new(text), deployment: Arc::new(deployment) };
+                self.decide(Command::Publish(published), &path).await
+            }
+            Ok(OperatorCall::NameWeights { model, version }) => {
+                self.decide(Command::NameWeights { model, version }, &path).await
+            }
+            Err(refused) => text(refused.status, refused.message),
+        };
+        log::info!(
+            "event=operator_call method={} path={path} status={}",
+            head.method,
+            answer.status().as_u16()
+        );
+        answer
+    }
+
+    async fn decide(&self, command: Command, path: &str) -> Answer {
+        let (sender, decided) = oneshot::channel();
+        if self.inputs.send(Input::Propose(command, sender)).await.is_err() {
+            return self.undecided(Undecided::Unknown, path);
+        }
+        match tokio::time::timeout(DECISION_TIMEOUT, decided).await {
+            Ok(Ok(Ok(Reply::Published(version) | Reply::Named(version)))) => {
+                json(format!("{{\"newest\":{version}}}").into())
+            }
+            Ok(Ok(Err(undecided))) => self.undecided(undecided, path),
+            _ => self.undecided(Undecided::Unknown, path),
+        }
+    }
+
+    async fn read(&self, path: &str) -> Answer {
+        let (sender, read) = oneshot::channel();
+        if self.inputs.send(Input::Read(sender)).await.is_err() {
+            return self.undecided(Undecided::Unknown, path);
+        }
+        match tokio::time::timeout(DECISION_TIMEOUT, read).await {
+            Ok(Ok(Ok(Some(published)))) => json(Bytes::copy_from_slice(&published.text)),
+            Ok(Ok(Ok(None))) => {
+                text(StatusCode::SERVICE_UNAVAILABLE, "no deployment is published yet".into())
+            }
+            Ok(Ok(Err(undecided))) => self.undecided(undecided, path),
+            _ => self.undecided(Undecided::Unknown, path),
+        }
+    }
+
+    fn undecided(&self, undecided: Undecided, path: &str) -> Answer {
+        match undecided {
+            Undecided::NotLeader(Some(leader)) => redirect(leader, self.port, path),
+            Undecided::NotLeader(None) => {
+                text(StatusCode::SERVICE_UNAVAILABLE, "no replica leads yet; ask again".into())
+            }
+            Undecided::Unknown => {
+                let message = "it may or may not be decided; send the same again";
+                text(StatusCode::SERVICE_UNAVAILABLE, message.into())
+            }
+        }
+    }
+}
+
+fn redirect(leader: IpAddr, port: u16, path: &str) -> Answer {
+    let to = format!("http://{}{path}", SocketAddr::new(leader, port));
+    let mut answer = text(StatusCode::TEMPORARY_REDIRECT, format!("{to} leads"));
+    match to.parse() {
+        Ok(value) => drop(answer.headers_mut().insert(LOCATION, value)),
+        Err(_) => *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE,
+    }
+    answer
+}
+
+fn json(body: Bytes) -> Answer {
+    with_type(StatusCode::OK, body, "application/json")
+}
+
+fn text(status: StatusCode, message: String) -> Answer {
+    with_type(status, message.into(), "text/plain; charset=utf-8")
+}
+
+fn with_type(status: StatusCode, body: Bytes, content_type: &'static str) -> Answer {
+    let mut answer = Response::new(Full::new(body));
+    *answer.status_mut() = status;
+    let value = http::HeaderValue::from_static(content_type);
+    answer.headers_mut().insert(CONTENT_TYPE, value);
+    answer
+}
--- /dev/null
+++ b/src/control/replica.rs
@@ -0,0 +1,407 @@
+//! The task around one replica: its log, its operators' commands, its peers.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::IpAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::{mpsc, oneshot, watch};
+
+use super::forming::{Presence, Step};
+use super::frames::{NumberedRoster, ToReplica, encode};
+use super::links::SharedLinks;
+use super::state::{Command, ControlState, Published, Reply};
+use crate::clock::{BootTime, boot_now};
+use crate::fleet::Roster;
+use crate::ids::NodeId;
+use crate::log::driver::{Driver, Output};
+use crate::log::raft::{Change, NotLeader, ReadId};
+use crate::log::{Entry, Index, Payload, Term};
+
+/// How often timers of the log are looked at.
+const TICK: Duration = Duration::from_millis(25);
+/// Inputs that are taken before their effects are made durable together.
+const BATCH: usize = 256;
+/// How often replicas tell each other which entries they serve, and how often one that no leader
+/// talks to asks to join.
+const TELL: Duration = Duration::from_millis(500);
+/// A replica that has heard no leader for this long asks to join.
+const ASK_TO_JOIN_AFTER: Duration = Duration::from_millis(900);
+/// Entries that a replica told of are counted for this long.
+const ENTRIES_LAST: Duration = Duration::from_secs(2);
+
+/// What the tasks of one replica share.
+pub struct Shared {
+    /// This replica.
+    pub node: NodeId,
+    /// The newest state that is known here.
+    pub belief: watch::Sender<Belief>,
+    /// The list of targets.
+    pub roster: watch::Sender<NumberedRoster>,
+    /// When the list was last known to have been read by any replica.
+    pub roster_read_at: Cell<BootTime>,
+    /// When this replica last had all that was committed.
+    pub caught_up_at: Cell<Option<BootTime>>,
+    /// Entries that are connected here, with the number of their connections.
+    pub own_entries: RefCell<BTreeMap<String, u32>>,
+    /// Entries that are connected to any replica.
+    pub entries: Cell<u32>,
+    /// Connections to other replicas.
+    pub links: SharedLinks,
+    /// Hosts of replicas that the settings named at some time.
+    pub seeds: RefCell<BTreeSet<IpAddr>>,
+}
+
+/// What one replica believes.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Belief {
+    /// The replicated state, as far as it is applied here.
+    pub state: ControlState,
+    /// The term.
+    pub term: Term,
+    /// Whether this replica leads.
+    pub leads: bool,
+    /// The leader's host, as far as is known.
+    pub leader: Option<IpAddr>,
+}
+
+/// Why there was no decision here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Undecided {
+    /// This replica does not lead; the one on this host may.
+    NotLeader(Option<IpAddr>),
+    /// Leadership was lost on the way: it may or may not be decided.
+    Unknown,
+}
+
+/// What the task takes.
+pub enum Input {
+    /// A frame from another replica.
+    Frame {
+        /// Its id.
+        node: NodeId,
+        /// Its host.
+        ip: IpAddr,
+        /// The frame.
+        frame: ToReplica,
+    },
+    /// Have a command decided.
+    Propose(Command, oneshot::Sender<Result<Reply, Undecided>>),
+    /// Read the deployment, confirmed by a quorum.
+    Read(oneshot::Sender<Result<Option<Published>, Undecided>>),
+}
+
+/// The task.
+pub struct Replica {
+    shared: Rc<Shared>,
+    driver: Driver,
+    state: ControlState,
+    presence: Presence,
+    /// Hosts that replicas said that they are on.
+    introduced: BTreeMap<NodeId, IpAddr>,
+    ip: IpAddr,
+    /// Voters that there should be.
+    wanted: usize,
+    decisions: BTreeMap<Index, (Term, oneshot::Sender<Result<Reply, Undecided>>)>,
+    reads: BTreeMap<ReadId, oneshot::Sender<Result<Option<Published>, Undecided>>>,
+    /// Entries of other replicas, with the time at which they told of them.
+    others_entries: BTreeMap<NodeId, (BTreeSet<String>, BootTime)>,
+    heard_leader_at: BootTime,
+    told_at: BootTime,
+    led: bool,
+}
+
+/// What a replica starts from.
+pub struct Start {
+    /// Its log.
+    pub driver: Driver,
+    /// The state before any snapshot and entry.
+    pub state: ControlState,
+    /// Its host.
+    pub ip: IpAddr,
+    /// Voters that there should be.
+    pub wanted: usize,
+}
+
+impl Replica {
+    /// A replica as it starts.
+    pub fn new(shared: Rc<Shared>, start: Start) -> Replica {
+        Replica {
+            shared,
+            driver: start.driver,
+            state: start.state,
+            presence: Presence::default(),
+            introduced: BTreeMap::new(),
+            ip: start.ip,
+            wanted: start.wanted,
+            decisions: BTreeMap::new(),
+            reads: BTreeMap::new(),
+            others_entries: BTreeMap::new(),
+            heard_leader_at: boot_now(),
+            told_at: BootTime::ZERO,
+            led: false,
+        }
+    }
+
+    /// Runs until the disk fails.
+    pub async fn run(mut self, inputs: &mut mpsc::Receiver<Input>) {
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        while !self.driver.raft.status().stopped {
+            tokio::select! {
+                input = inputs.recv() => match input {
+                    Some(input) => self.take_all(input, inputs),
+                    None => return,
+                },
+                _ = ticks.tick() => self.tick(),
+            }
+            self.settle().await;
+        }
+    }
+
+    fn take_all(&mut self, first: Input, inputs: &mut mpsc::Receiver<Input>) {
+        self.take(first);
+        for _ in 1..BATCH {
+            match inputs.try_recv() {
+                Ok(input) => self.take(input),
+                Err(_) => return,
+            }
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Frame { node, ip, frame } => self.take_frame(node, ip, frame),
+            Input::Propose(command, sender) => self.propose(&command, sender),
+            Input::Read(sender) => match self.driver.raft.read() {
+                Ok(read) => drop(self.reads.insert(read, sender)),
+                Err(not_leader) => drop(sender.send(Err(self.not_leader(not_leader)))),
+            },
+        }
+    }
+
+    fn take_frame(&mut self, node: NodeId, ip: IpAddr, frame: ToReplica) {
+        let now = boot_now();
+        self.introduced.insert(node, ip);
+        self.presence.heard(node, now);
+        match frame {
+            ToReplica::Log(message) => {
+                if message.is_from_leader() {
+                    self.heard_leader_at = now;
+                }
+                self.driver.raft.receive(node, message, now);
+            }
+            ToReplica::Join => self.presence.asked(node, ip, now),
+            ToReplica::Roster(roster) => self.shared.take_roster(roster, now),
+            ToReplica::RosterUnchanged(number) => {
+                if number >= self.shared.roster.borrow().number {
+                    self.shared.roster_read_at.set(now);
+                }
+            }
+            ToReplica::Entries(entries) => {
+                self.others_entries.insert(node, (entries, now));
+            }
+        }
+    }
+
+    fn propose(&mut self, command: &Command, sender: oneshot::Sender<Result<Reply, Undecided>>) {
+        // Cannot fail: commands hold only types that the codec writes.
+        let bytes = postcard::to_stdvec(command).unwrap_or_default();
+        match self.driver.raft.propose(bytes) {
+            Ok((term, index)) => drop(self.decisions.insert(index, (term, sender))),
+            Err(not_leader) => drop(sender.send(Err(self.not_leader(not_leader)))),
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = boot_now();
+        self.driver.raft.tick(now);
+        let status = self.driver.raft.status();
+        if status.is_leader && !self.led {
+            self.presence.reset(now);
+        }
+        self.led = status.is_leader;
+        if status.is_leader {
+            self.heard_leader_at = now;
+            self.take_step(now);
+        } else {
+            self.reads.clear();
+        }
+        if now >= self.told_at + TELL {
+            self.told_at = now;
+            self.tell_others(now);
+        }
+    }
+
+    /// Brings the set of voters one step closer to what it should be.
+    fn take_step(&mut self, now: BootTime) {
+        let members = self.driver.raft.status().members;
+        let me = self.shared.node;
+        let step = self.presence.next_step(me, &members, &self.state.places, self.wanted, now);
+        let Some(step) = step else { return };
+        let change = match step {
+            Step::Place(node, ip) => {
+                let (sender, _) = oneshot::channel();
+                self.propose(&Command::Place { node, ip }, sender);
+                return;
+            }
+            Step::AddLearner(node) => Change::AddLearner(node),
+            Step::Promote(node) => Change::Promote(node),
+            Step::Remove(node) => Change::Remove(node),
+        };
+        // Refused while another change is under way or the learner lacks entries: asked again.
+        if self.driver.raft.propose_change(change).is_ok() {
+            log::info!("event=replicas_change change={change:?} voters={}", members.voters.len());
+        }
+    }
+
+    fn tell_others(&mut self, now: BootTime) {
+        let entries: BTreeSet<String> = self.shared.own_entries.borrow().keys().cloned().collect();
+        self.others_entries.retain(|_, (_, at)| now.saturating_sub(*at) < ENTRIES_LAST);
+        let others = self.others_entries.values().flat_map(|(entries, _)| entries);
+        let all: BTreeSet<&String> = entries.iter().chain(others).collect();
+        self.shared.entries.set(all.len() as u32);
+        self.shared.tell(&self.state, self.ip, &ToReplica::Entries(entries.clone()));
+        if now.saturating_sub(self.heard_leader_at) >= ASK_TO_JOIN_AFTER {
+            let join = encode(&ToReplica::Join);
+            let seeds = self.shared.seeds.borrow();
+            let hosts: BTreeSet<IpAddr> =
+                seeds.iter().chain(self.state.places.values()).copied().collect();
+            for host in hosts.into_iter().filter(|host| *host != self.ip) {
+                self.shared.links.send(host, join.clone());
+            }
+        }
+    }
+
+    async fn settle(&mut self) {
+        let (links, places, introduced) =
+            (self.shared.links.clone(), self.state.places.clone(), &self.introduced);
+        let send = |to: NodeId, message| {
+            // Who introduced itself last knows its own address best.
+            if let Some(ip) = introduced.get(&to).or_else(|| places.get(&to)) {
+                links.send(*ip, encode(&ToReplica::Log(message)));
+            }
+        };
+        for output in self.driver.settle(send).await {
+            match output {
+                Output::Restore(snapshot) => match ControlState::restored(&snapshot.data) {
+                    Ok(state) => {
+                        self.state = state;
+                        self.decisions.retain(|index, _| *index > snapshot.index);
+                    }
+                    Err(_) => {
+                        log::error!("event=snapshot_damaged remedy=\"replace this replica\"");
+                        self.driver.raft.disk_failed();
+                    }
+                },
+                Output::Apply(entry) => self.apply(&entry),
+                Output::Read(read) => {
+                    if let Some(sender) = self.reads.remove(&read) {
+                        drop(sender.send(Ok(self.state.published.clone())));
+                    }
+                }
+            }
+        }
+        let state = &self.state;
+        self.driver.compact(|| state.snapshot());
+        self.publish();
+    }
+
+    fn apply(&mut self, entry: &Entry) {
+        let reply = match &entry.payload {
+            Payload::Command(bytes) => match postcard::from_bytes::<Command>(bytes) {
+                Ok(command) => Some(self.state.apply(command)),
+                Err(error) => {
+                    log::error!("event=command_unreadable reason={:?}", error.to_string());
+                    None
+                }
+            },
+            Payload::Noop | Payload::Members(_) => None,
+        };
+        if let Some((term, sender)) = self.decisions.remove(&entry.index) {
+            let decided = reply.filter(|_| term == entry.term).ok_or(Undecided::Unknown);
+            // The asker may have given up waiting.
+            let _ = sender.send(decided);
+        }
+    }
+
+    fn publish(&mut self) {
+        let now = boot_now();
+        let status = self.driver.raft.status();
+        self.shared.caught_up_at.set(self.driver.raft.caught_up_at(now));
+        let leader = status.leader.and_then(|node| self.place_of(node));
+        let belief = Belief {
+            state: self.state.clone(),
+            term: status.term,
+            leads: status.is_leader,
+            leader,
+        };
+        self.shared.belief.send_if_modified(|before| {
+            if before.leads != belief.leads || before.leader != belief.leader {
+                log::info!(
+                    "event=leader_changed term={} leader={:?} here={}",
+                    belief.term,
+                    belief.leader,
+                    belief.leads
+                );
+            }
+            let changed = *before != belief;
+            *before = belief;
+            changed
+        });
+    }
+
+    fn place_of(&self, node: NodeId) -> Option<IpAddr> {
+        if node == self.shared.node {
+            return Some(self.ip);
+        }
+        self.introduced.get(&node).or_else(|| self.state.places.get(&node)).copied()
+    }
+
+    fn not_leader(&self, not_leader: NotLeader) -> Undecided {
+        let other = not_leader.leader.filter(|node| *node != self.shared.node);
+        Undecided::NotLeader(other.and_then(|node| self.place_of(node)))
+    }
+}
+
+impl Shared {
+    /// Sends a frame to the hosts of all other replicas.
+    pub fn tell(&self, state: &ControlState, own: IpAddr, frame: &ToReplica) {
+        let bytes = encode(frame);
+        let hosts: BTreeSet<IpAddr> = state.places.values().copied().collect();
+        for host in hosts.into_iter().filter(|host| *host != own) {
+            self.links.send(host, bytes.clone());
+        }
+    }
+
+    /// Takes a list of targets that another replica has read.
+    pub fn take_roster(&self, newer: NumberedRoster, now: BootTime) {
+        if newer.number >= self.roster.borrow().number {
+            self.roster_read_at.set(now);
+        }
+        self.roster.send_if_modified(|known| {
+            let is_newer = newer.number > known.number;
+            if is_newer {
+                *known = newer;
+            }
+            is_newer
+        });
+    }
+
+    /// Takes a list of targets that this replica has read, or found out more about. Returns whether
+    /// it differs from what was known.
+    pub fn change_roster(&self, change: impl FnOnce(&mut Roster) -> bool) -> bool {
+        self.roster.send_if_modified(|known| {
+            let changed = change(std::sync::Arc::make_mut(&mut known.roster));
+            known.number += u64::from(changed);
+            changed
+        })
+    }
+
+    /// Whether this replica had all that was committed within the last `within`.
+    pub fn is_current(&self, within: Duration) -> bool {
+        let now = boot_now();
+        self.caught_up_at.get().is_some_and(|at| now.saturating_sub(at) <= within)
+    }
+}
--- /dev/null
+++ b/src/control/run.rs
@@ -0,0 +1,134 @@
+//! Runs a replica: opens its disk, listens, and starts its tasks.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
+use std::net::{IpAddr, SocketAddr};
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::RngExt;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+
+use super::frames::NumberedRoster;
+use super::identity::Identity;
+use super::links::Links;
+use super::news;
+use super::operators::Operators;
+use super::ordering::Ordering;
+use super::replica::{Belief, Input, Replica, Shared, Start};
+use super::roster_reader;
+use super::state::ControlState;
+use crate::clock::boot_now;
+use crate::error::{Error, Result};
+use crate::host::HostSettings;
+use crate::log::Members;
+use crate::log::disk::Disk;
+use crate::log::driver::Driver;
+use crate::log::raft::{Raft, RaftTiming};
+use crate::reload;
+
+/// Replicas are a millisecond apart; a slow sync takes tens of them. A leader is missed after half
+/// a second, and a new one leads a second later at the latest.
+const TIMING: RaftTiming =
+    RaftTiming { heartbeat: Duration::from_millis(100), election: Duration::from_millis(500) };
+/// Inputs that wait while the disk is busy.
+const QUEUE_LEN: usize = 1_024;
+/// Pause before a disk that failed is tried again.
+const DISK_AGAIN: Duration = Duration::from_secs(1);
+
+/// Runs until the process is asked to end.
+///
+/// # Errors
+/// If it can't start.
+pub async fn run(host: HostSettings) -> Result<()> {
+    let folder = host.data_folder.clone().ok_or_else(|| missing("a data folder"))?;
+    let operators_address = host.operators_address.ok_or_else(|| missing("operators' address"))?;
+    let identity = Identity::open(&folder, &host)?;
+    log::info!("event=start role=replica host={} node={}", host.name, identity.node);
+    let links = Rc::new(Links::new(identity.node, host.ip, host.peer_port));
+    let seeds: BTreeSet<IpAddr> = host.seeds.iter().map(|seed| seed.ip()).collect();
+    let shared = Rc::new(Shared {
+        node: identity.node,
+        belief: watch::Sender::new(Belief::default()),
+        roster: watch::Sender::new(NumberedRoster::default()),
+        roster_read_at: Cell::new(boot_now()),
+        caught_up_at: Cell::new(None),
+        own_entries: RefCell::default(),
+        entries: Cell::new(0),
+        links,
+        seeds: RefCell::new(seeds),
+    });
+    let (inputs, receiver) = mpsc::channel(QUEUE_LEN);
+    let peers = listen(SocketAddr::new(host.ip, host.peer_port)).await?;
+    tokio::task::spawn_local(news::accept(peers, shared.clone(), inputs.clone()));
+    let operators = Rc::new(Operators { inputs: inputs.clone(), port: operators_address.port() });
+    tokio::task::spawn_local(operators.accept(listen(operators_address).await?));
+    if let Some(list) = host.target_list {
+        tokio::task::spawn_local(roster_reader::run(shared.clone(), host.ip, list));
+    }
+    let apart = host.periods.order_lease;
+    let ordering = Rc::new(Ordering { shared: shared.clone(), inputs, apart });
+    tokio::task::spawn_local(ordering.run());
+    let reloaded = reload::keep_reading(host.clone(), |host| {
+        shared.seeds.borrow_mut().extend(host.seeds.iter().map(|seed| seed.ip()));
+    });
+    tokio::select! {
+        ended = keep_running(&host, &folder, &identity, shared.clone(), receiver) => ended,
+        asked = crate::commands::until_asked_to_end() => asked,
+        failed = reloaded => failed,
+    }?;
+    log::info!("event=stop role=replica host={}", host.name);
+    Ok(())
+}
+
+/// Runs the replica, and starts it again from its disk after the disk has failed.
+async fn keep_running(
+    host: &HostSettings,
+    folder: &Path,
+    identity: &Identity,
+    shared: Rc<Shared>,
+    mut inputs: mpsc::Receiver<Input>,
+) -> Result<()> {
+    let mut is_first = true;
+    loop {
+        let opened = Disk::open(&Identity::log_folder(folder));
+        let (disk, recovered) = match opened {
+            Ok(opened) => opened,
+            Err(error) if is_first => return Err(error),
+            Err(error) => {
+                log::warn!("event=disk_still_fails reason={:?}", error.to_string());
+                tokio::time::sleep(DISK_AGAIN).await;
+                continue;
+            }
+        };
+        is_first = false;
+        let members = Members::of(identity.founders.keys().copied());
+        let seed = rand::rng().random();
+        let raft = Raft::new(identity.node, members, TIMING, recovered, seed, boot_now());
+        let start = Start {
+            driver: Driver::new(raft, disk),
+            state: ControlState::founded(identity.founders.clone()),
+            ip: host.ip,
+            wanted: host.tolerated_losses * 2 + 1,
+        };
+        Replica::new(shared.clone(), start).run(&mut inputs).await;
+        shared.caught_up_at.set(None);
+        tokio::time::sleep(DISK_AGAIN).await;
+    }
+}
+
+/// Listens at an address.
+///
+/// # Errors
+/// If it can't.
+pub async fn listen(address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address).await.map_err(|source| {
+        Error::start(&address.to_string(), source, "name an address of this host that is free")
+    })
+}
+
+fn missing(what: &str) -> Error {
+    Error::start("settings", format!("{what} is missing"), "give it to a host that runs a replica")
+}
--- /dev/null
+++ b/src/control/weights.rs
@@ -0,0 +1,74 @@
+//! Roll-out of weights: which engine is told next to load them. Pure.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::fleet::{Presence, Roster};
+use crate::ids::{ModelId, NodeId, TargetId};
+
+/// One engine in this many may load at a time: more would slow down each other's loads and take
+/// too many places from callers.
+const LOADING_PART: usize = 6;
+
+/// What an engine says of itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct EngineReport {
+    /// Orders that it has accepted since it started.
+    pub orders_accepted: u64,
+    /// Whether it carries out an order.
+    pub is_busy: bool,
+    /// The version of each model's weights that it runs.
+    pub weights: BTreeMap<ModelId, u64>,
+}
+
+/// An order to load weights.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WeightOrder {
+    /// The model.
+    pub model: ModelId,
+    /// The version.
+    pub version: u64,
+    /// The replica that gives the order.
+    pub holder: NodeId,
+    /// Never falls from one holder to the next; no two holders have the same.
+    pub fencing: u64,
+    /// The order is void unless the engine has accepted exactly this many orders before.
+    pub orders_accepted: u64,
+}
+
+/// An engine that runs older weights than were named.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Lagging {
+    /// The engine.
+    pub engine: TargetId,
+    /// The model.
+    pub model: ModelId,
+    /// The version that it shall load.
+    pub version: u64,
+}
+
+/// Engines to be told now, beside those that are under way.
+pub fn next_loads(
+    roster: &Roster,
+    named: &BTreeMap<ModelId, u64>,
+    under_way: &BTreeSet<TargetId>,
+) -> Vec<Lagging> {
+    let mut next = Vec::new();
+    for (model, version) in named {
+        let engines = || {
+            let live = roster.iter().filter(|target| target.presence == Presence::Live);
+            live.filter(|target| target.weights.contains_key(model))
+        };
+        let at_once = (engines().count() / LOADING_PART).max(1);
+        let loading = engines().filter(|engine| under_way.contains(&engine.id)).count();
+        let lagging = engines()
+            .filter(|engine| engine.weights.get(model).is_some_and(|has| has < version))
+            .filter(|engine| !under_way.contains(&engine.id))
+            .map(|engine| Lagging {
+                engine: engine.id.clone(),
+                model: model.clone(),
+                version: *version,
+            });
+        next.extend(lagging.take(at_once.saturating_sub(loading)));
+    }
+    next
+}
--- /dev/null
+++ b/src/deployment/mod.rs
@@ -0,0 +1,11 @@
+//! The whole deployment as operators publish it: routes, services, client accounts and bounds.
+
+pub mod document;
+pub mod table;
+pub mod validate;
+
+pub use document::{
+    Account, Bounds, Deployment, EngineTraits, Route, RunPolicy, Service, ServiceRole, Share,
+    StoreTraits,
+};
+pub use table::{Rejection, RouteMatch, Table};
--- /dev/null
+++ b/src/deployment/table.rs
@@ -0,0 +1,109 @@
+//! Looks up routes and keys of one deployment.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use super::document::{Account, Deployment, Route, Share};
+use crate::ids::ServiceId;
+
+/// A deployment, indexed for lookups.
+#[derive(Debug)]
+pub struct Table {
+    deployment: Arc<Deployment>,
+    /// Routes of each host, those with the longest prefix first.
+    by_host: HashMap<String, Vec<usize>>,
+    /// The account of each key, as an index.
+    by_key: HashMap<String, usize>,
+}
+
+/// A request that no route and account allow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rejection {
+    /// No route has this host and path.
+    NoRoute,
+    /// The route needs a key, and no account holds the one that was given.
+    UnknownKey,
+}
+
+/// Where a request may go and for whom.
+#[derive(Clone, Copy, Debug)]
+pub struct RouteMatch<'a> {
+    /// The route.
+    pub route: &'a Route,
+    /// The account; `None` if the caller gave no known key to a public route.
+    pub account: Option<&'a Account>,
+}
+
+impl Table {
+    /// Indexes a deployment.
+    pub fn new(deployment: Arc<Deployment>) -> Table {
+        let mut by_host: HashMap<String, Vec<usize>> = HashMap::new();
+        for (at, route) in deployment.routes.iter().enumerate() {
+            by_host.entry(route.host.to_ascii_lowercase()).or_default().push(at);
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|at| std::cmp::Reverse(deployment.routes[*at].path_prefix.len()));
+        }
+        let mut by_key = HashMap::new();
+        for (at, account) in deployment.accounts.iter().flatten().enumerate() {
+            by_key.extend(account.keys.iter().map(|key| (key.clone(), at)));
+        }
+        Table { deployment, by_host, by_key }
+    }
+
+    /// The deployment.
+    pub fn deployment(&self) -> &Arc<Deployment> {
+        &self.deployment
+    }
+
+    /// Finds the route and the account of a request.
+    ///
+    /// # Errors
+    /// If there is no such route, or the key is not known where one is needed.
+    pub fn find(
+        &self,
+        host: &str,
+        path: &str,
+        key: Option<&str>,
+    ) -> Result<RouteMatch<'_>, Rejection> {
+        let route = self.route(host, path).ok_or(Rejection::NoRoute)?;
+        let account = key.and_then(|key| self.account(key));
+        let needs_key = self.deployment.accounts.is_some() && !route.is_public;
+        if needs_key && account.is_none() {
+            return Err(Rejection::UnknownKey);
+        }
+        Ok(RouteMatch { route, account })
+    }
+
+    fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let routes = match self.by_host.get(host) {
+            Some(routes) => routes,
+            None => self.by_host.get(&host.to_ascii_lowercase())?,
+        };
+        routes
+            .iter()
+            .map(|at| &self.deployment.routes[*at])
+            .find(|route| path.starts_with(&route.path_prefix))
+    }
+
+    fn account(&self, key: &str) -> Option<&Account> {
+        let at = *self.by_key.get(key)?;
+        self.deployment.accounts.as_ref()?.get(at)
+    }
+}
+
+impl Route {
+    /// The service for a request, by a number that is drawn evenly from `0..1`.
+    pub fn pick(&self, drawn: f64) -> Option<&ServiceId> {
+        let total: u32 = self.split.iter().map(|share| share.weight).sum();
+        let mut left = drawn * f64::from(total);
+        let weighted = |share: &&Share| share.weight > 0;
+        for share in self.split.iter().filter(weighted) {
+            left -= f64::from(share.weight);
+            if left < 0.0 {
+                return Some(&share.service);
+            }
+        }
+        self.split.iter().rfind(weighted).map(|share| &share.service)
+    }
+}
--- /dev/null
+++ b/src/deployment/validate.rs
@@ -0,0 +1,65 @@
+//! What makes a deployment invalid. Each problem names the field and the remedy.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::document::Deployment;
+use crate::error::Problem;
+
+/// Everything that is wrong with a deployment; empty if it may be published.
+pub fn problems(deployment: &Deployment) -> Vec<Problem> {
+    let mut problems = Vec::new();
+    check_routes(deployment, &mut problems);
+    check_keys(deployment, &mut problems);
+    problems
+}
+
+fn check_routes(deployment: &Deployment, problems: &mut Vec<Problem>) {
+    let mut places = BTreeSet::new();
+    for (at, route) in deployment.routes.iter().enumerate() {
+        let mut report = |field: &str, message: String, remedy: &str| {
+            let path = format!("routes[{at}].{field}");
+            problems.push(Problem { path, message, remedy: remedy.to_string() });
+        };
+        if !places.insert((&route.host, &route.path_prefix)) {
+            let message = format!("{}{} is routed twice", route.host, route.path_prefix);
+            report("path_prefix", message, "keep one of the two routes");
+        }
+        if !is_prefix(&route.path_prefix) {
+            let message = format!("{:?} is no prefix", route.path_prefix);
+            report("path_prefix", message, "begin and end it with a slash");
+        }
+        if route.timeout.is_zero() {
+            report("timeout", "it is 0".into(), "give at least 1 ms");
+        }
+        for share in &route.split {
+            if !deployment.services.contains_key(&share.service) {
+                let message = format!("unknown service {:?}", share.service);
+                report("split", message, "define the service, or name another");
+            }
+        }
+        if route.split.iter().all(|share| share.weight == 0) {
+            report("split", "the weights add up to 0".into(), "give a weight above 0");
+        }
+    }
+}
+
+fn is_prefix(prefix: &str) -> bool {
+    prefix.starts_with('/') && prefix.ends_with('/')
+}
+
+fn check_keys(deployment: &Deployment, problems: &mut Vec<Problem>) {
+    let mut holders = BTreeMap::new();
+    for (at, account) in deployment.accounts.iter().flatten().enumerate() {
+        for key in &account.keys {
+            if let Some(other) = holders.insert(key, at)
+                && other != at
+            {
+                problems.push(Problem {
+                    path: format!("accounts[{at}].keys"),
+                    message: format!("shares a key with accounts[{other}]"),
+                    remedy: "give each account keys of its own".into(),
+                });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/fleet/budget.rs
@@ -0,0 +1,83 @@
+//! One entry's share of the retries that all entries together may make at a service.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use crate::clock::BootTime;
+use crate::ids::ServiceId;
+
+/// The part of an entry's share that it uses. The rest covers entries that this one has not heard
+/// of yet, and requests that are counted in another window than their retries.
+const USED_PART: f64 = 0.7;
+
+/// What all entries together may retry.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryRule {
+    /// Retries for each request.
+    pub ratio: f64,
+    /// Retries beyond that in each window.
+    pub slack: f64,
+    /// The window.
+    pub window: Duration,
+}
+
+/// Counts requests and retries of each service in a sliding window.
+#[derive(Clone, Debug)]
+pub struct RetryShare {
+    rule: RetryRule,
+    /// Entries that share the slack, this one among them.
+    entries: u32,
+    services: HashMap<ServiceId, Counts>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Counts {
+    requests: VecDeque<BootTime>,
+    retries: VecDeque<BootTime>,
+}
+
+impl RetryShare {
+    /// A share of one among `entries`.
+    pub fn new(rule: RetryRule, entries: u32) -> RetryShare {
+        RetryShare { rule, entries: entries.max(1), services: HashMap::new() }
+    }
+
+    /// Sets how many entries share.
+    pub fn set_entries(&mut self, entries: u32) {
+        self.entries = entries.max(1);
+    }
+
+    /// Records a request that is sent for the first time.
+    pub fn sent(&mut self, service: &ServiceId, now: BootTime) {
+        self.counts(service, now).requests.push_back(now);
+    }
+
+    /// Takes one retry; false if this entry's share of the window is used up.
+    pub fn spend(&mut self, service: &ServiceId, now: BootTime) -> bool {
+        let (ratio, slack) = (self.rule.ratio, self.rule.slack / f64::from(self.entries));
+        let counts = self.counts(service, now);
+        let allowed = (ratio * counts.requests.len() as f64 + slack) * USED_PART;
+        if counts.retries.len() as f64 + 1.0 > allowed.max(1.0) {
+            return false;
+        }
+        counts.retries.push_back(now);
+        true
+    }
+
+    fn counts(&mut self, service: &ServiceId, now: BootTime) -> &mut Counts {
+        if !self.services.contains_key(service) {
+            self.services.insert(service.clone(), Counts::default());
+        }
+        let since = now.saturating_sub(self.rule.window);
+        let counts = self.services.get_mut(service).expect("inserted above");
+        forget(&mut counts.requests, since);
+        forget(&mut counts.retries, since);
+        counts
+    }
+}
+
+fn forget(times: &mut VecDeque<BootTime>, since: BootTime) {
+    while times.front().is_some_and(|time| *time < since) {
+        times.pop_front();
+    }
+}
--- /dev/null
+++ b/src/fleet/mod.rs
@@ -0,0 +1,9 @@
+//! The targets in front of which this system runs: who is there, how busy, how sound.
+
+pub mod budget;
+pub mod placement;
+pub mod roster;
+pub mod view;
+
+pub use roster::{Listed, Presence, Roster};
+pub use view::{Dispatch, Fault, FleetView, TargetState};
--- /dev/null
+++ b/src/fleet/placement.rs
@@ -0,0 +1,140 @@
+//! Which target a request goes to. Pure: fed the view, the request and the time.
+
+use std::hash::BuildHasher;
+use std::time::Duration;
+
+use rustc_hash::FxBuildHasher;
+
+use super::view::{FleetView, TargetState};
+use crate::clock::BootTime;
+use crate::gateway::call::Prompt;
+use crate::ids::TargetId;
+
+/// What a request that an engine already holds delays the next one: the sites' mean prompt of
+/// 3,600 tokens at 140 tokens a millisecond.
+const DELAY_PER_REQUEST: Duration = Duration::from_millis(25);
+/// Tokens that an engine reads in a millisecond, where it isn't measured: the slower of the
+/// deployed engines (92.1).
+const READ_TOKENS_PER_MS: f64 = 92.0;
+/// What a place in a plain service's queue costs there.
+const DELAY_PER_PLAIN_REQUEST: Duration = Duration::from_millis(15);
+/// Engines on which a context is expected to be kept: its home, and the one that takes over from
+/// it.
+const HOMES: usize = 2;
+/// What the second home costs more than the first, as a part of reading the context again.
+const SECOND_HOME_PART: f64 = 0.5;
+
+/// What is asked of the placement.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The prompt, if it is one.
+    pub prompt: Option<&'a Prompt>,
+    /// Those who may share kept cache with the request; empty for everybody.
+    pub cache_wall: &'a str,
+    /// Targets that this request was sent to before.
+    pub tried: &'a [TargetId],
+    /// Breaks ties.
+    pub drawn: u64,
+}
+
+/// Why no target was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unplaced {
+    /// No target of the service is listed.
+    NoneListed,
+    /// All that are listed are out of order, or this request was sent to them before.
+    NoneSound,
+}
+
+/// What speaks for a target.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// The target.
+    pub target: TargetId,
+    /// Requests that it probably holds.
+    pub load: f64,
+    /// Its place among the homes of the request's context, 0 first.
+    pub home: usize,
+    /// How long the first part of the answer is expected to take.
+    pub expected: Duration,
+}
+
+/// Chooses the target with the least expected time to the first part of the answer.
+///
+/// # Errors
+/// If there is none.
+pub fn choose(view: &FleetView, ask: &Ask<'_>, now: BootTime) -> Result<Choice, Unplaced> {
+    let mut is_listed = false;
+    let mut sound = Vec::new();
+    for state in view.live(ask.service) {
+        is_listed = true;
+        let was_tried = ask.tried.contains(&state.listed.id);
+        if !was_tried && state.health.admits(state.running, now) {
+            sound.push(state);
+        }
+    }
+    if sound.is_empty() {
+        return Err(if is_listed { Unplaced::NoneSound } else { Unplaced::NoneListed });
+    }
+    let choices = match ask.prompt {
+        Some(prompt) => engine_choices(&sound, prompt, ask, now),
+        None => plain_choices(&sound, now),
+    };
+    let best = choices.into_iter().min_by(|(a, tie_a), (b, tie_b)| {
+        a.expected.cmp(&b.expected).then(mixed(tie_a, ask.drawn).cmp(&mixed(tie_b, ask.drawn)))
+    });
+    best.map(|(choice, _)| choice).ok_or(Unplaced::NoneSound)
+}
+
+fn plain_choices(sound: &[&TargetState], now: BootTime) -> Vec<(Choice, u64)> {
+    let choice = |state: &&TargetState| {
+        let load = state.load(now);
+        let expected = DELAY_PER_PLAIN_REQUEST.mul_f64(load);
+        (Choice { target: state.listed.id.clone(), load, home: 0, expected }, tie(state))
+    };
+    sound.iter().map(choice).collect()
+}
+
+fn engine_choices(
+    sound: &[&TargetState],
+    prompt: &Prompt,
+    ask: &Ask<'_>,
+    now: BootTime,
+) -> Vec<(Choice, u64)> {
+    let context = prompt.shared_parts().last().map_or("", |part| part.id.as_str());
+    let key = FxBuildHasher.hash_one((ask.cache_wall, context));
+    let mut ranked: Vec<(u64, &TargetState)> =
+        sound.iter().map(|state| (mixed(&tie(state), key), *state)).collect();
+    ranked.sort_unstable_by_key(|(rank, _)| std::cmp::Reverse(*rank));
+    let own = prompt.prompt_tokens.saturating_sub(prompt.shared_tokens());
+    ranked
+        .iter()
+        .enumerate()
+        .map(|(home, (_, state))| {
+            let load = state.load(now);
+            let again = prompt.shared_tokens() as f64
+                * match home {
+                    0 => 0.0,
+                    home if home < HOMES => SECOND_HOME_PART,
+                    _ => 1.0,
+                };
+            let read_ms = (own as f64 + again) / READ_TOKENS_PER_MS;
+            let expected = DELAY_PER_REQUEST.mul_f64(load) + Duration::from_secs_f64(read_ms / 1e3);
+            (Choice { target: state.listed.id.clone(), load, home, expected }, tie(state))
+        })
+        .collect()
+}
+
+fn tie(state: &TargetState) -> u64 {
+    FxBuildHasher.hash_one(&state.listed.id)
+}
+
+/// Mixes two hashes evenly (the finisher of MurmurHash3).
+fn mixed(a: &u64, b: u64) -> u64 {
+    let mut hash = a ^ b.rotate_left(32);
+    hash = (hash ^ (hash >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    hash = (hash ^ (hash >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    hash ^ (hash >> 33)
+}
--- /dev/null
+++ b/src/fleet/view.rs
@@ -0,0 +1,176 @@
+//! The fleet as one entry sees it: the roster, its own requests, and what answers say.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use super::roster::{Listed, Presence, Roster};
+use crate::clock::BootTime;
+use crate::gateway::call::TargetLoad;
+use crate::ids::{ServiceId, TargetId};
+pub use crate::route::health::Fault;
+use crate::route::health::Health;
+
+/// A reported load counts for less and less, and for nothing after this time: about how long a
+/// request of the sites' mix runs on an engine.
+const LOAD_LASTS: Duration = Duration::from_millis(600);
+
+/// All targets of this entry.
+#[derive(Clone, Debug, Default)]
+pub struct FleetView {
+    targets: HashMap<TargetId, TargetState>,
+    /// Targets that take work, by service, in the order of their ids.
+    by_service: HashMap<ServiceId, Vec<TargetId>>,
+}
+
+/// One target.
+#[derive(Clone, Debug)]
+pub struct TargetState {
+    /// As it was last listed.
+    pub listed: Listed,
+    /// Requests of this entry that it runs or holds.
+    pub running: u32,
+    /// Prompt tokens of those that have had no event yet.
+    pub reading_tokens: u64,
+    /// Its soundness.
+    pub health: Health,
+    reported: Option<Reported>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Reported {
+    /// Requests of other entries at that time.
+    others: u32,
+    at: BootTime,
+}
+
+/// A request that was sent to a target. It must be given back with `FleetView::end`.
+#[derive(Debug)]
+#[must_use = "give it back with `FleetView::end`"]
+pub struct Dispatch {
+    /// The target.
+    pub target: TargetId,
+    reading_tokens: u64,
+}
+
+impl FleetView {
+    /// Takes a newer roster.
+    pub fn take(&mut self, roster: &Roster) {
+        self.targets.retain(|id, state| roster.get(id).is_some() || state.running > 0);
+        for state in self.targets.values_mut() {
+            if roster.get(&state.listed.id).is_none() {
+                state.listed.presence = Presence::Leaving;
+            }
+        }
+        for listed in roster.iter() {
+            match self.targets.get_mut(&listed.id) {
+                Some(state) => state.listed.clone_from(listed),
+                None => drop(self.targets.insert(listed.id.clone(), TargetState::new(listed))),
+            }
+        }
+        self.index();
+    }
+
+    /// Targets of a service that take work.
+    pub fn live(&self, service: &str) -> impl Iterator<Item = &TargetState> {
+        let ids = self.by_service.get(service).into_iter().flatten();
+        ids.filter_map(|id| self.targets.get(id))
+    }
+
+    /// A target.
+    pub fn get(&self, id: &str) -> Option<&TargetState> {
+        self.targets.get(id)
+    }
+
+    /// Records that a request is sent to a target.
+    pub fn begin(&mut self, target: &TargetId, reading_tokens: u64) -> Dispatch {
+        if let Some(state) = self.targets.get_mut(target) {
+            state.running += 1;
+            state.reading_tokens += reading_tokens;
+        }
+        Dispatch { target: target.clone(), reading_tokens }
+    }
+
+    /// Records that a request's prompt has been read.
+    pub fn has_read(&mut self, dispatch: &mut Dispatch) {
+        let tokens = std::mem::take(&mut dispatch.reading_tokens);
+        if let Some(state) = self.targets.get_mut(&dispatch.target) {
+            state.reading_tokens = state.reading_tokens.saturating_sub(tokens);
+        }
+    }
+
+    /// Records that a request has left a target.
+    pub fn end(&mut self, mut dispatch: Dispatch) {
+        self.has_read(&mut dispatch);
+        if let Some(state) = self.targets.get_mut(&dispatch.target) {
+            state.running = state.running.saturating_sub(1);
+        }
+    }
+
+    /// Takes the load that a target's answer tells.
+    pub fn reported(&mut self, target: &TargetId, load: TargetLoad, now: BootTime) {
+        if let Some(state) = self.targets.get_mut(target) {
+            let others = (load.running + load.waiting).saturating_sub(state.running);
+            state.reported = Some(Reported { others, at: now });
+        }
+    }
+
+    /// Records a sound answer.
+    pub fn succeeded(&mut self, target: &TargetId) {
+        if let Some(state) = self.targets.get_mut(target) {
+            state.health.succeeded();
+        }
+    }
+
+    /// Records a failure.
+    pub fn failed(&mut self, target: &TargetId, fault: Fault, now: BootTime) {
+        if let Some(state) = self.targets.get_mut(target) {
+            state.health.failed(fault, now);
+        }
+    }
+
+    /// Records that a target can't be reached.
+    pub fn unreachable(&mut self, target: &TargetId, now: BootTime) {
+        if let Some(state) = self.targets.get_mut(target) {
+            state.health.unreachable(now);
+        }
+    }
+
+    /// Records that another target answers at a target's address: this start of it has ended.
+    pub fn replaced(&mut self, target: &TargetId) {
+        if let Some(state) = self.targets.get_mut(target) {
+            state.listed.presence = Presence::Leaving;
+            self.index();
+        }
+    }
+
+    fn index(&mut self) {
+        self.by_service.clear();
+        for state in self.targets.values().filter(|s| s.listed.presence == Presence::Live) {
+            let ids = self.by_service.entry(state.listed.service.clone()).or_default();
+            ids.push(state.listed.id.clone());
+        }
+        self.by_service.values_mut().for_each(|ids| ids.sort_unstable());
+    }
+}
+
+impl TargetState {
+    fn new(listed: &Listed) -> TargetState {
+        TargetState {
+            listed: listed.clone(),
+            running: 0,
+            reading_tokens: 0,
+            health: Health::default(),
+            reported: None,
+        }
+    }
+
+    /// Requests that it probably runs or holds, of all entries.
+    pub fn load(&self, now: BootTime) -> f64 {
+        let others = self.reported.map_or(0.0, |reported| {
+            let age = now.saturating_sub(reported.at).as_secs_f64();
+            let left = (1.0 - age / LOAD_LASTS.as_secs_f64()).max(0.0);
+            f64::from(reported.others) * left
+        });
+        f64::from(self.running) + others
+    }
+}
--- /dev/null
+++ b/src/gateway/answer.rs
@@ -0,0 +1,127 @@
+//! Answers to callers: relayed ones, and this system's own.
+
+use std::convert::Infallible;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::StreamExt;
+use futures::stream::LocalBoxStream;
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Response, StatusCode};
+use http_body_util::{BodyExt, Either, Full, StreamBody};
+use hyper::body::Frame;
+
+use crate::platform::headers;
+
+/// Why a relayed body ends early. The connection to the caller is broken off, so that what was sent
+/// does not look whole.
+pub type RelayError = Box<dyn std::error::Error + Send + Sync>;
+/// Parts of a relayed body.
+pub type Parts = LocalBoxStream<'static, Result<Frame<Bytes>, RelayError>>;
+/// The body of an answer.
+pub type AnswerBody = Either<
+    http_body_util::combinators::MapErr<Full<Bytes>, fn(Infallible) -> RelayError>,
+    StreamBody<Parts>,
+>;
+/// An answer.
+pub type Answer = Response<AnswerBody>;
+
+/// Why this system answers in place of a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// No route has the request's host and path.
+    NoRoute,
+    /// The route needs a key that some account holds.
+    UnknownKey,
+    /// The body is longer than allowed.
+    BodyTooLarge,
+    /// The request can't be read.
+    Malformed,
+    /// No deployment is known here yet.
+    NotReady,
+    /// No target can take it now. It has not run.
+    NoTarget,
+    /// Its time is over, and it has not run.
+    TooLate,
+    /// The target broke off. It may have run.
+    Broken,
+    /// Its time is over, and it may have run.
+    TimedOut,
+}
+
+impl Refusal {
+    /// The status that tells it.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Refusal::NoRoute => StatusCode::NOT_FOUND,
+            Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
+            Refusal::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Refusal::Malformed => StatusCode::BAD_REQUEST,
+            Refusal::NotReady | Refusal::NoTarget | Refusal::TooLate => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            Refusal::Broken => StatusCode::BAD_GATEWAY,
+            Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// Its name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Refusal::NoRoute => "no_route",
+            Refusal::UnknownKey => "unknown_key",
+            Refusal::BodyTooLarge => "body_too_large",
+            Refusal::Malformed => "malformed",
+            Refusal::NotReady => "not_ready",
+            Refusal::NoTarget => "no_target",
+            Refusal::TooLate => "too_late",
+            Refusal::Broken => "broken",
+            Refusal::TimedOut => "timed_out",
+        }
+    }
+
+    fn message(self) -> &'static str {
+        match self {
+            Refusal::NoRoute => "no route has this host and path",
+            Refusal::UnknownKey => "give the key of an account",
+            Refusal::BodyTooLarge => "the body is longer than allowed; send less",
+            Refusal::Malformed => "the request can't be read; send it whole",
+            Refusal::NotReady => "not run: this entry has just started; come back",
+            Refusal::NoTarget => "not run: no target can take it now; come back",
+            Refusal::TooLate => "not run: no target was free in time; come back",
+            Refusal::Broken => "it may have run: the target broke off",
+            Refusal::TimedOut => "it may have run: no answer came in time",
+        }
+    }
+
+    /// Whether the same request may come back.
+    fn may_come_back(self) -> bool {
+        matches!(self, Refusal::NotReady | Refusal::NoTarget | Refusal::TooLate)
+    }
+}
+
+/// An answer of this system's own.
+pub fn refuse(refusal: Refusal, id: &str, come_back_after: Duration) -> Answer {
+    let mut answer = Response::new(whole(Bytes::from_static(refusal.message().as_bytes())));
+    *answer.status_mut() = refusal.status();
+    let values = answer.headers_mut();
+    values.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain; charset=utf-8"));
+    headers::set_request_id(values, id);
+    if refusal.may_come_back() {
+        headers::set_retry_after(values, come_back_after);
+    }
+    answer
+}
+
+/// A body that is here as a whole.
+pub fn whole(bytes: Bytes) -> AnswerBody {
+    let never: fn(Infallible) -> RelayError = |never| match never {};
+    Either::Left(Full::new(bytes).map_err(never))
+}
+
+/// A body that comes in parts.
+pub fn in_parts(
+    parts: impl futures::Stream<Item = Result<Frame<Bytes>, RelayError>> + 'static,
+) -> AnswerBody {
+    Either::Right(StreamBody::new(parts.boxed_local()))
+}
--- /dev/null
+++ b/src/gateway/attempt.rs
@@ -0,0 +1,240 @@
+//! One attempt: a request is sent to one target, and the head of its answer awaited.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use tokio::time::{Instant, timeout_at};
+
+use super::call::{Call, Forwarded, Outcome};
+use super::pool::{Connection, Sent};
+use super::record::Record;
+use super::state::{AtTarget, Gateway};
+use crate::clock::boot_now;
+use crate::deployment::Route;
+use crate::fleet::Fault;
+use crate::fleet::placement::{self, Ask, Choice, Unplaced};
+use crate::ids::{AccountId, ServiceId, TargetId};
+use crate::platform::headers;
+
+/// Connections that are tried for one attempt. A target that can't be reached has run nothing.
+const CONNECTIONS_TRIED: usize = 4;
+/// Below this there is no point in sending a request: it could not be answered in time.
+const LEAST_TIME: Duration = Duration::from_millis(10);
+
+/// What all attempts of one request have in common.
+pub struct Job {
+    /// What the caller says.
+    pub call: Call,
+    /// The method.
+    pub method: Method,
+    /// Path and query, as the caller sent them.
+    pub uri: Uri,
+    /// The caller's headers.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+    /// Its route.
+    pub route: Route,
+    /// Its account.
+    pub account: Option<AccountId>,
+    /// Names those who may share kept cache with it.
+    pub cache_wall: String,
+    /// How urgent it is, 0 first.
+    pub priority: u8,
+    /// The service that serves it.
+    pub service: ServiceId,
+    /// When its time is over.
+    pub ends_at: Instant,
+    /// Breaks ties between targets.
+    pub drawn: u64,
+}
+
+/// An answer whose head is here.
+pub struct Answered {
+    /// The target.
+    pub target: TargetId,
+    /// The answer.
+    pub answer: Response<Incoming>,
+    /// What it says beside its content.
+    pub outcome: Outcome,
+    /// The connection, to be given back once the body is whole.
+    pub connection: Connection,
+    /// Counts the request at the target.
+    pub at_target: AtTarget,
+}
+
+/// Why an attempt brought no answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Missed {
+    /// No target can take it now.
+    Unplaced(Unplaced),
+    /// The target did not run it.
+    NotRun(TargetId),
+    /// It may have run.
+    MayHaveRun(TargetId),
+    /// Its time is over before it was sent.
+    TooLate,
+    /// Its time is over after it was sent.
+    TimedOut(TargetId),
+}
+
+/// Sends a request to the best target.
+///
+/// # Errors
+/// Why there is no answer.
+pub async fn attempt(
+    gateway: &Rc<Gateway>,
+    job: &Job,
+    tried: &[TargetId],
+    resume_after: Option<&str>,
+    patience: Option<Duration>,
+    record: &mut Record,
+) -> Result<Answered, Missed> {
+    let mut unreachable = tried.to_vec();
+    for _ in 0..CONNECTIONS_TRIED {
+        let choice = choose(gateway, job, &unreachable).map_err(Missed::Unplaced)?;
+        let target = choice.target.clone();
+        let Some(mut connection) = connect(gateway, &choice, job.ends_at, record).await else {
+            unreachable.push(target);
+            continue;
+        };
+        record.chosen(&choice, connection.was_used);
+        let time_left = job.ends_at.saturating_duration_since(Instant::now());
+        if time_left < LEAST_TIME {
+            return Err(Missed::TooLate);
+        }
+        let request = request_for(job, &target, time_left, resume_after);
+        let reading = job.call.prompt.as_ref().map_or(0, |prompt| prompt.prompt_tokens);
+        let at_target = AtTarget::new(gateway, &target, reading);
+        let give_up_at = patience.map_or(job.ends_at, |p| job.ends_at.min(Instant::now() + p));
+        let sent = timeout_at(give_up_at, connection.send(request)).await;
+        let now = boot_now();
+        let answer = match sent {
+            Ok(Sent::Answered(answer)) => answer,
+            Ok(Sent::NotSent(reason)) => {
+                record.failed(&target, &reason);
+                continue;
+            }
+            Ok(Sent::Broken(reason)) => {
+                record.failed(&target, &reason);
+                gateway.fleet.borrow_mut().failed(&target, Fault::Target, now);
+                return Err(Missed::MayHaveRun(target));
+            }
+            Err(_) => {
+                record.failed(&target, "no answer in time");
+                gateway.fleet.borrow_mut().failed(&target, Fault::Target, now);
+                return Err(Missed::TimedOut(target));
+            }
+        };
+        return judge(
+            gateway,
+            job,
+            Answered {
+                outcome: headers::decode_outcome(answer.headers()),
+                target,
+                answer,
+                connection,
+                at_target,
+            },
+            record,
+        );
+    }
+    Err(Missed::Unplaced(Unplaced::NoneSound))
+}
+
+fn choose(gateway: &Gateway, job: &Job, tried: &[TargetId]) -> Result<Choice, Unplaced> {
+    let ask = Ask {
+        service: &job.service,
+        prompt: job.call.prompt.as_ref(),
+        cache_wall: &job.cache_wall,
+        tried,
+        drawn: job.drawn,
+    };
+    placement::choose(&gateway.fleet.borrow(), &ask, boot_now())
+}
+
+async fn connect(
+    gateway: &Gateway,
+    choice: &Choice,
+    ends_at: Instant,
+    record: &mut Record,
+) -> Option<Connection> {
+    if let Some(connection) = gateway.pool.reuse(&choice.target) {
+        return Some(connection);
+    }
+    let address = gateway.fleet.borrow().get(&choice.target)?.listed.address;
+    match timeout_at(ends_at, Connection::open(address)).await {
+        Ok(Ok(connection)) => Some(connection),
+        Ok(Err(error)) => {
+            record.failed(&choice.target, &error.to_string());
+            gateway.fleet.borrow_mut().unreachable(&choice.target, boot_now());
+            None
+        }
+        Err(_) => None,
+    }
+}
+
+fn request_for(
+    job: &Job,
+    target: &TargetId,
+    time_left: Duration,
+    resume_after: Option<&str>,
+) -> Request<Full<Bytes>> {
+    let forwarded = Forwarded {
+        target,
+        account: job.account.as_ref(),
+        time_left,
+        urgency: job.call.prompt.is_some().then_some(job.priority.min(9)),
+        cache_wall: job.call.prompt.is_some().then(|| job.cache_wall.clone()),
+        resume_after,
+    };
+    let mut request = Request::new(Full::new(job.body.clone()));
+    *request.method_mut() = job.method.clone();
+    *request.uri_mut() = job.uri.clone();
+    *request.headers_mut() = headers::for_target(&job.headers, &forwarded);
+    request
+}
+
+/// Tells an answer to this request from refusals and from answers to others.
+fn judge(
+    gateway: &Gateway,
+    job: &Job,
+    answered: Answered,
+    record: &mut Record,
+) -> Result<Answered, Missed> {
+    let now = boot_now();
+    let Answered { target, answer, outcome, .. } = &answered;
+    record.answered(outcome);
+    if let Some(load) = outcome.load {
+        gateway.fleet.borrow_mut().reported(target, load, now);
+    }
+    let is_other = outcome.request_id.as_ref().is_some_and(|id| *id != job.call.id);
+    if is_other {
+        // The connection carries an answer to an earlier request: nothing on it can be trusted.
+        record.failed(target, "answer to another request");
+        return Err(Missed::MayHaveRun(answered.target));
+    }
+    if answer.status() == StatusCode::MISDIRECTED_REQUEST {
+        record.failed(target, "another target answers there");
+        if outcome.answered_by.as_ref() != Some(target) {
+            gateway.fleet.borrow_mut().replaced(target);
+        }
+        return Err(Missed::NotRun(answered.target));
+    }
+    if outcome.did_not_run {
+        record.failed(target, &format!("not run, status {}", answer.status().as_u16()));
+        let Answered { target, connection, outcome, .. } = answered;
+        if !outcome.closes {
+            gateway.pool.give_back(&target, connection);
+        }
+        return Err(Missed::NotRun(target));
+    }
+    if answer.status().is_server_error() {
+        gateway.fleet.borrow_mut().failed(target, Fault::Target, now);
+    }
+    Ok(answered)
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,15 @@
+//! Entry of a deployment: takes callers' requests and relays them to targets unchanged.
+
+pub mod answer;
+pub mod attempt;
+pub mod call;
+pub mod events;
+pub mod pool;
+pub mod readiness;
+pub mod record;
+pub mod relay;
+pub mod request;
+pub mod run;
+pub mod server;
+pub mod state;
+pub mod subscription;
--- /dev/null
+++ b/src/gateway/record.rs
@@ -0,0 +1,124 @@
+//! What happened to one request, written as one log line when it ends.
+
+use std::cell::Cell;
+use std::fmt::Write;
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::call::{Call, Outcome};
+use super::state::Gateway;
+use crate::clock::{BootTime, boot_now};
+use crate::deployment::document::DeploymentVersion;
+use crate::fleet::placement::Choice;
+use crate::ids::TargetId;
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Ended {
+    /// The caller left before the answer was whole.
+    #[default]
+    CallerLeft,
+    /// The target's answer was relayed as a whole, with this status.
+    Relayed(u16),
+    /// This system answered, with this status and reason.
+    Refused(u16, &'static str),
+    /// The answer broke off while it was relayed.
+    BrokenOff,
+}
+
+/// Follows one request. The line is written when it is dropped.
+pub struct Record {
+    gateway: Rc<Gateway>,
+    id: String,
+    begun: BootTime,
+    route: String,
+    version: DeploymentVersion,
+    steps: String,
+    first_part: Option<Duration>,
+    ended: Cell<Ended>,
+}
+
+impl Record {
+    /// Begins with a request's arrival.
+    pub fn new(gateway: &Rc<Gateway>, call: &Call, begun: BootTime) -> Record {
+        gateway.answering.set(gateway.answering.get() + 1);
+        Record {
+            gateway: gateway.clone(),
+            id: call.id.clone(),
+            begun,
+            route: String::new(),
+            version: 0,
+            steps: String::new(),
+            first_part: None,
+            ended: Cell::new(Ended::CallerLeft),
+        }
+    }
+
+    /// The route that was found, by this version of the deployment.
+    pub fn routed(&mut self, route: &str, version: DeploymentVersion) {
+        self.route = route.to_string();
+        self.version = version;
+    }
+
+    /// A target was chosen.
+    pub fn chosen(&mut self, choice: &Choice, is_reused: bool) {
+        let at_ms = self.elapsed().as_millis();
+        // Writing to a string can't fail.
+        let _ = write!(
+            self.steps,
+            " at_ms={at_ms} target={} load={:.1} home={} expected_ms={} reused={is_reused}",
+            choice.target,
+            choice.load,
+            choice.home,
+            choice.expected.as_millis(),
+        );
+    }
+
+    /// A target answered, and told how busy it is.
+    pub fn answered(&mut self, outcome: &Outcome) {
+        let at_ms = self.elapsed().as_millis();
+        let _ = write!(self.steps, " answered_ms={at_ms}");
+        if let Some(load) = outcome.load {
+            let _ = write!(self.steps, " running={} waiting={}", load.running, load.waiting);
+        }
+    }
+
+    /// A target did not answer as hoped.
+    pub fn failed(&mut self, target: &TargetId, reason: &str) {
+        let at_ms = self.elapsed().as_millis();
+        let _ = write!(self.steps, " at_ms={at_ms} failed={target} reason={reason:?}");
+    }
+
+    /// The first part of the answer is on its way.
+    pub fn first_part(&mut self) {
+        if self.first_part.is_none() {
+            self.first_part = Some(self.elapsed());
+        }
+    }
+
+    /// How it ended.
+    pub fn end(&self, ended: Ended) {
+        self.ended.set(ended);
+    }
+
+    /// Time since the request came.
+    pub fn elapsed(&self) -> Duration {
+        boot_now().saturating_sub(self.begun)
+    }
+}
+
+impl Drop for Record {
+    fn drop(&mut self) {
+        self.gateway.answering.set(self.gateway.answering.get().saturating_sub(1));
+        let first_ms = self.first_part.map_or(-1, |first| first.as_millis() as i64);
+        log::info!(
+            "event=request id={} route={} version={} took_ms={} first_ms={first_ms} ended={:?}{}",
+            self.id,
+            self.route,
+            self.version,
+            self.elapsed().as_millis(),
+            self.ended.get(),
+            self.steps
+        );
+    }
+}
--- /dev/null
+++ b/src/gateway/request.rs
@@ -0,0 +1,229 @@
+//! One request of a caller, from its head to its answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::CONNECTION;
+use http::{HeaderValue, Request, Response, StatusCode};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use rand::RngExt;
+use tokio::time::Instant;
+
+use super::answer::{Answer, Refusal, refuse, whole};
+use super::attempt::{Answered, Job, Missed, attempt};
+use super::record::{Ended, Record};
+use super::relay::{self, EventRelay};
+use super::state::Gateway;
+use crate::clock::boot_now;
+use crate::deployment::{Rejection, RunPolicy, Table};
+use crate::ids::TargetId;
+use crate::platform::headers;
+
+/// A refused caller comes back after this at the least: about what an engine needs for a prompt.
+const COME_BACK_AFTER: Duration = Duration::from_millis(200);
+/// Refused callers spread their return over this time, so that they don't come as a wave.
+const COME_BACK_SPREAD: Duration = Duration::from_millis(600);
+/// A request that may be repeated waits this many objectives for the first part of its answer
+/// before another target is asked.
+const OBJECTIVES_TO_WAIT: u32 = 2;
+/// Names a cache that accounts without a wall of their own share.
+const SHARED_CACHE: &str = "shared";
+
+/// Answers a request.
+pub async fn answer(gateway: Rc<Gateway>, request: Request<Incoming>) -> Answer {
+    let begun = boot_now();
+    let arrived = Instant::now();
+    let (head, body) = request.into_parts();
+    let call = headers::decode_call(&head.uri, &head.headers);
+    let mut record = Record::new(&gateway, &call, begun);
+    let mut answer = match admit(&gateway, head, call, body, arrived, &mut record).await {
+        Ok(job) => serve(&gateway, job, record).await,
+        Err((refusal, id)) => refused(refusal, &id, &record),
+    };
+    if gateway.stopping.get() {
+        answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    answer
+}
+
+/// Finds the route, takes the body, and works out what all attempts share.
+async fn admit(
+    gateway: &Gateway,
+    head: http::request::Parts,
+    call: super::call::Call,
+    body: Incoming,
+    arrived: Instant,
+    record: &mut Record,
+) -> Result<Job, (Refusal, String)> {
+    let Some(table) = gateway.table() else { return Err((Refusal::NotReady, call.id)) };
+    let mut job = match job(&table, head, call, arrived, record) {
+        Ok(job) => job,
+        Err(refused) => return Err(refused),
+    };
+    let most = table.deployment().bounds.body_bytes;
+    drop(table);
+    job.body = match take_body(body, most).await {
+        Ok(body) => body,
+        Err(refusal) => return Err((refusal, job.call.id)),
+    };
+    Ok(job)
+}
+
+fn job(
+    table: &Table,
+    head: http::request::Parts,
+    call: super::call::Call,
+    arrived: Instant,
+    record: &mut Record,
+) -> Result<Job, (Refusal, String)> {
+    let found = match table.find(&call.host, &call.path, call.key.as_deref()) {
+        Ok(found) => found,
+        Err(Rejection::NoRoute) => return Err((Refusal::NoRoute, call.id)),
+        Err(Rejection::UnknownKey) => return Err((Refusal::UnknownKey, call.id)),
+    };
+    let route = found.route.clone();
+    record.routed(&route.name, table.deployment().version);
+    let mut random = rand::rng();
+    let Some(service) = route.pick(random.random()).cloned() else {
+        return Err((Refusal::NoTarget, call.id));
+    };
+    let isolated = found.account.filter(|account| account.is_isolated);
+    let most = call.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
+    Ok(Job {
+        method: head.method,
+        uri: origin_form(&head.uri),
+        headers: head.headers,
+        body: Bytes::new(),
+        account: found.account.map(|account| account.id.clone()),
+        cache_wall: isolated.map_or(SHARED_CACHE, |account| account.id.as_str()).to_string(),
+        priority: found.account.and_then(|a| a.priority).unwrap_or(route.priority),
+        service,
+        ends_at: arrived + most,
+        drawn: random.random(),
+        route,
+        call,
+    })
+}
+
+/// Path and query alone: what a caller sends to a server, not to a proxy.
+fn origin_form(uri: &http::Uri) -> http::Uri {
+    uri.path_and_query().cloned().map(http::Uri::from).unwrap_or_default()
+}
+
+async fn take_body(body: Incoming, most: usize) -> Result<Bytes, Refusal> {
+    match Limited::new(body, most).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
+        Err(_) => Err(Refusal::Malformed),
+    }
+}
+
+async fn serve(gateway: &Rc<Gateway>, job: Job, mut record: Record) -> Answer {
+    gateway.retries.borrow_mut().sent(&job.service, boot_now());
+    let mut tried: Vec<TargetId> = Vec::new();
+    let mut may_have_run = false;
+    let resume_after = job.call.resume_after.clone();
+    loop {
+        let patience = patience(&job, tried.len());
+        let tried_now =
+            attempt(gateway, &job, &tried, resume_after.as_deref(), patience, &mut record).await;
+        let (missed, target) = match tried_now {
+            Ok(answered) => {
+                let target = answered.target.clone();
+                tried.push(target);
+                let wants_another = answered.answer.status().is_server_error()
+                    && job.route.policy == RunPolicy::Idempotent;
+                if !(wants_another && may_try_again(gateway, &job, &tried)) {
+                    return relay_answer(gateway, job, record, tried, answered).await;
+                }
+                may_have_run = true;
+                continue;
+            }
+            Err(Missed::Unplaced(_)) => {
+                let refusal = if may_have_run { Refusal::Broken } else { Refusal::NoTarget };
+                return refused(refusal, &job.call.id, &record);
+            }
+            Err(Missed::TooLate) => {
+                let refusal = if may_have_run { Refusal::TimedOut } else { Refusal::TooLate };
+                return refused(refusal, &job.call.id, &record);
+            }
+            Err(Missed::NotRun(target)) => (Refusal::NoTarget, target),
+            Err(Missed::MayHaveRun(target)) => (Refusal::Broken, target),
+            Err(Missed::TimedOut(target)) => (Refusal::TimedOut, target),
+        };
+        tried.push(target);
+        may_have_run |= missed != Refusal::NoTarget;
+        let refusal = match (may_have_run, missed) {
+            (true, Refusal::NoTarget) => Refusal::Broken,
+            (_, missed) => missed,
+        };
+        let may_repeat = !may_have_run || job.route.policy.may_repeat();
+        if !may_repeat || !may_try_again(gateway, &job, &tried) {
+            return refused(refusal, &job.call.id, &record);
+        }
+    }
+}
+
+/// How long the first of several possible targets is waited for.
+fn patience(job: &Job, tried: usize) -> Option<Duration> {
+    let has_another = (tried as u32) + 1 < job.route.attempts && job.route.policy.may_repeat();
+    (has_another && !job.route.objective.is_zero())
+        .then(|| job.route.objective * OBJECTIVES_TO_WAIT)
+}
+
+fn may_try_again(gateway: &Gateway, job: &Job, tried: &[TargetId]) -> bool {
+    (tried.len() as u32) < job.route.attempts.max(2)
+        && Instant::now() < job.ends_at
+        && gateway.retries.borrow_mut().spend(&job.service, boot_now())
+}
+
+async fn relay_answer(
+    gateway: &Rc<Gateway>,
+    job: Job,
+    mut record: Record,
+    tried: Vec<TargetId>,
+    answered: Answered,
+) -> Answer {
+    let status = answered.answer.status();
+    let values = headers::for_caller(answered.answer.headers());
+    let is_stream = job.route.policy.is_stream() && status == StatusCode::OK;
+    let body = if is_stream {
+        EventRelay::new(gateway.clone(), job, record, tried, answered).into_body()
+    } else if relay::is_short(answered.answer.body()) {
+        let Answered { target, answer, outcome, mut connection, at_target } = answered;
+        match relay::take_whole(answer.into_body(), job.ends_at).await {
+            Ok(bytes) => {
+                drop(at_target);
+                record.first_part();
+                record.end(Ended::Relayed(status.as_u16()));
+                if status.is_success() {
+                    gateway.fleet.borrow_mut().succeeded(&target);
+                }
+                connection.set_idle_timeout(outcome.idle_timeout);
+                if !outcome.closes {
+                    gateway.pool.give_back(&target, connection);
+                }
+                whole(bytes)
+            }
+            Err(error) => {
+                record.failed(&target, &error.to_string());
+                return refused(Refusal::Broken, &job.call.id, &record);
+            }
+        }
+    } else {
+        relay::raw(answered, record, job.ends_at)
+    };
+    let mut answer = Response::new(body);
+    *answer.status_mut() = status;
+    *answer.headers_mut() = values;
+    answer
+}
+
+fn refused(refusal: Refusal, id: &str, record: &Record) -> Answer {
+    let spread = COME_BACK_SPREAD.mul_f64(rand::rng().random());
+    let answer = refuse(refusal, id, COME_BACK_AFTER + spread);
+    record.end(Ended::Refused(answer.status().as_u16(), refusal.name()));
+    answer
+}
--- /dev/null
+++ b/src/gateway/run.rs
@@ -0,0 +1,77 @@
+//! Runs an entry, and shuts it down without cutting off a request.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use super::state::Gateway;
+use super::{readiness, server, subscription};
+use crate::control::run::listen;
+use crate::error::{Error, Result};
+use crate::host::HostSettings;
+use crate::reload;
+
+/// How long callers may still come after the stop is announced: the balancer asks once a second and
+/// takes an entry out after two misses.
+const ANNOUNCED: Duration = Duration::from_millis(2_600);
+/// Left of the grace period when the last requests are given up.
+const LAST_PART: Duration = Duration::from_millis(400);
+/// How often a shutdown looks whether the last request has ended.
+const SHUTDOWN_CHECK: Duration = Duration::from_millis(20);
+/// How often connections that are too old are closed.
+const CLEAN_EVERY: Duration = Duration::from_secs(1);
+
+/// Runs until the process is asked to end, then ends gracefully.
+///
+/// # Errors
+/// If it can't start.
+pub async fn run(host: HostSettings) -> Result<()> {
+    let callers_address = host.callers_address.ok_or_else(|| missing("callers' address"))?;
+    let readiness_address = host.readiness_address.ok_or_else(|| missing("readiness address"))?;
+    log::info!("event=start role=entry host={}", host.name);
+    let gateway = Rc::new(Gateway::new(host));
+    let (closing, closed) = watch::channel(false);
+    let open = Rc::new(Cell::new(0));
+    subscription::start(&gateway);
+    let ready = listen(readiness_address).await?;
+    tokio::task::spawn_local(readiness::accept(gateway.clone(), ready));
+    let callers = listen(callers_address).await?;
+    tokio::task::spawn_local(server::accept(gateway.clone(), callers, closed, open.clone()));
+    tokio::task::spawn_local(clean(gateway.clone()));
+    let reloaded = reload::keep_reading(gateway.host.clone(), |host| {
+        gateway.replicas.borrow_mut().extend(host.seeds.iter().map(|seed| seed.ip()));
+    });
+    tokio::select! {
+        asked = crate::commands::until_asked_to_end() => asked?,
+        failed = reloaded => failed?,
+    }
+    stop(&gateway, &closing, &open).await;
+    Ok(())
+}
+
+async fn clean(gateway: Rc<Gateway>) {
+    loop {
+        tokio::time::sleep(CLEAN_EVERY).await;
+        gateway.pool.keep(|_| true);
+    }
+}
+
+async fn stop(gateway: &Gateway, closing: &watch::Sender<bool>, open: &Cell<usize>) {
+    let asked = Instant::now();
+    log::info!("event=stopping answering={} open={}", gateway.answering.get(), open.get());
+    gateway.stopping.set(true);
+    tokio::time::sleep(ANNOUNCED).await;
+    closing.send_replace(true);
+    let grace = gateway.host.periods.grace.saturating_sub(LAST_PART).max(ANNOUNCED);
+    while open.get() > 0 && asked.elapsed() < grace {
+        tokio::time::sleep(SHUTDOWN_CHECK).await;
+    }
+    log::info!("event=stop answering={} open={}", gateway.answering.get(), open.get());
+}
+
+fn missing(what: &str) -> Error {
+    Error::start("settings", format!("{what} is missing"), "give it to a host that runs an entry")
+}
--- /dev/null
+++ b/src/gateway/state.rs
@@ -0,0 +1,150 @@
+//! What the tasks of one entry share.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::IpAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use super::pool::Pool;
+use crate::clock::{BootTime, boot_now};
+use crate::control::frames::News;
+use crate::deployment::{Deployment, Table};
+use crate::fleet::budget::{RetryRule, RetryShare};
+use crate::fleet::{Dispatch, FleetView};
+use crate::host::HostSettings;
+use crate::ids::{ModelId, TargetId};
+
+/// Entries that are assumed to share the retry budget until a replica tells how many there are.
+const ENTRIES_AT_FIRST: u32 = 16;
+
+/// One entry.
+pub struct Gateway {
+    /// Its settings.
+    pub host: HostSettings,
+    /// The newest deployment; `None` until a replica has told it. Its version never falls.
+    table: RefCell<Option<Rc<Table>>>,
+    /// The targets.
+    pub fleet: RefCell<FleetView>,
+    /// The newest weights of each model.
+    weights: RefCell<Arc<BTreeMap<ModelId, u64>>>,
+    /// What this entry may retry.
+    pub retries: RefCell<RetryShare>,
+    /// Connections to targets.
+    pub pool: Pool,
+    /// Hosts of replicas.
+    pub replicas: RefCell<BTreeSet<IpAddr>>,
+    /// Number of the list of targets.
+    roster_number: Cell<u64>,
+    /// When a replica last said that what is known here is current.
+    current_at: Cell<Option<BootTime>>,
+    /// Whether the process was asked to end.
+    pub stopping: Cell<bool>,
+    /// Requests that are being answered.
+    pub answering: Cell<usize>,
+}
+
+impl Gateway {
+    /// An entry that knows nothing yet.
+    pub fn new(host: HostSettings) -> Gateway {
+        let rule = RetryRule {
+            ratio: host.retry_ratio,
+            slack: host.retry_slack,
+            window: host.periods.retry_window,
+        };
+        let replicas = host.seeds.iter().map(|seed| seed.ip()).collect();
+        Gateway {
+            host,
+            table: RefCell::default(),
+            fleet: RefCell::default(),
+            weights: RefCell::default(),
+            retries: RefCell::new(RetryShare::new(rule, ENTRIES_AT_FIRST)),
+            pool: Pool::default(),
+            replicas: RefCell::new(replicas),
+            roster_number: Cell::new(0),
+            current_at: Cell::new(None),
+            stopping: Cell::new(false),
+            answering: Cell::new(0),
+        }
+    }
+
+    /// The deployment in force here.
+    pub fn table(&self) -> Option<Rc<Table>> {
+        self.table.borrow().clone()
+    }
+
+    /// Whether new callers may be sent here.
+    pub fn is_ready(&self) -> bool {
+        !self.stopping.get() && self.table.borrow().is_some() && self.roster_number.get() > 0
+    }
+
+    /// How old what is known here may be; `None` if nothing is known.
+    pub fn belief_age(&self) -> Option<std::time::Duration> {
+        self.current_at.get().map(|at| boot_now().saturating_sub(at))
+    }
+
+    /// Takes news from a replica. What is older than what is known changes nothing.
+    pub fn take(&self, news: News) {
+        match news {
+            News::Current { replicas, entries } => {
+                self.current_at.set(Some(boot_now()));
+                self.retries.borrow_mut().set_entries(entries);
+                if !replicas.is_empty() {
+                    *self.replicas.borrow_mut() = replicas;
+                }
+            }
+            News::Deployment(deployment) => self.take_deployment(deployment),
+            News::Weights(weights) => *self.weights.borrow_mut() = weights,
+            News::Roster(numbered) => {
+                if numbered.number > self.roster_number.get() {
+                    self.roster_number.set(numbered.number);
+                    self.fleet.borrow_mut().take(&numbered.roster);
+                    let fleet = self.fleet.borrow();
+                    self.pool.keep(|target| fleet.get(target).is_some());
+                }
+            }
+        }
+    }
+
+    fn take_deployment(&self, deployment: Arc<Deployment>) {
+        let mut table = self.table.borrow_mut();
+        let known = table.as_ref().map(|table| table.deployment().version);
+        if known.is_none_or(|known| deployment.version > known) {
+            log::info!(
+                "event=deployment_in_force version={} before={known:?} routes={}",
+                deployment.version,
+                deployment.routes.len()
+            );
+            *table = Some(Rc::new(Table::new(deployment)));
+        }
+    }
+}
+
+/// A request at a target, counted in the fleet for as long as it lives.
+pub struct AtTarget {
+    gateway: Rc<Gateway>,
+    dispatch: Option<Dispatch>,
+}
+
+impl AtTarget {
+    /// Counts a request at a target.
+    pub fn new(gateway: &Rc<Gateway>, target: &TargetId, reading_tokens: u64) -> AtTarget {
+        let dispatch = gateway.fleet.borrow_mut().begin(target, reading_tokens);
+        AtTarget { gateway: gateway.clone(), dispatch: Some(dispatch) }
+    }
+
+    /// Its prompt has been read: the first part of the answer is here.
+    pub fn has_read(&mut self) {
+        if let Some(dispatch) = &mut self.dispatch {
+            self.gateway.fleet.borrow_mut().has_read(dispatch);
+        }
+    }
+}
+
+impl Drop for AtTarget {
+    fn drop(&mut self) {
+        if let Some(dispatch) = self.dispatch.take() {
+            self.gateway.fleet.borrow_mut().end(dispatch);
+        }
+    }
+}
--- a/src/log/raft/mod.rs
+++ b/src/log/raft/mod.rs
@@ -96,6 +96,8 @@
     /// When a leader of the current term was heard last; starts at the start, so that a replica
     /// that forgot what it heard does not vote too early.
     heard_leader: BootTime,
+    /// When this replica last had all that its leader had committed by then.
+    caught_up_at: Option<BootTime>,
     election_at: BootTime,
     /// Never falls, and never passes the last index.
     commit: Index,
@@ -201,6 +203,7 @@
             role: Role::Follower,
             leader: None,
             heard_leader: now,
+            caught_up_at: None,
             election_at: now,
             commit: snapshot_index,
             applied: snapshot_index,
@@ -328,6 +331,14 @@
         self.commit >= leader.first_index && now < leader.confirmed_at + safe
     }
 
+    /// When this replica last had all that was committed: a later read here may be older.
+    pub fn caught_up_at(&self, now: BootTime) -> Option<BootTime> {
+        match &self.role {
+            Role::Leader(_) => self.holds_leadership(now).then_some(now),
+            _ => self.caught_up_at,
+        }
+    }
+
     /// The last index that was handed out to be applied.
     pub fn applied(&self) -> Index {
         self.applied
--- a/src/log/raft/replication.rs
+++ b/src/log/raft/replication.rs
@@ -104,6 +104,9 @@
             self.members = self.log.members();
         }
         self.commit = self.commit.max(commit.min(equal_until));
+        if self.commit >= commit {
+            self.caught_up_at = Some(now);
+        }
         self.answer(from, Ok(equal_until.max(self.log.snapshot_index())), round);
     }
 
--- a/src/log/types.rs
+++ b/src/log/types.rs
@@ -176,6 +176,13 @@
     },
 }
 
+impl Message {
+    /// Whether only a leader sends it.
+    pub fn is_from_leader(&self) -> bool {
+        matches!(self, Message::Append { .. } | Message::InstallSnapshot { .. })
+    }
+}
+
 /// The entry before the first one sent is missing or different.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Mismatch {
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,35 @@
+//! TCP connections that notice a peer that has gone silent.
+
+pub mod http;
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use socket2::SockRef;
+use tokio::net::TcpStream;
+
+/// Opens a connection within `timeout`. It fails once bytes stay unacknowledged for
+/// `unacknowledged`.
+///
+/// # Errors
+/// Those of the operating system, and `TimedOut`.
+pub async fn connect(
+    to: SocketAddr,
+    timeout: Duration,
+    unacknowledged: Duration,
+) -> io::Result<TcpStream> {
+    let connecting = tokio::time::timeout(timeout, TcpStream::connect(to));
+    let stream = connecting.await.map_err(|_| io::ErrorKind::TimedOut)??;
+    notice_silence(&stream, unacknowledged)?;
+    Ok(stream)
+}
+
+/// Sends small writes at once, and fails once bytes stay unacknowledged for that long.
+///
+/// # Errors
+/// Those of the operating system.
+pub fn notice_silence(stream: &TcpStream, unacknowledged: Duration) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    SockRef::from(stream).set_tcp_user_timeout(Some(unacknowledged))
+}
--- /dev/null
+++ b/src/reload.rs
@@ -0,0 +1,40 @@
+//! Notices that the settings file has changed, with a signal or without.
+
+use std::time::Duration;
+
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::error::{Error, Result};
+use crate::host::HostSettings;
+use crate::platform::settings;
+
+/// How often the file is looked at without a signal: seeds change some seconds before they matter.
+const LOOK_EVERY: Duration = Duration::from_secs(2);
+
+/// Hands out the settings each time that they have changed, for as long as the process lives.
+///
+/// # Errors
+/// If signals can't be taken.
+pub async fn keep_reading(
+    mut known: HostSettings,
+    mut on_change: impl FnMut(&HostSettings),
+) -> Result<()> {
+    let mut hang_up = signal(SignalKind::hangup())
+        .map_err(|source| Error::start("signals", source, "report this as a defect"))?;
+    loop {
+        let was_told = tokio::select! {
+            told = hang_up.recv() => told.is_some(),
+            () = tokio::time::sleep(LOOK_EVERY) => false,
+        };
+        match settings::read() {
+            Ok(read) => {
+                if read != known {
+                    log::info!("event=reload was_told={was_told} seeds={:?}", read.seeds);
+                    on_change(&read);
+                    known = read;
+                }
+            }
+            Err(error) => log::warn!("event=reload_failed reason={:?}", error.to_string()),
+        }
+    }
+}
--- a/src/route/health.rs
+++ b/src/route/health.rs
@@ -88,6 +88,14 @@
         };
     }
 
+    /// Records that it can't be reached: no more requests are risked to be sure of that.
+    pub fn unreachable(&mut self, now: BootTime) {
+        self.state = match self.state {
+            State::Ejected { until } if now < until => State::Ejected { until },
+            _ => self.eject(now),
+        };
+    }
+
     fn eject(&mut self, now: BootTime) -> State {
         let doubled = FIRST_EJECTION.saturating_mul(1 << self.ejections.min(10));
         self.ejections += 1;
