Let one scheduler place prompts and own what stores keep

Change: the leading replica runs a scheduler that entries ask for each prompt. It counts what each engine must still read, follows what is resident in its memory, grants fetches from and saves to the stores, and frees the least recently used parts once no granted fetch can be under way. Weights name the cache.

--- a/src/control/frames.rs
+++ b/src/control/frames.rs
@@ -12,6 +12,7 @@
 use crate::fleet::Roster;
 use crate::ids::{DomainId, ModelId, NodeId};
 use crate::log::Message;
+use crate::scheduler::{Ask, Note, Placed, Unplaced};
 
 /// A longer frame is taken for damage. Larger than any deployment with its text: a body of an
 /// operator's call is at most 4 MiB.
@@ -36,6 +37,42 @@
         /// Its failure domain.
         failure_domain: DomainId,
     },
+    /// An entry that asks the scheduler; `FromEntry` frames follow, `ToEntry` is sent back.
+    Asker {
+        /// Its host's name.
+        name: String,
+    },
+}
+
+/// From an entry to the scheduler.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum FromEntry {
+    /// Place a prompt; the number names the answer.
+    Ask(u64, Ask),
+    /// What became of a placement.
+    Note(Note),
+}
+
+/// From the scheduler to an entry.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum ToEntry {
+    /// Where a prompt runs.
+    Placed(u64, Result<Placed, PlaceError>),
+}
+
+/// Why a prompt was not placed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PlaceError {
+    /// The asked replica does not lead, or is not sure of it.
+    NotScheduling,
+    /// There is no engine for it.
+    Unplaced(Unplaced),
+}
+
+impl From<Unplaced> for PlaceError {
+    fn from(unplaced: Unplaced) -> PlaceError {
+        PlaceError::Unplaced(unplaced)
+    }
 }
 
 /// From replica to replica.
@@ -71,6 +108,8 @@
         replicas: BTreeSet<IpAddr>,
         /// How many entries there are.
         entries: u32,
+        /// The host of the replica that leads, and schedules.
+        leader: Option<IpAddr>,
     },
     /// The newest deployment.
     Deployment(Arc<Deployment>),
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -10,5 +10,7 @@
 pub mod replica;
 pub mod roster_reader;
 pub mod run;
+pub mod scheduling;
 pub mod state;
+pub mod store_reader;
 pub mod weights;
--- a/src/control/news.rs
+++ b/src/control/news.rs
@@ -11,6 +11,7 @@
 
 use super::frames::{self, Introduction, News, ToReplica, encode};
 use super::replica::{Input, Shared};
+use super::scheduling::Scheduling;
 use crate::net;
 
 /// How often an entry is told that what it knows is current.
@@ -26,13 +27,17 @@
 const ACCEPT_AGAIN: Duration = Duration::from_millis(50);
 
 /// Accepts connections for as long as the process lives.
-pub async fn accept(listener: TcpListener, shared: Rc<Shared>, inputs: mpsc::Sender<Input>) {
+pub async fn accept(
+    listener: TcpListener,
+    scheduling: Rc<Scheduling>,
+    inputs: mpsc::Sender<Input>,
+) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let (shared, inputs) = (shared.clone(), inputs.clone());
+                let (scheduling, inputs) = (scheduling.clone(), inputs.clone());
                 tokio::task::spawn_local(async move {
-                    if let Err(error) = serve(stream, shared, inputs).await {
+                    if let Err(error) = serve(stream, scheduling, inputs).await {
                         log::debug!("event=peer_gone reason={:?}", error.to_string());
                     }
                 });
@@ -47,13 +52,14 @@
 
 async fn serve(
     stream: TcpStream,
-    shared: Rc<Shared>,
+    scheduling: Rc<Scheduling>,
     inputs: mpsc::Sender<Input>,
 ) -> std::io::Result<()> {
     net::notice_silence(&stream, UNACKNOWLEDGED)?;
     let (read, write) = stream.into_split();
     let mut read = BufReader::new(read);
     let introduction = frames::read(&mut read);
+    let shared = &scheduling.shared;
     match tokio::time::timeout(INTRODUCTION_TIMEOUT, introduction).await?? {
         Introduction::Replica { node, ip } => loop {
             let frame: ToReplica = frames::read(&mut read).await?;
@@ -64,7 +70,7 @@
         Introduction::Entry { name, failure_domain } => {
             log::info!("event=entry_connected entry={name} failure_domain={failure_domain}");
             *shared.own_entries.borrow_mut().entry(name.clone()).or_default() += 1;
-            let ended = tell_entry(read, write, &shared).await;
+            let ended = tell_entry(read, write, shared).await;
             let mut entries = shared.own_entries.borrow_mut();
             if let Some(count) = entries.get_mut(&name) {
                 *count -= 1;
@@ -76,6 +82,14 @@
             );
             Ok(())
         }
+        Introduction::Asker { name } => {
+            let ended = scheduling.serve(read, write).await;
+            log::info!(
+                "event=asker_gone entry={name} reason={:?}",
+                ended.err().map(|e| e.to_string())
+            );
+            Ok(())
+        }
     }
 }
 
@@ -144,6 +158,8 @@
 }
 
 fn current_news(shared: &Shared) -> std::sync::Arc<[u8]> {
-    let replicas: BTreeSet<_> = shared.belief.borrow().state.places.values().copied().collect();
-    encode(&News::Current { replicas, entries: shared.entries.get().max(1) })
+    let belief = shared.belief.borrow();
+    let replicas: BTreeSet<_> = belief.state.places.values().copied().collect();
+    let entries = shared.entries.get().max(1);
+    encode(&News::Current { replicas, entries, leader: belief.leader })
 }
--- a/src/control/run.rs
+++ b/src/control/run.rs
@@ -19,6 +19,7 @@
 use super::ordering::Ordering;
 use super::replica::{Belief, Input, Replica, Shared, Start};
 use super::roster_reader;
+use super::scheduling::Scheduling;
 use super::state::ControlState;
 use crate::clock::boot_now;
 use crate::error::{Error, Result};
@@ -62,7 +63,9 @@
     });
     let (inputs, receiver) = mpsc::channel(QUEUE_LEN);
     let peers = listen(SocketAddr::new(host.ip, host.peer_port)).await?;
-    tokio::task::spawn_local(news::accept(peers, shared.clone(), inputs.clone()));
+    let scheduling = Rc::new(Scheduling::new(shared.clone()));
+    tokio::task::spawn_local(scheduling.clone().run());
+    tokio::task::spawn_local(news::accept(peers, scheduling, inputs.clone()));
     let operators = Rc::new(Operators { inputs: inputs.clone(), port: operators_address.port() });
     tokio::task::spawn_local(operators.accept(listen(operators_address).await?));
     if let Some(list) = host.target_list {
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -49,7 +49,8 @@
 pub struct Dispatch {
     /// The target.
     pub target: TargetId,
-    reading_tokens: u64,
+    /// Tokens of its prompt, until it has been read.
+    reading_tokens: Option<u64>,
 }
 
 impl FleetView {
@@ -87,15 +88,16 @@
             state.running += 1;
             state.reading_tokens += reading_tokens;
         }
-        Dispatch { target: target.clone(), reading_tokens }
+        Dispatch { target: target.clone(), reading_tokens: Some(reading_tokens) }
     }
 
-    /// Records that a request's prompt has been read.
-    pub fn has_read(&mut self, dispatch: &mut Dispatch) {
-        let tokens = std::mem::take(&mut dispatch.reading_tokens);
+    /// Records that a request's prompt has been read. Returns false if that was known.
+    pub fn has_read(&mut self, dispatch: &mut Dispatch) -> bool {
+        let Some(tokens) = dispatch.reading_tokens.take() else { return false };
         if let Some(state) = self.targets.get_mut(&dispatch.target) {
             state.reading_tokens = state.reading_tokens.saturating_sub(tokens);
         }
+        true
     }
 
     /// Records that a request has left a target.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -9,16 +9,18 @@
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 
-use super::call::{Call, Forwarded, Outcome};
+use super::call::{Call, Forwarded, KeptParts, Outcome};
+use super::place::{self, Chosen};
 use super::pool::{Connection, Sent};
 use super::record::Record;
 use super::state::{AtTarget, Gateway};
 use crate::clock::boot_now;
 use crate::deployment::Route;
 use crate::fleet::Fault;
-use crate::fleet::placement::{self, Ask, Choice, Unplaced};
+use crate::fleet::placement::Unplaced;
 use crate::ids::{AccountId, ServiceId, TargetId};
 use crate::platform::headers;
+use crate::scheduler::End;
 
 /// Connections that are tried for one attempt. A target that can't be reached has run nothing.
 const CONNECTIONS_TRIED: usize = 4;
@@ -94,22 +96,24 @@
     patience: Option<Duration>,
     record: &mut Record,
 ) -> Result<Answered, Missed> {
-    let mut unreachable = tried.to_vec();
+    let mut avoid = tried.to_vec();
     for _ in 0..CONNECTIONS_TRIED {
-        let choice = choose(gateway, job, &unreachable).map_err(Missed::Unplaced)?;
-        let target = choice.target.clone();
-        let Some(mut connection) = connect(gateway, &choice, job.ends_at, record).await else {
-            unreachable.push(target);
+        let chosen = place::choose(gateway, job, &avoid).await.map_err(Missed::Unplaced)?;
+        let target = chosen.target.clone();
+        let reading = job.call.prompt.as_ref().map_or(0, |prompt| prompt.prompt_tokens);
+        let ticket = chosen.placed.as_ref().map(|placed| placed.ticket);
+        let mut at_target = AtTarget::new(gateway, &target, ticket, reading);
+        let Some(mut connection) = connect(gateway, &target, job.ends_at, record).await else {
+            at_target.ends(End::Unreachable);
+            avoid.push(target);
             continue;
         };
-        record.chosen(&choice, connection.was_used);
+        record.chosen(&chosen, connection.was_used);
         let time_left = job.ends_at.saturating_duration_since(Instant::now());
         if time_left < LEAST_TIME {
             return Err(Missed::TooLate);
         }
-        let request = request_for(job, &target, time_left, resume_after);
-        let reading = job.call.prompt.as_ref().map_or(0, |prompt| prompt.prompt_tokens);
-        let at_target = AtTarget::new(gateway, &target, reading);
+        let request = request_for(job, &chosen, time_left, resume_after);
         let give_up_at = patience.map_or(job.ends_at, |p| job.ends_at.min(Instant::now() + p));
         let sent = timeout_at(give_up_at, connection.send(request)).await;
         let now = boot_now();
@@ -117,61 +121,44 @@
             Ok(Sent::Answered(answer)) => answer,
             Ok(Sent::NotSent(reason)) => {
                 record.failed(&target, &reason);
+                at_target.ends(End::NotRun);
                 continue;
             }
             Ok(Sent::Broken(reason)) => {
                 record.failed(&target, &reason);
+                at_target.ends(End::Failed);
                 gateway.fleet.borrow_mut().failed(&target, Fault::Target, now);
                 return Err(Missed::MayHaveRun(target));
             }
             Err(_) => {
                 record.failed(&target, "no answer in time");
+                at_target.ends(End::Failed);
                 gateway.fleet.borrow_mut().failed(&target, Fault::Target, now);
                 return Err(Missed::TimedOut(target));
             }
         };
-        return judge(
-            gateway,
-            job,
-            Answered {
-                outcome: headers::decode_outcome(answer.headers()),
-                target,
-                answer,
-                connection,
-                at_target,
-            },
-            record,
-        );
+        let outcome = headers::decode_outcome(answer.headers());
+        let answered = Answered { target, answer, outcome, connection, at_target };
+        return judge(gateway, job, answered, record);
     }
     Err(Missed::Unplaced(Unplaced::NoneSound))
 }
 
-fn choose(gateway: &Gateway, job: &Job, tried: &[TargetId]) -> Result<Choice, Unplaced> {
-    let ask = Ask {
-        service: &job.service,
-        prompt: job.call.prompt.as_ref(),
-        cache_wall: &job.cache_wall,
-        tried,
-        drawn: job.drawn,
-    };
-    placement::choose(&gateway.fleet.borrow(), &ask, boot_now())
-}
-
 async fn connect(
     gateway: &Gateway,
-    choice: &Choice,
+    target: &TargetId,
     ends_at: Instant,
     record: &mut Record,
 ) -> Option<Connection> {
-    if let Some(connection) = gateway.pool.reuse(&choice.target) {
+    if let Some(connection) = gateway.pool.reuse(target) {
         return Some(connection);
     }
-    let address = gateway.fleet.borrow().get(&choice.target)?.listed.address;
+    let address = gateway.fleet.borrow().get(target)?.listed.address;
     match timeout_at(ends_at, Connection::open(address)).await {
         Ok(Ok(connection)) => Some(connection),
         Ok(Err(error)) => {
-            record.failed(&choice.target, &error.to_string());
-            gateway.fleet.borrow_mut().unreachable(&choice.target, boot_now());
+            record.failed(target, &error.to_string());
+            gateway.fleet.borrow_mut().unreachable(target, boot_now());
             None
         }
         Err(_) => None,
@@ -180,17 +167,25 @@
 
 fn request_for(
     job: &Job,
-    target: &TargetId,
+    chosen: &Chosen,
     time_left: Duration,
     resume_after: Option<&str>,
 ) -> Request<Full<Bytes>> {
+    let placed = chosen.placed.as_ref();
+    let salt = || placed.map_or_else(|| job.cache_wall.clone(), |placed| placed.salt.clone());
     let forwarded = Forwarded {
-        target,
+        target: &chosen.target,
         account: job.account.as_ref(),
         time_left,
         urgency: job.call.prompt.is_some().then_some(job.priority.min(9)),
-        cache_wall: job.call.prompt.is_some().then(|| job.cache_wall.clone()),
+        cache_wall: job.call.prompt.is_some().then(salt),
         resume_after,
+        weight_version: placed.and_then(|placed| placed.weight_version),
+        kept: placed.map(|placed| KeptParts {
+            fetch: &placed.fetch,
+            save: &placed.save,
+            fetch_until_ms: placed.fetch_until_ms,
+        }),
     };
     let mut request = Request::new(Full::new(job.body.clone()));
     *request.method_mut() = job.method.clone();
@@ -203,11 +198,11 @@
 fn judge(
     gateway: &Gateway,
     job: &Job,
-    answered: Answered,
+    mut answered: Answered,
     record: &mut Record,
 ) -> Result<Answered, Missed> {
     let now = boot_now();
-    let Answered { target, answer, outcome, .. } = &answered;
+    let Answered { target, answer, outcome, at_target, .. } = &mut answered;
     record.answered(outcome);
     if let Some(load) = outcome.load {
         gateway.fleet.borrow_mut().reported(target, load, now);
@@ -216,17 +211,23 @@
     if is_other {
         // The connection carries an answer to an earlier request: nothing on it can be trusted.
         record.failed(target, "answer to another request");
+        at_target.ends(End::Failed);
         return Err(Missed::MayHaveRun(answered.target));
     }
     if answer.status() == StatusCode::MISDIRECTED_REQUEST {
-        record.failed(target, "another target answers there");
-        if outcome.answered_by.as_ref() != Some(target) {
+        record.failed(target, "another target or other weights");
+        let is_replaced = outcome.answered_by.as_ref().is_some_and(|id| id != target);
+        if is_replaced {
             gateway.fleet.borrow_mut().replaced(target);
+            at_target.ends(End::Replaced);
+        } else {
+            at_target.ends(End::OtherWeights(outcome.weight_version));
         }
         return Err(Missed::NotRun(answered.target));
     }
     if outcome.did_not_run {
         record.failed(target, &format!("not run, status {}", answer.status().as_u16()));
+        at_target.ends(End::NotRun);
         let Answered { target, connection, outcome, .. } = answered;
         if !outcome.closes {
             gateway.pool.give_back(&target, connection);
@@ -234,6 +235,7 @@
         return Err(Missed::NotRun(target));
     }
     if answer.status().is_server_error() {
+        at_target.ends(End::Failed);
         gateway.fleet.borrow_mut().failed(target, Fault::Target, now);
     }
     Ok(answered)
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -1,7 +1,10 @@
 //! What decisions need of a caller's request and of a target's answer.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::ids::{AccountId, ModelId, RequestId, TargetId};
 
 /// A caller's request, without its body.
@@ -37,7 +40,7 @@
 }
 
 /// A part of a prompt.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Part {
     /// Names its content, together with those before it.
     pub id: String,
@@ -76,6 +79,21 @@
     pub cache_wall: Option<String>,
     /// The last event that the caller has.
     pub resume_after: Option<&'a str>,
+    /// The weights that the engine must run.
+    pub weight_version: Option<u64>,
+    /// Where kept parts come from and go to.
+    pub kept: Option<KeptParts<'a>>,
+}
+
+/// Where the parts of a prompt are fetched and saved, one place a part.
+#[derive(Clone, Copy, Debug)]
+pub struct KeptParts<'a> {
+    /// Stores that have a part.
+    pub fetch: &'a [Option<SocketAddr>],
+    /// Stores that shall have a part.
+    pub save: &'a [Option<SocketAddr>],
+    /// When a fetch must be thrown away, on the engines' clock.
+    pub fetch_until_ms: u64,
 }
 
 /// What a target's answer says beside its content.
@@ -98,7 +116,7 @@
 }
 
 /// How busy a target says that it is.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetLoad {
     /// Requests that run.
     pub running: u32,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,9 +1,11 @@
 //! Entry of a deployment: takes callers' requests and relays them to targets unchanged.
 
 pub mod answer;
+pub mod asking;
 pub mod attempt;
 pub mod call;
 pub mod events;
+pub mod place;
 pub mod pool;
 pub mod readiness;
 pub mod record;
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -6,10 +6,10 @@
 use std::time::Duration;
 
 use super::call::{Call, Outcome};
+use super::place::Chosen;
 use super::state::Gateway;
 use crate::clock::{BootTime, boot_now};
 use crate::deployment::document::DeploymentVersion;
-use crate::fleet::placement::Choice;
 use crate::ids::TargetId;
 
 /// How a request ended.
@@ -61,17 +61,11 @@
     }
 
     /// A target was chosen.
-    pub fn chosen(&mut self, choice: &Choice, is_reused: bool) {
+    pub fn chosen(&mut self, chosen: &Chosen, is_reused: bool) {
         let at_ms = self.elapsed().as_millis();
+        let (target, grounds) = (&chosen.target, &chosen.grounds);
         // Writing to a string can't fail.
-        let _ = write!(
-            self.steps,
-            " at_ms={at_ms} target={} load={:.1} home={} expected_ms={} reused={is_reused}",
-            choice.target,
-            choice.load,
-            choice.home,
-            choice.expected.as_millis(),
-        );
+        let _ = write!(self.steps, " at_ms={at_ms} target={target} {grounds} reused={is_reused}");
     }
 
     /// A target answered, and told how busy it is.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -20,6 +20,7 @@
 use crate::clock::boot_now;
 use crate::fleet::Fault;
 use crate::ids::TargetId;
+use crate::scheduler::End;
 
 /// A body up to this length is taken as a whole before any of it is relayed, so that one that breaks
 /// off can be asked for again.
@@ -139,7 +140,7 @@
                 Some(Err(error)) => return Next::Broken(error.to_string()),
                 Some(Ok(frame)) => {
                     let Ok(data) = frame.into_data() else { continue };
-                    source.at_target.has_read();
+                    source.at_target.has_read(&source.outcome);
                     match self.events.push(&data) {
                         Ok(events) if events.is_empty() => {}
                         Ok(events) => return Next::Events(events),
@@ -164,7 +165,8 @@
 
     fn finish(&mut self) {
         self.record.end(Ended::Relayed(StatusCode::OK.as_u16()));
-        if let Some(source) = self.source.take() {
+        if let Some(mut source) = self.source.take() {
+            source.at_target.ends(End::Whole);
             self.gateway.fleet.borrow_mut().succeeded(&source.target);
             if !source.outcome.closes {
                 self.gateway.pool.give_back(&source.target, source.connection);
@@ -175,7 +177,8 @@
     /// Resumes the stream at another engine after the last whole event.
     async fn go_on_elsewhere(&mut self, reason: String) -> Result<(), RelayError> {
         let may_resume = self.may_resume();
-        if let Some(source) = self.source.take() {
+        if let Some(mut source) = self.source.take() {
+            source.at_target.ends(End::Failed);
             self.record.failed(&source.target, &reason);
             self.gateway.fleet.borrow_mut().failed(&source.target, Fault::Target, boot_now());
             // Closes the connection, which ends the run there.
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -28,8 +28,8 @@
 /// A request that may be repeated waits this many objectives for the first part of its answer
 /// before another target is asked.
 const OBJECTIVES_TO_WAIT: u32 = 2;
-/// Names a cache that accounts without a wall of their own share.
-const SHARED_CACHE: &str = "shared";
+/// Names the cache that accounts without a wall of their own share.
+const SHARED_CACHE: &str = "all";
 
 /// Answers a request.
 pub async fn answer(gateway: Rc<Gateway>, request: Request<Incoming>) -> Answer {
@@ -97,7 +97,8 @@
         headers: head.headers,
         body: Bytes::new(),
         account: found.account.map(|account| account.id.clone()),
-        cache_wall: isolated.map_or(SHARED_CACHE, |account| account.id.as_str()).to_string(),
+        cache_wall: isolated
+            .map_or_else(|| SHARED_CACHE.to_string(), |account| format!("only:{}", account.id)),
         priority: found.account.and_then(|a| a.priority).unwrap_or(route.priority),
         service,
         ends_at: arrived + most,
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 use super::state::Gateway;
-use super::{readiness, server, subscription};
+use super::{asking, readiness, server, subscription};
 use crate::control::run::listen;
 use crate::error::{Error, Result};
 use crate::host::HostSettings;
@@ -36,6 +36,7 @@
     let (closing, closed) = watch::channel(false);
     let open = Rc::new(Cell::new(0));
     subscription::start(&gateway);
+    tokio::task::spawn_local(asking::keep_connected(gateway.clone()));
     let ready = listen(readiness_address).await?;
     tokio::task::spawn_local(readiness::accept(gateway.clone(), ready));
     let callers = listen(callers_address).await?;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -6,6 +6,8 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use super::asking::Asking;
+use super::call::Outcome;
 use super::pool::Pool;
 use crate::clock::{BootTime, boot_now};
 use crate::control::frames::News;
@@ -14,6 +16,7 @@
 use crate::fleet::{Dispatch, FleetView};
 use crate::host::HostSettings;
 use crate::ids::{ModelId, TargetId};
+use crate::scheduler::{End, Note, TicketId};
 
 /// Entries that are assumed to share the retry budget until a replica tells how many there are.
 const ENTRIES_AT_FIRST: u32 = 16;
@@ -32,6 +35,10 @@
     pub retries: RefCell<RetryShare>,
     /// Connections to targets.
     pub pool: Pool,
+    /// The connection to the scheduler.
+    pub asking: Asking,
+    /// The host of the replica that leads, as far as is known.
+    pub leader: Cell<Option<IpAddr>>,
     /// Hosts of replicas.
     pub replicas: RefCell<BTreeSet<IpAddr>>,
     /// Number of the list of targets.
@@ -60,6 +67,8 @@
             weights: RefCell::default(),
             retries: RefCell::new(RetryShare::new(rule, ENTRIES_AT_FIRST)),
             pool: Pool::default(),
+            asking: Asking::default(),
+            leader: Cell::new(None),
             replicas: RefCell::new(replicas),
             roster_number: Cell::new(0),
             current_at: Cell::new(None),
@@ -86,7 +95,8 @@
     /// Takes news from a replica. What is older than what is known changes nothing.
     pub fn take(&self, news: News) {
         match news {
-            News::Current { replicas, entries } => {
+            News::Current { replicas, entries, leader } => {
+                self.leader.set(leader.or(self.leader.get()));
                 self.current_at.set(Some(boot_now()));
                 self.retries.borrow_mut().set_entries(entries);
                 if !replicas.is_empty() {
@@ -120,24 +130,41 @@
     }
 }
 
-/// A request at a target, counted in the fleet for as long as it lives.
+/// A request at a target, counted in the fleet and by the scheduler for as long as it lives.
 pub struct AtTarget {
     gateway: Rc<Gateway>,
     dispatch: Option<Dispatch>,
+    ticket: Option<TicketId>,
+    end: End,
 }
 
 impl AtTarget {
-    /// Counts a request at a target.
-    pub fn new(gateway: &Rc<Gateway>, target: &TargetId, reading_tokens: u64) -> AtTarget {
+    /// Counts a request at a target, which the scheduler may have placed there.
+    pub fn new(
+        gateway: &Rc<Gateway>,
+        target: &TargetId,
+        ticket: Option<TicketId>,
+        reading_tokens: u64,
+    ) -> AtTarget {
         let dispatch = gateway.fleet.borrow_mut().begin(target, reading_tokens);
-        AtTarget { gateway: gateway.clone(), dispatch: Some(dispatch) }
+        AtTarget { gateway: gateway.clone(), dispatch: Some(dispatch), ticket, end: End::Left }
     }
 
     /// Its prompt has been read: the first part of the answer is here.
-    pub fn has_read(&mut self) {
-        if let Some(dispatch) = &mut self.dispatch {
-            self.gateway.fleet.borrow_mut().has_read(dispatch);
+    pub fn has_read(&mut self, outcome: &Outcome) {
+        let Some(dispatch) = &mut self.dispatch else { return };
+        if !self.gateway.fleet.borrow_mut().has_read(dispatch) {
+            return;
         }
+        if let Some(ticket) = self.ticket {
+            let (weight_version, load) = (outcome.weight_version, outcome.load);
+            self.gateway.asking.tell(Note::FirstPart { ticket, weight_version, load });
+        }
+    }
+
+    /// How it ends. Without a word, the caller has left.
+    pub fn ends(&mut self, end: End) {
+        self.end = end;
     }
 }
 
@@ -146,5 +173,8 @@
         if let Some(dispatch) = self.dispatch.take() {
             self.gateway.fleet.borrow_mut().end(dispatch);
         }
+        if let Some(ticket) = self.ticket {
+            self.gateway.asking.tell(Note::Ended { ticket, end: self.end });
+        }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod reload;
 pub mod replica;
 pub mod route;
+pub mod scheduler;
 pub mod settings;
 pub mod telemetry;
 pub mod whereabouts;
--- /dev/null
+++ b/src/scheduler/messages.rs
@@ -0,0 +1,111 @@
+//! What entries ask the scheduler, and what they tell it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::gateway::call::{Part, TargetLoad};
+use crate::ids::{ModelId, ServiceId, TargetId};
+
+/// Names a placement.
+pub type TicketId = u64;
+
+/// A prompt that needs an engine.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Ask {
+    /// The service.
+    pub service: ServiceId,
+    /// The model.
+    pub model: ModelId,
+    /// Names those who may share kept cache with it.
+    pub wall: String,
+    /// The parts of the prompt, in order. The last one belongs to the request itself.
+    pub parts: Vec<Part>,
+    /// Tokens in the prompt.
+    pub prompt_tokens: u64,
+    /// Most tokens that are generated.
+    pub output_tokens: u64,
+    /// The time to the first part of the answer that the operator aims at.
+    pub objective: Duration,
+    /// How much of the caller's time is left.
+    pub time_left: Duration,
+    /// Engines that this request was sent to before, or that the entry can't reach.
+    pub avoid: Vec<TargetId>,
+}
+
+/// Where a prompt runs.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Placed {
+    /// Names the placement.
+    pub ticket: TicketId,
+    /// The engine.
+    pub target: TargetId,
+    /// The text under which the engine and the stores keep its parts.
+    pub salt: String,
+    /// The weights that the engine must run; another version must refuse.
+    pub weight_version: Option<u64>,
+    /// Where each part is fetched from.
+    pub fetch: Vec<Option<SocketAddr>>,
+    /// Where each part is saved once it is read.
+    pub save: Vec<Option<SocketAddr>>,
+    /// A fetch that has not ended by then, on the engines' clock, must be thrown away.
+    pub fetch_until_ms: u64,
+    /// What the decision rests on, for the log.
+    pub grounds: Grounds,
+}
+
+/// What a placement rests on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Grounds {
+    /// Requests at the engine.
+    pub running: u32,
+    /// Tokens that the engine must read before.
+    pub ahead_tokens: u64,
+    /// Tokens of the prompt that are resident there.
+    pub resident_tokens: u64,
+    /// Tokens that are fetched.
+    pub fetched_tokens: u64,
+    /// Expected time to the first part of the answer.
+    pub expected_ms: u32,
+}
+
+/// What became of a placement.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Note {
+    /// The first part of the answer is here.
+    FirstPart {
+        /// The placement.
+        ticket: TicketId,
+        /// The weights that the engine runs.
+        weight_version: Option<u64>,
+        /// How busy it says that it is.
+        load: Option<TargetLoad>,
+    },
+    /// The request has left the engine.
+    Ended {
+        /// The placement.
+        ticket: TicketId,
+        /// How.
+        end: End,
+    },
+}
+
+/// How a request left an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum End {
+    /// With a whole answer.
+    Whole,
+    /// The caller left, or its time was over.
+    Left,
+    /// The engine could not be reached.
+    Unreachable,
+    /// The engine broke off or answered with a failure of its own.
+    Failed,
+    /// The engine did not run it.
+    NotRun,
+    /// The engine runs other weights.
+    OtherWeights(Option<u64>),
+    /// Another target answers at the engine's address.
+    Replaced,
+}
--- /dev/null
+++ b/src/scheduler/mod.rs
@@ -0,0 +1,15 @@
+//! Decides for all entries together where prompts run and which contexts are kept in stores.
+//!
+//! One scheduler, at the leading replica, sees every prompt: it counts what each engine still has to
+//! read, follows what is resident in each engine's memory, and owns the contents of the stores. An
+//! entry that gets no answer in time decides alone, without the stores. Pure: fed asks, notes and the
+//! time.
+
+pub mod engine;
+pub mod memory;
+pub mod messages;
+pub mod plan;
+pub mod store;
+
+pub use messages::{Ask, End, Note, Placed, TicketId};
+pub use plan::{Scheduler, Unplaced};
--- /dev/null
+++ b/src/scheduler/plan.rs
@@ -0,0 +1,438 @@
+//! The scheduler: where each prompt runs, what it fetches, what is saved.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::engine::{Engine, Running};
+use super::memory::PartKey;
+use super::messages::{Ask, End, Grounds, Note, Placed, TicketId};
+use super::store::{FETCH_LASTS, FreePlan, Inventory, Store, StoreEvent, part_key};
+use crate::clock::BootTime;
+use crate::deployment::{Deployment, EngineTraits, ServiceRole};
+use crate::fleet::{Fault, Presence, Roster};
+use crate::ids::{ServiceId, TargetId};
+
+/// Tokens that an engine reads in a millisecond: the slower one of the deployed kinds (92.1 and
+/// 140), so that no engine is thought to be faster than it is.
+const READ_TOKENS_PER_MS: f64 = 92.0;
+/// What a prompt that an engine already runs delays the next one, beside what it must still read.
+const DELAY_PER_RUNNING_MS: f64 = 2.0;
+/// What a request that was not placed here delays the next one: a mean prompt of 3,600 tokens.
+const DELAY_PER_OTHER_MS: f64 = 25.0;
+/// Reading tokens again that are kept somewhere else costs this much beside the time that it takes:
+/// operators weigh work that is thrown away.
+const READ_AGAIN_MS_PER_TOKEN: f64 = 0.03;
+/// Memory that an engine keeps free of running prompts: beyond it, prompts push each other out.
+const MEMORY_PART: f64 = 0.85;
+/// What each token beyond that costs: about as long as until a running prompt ends.
+const OVER_MEMORY_MS_PER_TOKEN: f64 = 0.05;
+/// Contexts up to this length go to the stores that answer soonest, where that matters most.
+const SHORT_CONTEXT_TOKENS: u64 = 3_000;
+/// A transfer takes this many times as long between failure domains.
+const OTHER_DOMAIN: f64 = 2.0;
+/// A fetch that would take longer is not worth waiting for.
+const LONGEST_FETCH_MS: f64 = 1_000.0;
+/// A new scheduler frees nothing before fetches that an earlier one granted have ended.
+const FIRST_FREES_AFTER: Duration = Duration::from_millis(2_500);
+
+/// Why a prompt was not placed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub enum Unplaced {
+    /// No engine of the service is known here.
+    NoneListed,
+    /// All that are known are out of order, or must be avoided.
+    NoneSound,
+}
+
+/// The engines' clock, as it was read.
+#[derive(Clone, Copy, Debug)]
+struct EnginesClock {
+    at_ms: u64,
+    read_at: BootTime,
+}
+
+/// The scheduler.
+#[derive(Clone, Debug)]
+pub struct Scheduler {
+    engines: BTreeMap<TargetId, Engine>,
+    traits: HashMap<ServiceId, EngineTraits>,
+    stores: BTreeMap<SocketAddr, Store>,
+    tickets: HashMap<TicketId, TargetId>,
+    next_ticket: TicketId,
+    clock: Option<EnginesClock>,
+    frees_from: BootTime,
+}
+
+/// How an engine would get at a prompt.
+struct Way {
+    cost_ms: f64,
+    grounds: Grounds,
+    fetch: Vec<Option<SocketAddr>>,
+    keys: Vec<PartKey>,
+    salt: String,
+}
+
+impl Scheduler {
+    /// The scheduler of a leader that was elected at `now`. Tickets of two schedulers differ.
+    pub fn new(first_ticket: TicketId, now: BootTime) -> Scheduler {
+        Scheduler {
+            engines: BTreeMap::new(),
+            traits: HashMap::new(),
+            stores: BTreeMap::new(),
+            tickets: HashMap::new(),
+            next_ticket: first_ticket,
+            clock: None,
+            frees_from: now + FIRST_FREES_AFTER,
+        }
+    }
+
+    /// Takes a deployment.
+    pub fn take_deployment(&mut self, deployment: &Deployment) {
+        self.traits.clear();
+        let mut stores = BTreeMap::new();
+        for (name, service) in &deployment.services {
+            match &service.role {
+                ServiceRole::Engines(traits) => {
+                    self.traits.insert(name.clone(), traits.clone());
+                }
+                ServiceRole::Store(traits) => {
+                    let known = self.stores.remove(&traits.address);
+                    let store = known.filter(|store| store.traits == *traits);
+                    let store = store.unwrap_or_else(|| Store::new(traits.clone()));
+                    stores.insert(traits.address, store);
+                }
+                ServiceRole::Plain => {}
+            }
+        }
+        self.stores = stores;
+    }
+
+    /// Takes a list of targets.
+    pub fn take_roster(&mut self, roster: &Roster) {
+        self.engines.retain(|id, _| roster.get(id).is_some());
+        for listed in roster.iter() {
+            let Some(traits) = self.traits.get(&listed.service) else { continue };
+            let version = listed.weights.values().next().copied();
+            let engine = self
+                .engines
+                .entry(listed.id.clone())
+                .or_insert_with(|| Engine::new(listed.clone(), version, traits.capacity_tokens));
+            engine.listed.clone_from(listed);
+            // The list lags: it may still name weights older than an answer has told.
+            if version > engine.weight_version {
+                engine.set_weights(version);
+            }
+        }
+    }
+
+    /// Addresses of all stores.
+    pub fn stores(&self) -> Vec<SocketAddr> {
+        self.stores.keys().copied().collect()
+    }
+
+    /// Takes a store's inventory.
+    pub fn take_inventory(&mut self, store: SocketAddr, inventory: Inventory, now: BootTime) {
+        if let Some(store) = self.stores.get_mut(&store) {
+            store.take_inventory(inventory, now);
+        }
+    }
+
+    /// Takes what a store reports.
+    pub fn take_events(&mut self, store: SocketAddr, events: Vec<StoreEvent>, now: BootTime) {
+        if let Some(store) = self.stores.get_mut(&store) {
+            events.into_iter().for_each(|event| store.take_event(event, now));
+        }
+    }
+
+    /// A store has started anew or can't be reached.
+    pub fn lost_store(&mut self, store: SocketAddr) {
+        if let Some(store) = self.stores.get_mut(&store) {
+            store.forget();
+        }
+    }
+
+    /// Reads the engines' clock. The answer was on its way for a while, so the clock is at least
+    /// there.
+    pub fn read_clock(&mut self, at_ms: u64, read_at: BootTime) {
+        self.clock = Some(EnginesClock { at_ms, read_at });
+    }
+
+    /// The engines' clock at `now`, or a little earlier.
+    pub fn engines_clock_ms(&self, now: BootTime) -> Option<u64> {
+        let clock = self.clock?;
+        Some(clock.at_ms + now.saturating_sub(clock.read_at).as_millis() as u64)
+    }
+
+    /// Parts to be freed now.
+    pub fn plan_frees(&mut self, now: BootTime) -> Vec<FreePlan> {
+        if now < self.frees_from {
+            return Vec::new();
+        }
+        self.stores.values_mut().filter_map(|store| store.plan_frees(now)).collect()
+    }
+
+    /// Records that parts were freed.
+    pub fn freed(&mut self, plan: &FreePlan) {
+        if let Some(store) = self.stores.get_mut(&plan.store) {
+            store.freed(plan);
+        }
+    }
+
+    /// Places a prompt on the engine where it costs least.
+    ///
+    /// # Errors
+    /// If there is none.
+    pub fn place(&mut self, ask: &Ask, now: BootTime) -> Result<Placed, Unplaced> {
+        let mut is_listed = false;
+        let mut best: Option<(TargetId, Way)> = None;
+        let mut salts: HashMap<Option<u64>, (String, Vec<PartKey>)> = HashMap::new();
+        for (id, engine) in &self.engines {
+            if engine.listed.service != ask.service || engine.listed.presence != Presence::Live {
+                continue;
+            }
+            is_listed = true;
+            if ask.avoid.contains(id) || !engine.health.admits(engine.placed() as u32, now) {
+                continue;
+            }
+            let named = salts
+                .entry(engine.weight_version)
+                .or_insert_with(|| names(ask, engine.weight_version));
+            let way = self.way(engine, ask, named, now);
+            if best.as_ref().is_none_or(|(_, best)| way.cost_ms < best.cost_ms) {
+                best = Some((id.clone(), way));
+            }
+        }
+        match best {
+            Some((target, way)) => Ok(self.grant(target, way, ask, now)),
+            None if is_listed => Err(Unplaced::NoneSound),
+            None => Err(Unplaced::NoneListed),
+        }
+    }
+
+    fn way(
+        &self,
+        engine: &Engine,
+        ask: &Ask,
+        (salt, keys): &(String, Vec<PartKey>),
+        now: BootTime,
+    ) -> Way {
+        let shared = shared_count(ask);
+        let resident = keys.iter().take_while(|key| engine.memory.holds(**key)).count();
+        let resident_tokens: u64 = ask.parts[..resident].iter().map(|part| part.tokens).sum();
+        let mut fetch = vec![None; ask.parts.len()];
+        let mut fetched_tokens = 0;
+        let mut fetch_ms: f64 = 0.0;
+        for at in resident.min(shared)..shared {
+            let Some((store, took_ms)) = self.nearest(keys[at], ask.parts[at].tokens, engine, now)
+            else {
+                break;
+            };
+            fetch[at] = Some(store);
+            fetched_tokens += ask.parts[at].tokens;
+            fetch_ms = fetch_ms.max(took_ms);
+        }
+        let read_tokens = ask.prompt_tokens.saturating_sub(resident_tokens + fetched_tokens);
+        let again: u64 = (resident.min(shared)..shared)
+            .filter(|at| fetch[*at].is_none() && self.is_kept(keys[*at]))
+            .map(|at| ask.parts[at].tokens)
+            .sum();
+        let ahead_tokens = engine.unread_tokens();
+        let ahead_ms = ahead_tokens as f64 / READ_TOKENS_PER_MS
+            + engine.placed() as f64 * DELAY_PER_RUNNING_MS
+            + engine.others(now) * DELAY_PER_OTHER_MS;
+        let expected_ms = ahead_ms.max(fetch_ms) + read_tokens as f64 / READ_TOKENS_PER_MS;
+        let needed = read_tokens + fetched_tokens + ask.output_tokens;
+        let room = engine.capacity_tokens as f64 * MEMORY_PART;
+        let over = ((engine.busy_tokens() + needed) as f64 - room).max(0.0);
+        let cost_ms =
+            expected_ms + again as f64 * READ_AGAIN_MS_PER_TOKEN + over * OVER_MEMORY_MS_PER_TOKEN;
+        let grounds = Grounds {
+            running: engine.placed() as u32,
+            ahead_tokens,
+            resident_tokens,
+            fetched_tokens,
+            expected_ms: expected_ms as u32,
+        };
+        Way { cost_ms, grounds, fetch, keys: keys.clone(), salt: salt.clone() }
+    }
+
+    /// Whether some engine holds a part.
+    fn is_kept(&self, key: PartKey) -> bool {
+        self.engines.values().any(|engine| engine.memory.holds(key))
+    }
+
+    /// The store from which a part comes soonest, and how long that takes.
+    fn nearest(
+        &self,
+        key: PartKey,
+        tokens: u64,
+        engine: &Engine,
+        now: BootTime,
+    ) -> Option<(SocketAddr, f64)> {
+        self.clock?;
+        let traits = self.traits.get(&engine.listed.service)?;
+        let ways = self.stores.values().filter(|store| store.is_whole(key)).map(|store| {
+            let queue = store.link_free_at.max(engine.link_free_at).saturating_sub(now);
+            let took_ms = queue.as_secs_f64() * 1e3 + transfer_ms(store, engine, traits, tokens);
+            (store.traits.address, took_ms)
+        });
+        ways.filter(|(_, took_ms)| *took_ms <= LONGEST_FETCH_MS)
+            .min_by(|(_, a), (_, b)| a.total_cmp(b))
+    }
+
+    fn grant(&mut self, target: TargetId, way: Way, ask: &Ask, now: BootTime) -> Placed {
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        let shared = shared_count(ask);
+        let mut save = vec![None; ask.parts.len()];
+        for (at, saved) in save.iter_mut().enumerate().take(shared) {
+            let key = way.keys[at];
+            if let Some(address) = way.fetch[at] {
+                self.grant_fetch(address, key, &ask.parts[at], &target, now);
+            } else if self.stores.values().any(|store| store.knows(key)) {
+                self.stores.values_mut().for_each(|store| store.touch(key, now));
+            } else {
+                *saved = self.grant_save(key, &way.salt, &ask.parts[at], &target, now);
+            }
+        }
+        let clock_ms = self.engines_clock_ms(now).unwrap_or_default();
+        let mut weight_version = None;
+        if let Some(engine) = self.engines.get_mut(&target) {
+            weight_version = engine.weight_version;
+            for (key, part) in way.keys.iter().zip(&ask.parts) {
+                engine.memory.begin_use(*key, part.tokens);
+            }
+            let resident_or_fetched = way.grounds.resident_tokens + way.grounds.fetched_tokens;
+            engine.begin(
+                ticket,
+                Running {
+                    parts: way.keys,
+                    unread_tokens: ask.prompt_tokens.saturating_sub(resident_or_fetched).max(1),
+                    output_tokens: ask.output_tokens,
+                    since: now,
+                },
+            );
+        }
+        self.tickets.insert(ticket, target.clone());
+        Placed {
+            ticket,
+            target,
+            salt: way.salt,
+            weight_version,
+            fetch: way.fetch,
+            save,
+            fetch_until_ms: clock_ms + FETCH_LASTS.as_millis() as u64,
+            grounds: way.grounds,
+        }
+    }
+
+    fn grant_fetch(
+        &mut self,
+        address: SocketAddr,
+        key: PartKey,
+        part: &crate::gateway::call::Part,
+        target: &TargetId,
+        now: BootTime,
+    ) {
+        let Some(engine) = self.engines.get_mut(target) else { return };
+        let Some(traits) = self.traits.get(&engine.listed.service) else { return };
+        let Some(store) = self.stores.get_mut(&address) else { return };
+        store.grant_fetch(key, now);
+        let took = Duration::from_secs_f64(transfer_ms(store, engine, traits, part.tokens) / 1e3);
+        store.link_free_at = store.link_free_at.max(now) + took;
+        engine.link_free_at = engine.link_free_at.max(now) + took;
+    }
+
+    /// Where a part is saved: where nothing must be freed for it, short contexts in the store that
+    /// answers soonest, others where most room is.
+    fn grant_save(
+        &mut self,
+        key: PartKey,
+        salt: &str,
+        part: &crate::gateway::call::Part,
+        target: &TargetId,
+        now: BootTime,
+    ) -> Option<SocketAddr> {
+        self.engines.get(target)?.weight_version?;
+        let fits = |store: &&mut Store| store.is_known() && store.free_tokens() > part.tokens;
+        let is_short = part.tokens <= SHORT_CONTEXT_TOKENS;
+        let store = self.stores.values_mut().filter(fits).min_by_key(|store| {
+            let by_time = if is_short { store.traits.first_byte } else { Duration::ZERO };
+            let must_free = !store.has_room_for(part.tokens);
+            (must_free, by_time, std::cmp::Reverse(store.free_tokens()))
+        })?;
+        store.grant_save(key, salt, part, now);
+        Some(store.traits.address)
+    }
+
+    /// Takes what became of a placement.
+    pub fn note(&mut self, note: &Note, now: BootTime) {
+        match note {
+            Note::FirstPart { ticket, weight_version, load } => {
+                let Some(engine) = self.engine_of(*ticket) else { return };
+                engine.has_read(*ticket);
+                if let Some(load) = load {
+                    engine.reported(*load, now);
+                }
+                if *weight_version > engine.weight_version {
+                    engine.set_weights(*weight_version);
+                }
+            }
+            Note::Ended { ticket, end } => {
+                if let Some(engine) = self.engine_of(*ticket) {
+                    engine.end(*ticket);
+                    take_end(engine, *end, now);
+                }
+                self.tickets.remove(ticket);
+            }
+        }
+    }
+
+    /// Forgets placements that were lost with their entries.
+    pub fn forget_lost(&mut self, now: BootTime) {
+        self.engines.values_mut().for_each(|engine| engine.forget_lost(now));
+    }
+
+    fn engine_of(&mut self, ticket: TicketId) -> Option<&mut Engine> {
+        self.engines.get_mut(self.tickets.get(&ticket)?)
+    }
+}
+
+fn take_end(engine: &mut Engine, end: End, now: BootTime) {
+    match end {
+        End::Whole => engine.health.succeeded(),
+        End::Left | End::NotRun => {}
+        End::Unreachable => engine.health.unreachable(now),
+        End::Failed => engine.health.failed(Fault::Target, now),
+        End::OtherWeights(version) => {
+            // Where it doesn't say, it has loaded the next ones.
+            let next = engine.weight_version.map(|version| version + 1);
+            engine.set_weights(version.or(next));
+        }
+        End::Replaced => engine.listed.presence = Presence::Leaving,
+    }
+}
+
+/// How many parts others share: all but the last.
+fn shared_count(ask: &Ask) -> usize {
+    match ask.parts.len() {
+        0 | 1 => ask.parts.len(),
+        count => count - 1,
+    }
+}
+
+/// The text under which parts are kept, and the parts' keys. Other weights make other parts.
+fn names(ask: &Ask, weight_version: Option<u64>) -> (String, Vec<PartKey>) {
+    let salt = format!("{}/{}/{}", ask.wall, ask.model, weight_version.unwrap_or_default());
+    let keys = ask.parts.iter().map(|part| part_key(&salt, &part.id)).collect();
+    (salt, keys)
+}
+
+fn transfer_ms(store: &Store, engine: &Engine, traits: &EngineTraits, tokens: u64) -> f64 {
+    let bits = tokens as f64 * traits.token_bytes as f64 * 8.0;
+    let link_mbps = store.traits.link_mbps.min(traits.link_mbps).max(1.0);
+    let is_near = store.traits.failure_domain == engine.listed.failure_domain;
+    let factor = if is_near { 1.0 } else { OTHER_DOMAIN };
+    store.traits.first_byte.as_secs_f64() * 1e3 + bits / (link_mbps * 1e3) * factor
+}
