Hold prompts at the scheduler until an engine has room

Cause: with a quarter of the engines gone, engines were given all that came: 30 to 70 prompts each, a first token after 2 s, what was read pushed out again, and the queue fed itself for 15 s. Tickets of killed entries stayed for 20 s. Change: engines get a prompt once they have less than 30 ms left to read and room in memory; others wait at the scheduler, the most urgent first, for half of their objective at most, and are refused then. How fast engines read is learned. An entry's placements end with its connection; prompts wait 1.5 s for a first part before another engine is asked.

--- a/src/control/frames.rs
+++ b/src/control/frames.rs
@@ -49,6 +49,8 @@
 pub enum FromEntry {
     /// Place a prompt; the number names the answer.
     Ask(u64, Ask),
+    /// The caller of the ask with this number has left.
+    Withdraw(u64),
     /// What became of a placement.
     Note(Note),
 }
@@ -56,6 +58,8 @@
 /// From the scheduler to an entry.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum ToEntry {
+    /// The prompt waits for an engine with room; `Placed` follows.
+    Queued(u64),
     /// Where a prompt runs.
     Placed(u64, Result<Placed, PlaceError>),
 }
--- a/src/control/run.rs
+++ b/src/control/run.rs
@@ -65,6 +65,7 @@
     let peers = listen(SocketAddr::new(host.ip, host.peer_port)).await?;
     let scheduling = Rc::new(Scheduling::new(shared.clone()));
     tokio::task::spawn_local(scheduling.clone().run());
+    tokio::task::spawn_local(scheduling.clone().keep_dispatching());
     tokio::task::spawn_local(news::accept(peers, scheduling, inputs.clone()));
     let operators = Rc::new(Operators { inputs: inputs.clone(), port: operators_address.port() });
     tokio::task::spawn_local(operators.accept(listen(operators_address).await?));
--- a/src/control/scheduling.rs
+++ b/src/control/scheduling.rs
@@ -1,6 +1,7 @@
 //! Runs the scheduler while this replica leads, and serves entries that ask it.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,6 +9,7 @@
 use http::{Method, StatusCode};
 use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::mpsc;
 
 use super::frames::{self, FromEntry, PlaceError, ToEntry, encode};
 use super::replica::Shared;
@@ -17,10 +19,12 @@
 use crate::net::http::{Exchange, fetch};
 use crate::platform::stores;
 use crate::scheduler::store::FreePlan;
-use crate::scheduler::{Scheduler, Unplaced};
+use crate::scheduler::{Ask, End, Note, Scheduler, TicketId, WaiterId};
 
 /// How often changes are taken over and frees are planned.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
+/// How often it is looked whether prompts that wait can be placed.
+const DISPATCH_EVERY: Duration = Duration::from_millis(10);
 /// A leader that has not been confirmed for this long schedules nothing: well within the time in
 /// which no other can have been elected.
 const SURE_WITHIN: Duration = Duration::from_millis(250);
@@ -37,12 +41,20 @@
     pub shared: Rc<Shared>,
     /// The scheduler with its term; `None` while another replica leads.
     active: RefCell<Option<(Term, Scheduler)>>,
+    /// Prompts that wait: the connection of their entry, and its number for them.
+    waiters: RefCell<HashMap<WaiterId, (mpsc::UnboundedSender<ToEntry>, u64)>>,
+    next_waiter: Cell<WaiterId>,
 }
 
 impl Scheduling {
     /// A replica that does not schedule yet.
     pub fn new(shared: Rc<Shared>) -> Scheduling {
-        Scheduling { shared, active: RefCell::default() }
+        Scheduling {
+            shared,
+            active: RefCell::default(),
+            waiters: RefCell::default(),
+            next_waiter: Cell::new(0),
+        }
     }
 
     /// Calls the scheduler, if this replica surely leads.
@@ -72,6 +84,7 @@
             if !leads {
                 if self.active.borrow_mut().take().is_some() {
                     log::info!("event=scheduling_ended");
+                    self.refuse_waiters();
                 }
                 continue;
             }
@@ -86,6 +99,13 @@
         }
     }
 
+    /// Sends those that wait to another replica.
+    fn refuse_waiters(&self) {
+        for (sender, number) in std::mem::take(&mut *self.waiters.borrow_mut()).into_values() {
+            let _ = sender.send(ToEntry::Placed(number, Err(PlaceError::NotScheduling)));
+        }
+    }
+
     fn take_over(self: &Rc<Scheduling>, term: Term, version: &mut u64, roster_number: &mut u64) {
         let belief = self.shared.belief.borrow();
         let roster = self.shared.roster.borrow();
@@ -148,23 +168,48 @@
     /// If the connection breaks.
     pub async fn serve(
         &self,
-        mut read: BufReader<OwnedReadHalf>,
+        read: BufReader<OwnedReadHalf>,
         mut write: OwnedWriteHalf,
     ) -> std::io::Result<()> {
-        loop {
-            match frames::read(&mut read).await? {
-                FromEntry::Ask(number, ask) => {
-                    let now = boot_now();
-                    let placed = self.with(|scheduler| scheduler.place(&ask, now));
-                    let answer = match placed {
-                        None => Err(PlaceError::NotScheduling),
-                        Some(placed) => placed.map_err(|unplaced: Unplaced| unplaced.into()),
-                    };
-                    write.write_all(&encode(&ToEntry::Placed(number, answer))).await?;
-                }
-                FromEntry::Note(note) => {
-                    let _ = self.with(|scheduler| scheduler.note(&note, boot_now()));
+        let (sender, mut answers) = mpsc::unbounded_channel::<ToEntry>();
+        let asker = Asker::new(self, sender);
+        let writing = async {
+            while let Some(first) = answers.recv().await {
+                let mut bytes = encode(&first).to_vec();
+                while let Ok(next) = answers.try_recv() {
+                    bytes.extend_from_slice(&encode(&next));
                 }
+                write.write_all(&bytes).await?;
+            }
+            Ok::<_, std::io::Error>(())
+        };
+        let ended = tokio::select! {
+            ended = asker.take_all(read) => ended,
+            ended = writing => ended,
+        };
+        asker.close();
+        ended
+    }
+
+    /// Tells what has come of prompts that waited.
+    fn dispatch(&self) {
+        let outcomes = self.with(|scheduler| scheduler.dispatch(boot_now()));
+        for (waiter, outcome) in outcomes.into_iter().flatten() {
+            let Some((sender, number)) = self.waiters.borrow_mut().remove(&waiter) else {
+                continue;
+            };
+            let answer = ToEntry::Placed(number, outcome.map_err(PlaceError::from));
+            // An entry that has gone gives back what it was granted when its connection closes.
+            let _ = sender.send(answer);
+        }
+    }
+
+    /// Dispatches while prompts wait, for as long as the process lives.
+    pub async fn keep_dispatching(self: Rc<Scheduling>) {
+        loop {
+            tokio::time::sleep(DISPATCH_EVERY).await;
+            if !self.waiters.borrow().is_empty() {
+                self.dispatch();
             }
         }
     }
@@ -174,3 +219,82 @@
         let _ = self.with(|scheduler| scheduler.lost_store(store));
     }
 }
+
+/// One entry that asks.
+struct Asker<'s> {
+    scheduling: &'s Scheduling,
+    answers: mpsc::UnboundedSender<ToEntry>,
+    /// Prompts of it that wait, by its numbers.
+    waiting: RefCell<HashMap<u64, WaiterId>>,
+    /// Placements of it that have not ended.
+    placed: RefCell<HashSet<TicketId>>,
+}
+
+impl<'s> Asker<'s> {
+    fn new(scheduling: &'s Scheduling, answers: mpsc::UnboundedSender<ToEntry>) -> Asker<'s> {
+        Asker { scheduling, answers, waiting: RefCell::default(), placed: RefCell::default() }
+    }
+
+    async fn take_all(&self, mut read: BufReader<OwnedReadHalf>) -> std::io::Result<()> {
+        loop {
+            match frames::read(&mut read).await? {
+                FromEntry::Ask(number, ask) => self.ask(number, ask),
+                FromEntry::Withdraw(number) => {
+                    if let Some(waiter) = self.waiting.borrow_mut().remove(&number) {
+                        self.scheduling.waiters.borrow_mut().remove(&waiter);
+                        let _ = self.scheduling.with(|scheduler| scheduler.withdraw(waiter));
+                    }
+                }
+                FromEntry::Note(note) => self.note(&note),
+            }
+        }
+    }
+
+    fn ask(&self, number: u64, ask: Ask) {
+        let waiter = self.scheduling.next_waiter.get();
+        self.scheduling.next_waiter.set(waiter + 1);
+        let outcome = self.scheduling.with(|scheduler| scheduler.submit(waiter, ask, boot_now()));
+        let answer = match outcome {
+            None => ToEntry::Placed(number, Err(PlaceError::NotScheduling)),
+            Some(Some(outcome)) => ToEntry::Placed(number, outcome.map_err(PlaceError::from)),
+            Some(None) => {
+                let waiting = (self.answers.clone(), number);
+                self.scheduling.waiters.borrow_mut().insert(waiter, waiting);
+                self.waiting.borrow_mut().insert(number, waiter);
+                ToEntry::Queued(number)
+            }
+        };
+        if let ToEntry::Placed(_, Ok(placed)) = &answer {
+            self.placed.borrow_mut().insert(placed.ticket);
+        }
+        // The connection's end is noticed where it is written.
+        let _ = self.answers.send(answer);
+    }
+
+    fn note(&self, note: &Note) {
+        match note {
+            Note::FirstPart { ticket, .. } => {
+                self.placed.borrow_mut().insert(*ticket);
+            }
+            Note::Ended { ticket, .. } => {
+                self.placed.borrow_mut().remove(ticket);
+            }
+        }
+        let _ = self.scheduling.with(|scheduler| scheduler.note(note, boot_now()));
+        if !self.scheduling.waiters.borrow().is_empty() {
+            self.scheduling.dispatch();
+        }
+    }
+
+    /// Takes back all that the entry asked for and had.
+    fn close(self) {
+        for waiter in self.waiting.into_inner().into_values() {
+            self.scheduling.waiters.borrow_mut().remove(&waiter);
+            let _ = self.scheduling.with(|scheduler| scheduler.withdraw(waiter));
+        }
+        for ticket in self.placed.into_inner() {
+            let note = Note::Ended { ticket, end: End::Left };
+            let _ = self.scheduling.with(|scheduler| scheduler.note(&note, boot_now()));
+        }
+    }
+}
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -41,6 +41,8 @@
     NotReady,
     /// No target can take it now. It has not run.
     NoTarget,
+    /// No target will have room in time. It has not run, and may come back after this time.
+    Busy(Duration),
     /// Its time is over, and it has not run.
     TooLate,
     /// The target broke off. It may have run.
@@ -57,7 +59,7 @@
             Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
             Refusal::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::Malformed => StatusCode::BAD_REQUEST,
-            Refusal::NotReady | Refusal::NoTarget | Refusal::TooLate => {
+            Refusal::NotReady | Refusal::NoTarget | Refusal::Busy(_) | Refusal::TooLate => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Refusal::Broken => StatusCode::BAD_GATEWAY,
@@ -74,6 +76,7 @@
             Refusal::Malformed => "malformed",
             Refusal::NotReady => "not_ready",
             Refusal::NoTarget => "no_target",
+            Refusal::Busy(_) => "busy",
             Refusal::TooLate => "too_late",
             Refusal::Broken => "broken",
             Refusal::TimedOut => "timed_out",
@@ -88,7 +91,7 @@
             Refusal::Malformed => "the request can't be read; send it whole",
             Refusal::NotReady => "not run: this entry has just started; come back",
             Refusal::NoTarget => "not run: no target can take it now; come back",
-            Refusal::TooLate => "not run: no target was free in time; come back",
+            Refusal::Busy(_) | Refusal::TooLate => "not run: no target was free in time; come back",
             Refusal::Broken => "it may have run: the target broke off",
             Refusal::TimedOut => "it may have run: no answer came in time",
         }
@@ -96,7 +99,7 @@
 
     /// Whether the same request may come back.
     fn may_come_back(self) -> bool {
-        matches!(self, Refusal::NotReady | Refusal::NoTarget | Refusal::TooLate)
+        self.status() == StatusCode::SERVICE_UNAVAILABLE
     }
 }
 
--- a/src/gateway/asking.rs
+++ b/src/gateway/asking.rs
@@ -9,13 +9,13 @@
 
 use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::tcp::OwnedReadHalf;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 
 use super::state::Gateway;
 use crate::clock::{BootTime, boot_now};
 use crate::control::frames::{self, FromEntry, Introduction, PlaceError, ToEntry, encode};
 use crate::net;
-use crate::scheduler::{Ask, Note, Placed};
+use crate::scheduler::{Ask, End, Note, Placed};
 
 /// An answer takes one or two milliseconds. After this time the entry decides alone.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(40);
@@ -32,11 +32,42 @@
 
 type Answer = Result<Placed, PlaceError>;
 
+/// What the scheduler says to an ask.
+enum Reply {
+    Queued,
+    Placed(Box<Answer>),
+}
+
+/// An ask that is not answered yet. The scheduler is told when nobody waits any more.
+struct Pending<'a> {
+    asking: &'a Asking,
+    number: u64,
+    answers: mpsc::Receiver<Reply>,
+}
+
+impl Drop for Pending<'_> {
+    fn drop(&mut self) {
+        let is_open = self.asking.waiting.borrow_mut().remove(&self.number).is_some();
+        self.answers.close();
+        // An answer that came too late is in the channel, or finds nobody later.
+        while let Ok(reply) = self.answers.try_recv() {
+            if let Reply::Placed(answer) = reply
+                && let Ok(placed) = *answer
+            {
+                self.asking.give_back(&placed);
+            }
+        }
+        if is_open {
+            self.asking.send(&FromEntry::Withdraw(self.number));
+        }
+    }
+}
+
 /// The connection to the scheduler.
 #[derive(Default)]
 pub struct Asking {
     outgoing: RefCell<Option<mpsc::Sender<Arc<[u8]>>>>,
-    waiting: RefCell<HashMap<u64, oneshot::Sender<Answer>>>,
+    waiting: RefCell<HashMap<u64, mpsc::Sender<Reply>>>,
     next: Cell<u64>,
     paused_until: Cell<BootTime>,
 }
@@ -47,24 +78,33 @@
         if boot_now() < self.paused_until.get() {
             return None;
         }
-        let number = self.next.get();
-        self.next.set(number + 1);
-        let (sender, answer) = oneshot::channel();
-        self.waiting.borrow_mut().insert(number, sender);
-        if !self.send(&FromEntry::Ask(number, ask)) {
-            self.waiting.borrow_mut().remove(&number);
+        let most = ask.time_left;
+        let mut pending = self.pending();
+        if !self.send(&FromEntry::Ask(pending.number, ask)) {
             return None;
         }
-        let answer = tokio::time::timeout(ANSWER_TIMEOUT, answer).await;
-        self.waiting.borrow_mut().remove(&number);
-        match answer {
-            Ok(answer) => answer.ok(),
+        match tokio::time::timeout(ANSWER_TIMEOUT, pending.answers.recv()).await {
+            Ok(Some(Reply::Placed(answer))) => return Some(*answer),
+            Ok(Some(Reply::Queued)) => {}
+            Ok(None) => return None,
             Err(_) => {
                 log::warn!("event=scheduler_late waited_ms={}", ANSWER_TIMEOUT.as_millis());
                 self.paused_until.set(boot_now() + PAUSE_AFTER_TIMEOUT);
-                None
+                return None;
             }
         }
+        match tokio::time::timeout(most, pending.answers.recv()).await {
+            Ok(Some(Reply::Placed(answer))) => Some(*answer),
+            _ => None,
+        }
+    }
+
+    fn pending(&self) -> Pending<'_> {
+        let number = self.next.get();
+        self.next.set(number + 1);
+        let (sender, answers) = mpsc::channel(2);
+        self.waiting.borrow_mut().insert(number, sender);
+        Pending { asking: self, number, answers }
     }
 
     /// Tells what became of a placement. It is lost if there is no connection: the scheduler forgets
@@ -73,6 +113,11 @@
         self.send(&FromEntry::Note(note));
     }
 
+    /// Gives back a placement that is not used.
+    pub fn give_back(&self, placed: &Placed) {
+        self.tell(Note::Ended { ticket: placed.ticket, end: End::NotRun });
+    }
+
     fn send(&self, frame: &FromEntry) -> bool {
         let outgoing = self.outgoing.borrow();
         outgoing.as_ref().is_some_and(|outgoing| outgoing.try_send(encode(frame)).is_ok())
@@ -117,16 +162,24 @@
 async fn take_answers(gateway: &Gateway, read: OwnedReadHalf) -> std::io::Result<()> {
     let mut read = BufReader::new(read);
     loop {
-        let ToEntry::Placed(number, answer) = frames::read(&mut read).await?;
-        let waiting = gateway.asking.waiting.borrow_mut().remove(&number);
-        match (waiting, answer) {
-            (Some(waiting), answer) => drop(waiting.send(answer)),
-            // Nobody waits any more: the entry has decided alone.
-            (None, Ok(placed)) => {
-                let end = crate::scheduler::End::NotRun;
-                gateway.asking.tell(Note::Ended { ticket: placed.ticket, end });
-            }
-            (None, Err(_)) => {}
+        let (number, reply) = match frames::read(&mut read).await? {
+            ToEntry::Queued(number) => (number, Reply::Queued),
+            ToEntry::Placed(number, answer) => (number, Reply::Placed(Box::new(answer))),
+        };
+        let is_last = matches!(reply, Reply::Placed(_));
+        let waiting = match is_last {
+            true => gateway.asking.waiting.borrow_mut().remove(&number),
+            false => gateway.asking.waiting.borrow().get(&number).cloned(),
+        };
+        let unwanted = match waiting {
+            Some(waiting) => waiting.try_send(reply).err().map(|error| error.into_inner()),
+            None => Some(reply),
+        };
+        // Nobody waits any more: the caller has left, or the entry has decided alone.
+        if let Some(Reply::Placed(answer)) = unwanted
+            && let Ok(placed) = *answer
+        {
+            gateway.asking.give_back(&placed);
         }
     }
 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -10,7 +10,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::call::{Call, Forwarded, KeptParts, Outcome};
-use super::place::{self, Chosen};
+use super::place::{self, Chosen, NoChoice};
 use super::pool::{Connection, Sent};
 use super::record::Record;
 use super::state::{AtTarget, Gateway};
@@ -73,7 +73,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Missed {
     /// No target can take it now.
-    Unplaced(Unplaced),
+    Unplaced(NoChoice),
     /// The target did not run it.
     NotRun(TargetId),
     /// It may have run.
@@ -141,7 +141,7 @@
         let answered = Answered { target, answer, outcome, connection, at_target };
         return judge(gateway, job, answered, record);
     }
-    Err(Missed::Unplaced(Unplaced::NoneSound))
+    Err(Missed::Unplaced(NoChoice::NoTarget(Unplaced::NoneSound)))
 }
 
 async fn connect(
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -1,13 +1,15 @@
 //! Where a request goes: prompts by the scheduler's word, everything else by this entry's own.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use super::attempt::Job;
 use super::state::Gateway;
 use crate::clock::boot_now;
-use crate::fleet::placement::{self, Unplaced};
+use crate::control::frames::PlaceError;
+use crate::fleet::placement;
 use crate::ids::TargetId;
-use crate::scheduler::{Ask, Placed};
+use crate::scheduler::{Ask, Placed, Unplaced};
 
 /// A target for one attempt.
 pub struct Chosen {
@@ -19,6 +21,15 @@
     pub grounds: String,
 }
 
+/// Why there is no target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoChoice {
+    /// None is known here, or none is sound.
+    NoTarget(placement::Unplaced),
+    /// None will have room in time. Come back after this time.
+    Busy(Duration),
+}
+
 /// Chooses a target.
 ///
 /// # Errors
@@ -27,13 +38,17 @@
     gateway: &Rc<Gateway>,
     job: &Job,
     avoid: &[TargetId],
-) -> Result<Chosen, Unplaced> {
-    if let Some(ask) = ask_of(gateway, job, avoid)
-        && let Some(Ok(placed)) = gateway.asking.ask(ask).await
-    {
-        let is_known = gateway.fleet.borrow().get(&placed.target).is_some();
-        if is_known {
-            return Ok(by_scheduler(placed));
+) -> Result<Chosen, NoChoice> {
+    if let Some(ask) = ask_of(gateway, job, avoid) {
+        match gateway.asking.ask(ask).await {
+            Some(Ok(placed)) if gateway.fleet.borrow().get(&placed.target).is_some() => {
+                return Ok(by_scheduler(placed));
+            }
+            Some(Ok(placed)) => gateway.asking.give_back(&placed),
+            Some(Err(PlaceError::Unplaced(Unplaced::Busy(come_back)))) => {
+                return Err(NoChoice::Busy(come_back));
+            }
+            Some(Err(_)) | None => {}
         }
     }
     alone(gateway, job, avoid)
@@ -41,19 +56,20 @@
 
 fn by_scheduler(placed: Placed) -> Chosen {
     let grounds = format!(
-        "by=scheduler running={} ahead_tokens={} resident_tokens={} fetched_tokens={} \
-         expected_ms={} saves={}",
+        "by=scheduler running={} ahead_ms={} resident_tokens={} fetched_tokens={} \
+         expected_ms={} waited_ms={} saves={}",
         placed.grounds.running,
-        placed.grounds.ahead_tokens,
+        placed.grounds.ahead_ms,
         placed.grounds.resident_tokens,
         placed.grounds.fetched_tokens,
         placed.grounds.expected_ms,
+        placed.grounds.waited_ms,
         placed.save.iter().flatten().count(),
     );
     Chosen { target: placed.target.clone(), placed: Some(placed), grounds }
 }
 
-fn alone(gateway: &Gateway, job: &Job, avoid: &[TargetId]) -> Result<Chosen, Unplaced> {
+fn alone(gateway: &Gateway, job: &Job, avoid: &[TargetId]) -> Result<Chosen, NoChoice> {
     let ask = placement::Ask {
         service: &job.service,
         prompt: job.call.prompt.as_ref(),
@@ -61,7 +77,8 @@
         tried: avoid,
         drawn: job.drawn,
     };
-    let choice = placement::choose(&gateway.fleet.borrow(), &ask, boot_now())?;
+    let choice = placement::choose(&gateway.fleet.borrow(), &ask, boot_now());
+    let choice = choice.map_err(NoChoice::NoTarget)?;
     let grounds = format!(
         "by=entry load={:.1} home={} expected_ms={}",
         choice.load,
@@ -92,6 +109,7 @@
         parts: prompt.parts.clone(),
         prompt_tokens: prompt.prompt_tokens,
         output_tokens: prompt.output_tokens,
+        priority: job.priority,
         objective: job.route.objective,
         time_left: job.ends_at.saturating_duration_since(tokio::time::Instant::now()),
         avoid,
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -13,6 +13,7 @@
 
 use super::answer::{Answer, Refusal, refuse, whole};
 use super::attempt::{Answered, Job, Missed, attempt};
+use super::place::NoChoice;
 use super::record::{Ended, Record};
 use super::relay::{self, EventRelay};
 use super::state::Gateway;
@@ -28,6 +29,9 @@
 /// A request that may be repeated waits this many objectives for the first part of its answer
 /// before another target is asked.
 const OBJECTIVES_TO_WAIT: u32 = 2;
+/// A prompt waits at least this long: asking another engine costs reading it twice, and in a queue
+/// that would only make the queue longer. Callers wait for two seconds or more.
+const LEAST_PROMPT_WAIT: Duration = Duration::from_millis(1_500);
 /// Names the cache that accounts without a wall of their own share.
 const SHARED_CACHE: &str = "all";
 
@@ -142,8 +146,12 @@
                 may_have_run = true;
                 continue;
             }
-            Err(Missed::Unplaced(_)) => {
-                let refusal = if may_have_run { Refusal::Broken } else { Refusal::NoTarget };
+            Err(Missed::Unplaced(why)) => {
+                let refusal = match (may_have_run, why) {
+                    (true, _) => Refusal::Broken,
+                    (false, NoChoice::Busy(come_back)) => Refusal::Busy(come_back),
+                    (false, NoChoice::NoTarget(_)) => Refusal::NoTarget,
+                };
                 return refused(refusal, &job.call.id, &record);
             }
             Err(Missed::TooLate) => {
@@ -170,8 +178,9 @@
 /// How long the first of several possible targets is waited for.
 fn patience(job: &Job, tried: usize) -> Option<Duration> {
     let has_another = (tried as u32) + 1 < job.route.attempts && job.route.policy.may_repeat();
-    (has_another && !job.route.objective.is_zero())
-        .then(|| job.route.objective * OBJECTIVES_TO_WAIT)
+    let wait = job.route.objective * OBJECTIVES_TO_WAIT;
+    let least = if job.call.prompt.is_some() { LEAST_PROMPT_WAIT } else { Duration::ZERO };
+    (has_another && !wait.is_zero()).then(|| wait.max(least))
 }
 
 fn may_try_again(gateway: &Gateway, job: &Job, tried: &[TargetId]) -> bool {
@@ -224,7 +233,11 @@
 
 fn refused(refusal: Refusal, id: &str, record: &Record) -> Answer {
     let spread = COME_BACK_SPREAD.mul_f64(rand::rng().random());
-    let answer = refuse(refusal, id, COME_BACK_AFTER + spread);
+    let come_back = match refusal {
+        Refusal::Busy(come_back) => come_back,
+        _ => COME_BACK_AFTER + spread,
+    };
+    let answer = refuse(refusal, id, come_back);
     record.end(Ended::Refused(answer.status().as_u16(), refusal.name()));
     answer
 }
--- a/src/scheduler/engine.rs
+++ b/src/scheduler/engine.rs
@@ -5,6 +5,7 @@
 
 use super::memory::{Memory, PartKey};
 use super::messages::TicketId;
+use super::pace::Pace;
 use crate::clock::BootTime;
 use crate::fleet::Listed;
 use crate::gateway::call::TargetLoad;
@@ -15,6 +16,8 @@
 const LOAD_LASTS: Duration = Duration::from_millis(800);
 /// A placement that nobody has ended after this time was lost with its entry.
 const TICKET_LASTS: Duration = Duration::from_secs(20);
+/// How much of an error in the expected end of reading corrects what is expected next.
+const CORRECTED_PART: f64 = 0.5;
 
 /// An engine.
 #[derive(Clone, Debug)]
@@ -29,26 +32,46 @@
     pub health: Health,
     /// Tokens that it holds at the most.
     pub capacity_tokens: u64,
+    /// When the fetches that were granted end, if they run one after another.
+    pub link_free_at: BootTime,
+    /// When it has read all that was placed here, if it reads one prompt after another.
+    read_free_at: BootTime,
+    /// By how much it has fallen behind what was expected, in all.
+    slipped_ms: f64,
     running: HashMap<TicketId, Running>,
-    unread_tokens: u64,
     /// Tokens that running prompts may still generate.
     generated_tokens: u64,
     reported: Option<(u32, BootTime)>,
-    /// When the fetches that were granted end, if they run one after another.
-    pub link_free_at: BootTime,
 }
 
-/// A prompt at an engine.
+/// A prompt for an engine.
 #[derive(Clone, Debug)]
-pub struct Running {
+pub struct Load {
     /// Its parts.
     pub parts: Vec<PartKey>,
-    /// Tokens that the engine must still read.
-    pub unread_tokens: u64,
+    /// Tokens that the engine must read.
+    pub read_tokens: u64,
     /// Tokens that it may generate.
     pub output_tokens: u64,
-    /// When it was placed.
-    pub since: BootTime,
+    /// Whether some of it is fetched first.
+    pub fetches: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Running {
+    load: Load,
+    since: BootTime,
+    /// What is expected of its reading, until it has been read.
+    reading: Option<Reading>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Reading {
+    takes: Duration,
+    until: BootTime,
+    /// The engine's slip when `until` was worked out.
+    slipped_ms: f64,
+    found_idle: bool,
 }
 
 impl Engine {
@@ -60,11 +83,12 @@
             memory: Memory::new(capacity_tokens),
             health: Health::default(),
             capacity_tokens,
+            link_free_at: BootTime::ZERO,
+            read_free_at: BootTime::ZERO,
+            slipped_ms: 0.0,
             running: HashMap::new(),
-            unread_tokens: 0,
             generated_tokens: 0,
             reported: None,
-            link_free_at: BootTime::ZERO,
         }
     }
 
@@ -76,31 +100,48 @@
         }
     }
 
+    /// How long it still reads what was placed here.
+    pub fn reads_for(&self, now: BootTime) -> Duration {
+        self.read_free_at.saturating_sub(now)
+    }
+
     /// Takes a prompt.
-    pub fn begin(&mut self, ticket: TicketId, running: Running) {
-        self.unread_tokens += running.unread_tokens;
-        self.generated_tokens += running.output_tokens;
-        self.running.insert(ticket, running);
+    pub fn begin(&mut self, ticket: TicketId, load: Load, pace: &Pace, now: BootTime) {
+        let takes = pace.reading(load.read_tokens);
+        let found_idle = self.running.is_empty() && self.others(now) < 0.5 && !load.fetches;
+        self.read_free_at = self.read_free_at.max(now) + takes;
+        let slipped_ms = self.slipped_ms;
+        let reading = Reading { takes, until: self.read_free_at, slipped_ms, found_idle };
+        self.generated_tokens += load.output_tokens;
+        self.running.insert(ticket, Running { load, since: now, reading: Some(reading) });
     }
 
     /// The prompt has been read.
-    pub fn has_read(&mut self, ticket: TicketId) -> Option<BootTime> {
-        let running = self.running.get_mut(&ticket)?;
-        self.unread_tokens -= std::mem::take(&mut running.unread_tokens);
-        Some(running.since)
+    pub fn has_read(&mut self, ticket: TicketId, pace: &mut Pace, now: BootTime) {
+        let Some(running) = self.running.get_mut(&ticket) else { return };
+        let Some(reading) = running.reading.take() else { return };
+        if reading.found_idle {
+            pace.measured(running.load.read_tokens, now.saturating_sub(running.since));
+        }
+        let expected_ms = (reading.until + pace.base()).as_secs_f64() * 1e3
+            + (self.slipped_ms - reading.slipped_ms);
+        self.slip((now.as_secs_f64() * 1e3 - expected_ms) * CORRECTED_PART, now);
     }
 
     /// The prompt has left. What it had not read is not resident.
-    pub fn end(&mut self, ticket: TicketId) {
+    pub fn end(&mut self, ticket: TicketId, now: BootTime) {
         let Some(running) = self.running.remove(&ticket) else { return };
-        self.unread_tokens -= running.unread_tokens;
-        self.generated_tokens -= running.output_tokens;
-        for key in &running.parts {
+        self.generated_tokens -= running.load.output_tokens;
+        for key in &running.load.parts {
             self.memory.end_use(*key);
-            if running.unread_tokens > 0 {
+            if running.reading.is_some() {
                 self.memory.forget(*key);
             }
         }
+        if let Some(reading) = running.reading {
+            let unread = reading.until.saturating_sub(now).min(reading.takes);
+            self.read_free_at = self.read_free_at.saturating_sub(unread).max(now);
+        }
     }
 
     /// Forgets placements that were lost with their entries.
@@ -108,7 +149,7 @@
         let is_lost = |running: &Running| now.saturating_sub(running.since) > TICKET_LASTS;
         let lost: Vec<TicketId> =
             self.running.iter().filter(|(_, r)| is_lost(r)).map(|(ticket, _)| *ticket).collect();
-        lost.into_iter().for_each(|ticket| self.end(ticket));
+        lost.into_iter().for_each(|ticket| self.end(ticket, now));
     }
 
     /// Takes the load that an answer tells.
@@ -118,8 +159,8 @@
     }
 
     /// Prompts that were placed here and have not ended.
-    pub fn placed(&self) -> usize {
-        self.running.len()
+    pub fn placed(&self) -> u32 {
+        self.running.len() as u32
     }
 
     /// Requests that it runs or holds and that were not placed here.
@@ -130,13 +171,17 @@
         })
     }
 
-    /// Tokens that it must still read.
-    pub fn unread_tokens(&self) -> u64 {
-        self.unread_tokens
-    }
-
     /// Tokens that its running prompts use or will use.
     pub fn busy_tokens(&self) -> u64 {
         self.memory.in_use() + self.generated_tokens
     }
+
+    fn slip(&mut self, by_ms: f64, now: BootTime) {
+        self.slipped_ms += by_ms;
+        let by = Duration::from_secs_f64(by_ms.abs() / 1e3);
+        self.read_free_at = match by_ms >= 0.0 {
+            true => self.read_free_at.max(now) + by,
+            false => self.read_free_at.saturating_sub(by),
+        };
+    }
 }
--- a/src/scheduler/messages.rs
+++ b/src/scheduler/messages.rs
@@ -26,6 +26,8 @@
     pub prompt_tokens: u64,
     /// Most tokens that are generated.
     pub output_tokens: u64,
+    /// How urgent it is, 0 first.
+    pub priority: u8,
     /// The time to the first part of the answer that the operator aims at.
     pub objective: Duration,
     /// How much of the caller's time is left.
@@ -60,14 +62,16 @@
 pub struct Grounds {
     /// Requests at the engine.
     pub running: u32,
-    /// Tokens that the engine must read before.
-    pub ahead_tokens: u64,
+    /// How long the engine still reads other prompts.
+    pub ahead_ms: u32,
     /// Tokens of the prompt that are resident there.
     pub resident_tokens: u64,
     /// Tokens that are fetched.
     pub fetched_tokens: u64,
     /// Expected time to the first part of the answer.
     pub expected_ms: u32,
+    /// How long the prompt waited for an engine with room.
+    pub waited_ms: u32,
 }
 
 /// What became of a placement.
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -8,8 +8,11 @@
 pub mod engine;
 pub mod memory;
 pub mod messages;
+pub mod pace;
 pub mod plan;
+pub mod queue;
 pub mod store;
 
 pub use messages::{Ask, End, Note, Placed, TicketId};
-pub use plan::{Scheduler, Unplaced};
+pub use plan::{Outcome, Scheduler, Unplaced};
+pub use queue::WaiterId;
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -4,35 +4,41 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::engine::{Engine, Running};
+use super::engine::{Engine, Load};
 use super::memory::PartKey;
 use super::messages::{Ask, End, Grounds, Note, Placed, TicketId};
+use super::pace::Pace;
+use super::queue::{Queue, WaiterId, Waiting};
 use super::store::{FETCH_LASTS, FreePlan, Inventory, Store, StoreEvent, part_key};
 use crate::clock::BootTime;
 use crate::deployment::{Deployment, EngineTraits, ServiceRole};
 use crate::fleet::{Fault, Presence, Roster};
 use crate::ids::{ServiceId, TargetId};
 
-/// Tokens that an engine reads in a millisecond: the slower one of the deployed kinds (92.1 and
-/// 140), so that no engine is thought to be faster than it is.
-const READ_TOKENS_PER_MS: f64 = 92.0;
+/// An engine takes another prompt once it has less than this left to read: enough to keep it busy
+/// until the next placement, and so little that an urgent prompt is not kept waiting behind others.
+const READS_AHEAD: Duration = Duration::from_millis(30);
 /// What a prompt that an engine already runs delays the next one, beside what it must still read.
 const DELAY_PER_RUNNING_MS: f64 = 2.0;
 /// What a request that was not placed here delays the next one: a mean prompt of 3,600 tokens.
 const DELAY_PER_OTHER_MS: f64 = 25.0;
+/// A refused caller comes back after this at the least, and at the most this much later.
+const COME_BACK: (Duration, Duration) = (Duration::from_millis(250), Duration::from_millis(700));
 /// Reading tokens again that are kept somewhere else costs this much beside the time that it takes:
 /// operators weigh work that is thrown away.
 const READ_AGAIN_MS_PER_TOKEN: f64 = 0.03;
-/// Memory that an engine keeps free of running prompts: beyond it, prompts push each other out.
-const MEMORY_PART: f64 = 0.85;
-/// What each token beyond that costs: about as long as until a running prompt ends.
-const OVER_MEMORY_MS_PER_TOKEN: f64 = 0.05;
+/// Running prompts take at most this part of an engine's memory: beyond it they push each other
+/// out, and what was read must be read again.
+const MEMORY_PART: f64 = 0.9;
 /// Contexts up to this length go to the stores that answer soonest, where that matters most.
 const SHORT_CONTEXT_TOKENS: u64 = 3_000;
 /// A transfer takes this many times as long between failure domains.
 const OTHER_DOMAIN: f64 = 2.0;
 /// A fetch that would take longer is not worth waiting for.
 const LONGEST_FETCH_MS: f64 = 1_000.0;
+/// A dispatch looks at this many prompts that find no room. Engines differ little in what fits, so
+/// more would find none either.
+const STUCK_AT_MOST: usize = 8;
 /// A new scheduler frees nothing before fetches that an earlier one granted have ended.
 const FIRST_FREES_AFTER: Duration = Duration::from_millis(2_500);
 
@@ -43,8 +49,13 @@
     NoneListed,
     /// All that are known are out of order, or must be avoided.
     NoneSound,
+    /// None will have room in time. Come back after this time.
+    Busy(Duration),
 }
 
+/// What comes of an ask.
+pub type Outcome = Result<Placed, Unplaced>;
+
 /// The engines' clock, as it was read.
 #[derive(Clone, Copy, Debug)]
 struct EnginesClock {
@@ -58,6 +69,8 @@
     engines: BTreeMap<TargetId, Engine>,
     traits: HashMap<ServiceId, EngineTraits>,
     stores: BTreeMap<SocketAddr, Store>,
+    paces: HashMap<ServiceId, Pace>,
+    queue: Queue,
     tickets: HashMap<TicketId, TargetId>,
     next_ticket: TicketId,
     clock: Option<EnginesClock>,
@@ -80,6 +93,8 @@
             engines: BTreeMap::new(),
             traits: HashMap::new(),
             stores: BTreeMap::new(),
+            paces: HashMap::new(),
+            queue: Queue::default(),
             tickets: HashMap::new(),
             next_ticket: first_ticket,
             clock: None,
@@ -179,12 +194,51 @@
         }
     }
 
-    /// Places a prompt on the engine where it costs least.
-    ///
-    /// # Errors
-    /// If there is none.
-    pub fn place(&mut self, ask: &Ask, now: BootTime) -> Result<Placed, Unplaced> {
+    /// Takes a prompt: it is placed at once or refused, or it waits and comes out of `dispatch`.
+    pub fn submit(&mut self, waiter: WaiterId, ask: Ask, now: BootTime) -> Option<Outcome> {
+        let is_ahead = !self.queue.is_empty();
+        let waiting = Waiting { waiter, ask, since: now };
+        if !is_ahead && let Some(outcome) = self.try_place(&waiting, now) {
+            return Some(outcome);
+        }
+        self.queue.add(waiting);
+        None
+    }
+
+    /// Takes a prompt out whose caller has left.
+    pub fn withdraw(&mut self, waiter: WaiterId) {
+        self.queue.withdraw(waiter);
+    }
+
+    /// Places those that wait as far as engines have room, and refuses those that have no hope.
+    pub fn dispatch(&mut self, now: BootTime) -> Vec<(WaiterId, Outcome)> {
+        let hopeless = self.queue.take_hopeless(now).into_iter();
+        let mut outcomes: Vec<(WaiterId, Outcome)> = hopeless
+            .map(|waiting| (waiting.waiter, Err(Unplaced::Busy(come_back(waiting.waiter)))))
+            .collect();
+        let mut stuck = Vec::new();
+        while stuck.len() < STUCK_AT_MOST
+            && let Some(waiting) = self.queue.pick()
+        {
+            match self.try_place(&waiting, now) {
+                Some(outcome) => outcomes.push((waiting.waiter, outcome)),
+                None => stuck.push(waiting),
+            }
+        }
+        stuck.into_iter().for_each(|waiting| self.queue.put_back(waiting));
+        outcomes
+    }
+
+    /// How many prompts wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Places a prompt on the engine where it costs least; `None` if all are busy.
+    fn try_place(&mut self, waiting: &Waiting, now: BootTime) -> Option<Outcome> {
+        let ask = &waiting.ask;
         let mut is_listed = false;
+        let mut is_sound = false;
         let mut best: Option<(TargetId, Way)> = None;
         let mut salts: HashMap<Option<u64>, (String, Vec<PartKey>)> = HashMap::new();
         for (id, engine) in &self.engines {
@@ -192,31 +246,38 @@
                 continue;
             }
             is_listed = true;
-            if ask.avoid.contains(id) || !engine.health.admits(engine.placed() as u32, now) {
+            if ask.avoid.contains(id) || !engine.health.admits(engine.placed(), now) {
+                continue;
+            }
+            is_sound = true;
+            if engine.reads_for(now) >= READS_AHEAD {
                 continue;
             }
             let named = salts
                 .entry(engine.weight_version)
                 .or_insert_with(|| names(ask, engine.weight_version));
-            let way = self.way(engine, ask, named, now);
+            let Some(way) = self.way(engine, ask, named, now) else { continue };
             if best.as_ref().is_none_or(|(_, best)| way.cost_ms < best.cost_ms) {
                 best = Some((id.clone(), way));
             }
         }
         match best {
-            Some((target, way)) => Ok(self.grant(target, way, ask, now)),
-            None if is_listed => Err(Unplaced::NoneSound),
-            None => Err(Unplaced::NoneListed),
+            Some((target, way)) => Some(Ok(self.grant(target, way, waiting, now))),
+            None if is_sound => None,
+            None if is_listed => Some(Err(Unplaced::NoneSound)),
+            None => Some(Err(Unplaced::NoneListed)),
         }
     }
 
+    /// How an engine would get at a prompt; `None` if it has no room for it.
     fn way(
         &self,
         engine: &Engine,
         ask: &Ask,
         (salt, keys): &(String, Vec<PartKey>),
         now: BootTime,
-    ) -> Way {
+    ) -> Option<Way> {
+        let pace = self.paces.get(&ask.service).copied().unwrap_or_default();
         let shared = shared_count(ask);
         let resident = keys.iter().take_while(|key| engine.memory.holds(**key)).count();
         let resident_tokens: u64 = ask.parts[..resident].iter().map(|part| part.tokens).sum();
@@ -237,24 +298,29 @@
             .filter(|at| fetch[*at].is_none() && self.is_kept(keys[*at]))
             .map(|at| ask.parts[at].tokens)
             .sum();
-        let ahead_tokens = engine.unread_tokens();
-        let ahead_ms = ahead_tokens as f64 / READ_TOKENS_PER_MS
-            + engine.placed() as f64 * DELAY_PER_RUNNING_MS
-            + engine.others(now) * DELAY_PER_OTHER_MS;
-        let expected_ms = ahead_ms.max(fetch_ms) + read_tokens as f64 / READ_TOKENS_PER_MS;
         let needed = read_tokens + fetched_tokens + ask.output_tokens;
-        let room = engine.capacity_tokens as f64 * MEMORY_PART;
-        let over = ((engine.busy_tokens() + needed) as f64 - room).max(0.0);
-        let cost_ms =
-            expected_ms + again as f64 * READ_AGAIN_MS_PER_TOKEN + over * OVER_MEMORY_MS_PER_TOKEN;
+        let room = (engine.capacity_tokens as f64 * MEMORY_PART) as u64;
+        let has_slot = engine.listed.slots == 0 || engine.placed() < engine.listed.slots;
+        let fits = has_slot && engine.busy_tokens() + needed <= room;
+        // What is too large for any engine's rest gets an engine of its own.
+        if !fits && engine.placed() > 0 {
+            return None;
+        }
+        let ahead_ms = millis(engine.reads_for(now))
+            + f64::from(engine.placed()) * DELAY_PER_RUNNING_MS
+            + engine.others(now) * DELAY_PER_OTHER_MS;
+        let expected_ms =
+            ahead_ms.max(fetch_ms) + millis(pace.reading(read_tokens)) + millis(pace.base());
+        let cost_ms = expected_ms + again as f64 * READ_AGAIN_MS_PER_TOKEN;
         let grounds = Grounds {
-            running: engine.placed() as u32,
-            ahead_tokens,
+            running: engine.placed(),
+            ahead_ms: ahead_ms as u32,
             resident_tokens,
             fetched_tokens,
             expected_ms: expected_ms as u32,
+            waited_ms: 0,
         };
-        Way { cost_ms, grounds, fetch, keys: keys.clone(), salt: salt.clone() }
+        Some(Way { cost_ms, grounds, fetch, keys: keys.clone(), salt: salt.clone() })
     }
 
     /// Whether some engine holds a part.
@@ -281,7 +347,8 @@
             .min_by(|(_, a), (_, b)| a.total_cmp(b))
     }
 
-    fn grant(&mut self, target: TargetId, way: Way, ask: &Ask, now: BootTime) -> Placed {
+    fn grant(&mut self, target: TargetId, way: Way, waiting: &Waiting, now: BootTime) -> Placed {
+        let ask = &waiting.ask;
         let ticket = self.next_ticket;
         self.next_ticket += 1;
         let shared = shared_count(ask);
@@ -304,15 +371,14 @@
                 engine.memory.begin_use(*key, part.tokens);
             }
             let resident_or_fetched = way.grounds.resident_tokens + way.grounds.fetched_tokens;
-            engine.begin(
-                ticket,
-                Running {
-                    parts: way.keys,
-                    unread_tokens: ask.prompt_tokens.saturating_sub(resident_or_fetched).max(1),
-                    output_tokens: ask.output_tokens,
-                    since: now,
-                },
-            );
+            let load = Load {
+                parts: way.keys,
+                read_tokens: ask.prompt_tokens.saturating_sub(resident_or_fetched).max(1),
+                output_tokens: ask.output_tokens,
+                fetches: way.grounds.fetched_tokens > 0,
+            };
+            let pace = self.paces.entry(ask.service.clone()).or_default();
+            engine.begin(ticket, load, pace, now);
         }
         self.tickets.insert(ticket, target.clone());
         Placed {
@@ -323,7 +389,10 @@
             fetch: way.fetch,
             save,
             fetch_until_ms: clock_ms + FETCH_LASTS.as_millis() as u64,
-            grounds: way.grounds,
+            grounds: Grounds {
+                waited_ms: now.saturating_sub(waiting.since).as_millis() as u32,
+                ..way.grounds
+            },
         }
     }
 
@@ -370,8 +439,10 @@
     pub fn note(&mut self, note: &Note, now: BootTime) {
         match note {
             Note::FirstPart { ticket, weight_version, load } => {
-                let Some(engine) = self.engine_of(*ticket) else { return };
-                engine.has_read(*ticket);
+                let Some(target) = self.tickets.get(ticket) else { return };
+                let Some(engine) = self.engines.get_mut(target) else { return };
+                let pace = self.paces.entry(engine.listed.service.clone()).or_default();
+                engine.has_read(*ticket, pace, now);
                 if let Some(load) = load {
                     engine.reported(*load, now);
                 }
@@ -380,11 +451,11 @@
                 }
             }
             Note::Ended { ticket, end } => {
-                if let Some(engine) = self.engine_of(*ticket) {
-                    engine.end(*ticket);
+                let Some(target) = self.tickets.remove(ticket) else { return };
+                if let Some(engine) = self.engines.get_mut(&target) {
+                    engine.end(*ticket, now);
                     take_end(engine, *end, now);
                 }
-                self.tickets.remove(ticket);
             }
         }
     }
@@ -393,10 +464,6 @@
     pub fn forget_lost(&mut self, now: BootTime) {
         self.engines.values_mut().for_each(|engine| engine.forget_lost(now));
     }
-
-    fn engine_of(&mut self, ticket: TicketId) -> Option<&mut Engine> {
-        self.engines.get_mut(self.tickets.get(&ticket)?)
-    }
 }
 
 fn take_end(engine: &mut Engine, end: End, now: BootTime) {
@@ -414,6 +481,17 @@
     }
 }
 
+/// When a refused caller comes back: spread by its name, so that many don't come as a wave.
+fn come_back(waiter: WaiterId) -> Duration {
+    let (least, most) = COME_BACK;
+    let spread = (waiter.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 54) as f64 / 1_024.0;
+    least + (most - least).mul_f64(spread)
+}
+
+fn millis(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1e3
+}
+
 /// How many parts others share: all but the last.
 fn shared_count(ask: &Ask) -> usize {
     match ask.parts.len() {
