--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -17,7 +17,7 @@
 
 /// An engine takes another prompt once it has less than this left to read: enough to keep it busy
 /// until the next placement, and so little that an urgent prompt is not kept waiting behind others.
-const READS_AHEAD: Duration = Duration::from_millis(30);
+const READS_AHEAD: Duration = Duration::from_millis(60);
 /// What a prompt that an engine already runs delays the next one, beside what it must still read.
 const DELAY_PER_RUNNING_MS: f64 = 2.0;
 /// What a request that was not placed here delays the next one: a mean prompt of 3,600 tokens.
