Follow the stores' links, and name resident parts for fetching too

Change: every whole shared part is named for fetching, also if it is probably resident: engines fetch what they lack. Links have a queue and a slowness that is learned from first parts; a fetch must take less than 0.6 of the objective. Frees that are under way count as freed.

--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -57,11 +57,12 @@
 fn by_scheduler(placed: Placed) -> Chosen {
     let grounds = format!(
         "by=scheduler running={} ahead_ms={} resident_tokens={} fetched_tokens={} \
-         expected_ms={} waited_ms={} saves={}",
+         not_fetched_tokens={} expected_ms={} waited_ms={} saves={}",
         placed.grounds.running,
         placed.grounds.ahead_ms,
         placed.grounds.resident_tokens,
         placed.grounds.fetched_tokens,
+        placed.grounds.not_fetched_tokens,
         placed.grounds.expected_ms,
         placed.grounds.waited_ms,
         placed.save.iter().flatten().count(),
--- a/src/scheduler/engine.rs
+++ b/src/scheduler/engine.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use super::link::Link;
 use super::memory::{Memory, PartKey};
 use super::messages::TicketId;
 use super::pace::Pace;
@@ -32,8 +33,8 @@
     pub health: Health,
     /// Tokens that it holds at the most.
     pub capacity_tokens: u64,
-    /// When the fetches that were granted end, if they run one after another.
-    pub link_free_at: BootTime,
+    /// Over which it fetches.
+    pub link: Link,
     /// When it has read all that was placed here, if it reads one prompt after another.
     read_free_at: BootTime,
     /// By how much it has fallen behind what was expected, in all.
@@ -76,14 +77,19 @@
 
 impl Engine {
     /// An engine that runs nothing.
-    pub fn new(listed: Listed, weight_version: Option<u64>, capacity_tokens: u64) -> Engine {
+    pub fn new(
+        listed: Listed,
+        weight_version: Option<u64>,
+        capacity_tokens: u64,
+        link_mbps: f64,
+    ) -> Engine {
         Engine {
             listed,
             weight_version,
             memory: Memory::new(capacity_tokens),
             health: Health::default(),
             capacity_tokens,
-            link_free_at: BootTime::ZERO,
+            link: Link::new(link_mbps),
             read_free_at: BootTime::ZERO,
             slipped_ms: 0.0,
             running: HashMap::new(),
--- /dev/null
+++ b/src/scheduler/link.rs
@@ -0,0 +1,60 @@
+//! A link over which kept parts are moved, one after another.
+
+use std::time::Duration;
+
+use crate::clock::BootTime;
+
+/// A transfer this many times as slow as expected, and a bit, shows that the link has turned slow.
+const SLOW_FROM: f64 = 2.0;
+/// Differences below this are no sign of a slow link: engines do other things too.
+const SLOW_FROM_MS: f64 = 40.0;
+/// A slow transfer raises what is expected of the next ones by this factor.
+const RAISED_BY: f64 = 1.4;
+/// One that is as fast as expected lowers it by this factor, until the link counts as sound.
+const LOWERED_BY: f64 = 0.93;
+/// Slowest that a link is taken for.
+const SLOWEST: f64 = 20.0;
+
+/// A link.
+#[derive(Clone, Copy, Debug)]
+pub struct Link {
+    mbps: f64,
+    /// When all that was granted is over.
+    free_at: BootTime,
+    /// How many times as long as it should a transfer takes. Never below 1.
+    slowness: f64,
+}
+
+impl Link {
+    /// A link that nothing uses.
+    pub fn new(mbps: f64) -> Link {
+        Link { mbps: mbps.max(1.0), free_at: BootTime::ZERO, slowness: 1.0 }
+    }
+
+    /// How long earlier transfers still take.
+    pub fn queue(&self, now: BootTime) -> Duration {
+        self.free_at.saturating_sub(now)
+    }
+
+    /// How long a transfer takes; `distance` is 1 within a failure domain.
+    pub fn transfer(&self, size_bytes: f64, distance: f64) -> Duration {
+        let ms = size_bytes * 8.0 / (self.mbps * 1e3) * distance * self.slowness;
+        Duration::from_secs_f64(ms / 1e3)
+    }
+
+    /// Grants a transfer.
+    pub fn grant(&mut self, size_bytes: f64, distance: f64, now: BootTime) {
+        self.free_at = self.free_at.max(now) + self.transfer(size_bytes, distance);
+    }
+
+    /// Takes how long a transfer took, and what was expected with those before it.
+    pub fn measured(&mut self, expected_ms: f64, took_ms: f64, now: BootTime) {
+        if took_ms > expected_ms * SLOW_FROM + SLOW_FROM_MS {
+            self.slowness = (self.slowness * RAISED_BY).min(SLOWEST);
+            let late = Duration::from_secs_f64((took_ms - expected_ms) / 2e3);
+            self.free_at = self.free_at.max(now) + late;
+        } else if took_ms <= expected_ms + SLOW_FROM_MS {
+            self.slowness = (self.slowness * LOWERED_BY).max(1.0);
+        }
+    }
+}
--- a/src/scheduler/messages.rs
+++ b/src/scheduler/messages.rs
@@ -68,6 +68,9 @@
     pub resident_tokens: u64,
     /// Tokens that are fetched.
     pub fetched_tokens: u64,
+    /// Tokens of shared parts that are read although a store has them or is about to: not whole yet,
+    /// or too long in coming.
+    pub not_fetched_tokens: u64,
     /// Expected time to the first part of the answer.
     pub expected_ms: u32,
     /// How long the prompt waited for an engine with room.
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -34,8 +34,10 @@
 const SHORT_CONTEXT_TOKENS: u64 = 3_000;
 /// A transfer takes this many times as long between failure domains.
 const OTHER_DOMAIN: f64 = 2.0;
-/// A fetch that would take longer is not worth waiting for.
-const LONGEST_FETCH_MS: f64 = 1_000.0;
+/// A fetch that would take longer is not worth waiting for: it would not be started.
+const LONGEST_FETCH: Duration = Duration::from_millis(1_000);
+/// Nor is one that would take more than this part of the prompt's objective.
+const FETCH_PART: f64 = 0.6;
 /// A dispatch looks at this many prompts that find no room. Engines differ little in what fits, so
 /// more would find none either.
 const STUCK_AT_MOST: usize = 8;
@@ -71,16 +73,35 @@
     stores: BTreeMap<SocketAddr, Store>,
     paces: HashMap<ServiceId, Pace>,
     queue: Queue,
-    tickets: HashMap<TicketId, TargetId>,
+    tickets: HashMap<TicketId, Ticket>,
     next_ticket: TicketId,
     clock: Option<EnginesClock>,
     frees_from: BootTime,
 }
 
+/// A placement that has not ended.
+#[derive(Clone, Debug)]
+struct Ticket {
+    target: TargetId,
+    since: BootTime,
+    /// The store that most comes from, if the fetch takes longest of all.
+    slowest: Option<SocketAddr>,
+    /// How long the fetch was expected to take.
+    fetch_ms: f64,
+    /// What was expected to follow it.
+    rest_ms: f64,
+}
+
 /// How an engine would get at a prompt.
 struct Way {
+    /// How long the fetch takes, and what follows it.
+    fetch_ms: f64,
+    rest_ms: f64,
+    ahead_ms: f64,
     cost_ms: f64,
     grounds: Grounds,
+    /// How many parts, from the first on, are probably resident.
+    resident: usize,
     fetch: Vec<Option<SocketAddr>>,
     keys: Vec<PartKey>,
     salt: String,
@@ -129,10 +150,9 @@
         for listed in roster.iter() {
             let Some(traits) = self.traits.get(&listed.service) else { continue };
             let version = listed.weights.values().next().copied();
-            let engine = self
-                .engines
-                .entry(listed.id.clone())
-                .or_insert_with(|| Engine::new(listed.clone(), version, traits.capacity_tokens));
+            let engine = self.engines.entry(listed.id.clone()).or_insert_with(|| {
+                Engine::new(listed.clone(), version, traits.capacity_tokens, traits.link_mbps)
+            });
             engine.listed.clone_from(listed);
             // The list lags: it may still name weights older than an answer has told.
             if version > engine.weight_version {
@@ -284,20 +304,32 @@
         let mut fetch = vec![None; ask.parts.len()];
         let mut fetched_tokens = 0;
         let mut fetch_ms: f64 = 0.0;
-        for at in resident.min(shared)..shared {
-            let Some((store, took_ms)) = self.nearest(keys[at], ask.parts[at].tokens, engine, now)
-            else {
-                break;
-            };
-            fetch[at] = Some(store);
-            fetched_tokens += ask.parts[at].tokens;
-            fetch_ms = fetch_ms.max(took_ms);
+        for at in 0..shared {
+            let (key, tokens) = (keys[at], ask.parts[at].tokens);
+            let found = self.nearest(key, tokens, engine, ask.objective, now);
+            // What is resident is named too: it may have been pushed out without our knowing, and
+            // an engine fetches only what it lacks.
+            fetch[at] = found.map(|(store, _)| store);
+            match found {
+                _ if at < resident => {}
+                Some((_, takes)) => {
+                    fetched_tokens += tokens;
+                    fetch_ms = fetch_ms.max(millis(takes));
+                }
+                // A part is of use only after all before it.
+                None => break,
+            }
         }
         let read_tokens = ask.prompt_tokens.saturating_sub(resident_tokens + fetched_tokens);
         let again: u64 = (resident.min(shared)..shared)
             .filter(|at| fetch[*at].is_none() && self.is_kept(keys[*at]))
             .map(|at| ask.parts[at].tokens)
             .sum();
+        let in_store = |at: &usize| self.stores.values().any(|store| store.knows(keys[*at]));
+        let not_fetched_tokens: u64 = (resident.min(shared)..shared)
+            .filter(|at| fetch[*at].is_none() && in_store(at))
+            .map(|at| ask.parts[at].tokens)
+            .sum();
         let needed = read_tokens + fetched_tokens + ask.output_tokens;
         let room = (engine.capacity_tokens as f64 * MEMORY_PART) as u64;
         let has_slot = engine.listed.slots == 0 || engine.placed() < engine.listed.slots;
@@ -309,18 +341,29 @@
         let ahead_ms = millis(engine.reads_for(now))
             + f64::from(engine.placed()) * DELAY_PER_RUNNING_MS
             + engine.others(now) * DELAY_PER_OTHER_MS;
-        let expected_ms =
-            ahead_ms.max(fetch_ms) + millis(pace.reading(read_tokens)) + millis(pace.base());
+        let rest_ms = millis(pace.reading(read_tokens)) + millis(pace.base());
+        let expected_ms = ahead_ms.max(fetch_ms) + rest_ms;
         let cost_ms = expected_ms + again as f64 * READ_AGAIN_MS_PER_TOKEN;
         let grounds = Grounds {
             running: engine.placed(),
             ahead_ms: ahead_ms as u32,
             resident_tokens,
             fetched_tokens,
+            not_fetched_tokens,
             expected_ms: expected_ms as u32,
             waited_ms: 0,
         };
-        Some(Way { cost_ms, grounds, fetch, keys: keys.clone(), salt: salt.clone() })
+        Some(Way {
+            cost_ms,
+            fetch_ms,
+            rest_ms,
+            ahead_ms,
+            grounds,
+            resident,
+            fetch,
+            keys: keys.clone(),
+            salt: salt.clone(),
+        })
     }
 
     /// Whether some engine holds a part.
@@ -334,17 +377,24 @@
         key: PartKey,
         tokens: u64,
         engine: &Engine,
+        objective: Duration,
         now: BootTime,
-    ) -> Option<(SocketAddr, f64)> {
+    ) -> Option<(SocketAddr, Duration)> {
         self.clock?;
         let traits = self.traits.get(&engine.listed.service)?;
+        let size_bytes = (tokens * traits.token_bytes) as f64;
         let ways = self.stores.values().filter(|store| store.is_whole(key)).map(|store| {
-            let queue = store.link_free_at.max(engine.link_free_at).saturating_sub(now);
-            let took_ms = queue.as_secs_f64() * 1e3 + transfer_ms(store, engine, traits, tokens);
-            (store.traits.address, took_ms)
+            let distance = distance(store, engine);
+            let queue = store.link.queue(now).max(engine.link.queue(now));
+            let at_store = store.link.transfer(size_bytes, distance);
+            let transfer = at_store.max(engine.link.transfer(size_bytes, distance));
+            (store.traits.address, queue + store.traits.first_byte + transfer)
         });
-        ways.filter(|(_, took_ms)| *took_ms <= LONGEST_FETCH_MS)
-            .min_by(|(_, a), (_, b)| a.total_cmp(b))
+        let longest = match objective.is_zero() {
+            true => LONGEST_FETCH,
+            false => objective.mul_f64(FETCH_PART).min(LONGEST_FETCH),
+        };
+        ways.filter(|(_, takes)| *takes <= longest).min_by_key(|(_, takes)| *takes)
     }
 
     fn grant(&mut self, target: TargetId, way: Way, waiting: &Waiting, now: BootTime) -> Placed {
@@ -356,7 +406,8 @@
         for (at, saved) in save.iter_mut().enumerate().take(shared) {
             let key = way.keys[at];
             if let Some(address) = way.fetch[at] {
-                self.grant_fetch(address, key, &ask.parts[at], &target, now);
+                let is_resident = at < way.resident;
+                self.grant_fetch(address, key, &ask.parts[at], &target, is_resident, now);
             } else if self.stores.values().any(|store| store.knows(key)) {
                 self.stores.values_mut().for_each(|store| store.touch(key, now));
             } else {
@@ -380,7 +431,19 @@
             let pace = self.paces.entry(ask.service.clone()).or_default();
             engine.begin(ticket, load, pace, now);
         }
-        self.tickets.insert(ticket, target.clone());
+        let parts = way.fetch.iter().zip(&ask.parts).skip(way.resident);
+        let largest = parts.filter(|(store, _)| store.is_some()).max_by_key(|(_, p)| p.tokens);
+        let slowest = largest.and_then(|(store, _)| *store).filter(|_| way.fetch_ms > way.ahead_ms);
+        self.tickets.insert(
+            ticket,
+            Ticket {
+                target: target.clone(),
+                since: now,
+                slowest,
+                fetch_ms: way.fetch_ms,
+                rest_ms: way.rest_ms,
+            },
+        );
         Placed {
             ticket,
             target,
@@ -402,15 +465,20 @@
         key: PartKey,
         part: &crate::gateway::call::Part,
         target: &TargetId,
+        is_resident: bool,
         now: BootTime,
     ) {
         let Some(engine) = self.engines.get_mut(target) else { return };
         let Some(traits) = self.traits.get(&engine.listed.service) else { return };
         let Some(store) = self.stores.get_mut(&address) else { return };
         store.grant_fetch(key, now);
-        let took = Duration::from_secs_f64(transfer_ms(store, engine, traits, part.tokens) / 1e3);
-        store.link_free_at = store.link_free_at.max(now) + took;
-        engine.link_free_at = engine.link_free_at.max(now) + took;
+        if is_resident {
+            return;
+        }
+        let size_bytes = (part.tokens * traits.token_bytes) as f64;
+        let distance = distance(store, engine);
+        store.link.grant(size_bytes, distance, now);
+        engine.link.grant(size_bytes, distance, now);
     }
 
     /// Where a part is saved: where nothing must be freed for it, short contexts in the store that
@@ -439,8 +507,14 @@
     pub fn note(&mut self, note: &Note, now: BootTime) {
         match note {
             Note::FirstPart { ticket, weight_version, load } => {
-                let Some(target) = self.tickets.get(ticket) else { return };
-                let Some(engine) = self.engines.get_mut(target) else { return };
+                let Some(known) = self.tickets.get_mut(ticket) else { return };
+                if let Some(store) = known.slowest.take()
+                    && let Some(store) = self.stores.get_mut(&store)
+                {
+                    let took_ms = millis(now.saturating_sub(known.since)) - known.rest_ms;
+                    store.link.measured(known.fetch_ms, took_ms, now);
+                }
+                let Some(engine) = self.engines.get_mut(&known.target) else { return };
                 let pace = self.paces.entry(engine.listed.service.clone()).or_default();
                 engine.has_read(*ticket, pace, now);
                 if let Some(load) = load {
@@ -451,8 +525,8 @@
                 }
             }
             Note::Ended { ticket, end } => {
-                let Some(target) = self.tickets.remove(ticket) else { return };
-                if let Some(engine) = self.engines.get_mut(&target) {
+                let Some(known) = self.tickets.remove(ticket) else { return };
+                if let Some(engine) = self.engines.get_mut(&known.target) {
                     engine.end(*ticket, now);
                     take_end(engine, *end, now);
                 }
@@ -507,10 +581,8 @@
     (salt, keys)
 }
 
-fn transfer_ms(store: &Store, engine: &Engine, traits: &EngineTraits, tokens: u64) -> f64 {
-    let bits = tokens as f64 * traits.token_bytes as f64 * 8.0;
-    let link_mbps = store.traits.link_mbps.min(traits.link_mbps).max(1.0);
+/// How many times as long a transfer takes as within a failure domain.
+fn distance(store: &Store, engine: &Engine) -> f64 {
     let is_near = store.traits.failure_domain == engine.listed.failure_domain;
-    let factor = if is_near { 1.0 } else { OTHER_DOMAIN };
-    store.traits.first_byte.as_secs_f64() * 1e3 + bits / (link_mbps * 1e3) * factor
+    if is_near { 1.0 } else { OTHER_DOMAIN }
 }
--- a/src/scheduler/store.rs
+++ b/src/scheduler/store.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::link::Link;
 use super::memory::PartKey;
 use crate::clock::BootTime;
 use crate::deployment::StoreTraits;
@@ -70,8 +71,8 @@
     epoch: Option<u64>,
     parts: HashMap<PartKey, Kept>,
     used_tokens: u64,
-    /// When the fetches that were granted end, if they run one after another.
-    pub link_free_at: BootTime,
+    /// Over which it is read.
+    pub link: Link,
 }
 
 #[derive(Clone, Debug)]
@@ -120,13 +121,8 @@
 impl Store {
     /// A store of which nothing is known yet.
     pub fn new(traits: StoreTraits) -> Store {
-        Store {
-            traits,
-            epoch: None,
-            parts: HashMap::new(),
-            used_tokens: 0,
-            link_free_at: BootTime::ZERO,
-        }
+        let link = Link::new(traits.link_mbps);
+        Store { traits, epoch: None, parts: HashMap::new(), used_tokens: 0, link }
     }
 
     /// Whether its inventory is known.
@@ -293,7 +289,9 @@
             .map(|(key, kept)| (kept.last_use, *key, kept.reserved_tokens))
             .collect();
         idle.sort_unstable();
-        let mut used = self.used_tokens;
+        let being_freed = free.iter().filter_map(|key| self.parts.get(key));
+        let being_freed: u64 = being_freed.map(|kept| kept.reserved_tokens).sum();
+        let mut used = self.used_tokens.saturating_sub(being_freed);
         for (_, key, tokens) in idle {
             if used <= target_tokens || free.len() >= FREED_AT_ONCE {
                 return;
--- /dev/null
+++ b/tests/deployment/fixtures.rs
@@ -0,0 +1,99 @@
+//! Deployments and targets that several tests use.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use kumquatpost::deployment::{
+    Account, Bounds, Deployment, EngineTraits, Route, RunPolicy, Service, ServiceRole, Share,
+    StoreTraits,
+};
+use kumquatpost::fleet::{Listed, Presence, Roster};
+
+pub fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+pub fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], port))
+}
+
+/// A route with one service of the same name as the policy serves.
+pub fn route(name: &str, policy: RunPolicy, service: &str) -> Route {
+    Route {
+        name: name.to_string(),
+        host: "shop.example".to_string(),
+        path_prefix: format!("/{name}/"),
+        policy,
+        timeout: ms(2_000),
+        objective: ms(400),
+        priority: 1,
+        split: vec![Share { service: service.to_string(), weight: 1 }],
+        attempts: 2,
+        is_public: false,
+        is_sticky: policy.is_stream(),
+        gap_target: policy.is_stream().then(|| ms(300)),
+    }
+}
+
+/// Routes of each policy before engines `llm`, a plain service `app` and one store.
+pub fn deployment(version: u64) -> Deployment {
+    let engines = ServiceRole::Engines(EngineTraits {
+        slots: 48,
+        capacity_tokens: 100_000,
+        token_bytes: 131_072,
+        link_mbps: 1_100_000.0,
+        models: vec!["m".to_string()],
+    });
+    let store = ServiceRole::Store(StoreTraits {
+        address: address(9_000),
+        failure_domain: "a".to_string(),
+        capacity_tokens: 100_000,
+        link_mbps: 590_000.0,
+        first_byte: ms(6),
+        is_managed: true,
+    });
+    let service = |role| Service { role, max_connections: 100 };
+    Deployment {
+        version,
+        routes: vec![
+            route("once", RunPolicy::Once, "app"),
+            route("safe", RunPolicy::Idempotent, "app"),
+            route("stream", RunPolicy::StreamOnce, "llm"),
+            route("resumable", RunPolicy::StreamResumable, "llm"),
+        ],
+        services: BTreeMap::from([
+            ("app".to_string(), service(ServiceRole::Plain)),
+            ("llm".to_string(), service(engines)),
+            ("store".to_string(), service(store)),
+        ]),
+        accounts: Some(vec![account("alpha", "key-a", false), account("beta", "key-b", true)]),
+        bounds: Bounds::default(),
+    }
+}
+
+pub fn account(id: &str, key: &str, is_isolated: bool) -> Account {
+    Account { id: id.to_string(), keys: vec![key.to_string()], is_isolated, priority: None }
+}
+
+pub fn target(id: &str, service: &str, at: SocketAddr) -> Listed {
+    let weights = match service {
+        "llm" => BTreeMap::from([("m".to_string(), 1)]),
+        _ => BTreeMap::new(),
+    };
+    Listed {
+        id: id.to_string(),
+        service: service.to_string(),
+        address: at,
+        failure_domain: "a".to_string(),
+        slots: 48,
+        presence: Presence::Live,
+        weights,
+    }
+}
+
+pub fn roster(targets: impl IntoIterator<Item = Listed>) -> Roster {
+    let mut roster = Roster::default();
+    roster.take(targets.into_iter().collect());
+    roster
+}
--- /dev/null
+++ b/tests/deployment/headers.rs
@@ -0,0 +1,161 @@
+//! Headers: what is read of a caller's request, and what passes on.
+
+use std::time::Duration;
+
+use http::{HeaderMap, HeaderName, HeaderValue, Uri};
+use kumquatpost::gateway::call::{Forwarded, KeptParts};
+use kumquatpost::platform::headers;
+
+use crate::fixtures::address;
+
+fn map(pairs: &[(&'static str, &'static str)]) -> HeaderMap {
+    let pair = |(name, value): &(&'static str, &'static str)| {
+        (HeaderName::from_static(name), HeaderValue::from_static(value))
+    };
+    pairs.iter().map(pair).collect()
+}
+
+fn forwarded<'a>(target: &'a String, account: &'a String) -> Forwarded<'a> {
+    Forwarded {
+        target,
+        account: Some(account),
+        time_left: Duration::from_millis(750),
+        urgency: Some(2),
+        cache_wall: Some("all/m/1".to_string()),
+        resume_after: None,
+        weight_version: Some(1),
+        kept: None,
+    }
+}
+
+#[test]
+fn a_call_is_read() {
+    let headers = map(&[
+        ("host", "shop.example:8080"),
+        ("x-request-id", "r1"),
+        ("x-deadline-ms", "1500"),
+        ("authorization", "Bearer key-a"),
+        ("x-model", "m"),
+        ("x-token-count", "1460,80"),
+        ("x-prompt-prefix", "5c1e:800,91bd:410, e440:250"),
+        ("last-event-id", "4"),
+    ]);
+    let call = headers::decode_call(&Uri::from_static("/a/b?c=d"), &headers);
+    assert_eq!((call.host.as_str(), call.path.as_str()), ("shop.example", "/a/b"));
+    assert_eq!(call.deadline, Some(Duration::from_millis(1_500)));
+    assert_eq!(call.key.as_deref(), Some("key-a"));
+    assert_eq!(call.resume_after.as_deref(), Some("4"));
+    let prompt = call.prompt.expect("a prompt");
+    assert_eq!((prompt.prompt_tokens, prompt.output_tokens), (1_460, 80));
+    assert_eq!(
+        prompt.parts.iter().map(|part| part.id.as_str()).collect::<Vec<_>>(),
+        ["5c1e", "91bd", "e440"]
+    );
+    assert_eq!(prompt.shared_tokens(), 1_210, "the last part is the request's own");
+}
+
+#[test]
+fn nonsense_is_no_panic_and_no_value() {
+    let cases = [
+        ("x-deadline-ms", "soon"),
+        ("x-token-count", "many"),
+        ("x-prompt-prefix", ",,:,a:,:5"),
+        ("authorization", "key-a"),
+        ("host", ":::"),
+    ];
+    for (name, value) in cases {
+        let headers = map(&[("x-model", "m"), (name, value)]);
+        let call = headers::decode_call(&Uri::from_static("/"), &headers);
+        assert_eq!(call.deadline, None, "{name}");
+        assert_eq!(call.key, None, "{name}");
+        assert!(call.prompt.is_some_and(|prompt| prompt.prompt_tokens == 0), "{name}");
+    }
+}
+
+#[test]
+fn what_only_this_system_may_set_is_replaced() {
+    let ours = [
+        ("x-tenant", "forged"),
+        ("x-expect-instance", "forged"),
+        ("x-expect-version", "9"),
+        ("x-cache-salt", "forged"),
+        ("x-request-priority", "0"),
+        ("x-kv-fetch", "10.9.9.9:1"),
+        ("x-kv-save", "10.9.9.9:1"),
+        ("x-kv-until", "1"),
+        ("x-kv-backup", "10.9.9.9:1"),
+        ("x-pin-ms", "4000"),
+        ("x-hold", "h"),
+        ("kv-from", "10.9.9.9:1/h"),
+        ("x-deadline-ms", "999999"),
+        ("authorization", "Bearer key-a"),
+    ];
+    let (target, account) = ("i-1".to_string(), "alpha".to_string());
+    let passed = headers::for_target(&map(&ours), &forwarded(&target, &account));
+    let expected = map(&[
+        ("x-deadline-ms", "750"),
+        ("x-expect-instance", "i-1"),
+        ("x-tenant", "alpha"),
+        ("x-request-priority", "2"),
+        ("x-cache-salt", "all/m/1"),
+        ("x-expect-version", "1"),
+    ]);
+    assert_eq!(passed, expected);
+}
+
+#[test]
+fn hop_headers_end_here_but_a_caller_can_take_out_nothing_that_decides() {
+    let from = map(&[
+        ("connection", "close, x-model, x-request-id, x-other, host"),
+        ("x-model", "m"),
+        ("x-request-id", "r1"),
+        ("host", "shop.example"),
+        ("x-other", "1"),
+        ("transfer-encoding", "chunked"),
+        ("x-kept", "yes"),
+    ]);
+    let (target, account) = ("i-1".to_string(), "alpha".to_string());
+    let passed = headers::for_target(&from, &forwarded(&target, &account));
+    for kept in ["x-model", "x-request-id", "host", "x-kept"] {
+        assert!(passed.contains_key(kept), "{kept}");
+    }
+    for ended in ["connection", "x-other", "transfer-encoding"] {
+        assert!(!passed.contains_key(ended), "{ended}");
+    }
+}
+
+#[test]
+fn parts_come_from_and_go_to_their_stores() {
+    let (target, account) = ("i-1".to_string(), "alpha".to_string());
+    let kept = KeptParts {
+        fetch: &[Some(address(1)), None, None],
+        save: &[None, Some(address(2)), None],
+        fetch_until_ms: 1_234,
+    };
+    let with_kept = Forwarded { kept: Some(kept), ..forwarded(&target, &account) };
+    let passed = headers::for_target(&HeaderMap::new(), &with_kept);
+    assert_eq!(passed["x-kv-fetch"], "10.0.0.1:1,-,-");
+    assert_eq!(passed["x-kv-save"], "-,10.0.0.1:2,-");
+    assert_eq!(passed["x-kv-until"], "1234", "every fetch has an end");
+}
+
+#[test]
+fn an_outcome_is_read() {
+    let answer = map(&[
+        ("x-request-id", "r1"),
+        ("x-not-run", "1"),
+        ("x-instance-id", "i-2"),
+        ("x-server-load", "3,1,48"),
+        ("x-weight-versions", "2"),
+        ("keep-alive", "timeout=5, max=100"),
+        ("connection", "close"),
+    ]);
+    let outcome = headers::decode_outcome(&answer);
+    assert!(outcome.did_not_run && outcome.closes);
+    assert_eq!(outcome.answered_by.as_deref(), Some("i-2"));
+    assert_eq!(outcome.load.map(|load| (load.running, load.waiting, load.slots)), Some((3, 1, 48)));
+    assert_eq!(outcome.weight_version, Some(2));
+    assert_eq!(outcome.idle_timeout, Some(Duration::from_secs(5)));
+    let broken = headers::decode_outcome(&map(&[("x-server-load", "3,"), ("keep-alive", "x")]));
+    assert_eq!((broken.load, broken.idle_timeout), (None, None));
+}
--- /dev/null
+++ b/tests/deployment/main.rs
@@ -0,0 +1,21 @@
+//! Tests of what runs on the platform: translation, deployments, the fleet, replicas' decisions, the
+//! scheduler on a virtual clock, and an entry before stand-in targets.
+
+mod budget;
+mod documents;
+mod events;
+mod fixtures;
+mod forming;
+mod gateway;
+mod headers;
+mod identity;
+mod instances;
+mod links;
+mod placement;
+mod roster;
+mod scheduling;
+mod settings;
+mod state;
+mod stores;
+mod table;
+mod weights;
--- /dev/null
+++ b/tests/deployment/roster.rs
@@ -0,0 +1,57 @@
+//! The list of targets over its answers.
+
+use kumquatpost::fleet::{FleetView, Presence};
+use kumquatpost::gateway::call::TargetLoad;
+
+use crate::fixtures::{address, ms, roster, target};
+
+#[test]
+fn leaving_is_not_taken_back() {
+    let listed = target("i-1", "llm", address(1));
+    let mut leaving = listed.clone();
+    leaving.presence = Presence::Leaving;
+    let mut roster = roster([listed.clone()]);
+    assert!(roster.take(vec![leaving]));
+    assert!(!roster.take(vec![listed.clone()]), "an older answer that comes late");
+    assert_eq!(roster.get("i-1").expect("listed").presence, Presence::Leaving);
+    // Another start at the same address is another target.
+    assert!(roster.take(vec![listed, target("i-2", "llm", address(1))]));
+    assert_eq!(roster.get("i-2").expect("listed").presence, Presence::Live);
+}
+
+#[test]
+fn a_target_that_is_gone_takes_no_work_but_its_requests_are_counted_to_the_end() {
+    let mut view = FleetView::default();
+    view.take(&roster([target("i-1", "app", address(1))]));
+    let dispatch = view.begin(&"i-1".to_string(), 0);
+    view.take(&roster([]));
+    assert_eq!(view.live("app").count(), 0);
+    assert_eq!(view.get("i-1").expect("still counted").running, 1);
+    view.end(dispatch);
+    view.take(&roster([]));
+    assert!(view.get("i-1").is_none());
+}
+
+#[test]
+fn another_target_at_the_address_ends_the_one_that_was_meant() {
+    let mut view = FleetView::default();
+    view.take(&roster([target("i-1", "app", address(1)), target("i-2", "app", address(2))]));
+    view.replaced(&"i-1".to_string());
+    let live: Vec<&str> = view.live("app").map(|state| state.listed.id.as_str()).collect();
+    assert_eq!(live, ["i-2"]);
+}
+
+#[test]
+fn a_reported_load_fades_and_does_not_count_our_own_requests_twice() {
+    let mut view = FleetView::default();
+    view.take(&roster([target("i-1", "app", address(1))]));
+    let id = "i-1".to_string();
+    let dispatch = view.begin(&id, 0);
+    view.reported(&id, TargetLoad { running: 3, waiting: 2, slots: 6 }, ms(1_000));
+    let load = |view: &FleetView, at| view.get("i-1").expect("listed").load(ms(at));
+    assert_eq!(load(&view, 1_000), 5.0);
+    assert!(load(&view, 1_300) < 4.0);
+    assert_eq!(load(&view, 2_000), 1.0);
+    view.end(dispatch);
+    assert_eq!(load(&view, 2_000), 0.0);
+}
--- /dev/null
+++ b/tests/deployment/settings.rs
@@ -0,0 +1,43 @@
+//! The platform's settings file.
+
+use kumquatpost::platform::settings;
+use serde_json::{Value, json};
+
+use crate::fixtures::ms;
+
+fn file() -> Value {
+    json!({
+        "NodeName": "core-1", "Ip": "10.1.0.35", "Zone": "hall",
+        "Listen": {"Control": "10.1.0.35:8000"}, "PortRange": [7700, 7715],
+        "Seeds": ["10.1.0.35:8000", "10.2.0.19:8000"], "FirstStart": true,
+        "Limits": {"MemoryMb": 256, "MaxFds": 4096, "CpuShare": 0.6},
+        "DataDir": "/data/x", "Cloud": {"Addr": "10.200.0.144:8007", "RatePerS": 44.0},
+        "Tolerate": {"Machines": 2},
+        "Bounds": {"GraceS": 8, "LeaseMs": 3000, "ThawMs": 300, "BudgetRatio": 0.2,
+                   "BudgetWindowS": 10, "BudgetSlack": 56},
+        "SomethingNew": [1, 2]
+    })
+}
+
+#[test]
+fn fields_are_read_and_unknown_ones_ignored() {
+    let host = settings::decode(file().to_string().as_bytes()).expect("it is valid");
+    assert_eq!(host.name, "core-1");
+    assert_eq!(host.peer_port, 7_700);
+    assert_eq!(host.metrics_port, 7_701);
+    assert_eq!(host.seeds.len(), 2);
+    assert_eq!(host.tolerated_losses, 2);
+    assert_eq!(host.periods.order_lease, ms(3_300), "lease and thaw together keep holders apart");
+    assert_eq!(host.callers_address, None);
+    assert!(host.is_first_start);
+}
+
+#[test]
+fn a_missing_field_is_named() {
+    for field in ["NodeName", "Ip", "Zone", "PortRange", "FirstStart", "Limits", "Bounds"] {
+        let mut file = file();
+        file.as_object_mut().expect("an object").remove(field);
+        let error = settings::decode(file.to_string().as_bytes()).expect_err(field);
+        assert!(error.to_string().contains(field), "{field}: {error}");
+    }
+}
--- /dev/null
+++ b/tests/deployment/state.rs
@@ -0,0 +1,69 @@
+//! The state that replicas agree on.
+
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::sync::Arc;
+
+use kumquatpost::control::state::{Command, ControlState, Published, Reply};
+
+use crate::fixtures::deployment;
+
+fn publish(version: u64, text: &str) -> Command {
+    let text = Arc::new(text.as_bytes().to_vec());
+    Command::Publish(Published { text, deployment: Arc::new(deployment(version)) })
+}
+
+fn text(state: &ControlState) -> String {
+    let published = state.published.as_ref().expect("something is published");
+    String::from_utf8(published.text.to_vec()).expect("text")
+}
+
+#[test]
+fn the_highest_version_is_in_force_whatever_the_order() {
+    let mut state = ControlState::default();
+    let steps = [
+        (3, "three", 3, "three"),
+        (7, "seven", 7, "seven"),
+        (5, "five, late", 7, "seven"),
+        (7, "other content under the version held", 7, "seven"),
+        (7, "seven", 7, "seven"),
+        (8, "eight", 8, "eight"),
+    ];
+    for (version, sent, newest, held) in steps {
+        assert_eq!(state.apply(publish(version, sent)), Reply::Published(newest));
+        assert_eq!(text(&state), held, "after {version}");
+    }
+}
+
+#[test]
+fn weights_never_fall() {
+    let mut state = ControlState::default();
+    let mut name = |version| state.apply(Command::NameWeights { model: "m".into(), version });
+    assert_eq!(name(2), Reply::Named(2));
+    assert_eq!(name(4), Reply::Named(4));
+    assert_eq!(name(3), Reply::Named(4));
+}
+
+#[test]
+fn the_right_to_order_tells_who_had_it() {
+    let mut state = ControlState::default();
+    let mut take = |holder| state.apply(Command::TakeOrders { holder });
+    assert_eq!(take(1), Reply::Orders { previous: None });
+    assert_eq!(take(1), Reply::Orders { previous: Some(1) });
+    assert_eq!(take(2), Reply::Orders { previous: Some(1) });
+}
+
+#[test]
+fn a_snapshot_is_the_whole_state() {
+    let ip: IpAddr = "10.0.0.1".parse().expect("an address");
+    let mut state = ControlState::founded(BTreeMap::from([(1, ip)]));
+    state.apply(publish(3, "three"));
+    state.apply(Command::NameWeights { model: "m".into(), version: 2 });
+    state.apply(Command::TakeOrders { holder: 9 });
+    state.apply(Command::Place { node: 2, ip });
+    let bytes = state.snapshot();
+    assert_eq!(ControlState::restored(&bytes), Ok(state));
+    for length in 0..bytes.len() {
+        assert!(ControlState::restored(&bytes[..length]).is_err(), "cut at {length}");
+    }
+}
--- /dev/null
+++ b/tests/deployment/stores.rs
@@ -0,0 +1,203 @@
+//! What a store keeps, and when it may be fetched or freed.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use kumquatpost::deployment::StoreTraits;
+use kumquatpost::gateway::call::Part;
+use kumquatpost::platform::stores;
+use kumquatpost::scheduler::store::{
+    FETCH_LASTS, FreePlan, Inventory, Store, StoreEvent, StoredPart, part_key,
+};
+use serde_json::{Value, json};
+
+use crate::fixtures::{address, ms};
+
+const SALT: &str = "all/m/1";
+
+fn store(capacity_tokens: u64) -> Store {
+    let mut store = Store::new(StoreTraits {
+        address: address(9_000),
+        failure_domain: "a".to_string(),
+        capacity_tokens,
+        link_mbps: 590_000.0,
+        first_byte: ms(6),
+        is_managed: true,
+    });
+    store.take_inventory(Inventory { epoch: 1, ..Inventory::default() }, ms(0));
+    store
+}
+
+fn part(id: &str, tokens: u64) -> Part {
+    Part { id: id.to_string(), tokens }
+}
+
+fn stored(id: &str, tokens: u64) -> StoredPart {
+    StoredPart { salt: SALT.to_string(), id: id.to_string(), tokens }
+}
+
+fn save(store: &mut Store, id: &str, tokens: u64, now: Duration) {
+    store.grant_save(part_key(SALT, id), SALT, &part(id, tokens), now);
+}
+
+fn whole(store: &mut Store, id: &str, tokens: u64, now: Duration) {
+    save(store, id, tokens, now);
+    store.take_event(StoreEvent::Stored(stored(id, tokens)), now);
+}
+
+fn is_whole(store: &Store, id: &str) -> bool {
+    store.is_whole(part_key(SALT, id))
+}
+
+fn freed(plan: &Option<FreePlan>) -> Vec<&str> {
+    plan.iter().flat_map(|plan| &plan.parts).map(|part| part.id.as_str()).collect()
+}
+
+#[test]
+fn a_part_is_fetched_only_once_it_is_whole() {
+    let mut store = store(10_000);
+    save(&mut store, "a", 1_000, ms(0));
+    assert!(!is_whole(&store, "a"), "its save has only been granted");
+    store.take_event(StoreEvent::Stored(stored("a", 512)), ms(10));
+    assert!(!is_whole(&store, "a"), "half of it is there");
+    store.take_event(StoreEvent::Stored(stored("a", 1_000)), ms(20));
+    assert!(is_whole(&store, "a"));
+    store.take_event(StoreEvent::Gone(stored("a", 1_000)), ms(30));
+    assert!(!is_whole(&store, "a"));
+    assert_eq!(store.free_tokens(), 10_000);
+}
+
+#[test]
+fn parts_of_other_walls_and_weights_are_other_parts() {
+    let mut store = store(10_000);
+    whole(&mut store, "a", 1_000, ms(0));
+    for salt in ["only:beta/m/1", "all/m/2", "all/other/1", "all/m/1a", "all/m"] {
+        assert!(!store.is_whole(part_key(salt, "a")), "{salt}");
+    }
+    // Text and id can't be shifted against each other.
+    assert_ne!(part_key("all/m/1", "2a"), part_key("all/m/12", "a"));
+}
+
+#[test]
+fn an_event_of_an_unknown_part_makes_it_not_whole() {
+    let mut store = store(10_000);
+    store.take_event(StoreEvent::Stored(stored("a", 1_000)), ms(0));
+    assert!(!is_whole(&store, "a"), "how long it is to be is not known");
+}
+
+#[test]
+fn a_store_that_started_anew_has_nothing() {
+    let mut store = store(10_000);
+    whole(&mut store, "a", 1_000, ms(0));
+    store.forget();
+    assert!(!is_whole(&store, "a") && !store.is_known());
+    store.take_inventory(Inventory { epoch: 2, ..Inventory::default() }, ms(100));
+    assert!(store.is_known() && !is_whole(&store, "a"));
+}
+
+#[test]
+fn nothing_is_freed_while_a_fetch_may_be_under_way() {
+    let mut store = store(10_000);
+    for id in ["a", "b", "c", "d", "e", "f"] {
+        whole(&mut store, id, 1_600, ms(0));
+    }
+    let keys: Vec<_> = ["a", "b", "c", "d", "e", "f"].map(|id| part_key(SALT, id)).to_vec();
+    let later = FETCH_LASTS * 2;
+    keys.iter().for_each(|key| store.grant_fetch(*key, later));
+    assert_eq!(store.plan_frees(later + FETCH_LASTS), None, "the grants have only just ended");
+    let plan = store.plan_frees(later + FETCH_LASTS + ms(400));
+    assert_eq!(freed(&plan).len(), 1);
+    let gone = freed(&plan)[0].to_string();
+    assert!(!is_whole(&store, &gone), "it may be gone at any moment");
+}
+
+#[test]
+fn the_least_recently_used_go_first() {
+    let mut store = store(10_000);
+    for (at, id) in ["a", "b", "c", "d", "e", "f"].into_iter().enumerate() {
+        whole(&mut store, id, 1_600, ms(at as u64));
+    }
+    store.touch(part_key(SALT, "a"), ms(50));
+    let plan = store.plan_frees(ms(60_000));
+    assert_eq!(freed(&plan), ["b"]);
+    let plan = plan.expect("a plan");
+    assert_eq!(plan.epoch, 1);
+    store.freed(&plan);
+    assert_eq!(store.free_tokens(), 2_000);
+    assert_eq!(store.plan_frees(ms(60_001)), None);
+}
+
+#[test]
+fn a_free_without_a_clear_answer_is_sent_again() {
+    let mut store = store(10_000);
+    for id in ["a", "b", "c", "d", "e", "f"] {
+        whole(&mut store, id, 1_600, ms(0));
+    }
+    let first = store.plan_frees(ms(10_000));
+    assert_eq!(freed(&first).len(), 1);
+    assert_eq!(store.plan_frees(ms(10_200)), first);
+}
+
+#[test]
+fn a_failed_save_gives_its_room_back() {
+    let mut store = store(10_000);
+    save(&mut store, "a", 1_000, ms(0));
+    assert_eq!(store.free_tokens(), 10_000 - 1_008, "by blocks of 16 tokens");
+    assert_eq!(store.plan_frees(ms(4_000)), None, "it may still go on");
+    let plan = store.plan_frees(ms(6_000)).expect("a plan");
+    store.freed(&plan);
+    assert_eq!(store.free_tokens(), 10_000);
+}
+
+#[test]
+fn a_late_event_does_not_make_a_part_whole_that_is_being_freed() {
+    let mut store = store(10_000);
+    save(&mut store, "a", 1_000, ms(0));
+    assert!(store.plan_frees(ms(6_000)).is_some());
+    store.take_event(StoreEvent::Stored(stored("a", 1_000)), ms(6_001));
+    assert!(!is_whole(&store, "a"));
+}
+
+#[test]
+fn an_inventory_tells_what_events_did_not() {
+    let mut store = store(10_000);
+    save(&mut store, "lost event", 1_000, ms(0));
+    save(&mut store, "broken off", 1_000, ms(0));
+    whole(&mut store, "gone", 1_000, ms(0));
+    save(&mut store, "not begun", 1_000, ms(990));
+    let inventory = Inventory {
+        epoch: 1,
+        next: 9,
+        whole: vec![stored("lost event", 1_000), stored("of an earlier scheduler", 1_000)],
+        partial: vec![stored("broken off", 1_000)],
+    };
+    store.take_inventory(inventory, ms(1_000));
+    let found = |id: &str| (store.knows(part_key(SALT, id)), is_whole(&store, id));
+    assert_eq!(found("lost event"), (true, true));
+    assert_eq!(found("of an earlier scheduler"), (true, true));
+    assert_eq!(found("broken off"), (true, false));
+    assert_eq!(found("gone"), (false, false));
+    assert_eq!(found("not begun"), (true, false));
+    assert_eq!(store.free_tokens(), 10_000 - 4 * 1_008);
+}
+
+#[test]
+fn the_wire() {
+    let list = r#"{"BootEpoch":77,"NextToken":120,"clock_ms":5000.5,
+        "Held":[["s1","5c1e",800,"m"]],"Partial":[["s1","91bd",128,512]]}"#;
+    let (inventory, clock_ms) = stores::decode_list(list.as_bytes()).expect("a list");
+    assert_eq!((inventory.epoch, inventory.next, clock_ms), (77, 120, Some(5_000)));
+    assert_eq!(inventory.whole[0].id, "5c1e");
+    assert_eq!(inventory.partial[0].tokens, 512, "what it takes up");
+    let page = r#"{"BootEpoch":77,"NextToken":121,"Lost":true,
+        "Events":[[119,"+","s1","5c1e",800,"m"],[120,"-","s1","91bd",128,"m"]]}"#;
+    let events = stores::decode_events(page.as_bytes()).expect("a page");
+    assert!(events.has_gap);
+    assert!(matches!(&events.events[0], StoreEvent::Stored(part) if part.tokens == 800));
+    assert!(matches!(&events.events[1], StoreEvent::Gone(part) if part.id == "91bd"));
+    let plan = FreePlan { store: address(1), epoch: 77, parts: vec![stored("a", 1)] };
+    let sent: Value = serde_json::from_slice(&stores::encode_free(&plan, 9)).expect("JSON");
+    assert_eq!(sent, json!({"parts": [[SALT, "a"]], "BootEpoch": 77, "until_ms": 9}));
+    let none: [Option<SocketAddr>; 2] = [None, Some(address(1))];
+    assert_eq!(stores::encode_addresses(&none), "-,10.0.0.1:1");
+}
--- /dev/null
+++ b/tests/deployment/table.rs
@@ -0,0 +1,57 @@
+//! Routes and keys of a deployment.
+
+use std::sync::Arc;
+
+use kumquatpost::deployment::{Rejection, RunPolicy, Share, Table};
+
+use crate::fixtures::{deployment, route};
+
+fn table() -> Table {
+    let mut deployment = deployment(1);
+    let mut deeper = route("safe", RunPolicy::Idempotent, "app");
+    deeper.name = "deeper".to_string();
+    deeper.path_prefix = "/safe/deep/".to_string();
+    deeper.is_public = true;
+    deployment.routes.push(deeper);
+    Table::new(Arc::new(deployment))
+}
+
+#[test]
+fn host_path_and_key_select() {
+    let table = table();
+    let cases = [
+        ("shop.example", "/safe/x", Some("key-a"), Ok("safe")),
+        ("shop.example", "/safe/deep/x", Some("key-a"), Ok("deeper")),
+        ("shop.example", "/safe/deep/x", None, Ok("deeper")),
+        ("SHOP.example", "/once/", Some("key-b"), Ok("once")),
+        ("shop.example", "/safe", Some("key-a"), Err(Rejection::NoRoute)),
+        ("shop.example", "/elsewhere/", Some("key-a"), Err(Rejection::NoRoute)),
+        ("other.example", "/safe/x", Some("key-a"), Err(Rejection::NoRoute)),
+        ("shop.example", "/safe/x", Some("key-c"), Err(Rejection::UnknownKey)),
+        ("shop.example", "/safe/x", None, Err(Rejection::UnknownKey)),
+    ];
+    for (host, path, key, expected) in cases {
+        let found = table.find(host, path, key).map(|found| found.route.name.as_str());
+        assert_eq!(found, expected, "{host} {path} {key:?}");
+    }
+}
+
+#[test]
+fn without_accounts_no_key_is_needed() {
+    let mut open = deployment(1);
+    open.accounts = None;
+    let table = Table::new(Arc::new(open));
+    assert!(table.find("shop.example", "/safe/x", None).is_ok());
+}
+
+#[test]
+fn weights_share_the_requests() {
+    let mut split = route("safe", RunPolicy::Idempotent, "a");
+    let share = |service: &str, weight| Share { service: service.to_string(), weight };
+    split.split = vec![share("a", 90), share("b", 10), share("none", 0)];
+    let picks = |service: &str| {
+        (0..1_000).filter(|n| split.pick(f64::from(*n) / 1_000.0).unwrap() == service).count()
+    };
+    assert_eq!((picks("a"), picks("b"), picks("none")), (900, 100, 0));
+    assert_eq!(split.pick(1.0).unwrap(), "b", "also at the end of the range");
+}
--- /dev/null
+++ b/tests/deployment/weights.rs
@@ -0,0 +1,87 @@
+//! Roll-out of weights.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use kumquatpost::control::weights::{WeightOrder, next_loads};
+use kumquatpost::fleet::{Listed, Presence, Roster};
+use kumquatpost::platform::engines;
+use serde_json::{Value, json};
+
+use crate::fixtures::{address, roster, target};
+
+fn engines_with(versions: &[u64]) -> Roster {
+    let engine = |(n, version): (usize, &u64)| -> Listed {
+        let mut engine = target(&format!("i-{n:02}"), "llm", address(n as u16));
+        engine.weights.insert("m".to_string(), *version);
+        engine
+    };
+    roster(versions.iter().enumerate().map(engine))
+}
+
+fn named(version: u64) -> BTreeMap<String, u64> {
+    BTreeMap::from([("m".to_string(), version)])
+}
+
+#[test]
+fn few_engines_load_at_a_time() {
+    let roster = engines_with(&[1; 12]);
+    let mut under_way = BTreeSet::new();
+    for expected in [2, 0] {
+        let next = next_loads(&roster, &named(2), &under_way);
+        assert_eq!(next.len(), expected);
+        under_way.extend(next.into_iter().map(|lagging| lagging.engine));
+    }
+}
+
+#[test]
+fn a_small_fleet_goes_on_one_by_one() {
+    assert_eq!(next_loads(&engines_with(&[1, 1, 1]), &named(2), &BTreeSet::new()).len(), 1);
+}
+
+#[test]
+fn engines_that_lag_are_found_whichever_version_they_have() {
+    // One that starts again with old weights, one that missed a version, one that is ahead.
+    let roster = engines_with(&[4, 2, 3, 5, 4, 4, 4, 4, 4, 4, 4, 4, 4, 4, 4, 4, 4, 4]);
+    let next = next_loads(&roster, &named(4), &BTreeSet::new());
+    let names: Vec<&str> = next.iter().map(|lagging| lagging.engine.as_str()).collect();
+    assert_eq!(names, ["i-01", "i-02"]);
+}
+
+#[test]
+fn a_leaving_engine_and_other_models_are_left_alone() {
+    let mut leaving = target("i-1", "llm", address(1));
+    leaving.presence = Presence::Leaving;
+    let mut other = target("i-2", "llm", address(2));
+    other.weights = BTreeMap::from([("other".to_string(), 1)]);
+    let roster = roster([leaving, other, target("i-3", "app", address(3))]);
+    assert_eq!(next_loads(&roster, &named(2), &BTreeSet::new()), []);
+}
+
+#[test]
+fn an_order_names_its_holder_and_what_it_expects() {
+    let order = WeightOrder {
+        model: "m".to_string(),
+        version: 2,
+        holder: 255,
+        fencing: 41,
+        orders_accepted: 3,
+    };
+    let sent: Value = serde_json::from_slice(&engines::encode_order(&order)).expect("JSON");
+    assert_eq!(
+        sent,
+        json!({
+            "Op": "Version", "Model": "m", "Version": 2, "Mode": "queue",
+            "Holder": "replica-00000000000000ff", "Fence": 41, "Precondition": 3
+        })
+    );
+}
+
+#[test]
+fn a_report_is_read() {
+    let text = br#"{"Stage":"colocated","Models":[{"Name":"m","Version":2,"Adapters":[]}],
+        "Busy":true,"Seq":2,"Waiting":1,"Running":12,"KvUsed":41000,"KvTotal":90000,"Handles":0}"#;
+    let report = engines::decode_report(text).expect("a report");
+    assert!(report.is_busy);
+    assert_eq!((report.orders_accepted, report.weights["m"]), (2, 2));
+    assert!(engines::decode_report(b"{}").is_err());
+}
