Let a replica join whose host had another one, and whose seeds don't lead

A replica that came back with an empty disk was sent what was meant for its predecessor on that host, took it for its leader's word and never asked to join; a joiner also asked only the seeds, so a leader that is no seed was never reached. Two lost disks later no quorum was left. Change: messages of the log name the replica that is meant; whoever is no member asks to join; whoever is asked tells all hosts that it knows. Logs go to standard output through a bounded queue that never keeps a caller waiting. Test: replicas as processes lose their disks one after another, then two at once while all others lose power; it failed before both changes.

--- a/src/commands/roles.rs
+++ b/src/commands/roles.rs
@@ -7,7 +7,7 @@
 
 use crate::error::{Error, Result};
 use crate::host::HostSettings;
-use crate::telemetry::logs::{self, LogSettings};
+use crate::telemetry::logs;
 use crate::{control, gateway, platform};
 
 /// Runs an entry until SIGTERM or SIGINT.
@@ -29,12 +29,13 @@
 /// These hosts have a part of one core, so one thread does all the work.
 fn run<F: Future<Output = Result<()>>>(role: impl FnOnce(HostSettings) -> F) -> Result<()> {
     let host = platform::settings::read()?;
-    logs::start(&LogSettings { level: LevelFilter::Info, file: None })?;
+    logs::start_bounded(LevelFilter::Info)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|source| Error::start("runtime", source, "raise the limits of this user"))?;
     let result = LocalSet::new().block_on(&runtime, role(host));
     runtime.shutdown_background();
+    log::logger().flush();
     result
 }
--- a/src/control/frames.rs
+++ b/src/control/frames.rs
@@ -83,9 +83,16 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum ToReplica {
     /// Of the log.
-    Log(Message),
+    Log {
+        /// The replica that is meant. Another one may have come in its place on the same host.
+        to: NodeId,
+        /// The message.
+        message: Message,
+    },
     /// The sender wants to be a replica.
     Join,
+    /// Hosts of all replicas that the sender knows of, for one that wants to join.
+    Hosts(BTreeSet<IpAddr>),
     /// The list of targets.
     Roster(NumberedRoster),
     /// The list with this number was read again and is the same.
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -49,7 +49,7 @@
     pub entries: Cell<u32>,
     /// Connections to other replicas.
     pub links: SharedLinks,
-    /// Hosts of replicas that the settings named at some time.
+    /// Hosts of replicas that the settings or other replicas named at some time.
     pub seeds: RefCell<BTreeSet<IpAddr>>,
 }
 
@@ -186,13 +186,20 @@
         self.introduced.insert(node, ip);
         self.presence.heard(node, now);
         match frame {
-            ToReplica::Log(message) => {
+            // What is meant for a replica whose place this one took must not keep it from joining.
+            ToReplica::Log { to, .. } if to != self.shared.node => {}
+            ToReplica::Log { message, .. } => {
                 if message.is_from_leader() {
                     self.heard_leader_at = now;
                 }
                 self.driver.raft.receive(node, message, now);
             }
-            ToReplica::Join => self.presence.asked(node, ip, now),
+            ToReplica::Join => {
+                self.presence.asked(node, ip, now);
+                // Only the leader can let it in, and it may know but a few others.
+                self.shared.links.send(ip, encode(&ToReplica::Hosts(self.hosts())));
+            }
+            ToReplica::Hosts(hosts) => self.shared.seeds.borrow_mut().extend(hosts),
             ToReplica::Roster(roster) => self.shared.take_roster(roster, now),
             ToReplica::RosterUnchanged(number) => {
                 if number >= self.shared.roster.borrow().number {
@@ -263,24 +270,30 @@
         let all: BTreeSet<&String> = entries.iter().chain(others).collect();
         self.shared.entries.set(all.len() as u32);
         self.shared.tell(&self.state, self.ip, &ToReplica::Entries(entries.clone()));
-        if now.saturating_sub(self.heard_leader_at) >= ASK_TO_JOIN_AFTER {
+        let is_alone = now.saturating_sub(self.heard_leader_at) >= ASK_TO_JOIN_AFTER;
+        let is_member = self.driver.raft.status().members.all().any(|id| id == self.shared.node);
+        if is_alone || !is_member {
             let join = encode(&ToReplica::Join);
-            let seeds = self.shared.seeds.borrow();
-            let hosts: BTreeSet<IpAddr> =
-                seeds.iter().chain(self.state.places.values()).copied().collect();
-            for host in hosts.into_iter().filter(|host| *host != self.ip) {
+            for host in self.hosts().into_iter().filter(|host| *host != self.ip) {
                 self.shared.links.send(host, join.clone());
             }
         }
     }
 
+    /// Hosts of all replicas that were ever heard of.
+    fn hosts(&self) -> BTreeSet<IpAddr> {
+        let seeds = self.shared.seeds.borrow();
+        let known = self.state.places.values().chain(self.introduced.values());
+        seeds.iter().chain(known).copied().collect()
+    }
+
     async fn settle(&mut self) {
         let (links, places, introduced) =
             (self.shared.links.clone(), self.state.places.clone(), &self.introduced);
         let send = |to: NodeId, message| {
             // Who introduced itself last knows its own address best.
             if let Some(ip) = introduced.get(&to).or_else(|| places.get(&to)) {
-                links.send(*ip, encode(&ToReplica::Log(message)));
+                links.send(*ip, encode(&ToReplica::Log { to, message }));
             }
         };
         for output in self.driver.settle(send).await {
--- /dev/null
+++ b/src/telemetry/bounded.rs
@@ -0,0 +1,104 @@
+//! An appender that never keeps a caller waiting: lines go through a bounded queue to a thread that
+//! writes them. When the queue is full, lines are dropped and counted.
+
+use std::fmt;
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::thread;
+use std::time::Duration;
+
+use log::Record;
+use log4rs::append::Append;
+use log4rs::encode::Encode;
+use log4rs::encode::pattern::PatternEncoder;
+use log4rs::encode::writer::simple::SimpleWriter;
+
+/// Lines that wait for a slow reader: some seconds of a busy entry, about a megabyte.
+const QUEUE_LEN: usize = 4_096;
+/// Bytes that are written at once.
+const CHUNK_BYTES: usize = 64 << 10;
+/// Longest time for which the last lines are waited for at the end.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// The appender.
+pub struct BoundedAppender {
+    encoder: PatternEncoder,
+    queue: SyncSender<Entry>,
+    dropped: Arc<AtomicU64>,
+}
+
+enum Entry {
+    Line(Vec<u8>),
+    Flush(SyncSender<()>),
+}
+
+impl BoundedAppender {
+    /// Writes lines to `output`, from a thread of its own.
+    pub fn new(pattern: &str, output: impl Write + Send + 'static) -> BoundedAppender {
+        let (queue, entries) = sync_channel(QUEUE_LEN);
+        let dropped = Arc::new(AtomicU64::new(0));
+        let counted = dropped.clone();
+        thread::spawn(move || write_all(&entries, &counted, output));
+        BoundedAppender { encoder: PatternEncoder::new(pattern), queue, dropped }
+    }
+
+    /// Lines that were dropped and not yet reported.
+    pub fn dropped(&self) -> u64 {
+        self.dropped.load(Ordering::Relaxed)
+    }
+}
+
+impl fmt::Debug for BoundedAppender {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("BoundedAppender").field("dropped", &self.dropped()).finish()
+    }
+}
+
+impl Append for BoundedAppender {
+    fn append(&self, record: &Record<'_>) -> anyhow::Result<()> {
+        let mut line = SimpleWriter(Vec::with_capacity(256));
+        self.encoder.encode(&mut line, record)?;
+        if self.queue.try_send(Entry::Line(line.0)).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(())
+    }
+
+    fn flush(&self) {
+        let (sender, written) = sync_channel(1);
+        if self.queue.try_send(Entry::Flush(sender)).is_ok() {
+            // A reader that has stopped must not keep the process from ending.
+            let _ = written.recv_timeout(FLUSH_TIMEOUT);
+        }
+    }
+}
+
+fn write_all(entries: &Receiver<Entry>, dropped: &AtomicU64, mut output: impl Write) {
+    let mut chunk = Vec::with_capacity(CHUNK_BYTES);
+    while let Ok(first) = entries.recv() {
+        let mut flushed = Vec::new();
+        let mut next = Some(first);
+        while let Some(entry) = next {
+            match entry {
+                Entry::Line(line) => chunk.extend_from_slice(&line),
+                Entry::Flush(sender) => flushed.push(sender),
+            }
+            next = if chunk.len() < CHUNK_BYTES { entries.try_recv().ok() } else { None };
+        }
+        let lost = dropped.swap(0, Ordering::Relaxed);
+        if lost > 0 {
+            chunk.extend_from_slice(
+                format!("level=WARN event=log_lines_dropped count={lost}\n").as_bytes(),
+            );
+        }
+        // Nobody could be told of a failure here.
+        let _ = output.write_all(&chunk).and_then(|()| output.flush());
+        chunk.clear();
+        for sender in flushed {
+            // Whoever asked may have given up waiting.
+            let _ = sender.try_send(());
+        }
+    }
+}
--- a/src/telemetry/logs.rs
+++ b/src/telemetry/logs.rs
@@ -9,6 +9,7 @@
 use log4rs::config::{Appender, Config, Logger, Root};
 use log4rs::encode::pattern::PatternEncoder;
 
+use super::bounded::BoundedAppender;
 use crate::error::{Error, Result};
 
 const PATTERN: &str = "ts={d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} level={l} {m}{n}";
@@ -25,18 +26,31 @@
     pub file: Option<PathBuf>,
 }
 
+/// Starts logging to standard output without ever waiting for its reader.
+///
+/// # Errors
+/// `Error::Start` if logging was started before.
+pub fn start_bounded(level: LevelFilter) -> Result<()> {
+    let appender = |pattern| Box::new(BoundedAppender::new(pattern, std::io::stdout()));
+    install(level, appender(PATTERN), appender(LIBRARY_PATTERN))
+}
+
 /// Starts logging for this process.
 ///
 /// # Errors
 /// `Error::Start` if the file can't be opened or logging was started before.
 pub fn start(settings: &LogSettings) -> Result<()> {
-    let ours = Logger::builder().appender("ours").additive(false);
-    let libraries = Root::builder().appender("libraries");
+    install(settings.level, appender(settings, PATTERN)?, appender(settings, LIBRARY_PATTERN)?)
+}
+
+fn install(level: LevelFilter, ours: Box<dyn Append>, libraries: Box<dyn Append>) -> Result<()> {
+    let logger = Logger::builder().appender("ours").additive(false);
+    let root = Root::builder().appender("libraries");
     let config = Config::builder()
-        .appender(Appender::builder().build("ours", appender(settings, PATTERN)?))
-        .appender(Appender::builder().build("libraries", appender(settings, LIBRARY_PATTERN)?))
-        .logger(ours.build("kumquatpost", settings.level))
-        .build(libraries.build(settings.level.min(LevelFilter::Warn)))
+        .appender(Appender::builder().build("ours", ours))
+        .appender(Appender::builder().build("libraries", libraries))
+        .logger(logger.build("kumquatpost", level))
+        .build(root.build(level.min(LevelFilter::Warn)))
         .map_err(|source| Error::start("log", source, "check the log settings"))?;
     log4rs::init_config(config)
         .map_err(|source| Error::start("log", source, "start logging once a process"))?;
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -1,5 +1,6 @@
 //! What operators see: logs, metrics and the report on service-level burn.
 
+pub mod bounded;
 pub mod burn;
 pub mod logs;
 pub mod metrics;
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -12,6 +12,7 @@
 mod instances;
 mod links;
 mod placement;
+mod replicas;
 mod roster;
 mod scheduling;
 mod settings;
