Work out once per prompt what all engines have in common

Change: stores that hold a part, and whether any engine does, are found once per prompt; memory is checked first; a dispatch ends when all engines are busy; notes share a dispatch within 2 ms. The weighing has a module of its own (way.rs).

--- a/src/control/scheduling.rs
+++ b/src/control/scheduling.rs
@@ -14,7 +14,7 @@
 use super::frames::{self, FromEntry, PlaceError, ToEntry, encode};
 use super::replica::Shared;
 use super::store_reader;
-use crate::clock::boot_now;
+use crate::clock::{BootTime, boot_now};
 use crate::log::Term;
 use crate::net::http::{Exchange, fetch};
 use crate::platform::stores;
@@ -25,6 +25,8 @@
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 /// How often it is looked whether prompts that wait can be placed.
 const DISPATCH_EVERY: Duration = Duration::from_millis(10);
+/// Notes that come closer together than this share a dispatch.
+const DISPATCH_PAUSE: Duration = Duration::from_millis(2);
 /// A leader that has not been confirmed for this long schedules nothing: well within the time in
 /// which no other can have been elected.
 const SURE_WITHIN: Duration = Duration::from_millis(250);
@@ -44,6 +46,7 @@
     /// Prompts that wait: the connection of their entry, and its number for them.
     waiters: RefCell<HashMap<WaiterId, (mpsc::UnboundedSender<ToEntry>, u64)>>,
     next_waiter: Cell<WaiterId>,
+    dispatched_at: Cell<BootTime>,
 }
 
 impl Scheduling {
@@ -54,6 +57,7 @@
             active: RefCell::default(),
             waiters: RefCell::default(),
             next_waiter: Cell::new(0),
+            dispatched_at: Cell::new(BootTime::ZERO),
         }
     }
 
@@ -193,6 +197,7 @@
 
     /// Tells what has come of prompts that waited.
     fn dispatch(&self) {
+        self.dispatched_at.set(boot_now());
         let outcomes = self.with(|scheduler| scheduler.dispatch(boot_now()));
         for (waiter, outcome) in outcomes.into_iter().flatten() {
             let Some((sender, number)) = self.waiters.borrow_mut().remove(&waiter) else {
@@ -280,8 +285,10 @@
                 self.placed.borrow_mut().remove(ticket);
             }
         }
-        let _ = self.scheduling.with(|scheduler| scheduler.note(note, boot_now()));
-        if !self.scheduling.waiters.borrow().is_empty() {
+        let now = boot_now();
+        let _ = self.scheduling.with(|scheduler| scheduler.note(note, now));
+        let is_due = now >= self.scheduling.dispatched_at.get() + DISPATCH_PAUSE;
+        if is_due && !self.scheduling.waiters.borrow().is_empty() {
             self.scheduling.dispatch();
         }
     }
--- a/src/scheduler/engine.rs
+++ b/src/scheduler/engine.rs
@@ -1,8 +1,9 @@
 //! One engine as the scheduler sees it.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
+use rustc_hash::FxHashMap;
+
 use super::link::Link;
 use super::memory::{Memory, PartKey};
 use super::messages::TicketId;
@@ -39,7 +40,7 @@
     read_free_at: BootTime,
     /// By how much it has fallen behind what was expected, in all.
     slipped_ms: f64,
-    running: HashMap<TicketId, Running>,
+    running: FxHashMap<TicketId, Running>,
     /// Tokens that running prompts may still generate.
     generated_tokens: u64,
     reported: Option<(u32, BootTime)>,
@@ -92,7 +93,7 @@
             link: Link::new(link_mbps),
             read_free_at: BootTime::ZERO,
             slipped_ms: 0.0,
-            running: HashMap::new(),
+            running: FxHashMap::default(),
             generated_tokens: 0,
             reported: None,
         }
--- a/src/scheduler/memory.rs
+++ b/src/scheduler/memory.rs
@@ -1,7 +1,9 @@
 //! What is probably resident in one engine's memory: parts of running prompts, and parts of earlier
 //! ones until the room is needed, the least recently used first.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
+
+use rustc_hash::FxHashMap;
 
 /// Names a part within the cache of those who share it.
 pub type PartKey = u64;
@@ -10,7 +12,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Memory {
     capacity: u64,
-    parts: HashMap<PartKey, Resident>,
+    parts: FxHashMap<PartKey, Resident>,
     /// Parts that nobody uses, by their last use. Invariant: exactly those with no users.
     idle: BTreeMap<u64, PartKey>,
     /// Of all parts.
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -13,6 +13,7 @@
 pub mod plan;
 pub mod queue;
 pub mod store;
+mod way;
 
 pub use messages::{Ask, End, Note, Placed, TicketId};
 pub use plan::{Outcome, Scheduler, Unplaced};
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -4,12 +4,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use rustc_hash::FxHashMap;
+
 use super::engine::{Engine, Load};
 use super::memory::PartKey;
 use super::messages::{Ask, End, Grounds, Note, Placed, TicketId};
 use super::pace::Pace;
 use super::queue::{Queue, WaiterId, Waiting};
-use super::store::{FETCH_LASTS, FreePlan, Inventory, Store, StoreEvent, part_key};
+use super::store::{FETCH_LASTS, FreePlan, Inventory, Store, StoreEvent};
+use super::way::{Wanted, Way, distance, shared_count};
 use crate::clock::BootTime;
 use crate::deployment::{Deployment, EngineTraits, ServiceRole};
 use crate::fleet::{Fault, Presence, Roster};
@@ -18,26 +21,10 @@
 /// An engine takes another prompt once it has less than this left to read: enough to keep it busy
 /// until the next placement, and so little that an urgent prompt is not kept waiting behind others.
 const READS_AHEAD: Duration = Duration::from_millis(60);
-/// What a prompt that an engine already runs delays the next one, beside what it must still read.
-const DELAY_PER_RUNNING_MS: f64 = 2.0;
-/// What a request that was not placed here delays the next one: a mean prompt of 3,600 tokens.
-const DELAY_PER_OTHER_MS: f64 = 25.0;
 /// A refused caller comes back after this at the least, and at the most this much later.
 const COME_BACK: (Duration, Duration) = (Duration::from_millis(250), Duration::from_millis(700));
-/// Reading tokens again that are kept somewhere else costs this much beside the time that it takes:
-/// operators weigh work that is thrown away.
-const READ_AGAIN_MS_PER_TOKEN: f64 = 0.03;
-/// Running prompts take at most this part of an engine's memory: beyond it they push each other
-/// out, and what was read must be read again.
-const MEMORY_PART: f64 = 0.9;
 /// Contexts up to this length go to the stores that answer soonest, where that matters most.
 const SHORT_CONTEXT_TOKENS: u64 = 3_000;
-/// A transfer takes this many times as long between failure domains.
-const OTHER_DOMAIN: f64 = 2.0;
-/// A fetch that would take longer is not worth waiting for: it would not be started.
-const LONGEST_FETCH: Duration = Duration::from_millis(1_000);
-/// Nor is one that would take more than this part of the prompt's objective.
-const FETCH_PART: f64 = 0.6;
 /// A dispatch looks at this many prompts that find no room. Engines differ little in what fits, so
 /// more would find none either.
 const STUCK_AT_MOST: usize = 8;
@@ -73,7 +60,7 @@
     stores: BTreeMap<SocketAddr, Store>,
     paces: HashMap<ServiceId, Pace>,
     queue: Queue,
-    tickets: HashMap<TicketId, Ticket>,
+    tickets: FxHashMap<TicketId, Ticket>,
     next_ticket: TicketId,
     clock: Option<EnginesClock>,
     frees_from: BootTime,
@@ -92,19 +79,13 @@
     rest_ms: f64,
 }
 
-/// How an engine would get at a prompt.
-struct Way {
-    /// How long the fetch takes, and what follows it.
-    fetch_ms: f64,
-    rest_ms: f64,
-    ahead_ms: f64,
-    cost_ms: f64,
-    grounds: Grounds,
-    /// How many parts, from the first on, are probably resident.
-    resident: usize,
-    fetch: Vec<Option<SocketAddr>>,
-    keys: Vec<PartKey>,
-    salt: String,
+/// What came of trying to place a prompt.
+enum Placing {
+    Done(Outcome),
+    /// All engines have enough to read: no other prompt would be placed either.
+    AllBusy,
+    /// The engines that could read lack the memory.
+    NoRoom,
 }
 
 impl Scheduler {
@@ -116,7 +97,7 @@
             stores: BTreeMap::new(),
             paces: HashMap::new(),
             queue: Queue::default(),
-            tickets: HashMap::new(),
+            tickets: FxHashMap::default(),
             next_ticket: first_ticket,
             clock: None,
             frees_from: now + FIRST_FREES_AFTER,
@@ -218,7 +199,7 @@
     pub fn submit(&mut self, waiter: WaiterId, ask: Ask, now: BootTime) -> Option<Outcome> {
         let is_ahead = !self.queue.is_empty();
         let waiting = Waiting { waiter, ask, since: now };
-        if !is_ahead && let Some(outcome) = self.try_place(&waiting, now) {
+        if !is_ahead && let Placing::Done(outcome) = self.try_place(&waiting, now) {
             return Some(outcome);
         }
         self.queue.add(waiting);
@@ -241,8 +222,12 @@
             && let Some(waiting) = self.queue.pick()
         {
             match self.try_place(&waiting, now) {
-                Some(outcome) => outcomes.push((waiting.waiter, outcome)),
-                None => stuck.push(waiting),
+                Placing::Done(outcome) => outcomes.push((waiting.waiter, outcome)),
+                Placing::NoRoom => stuck.push(waiting),
+                Placing::AllBusy => {
+                    stuck.push(waiting);
+                    break;
+                }
             }
         }
         stuck.into_iter().for_each(|waiting| self.queue.put_back(waiting));
@@ -254,13 +239,16 @@
         self.queue.len()
     }
 
-    /// Places a prompt on the engine where it costs least; `None` if all are busy.
-    fn try_place(&mut self, waiting: &Waiting, now: BootTime) -> Option<Outcome> {
+    /// Places a prompt on the engine where it costs least.
+    fn try_place(&mut self, waiting: &Waiting, now: BootTime) -> Placing {
         let ask = &waiting.ask;
-        let mut is_listed = false;
-        let mut is_sound = false;
-        let mut best: Option<(TargetId, Way)> = None;
-        let mut salts: HashMap<Option<u64>, (String, Vec<PartKey>)> = HashMap::new();
+        let Some(traits) = self.traits.get(&ask.service) else {
+            return Placing::Done(Err(Unplaced::NoneListed));
+        };
+        let pace = self.paces.get(&ask.service).copied().unwrap_or_default();
+        let (mut is_listed, mut is_sound, mut is_free) = (false, false, false);
+        let mut best: Option<(&TargetId, Way)> = None;
+        let mut wanted: Vec<(Option<u64>, Wanted<'_>)> = Vec::new();
         for (id, engine) in &self.engines {
             if engine.listed.service != ask.service || engine.listed.presence != Presence::Live {
                 continue;
@@ -273,157 +261,70 @@
             if engine.reads_for(now) >= READS_AHEAD {
                 continue;
             }
-            let named = salts
-                .entry(engine.weight_version)
-                .or_insert_with(|| names(ask, engine.weight_version));
-            let Some(way) = self.way(engine, ask, named, now) else { continue };
+            is_free = true;
+            let version = engine.weight_version;
+            let known = wanted.iter().position(|(known, _)| *known == version);
+            let known = known.unwrap_or_else(|| {
+                let (stores, engines) = (self.stores.values(), self.engines.values());
+                let may_fetch = self.clock.is_some();
+                wanted.push((version, Wanted::new(ask, version, stores, engines, may_fetch)));
+                wanted.len() - 1
+            });
+            let Some(way) = wanted[known].1.way(engine, traits, &pace, now) else { continue };
             if best.as_ref().is_none_or(|(_, best)| way.cost_ms < best.cost_ms) {
-                best = Some((id.clone(), way));
-            }
-        }
-        match best {
-            Some((target, way)) => Some(Ok(self.grant(target, way, waiting, now))),
-            None if is_sound => None,
-            None if is_listed => Some(Err(Unplaced::NoneSound)),
-            None => Some(Err(Unplaced::NoneListed)),
-        }
-    }
-
-    /// How an engine would get at a prompt; `None` if it has no room for it.
-    fn way(
-        &self,
-        engine: &Engine,
-        ask: &Ask,
-        (salt, keys): &(String, Vec<PartKey>),
-        now: BootTime,
-    ) -> Option<Way> {
-        let pace = self.paces.get(&ask.service).copied().unwrap_or_default();
-        let shared = shared_count(ask);
-        let resident = keys.iter().take_while(|key| engine.memory.holds(**key)).count();
-        let resident_tokens: u64 = ask.parts[..resident].iter().map(|part| part.tokens).sum();
-        let mut fetch = vec![None; ask.parts.len()];
-        let mut fetched_tokens = 0;
-        let mut fetch_ms: f64 = 0.0;
-        for at in 0..shared {
-            let (key, tokens) = (keys[at], ask.parts[at].tokens);
-            let found = self.nearest(key, tokens, engine, ask.objective, now);
-            // What is resident is named too: it may have been pushed out without our knowing, and
-            // an engine fetches only what it lacks.
-            fetch[at] = found.map(|(store, _)| store);
-            match found {
-                _ if at < resident => {}
-                Some((_, takes)) => {
-                    fetched_tokens += tokens;
-                    fetch_ms = fetch_ms.max(millis(takes));
-                }
-                // A part is of use only after all before it.
-                None => break,
+                best = Some((id, way));
             }
         }
-        let read_tokens = ask.prompt_tokens.saturating_sub(resident_tokens + fetched_tokens);
-        let again: u64 = (resident.min(shared)..shared)
-            .filter(|at| fetch[*at].is_none() && self.is_kept(keys[*at]))
-            .map(|at| ask.parts[at].tokens)
-            .sum();
-        let in_store = |at: &usize| self.stores.values().any(|store| store.knows(keys[*at]));
-        let not_fetched_tokens: u64 = (resident.min(shared)..shared)
-            .filter(|at| fetch[*at].is_none() && in_store(at))
-            .map(|at| ask.parts[at].tokens)
-            .sum();
-        let needed = read_tokens + fetched_tokens + ask.output_tokens;
-        let room = (engine.capacity_tokens as f64 * MEMORY_PART) as u64;
-        let has_slot = engine.listed.slots == 0 || engine.placed() < engine.listed.slots;
-        let fits = has_slot && engine.busy_tokens() + needed <= room;
-        // What is too large for any engine's rest gets an engine of its own.
-        if !fits && engine.placed() > 0 {
-            return None;
-        }
-        let ahead_ms = millis(engine.reads_for(now))
-            + f64::from(engine.placed()) * DELAY_PER_RUNNING_MS
-            + engine.others(now) * DELAY_PER_OTHER_MS;
-        let rest_ms = millis(pace.reading(read_tokens)) + millis(pace.base());
-        let expected_ms = ahead_ms.max(fetch_ms) + rest_ms;
-        let cost_ms = expected_ms + again as f64 * READ_AGAIN_MS_PER_TOKEN;
-        let grounds = Grounds {
-            running: engine.placed(),
-            ahead_ms: ahead_ms as u32,
-            resident_tokens,
-            fetched_tokens,
-            not_fetched_tokens,
-            expected_ms: expected_ms as u32,
-            waited_ms: 0,
+        let Some((target, way)) = best else {
+            return match (is_listed, is_sound, is_free) {
+                (false, ..) => Placing::Done(Err(Unplaced::NoneListed)),
+                (_, false, _) => Placing::Done(Err(Unplaced::NoneSound)),
+                (.., false) => Placing::AllBusy,
+                _ => Placing::NoRoom,
+            };
         };
-        Some(Way {
-            cost_ms,
-            fetch_ms,
-            rest_ms,
-            ahead_ms,
-            grounds,
-            resident,
-            fetch,
-            keys: keys.clone(),
-            salt: salt.clone(),
-        })
-    }
-
-    /// Whether some engine holds a part.
-    fn is_kept(&self, key: PartKey) -> bool {
-        self.engines.values().any(|engine| engine.memory.holds(key))
+        let target = target.clone();
+        let version = self.engines.get(&target).and_then(|engine| engine.weight_version);
+        let chosen = wanted.into_iter().find(|(known, _)| *known == version);
+        let (salt, keys) = chosen.map(|(_, wanted)| (wanted.salt, wanted.keys)).unwrap_or_default();
+        Placing::Done(Ok(self.grant(target, way, salt, keys, waiting, now)))
     }
 
-    /// The store from which a part comes soonest, and how long that takes.
-    fn nearest(
-        &self,
-        key: PartKey,
-        tokens: u64,
-        engine: &Engine,
-        objective: Duration,
+    fn grant(
+        &mut self,
+        target: TargetId,
+        way: Way,
+        salt: String,
+        keys: Vec<PartKey>,
+        waiting: &Waiting,
         now: BootTime,
-    ) -> Option<(SocketAddr, Duration)> {
-        self.clock?;
-        let traits = self.traits.get(&engine.listed.service)?;
-        let size_bytes = (tokens * traits.token_bytes) as f64;
-        let ways = self.stores.values().filter(|store| store.is_whole(key)).map(|store| {
-            let distance = distance(store, engine);
-            let queue = store.link.queue(now).max(engine.link.queue(now));
-            let at_store = store.link.transfer(size_bytes, distance);
-            let transfer = at_store.max(engine.link.transfer(size_bytes, distance));
-            (store.traits.address, queue + store.traits.first_byte + transfer)
-        });
-        let longest = match objective.is_zero() {
-            true => LONGEST_FETCH,
-            false => objective.mul_f64(FETCH_PART).min(LONGEST_FETCH),
-        };
-        ways.filter(|(_, takes)| *takes <= longest).min_by_key(|(_, takes)| *takes)
-    }
-
-    fn grant(&mut self, target: TargetId, way: Way, waiting: &Waiting, now: BootTime) -> Placed {
+    ) -> Placed {
         let ask = &waiting.ask;
         let ticket = self.next_ticket;
         self.next_ticket += 1;
         let shared = shared_count(ask);
         let mut save = vec![None; ask.parts.len()];
         for (at, saved) in save.iter_mut().enumerate().take(shared) {
-            let key = way.keys[at];
+            let key = keys[at];
             if let Some(address) = way.fetch[at] {
                 let is_resident = at < way.resident;
                 self.grant_fetch(address, key, &ask.parts[at], &target, is_resident, now);
             } else if self.stores.values().any(|store| store.knows(key)) {
                 self.stores.values_mut().for_each(|store| store.touch(key, now));
             } else {
-                *saved = self.grant_save(key, &way.salt, &ask.parts[at], &target, now);
+                *saved = self.grant_save(key, &salt, &ask.parts[at], &target, now);
             }
         }
         let clock_ms = self.engines_clock_ms(now).unwrap_or_default();
         let mut weight_version = None;
         if let Some(engine) = self.engines.get_mut(&target) {
             weight_version = engine.weight_version;
-            for (key, part) in way.keys.iter().zip(&ask.parts) {
+            for (key, part) in keys.iter().zip(&ask.parts) {
                 engine.memory.begin_use(*key, part.tokens);
             }
             let resident_or_fetched = way.grounds.resident_tokens + way.grounds.fetched_tokens;
             let load = Load {
-                parts: way.keys,
+                parts: keys,
                 read_tokens: ask.prompt_tokens.saturating_sub(resident_or_fetched).max(1),
                 output_tokens: ask.output_tokens,
                 fetches: way.grounds.fetched_tokens > 0,
@@ -447,7 +348,7 @@
         Placed {
             ticket,
             target,
-            salt: way.salt,
+            salt,
             weight_version,
             fetch: way.fetch,
             save,
@@ -565,24 +466,3 @@
 fn millis(duration: Duration) -> f64 {
     duration.as_secs_f64() * 1e3
 }
-
-/// How many parts others share: all but the last.
-fn shared_count(ask: &Ask) -> usize {
-    match ask.parts.len() {
-        0 | 1 => ask.parts.len(),
-        count => count - 1,
-    }
-}
-
-/// The text under which parts are kept, and the parts' keys. Other weights make other parts.
-fn names(ask: &Ask, weight_version: Option<u64>) -> (String, Vec<PartKey>) {
-    let salt = format!("{}/{}/{}", ask.wall, ask.model, weight_version.unwrap_or_default());
-    let keys = ask.parts.iter().map(|part| part_key(&salt, &part.id)).collect();
-    (salt, keys)
-}
-
-/// How many times as long a transfer takes as within a failure domain.
-fn distance(store: &Store, engine: &Engine) -> f64 {
-    let is_near = store.traits.failure_domain == engine.listed.failure_domain;
-    if is_near { 1.0 } else { OTHER_DOMAIN }
-}
--- a/src/scheduler/store.rs
+++ b/src/scheduler/store.rs
@@ -3,10 +3,12 @@
 //! A part may be fetched only while it is surely whole, and is freed only when no fetch of it can be
 //! under way: each fetch is granted until a time at which engines throw it away by themselves.
 
-use std::collections::HashMap;
+use std::collections::hash_map::Entry;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use rustc_hash::FxHashMap;
+
 use super::link::Link;
 use super::memory::PartKey;
 use crate::clock::BootTime;
@@ -69,7 +71,7 @@
     pub traits: StoreTraits,
     /// This start of it; `None` until its inventory is known.
     epoch: Option<u64>,
-    parts: HashMap<PartKey, Kept>,
+    parts: FxHashMap<PartKey, Kept>,
     used_tokens: u64,
     /// Over which it is read.
     pub link: Link,
@@ -122,7 +124,7 @@
     /// A store of which nothing is known yet.
     pub fn new(traits: StoreTraits) -> Store {
         let link = Link::new(traits.link_mbps);
-        Store { traits, epoch: None, parts: HashMap::new(), used_tokens: 0, link }
+        Store { traits, epoch: None, parts: FxHashMap::default(), used_tokens: 0, link }
     }
 
     /// Whether its inventory is known.
@@ -153,7 +155,7 @@
         let earlier = if self.epoch == Some(inventory.epoch) {
             std::mem::take(&mut self.parts)
         } else {
-            HashMap::new()
+            FxHashMap::default()
         };
         self.forget();
         self.epoch = Some(inventory.epoch);
@@ -179,7 +181,7 @@
         let begun =
             |kept: &Kept| matches!(kept.state, KeptState::Saving(at) if now < at + SAVE_LASTS);
         for (key, kept) in earlier.into_iter().filter(|(_, kept)| begun(kept)) {
-            if let std::collections::hash_map::Entry::Vacant(vacant) = self.parts.entry(key) {
+            if let Entry::Vacant(vacant) = self.parts.entry(key) {
                 self.used_tokens += kept.reserved_tokens;
                 vacant.insert(kept);
             }
--- /dev/null
+++ b/src/scheduler/way.rs
@@ -0,0 +1,198 @@
+//! How an engine would get at a prompt, and what that costs.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::engine::Engine;
+use super::memory::PartKey;
+use super::messages::{Ask, Grounds};
+use super::pace::Pace;
+use super::store::{Store, part_key};
+use crate::clock::BootTime;
+use crate::deployment::EngineTraits;
+
+/// What a prompt that an engine already runs delays the next one, beside what it must still read.
+const DELAY_PER_RUNNING_MS: f64 = 2.0;
+/// What a request that was not placed here delays the next one: a mean prompt of 3,600 tokens.
+const DELAY_PER_OTHER_MS: f64 = 25.0;
+/// Reading tokens again that are kept somewhere else costs this much beside the time that it takes:
+/// operators weigh work that is thrown away.
+const READ_AGAIN_MS_PER_TOKEN: f64 = 0.03;
+/// Running prompts take at most this part of an engine's memory: beyond it they push each other
+/// out, and what was read must be read again.
+const MEMORY_PART: f64 = 0.9;
+/// A transfer takes this many times as long between failure domains.
+const OTHER_DOMAIN: f64 = 2.0;
+/// A fetch that would take longer is not worth waiting for: it would not be started.
+const LONGEST_FETCH: Duration = Duration::from_millis(1_000);
+/// Nor is one that would take more than this part of the prompt's objective.
+const FETCH_PART: f64 = 0.6;
+
+/// A prompt as all engines with the same weights see it: worked out once, looked at for each.
+pub struct Wanted<'a> {
+    ask: &'a Ask,
+    /// The text under which its parts are kept. Other weights make other parts.
+    pub salt: String,
+    /// Its parts.
+    pub keys: Vec<PartKey>,
+    /// How many parts, from the first on, others share.
+    pub shared: usize,
+    /// Stores from which each shared part can be fetched.
+    whole: Vec<Vec<&'a Store>>,
+    /// Whether some store has a shared part or is about to.
+    in_store: Vec<bool>,
+    /// Whether some engine holds a shared part that no store has whole.
+    only_resident: Vec<bool>,
+}
+
+/// How an engine would get at a prompt.
+#[derive(Clone, Debug)]
+pub struct Way {
+    /// What speaks against it, in milliseconds.
+    pub cost_ms: f64,
+    /// How long the fetch takes.
+    pub fetch_ms: f64,
+    /// What follows the fetch until the first part of the answer.
+    pub rest_ms: f64,
+    /// How long the engine is busy with others.
+    pub ahead_ms: f64,
+    /// How many parts, from the first on, are probably resident.
+    pub resident: usize,
+    /// Where parts are fetched from.
+    pub fetch: Vec<Option<SocketAddr>>,
+    /// What the decision rests on.
+    pub grounds: Grounds,
+}
+
+/// How many parts others share: all but the last, which belongs to the request itself.
+pub fn shared_count(ask: &Ask) -> usize {
+    match ask.parts.len() {
+        0 | 1 => ask.parts.len(),
+        count => count - 1,
+    }
+}
+
+impl<'a> Wanted<'a> {
+    /// Works out what all engines with these weights have in common. Without `may_fetch`, nothing is
+    /// fetched.
+    pub fn new<'e>(
+        ask: &'a Ask,
+        weight_version: Option<u64>,
+        stores: impl Iterator<Item = &'a Store> + Clone,
+        engines: impl Iterator<Item = &'e Engine> + Clone,
+        may_fetch: bool,
+    ) -> Wanted<'a> {
+        let salt = format!("{}/{}/{}", ask.wall, ask.model, weight_version.unwrap_or_default());
+        let keys: Vec<PartKey> = ask.parts.iter().map(|part| part_key(&salt, &part.id)).collect();
+        let shared = shared_count(ask);
+        let having = |key: &PartKey| {
+            let key = *key;
+            let whole = stores.clone().filter(move |store| may_fetch && store.is_whole(key));
+            whole.collect::<Vec<_>>()
+        };
+        let whole: Vec<Vec<&Store>> = keys[..shared].iter().map(having).collect();
+        let in_store = keys[..shared].iter().map(|key| stores.clone().any(|s| s.knows(*key)));
+        let only_resident = keys[..shared].iter().zip(&whole).map(|(key, whole)| {
+            whole.is_empty() && engines.clone().any(|engine| engine.memory.holds(*key))
+        });
+        let (in_store, only_resident) = (in_store.collect(), only_resident.collect());
+        Wanted { ask, salt, keys, shared, whole, in_store, only_resident }
+    }
+
+    /// How an engine would get at it; `None` if the engine has no room.
+    pub fn way(
+        &self,
+        engine: &Engine,
+        traits: &EngineTraits,
+        pace: &Pace,
+        now: BootTime,
+    ) -> Option<Way> {
+        let ask = self.ask;
+        let resident = self.keys.iter().take_while(|key| engine.memory.holds(**key)).count();
+        let resident_tokens = ask.parts[..resident].iter().map(|part| part.tokens).sum::<u64>();
+        if !has_room(engine, ask.prompt_tokens - resident_tokens.min(ask.prompt_tokens), ask) {
+            return None;
+        }
+        let mut fetch = vec![None; ask.parts.len()];
+        let mut fetched_tokens = 0;
+        let mut fetch_ms: f64 = 0.0;
+        for (at, fetched) in fetch.iter_mut().enumerate().take(self.shared) {
+            let found = self.nearest(at, engine, traits, now);
+            // What is resident is named too: it may have been pushed out without our knowing, and
+            // an engine fetches only what it lacks.
+            *fetched = found.map(|(store, _)| store);
+            match found {
+                _ if at < resident => {}
+                Some((_, takes)) => {
+                    fetched_tokens += ask.parts[at].tokens;
+                    fetch_ms = fetch_ms.max(millis(takes));
+                }
+                // A part is of use only after all before it.
+                None => break,
+            }
+        }
+        let unfetched = |at: &usize| fetch[*at].is_none();
+        let missing = || (resident.min(self.shared)..self.shared).filter(unfetched);
+        let tokens = |at: usize| ask.parts[at].tokens;
+        let again: u64 = missing().filter(|at| self.only_resident[*at]).map(tokens).sum();
+        let not_fetched_tokens = missing().filter(|at| self.in_store[*at]).map(tokens).sum();
+        let read_tokens = ask.prompt_tokens.saturating_sub(resident_tokens + fetched_tokens);
+        let ahead_ms = millis(engine.reads_for(now))
+            + f64::from(engine.placed()) * DELAY_PER_RUNNING_MS
+            + engine.others(now) * DELAY_PER_OTHER_MS;
+        let rest_ms = millis(pace.reading(read_tokens)) + millis(pace.base());
+        let expected_ms = ahead_ms.max(fetch_ms) + rest_ms;
+        let cost_ms = expected_ms + again as f64 * READ_AGAIN_MS_PER_TOKEN;
+        let grounds = Grounds {
+            running: engine.placed(),
+            ahead_ms: ahead_ms as u32,
+            resident_tokens,
+            fetched_tokens,
+            not_fetched_tokens,
+            expected_ms: expected_ms as u32,
+            waited_ms: 0,
+        };
+        Some(Way { cost_ms, fetch_ms, rest_ms, ahead_ms, resident, fetch, grounds })
+    }
+
+    /// The store from which a part comes soonest, and how long that takes.
+    fn nearest(
+        &self,
+        at: usize,
+        engine: &Engine,
+        traits: &EngineTraits,
+        now: BootTime,
+    ) -> Option<(SocketAddr, Duration)> {
+        let size_bytes = (self.ask.parts[at].tokens * traits.token_bytes) as f64;
+        let ways = self.whole[at].iter().map(|store| {
+            let distance = distance(store, engine);
+            let queue = store.link.queue(now).max(engine.link.queue(now));
+            let at_store = store.link.transfer(size_bytes, distance);
+            let transfer = at_store.max(engine.link.transfer(size_bytes, distance));
+            (store.traits.address, queue + store.traits.first_byte + transfer)
+        });
+        let longest = match self.ask.objective.is_zero() {
+            true => LONGEST_FETCH,
+            false => self.ask.objective.mul_f64(FETCH_PART).min(LONGEST_FETCH),
+        };
+        ways.filter(|(_, takes)| *takes <= longest).min_by_key(|(_, takes)| *takes)
+    }
+}
+
+/// How many times as long a transfer takes as within a failure domain.
+pub fn distance(store: &Store, engine: &Engine) -> f64 {
+    let is_near = store.traits.failure_domain == engine.listed.failure_domain;
+    if is_near { 1.0 } else { OTHER_DOMAIN }
+}
+
+fn has_room(engine: &Engine, new_tokens: u64, ask: &Ask) -> bool {
+    let room = (engine.capacity_tokens as f64 * MEMORY_PART) as u64;
+    let has_slot = engine.listed.slots == 0 || engine.placed() < engine.listed.slots;
+    let fits = engine.busy_tokens() + new_tokens + ask.output_tokens <= room;
+    // What is too large for any engine's rest gets an engine of its own.
+    has_slot && (fits || engine.placed() == 0)
+}
+
+fn millis(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1e3
+}
