Doubt times that say an engine reads far more slowly than expected

The leader was frozen, entries decided alone for half a second, and the new scheduler took the time of prompts at engines that it thought idle for those engines' pace: 221 ms expected where 83 were needed. Few placements followed, so it was unlearned slowly. Change: a time 1.6 times as long as expected counts a twentieth. Test: sixty such times; it failed before. An engine that is slow for good is learned.

--- a/src/scheduler/pace.rs
+++ b/src/scheduler/pace.rs
@@ -12,6 +12,11 @@
 const FIRST_TOKENS: [f64; 2] = [200.0, 6_000.0];
 /// Each measurement lowers the weight of earlier ones by this factor: about 400 count.
 const DECAY: f64 = 0.9975;
+/// A time that is this many times as long as expected is rarely the engine's pace: the engine was not
+/// idle after all, or did something else.
+const DOUBTFUL_FROM: f64 = 1.6;
+/// What such a measurement counts for. An engine that is slow for good is learned all the same.
+const DOUBTFUL_WEIGHT: f64 = 0.05;
 /// Slowest and fastest reading that is believed.
 const MS_PER_TOKEN: std::ops::RangeInclusive<f64> = 1.0 / 400.0..=1.0 / 15.0;
 /// Shortest and longest time beside reading that is believed.
@@ -41,6 +46,9 @@
 impl Pace {
     /// Takes the time to the first part of an answer of an engine that was idle.
     pub fn measured(&mut self, read_tokens: u64, took: Duration) {
+        let doubtful = (self.reading(read_tokens) + self.base()).mul_f64(DOUBTFUL_FROM);
+        let weight = if took > doubtful { DOUBTFUL_WEIGHT } else { 1.0 };
+        let decay = 1.0 - (1.0 - DECAY) * weight;
         for sum in [
             &mut self.weight,
             &mut self.tokens,
@@ -48,9 +56,9 @@
             &mut self.tokens_squared,
             &mut self.tokens_ms,
         ] {
-            *sum *= DECAY;
+            *sum *= decay;
         }
-        self.add(read_tokens as f64, took.as_secs_f64() * 1e3, 1.0);
+        self.add(read_tokens as f64, took.as_secs_f64() * 1e3, weight);
     }
 
     /// How long an engine reads.
--- a/tests/deployment/scheduling.rs
+++ b/tests/deployment/scheduling.rs
@@ -11,6 +11,7 @@
 use kumquatpost::fleet::Listed;
 use kumquatpost::gateway::call::Part;
 use kumquatpost::ids::TargetId;
+use kumquatpost::scheduler::pace::Pace;
 use kumquatpost::scheduler::store::{Inventory, StoreEvent, StoredPart};
 use kumquatpost::scheduler::{Ask, End, Note, Outcome, Placed, Scheduler, Unplaced, WaiterId};
 use rand::rngs::SmallRng;
@@ -429,6 +430,19 @@
     assert!(back.part_in_aim() > 0.97, "{back:?}");
 }
 
+/// A scheduler takes over just when entries, left alone for a second, have filled all engines: it
+/// must not take them for slow ones for longer than they are.
+#[test]
+fn engines_that_are_found_full_are_not_taken_for_slow() {
+    let mut world = World::new(12);
+    for engine in engines(12) {
+        world.free_at.insert(engine.id, ms(1_500));
+    }
+    world.run(3, 1.0);
+    let after = world.run(5, 1.0);
+    assert!(after.part_in_aim() > 0.97, "{after:?}");
+}
+
 /// Many users come at once, three times what engines can read: those that are served are on time,
 /// the others are told at once, and the wave leaves nothing behind.
 #[test]
@@ -443,3 +457,31 @@
     assert!(after.part_in_aim() > 0.97, "{after:?}");
     assert_eq!(world.scheduler.waiting(), 0);
 }
+
+#[test]
+fn an_engines_pace_is_learned_also_if_it_is_far_from_what_was_assumed() {
+    for (tokens_per_ms, base_ms) in [(30.0, 120), (140.0, 53), (300.0, 10)] {
+        let mut pace = Pace::default();
+        for n in 0..3_000 {
+            let tokens = 100 + (n * 37) % 5_000;
+            let reads = Duration::from_secs_f64(tokens as f64 / tokens_per_ms / 1e3);
+            pace.measured(tokens, reads + ms(base_ms));
+        }
+        let learned = pace.reading(1_000) + pace.base();
+        let real = Duration::from_secs_f64(1_000.0 / tokens_per_ms / 1e3) + ms(base_ms);
+        let ratio = learned.as_secs_f64() / real.as_secs_f64();
+        assert!((0.8..1.25).contains(&ratio), "{tokens_per_ms} {base_ms}: {ratio}");
+    }
+}
+
+/// A scheduler that takes over after entries were left alone finds engines full that it thinks idle.
+#[test]
+fn times_of_engines_that_were_not_idle_hardly_count() {
+    let mut pace = Pace::default();
+    let before = pace.reading(1_000) + pace.base();
+    for n in 0..60 {
+        pace.measured(200 + n * 40, ms(1_500));
+    }
+    let after = pace.reading(1_000) + pace.base();
+    assert!(after < before * 3, "{before:?} became {after:?}");
+}
