--- a/src/scheduler/pace.rs
+++ b/src/scheduler/pace.rs
@@ -15,8 +15,9 @@
 /// A time that is this many times as long as expected is rarely the engine's pace: the engine was not
 /// idle after all, or did something else.
 const DOUBTFUL_FROM: f64 = 1.6;
-/// What such a measurement counts for. An engine that is slow for good is learned all the same.
-const DOUBTFUL_WEIGHT: f64 = 0.05;
+/// What such a measurement counts for, and then only as the longest time that is not doubtful. An
+/// engine that is slow for good is learned all the same, step by step.
+const DOUBTFUL_WEIGHT: f64 = 0.2;
 /// Slowest and fastest reading that is believed.
 const MS_PER_TOKEN: std::ops::RangeInclusive<f64> = 1.0 / 400.0..=1.0 / 15.0;
 /// Shortest and longest time beside reading that is believed.
@@ -58,7 +59,7 @@
         ] {
             *sum *= decay;
         }
-        self.add(read_tokens as f64, took.as_secs_f64() * 1e3, weight);
+        self.add(read_tokens as f64, took.min(doubtful).as_secs_f64() * 1e3, weight);
     }
 
     /// How long an engine reads.
