Order requests by the route's rank among accounts of the same rank

Nearly all accounts have the same rank, and an account's rank replaced its route's: requests went by age alone. Change: an account's rank goes first, the route's orders requests of accounts of one rank, at the scheduler and for engines. One pick in 25 takes the oldest, not one in five: the oldest are the longest, too. A request's line tells its rank. Test: accounts of one rank; the urgency that an engine is told.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -12,6 +12,7 @@
 use super::call::{Call, Forwarded, KeptParts, Outcome};
 use super::place::{self, Chosen, NoChoice};
 use super::pool::{Connection, Sent};
+use super::rank::Rank;
 use super::record::Record;
 use super::state::{AtTarget, Gateway};
 use crate::clock::boot_now;
@@ -45,8 +46,8 @@
     pub account: Option<AccountId>,
     /// Names those who may share kept cache with it.
     pub cache_wall: String,
-    /// How urgent it is, 0 first.
-    pub priority: u8,
+    /// How urgent it is.
+    pub rank: Rank,
     /// The service that serves it.
     pub service: ServiceId,
     /// When its time is over.
@@ -177,7 +178,7 @@
         target: &chosen.target,
         account: job.account.as_ref(),
         time_left,
-        urgency: job.call.prompt.is_some().then_some(job.priority.min(9)),
+        urgency: job.call.prompt.is_some().then_some(job.rank.for_engine()),
         cache_wall: job.call.prompt.is_some().then(salt),
         resume_after,
         weight_version: placed.and_then(|placed| placed.weight_version),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 pub mod events;
 pub mod place;
 pub mod pool;
+pub mod rank;
 pub mod record;
 pub mod relay;
 pub mod request;
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -113,7 +113,7 @@
         parts: prompt.parts.clone(),
         prompt_tokens: prompt.prompt_tokens,
         output_tokens: prompt.output_tokens,
-        priority: job.priority,
+        priority: job.rank.order(),
         objective: job.route.objective,
         time_left: job.ends_at.saturating_duration_since(tokio::time::Instant::now()),
         avoid,
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -10,6 +10,7 @@
 
 use super::call::{Call, Outcome};
 use super::place::Chosen;
+use super::rank::Rank;
 use super::state::Gateway;
 use crate::clock::{BootTime, boot_now};
 use crate::deployment::document::DeploymentVersion;
@@ -87,6 +88,8 @@
     begun: BootTime,
     route: String,
     version: DeploymentVersion,
+    /// 0 first.
+    rank: u8,
     steps: String,
     first_part: Option<Duration>,
     ended: Cell<Ended>,
@@ -102,16 +105,18 @@
             begun,
             route: String::new(),
             version: 0,
+            rank: 0,
             steps: String::new(),
             first_part: None,
             ended: Cell::new(Ended::CallerLeft),
         }
     }
 
-    /// The route that was found, by this version of the deployment.
-    pub fn routed(&mut self, route: &str, version: DeploymentVersion) {
+    /// The route that was found, by this version of the deployment, and how urgent the request is.
+    pub fn routed(&mut self, route: &str, version: DeploymentVersion, rank: Rank) {
         self.route = route.to_string();
         self.version = version;
+        self.rank = rank.order();
     }
 
     /// A target was chosen.
@@ -172,10 +177,11 @@
         let first_ms = self.first_part.map_or(-1, |first| first.as_millis() as i64);
         let age_ms = self.gateway.belief_age().map_or(-1, |age| age.as_millis() as i64);
         log::info!(
-            "event=request id={} route={} version={} age_ms={age_ms} took_ms={} \
+            "event=request id={} route={} rank={} version={} age_ms={age_ms} took_ms={} \
              first_ms={first_ms} ended={:?}{}",
             self.id,
             self.route,
+            self.rank,
             self.version,
             self.elapsed().as_millis(),
             ended,
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -14,6 +14,7 @@
 use super::answer::{Answer, Refusal, refuse, whole};
 use super::attempt::{Answered, Job, Missed, attempt};
 use super::place::NoChoice;
+use super::rank::Rank;
 use super::record::{Ended, Record};
 use super::relay::{self, EventRelay};
 use super::state::Gateway;
@@ -88,7 +89,8 @@
         Err(Rejection::UnknownKey) => return Err((Refusal::UnknownKey, call.id)),
     };
     let route = found.route.clone();
-    record.routed(&route.name, table.deployment().version);
+    let rank = Rank::of(found.account, &route);
+    record.routed(&route.name, table.deployment().version, rank);
     let mut random = rand::rng();
     let Some(service) = route.pick(random.random()).cloned() else {
         return Err((Refusal::NoTarget, call.id));
@@ -103,7 +105,7 @@
         account: found.account.map(|account| account.id.clone()),
         cache_wall: isolated
             .map_or_else(|| SHARED_CACHE.to_string(), |account| format!("only:{}", account.id)),
-        priority: found.account.and_then(|a| a.priority).unwrap_or(route.priority),
+        rank,
         service,
         ends_at: arrived + most,
         drawn: random.random(),
--- a/src/scheduler/queue.rs
+++ b/src/scheduler/queue.rs
@@ -10,8 +10,9 @@
 /// Names a prompt that waits.
 pub type WaiterId = u64;
 
-/// One pick in this many takes the oldest prompt, so that less urgent ones are not starved.
-const OLDEST_FIRST_ONE_IN: u64 = 5;
+/// One pick in this many takes the oldest prompt, so that less urgent ones are not starved. They are
+/// up to ten times as long as urgent ones, so that few picks are a large part of what engines read.
+const OLDEST_FIRST_ONE_IN: u64 = 25;
 /// A prompt waits for at most this part of its objective. The rest is for reading it.
 const WAIT_PART: f64 = 0.5;
 /// The same where the operator names no objective.
--- a/tests/deployment/table.rs
+++ b/tests/deployment/table.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 
 use kumquatpost::deployment::{Rejection, RunPolicy, Share, Table};
+use kumquatpost::gateway::rank::Rank;
 
-use crate::fixtures::{deployment, route};
+use crate::fixtures::{account, deployment, route};
 
 fn table() -> Table {
     let mut deployment = deployment(1);
@@ -55,3 +56,23 @@
     assert_eq!((picks("a"), picks("b"), picks("none")), (900, 100, 0));
     assert_eq!(split.pick(1.0).unwrap(), "b", "also at the end of the range");
 }
+
+/// All accounts have the same rank, as on the deployed sites: what the operator says of routes must
+/// still order their requests.
+#[test]
+fn an_accounts_rank_goes_first_and_the_routes_orders_the_rest() {
+    let rank = |account_rank: Option<u8>, route_rank| {
+        let mut account = account("a", "k", false);
+        account.priority = account_rank;
+        let mut route = route("stream", RunPolicy::StreamOnce, "llm");
+        route.priority = route_rank;
+        Rank::of(Some(&account), &route)
+    };
+    assert!(rank(Some(1), 0).order() < rank(Some(1), 1).order());
+    assert!(rank(Some(1), 0).for_engine() < rank(Some(1), 2).for_engine());
+    assert!(rank(Some(0), 2).order() < rank(Some(1), 0).order());
+    assert!(rank(Some(0), 2).for_engine() < rank(Some(1), 0).for_engine());
+    assert!(rank(None, 0).order() < rank(None, 1).order());
+    assert!(rank(Some(200), 200).for_engine() <= 9);
+    assert!(rank(Some(200), 200).order() > rank(Some(2), 9).order());
+}
