--- a/src/config/document.rs
+++ b/src/config/document.rs
@@ -178,7 +178,7 @@
     /// Everything that is wrong with it; at least one problem.
     pub fn from_value(value: &Value) -> Result<Config, Vec<Problem>> {
         let config: Config = serde_json::from_value(value.clone()).map_err(|source| {
-            let remedy = "mend the field; docs/OPERATING.md lists the document's fields".into();
+            let remedy = "mend the field; docs/OPERATIONS.md lists the document's fields".into();
             vec![Problem { path: "document".into(), message: source.to_string(), remedy }]
         })?;
         let problems = config.problems();
--- a/src/control/run.rs
+++ b/src/control/run.rs
@@ -25,10 +25,10 @@
 use crate::clock::boot_now;
 use crate::error::{Error, Result};
 use crate::host::HostSettings;
-use crate::log::Members;
 use crate::log::disk::Disk;
 use crate::log::driver::Driver;
 use crate::log::raft::{Raft, RaftTiming};
+use crate::log::{Index, Members};
 use crate::net::text_server;
 use crate::reload;
 use crate::telemetry::roles::ReplicaMetrics;
@@ -37,6 +37,9 @@
 /// a second, and a new one leads a second later at the latest.
 const TIMING: RaftTiming =
     RaftTiming { heartbeat: Duration::from_millis(100), election: Duration::from_millis(500) };
+/// Entries after which a snapshot replaces them: each may hold a whole deployment of some hundred
+/// kilobytes, and a disk some hundred megabytes.
+const SNAPSHOT_EVERY: Index = 256;
 /// Inputs that wait while the disk is busy.
 const QUEUE_LEN: usize = 1_024;
 /// Pause before a disk that failed is tried again.
@@ -145,7 +148,7 @@
         let seed = rand::rng().random();
         let raft = Raft::new(identity.node, members, TIMING, recovered, seed, boot_now());
         let start = Start {
-            driver: Driver::new(raft, disk),
+            driver: Driver::new(raft, disk, SNAPSHOT_EVERY),
             state: ControlState::founded(identity.founders.clone()),
             ip: host.ip,
             wanted: host.tolerated_losses * 2 + 1,
--- a/src/entry/refusal.rs
+++ b/src/entry/refusal.rs
@@ -26,7 +26,7 @@
     }
 }
 
-/// Why there is no answer. docs/OPERATING.md lists the codes.
+/// Why there is no answer. docs/OPERATIONS.md lists the codes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Code {
     /// No bearer key, or an unknown one.
--- a/src/log/driver.rs
+++ b/src/log/driver.rs
@@ -6,15 +6,14 @@
 use crate::clock::boot_now;
 use crate::ids::NodeId;
 
-/// Entries after which a snapshot replaces them.
-const SNAPSHOT_EVERY: Index = 1_024;
-
 /// A replica's state machine with its disk.
 pub struct Driver {
     /// The state machine. Call `settle` after feeding it.
     pub raft: Raft,
     /// `None` only while a save is under way, or after the disk has failed.
     disk: Option<Disk>,
+    /// Entries after which a snapshot replaces them.
+    snapshot_every: Index,
 }
 
 /// What is to be done with the state that the log carries, in this order.
@@ -30,8 +29,8 @@
 
 impl Driver {
     /// A replica as it starts.
-    pub fn new(raft: Raft, disk: Disk) -> Driver {
-        Driver { raft, disk: Some(disk) }
+    pub fn new(raft: Raft, disk: Disk, snapshot_every: Index) -> Driver {
+        Driver { raft, disk: Some(disk), snapshot_every }
     }
 
     /// Makes all that is due happen. Messages leave through `send`; those that promise something
@@ -57,7 +56,7 @@
 
     /// Replaces applied entries by the state at their end, once there are many.
     pub fn compact(&mut self, state: impl FnOnce() -> Vec<u8>) {
-        if self.raft.applied() >= self.raft.snapshot_index() + SNAPSHOT_EVERY {
+        if self.raft.applied() >= self.raft.snapshot_index() + self.snapshot_every {
             self.raft.compact(self.raft.applied(), state());
         }
     }
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -14,7 +14,8 @@
 use crate::ids::{ConfigNumber, NodeId};
 use crate::lease::Grantor;
 use crate::log::disk::Disk;
-use crate::log::raft::{Change, ChangeError, Effects, NotLeader, Raft, RaftStatus, ReadId};
+use crate::log::driver::{Driver, Output};
+use crate::log::raft::{Change, ChangeError, NotLeader, Raft, RaftStatus, ReadId};
 use crate::log::state::{Command, PatchAnswer, Reply, State};
 use crate::log::{Index, Message, Payload, Term};
 use crate::peer::Links;
@@ -28,9 +29,7 @@
 /// The actor.
 #[derive(xtra::Actor)]
 pub struct Replica {
-    raft: Raft,
-    /// `None` only while a save is under way, or after the disk has failed.
-    disk: Option<Disk>,
+    driver: Driver,
     state: State,
     links: Arc<Links>,
     metrics: Arc<Metrics>,
@@ -123,8 +122,7 @@
         let status = ReplicaStatus { raft: raft.status(), number: 0, in_force: 0, claims: 0 };
         let (sender, receiver) = watch::channel(status);
         let replica = Replica {
-            raft,
-            disk: Some(disk),
+            driver: Driver::new(raft, disk, SNAPSHOT_EVERY),
             state,
             links,
             metrics,
@@ -149,97 +147,52 @@
             return;
         }
         self.batched = 0;
-        loop {
-            let effects = self.raft.take_effects(boot_now());
-            if effects.is_empty() {
-                break;
-            }
-            self.carry_out(effects).await;
+        let links = self.links.clone();
+        for output in self.driver.settle(|to, message| links.send(to, message)).await {
+            self.carry_out(output);
+        }
+        if self.driver.raft.status().stopped {
+            self.stop();
         }
-        self.compact();
+        let state = &self.state;
+        self.driver.compact(|| state.snapshot());
         self.publish();
     }
 
-    async fn carry_out(&mut self, effects: Effects) {
-        for (to, message) in effects.early {
-            self.links.send(to, message);
-        }
-        if !effects.persist.is_empty() && !self.save(effects.persist).await {
-            return;
-        }
-        for (to, message) in effects.late {
-            self.links.send(to, message);
-        }
-        if let Some(snapshot) = effects.restore {
-            if self.state.restore(&snapshot.data).is_err() {
-                log::error!("event=snapshot_damaged remedy=\"replace this replica\"");
-                self.raft.disk_failed();
-                return;
+    fn carry_out(&mut self, output: Output) {
+        match output {
+            Output::Restore(snapshot) => {
+                if self.state.restore(&snapshot.data).is_err() {
+                    log::error!("event=snapshot_damaged remedy=\"replace this replica\"");
+                    self.driver.raft.disk_failed();
+                    return;
+                }
+                let index = snapshot.index;
+                self.decisions.retain(|waiting, _| *waiting > index);
             }
-            let index = snapshot.index;
-            self.decisions.retain(|waiting, _| *waiting > index);
-        }
-        for entry in effects.committed {
-            let reply = match &entry.payload {
-                Payload::Command(bytes) => postcard::from_bytes(bytes).ok().map(|c| self.apply(&c)),
-                Payload::Noop | Payload::Members(_) => None,
-            };
-            self.answer(entry.index, entry.term, reply);
-        }
-        for (read, _) in effects.reads {
-            // All that is committed has been applied above, so the state is new enough.
-            if let Some(waiter) = self.reads.remove(&read) {
-                drop(waiter.sender.send(Ok(self.state.book().update_since(waiter.has))));
+            Output::Apply(entry) => {
+                let reply = match &entry.payload {
+                    Payload::Command(bytes) => {
+                        postcard::from_bytes(bytes).ok().map(|command| self.apply(&command))
+                    }
+                    Payload::Noop | Payload::Members(_) => None,
+                };
+                self.answer(entry.index, entry.term, reply);
             }
-        }
-    }
-
-    /// Returns false if the disk has failed; this replica takes no part any more then.
-    async fn save(&mut self, persist: crate::log::Persist) -> bool {
-        let Some(mut disk) = self.disk.take() else { return false };
-        let kept = if persist.snapshot.is_some() { self.raft.kept_entries() } else { Vec::new() };
-        let last = self.raft.last_index();
-        let saved = tokio::task::spawn_blocking(move || {
-            let result = disk.save(&persist, &kept);
-            (disk, result)
-        })
-        .await;
-        match saved {
-            Ok((disk, Ok(()))) => {
-                self.disk = Some(disk);
-                self.raft.persisted(last);
-                self.finish_recovery();
-                true
+            Output::Read(read) => {
+                // All that is committed has been applied above, so the state is new enough.
+                if let Some(waiter) = self.reads.remove(&read) {
+                    drop(waiter.sender.send(Ok(self.state.book().update_since(waiter.has))));
+                }
             }
-            Ok((_, Err(error))) => self.stop(&error.to_string()),
-            Err(error) => self.stop(&error.to_string()),
         }
     }
 
-    fn stop(&mut self, reason: &str) -> bool {
-        log::error!(
-            "event=disk_failed reason={reason:?} effect=\"votes and acknowledges no more\" \
-             remedy=\"mend or replace the disk, then restart\""
-        );
-        self.raft.disk_failed();
+    /// The disk has failed: nobody who waits gets an answer here.
+    fn stop(&mut self) {
         self.grantor = None;
         self.decisions.clear();
         self.reads.clear();
-        self.publish();
-        false
-    }
-
-    fn finish_recovery(&mut self) {
-        let recovering = self.raft.status().recovering;
-        if let Some(disk) = &mut self.disk
-            && disk.has_lost()
-            && !recovering
-        {
-            match disk.caught_up() {
-                Ok(()) => log::info!("event=replica_caught_up"),
-                Err(error) => log::warn!("event=mark_failed reason={:?}", error.to_string()),
-            }
-        }
     }
 
     fn apply(&mut self, command: &Command) -> Reply {
@@ -268,20 +221,14 @@
         }
     }
 
-    fn compact(&mut self) {
-        if self.raft.applied() >= self.raft.snapshot_index() + SNAPSHOT_EVERY {
-            self.raft.compact(self.raft.applied(), self.state.snapshot());
-        }
-    }
-
     /// The grantor, if this replica surely leads at `now`.
     fn leading_grantor(&mut self, now: BootTime) -> Option<&mut Grantor> {
-        if !self.raft.holds_leadership(now) {
+        if !self.driver.raft.holds_leadership(now) {
             return None;
         }
-        if self.grantor.is_none() || self.grantor_term != self.raft.term() {
+        if self.grantor.is_none() || self.grantor_term != self.driver.raft.term() {
             self.grantor = Some(Grantor::new(self.lease, now));
-            self.grantor_term = self.raft.term();
+            self.grantor_term = self.driver.raft.term();
         }
         self.grantor.as_mut()
     }
@@ -303,7 +250,7 @@
 
     fn publish(&mut self) {
         let status = ReplicaStatus {
-            raft: self.raft.status(),
+            raft: self.driver.raft.status(),
             number: self.state.config().number,
             in_force: self.in_force,
             claims: self.state.claims().len(),
@@ -325,7 +272,7 @@
     type Return = ();
 
     async fn handle(&mut self, message: FromPeer, context: &mut Context<Self>) {
-        self.raft.receive(message.0, message.1, boot_now());
+        self.driver.raft.receive(message.0, message.1, boot_now());
         self.settle(context).await;
     }
 }
@@ -335,9 +282,9 @@
 
     async fn handle(&mut self, _tick: Tick, context: &mut Context<Self>) {
         let now = boot_now();
-        self.raft.tick(now);
+        self.driver.raft.tick(now);
         self.track_in_force(now);
-        if !self.raft.status().is_leader {
+        if !self.driver.raft.status().is_leader {
             self.reads.clear();
         }
         self.settle(context).await;
@@ -352,7 +299,7 @@
         let command = stamped(command);
         // Cannot fail: commands hold only types that the codec writes.
         let bytes = postcard::to_stdvec(&command).unwrap_or_default();
-        match self.raft.propose(bytes) {
+        match self.driver.raft.propose(bytes) {
             Ok((term, index)) => {
                 self.decisions.insert(index, (term, Waiter::Command(sender)));
             }
@@ -367,7 +314,7 @@
 
     async fn handle(&mut self, read: ReadConfig, context: &mut Context<Self>) {
         let ReadConfig(has, sender) = read;
-        match self.raft.read() {
+        match self.driver.raft.read() {
             Ok(id) => {
                 self.reads.insert(id, ReadWaiter { has, sender });
             }
@@ -382,7 +329,7 @@
 
     async fn handle(&mut self, change: ChangeReplicas, context: &mut Context<Self>) {
         let ChangeReplicas(change, sender) = change;
-        match self.raft.propose_change(change) {
+        match self.driver.raft.propose_change(change) {
             Ok((term, index)) => {
                 self.decisions.insert(index, (term, Waiter::Change(sender)));
             }
@@ -398,7 +345,7 @@
     async fn handle(&mut self, grant: Grant, context: &mut Context<Self>) -> Self::Return {
         self.settle(context).await;
         let now = boot_now();
-        let leader = self.raft.status().leader;
+        let leader = self.driver.raft.status().leader;
         let number = self.state.config().number;
         let update = self.state.book().update_since(grant.has);
         let lease = self.lease;
@@ -411,7 +358,7 @@
     type Return = Option<Term>;
 
     async fn handle(&mut self, _leads: Leads, _context: &mut Context<Self>) -> Self::Return {
-        self.raft.holds_leadership(boot_now()).then(|| self.raft.term())
+        self.driver.raft.holds_leadership(boot_now()).then(|| self.driver.raft.term())
     }
 }
 
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -1,11 +1,10 @@
 //! Metrics through OpenTelemetry, shown as Prometheus text.
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
+use opentelemetry::metrics::{Counter, Gauge, Histogram};
 
-use crate::error::{Error, Result};
+use super::registered::Registered;
+use crate::error::Result;
 
 /// 1.8 s is the users' limit for 95 in 100.
 const FIRST_TOKEN_BOUNDARIES_S: [f64; 13] =
@@ -13,11 +12,9 @@
 /// 18 s is the users' limit.
 const IN_FORCE_BOUNDARIES_S: [f64; 9] = [0.5, 1.0, 2.0, 3.0, 4.0, 6.0, 10.0, 18.0, 60.0];
 
-/// The instruments of one node. Names and units are listed in docs/OPERATING.md.
+/// The instruments of one node. Names and units are listed in docs/OPERATIONS.md.
 pub struct Metrics {
-    registry: Registry,
-    // Kept so that the instruments stay connected to the registry.
-    _provider: SdkMeterProvider,
+    registered: Registered,
     /// Requests answered, by kind, account and result code.
     pub requests: Counter<u64>,
     /// Time to first token in seconds, by kind.
@@ -42,15 +39,8 @@
     /// # Errors
     /// `Error::Start` if the exporter can't be built.
     pub fn new() -> Result<Metrics> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .map_err(|source| Error::start("metrics", source, "report this as a defect"))?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("kumquatpost");
+        let (registered, meter) = Registered::new()?;
         Ok(Metrics {
-            registry,
             requests: meter.u64_counter("kumquatpost_requests").build(),
             first_token_s: meter
                 .f64_histogram("kumquatpost_first_token")
@@ -67,18 +57,13 @@
                 .with_boundaries(IN_FORCE_BOUNDARIES_S.to_vec())
                 .build(),
             dispatches: meter.u64_counter("kumquatpost_dispatches").build(),
-            _provider: provider,
+            registered,
         })
     }
 
     /// All metrics as Prometheus text.
     pub fn text(&self) -> String {
-        let mut buffer = Vec::new();
-        let families = self.registry.gather();
-        if let Err(error) = TextEncoder::new().encode(&families, &mut buffer) {
-            log::warn!("event=metrics_encode_failed error={:?}", error.to_string());
-        }
-        String::from_utf8_lossy(&buffer).into_owned()
+        self.registered.text()
     }
 }
 
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -4,4 +4,5 @@
 pub mod burn;
 pub mod logs;
 pub mod metrics;
+pub mod registered;
 pub mod roles;
--- /dev/null
+++ b/src/telemetry/registered.rs
@@ -0,0 +1,40 @@
+//! Where a process's instruments are registered, and how they are shown.
+
+use opentelemetry::metrics::{Meter, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+use crate::error::{Error, Result};
+
+/// A registry of instruments.
+pub struct Registered {
+    registry: Registry,
+    // Kept so that the instruments stay connected to the registry.
+    _provider: SdkMeterProvider,
+}
+
+impl Registered {
+    /// An empty registry, and what builds instruments for it.
+    ///
+    /// # Errors
+    /// `Error::Start` if the exporter can't be built.
+    pub fn new() -> Result<(Registered, Meter)> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(|source| Error::start("metrics", source, "report this as a defect"))?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("kumquatpost");
+        Ok((Registered { registry, _provider: provider }, meter))
+    }
+
+    /// All metrics as Prometheus text.
+    pub fn text(&self) -> String {
+        let mut buffer = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut buffer) {
+            log::warn!("event=metrics_encode_failed error={:?}", error.to_string());
+        }
+        String::from_utf8_lossy(&buffer).into_owned()
+    }
+}
--- a/src/telemetry/roles.rs
+++ b/src/telemetry/roles.rs
@@ -1,23 +1,15 @@
 //! Metrics of entries and replicas, through OpenTelemetry, served as Prometheus text.
 
-use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
+use opentelemetry::metrics::{Counter, Gauge, Histogram};
 
 use super::metrics::label;
-use crate::error::{Error, Result};
+use super::registered::Registered;
+use crate::error::Result;
 
 /// Objectives of the deployments are 0.1 to 0.8 s, callers wait up to 15 s.
 const ANSWER_BOUNDARIES_S: [f64; 14] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2.5, 5.0, 15.0];
 
-/// What all roles have.
-pub struct Registered {
-    registry: Registry,
-    // Kept so that the instruments stay connected to the registry.
-    _provider: SdkMeterProvider,
-}
-
 /// Instruments of an entry.
 pub struct EntryMetrics {
     registered: Registered,
@@ -56,27 +48,6 @@
     pub operator_calls: Counter<u64>,
 }
 
-impl Registered {
-    fn new() -> Result<(Registered, opentelemetry::metrics::Meter)> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .map_err(|source| Error::start("metrics", source, "report this as a defect"))?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("kumquatpost");
-        Ok((Registered { registry, _provider: provider }, meter))
-    }
-
-    fn text(&self) -> String {
-        let mut buffer = Vec::new();
-        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut buffer) {
-            log::warn!("event=metrics_encode_failed reason={:?}", error.to_string());
-        }
-        String::from_utf8_lossy(&buffer).into_owned()
-    }
-}
-
 impl EntryMetrics {
     /// Builds the instruments.
     ///
