Save a part whose save has failed again only after a while

A save that was given up after 5 s may still be told of as whole later, and would be taken for the next save of the same part, which has only begun: a fetch of a part that isn't whole. Change: such a part is not saved again for 15 s. Test: stores::a_part_whose_save_has_failed_is_not_saved_again_at_once.

--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -13,6 +13,7 @@
 
 use super::answer::{Answer, Refusal, refuse, whole};
 use super::attempt::{Answered, Job, Missed, attempt};
+use super::call::Call;
 use super::place::NoChoice;
 use super::rank::Rank;
 use super::record::{Ended, Record};
@@ -57,16 +58,13 @@
 async fn admit(
     gateway: &Gateway,
     head: http::request::Parts,
-    call: super::call::Call,
+    call: Call,
     body: Incoming,
     arrived: Instant,
     record: &mut Record,
 ) -> Result<Job, (Refusal, String)> {
     let Some(table) = gateway.table() else { return Err((Refusal::NotReady, call.id)) };
-    let mut job = match job(&table, head, call, arrived, record) {
-        Ok(job) => job,
-        Err(refused) => return Err(refused),
-    };
+    let mut job = job(&table, head, call, arrived, record)?;
     let most = table.deployment().bounds.body_bytes;
     drop(table);
     job.body = match take_body(body, most).await {
@@ -76,10 +74,11 @@
     Ok(job)
 }
 
+/// Works out what all attempts share, but for the body.
 fn job(
     table: &Table,
     head: http::request::Parts,
-    call: super::call::Call,
+    call: Call,
     arrived: Instant,
     record: &mut Record,
 ) -> Result<Job, (Refusal, String)> {
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -16,6 +16,7 @@
 use crate::clock::BootTime;
 use crate::deployment::{Deployment, EngineTraits, ServiceRole};
 use crate::fleet::{Fault, Presence, Roster};
+use crate::gateway::call::Part;
 use crate::ids::{ServiceId, TargetId};
 
 /// An engine takes another prompt once it has less than this left to read: enough to keep it busy
@@ -364,7 +365,7 @@
         &mut self,
         address: SocketAddr,
         key: PartKey,
-        part: &crate::gateway::call::Part,
+        part: &Part,
         target: &TargetId,
         is_resident: bool,
         now: BootTime,
@@ -388,12 +389,12 @@
         &mut self,
         key: PartKey,
         salt: &str,
-        part: &crate::gateway::call::Part,
+        part: &Part,
         target: &TargetId,
         now: BootTime,
     ) -> Option<SocketAddr> {
         self.engines.get(target)?.weight_version?;
-        let fits = |store: &&mut Store| store.is_known() && store.free_tokens() > part.tokens;
+        let fits = |store: &&mut Store| store.takes(key, part.tokens, now);
         let is_short = part.tokens <= SHORT_CONTEXT_TOKENS;
         let store = self.stores.values_mut().filter(fits).min_by_key(|store| {
             let by_time = if is_short { store.traits.first_byte } else { Duration::ZERO };
--- a/src/scheduler/store.rs
+++ b/src/scheduler/store.rs
@@ -22,6 +22,9 @@
 const FREE_MARGIN: Duration = Duration::from_millis(300);
 /// A save of which nothing was heard after this time has failed.
 const SAVE_LASTS: Duration = Duration::from_secs(5);
+/// A part whose save has failed is not saved again for this long: word that the failed save was whole
+/// may still be on its way, and would be taken for the next one's.
+const FAILED_LASTS: Duration = Duration::from_secs(15);
 /// Parts are freed above this part of the capacity.
 const FULL_ABOVE: f64 = 0.93;
 /// Parts are freed down to this part of the capacity.
@@ -73,6 +76,8 @@
     epoch: Option<u64>,
     parts: FxHashMap<PartKey, Kept>,
     used_tokens: u64,
+    /// Parts whose save has failed, with the time until which they are not saved again.
+    failed: FxHashMap<PartKey, BootTime>,
     /// Over which it is read.
     pub link: Link,
 }
@@ -124,7 +129,14 @@
     /// A store of which nothing is known yet.
     pub fn new(traits: StoreTraits) -> Store {
         let link = Link::new(traits.link_mbps);
-        Store { traits, epoch: None, parts: FxHashMap::default(), used_tokens: 0, link }
+        Store {
+            traits,
+            epoch: None,
+            parts: FxHashMap::default(),
+            used_tokens: 0,
+            failed: FxHashMap::default(),
+            link,
+        }
     }
 
     /// Whether its inventory is known.
@@ -216,6 +228,12 @@
         self.parts.contains_key(&key)
     }
 
+    /// Whether a part may be saved.
+    pub fn takes(&self, key: PartKey, tokens: u64, now: BootTime) -> bool {
+        let has_failed = self.failed.get(&key).is_some_and(|until| now < *until);
+        self.is_known() && self.free_tokens() > tokens && !has_failed
+    }
+
     /// Grants a fetch of a whole part.
     pub fn grant_fetch(&mut self, key: PartKey, now: BootTime) {
         if let Some(kept) = self.parts.get_mut(&key) {
@@ -255,15 +273,19 @@
         let epoch = self.epoch?;
         let mut free: Vec<PartKey> = Vec::new();
         for (key, kept) in &self.parts {
-            let has_failed = match kept.state {
+            let is_due = match kept.state {
                 KeptState::Saving(at) => now >= at + SAVE_LASTS,
                 KeptState::Freeing => true,
                 KeptState::Whole => false,
             };
-            if has_failed && free.len() < FREED_AT_ONCE {
+            if is_due && free.len() < FREED_AT_ONCE {
                 free.push(*key);
             }
+            if matches!(kept.state, KeptState::Saving(_)) && is_due {
+                self.failed.insert(*key, now + FAILED_LASTS);
+            }
         }
+        self.failed.retain(|_, until| now < *until);
         let capacity = self.traits.capacity_tokens as f64;
         if self.used_tokens as f64 > capacity * FULL_ABOVE {
             self.add_least_used(&mut free, (capacity * FULL_BELOW) as u64, now);
--- a/tests/deployment/stores.rs
+++ b/tests/deployment/stores.rs
@@ -158,6 +158,20 @@
     assert!(!is_whole(&store, "a"));
 }
 
+/// Events come late: the word that a save is whole which was given up long ago must not be taken for
+/// that of another save of the same part, which has only begun.
+#[test]
+fn a_part_whose_save_has_failed_is_not_saved_again_at_once() {
+    let mut store = store(10_000);
+    let key = part_key(SALT, "a");
+    save(&mut store, "a", 1_000, ms(0));
+    let plan = store.plan_frees(ms(6_000)).expect("a plan");
+    store.freed(&plan);
+    assert!(!store.takes(key, 1_000, ms(7_000)));
+    assert!(store.takes(part_key(SALT, "b"), 1_000, ms(7_000)));
+    assert!(store.takes(key, 1_000, ms(22_000)));
+}
+
 #[test]
 fn an_inventory_tells_what_events_did_not() {
     let mut store = store(10_000);
