--- /dev/null
+++ b/tests/deployment/asking.rs
@@ -0,0 +1,155 @@
+//! Entries that ask the scheduler, over loopback.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use kumquatpost::clock::boot_now;
+use kumquatpost::control::frames::{FromEntry, NumberedRoster, PlaceError, ToEntry, encode, read};
+use kumquatpost::control::links::Links;
+use kumquatpost::control::replica::{Belief, Shared};
+use kumquatpost::control::scheduling::Scheduling;
+use kumquatpost::control::state::{ControlState, Published};
+use kumquatpost::gateway::call::Part;
+use kumquatpost::scheduler::{Ask, Placed};
+use tokio::io::{AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::LocalSet;
+
+use crate::fixtures::{address, deployment, ms, roster, target};
+
+/// A replica that leads, with one engine.
+fn leading() -> Rc<Scheduling> {
+    let deployment = Arc::new(deployment(1));
+    let published = Some(Published { text: Arc::default(), deployment });
+    let state = ControlState { published, ..ControlState::founded(BTreeMap::new()) };
+    let belief = Belief { state, term: 1, leads: true, leader: None };
+    let roster = Arc::new(roster([target("i-1", "llm", address(1))]));
+    let ip = "127.0.0.1".parse().expect("an address");
+    Rc::new(Scheduling::new(Rc::new(Shared {
+        node: 1,
+        belief: watch::Sender::new(belief),
+        roster: watch::Sender::new(NumberedRoster { number: 1, roster }),
+        roster_read_at: Cell::new(boot_now()),
+        // Sure to lead for as long as a test runs.
+        caught_up_at: Cell::new(Some(boot_now() + ms(600_000))),
+        own_entries: RefCell::default(),
+        entries: Cell::new(0),
+        links: Rc::new(Links::new(1, ip, 1)),
+        seeds: RefCell::default(),
+    })))
+}
+
+struct Asker {
+    stream: BufReader<TcpStream>,
+}
+
+impl Asker {
+    async fn connect(scheduling: &Rc<Scheduling>) -> Asker {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let to = listener.local_addr().expect("an address");
+        let (opened, accepted) = tokio::join!(TcpStream::connect(to), listener.accept());
+        let (read, write) = accepted.expect("it connects").0.into_split();
+        let scheduling = scheduling.clone();
+        tokio::task::spawn_local(async move {
+            let ended = scheduling.serve(BufReader::new(read), write).await;
+            assert!(ended.is_err(), "it ends with the connection");
+        });
+        Asker { stream: BufReader::new(opened.expect("it connects")) }
+    }
+
+    async fn tell(&mut self, frame: FromEntry) {
+        self.stream.write_all(&encode(&frame)).await.expect("it reads");
+    }
+
+    async fn hear(&mut self) -> ToEntry {
+        read(&mut self.stream).await.expect("a frame")
+    }
+
+    /// Asks until the scheduler has begun.
+    async fn placed(&mut self) -> Placed {
+        loop {
+            self.tell(FromEntry::Ask(1, ask())).await;
+            match self.hear().await {
+                ToEntry::Placed(1, Ok(placed)) => return placed,
+                ToEntry::Placed(1, Err(PlaceError::NotScheduling | PlaceError::Unplaced(_))) => {
+                    tokio::time::sleep(ms(5)).await;
+                }
+                other => panic!("{other:?}"),
+            }
+        }
+    }
+}
+
+/// A prompt that takes an engine more than a dispatch's horizon to read.
+fn ask() -> Ask {
+    let part = |id: &str, tokens| Part { id: id.to_string(), tokens };
+    Ask {
+        service: "llm".to_string(),
+        model: "m".to_string(),
+        wall: "all".to_string(),
+        parts: vec![part("context", 40_000), part("own", 10_000)],
+        prompt_tokens: 50_000,
+        output_tokens: 10,
+        objective: ms(60_000),
+        time_left: ms(60_000),
+        ..Ask::default()
+    }
+}
+
+fn run<F: Future<Output = ()>>(test: impl FnOnce(Rc<Scheduling>) -> F) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    LocalSet::new().block_on(&runtime.expect("a runtime"), async {
+        let scheduling = leading();
+        tokio::task::spawn_local(scheduling.clone().run());
+        tokio::task::spawn_local(scheduling.clone().keep_dispatching());
+        test(scheduling).await;
+    });
+}
+
+#[test]
+fn what_an_entry_had_placed_ends_with_its_connection() {
+    run(|scheduling| async move {
+        let mut killed = Asker::connect(&scheduling).await;
+        killed.placed().await;
+        let mut other = Asker::connect(&scheduling).await;
+        other.tell(FromEntry::Ask(7, ask())).await;
+        assert_eq!(other.hear().await, ToEntry::Queued(7), "the engine is busy");
+        drop(killed);
+        // Without it, the scheduler would forget them only after 20 s.
+        let heard = tokio::time::timeout(ms(10_000), other.hear()).await;
+        let ToEntry::Placed(7, Ok(placed)) = heard.expect("soon") else { panic!("not placed") };
+        assert_eq!(placed.grounds.running, 0);
+    });
+}
+
+#[test]
+fn a_caller_who_has_left_is_not_placed() {
+    run(|scheduling| async move {
+        let mut first = Asker::connect(&scheduling).await;
+        first.placed().await;
+        let mut left = Asker::connect(&scheduling).await;
+        left.tell(FromEntry::Ask(1, ask())).await;
+        assert_eq!(left.hear().await, ToEntry::Queued(1));
+        left.tell(FromEntry::Withdraw(1)).await;
+        left.tell(FromEntry::Ask(2, ask())).await;
+        assert_eq!(left.hear().await, ToEntry::Queued(2));
+        assert_eq!(scheduling.waiting(), 1);
+        drop(first);
+        assert!(matches!(left.hear().await, ToEntry::Placed(2, Ok(_))));
+    });
+}
+
+#[test]
+fn a_replica_that_no_longer_leads_says_so_to_those_who_wait() {
+    run(|scheduling| async move {
+        let mut first = Asker::connect(&scheduling).await;
+        first.placed().await;
+        first.tell(FromEntry::Ask(2, ask())).await;
+        assert_eq!(first.hear().await, ToEntry::Queued(2));
+        scheduling.shared.belief.send_modify(|belief| belief.leads = false);
+        assert_eq!(first.hear().await, ToEntry::Placed(2, Err(PlaceError::NotScheduling)));
+    });
+}
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -1,6 +1,7 @@
 //! Tests of what runs on the platform: translation, deployments, the fleet, replicas' decisions, the
 //! scheduler on a virtual clock, and an entry before stand-in targets.
 
+mod asking;
 mod boundary;
 mod budget;
 mod documents;
