Of two replicas that asked to join from one host, keep the later one

A replica that was no founder had asked to join when the system formed. It lost its disk; its successor on the same host was taken for superseded by that wish of old: AddLearner and Remove 20 times a second until the final fault took two more disks. Change: only a wish that came after a replica's own supersedes it. Test: forming::of_two_that_asked_from_one_host_the_later_one_stays failed before; the process test loses the disk of a replica that joined, too.

--- a/src/control/forming.rs
+++ b/src/control/forming.rs
@@ -84,10 +84,12 @@
                 return Some(Step::AddLearner(*node));
             }
         }
+        // Another replica asked from its host after it did: its disk is gone.
         let superseded = |node: NodeId| {
             let ip = places.get(&node);
-            let later = |(other, (other_ip, _)): (&NodeId, &(IpAddr, BootTime))| {
-                *other != node && Some(other_ip) == ip
+            let own = self.joins.get(&node).map(|(_, at)| *at);
+            let later = |(other, (other_ip, at)): (&NodeId, &(IpAddr, BootTime))| {
+                *other != node && Some(other_ip) == ip && own.is_none_or(|own| own < *at)
             };
             node != me && self.joins.iter().any(later)
         };
--- a/tests/deployment/forming.rs
+++ b/tests/deployment/forming.rs
@@ -62,6 +62,22 @@
     assert_eq!(step(members(&[1, 2, 3, 4, 15], &[])), None);
 }
 
+/// A replica that had asked to join itself, like all that are no founders, loses its disk: the same
+/// host comes back as another one, which must not be taken for the earlier one's predecessor.
+#[test]
+fn of_two_that_asked_from_one_host_the_later_one_stays() {
+    let mut presence = heard(&[2, 3, 4, 15]);
+    presence.asked(5, ip(5), ms(1_000));
+    presence.asked(15, ip(5), ms(10_000));
+    let mut known = places(&[1, 2, 3, 4, 5]);
+    known.insert(15, ip(5));
+    let step = |members| presence.next_step(1, &members, &known, WANTED, ms(10_000));
+    assert_eq!(step(members(&[1, 2, 3, 4, 5], &[])), Some(Step::AddLearner(15)));
+    assert_eq!(step(members(&[1, 2, 3, 4, 5], &[15])), Some(Step::Promote(15)));
+    assert_eq!(step(members(&[1, 2, 3, 4, 5, 15], &[])), Some(Step::Remove(5)));
+    assert_eq!(step(members(&[1, 2, 3, 4, 15], &[])), None);
+}
+
 #[test]
 fn a_silent_voter_gives_its_place_only_to_one_that_is_there() {
     let known = places(&[1, 2, 3, 4, 5, 6]);
--- a/tests/deployment/replicas.rs
+++ b/tests/deployment/replicas.rs
@@ -151,8 +151,8 @@
     let mut core = Core::start(5);
     core.eventually("five vote", |core| core.logged("change=Promote") >= 2);
     core.publish(3);
-    // Each of the first three loses its disk; the next one only once the last has been replaced.
-    for (lost, version) in [(0, 5), (1, 8), (2, 13)] {
+    // Founders and one that joined lose their disks; the next one only once the last was replaced.
+    for (lost, version) in [(0, 5), (3, 6), (1, 8), (2, 13)] {
         let (promoted, removed) = (core.logged("change=Promote"), core.logged("change=Remove"));
         core.kill(lost);
         core.wipe(lost);
