--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -19,6 +19,7 @@
 mod roster;
 mod scheduling;
 mod settings;
+mod stand_in;
 mod state;
 mod stores;
 mod table;
--- /dev/null
+++ b/tests/deployment/stand_in.rs
@@ -0,0 +1,108 @@
+//! A target that answers as scripted, over loopback.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// What a stand-in target does with one request: bytes to answer, and whether it closes then.
+pub type Script = Vec<(String, Then)>;
+
+#[derive(Clone, Copy, PartialEq)]
+pub enum Then {
+    KeepOpen,
+    Close,
+    /// Never answers until the caller closes.
+    Hang,
+}
+
+/// A target that answers its requests, one after another, as scripted.
+pub struct StandIn {
+    pub address: SocketAddr,
+    /// Whole requests as they came.
+    pub requests: Rc<RefCell<Vec<String>>>,
+    /// Connections that were closed while it worked.
+    pub left: Rc<Cell<u32>>,
+    pub connections: Rc<Cell<u32>>,
+}
+
+impl StandIn {
+    pub async fn start(script: Script) -> StandIn {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let stand_in = StandIn {
+            address: listener.local_addr().expect("an address"),
+            requests: Rc::default(),
+            left: Rc::default(),
+            connections: Rc::default(),
+        };
+        let script = Rc::new(RefCell::new(std::collections::VecDeque::from(script)));
+        let (requests, left) = (stand_in.requests.clone(), stand_in.left.clone());
+        let connections = stand_in.connections.clone();
+        tokio::task::spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                connections.set(connections.get() + 1);
+                let (script, requests, left) = (script.clone(), requests.clone(), left.clone());
+                tokio::task::spawn_local(serve(stream, script, requests, left));
+            }
+        });
+        stand_in
+    }
+
+    pub fn seen(&self) -> usize {
+        self.requests.borrow().len()
+    }
+}
+
+async fn serve(
+    mut stream: TcpStream,
+    script: Rc<RefCell<std::collections::VecDeque<(String, Then)>>>,
+    requests: Rc<RefCell<Vec<String>>>,
+    left: Rc<Cell<u32>>,
+) {
+    loop {
+        let Some(request) = read_request(&mut stream).await else { return };
+        let id = header(&request, "x-request-id").unwrap_or_default();
+        requests.borrow_mut().push(request);
+        let step = script.borrow_mut().pop_front();
+        let Some((answer, then)) = step else { return };
+        let answer = answer.replace("{id}", &id);
+        stream.write_all(answer.as_bytes()).await.expect("the caller reads");
+        match then {
+            Then::KeepOpen => {}
+            Then::Close => return,
+            Then::Hang => {
+                let mut byte = [0];
+                let _ = stream.read(&mut byte).await;
+                left.set(left.get() + 1);
+                return;
+            }
+        }
+    }
+}
+
+/// Reads a head and the body that it announces.
+async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    let mut byte = [0];
+    while !bytes.ends_with(b"\r\n\r\n") {
+        if stream.read(&mut byte).await.ok()? == 0 {
+            return None;
+        }
+        bytes.push(byte[0]);
+    }
+    let head = String::from_utf8_lossy(&bytes).into_owned();
+    let length = header(&head, "content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).await.ok()?;
+    Some(head + &String::from_utf8_lossy(&body))
+}
+
+/// A header of a head.
+pub fn header(head: &str, name: &str) -> Option<String> {
+    head.lines().find_map(|line| {
+        let (key, value) = line.split_once(':')?;
+        key.eq_ignore_ascii_case(name).then(|| value.trim().to_string())
+    })
+}
