End what was granted from the queue with its entry's connection, too

Cause: a placement that came out of the queue was counted for its entry only from its first part on: a kill before that left the engine busy in the books for 20 s. The entry's map of waiting prompts also kept each one that had been answered. Change: the way back to an entry records what it grants, whether from the queue or at once, and forgets what it has answered. Test: asking::what_was_granted_from_the_queue_ends_with_the_connection_too, which failed before.

--- a/.ci/mutations.py
+++ b/.ci/mutations.py
@@ -151,7 +151,7 @@
     ("platform: a broken stream looks whole", "src/gateway/relay.rs",
      "None if self.events.holds_part() =>", "None if false && self.events.holds_part() =>", "deployment", "gateway"),
     ("platform: placements outlive their entry", "src/control/scheduling.rs",
-     "for ticket in self.placed.into_inner() {", "for ticket in self.placed.into_inner().into_iter().take(0) {", "deployment", "asking"),
+     "for ticket in self.entry.placed.take() {", "for ticket in self.entry.placed.take().into_iter().take(0) {", "deployment", "asking"),
     ("platform: retries beyond the share", "src/fleet/budget.rs",
      "if counts.retries.len() as f64 + 1.0 > allowed.max(1.0) {", "if false && allowed > 0.0 {", "deployment", "budget"),
     ("platform: a silent voter goes without a successor", "src/control/forming.rs",
--- a/src/control/scheduling.rs
+++ b/src/control/scheduling.rs
@@ -19,7 +19,7 @@
 use crate::net::http::{Exchange, fetch};
 use crate::platform::stores;
 use crate::scheduler::store::FreePlan;
-use crate::scheduler::{Ask, End, Note, Scheduler, TicketId, WaiterId};
+use crate::scheduler::{Ask, End, Note, Placed, Scheduler, TicketId, WaiterId};
 
 /// How often changes are taken over and frees are planned.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
@@ -43,12 +43,40 @@
     pub shared: Rc<Shared>,
     /// The scheduler with its term; `None` while another replica leads.
     active: RefCell<Option<(Term, Scheduler)>>,
-    /// Prompts that wait: the connection of their entry, and its number for them.
-    waiters: RefCell<HashMap<WaiterId, (mpsc::UnboundedSender<ToEntry>, u64)>>,
+    /// Prompts that wait.
+    waiters: RefCell<HashMap<WaiterId, Waiter>>,
     next_waiter: Cell<WaiterId>,
     dispatched_at: Cell<BootTime>,
 }
 
+/// A prompt that waits, as its entry knows it.
+struct Waiter {
+    entry: Rc<EntryLink>,
+    /// The entry's number for it.
+    number: u64,
+}
+
+/// The way back to one entry.
+struct EntryLink {
+    answers: mpsc::UnboundedSender<ToEntry>,
+    /// Prompts of the entry that wait, by its numbers.
+    waiting: RefCell<HashMap<u64, WaiterId>>,
+    /// Placements of the entry that have not ended.
+    placed: RefCell<HashSet<TicketId>>,
+}
+
+impl EntryLink {
+    /// Answers an ask. What is placed counts from here on, whether the entry hears of it or not.
+    fn answer(&self, number: u64, answer: Result<Placed, PlaceError>) {
+        self.waiting.borrow_mut().remove(&number);
+        if let Ok(placed) = &answer {
+            self.placed.borrow_mut().insert(placed.ticket);
+        }
+        // The connection's end is noticed where it is read.
+        let _ = self.answers.send(ToEntry::Placed(number, answer));
+    }
+}
+
 impl Scheduling {
     /// A replica that does not schedule yet.
     pub fn new(shared: Rc<Shared>) -> Scheduling {
@@ -110,8 +138,10 @@
 
     /// Sends those that wait to another replica.
     fn refuse_waiters(&self) {
-        for (sender, number) in std::mem::take(&mut *self.waiters.borrow_mut()).into_values() {
-            let _ = sender.send(ToEntry::Placed(number, Err(PlaceError::NotScheduling)));
+        for Waiter { entry, number } in
+            std::mem::take(&mut *self.waiters.borrow_mut()).into_values()
+        {
+            entry.answer(number, Err(PlaceError::NotScheduling));
         }
     }
 
@@ -205,12 +235,9 @@
         self.dispatched_at.set(boot_now());
         let outcomes = self.with(|scheduler| scheduler.dispatch(boot_now()));
         for (waiter, outcome) in outcomes.into_iter().flatten() {
-            let Some((sender, number)) = self.waiters.borrow_mut().remove(&waiter) else {
-                continue;
-            };
-            let answer = ToEntry::Placed(number, outcome.map_err(PlaceError::from));
-            // An entry that has gone gives back what it was granted when its connection closes.
-            let _ = sender.send(answer);
+            if let Some(Waiter { entry, number }) = self.waiters.borrow_mut().remove(&waiter) {
+                entry.answer(number, outcome.map_err(PlaceError::from));
+            }
         }
     }
 
@@ -233,16 +260,13 @@
 /// One entry that asks.
 struct Asker<'s> {
     scheduling: &'s Scheduling,
-    answers: mpsc::UnboundedSender<ToEntry>,
-    /// Prompts of it that wait, by its numbers.
-    waiting: RefCell<HashMap<u64, WaiterId>>,
-    /// Placements of it that have not ended.
-    placed: RefCell<HashSet<TicketId>>,
+    entry: Rc<EntryLink>,
 }
 
 impl<'s> Asker<'s> {
     fn new(scheduling: &'s Scheduling, answers: mpsc::UnboundedSender<ToEntry>) -> Asker<'s> {
-        Asker { scheduling, answers, waiting: RefCell::default(), placed: RefCell::default() }
+        let (waiting, placed) = (RefCell::default(), RefCell::default());
+        Asker { scheduling, entry: Rc::new(EntryLink { answers, waiting, placed }) }
     }
 
     async fn take_all(&self, mut read: BufReader<OwnedReadHalf>) -> std::io::Result<()> {
@@ -250,10 +274,8 @@
             match frames::read(&mut read).await? {
                 FromEntry::Ask(number, ask) => self.ask(number, ask),
                 FromEntry::Withdraw(number) => {
-                    if let Some(waiter) = self.waiting.borrow_mut().remove(&number) {
-                        self.scheduling.waiters.borrow_mut().remove(&waiter);
-                        let _ = self.scheduling.with(|scheduler| scheduler.withdraw(waiter));
-                    }
+                    let waiter = self.entry.waiting.borrow_mut().remove(&number);
+                    waiter.into_iter().for_each(|waiter| self.withdraw(waiter));
                 }
                 FromEntry::Note(note) => self.note(&note),
             }
@@ -264,31 +286,27 @@
         let waiter = self.scheduling.next_waiter.get();
         self.scheduling.next_waiter.set(waiter + 1);
         let outcome = self.scheduling.with(|scheduler| scheduler.submit(waiter, ask, boot_now()));
-        let answer = match outcome {
-            None => ToEntry::Placed(number, Err(PlaceError::NotScheduling)),
-            Some(Some(outcome)) => ToEntry::Placed(number, outcome.map_err(PlaceError::from)),
+        match outcome {
+            None => self.entry.answer(number, Err(PlaceError::NotScheduling)),
+            Some(Some(outcome)) => self.entry.answer(number, outcome.map_err(PlaceError::from)),
             Some(None) => {
-                let waiting = (self.answers.clone(), number);
-                self.scheduling.waiters.borrow_mut().insert(waiter, waiting);
-                self.waiting.borrow_mut().insert(number, waiter);
-                ToEntry::Queued(number)
+                let waits = Waiter { entry: self.entry.clone(), number };
+                self.scheduling.waiters.borrow_mut().insert(waiter, waits);
+                self.entry.waiting.borrow_mut().insert(number, waiter);
+                // The connection's end is noticed where it is read.
+                let _ = self.entry.answers.send(ToEntry::Queued(number));
             }
-        };
-        if let ToEntry::Placed(_, Ok(placed)) = &answer {
-            self.placed.borrow_mut().insert(placed.ticket);
         }
-        // The connection's end is noticed where it is written.
-        let _ = self.answers.send(answer);
+    }
+
+    fn withdraw(&self, waiter: WaiterId) {
+        self.scheduling.waiters.borrow_mut().remove(&waiter);
+        let _ = self.scheduling.with(|scheduler| scheduler.withdraw(waiter));
     }
 
     fn note(&self, note: &Note) {
-        match note {
-            Note::FirstPart { ticket, .. } => {
-                self.placed.borrow_mut().insert(*ticket);
-            }
-            Note::Ended { ticket, .. } => {
-                self.placed.borrow_mut().remove(ticket);
-            }
+        if let Note::Ended { ticket, .. } = note {
+            self.entry.placed.borrow_mut().remove(ticket);
         }
         let now = boot_now();
         let _ = self.scheduling.with(|scheduler| scheduler.note(note, now));
@@ -300,11 +318,9 @@
 
     /// Takes back all that the entry asked for and had.
     fn close(self) {
-        for waiter in self.waiting.into_inner().into_values() {
-            self.scheduling.waiters.borrow_mut().remove(&waiter);
-            let _ = self.scheduling.with(|scheduler| scheduler.withdraw(waiter));
-        }
-        for ticket in self.placed.into_inner() {
+        let waiting = self.entry.waiting.take();
+        waiting.into_values().for_each(|waiter| self.withdraw(waiter));
+        for ticket in self.entry.placed.take() {
             let note = Note::Ended { ticket, end: End::Left };
             let _ = self.scheduling.with(|scheduler| scheduler.note(&note, boot_now()));
         }
--- a/tests/deployment/asking.rs
+++ b/tests/deployment/asking.rs
@@ -68,6 +68,18 @@
         read(&mut self.stream).await.expect("a frame")
     }
 
+    /// Asks, and waits if it must.
+    async fn placed_in_the_end(&mut self) -> Placed {
+        self.tell(FromEntry::Ask(1, ask())).await;
+        loop {
+            match self.hear().await {
+                ToEntry::Queued(1) => {}
+                ToEntry::Placed(1, Ok(placed)) => return placed,
+                other => panic!("{other:?}"),
+            }
+        }
+    }
+
     /// Asks until the scheduler has begun.
     async fn placed(&mut self) -> Placed {
         loop {
@@ -125,6 +137,24 @@
     });
 }
 
+/// The entry is killed before it has told of a first part, or even taken what it was granted.
+#[test]
+fn what_was_granted_from_the_queue_ends_with_the_connection_too() {
+    run(|scheduling| async move {
+        let mut first = Asker::connect(&scheduling).await;
+        first.placed().await;
+        let mut killed = Asker::connect(&scheduling).await;
+        killed.tell(FromEntry::Ask(1, ask())).await;
+        assert_eq!(killed.hear().await, ToEntry::Queued(1));
+        drop(first);
+        assert!(matches!(killed.hear().await, ToEntry::Placed(1, Ok(_))));
+        drop(killed);
+        let mut last = Asker::connect(&scheduling).await;
+        let placed = tokio::time::timeout(ms(15_000), last.placed_in_the_end());
+        assert_eq!(placed.await.expect("soon").grounds.running, 0);
+    });
+}
+
 #[test]
 fn a_caller_who_has_left_is_not_placed() {
     run(|scheduling| async move {
