Decide outside platform/ which deployments are valid and how weights are changed

Cause: the folder is for translation, yet it refused invalid deployments and chose that running prompts finish before weights change. Change: control::operators checks what was decoded; an order names what becomes of running prompts, in our words. Tests: as before; invalid documents go through both steps.

--- a/src/control/operators.rs
+++ b/src/control/operators.rs
@@ -19,10 +19,10 @@
 
 use super::replica::{Input, Undecided};
 use super::state::{Command, Published, Reply};
-use crate::deployment::Deployment;
+use crate::deployment::{Deployment, validate};
 use crate::ids::ModelId;
 use crate::net;
-use crate::platform::operator;
+use crate::platform::operator::{self, Refused};
 use crate::telemetry::metrics::label;
 use crate::telemetry::roles::ReplicaMetrics;
 
@@ -57,6 +57,20 @@
     },
 }
 
+/// Refuses a deployment that is not valid, at any replica and without asking others.
+///
+/// # Errors
+/// Everything that is wrong with it, one line each.
+pub fn checked(call: OperatorCall) -> Result<OperatorCall, Refused> {
+    let OperatorCall::Publish { deployment, .. } = &call else { return Ok(call) };
+    let problems = validate::problems(deployment);
+    if problems.is_empty() {
+        return Ok(call);
+    }
+    let lines: Vec<String> = problems.iter().map(ToString::to_string).collect();
+    Err(Refused { status: StatusCode::BAD_REQUEST, message: lines.join("\n") })
+}
+
 type Answer = Response<Full<Bytes>>;
 
 /// Serves operators at one replica.
@@ -103,7 +117,8 @@
         let Ok(body) = Limited::new(body, MAX_BODY_BYTES).collect().await else {
             return text(StatusCode::BAD_REQUEST, "the body is too large or broke off".into());
         };
-        let answer = match operator::decode(&head.method, &path, &body.to_bytes()) {
+        let decoded = operator::decode(&head.method, &path, &body.to_bytes());
+        let answer = match decoded.and_then(checked) {
             Ok(OperatorCall::ReadDeployment) => self.read(&path).await,
             Ok(OperatorCall::Publish { deployment, text }) => {
                 let published =
--- a/src/control/ordering.rs
+++ b/src/control/ordering.rs
@@ -10,9 +10,9 @@
 
 use super::replica::{Input, Shared};
 use super::state::{Command, Reply};
-use super::weights::{EngineReport, Lagging, WeightOrder, next_loads};
+use super::weights::{EngineReport, Lagging, RunningPrompts, WeightOrder, next_loads};
 use crate::fleet::Listed;
-use crate::ids::{NodeId, TargetId};
+use crate::ids::TargetId;
 use crate::log::Term;
 use crate::net::http::{Exchange, fetch};
 use crate::platform::engines;
@@ -153,7 +153,9 @@
         let order = WeightOrder {
             model: lagging.model.clone(),
             version: lagging.version,
-            holder: self.holder(),
+            // What is generated under weights that changed is worth nothing to a caller.
+            running: RunningPrompts::Finish,
+            holder: self.shared.node,
             fencing,
             orders_accepted: report.orders_accepted,
         };
@@ -171,8 +173,4 @@
         );
         !matches!(status, Ok(StatusCode::CONFLICT | StatusCode::PRECONDITION_FAILED))
     }
-
-    fn holder(&self) -> NodeId {
-        self.shared.node
-    }
 }
--- a/src/control/weights.rs
+++ b/src/control/weights.rs
@@ -27,6 +27,8 @@
     pub model: ModelId,
     /// The version.
     pub version: u64,
+    /// What becomes of prompts that the engine runs.
+    pub running: RunningPrompts,
     /// The replica that gives the order.
     pub holder: NodeId,
     /// Never falls from one holder to the next; no two holders have the same.
@@ -35,6 +37,17 @@
     pub orders_accepted: u64,
 }
 
+/// What becomes of prompts that an engine runs when it is told to load other weights.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunningPrompts {
+    /// They finish on the old weights first.
+    Finish,
+    /// Their streams are broken off.
+    BreakOff,
+    /// They go on under the new weights.
+    GoOn,
+}
+
 /// An engine that runs older weights than were named.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Lagging {
--- a/tests/deployment/documents.rs
+++ b/tests/deployment/documents.rs
@@ -1,7 +1,7 @@
 //! The operator's documents: what is read, and each way in which one is invalid.
 
 use http::{Method, StatusCode};
-use kumquatpost::control::operators::OperatorCall;
+use kumquatpost::control::operators::{OperatorCall, checked};
 use kumquatpost::deployment::{RunPolicy, ServiceRole};
 use kumquatpost::platform::{documents, operator};
 use serde_json::{Value, json};
@@ -34,7 +34,7 @@
 }
 
 fn put(document: &Value) -> Result<OperatorCall, operator::Refused> {
-    operator::decode(&Method::PUT, "/config", document.to_string().as_bytes())
+    operator::decode(&Method::PUT, "/config", document.to_string().as_bytes()).and_then(checked)
 }
 
 #[test]
--- a/tests/deployment/weights.rs
+++ b/tests/deployment/weights.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use kumquatpost::control::weights::{WeightOrder, next_loads};
+use kumquatpost::control::weights::{RunningPrompts, WeightOrder, next_loads};
 use kumquatpost::fleet::{Listed, Presence, Roster};
 use kumquatpost::platform::engines;
 use serde_json::{Value, json};
@@ -62,6 +62,7 @@
     let order = WeightOrder {
         model: "m".to_string(),
         version: 2,
+        running: RunningPrompts::Finish,
         holder: 255,
         fencing: 41,
         orders_accepted: 3,
