--- a/src/control/news.rs
+++ b/src/control/news.rs
@@ -23,31 +23,21 @@
 const INTRODUCTION_TIMEOUT: Duration = Duration::from_secs(1);
 /// A connection whose bytes are not acknowledged for this long is given up.
 const UNACKNOWLEDGED: Duration = Duration::from_secs(1);
-/// Pause after a failed accept.
-const ACCEPT_AGAIN: Duration = Duration::from_millis(50);
-
 /// Accepts connections for as long as the process lives.
 pub async fn accept(
     listener: TcpListener,
     scheduling: Rc<Scheduling>,
     inputs: mpsc::Sender<Input>,
 ) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let (scheduling, inputs) = (scheduling.clone(), inputs.clone());
-                tokio::task::spawn_local(async move {
-                    if let Err(error) = serve(stream, scheduling, inputs).await {
-                        log::debug!("event=peer_gone reason={:?}", error.to_string());
-                    }
-                });
-            }
-            Err(error) => {
-                log::warn!("event=accept_failed reason={:?}", error.to_string());
-                tokio::time::sleep(ACCEPT_AGAIN).await;
+    let take = |stream| {
+        let (scheduling, inputs) = (scheduling.clone(), inputs.clone());
+        tokio::task::spawn_local(async move {
+            if let Err(error) = serve(stream, scheduling, inputs).await {
+                log::debug!("event=peer_gone reason={:?}", error.to_string());
             }
-        }
-    }
+        });
+    };
+    net::accept_each(listener, take).await;
 }
 
 async fn serve(
--- a/src/control/operators.rs
+++ b/src/control/operators.rs
@@ -33,9 +33,6 @@
 const DECISION_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// A connection whose bytes are not acknowledged for this long is given up.
 const UNACKNOWLEDGED: Duration = Duration::from_secs(3);
-/// Pause after a failed accept.
-const ACCEPT_AGAIN: Duration = Duration::from_millis(50);
-
 /// What operators ask for.
 #[derive(Clone, Debug, PartialEq)]
 pub enum OperatorCall {
@@ -86,15 +83,8 @@
 impl Operators {
     /// Accepts connections for as long as the process lives.
     pub async fn accept(self: Rc<Operators>, listener: TcpListener) {
-        loop {
-            match listener.accept().await {
-                Ok((stream, _)) => drop(tokio::task::spawn_local(self.clone().serve(stream))),
-                Err(error) => {
-                    log::warn!("event=accept_failed reason={:?}", error.to_string());
-                    tokio::time::sleep(ACCEPT_AGAIN).await;
-                }
-            }
-        }
+        let take = |stream| drop(tokio::task::spawn_local(self.clone().serve(stream)));
+        net::accept_each(listener, take).await;
     }
 
     async fn serve(self: Rc<Operators>, stream: TcpStream) {
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -21,8 +21,8 @@
 const UNACKNOWLEDGED: Duration = Duration::from_secs(5);
 /// Smallest limit for heads that the HTTP library takes.
 const LEAST_HEAD_BYTES: usize = 8 << 10;
-/// Pause after a failed accept: descriptors may be short.
-const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+/// A connection is not looked at more often than this.
+const LEAST_LOOK: Duration = Duration::from_millis(20);
 
 /// Accepts callers for as long as the process lives. Connections end once `closing` is true, each
 /// after its request.
@@ -32,22 +32,15 @@
     closing: watch::Receiver<bool>,
     open: Rc<Cell<usize>>,
 ) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let (gateway, closing, open) = (gateway.clone(), closing.clone(), open.clone());
-                tokio::task::spawn_local(async move {
-                    open.set(open.get() + 1);
-                    serve(gateway, stream, closing).await;
-                    open.set(open.get() - 1);
-                });
-            }
-            Err(error) => {
-                log::warn!("event=accept_failed reason={:?}", error.to_string());
-                tokio::time::sleep(ACCEPT_AGAIN).await;
-            }
-        }
-    }
+    let take = |stream| {
+        let (gateway, closing, open) = (gateway.clone(), closing.clone(), open.clone());
+        tokio::task::spawn_local(async move {
+            open.set(open.get() + 1);
+            serve(gateway, stream, closing).await;
+            open.set(open.get() - 1);
+        });
+    };
+    net::accept_each(listener, take).await;
 }
 
 async fn serve(gateway: Rc<Gateway>, stream: TcpStream, mut closing: watch::Receiver<bool>) {
@@ -92,7 +85,7 @@
                     connection.as_mut().graceful_shutdown();
                 }
             }
-            () = tokio::time::sleep(idle_ends.max(ACCEPT_AGAIN)), if !is_closing => {
+            () = tokio::time::sleep(idle_ends.max(LEAST_LOOK)), if !is_closing => {
                 if boot_now().saturating_sub(used_at.get()) >= bounds.idle_timeout {
                     is_closing = true;
                     connection.as_mut().graceful_shutdown();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,4 +1,4 @@
-//! TCP connections that notice a peer that has gone silent.
+//! TCP connections: accepted ones, and ones that notice a peer that has gone silent.
 
 pub mod http;
 pub mod text_server;
@@ -8,7 +8,23 @@
 use std::time::Duration;
 
 use socket2::SockRef;
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
+
+/// Pause after a failed accept: descriptors may be short.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(50);
+
+/// Hands out each connection that comes, for as long as the process lives.
+pub async fn accept_each(listener: TcpListener, take: impl Fn(TcpStream)) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => take(stream),
+            Err(error) => {
+                log::warn!("event=accept_failed reason={:?}", error.to_string());
+                tokio::time::sleep(ACCEPT_AGAIN).await;
+            }
+        }
+    }
+}
 
 /// Opens a connection within `timeout`. It fails once bytes stay unacknowledged for
 /// `unacknowledged`.
