Bring engines to named weights again: drain, load, and no begin on old weights too late

Cause: the loop that orders loads held a borrow of the set of engines under way while it added to it, so the task died of its first order, silently: no engine was ever told of newer weights. Change: an engine that is about to load gets no prompts; it has 600 ms to finish what it runs, and runs that last longer go on across the swap; a quarter of the engines change and a sixth loads at a time; an order without an answer is given again after 200 ms, void if the first was taken; the right to order is taken at election, so that the wait for an earlier holder is over when there is something to order; prompts prefer newest weights, and begin on older ones only within the deployment's bound; a lagging list no longer takes newer weights back. A prompt of the older interface that waited while all engines changed weights turns to the others; its test failed with 503 no_target before.

--- a/src/control/ordering.rs
+++ b/src/control/ordering.rs
@@ -1,30 +1,41 @@
 //! Gives orders to engines while this replica leads.
 
-use std::cell::RefCell;
-use std::collections::BTreeSet;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use http::{Method, StatusCode};
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
 
 use super::replica::{Input, Shared};
+use super::scheduling::Scheduling;
 use super::state::{Command, Reply};
-use super::weights::{EngineReport, Lagging, RunningPrompts, WeightOrder, next_loads};
+use super::weights::{
+    EngineReport, Lagging, RunningPrompts, WeightOrder, loads_at_once, next_loads,
+};
 use crate::fleet::Listed;
-use crate::ids::TargetId;
 use crate::log::Term;
-use crate::net::http::{Exchange, fetch};
+use crate::net::http::{CallError, Exchange, fetch};
 use crate::platform::engines;
 
 /// How often the leader looks for engines that lag.
-const LOOK_EVERY: Duration = Duration::from_millis(100);
-/// How often an engine that loads is asked whether it is done.
-const ASK_EVERY: Duration = Duration::from_millis(250);
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+/// How often an engine that loads is asked whether it is done. Loads take 270 ms and more, and each
+/// question has a price.
+const ASK_EVERY: Duration = Duration::from_millis(150);
+/// How long an engine that gets no new prompts may take to finish those that it runs. Streams last
+/// up to two seconds, most less than one.
+const DRAIN_AT_MOST: Duration = Duration::from_millis(600);
+/// How often it is looked whether an engine has finished, or another may load.
+const DRAIN_LOOK_EVERY: Duration = Duration::from_millis(20);
 /// An engine that has not loaded after this time is looked at anew.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(6);
-/// Longest time for one call to an engine.
-const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// Longest time for an engine's report.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
+/// An order is answered within milliseconds. One without an answer is given again: it is void if the
+/// first one was taken after all, or is carried out late.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(200);
 /// A bit more than the period that two holders must keep apart, for timers that fire late.
 const APART_MARGIN: Duration = Duration::from_millis(400);
 
@@ -32,16 +43,35 @@
 pub struct Ordering {
     /// The replica's state.
     pub shared: Rc<Shared>,
+    /// Places prompts, but not on engines that are about to load.
+    pub scheduling: Rc<Scheduling>,
     /// Takes commands.
     pub inputs: mpsc::Sender<Input>,
     /// Orders of two holders to one engine must be at least this far apart.
     pub apart: Duration,
+    /// Engines that load.
+    pub loading: Cell<usize>,
+}
+
+/// One of the engines that load, until it is dropped.
+struct Loading<'o>(&'o Cell<usize>);
+
+impl<'o> Loading<'o> {
+    fn begin(loading: &'o Cell<usize>) -> Loading<'o> {
+        loading.set(loading.get() + 1);
+        Loading(loading)
+    }
+}
+
+impl Drop for Loading<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
 }
 
 impl Ordering {
     /// Runs for as long as the process lives.
     pub async fn run(self: Rc<Ordering>) {
-        let under_way = Rc::new(RefCell::new(BTreeSet::new()));
         let mut right = None;
         loop {
             tokio::time::sleep(LOOK_EVERY).await;
@@ -49,32 +79,31 @@
                 let belief = self.shared.belief.borrow();
                 (belief.leads, belief.term)
             };
-            if !leads || !self.is_behind(&under_way.borrow()) {
+            if !leads {
                 continue;
             }
+            // Taken as soon as it leads: the wait for an earlier holder is over by the time that
+            // there is something to order.
             if right != Some(term) {
                 right = self.take_right(term).await;
                 continue;
             }
-            for lagging in self.next(&under_way.borrow()) {
-                under_way.borrow_mut().insert(lagging.engine.clone());
-                let (ordering, under_way) = (self.clone(), under_way.clone());
+            for lagging in self.next() {
+                let ordering = self.clone();
+                // Before the task runs, so that the next look does not find it again.
+                ordering.shared.changing.borrow_mut().insert(lagging.engine.clone());
                 tokio::task::spawn_local(async move {
-                    ordering.load(&lagging, term).await;
-                    under_way.borrow_mut().remove(&lagging.engine);
+                    ordering.bring_up(&lagging, term).await;
+                    ordering.shared.changing.borrow_mut().remove(&lagging.engine);
                 });
             }
         }
     }
 
-    fn next(&self, under_way: &BTreeSet<TargetId>) -> Vec<Lagging> {
+    fn next(&self) -> Vec<Lagging> {
         let belief = self.shared.belief.borrow();
         let roster = self.shared.roster.borrow();
-        next_loads(&roster.roster, &belief.state.weights, under_way)
-    }
-
-    fn is_behind(&self, under_way: &BTreeSet<TargetId>) -> bool {
-        !self.next(under_way).is_empty()
+        next_loads(&roster.roster, &belief.state.weights, &self.shared.changing.borrow())
     }
 
     /// Becomes the only holder, and waits until no order of an earlier one can be under way.
@@ -95,13 +124,41 @@
         Some(term)
     }
 
-    async fn load(&self, lagging: &Lagging, term: Term) {
+    /// Has an engine load the newest weights, with as little as possible of what it runs disturbed.
+    async fn bring_up(&self, lagging: &Lagging, term: Term) {
+        let _ = self.scheduling.with(|scheduler| {
+            scheduler.take_changing(&self.shared.changing.borrow());
+        });
         let target = self.shared.roster.borrow().roster.get(&lagging.engine).cloned();
         let Some(target) = target else { return };
-        let give_up = tokio::time::Instant::now() + LOAD_TIMEOUT;
-        let mut was_ordered = false;
-        while tokio::time::Instant::now() < give_up && self.may_order(term) {
-            let report = self.report(&target).await;
+        self.drain(&target).await;
+        while self.loading.get() >= self.loads_at_once(lagging) {
+            tokio::time::sleep(DRAIN_LOOK_EVERY).await;
+        }
+        let _loading = Loading::begin(&self.loading);
+        self.load(&target, lagging, term).await;
+    }
+
+    fn loads_at_once(&self, lagging: &Lagging) -> usize {
+        loads_at_once(&self.shared.roster.borrow().roster, &lagging.model)
+    }
+
+    async fn drain(&self, target: &Listed) {
+        let give_up = Instant::now() + DRAIN_AT_MOST;
+        while Instant::now() < give_up && self.placed_on(target) > 0 {
+            tokio::time::sleep(DRAIN_LOOK_EVERY).await;
+        }
+    }
+
+    fn placed_on(&self, target: &Listed) -> u32 {
+        self.scheduling.with(|scheduler| scheduler.placed_on(&target.id)).unwrap_or_default()
+    }
+
+    async fn load(&self, target: &Listed, lagging: &Lagging, term: Term) {
+        let give_up = Instant::now() + LOAD_TIMEOUT;
+        let mut is_taken = false;
+        while Instant::now() < give_up && self.may_order(term) {
+            let report = self.report(target).await;
             if let Some(report) = &report
                 && report.weights.get(&lagging.model).is_some_and(|has| *has >= lagging.version)
             {
@@ -110,8 +167,8 @@
                 return;
             }
             match report {
-                Some(report) if !report.is_busy && !was_ordered => {
-                    was_ordered = self.order(&target, lagging, &report, term).await;
+                Some(report) if !report.is_busy && !is_taken => {
+                    is_taken = self.order(target, lagging, &report, term).await;
                 }
                 Some(_) => {}
                 // Gone, or cut off: the list tells before long.
@@ -128,18 +185,18 @@
 
     async fn report(&self, target: &Listed) -> Option<EngineReport> {
         let call = Exchange::new(target.address, Method::GET, engines::REPORT_PATH);
-        let answer = fetch(call, CALL_TIMEOUT).await.ok()?;
-        match engines::decode_report(&answer.body) {
-            Ok(report) if answer.status == StatusCode::OK => Some(report),
-            Ok(_) => None,
-            Err(error) => {
-                log::warn!("event=report_unreadable engine={} reason={error}", target.id);
-                None
-            }
-        }
+        let answer = fetch(call, REPORT_TIMEOUT).await;
+        let report = answer.and_then(|answer| match answer.status {
+            StatusCode::OK => Ok(engines::decode_report(&answer.body)?),
+            status => Err(format!("the engine answers {status}").into()),
+        });
+        let warn = |error: &CallError| {
+            log::warn!("event=report_missed engine={} reason={:?}", target.id, error.to_string());
+        };
+        report.inspect_err(warn).ok()
     }
 
-    /// Returns whether the engine may have taken the order.
+    /// Returns whether the engine has surely taken the order.
     async fn order(
         &self,
         target: &Listed,
@@ -153,8 +210,10 @@
         let order = WeightOrder {
             model: lagging.model.clone(),
             version: lagging.version,
-            // What is generated under weights that changed is worth nothing to a caller.
-            running: RunningPrompts::Finish,
+            running: match self.placed_on(target) {
+                0 => RunningPrompts::Finish,
+                _ => RunningPrompts::GoOn,
+            },
             holder: self.shared.node,
             fencing,
             orders_accepted: report.orders_accepted,
@@ -162,15 +221,16 @@
         let call = Exchange::new(target.address, Method::POST, engines::ORDER_PATH)
             .expecting(&target.id)
             .with_json(engines::encode_order(&order));
-        let answer = fetch(call, CALL_TIMEOUT).await;
+        let answer = fetch(call, ORDER_TIMEOUT).await;
         let status = answer.as_ref().map(|answer| answer.status);
         log::info!(
             "event=weights_ordered engine={} version={} fencing={fencing} orders_accepted={} \
-             answer={status:?}",
+             running={:?} answer={status:?}",
             target.id,
             lagging.version,
             report.orders_accepted,
+            order.running,
         );
-        !matches!(status, Ok(StatusCode::CONFLICT | StatusCode::PRECONDITION_FAILED))
+        status.is_ok_and(|status| status.is_success())
     }
 }
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -14,7 +14,7 @@
 use super::state::{Command, ControlState, Published, Reply};
 use crate::clock::{BootTime, boot_now};
 use crate::fleet::Roster;
-use crate::ids::NodeId;
+use crate::ids::{ModelId, NodeId, TargetId};
 use crate::log::driver::{Driver, Output};
 use crate::log::raft::{Change, NotLeader, ReadId};
 use crate::log::{Entry, Index, Payload, Term};
@@ -47,12 +47,19 @@
     pub own_entries: RefCell<BTreeMap<String, u32>>,
     /// Entries that are connected to any replica.
     pub entries: Cell<u32>,
+    /// Engines that are about to load other weights, or load them. They get no new prompts.
+    pub changing: RefCell<BTreeSet<TargetId>>,
+    /// The newest named weights of each model, and when this replica heard of them.
+    pub named_since: RefCell<NamedSince>,
     /// Connections to other replicas.
     pub links: SharedLinks,
     /// Hosts of replicas that the settings or other replicas named at some time.
     pub seeds: RefCell<BTreeSet<IpAddr>>,
 }
 
+/// The newest named weights of each model, with the time since when they are known.
+pub type NamedSince = BTreeMap<ModelId, (u64, BootTime)>;
+
 /// What one replica believes.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Belief {
@@ -341,6 +348,7 @@
 
     fn publish(&mut self) {
         let now = boot_now();
+        self.shared.take_named(&self.state.weights, now);
         let status = self.driver.raft.status();
         self.shared.caught_up_at.set(self.driver.raft.caught_up_at(now));
         let leader = status.leader.and_then(|node| self.place_of(node));
@@ -412,6 +420,16 @@
         })
     }
 
+    fn take_named(&self, weights: &BTreeMap<ModelId, u64>, now: BootTime) {
+        let mut named = self.named_since.borrow_mut();
+        for (model, version) in weights {
+            let (known, since) = named.entry(model.clone()).or_insert((*version, now));
+            if *version > *known {
+                (*known, *since) = (*version, now);
+            }
+        }
+    }
+
     /// Whether this replica had all that was committed within the last `within`.
     pub fn is_current(&self, within: Duration) -> bool {
         let now = boot_now();
--- a/src/control/run.rs
+++ b/src/control/run.rs
@@ -69,12 +69,14 @@
         caught_up_at: Cell::new(None),
         own_entries: RefCell::default(),
         entries: Cell::new(0),
+        changing: RefCell::default(),
+        named_since: RefCell::default(),
         links,
         seeds: RefCell::new(seeds),
     });
     let (inputs, receiver) = mpsc::channel(QUEUE_LEN);
     let peers = listen(SocketAddr::new(host.ip, host.peer_port)).await?;
-    let scheduling = Rc::new(Scheduling::new(shared.clone()));
+    let scheduling = Rc::new(Scheduling::new(shared.clone(), host.periods.old_weights));
     tokio::task::spawn_local(scheduling.clone().run());
     tokio::task::spawn_local(scheduling.clone().keep_dispatching());
     tokio::task::spawn_local(news::accept(peers, scheduling.clone(), inputs.clone()));
@@ -95,7 +97,13 @@
         tokio::task::spawn_local(roster_reader::run(shared.clone(), host.ip, list));
     }
     let apart = host.periods.order_lease;
-    let ordering = Rc::new(Ordering { shared: shared.clone(), inputs, apart });
+    let ordering = Rc::new(Ordering {
+        shared: shared.clone(),
+        scheduling: scheduling.clone(),
+        inputs,
+        apart,
+        loading: Cell::new(0),
+    });
     tokio::task::spawn_local(ordering.run());
     let reloaded = reload::keep_reading(host.clone(), |host| {
         shared.seeds.borrow_mut().extend(host.seeds.iter().map(|seed| seed.ip()));
--- a/src/control/scheduling.rs
+++ b/src/control/scheduling.rs
@@ -18,6 +18,7 @@
 use crate::log::Term;
 use crate::net::http::{Exchange, fetch};
 use crate::platform::stores;
+use crate::scheduler::plan::OldWeights;
 use crate::scheduler::store::FreePlan;
 use crate::scheduler::{Ask, End, Note, Placed, Scheduler, TicketId, WaiterId};
 
@@ -41,6 +42,8 @@
 pub struct Scheduling {
     /// The replica's state.
     pub shared: Rc<Shared>,
+    /// How long prompts may begin on older weights once newer ones are named.
+    old_weights: OldWeights,
     /// The scheduler with its term; `None` while another replica leads.
     active: RefCell<Option<(Term, Scheduler)>>,
     /// Prompts that wait.
@@ -79,9 +82,10 @@
 
 impl Scheduling {
     /// A replica that does not schedule yet.
-    pub fn new(shared: Rc<Shared>) -> Scheduling {
+    pub fn new(shared: Rc<Shared>, old_weights: OldWeights) -> Scheduling {
         Scheduling {
             shared,
+            old_weights,
             active: RefCell::default(),
             waiters: RefCell::default(),
             next_waiter: Cell::new(0),
@@ -128,7 +132,7 @@
             if !self.is_active(term) {
                 log::info!("event=scheduling_begun term={term}");
                 let first_ticket = term << TICKETS_PER_TERM;
-                *self.active.borrow_mut() = Some((term, Scheduler::new(first_ticket, boot_now())));
+                *self.active.borrow_mut() = Some((term, self.new_scheduler(first_ticket)));
                 (version, roster_number) = (0, 0);
             }
             self.take_over(term, &mut version, &mut roster_number);
@@ -136,6 +140,12 @@
         }
     }
 
+    fn new_scheduler(&self, first_ticket: TicketId) -> Scheduler {
+        let mut scheduler = Scheduler::new(first_ticket, boot_now());
+        scheduler.set_old_weights(self.old_weights);
+        scheduler
+    }
+
     /// Sends those that wait to another replica.
     fn refuse_waiters(&self) {
         for Waiter { entry, number } in
@@ -165,6 +175,8 @@
             *roster_number = roster.number;
             scheduler.take_roster(&roster.roster);
         }
+        scheduler.take_changing(&self.shared.changing.borrow());
+        scheduler.take_named(&self.shared.named_since.borrow());
         scheduler.forget_lost(boot_now());
         for store in new_stores {
             tokio::task::spawn_local(store_reader::run(self.clone(), store, term));
--- a/src/control/weights.rs
+++ b/src/control/weights.rs
@@ -5,9 +5,10 @@
 use crate::fleet::{Presence, Roster};
 use crate::ids::{ModelId, NodeId, TargetId};
 
-/// One engine in this many may load at a time: more would slow down each other's loads and take
-/// too many places from callers.
+/// One engine in this many may load at a time: more would slow down each other's loads.
 const LOADING_PART: usize = 6;
+/// One engine in this many may be kept from new prompts at a time, to be loaded next or loading.
+const CHANGING_PART: usize = 4;
 
 /// What an engine says of itself.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -71,8 +72,8 @@
             let live = roster.iter().filter(|target| target.presence == Presence::Live);
             live.filter(|target| target.weights.contains_key(model))
         };
-        let at_once = (engines().count() / LOADING_PART).max(1);
-        let loading = engines().filter(|engine| under_way.contains(&engine.id)).count();
+        let at_once = (engines().count() / CHANGING_PART).max(1);
+        let changing = engines().filter(|engine| under_way.contains(&engine.id)).count();
         let lagging = engines()
             .filter(|engine| engine.weights.get(model).is_some_and(|has| has < version))
             .filter(|engine| !under_way.contains(&engine.id))
@@ -81,7 +82,13 @@
                 model: model.clone(),
                 version: *version,
             });
-        next.extend(lagging.take(at_once.saturating_sub(loading)));
+        next.extend(lagging.take(at_once.saturating_sub(changing)));
     }
     next
 }
+
+/// How many engines of a model may load at once.
+pub fn loads_at_once(roster: &Roster, model: &ModelId) -> usize {
+    let engines = roster.iter().filter(|target| target.weights.contains_key(model));
+    (engines.count() / LOADING_PART).max(1)
+}
--- a/src/entry/operators.rs
+++ b/src/entry/operators.rs
@@ -227,14 +227,17 @@
             })
             .collect();
         let router = self.router.lock();
+        let now = boot_now();
         let engines: Vec<Value> = router
             .view()
             .engines
             .iter()
             .map(|(id, engine)| {
+                let report = engine.fresh_report(now);
                 json!({"target": id, "takes_work": engine.takes_work,
                        "suspect": engine.health.is_suspect(), "running": engine.running,
-                       "trust": engine.residency.trust()})
+                       "trust": engine.residency.trust(),
+                       "weights": report.and_then(|report| report.weight_version.clone())})
             })
             .collect();
         json!({
--- a/src/entry/prompts.rs
+++ b/src/entry/prompts.rs
@@ -36,8 +36,27 @@
     pub weight_version: WeightVersion,
     /// The model's name.
     pub model_id: String,
-    /// The prompt in blocks.
+    /// The prompt in blocks. Invariant: named for `weight_version`.
     pub chain: Chain,
+    text: String,
+}
+
+impl Prompt {
+    /// Has it answered by other weights. Only before any engine may have begun with it.
+    pub fn turn_to(&mut self, weight_version: WeightVersion) {
+        self.chain = chain(&self.call, &self.model_id, &weight_version, &self.text);
+        self.weight_version = weight_version;
+    }
+}
+
+fn chain(call: &Call, model: &str, weight_version: &str, text: &str) -> Chain {
+    let owner = Owner {
+        account: call.account.clone(),
+        model: model.to_string(),
+        weight_version: weight_version.to_string(),
+        adapter: String::new(),
+    };
+    Chain::new(&owner, text)
 }
 
 /// The answer of a prompt marked not repeatable, as it is recorded.
@@ -141,12 +160,6 @@
         let draw = router.draw();
         router.version_for(&asked.model, &model, draw, call.came_at)
     };
-    let owner = Owner {
-        account: call.account.clone(),
-        model: asked.model.clone(),
-        weight_version: weight_version.clone(),
-        adapter: String::new(),
-    };
     let prefix = match shape {
         Shape::Chat => "chatcmpl",
         Shape::Text => "cmpl",
@@ -158,10 +171,11 @@
         stream: asked.stream,
         usage: asked.wants_usage(),
     };
-    let chain = Chain::new(&owner, &asked.prompt_text());
+    let text = asked.prompt_text();
+    let chain = chain(&call, &asked.model, &weight_version, &text);
     let model_id = asked.model;
     let policy = model.policy;
-    Ok((Prompt { call, shape, body, policy, weight_version, model_id, chain }, wanted))
+    Ok((Prompt { call, shape, body, policy, weight_version, model_id, chain, text }, wanted))
 }
 
 fn outcome(record: &Record) -> Outcome {
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -62,6 +62,14 @@
     pub usage: Usage,
 }
 
+/// Why there is no dispatch.
+enum NoDispatch {
+    /// The request is no longer admitted.
+    Refused(Refusal),
+    /// No engine gets it.
+    NoEngine(NoEngine),
+}
+
 /// Why one dispatch gave no whole answer.
 enum Broken {
     /// The engine failed or did not run it: another one may be tried.
@@ -120,7 +128,15 @@
         self.node.router.lock().earn_retry();
         loop {
             self.attempt += 1;
-            let dispatch = self.choose()?;
+            let dispatch = match self.choose() {
+                Err(NoDispatch::NoEngine(NoEngine::NoneTakesWork))
+                    if self.turn_to_others().await =>
+                {
+                    self.choose()
+                }
+                chosen => chosen,
+            };
+            let dispatch = dispatch.map_err(|reason| self.no_dispatch(reason))?;
             self.last_target = Some(dispatch.engine().clone());
             let (ended, result) = match self.dispatch(&dispatch).await {
                 Ok(whole) => (Ended::Whole(whole.usage), Ok(whole)),
@@ -148,12 +164,40 @@
         }
     }
 
-    fn choose(&self) -> Result<Dispatch, Refusal> {
+    /// Turns to the weights that engines have by now, if they are others: a prompt may have waited
+    /// while the last engine with its weights loaded the next ones. Says whether it did.
+    async fn turn_to_others(&mut self) -> bool {
+        if self.may_have_run {
+            return false;
+        }
+        let Some(config) = self.node.in_force() else { return false };
+        let model_id = &self.prompt.model_id;
+        let Some(model) = config.config.models.get(model_id) else { return false };
+        let version = {
+            let mut router = self.node.router.lock();
+            let draw = router.draw();
+            router.version_for(model_id, model, draw, boot_now())
+        };
+        if version == self.prompt.weight_version {
+            return false;
+        }
+        log::info!(
+            "event=weights_turned request={} from={} to={}",
+            quoted(&self.prompt.call.request_id),
+            quoted(&self.prompt.weight_version),
+            quoted(&version),
+        );
+        self.prompt.turn_to(version);
+        self.kept = self.node.kept_of(&self.prompt.chain).await;
+        true
+    }
+
+    fn choose(&self) -> Result<Dispatch, NoDispatch> {
         let call = &self.prompt.call;
         let has_begun = self.first_token.is_some();
         let admitted =
             if has_begun { call.still_fresh(&self.node) } else { call.still_admitted(&self.node) };
-        admitted.map_err(|refusal| self.final_refusal(refusal))?;
+        admitted.map_err(NoDispatch::Refused)?;
         // The deadline is for the first token: an answer that has begun runs to its end.
         let deadline = if has_begun { BootTime::MAX } else { call.deadline };
         let now = boot_now();
@@ -170,19 +214,20 @@
         let prices = &call.config.config.prices;
         let begun = router.begin(self.prompt.policy, prices, &ask, deadline, now);
         drop(router);
-        let dispatch = begun.map_err(|reason| self.no_engine(reason))?;
+        let dispatch = begun.map_err(NoDispatch::NoEngine)?;
         self.node.tell_dispatched(&dispatch.news());
         Ok(dispatch)
     }
 
-    fn no_engine(&self, reason: NoEngine) -> Refusal {
+    fn no_dispatch(&self, reason: NoDispatch) -> Refusal {
         let refusal = match reason {
-            NoEngine::NoneTakesWork => {
+            NoDispatch::Refused(refusal) => refusal,
+            NoDispatch::NoEngine(NoEngine::NoneTakesWork) => {
                 let message =
                     format!("no engine of model {:?} takes work now", self.prompt.model_id);
                 Refusal::not_run(Code::NoTarget, message).after(NO_TARGET_RETRY)
             }
-            NoEngine::TooLate(late) => {
+            NoDispatch::NoEngine(NoEngine::TooLate(late)) => {
                 let message = "no engine would give the first token by the deadline";
                 Refusal::not_run(Code::Deadline, message).after(late)
             }
--- a/src/fleet/roster.rs
+++ b/src/fleet/roster.rs
@@ -53,6 +53,11 @@
                 self.left.insert(target.id.clone());
                 target.presence = Presence::Leaving;
             }
+            // The list lags behind what was found out: one start of a target never gets older weights.
+            for (model, known) in self.get(&target.id).iter().flat_map(|known| &known.weights) {
+                let version = target.weights.entry(model.clone()).or_default();
+                *version = (*version).max(*known);
+            }
             targets.insert(target.id.clone(), target);
         }
         let changed = targets != self.targets;
--- a/src/host.rs
+++ b/src/host.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::ids::DomainId;
+use crate::scheduler::plan::OldWeights;
 
 /// Settings of one process, whatever wrote them.
 #[derive(Clone, Debug, PartialEq)]
@@ -56,6 +57,8 @@
     pub grace: Duration,
     /// Orders of two hosts to one engine must be at least this far apart.
     pub order_lease: Duration,
+    /// How long prompts may begin on older weights.
+    pub old_weights: OldWeights,
     /// The window in which retries are counted.
     pub retry_window: Duration,
 }
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -1,6 +1,6 @@
 //! The scheduler: where each prompt runs, what it fetches, what is saved.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -17,7 +17,7 @@
 use crate::deployment::{Deployment, EngineTraits, ServiceRole};
 use crate::fleet::{Fault, Presence, Roster};
 use crate::gateway::call::Part;
-use crate::ids::{ServiceId, TargetId};
+use crate::ids::{ModelId, ServiceId, TargetId};
 
 /// An engine takes another prompt once it has less than this left to read: enough to keep it busy
 /// until the next placement, and so little that an urgent prompt is not kept waiting behind others.
@@ -29,6 +29,11 @@
 /// A dispatch looks at this many prompts that find no room. Engines differ little in what fits, so
 /// more would find none either.
 const STUCK_AT_MOST: usize = 8;
+/// An engine with older weights than were named is chosen only if it saves this much: an answer of
+/// replaced weights is worth a fifth less, which is as much as being late by about this time.
+const OLD_WEIGHTS_MS: f64 = 150.0;
+/// A prompt begins at most this long after it was placed: what an engine has ahead, and a fetch.
+const BEGINS_WITHIN: Duration = Duration::from_millis(800);
 /// A new scheduler frees nothing before fetches that an earlier one granted have ended.
 const FIRST_FREES_AFTER: Duration = Duration::from_millis(2_500);
 
@@ -65,6 +70,22 @@
     next_ticket: TicketId,
     clock: Option<EnginesClock>,
     frees_from: BootTime,
+    /// Engines that are about to load other weights, or load them.
+    changing: BTreeSet<TargetId>,
+    /// The newest weights of each model, and since when they are known.
+    named: BTreeMap<ModelId, (u64, BootTime)>,
+    old_weights: OldWeights,
+    began: BootTime,
+}
+
+/// How long prompts may begin on older weights once newer ones are named.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct OldWeights {
+    /// Counted from the naming, or from when this scheduler began: before that a replica that was
+    /// lost could order nothing. `None` for ever.
+    pub within: Option<Duration>,
+    /// Counted from the naming whoever led.
+    pub at_last_within: Option<Duration>,
 }
 
 /// A placement that has not ended.
@@ -102,9 +123,52 @@
             next_ticket: first_ticket,
             clock: None,
             frees_from: now + FIRST_FREES_AFTER,
+            changing: BTreeSet::new(),
+            named: BTreeMap::new(),
+            old_weights: OldWeights::default(),
+            began: now,
+        }
+    }
+
+    /// Sets how long prompts may begin on older weights once newer ones are named.
+    pub fn set_old_weights(&mut self, old_weights: OldWeights) {
+        self.old_weights = old_weights;
+    }
+
+    /// Takes which engines get no prompts, since they change their weights.
+    pub fn take_changing(&mut self, changing: &BTreeSet<TargetId>) {
+        if self.changing != *changing {
+            self.changing.clone_from(changing);
+        }
+    }
+
+    /// Takes the newest weights of each model, with the times since when they are known.
+    pub fn take_named(&mut self, named: &BTreeMap<ModelId, (u64, BootTime)>) {
+        if self.named != *named {
+            self.named.clone_from(named);
         }
     }
 
+    /// Prompts that were placed on an engine and have not ended.
+    pub fn placed_on(&self, engine: &TargetId) -> u32 {
+        self.engines.get(engine).map_or(0, Engine::placed)
+    }
+
+    /// Whether an engine may begin prompts of a model with the weights that it has: `None` if not,
+    /// else what speaks against it.
+    fn weights_cost_ms(&self, model: &ModelId, has: Option<u64>, now: BootTime) -> Option<f64> {
+        let Some((named, since)) = self.named.get(model) else { return Some(0.0) };
+        if has.is_some_and(|has| has >= *named) {
+            return Some(0.0);
+        }
+        let is_over = |since: BootTime, within: Option<Duration>| {
+            within.is_some_and(|within| now + BEGINS_WITHIN >= since + within)
+        };
+        let OldWeights { within, at_last_within } = self.old_weights;
+        let is_over = is_over(self.began.max(*since), within) || is_over(*since, at_last_within);
+        (!is_over).then_some(OLD_WEIGHTS_MS)
+    }
+
     /// Takes a deployment.
     pub fn take_deployment(&mut self, deployment: &Deployment) {
         self.traits.clear();
@@ -259,9 +323,14 @@
                 continue;
             }
             is_sound = true;
-            if engine.reads_for(now) >= READS_AHEAD {
+            if engine.reads_for(now) >= READS_AHEAD || self.changing.contains(id) {
                 continue;
             }
+            let Some(weights_cost_ms) =
+                self.weights_cost_ms(&ask.model, engine.weight_version, now)
+            else {
+                continue;
+            };
             is_free = true;
             let version = engine.weight_version;
             let known = wanted.iter().position(|(known, _)| *known == version);
@@ -271,7 +340,8 @@
                 wanted.push((version, Wanted::new(ask, version, stores, engines, may_fetch)));
                 wanted.len() - 1
             });
-            let Some(way) = wanted[known].1.way(engine, traits, &pace, now) else { continue };
+            let Some(mut way) = wanted[known].1.way(engine, traits, &pace, now) else { continue };
+            way.cost_ms += weights_cost_ms;
             if best.as_ref().is_none_or(|(_, best)| way.cost_ms < best.cost_ms) {
                 best = Some((id, way));
             }
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -16,6 +16,7 @@
 mod links;
 mod placement;
 mod replicas;
+mod rollout;
 mod roster;
 mod scheduling;
 mod settings;
--- a/tests/deployment/roster.rs
+++ b/tests/deployment/roster.rs
@@ -19,6 +19,17 @@
     assert_eq!(roster.get("i-2").expect("listed").presence, Presence::Live);
 }
 
+#[test]
+fn one_start_of_a_target_never_gets_older_weights() {
+    let mut known = roster([target("i-1", "llm", address(1))]);
+    assert!(known.set_weights(&"i-1".to_string(), &[("m".to_string(), 2)].into()));
+    assert!(!known.take(vec![target("i-1", "llm", address(1))]), "the list lags");
+    assert_eq!(known.get("i-1").expect("listed").weights["m"], 2);
+    // Another start at the same address has what it has.
+    known.take(vec![target("i-2", "llm", address(1))]);
+    assert_eq!(known.get("i-2").expect("listed").weights["m"], 1);
+}
+
 #[test]
 fn a_target_that_is_gone_takes_no_work_but_its_requests_are_counted_to_the_end() {
     let mut view = FleetView::default();
--- a/tests/process/requests.rs
+++ b/tests/process/requests.rs
@@ -1,6 +1,7 @@
 //! What callers get when targets fail, leave, or change, and when nodes die under a request.
 
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Write};
+use std::net::TcpStream;
 
 use serde_json::{Value, json};
 
@@ -255,6 +256,49 @@
     }
 }
 
+/// A prompt whose answer goes on until its caller hangs up.
+fn endless_prompt(env: &TestEnv, number: usize) -> TcpStream {
+    let body = json!({"model": "mechanic", "max_tokens": 100_000, "stream": true,
+                      "messages": [{"role": "user", "content": format!("endless {number}")}]});
+    let body = body.to_string();
+    let mut caller = TcpStream::connect(env.nodes[0].value("callers")).expect("it listens");
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: node\r\nAuthorization: Bearer key-of-bibek\r\n\
+         Content-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    caller.write_all(format!("{head}{body}").as_bytes()).expect("it reads");
+    caller
+}
+
+#[test]
+fn a_prompt_that_waited_while_all_engines_changed_weights_is_answered() {
+    let mut plan = Plan { nodes: 1, replicas: 1, ..Plan::default() };
+    let engines = ["one", "two"].map(|id| {
+        json!({"id": id, "model": "mechanic", "failure_domain": "patan", "max_batch": 1,
+               "token_us": 50_000, "load_lag_ms": 20})
+    });
+    plan.emulator["engines"] = json!(engines);
+    let env = TestEnv::start(plan);
+    // Both engines' places, which are twice their batches, are taken until these callers hang up.
+    let busy: Vec<TcpStream> = (0..4).map(|n| endless_prompt(&env, n)).collect();
+    until("all places are taken", || (env.status(0)["running"] == 4).then_some(()));
+    let asked = std::thread::scope(|scope| {
+        let asking = scope.spawn(|| env.ask(0, "anna", "asked under the weights of before", 2));
+        until("it waits for a place", || (env.status(0)["waiting"] == 1).then_some(()));
+        let next = json!({"models": {"mechanic": {"next_version": "v2"}}});
+        patch_until_answered(&env, &[0], 1, "roll", &next);
+        until("both engines run other weights", || {
+            (env.status(0)["engines"].as_array()?.iter().all(|engine| engine["weights"] == "v2"))
+                .then_some(())
+        });
+        drop(busy);
+        asking.join().expect("it ends")
+    });
+    let status = asked.status();
+    assert!(status.is_success(), "{status}: {}", asked.text().unwrap_or_default());
+}
+
 #[test]
 fn a_prompt_that_no_engine_can_begin_in_time_is_refused_at_once() {
     let mut plan = Plan { nodes: 1, replicas: 1, ..Plan::default() };
