End a process when a task that it can't do without ends; log panics as events

Change: such tasks are watched; the first that ends, ends the process, which the platform starts again; a panic is one log line. Test: essential.

--- a/src/commands/roles.rs
+++ b/src/commands/roles.rs
@@ -6,6 +6,7 @@
 use tokio::task::LocalSet;
 
 use crate::error::{Error, Result};
+use crate::essential;
 use crate::host::HostSettings;
 use crate::telemetry::logs;
 use crate::{control, gateway, platform};
@@ -30,6 +31,7 @@
 fn run<F: Future<Output = Result<()>>>(role: impl FnOnce(HostSettings) -> F) -> Result<()> {
     let host = platform::settings::read()?;
     logs::start_bounded(LevelFilter::Info)?;
+    essential::log_panics();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
--- a/src/control/run.rs
+++ b/src/control/run.rs
@@ -24,6 +24,7 @@
 use super::state::ControlState;
 use crate::clock::boot_now;
 use crate::error::{Error, Result};
+use crate::essential::essentials;
 use crate::host::HostSettings;
 use crate::log::disk::Disk;
 use crate::log::driver::Driver;
@@ -76,25 +77,25 @@
     });
     let (inputs, receiver) = mpsc::channel(QUEUE_LEN);
     let peers = listen(SocketAddr::new(host.ip, host.peer_port)).await?;
+    let (tasks, mut first_end) = essentials();
     let scheduling = Rc::new(Scheduling::new(shared.clone(), host.periods.old_weights));
-    tokio::task::spawn_local(scheduling.clone().run());
-    tokio::task::spawn_local(scheduling.clone().keep_dispatching());
-    tokio::task::spawn_local(news::accept(peers, scheduling.clone(), inputs.clone()));
+    tasks.spawn("scheduling", scheduling.clone().run());
+    tasks.spawn("dispatching", scheduling.clone().keep_dispatching());
+    tasks.spawn("peers", news::accept(peers, scheduling.clone(), inputs.clone()));
     let metrics = Rc::new(ReplicaMetrics::new()?);
     let address = SocketAddr::new(host.ip, host.metrics_port);
     let (measured, waiting) = (shared.clone(), scheduling.clone());
     let shown = metrics.clone();
-    tokio::task::spawn_local(text_server::serve(listen(address).await?, move || {
-        (StatusCode::OK, metrics_text(&shown, &measured, &waiting))
-    }));
+    let metrics_text = move || (StatusCode::OK, metrics_text(&shown, &measured, &waiting));
+    tasks.spawn("metrics", text_server::serve(listen(address).await?, metrics_text));
     let operators = Rc::new(Operators {
         inputs: inputs.clone(),
         port: operators_address.port(),
         metrics: metrics.clone(),
     });
-    tokio::task::spawn_local(operators.accept(listen(operators_address).await?));
+    tasks.spawn("operators", operators.accept(listen(operators_address).await?));
     if let Some(list) = host.target_list {
-        tokio::task::spawn_local(roster_reader::run(shared.clone(), host.ip, list));
+        tasks.spawn("target_list", roster_reader::run(shared.clone(), host.ip, list));
     }
     let apart = host.periods.order_lease;
     let ordering = Rc::new(Ordering {
@@ -104,7 +105,7 @@
         apart,
         loading: Cell::new(0),
     });
-    tokio::task::spawn_local(ordering.run());
+    tasks.spawn("ordering", ordering.run());
     let reloaded = reload::keep_reading(host.clone(), |host| {
         shared.seeds.borrow_mut().extend(host.seeds.iter().map(|seed| seed.ip()));
     });
@@ -112,6 +113,7 @@
         ended = keep_running(&host, &folder, &identity, shared.clone(), receiver) => ended,
         asked = crate::commands::until_asked_to_end() => asked,
         failed = reloaded => failed,
+        error = first_end.wait() => Err(error),
     }?;
     log::info!("event=stop role=replica host={}", host.name);
     Ok(())
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -13,6 +13,7 @@
 use super::{asking, server, subscription};
 use crate::control::run::listen;
 use crate::error::{Error, Result};
+use crate::essential::essentials;
 use crate::host::HostSettings;
 use crate::net::text_server;
 use crate::reload;
@@ -43,28 +44,31 @@
     let gateway = Rc::new(Gateway::new(host, EntryMetrics::new()?));
     let (closing, closed) = watch::channel(false);
     let open = Rc::new(Cell::new(0));
-    subscription::start(&gateway);
-    tokio::task::spawn_local(asking::keep_connected(gateway.clone()));
+    let (tasks, mut first_end) = essentials();
+    subscription::start(&gateway, &tasks);
+    tasks.spawn("asking", asking::keep_connected(gateway.clone()));
     let ready = listen(readiness_address).await?;
     let asked = gateway.clone();
-    tokio::task::spawn_local(text_server::serve(ready, move || match asked.is_ready() {
+    let readiness = move || match asked.is_ready() {
         true => (StatusCode::OK, "ready".to_string()),
         false => (StatusCode::SERVICE_UNAVAILABLE, "not ready".to_string()),
-    }));
+    };
+    tasks.spawn("readiness", text_server::serve(ready, readiness));
     let measured = gateway.clone();
     let metrics = listen(SocketAddr::new(gateway.host.ip, gateway.host.metrics_port)).await?;
-    tokio::task::spawn_local(text_server::serve(metrics, move || {
-        (StatusCode::OK, measured.metrics_text())
-    }));
+    let metrics_text = move || (StatusCode::OK, measured.metrics_text());
+    tasks.spawn("metrics", text_server::serve(metrics, metrics_text));
     let callers = listen(callers_address).await?;
+    // Ends by itself once a shutdown closes it.
     tokio::task::spawn_local(server::accept(gateway.clone(), callers, closed, open.clone()));
-    tokio::task::spawn_local(clean(gateway.clone()));
+    tasks.spawn("clean", clean(gateway.clone()));
     let reloaded = reload::keep_reading(gateway.host.clone(), |host| {
         gateway.replicas.borrow_mut().extend(host.seeds.iter().map(|seed| seed.ip()));
     });
     tokio::select! {
         asked = crate::commands::until_asked_to_end() => asked?,
         failed = reloaded => failed?,
+        error = first_end.wait() => return Err(error),
     }
     stop(&gateway, &closing, &open).await;
     Ok(())
--- a/src/gateway/subscription.rs
+++ b/src/gateway/subscription.rs
@@ -12,6 +12,7 @@
 use super::state::Gateway;
 use crate::control::frames::{self, Introduction, News, encode};
 use crate::control::news::CURRENT_EVERY;
+use crate::essential::Essentials;
 use crate::net;
 
 /// Replicas that an entry hears at a time: one may be cut off from its leader just when a deployment
@@ -28,10 +29,10 @@
 type InUse = Rc<RefCell<BTreeSet<IpAddr>>>;
 
 /// Starts to hear news for as long as the process lives.
-pub fn start(gateway: &Rc<Gateway>) {
+pub fn start(gateway: &Rc<Gateway>, tasks: &Essentials) {
     let in_use = InUse::default();
     for _ in 0..HEARD_AT_ONCE {
-        tokio::task::spawn_local(keep_hearing(gateway.clone(), in_use.clone()));
+        tasks.spawn("news", keep_hearing(gateway.clone(), in_use.clone()));
     }
 }
 
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -5,6 +5,7 @@
 mod boundary;
 mod budget;
 mod documents;
+mod essential;
 mod events;
 mod explaining;
 mod fixtures;
