Let callers wait while an entry starts; ask an engine whose weights are doubted

Change: an entry that knows no deployment or no targets yet keeps a caller for a third of its time, 1.2 s at most; each replica reads the list when it starts; entries hear news as soon as a replica is sure; a replica that hears of a newer list asks for it. Change: an engine that refuses weights and names none gets nothing until it was asked.

--- a/src/control/frames.rs
+++ b/src/control/frames.rs
@@ -97,6 +97,8 @@
     Roster(NumberedRoster),
     /// The list with this number was read again and is the same.
     RosterUnchanged(u64),
+    /// The sender has an older list than the one that was said to be the same.
+    RosterWanted,
     /// Entries that are connected to the sender.
     Entries(BTreeSet<String>),
 }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -8,6 +8,7 @@
 pub mod operators;
 pub mod ordering;
 pub mod replica;
+pub mod report;
 pub mod roster_reader;
 pub mod run;
 pub mod scheduling;
--- a/src/control/news.rs
+++ b/src/control/news.rs
@@ -8,6 +8,7 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 use super::frames::{self, Introduction, News, ToReplica, encode};
 use super::replica::{Input, Shared};
@@ -16,6 +17,8 @@
 
 /// How often an entry is told that what it knows is current.
 pub const CURRENT_EVERY: Duration = Duration::from_millis(250);
+/// How often a replica that may be behind looks whether it still is: entries wait for its word.
+const LOOK_EVERY: Duration = Duration::from_millis(25);
 /// A replica that has not heard of its leader for this long keeps silent, so that entries turn to
 /// another one. Several heartbeats.
 const CURRENT_WITHIN: Duration = Duration::from_millis(500);
@@ -94,7 +97,7 @@
     belief.mark_changed();
     roster.mark_changed();
     let mut known = Told::default();
-    let mut current = tokio::time::interval(CURRENT_EVERY);
+    let mut next_look = Instant::now();
     loop {
         let mut bytes = Vec::new();
         let is_current = shared.is_current(CURRENT_WITHIN);
@@ -102,9 +105,12 @@
             ended = read.read_u8() => return ended.map(drop),
             changed = belief.changed() => changed.map_err(std::io::Error::other)?,
             changed = roster.changed() => changed.map_err(std::io::Error::other)?,
-            _ = current.tick() => if is_current {
-                bytes.extend_from_slice(&current_news(shared));
-            },
+            () = tokio::time::sleep_until(next_look) => {
+                if is_current {
+                    bytes.extend_from_slice(&current_news(shared));
+                }
+                next_look = Instant::now() + if is_current { CURRENT_EVERY } else { LOOK_EVERY };
+            }
         }
         // What this replica has is told only once it is sure not to be behind: an entry that has
         // just started would otherwise act on an old deployment.
--- a/src/control/ordering.rs
+++ b/src/control/ordering.rs
@@ -4,11 +4,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http::{Method, StatusCode};
+use http::Method;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
 use super::replica::{Input, Shared};
+use super::report;
 use super::scheduling::Scheduling;
 use super::state::{Command, Reply};
 use super::weights::{
@@ -16,7 +17,7 @@
 };
 use crate::fleet::Listed;
 use crate::log::Term;
-use crate::net::http::{CallError, Exchange, fetch};
+use crate::net::http::{Exchange, fetch};
 use crate::platform::engines;
 
 /// How often the leader looks for engines that lag.
@@ -31,8 +32,6 @@
 const DRAIN_LOOK_EVERY: Duration = Duration::from_millis(20);
 /// An engine that has not loaded after this time is looked at anew.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(6);
-/// Longest time for an engine's report.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
 /// An order is answered within milliseconds. One without an answer is given again: it is void if the
 /// first one was taken after all, or is carried out late.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(200);
@@ -158,7 +157,7 @@
         let give_up = Instant::now() + LOAD_TIMEOUT;
         let mut is_taken = false;
         while Instant::now() < give_up && self.may_order(term) {
-            let report = self.report(target).await;
+            let report = report::read(&target.id, target.address).await;
             if let Some(report) = &report
                 && report.weights.get(&lagging.model).is_some_and(|has| *has >= lagging.version)
             {
@@ -183,19 +182,6 @@
         belief.leads && belief.term == term && self.shared.caught_up_at.get().is_some()
     }
 
-    async fn report(&self, target: &Listed) -> Option<EngineReport> {
-        let call = Exchange::new(target.address, Method::GET, engines::REPORT_PATH);
-        let answer = fetch(call, REPORT_TIMEOUT).await;
-        let report = answer.and_then(|answer| match answer.status {
-            StatusCode::OK => Ok(engines::decode_report(&answer.body)?),
-            status => Err(format!("the engine answers {status}").into()),
-        });
-        let warn = |error: &CallError| {
-            log::warn!("event=report_missed engine={} reason={:?}", target.id, error.to_string());
-        };
-        report.inspect_err(warn).ok()
-    }
-
     /// Returns whether the engine has surely taken the order.
     async fn order(
         &self,
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -209,9 +209,17 @@
             ToReplica::Hosts(hosts) => self.shared.seeds.borrow_mut().extend(hosts),
             ToReplica::Roster(roster) => self.shared.take_roster(roster, now),
             ToReplica::RosterUnchanged(number) => {
-                if number >= self.shared.roster.borrow().number {
+                let known = self.shared.roster.borrow().number;
+                if number >= known {
                     self.shared.roster_read_at.set(now);
                 }
+                if number > known {
+                    self.shared.links.send(ip, encode(&ToReplica::RosterWanted));
+                }
+            }
+            ToReplica::RosterWanted => {
+                let roster = self.shared.roster.borrow().clone();
+                self.shared.links.send(ip, encode(&ToReplica::Roster(roster)));
             }
             ToReplica::Entries(entries) => {
                 self.others_entries.insert(node, (entries, now));
--- /dev/null
+++ b/src/control/report.rs
@@ -0,0 +1,27 @@
+//! Asks an engine for its state.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::{Method, StatusCode};
+
+use super::weights::EngineReport;
+use crate::ids::TargetId;
+use crate::net::http::{CallError, Exchange, fetch};
+use crate::platform::engines;
+
+/// Longest time for a report.
+const TIMEOUT: Duration = Duration::from_millis(400);
+
+/// An engine's report; `None` if it is gone or cut off, which the list tells before long.
+pub async fn read(engine: &TargetId, address: SocketAddr) -> Option<EngineReport> {
+    let answer = fetch(Exchange::new(address, Method::GET, engines::REPORT_PATH), TIMEOUT).await;
+    let report = answer.and_then(|answer| match answer.status {
+        StatusCode::OK => Ok(engines::decode_report(&answer.body)?),
+        status => Err(format!("the engine answers {status}").into()),
+    });
+    let warn = |error: &CallError| {
+        log::warn!("event=report_missed engine={engine} reason={:?}", error.to_string());
+    };
+    report.inspect_err(warn).ok()
+}
--- a/src/control/roster_reader.rs
+++ b/src/control/roster_reader.rs
@@ -26,17 +26,11 @@
 /// More pages than this are taken for a mistake.
 const MAX_PAGES: usize = 1_000;
 
-/// Reads for as long as the process lives.
+/// Reads for as long as the process lives: at once when it starts, since all replicas may have just
+/// started and entries wait for the first list, and then when it is this replica's turn.
 pub async fn run(shared: Rc<Shared>, own: IpAddr, list: SocketAddr) {
     let mut failing = false;
     loop {
-        let patience = TAKE_OVER_AFTER + TAKE_OVER_SPREAD.mul_f64(rand::rng().random());
-        tokio::time::sleep(READ_EVERY).await;
-        let leads = shared.belief.borrow().leads;
-        let age = boot_now().saturating_sub(shared.roster_read_at.get());
-        if !leads && age < patience {
-            continue;
-        }
         match read(list).await {
             Ok(targets) => {
                 if failing {
@@ -51,6 +45,19 @@
             }
             Err(_) => {}
         }
+        turn(&shared).await;
+    }
+}
+
+/// Waits until this replica should read again.
+async fn turn(shared: &Shared) {
+    loop {
+        let patience = TAKE_OVER_AFTER + TAKE_OVER_SPREAD.mul_f64(rand::rng().random());
+        tokio::time::sleep(READ_EVERY).await;
+        let age = boot_now().saturating_sub(shared.roster_read_at.get());
+        if shared.belief.borrow().leads || age >= patience {
+            return;
+        }
     }
 }
 
--- a/src/control/scheduling.rs
+++ b/src/control/scheduling.rs
@@ -13,8 +13,10 @@
 
 use super::frames::{self, FromEntry, PlaceError, ToEntry, encode};
 use super::replica::Shared;
+use super::report;
 use super::store_reader;
 use crate::clock::{BootTime, boot_now};
+use crate::ids::TargetId;
 use crate::log::Term;
 use crate::net::http::{Exchange, fetch};
 use crate::platform::stores;
@@ -49,6 +51,8 @@
     /// Prompts that wait.
     waiters: RefCell<HashMap<WaiterId, Waiter>>,
     next_waiter: Cell<WaiterId>,
+    /// Engines that are being asked for their weights.
+    asked: RefCell<HashSet<TargetId>>,
     dispatched_at: Cell<BootTime>,
 }
 
@@ -89,6 +93,7 @@
             active: RefCell::default(),
             waiters: RefCell::default(),
             next_waiter: Cell::new(0),
+            asked: RefCell::default(),
             dispatched_at: Cell::new(BootTime::ZERO),
         }
     }
@@ -136,6 +141,7 @@
                 (version, roster_number) = (0, 0);
             }
             self.take_over(term, &mut version, &mut roster_number);
+            self.ask_doubted();
             self.free_parts();
         }
     }
@@ -183,6 +189,25 @@
         }
     }
 
+    /// Asks engines whose weights are not known for them.
+    fn ask_doubted(self: &Rc<Scheduling>) {
+        let doubted = self.with(|scheduler| scheduler.doubted()).unwrap_or_default();
+        for (engine, address) in doubted {
+            if !self.asked.borrow_mut().insert(engine.clone()) {
+                continue;
+            }
+            let scheduling = self.clone();
+            tokio::task::spawn_local(async move {
+                let report = report::read(&engine, address).await;
+                let version = report.and_then(|report| report.weights.values().next().copied());
+                log::info!("event=weights_asked engine={engine} version={version:?}");
+                scheduling.asked.borrow_mut().remove(&engine);
+                // Without a scheduler there is nothing to tell.
+                let _ = scheduling.with(|scheduler| scheduler.resolve(&engine, version));
+            });
+        }
+    }
+
     fn free_parts(self: &Rc<Scheduling>) {
         let now = boot_now();
         let planned = self.with(|scheduler| {
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -34,6 +34,11 @@
 /// A prompt waits at least this long: asking another engine costs reading it twice, and in a queue
 /// that would only make the queue longer. Callers wait for two seconds or more.
 const LEAST_PROMPT_WAIT: Duration = Duration::from_millis(1_500);
+/// Until an entry knows a deployment and targets after all hosts lost power: an election takes up to
+/// a second, and news some ten milliseconds.
+const START_TAKES: Duration = Duration::from_millis(1_200);
+/// A caller waits for that for at most this part of its time: it may still come back elsewhere.
+const START_PART: u32 = 3;
 /// Names the cache that accounts without a wall of their own share.
 const SHARED_CACHE: &str = "all";
 
@@ -63,6 +68,7 @@
     arrived: Instant,
     record: &mut Record,
 ) -> Result<Job, (Refusal, String)> {
+    gateway.until_known(patience_at_start(call.deadline)).await;
     let Some(table) = gateway.table() else { return Err((Refusal::NotReady, call.id)) };
     let mut job = job(&table, head, call, arrived, record)?;
     let most = table.deployment().bounds.body_bytes;
@@ -74,6 +80,12 @@
     Ok(job)
 }
 
+/// How long a caller is kept waiting by an entry that has just started and knows nothing yet: a
+/// refusal would send it to another entry, which may have just started, too.
+pub fn patience_at_start(deadline: Option<Duration>) -> Duration {
+    deadline.map_or(START_TAKES, |deadline| START_TAKES.min(deadline / START_PART))
+}
+
 /// Works out what all attempts share, but for the body.
 fn job(
     table: &Table,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -5,6 +5,9 @@
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::Notify;
 
 use super::asking::Asking;
 use super::call::Outcome;
@@ -47,6 +50,8 @@
     roster_number: Cell<u64>,
     /// When a replica last said that what is known here is current.
     current_at: Cell<Option<BootTime>>,
+    /// Rings when something is known for the first time.
+    known: Notify,
     /// Whether the process was asked to end.
     pub stopping: Cell<bool>,
     /// Requests that are being answered.
@@ -78,6 +83,7 @@
             replicas: RefCell::new(replicas),
             roster_number: Cell::new(0),
             current_at: Cell::new(None),
+            known: Notify::new(),
             stopping: Cell::new(false),
             answering: Cell::new(0),
             metrics,
@@ -104,16 +110,41 @@
 
     /// Whether new callers may be sent here.
     pub fn is_ready(&self) -> bool {
-        !self.stopping.get() && self.table.borrow().is_some() && self.roster_number.get() > 0
+        !self.stopping.get() && self.knows_enough()
+    }
+
+    /// Whether a deployment and targets are known.
+    fn knows_enough(&self) -> bool {
+        self.table.borrow().is_some() && self.roster_number.get() > 0
+    }
+
+    /// Waits until a deployment and targets are known, for so long at the most. An entry that has
+    /// just started learns them within a second if a leader has to be elected first, else at once.
+    pub async fn until_known(&self, at_most: Duration) {
+        let knowing = async {
+            while !self.knows_enough() {
+                self.known.notified().await;
+            }
+        };
+        // Whoever waited in vain is refused.
+        let _ = tokio::time::timeout(at_most, knowing).await;
     }
 
     /// How old what is known here may be; `None` if nothing is known.
-    pub fn belief_age(&self) -> Option<std::time::Duration> {
+    pub fn belief_age(&self) -> Option<Duration> {
         self.current_at.get().map(|at| boot_now().saturating_sub(at))
     }
 
     /// Takes news from a replica. What is older than what is known changes nothing.
     pub fn take(&self, news: News) {
+        let knew_enough = self.knows_enough();
+        self.take_one(news);
+        if !knew_enough && self.knows_enough() {
+            self.known.notify_waiters();
+        }
+    }
+
+    fn take_one(&self, news: News) {
         match news {
             News::Current { replicas, entries, leader } => {
                 self.leader.set(leader.or(self.leader.get()));
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -72,6 +72,9 @@
     frees_from: BootTime,
     /// Engines that are about to load other weights, or load them.
     changing: BTreeSet<TargetId>,
+    /// Engines that run other weights than was believed, and did not say which. They get no prompts
+    /// until they were asked.
+    doubted: BTreeSet<TargetId>,
     /// The newest weights of each model, and since when they are known.
     named: BTreeMap<ModelId, (u64, BootTime)>,
     old_weights: OldWeights,
@@ -92,6 +95,8 @@
 #[derive(Clone, Debug)]
 struct Ticket {
     target: TargetId,
+    /// The weights that the engine was believed to run.
+    weight_version: Option<u64>,
     since: BootTime,
     /// The store that most comes from, if the fetch takes longest of all.
     slowest: Option<SocketAddr>,
@@ -124,6 +129,7 @@
             clock: None,
             frees_from: now + FIRST_FREES_AFTER,
             changing: BTreeSet::new(),
+            doubted: BTreeSet::new(),
             named: BTreeMap::new(),
             old_weights: OldWeights::default(),
             began: now,
@@ -149,6 +155,21 @@
         }
     }
 
+    /// Engines whose weights are not known, with their addresses.
+    pub fn doubted(&self) -> Vec<(TargetId, SocketAddr)> {
+        let listed = |id: &TargetId| Some((id.clone(), self.engines.get(id)?.listed.address));
+        self.doubted.iter().filter_map(listed).collect()
+    }
+
+    /// An engine whose weights were not known was asked. Without an answer it is trusted again: it
+    /// refuses what it must not run.
+    pub fn resolve(&mut self, engine: &TargetId, weight_version: Option<u64>) {
+        self.doubted.remove(engine);
+        if let Some(engine) = self.engines.get_mut(engine) {
+            engine.set_weights(weight_version);
+        }
+    }
+
     /// Prompts that were placed on an engine and have not ended.
     pub fn placed_on(&self, engine: &TargetId) -> u32 {
         self.engines.get(engine).map_or(0, Engine::placed)
@@ -193,6 +214,7 @@
     /// Takes a list of targets.
     pub fn take_roster(&mut self, roster: &Roster) {
         self.engines.retain(|id, _| roster.get(id).is_some());
+        self.doubted.retain(|id| roster.get(id).is_some());
         for listed in roster.iter() {
             let Some(traits) = self.traits.get(&listed.service) else { continue };
             let version = listed.weights.values().next().copied();
@@ -323,7 +345,8 @@
                 continue;
             }
             is_sound = true;
-            if engine.reads_for(now) >= READS_AHEAD || self.changing.contains(id) {
+            let is_kept_from = self.changing.contains(id) || self.doubted.contains(id);
+            if engine.reads_for(now) >= READS_AHEAD || is_kept_from {
                 continue;
             }
             let Some(weights_cost_ms) =
@@ -410,6 +433,7 @@
             ticket,
             Ticket {
                 target: target.clone(),
+                weight_version,
                 since: now,
                 slowest,
                 fetch_ms: way.fetch_ms,
@@ -498,9 +522,13 @@
             }
             Note::Ended { ticket, end } => {
                 let Some(known) = self.tickets.remove(ticket) else { return };
-                if let Some(engine) = self.engines.get_mut(&known.target) {
-                    engine.end(*ticket, now);
-                    take_end(engine, *end, now);
+                let Some(engine) = self.engines.get_mut(&known.target) else { return };
+                engine.end(*ticket, now);
+                take_end(engine, *end, now);
+                // Of several prompts that were sent under the same belief, one shows that it is wrong.
+                if *end == End::OtherWeights(None) && engine.weight_version == known.weight_version
+                {
+                    self.doubted.insert(known.target);
                 }
             }
         }
@@ -518,11 +546,7 @@
         End::Left | End::NotRun => {}
         End::Unreachable => engine.health.unreachable(now),
         End::Failed => engine.health.failed(Fault::Target, now),
-        End::OtherWeights(version) => {
-            // Where it doesn't say, it has loaded the next ones.
-            let next = engine.weight_version.map(|version| version + 1);
-            engine.set_weights(version.or(next));
-        }
+        End::OtherWeights(version) => engine.set_weights(version),
         End::Replaced => engine.listed.presence = Presence::Leaving,
     }
 }
