--- /dev/null
+++ b/src/control/memory_reader.rs
@@ -0,0 +1,54 @@
+//! Reads what engines hold in memory, for a scheduler that has just begun: without it, contexts that
+//! are resident somewhere would be read again elsewhere.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use http::{Method, StatusCode};
+
+use super::scheduling::Scheduling;
+use crate::ids::TargetId;
+use crate::net::http::{CallError, Exchange, fetch};
+use crate::platform::stores;
+use crate::scheduler::store::StoreEvent;
+
+/// How long a call for events may wait for some. Shorter waits are priced as health checks.
+const WAIT: Duration = Duration::from_millis(200);
+/// Longest time for an answer of some thousand events.
+const TIMEOUT: Duration = Duration::from_millis(800);
+/// Engines that are read at a time. Each answer is up to some hundred kilobytes.
+const AT_A_TIME: usize = 6;
+
+/// Reads the events that engines still have.
+pub async fn run(scheduling: Rc<Scheduling>, engines: Vec<(TargetId, SocketAddr)>) {
+    let count = engines.len();
+    let scheduling = &scheduling;
+    let reading = futures::stream::iter(engines).map(|(engine, address)| async move {
+        match read(address).await {
+            Ok(events) => {
+                let recalled = scheduling.with(|scheduler| scheduler.recall(&engine, events));
+                recalled.unwrap_or_default()
+            }
+            Err(error) => {
+                let reason = error.to_string();
+                log::warn!("event=memory_not_read engine={engine} reason={reason:?}");
+                0
+            }
+        }
+    });
+    let recalled: usize =
+        reading.buffer_unordered(AT_A_TIME).fold(0, |sum, parts| async move { sum + parts }).await;
+    log::info!("event=memories_read engines={count} parts={recalled}");
+}
+
+async fn read(engine: SocketAddr) -> Result<Vec<StoreEvent>, CallError> {
+    let call = Exchange::new(engine, Method::GET, &stores::events_path(0))
+        .with_header(stores::WAIT_HEADER, &WAIT.as_millis().to_string());
+    let answer = fetch(call, TIMEOUT).await?;
+    match answer.status {
+        StatusCode::OK => Ok(stores::decode_events(&answer.body)?.events),
+        status => Err(format!("the engine answers {status}").into()),
+    }
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -4,6 +4,7 @@
 pub mod frames;
 pub mod identity;
 pub mod links;
+pub mod memory_reader;
 pub mod news;
 pub mod operators;
 pub mod ordering;
--- a/src/control/scheduling.rs
+++ b/src/control/scheduling.rs
@@ -12,6 +12,7 @@
 use tokio::sync::mpsc;
 
 use super::frames::{self, FromEntry, PlaceError, ToEntry, encode};
+use super::memory_reader;
 use super::replica::Shared;
 use super::report;
 use super::store_reader;
@@ -175,11 +176,17 @@
             scheduler.take_deployment(&published.deployment);
             new_stores = scheduler.stores();
             new_stores.retain(|store| !before.contains(store));
-            *roster_number = 0;
+            // Services may be others now.
+            scheduler.take_roster(&roster.roster);
         }
         if roster.number != *roster_number && *version > 0 {
+            let is_first = *roster_number == 0;
             *roster_number = roster.number;
             scheduler.take_roster(&roster.roster);
+            if is_first {
+                let engines = scheduler.engines();
+                tokio::task::spawn_local(memory_reader::run(self.clone(), engines));
+            }
         }
         scheduler.take_changing(&self.shared.changing.borrow());
         scheduler.take_named(&self.shared.named_since.borrow());
--- a/src/gateway/asking.rs
+++ b/src/gateway/asking.rs
@@ -9,7 +9,7 @@
 
 use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::tcp::OwnedReadHalf;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 
 use super::state::Gateway;
 use crate::clock::{BootTime, boot_now};
@@ -70,6 +70,10 @@
     waiting: RefCell<HashMap<u64, mpsc::Sender<Reply>>>,
     next: Cell<u64>,
     paused_until: Cell<BootTime>,
+    /// Rings when a connection is made.
+    connected: Notify,
+    /// Whether there ever was a connection.
+    was_connected: Cell<bool>,
 }
 
 impl Asking {
@@ -99,6 +103,15 @@
         }
     }
 
+    /// Waits for the first connection, for so long at the most. An entry that has just started would
+    /// otherwise place all that has waited for it alone, not knowing what is where.
+    pub async fn until_connected_once(&self, at_most: Duration) {
+        if !self.was_connected.get() {
+            // Whoever waited in vain is placed by the entry.
+            let _ = tokio::time::timeout(at_most, self.connected.notified()).await;
+        }
+    }
+
     fn pending(&self) -> Pending<'_> {
         let number = self.next.get();
         self.next.set(number + 1);
@@ -145,6 +158,8 @@
     write.write_all(&encode(&introduction)).await?;
     let (sender, mut outgoing) = mpsc::channel::<Arc<[u8]>>(QUEUE_LEN);
     *gateway.asking.outgoing.borrow_mut() = Some(sender);
+    gateway.asking.was_connected.set(true);
+    gateway.asking.connected.notify_waiters();
     log::info!("event=scheduler_found replica={leader}");
     let writing = async {
         while let Some(frame) = outgoing.recv().await {
--- a/src/scheduler/memory.rs
+++ b/src/scheduler/memory.rs
@@ -73,6 +73,14 @@
         }
     }
 
+    /// An idle part is there that was not known of.
+    pub fn recall(&mut self, key: PartKey, tokens: u64) {
+        if !self.holds(key) {
+            self.begin_use(key, tokens);
+            self.end_use(key);
+        }
+    }
+
     /// Forgets a part, which was not read after all.
     pub fn forget(&mut self, key: PartKey) {
         let Some(part) = self.parts.remove(&key) else { return };
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -11,7 +11,7 @@
 use super::messages::{Ask, End, Grounds, Note, Placed, TicketId};
 use super::pace::Pace;
 use super::queue::{Queue, WaiterId, Waiting};
-use super::store::{FETCH_LASTS, FreePlan, Inventory, Store, StoreEvent};
+use super::store::{FETCH_LASTS, FreePlan, Inventory, Store, StoreEvent, part_key};
 use super::way::{Wanted, Way, distance, shared_count};
 use crate::clock::BootTime;
 use crate::deployment::{Deployment, EngineTraits, ServiceRole};
@@ -229,6 +229,35 @@
         }
     }
 
+    /// All engines with their addresses.
+    pub fn engines(&self) -> Vec<(TargetId, SocketAddr)> {
+        self.engines.iter().map(|(id, engine)| (id.clone(), engine.listed.address)).collect()
+    }
+
+    /// Takes what an engine has told of its memory, in the order in which it happened. Returns how
+    /// many parts of its present weights it holds.
+    pub fn recall(&mut self, engine: &TargetId, events: Vec<StoreEvent>) -> usize {
+        let Some(engine) = self.engines.get_mut(engine) else { return 0 };
+        let weights = format!("/{}", engine.weight_version.unwrap_or_default());
+        let mut held: BTreeMap<(String, String), (usize, u64)> = BTreeMap::new();
+        for (order, event) in events.into_iter().enumerate() {
+            match event {
+                StoreEvent::Stored(part) => {
+                    held.insert((part.salt, part.id), (order, part.tokens));
+                }
+                StoreEvent::Gone(part) => drop(held.remove(&(part.salt, part.id))),
+            }
+        }
+        held.retain(|(salt, _), _| salt.ends_with(&weights));
+        let mut parts: Vec<(usize, PartKey, u64)> = held
+            .iter()
+            .map(|((salt, id), (order, tokens))| (*order, part_key(salt, id), *tokens))
+            .collect();
+        parts.sort_unstable_by_key(|(order, ..)| *order);
+        parts.iter().for_each(|(_, key, tokens)| engine.memory.recall(*key, *tokens));
+        parts.len()
+    }
+
     /// Addresses of all stores.
     pub fn stores(&self) -> Vec<SocketAddr> {
         self.stores.keys().copied().collect()
