--- a/src/scheduler/link.rs
+++ b/src/scheduler/link.rs
@@ -14,6 +14,11 @@
 const LOWERED_BY: f64 = 0.93;
 /// Slowest that a link is taken for.
 const SLOWEST: f64 = 20.0;
+/// A slow transfer makes the next ones wait for at most this much longer.
+const LATE_AT_MOST: Duration = Duration::from_millis(500);
+/// What is believed of a slow link halves in this time: without fetches nothing would show that it is
+/// sound again, and contexts would be read again meanwhile.
+const FORGIVEN_HALF_IN: Duration = Duration::from_secs(4);
 
 /// A link.
 #[derive(Clone, Copy, Debug)]
@@ -21,14 +26,17 @@
     mbps: f64,
     /// When all that was granted is over.
     free_at: BootTime,
-    /// How many times as long as it should a transfer takes. Never below 1.
+    /// How many times as long as it should a transfer took when that was last measured. Never below
+    /// 1.
     slowness: f64,
+    measured_at: BootTime,
 }
 
 impl Link {
     /// A link that nothing uses.
     pub fn new(mbps: f64) -> Link {
-        Link { mbps: mbps.max(1.0), free_at: BootTime::ZERO, slowness: 1.0 }
+        let (free_at, measured_at) = (BootTime::ZERO, BootTime::ZERO);
+        Link { mbps: mbps.max(1.0), free_at, slowness: 1.0, measured_at }
     }
 
     /// How long earlier transfers still take.
@@ -37,24 +45,33 @@
     }
 
     /// How long a transfer takes; `distance` is 1 within a failure domain.
-    pub fn transfer(&self, size_bytes: f64, distance: f64) -> Duration {
-        let ms = size_bytes * 8.0 / (self.mbps * 1e3) * distance * self.slowness;
+    pub fn transfer(&self, size_bytes: f64, distance: f64, now: BootTime) -> Duration {
+        let ms = size_bytes * 8.0 / (self.mbps * 1e3) * distance * self.slowness(now);
         Duration::from_secs_f64(ms / 1e3)
     }
 
     /// Grants a transfer.
     pub fn grant(&mut self, size_bytes: f64, distance: f64, now: BootTime) {
-        self.free_at = self.free_at.max(now) + self.transfer(size_bytes, distance);
+        self.free_at = self.free_at.max(now) + self.transfer(size_bytes, distance, now);
     }
 
     /// Takes how long a transfer took, and what was expected with those before it.
     pub fn measured(&mut self, expected_ms: f64, took_ms: f64, now: BootTime) {
+        let slowness = self.slowness(now);
         if took_ms > expected_ms * SLOW_FROM + SLOW_FROM_MS {
-            self.slowness = (self.slowness * RAISED_BY).min(SLOWEST);
+            self.slowness = (slowness * RAISED_BY).min(SLOWEST);
             let late = Duration::from_secs_f64((took_ms - expected_ms) / 2e3);
-            self.free_at = self.free_at.max(now) + late;
+            self.free_at = self.free_at.max(now) + late.min(LATE_AT_MOST);
         } else if took_ms <= expected_ms + SLOW_FROM_MS {
-            self.slowness = (self.slowness * LOWERED_BY).max(1.0);
+            self.slowness = (slowness * LOWERED_BY).max(1.0);
+        } else {
+            return;
         }
+        self.measured_at = now;
+    }
+
+    fn slowness(&self, now: BootTime) -> f64 {
+        let age = now.saturating_sub(self.measured_at).as_secs_f64();
+        1.0 + (self.slowness - 1.0) * 0.5_f64.powf(age / FORGIVEN_HALF_IN.as_secs_f64())
     }
 }
--- a/src/scheduler/way.rs
+++ b/src/scheduler/way.rs
@@ -167,8 +167,8 @@
         let ways = self.whole[at].iter().map(|store| {
             let distance = distance(store, engine);
             let queue = store.link.queue(now).max(engine.link.queue(now));
-            let at_store = store.link.transfer(size_bytes, distance);
-            let transfer = at_store.max(engine.link.transfer(size_bytes, distance));
+            let at_store = store.link.transfer(size_bytes, distance, now);
+            let transfer = at_store.max(engine.link.transfer(size_bytes, distance, now));
             (store.traits.address, queue + store.traits.first_byte + transfer)
         });
         let longest = match self.ask.objective.is_zero() {
--- a/tests/deployment/links.rs
+++ b/tests/deployment/links.rs
@@ -8,7 +8,7 @@
 const SIZE_BYTES: f64 = 9_000.0 * 131_072.0;
 
 fn takes_ms(link: &Link) -> f64 {
-    link.transfer(SIZE_BYTES, 1.0).as_secs_f64() * 1e3
+    link.transfer(SIZE_BYTES, 1.0, ms(0)).as_secs_f64() * 1e3
 }
 
 #[test]
@@ -39,6 +39,13 @@
     assert_eq!(takes_ms(&link), sound_ms);
 }
 
+#[test]
+fn one_very_late_transfer_holds_others_up_for_a_moment_only() {
+    let mut link = Link::new(590_000.0);
+    link.measured(takes_ms(&link), 9_000.0, ms(0));
+    assert!(link.queue(ms(0)) <= ms(500), "{:?}", link.queue(ms(0)));
+}
+
 #[test]
 fn small_delays_are_no_sign() {
     let mut link = Link::new(590_000.0);
@@ -46,3 +53,14 @@
     link.measured(sound_ms, sound_ms + 35.0, ms(0));
     assert_eq!(takes_ms(&link), sound_ms);
 }
+
+/// Nothing is fetched over a link that seems slow, so nothing would ever show that it is sound again.
+#[test]
+fn a_slow_link_is_tried_again_after_a_while() {
+    let mut link = Link::new(590_000.0);
+    let sound_ms = takes_ms(&link);
+    (0..20).for_each(|_| link.measured(sound_ms, 3_000.0, ms(0)));
+    assert!(takes_ms(&link) > sound_ms * 15.0);
+    let later_ms = link.transfer(SIZE_BYTES, 1.0, ms(20_000)).as_secs_f64() * 1e3;
+    assert!(later_ms < sound_ms * 2.0, "{later_ms}");
+}
