--- a/tests/deployment/settings.rs
+++ b/tests/deployment/settings.rs
@@ -24,7 +24,9 @@
     let host = settings::decode(file().to_string().as_bytes()).expect("it is valid");
     assert_eq!(host.name, "core-1");
     assert_eq!(host.peer_port, 7_700);
-    assert_eq!(host.metrics_port, 7_701);
+    let deploy = include_str!("../../deploy/system.toml");
+    let named = format!("metrics = \"{}/metrics\"", host.metrics_port);
+    assert_eq!(deploy.matches(&named).count(), 2, "each role serves them where they are fetched");
     assert_eq!(host.seeds.len(), 2);
     assert_eq!(host.tolerated_losses, 2);
     assert_eq!(host.periods.order_lease, ms(3_300), "lease and thaw together keep holders apart");
