Number lists of targets by term, so that replicas that start anew are heard

Change: a leader numbers its lists after all of earlier terms, and gives its own list a higher number when another replica has another one under the same. Test: roster::a_list_that_a_later_leader_reads_goes_before_all_earlier_ones.

--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -28,6 +28,9 @@
 const TELL: Duration = Duration::from_millis(500);
 /// A replica that has heard no leader for this long asks to join.
 const ASK_TO_JOIN_AFTER: Duration = Duration::from_millis(900);
+/// Lists of one term are numbered after those of all earlier terms: replicas that have all started
+/// anew know no number, while entries go on with the one that they have.
+const ROSTERS_PER_TERM: u32 = 24;
 /// Entries that a replica told of are counted for this long.
 const ENTRIES_LAST: Duration = Duration::from_secs(2);
 
@@ -207,7 +210,16 @@
                 self.shared.links.send(ip, encode(&ToReplica::Hosts(self.hosts())));
             }
             ToReplica::Hosts(hosts) => self.shared.seeds.borrow_mut().extend(hosts),
-            ToReplica::Roster(roster) => self.shared.take_roster(roster, now),
+            ToReplica::Roster(roster) => {
+                let is_other = {
+                    let known = self.shared.roster.borrow();
+                    known.number == roster.number && known.roster != roster.roster
+                };
+                if is_other && self.led {
+                    self.shared.renumber_roster();
+                }
+                self.shared.take_roster(roster, now);
+            }
             ToReplica::RosterUnchanged(number) => {
                 let known = self.shared.roster.borrow().number;
                 if number >= known {
@@ -419,15 +431,27 @@
     }
 
     /// Takes a list of targets that this replica has read, or found out more about. Returns whether
-    /// it differs from what was known.
+    /// others must be told of it.
     pub fn change_roster(&self, change: impl FnOnce(&mut Roster) -> bool) -> bool {
+        let least = {
+            let belief = self.belief.borrow();
+            if belief.leads { belief.term << ROSTERS_PER_TERM } else { 0 }
+        };
         self.roster.send_if_modified(|known| {
             let changed = change(std::sync::Arc::make_mut(&mut known.roster));
-            known.number += u64::from(changed);
-            changed
+            let is_news = changed || known.number < least;
+            if is_news {
+                known.number = known.number.max(least) + 1;
+            }
+            is_news
         })
     }
 
+    /// Another replica has another list under the same number: gives this one a higher number.
+    fn renumber_roster(&self) {
+        self.roster.send_modify(|known| known.number += 1);
+    }
+
     fn take_named(&self, weights: &BTreeMap<ModelId, u64>, now: BootTime) {
         let mut named = self.named_since.borrow_mut();
         for (model, version) in weights {
--- /dev/null
+++ b/tests/deployment/foreign_bytes.rs
@@ -0,0 +1,186 @@
+//! Whatever comes from outside: nothing panics, and a target sees only what a caller sent.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use kumquatpost::control::frames::{self, FromEntry, Introduction, News, ToEntry, ToReplica};
+use kumquatpost::control::state::ControlState;
+use kumquatpost::deployment::validate;
+use kumquatpost::platform::{documents, engines, headers, instances, operator, stores};
+use kumquatpost::scheduler::Ask;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::fixtures::{ms, target};
+use crate::gateway::{Entry, entry, ok, run, unhurried};
+use crate::scheduling::{ask_of, scheduler};
+use crate::stand_in::{StandIn, Then, header};
+
+/// The same cases on every run.
+fn cases(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(2026),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+/// Documents of each kind that is decoded, to be spoilt.
+const DOCUMENTS: [&str; 6] = [
+    r#"{"Version":7,"Routes":[{"Name":"r","Host":"h","PathPrefix":"/a/","Kind":"stream","TimeoutMs":15000,"SloMs":800,"Split":[{"Service":"s","Weight":9}]}],"Services":[{"Name":"s","Engine":{"Slots":64,"KvCapacity":9,"KvTokenBytes":3}}],"Tenants":[{"Name":"t","ApiKeys":["k"]}]}"#,
+    r#"{"Instances":[{"Service":"s","Addr":"10.1.0.9:80","Zone":"z","Slots":64,"State":"ready","Models":[{"Name":"m","Version":1}],"Id":"i"}],"NextToken":"p"}"#,
+    r#"{"Models":[{"Name":"m","Version":2}],"Busy":true,"Seq":2}"#,
+    r#"{"BootEpoch":7,"NextToken":120,"Lost":false,"Events":[[119,"+","s1","5c",800,"m"]],"clock_ms":1.5}"#,
+    r#"{"BootEpoch":7,"NextToken":120,"Held":[["s1","5c",800,"m"]],"Partial":[["s","p",1,2]]}"#,
+    r#"{"Model":"m","Version":2}"#,
+];
+
+/// Decodes bytes as everything that comes from the platform, and from other processes of ours.
+fn decode_all(bytes: &[u8]) {
+    let _ = documents::decode(bytes).map(|deployment| validate::problems(&deployment));
+    let _ = instances::decode(bytes);
+    let _ = engines::decode_report(bytes);
+    let _ = stores::decode_list(bytes);
+    let _ = stores::decode_events(bytes);
+    let _ = operator::decode(&http::Method::POST, "/version-put", bytes);
+    let _ = ControlState::restored(bytes);
+    let runtime = tokio::runtime::Builder::new_current_thread().build().expect("a runtime");
+    let mut framed = (bytes.len() as u32).to_le_bytes().to_vec();
+    framed.extend_from_slice(bytes);
+    for bytes in [bytes, &framed] {
+        runtime.block_on(async {
+            let _ = frames::read::<Introduction>(&mut &*bytes).await;
+            let _ = frames::read::<FromEntry>(&mut &*bytes).await;
+            let _ = frames::read::<ToEntry>(&mut &*bytes).await;
+            let _ = frames::read::<ToReplica>(&mut &*bytes).await;
+            let _ = frames::read::<News>(&mut &*bytes).await;
+        });
+    }
+}
+
+proptest! {
+    #![proptest_config(cases(400))]
+
+    #[test]
+    fn any_bytes_are_decoded_or_refused(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
+        decode_all(&bytes);
+    }
+
+    #[test]
+    fn spoilt_documents_are_decoded_or_refused(
+        document in 0..DOCUMENTS.len(),
+        spoils in proptest::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 1..6),
+        cut in any::<prop::sample::Index>(),
+    ) {
+        let mut bytes = DOCUMENTS[document].as_bytes().to_vec();
+        for (at, byte) in spoils {
+            let at = at.index(bytes.len());
+            bytes[at] = byte;
+        }
+        decode_all(&bytes);
+        bytes.truncate(cut.index(bytes.len()));
+        decode_all(&bytes);
+    }
+
+    /// What a caller says of its prompt may be anything, and reaches the scheduler.
+    #[test]
+    fn any_prompt_is_placed_or_refused(
+        counts in "[0-9]{0,22},[0-9]{0,22}",
+        prefix in "([0-9a-f]{0,3}:[0-9]{0,22},?){0,6}",
+    ) {
+        let mut values = http::HeaderMap::new();
+        values.insert("x-model", "m".parse().expect("a header"));
+        values.insert("x-token-count", counts.parse().expect("a header"));
+        values.insert("x-prompt-prefix", prefix.parse().expect("a header"));
+        let call = headers::decode_call(&"/a/".parse().expect("a path"), &values);
+        let prompt = call.prompt.expect("it names a model");
+        let mut scheduler = scheduler(2);
+        for waiter in 0..3 {
+            let ask = Ask {
+                parts: prompt.parts.clone(),
+                prompt_tokens: prompt.prompt_tokens,
+                output_tokens: prompt.output_tokens,
+                ..ask_of(1, 1, 1)
+            };
+            scheduler.submit(waiter, ask, ms(waiter));
+        }
+        scheduler.dispatch(ms(5_000));
+    }
+}
+
+/// Heads that two readers might understand differently, and what must come of each: a refusal, or one
+/// request whose body is what its length says.
+const DOUBTFUL_HEADS: [&str; 9] = [
+    "Content-Length: 4\r\nContent-Length: 5\r\n",
+    "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+    "Transfer-Encoding: chunked, identity\r\n",
+    "Transfer-Encoding: xchunked\r\n",
+    "Content-Length: +4\r\n",
+    "Content-Length: 0x4\r\n",
+    "Content-Length : 4\r\n",
+    "X-Folded: a\r\n b: c\r\nContent-Length: 4\r\n",
+    "Connection: x-request-id, host, content-length\r\nContent-Length: 4\r\n",
+];
+
+/// A body that holds another request.
+const SMUGGLED: &str = "POST /once/smuggled HTTP/1.1\r\nHost: shop.example\r\n\
+                        X-Request-Id: smuggled\r\nAuthorization: Bearer key-a\r\nContent-Length: 0\r\n\r\n";
+
+#[test]
+fn no_request_is_smuggled_inside_another() {
+    run(async {
+        for doubtful in DOUBTFUL_HEADS {
+            let answers = (0..6).map(|_| (ok("done"), Then::KeepOpen)).collect();
+            let one = StandIn::start(answers).await;
+            let entry = entry(unhurried(), vec![target("i-1", "app", one.address)]).await;
+            let head = "POST /once/a HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: r1\r\n\
+                        X-Deadline-Ms: 60000\r\nAuthorization: Bearer key-a\r\n";
+            send(&entry, &format!("{head}{doubtful}\r\nbody{SMUGGLED}")).await;
+            for request in one.requests.borrow().iter() {
+                assert_eq!(header(request, "x-request-id").as_deref(), Some("r1"), "{doubtful}");
+                let (_, body) = request.split_once("\r\n\r\n").expect("a head");
+                assert!(body == "body" || body.is_empty(), "{doubtful}: {body}");
+            }
+            assert_eq!(entry.call("/once/b", "r2").await.status, 200, "it serves on: {doubtful}");
+        }
+    });
+}
+
+/// Sends bytes and then no more, and waits until the entry has answered and closed, or has nothing
+/// more to say.
+async fn send(entry: &Entry, bytes: &str) {
+    let mut stream = TcpStream::connect(entry.address).await.expect("it listens");
+    stream.write_all(bytes.as_bytes()).await.expect("it reads");
+    stream.shutdown().await.expect("it is open");
+    let mut answer = Vec::new();
+    // An entry may reset what it refuses.
+    let _ = tokio::time::timeout(Duration::from_secs(60), stream.read_to_end(&mut answer)).await;
+}
+
+proptest! {
+    #![proptest_config(cases(60))]
+
+    #[test]
+    fn spoilt_heads_leave_an_entry_serving(
+        spoils in proptest::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 1..5),
+    ) {
+        run(async {
+            let answers = (0..4).map(|_| (ok("done"), Then::KeepOpen)).collect();
+            let one = Rc::new(StandIn::start(answers).await);
+            let entry = entry(unhurried(), vec![target("i-1", "app", one.address)]).await;
+            let mut bytes = b"POST /once/a HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: r1\r\n\
+                              Authorization: Bearer key-a\r\nContent-Length: 4\r\n\r\nbody"
+                .to_vec();
+            for (at, byte) in spoils {
+                let at = at.index(bytes.len());
+                // Text only: it is sent as such.
+                bytes[at] = byte & 0x7f;
+            }
+            send(&entry, &String::from_utf8(bytes).expect("text")).await;
+            assert_eq!(entry.call("/once/b", "r2").await.status, 200);
+        });
+    }
+}
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -9,6 +9,7 @@
 mod events;
 mod explaining;
 mod fixtures;
+mod foreign_bytes;
 mod forming;
 mod gateway;
 mod headers;
--- a/tests/deployment/roster.rs
+++ b/tests/deployment/roster.rs
@@ -1,8 +1,10 @@
 //! The list of targets over its answers.
 
+use kumquatpost::control::frames::NumberedRoster;
 use kumquatpost::fleet::{FleetView, Presence};
 use kumquatpost::gateway::call::TargetLoad;
 
+use crate::asking::shared;
 use crate::fixtures::{address, ms, roster, target};
 
 #[test]
@@ -30,6 +32,26 @@
     assert_eq!(known.get("i-2").expect("listed").weights["m"], 1);
 }
 
+/// Entries go on with the list that they have while all replicas start anew: what these read then
+/// must not be taken for older.
+#[test]
+fn a_list_that_a_later_leader_reads_goes_before_all_earlier_ones() {
+    let before = shared(4, NumberedRoster::default());
+    for n in 0..300 {
+        before
+            .change_roster(|known| known.take(vec![target(&format!("i-{n}"), "app", address(1))]));
+    }
+    let listed = vec![target("i-299", "app", address(1))];
+    let after = shared(5, NumberedRoster::default());
+    assert!(after.change_roster(|known| known.take(listed.clone())));
+    assert!(after.roster.borrow().number > before.roster.borrow().number);
+    // A replica that led before and leads again tells its list anew, changed or not.
+    let again = shared(6, after.roster.borrow().clone());
+    assert!(again.change_roster(|known| known.take(listed.clone())));
+    assert!(again.roster.borrow().number > after.roster.borrow().number);
+    assert!(!again.change_roster(|known| known.take(listed)), "once");
+}
+
 #[test]
 fn a_target_that_is_gone_takes_no_work_but_its_requests_are_counted_to_the_end() {
     let mut view = FleetView::default();
