Load the newest weights that were named by the time of the order

Cause (late-orders-with-version-bumps): an engine that waited for its turn was told to load a version that newer ones had passed meanwhile, and one whose order went unanswered kept others from loading. Change: the version is looked up at each order, and a place among those that load is held only once an order was taken.

--- a/src/control/ordering.rs
+++ b/src/control/ordering.rs
@@ -131,11 +131,14 @@
         let target = self.shared.roster.borrow().roster.get(&lagging.engine).cloned();
         let Some(target) = target else { return };
         self.drain(&target).await;
+        self.load(&target, lagging, term).await;
+    }
+
+    /// Waits until another engine of the model may load.
+    async fn until_may_load(&self, lagging: &Lagging) {
         while self.loading.get() >= self.loads_at_once(lagging) {
             tokio::time::sleep(DRAIN_LOOK_EVERY).await;
         }
-        let _loading = Loading::begin(&self.loading);
-        self.load(&target, lagging, term).await;
     }
 
     fn loads_at_once(&self, lagging: &Lagging) -> usize {
@@ -155,19 +158,30 @@
 
     async fn load(&self, target: &Listed, lagging: &Lagging, term: Term) {
         let give_up = Instant::now() + LOAD_TIMEOUT;
-        let mut is_taken = false;
+        let mut version = lagging.version;
+        // Held from the order that the engine takes to the end of the load.
+        let mut loading = None;
         while Instant::now() < give_up && self.may_order(term) {
+            if loading.is_none() {
+                self.until_may_load(lagging).await;
+                // Newer ones may have been named while it waited for its turn.
+                version = self.newest(lagging);
+            }
             let report = report::read(&target.id, target.address).await;
             if let Some(report) = &report
-                && report.weights.get(&lagging.model).is_some_and(|has| *has >= lagging.version)
+                && report.weights.get(&lagging.model).is_some_and(|has| *has >= version)
             {
                 self.shared.change_roster(|known| known.set_weights(&target.id, &report.weights));
-                log::info!("event=weights_loaded engine={} version={}", target.id, lagging.version);
+                log::info!("event=weights_loaded engine={} version={version}", target.id);
                 return;
             }
             match report {
-                Some(report) if !report.is_busy && !is_taken => {
-                    is_taken = self.order(target, lagging, &report, term).await;
+                Some(report) if !report.is_busy && loading.is_none() => {
+                    let begun = Loading::begin(&self.loading);
+                    let lagging = Lagging { version, ..lagging.clone() };
+                    if self.order(target, &lagging, &report, term).await {
+                        loading = Some(begun);
+                    }
                 }
                 Some(_) => {}
                 // Gone, or cut off: the list tells before long.
@@ -177,6 +191,11 @@
         }
     }
 
+    fn newest(&self, lagging: &Lagging) -> u64 {
+        let belief = self.shared.belief.borrow();
+        belief.state.weights.get(&lagging.model).copied().unwrap_or(lagging.version)
+    }
+
     fn may_order(&self, term: Term) -> bool {
         let belief = self.shared.belief.borrow();
         belief.leads && belief.term == term && self.shared.caught_up_at.get().is_some()
