--- a/src/control/frames.rs
+++ b/src/control/frames.rs
@@ -1,6 +1,6 @@
 //! What replicas and entries say to each other, and how it is framed on a connection.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::net::IpAddr;
 use std::sync::Arc;
 
@@ -10,7 +10,7 @@
 
 use crate::deployment::Deployment;
 use crate::fleet::{Roster, RosterChange};
-use crate::ids::{DomainId, ModelId, NodeId};
+use crate::ids::{DomainId, NodeId};
 use crate::log::Message;
 use crate::scheduler::{Ask, Note, Placed, Unplaced};
 
@@ -126,8 +126,6 @@
     },
     /// The newest deployment.
     Deployment(Arc<Deployment>),
-    /// The newest weights of each model.
-    Weights(Arc<BTreeMap<ModelId, u64>>),
     /// The list of targets.
     Roster(NumberedRoster),
     /// How the list of targets differs from the one with an earlier number.
--- a/src/control/news.rs
+++ b/src/control/news.rs
@@ -127,7 +127,6 @@
 #[derive(Default)]
 struct Told {
     version: u64,
-    weights: Option<std::sync::Arc<std::collections::BTreeMap<String, u64>>>,
     roster: Option<NumberedRoster>,
 }
 
@@ -144,10 +143,6 @@
             bytes.extend_from_slice(&frame);
             self.roster = Some(roster.clone());
         }
-        if self.weights.as_ref() != Some(&belief.state.weights) {
-            self.weights = Some(belief.state.weights.clone());
-            bytes.extend_from_slice(&encode(&News::Weights(belief.state.weights.clone())));
-        }
         if let Some(published) = &belief.state.published
             && published.version() > self.version
         {
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -19,6 +19,7 @@
 use crate::log::driver::{Driver, Output};
 use crate::log::raft::{Change, NotLeader, ReadId};
 use crate::log::{Entry, Index, Payload, Term};
+use crate::scheduler::weights::NamedSince;
 
 /// How often timers of the log are looked at.
 const TICK: Duration = Duration::from_millis(25);
@@ -64,9 +65,6 @@
     pub seeds: RefCell<BTreeSet<IpAddr>>,
 }
 
-/// The newest named weights of each model, with the time since when they are known.
-pub type NamedSince = BTreeMap<ModelId, (u64, BootTime)>;
-
 /// What one replica believes.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Belief {
--- a/src/control/scheduling.rs
+++ b/src/control/scheduling.rs
@@ -21,8 +21,8 @@
 use crate::log::Term;
 use crate::net::http::{Exchange, fetch};
 use crate::platform::stores;
-use crate::scheduler::plan::OldWeights;
 use crate::scheduler::store::FreePlan;
+use crate::scheduler::weights::OldWeights;
 use crate::scheduler::{Ask, End, Note, Placed, Scheduler, TicketId, WaiterId};
 
 /// How often changes are taken over and frees are planned.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,7 +1,7 @@
 //! What the tasks of one entry share.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -19,7 +19,7 @@
 use crate::fleet::budget::{RetryRule, RetryShare};
 use crate::fleet::{Dispatch, FleetView};
 use crate::host::HostSettings;
-use crate::ids::{ModelId, TargetId};
+use crate::ids::TargetId;
 use crate::scheduler::{End, Note, TicketId};
 use crate::telemetry::roles::EntryMetrics;
 
@@ -39,8 +39,6 @@
     table: RefCell<Option<Rc<Table>>>,
     /// The targets.
     pub fleet: RefCell<FleetView>,
-    /// The newest weights of each model.
-    weights: RefCell<Arc<BTreeMap<ModelId, u64>>>,
     /// What this entry may retry.
     pub retries: RefCell<RetryShare>,
     /// Connections to targets.
@@ -80,7 +78,6 @@
             host,
             table: RefCell::default(),
             fleet: RefCell::default(),
-            weights: RefCell::default(),
             retries: RefCell::new(RetryShare::new(rule, ENTRIES_AT_FIRST)),
             pool: Pool::default(),
             asking: Asking::default(),
@@ -165,7 +162,6 @@
                 }
             }
             News::Deployment(deployment) => self.take_deployment(deployment),
-            News::Weights(weights) => *self.weights.borrow_mut() = weights,
             News::Roster(roster) => self.take_roster(roster),
             News::RosterChanged { before, number, change } => {
                 let mut roster = self.roster.borrow().clone();
--- a/src/host.rs
+++ b/src/host.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crate::ids::DomainId;
-use crate::scheduler::plan::OldWeights;
+use crate::scheduler::weights::OldWeights;
 
 /// Settings of one process, whatever wrote them.
 #[derive(Clone, Debug, PartialEq)]
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -14,6 +14,7 @@
 pub mod queue;
 pub mod store;
 mod way;
+pub mod weights;
 
 pub use messages::{Ask, End, Note, Placed, TicketId};
 pub use plan::{Outcome, Scheduler, Unplaced};
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -13,11 +13,12 @@
 use super::queue::{Queue, WaiterId, Waiting};
 use super::store::{FETCH_LASTS, FreePlan, Inventory, Store, StoreEvent, part_key};
 use super::way::{Wanted, Way, distance, shared_count};
+use super::weights::{NamedSince, OldWeights, Weights};
 use crate::clock::BootTime;
 use crate::deployment::{Deployment, EngineTraits, ServiceRole};
 use crate::fleet::{Fault, Presence, Roster};
 use crate::gateway::call::Part;
-use crate::ids::{ModelId, ServiceId, TargetId};
+use crate::ids::{ServiceId, TargetId};
 
 /// An engine takes another prompt once it has less than this left to read: enough to keep it busy
 /// until the next placement, and so little that an urgent prompt is not kept waiting behind others.
@@ -29,11 +30,6 @@
 /// A dispatch looks at this many prompts that find no room. Engines differ little in what fits, so
 /// more would find none either.
 const STUCK_AT_MOST: usize = 8;
-/// An engine with older weights than were named is chosen only if it saves this much: an answer of
-/// replaced weights is worth a fifth less, which is as much as being late by about this time.
-const OLD_WEIGHTS_MS: f64 = 150.0;
-/// A prompt begins at most this long after it was placed: what an engine has ahead, and a fetch.
-const BEGINS_WITHIN: Duration = Duration::from_millis(800);
 /// A new scheduler frees nothing before fetches that an earlier one granted have ended.
 const FIRST_FREES_AFTER: Duration = Duration::from_millis(2_500);
 
@@ -70,25 +66,7 @@
     next_ticket: TicketId,
     clock: Option<EnginesClock>,
     frees_from: BootTime,
-    /// Engines that are about to load other weights, or load them.
-    changing: BTreeSet<TargetId>,
-    /// Engines that run other weights than was believed, and did not say which. They get no prompts
-    /// until they were asked.
-    doubted: BTreeSet<TargetId>,
-    /// The newest weights of each model, and since when they are known.
-    named: BTreeMap<ModelId, (u64, BootTime)>,
-    old_weights: OldWeights,
-    began: BootTime,
-}
-
-/// How long prompts may begin on older weights once newer ones are named.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct OldWeights {
-    /// Counted from the naming, or from when this scheduler began: before that a replica that was
-    /// lost could order nothing. `None` for ever.
-    pub within: Option<Duration>,
-    /// Counted from the naming whoever led.
-    pub at_last_within: Option<Duration>,
+    weights: Weights,
 }
 
 /// A placement that has not ended.
@@ -128,43 +106,39 @@
             next_ticket: first_ticket,
             clock: None,
             frees_from: now + FIRST_FREES_AFTER,
-            changing: BTreeSet::new(),
-            doubted: BTreeSet::new(),
-            named: BTreeMap::new(),
-            old_weights: OldWeights::default(),
-            began: now,
+            weights: Weights::new(now),
         }
     }
 
     /// Sets how long prompts may begin on older weights once newer ones are named.
     pub fn set_old_weights(&mut self, old_weights: OldWeights) {
-        self.old_weights = old_weights;
+        self.weights.old_weights = old_weights;
     }
 
     /// Takes which engines get no prompts, since they change their weights.
     pub fn take_changing(&mut self, changing: &BTreeSet<TargetId>) {
-        if self.changing != *changing {
-            self.changing.clone_from(changing);
+        if self.weights.changing != *changing {
+            self.weights.changing.clone_from(changing);
         }
     }
 
     /// Takes the newest weights of each model, with the times since when they are known.
-    pub fn take_named(&mut self, named: &BTreeMap<ModelId, (u64, BootTime)>) {
-        if self.named != *named {
-            self.named.clone_from(named);
+    pub fn take_named(&mut self, named: &NamedSince) {
+        if self.weights.named != *named {
+            self.weights.named.clone_from(named);
         }
     }
 
     /// Engines whose weights are not known, with their addresses.
     pub fn doubted(&self) -> Vec<(TargetId, SocketAddr)> {
         let listed = |id: &TargetId| Some((id.clone(), self.engines.get(id)?.listed.address));
-        self.doubted.iter().filter_map(listed).collect()
+        self.weights.doubted.iter().filter_map(listed).collect()
     }
 
     /// An engine whose weights were not known was asked. Without an answer it is trusted again: it
     /// refuses what it must not run.
     pub fn resolve(&mut self, engine: &TargetId, weight_version: Option<u64>) {
-        self.doubted.remove(engine);
+        self.weights.doubted.remove(engine);
         if let Some(engine) = self.engines.get_mut(engine) {
             engine.set_weights(weight_version);
         }
@@ -175,21 +149,6 @@
         self.engines.get(engine).map_or(0, Engine::placed)
     }
 
-    /// Whether an engine may begin prompts of a model with the weights that it has: `None` if not,
-    /// else what speaks against it.
-    fn weights_cost_ms(&self, model: &ModelId, has: Option<u64>, now: BootTime) -> Option<f64> {
-        let Some((named, since)) = self.named.get(model) else { return Some(0.0) };
-        if has.is_some_and(|has| has >= *named) {
-            return Some(0.0);
-        }
-        let is_over = |since: BootTime, within: Option<Duration>| {
-            within.is_some_and(|within| now + BEGINS_WITHIN >= since + within)
-        };
-        let OldWeights { within, at_last_within } = self.old_weights;
-        let is_over = is_over(self.began.max(*since), within) || is_over(*since, at_last_within);
-        (!is_over).then_some(OLD_WEIGHTS_MS)
-    }
-
     /// Takes a deployment.
     pub fn take_deployment(&mut self, deployment: &Deployment) {
         self.traits.clear();
@@ -214,7 +173,7 @@
     /// Takes a list of targets.
     pub fn take_roster(&mut self, roster: &Roster) {
         self.engines.retain(|id, _| roster.get(id).is_some());
-        self.doubted.retain(|id| roster.get(id).is_some());
+        self.weights.doubted.retain(|id| roster.get(id).is_some());
         for listed in roster.iter() {
             let Some(traits) = self.traits.get(&listed.service) else { continue };
             let version = listed.weights.values().next().copied();
@@ -374,12 +333,11 @@
                 continue;
             }
             is_sound = true;
-            let is_kept_from = self.changing.contains(id) || self.doubted.contains(id);
-            if engine.reads_for(now) >= READS_AHEAD || is_kept_from {
+            if engine.reads_for(now) >= READS_AHEAD || self.weights.keep_from(id) {
                 continue;
             }
             let Some(weights_cost_ms) =
-                self.weights_cost_ms(&ask.model, engine.weight_version, now)
+                self.weights.cost_ms(&ask.model, engine.weight_version, now)
             else {
                 continue;
             };
@@ -557,7 +515,7 @@
                 // Of several prompts that were sent under the same belief, one shows that it is wrong.
                 if *end == End::OtherWeights(None) && engine.weight_version == known.weight_version
                 {
-                    self.doubted.insert(known.target);
+                    self.weights.doubted.insert(known.target);
                 }
             }
         }
--- a/tests/deployment/asking.rs
+++ b/tests/deployment/asking.rs
@@ -13,7 +13,7 @@
 use kumquatpost::control::state::{ControlState, Published};
 use kumquatpost::gateway::call::Part;
 use kumquatpost::log::Term;
-use kumquatpost::scheduler::plan::OldWeights;
+use kumquatpost::scheduler::weights::OldWeights;
 use kumquatpost::scheduler::{Ask, Placed};
 use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
--- a/tests/deployment/rollout.rs
+++ b/tests/deployment/rollout.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use kumquatpost::ids::TargetId;
-use kumquatpost::scheduler::plan::OldWeights;
+use kumquatpost::scheduler::weights::OldWeights;
 use kumquatpost::scheduler::{Ask, End, Scheduler, Unplaced};
 
 use crate::fixtures::{ms, roster};
