Ask the platform's list no more often than it may be asked

A list of 3,002 targets has some 60 pages; each of five replicas read it when it started and every 0.5 s until one had it, beyond the rate that the list takes, and a refused page began the list anew. Change: a replica that starts waits up to 0.2 s for another's list, a refused page alone is asked for again, and long lists are read less often. Memories of engines are read for 1.5 s at most.

--- a/src/control/memory_reader.rs
+++ b/src/control/memory_reader.rs
@@ -21,6 +21,10 @@
 /// Engines that are read at a time. Each answer is up to some hundred kilobytes.
 const AT_A_TIME: usize = 6;
 
+/// What has not been read after this time is not read: the scheduler has other things to do, and of
+/// thousands of engines each holds little that matters.
+const READS_FOR: Duration = Duration::from_millis(1_500);
+
 /// Reads the events that engines still have.
 pub async fn run(scheduling: Rc<Scheduling>, engines: Vec<(TargetId, SocketAddr)>) {
     let count = engines.len();
@@ -38,9 +42,12 @@
             }
         }
     });
-    let recalled: usize =
-        reading.buffer_unordered(AT_A_TIME).fold(0, |sum, parts| async move { sum + parts }).await;
-    log::info!("event=memories_read engines={count} parts={recalled}");
+    let (read, parts) = reading
+        .buffer_unordered(AT_A_TIME)
+        .take_until(tokio::time::sleep(READS_FOR))
+        .fold((0, 0), |(read, sum), parts| async move { (read + 1, sum + parts) })
+        .await;
+    log::info!("event=memories_read engines={read} of={count} parts={parts}");
 }
 
 async fn read(engine: SocketAddr) -> Result<Vec<StoreEvent>, CallError> {
--- a/src/control/roster_reader.rs
+++ b/src/control/roster_reader.rs
@@ -21,41 +21,77 @@
 const TAKE_OVER_AFTER: Duration = Duration::from_millis(1_200);
 /// Spreads replicas that take over at the same time.
 const TAKE_OVER_SPREAD: Duration = Duration::from_millis(600);
+/// A replica that starts reads the list within this time, unless it hears of it first. An election
+/// takes longer.
+const FIRST_WITHIN: Duration = Duration::from_millis(200);
+/// Readers use at most this part of the calls that the list takes: when a leader changes, two read.
+const RATE_PART: f64 = 0.6;
+/// A page that was asked for too often is asked for again within this time, so many times.
+const PAGE_AGAIN: Duration = Duration::from_millis(250);
+const PAGE_TRIES: u32 = 8;
 /// Longest time for one page.
 const PAGE_TIMEOUT: Duration = Duration::from_millis(700);
 /// More pages than this are taken for a mistake.
 const MAX_PAGES: usize = 1_000;
 
-/// Reads for as long as the process lives: at once when it starts, since all replicas may have just
+/// Where the list is, and how often it may be asked.
+#[derive(Clone, Copy, Debug)]
+pub struct ListAddress {
+    /// The address.
+    pub address: SocketAddr,
+    /// Calls a second that it takes from all hosts together.
+    pub rate_per_s: f64,
+}
+
+impl ListAddress {
+    /// How often a list of so many pages may be read.
+    pub fn read_every(&self, pages: usize) -> Duration {
+        if self.rate_per_s <= 0.0 {
+            return READ_EVERY;
+        }
+        let by_rate = Duration::from_secs_f64(pages as f64 / (self.rate_per_s * RATE_PART));
+        READ_EVERY.max(by_rate)
+    }
+}
+
+/// Reads for as long as the process lives: soon when it starts, since all replicas may have just
 /// started and entries wait for the first list, and then when it is this replica's turn.
-pub async fn run(shared: Rc<Shared>, own: IpAddr, list: SocketAddr) {
+pub async fn run(shared: Rc<Shared>, own: IpAddr, list: ListAddress) {
     let mut failing = false;
+    let mut pages = 1;
+    tokio::time::sleep(FIRST_WITHIN.mul_f64(rand::rng().random())).await;
+    if shared.roster.borrow().number > 0 {
+        // Another replica was faster.
+        turn(&shared, list.read_every(pages)).await;
+    }
     loop {
-        match read(list).await {
-            Ok(targets) => {
+        match read(list.address).await {
+            Ok(read) => {
                 if failing {
-                    log::info!("event=target_list_regained list={list}");
+                    log::info!("event=target_list_regained list={}", list.address);
                 }
                 failing = false;
-                take(&shared, own, targets);
+                pages = read.pages;
+                take(&shared, own, read.targets);
             }
             Err(error) if !failing => {
                 failing = true;
-                log::warn!("event=target_list_lost list={list} reason={:?}", error.to_string());
+                let reason = error.to_string();
+                log::warn!("event=target_list_lost list={} reason={reason:?}", list.address);
             }
             Err(_) => {}
         }
-        turn(&shared).await;
+        turn(&shared, list.read_every(pages)).await;
     }
 }
 
 /// Waits until this replica should read again.
-async fn turn(shared: &Shared) {
+async fn turn(shared: &Shared, read_every: Duration) {
     loop {
         let patience = TAKE_OVER_AFTER + TAKE_OVER_SPREAD.mul_f64(rand::rng().random());
-        tokio::time::sleep(READ_EVERY).await;
+        tokio::time::sleep(read_every).await;
         let age = boot_now().saturating_sub(shared.roster_read_at.get());
-        if shared.belief.borrow().leads || age >= patience {
+        if shared.belief.borrow().leads || age >= patience.max(read_every * 2) {
             return;
         }
     }
@@ -79,21 +115,42 @@
     shared.tell(&shared.belief.borrow().state, own, &frame);
 }
 
-async fn read(list: SocketAddr) -> Result<Vec<Listed>, CallError> {
+/// A whole list.
+struct Read {
+    targets: Vec<Listed>,
+    pages: usize,
+}
+
+async fn read(list: SocketAddr) -> Result<Read, CallError> {
     let mut targets = Vec::new();
     let mut token: Option<String> = None;
-    for _ in 0..MAX_PAGES {
-        let path = instances::page_path(token.as_deref());
-        let answer = fetch(Exchange::new(list, Method::GET, &path), PAGE_TIMEOUT).await?;
-        if answer.status != StatusCode::OK {
-            return Err(format!("the list answers {}", answer.status).into());
-        }
-        let (page, next) = instances::decode(&answer.body)?;
+    for pages in 1..=MAX_PAGES {
+        let (page, next) = read_page(list, token.as_deref()).await?;
         targets.extend(page);
         token = next;
         if token.is_none() {
-            return Ok(targets);
+            return Ok(Read { targets, pages });
         }
     }
     Err("the list does not end".into())
 }
+
+/// Reads a page, again after a while if the list has been asked too often.
+async fn read_page(
+    list: SocketAddr,
+    token: Option<&str>,
+) -> Result<(Vec<Listed>, Option<String>), CallError> {
+    let mut tries = 0;
+    loop {
+        let call = Exchange::new(list, Method::GET, &instances::page_path(token));
+        let answer = fetch(call, PAGE_TIMEOUT).await?;
+        match answer.status {
+            StatusCode::OK => return Ok(instances::decode(&answer.body)?),
+            StatusCode::TOO_MANY_REQUESTS if tries < PAGE_TRIES => {
+                tries += 1;
+                tokio::time::sleep(PAGE_AGAIN.mul_f64(rand::rng().random())).await;
+            }
+            status => return Err(format!("the list answers {status}").into()),
+        }
+    }
+}
--- a/src/control/run.rs
+++ b/src/control/run.rs
@@ -20,7 +20,7 @@
 use super::operators::Operators;
 use super::ordering::Ordering;
 use super::replica::{Belief, Input, Replica, Shared, Start};
-use super::roster_reader;
+use super::roster_reader::{self, ListAddress};
 use super::scheduling::Scheduling;
 use super::state::ControlState;
 use crate::clock::boot_now;
@@ -96,7 +96,8 @@
         metrics: metrics.clone(),
     });
     tasks.spawn("operators", operators.accept(listen(operators_address).await?));
-    if let Some(list) = host.target_list {
+    if let Some(address) = host.target_list {
+        let list = ListAddress { address, rate_per_s: host.target_list_rate };
         tasks.spawn("target_list", roster_reader::run(shared.clone(), host.ip, list));
     }
     let apart = host.periods.order_lease;
--- a/tests/deployment/instances.rs
+++ b/tests/deployment/instances.rs
@@ -1,8 +1,11 @@
 //! Pages of the platform's list.
 
+use kumquatpost::control::roster_reader::ListAddress;
 use kumquatpost::fleet::Presence;
 use kumquatpost::platform::instances;
 
+use crate::fixtures::ms;
+
 const PAGE: &str = r#"{"Instances":[
   {"Service":"llm","Addr":"10.128.0.9:8080","Zone":"hall","Version":"v1","Slots":48,"State":"ready",
    "ColdLeftMs":0,"Stage":"colocated","Models":[{"Name":"m","Version":3,"Adapters":[]}],"Id":"i-1"},
@@ -35,3 +38,11 @@
         assert!(instances::decode(&PAGE.as_bytes()[..length]).is_err(), "cut at {length}");
     }
 }
+
+#[test]
+fn a_long_list_is_read_as_often_as_it_may_be_asked() {
+    let list = |rate_per_s| ListAddress { address: crate::fixtures::address(1), rate_per_s };
+    assert_eq!(list(44.0).read_every(3), ms(500));
+    assert_eq!(list(50.0).read_every(60), ms(2_000), "60 pages, 30 calls a second");
+    assert_eq!(list(0.0).read_every(60), ms(500), "no rate is told");
+}
