Let the leader alone read the list at a start, at once when it is elected

At a start five replicas read at the same time, each some 60 pages, and took the calls from each other. Now one that has just been elected reads at once, the others only once nobody has for 1.2 s.

--- a/src/control/roster_reader.rs
+++ b/src/control/roster_reader.rs
@@ -21,9 +21,6 @@
 const TAKE_OVER_AFTER: Duration = Duration::from_millis(1_200);
 /// Spreads replicas that take over at the same time.
 const TAKE_OVER_SPREAD: Duration = Duration::from_millis(600);
-/// A replica that starts reads the list within this time, unless it hears of it first. An election
-/// takes longer.
-const FIRST_WITHIN: Duration = Duration::from_millis(200);
 /// Readers use at most this part of the calls that the list takes: when a leader changes, two read.
 const RATE_PART: f64 = 0.6;
 /// A page that was asked for too often is asked for again within this time, so many times.
@@ -54,17 +51,12 @@
     }
 }
 
-/// Reads for as long as the process lives: soon when it starts, since all replicas may have just
-/// started and entries wait for the first list, and then when it is this replica's turn.
+/// Reads for as long as the process lives, whenever it is this replica's turn.
 pub async fn run(shared: Rc<Shared>, own: IpAddr, list: ListAddress) {
     let mut failing = false;
     let mut pages = 1;
-    tokio::time::sleep(FIRST_WITHIN.mul_f64(rand::rng().random())).await;
-    if shared.roster.borrow().number > 0 {
-        // Another replica was faster.
-        turn(&shared, list.read_every(pages)).await;
-    }
     loop {
+        turn(&shared, list.read_every(pages)).await;
         match read(list.address).await {
             Ok(read) => {
                 if failing {
@@ -81,15 +73,21 @@
             }
             Err(_) => {}
         }
-        turn(&shared, list.read_every(pages)).await;
     }
 }
 
-/// Waits until this replica should read again.
+/// Waits until this replica should read: as soon as it leads, since all replicas may have just started
+/// and entries wait for the first list, and then regularly, or once nobody else does.
 async fn turn(shared: &Shared, read_every: Duration) {
+    let mut belief = shared.belief.subscribe();
     loop {
         let patience = TAKE_OVER_AFTER + TAKE_OVER_SPREAD.mul_f64(rand::rng().random());
-        tokio::time::sleep(read_every).await;
+        let led = belief.borrow_and_update().leads;
+        tokio::select! {
+            () = tokio::time::sleep(read_every) => {}
+            // The sender lives as long as `shared`.
+            _ = belief.wait_for(|belief| belief.leads && !led) => {}
+        }
         let age = boot_now().saturating_sub(shared.roster_read_at.get());
         if shared.belief.borrow().leads || age >= patience.max(read_every * 2) {
             return;
