Count the uses of a resident part to the end, whoever leaves first

Change: a part that others use is not forgotten, and a use ends once. Tests: memory::* (both fail before).

--- a/src/scheduler/memory.rs
+++ b/src/scheduler/memory.rs
@@ -63,8 +63,8 @@
 
     /// A running prompt uses a part no more.
     pub fn end_use(&mut self, key: PartKey) {
-        let Some(part) = self.parts.get_mut(&key) else { return };
-        part.users = part.users.saturating_sub(1);
+        let Some(part) = self.parts.get_mut(&key).filter(|part| part.users > 0) else { return };
+        part.users -= 1;
         if part.users == 0 {
             self.uses += 1;
             part.last_use = self.uses;
@@ -81,14 +81,15 @@
         }
     }
 
-    /// Forgets a part, which was not read after all.
+    /// Forgets a part, which was not read after all. One that others use stays: they read it if it is
+    /// not there, and their uses must be counted to the end.
     pub fn forget(&mut self, key: PartKey) {
-        let Some(part) = self.parts.remove(&key) else { return };
-        self.used -= part.tokens;
-        if part.users == 0 {
+        if self.parts.get(&key).is_none_or(|part| part.users > 0) {
+            return;
+        }
+        if let Some(part) = self.parts.remove(&key) {
+            self.used -= part.tokens;
             self.idle.remove(&part.last_use);
-        } else {
-            self.in_use -= part.tokens;
         }
     }
 
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -16,6 +16,7 @@
 mod identity;
 mod instances;
 mod links;
+mod memory;
 mod placement;
 #[allow(dead_code, reason = "the soak uses the rest")]
 #[path = "../platform_stand_in/mod.rs"]
