--- a/tests/deployment/fixtures.rs
+++ b/tests/deployment/fixtures.rs
@@ -9,6 +9,18 @@
     StoreTraits,
 };
 use kumquatpost::fleet::{Listed, Presence, Roster};
+use proptest::prelude::ProptestConfig;
+use proptest::test_runner::RngSeed;
+
+/// The same cases on every run.
+pub fn cases(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(2026),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
 
 pub fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
--- a/tests/deployment/memory.rs
+++ b/tests/deployment/memory.rs
@@ -3,6 +3,8 @@
 use kumquatpost::scheduler::memory::Memory;
 use proptest::prelude::*;
 
+use crate::fixtures::cases;
+
 #[test]
 fn a_part_that_one_leaves_unread_stays_for_others_and_is_counted_to_the_end() {
     let mut memory = Memory::new(1_000);
@@ -21,6 +23,8 @@
 }
 
 proptest! {
+    #![proptest_config(cases(256))]
+
     #[test]
     fn what_is_in_use_is_what_running_prompts_use(
         steps in proptest::collection::vec((0..4u8, 0..6u64, 1..400u64), 1..200),
