--- a/tests/deployment/essential.rs
+++ b/tests/deployment/essential.rs
@@ -1,15 +1,22 @@
 //! Essential tasks.
 
+use std::time::Duration;
+
 use kumquatpost::essential::essentials;
 use tokio::task::LocalSet;
 
+/// An end that is noticed is noticed at once; one that is not must not keep the test for ever.
+const NEVER: Duration = Duration::from_secs(20);
+
 fn first_end(task: impl Future<Output = ()> + 'static) -> String {
-    let runtime = tokio::runtime::Builder::new_current_thread().build().expect("a runtime");
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_time().build().expect("a runtime");
     LocalSet::new().block_on(&runtime, async {
         let (tasks, mut first_end) = essentials();
         tasks.spawn("other", std::future::pending());
         tasks.spawn("ordering", task);
-        first_end.wait().await.to_string()
+        let first = tokio::time::timeout(NEVER, first_end.wait()).await;
+        first.expect("the end is noticed").to_string()
     })
 }
 
