Log which list of targets an entry takes, and when another replica reads it

Change: one line for each list that an entry takes, with its number, the replica and who leaves by it (eight ids at most), and one when a replica reads that did not read last.

--- a/src/control/roster_reader.rs
+++ b/src/control/roster_reader.rs
@@ -55,8 +55,12 @@
 pub async fn run(shared: Rc<Shared>, own: IpAddr, list: ListAddress) {
     let mut failing = false;
     let mut pages = 1;
+    let mut last_own = None;
     loop {
         turn(&shared, list.read_every(pages)).await;
+        if last_own != Some(shared.roster_read_at.get()) {
+            log_turn(&shared);
+        }
         match read(list.address).await {
             Ok(read) => {
                 if failing {
@@ -65,6 +69,7 @@
                 failing = false;
                 pages = read.pages;
                 take(&shared, own, read.targets);
+                last_own = Some(shared.roster_read_at.get());
             }
             Err(error) if !failing => {
                 failing = true;
@@ -95,6 +100,17 @@
     }
 }
 
+/// Tells that this replica reads the list, which another one did before.
+fn log_turn(shared: &Shared) {
+    let unread = boot_now().saturating_sub(shared.roster_read_at.get());
+    log::info!(
+        "event=target_list_turn leads={} unread_ms={} number={}",
+        shared.belief.borrow().leads,
+        unread.as_millis(),
+        shared.roster.borrow().number
+    );
+}
+
 fn take(shared: &Shared, own: IpAddr, targets: Vec<Listed>) {
     shared.roster_read_at.set(boot_now());
     let changed = shared.change_roster(|known| known.take(targets));
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -17,7 +17,7 @@
 use crate::control::frames::{News, NumberedRoster};
 use crate::deployment::{Deployment, Table};
 use crate::fleet::budget::{RetryRule, RetryShare};
-use crate::fleet::{Dispatch, FleetView};
+use crate::fleet::{Dispatch, FleetView, Presence};
 use crate::host::HostSettings;
 use crate::ids::TargetId;
 use crate::scheduler::{End, Note, TicketId};
@@ -137,6 +137,18 @@
         self.current_at.get().map(|at| boot_now().saturating_sub(at))
     }
 
+    /// The number of the list of targets that is in use; 0 before the first.
+    pub fn roster_number(&self) -> u64 {
+        self.roster.borrow().number
+    }
+
+    /// Listed targets that are leaving.
+    pub fn leaving(&self) -> Vec<TargetId> {
+        let roster = &self.roster.borrow().roster;
+        let leaving = roster.iter().filter(|listed| listed.presence == Presence::Leaving);
+        leaving.map(|listed| listed.id.clone()).collect()
+    }
+
     /// Takes news from a replica. What is older than what is known changes nothing.
     ///
     /// # Errors
--- a/src/gateway/subscription.rs
+++ b/src/gateway/subscription.rs
@@ -22,6 +22,8 @@
 const SILENT: Duration = Duration::from_millis(CURRENT_EVERY.as_millis() as u64 * 3);
 /// Longest time to connect.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Leaving targets that are named in a line of the log.
+const LEAVING_LOGGED: usize = 8;
 /// Pause between replicas.
 const NEXT_AFTER: Duration = Duration::from_millis(50);
 
@@ -73,7 +75,22 @@
     let mut read = BufReader::new(read);
     loop {
         let news: News = tokio::time::timeout(SILENT, frames::read(&mut read)).await??;
+        let known = gateway.roster_number();
         // Heard anew, a replica tells the whole list.
         gateway.take(news).map_err(std::io::Error::other)?;
+        if gateway.roster_number() != known {
+            log_roster(gateway, replica);
+        }
     }
 }
+
+/// Tells which list of targets is in use from now on, and who leaves by it.
+fn log_roster(gateway: &Gateway, replica: IpAddr) {
+    let leaving = gateway.leaving();
+    log::info!(
+        "event=targets_heard number={} replica={replica} leaving={} first_leaving={:?}",
+        gateway.roster_number(),
+        leaving.len(),
+        &leaving[..leaving.len().min(LEAVING_LOGGED)]
+    );
+}
