Name lists of targets by their content, and never forget who leaves

Cause: a list's number did not name one list. Two replicas that read or found out something at the same time gave one number to two lists; a change of the one was applied to the other, equal numbers were never compared, a follower with a higher number ignored the leader's list, and a list with a higher number took the place of one that knew more of who leaves. Entries sent work to what the scheduler named though they knew that it leaves.

Change: a list's name is its number and the digest of its targets. A change names both lists, and the entry checks that it made the named one, else it asks for the whole. A replica that hears an earlier list tells its own; what leaves by either of two lists leaves by their join. An entry hears who leaves from every list, and takes no target back that left or was found to have ended; it looks once more right before it sends.

Tests that were changed: the list that 'comes late' has a lower number now, since of two lists with one number the greater digest is the later one by definition; the test of a change of another list checks two more cases (same number with other targets, a change that makes another list).

--- a/src/control/frames.rs
+++ b/src/control/frames.rs
@@ -95,23 +95,62 @@
     Hosts(BTreeSet<IpAddr>),
     /// The list of targets.
     Roster(NumberedRoster),
-    /// The list with this number was read again and is the same.
-    RosterUnchanged(u64),
+    /// The list with this name was read again and is the same.
+    RosterUnchanged(RosterName),
     /// The sender has an older list than the one that was said to be the same.
     RosterWanted,
     /// Entries that are connected to the sender.
     Entries(BTreeSet<String>),
 }
 
+/// Names a list of targets. Two replicas may give the same number to lists that differ: these differ
+/// in the digest, too. The later of two lists has the greater name.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RosterName {
+    /// Higher than that of every list that its reader had seen.
+    pub number: u64,
+    /// Of the listed targets.
+    pub digest: u64,
+}
+
 /// A list of targets with its place among other lists.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct NumberedRoster {
     /// Higher than that of every list that its reader had seen.
     pub number: u64,
+    /// That of `roster`.
+    digest: u64,
     /// The list.
     pub roster: Arc<Roster>,
 }
 
+impl NumberedRoster {
+    /// A list with its number.
+    pub fn new(number: u64, roster: Arc<Roster>) -> NumberedRoster {
+        NumberedRoster { number, digest: roster.digest(), roster }
+    }
+
+    /// Its name.
+    pub fn name(&self) -> RosterName {
+        RosterName { number: self.number, digest: self.digest }
+    }
+
+    /// Takes the later of this list and another one, and who leaves by either of them: a target that
+    /// leaves never comes back, whichever list is the later one.
+    pub fn join(&mut self, other: &NumberedRoster) {
+        let (later, earlier) = match other.name() > self.name() {
+            true => (other, &*self),
+            false => (&*self, other),
+        };
+        let mut roster = later.roster.clone();
+        let number = match Arc::make_mut(&mut roster).learn_leaving(&earlier.roster) {
+            true => later.number + 1,
+            false => later.number,
+        };
+        *self = NumberedRoster::new(number, roster);
+    }
+}
+
 /// From a replica to an entry. What is said holds until it is said otherwise.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum News {
@@ -128,12 +167,12 @@
     Deployment(Arc<Deployment>),
     /// The list of targets.
     Roster(NumberedRoster),
-    /// How the list of targets differs from the one with an earlier number.
+    /// How the list of targets differs from an earlier one.
     RosterChanged {
-        /// The earlier number.
-        before: u64,
-        /// The number.
-        number: u64,
+        /// The earlier list.
+        before: RosterName,
+        /// The list.
+        name: RosterName,
         /// The differences.
         change: RosterChange,
     },
--- a/src/control/news.rs
+++ b/src/control/news.rs
@@ -135,7 +135,7 @@
     fn add_news(&mut self, shared: &Shared, bytes: &mut Vec<u8>) {
         let belief = shared.belief.borrow();
         let roster = shared.roster.borrow();
-        if self.roster.as_ref().map(|told| told.number) != Some(roster.number) {
+        if self.roster.as_ref().map(NumberedRoster::name) != Some(roster.name()) {
             let frame = match &self.roster {
                 Some(told) => shared.roster_change(told, &roster),
                 None => encode(&News::Roster(roster.clone())),
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -1,6 +1,7 @@
 //! The task around one replica: its log, its operators' commands, its peers.
 
 use std::cell::{Cell, RefCell};
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::IpAddr;
 use std::rc::Rc;
@@ -10,7 +11,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 
 use super::forming::{Presence, Step};
-use super::frames::{News, NumberedRoster, ToReplica, encode};
+use super::frames::{News, NumberedRoster, RosterName, ToReplica, encode};
 use super::links::SharedLinks;
 use super::state::{Command, ControlState, Published, Reply};
 use crate::clock::{BootTime, boot_now};
@@ -44,9 +45,9 @@
     pub belief: watch::Sender<Belief>,
     /// The list of targets.
     pub roster: watch::Sender<NumberedRoster>,
-    /// The frame that tells entries of the last change of the list, with both numbers: most entries
+    /// The frame that tells entries of the last change of the list, with both names: most entries
     /// are told the same.
-    pub roster_news: RefCell<(u64, u64, Arc<[u8]>)>,
+    pub roster_news: RefCell<(RosterName, RosterName, Arc<[u8]>)>,
     /// When the list was last known to have been read by any replica.
     pub roster_read_at: Cell<BootTime>,
     /// When this replica last had all that was committed.
@@ -78,6 +79,17 @@
     pub leader: Option<IpAddr>,
 }
 
+/// Who does not know what this replica knows once it has heard a list of targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lacking {
+    /// The list that was heard is the one that is known here.
+    Nobody,
+    /// The sender has an earlier list.
+    Sender,
+    /// Neither list told all who leave.
+    Everybody,
+}
+
 /// Why there was no decision here.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Undecided {
@@ -212,35 +224,35 @@
                 self.shared.links.send(ip, encode(&ToReplica::Hosts(self.hosts())));
             }
             ToReplica::Hosts(hosts) => self.shared.seeds.borrow_mut().extend(hosts),
-            ToReplica::Roster(roster) => {
-                let is_other = {
-                    let known = self.shared.roster.borrow();
-                    known.number == roster.number && known.roster != roster.roster
-                };
-                if is_other && self.led {
-                    self.shared.renumber_roster();
-                }
-                self.shared.take_roster(roster, now);
-            }
-            ToReplica::RosterUnchanged(number) => {
-                let known = self.shared.roster.borrow().number;
-                if number >= known {
-                    self.shared.roster_read_at.set(now);
-                }
-                if number > known {
-                    self.shared.links.send(ip, encode(&ToReplica::RosterWanted));
-                }
-            }
-            ToReplica::RosterWanted => {
-                let roster = self.shared.roster.borrow().clone();
-                self.shared.links.send(ip, encode(&ToReplica::Roster(roster)));
-            }
+            ToReplica::Roster(roster) => self.take_roster(roster, ip, now),
+            ToReplica::RosterUnchanged(name) => match self.shared.hear_unchanged(name, now) {
+                Ordering::Less => self.tell_roster(ip),
+                Ordering::Equal => {}
+                Ordering::Greater => self.shared.links.send(ip, encode(&ToReplica::RosterWanted)),
+            },
+            ToReplica::RosterWanted => self.tell_roster(ip),
             ToReplica::Entries(entries) => {
                 self.others_entries.insert(node, (entries, now));
             }
         }
     }
 
+    fn take_roster(&self, roster: NumberedRoster, from: IpAddr, now: BootTime) {
+        match self.shared.take_roster(roster, now) {
+            Lacking::Nobody => {}
+            Lacking::Sender => self.tell_roster(from),
+            Lacking::Everybody => {
+                let roster = self.shared.roster.borrow().clone();
+                self.shared.tell(&self.state, self.ip, &ToReplica::Roster(roster));
+            }
+        }
+    }
+
+    fn tell_roster(&self, to: IpAddr) {
+        let roster = self.shared.roster.borrow().clone();
+        self.shared.links.send(to, encode(&ToReplica::Roster(roster)));
+    }
+
     fn propose(&mut self, command: &Command, sender: oneshot::Sender<Result<Reply, Undecided>>) {
         // Cannot fail: commands hold only types that the codec writes.
         let bytes = postcard::to_stdvec(command).unwrap_or_default();
@@ -418,18 +430,31 @@
         }
     }
 
-    /// Takes a list of targets that another replica has read.
-    pub fn take_roster(&self, newer: NumberedRoster, now: BootTime) {
-        if newer.number >= self.roster.borrow().number {
+    /// Takes a list of targets that another replica knows. Returns who must be told what is known now.
+    pub fn take_roster(&self, heard: NumberedRoster, now: BootTime) -> Lacking {
+        let before = self.roster.borrow().name();
+        if heard.name() >= before {
             self.roster_read_at.set(now);
         }
         self.roster.send_if_modified(|known| {
-            let is_newer = newer.number > known.number;
-            if is_newer {
-                *known = newer;
-            }
-            is_newer
+            known.join(&heard);
+            known.name() != before
         });
+        match self.roster.borrow().name() {
+            known if known == heard.name() => Lacking::Nobody,
+            known if known == before => Lacking::Sender,
+            _ => Lacking::Everybody,
+        }
+    }
+
+    /// Hears that a list was read again and is the same. Returns whether that one is later than the list
+    /// that is known here.
+    pub fn hear_unchanged(&self, name: RosterName, now: BootTime) -> Ordering {
+        let order = name.cmp(&self.roster.borrow().name());
+        if order.is_ge() {
+            self.roster_read_at.set(now);
+        }
+        order
     }
 
     /// Takes a list of targets that this replica has read, or found out more about. Returns whether
@@ -443,7 +468,7 @@
             let changed = change(Arc::make_mut(&mut known.roster));
             let is_news = changed || known.number < least;
             if is_news {
-                known.number = known.number.max(least) + 1;
+                *known = NumberedRoster::new(known.number.max(least) + 1, known.roster.clone());
             }
             is_news
         })
@@ -452,19 +477,14 @@
     /// The frame that tells an entry how the list differs from the one that it was told.
     pub fn roster_change(&self, told: &NumberedRoster, now: &NumberedRoster) -> Arc<[u8]> {
         let mut news = self.roster_news.borrow_mut();
-        if (news.0, news.1) != (told.number, now.number) {
+        let (before, name) = (told.name(), now.name());
+        if (news.0, news.1) != (before, name) {
             let change = told.roster.change_to(&now.roster);
-            let (before, number) = (told.number, now.number);
-            *news = (before, number, encode(&News::RosterChanged { before, number, change }));
+            *news = (before, name, encode(&News::RosterChanged { before, name, change }));
         }
         news.2.clone()
     }
 
-    /// Another replica has another list under the same number: gives this one a higher number.
-    fn renumber_roster(&self) {
-        self.roster.send_modify(|known| known.number += 1);
-    }
-
     fn take_named(&self, weights: &BTreeMap<ModelId, u64>, now: BootTime) {
         let mut named = self.named_since.borrow_mut();
         for (model, version) in weights {
--- a/src/control/roster_reader.rs
+++ b/src/control/roster_reader.rs
@@ -124,7 +124,7 @@
             );
             ToReplica::Roster(roster)
         }
-        false => ToReplica::RosterUnchanged(roster.number),
+        false => ToReplica::RosterUnchanged(roster.name()),
     };
     shared.tell(&shared.belief.borrow().state, own, &frame);
 }
--- a/src/control/run.rs
+++ b/src/control/run.rs
@@ -13,7 +13,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 
-use super::frames::NumberedRoster;
+use super::frames::{NumberedRoster, RosterName};
 use super::identity::Identity;
 use super::links::Links;
 use super::news;
@@ -67,7 +67,7 @@
         node: identity.node,
         belief: watch::Sender::new(Belief::default()),
         roster: watch::Sender::new(NumberedRoster::default()),
-        roster_news: RefCell::new((0, 0, Arc::from([]))),
+        roster_news: RefCell::new((RosterName::default(), RosterName::default(), Arc::from([]))),
         roster_read_at: Cell::new(boot_now()),
         caught_up_at: Cell::new(None),
         own_entries: RefCell::default(),
--- a/src/control/scheduling.rs
+++ b/src/control/scheduling.rs
@@ -11,7 +11,7 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::mpsc;
 
-use super::frames::{self, FromEntry, PlaceError, ToEntry, encode};
+use super::frames::{self, FromEntry, PlaceError, RosterName, ToEntry, encode};
 use super::memory_reader;
 use super::replica::Shared;
 use super::report;
@@ -121,7 +121,7 @@
     /// Takes over what changes, for as long as the process lives.
     pub async fn run(self: Rc<Scheduling>) {
         let mut version = 0;
-        let mut roster_number = 0;
+        let mut roster_name = RosterName::default();
         loop {
             tokio::time::sleep(LOOK_EVERY).await;
             let (leads, term) = {
@@ -139,9 +139,9 @@
                 log::info!("event=scheduling_begun term={term}");
                 let first_ticket = term << TICKETS_PER_TERM;
                 *self.active.borrow_mut() = Some((term, self.new_scheduler(first_ticket)));
-                (version, roster_number) = (0, 0);
+                (version, roster_name) = (0, RosterName::default());
             }
-            self.take_over(term, &mut version, &mut roster_number);
+            self.take_over(term, &mut version, &mut roster_name);
             self.ask_doubted();
             self.free_parts();
         }
@@ -162,7 +162,12 @@
         }
     }
 
-    fn take_over(self: &Rc<Scheduling>, term: Term, version: &mut u64, roster_number: &mut u64) {
+    fn take_over(
+        self: &Rc<Scheduling>,
+        term: Term,
+        version: &mut u64,
+        roster_name: &mut RosterName,
+    ) {
         let belief = self.shared.belief.borrow();
         let roster = self.shared.roster.borrow();
         let mut active = self.active.borrow_mut();
@@ -179,9 +184,9 @@
             // Services may be others now.
             scheduler.take_roster(&roster.roster);
         }
-        if roster.number != *roster_number && *version > 0 {
-            let is_first = *roster_number == 0;
-            *roster_number = roster.number;
+        if roster.name() != *roster_name && *version > 0 {
+            let is_first = roster_name.number == 0;
+            *roster_name = roster.name();
             scheduler.take_roster(&roster.roster);
             if is_first {
                 let engines = scheduler.engines();
--- a/src/fleet/roster.rs
+++ b/src/fleet/roster.rs
@@ -71,6 +71,28 @@
         self.targets.extend(changed);
     }
 
+    /// Names the listed targets: two lists with the same digest list the same, and 0 lists none.
+    pub fn digest(&self) -> u64 {
+        if self.targets.is_empty() {
+            return 0;
+        }
+        // Cannot fail: targets hold only types that the codec writes.
+        let bytes = postcard::to_stdvec(&self.targets).unwrap_or_default();
+        let [a, b, c, d, e, f, g, h, ..] = *blake3::hash(&bytes).as_bytes();
+        u64::from_le_bytes([a, b, c, d, e, f, g, h])
+    }
+
+    /// Learns from another list who leaves. Returns whether a listed target was not known to.
+    pub fn learn_leaving(&mut self, other: &Roster) -> bool {
+        self.left.extend(other.left.iter().cloned());
+        let mut changed = false;
+        for target in self.targets.values_mut().filter(|target| self.left.contains(&target.id)) {
+            changed |= target.presence != Presence::Leaving;
+            target.presence = Presence::Leaving;
+        }
+        changed
+    }
+
     /// Takes a whole list. Returns whether anything changed.
     pub fn take(&mut self, list: Vec<Listed>) -> bool {
         let mut targets = BTreeMap::new();
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -33,6 +33,8 @@
     pub reading_tokens: u64,
     /// Its soundness.
     pub health: Health,
+    /// Whether it was listed as leaving or found to have ended. Never taken back: lists lag.
+    has_left: bool,
     reported: Option<Reported>,
 }
 
@@ -64,7 +66,7 @@
         }
         for listed in roster.iter() {
             match self.targets.get_mut(&listed.id) {
-                Some(state) => state.listed.clone_from(listed),
+                Some(state) => state.list(listed),
                 None => drop(self.targets.insert(listed.id.clone(), TargetState::new(listed))),
             }
         }
@@ -139,12 +141,29 @@
 
     /// Records that another target answers at a target's address: this start of it has ended.
     pub fn replaced(&mut self, target: &TargetId) {
-        if let Some(state) = self.targets.get_mut(target) {
-            state.listed.presence = Presence::Leaving;
+        self.leave(std::iter::once(target));
+    }
+
+    /// Records that targets leave, or have left.
+    pub fn leave<'a>(&mut self, targets: impl Iterator<Item = &'a TargetId>) {
+        let mut is_news = false;
+        for target in targets {
+            if let Some(state) = self.targets.get_mut(target) {
+                is_news |= state.listed.presence == Presence::Live;
+                state.listed.presence = Presence::Leaving;
+                state.has_left = true;
+            }
+        }
+        if is_news {
             self.index();
         }
     }
 
+    /// Whether a target takes new work.
+    pub fn takes_work(&self, target: &TargetId) -> bool {
+        self.get(target).is_some_and(|state| state.listed.presence == Presence::Live)
+    }
+
     fn index(&mut self) {
         self.by_service.clear();
         for state in self.targets.values().filter(|s| s.listed.presence == Presence::Live) {
@@ -162,10 +181,19 @@
             running: 0,
             reading_tokens: 0,
             health: Health::default(),
+            has_left: listed.presence == Presence::Leaving,
             reported: None,
         }
     }
 
+    fn list(&mut self, listed: &Listed) {
+        self.listed.clone_from(listed);
+        self.has_left |= listed.presence == Presence::Leaving;
+        if self.has_left {
+            self.listed.presence = Presence::Leaving;
+        }
+    }
+
     /// Requests that it probably runs or holds, of all entries.
     pub fn load(&self, now: BootTime) -> f64 {
         let others = self.reported.map_or(0.0, |reported| {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -109,6 +109,13 @@
             avoid.push(target);
             continue;
         };
+        // The scheduler may hear later than this entry that the target leaves, and connecting takes time.
+        if !gateway.fleet.borrow().takes_work(&target) {
+            record.failed(&target, "it takes no new work");
+            at_target.ends(End::NotRun);
+            avoid.push(target);
+            continue;
+        }
         record.chosen(&chosen, connection.was_used);
         let time_left = job.ends_at.saturating_duration_since(Instant::now());
         if time_left < LEAST_TIME {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -14,10 +14,10 @@
 use super::pool::Pool;
 use super::record::LineBudget;
 use crate::clock::{BootTime, boot_now};
-use crate::control::frames::{News, NumberedRoster};
+use crate::control::frames::{News, NumberedRoster, RosterName};
 use crate::deployment::{Deployment, Table};
 use crate::fleet::budget::{RetryRule, RetryShare};
-use crate::fleet::{Dispatch, FleetView, Presence};
+use crate::fleet::{Dispatch, FleetView, Listed, Presence};
 use crate::host::HostSettings;
 use crate::ids::TargetId;
 use crate::scheduler::{End, Note, TicketId};
@@ -137,9 +137,9 @@
         self.current_at.get().map(|at| boot_now().saturating_sub(at))
     }
 
-    /// The number of the list of targets that is in use; 0 before the first.
-    pub fn roster_number(&self) -> u64 {
-        self.roster.borrow().number
+    /// The name of the list of targets that is in use.
+    pub fn roster_name(&self) -> RosterName {
+        self.roster.borrow().name()
     }
 
     /// Listed targets that are leaving.
@@ -174,25 +174,40 @@
                 }
             }
             News::Deployment(deployment) => self.take_deployment(deployment),
-            News::Roster(roster) => self.take_roster(roster),
-            News::RosterChanged { before, number, change } => {
-                let mut roster = self.roster.borrow().clone();
-                if roster.number >= number {
+            News::Roster(roster) => {
+                self.hear_leaving(roster.roster.iter());
+                self.take_roster(roster);
+            }
+            News::RosterChanged { before, name, change } => {
+                self.hear_leaving(change.changed.iter());
+                let known = self.roster.borrow().clone();
+                if known.name() >= name {
                     return Ok(());
                 }
-                if roster.number != before {
+                if known.name() != before {
                     return Err(OtherRoster);
                 }
-                roster.number = number;
-                Arc::make_mut(&mut roster.roster).apply(change);
-                self.take_roster(roster);
+                let mut roster = known.roster;
+                Arc::make_mut(&mut roster).apply(change);
+                let changed = NumberedRoster::new(name.number, roster);
+                if changed.name() != name {
+                    return Err(OtherRoster);
+                }
+                self.take_roster(changed);
             }
         }
         Ok(())
     }
 
+    /// Replicas may disagree for a while on which list is the later one, not on who leaves: who does by
+    /// any list gets no more work.
+    fn hear_leaving<'a>(&self, listed: impl Iterator<Item = &'a Listed>) {
+        let leaving = listed.filter(|listed| listed.presence == Presence::Leaving);
+        self.fleet.borrow_mut().leave(leaving.map(|listed| &listed.id));
+    }
+
     fn take_roster(&self, roster: NumberedRoster) {
-        if roster.number <= self.roster.borrow().number {
+        if roster.name() <= self.roster.borrow().name() {
             return;
         }
         self.fleet.borrow_mut().take(&roster.roster);
--- a/src/gateway/subscription.rs
+++ b/src/gateway/subscription.rs
@@ -75,10 +75,10 @@
     let mut read = BufReader::new(read);
     loop {
         let news: News = tokio::time::timeout(SILENT, frames::read(&mut read)).await??;
-        let known = gateway.roster_number();
+        let known = gateway.roster_name();
         // Heard anew, a replica tells the whole list.
         gateway.take(news).map_err(std::io::Error::other)?;
-        if gateway.roster_number() != known {
+        if gateway.roster_name() != known {
             log_roster(gateway, replica);
         }
     }
@@ -86,10 +86,11 @@
 
 /// Tells which list of targets is in use from now on, and who leaves by it.
 fn log_roster(gateway: &Gateway, replica: IpAddr) {
-    let leaving = gateway.leaving();
+    let (name, leaving) = (gateway.roster_name(), gateway.leaving());
     log::info!(
-        "event=targets_heard number={} replica={replica} leaving={} first_leaving={:?}",
-        gateway.roster_number(),
+        "event=targets_heard number={} digest={:x} replica={replica} leaving={} first_leaving={:?}",
+        name.number,
+        name.digest,
         leaving.len(),
         &leaving[..leaving.len().min(LEAVING_LOGGED)]
     );
--- a/tests/deployment/asking.rs
+++ b/tests/deployment/asking.rs
@@ -6,7 +6,9 @@
 use std::sync::Arc;
 
 use kumquatpost::clock::boot_now;
-use kumquatpost::control::frames::{FromEntry, NumberedRoster, PlaceError, ToEntry, encode, read};
+use kumquatpost::control::frames::{
+    FromEntry, NumberedRoster, PlaceError, RosterName, ToEntry, encode, read,
+};
 use kumquatpost::control::links::Links;
 use kumquatpost::control::replica::{Belief, Shared};
 use kumquatpost::control::scheduling::Scheduling;
@@ -25,7 +27,7 @@
 /// A replica that leads, with one engine.
 fn leading() -> Rc<Scheduling> {
     let roster = Arc::new(roster([target("i-1", "llm", address(1))]));
-    let shared = shared(1, NumberedRoster { number: 1, roster });
+    let shared = shared(1, NumberedRoster::new(1, roster));
     Rc::new(Scheduling::new(Rc::new(shared), OldWeights::default()))
 }
 
@@ -40,7 +42,7 @@
         node: 1,
         belief: watch::Sender::new(belief),
         roster: watch::Sender::new(roster),
-        roster_news: RefCell::new((0, 0, Arc::from([]))),
+        roster_news: RefCell::new((RosterName::default(), RosterName::default(), Arc::from([]))),
         roster_read_at: Cell::new(boot_now()),
         // Sure to lead for as long as a test runs.
         caught_up_at: Cell::new(Some(boot_now() + ms(600_000))),
--- a/tests/deployment/gateway.rs
+++ b/tests/deployment/gateway.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kumquatpost::control::frames::{News, NumberedRoster};
+use kumquatpost::control::frames::{News, NumberedRoster, RosterName};
 use kumquatpost::deployment::Deployment;
 use kumquatpost::fleet::{Listed, RosterChange};
 use kumquatpost::gateway::request::patience_at_start;
@@ -77,7 +77,7 @@
 
 impl Entry {
     fn hears(&self, deployment: Deployment, targets: Vec<Listed>) {
-        let roster = NumberedRoster { number: 1, roster: Arc::new(roster(targets)) };
+        let roster = NumberedRoster::new(1, Arc::new(roster(targets)));
         self.gateway.take(News::Deployment(Arc::new(deployment))).expect("it is whole");
         self.gateway.take(News::Roster(roster)).expect("it is whole");
     }
@@ -453,10 +453,9 @@
         entry.gateway.take(News::Deployment(Arc::new(deployment(4)))).expect("it is whole");
         let version = entry.gateway.table().expect("a table").deployment().version;
         assert_eq!(version, 5);
-        let late = NumberedRoster {
-            number: 1,
-            roster: Arc::new(roster([target("i-1", "app", entry.address)])),
-        };
+        let known = entry.gateway.roster_name();
+        let late = NumberedRoster::new(0, Arc::new(roster([target("i-1", "app", entry.address)])));
+        assert!(late.name() < known);
         entry.gateway.take(News::Roster(late)).expect("it is whole");
         assert!(entry.gateway.fleet.borrow().get("i-1").is_none());
     });
@@ -475,19 +474,26 @@
 fn a_change_of_another_list_than_the_known_one_is_not_taken() {
     run(async {
         let entry = entry(deployment(3), vec![target("i-1", "app", address(1))]).await;
-        let change = |before, number| News::RosterChanged {
+        let other = target("i-2", "app", address(2));
+        let list = |number, listed: &Listed| {
+            NumberedRoster::new(number, Arc::new(roster([listed.clone()]))).name()
+        };
+        let change = |before, name| News::RosterChanged {
             before,
-            number,
-            change: RosterChange {
-                changed: vec![target("i-2", "app", address(2))],
-                gone: vec!["i-1".to_string()],
-            },
+            name,
+            change: RosterChange { changed: vec![other.clone()], gone: vec!["i-1".to_string()] },
         };
+        let known = entry.gateway.roster_name();
         let is_listed = |id: &str| entry.gateway.fleet.borrow().get(id).is_some();
-        assert!(entry.gateway.take(change(2, 3)).is_err(), "the whole list is asked for");
-        assert!(entry.gateway.take(change(0, 1)).is_ok(), "known already");
+        let another = list(1, &other);
+        assert_ne!(another, known, "the same number, other targets");
+        assert!(entry.gateway.take(change(list(2, &other), list(3, &other))).is_err(), "unknown");
+        assert!(entry.gateway.take(change(another, list(2, &other))).is_err(), "another one");
+        let third = list(2, &target("i-3", "app", address(3)));
+        assert!(entry.gateway.take(change(known, third)).is_err(), "it makes another list");
+        assert!(entry.gateway.take(change(RosterName::default(), known)).is_ok(), "known already");
         assert!(is_listed("i-1") && !is_listed("i-2"));
-        assert!(entry.gateway.take(change(1, 2)).is_ok());
+        assert!(entry.gateway.take(change(known, list(2, &other))).is_ok());
         assert!(is_listed("i-2") && !is_listed("i-1"));
     });
 }
--- a/tests/deployment/leaving.rs
+++ b/tests/deployment/leaving.rs
@@ -21,7 +21,7 @@
 use kumquatpost::control::frames::{
     FromEntry, Introduction, News, NumberedRoster, ToEntry, encode, read,
 };
-use kumquatpost::control::replica::Shared;
+use kumquatpost::control::replica::{Lacking, Shared};
 use kumquatpost::fleet::{FleetView, Listed, Presence};
 use kumquatpost::gateway::asking;
 use kumquatpost::gateway::state::Gateway;
@@ -162,16 +162,63 @@
     assert!(!takes_work(&entry.gateway), "the entry sends work to a target that leaves");
 }
 
-/// A scheduler that places each prompt on one engine, whatever it hears.
-async fn place_all_on(engine: &str, listener: TcpListener) {
+#[test]
+fn replicas_with_two_lists_of_one_number_come_to_agree() {
+    let leader = shared(4, NumberedRoster::default());
+    read_list(&leader, Presence::Live);
+    let reader = follower(&current(&leader));
+    find_weights(&leader);
+    read_list(&reader, Presence::Leaving);
+    let (one, other) = (current(&leader), current(&reader));
+    assert_eq!(one.number, other.number);
+    assert_ne!(one.name(), other.name(), "which one is meant can be told");
+    // Each hears the other's, as after a cut; who lacks something is told until nobody does.
+    let mut lacking = [
+        (&leader, leader.take_roster(other, boot_now())),
+        (&reader, reader.take_roster(one, boot_now())),
+    ];
+    for _ in 0..3 {
+        lacking = lacking.map(|(from, lacking)| {
+            let to = if std::ptr::eq(from, &leader) { &reader } else { &leader };
+            match lacking {
+                Lacking::Nobody => (to, lacking),
+                _ => (to, to.take_roster(current(from), boot_now())),
+            }
+        });
+    }
+    assert!(lacking.iter().all(|(_, lacking)| *lacking == Lacking::Nobody), "it never ends");
+    assert_eq!(current(&leader).name(), current(&reader).name());
+    assert!(knows_who_leaves(&leader));
+}
+
+#[test]
+fn who_tells_of_an_earlier_list_is_told_the_later_one() {
+    let leader = shared(4, NumberedRoster::default());
+    read_list(&leader, Presence::Live);
+    let early = current(&leader);
+    let reader = follower(&early);
+    read_list(&reader, Presence::Leaving);
+    let now = boot_now();
+    assert!(reader.hear_unchanged(early.name(), now).is_lt(), "the leader lacks a list");
+    assert!(leader.hear_unchanged(current(&reader).name(), now).is_gt(), "it asks for it");
+    assert_eq!(reader.take_roster(early, now), Lacking::Sender);
+    assert_eq!(leader.take_roster(current(&reader), now), Lacking::Nobody);
+    assert!(leader.hear_unchanged(current(&reader).name(), now).is_eq());
+}
+
+/// A scheduler that places each prompt on the first engine that the entry does not avoid, and hears
+/// nothing of who leaves.
+async fn place_on_first_of(engines: [&str; 2], listener: TcpListener) {
     let (mut stream, _) = listener.accept().await.expect("the entry connects");
     let (read_half, mut write) = stream.split();
     let mut from_entry = BufReader::new(read_half);
     let _: Introduction = read(&mut from_entry).await.expect("who it is");
     // It ends with the test.
     while let Ok(frame) = read(&mut from_entry).await {
-        if let FromEntry::Ask(number, _) = frame {
-            let placed = Placed { target: engine.to_string(), ..Placed::default() };
+        if let FromEntry::Ask(number, ask) = frame {
+            let engine = engines.iter().find(|engine| !ask.avoid.iter().any(|id| id == *engine));
+            let target = engine.expect("one is left").to_string();
+            let placed = Placed { target, ..Placed::default() };
             let answer = encode(&ToEntry::Placed(number, Ok(placed)));
             write.write_all(&answer).await.expect("the entry reads");
         }
@@ -190,7 +237,7 @@
         let listener = TcpListener::bind((ip, entry.gateway.host.peer_port)).await.expect("a port");
         entry.gateway.leader.set(Some(ip));
         tokio::task::spawn_local(asking::keep_connected(entry.gateway.clone()));
-        tokio::task::spawn_local(place_all_on(LEAVES, listener));
+        tokio::task::spawn_local(place_on_first_of(["i-1", "i-2"], listener));
         // The entry hears that the engine leaves before the scheduler does.
         let replica = shared(4, NumberedRoster::default());
         let [mut first, second] = listed;
