A reader that can't reach the platform's list has another replica read it at once

Cause: a leader whose calls to the list failed or were slow told nobody; others waited 1.2 to 1.8 s from the end of its last read, and looked each 0.5 s.

Change: who waits for a page for 0.35 s, or fails, asks the others; the first of them reads within 0.25 s. A read counts from its beginning, and a list that is told for another reason is no read. Calm times have the same calls; each read is told with a name and an age in place of a number.

After: reading::* simulates the new rules over all moments, answers of 5 to 690 ms, places and phases: at most 2.15 s if the leader asks, 2.6 s if it falls silent.

--- a/src/control/frames.rs
+++ b/src/control/frames.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::net::IpAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -95,9 +96,16 @@
     Hosts(BTreeSet<IpAddr>),
     /// The list of targets.
     Roster(NumberedRoster),
-    /// The list with this name was read again and is the same.
-    RosterUnchanged(RosterName),
-    /// The sender has an older list than the one that was said to be the same.
+    /// The sender has read the list.
+    RosterRead {
+        /// The list that it knows now.
+        name: RosterName,
+        /// How long ago the read began.
+        age: Duration,
+    },
+    /// The sender fails to read the list, or waits long for it: another replica should read it now.
+    RosterUnread,
+    /// The sender has an older list than the one that was read.
     RosterWanted,
     /// Entries that are connected to the sender.
     Entries(BTreeSet<String>),
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -8,6 +8,7 @@
 pub mod news;
 pub mod operators;
 pub mod ordering;
+pub mod reading_turn;
 pub mod replica;
 pub mod report;
 pub mod roster_reader;
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -13,6 +13,7 @@
 use super::forming::{Presence, Step};
 use super::frames::{News, NumberedRoster, RosterName, ToReplica, encode};
 use super::links::SharedLinks;
+use super::reading_turn::ReadingTurn;
 use super::state::{Command, ControlState, Published, Reply};
 use crate::clock::{BootTime, boot_now};
 use crate::fleet::Roster;
@@ -48,8 +49,8 @@
     /// The frame that tells entries of the last change of the list, with both names: most entries
     /// are told the same.
     pub roster_news: RefCell<(RosterName, RosterName, Arc<[u8]>)>,
-    /// When the list was last known to have been read by any replica.
-    pub roster_read_at: Cell<BootTime>,
+    /// Who reads the list.
+    pub reading: Cell<ReadingTurn>,
     /// When this replica last had all that was committed.
     pub caught_up_at: Cell<Option<BootTime>>,
     /// Entries that are connected here, with the number of their connections.
@@ -224,8 +225,15 @@
                 self.shared.links.send(ip, encode(&ToReplica::Hosts(self.hosts())));
             }
             ToReplica::Hosts(hosts) => self.shared.seeds.borrow_mut().extend(hosts),
-            ToReplica::Roster(roster) => self.take_roster(roster, ip, now),
-            ToReplica::RosterUnchanged(name) => match self.shared.hear_unchanged(name, now) {
+            ToReplica::Roster(roster) => self.take_roster(roster, ip),
+            ToReplica::RosterUnread => self.shared.reading.update(|mut reading| {
+                reading.was_asked(now);
+                reading
+            }),
+            ToReplica::RosterRead { name, age } => match self
+                .shared
+                .hear_read(name, now.saturating_sub(age))
+            {
                 Ordering::Less => self.tell_roster(ip),
                 Ordering::Equal => {}
                 Ordering::Greater => self.shared.links.send(ip, encode(&ToReplica::RosterWanted)),
@@ -237,8 +245,8 @@
         }
     }
 
-    fn take_roster(&self, roster: NumberedRoster, from: IpAddr, now: BootTime) {
-        match self.shared.take_roster(roster, now) {
+    fn take_roster(&self, roster: NumberedRoster, from: IpAddr) {
+        match self.shared.take_roster(roster) {
             Lacking::Nobody => {}
             Lacking::Sender => self.tell_roster(from),
             Lacking::Everybody => {
@@ -431,11 +439,8 @@
     }
 
     /// Takes a list of targets that another replica knows. Returns who must be told what is known now.
-    pub fn take_roster(&self, heard: NumberedRoster, now: BootTime) -> Lacking {
+    pub fn take_roster(&self, heard: NumberedRoster) -> Lacking {
         let before = self.roster.borrow().name();
-        if heard.name() >= before {
-            self.roster_read_at.set(now);
-        }
         self.roster.send_if_modified(|known| {
             known.join(&heard);
             known.name() != before
@@ -447,16 +452,25 @@
         }
     }
 
-    /// Hears that a list was read again and is the same. Returns whether that one is later than the list
-    /// that is known here.
-    pub fn hear_unchanged(&self, name: RosterName, now: BootTime) -> Ordering {
+    /// Hears that another replica has read the list. Returns whether the one that it knows is later than
+    /// the one that is known here.
+    pub fn hear_read(&self, name: RosterName, began: BootTime) -> Ordering {
         let order = name.cmp(&self.roster.borrow().name());
+        // Who knows an earlier list may have seen less than was known here before.
         if order.is_ge() {
-            self.roster_read_at.set(now);
+            self.note_read(began);
         }
         order
     }
 
+    /// Records that the list was read.
+    pub fn note_read(&self, began: BootTime) {
+        self.reading.update(|mut reading| {
+            reading.was_read(began);
+            reading
+        });
+    }
+
     /// Takes a list of targets that this replica has read, or found out more about. Returns whether
     /// others must be told of it.
     pub fn change_roster(&self, change: impl FnOnce(&mut Roster) -> bool) -> bool {
--- a/src/control/roster_reader.rs
+++ b/src/control/roster_reader.rs
@@ -1,6 +1,8 @@
 //! Reads the platform's list of targets: the leader does, and another replica when it falls silent.
 
+use std::cell::Cell;
 use std::net::{IpAddr, SocketAddr};
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,26 +10,18 @@
 use rand::RngExt;
 
 use super::frames::ToReplica;
+use super::reading_turn::{LATE_AFTER, LOOK_EVERY, PAGE_TIMEOUT, READ_EVERY};
 use super::replica::Shared;
-use crate::clock::boot_now;
+use crate::clock::{BootTime, boot_now};
 use crate::fleet::Listed;
-use crate::net::http::{CallError, Exchange, fetch};
+use crate::net::http::{Answer, CallError, Exchange, fetch};
 use crate::platform::instances;
 
-/// How often the list is read. It lags by about 800 ms by itself, and a leaving target must get no
-/// new work 3 s after it is listed so; each read has a price.
-const READ_EVERY: Duration = Duration::from_millis(500);
-/// A replica that does not lead reads the list once nobody has for this long.
-const TAKE_OVER_AFTER: Duration = Duration::from_millis(1_200);
-/// Spreads replicas that take over at the same time.
-const TAKE_OVER_SPREAD: Duration = Duration::from_millis(600);
 /// Readers use at most this part of the calls that the list takes: when a leader changes, two read.
 const RATE_PART: f64 = 0.6;
 /// A page that was asked for too often is asked for again within this time, so many times.
 const PAGE_AGAIN: Duration = Duration::from_millis(250);
 const PAGE_TRIES: u32 = 8;
-/// Longest time for one page.
-const PAGE_TIMEOUT: Duration = Duration::from_millis(700);
 /// More pages than this are taken for a mistake.
 const MAX_PAGES: usize = 1_000;
 
@@ -53,56 +47,149 @@
 
 /// Reads for as long as the process lives, whenever it is this replica's turn.
 pub async fn run(shared: Rc<Shared>, own: IpAddr, list: ListAddress) {
-    let mut failing = false;
-    let mut pages = 1;
-    let mut last_own = None;
-    loop {
-        turn(&shared, list.read_every(pages)).await;
-        if last_own != Some(shared.roster_read_at.get()) {
-            log_turn(&shared);
+    Reader { shared, own, list: list.address, asks_again_at: Cell::default() }.run(list).await;
+}
+
+/// The list's reader at one replica.
+struct Reader {
+    shared: Rc<Shared>,
+    own: IpAddr,
+    list: SocketAddr,
+    /// Others are asked to read once for each read here that fails.
+    asks_again_at: Cell<BootTime>,
+}
+
+impl Reader {
+    async fn run(&self, list: ListAddress) {
+        let mut failing = false;
+        let mut pages = 1;
+        let mut last_own = None;
+        loop {
+            turn(&self.shared, list.read_every(pages)).await;
+            if last_own != Some(self.shared.reading.get().read_at()) {
+                log_turn(&self.shared);
+            }
+            let began = boot_now();
+            match self.read().await {
+                Ok(read) => {
+                    if failing {
+                        log::info!("event=target_list_regained list={}", self.list);
+                    }
+                    failing = false;
+                    pages = read.pages;
+                    self.take(read.targets, began);
+                    last_own = Some(self.shared.reading.get().read_at());
+                }
+                Err(error) => {
+                    self.ask_others();
+                    if !failing {
+                        let reason = error.to_string();
+                        log::warn!("event=target_list_lost list={} reason={reason:?}", self.list);
+                    }
+                    failing = true;
+                }
+            }
         }
-        match read(list.address).await {
-            Ok(read) => {
-                if failing {
-                    log::info!("event=target_list_regained list={}", list.address);
+    }
+
+    /// Has other replicas read at once: the list may be out of this one's reach alone, and what leaves
+    /// must be known everywhere in time.
+    fn ask_others(&self) {
+        let now = boot_now();
+        if now < self.asks_again_at.get() {
+            return;
+        }
+        self.asks_again_at.set(now + READ_EVERY);
+        let state = &self.shared.belief.borrow().state;
+        self.shared.tell(state, self.own, &ToReplica::RosterUnread);
+    }
+
+    fn take(&self, targets: Vec<Listed>, began: BootTime) {
+        self.shared.note_read(began);
+        let changed = self.shared.change_roster(|known| known.take(targets));
+        let roster = self.shared.roster.borrow().clone();
+        let name = roster.name();
+        let state = &self.shared.belief.borrow().state;
+        if changed {
+            let (number, count) = (roster.number, roster.roster.len());
+            log::info!("event=targets_changed number={number} count={count}");
+            self.shared.tell(state, self.own, &ToReplica::Roster(roster));
+        }
+        let age = boot_now().saturating_sub(began);
+        self.shared.tell(state, self.own, &ToReplica::RosterRead { name, age });
+    }
+
+    async fn read(&self) -> Result<Read, CallError> {
+        let mut targets = Vec::new();
+        let mut token: Option<String> = None;
+        for pages in 1..=MAX_PAGES {
+            let (page, next) = self.read_page(token.as_deref()).await?;
+            targets.extend(page);
+            token = next;
+            if token.is_none() {
+                return Ok(Read { targets, pages });
+            }
+        }
+        Err("the list does not end".into())
+    }
+
+    /// Reads a page, again after a while if the list has been asked too often.
+    async fn read_page(
+        &self,
+        token: Option<&str>,
+    ) -> Result<(Vec<Listed>, Option<String>), CallError> {
+        let mut tries = 0;
+        loop {
+            let answer = self.fetch_page(token).await?;
+            match answer.status {
+                StatusCode::OK => return Ok(instances::decode(&answer.body)?),
+                StatusCode::TOO_MANY_REQUESTS if tries < PAGE_TRIES => {
+                    tries += 1;
+                    tokio::time::sleep(PAGE_AGAIN.mul_f64(rand::rng().random())).await;
                 }
-                failing = false;
-                pages = read.pages;
-                take(&shared, own, read.targets);
-                last_own = Some(shared.roster_read_at.get());
+                status => return Err(format!("the list answers {status}").into()),
             }
-            Err(error) if !failing => {
-                failing = true;
-                let reason = error.to_string();
-                log::warn!("event=target_list_lost list={} reason={reason:?}", list.address);
+        }
+    }
+
+    /// Fetches a page, and has others read if it takes long.
+    async fn fetch_page(&self, token: Option<&str>) -> Result<Answer, CallError> {
+        let call = Exchange::new(self.list, Method::GET, &instances::page_path(token));
+        let mut fetching = pin!(fetch(call, PAGE_TIMEOUT));
+        match tokio::time::timeout(LATE_AFTER, &mut fetching).await {
+            Ok(answer) => answer,
+            Err(_) => {
+                self.ask_others();
+                fetching.await
             }
-            Err(_) => {}
         }
     }
 }
 
 /// Waits until this replica should read: as soon as it leads, since all replicas may have just started
-/// and entries wait for the first list, and then regularly, or once nobody else does.
+/// and entries wait for the first list, and then regularly, or once another one fails to or nobody does.
 async fn turn(shared: &Shared, read_every: Duration) {
     let mut belief = shared.belief.subscribe();
-    loop {
-        let patience = TAKE_OVER_AFTER + TAKE_OVER_SPREAD.mul_f64(rand::rng().random());
-        let led = belief.borrow_and_update().leads;
+    let led = belief.borrow_and_update().leads;
+    tokio::select! {
+        () = tokio::time::sleep(read_every) => {}
+        // The sender lives as long as `shared`.
+        _ = belief.wait_for(|belief| belief.leads && !led) => {}
+    }
+    let place = rand::rng().random();
+    while !shared.belief.borrow().leads
+        && boot_now() < shared.reading.get().takes_over_at(place, read_every)
+    {
         tokio::select! {
-            () = tokio::time::sleep(read_every) => {}
-            // The sender lives as long as `shared`.
-            _ = belief.wait_for(|belief| belief.leads && !led) => {}
-        }
-        let age = boot_now().saturating_sub(shared.roster_read_at.get());
-        if shared.belief.borrow().leads || age >= patience.max(read_every * 2) {
-            return;
+            () = tokio::time::sleep(LOOK_EVERY) => {}
+            _ = belief.wait_for(|belief| belief.leads) => {}
         }
     }
 }
 
 /// Tells that this replica reads the list, which another one did before.
 fn log_turn(shared: &Shared) {
-    let unread = boot_now().saturating_sub(shared.roster_read_at.get());
+    let unread = boot_now().saturating_sub(shared.reading.get().read_at());
     log::info!(
         "event=target_list_turn leads={} unread_ms={} number={}",
         shared.belief.borrow().leads,
@@ -111,60 +198,8 @@
     );
 }
 
-fn take(shared: &Shared, own: IpAddr, targets: Vec<Listed>) {
-    shared.roster_read_at.set(boot_now());
-    let changed = shared.change_roster(|known| known.take(targets));
-    let roster = shared.roster.borrow().clone();
-    let frame = match changed {
-        true => {
-            log::info!(
-                "event=targets_changed number={} count={}",
-                roster.number,
-                roster.roster.len()
-            );
-            ToReplica::Roster(roster)
-        }
-        false => ToReplica::RosterUnchanged(roster.name()),
-    };
-    shared.tell(&shared.belief.borrow().state, own, &frame);
-}
-
 /// A whole list.
 struct Read {
     targets: Vec<Listed>,
     pages: usize,
 }
-
-async fn read(list: SocketAddr) -> Result<Read, CallError> {
-    let mut targets = Vec::new();
-    let mut token: Option<String> = None;
-    for pages in 1..=MAX_PAGES {
-        let (page, next) = read_page(list, token.as_deref()).await?;
-        targets.extend(page);
-        token = next;
-        if token.is_none() {
-            return Ok(Read { targets, pages });
-        }
-    }
-    Err("the list does not end".into())
-}
-
-/// Reads a page, again after a while if the list has been asked too often.
-async fn read_page(
-    list: SocketAddr,
-    token: Option<&str>,
-) -> Result<(Vec<Listed>, Option<String>), CallError> {
-    let mut tries = 0;
-    loop {
-        let call = Exchange::new(list, Method::GET, &instances::page_path(token));
-        let answer = fetch(call, PAGE_TIMEOUT).await?;
-        match answer.status {
-            StatusCode::OK => return Ok(instances::decode(&answer.body)?),
-            StatusCode::TOO_MANY_REQUESTS if tries < PAGE_TRIES => {
-                tries += 1;
-                tokio::time::sleep(PAGE_AGAIN.mul_f64(rand::rng().random())).await;
-            }
-            status => return Err(format!("the list answers {status}").into()),
-        }
-    }
-}
--- a/src/control/run.rs
+++ b/src/control/run.rs
@@ -19,6 +19,7 @@
 use super::news;
 use super::operators::Operators;
 use super::ordering::Ordering;
+use super::reading_turn::ReadingTurn;
 use super::replica::{Belief, Input, Replica, Shared, Start};
 use super::roster_reader::{self, ListAddress};
 use super::scheduling::Scheduling;
@@ -68,7 +69,7 @@
         belief: watch::Sender::new(Belief::default()),
         roster: watch::Sender::new(NumberedRoster::default()),
         roster_news: RefCell::new((RosterName::default(), RosterName::default(), Arc::from([]))),
-        roster_read_at: Cell::new(boot_now()),
+        reading: Cell::new(ReadingTurn::new(boot_now())),
         caught_up_at: Cell::new(None),
         own_entries: RefCell::default(),
         entries: Cell::new(0),
@@ -130,7 +131,7 @@
     let version = belief.state.published.as_ref().map_or(0, |published| published.version());
     metrics.deployment_version.record(version, &[]);
     metrics.entries.record(shared.entries.get().into(), &[]);
-    let age = boot_now().saturating_sub(shared.roster_read_at.get());
+    let age = boot_now().saturating_sub(shared.reading.get().read_at());
     metrics.target_list_age_s.record(age.as_secs_f64(), &[]);
     metrics.waiting.record(scheduling.waiting() as u64, &[]);
     metrics.text()
--- a/tests/deployment/asking.rs
+++ b/tests/deployment/asking.rs
@@ -10,6 +10,7 @@
     FromEntry, NumberedRoster, PlaceError, RosterName, ToEntry, encode, read,
 };
 use kumquatpost::control::links::Links;
+use kumquatpost::control::reading_turn::ReadingTurn;
 use kumquatpost::control::replica::{Belief, Shared};
 use kumquatpost::control::scheduling::Scheduling;
 use kumquatpost::control::state::{ControlState, Published};
@@ -43,7 +44,7 @@
         belief: watch::Sender::new(belief),
         roster: watch::Sender::new(roster),
         roster_news: RefCell::new((RosterName::default(), RosterName::default(), Arc::from([]))),
-        roster_read_at: Cell::new(boot_now()),
+        reading: Cell::new(ReadingTurn::new(boot_now())),
         // Sure to lead for as long as a test runs.
         caught_up_at: Cell::new(Some(boot_now() + ms(600_000))),
         own_entries: RefCell::default(),
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -22,6 +22,7 @@
 #[allow(dead_code, reason = "the soak uses the rest")]
 #[path = "../platform_stand_in/mod.rs"]
 mod platform_stand_in;
+mod reading;
 mod replicas;
 mod rollout;
 mod roster;
--- /dev/null
+++ b/tests/deployment/reading.rs
@@ -0,0 +1,133 @@
+//! Which replica reads the platform's list, and how soon after the leader can't.
+
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use kumquatpost::control::frames::{Introduction, NumberedRoster, ToReplica, read};
+use kumquatpost::control::links::Links;
+use kumquatpost::control::reading_turn::{
+    LATE_AFTER, LOOK_EVERY, PAGE_TIMEOUT, READ_EVERY, ReadingTurn,
+};
+use kumquatpost::control::roster_reader::{self, ListAddress};
+use kumquatpost::control::state::ControlState;
+use tokio::io::BufReader;
+use tokio::net::TcpListener;
+
+use crate::asking::shared;
+use crate::fixtures::ms;
+use crate::gateway::run;
+
+/// Between moments at which the list shows something new.
+const STEP: Duration = Duration::from_millis(10);
+
+/// When the replicas' reads begin that succeed, if the leader's first is its last: at the leader, and at
+/// the one other that looks `phase` after it starts and has this place among the others.
+fn reads(answer: Duration, place: f64, phase: Duration, does_ask: bool) -> Vec<Duration> {
+    let mut begun = vec![ms(0)];
+    let mut turn = ReadingTurn::new(ms(0));
+    let asks = |from: Duration, lasts: Duration| (lasts > LATE_AFTER).then_some(from + LATE_AFTER);
+    let mut asked: Vec<Duration> = asks(ms(0), answer).into_iter().collect();
+    let mut next = answer + READ_EVERY;
+    while next < ms(6_000) {
+        asked.extend(asks(next, PAGE_TIMEOUT));
+        next += PAGE_TIMEOUT + READ_EVERY;
+    }
+    let (mut now, mut reading, mut free_at) = (phase, None, ms(0));
+    while now < ms(6_000) {
+        if does_ask && asked.iter().any(|at| *at <= now && now < *at + LOOK_EVERY) {
+            turn.was_asked(now);
+        }
+        // The leader tells of its only read that has succeeded.
+        if now >= answer && now < answer + LOOK_EVERY {
+            turn.was_read(ms(0));
+        }
+        if let Some(from) = reading.filter(|from| now >= *from + answer) {
+            turn.was_read(from);
+            (reading, free_at) = (None, now + READ_EVERY);
+        }
+        if reading.is_none() && now >= free_at && now >= turn.takes_over_at(place, READ_EVERY) {
+            reading = Some(now);
+            begun.push(now);
+        }
+        now += LOOK_EVERY;
+    }
+    begun
+}
+
+/// The longest time from the moment at which the list shows something new to the end of the first read
+/// that sees it, over all moments, slow and fast answers, and places of the replica that reads.
+fn longest_unknown(does_ask: bool) -> Duration {
+    let mut longest = ms(0);
+    for answer in [ms(5), ms(340), ms(690)] {
+        for place in [0.0, 0.5, 1.0] {
+            for phase in (0..50).step_by(10).map(ms) {
+                let begun = reads(answer, place, phase, does_ask);
+                let mut shown = ms(0);
+                while shown < ms(3_000) {
+                    let seen = begun.iter().find(|from| **from > shown).expect("one reads again");
+                    longest = longest.max(*seen + answer - shown);
+                    shown += STEP;
+                }
+            }
+        }
+    }
+    longest
+}
+
+#[test]
+fn what_the_list_shows_is_known_in_time_though_the_leader_cannot_reach_it() {
+    let longest = longest_unknown(true);
+    assert!(longest <= ms(2_150), "{longest:?}");
+}
+
+#[test]
+fn what_the_list_shows_is_known_in_time_though_the_leader_falls_silent() {
+    let longest = longest_unknown(false);
+    assert!(longest <= ms(2_600), "{longest:?}");
+}
+
+#[test]
+fn a_read_that_began_before_it_was_asked_for_does_not_do() {
+    let mut turn = ReadingTurn::new(ms(0));
+    turn.was_asked(ms(500));
+    turn.was_read(ms(400));
+    assert_eq!(turn.takes_over_at(0.0, READ_EVERY), ms(500));
+    turn.was_read(ms(501));
+    assert!(turn.takes_over_at(0.0, READ_EVERY) > ms(1_500));
+}
+
+/// Long enough on a busy machine.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// A leader whose list is at this address asks another replica to read.
+async fn asks_for(list: SocketAddr, port: u16) {
+    let (own, other): (IpAddr, IpAddr) = ([127, 98, 0, 1].into(), [127, 98, 0, 2].into());
+    let listener = TcpListener::bind((other, port)).await.expect("a port");
+    let mut leader = shared(4, NumberedRoster::default());
+    leader.links = Rc::new(Links::new(1, own, port));
+    leader
+        .belief
+        .send_modify(|belief| belief.state = ControlState::founded([(1, own), (2, other)].into()));
+    let list = ListAddress { address: list, rate_per_s: 44.0 };
+    tokio::task::spawn_local(roster_reader::run(Rc::new(leader), own, list));
+    let connected = tokio::time::timeout(PATIENCE, listener.accept()).await;
+    let (stream, _) = connected.expect("somebody is asked").expect("it connects");
+    let mut frames = BufReader::new(stream);
+    let _: Introduction = read(&mut frames).await.expect("who it is");
+    let frame: ToReplica = read(&mut frames).await.expect("a frame");
+    assert_eq!(frame, ToReplica::RosterUnread);
+}
+
+#[test]
+fn a_leader_that_cannot_reach_the_list_asks_others_to_read_it() {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let silent = listener.local_addr().expect("an address");
+        // Never answers.
+        asks_for(silent, 7_741).await;
+        drop(listener);
+        // Refuses.
+        asks_for(silent, 7_742).await;
+    });
+}
