--- a/src/control/run.rs
+++ b/src/control/run.rs
@@ -13,12 +13,13 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 
-use super::frames::NumberedRoster;
+use super::frames::{NumberedRoster, RosterName};
 use super::identity::Identity;
 use super::links::Links;
 use super::news;
 use super::operators::Operators;
 use super::ordering::Ordering;
+use super::reading_turn::ReadingTurn;
 use super::replica::{Belief, Input, Replica, Shared, Start};
 use super::roster_reader::{self, ListAddress};
 use super::scheduling::Scheduling;
@@ -67,8 +68,8 @@
         node: identity.node,
         belief: watch::Sender::new(Belief::default()),
         roster: watch::Sender::new(NumberedRoster::default()),
-        roster_news: RefCell::new((0, 0, Arc::from([]))),
-        roster_read_at: Cell::new(boot_now()),
+        roster_news: RefCell::new((RosterName::default(), RosterName::default(), Arc::from([]))),
+        reading: Cell::new(ReadingTurn::new(boot_now())),
         caught_up_at: Cell::new(None),
         own_entries: RefCell::default(),
         entries: Cell::new(0),
@@ -130,7 +131,7 @@
     let version = belief.state.published.as_ref().map_or(0, |published| published.version());
     metrics.deployment_version.record(version, &[]);
     metrics.entries.record(shared.entries.get().into(), &[]);
-    let age = boot_now().saturating_sub(shared.roster_read_at.get());
+    let age = boot_now().saturating_sub(shared.reading.get().read_at());
     metrics.target_list_age_s.record(age.as_secs_f64(), &[]);
     metrics.waiting.record(scheduling.waiting() as u64, &[]);
     metrics.text()
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -15,12 +15,14 @@
 mod headers;
 mod identity;
 mod instances;
+mod leaving;
 mod links;
 mod memory;
 mod placement;
 #[allow(dead_code, reason = "the soak uses the rest")]
 #[path = "../platform_stand_in/mod.rs"]
 mod platform_stand_in;
+mod reading;
 mod replicas;
 mod rollout;
 mod roster;
