Entries that decide alone keep to named weights, too

Cause: an entry without the scheduler's word picked any live engine and named no version, so prompts began on weights that had been replaced long before. Change: placement by an entry uses the scheduler's bound (one function, OldWeights::cost_ms): newest weights go first, older ones only so long that the prompt still begins within the bound, then the caller is told at once that it has not run (reason old_weights). Every prompt names the version that it was placed for; an engine that refuses it corrects what is believed, as do answers. An engine whose weights are unknown is asked for the newest: it refuses if it runs others. The bound of entries counts from the naming alone, not anew with a scheduler or connection.

--- a/src/fleet/placement.rs
+++ b/src/fleet/placement.rs
@@ -9,6 +9,7 @@
 use crate::clock::BootTime;
 use crate::gateway::call::Prompt;
 use crate::ids::TargetId;
+use crate::scheduler::weights::{BEGINS_WITHIN, NamedSince, OLD_WEIGHTS_MS, OldWeights};
 
 /// What a request that an engine already holds delays the next one: the sites' mean prompt of
 /// 3,600 tokens at 140 tokens a millisecond.
@@ -37,6 +38,10 @@
     pub tried: &'a [TargetId],
     /// Breaks ties.
     pub drawn: u64,
+    /// The newest named weights of each model.
+    pub named: &'a NamedSince,
+    /// How long prompts may begin on older ones.
+    pub old_weights: OldWeights,
 }
 
 /// Why no target was chosen.
@@ -46,6 +51,8 @@
     NoneListed,
     /// All that are listed are out of order, or this request was sent to them before.
     NoneSound,
+    /// All that are sound run older weights than must be in force by now.
+    OldWeights,
 }
 
 /// What speaks for a target.
@@ -59,6 +66,8 @@
     pub home: usize,
     /// How long the first part of the answer is expected to take.
     pub expected: Duration,
+    /// The weights that the engine must run: it refuses if it runs others.
+    pub weight_version: Option<u64>,
 }
 
 /// Chooses the target with the least expected time to the first part of the answer.
@@ -85,14 +94,16 @@
     let best = choices.into_iter().min_by(|(a, tie_a), (b, tie_b)| {
         a.expected.cmp(&b.expected).then(mixed(tie_a, ask.drawn).cmp(&mixed(tie_b, ask.drawn)))
     });
-    best.map(|(choice, _)| choice).ok_or(Unplaced::NoneSound)
+    best.map(|(choice, _)| choice).ok_or(Unplaced::OldWeights)
 }
 
 fn plain_choices(sound: &[&TargetState], now: BootTime) -> Vec<(Choice, u64)> {
     let choice = |state: &&TargetState| {
         let load = state.load(now);
         let expected = DELAY_PER_PLAIN_REQUEST.mul_f64(load);
-        (Choice { target: state.listed.id.clone(), load, home: 0, expected }, tie(state))
+        let target = state.listed.id.clone();
+        let choice = Choice { target, load, home: 0, expected, weight_version: None };
+        (choice, tie(state))
     };
     sound.iter().map(choice).collect()
 }
@@ -112,7 +123,7 @@
     ranked
         .iter()
         .enumerate()
-        .map(|(home, (_, state))| {
+        .filter_map(|(home, (_, state))| {
             let load = state.load(now);
             let again = prompt.shared_tokens() as f64
                 * match home {
@@ -122,11 +133,39 @@
                 };
             let read_ms = (own as f64 + again) / READ_TOKENS_PER_MS;
             let expected = DELAY_PER_REQUEST.mul_f64(load) + Duration::from_secs_f64(read_ms / 1e3);
-            (Choice { target: state.listed.id.clone(), load, home, expected }, tie(state))
+            let (weight_version, cost_ms) = weights_of(state, prompt, ask, now + expected)?;
+            let expected = expected + Duration::from_secs_f64(cost_ms / 1e3);
+            let target = state.listed.id.clone();
+            Some((Choice { target, load, home, expected, weight_version }, tie(state)))
         })
         .collect()
 }
 
+/// The weights that an engine must run for the prompt, and what speaks against them, in milliseconds;
+/// `None` if the prompt must not begin there.
+///
+/// The bound counts from the naming, whoever led since: entries lose the scheduler more often than the
+/// replicas are disturbed, which alone makes the bound begin anew.
+fn weights_of(
+    state: &TargetState,
+    prompt: &Prompt,
+    ask: &Ask<'_>,
+    read_by: BootTime,
+) -> Option<(Option<u64>, f64)> {
+    let named = ask.named.get(&prompt.model).copied();
+    let has = state.weights.get(&prompt.model).copied().filter(|version| *version > 0);
+    match (has, named) {
+        // The newest are expected of it: it refuses if it runs others, and says which. So it may be
+        // tried at any time, and costs at most a try.
+        (None, Some((named, _))) => Some((Some(named), OLD_WEIGHTS_MS)),
+        (has, named) => {
+            let begins_by = read_by + BEGINS_WITHIN;
+            let cost_ms = ask.old_weights.cost_ms(named, has, BootTime::ZERO, begins_by)?;
+            Some((has, cost_ms))
+        }
+    }
+}
+
 fn tie(state: &TargetState) -> u64 {
     FxBuildHasher.hash_one(&state.listed.id)
 }
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -1,12 +1,12 @@
 //! The fleet as one entry sees it: the roster, its own requests, and what answers say.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use super::roster::{Listed, Presence, Roster};
 use crate::clock::BootTime;
 use crate::gateway::call::TargetLoad;
-use crate::ids::{ServiceId, TargetId};
+use crate::ids::{ModelId, ServiceId, TargetId};
 pub use crate::route::health::Fault;
 use crate::route::health::Health;
 
@@ -27,6 +27,9 @@
 pub struct TargetState {
     /// As it was last listed.
     pub listed: Listed,
+    /// The version of each model's weights that it is believed to run: what it said itself goes before
+    /// the list, which lags, until the list says something new.
+    pub weights: BTreeMap<ModelId, u64>,
     /// Requests of this entry that it runs or holds.
     pub running: u32,
     /// Prompt tokens of those that have had no event yet.
@@ -64,7 +67,7 @@
         }
         for listed in roster.iter() {
             match self.targets.get_mut(&listed.id) {
-                Some(state) => state.listed.clone_from(listed),
+                Some(state) => state.take(listed),
                 None => drop(self.targets.insert(listed.id.clone(), TargetState::new(listed))),
             }
         }
@@ -145,6 +148,25 @@
         }
     }
 
+    /// Records the weights that a target's answer names.
+    pub fn answered_on(&mut self, target: &TargetId, model: &ModelId, version: u64) {
+        if let Some(state) = self.targets.get_mut(target) {
+            // Answers overtake each other, and the weights of one start only rise.
+            let known = state.weights.entry(model.clone()).or_default();
+            *known = version.max(*known);
+        }
+    }
+
+    /// Records that a target refused a prompt since it runs other weights than were expected, which it
+    /// may name.
+    pub fn refused_weights(&mut self, target: &TargetId, model: &ModelId, has: Option<u64>) {
+        let Some(state) = self.targets.get_mut(target) else { return };
+        match has {
+            Some(version) => drop(state.weights.insert(model.clone(), version)),
+            None => drop(state.weights.remove(model)),
+        }
+    }
+
     fn index(&mut self) {
         self.by_service.clear();
         for state in self.targets.values().filter(|s| s.listed.presence == Presence::Live) {
@@ -159,6 +181,7 @@
     fn new(listed: &Listed) -> TargetState {
         TargetState {
             listed: listed.clone(),
+            weights: listed.weights.clone(),
             running: 0,
             reading_tokens: 0,
             health: Health::default(),
@@ -166,6 +189,13 @@
         }
     }
 
+    fn take(&mut self, listed: &Listed) {
+        if self.listed.weights != listed.weights {
+            self.weights.clone_from(&listed.weights);
+        }
+        self.listed.clone_from(listed);
+    }
+
     /// Requests that it probably runs or holds, of all entries.
     pub fn load(&self, now: BootTime) -> f64 {
         let others = self.reported.map_or(0.0, |reported| {
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -41,6 +41,8 @@
     NotReady,
     /// No target can take it now. It has not run.
     NoTarget,
+    /// All targets run older weights than must be in force by now. It has not run.
+    OldWeights,
     /// No target will have room in time. It has not run, and may come back after this time.
     Busy(Duration),
     /// Its time is over, and it has not run.
@@ -59,9 +61,11 @@
             Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
             Refusal::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::Malformed => StatusCode::BAD_REQUEST,
-            Refusal::NotReady | Refusal::NoTarget | Refusal::Busy(_) | Refusal::TooLate => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Refusal::NotReady
+            | Refusal::NoTarget
+            | Refusal::OldWeights
+            | Refusal::Busy(_)
+            | Refusal::TooLate => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::Broken => StatusCode::BAD_GATEWAY,
             Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -76,6 +80,7 @@
             Refusal::Malformed => "malformed",
             Refusal::NotReady => "not_ready",
             Refusal::NoTarget => "no_target",
+            Refusal::OldWeights => "old_weights",
             Refusal::Busy(_) => "busy",
             Refusal::TooLate => "too_late",
             Refusal::Broken => "broken",
@@ -91,6 +96,7 @@
             Refusal::Malformed => "the request can't be read; send it whole",
             Refusal::NotReady => "not run: this entry has just started; come back",
             Refusal::NoTarget => "not run: no target can take it now; come back",
+            Refusal::OldWeights => "not run: no target runs the newest weights yet; come back",
             Refusal::Busy(_) | Refusal::TooLate => "not run: no target was free in time; come back",
             Refusal::Broken => "it may have run: the target broke off",
             Refusal::TimedOut => "it may have run: no answer came in time",
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -181,7 +181,7 @@
         urgency: job.call.prompt.is_some().then_some(job.rank.for_engine()),
         cache_wall: job.call.prompt.is_some().then(salt),
         resume_after,
-        weight_version: placed.and_then(|placed| placed.weight_version),
+        weight_version: chosen.weight_version,
         kept: placed.map(|placed| KeptParts {
             fetch: &placed.fetch,
             save: &placed.save,
@@ -222,10 +222,17 @@
             gateway.fleet.borrow_mut().replaced(target);
             at_target.ends(End::Replaced);
         } else {
+            if let Some(prompt) = &job.call.prompt {
+                let has = outcome.weight_version;
+                gateway.fleet.borrow_mut().refused_weights(target, &prompt.model, has);
+            }
             at_target.ends(End::OtherWeights(outcome.weight_version));
         }
         return Err(Missed::NotRun(answered.target));
     }
+    if let (Some(prompt), Some(version)) = (&job.call.prompt, outcome.weight_version) {
+        gateway.fleet.borrow_mut().answered_on(target, &prompt.model, version);
+    }
     if outcome.did_not_run {
         record.failed(target, &format!("not run, status {}", answer.status().as_u16()));
         at_target.ends(End::NotRun);
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -17,6 +17,8 @@
     pub target: TargetId,
     /// The scheduler's word, if it is its choice.
     pub placed: Option<Placed>,
+    /// The weights that the engine must run.
+    pub weight_version: Option<u64>,
     /// What the choice rests on, as key=value pairs.
     pub grounds: String,
 }
@@ -68,7 +70,8 @@
         placed.grounds.waited_ms,
         placed.save.iter().flatten().count(),
     );
-    Chosen { target: placed.target.clone(), placed: Some(placed), grounds }
+    let weight_version = placed.weight_version;
+    Chosen { target: placed.target.clone(), placed: Some(placed), weight_version, grounds }
 }
 
 fn alone(gateway: &Gateway, job: &Job, avoid: &[TargetId]) -> Result<Chosen, NoChoice> {
@@ -78,6 +81,8 @@
         cache_wall: &job.cache_wall,
         tried: avoid,
         drawn: job.drawn,
+        named: &gateway.named_since.borrow(),
+        old_weights: gateway.host.periods.old_weights,
     };
     let choice = placement::choose(&gateway.fleet.borrow(), &ask, boot_now());
     let choice = choice.map_err(NoChoice::NoTarget)?;
@@ -89,22 +94,21 @@
         choice.load,
         choice.home,
         choice.expected.as_millis(),
-        weights_grounds(gateway, job, &choice.target),
+        weights_grounds(gateway, job, choice.weight_version),
     );
-    Ok(Chosen { target: choice.target, placed: None, grounds })
+    let weight_version = choice.weight_version;
+    Ok(Chosen { target: choice.target, placed: None, weight_version, grounds })
 }
 
-/// Which weights an engine is believed to run, and which were named how long ago.
-fn weights_grounds(gateway: &Gateway, job: &Job, target: &TargetId) -> String {
+/// Which weights the engine must run, and which were named how long ago.
+fn weights_grounds(gateway: &Gateway, job: &Job, expected: Option<u64>) -> String {
     let Some(prompt) = &job.call.prompt else { return String::new() };
-    let fleet = gateway.fleet.borrow();
-    let has = fleet.get(target).and_then(|state| state.listed.weights.get(&prompt.model));
     let named = gateway.named_since.borrow().get(&prompt.model).copied();
     let age = named.map(|(_, since)| boot_now().saturating_sub(since).as_millis());
     let shown = |number: Option<u128>| number.map_or("-".to_string(), |number| number.to_string());
     format!(
         " weights={} named={} named_age_ms={}",
-        shown(has.map(|has| u128::from(*has))),
+        shown(expected.map(u128::from)),
         shown(named.map(|(version, _)| u128::from(version))),
         shown(age)
     )
--- a/src/scheduler/weights.rs
+++ b/src/scheduler/weights.rs
@@ -10,9 +10,9 @@
 
 /// An engine with older weights than were named is chosen only if it saves this much: an answer of
 /// replaced weights is worth a fifth less, which is as much as being late by about this time.
-const OLD_WEIGHTS_MS: f64 = 150.0;
+pub const OLD_WEIGHTS_MS: f64 = 150.0;
 /// A prompt begins at most this long after it was placed: what an engine has ahead, and a fetch.
-const BEGINS_WITHIN: Duration = Duration::from_millis(800);
+pub const BEGINS_WITHIN: Duration = Duration::from_millis(800);
 
 /// The newest named weights of each model, with the time since when they are known.
 pub type NamedSince = BTreeMap<ModelId, (u64, BootTime)>;
@@ -62,6 +62,30 @@
     pub at_last_within: Option<Duration>,
 }
 
+impl OldWeights {
+    /// What speaks against an engine with these weights for a prompt that begins by then, in
+    /// milliseconds; `None` if it must not begin one. The bound counts from the naming, or from
+    /// `counts_from` if that is later.
+    pub fn cost_ms(
+        &self,
+        named: Option<(u64, BootTime)>,
+        has: Option<u64>,
+        counts_from: BootTime,
+        begins_by: BootTime,
+    ) -> Option<f64> {
+        let Some((named, since)) = named else { return Some(0.0) };
+        if has.is_some_and(|has| has >= named) {
+            return Some(0.0);
+        }
+        let is_over = |since: BootTime, within: Option<Duration>| {
+            within.is_some_and(|within| begins_by >= since + within)
+        };
+        let is_over =
+            is_over(since.max(counts_from), self.within) || is_over(since, self.at_last_within);
+        (!is_over).then_some(OLD_WEIGHTS_MS)
+    }
+}
+
 /// What is known of engines' weights beside the versions that they run.
 #[derive(Clone, Debug)]
 pub struct Weights {
@@ -98,15 +122,7 @@
     /// What speaks against an engine with these weights for a prompt of the model, in milliseconds;
     /// `None` if it must not begin one.
     pub fn cost_ms(&self, model: &ModelId, has: Option<u64>, now: BootTime) -> Option<f64> {
-        let Some((named, since)) = self.named.get(model) else { return Some(0.0) };
-        if has.is_some_and(|has| has >= *named) {
-            return Some(0.0);
-        }
-        let is_over = |since: BootTime, within: Option<Duration>| {
-            within.is_some_and(|within| now + BEGINS_WITHIN >= since + within)
-        };
-        let OldWeights { within, at_last_within } = self.old_weights;
-        let is_over = is_over(self.began.max(*since), within) || is_over(*since, at_last_within);
-        (!is_over).then_some(OLD_WEIGHTS_MS)
+        let named = self.named.get(model).copied();
+        self.old_weights.cost_ms(named, has, self.began, now + BEGINS_WITHIN)
     }
 }
--- a/tests/deployment/placement.rs
+++ b/tests/deployment/placement.rs
@@ -3,6 +3,7 @@
 use kumquatpost::fleet::placement::{Ask, Unplaced, choose};
 use kumquatpost::fleet::{Fault, FleetView};
 use kumquatpost::gateway::call::{Part, Prompt};
+use kumquatpost::scheduler::weights::{NamedSince, OldWeights};
 
 use crate::fixtures::{address, ms, roster, target};
 
@@ -23,7 +24,10 @@
 }
 
 fn ask<'a>(prompt: &'a Prompt, wall: &'a str, drawn: u64) -> Ask<'a> {
-    Ask { service: "llm", prompt: Some(prompt), cache_wall: wall, tried: &[], drawn }
+    let named = const { &NamedSince::new() };
+    let old_weights = OldWeights::default();
+    let prompt = Some(prompt);
+    Ask { service: "llm", prompt, cache_wall: wall, tried: &[], drawn, named, old_weights }
 }
 
 /// A returning context goes where it was, whichever entry it reaches, also after another engine
@@ -100,9 +104,72 @@
     view.take(&roster((0..3).map(|n| target(&format!("i-{n}"), "app", address(n)))));
     let mut dispatches = Vec::new();
     for drawn in 0..30 {
-        let ask = Ask { service: "app", prompt: None, cache_wall: "", tried: &[], drawn };
+        let unused = prompt(0, 0);
+        let ask = Ask { service: "app", prompt: None, ..ask(&unused, "", drawn) };
         let choice = choose(&view, &ask, ms(0)).expect("a target");
         dispatches.push(view.begin(&choice.target, 0));
     }
     assert!(view.live("app").all(|state| state.running == 10));
 }
+
+/// An entry alone while the engines of a model are brought to newer weights, which must be in force
+/// 6 s after they were named.
+#[test]
+fn the_newest_weights_are_preferred_and_older_ones_end_with_the_bound() {
+    let mut listed = [0, 1].map(|n| target(&format!("i-{n}"), "llm", address(n)));
+    listed[1].weights.insert("m".to_string(), 2);
+    let mut view = FleetView::default();
+    view.take(&roster(listed));
+    let named = NamedSince::from([("m".to_string(), (2, ms(1_000)))]);
+    let old_weights = OldWeights { within: Some(ms(6_000)), at_last_within: Some(ms(8_400)) };
+    // A returning context would go home to either engine, and reading it again takes 76 ms.
+    for context in 0..20 {
+        let prompt = prompt(context, 7_000);
+        let ask = Ask { named: &named, old_weights, ..ask(&prompt, "all", context) };
+        let choice = choose(&view, &ask, ms(1_100)).expect("an engine");
+        assert_eq!((choice.target.as_str(), choice.weight_version), ("i-1", Some(2)));
+        let tried = ["i-1".to_string()];
+        let again = Ask { tried: &tried, ..ask };
+        let older = choose(&view, &again, ms(1_100)).expect("an engine");
+        assert_eq!((older.target.as_str(), older.weight_version), ("i-0", Some(1)));
+        // A prompt begins up to 0.8 s after it was placed, and after what the engine reads before it.
+        assert_eq!(choose(&view, &again, ms(6_200)), Err(Unplaced::OldWeights));
+        assert!(choose(&view, &ask, ms(60_000)).is_ok());
+    }
+}
+
+/// Nothing is known of what an engine runs, or it refused and did not say.
+#[test]
+fn an_engine_whose_weights_are_unknown_must_run_the_newest_named_ones() {
+    let mut view = view(1);
+    let named = NamedSince::from([("m".to_string(), (2, ms(1_000)))]);
+    let old_weights = OldWeights { within: Some(ms(6_000)), at_last_within: Some(ms(8_400)) };
+    let prompt = prompt(1, 2_000);
+    let ask = Ask { named: &named, old_weights, ..ask(&prompt, "all", 0) };
+    assert_eq!(choose(&view, &ask, ms(60_000)), Err(Unplaced::OldWeights));
+    view.refused_weights(&"i-0".to_string(), &"m".to_string(), None);
+    let choice = choose(&view, &ask, ms(60_000)).expect("the engine decides");
+    assert_eq!(choice.weight_version, Some(2));
+}
+
+#[test]
+fn what_an_engine_says_of_its_weights_holds_until_the_list_says_something_new() {
+    let (id, model) = ("i-0".to_string(), "m".to_string());
+    let listed = |version| {
+        let mut listed = target("i-0", "llm", address(0));
+        listed.weights.insert("m".to_string(), version);
+        roster([listed])
+    };
+    let mut view = FleetView::default();
+    let has = |view: &FleetView| view.get("i-0").and_then(|state| state.weights.get("m").copied());
+    view.take(&listed(1));
+    view.answered_on(&id, &model, 2);
+    view.take(&listed(1));
+    assert_eq!(has(&view), Some(2), "the list lags");
+    view.answered_on(&id, &model, 1);
+    assert_eq!(has(&view), Some(2), "an answer that was overtaken");
+    view.refused_weights(&id, &model, Some(1));
+    assert_eq!(has(&view), Some(1), "it refuses, and says why");
+    view.take(&listed(2));
+    assert_eq!(has(&view), Some(2));
+}
--- a/tests/deployment/weights_alone.rs
+++ b/tests/deployment/weights_alone.rs
@@ -88,3 +88,29 @@
         assert_eq!((one.seen(), two.seen()), (1, 2), "what it said of itself is kept in mind");
     });
 }
+
+#[test]
+fn a_prompt_may_begin_on_old_weights_within_the_bound_and_names_them() {
+    run(async {
+        let old = StandIn::start(vec![streams("a")]).await;
+        let entry = entry(unhurried(), vec![engine("i-1", &old, 1)]).await;
+        hears_named(&entry, 2, ms(1_000));
+        let got = entry.call_with("/stream/", "r1", PROMPT).await;
+        assert_eq!(got.status, 200, "{}", got.text);
+        assert_eq!(expected_weights(&old, 0).as_deref(), Some("1"));
+    });
+}
+
+/// One replica has heard of the naming late, or has started again since.
+#[test]
+fn of_several_times_of_a_naming_the_earliest_holds() {
+    run(async {
+        let old = StandIn::start(vec![streams("a")]).await;
+        let entry = entry(unhurried(), vec![engine("i-1", &old, 1)]).await;
+        hears_named(&entry, 2, SEEN_AFTER);
+        hears_named(&entry, 2, ms(0));
+        hears_named(&entry, 1, ms(0));
+        assert_eq!(entry.call_with("/stream/", "r1", PROMPT).await.status, 503);
+        assert_eq!(old.seen(), 0);
+    });
+}
