Keep in the log how long ago weights were named

Cause: a replica counted the bound for older weights from when its own process heard of the naming; one that started again, or joined, took weights named long ago for new, and its scheduler allowed older ones for the whole bound once more. Change: the leader records the age of a naming each second until the bound is over (nine entries of the log for 8.4 s); a replica that was not there counts from the recorded age, and one second more, since the last second may not be recorded. The earliest known time holds. What time passes without any leader is not counted by those that start again: then replicas were disturbed.

--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -13,9 +13,10 @@
 use super::frames::{News, NumberedRoster, ToReplica, encode};
 use super::links::SharedLinks;
 use super::state::{Command, ControlState, Published, Reply};
+use super::weight_ages;
 use crate::clock::{BootTime, boot_now};
 use crate::fleet::Roster;
-use crate::ids::{ModelId, NodeId, TargetId};
+use crate::ids::{NodeId, TargetId};
 use crate::log::driver::{Driver, Output};
 use crate::log::raft::{Change, NotLeader, ReadId};
 use crate::log::{Entry, Index, Payload, Term};
@@ -370,7 +371,7 @@
 
     fn publish(&mut self) {
         let now = boot_now();
-        self.shared.take_named(&self.state.weights, now);
+        self.shared.take_named(&self.state, now);
         let status = self.driver.raft.status();
         self.shared.caught_up_at.set(self.driver.raft.caught_up_at(now));
         let leader = status.leader.and_then(|node| self.place_of(node));
@@ -465,10 +466,11 @@
         self.roster.send_modify(|known| known.number += 1);
     }
 
-    fn take_named(&self, weights: &BTreeMap<ModelId, u64>, now: BootTime) {
+    fn take_named(&self, state: &ControlState, now: BootTime) {
         let mut named = self.named_since.borrow_mut();
-        for (model, version) in weights {
-            weights::take_named(&mut named, model, *version, now, now);
+        for (model, version) in state.weights.iter() {
+            let age = weight_ages::age_of(state, model, *version, self.caught_up_at.get(), now);
+            weights::take_named(&mut named, model, *version, now.saturating_sub(age), now);
         }
     }
 
--- a/src/control/run.rs
+++ b/src/control/run.rs
@@ -23,6 +23,7 @@
 use super::roster_reader::{self, ListAddress};
 use super::scheduling::Scheduling;
 use super::state::ControlState;
+use super::weight_ages;
 use crate::clock::boot_now;
 use crate::error::{Error, Result};
 use crate::essential::essentials;
@@ -100,6 +101,9 @@
         let list = ListAddress { address, rate_per_s: host.target_list_rate };
         tasks.spawn("target_list", roster_reader::run(shared.clone(), host.ip, list));
     }
+    let recording =
+        weight_ages::keep_recording(shared.clone(), inputs.clone(), host.periods.old_weights);
+    tasks.spawn("weight_ages", recording);
     let apart = host.periods.order_lease;
     let ordering = Rc::new(Ordering {
         shared: shared.clone(),
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -9,6 +9,7 @@
 use crate::deployment::Deployment;
 use crate::deployment::document::DeploymentVersion;
 use crate::ids::{ModelId, NodeId};
+use crate::scheduler::weights::NamedWeights;
 
 /// A command, as an entry of the log carries it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -34,6 +35,13 @@
         /// The replica.
         holder: NodeId,
     },
+    /// Weights were named at least this long ago. Changes nothing if others are the newest.
+    RecordAge {
+        /// The model.
+        model: ModelId,
+        /// The version, and its age when this was proposed.
+        weights: NamedWeights,
+    },
 }
 
 /// A deployment with the text that the operator sent, which is shown again as it was.
@@ -66,6 +74,8 @@
         /// `None` if no replica did.
         previous: Option<NodeId>,
     },
+    /// The age is known.
+    AgeRecorded,
 }
 
 /// The state.
@@ -79,6 +89,9 @@
     pub places: Arc<BTreeMap<NodeId, IpAddr>>,
     /// The replica that gives orders to engines.
     pub orders_holder: Option<NodeId>,
+    /// How long ago weights of a model were named, at the least, when that was last recorded. Ages of
+    /// one version never fall.
+    pub weight_ages: Arc<BTreeMap<ModelId, NamedWeights>>,
 }
 
 /// A snapshot can't be read.
@@ -106,6 +119,14 @@
                 *newest = version.max(*newest);
                 Reply::Named(*newest)
             }
+            Command::RecordAge { model, weights } => {
+                let is_newest = self.weights.get(&model) == Some(&weights.version);
+                let known = self.weight_ages.get(&model);
+                if is_newest && known.is_none_or(|known| *known < weights) {
+                    Arc::make_mut(&mut self.weight_ages).insert(model, weights);
+                }
+                Reply::AgeRecorded
+            }
             Command::Place { node, ip } => {
                 Arc::make_mut(&mut self.places).insert(node, ip);
                 Reply::Placed
--- /dev/null
+++ b/src/control/weight_ages.rs
@@ -0,0 +1,89 @@
+//! How long ago weights were named, kept in the log: a replica that starts again, or joins, would
+//! otherwise take weights that were named long ago for new, and allow older ones once more.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::{mpsc, oneshot};
+
+use super::replica::{Input, Shared};
+use super::state::{Command, ControlState};
+use crate::clock::{BootTime, boot_now};
+use crate::ids::ModelId;
+use crate::scheduler::weights::{NamedSince, NamedWeights, OldWeights};
+
+/// An age is recorded each time that it has grown by this: the ages of one naming are some nine
+/// entries of the log until its bound is over.
+const RECORD_EVERY: Duration = Duration::from_secs(1);
+/// How often it is looked whether one has.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+/// A replica that had all that was committed within this time hears of a naming as it is decided.
+const HEARD_AT_ONCE_WITHIN: Duration = Duration::from_millis(500);
+
+/// Ages that the log should have by now; `bound` is the age from which nothing depends on it.
+pub fn due(
+    named: &NamedSince,
+    recorded: &BTreeMap<ModelId, NamedWeights>,
+    bound: Duration,
+    now: BootTime,
+) -> Vec<Command> {
+    let due = named.iter().filter_map(|(model, (version, since))| {
+        let age = now.saturating_sub(*since);
+        let known = recorded.get(model).filter(|known| known.version == *version);
+        let known = known.map_or(Duration::ZERO, |known| known.age);
+        let is_due = known < bound && age >= (known + RECORD_EVERY).min(bound);
+        let weights = NamedWeights { version: *version, age };
+        is_due.then(|| Command::RecordAge { model: model.clone(), weights })
+    });
+    due.collect()
+}
+
+/// How long ago a model's newest weights were named, at the least, as the state tells a replica that
+/// was last sure to have all at `caught_up_at`.
+///
+/// One that was not sure hears of what may have been decided long before: ages may be older by what is
+/// recorded next.
+pub fn age_of(
+    state: &ControlState,
+    model: &str,
+    version: u64,
+    caught_up_at: Option<BootTime>,
+    now: BootTime,
+) -> Duration {
+    let recorded = state.weight_ages.get(model).filter(|known| known.version == version);
+    let recorded = recorded.map_or(Duration::ZERO, |known| known.age);
+    let is_heard_at_once =
+        caught_up_at.is_some_and(|at| now.saturating_sub(at) < HEARD_AT_ONCE_WITHIN);
+    if is_heard_at_once { recorded } else { recorded + RECORD_EVERY }
+}
+
+/// Records ages while this replica leads, for as long as the process lives.
+pub async fn keep_recording(
+    shared: Rc<Shared>,
+    inputs: mpsc::Sender<Input>,
+    old_weights: OldWeights,
+) {
+    let Some(bound) = old_weights.at_last_within.max(old_weights.within) else {
+        return std::future::pending().await;
+    };
+    loop {
+        tokio::time::sleep(LOOK_EVERY).await;
+        let due = {
+            let belief = shared.belief.borrow();
+            let named = shared.named_since.borrow();
+            match belief.leads {
+                true => due(&named, &belief.state.weight_ages, bound, boot_now()),
+                false => Vec::new(),
+            }
+        };
+        for command in due {
+            let (sender, decided) = oneshot::channel();
+            if inputs.send(Input::Propose(command, sender)).await.is_err() {
+                return;
+            }
+            // Not decided: it is due again, here or at another leader.
+            let _ = decided.await;
+        }
+    }
+}
--- a/src/scheduler/weights.rs
+++ b/src/scheduler/weights.rs
@@ -19,7 +19,7 @@
 
 /// Named weights as one process tells another: their clocks differ, so the time since the naming is
 /// told, not its time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct NamedWeights {
     /// The version.
     pub version: u64,
--- a/tests/deployment/state.rs
+++ b/tests/deployment/state.rs
@@ -5,8 +5,9 @@
 use std::sync::Arc;
 
 use kumquatpost::control::state::{Command, ControlState, Published, Reply};
+use kumquatpost::scheduler::weights::NamedWeights;
 
-use crate::fixtures::deployment;
+use crate::fixtures::{deployment, ms};
 
 fn publish(version: u64, text: &str) -> Command {
     let text = Arc::new(text.as_bytes().to_vec());
@@ -44,6 +45,28 @@
     assert_eq!(name(3), Reply::Named(4));
 }
 
+fn record(version: u64, age_ms: u64) -> Command {
+    Command::RecordAge { model: "m".into(), weights: NamedWeights { version, age: ms(age_ms) } }
+}
+
+/// A new leader may believe in a shorter time than the one before it.
+#[test]
+fn recorded_ages_of_the_newest_weights_never_fall() {
+    let mut state = ControlState::default();
+    state.apply(Command::NameWeights { model: "m".into(), version: 2 });
+    let steps =
+        [(2, 1_000, 2, 1_000), (2, 400, 2, 1_000), (2, 2_000, 2, 2_000), (1, 9_000, 2, 2_000)];
+    for (version, age_ms, newest, held_ms) in steps {
+        state.apply(record(version, age_ms));
+        let held = NamedWeights { version: newest, age: ms(held_ms) };
+        assert_eq!(state.weight_ages["m"], held);
+    }
+    state.apply(Command::NameWeights { model: "m".into(), version: 3 });
+    state.apply(record(2, 3_000));
+    state.apply(record(3, 100));
+    assert_eq!(state.weight_ages["m"], NamedWeights { version: 3, age: ms(100) });
+}
+
 #[test]
 fn the_right_to_order_tells_who_had_it() {
     let mut state = ControlState::default();
@@ -59,6 +82,7 @@
     let mut state = ControlState::founded(BTreeMap::from([(1, ip)]));
     state.apply(publish(3, "three"));
     state.apply(Command::NameWeights { model: "m".into(), version: 2 });
+    state.apply(record(2, 1_000));
     state.apply(Command::TakeOrders { holder: 9 });
     state.apply(Command::Place { node: 2, ip });
     let bytes = state.snapshot();
--- a/tests/deployment/weights.rs
+++ b/tests/deployment/weights.rs
@@ -2,12 +2,15 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use kumquatpost::control::state::{Command, ControlState};
+use kumquatpost::control::weight_ages::{age_of, due};
 use kumquatpost::control::weights::{RunningPrompts, WeightOrder, loads_at_once, next_loads};
 use kumquatpost::fleet::{Listed, Presence, Roster};
 use kumquatpost::platform::engines;
+use kumquatpost::scheduler::weights::{NamedSince, NamedWeights};
 use serde_json::{Value, json};
 
-use crate::fixtures::{address, roster, target};
+use crate::fixtures::{address, ms, roster, target};
 
 fn engines_with(versions: &[u64]) -> Roster {
     let engine = |(n, version): (usize, &u64)| -> Listed {
@@ -88,3 +91,36 @@
     assert_eq!((report.orders_accepted, report.weights["m"]), (2, 2));
     assert!(engines::decode_report(b"{}").is_err());
 }
+
+/// Weights 2 are named at 10 s; older ones may be used for 8.4 s.
+#[test]
+fn the_age_of_a_naming_is_recorded_each_second_until_nothing_depends_on_it() {
+    let named = NamedSince::from([("m".to_string(), (2, ms(10_000)))]);
+    let mut state = ControlState::default();
+    state.apply(Command::NameWeights { model: "m".into(), version: 2 });
+    let mut recorded_at = Vec::new();
+    for at in (10_000..60_000).step_by(100) {
+        for command in due(&named, &state.weight_ages, ms(8_400), ms(at)) {
+            recorded_at.push(at);
+            state.apply(command);
+        }
+    }
+    assert_eq!(
+        recorded_at,
+        [11_000, 12_000, 13_000, 14_000, 15_000, 16_000, 17_000, 18_000, 18_400]
+    );
+    assert_eq!(state.weight_ages["m"], NamedWeights { version: 2, age: ms(8_400) });
+}
+
+#[test]
+fn a_replica_that_hears_of_a_naming_late_takes_it_for_old() {
+    let mut state = ControlState::default();
+    state.apply(Command::NameWeights { model: "m".into(), version: 2 });
+    let age = |state: &ControlState, caught_up_at| age_of(state, "m", 2, caught_up_at, ms(50_000));
+    assert_eq!(age(&state, Some(ms(49_900))), ms(0), "it was there when it was named");
+    assert_eq!(age(&state, None), ms(1_000), "it has just started");
+    assert_eq!(age(&state, Some(ms(40_000))), ms(1_000), "it was away");
+    let weights = NamedWeights { version: 2, age: ms(5_000) };
+    state.apply(Command::RecordAge { model: "m".into(), weights });
+    assert_eq!(age(&state, None), ms(6_000));
+}
--- a/tests/deployment/weights_in_force.rs
+++ b/tests/deployment/weights_in_force.rs
@@ -53,7 +53,7 @@
 
 /// What was seen: prompts began on older weights long after newer ones had been named, where
 /// replicas had been replaced or started again in between.
-/// What may cause it: a replica counted from when its own process heard of the naming, so one that
+/// What caused it in this test: a replica counted from when its own process heard of the naming, so one that
 /// started again took weights that had been named long ago for new, and allowed older ones for the
 /// whole bound once more.
 #[test]
