--- a/tests/deployment/gateway.rs
+++ b/tests/deployment/gateway.rs
@@ -7,7 +7,7 @@
 
 use kumquatpost::control::frames::{News, NumberedRoster};
 use kumquatpost::deployment::Deployment;
-use kumquatpost::fleet::{Listed, Roster, RosterChange};
+use kumquatpost::fleet::{Listed, RosterChange};
 use kumquatpost::gateway::request::patience_at_start;
 use kumquatpost::gateway::server;
 use kumquatpost::gateway::state::Gateway;
@@ -78,19 +78,13 @@
 
 impl Entry {
     fn hears(&self, deployment: Deployment, targets: Vec<Listed>) {
-        let roster = NumberedRoster { number: 1, roster: Arc::new(roster(targets)) };
         self.gateway.take(News::Deployment(Arc::new(deployment))).expect("it is whole");
-        self.gateway.take(News::Roster(roster)).expect("it is whole");
+        self.hears_list(1, targets);
     }
 
-    /// It hears of a later list.
-    pub fn changes_list(&self, change: impl FnOnce(&mut Roster)) {
-        let listed = self.gateway.fleet.borrow().live("llm").map(|s| s.listed.clone()).collect();
-        let mut later = Roster::default();
-        later.take(listed);
-        change(&mut later);
-        let later = NumberedRoster { number: 2, roster: Arc::new(later) };
-        self.gateway.take(News::Roster(later)).expect("it is whole");
+    pub fn hears_list(&self, number: u64, targets: Vec<Listed>) {
+        let roster = NumberedRoster { number, roster: Arc::new(roster(targets)) };
+        self.gateway.take(News::Roster(roster)).expect("it is whole");
     }
 
     pub async fn call(&self, path: &str, id: &str) -> Got {
--- a/tests/deployment/rollout.rs
+++ b/tests/deployment/rollout.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use kumquatpost::ids::TargetId;
-use kumquatpost::scheduler::weights::OldWeights;
+use kumquatpost::scheduler::weights::{NamedSince, OldWeights, take_named};
 use kumquatpost::scheduler::{Ask, End, Scheduler, Unplaced};
 
 use crate::fixtures::{ms, roster};
@@ -99,3 +99,28 @@
     let at_last = ms(1_000) + IN_FORCE_AT_LAST - ms(700);
     assert!(scheduler.submit(2, ask(2), at_last).is_none());
 }
+
+/// What was seen: prompts began on weights 1 long after weights 2 had been named, with one leader all
+/// along and no fault at the replicas.
+/// How it came about: weights 3 were named while some engines still ran weights 1.
+/// What caused it: only the newest naming was kept in mind, so engines that had missed an earlier one
+/// were allowed the whole bound anew.
+#[test]
+fn weights_that_are_named_later_do_not_prolong_the_bound_of_those_named_before() {
+    let ask = |n| Ask { time_left: ms(30_000), ..ask_of(1, n, n) };
+    let mut scheduler = scheduler(2);
+    let old_weights = OldWeights { within: Some(IN_FORCE), at_last_within: Some(IN_FORCE_AT_LAST) };
+    scheduler.set_old_weights(old_weights);
+    let mut named = NamedSince::new();
+    for (version, at) in [(2, ms(1_000)), (3, ms(5_000))] {
+        take_named(&mut named, &"m".to_string(), version, at, at);
+    }
+    scheduler.take_named(&named);
+    let after = ms(1_000) + IN_FORCE - ms(700);
+    assert!(scheduler.submit(1, ask(1), after).is_none(), "2 must be in force: it waits");
+    scheduler.withdraw(1);
+    load(&mut scheduler, 1, 2);
+    assert_eq!(placed(scheduler.submit(2, ask(2), after)).weight_version, Some(2));
+    let after = ms(5_000) + IN_FORCE - ms(700);
+    assert!(scheduler.submit(3, ask(3), after).is_none(), "3 must be in force");
+}
--- a/tests/deployment/weights_alone.rs
+++ b/tests/deployment/weights_alone.rs
@@ -72,12 +72,7 @@
         let first = vec![refuses_weights("X-Weight-Versions: 1\r\n")];
         let others = vec![streams("a"), streams("b")];
         let (entry, one, two) = before_two("llm", first, others).await;
-        let at_2 = BTreeMap::from([("m".to_string(), 2)]);
-        entry.changes_list(|list| {
-            for id in ["i-1", "i-2"] {
-                list.set_weights(&id.to_string(), &at_2);
-            }
-        });
+        entry.hears_list(2, vec![engine("i-1", &one, 2), engine("i-2", &two, 2)]);
         hears_named(&entry, 2, SEEN_AFTER);
         let got = entry.call_with("/stream/", "r1", PROMPT).await;
         assert_eq!(expected_weights(&one, 0).as_deref(), Some("2"));
@@ -114,3 +109,18 @@
         assert_eq!(old.seen(), 0);
     });
 }
+
+/// An engine that still runs weights 1 has missed weights 2, which were named long ago.
+#[test]
+fn an_entry_alone_counts_from_the_first_weights_that_an_engine_has_missed() {
+    run(async {
+        let (old, newer) = (StandIn::start(vec![]).await, StandIn::start(vec![streams("a")]).await);
+        let entry = entry(unhurried(), vec![engine("i-1", &old, 1)]).await;
+        hears_named(&entry, 2, SEEN_AFTER);
+        hears_named(&entry, 3, ms(1_000));
+        assert_eq!(entry.call_with("/stream/", "r1", PROMPT).await.status, 503);
+        entry.hears_list(2, vec![engine("i-1", &old, 1), engine("i-2", &newer, 2)]);
+        assert_eq!(entry.call_with("/stream/", "r2", PROMPT).await.status, 200);
+        assert_eq!((old.seen(), newer.seen()), (0, 1));
+    });
+}
