--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -187,6 +187,8 @@
     }
 
     fn list(&mut self, listed: &Listed) {
+        // What answered for it at its former address says nothing of this one.
+        self.has_left &= listed.address == self.listed.address;
         self.listed.clone_from(listed);
         self.has_left |= listed.presence == Presence::Leaving;
         if self.has_left {
--- a/tests/deployment/leaving.rs
+++ b/tests/deployment/leaving.rs
@@ -143,6 +143,10 @@
     view.replaced(&LEAVES.to_string());
     view.take(&roster(listed(Presence::Live)));
     assert!(!live(&view), "a list that lags brought an ended target back to an entry");
+    let mut elsewhere = listed(Presence::Live);
+    elsewhere[0].address = address(9);
+    view.take(&roster(elsewhere));
+    assert!(live(&view), "at another address it is there");
     run(an_entry_hears_who_leaves_from_a_list_that_it_does_not_take());
 }
 
