Tests of one run listen at addresses of their own

Cause: a whole run of the deployment tests failed (146 of 147 passed) at replicas::an_old_or_other_document_...: 'Address already in use' at 127.77.1.1:9464, the metrics port, which is the same in all runs, while other clones ran the same tests on this machine. Two new tests would have met at their ports, too. Change: the process's id is in the address.

--- a/tests/deployment/fixtures.rs
+++ b/tests/deployment/fixtures.rs
@@ -1,7 +1,7 @@
 //! Deployments and targets that several tests use.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use kumquatpost::deployment::{
@@ -26,6 +26,12 @@
     Duration::from_millis(ms)
 }
 
+/// An address of this host that no other run of these tests on it uses: some ports are the same in all.
+pub fn loopback(last: u8) -> IpAddr {
+    let [low, high, ..] = std::process::id().to_le_bytes();
+    IpAddr::from([127, high.clamp(1, 254), low, last])
+}
+
 pub fn address(port: u16) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, 1], port))
 }
--- a/tests/deployment/leaving.rs
+++ b/tests/deployment/leaving.rs
@@ -30,7 +30,7 @@
 use tokio::net::TcpListener;
 
 use crate::asking::shared;
-use crate::fixtures::{address, roster, target};
+use crate::fixtures::{address, loopback, roster, target};
 use crate::gateway::{PROMPT, entry, ok, run, unhurried};
 use crate::stand_in::{StandIn, Then};
 
@@ -234,7 +234,7 @@
         let engines = [("i-1", &leaves), ("i-2", &stays)];
         let listed = engines.map(|(id, engine)| target(id, "llm", engine.address));
         let entry = entry(unhurried(), listed.to_vec()).await;
-        let ip = "127.99.0.1".parse().expect("an address");
+        let ip = loopback(3);
         let listener = TcpListener::bind((ip, entry.gateway.host.peer_port)).await.expect("a port");
         entry.gateway.leader.set(Some(ip));
         tokio::task::spawn_local(asking::keep_connected(entry.gateway.clone()));
--- a/tests/deployment/reading.rs
+++ b/tests/deployment/reading.rs
@@ -1,6 +1,6 @@
 //! Which replica reads the platform's list, and how soon after the leader can't.
 
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -15,7 +15,7 @@
 use tokio::net::TcpListener;
 
 use crate::asking::shared;
-use crate::fixtures::ms;
+use crate::fixtures::{loopback, ms};
 use crate::gateway::run;
 
 /// Between moments at which the list shows something new.
@@ -102,7 +102,7 @@
 
 /// A leader whose list is at this address asks another replica to read.
 async fn asks_for(list: SocketAddr, port: u16) {
-    let (own, other): (IpAddr, IpAddr) = ([127, 98, 0, 1].into(), [127, 98, 0, 2].into());
+    let (own, other) = (loopback(1), loopback(2));
     let listener = TcpListener::bind((other, port)).await.expect("a port");
     let mut leader = shared(4, NumberedRoster::default());
     leader.links = Rc::new(Links::new(1, own, port));
--- a/tests/deployment/replicas.rs
+++ b/tests/deployment/replicas.rs
@@ -10,9 +10,14 @@
 use reqwest::blocking::Client;
 use serde_json::{Value, json};
 
+use crate::fixtures::loopback;
+
 /// Longest wait for what must happen: many times what it takes, for busy machines.
 const PATIENCE: Duration = Duration::from_secs(120);
 
+/// Most hosts of one system.
+const HOSTS: u8 = 8;
+
 /// Replicas of one system.
 pub struct Core {
     folder: tempfile::TempDir,
@@ -55,7 +60,7 @@
     }
 
     fn ip(&self, host: usize) -> String {
-        format!("127.77.{}.{}", self.subnet, host + 1)
+        loopback(self.subnet * HOSTS + host as u8).to_string()
     }
 
     fn file(&self, host: usize, name: &str) -> PathBuf {
