Engines that don't answer their order don't hold up the others

Cause: an engine whose order was not answered counted as one that changes for as long as it took to carry the order out (seconds), got no prompts, and kept other engines from being told: a quarter at a time. Change: such an engine gets prompts again (on older weights, within the bound) until its report shows that it carries the order out, and its place goes to others, up to three quarters of all. Repeated orders let what runs finish. Engines that have missed most are told first.

--- a/src/control/ordering.rs
+++ b/src/control/ordering.rs
@@ -1,6 +1,7 @@
 //! Gives orders to engines while this replica leads.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,6 +17,7 @@
     EngineReport, Lagging, RunningPrompts, WeightOrder, loads_at_once, next_loads,
 };
 use crate::fleet::Listed;
+use crate::ids::TargetId;
 use crate::log::Term;
 use crate::net::http::{Exchange, fetch};
 use crate::platform::engines;
@@ -50,6 +52,20 @@
     pub apart: Duration,
     /// Engines that load.
     pub loading: Cell<usize>,
+    /// Engines that have not answered their order. They may carry it out seconds later, and get prompts
+    /// until they do: else all others would wait for them.
+    pub awaited: RefCell<BTreeSet<TargetId>>,
+}
+
+/// What came of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ordered {
+    /// The engine carries it out, or has.
+    Taken,
+    /// The engine does not carry it out.
+    Refused,
+    /// It may be carried out, now or seconds later.
+    Unanswered,
 }
 
 /// One of the engines that load, until it is dropped.
@@ -94,6 +110,7 @@
                 tokio::task::spawn_local(async move {
                     ordering.bring_up(&lagging, term).await;
                     ordering.shared.changing.borrow_mut().remove(&lagging.engine);
+                    ordering.awaited.borrow_mut().remove(&lagging.engine);
                 });
             }
         }
@@ -102,7 +119,8 @@
     fn next(&self) -> Vec<Lagging> {
         let belief = self.shared.belief.borrow();
         let roster = self.shared.roster.borrow();
-        next_loads(&roster.roster, &belief.state.weights, &self.shared.changing.borrow())
+        let (changing, awaited) = (self.shared.changing.borrow(), self.awaited.borrow());
+        next_loads(&roster.roster, &belief.state.weights, &changing, &awaited)
     }
 
     /// Becomes the only holder, and waits until no order of an earlier one can be under way.
@@ -125,15 +143,34 @@
 
     /// Has an engine load the newest weights, with as little as possible of what it runs disturbed.
     async fn bring_up(&self, lagging: &Lagging, term: Term) {
-        let _ = self.scheduling.with(|scheduler| {
-            scheduler.take_changing(&self.shared.changing.borrow());
-        });
+        self.tell_changing();
         let target = self.shared.roster.borrow().roster.get(&lagging.engine).cloned();
         let Some(target) = target else { return };
         self.drain(&target).await;
         self.load(&target, lagging, term).await;
     }
 
+    /// Has the scheduler know at once which engines get no prompts.
+    fn tell_changing(&self) {
+        let _ = self.scheduling.with(|scheduler| {
+            scheduler.take_changing(&self.shared.changing.borrow());
+        });
+    }
+
+    /// The engine has not answered its order: it gets prompts again until it carries it out.
+    fn awaits(&self, engine: &TargetId) {
+        self.awaited.borrow_mut().insert(engine.clone());
+        self.shared.changing.borrow_mut().remove(engine);
+        self.tell_changing();
+    }
+
+    /// The engine carries out its order.
+    fn begins(&self, engine: &TargetId) {
+        self.shared.changing.borrow_mut().insert(engine.clone());
+        self.awaited.borrow_mut().remove(engine);
+        self.tell_changing();
+    }
+
     /// Waits until another engine of the model may load.
     async fn until_may_load(&self, lagging: &Lagging) {
         while self.loading.get() >= self.loads_at_once(lagging) {
@@ -161,13 +198,21 @@
         let mut version = lagging.version;
         // Held from the order that the engine takes to the end of the load.
         let mut loading = None;
+        let mut was_busy = false;
         while Instant::now() < give_up && self.may_order(term) {
             if loading.is_none() {
-                self.until_may_load(lagging).await;
+                // One that is awaited may begin at any time, and is looked at until then.
+                if !self.is_awaited(&target.id) {
+                    self.until_may_load(lagging).await;
+                }
                 // Newer ones may have been named while it waited for its turn.
                 version = self.newest(lagging);
             }
             let report = report::read(&target.id, target.address).await;
+            if was_busy && report.as_ref().is_some_and(|report| !report.is_busy) {
+                // It has carried out an order, but one for weights that were replaced meanwhile.
+                (loading, was_busy) = (None, false);
+            }
             if let Some(report) = &report
                 && report.weights.get(&lagging.model).is_some_and(|has| *has >= version)
             {
@@ -176,11 +221,21 @@
                 return;
             }
             match report {
-                Some(report) if !report.is_busy && loading.is_none() => {
+                Some(report) if report.is_busy => {
+                    was_busy = true;
+                    loading.get_or_insert_with(|| Loading::begin(&self.loading));
+                    self.begins(&target.id);
+                }
+                Some(report) if loading.is_none() => {
                     let begun = Loading::begin(&self.loading);
                     let lagging = Lagging { version, ..lagging.clone() };
-                    if self.order(target, &lagging, &report, term).await {
-                        loading = Some(begun);
+                    match self.order(target, &lagging, &report, term).await {
+                        Ordered::Taken => {
+                            loading = Some(begun);
+                            self.begins(&target.id);
+                        }
+                        Ordered::Unanswered => self.awaits(&target.id),
+                        Ordered::Refused => {}
                     }
                 }
                 Some(_) => {}
@@ -192,6 +247,10 @@
         log::warn!("event=weights_not_loaded engine={} version={version} term={term}", target.id);
     }
 
+    fn is_awaited(&self, engine: &TargetId) -> bool {
+        self.awaited.borrow().contains(engine)
+    }
+
     fn newest(&self, lagging: &Lagging) -> u64 {
         let belief = self.shared.belief.borrow();
         belief.state.weights.get(&lagging.model).copied().unwrap_or(lagging.version)
@@ -202,22 +261,24 @@
         belief.leads && belief.term == term && self.shared.caught_up_at.get().is_some()
     }
 
-    /// Returns whether the engine has surely taken the order.
     async fn order(
         &self,
         target: &Listed,
         lagging: &Lagging,
         report: &EngineReport,
         fencing: u64,
-    ) -> bool {
+    ) -> Ordered {
         if !self.may_order(fencing) {
-            return false;
+            return Ordered::Refused;
         }
         let order = WeightOrder {
             model: lagging.model.clone(),
             version: lagging.version,
             running: match self.placed_on(target) {
                 0 => RunningPrompts::Finish,
+                // It was given prompts in the meantime: what they make under other weights is worth
+                // nothing.
+                _ if self.is_awaited(&target.id) => RunningPrompts::Finish,
                 _ => RunningPrompts::GoOn,
             },
             holder: self.shared.node,
@@ -237,6 +298,10 @@
             report.orders_accepted,
             order.running,
         );
-        status.is_ok_and(|status| status.is_success())
+        match status {
+            Ok(status) if status.is_success() => Ordered::Taken,
+            Ok(_) => Ordered::Refused,
+            Err(_) => Ordered::Unanswered,
+        }
     }
 }
--- a/src/control/run.rs
+++ b/src/control/run.rs
@@ -111,6 +111,7 @@
         inputs,
         apart,
         loading: Cell::new(0),
+        awaited: RefCell::default(),
     });
     tasks.spawn("ordering", ordering.run());
     let reloaded = reload::keep_reading(host.clone(), |host| {
--- a/src/control/weights.rs
+++ b/src/control/weights.rs
@@ -2,13 +2,15 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::fleet::{Presence, Roster};
+use crate::fleet::{Listed, Presence, Roster};
 use crate::ids::{ModelId, NodeId, TargetId};
 
 /// One engine in this many may load at a time: more would slow down each other's loads.
 const LOADING_PART: usize = 6;
 /// One engine in this many may be kept from new prompts at a time, to be loaded next or loading.
 const CHANGING_PART: usize = 4;
+/// One engine in this many may have an order that it has not answered, and may carry out seconds later.
+const AWAITED_PART: usize = 2;
 
 /// What an engine says of itself.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -60,11 +62,12 @@
     pub version: u64,
 }
 
-/// Engines to be told now, beside those that are under way.
+/// Engines to be told now, beside those that change and those whose order is awaited.
 pub fn next_loads(
     roster: &Roster,
     named: &BTreeMap<ModelId, u64>,
-    under_way: &BTreeSet<TargetId>,
+    changing: &BTreeSet<TargetId>,
+    awaited: &BTreeSet<TargetId>,
 ) -> Vec<Lagging> {
     let mut next = Vec::new();
     for (model, version) in named {
@@ -72,17 +75,26 @@
             let live = roster.iter().filter(|target| target.presence == Presence::Live);
             live.filter(|target| target.weights.contains_key(model))
         };
+        let of_model =
+            |ids: &BTreeSet<TargetId>| engines().filter(|engine| ids.contains(&engine.id)).count();
         let at_once = (engines().count() / CHANGING_PART).max(1);
-        let changing = engines().filter(|engine| under_way.contains(&engine.id)).count();
-        let lagging = engines()
+        let under_way_at_most = at_once + (engines().count() / AWAITED_PART).max(1);
+        let changing_count = of_model(changing);
+        let under_way = changing_count + of_model(awaited);
+        let left =
+            at_once.saturating_sub(changing_count).min(under_way_at_most.saturating_sub(under_way));
+        // Those that have missed most go first: their bound is over first.
+        let mut lagging: Vec<&Listed> = engines()
             .filter(|engine| engine.weights.get(model).is_some_and(|has| has < version))
-            .filter(|engine| !under_way.contains(&engine.id))
-            .map(|engine| Lagging {
-                engine: engine.id.clone(),
-                model: model.clone(),
-                version: *version,
-            });
-        next.extend(lagging.take(at_once.saturating_sub(changing)));
+            .filter(|engine| !changing.contains(&engine.id) && !awaited.contains(&engine.id))
+            .collect();
+        lagging.sort_by_key(|engine| engine.weights.get(model));
+        let lagging = lagging.into_iter().take(left).map(|engine| Lagging {
+            engine: engine.id.clone(),
+            model: model.clone(),
+            version: *version,
+        });
+        next.extend(lagging);
     }
     next
 }
