--- a/tests/deployment/asking.rs
+++ b/tests/deployment/asking.rs
@@ -14,13 +14,15 @@
 use kumquatpost::gateway::call::Part;
 use kumquatpost::log::Term;
 use kumquatpost::scheduler::weights::OldWeights;
-use kumquatpost::scheduler::{Ask, Placed};
+use kumquatpost::scheduler::{Ask, End, Note, Placed};
 use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
 use crate::fixtures::{address, deployment, ms, roster, target};
+use crate::gateway::ok;
+use crate::stand_in::{StandIn, Then};
 
 /// A replica that leads, with one engine.
 fn leading() -> Rc<Scheduling> {
@@ -194,3 +196,29 @@
         assert_eq!(first.hear().await, ToEntry::Placed(2, Err(PlaceError::NotScheduling)));
     });
 }
+
+/// An engine that was believed to run weights 2 refuses a prompt, since it runs 1.
+#[test]
+fn weights_that_an_engine_is_found_with_are_listed_so_that_it_is_told_to_load() {
+    crate::gateway::run(async {
+        let report = r#"{"Models":[{"Name":"m","Version":1}],"Busy":false,"Seq":0}"#;
+        let engine = StandIn::start(vec![(ok(report), Then::KeepOpen); 20]).await;
+        let mut listed = target("i-1", "llm", engine.address);
+        listed.weights.insert("m".to_string(), 2);
+        let known = NumberedRoster { number: 1, roster: Arc::new(roster([listed])) };
+        let shared = Rc::new(shared(1, known));
+        let scheduling = Rc::new(Scheduling::new(shared.clone(), OldWeights::default()));
+        tokio::task::spawn_local(scheduling.clone().run());
+        let mut asker = Asker::connect(&scheduling).await;
+        let placed = asker.placed().await;
+        assert_eq!(placed.weight_version, Some(2));
+        let end = End::OtherWeights(Some(1));
+        asker.tell(FromEntry::Note(Note::Ended { ticket: placed.ticket, end })).await;
+        let mut changes = shared.roster.subscribe();
+        let is_listed = |known: &NumberedRoster| {
+            known.roster.get("i-1").is_some_and(|engine| engine.weights["m"] == 1)
+        };
+        let listed = tokio::time::timeout(ms(15_000), changes.wait_for(is_listed)).await;
+        assert!(listed.is_ok(), "it would never be told");
+    });
+}
--- a/tests/deployment/scheduling.rs
+++ b/tests/deployment/scheduling.rs
@@ -492,3 +492,19 @@
     let after = pace.reading(1_000) + pace.base();
     assert!(after < before * 3, "{before:?} became {after:?}");
 }
+
+/// It runs older weights than it was found with, so the belief of all is wrong.
+#[test]
+fn an_engine_that_runs_older_weights_than_believed_is_asked() {
+    let mut scheduler = scheduler(1);
+    let mut listed = engines(1);
+    listed[0].weights.insert("m".to_string(), 2);
+    scheduler.take_roster(&roster(listed));
+    let one = placed(scheduler.submit(1, ask_of(1, 1, 1), ms(10)));
+    let two = placed(scheduler.submit(2, ask_of(1, 1, 2), ms(80)));
+    assert_eq!(one.weight_version, Some(2));
+    end(&mut scheduler, one.ticket, End::OtherWeights(Some(3)), ms(90));
+    assert_eq!(scheduler.doubted(), [], "newer ones come to the list by themselves");
+    end(&mut scheduler, two.ticket, End::OtherWeights(Some(1)), ms(91));
+    assert_eq!(scheduler.doubted().len(), 1);
+}
