Tell engines to load that run older weights than were believed

Cause: an engine that refused a prompt since it runs older weights than believed corrected the scheduler's belief alone, until the next list; the list went on naming newer ones, and orders go by the list. Change: such an engine is asked, and what it reports is listed. Not covered: a refusal met by an entry that decided alone reaches no replica.

--- a/src/control/scheduling.rs
+++ b/src/control/scheduling.rs
@@ -206,8 +206,13 @@
             let scheduling = self.clone();
             tokio::task::spawn_local(async move {
                 let report = report::read(&engine, address).await;
-                let version = report.and_then(|report| report.weights.values().next().copied());
-                log::info!("event=weights_asked engine={engine} version={version:?}");
+                let weights = report.map(|report| report.weights);
+                log::info!("event=weights_asked engine={engine} weights={weights:?}");
+                if let Some(weights) = &weights {
+                    // Else an engine that runs older ones than are listed is not told to load.
+                    scheduling.shared.change_roster(|known| known.set_weights(&engine, weights));
+                }
+                let version = weights.and_then(|weights| weights.values().next().copied());
                 scheduling.asked.borrow_mut().remove(&engine);
                 // Without a scheduler there is nothing to tell.
                 let _ = scheduling.with(|scheduler| scheduler.resolve(&engine, version));
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -511,10 +511,17 @@
                 let Some(known) = self.tickets.remove(ticket) else { return };
                 let Some(engine) = self.engines.get_mut(&known.target) else { return };
                 engine.end(*ticket, now);
-                take_end(engine, *end, now);
                 // Of several prompts that were sent under the same belief, one shows that it is wrong.
-                if *end == End::OtherWeights(None) && engine.weight_version == known.weight_version
-                {
+                let is_same_belief = engine.weight_version == known.weight_version;
+                let is_doubted = match end {
+                    End::OtherWeights(None) => is_same_belief,
+                    // Older ones than are believed by all: the list must learn of it, too, or the
+                    // engine would never be told to load newer ones.
+                    End::OtherWeights(has) => *has < known.weight_version,
+                    _ => false,
+                };
+                take_end(engine, *end, now);
+                if is_doubted {
                     self.weights.doubted.insert(known.target);
                 }
             }
