--- a/tests/deployment/asking.rs
+++ b/tests/deployment/asking.rs
@@ -208,7 +208,7 @@
         let engine = StandIn::start(vec![(ok(report), Then::KeepOpen); 20]).await;
         let mut listed = target("i-1", "llm", engine.address);
         listed.weights.insert("m".to_string(), 2);
-        let known = NumberedRoster { number: 1, roster: Arc::new(roster([listed])) };
+        let known = NumberedRoster::new(1, Arc::new(roster([listed])));
         let shared = Rc::new(shared(1, known));
         let scheduling = Rc::new(Scheduling::new(shared.clone(), OldWeights::default()));
         tokio::task::spawn_local(scheduling.clone().run());
