Name one start of a target by its id and its birth

Beliefs of the platform's side (roster, view, scheduler, orders, pool) were keyed by the id of a target, which may now start again under that id.

--- a/src/control/memory_reader.rs
+++ b/src/control/memory_reader.rs
@@ -9,7 +9,7 @@
 use http::{Method, StatusCode};
 
 use super::scheduling::Scheduling;
-use crate::ids::TargetId;
+use crate::ids::TargetStart;
 use crate::net::http::{CallError, Exchange, fetch};
 use crate::platform::stores;
 use crate::scheduler::store::StoreEvent;
@@ -26,7 +26,7 @@
 const READS_FOR: Duration = Duration::from_millis(1_500);
 
 /// Reads the events that engines still have.
-pub async fn run(scheduling: Rc<Scheduling>, engines: Vec<(TargetId, SocketAddr)>) {
+pub async fn run(scheduling: Rc<Scheduling>, engines: Vec<(TargetStart, SocketAddr)>) {
     let count = engines.len();
     let scheduling = &scheduling;
     let reading = futures::stream::iter(engines).map(|(engine, address)| async move {
--- a/src/control/ordering.rs
+++ b/src/control/ordering.rs
@@ -153,7 +153,7 @@
     }
 
     fn placed_on(&self, target: &Listed) -> u32 {
-        self.scheduling.with(|scheduler| scheduler.placed_on(&target.id)).unwrap_or_default()
+        self.scheduling.with(|scheduler| scheduler.placed_on(&target.start)).unwrap_or_default()
     }
 
     async fn load(&self, target: &Listed, lagging: &Lagging, term: Term) {
@@ -167,12 +167,13 @@
                 // Newer ones may have been named while it waited for its turn.
                 version = self.newest(lagging);
             }
-            let report = report::read(&target.id, target.address).await;
+            let report = report::read(&target.start, target.address).await;
             if let Some(report) = &report
                 && report.weights.get(&lagging.model).is_some_and(|has| *has >= version)
             {
-                self.shared.change_roster(|known| known.set_weights(&target.id, &report.weights));
-                log::info!("event=weights_loaded engine={} version={version}", target.id);
+                self.shared
+                    .change_roster(|known| known.set_weights(&target.start, &report.weights));
+                log::info!("event=weights_loaded engine={} version={version}", target.start);
                 return;
             }
             match report {
@@ -224,14 +225,14 @@
             orders_accepted: report.orders_accepted,
         };
         let call = Exchange::new(target.address, Method::POST, engines::ORDER_PATH)
-            .expecting(&target.id)
+            .expecting(&target.start.id)
             .with_json(engines::encode_order(&order));
         let answer = fetch(call, ORDER_TIMEOUT).await;
         let status = answer.as_ref().map(|answer| answer.status);
         log::info!(
             "event=weights_ordered engine={} version={} fencing={fencing} orders_accepted={} \
              running={:?} answer={status:?}",
-            target.id,
+            target.start,
             lagging.version,
             report.orders_accepted,
             order.running,
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -15,7 +15,7 @@
 use super::state::{Command, ControlState, Published, Reply};
 use crate::clock::{BootTime, boot_now};
 use crate::fleet::Roster;
-use crate::ids::{ModelId, NodeId, TargetId};
+use crate::ids::{ModelId, NodeId, TargetStart};
 use crate::log::driver::{Driver, Output};
 use crate::log::raft::{Change, NotLeader, ReadId};
 use crate::log::{Entry, Index, Payload, Term};
@@ -56,7 +56,7 @@
     /// Entries that are connected to any replica.
     pub entries: Cell<u32>,
     /// Engines that are about to load other weights, or load them. They get no new prompts.
-    pub changing: RefCell<BTreeSet<TargetId>>,
+    pub changing: RefCell<BTreeSet<TargetStart>>,
     /// The newest named weights of each model, and when this replica heard of them.
     pub named_since: RefCell<NamedSince>,
     /// Connections to other replicas.
--- a/src/control/report.rs
+++ b/src/control/report.rs
@@ -6,7 +6,7 @@
 use http::{Method, StatusCode};
 
 use super::weights::EngineReport;
-use crate::ids::TargetId;
+use crate::ids::TargetStart;
 use crate::net::http::{CallError, Exchange, fetch};
 use crate::platform::engines;
 
@@ -14,7 +14,7 @@
 const TIMEOUT: Duration = Duration::from_millis(400);
 
 /// An engine's report; `None` if it is gone or cut off, which the list tells before long.
-pub async fn read(engine: &TargetId, address: SocketAddr) -> Option<EngineReport> {
+pub async fn read(engine: &TargetStart, address: SocketAddr) -> Option<EngineReport> {
     let answer = fetch(Exchange::new(address, Method::GET, engines::REPORT_PATH), TIMEOUT).await;
     let report = answer.and_then(|answer| match answer.status {
         StatusCode::OK => Ok(engines::decode_report(&answer.body)?),
--- a/src/control/scheduling.rs
+++ b/src/control/scheduling.rs
@@ -17,7 +17,7 @@
 use super::report;
 use super::store_reader;
 use crate::clock::{BootTime, boot_now};
-use crate::ids::TargetId;
+use crate::ids::TargetStart;
 use crate::log::Term;
 use crate::net::http::{Exchange, fetch};
 use crate::platform::stores;
@@ -53,7 +53,7 @@
     waiters: RefCell<HashMap<WaiterId, Waiter>>,
     next_waiter: Cell<WaiterId>,
     /// Engines that are being asked for their weights.
-    asked: RefCell<HashSet<TargetId>>,
+    asked: RefCell<HashSet<TargetStart>>,
     dispatched_at: Cell<BootTime>,
 }
 
--- a/src/control/weights.rs
+++ b/src/control/weights.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::fleet::{Presence, Roster};
-use crate::ids::{ModelId, NodeId, TargetId};
+use crate::ids::{ModelId, NodeId, TargetStart};
 
 /// One engine in this many may load at a time: more would slow down each other's loads.
 const LOADING_PART: usize = 6;
@@ -53,7 +53,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Lagging {
     /// The engine.
-    pub engine: TargetId,
+    pub engine: TargetStart,
     /// The model.
     pub model: ModelId,
     /// The version that it shall load.
@@ -64,7 +64,7 @@
 pub fn next_loads(
     roster: &Roster,
     named: &BTreeMap<ModelId, u64>,
-    under_way: &BTreeSet<TargetId>,
+    under_way: &BTreeSet<TargetStart>,
 ) -> Vec<Lagging> {
     let mut next = Vec::new();
     for (model, version) in named {
@@ -73,12 +73,12 @@
             live.filter(|target| target.weights.contains_key(model))
         };
         let at_once = (engines().count() / CHANGING_PART).max(1);
-        let changing = engines().filter(|engine| under_way.contains(&engine.id)).count();
+        let changing = engines().filter(|engine| under_way.contains(&engine.start)).count();
         let lagging = engines()
             .filter(|engine| engine.weights.get(model).is_some_and(|has| has < version))
-            .filter(|engine| !under_way.contains(&engine.id))
+            .filter(|engine| !under_way.contains(&engine.start))
             .map(|engine| Lagging {
-                engine: engine.id.clone(),
+                engine: engine.start.clone(),
                 model: model.clone(),
                 version: *version,
             });
--- a/src/fleet/placement.rs
+++ b/src/fleet/placement.rs
@@ -8,7 +8,7 @@
 use super::view::{FleetView, TargetState};
 use crate::clock::BootTime;
 use crate::gateway::call::Prompt;
-use crate::ids::TargetId;
+use crate::ids::TargetStart;
 
 /// What a request that an engine already holds delays the next one: the sites' mean prompt of
 /// 3,600 tokens at 140 tokens a millisecond.
@@ -34,7 +34,7 @@
     /// Those who may share kept cache with the request; empty for everybody.
     pub cache_wall: &'a str,
     /// Targets that this request was sent to before.
-    pub tried: &'a [TargetId],
+    pub tried: &'a [TargetStart],
     /// Breaks ties.
     pub drawn: u64,
 }
@@ -52,7 +52,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
     /// The target.
-    pub target: TargetId,
+    pub target: TargetStart,
     /// Requests that it probably holds.
     pub load: f64,
     /// Its place among the homes of the request's context, 0 first.
@@ -70,7 +70,7 @@
     let mut sound = Vec::new();
     for state in view.live(ask.service) {
         is_listed = true;
-        let was_tried = ask.tried.contains(&state.listed.id);
+        let was_tried = ask.tried.contains(&state.listed.start);
         if !was_tried && state.health.admits(state.running, now) {
             sound.push(state);
         }
@@ -92,7 +92,7 @@
     let choice = |state: &&TargetState| {
         let load = state.load(now);
         let expected = DELAY_PER_PLAIN_REQUEST.mul_f64(load);
-        (Choice { target: state.listed.id.clone(), load, home: 0, expected }, tie(state))
+        (Choice { target: state.listed.start.clone(), load, home: 0, expected }, tie(state))
     };
     sound.iter().map(choice).collect()
 }
@@ -122,13 +122,13 @@
                 };
             let read_ms = (own as f64 + again) / READ_TOKENS_PER_MS;
             let expected = DELAY_PER_REQUEST.mul_f64(load) + Duration::from_secs_f64(read_ms / 1e3);
-            (Choice { target: state.listed.id.clone(), load, home, expected }, tie(state))
+            (Choice { target: state.listed.start.clone(), load, home, expected }, tie(state))
         })
         .collect()
 }
 
 fn tie(state: &TargetState) -> u64 {
-    FxBuildHasher.hash_one(&state.listed.id)
+    FxBuildHasher.hash_one(&state.listed.start.id)
 }
 
 /// Mixes two hashes evenly (the finisher of MurmurHash3).
--- a/src/fleet/roster.rs
+++ b/src/fleet/roster.rs
@@ -5,14 +5,13 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{DomainId, ModelId, ServiceId, TargetId};
+use crate::ids::{DomainId, ModelId, ServiceId, TargetStart};
 
-/// A target as it was last listed. Its id names one start of it: a target that starts again has
-/// another id, even at the same address.
+/// A target as it was last listed.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Listed {
     /// This start of it.
-    pub id: TargetId,
+    pub start: TargetStart,
     /// The service that it is part of.
     pub service: ServiceId,
     /// Where it is reached.
@@ -39,9 +38,9 @@
 /// All listed targets. The platform's list lags, and its readers may see older answers later.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Roster {
-    targets: BTreeMap<TargetId, Listed>,
+    targets: BTreeMap<TargetStart, Listed>,
     /// Targets that were seen leaving. Never taken back while they are listed.
-    left: BTreeSet<TargetId>,
+    left: BTreeSet<TargetStart>,
 }
 
 /// How one list differs from an earlier one.
@@ -50,14 +49,14 @@
     /// Targets that are new, or not as they were.
     pub changed: Vec<Listed>,
     /// Targets that are listed no more.
-    pub gone: Vec<TargetId>,
+    pub gone: Vec<TargetStart>,
 }
 
 impl Roster {
     /// How a later list differs from this one.
     pub fn change_to(&self, later: &Roster) -> RosterChange {
-        let is_changed = |listed: &&Listed| self.get(&listed.id) != Some(*listed);
-        let is_gone = |id: &&TargetId| !later.targets.contains_key(*id);
+        let is_changed = |listed: &&Listed| self.get(&listed.start) != Some(*listed);
+        let is_gone = |start: &&TargetStart| !later.targets.contains_key(*start);
         RosterChange {
             changed: later.iter().filter(is_changed).cloned().collect(),
             gone: self.targets.keys().filter(is_gone).cloned().collect(),
@@ -66,8 +65,8 @@
 
     /// Applies how a later list differs from this one.
     pub fn apply(&mut self, change: RosterChange) {
-        change.gone.iter().for_each(|id| drop(self.targets.remove(id)));
-        let changed = change.changed.into_iter().map(|listed| (listed.id.clone(), listed));
+        change.gone.iter().for_each(|start| drop(self.targets.remove(start)));
+        let changed = change.changed.into_iter().map(|listed| (listed.start.clone(), listed));
         self.targets.extend(changed);
     }
 
@@ -75,16 +74,16 @@
     pub fn take(&mut self, list: Vec<Listed>) -> bool {
         let mut targets = BTreeMap::new();
         for mut target in list {
-            if target.presence == Presence::Leaving || self.left.contains(&target.id) {
-                self.left.insert(target.id.clone());
+            if target.presence == Presence::Leaving || self.left.contains(&target.start) {
+                self.left.insert(target.start.clone());
                 target.presence = Presence::Leaving;
             }
             // The list lags behind what was found out: one start of a target never gets older weights.
-            for (model, known) in self.get(&target.id).iter().flat_map(|known| &known.weights) {
+            for (model, known) in self.get(&target.start).iter().flat_map(|known| &known.weights) {
                 let version = target.weights.entry(model.clone()).or_default();
                 *version = (*version).max(*known);
             }
-            targets.insert(target.id.clone(), target);
+            targets.insert(target.start.clone(), target);
         }
         let changed = targets != self.targets;
         self.targets = targets;
@@ -92,8 +91,8 @@
     }
 
     /// Records the weights that a target was found with.
-    pub fn set_weights(&mut self, id: &TargetId, weights: &BTreeMap<ModelId, u64>) -> bool {
-        let Some(target) = self.targets.get_mut(id) else { return false };
+    pub fn set_weights(&mut self, start: &TargetStart, weights: &BTreeMap<ModelId, u64>) -> bool {
+        let Some(target) = self.targets.get_mut(start) else { return false };
         let changed = target.weights != *weights;
         target.weights.clone_from(weights);
         changed
@@ -105,8 +104,8 @@
     }
 
     /// A target.
-    pub fn get(&self, id: &str) -> Option<&Listed> {
-        self.targets.get(id)
+    pub fn get(&self, start: &TargetStart) -> Option<&Listed> {
+        self.targets.get(start)
     }
 
     /// How many are listed.
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -6,7 +6,7 @@
 use super::roster::{Listed, Presence, Roster};
 use crate::clock::BootTime;
 use crate::gateway::call::TargetLoad;
-use crate::ids::{ServiceId, TargetId};
+use crate::ids::{ServiceId, TargetStart};
 pub use crate::route::health::Fault;
 use crate::route::health::Health;
 
@@ -17,9 +17,9 @@
 /// All targets of this entry.
 #[derive(Clone, Debug, Default)]
 pub struct FleetView {
-    targets: HashMap<TargetId, TargetState>,
-    /// Targets that take work, by service, in the order of their ids.
-    by_service: HashMap<ServiceId, Vec<TargetId>>,
+    targets: HashMap<TargetStart, TargetState>,
+    /// Targets that take work, by service, in order.
+    by_service: HashMap<ServiceId, Vec<TargetStart>>,
 }
 
 /// One target.
@@ -48,7 +48,7 @@
 #[must_use = "give it back with `FleetView::end`"]
 pub struct Dispatch {
     /// The target.
-    pub target: TargetId,
+    pub target: TargetStart,
     /// Tokens of its prompt, until it has been read.
     reading_tokens: Option<u64>,
 }
@@ -56,16 +56,16 @@
 impl FleetView {
     /// Takes a newer roster.
     pub fn take(&mut self, roster: &Roster) {
-        self.targets.retain(|id, state| roster.get(id).is_some() || state.running > 0);
+        self.targets.retain(|start, state| roster.get(start).is_some() || state.running > 0);
         for state in self.targets.values_mut() {
-            if roster.get(&state.listed.id).is_none() {
+            if roster.get(&state.listed.start).is_none() {
                 state.listed.presence = Presence::Leaving;
             }
         }
         for listed in roster.iter() {
-            match self.targets.get_mut(&listed.id) {
+            match self.targets.get_mut(&listed.start) {
                 Some(state) => state.listed.clone_from(listed),
-                None => drop(self.targets.insert(listed.id.clone(), TargetState::new(listed))),
+                None => drop(self.targets.insert(listed.start.clone(), TargetState::new(listed))),
             }
         }
         self.index();
@@ -73,17 +73,17 @@
 
     /// Targets of a service that take work.
     pub fn live(&self, service: &str) -> impl Iterator<Item = &TargetState> {
-        let ids = self.by_service.get(service).into_iter().flatten();
-        ids.filter_map(|id| self.targets.get(id))
+        let starts = self.by_service.get(service).into_iter().flatten();
+        starts.filter_map(|start| self.targets.get(start))
     }
 
     /// A target.
-    pub fn get(&self, id: &str) -> Option<&TargetState> {
-        self.targets.get(id)
+    pub fn get(&self, start: &TargetStart) -> Option<&TargetState> {
+        self.targets.get(start)
     }
 
     /// Records that a request is sent to a target.
-    pub fn begin(&mut self, target: &TargetId, reading_tokens: u64) -> Dispatch {
+    pub fn begin(&mut self, target: &TargetStart, reading_tokens: u64) -> Dispatch {
         if let Some(state) = self.targets.get_mut(target) {
             state.running += 1;
             state.reading_tokens += reading_tokens;
@@ -109,7 +109,7 @@
     }
 
     /// Takes the load that a target's answer tells.
-    pub fn reported(&mut self, target: &TargetId, load: TargetLoad, now: BootTime) {
+    pub fn reported(&mut self, target: &TargetStart, load: TargetLoad, now: BootTime) {
         if let Some(state) = self.targets.get_mut(target) {
             let others = (load.running + load.waiting).saturating_sub(state.running);
             state.reported = Some(Reported { others, at: now });
@@ -117,28 +117,28 @@
     }
 
     /// Records a sound answer.
-    pub fn succeeded(&mut self, target: &TargetId) {
+    pub fn succeeded(&mut self, target: &TargetStart) {
         if let Some(state) = self.targets.get_mut(target) {
             state.health.succeeded();
         }
     }
 
     /// Records a failure.
-    pub fn failed(&mut self, target: &TargetId, fault: Fault, now: BootTime) {
+    pub fn failed(&mut self, target: &TargetStart, fault: Fault, now: BootTime) {
         if let Some(state) = self.targets.get_mut(target) {
             state.health.failed(fault, now);
         }
     }
 
     /// Records that a target can't be reached.
-    pub fn unreachable(&mut self, target: &TargetId, now: BootTime) {
+    pub fn unreachable(&mut self, target: &TargetStart, now: BootTime) {
         if let Some(state) = self.targets.get_mut(target) {
             state.health.unreachable(now);
         }
     }
 
     /// Records that another target answers at a target's address: this start of it has ended.
-    pub fn replaced(&mut self, target: &TargetId) {
+    pub fn replaced(&mut self, target: &TargetStart) {
         if let Some(state) = self.targets.get_mut(target) {
             state.listed.presence = Presence::Leaving;
             self.index();
@@ -148,10 +148,10 @@
     fn index(&mut self) {
         self.by_service.clear();
         for state in self.targets.values().filter(|s| s.listed.presence == Presence::Live) {
-            let ids = self.by_service.entry(state.listed.service.clone()).or_default();
-            ids.push(state.listed.id.clone());
+            let starts = self.by_service.entry(state.listed.service.clone()).or_default();
+            starts.push(state.listed.start.clone());
         }
-        self.by_service.values_mut().for_each(|ids| ids.sort_unstable());
+        self.by_service.values_mut().for_each(|starts| starts.sort_unstable());
     }
 }
 
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -19,7 +19,7 @@
 use crate::deployment::Route;
 use crate::fleet::Fault;
 use crate::fleet::placement::Unplaced;
-use crate::ids::{AccountId, ServiceId, TargetId};
+use crate::ids::{AccountId, ServiceId, TargetStart};
 use crate::platform::headers;
 use crate::scheduler::End;
 
@@ -59,7 +59,7 @@
 /// An answer whose head is here.
 pub struct Answered {
     /// The target.
-    pub target: TargetId,
+    pub target: TargetStart,
     /// The answer.
     pub answer: Response<Incoming>,
     /// What it says beside its content.
@@ -76,13 +76,13 @@
     /// No target can take it now.
     Unplaced(NoChoice),
     /// The target did not run it.
-    NotRun(TargetId),
+    NotRun(TargetStart),
     /// It may have run.
-    MayHaveRun(TargetId),
+    MayHaveRun(TargetStart),
     /// Its time is over before it was sent.
     TooLate,
     /// Its time is over after it was sent.
-    TimedOut(TargetId),
+    TimedOut(TargetStart),
 }
 
 /// Sends a request to the best target.
@@ -92,7 +92,7 @@
 pub async fn attempt(
     gateway: &Rc<Gateway>,
     job: &Job,
-    tried: &[TargetId],
+    tried: &[TargetStart],
     resume_after: Option<&str>,
     patience: Option<Duration>,
     record: &mut Record,
@@ -147,7 +147,7 @@
 
 async fn connect(
     gateway: &Gateway,
-    target: &TargetId,
+    target: &TargetStart,
     ends_at: Instant,
     record: &mut Record,
 ) -> Option<Connection> {
@@ -175,7 +175,7 @@
     let placed = chosen.placed.as_ref();
     let salt = || placed.map_or_else(|| job.cache_wall.clone(), |placed| placed.salt.clone());
     let forwarded = Forwarded {
-        target: &chosen.target,
+        target: &chosen.target.id,
         account: job.account.as_ref(),
         time_left,
         urgency: job.call.prompt.is_some().then_some(job.rank.for_engine()),
@@ -217,7 +217,7 @@
     }
     if answer.status() == StatusCode::MISDIRECTED_REQUEST {
         record.failed(target, "another target or other weights");
-        let is_replaced = outcome.answered_by.as_ref().is_some_and(|id| id != target);
+        let is_replaced = outcome.answered_by.as_ref().is_some_and(|id| *id != target.id);
         if is_replaced {
             gateway.fleet.borrow_mut().replaced(target);
             at_target.ends(End::Replaced);
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -8,13 +8,13 @@
 use crate::clock::boot_now;
 use crate::control::frames::PlaceError;
 use crate::fleet::placement;
-use crate::ids::TargetId;
+use crate::ids::TargetStart;
 use crate::scheduler::{Ask, Placed, Unplaced};
 
 /// A target for one attempt.
 pub struct Chosen {
     /// The target.
-    pub target: TargetId,
+    pub target: TargetStart,
     /// The scheduler's word, if it is its choice.
     pub placed: Option<Placed>,
     /// What the choice rests on, as key=value pairs.
@@ -37,7 +37,7 @@
 pub async fn choose(
     gateway: &Rc<Gateway>,
     job: &Job,
-    avoid: &[TargetId],
+    avoid: &[TargetStart],
 ) -> Result<Chosen, NoChoice> {
     if let Some(ask) = ask_of(gateway, job, avoid) {
         match gateway.asking.ask(ask).await {
@@ -70,7 +70,7 @@
     Chosen { target: placed.target.clone(), placed: Some(placed), grounds }
 }
 
-fn alone(gateway: &Gateway, job: &Job, avoid: &[TargetId]) -> Result<Chosen, NoChoice> {
+fn alone(gateway: &Gateway, job: &Job, avoid: &[TargetStart]) -> Result<Chosen, NoChoice> {
     let ask = placement::Ask {
         service: &job.service,
         prompt: job.call.prompt.as_ref(),
@@ -93,15 +93,15 @@
 }
 
 /// What the scheduler is asked; `None` if the request is no prompt.
-fn ask_of(gateway: &Gateway, job: &Job, avoid: &[TargetId]) -> Option<Ask> {
+fn ask_of(gateway: &Gateway, job: &Job, avoid: &[TargetStart]) -> Option<Ask> {
     let prompt = job.call.prompt.as_ref()?;
     let now = boot_now();
     let fleet = gateway.fleet.borrow();
     let suspects = fleet
         .live(&job.service)
         .filter(|state| !state.health.admits(state.running, now))
-        .map(|state| state.listed.id.clone());
-    let mut avoid: Vec<TargetId> = avoid.iter().cloned().chain(suspects).collect();
+        .map(|state| state.listed.start.clone());
+    let mut avoid: Vec<TargetStart> = avoid.iter().cloned().chain(suspects).collect();
     // An entry that is cut off from many engines knows nothing against them.
     if avoid.len() * 2 > fleet.live(&job.service).count() {
         avoid.truncate(job.route.attempts as usize);
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -14,7 +14,7 @@
 use tokio::task::AbortHandle;
 
 use crate::clock::{BootTime, boot_now};
-use crate::ids::TargetId;
+use crate::ids::TargetStart;
 use crate::net;
 
 /// Longest time to connect. Targets are about a millisecond away and accept within another; a lost
@@ -32,7 +32,7 @@
 #[derive(Default)]
 pub struct Pool {
     /// By target, the one that was used last at the end.
-    idle: RefCell<HashMap<TargetId, Vec<Idle>>>,
+    idle: RefCell<HashMap<TargetStart, Vec<Idle>>>,
 }
 
 struct Idle {
@@ -62,7 +62,7 @@
 
 impl Pool {
     /// An idle connection to a target that is surely open as far as can be seen.
-    pub fn reuse(&self, target: &TargetId) -> Option<Connection> {
+    pub fn reuse(&self, target: &TargetStart) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(target)?;
         while let Some(Idle { connection, since }) = connections.pop() {
@@ -75,7 +75,7 @@
     }
 
     /// Keeps a connection for the next request.
-    pub fn give_back(&self, target: &TargetId, mut connection: Connection) {
+    pub fn give_back(&self, target: &TargetStart, mut connection: Connection) {
         if connection.sender.is_closed() {
             return;
         }
@@ -86,7 +86,7 @@
 
     /// Closes connections to all targets but those that `is_kept` names, and those that are too old
     /// to be used again.
-    pub fn keep(&self, is_kept: impl Fn(&TargetId) -> bool) {
+    pub fn keep(&self, is_kept: impl Fn(&TargetStart) -> bool) {
         let now = boot_now();
         self.idle.borrow_mut().retain(|target, connections| {
             connections.retain(|idle| {
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -14,7 +14,7 @@
 use super::state::Gateway;
 use crate::clock::{BootTime, boot_now};
 use crate::deployment::document::DeploymentVersion;
-use crate::ids::TargetId;
+use crate::ids::TargetStart;
 use crate::telemetry::metrics::label;
 
 /// How a request ended.
@@ -137,7 +137,7 @@
     }
 
     /// A target did not answer as hoped.
-    pub fn failed(&mut self, target: &TargetId, reason: &str) {
+    pub fn failed(&mut self, target: &TargetStart, reason: &str) {
         let at_ms = self.elapsed().as_millis();
         self.gateway.metrics.missed.add(1, &[label("reason", reason)]);
         let _ = write!(self.steps, " at_ms={at_ms} failed={target} reason={reason:?}");
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -19,7 +19,7 @@
 use super::state::{AtTarget, Gateway};
 use crate::clock::boot_now;
 use crate::fleet::Fault;
-use crate::ids::TargetId;
+use crate::ids::TargetStart;
 use crate::scheduler::End;
 
 /// A body up to this length is taken as a whole before any of it is relayed, so that one that breaks
@@ -54,14 +54,14 @@
     /// What happens to it.
     pub record: Record,
     /// Targets that it was sent to.
-    pub tried: Vec<TargetId>,
+    pub tried: Vec<TargetStart>,
     source: Option<Source>,
     events: EventSplitter,
 }
 
 /// Where events come from.
 struct Source {
-    target: TargetId,
+    target: TargetStart,
     body: Incoming,
     outcome: Outcome,
     connection: Connection,
@@ -81,7 +81,7 @@
         gateway: Rc<Gateway>,
         job: Job,
         record: Record,
-        tried: Vec<TargetId>,
+        tried: Vec<TargetStart>,
         answered: Answered,
     ) -> EventRelay {
         let source = Some(Source::new(answered));
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -21,7 +21,7 @@
 use super::state::Gateway;
 use crate::clock::boot_now;
 use crate::deployment::{Rejection, RunPolicy, Table};
-use crate::ids::TargetId;
+use crate::ids::TargetStart;
 use crate::platform::headers;
 
 /// A refused caller comes back after this at the least: about what an engine needs for a prompt.
@@ -146,7 +146,7 @@
 
 async fn serve(gateway: &Rc<Gateway>, job: Job, mut record: Record) -> Answer {
     gateway.retries.borrow_mut().sent(&job.service, boot_now());
-    let mut tried: Vec<TargetId> = Vec::new();
+    let mut tried: Vec<TargetStart> = Vec::new();
     let mut may_have_run = false;
     let resume_after = job.call.resume_after.clone();
     loop {
@@ -202,7 +202,7 @@
     (has_another && !wait.is_zero()).then(|| wait.max(least))
 }
 
-fn may_try_again(gateway: &Gateway, job: &Job, tried: &[TargetId]) -> bool {
+fn may_try_again(gateway: &Gateway, job: &Job, tried: &[TargetStart]) -> bool {
     (tried.len() as u32) < job.route.attempts.max(2)
         && Instant::now() < job.ends_at
         && gateway.retries.borrow_mut().spend(&job.service, boot_now())
@@ -212,7 +212,7 @@
     gateway: &Rc<Gateway>,
     job: Job,
     mut record: Record,
-    tried: Vec<TargetId>,
+    tried: Vec<TargetStart>,
     answered: Answered,
 ) -> Answer {
     let status = answered.answer.status();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -19,7 +19,7 @@
 use crate::fleet::budget::{RetryRule, RetryShare};
 use crate::fleet::{Dispatch, FleetView};
 use crate::host::HostSettings;
-use crate::ids::TargetId;
+use crate::ids::TargetStart;
 use crate::scheduler::{End, Note, TicketId};
 use crate::telemetry::roles::EntryMetrics;
 
@@ -215,7 +215,7 @@
     /// Counts a request at a target, which the scheduler may have placed there.
     pub fn new(
         gateway: &Rc<Gateway>,
-        target: &TargetId,
+        target: &TargetStart,
         ticket: Option<TicketId>,
         reading_tokens: u64,
     ) -> AtTarget {
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -1,5 +1,9 @@
 //! Aliases for the identifiers used across modules.
 
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
 /// A node of this system; chosen by the operator, never used again for another host.
 pub type NodeId = u64;
 /// A client account.
@@ -14,6 +18,27 @@
 pub type ServiceId = String;
 /// A target: a model engine, a store or an instance of a plain service.
 pub type TargetId = String;
+
+/// One start of a target. A target may start again under the id that it had, and then holds and
+/// knows nothing of before: whatever is believed of a target is believed of one start of it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct TargetStart {
+    /// The target.
+    pub id: TargetId,
+    /// When it started, in Unix milliseconds of the target's clock; `None` where births aren't told.
+    /// Names the start, and says nothing about which of two starts is the later one: clocks differ.
+    pub born_ms: Option<u64>,
+}
+
+impl fmt::Display for TargetStart {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.born_ms {
+            Some(born_ms) => write!(f, "{}/{born_ms}", self.id),
+            None => f.write_str(&self.id),
+        }
+    }
+}
+
 /// Counts the starts of one target; a larger number is a later start.
 pub type Incarnation = u64;
 /// The caller's id for a request, unique within its account.
--- a/src/scheduler/messages.rs
+++ b/src/scheduler/messages.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::gateway::call::{Part, TargetLoad};
-use crate::ids::{ModelId, ServiceId, TargetId};
+use crate::ids::{ModelId, ServiceId, TargetStart};
 
 /// Names a placement.
 pub type TicketId = u64;
@@ -33,7 +33,7 @@
     /// How much of the caller's time is left.
     pub time_left: Duration,
     /// Engines that this request was sent to before, or that the entry can't reach.
-    pub avoid: Vec<TargetId>,
+    pub avoid: Vec<TargetStart>,
 }
 
 /// Where a prompt runs.
@@ -42,7 +42,7 @@
     /// Names the placement.
     pub ticket: TicketId,
     /// The engine.
-    pub target: TargetId,
+    pub target: TargetStart,
     /// The text under which the engine and the stores keep its parts.
     pub salt: String,
     /// The weights that the engine must run; another version must refuse.
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -18,7 +18,7 @@
 use crate::deployment::{Deployment, EngineTraits, ServiceRole};
 use crate::fleet::{Fault, Presence, Roster};
 use crate::gateway::call::Part;
-use crate::ids::{ServiceId, TargetId};
+use crate::ids::{ServiceId, TargetStart};
 
 /// An engine takes another prompt once it has less than this left to read: enough to keep it busy
 /// until the next placement, and so little that an urgent prompt is not kept waiting behind others.
@@ -57,7 +57,7 @@
 /// The scheduler.
 #[derive(Clone, Debug)]
 pub struct Scheduler {
-    engines: BTreeMap<TargetId, Engine>,
+    engines: BTreeMap<TargetStart, Engine>,
     traits: HashMap<ServiceId, EngineTraits>,
     stores: BTreeMap<SocketAddr, Store>,
     paces: HashMap<ServiceId, Pace>,
@@ -72,7 +72,7 @@
 /// A placement that has not ended.
 #[derive(Clone, Debug)]
 struct Ticket {
-    target: TargetId,
+    target: TargetStart,
     /// The weights that the engine was believed to run.
     weight_version: Option<u64>,
     since: BootTime,
@@ -116,7 +116,7 @@
     }
 
     /// Takes which engines get no prompts, since they change their weights.
-    pub fn take_changing(&mut self, changing: &BTreeSet<TargetId>) {
+    pub fn take_changing(&mut self, changing: &BTreeSet<TargetStart>) {
         if self.weights.changing != *changing {
             self.weights.changing.clone_from(changing);
         }
@@ -130,14 +130,14 @@
     }
 
     /// Engines whose weights are not known, with their addresses.
-    pub fn doubted(&self) -> Vec<(TargetId, SocketAddr)> {
-        let listed = |id: &TargetId| Some((id.clone(), self.engines.get(id)?.listed.address));
+    pub fn doubted(&self) -> Vec<(TargetStart, SocketAddr)> {
+        let listed = |id: &TargetStart| Some((id.clone(), self.engines.get(id)?.listed.address));
         self.weights.doubted.iter().filter_map(listed).collect()
     }
 
     /// An engine whose weights were not known was asked. Without an answer it is trusted again: it
     /// refuses what it must not run.
-    pub fn resolve(&mut self, engine: &TargetId, weight_version: Option<u64>) {
+    pub fn resolve(&mut self, engine: &TargetStart, weight_version: Option<u64>) {
         self.weights.doubted.remove(engine);
         if let Some(engine) = self.engines.get_mut(engine) {
             engine.set_weights(weight_version);
@@ -145,7 +145,7 @@
     }
 
     /// Prompts that were placed on an engine and have not ended.
-    pub fn placed_on(&self, engine: &TargetId) -> u32 {
+    pub fn placed_on(&self, engine: &TargetStart) -> u32 {
         self.engines.get(engine).map_or(0, Engine::placed)
     }
 
@@ -177,7 +177,7 @@
         for listed in roster.iter() {
             let Some(traits) = self.traits.get(&listed.service) else { continue };
             let version = listed.weights.values().next().copied();
-            let engine = self.engines.entry(listed.id.clone()).or_insert_with(|| {
+            let engine = self.engines.entry(listed.start.clone()).or_insert_with(|| {
                 Engine::new(listed.clone(), version, traits.capacity_tokens, traits.link_mbps)
             });
             engine.listed.clone_from(listed);
@@ -189,13 +189,13 @@
     }
 
     /// All engines with their addresses.
-    pub fn engines(&self) -> Vec<(TargetId, SocketAddr)> {
+    pub fn engines(&self) -> Vec<(TargetStart, SocketAddr)> {
         self.engines.iter().map(|(id, engine)| (id.clone(), engine.listed.address)).collect()
     }
 
     /// Takes what an engine has told of its memory, in the order in which it happened. Returns how
     /// many parts of its present weights it holds.
-    pub fn recall(&mut self, engine: &TargetId, events: Vec<StoreEvent>) -> usize {
+    pub fn recall(&mut self, engine: &TargetStart, events: Vec<StoreEvent>) -> usize {
         let Some(engine) = self.engines.get_mut(engine) else { return 0 };
         let weights = format!("/{}", engine.weight_version.unwrap_or_default());
         let mut held: BTreeMap<(String, String), (usize, u64)> = BTreeMap::new();
@@ -322,7 +322,7 @@
         };
         let pace = self.paces.get(&ask.service).copied().unwrap_or_default();
         let (mut is_listed, mut is_sound, mut is_free) = (false, false, false);
-        let mut best: Option<(&TargetId, Way)> = None;
+        let mut best: Option<(&TargetStart, Way)> = None;
         let mut wanted: Vec<(Option<u64>, Wanted<'_>)> = Vec::new();
         for (id, engine) in &self.engines {
             if engine.listed.service != ask.service || engine.listed.presence != Presence::Live {
@@ -373,7 +373,7 @@
 
     fn grant(
         &mut self,
-        target: TargetId,
+        target: TargetStart,
         way: Way,
         salt: String,
         keys: Vec<PartKey>,
@@ -447,7 +447,7 @@
         address: SocketAddr,
         key: PartKey,
         part: &Part,
-        target: &TargetId,
+        target: &TargetStart,
         is_resident: bool,
         now: BootTime,
     ) {
@@ -471,7 +471,7 @@
         key: PartKey,
         salt: &str,
         part: &Part,
-        target: &TargetId,
+        target: &TargetStart,
         now: BootTime,
     ) -> Option<SocketAddr> {
         self.engines.get(target)?.weight_version?;
--- a/src/scheduler/weights.rs
+++ b/src/scheduler/weights.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::clock::BootTime;
-use crate::ids::{ModelId, TargetId};
+use crate::ids::{ModelId, TargetStart};
 
 /// An engine with older weights than were named is chosen only if it saves this much: an answer of
 /// replaced weights is worth a fifth less, which is as much as being late by about this time.
@@ -29,10 +29,10 @@
 #[derive(Clone, Debug)]
 pub struct Weights {
     /// Engines that are about to load other weights, or load them.
-    pub changing: BTreeSet<TargetId>,
+    pub changing: BTreeSet<TargetStart>,
     /// Engines that run other weights than was believed, and did not say which. They get no prompts
     /// until they were asked.
-    pub doubted: BTreeSet<TargetId>,
+    pub doubted: BTreeSet<TargetStart>,
     /// The newest named weights.
     pub named: NamedSince,
     /// How long older ones may be used.
@@ -54,7 +54,7 @@
     }
 
     /// Whether an engine gets no prompts whatever their model.
-    pub fn keep_from(&self, engine: &TargetId) -> bool {
+    pub fn keep_from(&self, engine: &TargetStart) -> bool {
         self.changing.contains(engine) || self.doubted.contains(engine)
     }
 
--- a/tests/deployment/fixtures.rs
+++ b/tests/deployment/fixtures.rs
@@ -9,6 +9,7 @@
     StoreTraits,
 };
 use kumquatpost::fleet::{Listed, Presence, Roster};
+use kumquatpost::ids::TargetStart;
 use proptest::prelude::ProptestConfig;
 use proptest::test_runner::RngSeed;
 
@@ -88,13 +89,18 @@
     Account { id: id.to_string(), keys: vec![key.to_string()], is_isolated, priority: None }
 }
 
+/// A start of a target that tells no birth.
+pub fn start(id: &str) -> TargetStart {
+    TargetStart { id: id.to_string(), born_ms: None }
+}
+
 pub fn target(id: &str, service: &str, at: SocketAddr) -> Listed {
     let weights = match service {
         "llm" => BTreeMap::from([("m".to_string(), 1)]),
         _ => BTreeMap::new(),
     };
     Listed {
-        id: id.to_string(),
+        start: start(id),
         service: service.to_string(),
         address: at,
         failure_domain: "a".to_string(),
--- a/tests/deployment/gateway.rs
+++ b/tests/deployment/gateway.rs
@@ -19,7 +19,7 @@
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
-use crate::fixtures::{address, deployment, ms, roster, target};
+use crate::fixtures::{address, deployment, ms, roster, start, target};
 use crate::stand_in::{Script, StandIn, Then, header};
 
 /// A running entry.
@@ -143,7 +143,7 @@
     let busy = kumquatpost::gateway::call::TargetLoad { running: 40, waiting: 0, slots: 48 };
     // A report counts in full until then.
     let now = kumquatpost::clock::boot_now() + LONG;
-    entry.gateway.fleet.borrow_mut().reported(&"i-2".to_string(), busy, now);
+    entry.gateway.fleet.borrow_mut().reported(&start("i-2"), busy, now);
     (entry, one, two)
 }
 
@@ -392,7 +392,7 @@
             eventually(|| one.left.get() == 1).await;
             eventually(|| entry.gateway.answering.get() == 0).await;
             let fleet = entry.gateway.fleet.borrow();
-            assert_eq!(fleet.get("i-1").expect("listed").running, 0);
+            assert_eq!(fleet.get(&start("i-1")).expect("listed").running, 0);
         });
     }
 }
@@ -458,7 +458,7 @@
             roster: Arc::new(roster([target("i-1", "app", entry.address)])),
         };
         entry.gateway.take(News::Roster(late)).expect("it is whole");
-        assert!(entry.gateway.fleet.borrow().get("i-1").is_none());
+        assert!(entry.gateway.fleet.borrow().get(&start("i-1")).is_none());
     });
 }
 
@@ -480,10 +480,10 @@
             number,
             change: RosterChange {
                 changed: vec![target("i-2", "app", address(2))],
-                gone: vec!["i-1".to_string()],
+                gone: vec![start("i-1")],
             },
         };
-        let is_listed = |id: &str| entry.gateway.fleet.borrow().get(id).is_some();
+        let is_listed = |id: &str| entry.gateway.fleet.borrow().get(&start(id)).is_some();
         assert!(entry.gateway.take(change(2, 3)).is_err(), "the whole list is asked for");
         assert!(entry.gateway.take(change(0, 1)).is_ok(), "known already");
         assert!(is_listed("i-1") && !is_listed("i-2"));
--- a/tests/deployment/placement.rs
+++ b/tests/deployment/placement.rs
@@ -4,7 +4,7 @@
 use kumquatpost::fleet::{Fault, FleetView};
 use kumquatpost::gateway::call::{Part, Prompt};
 
-use crate::fixtures::{address, ms, roster, target};
+use crate::fixtures::{address, ms, roster, start, target};
 
 fn view(engines: u16) -> FleetView {
     let mut view = FleetView::default();
@@ -74,7 +74,7 @@
 fn engines_out_of_order_and_tried_ones_are_left_out() {
     let mut view = view(2);
     let prompt = prompt(1, 2_000);
-    let id = |n: u64| format!("i-{n}");
+    let id = |n: u64| start(&format!("i-{n}"));
     view.unreachable(&id(0), ms(0));
     for context in 0..20 {
         let prompt = self::prompt(context, 2_000);
--- a/tests/deployment/rollout.rs
+++ b/tests/deployment/rollout.rs
@@ -6,11 +6,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use kumquatpost::ids::TargetId;
+use kumquatpost::ids::TargetStart;
 use kumquatpost::scheduler::weights::OldWeights;
 use kumquatpost::scheduler::{Ask, End, Scheduler, Unplaced};
 
-use crate::fixtures::{ms, roster};
+use crate::fixtures::{ms, roster, start};
 use crate::scheduling::{ask_of, end, engines, placed, scheduler};
 
 const IN_FORCE: Duration = ms_const(6_000);
@@ -36,8 +36,8 @@
     scheduler.take_roster(&roster(listed));
 }
 
-fn names(engines: &[&str]) -> BTreeSet<TargetId> {
-    engines.iter().map(|name| name.to_string()).collect()
+fn names(engines: &[&str]) -> BTreeSet<TargetStart> {
+    engines.iter().map(|id| start(id)).collect()
 }
 
 #[test]
@@ -47,14 +47,14 @@
     for context in 0..20 {
         let at = ms(context * 200);
         let placed = placed(scheduler.submit(context, ask_of(1, context, context), at));
-        assert_eq!(placed.target, "i-01");
+        assert_eq!(placed.target, start("i-01"));
         end(&mut scheduler, placed.ticket, End::Whole, at + ms(150));
     }
     scheduler.take_changing(&names(&["i-00", "i-01"]));
     assert!(scheduler.submit(90, ask_of(1, 90, 90), ms(9_000)).is_none(), "it waits");
     scheduler.take_changing(&names(&["i-01"]));
     let (waiter, outcome) = scheduler.dispatch(ms(9_050)).remove(0);
-    assert_eq!((waiter, outcome.expect("placed").target.as_str()), (90, "i-00"));
+    assert_eq!((waiter, outcome.expect("placed").target), (90, start("i-00")));
 }
 
 #[test]
--- a/tests/deployment/roster.rs
+++ b/tests/deployment/roster.rs
@@ -5,7 +5,7 @@
 use kumquatpost::gateway::call::TargetLoad;
 
 use crate::asking::shared;
-use crate::fixtures::{address, ms, roster, target};
+use crate::fixtures::{address, ms, roster, start, target};
 
 #[test]
 fn leaving_is_not_taken_back() {
@@ -15,21 +15,21 @@
     let mut roster = roster([listed.clone()]);
     assert!(roster.take(vec![leaving]));
     assert!(!roster.take(vec![listed.clone()]), "an older answer that comes late");
-    assert_eq!(roster.get("i-1").expect("listed").presence, Presence::Leaving);
+    assert_eq!(roster.get(&start("i-1")).expect("listed").presence, Presence::Leaving);
     // Another start at the same address is another target.
     assert!(roster.take(vec![listed, target("i-2", "llm", address(1))]));
-    assert_eq!(roster.get("i-2").expect("listed").presence, Presence::Live);
+    assert_eq!(roster.get(&start("i-2")).expect("listed").presence, Presence::Live);
 }
 
 #[test]
 fn one_start_of_a_target_never_gets_older_weights() {
     let mut known = roster([target("i-1", "llm", address(1))]);
-    assert!(known.set_weights(&"i-1".to_string(), &[("m".to_string(), 2)].into()));
+    assert!(known.set_weights(&start("i-1"), &[("m".to_string(), 2)].into()));
     assert!(!known.take(vec![target("i-1", "llm", address(1))]), "the list lags");
-    assert_eq!(known.get("i-1").expect("listed").weights["m"], 2);
+    assert_eq!(known.get(&start("i-1")).expect("listed").weights["m"], 2);
     // Another start at the same address has what it has.
     known.take(vec![target("i-2", "llm", address(1))]);
-    assert_eq!(known.get("i-2").expect("listed").weights["m"], 1);
+    assert_eq!(known.get(&start("i-2")).expect("listed").weights["m"], 1);
 }
 
 /// Entries go on with the list that they have while all replicas start anew: what these read then
@@ -60,8 +60,8 @@
     let later =
         roster([target("i-1", "app", address(1)), leaving, target("i-4", "app", address(4))]);
     let change = before.change_to(&later);
-    let changed: Vec<&str> = change.changed.iter().map(|listed| listed.id.as_str()).collect();
-    assert_eq!((changed, change.gone.as_slice()), (vec!["i-2", "i-4"], &["i-3".to_string()][..]));
+    let changed: Vec<&str> = change.changed.iter().map(|listed| listed.start.id.as_str()).collect();
+    assert_eq!((changed, change.gone.as_slice()), (vec!["i-2", "i-4"], &[start("i-3")][..]));
     let mut applied = before.clone();
     applied.apply(change);
     assert!(applied.iter().eq(later.iter()));
@@ -71,21 +71,21 @@
 fn a_target_that_is_gone_takes_no_work_but_its_requests_are_counted_to_the_end() {
     let mut view = FleetView::default();
     view.take(&roster([target("i-1", "app", address(1))]));
-    let dispatch = view.begin(&"i-1".to_string(), 0);
+    let dispatch = view.begin(&start("i-1"), 0);
     view.take(&roster([]));
     assert_eq!(view.live("app").count(), 0);
-    assert_eq!(view.get("i-1").expect("still counted").running, 1);
+    assert_eq!(view.get(&start("i-1")).expect("still counted").running, 1);
     view.end(dispatch);
     view.take(&roster([]));
-    assert!(view.get("i-1").is_none());
+    assert!(view.get(&start("i-1")).is_none());
 }
 
 #[test]
 fn another_target_at_the_address_ends_the_one_that_was_meant() {
     let mut view = FleetView::default();
     view.take(&roster([target("i-1", "app", address(1)), target("i-2", "app", address(2))]));
-    view.replaced(&"i-1".to_string());
-    let live: Vec<&str> = view.live("app").map(|state| state.listed.id.as_str()).collect();
+    view.replaced(&start("i-1"));
+    let live: Vec<&str> = view.live("app").map(|state| state.listed.start.id.as_str()).collect();
     assert_eq!(live, ["i-2"]);
 }
 
@@ -93,10 +93,10 @@
 fn a_reported_load_fades_and_does_not_count_our_own_requests_twice() {
     let mut view = FleetView::default();
     view.take(&roster([target("i-1", "app", address(1))]));
-    let id = "i-1".to_string();
+    let id = start("i-1");
     let dispatch = view.begin(&id, 0);
     view.reported(&id, TargetLoad { running: 3, waiting: 2, slots: 6 }, ms(1_000));
-    let load = |view: &FleetView, at| view.get("i-1").expect("listed").load(ms(at));
+    let load = |view: &FleetView, at| view.get(&start("i-1")).expect("listed").load(ms(at));
     assert_eq!(load(&view, 1_000), 5.0);
     assert!(load(&view, 1_300) < 4.0);
     assert_eq!(load(&view, 2_000), 1.0);
--- a/tests/deployment/scheduling.rs
+++ b/tests/deployment/scheduling.rs
@@ -10,14 +10,14 @@
 use kumquatpost::deployment::{Deployment, ServiceRole};
 use kumquatpost::fleet::Listed;
 use kumquatpost::gateway::call::Part;
-use kumquatpost::ids::TargetId;
+use kumquatpost::ids::TargetStart;
 use kumquatpost::scheduler::pace::Pace;
 use kumquatpost::scheduler::store::{Inventory, StoreEvent, StoredPart};
 use kumquatpost::scheduler::{Ask, End, Note, Outcome, Placed, Scheduler, Unplaced, WaiterId};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
-use crate::fixtures::{address, deployment, ms, roster, target};
+use crate::fixtures::{address, deployment, ms, roster, start, target};
 
 const READ_TOKENS_PER_MS: f64 = 140.0;
 const FIRST_AFTER: Duration = Duration::from_millis(53);
@@ -133,7 +133,7 @@
     scheduler.take_inventory(address(9_000), inventory, ms(0));
     assert_eq!(placed(scheduler.submit(1, ask.clone(), ms(10))).fetch[0], None);
     scheduler.read_clock(77, ms(20));
-    let avoid = vec!["i-00".to_string()];
+    let avoid = vec![start("i-00")];
     assert!(placed(scheduler.submit(2, Ask { avoid, ..ask }, ms(30))).fetch[0].is_some());
 }
 
@@ -168,7 +168,7 @@
     let two = placed(scheduler.submit(2, ask_of(1, 1, 2), ms(11)));
     end(&mut scheduler, one.ticket, End::OtherWeights(None), ms(20));
     assert!(scheduler.submit(3, ask_of(1, 1, 3), ms(21)).is_none(), "it waits");
-    assert_eq!(scheduler.doubted(), [("i-00".to_string(), address(0))]);
+    assert_eq!(scheduler.doubted(), [(start("i-00"), address(0))]);
     scheduler.resolve(&one.target, Some(2));
     // What was sent before, under the same belief, tells nothing new.
     end(&mut scheduler, two.ticket, End::OtherWeights(None), ms(30));
@@ -271,8 +271,8 @@
     asks: HashMap<WaiterId, (usize, Ask, Duration)>,
     /// What happens to prompts at engines, by time.
     due: BTreeMap<(Duration, u64), Due>,
-    free_at: HashMap<TargetId, Duration>,
-    dead: BTreeSet<TargetId>,
+    free_at: HashMap<TargetStart, Duration>,
+    dead: BTreeSet<TargetStart>,
     next: u64,
     tally: Tally,
 }
@@ -429,7 +429,7 @@
 fn with_a_quarter_of_the_engines_gone_most_are_still_on_time() {
     let mut world = World::new(12);
     world.run(3, 1.0);
-    world.dead = (0..3).map(|n| format!("i-{n:02}")).collect();
+    world.dead = (0..3).map(|n| start(&format!("i-{n:02}"))).collect();
     let hit = world.run(5, 1.0);
     assert!(hit.part_in_aim() > 0.85, "{hit:?}");
     world.dead.clear();
@@ -443,7 +443,7 @@
 fn engines_that_are_found_full_are_not_taken_for_slow() {
     let mut world = World::new(12);
     for engine in engines(12) {
-        world.free_at.insert(engine.id, ms(1_500));
+        world.free_at.insert(engine.start, ms(1_500));
     }
     world.run(3, 1.0);
     let after = world.run(5, 1.0);
--- a/tests/deployment/weights.rs
+++ b/tests/deployment/weights.rs
@@ -45,7 +45,7 @@
     // One that starts again with old weights, one that missed a version, one that is ahead.
     let roster = engines_with(&[4, 2, 3, 5, 4, 4, 4, 4, 4, 4, 4, 4, 4, 4, 4, 4, 4, 4]);
     let next = next_loads(&roster, &named(4), &BTreeSet::new());
-    let names: Vec<&str> = next.iter().map(|lagging| lagging.engine.as_str()).collect();
+    let names: Vec<&str> = next.iter().map(|lagging| lagging.engine.id.as_str()).collect();
     assert_eq!(names, ["i-01", "i-02"]);
 }
 
