Read each entry of the list by itself, and tell one start of a target from the next

An entry that can't be read (fields missing or of another type, states not named, addresses that can't be reached, ids that can't be sent, bytes that are no text, entries that break off) names no target; before, one such entry rejected the whole list, and a state that isn't named was read as leaving. A list of which nothing can be read is no list: the last one serves on. Births are decoded where they come; the roster keeps one start of each id, the one that lists showed last for the first time, and never takes back one that left or was replaced. What is remembered of those is bounded now.

--- a/src/control/roster_reader.rs
+++ b/src/control/roster_reader.rs
@@ -1,5 +1,6 @@
 //! Reads the platform's list of targets: the leader does, and another replica when it falls silent.
 
+use std::collections::BTreeSet;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,10 +10,11 @@
 
 use super::frames::ToReplica;
 use super::replica::Shared;
-use crate::clock::boot_now;
-use crate::fleet::Listed;
+use crate::clock::{BootTime, boot_now};
+use crate::fleet::{Listed, Listing, UnreadableEntry};
 use crate::net::http::{CallError, Exchange, fetch};
-use crate::platform::instances;
+use crate::platform::instances::{self, Page};
+use crate::telemetry::roles::ReplicaMetrics;
 
 /// How often the list is read. It lags by about 800 ms by itself, and a leaving target must get no
 /// new work 3 s after it is listed so; each read has a price.
@@ -30,6 +32,9 @@
 const PAGE_TIMEOUT: Duration = Duration::from_millis(700);
 /// More pages than this are taken for a mistake.
 const MAX_PAGES: usize = 1_000;
+/// Entries that can't be read are told of no more often than this, and so many by name.
+const UNREADABLE_LINE_EVERY: Duration = Duration::from_secs(5);
+const UNREADABLE_NAMED: usize = 5;
 
 /// Where the list is, and how often it may be asked.
 #[derive(Clone, Copy, Debug)]
@@ -52,8 +57,9 @@
 }
 
 /// Reads for as long as the process lives, whenever it is this replica's turn.
-pub async fn run(shared: Rc<Shared>, own: IpAddr, list: ListAddress) {
+pub async fn run(shared: Rc<Shared>, own: IpAddr, list: ListAddress, metrics: Rc<ReplicaMetrics>) {
     let mut failing = false;
+    let mut unreadable = UnreadableLines::default();
     let mut pages = 1;
     loop {
         turn(&shared, list.read_every(pages)).await;
@@ -64,7 +70,8 @@
                 }
                 failing = false;
                 pages = read.pages;
-                take(&shared, own, read.targets);
+                unreadable.note(&read.listing, list.address, &metrics);
+                take(&shared, own, read.listing.into_targets());
             }
             Err(error) if !failing => {
                 failing = true;
@@ -113,31 +120,52 @@
     shared.tell(&shared.belief.borrow().state, own, &frame);
 }
 
+/// Tells of entries that can't be read: when they are others than before, and not more often than a
+/// reader of the log can bear.
+#[derive(Default)]
+struct UnreadableLines {
+    told: BTreeSet<UnreadableEntry>,
+    told_at: Option<BootTime>,
+}
+
+impl UnreadableLines {
+    fn note(&mut self, listing: &Listing, list: SocketAddr, metrics: &ReplicaMetrics) {
+        let count = listing.unreadable_count();
+        metrics.unreadable_entries.add(count as u64, &[]);
+        let now = boot_now();
+        let is_due = self.told_at.is_none_or(|at| now >= at + UNREADABLE_LINE_EVERY);
+        if *listing.unreadable() == self.told || !is_due {
+            return;
+        }
+        self.told.clone_from(listing.unreadable());
+        self.told_at = Some(now);
+        let first: Vec<&UnreadableEntry> = self.told.iter().take(UNREADABLE_NAMED).collect();
+        log::warn!("event=target_entries_unreadable list={list} count={count} first={first:?}");
+    }
+}
+
 /// A whole list.
 struct Read {
-    targets: Vec<Listed>,
+    listing: Listing,
     pages: usize,
 }
 
 async fn read(list: SocketAddr) -> Result<Read, CallError> {
-    let mut targets = Vec::new();
+    let mut listing = Listing::default();
     let mut token: Option<String> = None;
     for pages in 1..=MAX_PAGES {
-        let (page, next) = read_page(list, token.as_deref()).await?;
-        targets.extend(page);
-        token = next;
+        let page = read_page(list, token.as_deref()).await?;
+        page.entries.into_iter().for_each(|entry| listing.add(entry));
+        token = page.next;
         if token.is_none() {
-            return Ok(Read { targets, pages });
+            return Ok(Read { listing: listing.finish()?, pages });
         }
     }
     Err("the list does not end".into())
 }
 
 /// Reads a page, again after a while if the list has been asked too often.
-async fn read_page(
-    list: SocketAddr,
-    token: Option<&str>,
-) -> Result<(Vec<Listed>, Option<String>), CallError> {
+async fn read_page(list: SocketAddr, token: Option<&str>) -> Result<Page, CallError> {
     let mut tries = 0;
     loop {
         let call = Exchange::new(list, Method::GET, &instances::page_path(token));
--- a/src/control/run.rs
+++ b/src/control/run.rs
@@ -98,7 +98,10 @@
     tasks.spawn("operators", operators.accept(listen(operators_address).await?));
     if let Some(address) = host.target_list {
         let list = ListAddress { address, rate_per_s: host.target_list_rate };
-        tasks.spawn("target_list", roster_reader::run(shared.clone(), host.ip, list));
+        tasks.spawn(
+            "target_list",
+            roster_reader::run(shared.clone(), host.ip, list, metrics.clone()),
+        );
     }
     let apart = host.periods.order_lease;
     let ordering = Rc::new(Ordering {
--- a/src/fleet/roster.rs
+++ b/src/fleet/roster.rs
@@ -1,11 +1,12 @@
 //! The list of targets: read from the platform by one replica, known to all entries.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
+use std::collections::btree_map::Entry;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{DomainId, ModelId, ServiceId, TargetStart};
+use crate::ids::{DomainId, ModelId, ServiceId, TargetId, TargetStart};
 
 /// A target as it was last listed.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -35,12 +36,37 @@
     Leaving,
 }
 
-/// All listed targets. The platform's list lags, and its readers may see older answers later.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+/// A target that was not shown for so many lists is forgotten, with what is known of its starts. Far
+/// beyond the platform's lag: 20 s and more.
+const FORGOTTEN_AFTER_LISTS: u32 = 40;
+/// An earlier start of a target that is still listed is forgotten after so many lists: half an hour
+/// and more.
+const REPLACED_FORGOTTEN_AFTER_LISTS: u32 = 4_000;
+
+/// All listed targets. The platform's list lags, and its readers may see older answers later. Two
+/// rosters are equal if they list the same.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Roster {
-    targets: BTreeMap<TargetStart, Listed>,
-    /// Targets that were seen leaving. Never taken back while they are listed.
-    left: BTreeSet<TargetStart>,
+    /// By id. Invariant: of each target the start that lists showed last for the first time.
+    targets: BTreeMap<TargetId, Listed>,
+    /// Targets that were listed, and for how many lists they have not been.
+    absent: BTreeMap<TargetId, Absent>,
+    /// Starts that get no new work any more, since they were seen leaving or another start has taken
+    /// their place, and for how many lists they have not been shown.
+    over: BTreeMap<TargetStart, u32>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Absent {
+    /// As it was last listed.
+    listed: Listed,
+    lists: u32,
+}
+
+impl PartialEq for Roster {
+    fn eq(&self, other: &Roster) -> bool {
+        self.targets == other.targets
+    }
 }
 
 /// How one list differs from an earlier one.
@@ -48,7 +74,7 @@
 pub struct RosterChange {
     /// Targets that are new, or not as they were.
     pub changed: Vec<Listed>,
-    /// Targets that are listed no more.
+    /// Starts of targets that are listed no more.
     pub gone: Vec<TargetStart>,
 }
 
@@ -56,43 +82,128 @@
     /// How a later list differs from this one.
     pub fn change_to(&self, later: &Roster) -> RosterChange {
         let is_changed = |listed: &&Listed| self.get(&listed.start) != Some(*listed);
-        let is_gone = |start: &&TargetStart| !later.targets.contains_key(*start);
+        let is_gone = |start: &&TargetStart| later.get(start).is_none();
         RosterChange {
             changed: later.iter().filter(is_changed).cloned().collect(),
-            gone: self.targets.keys().filter(is_gone).cloned().collect(),
+            gone: self.iter().map(|listed| &listed.start).filter(is_gone).cloned().collect(),
         }
     }
 
     /// Applies how a later list differs from this one.
     pub fn apply(&mut self, change: RosterChange) {
-        change.gone.iter().for_each(|start| drop(self.targets.remove(start)));
-        let changed = change.changed.into_iter().map(|listed| (listed.start.clone(), listed));
+        for start in &change.gone {
+            if self.get(start).is_some() {
+                self.targets.remove(&start.id);
+            }
+        }
+        let changed = change.changed.into_iter().map(|listed| (listed.start.id.clone(), listed));
         self.targets.extend(changed);
     }
 
-    /// Takes a whole list. Returns whether anything changed.
+    /// Takes a whole list, which may show a target more than once. Returns whether anything changed.
     pub fn take(&mut self, list: Vec<Listed>) -> bool {
-        let mut targets = BTreeMap::new();
-        for mut target in list {
-            if target.presence == Presence::Leaving || self.left.contains(&target.start) {
-                self.left.insert(target.start.clone());
-                target.presence = Presence::Leaving;
-            }
-            // The list lags behind what was found out: one start of a target never gets older weights.
-            for (model, known) in self.get(&target.start).iter().flat_map(|known| &known.weights) {
-                let version = target.weights.entry(model.clone()).or_default();
-                *version = (*version).max(*known);
+        self.count_list();
+        let mut shown = BTreeMap::new();
+        let mut repeated: BTreeMap<TargetId, Vec<Listed>> = BTreeMap::new();
+        for entry in list {
+            match shown.entry(entry.start.id.clone()) {
+                Entry::Vacant(vacant) => drop(vacant.insert(entry)),
+                Entry::Occupied(first) => {
+                    repeated.entry(first.key().clone()).or_default().push(entry);
+                }
             }
-            targets.insert(target.start.clone(), target);
         }
-        let changed = targets != self.targets;
-        self.targets = targets;
+        for (id, others) in repeated {
+            let first = shown.remove(&id);
+            let settled = first.and_then(|first| self.settle(first, others));
+            shown.extend(settled.map(|entry| (id, entry)));
+        }
+        shown.values_mut().for_each(|entry| self.add_known(entry));
+        let changed = shown != self.targets;
+        if changed {
+            self.absent.retain(|id, _| !shown.contains_key(id));
+            let gone = std::mem::take(&mut self.targets).into_iter();
+            let gone = gone.filter(|(id, _)| !shown.contains_key(id));
+            self.absent.extend(gone.map(|(id, listed)| (id, Absent { listed, lists: 0 })));
+            self.targets = shown;
+        }
         changed
     }
 
+    fn count_list(&mut self) {
+        self.absent.values_mut().for_each(|absent| absent.lists += 1);
+        self.absent.retain(|_, absent| absent.lists < FORGOTTEN_AFTER_LISTS);
+        let (targets, absent) = (&self.targets, &self.absent);
+        self.over.retain(|start, lists| {
+            *lists += 1;
+            let is_known = targets.contains_key(&start.id) || absent.contains_key(&start.id);
+            let most =
+                if is_known { REPLACED_FORGOTTEN_AFTER_LISTS } else { FORGOTTEN_AFTER_LISTS };
+            *lists < most
+        });
+    }
+
+    /// The start that an id had in the last list that showed it.
+    fn known(&self, id: &str) -> Option<&Listed> {
+        self.targets.get(id).or_else(|| self.absent.get(id).map(|absent| &absent.listed))
+    }
+
+    /// Of several entries for one id the one that holds; `None` if they contradict each other.
+    fn settle(&self, first: Listed, others: Vec<Listed>) -> Option<Listed> {
+        let known = self.known(&first.start.id).map(|known| known.start.clone());
+        let is_new =
+            |start: &TargetStart| known.as_ref() != Some(start) && !self.over.contains_key(start);
+        let mut entries = others;
+        entries.insert(0, first);
+        let mut new = entries.iter().map(|entry| &entry.start).filter(|start| is_new(start));
+        let start = match new.next() {
+            // Which of two starts is the later one could only be guessed.
+            Some(start) if new.any(|other| other != start) => return None,
+            Some(start) => start.clone(),
+            None => known.unwrap_or_else(|| entries[0].start.clone()),
+        };
+        let mut of_start = entries.into_iter().filter(|entry| entry.start == start);
+        of_start.next().and_then(|first| of_start.try_fold(first, merged))
+    }
+
+    /// Adds to an entry what is known beside it.
+    fn add_known(&mut self, entry: &mut Listed) {
+        let known = self.targets.get(&entry.start.id);
+        let known = known.or_else(|| self.absent.get(&entry.start.id).map(|absent| &absent.listed));
+        if let Some(known) = known {
+            if entry.start.born_ms.is_none() {
+                entry.start.clone_from(&known.start);
+            }
+            if entry.start == known.start {
+                // The list lags behind what was found out: one start never gets older weights.
+                for (model, version) in &known.weights {
+                    let listed = entry.weights.entry(model.clone()).or_default();
+                    *listed = (*listed).max(*version);
+                }
+            } else if let Some(lists) = self.over.get_mut(&entry.start) {
+                // Late news of an earlier start says nothing about the later one.
+                *lists = 0;
+                entry.clone_from(known);
+            } else {
+                self.over.insert(known.start.clone(), 0);
+            }
+        }
+        match self.over.get_mut(&entry.start) {
+            Some(lists) => {
+                *lists = 0;
+                entry.presence = Presence::Leaving;
+            }
+            None if entry.presence == Presence::Leaving => {
+                self.over.insert(entry.start.clone(), 0);
+            }
+            None => {}
+        }
+    }
+
     /// Records the weights that a target was found with.
     pub fn set_weights(&mut self, start: &TargetStart, weights: &BTreeMap<ModelId, u64>) -> bool {
-        let Some(target) = self.targets.get_mut(start) else { return false };
+        let target = self.targets.get_mut(&start.id).filter(|target| target.start == *start);
+        let Some(target) = target else { return false };
         let changed = target.weights != *weights;
         target.weights.clone_from(weights);
         changed
@@ -105,7 +216,7 @@
 
     /// A target.
     pub fn get(&self, start: &TargetStart) -> Option<&Listed> {
-        self.targets.get(start)
+        self.targets.get(&start.id).filter(|target| target.start == *start)
     }
 
     /// How many are listed.
@@ -118,3 +229,19 @@
         self.targets.is_empty()
     }
 }
+
+/// Two entries for one start as one: what says that it leaves holds, whichever was written later.
+/// `None` if they are of different targets.
+fn merged(mut first: Listed, other: Listed) -> Option<Listed> {
+    let is_same = first.service == other.service
+        && first.address == other.address
+        && first.failure_domain == other.failure_domain;
+    if other.presence == Presence::Leaving {
+        first.presence = Presence::Leaving;
+    }
+    for (model, version) in other.weights {
+        let known = first.weights.entry(model).or_default();
+        *known = (*known).max(version);
+    }
+    is_same.then_some(first)
+}
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -19,15 +19,30 @@
 /// A target: a model engine, a store or an instance of a plain service.
 pub type TargetId = String;
 
+/// When something started, in Unix milliseconds of its own clock.
+pub type BirthMs = i64;
+
 /// One start of a target. A target may start again under the id that it had, and then holds and
 /// knows nothing of before: whatever is believed of a target is believed of one start of it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct TargetStart {
     /// The target.
     pub id: TargetId,
-    /// When it started, in Unix milliseconds of the target's clock; `None` where births aren't told.
-    /// Names the start, and says nothing about which of two starts is the later one: clocks differ.
-    pub born_ms: Option<u64>,
+    /// `None` where births aren't told. Names the start, and says nothing about which of two starts is
+    /// the later one: clocks go back.
+    pub born_ms: Option<BirthMs>,
+}
+
+impl TargetStart {
+    /// Whether what tells this birth, or none, may be of this start.
+    pub fn may_be_born(&self, born_ms: Option<BirthMs>) -> bool {
+        may_be_same_birth(self.born_ms, born_ms)
+    }
+}
+
+/// Whether two births may be one: they differ only if both are told.
+pub fn may_be_same_birth(one: Option<BirthMs>, other: Option<BirthMs>) -> bool {
+    one.is_none() || other.is_none() || one == other
 }
 
 impl fmt::Display for TargetStart {
--- a/src/telemetry/roles.rs
+++ b/src/telemetry/roles.rs
@@ -46,6 +46,8 @@
     pub waiting: Gauge<u64>,
     /// Operators' calls, by status.
     pub operator_calls: Counter<u64>,
+    /// Entries of the platform's list that could not be read, in all lists that were read here.
+    pub unreadable_entries: Counter<u64>,
 }
 
 impl EntryMetrics {
@@ -101,6 +103,7 @@
                 .build(),
             waiting: meter.u64_gauge("kumquatpost_prompts_waiting").build(),
             operator_calls: meter.u64_counter("kumquatpost_operator_calls").build(),
+            unreadable_entries: meter.u64_counter("kumquatpost_target_entries_unreadable").build(),
             registered,
         })
     }
--- a/tests/deployment/fixtures.rs
+++ b/tests/deployment/fixtures.rs
@@ -94,6 +94,11 @@
     TargetStart { id: id.to_string(), born_ms: None }
 }
 
+/// A start of a target that tells its birth.
+pub fn born(id: &str, born_ms: i64) -> TargetStart {
+    TargetStart { id: id.to_string(), born_ms: Some(born_ms) }
+}
+
 pub fn target(id: &str, service: &str, at: SocketAddr) -> Listed {
     let weights = match service {
         "llm" => BTreeMap::from([("m".to_string(), 1)]),
--- a/tests/deployment/foreign_bytes.rs
+++ b/tests/deployment/foreign_bytes.rs
@@ -6,6 +6,7 @@
 use kumquatpost::control::frames::{self, FromEntry, Introduction, News, ToEntry, ToReplica};
 use kumquatpost::control::state::ControlState;
 use kumquatpost::deployment::validate;
+use kumquatpost::fleet::{Listing, Roster};
 use kumquatpost::platform::{documents, engines, headers, instances, operator, stores};
 use kumquatpost::scheduler::Ask;
 use proptest::prelude::*;
@@ -20,7 +21,7 @@
 /// Documents of each kind that is decoded, to be spoilt.
 const DOCUMENTS: [&str; 6] = [
     r#"{"Version":7,"Routes":[{"Name":"r","Host":"h","PathPrefix":"/a/","Kind":"stream","TimeoutMs":15000,"SloMs":800,"Split":[{"Service":"s","Weight":9}]}],"Services":[{"Name":"s","Engine":{"Slots":64,"KvCapacity":9,"KvTokenBytes":3}}],"Tenants":[{"Name":"t","ApiKeys":["k"]}]}"#,
-    r#"{"Instances":[{"Service":"s","Addr":"10.1.0.9:80","Zone":"z","Slots":64,"State":"ready","Models":[{"Name":"m","Version":1}],"Id":"i"}],"NextToken":"p"}"#,
+    r#"{"Instances":[{"Service":"s","Addr":"10.1.0.9:80","Zone":"z","Slots":64,"State":"ready","Version":"v1","ColdLeftMs":0,"Models":[{"Name":"m","Version":1}],"born":17,"Id":"i"}],"NextToken":"p"}"#,
     r#"{"Models":[{"Name":"m","Version":2}],"Busy":true,"Seq":2}"#,
     r#"{"BootEpoch":7,"NextToken":120,"Lost":false,"Events":[[119,"+","s1","5c",800,"m"]],"clock_ms":1.5}"#,
     r#"{"BootEpoch":7,"NextToken":120,"Held":[["s1","5c",800,"m"]],"Partial":[["s","p",1,2]]}"#,
@@ -30,7 +31,11 @@
 /// Decodes bytes as everything that comes from the platform, and from other processes of ours.
 fn decode_all(bytes: &[u8]) {
     let _ = documents::decode(bytes).map(|deployment| validate::problems(&deployment));
-    let _ = instances::decode(bytes);
+    let _ = instances::decode(bytes).map(|page| {
+        let mut listing = Listing::default();
+        page.entries.into_iter().for_each(|entry| listing.add(entry));
+        let _ = listing.finish().map(|listing| Roster::default().take(listing.into_targets()));
+    });
     let _ = engines::decode_report(bytes);
     let _ = stores::decode_list(bytes);
     let _ = stores::decode_events(bytes);
@@ -50,9 +55,46 @@
     }
 }
 
+/// An entry of the list that can be read.
+fn list_entry(id: &str) -> String {
+    format!(
+        r#"{{"Service":"s","Addr":"10.1.0.9:80","Zone":"z","Version":"v1","Slots":64,"State":"ready",
+        "ColdLeftMs":0,"Stage":"s","Models":[{{"Name":"m","Version":1}}],"born":17,"Id":"{id}"}}"#
+    )
+}
+
 proptest! {
     #![proptest_config(cases(400))]
 
+    /// Whatever another writer leaves in the list: the entries before and after it hold.
+    #[test]
+    fn a_spoilt_entry_of_the_list_loses_no_other(
+        spoils in proptest::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 1..6),
+        cut in any::<prop::sample::Index>(),
+        is_last in any::<bool>(),
+    ) {
+        let mut spoilt = list_entry("i-2").into_bytes();
+        for (at, byte) in spoils {
+            let at = at.index(spoilt.len());
+            spoilt[at] = byte;
+        }
+        for length in [spoilt.len(), cut.index(spoilt.len())] {
+            let third = list_entry("i-3").into_bytes();
+            let (one, other) = match is_last {
+                true => (&third[..], &spoilt[..length]),
+                false => (&spoilt[..length], &third[..]),
+            };
+            let page = [b"{\"Instances\":[", list_entry("i-1").as_bytes(), b",", one, b",", other,
+                b"],\"NextToken\":\"p\"}"].concat();
+            let page = instances::decode(&page).expect("the page ends well");
+            prop_assert_eq!(page.next.as_deref(), Some("p"));
+            let targets: Vec<_> = page.entries.into_iter().filter_map(Result::ok).collect();
+            for id in ["i-1", "i-3"] {
+                prop_assert!(targets.iter().any(|target| target.start.id == id), "{}", id);
+            }
+        }
+    }
+
     #[test]
     fn any_bytes_are_decoded_or_refused(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
         decode_all(&bytes);
--- a/tests/deployment/instances.rs
+++ b/tests/deployment/instances.rs
@@ -1,8 +1,9 @@
 //! Pages of the platform's list.
 
 use kumquatpost::control::roster_reader::ListAddress;
-use kumquatpost::fleet::Presence;
-use kumquatpost::platform::instances;
+use kumquatpost::fleet::listing::Flaw;
+use kumquatpost::fleet::{Listed, Listing, Presence, UnreadableEntry};
+use kumquatpost::platform::instances::{self, Page};
 
 use crate::fixtures::ms;
 
@@ -12,24 +13,59 @@
   {"Service":"app","Addr":"10.128.0.10:8080","Zone":"hall","Version":"v1","Slots":6,
    "State":"draining","ColdLeftMs":0,"Id":"i-2"}],"NextToken":"p-50"}"#;
 
+/// An entry that can be read, with another one's place in the page.
+fn sound(n: usize) -> String {
+    format!(
+        r#"{{"Service":"llm","Addr":"10.1.0.{n}:80","Zone":"z","Version":"v1","Slots":4,"State":"ready",
+        "ColdLeftMs":12.5,"Stage":"colocated","Models":[{{"Name":"m","Version":1,"Adapters":[]}}],
+        "born":17000000000{n:02},"Id":"i-{n}"}}"#
+    )
+}
+
+/// A page with something between two entries that can be read.
+fn page_around(between: &[u8]) -> Vec<u8> {
+    let mut page = b"{\"Instances\":[".to_vec();
+    page.extend_from_slice(sound(1).as_bytes());
+    page.push(b',');
+    page.extend_from_slice(between);
+    page.push(b',');
+    page.extend_from_slice(sound(2).as_bytes());
+    page.extend_from_slice(b"],\"NextToken\":\"p-3\"}");
+    page
+}
+
+fn decode(page: &[u8]) -> Page {
+    instances::decode(page).unwrap_or_else(|error| {
+        panic!("{error} in {}", String::from_utf8_lossy(page));
+    })
+}
+
+fn targets(page: Page) -> Vec<Listed> {
+    page.entries.into_iter().filter_map(Result::ok).collect()
+}
+
+fn ids(targets: &[Listed]) -> Vec<&str> {
+    targets.iter().map(|target| target.start.id.as_str()).collect()
+}
+
 #[test]
 fn targets_and_the_next_page_are_read() {
-    let (targets, next) = instances::decode(PAGE.as_bytes()).expect("it is a page");
-    assert_eq!(next.as_deref(), Some("p-50"));
+    let page = decode(PAGE.as_bytes());
+    assert_eq!(page.next.as_deref(), Some("p-50"));
+    assert_eq!(instances::page_path(page.next.as_deref()), "/instances?PageToken=p-50");
+    assert_eq!(instances::page_path(None), "/instances");
+    let targets = targets(page);
     assert_eq!(targets[0].weights["m"], 3);
     assert_eq!(
         targets.iter().map(|target| target.presence).collect::<Vec<_>>(),
         [Presence::Live, Presence::Leaving]
     );
-    assert_eq!(instances::page_path(next.as_deref()), "/instances?PageToken=p-50");
-    assert_eq!(instances::page_path(None), "/instances");
 }
 
 #[test]
-fn a_state_that_is_not_known_takes_no_work() {
+fn a_state_that_is_not_known_names_no_target_and_the_others_hold() {
     let page = PAGE.replace("\"ready\"", "\"evacuating\"");
-    let (targets, _) = instances::decode(page.as_bytes()).expect("it is a page");
-    assert_eq!(targets[0].presence, Presence::Leaving);
+    assert_eq!(ids(&targets(decode(page.as_bytes()))), ["i-2"]);
 }
 
 #[test]
@@ -37,6 +73,193 @@
     for length in 0..PAGE.len() {
         assert!(instances::decode(&PAGE.as_bytes()[..length]).is_err(), "cut at {length}");
     }
+    let page = page_around(b"null");
+    for length in 0..page.len() {
+        assert!(instances::decode(&page[..length]).is_err(), "cut at {length}");
+    }
+}
+
+/// What other writers may leave in the place of a field, and of a whole entry.
+#[test]
+fn an_entry_that_can_not_be_read_names_no_target_and_the_others_hold() {
+    let fields = [
+        (
+            "\"Service\":\"llm\",",
+            &["", "\"Service\":7,", "\"Service\":\"\",", "\"Service\":null,"][..],
+        ),
+        (
+            "\"Addr\":\"10.1.0.9:80\",",
+            &[
+                "",
+                "\"Addr\":80,",
+                "\"Addr\":\"10.1.0.9\",",
+                "\"Addr\":\"host:80\",",
+                "\"Addr\":\"10.1.0.9:99999\",",
+                "\"Addr\":\"http://10.1.0.9:80/\",",
+                "\"Addr\":\"10.1.0.9:0\",",
+                "\"Addr\":\"0.0.0.0:80\",",
+                "\"Addr\":\"[::]:80\",",
+                "\"Addr\":\"224.0.0.1:80\",",
+                "\"Addr\":\"255.255.255.255:80\",",
+                "\"Addr\":[\"10.1.0.9:80\"],",
+                "\"Addr\":{\"Ip\":\"10.1.0.9\"},",
+            ],
+        ),
+        ("\"Zone\":\"z\",", &["", "\"Zone\":[],", "\"Zone\":\"\","]),
+        ("\"Version\":\"v1\",", &["", "\"Version\":1,"]),
+        ("\"Slots\":4,", &["", "\"Slots\":\"4\",", "\"Slots\":-4,", "\"Slots\":4.5,"]),
+        (
+            "\"State\":\"ready\",",
+            &["", "\"State\":1,", "\"State\":\"Ready\",", "\"State\":\"gone\","],
+        ),
+        ("\"ColdLeftMs\":12.5,", &["", "\"ColdLeftMs\":\"0\",", "\"ColdLeftMs\":null,"]),
+        (
+            "\"Models\":[{\"Name\":\"m\",\"Version\":1,\"Adapters\":[]}],",
+            &["", "\"Models\":{},", "\"Models\":[7],", "\"Models\":[{\"Name\":\"m\"}],"],
+        ),
+        (
+            "\"born\":1700000000009,",
+            &["\"born\":\"1700000000009\",", "\"born\":1.5,", "\"born\":null,", "\"born\":1e300,"],
+        ),
+        (
+            "\"Id\":\"i-9\"",
+            &[
+                "\"id\":\"i-9\"",
+                "\"Id\":9",
+                "\"Id\":\"\"",
+                "\"Id\":\"i 9\"",
+                "\"Id\":\"i\\n9\"",
+                "\"Id\":\"\u{e9}\"",
+                "\"Id\":\"i-9\",\"Id\":\"i-8\"",
+            ],
+        ),
+    ];
+    for (field, spoilt) in fields {
+        for other in spoilt {
+            let entry = sound(9);
+            assert!(entry.contains(field), "{field}");
+            let page = decode(&page_around(entry.replace(field, other).as_bytes()));
+            assert_eq!(page.entries.len(), 3, "{other} in place of {field}");
+            assert_eq!(page.next.as_deref(), Some("p-3"));
+            assert_eq!(ids(&targets(page)), ["i-1", "i-2"], "{other} in place of {field}");
+        }
+    }
+    let wholes = ["null", "7", "\"i-9\"", "[]", "{}", "[{}]", "{\"Id\":\"i-9\"}", "true"];
+    for entry in wholes {
+        assert_eq!(
+            ids(&targets(decode(&page_around(entry.as_bytes())))),
+            ["i-1", "i-2"],
+            "{entry}"
+        );
+    }
+    let long = sound(9).replace("i-9", &"i".repeat(5_000));
+    assert_eq!(ids(&targets(decode(&page_around(long.as_bytes())))), ["i-1", "i-2"]);
+}
+
+#[test]
+fn bytes_that_can_not_be_read_lose_their_entry_alone() {
+    let entry = sound(9).into_bytes();
+    for at in 0..entry.len() {
+        let mut spoilt = entry.clone();
+        spoilt[at] = 0xff;
+        let found = targets(decode(&page_around(&spoilt)));
+        assert!(ids(&found).contains(&"i-1") && ids(&found).contains(&"i-2"), "at {at}");
+        assert!(!ids(&found).iter().any(|id| id.contains('9')), "at {at}");
+    }
+    // In a field that nothing reads.
+    let noted = sound(9).replace("\"Slots\"", "\"Note\":\"X\",\"Slots\"").into_bytes();
+    let noted: Vec<u8> = noted.into_iter().map(|b| if b == b'X' { 0xc3 } else { b }).collect();
+    let page = decode(&page_around(&noted));
+    let flaw = UnreadableEntry { id: Some("i-9".to_string()), flaw: Flaw::NotText };
+    assert_eq!(page.entries[1], Err(flaw));
+}
+
+#[test]
+fn an_entry_that_is_broken_loses_no_other_wherever_it_breaks_off() {
+    let entry = sound(9);
+    for length in 0..entry.len() {
+        for page in [
+            page_around(&entry.as_bytes()[..length]),
+            // The last entry of the page.
+            format!("{{\"Instances\":[{},{}],\"NextToken\":null}}", sound(1), &entry[..length])
+                .into_bytes(),
+        ] {
+            let has_second = page.ends_with(b"\"p-3\"}");
+            let found = targets(decode(&page));
+            let expected = if has_second { &["i-1", "i-2"][..] } else { &["i-1"] };
+            assert_eq!(ids(&found), expected, "cut at {length}");
+        }
+    }
+    for broken in ["{", "{\"Id\":", "\"", "]", "}", "{]", "[}", "{\"Id\":\"i-9\"", "{'Id'}", ""] {
+        let found = targets(decode(&page_around(broken.as_bytes())));
+        assert_eq!(ids(&found), ["i-1", "i-2"], "{broken}");
+    }
+}
+
+#[test]
+fn births_are_whole_numbers_however_they_are_written() {
+    for (written, born_ms) in [
+        ("1700000000001", 1_700_000_000_001),
+        ("1700000000001.0", 1_700_000_000_001),
+        ("1.7e12", 1_700_000_000_000),
+        ("0", 0),
+        ("-5", -5),
+    ] {
+        let entry = sound(1).replace("1700000000001", written);
+        let page = format!("{{\"Instances\":[{entry}],\"NextToken\":null}}");
+        let found = targets(decode(page.as_bytes()));
+        assert_eq!(found[0].start.born_ms, Some(born_ms), "{written}");
+    }
+}
+
+fn listing(pages: &[&str]) -> Listing {
+    let mut listing = Listing::default();
+    for page in pages {
+        decode(page.as_bytes()).entries.into_iter().for_each(|entry| listing.add(entry));
+    }
+    listing
+}
+
+fn page_of(entries: &[String]) -> String {
+    format!("{{\"Instances\":[{}],\"NextToken\":null}}", entries.join(","))
+}
+
+#[test]
+fn a_list_tells_births_or_it_does_not() {
+    let unborn = |n| sound(n).replace(&format!("\"born\":17000000000{n:02},"), "");
+    // Nobody tells births: a start is its id alone.
+    let none = listing(&[&page_of(&[unborn(1)]), &page_of(&[unborn(2)])]).finish();
+    let none = none.expect("it can be read").into_targets();
+    assert!(none.iter().all(|target| target.start.born_ms.is_none()) && none.len() == 2);
+    // Others do, on whichever page: an entry without is another writer's.
+    for pages in [[unborn(1), sound(2)], [sound(2), unborn(1)]] {
+        let pages = pages.map(|entry| page_of(&[entry]));
+        let list = listing(&[&pages[0], &pages[1]]).finish().expect("it can be read");
+        let flaw = UnreadableEntry { id: Some("i-1".to_string()), flaw: Flaw::NoBirth };
+        assert_eq!(list.unreadable().iter().collect::<Vec<_>>(), [&flaw]);
+        assert_eq!(ids(&list.into_targets()), ["i-2"]);
+    }
+}
+
+#[test]
+fn a_list_of_which_nothing_can_be_read_is_no_list() {
+    let strange = sound(1).replace("\"ready\"", "\"strange\"");
+    assert!(listing(&[&page_of(&[strange.clone()])]).finish().is_err());
+    assert!(listing(&[&page_of(&[])]).finish().is_ok(), "no target runs");
+    let one = listing(&[&page_of(&[strange, sound(2)])]).finish().expect("it can be read");
+    assert_eq!((one.unreadable_count(), one.into_targets().len()), (1, 1));
+}
+
+#[test]
+fn what_is_told_of_unreadable_entries_is_bounded() {
+    let long = "x".repeat(10_000);
+    let entries: Vec<String> =
+        (0..500).map(|n| sound(1).replace("\"ready\"", &format!("\"{long}{n}\""))).collect();
+    let mut listing = listing(&[&page_of(&entries)]);
+    decode(page_of(&[sound(2)]).as_bytes()).entries.into_iter().for_each(|e| listing.add(e));
+    let listing = listing.finish().expect("one can be read");
+    assert_eq!(listing.unreadable_count(), 500);
+    assert!(format!("{:?}", listing.unreadable()).len() < 20_000);
 }
 
 #[test]
