Believe reports, events and store lists of the start that was asked alone

A report or a page of events that tells another birth is another start's: no order rests on it, nothing of it is resident. A store is the same only with the same epoch and birth. Orders look once more whether the start is listed after the report has come. A scheduler keeps what it knows of an engine whose entry is missing until its prompts have ended. Entries of store lists and events that can't be read are left out, where one lost the whole page before; a sign that isn't named was read as gone.

--- a/src/control/memory_reader.rs
+++ b/src/control/memory_reader.rs
@@ -30,7 +30,7 @@
     let count = engines.len();
     let scheduling = &scheduling;
     let reading = futures::stream::iter(engines).map(|(engine, address)| async move {
-        match read(address).await {
+        match read(&engine, address).await {
             Ok(events) => {
                 let recalled = scheduling.with(|scheduler| scheduler.recall(&engine, events));
                 recalled.unwrap_or_default()
@@ -50,12 +50,20 @@
     log::info!("event=memories_read engines={read} of={count} parts={parts}");
 }
 
-async fn read(engine: SocketAddr) -> Result<Vec<StoreEvent>, CallError> {
-    let call = Exchange::new(engine, Method::GET, &stores::events_path(0))
+async fn read(engine: &TargetStart, address: SocketAddr) -> Result<Vec<StoreEvent>, CallError> {
+    let call = Exchange::new(address, Method::GET, &stores::events_path(0))
         .with_header(stores::WAIT_HEADER, &WAIT.as_millis().to_string());
     let answer = fetch(call, TIMEOUT).await?;
     match answer.status {
-        StatusCode::OK => Ok(stores::decode_events(&answer.body)?.events),
+        StatusCode::OK => {
+            let page = stores::decode_events(&answer.body)?;
+            match engine.may_be_born(page.start.born_ms) {
+                true => Ok(page.events),
+                false => {
+                    Err(format!("another start answers, born {:?}", page.start.born_ms).into())
+                }
+            }
+        }
         status => Err(format!("the engine answers {status}").into()),
     }
 }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -15,4 +15,5 @@
 pub mod scheduling;
 pub mod state;
 pub mod store_reader;
+pub mod unreadable;
 pub mod weights;
--- a/src/control/ordering.rs
+++ b/src/control/ordering.rs
@@ -161,7 +161,7 @@
         let mut version = lagging.version;
         // Held from the order that the engine takes to the end of the load.
         let mut loading = None;
-        while Instant::now() < give_up && self.may_order(term) {
+        while Instant::now() < give_up && self.may_order(term) && self.is_listed(target) {
             if loading.is_none() {
                 self.until_may_load(lagging).await;
                 // Newer ones may have been named while it waited for its turn.
@@ -197,6 +197,11 @@
         belief.state.weights.get(&lagging.model).copied().unwrap_or(lagging.version)
     }
 
+    /// Whether this start of an engine is still the one that is there.
+    fn is_listed(&self, target: &Listed) -> bool {
+        self.shared.roster.borrow().roster.get(&target.start).is_some()
+    }
+
     fn may_order(&self, term: Term) -> bool {
         let belief = self.shared.belief.borrow();
         belief.leads && belief.term == term && self.shared.caught_up_at.get().is_some()
@@ -210,7 +215,8 @@
         report: &EngineReport,
         fencing: u64,
     ) -> bool {
-        if !self.may_order(fencing) {
+        // The report was on its way for a while.
+        if !self.may_order(fencing) || !self.is_listed(target) {
             return false;
         }
         let order = WeightOrder {
--- a/src/control/roster_reader.rs
+++ b/src/control/roster_reader.rs
@@ -1,6 +1,5 @@
 //! Reads the platform's list of targets: the leader does, and another replica when it falls silent.
 
-use std::collections::BTreeSet;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,8 +9,9 @@
 
 use super::frames::ToReplica;
 use super::replica::Shared;
-use crate::clock::{BootTime, boot_now};
-use crate::fleet::{Listed, Listing, UnreadableEntry};
+use super::unreadable::UnreadableLines;
+use crate::clock::boot_now;
+use crate::fleet::{Listed, Listing};
 use crate::net::http::{CallError, Exchange, fetch};
 use crate::platform::instances::{self, Page};
 use crate::telemetry::roles::ReplicaMetrics;
@@ -23,6 +23,8 @@
 const TAKE_OVER_AFTER: Duration = Duration::from_millis(1_200);
 /// Spreads replicas that take over at the same time.
 const TAKE_OVER_SPREAD: Duration = Duration::from_millis(600);
+/// A list is read once in this time at the least, however few calls it takes.
+const RAREST_READ_S: f64 = 60.0;
 /// Readers use at most this part of the calls that the list takes: when a leader changes, two read.
 const RATE_PART: f64 = 0.6;
 /// A page that was asked for too often is asked for again within this time, so many times.
@@ -32,9 +34,6 @@
 const PAGE_TIMEOUT: Duration = Duration::from_millis(700);
 /// More pages than this are taken for a mistake.
 const MAX_PAGES: usize = 1_000;
-/// Entries that can't be read are told of no more often than this, and so many by name.
-const UNREADABLE_LINE_EVERY: Duration = Duration::from_secs(5);
-const UNREADABLE_NAMED: usize = 5;
 
 /// Where the list is, and how often it may be asked.
 #[derive(Clone, Copy, Debug)]
@@ -51,8 +50,8 @@
         if self.rate_per_s <= 0.0 {
             return READ_EVERY;
         }
-        let by_rate = Duration::from_secs_f64(pages as f64 / (self.rate_per_s * RATE_PART));
-        READ_EVERY.max(by_rate)
+        let by_rate_s = pages as f64 / (self.rate_per_s * RATE_PART);
+        READ_EVERY.max(Duration::from_secs_f64(by_rate_s.min(RAREST_READ_S)))
     }
 }
 
@@ -70,7 +69,8 @@
                 }
                 failing = false;
                 pages = read.pages;
-                unreadable.note(&read.listing, list.address, &metrics);
+                metrics.unreadable_entries.add(read.listing.unreadable_count() as u64, &[]);
+                unreadable.note(&read.listing, boot_now());
                 take(&shared, own, read.listing.into_targets());
             }
             Err(error) if !failing => {
@@ -120,30 +120,6 @@
     shared.tell(&shared.belief.borrow().state, own, &frame);
 }
 
-/// Tells of entries that can't be read: when they are others than before, and not more often than a
-/// reader of the log can bear.
-#[derive(Default)]
-struct UnreadableLines {
-    told: BTreeSet<UnreadableEntry>,
-    told_at: Option<BootTime>,
-}
-
-impl UnreadableLines {
-    fn note(&mut self, listing: &Listing, list: SocketAddr, metrics: &ReplicaMetrics) {
-        let count = listing.unreadable_count();
-        metrics.unreadable_entries.add(count as u64, &[]);
-        let now = boot_now();
-        let is_due = self.told_at.is_none_or(|at| now >= at + UNREADABLE_LINE_EVERY);
-        if *listing.unreadable() == self.told || !is_due {
-            return;
-        }
-        self.told.clone_from(listing.unreadable());
-        self.told_at = Some(now);
-        let first: Vec<&UnreadableEntry> = self.told.iter().take(UNREADABLE_NAMED).collect();
-        log::warn!("event=target_entries_unreadable list={list} count={count} first={first:?}");
-    }
-}
-
 /// A whole list.
 struct Read {
     listing: Listing,
--- a/src/control/store_reader.rs
+++ b/src/control/store_reader.rs
@@ -25,14 +25,19 @@
 
 /// Runs until this replica schedules no more in that term.
 pub async fn run(scheduling: Rc<Scheduling>, store: SocketAddr, term: Term) {
-    let mut is_reachable = true;
+    let mut told = None;
     while scheduling.is_active(term) {
         let followed = follow(&scheduling, store, term).await;
-        let Err(error) = followed else { continue };
-        if is_reachable {
+        let Err(error) = followed else {
+            told = None;
+            continue;
+        };
+        // Whatever a store that stays lost does, one line tells it.
+        let kind = std::mem::discriminant(&error);
+        if told != Some(kind) || matches!(error, Lost::Gap) {
             log::warn!("event=store_lost store={store} reason={:?}", error.to_string());
         }
-        is_reachable = !error.is_unreachable();
+        told = Some(kind);
         scheduling.lost_store(store);
         tokio::time::sleep(RETRY_AFTER).await;
     }
@@ -51,12 +56,6 @@
     Gap,
 }
 
-impl Lost {
-    fn is_unreachable(&self) -> bool {
-        matches!(self, Lost::Unreachable { .. })
-    }
-}
-
 /// Reads the inventory, and then events until the inventory is due again.
 async fn follow(scheduling: &Scheduling, store: SocketAddr, term: Term) -> Result<(), Lost> {
     let mut session = Session::new(store);
@@ -64,8 +63,8 @@
     let text = answer_of(&mut session, list).await?;
     let (inventory, clock_ms) =
         stores::decode_list(&text).map_err(|source| Lost::Unreadable { source })?;
-    let (epoch, mut next) = (inventory.epoch, inventory.next);
-    log::info!("event=store_read store={store} epoch={epoch} whole={}", inventory.whole.len());
+    let (start, mut next) = (inventory.start, inventory.next);
+    log::info!("event=store_read store={store} start={start:?} whole={}", inventory.whole.len());
     let now = boot_now();
     let _ = scheduling.with(|scheduler| {
         clock_ms.into_iter().for_each(|ms| scheduler.read_clock(ms, now));
@@ -77,7 +76,7 @@
             .with_header(stores::WAIT_HEADER, &WAIT.as_millis().to_string());
         let text = answer_of(&mut session, call).await?;
         let page = stores::decode_events(&text).map_err(|source| Lost::Unreadable { source })?;
-        if page.has_gap || page.epoch != epoch {
+        if page.has_gap || !page.start.may_be(&start) {
             return Err(Lost::Gap);
         }
         next = page.next;
--- a/src/control/weights.rs
+++ b/src/control/weights.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::fleet::{Presence, Roster};
-use crate::ids::{ModelId, NodeId, TargetStart};
+use crate::ids::{BirthMs, ModelId, NodeId, TargetStart};
 
 /// One engine in this many may load at a time: more would slow down each other's loads.
 const LOADING_PART: usize = 6;
@@ -13,6 +13,8 @@
 /// What an engine says of itself.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct EngineReport {
+    /// When the engine that reports started.
+    pub born_ms: Option<BirthMs>,
     /// Orders that it has accepted since it started.
     pub orders_accepted: u64,
     /// Whether it carries out an order.
--- a/src/fleet/roster.rs
+++ b/src/fleet/roster.rs
@@ -130,6 +130,24 @@
         changed
     }
 
+    /// Learns from another list which starts get no new work any more. Returns whether a listed target
+    /// was not known to be one of them.
+    pub fn learn_leaving(&mut self, other: &Roster) -> bool {
+        for (start, lists) in &other.over {
+            self.over.entry(start.clone()).or_insert(*lists);
+        }
+        let mut changed = false;
+        for target in self.targets.values_mut() {
+            let is_news =
+                target.presence == Presence::Live && self.over.contains_key(&target.start);
+            if is_news {
+                target.presence = Presence::Leaving;
+                changed = true;
+            }
+        }
+        changed
+    }
+
     fn count_list(&mut self) {
         self.absent.values_mut().for_each(|absent| absent.lists += 1);
         self.absent.retain(|_, absent| absent.lists < FORGOTTEN_AFTER_LISTS);
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -172,7 +172,11 @@
 
     /// Takes a list of targets.
     pub fn take_roster(&mut self, roster: &Roster) {
-        self.engines.retain(|id, _| roster.get(id).is_some());
+        // Until their prompts have ended: a target whose entry is missing for a while comes back.
+        self.engines.retain(|start, engine| roster.get(start).is_some() || engine.placed() > 0);
+        for engine in self.engines.values_mut().filter(|e| roster.get(&e.listed.start).is_none()) {
+            engine.listed.presence = Presence::Leaving;
+        }
         self.weights.doubted.retain(|id| roster.get(id).is_some());
         for listed in roster.iter() {
             let Some(traits) = self.traits.get(&listed.service) else { continue };
--- a/src/scheduler/store.rs
+++ b/src/scheduler/store.rs
@@ -14,6 +14,7 @@
 use crate::clock::BootTime;
 use crate::deployment::StoreTraits;
 use crate::gateway::call::Part;
+use crate::ids::{BirthMs, may_be_same_birth};
 
 /// A fetch is granted for this long. Transfers take tens of milliseconds; one that would wait for
 /// two seconds is not started.
@@ -45,11 +46,27 @@
     pub tokens: u64,
 }
 
+/// One start of a store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StoreStart {
+    /// Drawn at the start.
+    pub epoch: u64,
+    /// When it was; `None` where births aren't told.
+    pub born_ms: Option<BirthMs>,
+}
+
+impl StoreStart {
+    /// Whether two answers may come from one start.
+    pub fn may_be(&self, other: &StoreStart) -> bool {
+        self.epoch == other.epoch && may_be_same_birth(self.born_ms, other.born_ms)
+    }
+}
+
 /// All that a store holds.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Inventory {
-    /// Names this start of the store.
-    pub epoch: u64,
+    /// The start of the store that holds it.
+    pub start: StoreStart,
     /// Where the next events begin.
     pub next: u64,
     /// Whole parts.
@@ -73,7 +90,7 @@
     /// As the deployment names it.
     pub traits: StoreTraits,
     /// This start of it; `None` until its inventory is known.
-    epoch: Option<u64>,
+    start: Option<StoreStart>,
     parts: FxHashMap<PartKey, Kept>,
     used_tokens: u64,
     /// Parts whose save has failed, with the time until which they are not saved again.
@@ -108,7 +125,7 @@
     /// The store.
     pub store: SocketAddr,
     /// This start of it.
-    pub epoch: u64,
+    pub start: StoreStart,
     /// The parts.
     pub parts: Vec<StoredPart>,
 }
@@ -131,7 +148,7 @@
         let link = Link::new(traits.link_mbps);
         Store {
             traits,
-            epoch: None,
+            start: None,
             parts: FxHashMap::default(),
             used_tokens: 0,
             failed: FxHashMap::default(),
@@ -141,7 +158,7 @@
 
     /// Whether its inventory is known.
     pub fn is_known(&self) -> bool {
-        self.epoch.is_some()
+        self.start.is_some()
     }
 
     /// Tokens that are free.
@@ -157,20 +174,20 @@
 
     /// Forgets what it holds: it has started anew or can't be reached.
     pub fn forget(&mut self) {
-        self.epoch = None;
+        self.start = None;
         self.parts.clear();
         self.used_tokens = 0;
     }
 
     /// Takes its inventory. Fetches that were granted of parts that it still holds stay granted.
     pub fn take_inventory(&mut self, inventory: Inventory, now: BootTime) {
-        let earlier = if self.epoch == Some(inventory.epoch) {
+        let earlier = if self.start.is_some_and(|start| start.may_be(&inventory.start)) {
             std::mem::take(&mut self.parts)
         } else {
             FxHashMap::default()
         };
         self.forget();
-        self.epoch = Some(inventory.epoch);
+        self.start = Some(inventory.start);
         let whole = inventory.whole.into_iter().map(|part| (part, true));
         let partial = inventory.partial.into_iter().map(|part| (part, false));
         for (part, is_whole) in whole.chain(partial) {
@@ -270,7 +287,7 @@
     /// Parts to be freed now: those whose save has failed, and the least recently used ones where
     /// room is short. They are not fetched again.
     pub fn plan_frees(&mut self, now: BootTime) -> Option<FreePlan> {
-        let epoch = self.epoch?;
+        let start = self.start?;
         let mut free: Vec<PartKey> = Vec::new();
         for (key, kept) in &self.parts {
             let is_due = match kept.state {
@@ -300,7 +317,7 @@
                 parts.push(kept.part.clone());
             }
         }
-        Some(FreePlan { store: self.traits.address, epoch, parts })
+        Some(FreePlan { store: self.traits.address, start, parts })
     }
 
     fn add_least_used(&self, free: &mut Vec<PartKey>, target_tokens: u64, now: BootTime) {
@@ -327,7 +344,7 @@
 
     /// Records that parts were freed.
     pub fn freed(&mut self, plan: &FreePlan) {
-        if self.epoch == Some(plan.epoch) {
+        if self.start.is_some_and(|start| start.may_be(&plan.start)) {
             for part in &plan.parts {
                 self.remove(part_key(&part.salt, &part.id));
             }
--- a/tests/deployment/fixtures.rs
+++ b/tests/deployment/fixtures.rs
@@ -10,6 +10,7 @@
 };
 use kumquatpost::fleet::{Listed, Presence, Roster};
 use kumquatpost::ids::TargetStart;
+use kumquatpost::scheduler::store::StoreStart;
 use proptest::prelude::ProptestConfig;
 use proptest::test_runner::RngSeed;
 
@@ -99,6 +100,11 @@
     TargetStart { id: id.to_string(), born_ms: Some(born_ms) }
 }
 
+/// A start of a store that tells no birth.
+pub fn store_start(epoch: u64) -> StoreStart {
+    StoreStart { epoch, born_ms: None }
+}
+
 pub fn target(id: &str, service: &str, at: SocketAddr) -> Listed {
     let weights = match service {
         "llm" => BTreeMap::from([("m".to_string(), 1)]),
--- a/tests/deployment/foreign_bytes.rs
+++ b/tests/deployment/foreign_bytes.rs
@@ -4,10 +4,11 @@
 use std::time::Duration;
 
 use kumquatpost::control::frames::{self, FromEntry, Introduction, News, ToEntry, ToReplica};
+use kumquatpost::control::roster_reader::ListAddress;
 use kumquatpost::control::state::ControlState;
 use kumquatpost::deployment::validate;
 use kumquatpost::fleet::{Listing, Roster};
-use kumquatpost::platform::{documents, engines, headers, instances, operator, stores};
+use kumquatpost::platform::{documents, engines, headers, instances, operator, settings, stores};
 use kumquatpost::scheduler::Ask;
 use proptest::prelude::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -19,7 +20,8 @@
 use crate::stand_in::{StandIn, Then, header};
 
 /// Documents of each kind that is decoded, to be spoilt.
-const DOCUMENTS: [&str; 6] = [
+const DOCUMENTS: [&str; 7] = [
+    r#"{"NodeName":"c","Ip":"10.1.0.3","Zone":"h","Listen":{"Control":"10.1.0.3:8000"},"PortRange":[7700,7715],"Seeds":["10.1.0.3:8000"],"FirstStart":true,"Limits":{"MemoryMb":256,"MaxFds":4096},"DataDir":"/x","Cloud":{"Addr":"10.2.0.1:80","RatePerS":44.0},"Tolerate":{"Machines":2},"Bounds":{"GraceS":8,"LeaseMs":3000,"ThawMs":300,"VersionMs":60,"BudgetRatio":0.2,"BudgetWindowS":10,"BudgetSlack":56}}"#,
     r#"{"Version":7,"Routes":[{"Name":"r","Host":"h","PathPrefix":"/a/","Kind":"stream","TimeoutMs":15000,"SloMs":800,"Split":[{"Service":"s","Weight":9}]}],"Services":[{"Name":"s","Engine":{"Slots":64,"KvCapacity":9,"KvTokenBytes":3}}],"Tenants":[{"Name":"t","ApiKeys":["k"]}]}"#,
     r#"{"Instances":[{"Service":"s","Addr":"10.1.0.9:80","Zone":"z","Slots":64,"State":"ready","Version":"v1","ColdLeftMs":0,"Models":[{"Name":"m","Version":1}],"born":17,"Id":"i"}],"NextToken":"p"}"#,
     r#"{"Models":[{"Name":"m","Version":2}],"Busy":true,"Seq":2}"#,
@@ -36,9 +38,15 @@
         page.entries.into_iter().for_each(|entry| listing.add(entry));
         let _ = listing.finish().map(|listing| Roster::default().take(listing.into_targets()));
     });
+    let _ = settings::decode(bytes).map(|host| {
+        let list = ListAddress {
+            address: host.target_list.unwrap_or(crate::fixtures::address(1)),
+            rate_per_s: host.target_list_rate,
+        };
+        list.read_every(1_000)
+    });
     let _ = engines::decode_report(bytes);
-    let _ = stores::decode_list(bytes);
-    let _ = stores::decode_events(bytes);
+    follow_store(bytes);
     let _ = operator::decode(&http::Method::POST, "/version-put", bytes);
     let _ = ControlState::restored(bytes);
     let runtime = tokio::runtime::Builder::new_current_thread().build().expect("a runtime");
@@ -63,6 +71,23 @@
     )
 }
 
+/// Has a scheduler take whatever a store and an engine tell.
+fn follow_store(bytes: &[u8]) {
+    let mut scheduler = scheduler(2);
+    let store = crate::fixtures::address(9_000);
+    if let Ok((inventory, clock_ms)) = stores::decode_list(bytes) {
+        clock_ms.into_iter().for_each(|at_ms| scheduler.read_clock(at_ms, ms(5_000)));
+        scheduler.take_inventory(store, inventory, ms(5_000));
+    }
+    if let Ok(page) = stores::decode_events(bytes) {
+        page.clock_ms.into_iter().for_each(|at_ms| scheduler.read_clock(at_ms, ms(5_000)));
+        scheduler.recall(&crate::fixtures::start("i-00"), page.events.clone());
+        scheduler.take_events(store, page.events, ms(5_000));
+    }
+    scheduler.submit(1, ask_of(1, 1, 1), ms(5_001));
+    scheduler.plan_frees(ms(60_000));
+}
+
 proptest! {
     #![proptest_config(cases(400))]
 
--- a/tests/deployment/instances.rs
+++ b/tests/deployment/instances.rs
@@ -268,4 +268,6 @@
     assert_eq!(list(44.0).read_every(3), ms(500));
     assert_eq!(list(50.0).read_every(60), ms(2_000), "60 pages, 30 calls a second");
     assert_eq!(list(0.0).read_every(60), ms(500), "no rate is told");
+    assert_eq!(list(1e-300).read_every(60), ms(60_000), "however rarely it may be asked");
+    assert_eq!(list(-1.0).read_every(60), ms(500));
 }
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -17,6 +17,7 @@
 mod instances;
 mod links;
 mod memory;
+mod orders;
 mod placement;
 #[allow(dead_code, reason = "the soak uses the rest")]
 #[path = "../platform_stand_in/mod.rs"]
@@ -27,6 +28,7 @@
 mod scheduling;
 mod settings;
 mod stand_in;
+mod starts;
 mod state;
 mod stores;
 mod table;
--- a/tests/deployment/scheduling.rs
+++ b/tests/deployment/scheduling.rs
@@ -17,7 +17,7 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
-use crate::fixtures::{address, deployment, ms, roster, start, target};
+use crate::fixtures::{address, deployment, ms, roster, start, store_start, target};
 
 const READ_TOKENS_PER_MS: f64 = 140.0;
 const FIRST_AFTER: Duration = Duration::from_millis(53);
@@ -54,7 +54,7 @@
     let mut scheduler = Scheduler::new(1, ms(0));
     scheduler.take_deployment(&site());
     scheduler.take_roster(&roster(engines(count)));
-    let empty = Inventory { epoch: 1, ..Inventory::default() };
+    let empty = Inventory { start: store_start(1), ..Inventory::default() };
     scheduler.take_inventory(address(9_000), empty, ms(0));
     scheduler.read_clock(0, ms(0));
     scheduler
@@ -129,7 +129,7 @@
     let ask = ask_of(0, 1, 1);
     let whole =
         vec![StoredPart { salt: "all/m/1".into(), id: ask.parts[0].id.clone(), tokens: 9_100 }];
-    let inventory = Inventory { epoch: 1, whole, ..Inventory::default() };
+    let inventory = Inventory { start: store_start(1), whole, ..Inventory::default() };
     scheduler.take_inventory(address(9_000), inventory, ms(0));
     assert_eq!(placed(scheduler.submit(1, ask.clone(), ms(10))).fetch[0], None);
     scheduler.read_clock(77, ms(20));
@@ -191,7 +191,8 @@
     }
     scheduler.take_deployment(&site);
     let whole = (0..10).map(|n| StoredPart { salt: "s".into(), id: n.to_string(), tokens: 992 });
-    let inventory = Inventory { epoch: 1, whole: whole.collect(), ..Inventory::default() };
+    let inventory =
+        Inventory { start: store_start(1), whole: whole.collect(), ..Inventory::default() };
     scheduler.take_inventory(address(9_000), inventory, ms(10_000));
     assert!(scheduler.plan_frees(ms(12_400)).is_empty());
     assert_eq!(scheduler.plan_frees(ms(12_600)).len(), 1);
--- a/tests/deployment/settings.rs
+++ b/tests/deployment/settings.rs
@@ -43,3 +43,23 @@
         assert!(error.to_string().contains(field), "{field}: {error}");
     }
 }
+
+#[test]
+fn values_that_can_not_be_are_refused_with_their_place() {
+    let spoilt = [
+        ("/Bounds/GraceS", json!(-1)),
+        ("/Bounds/GraceS", json!(1e300)),
+        ("/Bounds/BudgetWindowS", json!(-0.5)),
+        ("/Bounds/LeaseMs", json!(u64::MAX)),
+        ("/Bounds/ThawMs", json!("soon")),
+        ("/Tolerate/Machines", json!(u64::MAX)),
+        ("/PortRange", json!([7_700, 77_000])),
+        ("/Cloud/Addr", json!("platform:80")),
+    ];
+    for (field, value) in spoilt {
+        let mut file = file();
+        *file.pointer_mut(field).expect(field) = value.clone();
+        let error = settings::decode(file.to_string().as_bytes()).expect_err(field).to_string();
+        assert!(error.contains("line 1 column"), "{field} {value}: {error}");
+    }
+}
--- a/tests/deployment/stores.rs
+++ b/tests/deployment/stores.rs
@@ -7,11 +7,11 @@
 use kumquatpost::gateway::call::Part;
 use kumquatpost::platform::stores;
 use kumquatpost::scheduler::store::{
-    FETCH_LASTS, FreePlan, Inventory, Store, StoreEvent, StoredPart, part_key,
+    FETCH_LASTS, FreePlan, Inventory, Store, StoreEvent, StoreStart, StoredPart, part_key,
 };
 use serde_json::{Value, json};
 
-use crate::fixtures::{address, ms};
+use crate::fixtures::{address, ms, store_start};
 
 const SALT: &str = "all/m/1";
 
@@ -24,7 +24,7 @@
         first_byte: ms(6),
         is_managed: true,
     });
-    store.take_inventory(Inventory { epoch: 1, ..Inventory::default() }, ms(0));
+    store.take_inventory(Inventory { start: store_start(1), ..Inventory::default() }, ms(0));
     store
 }
 
@@ -91,7 +91,7 @@
     whole(&mut store, "a", 1_000, ms(0));
     store.forget();
     assert!(!is_whole(&store, "a") && !store.is_known());
-    store.take_inventory(Inventory { epoch: 2, ..Inventory::default() }, ms(100));
+    store.take_inventory(Inventory { start: store_start(2), ..Inventory::default() }, ms(100));
     assert!(store.is_known() && !is_whole(&store, "a"));
 }
 
@@ -121,7 +121,7 @@
     let plan = store.plan_frees(ms(60_000));
     assert_eq!(freed(&plan), ["b"]);
     let plan = plan.expect("a plan");
-    assert_eq!(plan.epoch, 1);
+    assert_eq!(plan.start.epoch, 1);
     store.freed(&plan);
     assert_eq!(store.free_tokens(), 2_000);
     assert_eq!(store.plan_frees(ms(60_001)), None);
@@ -180,7 +180,7 @@
     whole(&mut store, "gone", 1_000, ms(0));
     save(&mut store, "not begun", 1_000, ms(990));
     let inventory = Inventory {
-        epoch: 1,
+        start: store_start(1),
         next: 9,
         whole: vec![stored("lost event", 1_000), stored("of an earlier scheduler", 1_000)],
         partial: vec![stored("broken off", 1_000)],
@@ -200,7 +200,7 @@
     let list = r#"{"BootEpoch":77,"NextToken":120,"clock_ms":5000.5,
         "Held":[["s1","5c1e",800,"m"]],"Partial":[["s1","91bd",128,512]]}"#;
     let (inventory, clock_ms) = stores::decode_list(list.as_bytes()).expect("a list");
-    assert_eq!((inventory.epoch, inventory.next, clock_ms), (77, 120, Some(5_000)));
+    assert_eq!((inventory.start.epoch, inventory.next, clock_ms), (77, 120, Some(5_000)));
     assert_eq!(inventory.whole[0].id, "5c1e");
     assert_eq!(inventory.partial[0].tokens, 512, "what it takes up");
     let page = r#"{"BootEpoch":77,"NextToken":121,"Lost":true,
@@ -209,9 +209,61 @@
     assert!(events.has_gap);
     assert!(matches!(&events.events[0], StoreEvent::Stored(part) if part.tokens == 800));
     assert!(matches!(&events.events[1], StoreEvent::Gone(part) if part.id == "91bd"));
-    let plan = FreePlan { store: address(1), epoch: 77, parts: vec![stored("a", 1)] };
+    let plan = FreePlan { store: address(1), start: store_start(77), parts: vec![stored("a", 1)] };
     let sent: Value = serde_json::from_slice(&stores::encode_free(&plan, 9)).expect("JSON");
     assert_eq!(sent, json!({"parts": [[SALT, "a"]], "BootEpoch": 77, "until_ms": 9}));
     let none: [Option<SocketAddr>; 2] = [None, Some(address(1))];
     assert_eq!(stores::encode_addresses(&none), "-,10.0.0.1:1");
 }
+
+#[test]
+fn a_store_that_starts_again_under_its_epoch_holds_nothing_of_before() {
+    let born = |born_ms| StoreStart { epoch: 1, born_ms: Some(born_ms) };
+    let inventory = |start, whole| Inventory { start, whole, ..Inventory::default() };
+    let mut store = store(1_000);
+    store.take_inventory(inventory(born(9), vec![stored("a", 990)]), ms(0));
+    save(&mut store, "b", 10, ms(10));
+    let plan = store.plan_frees(ms(6_000)).expect("it is full");
+    store.take_inventory(inventory(born(9), vec![stored("a", 990)]), ms(6_010));
+    assert!(!is_whole(&store, "a"), "it is being freed");
+    store.take_inventory(inventory(born(3), vec![stored("a", 990)]), ms(6_020));
+    assert!(is_whole(&store, "a"), "the later start frees nothing");
+    assert!(!store.knows(part_key(SALT, "b")), "and saves nothing");
+    // Word that the earlier start has freed it comes late.
+    store.freed(&plan);
+    assert!(is_whole(&store, "a"));
+    // Answers that tell no birth are of the same start.
+    assert!(born(3).may_be(&store_start(1)) && !born(3).may_be(&born(9)));
+}
+
+#[test]
+fn what_can_not_be_read_of_a_list_or_page_loses_nothing_else() {
+    let list = r#"{"BootEpoch":7,"NextToken":1,"clock_ms":1e300,"born":1700000000001,
+        "Held":[["s","a",1,"m"],["s",2,3,"m"],null,["s","x"],["s","b",18446744073709551615,"m"],
+                ["s","c",5,"m"]],
+        "Partial":[7,["s","d",1,2],{"Id":"e"}]}"#;
+    let (inventory, clock_ms) = stores::decode_list(list.as_bytes()).expect("a list");
+    let ids = |parts: &[StoredPart]| -> Vec<String> {
+        parts.iter().map(|part| part.id.clone()).collect()
+    };
+    assert_eq!(ids(&inventory.whole), ["a", "c"]);
+    assert_eq!(ids(&inventory.partial), ["d"]);
+    assert_eq!(inventory.start, StoreStart { epoch: 7, born_ms: Some(1_700_000_000_001) });
+    assert_eq!(clock_ms, None, "no clock tells that");
+    let page = r#"{"BootEpoch":7,"NextToken":9,"born":1700000000001,
+        "Events":[[1,"+","s","a",1,"m"],[2,"*","s","b",1,"m"],[3],"x",[4,"-","s","c",1,"m"]]}"#;
+    let events = stores::decode_events(page.as_bytes()).expect("a page");
+    assert_eq!(
+        events.events,
+        [
+            StoreEvent::Stored(StoredPart { salt: "s".into(), id: "a".into(), tokens: 1 }),
+            StoreEvent::Gone(StoredPart { salt: "s".into(), id: "c".into(), tokens: 1 }),
+        ]
+    );
+    assert_eq!(events.start, inventory.start);
+    for born in ["\"1\"", "1.5", "null", "[]"] {
+        let page = format!(r#"{{"BootEpoch":7,"NextToken":9,"born":{born}}}"#);
+        assert!(stores::decode_events(page.as_bytes()).is_err(), "{born}");
+        assert!(stores::decode_list(page.as_bytes()).is_err(), "{born}");
+    }
+}
--- a/tests/deployment/weights.rs
+++ b/tests/deployment/weights.rs
@@ -88,3 +88,19 @@
     assert_eq!((report.orders_accepted, report.weights["m"]), (2, 2));
     assert!(engines::decode_report(b"{}").is_err());
 }
+
+#[test]
+fn a_report_tells_which_start_it_is_of() {
+    let report = |born: &str| engines::decode_report(format!(r#"{{"Seq":2{born}}}"#).as_bytes());
+    assert_eq!(report("").expect("a report").born_ms, None);
+    assert_eq!(
+        report(r#","born":1700000000001"#).expect("a report").born_ms,
+        Some(1_700_000_000_001)
+    );
+    for born in ["\"1\"", "1.5", "null"] {
+        assert!(report(&format!(r#","born":{born}"#)).is_err(), "{born}");
+    }
+    let start = crate::fixtures::born("i-1", 7);
+    assert!(start.may_be_born(Some(7)) && start.may_be_born(None) && !start.may_be_born(Some(8)));
+    assert!(crate::fixtures::start("i-1").may_be_born(Some(8)), "births may be told here alone");
+}
