Tie connections to a start, and orders to services of engines

A connection that comes back after its target's start is listed no more is closed, not pooled. An entry of the list that names a service which is none of engines is told no weights, and keeps no engine waiting for its turn. Weights of a route that add up to more than 32 bits overflowed.

--- a/src/control/ordering.rs
+++ b/src/control/ordering.rs
@@ -15,7 +15,9 @@
 use super::weights::{
     EngineReport, Lagging, RunningPrompts, WeightOrder, loads_at_once, next_loads,
 };
+use crate::deployment::ServiceRole;
 use crate::fleet::Listed;
+use crate::ids::ServiceId;
 use crate::log::Term;
 use crate::net::http::{Exchange, fetch};
 use crate::platform::engines;
@@ -102,7 +104,13 @@
     fn next(&self) -> Vec<Lagging> {
         let belief = self.shared.belief.borrow();
         let roster = self.shared.roster.borrow();
-        next_loads(&roster.roster, &belief.state.weights, &self.shared.changing.borrow())
+        let services = belief.state.published.as_ref().map(|known| &known.deployment.services);
+        let is_of_engines = |service: &ServiceId| {
+            let service = services.and_then(|services| services.get(service));
+            service.is_some_and(|service| matches!(service.role, ServiceRole::Engines(_)))
+        };
+        let changing = self.shared.changing.borrow();
+        next_loads(&roster.roster, &belief.state.weights, &changing, is_of_engines)
     }
 
     /// Becomes the only holder, and waits until no order of an earlier one can be under way.
--- a/src/control/weights.rs
+++ b/src/control/weights.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::fleet::{Presence, Roster};
-use crate::ids::{BirthMs, ModelId, NodeId, TargetStart};
+use crate::ids::{BirthMs, ModelId, NodeId, ServiceId, TargetStart};
 
 /// One engine in this many may load at a time: more would slow down each other's loads.
 const LOADING_PART: usize = 6;
@@ -62,17 +62,21 @@
     pub version: u64,
 }
 
-/// Engines to be told now, beside those that are under way.
+/// Engines to be told now, beside those that are under way. Entries of the list that name another
+/// service than one of engines name nobody to be told.
 pub fn next_loads(
     roster: &Roster,
     named: &BTreeMap<ModelId, u64>,
     under_way: &BTreeSet<TargetStart>,
+    is_of_engines: impl Fn(&ServiceId) -> bool,
 ) -> Vec<Lagging> {
     let mut next = Vec::new();
     for (model, version) in named {
         let engines = || {
             let live = roster.iter().filter(|target| target.presence == Presence::Live);
-            live.filter(|target| target.weights.contains_key(model))
+            live.filter(|target| {
+                target.weights.contains_key(model) && is_of_engines(&target.service)
+            })
         };
         let at_once = (engines().count() / CHANGING_PART).max(1);
         let changing = engines().filter(|engine| under_way.contains(&engine.start)).count();
--- a/src/deployment/table.rs
+++ b/src/deployment/table.rs
@@ -95,8 +95,8 @@
 impl Route {
     /// The service for a request, by a number that is drawn evenly from `0..1`.
     pub fn pick(&self, drawn: f64) -> Option<&ServiceId> {
-        let total: u32 = self.split.iter().map(|share| share.weight).sum();
-        let mut left = drawn * f64::from(total);
+        let total: f64 = self.split.iter().map(|share| f64::from(share.weight)).sum();
+        let mut left = drawn * total;
         let weighted = |share: &&Share| share.weight > 0;
         for share in self.split.iter().filter(weighted) {
             left -= f64::from(share.weight);
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -231,7 +231,7 @@
         at_target.ends(End::NotRun);
         let Answered { target, connection, outcome, .. } = answered;
         if !outcome.closes {
-            gateway.pool.give_back(&target, connection);
+            gateway.give_back(&target, connection);
         }
         return Err(Missed::NotRun(target));
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -169,7 +169,7 @@
             source.at_target.ends(End::Whole);
             self.gateway.fleet.borrow_mut().succeeded(&source.target);
             if !source.outcome.closes {
-                self.gateway.pool.give_back(&source.target, source.connection);
+                self.gateway.give_back(&source.target, source.connection);
             }
         }
     }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -232,7 +232,7 @@
                 }
                 connection.set_idle_timeout(outcome.idle_timeout);
                 if !outcome.closes {
-                    gateway.pool.give_back(&target, connection);
+                    gateway.give_back(&target, connection);
                 }
                 whole(bytes)
             }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -11,7 +11,7 @@
 
 use super::asking::Asking;
 use super::call::Outcome;
-use super::pool::Pool;
+use super::pool::{Connection, Pool};
 use super::record::LineBudget;
 use crate::clock::{BootTime, boot_now};
 use crate::control::frames::{News, NumberedRoster};
@@ -185,8 +185,15 @@
         }
         self.fleet.borrow_mut().take(&roster.roster);
         *self.roster.borrow_mut() = roster;
-        let fleet = self.fleet.borrow();
-        self.pool.keep(|target| fleet.get(target).is_some());
+        let listed = &self.roster.borrow().roster;
+        self.pool.keep(|target| listed.get(target).is_some());
+    }
+
+    /// Keeps a connection for the next request, if the target's start is still the one that is there.
+    pub fn give_back(&self, target: &TargetStart, connection: Connection) {
+        if self.roster.borrow().roster.get(target).is_some() {
+            self.pool.give_back(target, connection);
+        }
     }
 
     fn take_deployment(&self, deployment: Arc<Deployment>) {
--- a/tests/deployment/gateway.rs
+++ b/tests/deployment/gateway.rs
@@ -19,7 +19,7 @@
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
-use crate::fixtures::{address, deployment, ms, roster, start, target};
+use crate::fixtures::{address, born, deployment, ms, roster, start, target};
 use crate::stand_in::{Script, StandIn, Then, header};
 
 /// A running entry.
@@ -491,3 +491,29 @@
         assert!(is_listed("i-2") && !is_listed("i-1"));
     });
 }
+
+/// A target starts again under its id and at its address, and is listed so.
+#[test]
+fn a_connection_to_an_earlier_start_is_not_used_for_the_later_one() {
+    run(async {
+        let answers = (0..4).map(|_| (ok("done"), Then::KeepOpen)).collect();
+        let one = StandIn::start(answers).await;
+        let at =
+            |born_ms| Listed { start: born("i-1", born_ms), ..target("i-1", "app", one.address) };
+        let entry = entry(unhurried(), vec![at(9)]).await;
+        for (id, connections) in [("r1", 1), ("r2", 1)] {
+            assert_eq!(entry.call("/safe/a", id).await.status, 200);
+            assert_eq!(one.connections.get(), connections, "it is kept");
+        }
+        let connection = entry.gateway.pool.reuse(&born("i-1", 9)).expect("it is kept");
+        let roster = NumberedRoster { number: 2, roster: Arc::new(roster([at(3)])) };
+        entry.gateway.take(News::Roster(roster)).expect("it is whole");
+        // A request that was under way ends, and its connection is given back.
+        entry.gateway.give_back(&born("i-1", 9), connection);
+        assert!(entry.gateway.pool.reuse(&born("i-1", 9)).is_none());
+        assert_eq!(entry.call("/safe/a", "r3").await.status, 200);
+        assert_eq!(one.connections.get(), 2);
+        let request = one.requests.borrow().last().cloned().expect("it was asked");
+        assert_eq!(header(&request, "x-expect-instance").as_deref(), Some("i-1"), "the id alone");
+    });
+}
--- a/tests/deployment/roster.rs
+++ b/tests/deployment/roster.rs
@@ -159,7 +159,8 @@
     assert!(!known.set_weights(&born("i-1", 1), &[("m".to_string(), 4)].into()));
     assert_eq!(known.get(&born("i-1", 2)).expect("listed").weights["m"], 1);
     // The later one is told to load them anew.
-    let lagging = next_loads(&known, &[("m".to_string(), 4)].into(), &[born("i-1", 1)].into());
+    let lagging =
+        next_loads(&known, &[("m".to_string(), 4)].into(), &[born("i-1", 1)].into(), |_| true);
     assert_eq!(lagging.len(), 1);
     assert_eq!(lagging[0].engine, born("i-1", 2));
 }
--- a/tests/deployment/table.rs
+++ b/tests/deployment/table.rs
@@ -55,6 +55,8 @@
     };
     assert_eq!((picks("a"), picks("b"), picks("none")), (900, 100, 0));
     assert_eq!(split.pick(1.0).unwrap(), "b", "also at the end of the range");
+    split.split = vec![share("a", u32::MAX), share("b", u32::MAX)];
+    assert_eq!((split.pick(0.4).unwrap().as_str(), split.pick(0.6).unwrap().as_str()), ("a", "b"));
 }
 
 /// All accounts have the same rank, as on the deployed sites: what the operator says of routes must
--- a/tests/deployment/weights.rs
+++ b/tests/deployment/weights.rs
@@ -18,6 +18,10 @@
     roster(versions.iter().enumerate().map(engine))
 }
 
+fn is_llm(service: &String) -> bool {
+    service == "llm"
+}
+
 fn named(version: u64) -> BTreeMap<String, u64> {
     BTreeMap::from([("m".to_string(), version)])
 }
@@ -28,7 +32,7 @@
     assert_eq!(loads_at_once(&roster, &"m".to_string()), 2);
     let mut under_way = BTreeSet::new();
     for expected in [3, 0] {
-        let next = next_loads(&roster, &named(2), &under_way);
+        let next = next_loads(&roster, &named(2), &under_way, is_llm);
         assert_eq!(next.len(), expected);
         under_way.extend(next.into_iter().map(|lagging| lagging.engine));
     }
@@ -37,14 +41,14 @@
 #[test]
 fn a_small_fleet_goes_on_one_by_one() {
     assert_eq!(loads_at_once(&engines_with(&[1, 1, 1]), &"m".to_string()), 1);
-    assert_eq!(next_loads(&engines_with(&[1, 1, 1]), &named(2), &BTreeSet::new()).len(), 1);
+    assert_eq!(next_loads(&engines_with(&[1, 1, 1]), &named(2), &BTreeSet::new(), is_llm).len(), 1);
 }
 
 #[test]
 fn engines_that_lag_are_found_whichever_version_they_have() {
     // One that starts again with old weights, one that missed a version, one that is ahead.
     let roster = engines_with(&[4, 2, 3, 5, 4, 4, 4, 4, 4, 4, 4, 4, 4, 4, 4, 4, 4, 4]);
-    let next = next_loads(&roster, &named(4), &BTreeSet::new());
+    let next = next_loads(&roster, &named(4), &BTreeSet::new(), is_llm);
     let names: Vec<&str> = next.iter().map(|lagging| lagging.engine.id.as_str()).collect();
     assert_eq!(names, ["i-01", "i-02"]);
 }
@@ -56,7 +60,7 @@
     let mut other = target("i-2", "llm", address(2));
     other.weights = BTreeMap::from([("other".to_string(), 1)]);
     let roster = roster([leaving, other, target("i-3", "app", address(3))]);
-    assert_eq!(next_loads(&roster, &named(2), &BTreeSet::new()), []);
+    assert_eq!(next_loads(&roster, &named(2), &BTreeSet::new(), is_llm), []);
 }
 
 #[test]
@@ -104,3 +108,12 @@
     assert!(start.may_be_born(Some(7)) && start.may_be_born(None) && !start.may_be_born(Some(8)));
     assert!(crate::fixtures::start("i-1").may_be_born(Some(8)), "births may be told here alone");
 }
+
+#[test]
+fn an_entry_of_an_unknown_service_is_told_nothing_and_keeps_nobody_waiting() {
+    let mut strange = target("a-first", "unheard", address(1));
+    strange.weights = BTreeMap::from([("m".to_string(), 1)]);
+    let roster = roster([strange, target("i-1", "llm", address(2))]);
+    let next = next_loads(&roster, &named(2), &BTreeSet::new(), is_llm);
+    assert_eq!(next.iter().map(|next| next.engine.id.as_str()).collect::<Vec<_>>(), ["i-1"]);
+}
