--- a/examples/list_cost.rs
+++ b/examples/list_cost.rs
@@ -21,7 +21,7 @@
 fn entry(n: usize, born: &str) -> String {
     let engine =
         r#""Stage":"colocated","Models":[{"Name":"gobo5855d7","Version":1,"Adapters":[]}],"#;
-    let (service, engine) = if n % 3 == 0 { ("xaye40c", "") } else { ("bose66a", engine) };
+    let (service, engine) = if n.is_multiple_of(3) { ("xaye40c", "") } else { ("bose66a", engine) };
     let id = (n as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 24;
     format!(
         r#"{{"Id":"i-{id:010x}","Service":"{service}","Addr":"10.{}.{}.{}:8229",
@@ -35,7 +35,7 @@
 fn pages(born: &str, spoilt_every: Option<usize>) -> Vec<Vec<u8>> {
     let page = |page: usize| {
         let entries: Vec<String> = (page * PAGE_ENTRIES..(page + 1) * PAGE_ENTRIES)
-            .map(|n| match spoilt_every.is_some_and(|every| n % every == 0) {
+            .map(|n| match spoilt_every.is_some_and(|every| n.is_multiple_of(every)) {
                 true => entry(n, born).replace("\"ready\"", "\"unheard\""),
                 false => entry(n, born),
             })
--- a/tests/deployment/instances.rs
+++ b/tests/deployment/instances.rs
@@ -244,7 +244,7 @@
 #[test]
 fn a_list_of_which_nothing_can_be_read_is_no_list() {
     let strange = sound(1).replace("\"ready\"", "\"strange\"");
-    assert!(listing(&[&page_of(&[strange.clone()])]).finish().is_err());
+    assert!(listing(&[&page_of(std::slice::from_ref(&strange))]).finish().is_err());
     assert!(listing(&[&page_of(&[])]).finish().is_ok(), "no target runs");
     let one = listing(&[&page_of(&[strange, sound(2)])]).finish().expect("it can be read");
     assert_eq!((one.unreadable_count(), one.into_targets().len()), (1, 1));
--- a/tests/deployment/orders.rs
+++ b/tests/deployment/orders.rs
@@ -13,6 +13,8 @@
 use kumquatpost::control::state::Reply;
 use kumquatpost::fleet::Listed;
 use kumquatpost::scheduler::weights::OldWeights;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
 use crate::asking::shared;
@@ -29,13 +31,13 @@
     (format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()), Then::Close)
 }
 
-fn listed(engine: &StandIn, born_ms: i64) -> Listed {
-    Listed { start: born("i-1", born_ms), ..target("i-1", "llm", engine.address) }
+fn listed(engine: &StandIn) -> Listed {
+    Listed { start: born("i-1", 1), ..target("i-1", "llm", engine.address) }
 }
 
 /// A leader that has named weights 2, and knows of an engine in its start 1 that runs weights 1.
-fn lead(engine: &StandIn) -> Rc<Shared> {
-    let roster = NumberedRoster { number: 1, roster: Arc::new(roster([listed(engine, 1)])) };
+fn lead(engine: Listed) -> Rc<Shared> {
+    let roster = NumberedRoster { number: 1, roster: Arc::new(roster([engine])) };
     let shared = shared(1, roster);
     let named = Arc::new(BTreeMap::from([("m".to_string(), 2)]));
     shared.belief.send_modify(|belief| belief.state.weights = named);
@@ -76,7 +78,7 @@
 fn an_order_goes_to_the_start_that_reported() {
     run(async {
         let engine = StandIn::start(vec![report(1), (TAKEN.to_string(), Then::Close)]).await;
-        lead(&engine);
+        lead(listed(&engine));
         until(|| !orders(&engine).is_empty()).await;
         let order = orders(&engine).remove(0);
         assert!(order.to_lowercase().contains("x-expect-instance: i-1\r\n"), "{order}");
@@ -89,7 +91,7 @@
     run(async {
         let reports = (0..30).map(|_| report(2)).collect();
         let engine = StandIn::start(reports).await;
-        lead(&engine);
+        lead(listed(&engine));
         until(|| engine.seen() >= 4).await;
         assert_eq!(orders(&engine), [] as [String; 0]);
     });
@@ -98,16 +100,20 @@
 #[test]
 fn no_order_is_sent_to_an_engine_that_has_started_again_since() {
     run(async {
-        let slow: Vec<_> = (0..1).map(|_| (String::new(), Then::Hang)).collect();
-        let engine = StandIn::start(slow).await;
-        let shared = lead(&engine);
-        // The report is on its way when the list shows the next start, with the newest weights.
-        until(|| engine.seen() == 1).await;
-        let mut second = listed(&engine, 2);
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let engine = Listed {
+            start: born("i-1", 1),
+            ..target("i-1", "llm", listener.local_addr().expect("an address"))
+        };
+        let shared = lead(engine.clone());
+        let (mut stream, _) = listener.accept().await.expect("it asks for a report");
+        // The report is on its way when the list shows the next start.
+        let mut second = Listed { start: born("i-1", 2), ..engine };
         second.weights.insert("m".to_string(), 2);
         shared.change_roster(|known| known.take(vec![second]));
-        until(|| shared.changing.borrow().is_empty()).await;
-        tokio::time::sleep(ms(300)).await;
-        assert_eq!(engine.seen(), 1, "neither asked nor told again");
+        stream.write_all(report(1).0.as_bytes()).await.expect("it waits");
+        let next = tokio::time::timeout(ms(1_500), listener.accept()).await;
+        assert!(next.is_err(), "it is neither asked nor told again");
+        assert!(shared.changing.borrow().is_empty());
     });
 }
--- a/tests/deployment/replicas.rs
+++ b/tests/deployment/replicas.rs
@@ -161,7 +161,10 @@
 }
 
 fn document(version: u64) -> Value {
-    json!({"Version": version, "Routes": [], "Services": [], "Note": format!("number {version}")})
+    let engines = json!({"Slots": 16, "KvCapacity": 100_000, "KvTokenBytes": 1_000,
+        "LinkMbps": 10_000.0, "Models": [{"Name": "m"}]});
+    json!({"Version": version, "Routes": [], "Services": [{"Name": "llm", "Engine": engines}],
+           "Note": format!("number {version}")})
 }
 
 #[test]
--- a/tests/deployment/roster.rs
+++ b/tests/deployment/roster.rs
@@ -297,3 +297,14 @@
     view.take(&roster([reborn("i-1", 2)]));
     assert!(view.get(&first).is_none(), "its last request has ended");
 }
+
+#[test]
+fn which_starts_are_over_is_learned_from_other_lists() {
+    let mut known = roster([reborn("i-1", 1), reborn("i-2", 1), reborn("i-3", 2)]);
+    let mut other = roster([leaving(reborn("i-1", 1)), reborn("i-2", 1), reborn("i-3", 1)]);
+    other.take(vec![reborn("i-2", 2)]);
+    assert!(known.learn_leaving(&other));
+    assert!(!known.learn_leaving(&other), "it is known");
+    let leaves = |start| known.get(&start).expect("listed").presence == Presence::Leaving;
+    assert!(leaves(born("i-1", 1)) && leaves(born("i-2", 1)) && !leaves(born("i-3", 2)));
+}
