--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -16,5 +16,6 @@
 pub mod scheduling;
 pub mod state;
 pub mod store_reader;
+pub mod unreadable;
 pub mod weight_ages;
 pub mod weights;
--- a/src/control/ordering.rs
+++ b/src/control/ordering.rs
@@ -16,8 +16,9 @@
 use super::weights::{
     EngineReport, Lagging, RunningPrompts, WeightOrder, loads_at_once, next_loads,
 };
+use crate::deployment::ServiceRole;
 use crate::fleet::Listed;
-use crate::ids::TargetId;
+use crate::ids::{ServiceId, TargetStart};
 use crate::log::Term;
 use crate::net::http::{Exchange, fetch};
 use crate::platform::engines;
@@ -54,7 +55,7 @@
     pub loading: Cell<usize>,
     /// Engines that have not answered their order. They may carry it out seconds later, and get prompts
     /// until they do: else all others would wait for them.
-    pub awaited: RefCell<BTreeSet<TargetId>>,
+    pub awaited: RefCell<BTreeSet<TargetStart>>,
 }
 
 /// What came of an order.
@@ -119,8 +120,13 @@
     fn next(&self) -> Vec<Lagging> {
         let belief = self.shared.belief.borrow();
         let roster = self.shared.roster.borrow();
+        let services = belief.state.published.as_ref().map(|known| &known.deployment.services);
+        let is_of_engines = |service: &ServiceId| {
+            let service = services.and_then(|services| services.get(service));
+            service.is_some_and(|service| matches!(service.role, ServiceRole::Engines(_)))
+        };
         let (changing, awaited) = (self.shared.changing.borrow(), self.awaited.borrow());
-        next_loads(&roster.roster, &belief.state.weights, &changing, &awaited)
+        next_loads(&roster.roster, &belief.state.weights, &changing, &awaited, is_of_engines)
     }
 
     /// Becomes the only holder, and waits until no order of an earlier one can be under way.
@@ -158,14 +164,14 @@
     }
 
     /// The engine has not answered its order: it gets prompts again until it carries it out.
-    fn awaits(&self, engine: &TargetId) {
+    fn awaits(&self, engine: &TargetStart) {
         self.awaited.borrow_mut().insert(engine.clone());
         self.shared.changing.borrow_mut().remove(engine);
         self.tell_changing();
     }
 
     /// The engine carries out its order.
-    fn begins(&self, engine: &TargetId) {
+    fn begins(&self, engine: &TargetStart) {
         self.shared.changing.borrow_mut().insert(engine.clone());
         self.awaited.borrow_mut().remove(engine);
         self.tell_changing();
@@ -190,7 +196,7 @@
     }
 
     fn placed_on(&self, target: &Listed) -> u32 {
-        self.scheduling.with(|scheduler| scheduler.placed_on(&target.id)).unwrap_or_default()
+        self.scheduling.with(|scheduler| scheduler.placed_on(&target.start)).unwrap_or_default()
     }
 
     async fn load(&self, target: &Listed, lagging: &Lagging, term: Term) {
@@ -199,16 +205,16 @@
         // Held from the order that the engine takes to the end of the load.
         let mut loading = None;
         let mut was_busy = false;
-        while Instant::now() < give_up && self.may_order(term) {
+        while Instant::now() < give_up && self.may_order(term) && self.is_listed(target) {
             if loading.is_none() {
                 // One that is awaited may begin at any time, and is looked at until then.
-                if !self.is_awaited(&target.id) {
+                if !self.is_awaited(&target.start) {
                     self.until_may_load(lagging).await;
                 }
                 // Newer ones may have been named while it waited for its turn.
                 version = self.newest(lagging);
             }
-            let report = report::read(&target.id, target.address).await;
+            let report = report::read(&target.start, target.address).await;
             if was_busy && report.as_ref().is_some_and(|report| !report.is_busy) {
                 // It has carried out an order, but one for weights that were replaced meanwhile.
                 (loading, was_busy) = (None, false);
@@ -216,15 +222,16 @@
             if let Some(report) = &report
                 && report.weights.get(&lagging.model).is_some_and(|has| *has >= version)
             {
-                self.shared.change_roster(|known| known.set_weights(&target.id, &report.weights));
-                log::info!("event=weights_loaded engine={} version={version}", target.id);
+                self.shared
+                    .change_roster(|known| known.set_weights(&target.start, &report.weights));
+                log::info!("event=weights_loaded engine={} version={version}", target.start);
                 return;
             }
             match report {
                 Some(report) if report.is_busy => {
                     was_busy = true;
                     loading.get_or_insert_with(|| Loading::begin(&self.loading));
-                    self.begins(&target.id);
+                    self.begins(&target.start);
                 }
                 Some(report) if loading.is_none() => {
                     let begun = Loading::begin(&self.loading);
@@ -232,9 +239,9 @@
                     match self.order(target, &lagging, &report, term).await {
                         Ordered::Taken => {
                             loading = Some(begun);
-                            self.begins(&target.id);
+                            self.begins(&target.start);
                         }
-                        Ordered::Unanswered => self.awaits(&target.id),
+                        Ordered::Unanswered => self.awaits(&target.start),
                         Ordered::Refused => {}
                     }
                 }
@@ -244,10 +251,13 @@
             }
             tokio::time::sleep(ASK_EVERY).await;
         }
-        log::warn!("event=weights_not_loaded engine={} version={version} term={term}", target.id);
+        log::warn!(
+            "event=weights_not_loaded engine={} version={version} term={term}",
+            target.start
+        );
     }
 
-    fn is_awaited(&self, engine: &TargetId) -> bool {
+    fn is_awaited(&self, engine: &TargetStart) -> bool {
         self.awaited.borrow().contains(engine)
     }
 
@@ -256,6 +266,11 @@
         belief.state.weights.get(&lagging.model).copied().unwrap_or(lagging.version)
     }
 
+    /// Whether this start of an engine is still the one that is there.
+    fn is_listed(&self, target: &Listed) -> bool {
+        self.shared.roster.borrow().roster.get(&target.start).is_some()
+    }
+
     fn may_order(&self, term: Term) -> bool {
         let belief = self.shared.belief.borrow();
         belief.leads && belief.term == term && self.shared.caught_up_at.get().is_some()
@@ -268,7 +283,8 @@
         report: &EngineReport,
         fencing: u64,
     ) -> Ordered {
-        if !self.may_order(fencing) {
+        // The report was on its way for a while.
+        if !self.may_order(fencing) || !self.is_listed(target) {
             return Ordered::Refused;
         }
         let order = WeightOrder {
@@ -278,7 +294,7 @@
                 0 => RunningPrompts::Finish,
                 // It was given prompts in the meantime: what they make under other weights is worth
                 // nothing.
-                _ if self.is_awaited(&target.id) => RunningPrompts::Finish,
+                _ if self.is_awaited(&target.start) => RunningPrompts::Finish,
                 _ => RunningPrompts::GoOn,
             },
             holder: self.shared.node,
@@ -286,14 +302,14 @@
             orders_accepted: report.orders_accepted,
         };
         let call = Exchange::new(target.address, Method::POST, engines::ORDER_PATH)
-            .expecting(&target.id)
+            .expecting(&target.start.id)
             .with_json(engines::encode_order(&order));
         let answer = fetch(call, ORDER_TIMEOUT).await;
         let status = answer.as_ref().map(|answer| answer.status);
         log::info!(
             "event=weights_ordered engine={} version={} fencing={fencing} orders_accepted={} \
              running={:?} answer={status:?}",
-            target.id,
+            target.start,
             lagging.version,
             report.orders_accepted,
             order.running,
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -18,7 +18,7 @@
 use super::weight_ages;
 use crate::clock::{BootTime, boot_now};
 use crate::fleet::Roster;
-use crate::ids::{NodeId, TargetId};
+use crate::ids::{NodeId, TargetStart};
 use crate::log::driver::{Driver, Output};
 use crate::log::raft::{Change, NotLeader, ReadId};
 use crate::log::{Entry, Index, Payload, Term};
@@ -59,7 +59,7 @@
     /// Entries that are connected to any replica.
     pub entries: Cell<u32>,
     /// Engines that are about to load other weights, or load them. They get no new prompts.
-    pub changing: RefCell<BTreeSet<TargetId>>,
+    pub changing: RefCell<BTreeSet<TargetStart>>,
     /// When weights were named, as far as this replica knows.
     pub named_since: RefCell<NamedSince>,
     /// Connections to other replicas.
--- a/src/control/weights.rs
+++ b/src/control/weights.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::fleet::{Listed, Presence, Roster};
-use crate::ids::{ModelId, NodeId, TargetId};
+use crate::ids::{BirthMs, ModelId, NodeId, ServiceId, TargetStart};
 
 /// One engine in this many may load at a time: more would slow down each other's loads.
 const LOADING_PART: usize = 6;
@@ -15,6 +15,8 @@
 /// What an engine says of itself.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct EngineReport {
+    /// When the engine that reports started.
+    pub born_ms: Option<BirthMs>,
     /// Orders that it has accepted since it started.
     pub orders_accepted: u64,
     /// Whether it carries out an order.
@@ -55,28 +57,33 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Lagging {
     /// The engine.
-    pub engine: TargetId,
+    pub engine: TargetStart,
     /// The model.
     pub model: ModelId,
     /// The version that it shall load.
     pub version: u64,
 }
 
-/// Engines to be told now, beside those that change and those whose order is awaited.
+/// Engines to be told now, beside those that change and those whose order is awaited. Entries of the
+/// list that name another service than one of engines name nobody to be told.
 pub fn next_loads(
     roster: &Roster,
     named: &BTreeMap<ModelId, u64>,
-    changing: &BTreeSet<TargetId>,
-    awaited: &BTreeSet<TargetId>,
+    changing: &BTreeSet<TargetStart>,
+    awaited: &BTreeSet<TargetStart>,
+    is_of_engines: impl Fn(&ServiceId) -> bool,
 ) -> Vec<Lagging> {
     let mut next = Vec::new();
     for (model, version) in named {
         let engines = || {
             let live = roster.iter().filter(|target| target.presence == Presence::Live);
-            live.filter(|target| target.weights.contains_key(model))
+            live.filter(|target| {
+                target.weights.contains_key(model) && is_of_engines(&target.service)
+            })
+        };
+        let of_model = |ids: &BTreeSet<TargetStart>| {
+            engines().filter(|engine| ids.contains(&engine.start)).count()
         };
-        let of_model =
-            |ids: &BTreeSet<TargetId>| engines().filter(|engine| ids.contains(&engine.id)).count();
         let at_once = (engines().count() / CHANGING_PART).max(1);
         let under_way_at_most = at_once + (engines().count() / AWAITED_PART).max(1);
         let changing_count = of_model(changing);
@@ -86,11 +93,11 @@
         // Those that have missed most go first: their bound is over first.
         let mut lagging: Vec<&Listed> = engines()
             .filter(|engine| engine.weights.get(model).is_some_and(|has| has < version))
-            .filter(|engine| !changing.contains(&engine.id) && !awaited.contains(&engine.id))
+            .filter(|engine| !changing.contains(&engine.start) && !awaited.contains(&engine.start))
             .collect();
         lagging.sort_by_key(|engine| engine.weights.get(model));
         let lagging = lagging.into_iter().take(left).map(|engine| Lagging {
-            engine: engine.id.clone(),
+            engine: engine.start.clone(),
             model: model.clone(),
             version: *version,
         });
--- a/src/fleet/placement.rs
+++ b/src/fleet/placement.rs
@@ -8,7 +8,7 @@
 use super::view::{FleetView, TargetState};
 use crate::clock::BootTime;
 use crate::gateway::call::Prompt;
-use crate::ids::TargetId;
+use crate::ids::TargetStart;
 use crate::scheduler::weights::{BEGINS_WITHIN, NamedSince, Namings, OLD_WEIGHTS_MS, OldWeights};
 
 /// What a request that an engine already holds delays the next one: the sites' mean prompt of
@@ -35,7 +35,7 @@
     /// Those who may share kept cache with the request; empty for everybody.
     pub cache_wall: &'a str,
     /// Targets that this request was sent to before.
-    pub tried: &'a [TargetId],
+    pub tried: &'a [TargetStart],
     /// Breaks ties.
     pub drawn: u64,
     /// When weights were named.
@@ -59,7 +59,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
     /// The target.
-    pub target: TargetId,
+    pub target: TargetStart,
     /// Requests that it probably holds.
     pub load: f64,
     /// Its place among the homes of the request's context, 0 first.
@@ -79,7 +79,7 @@
     let mut sound = Vec::new();
     for state in view.live(ask.service) {
         is_listed = true;
-        let was_tried = ask.tried.contains(&state.listed.id);
+        let was_tried = ask.tried.contains(&state.listed.start);
         if !was_tried && state.health.admits(state.running, now) {
             sound.push(state);
         }
@@ -101,7 +101,7 @@
     let choice = |state: &&TargetState| {
         let load = state.load(now);
         let expected = DELAY_PER_PLAIN_REQUEST.mul_f64(load);
-        let target = state.listed.id.clone();
+        let target = state.listed.start.clone();
         let choice = Choice { target, load, home: 0, expected, weight_version: None };
         (choice, tie(state))
     };
@@ -135,7 +135,7 @@
             let expected = DELAY_PER_REQUEST.mul_f64(load) + Duration::from_secs_f64(read_ms / 1e3);
             let (weight_version, cost_ms) = weights_of(state, prompt, ask, now + expected)?;
             let expected = expected + Duration::from_secs_f64(cost_ms / 1e3);
-            let target = state.listed.id.clone();
+            let target = state.listed.start.clone();
             Some((Choice { target, load, home, expected, weight_version }, tie(state)))
         })
         .collect()
@@ -167,7 +167,7 @@
 }
 
 fn tie(state: &TargetState) -> u64 {
-    FxBuildHasher.hash_one(&state.listed.id)
+    FxBuildHasher.hash_one(&state.listed.start.id)
 }
 
 /// Mixes two hashes evenly (the finisher of MurmurHash3).
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -22,7 +22,7 @@
 use crate::clock::boot_now;
 use crate::deployment::{Rejection, RunPolicy, Table};
 use crate::fleet::placement::Unplaced;
-use crate::ids::TargetId;
+use crate::ids::TargetStart;
 use crate::platform::headers;
 
 /// A refused caller comes back after this at the least: about what an engine needs for a prompt.
@@ -147,7 +147,7 @@
 
 async fn serve(gateway: &Rc<Gateway>, job: Job, mut record: Record) -> Answer {
     gateway.retries.borrow_mut().sent(&job.service, boot_now());
-    let mut tried: Vec<TargetId> = Vec::new();
+    let mut tried: Vec<TargetStart> = Vec::new();
     let mut may_have_run = false;
     let resume_after = job.call.resume_after.clone();
     loop {
@@ -204,7 +204,7 @@
     (has_another && !wait.is_zero()).then(|| wait.max(least))
 }
 
-fn may_try_again(gateway: &Gateway, job: &Job, tried: &[TargetId]) -> bool {
+fn may_try_again(gateway: &Gateway, job: &Job, tried: &[TargetStart]) -> bool {
     (tried.len() as u32) < job.route.attempts.max(2)
         && Instant::now() < job.ends_at
         && gateway.retries.borrow_mut().spend(&job.service, boot_now())
@@ -214,7 +214,7 @@
     gateway: &Rc<Gateway>,
     job: Job,
     mut record: Record,
-    tried: Vec<TargetId>,
+    tried: Vec<TargetStart>,
     answered: Answered,
 ) -> Answer {
     let status = answered.answer.status();
@@ -234,7 +234,7 @@
                 }
                 connection.set_idle_timeout(outcome.idle_timeout);
                 if !outcome.closes {
-                    gateway.pool.give_back(&target, connection);
+                    gateway.give_back(&target, connection);
                 }
                 whole(bytes)
             }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -11,7 +11,7 @@
 
 use super::asking::Asking;
 use super::call::Outcome;
-use super::pool::Pool;
+use super::pool::{Connection, Pool};
 use super::record::LineBudget;
 use crate::clock::{BootTime, boot_now};
 use crate::control::frames::{News, NumberedRoster, RosterName};
@@ -19,7 +19,7 @@
 use crate::fleet::budget::{RetryRule, RetryShare};
 use crate::fleet::{Dispatch, FleetView, Listed, Presence};
 use crate::host::HostSettings;
-use crate::ids::{ModelId, TargetId};
+use crate::ids::{ModelId, TargetStart};
 use crate::scheduler::weights::{self, NamedSince, NamedWeights};
 use crate::scheduler::{End, Note, TicketId};
 use crate::telemetry::roles::EntryMetrics;
@@ -147,10 +147,10 @@
     }
 
     /// Listed targets that are leaving.
-    pub fn leaving(&self) -> Vec<TargetId> {
+    pub fn leaving(&self) -> Vec<TargetStart> {
         let roster = &self.roster.borrow().roster;
         let leaving = roster.iter().filter(|listed| listed.presence == Presence::Leaving);
-        leaving.map(|listed| listed.id.clone()).collect()
+        leaving.map(|listed| listed.start.clone()).collect()
     }
 
     /// Takes news from a replica. What is older than what is known changes nothing.
@@ -208,7 +208,7 @@
     /// any list gets no more work.
     fn hear_leaving<'a>(&self, listed: impl Iterator<Item = &'a Listed>) {
         let leaving = listed.filter(|listed| listed.presence == Presence::Leaving);
-        self.fleet.borrow_mut().leave(leaving.map(|listed| &listed.id));
+        self.fleet.borrow_mut().leave(leaving.map(|listed| &listed.start));
     }
 
     /// Replicas that have started again may know a later time of the naming: the earliest holds.
@@ -228,8 +228,15 @@
         }
         self.fleet.borrow_mut().take(&roster.roster);
         *self.roster.borrow_mut() = roster;
-        let fleet = self.fleet.borrow();
-        self.pool.keep(|target| fleet.get(target).is_some());
+        let listed = &self.roster.borrow().roster;
+        self.pool.keep(|target| listed.get(target).is_some());
+    }
+
+    /// Keeps a connection for the next request, if the target's start is still the one that is there.
+    pub fn give_back(&self, target: &TargetStart, connection: Connection) {
+        if self.roster.borrow().roster.get(target).is_some() {
+            self.pool.give_back(target, connection);
+        }
     }
 
     fn take_deployment(&self, deployment: Arc<Deployment>) {
@@ -258,7 +265,7 @@
     /// Counts a request at a target, which the scheduler may have placed there.
     pub fn new(
         gateway: &Rc<Gateway>,
-        target: &TargetId,
+        target: &TargetStart,
         ticket: Option<TicketId>,
         reading_tokens: u64,
     ) -> AtTarget {
--- a/tests/deployment/asking.rs
+++ b/tests/deployment/asking.rs
@@ -23,7 +23,7 @@
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
-use crate::fixtures::{address, deployment, ms, roster, target};
+use crate::fixtures::{address, deployment, ms, roster, start, target};
 use crate::gateway::ok;
 use crate::stand_in::{StandIn, Then};
 
@@ -219,7 +219,7 @@
         asker.tell(FromEntry::Note(Note::Ended { ticket: placed.ticket, end })).await;
         let mut changes = shared.roster.subscribe();
         let is_listed = |known: &NumberedRoster| {
-            known.roster.get("i-1").is_some_and(|engine| engine.weights["m"] == 1)
+            known.roster.get(&start("i-1")).is_some_and(|engine| engine.weights["m"] == 1)
         };
         let listed = tokio::time::timeout(ms(15_000), changes.wait_for(is_listed)).await;
         assert!(listed.is_ok(), "it would never be told");
--- a/tests/deployment/gateway.rs
+++ b/tests/deployment/gateway.rs
@@ -19,7 +19,7 @@
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
-use crate::fixtures::{address, deployment, ms, roster, target};
+use crate::fixtures::{address, born, deployment, ms, roster, start, target};
 use crate::stand_in::{Script, StandIn, Then, header};
 
 /// A running entry.
@@ -148,7 +148,7 @@
     let busy = kumquatpost::gateway::call::TargetLoad { running: 40, waiting: 0, slots: 48 };
     // A report counts in full until then.
     let now = kumquatpost::clock::boot_now() + LONG;
-    entry.gateway.fleet.borrow_mut().reported(&"i-2".to_string(), busy, now);
+    entry.gateway.fleet.borrow_mut().reported(&start("i-2"), busy, now);
     (entry, one, two)
 }
 
@@ -397,7 +397,7 @@
             eventually(|| one.left.get() == 1).await;
             eventually(|| entry.gateway.answering.get() == 0).await;
             let fleet = entry.gateway.fleet.borrow();
-            assert_eq!(fleet.get("i-1").expect("listed").running, 0);
+            assert_eq!(fleet.get(&start("i-1")).expect("listed").running, 0);
         });
     }
 }
@@ -462,7 +462,7 @@
         let late = NumberedRoster::new(0, Arc::new(roster([target("i-1", "app", entry.address)])));
         assert!(late.name() < known);
         entry.gateway.take(News::Roster(late)).expect("it is whole");
-        assert!(entry.gateway.fleet.borrow().get("i-1").is_none());
+        assert!(entry.gateway.fleet.borrow().get(&start("i-1")).is_none());
     });
 }
 
@@ -486,10 +486,10 @@
         let change = |before, name| News::RosterChanged {
             before,
             name,
-            change: RosterChange { changed: vec![other.clone()], gone: vec!["i-1".to_string()] },
+            change: RosterChange { changed: vec![other.clone()], gone: vec![start("i-1")] },
         };
         let known = entry.gateway.roster_name();
-        let is_listed = |id: &str| entry.gateway.fleet.borrow().get(id).is_some();
+        let is_listed = |id: &str| entry.gateway.fleet.borrow().get(&start(id)).is_some();
         let another = list(1, &other);
         assert_ne!(another, known, "the same number, other targets");
         assert!(entry.gateway.take(change(list(2, &other), list(3, &other))).is_err(), "unknown");
@@ -502,3 +502,29 @@
         assert!(is_listed("i-2") && !is_listed("i-1"));
     });
 }
+
+/// A target starts again under its id and at its address, and is listed so.
+#[test]
+fn a_connection_to_an_earlier_start_is_not_used_for_the_later_one() {
+    run(async {
+        let answers = (0..4).map(|_| (ok("done"), Then::KeepOpen)).collect();
+        let one = StandIn::start(answers).await;
+        let at =
+            |born_ms| Listed { start: born("i-1", born_ms), ..target("i-1", "app", one.address) };
+        let entry = entry(unhurried(), vec![at(9)]).await;
+        for (id, connections) in [("r1", 1), ("r2", 1)] {
+            assert_eq!(entry.call("/safe/a", id).await.status, 200);
+            assert_eq!(one.connections.get(), connections, "it is kept");
+        }
+        let connection = entry.gateway.pool.reuse(&born("i-1", 9)).expect("it is kept");
+        let roster = NumberedRoster::new(2, Arc::new(roster([at(3)])));
+        entry.gateway.take(News::Roster(roster)).expect("it is whole");
+        // A request that was under way ends, and its connection is given back.
+        entry.gateway.give_back(&born("i-1", 9), connection);
+        assert!(entry.gateway.pool.reuse(&born("i-1", 9)).is_none());
+        assert_eq!(entry.call("/safe/a", "r3").await.status, 200);
+        assert_eq!(one.connections.get(), 2);
+        let request = one.requests.borrow().last().cloned().expect("it was asked");
+        assert_eq!(header(&request, "x-expect-instance").as_deref(), Some("i-1"), "the id alone");
+    });
+}
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -18,6 +18,7 @@
 mod leaving;
 mod links;
 mod memory;
+mod orders;
 mod placement;
 #[allow(dead_code, reason = "the soak uses the rest")]
 #[path = "../platform_stand_in/mod.rs"]
@@ -29,6 +30,7 @@
 mod scheduling;
 mod settings;
 mod stand_in;
+mod starts;
 mod state;
 mod stores;
 mod table;
