Stand-ins and the soak: targets that start again under their ids, entries of other writers

Stand-in targets tell when they started, forget all but their weights when they start again, and may do so late, elsewhere, while their entry lags, and with a clock that goes backwards; loads end with the start that was told to load. The list comes in pages that shift, bears entries that name no target, and answers some replicas only. Prompts on weights older than named, and requests to a target that leaves, are judged with a tighter bound where nothing was wrong. At the end of a run each start must get work and have the named weights.

--- a/tests/platform_stand_in/account.rs
+++ b/tests/platform_stand_in/account.rs
@@ -1,7 +1,7 @@
 //! What has reached the targets, and what must not have.
 
 use std::collections::HashMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Requests whose ids begin so may run more than once.
 pub const REPEATABLE: &str = "safe-";
@@ -13,6 +13,8 @@
 pub struct Run {
     /// The target's id.
     pub target: String,
+    /// Which of its starts that was.
+    pub start: u64,
     /// When it began.
     pub begun: Instant,
     /// The account that it was said to be of.
@@ -45,15 +47,63 @@
     pub violations: Vec<String>,
     /// Orders that targets have taken.
     pub orders: u64,
+    /// What must not happen while nothing is wrong.
+    pub doubtful: Vec<Doubtful>,
+    /// Versions of weights that were acknowledged, and when.
+    pub named: Vec<(u64, Instant)>,
     stamps: u64,
 }
 
+/// What must not happen, unless something was wrong in a span of time.
+#[derive(Clone, Debug)]
+pub struct Doubtful {
+    /// What it is.
+    pub what: String,
+    /// The span.
+    pub from: Instant,
+    /// Its end, when it happened.
+    pub to: Instant,
+}
+
+/// Prompts begin on named weights this long after their acknowledgement. Longer than the deployment of
+/// the soak allows: a busy machine may keep a process waiting for a while.
+pub const NAMED_WITHIN: Duration = Duration::from_secs(10);
+/// A leaving target may get new requests for this long after its list showed that it leaves, if
+/// nothing is wrong.
+pub const LEAVES_WITHIN: Duration = Duration::from_secs(5);
+/// And for this long whatever is wrong.
+pub const LEAVES_AT_LAST: Duration = Duration::from_secs(8);
+
 impl Account {
     /// Records something that must never happen.
     pub fn violation(&mut self, what: String) {
         self.violations.push(what);
     }
 
+    /// A request reaches a target that leaves.
+    pub fn reaches_leaving(&mut self, request: &str, target: &str, from: Instant) {
+        let late = from.elapsed();
+        let what = format!("{request} reaches {target} {late:?} after it began to leave");
+        if late > LEAVES_AT_LAST {
+            self.violations.push(what);
+        } else if late > LEAVES_WITHIN {
+            self.doubtful.push(Doubtful { what, from, to: Instant::now() });
+        }
+    }
+
+    /// A prompt begins on weights.
+    pub fn begins_on(&mut self, request: &str, target: &str, weights: u64) {
+        let is_due = |at: &Instant| at.elapsed() > NAMED_WITHIN;
+        let newer = self.named.iter().find(|(version, at)| *version > weights && is_due(at));
+        let Some((version, at)) = newer else { return };
+        let what = format!(
+            "{request} begins at {target} on weights {weights}, {:?} after {version} was named",
+            at.elapsed()
+        );
+        let to = Instant::now();
+        self.doubtful.push(Doubtful { what, from: to - NAMED_WITHIN, to });
+    }
+
     /// A stamp that no other run has.
     pub fn next_stamp(&mut self) -> String {
         self.stamps += 1;
--- /dev/null
+++ b/tests/platform_stand_in/list.rs
@@ -0,0 +1,151 @@
+//! The platform's list of targets: it lags, comes in pages, and bears entries of other writers.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use ::http::Request;
+use serde_json::json;
+
+use super::http::{self, Answer};
+use super::target::Target;
+use super::{Inner, Platform};
+
+/// How late the list shows a change.
+pub const LIST_LAG: Duration = Duration::from_millis(200);
+/// What tokens of pages begin with.
+const TOKEN: &str = "p-";
+
+/// The list, and what is wrong with it.
+#[derive(Default)]
+pub struct List {
+    /// Entries of other writers: where on the list each stands, and its text.
+    pub foreign: Vec<(usize, Vec<u8>)>,
+    /// Entries on a page; 0 if there is one page only.
+    pub page_entries: usize,
+    /// How far entries move between the read of a page and that of the next one. Upwards, some are
+    /// shown on neither page; downwards, some on both.
+    pub shift: isize,
+    /// The list as it was some time ago, newest last: what is shown lags.
+    shown: Vec<(Instant, Vec<Vec<u8>>)>,
+}
+
+/// How an entry of another writer differs from one that names a target.
+#[derive(Clone, Copy, Debug)]
+pub enum Foreign {
+    /// It lacks a field.
+    Lacks(&'static str),
+    /// A field is other bytes than it should.
+    Has(&'static str, &'static [u8]),
+}
+
+/// Entries that name no target to use.
+pub const FOREIGN: [Foreign; 24] = [
+    Foreign::Lacks("Id"),
+    Foreign::Lacks("Service"),
+    Foreign::Lacks("Addr"),
+    Foreign::Lacks("Zone"),
+    Foreign::Lacks("State"),
+    Foreign::Has("Id", b"7"),
+    Foreign::Has("Id", b"null"),
+    Foreign::Has("Service", b"[\"llm\"]"),
+    Foreign::Has("Service", b"\"nobody\""),
+    Foreign::Has("Addr", b"8080"),
+    Foreign::Has("Addr", b"\"127.0.0.1\""),
+    Foreign::Has("Addr", b"\"127.0.0.1:99999\""),
+    Foreign::Has("Addr", b"\"http://127.0.0.1:80/\""),
+    Foreign::Has("Addr", b"\"[::1:80\""),
+    Foreign::Has("Zone", b"{\"Name\":\"hall-0\"}"),
+    Foreign::Has("Slots", b"\"16\""),
+    Foreign::Has("Slots", b"-1"),
+    Foreign::Has("State", b"\"evacuating\""),
+    Foreign::Has("State", b"\"Ready \""),
+    Foreign::Has("State", b"1"),
+    Foreign::Has("Models", b"\"m\""),
+    Foreign::Has("Zone", b"\"\xff\xfe\""),
+    Foreign::Has("Version", b"\"\\ud800\""),
+    Foreign::Has("ColdLeftMs", b"@"),
+];
+
+impl Foreign {
+    /// The entry, whose other fields are as they should be.
+    pub fn entry(self, id: &str, address: SocketAddr) -> Vec<u8> {
+        let whole = json!({"Id": id, "Service": "llm", "Addr": address, "Zone": "hall-0",
+                           "Version": "v1", "Slots": 16, "ColdLeftMs": 0, "State": "ready",
+                           "Models": [{"Name": "m", "Version": 1, "Adapters": []}], "born": 1});
+        let fields = whole.as_object().into_iter().flatten();
+        let written = fields.filter_map(|(name, value)| {
+            let value = match self {
+                Foreign::Lacks(lacked) if lacked == name => return None,
+                Foreign::Has(field, bytes) if field == name => bytes.to_vec(),
+                _ => value.to_string().into_bytes(),
+            };
+            Some([format!("\"{name}\":").into_bytes(), value].concat())
+        });
+        [b"{".to_vec(), written.collect::<Vec<_>>().join(&b","[..]), b"}".to_vec()].concat()
+    }
+}
+
+impl Platform {
+    /// Serves the list until the runtime ends. Returns its address.
+    pub async fn serve_list(&self, at: SocketAddr) -> SocketAddr {
+        let platform = self.clone();
+        http::serve(at, move |request| {
+            let platform = platform.clone();
+            async move {
+                match request.uri().path() {
+                    "/instances" => platform.lock().page(&request),
+                    _ => http::status(404),
+                }
+            }
+        })
+        .await
+    }
+
+    /// An address that entries of other writers name: nothing must come there.
+    pub async fn serve_nobody(&self, at: SocketAddr) -> SocketAddr {
+        let platform = self.clone();
+        http::serve(at, move |request| {
+            let platform = platform.clone();
+            async move {
+                let what = format!("an entry of another writer gets {}", request.uri());
+                platform.lock().account.violation(what);
+                http::status(404)
+            }
+        })
+        .await
+    }
+}
+
+impl Inner {
+    /// Records the list as it is now, to be shown later.
+    pub fn list_changed(&mut self) {
+        let listed = self.targets.values().filter_map(Target::listed);
+        let mut entries: Vec<Vec<u8>> = listed.map(|entry| entry.to_string().into()).collect();
+        for (place, entry) in &self.list.foreign {
+            entries.insert(place % (entries.len() + 1), entry.clone());
+        }
+        self.list.shown.push((Instant::now(), entries));
+    }
+
+    fn page<B>(&mut self, request: &Request<B>) -> Answer {
+        let list = &mut self.list;
+        let shown = list.shown.iter().rposition(|(at, _)| at.elapsed() >= LIST_LAG);
+        if let Some(shown) = shown {
+            list.shown.drain(..shown);
+        }
+        let entries = shown.and(list.shown.first()).map_or(&[][..], |(_, entries)| entries);
+        let token = request.uri().query().and_then(|query| query.split("PageToken=").nth(1));
+        let begun = token.and_then(|token| token.strip_prefix(TOKEN)?.parse::<usize>().ok());
+        let first = begun.map_or(0, |begun| begun.saturating_add_signed(list.shift));
+        let first = first.min(entries.len());
+        let last = match list.page_entries {
+            0 => entries.len(),
+            // Pages go on even where entries move by a whole page.
+            size => (first + size).max(begun.map_or(0, |begun| begun + 1)).min(entries.len()),
+        };
+        let next = (last < entries.len()).then(|| format!("{TOKEN}{last}"));
+        let entries = entries[first..last].join(&b","[..]);
+        let end = format!("],\"NextToken\":{}}}", json!(next));
+        http::with_body(200, [b"{\"Instances\":[".to_vec(), entries, end.into_bytes()].concat())
+    }
+}
--- a/tests/platform_stand_in/mod.rs
+++ b/tests/platform_stand_in/mod.rs
@@ -4,16 +4,16 @@
 
 pub mod account;
 pub mod http;
+pub mod list;
+pub mod starts;
 pub mod store;
 pub mod target;
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
 
 use account::Account;
-use serde_json::{Value, json};
+use list::List;
 use store::Store;
 use target::Target;
 
@@ -26,7 +26,7 @@
 /// The state.
 #[derive(Default)]
 pub struct Inner {
-    /// Targets by id. An id names one start.
+    /// Targets by id, each as it last started.
     pub targets: BTreeMap<String, Target>,
     /// What has reached them.
     pub account: Account,
@@ -34,13 +34,10 @@
     pub store: Store,
     /// The newest version of the model's weights that was named, which new engines have.
     pub named_weights: u64,
-    /// The list as it was some time ago, newest last: what is shown lags.
-    lists: Vec<(Instant, Vec<Value>)>,
+    /// The list of targets.
+    pub list: List,
 }
 
-/// How late the list shows a change.
-pub const LIST_LAG: Duration = Duration::from_millis(200);
-
 impl Platform {
     /// A platform without targets.
     pub fn new() -> Platform {
@@ -54,36 +51,4 @@
         // A check that failed elsewhere must not hide what others find.
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
-
-    /// Serves the list of targets until the runtime ends. Returns its address.
-    pub async fn serve_list(&self, at: SocketAddr) -> SocketAddr {
-        let platform = self.clone();
-        http::serve(at, move |request| {
-            let platform = platform.clone();
-            async move {
-                match request.uri().path() {
-                    "/instances" => http::json(&platform.lock().shown_list()),
-                    _ => http::status(404),
-                }
-            }
-        })
-        .await
-    }
-}
-
-impl Inner {
-    /// Records the list as it is now, to be shown later.
-    pub fn list_changed(&mut self) {
-        let list = self.targets.values().filter_map(Target::listed).collect();
-        self.lists.push((Instant::now(), list));
-    }
-
-    fn shown_list(&mut self) -> Value {
-        let shown = self.lists.iter().rposition(|(at, _)| at.elapsed() >= LIST_LAG);
-        if let Some(shown) = shown {
-            self.lists.drain(..shown);
-        }
-        let list = shown.and(self.lists.first()).map(|(_, list)| list.clone()).unwrap_or_default();
-        json!({"Instances": list, "NextToken": null})
-    }
 }
--- a/tests/platform_stand_in/target.rs
+++ b/tests/platform_stand_in/target.rs
@@ -1,6 +1,6 @@
 //! Model engines and plain services.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -14,22 +14,30 @@
 use super::account::{Run, RunEnd};
 use super::http::{self, Answer, header};
 use super::store::{PartName, clock_ms};
-use super::{Inner, LIST_LAG, Platform};
+use super::{Inner, Platform};
 
-/// A leaving target may get new requests for this long after its list showed that it leaves. Longer
-/// than a deployment allows: a busy machine may keep a process waiting for a while.
-const LEAVES_WITHIN: Duration = Duration::from_secs(8);
 /// Time between two events of a stream.
 const EVENT_EVERY: Duration = Duration::from_millis(8);
 /// How long a load of weights takes.
 const LOAD_TAKES: Duration = Duration::from_millis(300);
 /// How long a save or a fetch takes.
 const TRANSFER_TAKES: Duration = Duration::from_millis(5);
+/// How late an order that gets no answer is carried out.
+const ORDER_LATE: Duration = Duration::from_millis(1_500);
+/// An order may rest on a report of an earlier start for this long: it was under way, on a busy
+/// machine.
+const ORDER_UNDER_WAY: Duration = Duration::from_secs(4);
+/// Events about parts that a target keeps.
+const EVENTS: usize = 2_000;
 
 /// One start of a target.
 pub struct Target {
     /// Its id.
     pub id: String,
+    /// Counts its starts under this id, from 1.
+    pub start: u64,
+    /// When it started, in Unix milliseconds of its own clock.
+    pub born_ms: u64,
     /// What it serves.
     pub service: String,
     /// Where it listens.
@@ -46,14 +54,24 @@
     pub is_listed: bool,
     /// What it does wrong.
     pub fault: Fault,
-    /// Until when it loads weights.
-    pub loads_until: Option<Instant>,
+    /// The weights that it loads, by an order under way.
+    pub loading: Option<u64>,
     /// Orders that it has accepted.
     pub orders: u64,
+    /// Requests that it has begun.
+    pub begun: u64,
+    /// The entry of the start before, shown until a time.
+    pub(super) earlier_entry: Option<(Value, Instant)>,
+    /// Answers its calls; none once it has ended.
+    pub(super) server: Option<AbortHandle>,
+    started_at: Instant,
     running: u32,
+    /// The highest fencing token of an order.
+    fence: u64,
     /// Who may use what it has read: the text under which it is kept, and whose request read it.
     resident: HashMap<PartName, Reader>,
-    server: Option<AbortHandle>,
+    events: VecDeque<Value>,
+    next_event: u64,
 }
 
 /// Whose request read a part, and with which weights.
@@ -81,102 +99,163 @@
     BreaksOff,
     /// It runs each request, and the answer is another request's.
     Crosses,
+    /// It answers no order, and carries it out later, perhaps in its next start.
+    LateOrders,
 }
 
 /// Accounts that share nothing with others.
 pub const ISOLATED: &str = "walled";
 
 impl Target {
-    /// Its entry on the list.
-    pub fn listed(&self) -> Option<Value> {
-        let models: Vec<Value> = self
-            .weights
-            .iter()
-            .map(|version| json!({"Name": "m", "Version": version, "Adapters": []}))
-            .collect();
-        self.is_listed.then(|| {
-            json!({"Id": self.id, "Service": self.service, "Addr": self.listed_address,
-                   "Zone": self.zone, "Version": "v1", "Slots": 16, "ColdLeftMs": 0,
-                   "State": if self.leaves_from.is_some() { "draining" } else { "ready" },
-                   "Models": models})
-        })
-    }
-}
-
-impl Platform {
-    /// Starts a target and lists it, at an address that a proxy may stand before.
-    pub async fn start_target(
-        &self,
-        id: &str,
-        service: &str,
-        zone: &str,
-        at: SocketAddr,
-        listed_address: Option<SocketAddr>,
-    ) -> SocketAddr {
-        let (platform, name) = (self.clone(), id.to_string());
-        let (address, server) = http::start(at, move |request| {
-            let (platform, name) = (platform.clone(), name.clone());
-            async move { platform.answer_of_target(&name, request).await }
-        })
-        .await;
-        let mut inner = self.lock();
-        let weights = (service == "llm").then_some(inner.named_weights);
-        let target = Target {
+    /// A target that has just started.
+    pub fn new(id: &str, service: &str, zone: &str, address: SocketAddr) -> Target {
+        Target {
             id: id.to_string(),
+            start: 1,
+            born_ms: clock_ms(),
             service: service.to_string(),
             address,
-            listed_address: listed_address.unwrap_or(address),
+            listed_address: address,
             zone: zone.to_string(),
-            weights,
+            weights: None,
             leaves_from: None,
             is_listed: true,
             fault: Fault::None,
-            loads_until: None,
+            loading: None,
             orders: 0,
+            begun: 0,
+            earlier_entry: None,
+            server: None,
+            started_at: Instant::now(),
             running: 0,
+            fence: 0,
             resident: HashMap::new(),
-            server: Some(server),
-        };
-        inner.targets.insert(id.to_string(), target);
-        inner.list_changed();
-        address
+            events: VecDeque::new(),
+            next_event: 0,
+        }
     }
 
-    /// Ends a target at once: its connections are reset and its address is free.
-    pub fn crash_target(&self, id: &str) {
-        let mut inner = self.lock();
-        if let Some(target) = inner.targets.get_mut(id) {
-            target.is_listed = false;
-            if let Some(server) = target.server.take() {
-                server.abort();
-            }
+    /// Its entry on the list.
+    pub fn listed(&self) -> Option<Value> {
+        let earlier = self.earlier_entry.as_ref().filter(|(_, until)| Instant::now() < *until);
+        let entry = earlier.map(|(entry, _)| entry.clone());
+        self.is_listed.then(|| entry.unwrap_or_else(|| self.entry()))
+    }
+
+    fn entry(&self) -> Value {
+        json!({"Id": self.id, "Service": self.service, "Addr": self.listed_address,
+               "Zone": self.zone, "Version": "v1", "Slots": 16, "ColdLeftMs": 0,
+               "State": if self.leaves_from.is_some() { "draining" } else { "ready" },
+               "Models": self.models(), "born": self.born_ms})
+    }
+
+    fn models(&self) -> Vec<Value> {
+        let model = |version| json!({"Name": "m", "Version": version, "Adapters": []});
+        self.weights.iter().map(model).collect()
+    }
+
+    fn report(&self) -> Value {
+        json!({"Stage": "colocated", "Models": self.models(), "Busy": self.loading.is_some(),
+               "Seq": self.orders, "Waiting": 0, "Running": self.running, "KvUsed": 0,
+               "KvTotal": 1_000_000, "Handles": 0, "born": self.born_ms})
+    }
+
+    /// Ends its calls at once, and what it has under way.
+    pub(super) fn end(&mut self) {
+        self.loading = None;
+        if let Some(server) = self.server.take() {
+            server.abort();
         }
-        inner.list_changed();
     }
 
-    /// A target says on the list that it leaves, and serves on.
-    pub fn drain_target(&self, id: &str) {
-        let mut inner = self.lock();
-        if let Some(target) = inner.targets.get_mut(id) {
-            target.leaves_from.get_or_insert_with(|| Instant::now() + LIST_LAG);
+    fn tell(&mut self, sign: &str, part: &PartName, tokens: u64) {
+        let event = json!([self.next_event, sign, part.0, part.1, tokens, "m"]);
+        self.events.push_back(event);
+        self.next_event += 1;
+        while self.events.len() > EVENTS {
+            self.events.pop_front();
+        }
+    }
+
+    fn forget_parts(&mut self) {
+        for part in std::mem::take(&mut self.resident).keys() {
+            self.tell("-", part, 0);
         }
-        inner.list_changed();
     }
 
-    async fn answer_of_target(&self, id: &str, request: Request<Incoming>) -> Answer {
+    fn events_since(&self, since: u64) -> Value {
+        let first = self.next_event - self.events.len() as u64;
+        let events: Vec<_> =
+            self.events.iter().skip(since.saturating_sub(first) as usize).collect();
+        json!({"BootEpoch": self.start, "NextToken": self.next_event, "Lost": since < first,
+               "Events": events, "clock_ms": clock_ms(), "born": self.born_ms})
+    }
+
+    fn parts(&self) -> Value {
+        let held = self.resident.keys().map(|(salt, id)| json!([salt, id, 1, "m"]));
+        json!({"BootEpoch": self.start, "NextToken": self.next_event,
+               "Held": held.collect::<Vec<_>>(), "clock_ms": clock_ms(), "born": self.born_ms})
+    }
+}
+
+impl Platform {
+    pub(super) async fn answer_of_target(
+        &self,
+        id: &str,
+        start: u64,
+        request: Request<Incoming>,
+    ) -> Answer {
+        if !self.lock().runs(id, start) {
+            // Its connections are about to be reset.
+            return std::future::pending().await;
+        }
+        let told = |tell: fn(&Target) -> Value| self.lock().targets.get(id).map(tell);
         match request.uri().path() {
-            "/report" => http::json(&self.lock().report(id)),
+            "/report" => http::json(&told(Target::report).unwrap_or_default()),
+            "/kv-list" => http::json(&told(Target::parts).unwrap_or_default()),
+            "/kv-events" => {
+                let since = request.uri().query().and_then(|query| query.strip_prefix("Since="));
+                let since = since.and_then(|text| text.parse().ok()).unwrap_or(0);
+                let inner = self.lock();
+                http::json(
+                    &inner.targets.get(id).map(|t| t.events_since(since)).unwrap_or_default(),
+                )
+            }
             "/healthz" => http::status(200),
             "/order" => {
                 let expected = header(&request, "x-expect-instance").map(str::to_string);
                 let Some(body) = http::body_of(request).await else { return http::status(400) };
                 let order = serde_json::from_slice(&body).unwrap_or_default();
-                self.lock().take_order(id, expected.as_deref(), &order)
+                let fault = self.lock().targets.get(id).map(|target| target.fault);
+                if fault == Some(Fault::LateOrders) {
+                    let (platform, id) = (self.clone(), id.to_string());
+                    tokio::spawn(async move {
+                        tokio::time::sleep(ORDER_LATE).await;
+                        platform.order(&id, expected.as_deref(), &order, true)
+                    });
+                    return std::future::pending().await;
+                }
+                self.order(id, expected.as_deref(), &order, false)
             }
             _ => self.run(id, request).await,
         }
     }
 
+    fn order(&self, id: &str, expected: Option<&str>, order: &Value, is_late: bool) -> Answer {
+        let mut inner = self.lock();
+        let status = inner.take_order(id, expected, order, is_late);
+        let start = inner.targets.get(id).map_or(0, |target| target.start);
+        drop(inner);
+        if status == 202 {
+            let (platform, id) = (self.clone(), id.to_string());
+            tokio::spawn(async move {
+                tokio::time::sleep(LOAD_TAKES).await;
+                platform.lock().loaded(&id, start);
+            });
+        }
+        http::status(status)
+    }
+
     async fn run(&self, id: &str, request: Request<Incoming>) -> Answer {
         let began = self.lock().begin(self, id, &request);
         let (job, fault) = match began {
@@ -224,6 +303,7 @@
 struct Job {
     platform: Platform,
     target: String,
+    start: u64,
     request: String,
     stamp: String,
     is_stream: bool,
@@ -239,7 +319,9 @@
     /// However it ends, also when its caller closes the connection.
     fn drop(&mut self) {
         self.end(RunEnd::Left(Instant::now()));
-        if let Some(target) = self.platform.lock().targets.get_mut(&self.target) {
+        let mut inner = self.platform.lock();
+        let target = inner.targets.get_mut(&self.target);
+        if let Some(target) = target.filter(|target| target.start == self.start) {
             target.running -= 1;
         }
     }
@@ -275,12 +357,13 @@
             }
         }
         let (platform, saves) = (self.platform.clone(), self.saves.clone());
+        let (target, start) = (self.target.clone(), self.start);
         if !saves.is_empty() {
             tokio::spawn(async move {
                 let epoch = platform.lock().store.epoch;
                 tokio::time::sleep(TRANSFER_TAKES).await;
                 let mut inner = platform.lock();
-                if inner.store.epoch == epoch {
+                if inner.store.epoch == epoch && inner.runs(&target, start) {
                     saves.iter().for_each(|part| inner.store.end_save(part));
                 }
             });
@@ -325,41 +408,56 @@
 }
 
 impl Inner {
-    fn report(&self, id: &str) -> Value {
-        let Some(target) = self.targets.get(id) else { return Value::Null };
-        let is_busy = target.loads_until.is_some_and(|until| Instant::now() < until);
-        let models: Vec<Value> =
-            target.weights.iter().map(|version| json!({"Name": "m", "Version": version})).collect();
-        json!({"Stage": "colocated", "Models": models, "Busy": is_busy, "Seq": target.orders,
-               "Waiting": 0, "Running": target.running, "KvUsed": 0, "KvTotal": 1_000_000,
-               "Handles": 0})
-    }
-
-    fn take_order(&mut self, id: &str, expected: Option<&str>, order: &Value) -> Answer {
+    /// Takes an order. Returns the status of its answer.
+    fn take_order(
+        &mut self,
+        id: &str,
+        expected: Option<&str>,
+        order: &Value,
+        is_late: bool,
+    ) -> u16 {
         let named = self.named_weights;
-        let Some(target) = self.targets.get_mut(id) else { return http::status(503) };
+        let Some(target) = self.targets.get_mut(id) else { return 503 };
         let version = order["Version"].as_u64();
         if expected.is_some_and(|expected| expected != id) {
-            return http::status(421);
+            return 421;
         }
-        if order["Holder"].is_null() || order["Fence"].is_null() || version > Some(named) {
-            return http::status(400);
+        let Some(fence) = order["Fence"].as_u64() else { return 400 };
+        if order["Holder"].is_null() || version > Some(named) {
+            return 400;
         }
-        let is_busy = target.loads_until.is_some_and(|until| Instant::now() < until);
-        let is_void = order["Precondition"].as_u64().is_some_and(|count| count != target.orders);
-        if is_busy || is_void {
-            return http::status(409);
+        let count = order["Precondition"].as_u64();
+        let is_settled = !is_late && target.started_at.elapsed() > ORDER_UNDER_WAY;
+        if count.is_none_or(|count| is_settled && count > target.orders) {
+            let what = format!("start {} of {id} gets an order after {count:?}", target.start);
+            self.account.violation(format!("{what} orders, it has taken {}", target.orders));
         }
+        if fence < target.fence {
+            return 412;
+        }
+        if target.loading.is_some() || count.is_some_and(|count| count != target.orders) {
+            return 409;
+        }
+        target.fence = fence;
         if target.weights == version {
-            return http::status(200);
+            return 200;
         }
         target.orders += 1;
-        target.weights = version;
-        target.resident.clear();
-        target.loads_until = Some(Instant::now() + LOAD_TAKES);
+        target.loading = version;
+        target.forget_parts();
         self.account.orders += 1;
-        self.list_changed();
-        http::status(202)
+        202
+    }
+
+    /// A start has loaded what it was told to, if it still runs.
+    fn loaded(&mut self, id: &str, start: u64) {
+        let target = self.targets.get_mut(id).filter(|target| target.start == start);
+        if let Some(target) = target
+            && let Some(version) = target.loading.take()
+        {
+            target.weights = Some(version);
+            self.list_changed();
+        }
     }
 
     /// Begins a request, or says why it does not run.
@@ -376,19 +474,21 @@
         if text("x-expect-instance") != id {
             return Err(not_run(421));
         }
+        if target.loading.is_some() || target.fault == Fault::Full {
+            return Err(not_run(503));
+        }
         let expected = number("x-expect-version");
         if expected.is_some_and(|version| Some(version) != target.weights) {
             return Err(not_run(421));
         }
-        let loads = target.loads_until.is_some_and(|until| Instant::now() < until);
-        if loads || target.fault == Fault::Full {
-            return Err(not_run(503));
-        }
-        let (weights, fault) = (target.weights, target.fault);
+        let (weights, fault, start) = (target.weights, target.fault, target.start);
         target.running += 1;
-        let late = target.leaves_from.map(|from| from.elapsed());
-        if let Some(late) = late.filter(|late| *late > LEAVES_WITHIN) {
-            self.account.violation(format!("{name} reaches {id} {late:?} after it began to leave"));
+        target.begun += 1;
+        if let Some(from) = target.leaves_from {
+            self.account.reaches_leaving(&name, id, from);
+        }
+        if let Some(weights) = weights {
+            self.account.begins_on(&name, id, weights);
         }
         if request.headers().contains_key("authorization") {
             self.account.violation(format!("{name} brings its caller's key to {id}"));
@@ -415,6 +515,7 @@
             &name,
             Run {
                 target: id.to_string(),
+                start,
                 begun: Instant::now(),
                 tenant,
                 resumed_after: made,
@@ -426,6 +527,7 @@
         let job = Job {
             platform: platform.clone(),
             target: id.to_string(),
+            start,
             request: name,
             stamp,
             is_stream: weights.is_some(),
@@ -440,11 +542,14 @@
 
     /// Reads parts into an engine's memory, or uses them where they are resident.
     fn read(&mut self, id: &str, name: &str, parts: &[(PartName, u64)], reader: &Reader) {
-        for (part, _) in parts {
+        for (part, tokens) in parts {
             let Some(target) = self.targets.get_mut(id) else { return };
-            let resident = target.resident.entry(part.clone()).or_insert_with(|| reader.clone());
-            let resident = resident.clone();
-            self.check_reader(name, Some(resident), reader);
+            let resident = target.resident.get(part).cloned();
+            if resident.is_none() {
+                target.resident.insert(part.clone(), reader.clone());
+                target.tell("+", part, *tokens);
+            }
+            self.check_reader(name, resident, reader);
         }
     }
 
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -10,6 +10,7 @@
 #[path = "../platform_stand_in/mod.rs"]
 mod platform_stand_in;
 mod proxy;
+mod starts;
 mod system;
 
 use std::net::SocketAddr;
@@ -20,6 +21,7 @@
 
 use callers::{Claim, Tally};
 use faults::Faults;
+use futures::StreamExt;
 use operator::Published;
 use platform_stand_in::Platform;
 use platform_stand_in::account::RunEnd;
@@ -153,8 +155,11 @@
         let repeats: usize = platform.account.runs.values().map(|runs| runs.len() - 1).sum();
         let (ratio, slack) = REPEATS;
         let most = platform.account.runs.len() as f64 * ratio + slack;
-        let violations = platform.account.violations.clone();
+        let mut violations = platform.account.violations.clone();
+        let doubtful = platform.account.doubtful.clone();
         drop(platform);
+        let wrong = doubtful.into_iter().filter(|doubt| !self.was_harmed(doubt.from, doubt.to));
+        violations.extend(wrong.map(|doubt| doubt.what));
         if repeats as f64 > most {
             self.violation(format!("{repeats} repeats, at most {most} are allowed"));
         }
@@ -167,7 +172,9 @@
     let begun = Instant::now();
     let platform = Platform::new();
     let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
-    let list = Proxy::start(platform.serve_list(any).await).await;
+    let list = platform.serve_list(any).await;
+    let lists: Vec<Proxy> =
+        futures::stream::iter(0..REPLICAS).then(|_| Proxy::start(list)).collect().await;
     let store = platform.serve_store(any).await;
     let world = Arc::new(World {
         seed,
@@ -176,13 +183,17 @@
         store,
         tally: Tally::default(),
         judged: AtomicU64::new(0),
-        system: Mutex::new(System::start(entries, list.address, (seed % 200) as u8)),
+        system: Mutex::new(System::start(
+            entries,
+            lists.iter().map(|list| list.address).collect(),
+            (seed % 200) as u8,
+        )),
         published: Mutex::default(),
         claims: Mutex::default(),
         violations: Mutex::default(),
         harms: Mutex::default(),
     });
-    let mut faults = Faults::new(world.clone(), list).await;
+    let mut faults = Faults::new(world.clone(), lists).await;
     operator::check_recovery(&world).await;
     let ending = Arc::new(AtomicBool::new(false));
     let mut tasks = tokio::task::JoinSet::new();
@@ -196,6 +207,7 @@
     settled.store(true, Ordering::Relaxed);
     operator.await.expect("it does not panic");
     operator::check_recovery(&world).await;
+    starts::check(&world).await;
     ending.store(true, Ordering::Relaxed);
     while let Some(ended) = tasks.join_next().await {
         ended.expect("no task panics");
@@ -212,17 +224,19 @@
     let platform = world.platform.lock();
     let of = |count: &AtomicU64| count.load(Ordering::Relaxed);
     format!(
-        "sent={} whole={} refused={} failed={} faults={} orders={} freed={} fetched={} judged={} \
-         seconds={}",
+        "sent={} whole={} refused={} failed={} faults={} restarts={} orders={} freed={} fetched={} \
+         judged={} doubtful={} seconds={}",
         of(&world.tally.sent),
         of(&world.tally.whole),
         of(&world.tally.refused),
         of(&world.tally.failed),
         faults.count,
+        platform.targets.values().map(|target| target.start - 1).sum::<u64>(),
         platform.account.orders,
         platform.store.freed,
         platform.store.fetched,
         of(&world.judged),
+        platform.account.doubtful.len(),
         begun.elapsed().as_secs(),
     )
 }
--- a/tests/soak/operator.rs
+++ b/tests/soak/operator.rs
@@ -80,7 +80,7 @@
             }
             4 => send_older(&world, version, &mut random).await,
             5 => send_invalid(&world, version + 1, &mut random).await,
-            6 if random.random_ratio(1, 4) => name_weights(&world).await,
+            6 if random.random_ratio(1, 2) => name_weights(&world).await,
             _ => read_back(&world, random.random_range(0..REPLICAS)).await,
         }
     }
@@ -151,7 +151,8 @@
         for replica in 0..REPLICAS {
             let answer = call(world, replica, "POST", "/version-put", Some(&body)).await;
             if answer.is_some_and(|(status, _)| status == 200) {
-                return;
+                let mut platform = world.platform.lock();
+                return platform.account.named.push((version, Instant::now()));
             }
         }
     }
--- a/tests/soak/proxy.rs
+++ b/tests/soak/proxy.rs
@@ -53,6 +53,11 @@
         proxy
     }
 
+    /// Carries new connections elsewhere.
+    pub fn redirect(&self, to: SocketAddr) {
+        *self.to.lock().expect("nobody panics with it") = to;
+    }
+
     /// Sets what happens to connections from now on, those that are open among them.
     pub fn set(&self, harm: Harm) {
         self.harm.send_replace(harm);
--- a/tests/soak/system.rs
+++ b/tests/soak/system.rs
@@ -58,13 +58,14 @@
     /// Entries, then replicas.
     pub processes: Vec<Process>,
     entries: usize,
-    list: SocketAddr,
+    /// Where each replica finds the list of targets.
+    lists: Vec<SocketAddr>,
     port: u16,
 }
 
 impl System {
-    /// Starts all. `network` tells apart systems on one machine.
-    pub fn start(entries: usize, list: SocketAddr, network: u8) -> System {
+    /// Starts all, with an address of the list for each replica. `network` tells apart systems on one machine.
+    pub fn start(entries: usize, lists: Vec<SocketAddr>, network: u8) -> System {
         let folder = tempfile::Builder::new().prefix("kumquatpost-soak-").tempdir();
         let process = |n: usize| {
             let is_entry = n < entries;
@@ -86,7 +87,7 @@
             folder: folder.expect("a folder"),
             processes: (0..entries + REPLICAS).map(process).collect(),
             entries,
-            list,
+            lists,
             port: FIRST_PORT + (std::process::id() % 500) as u16 * 20,
         };
         (0..system.processes.len()).for_each(|n| system.run(n, true));
@@ -122,6 +123,8 @@
         let process = &self.processes[n];
         let at = |port: u16| SocketAddr::new(process.ip, self.port + port);
         let is_entry = n < self.entries;
+        // Entries do not read it.
+        let list = self.lists[n.saturating_sub(self.entries)];
         let listen = match is_entry {
             true => json!({"Front": at(CALLERS), "Ready": at(READINESS)}),
             false => json!({"Control": at(OPERATORS)}),
@@ -131,7 +134,7 @@
             "Listen": listen, "PortRange": [self.port, self.port + 4], "Seeds": seeds,
             "FirstStart": is_first_start, "Limits": {"MemoryMb": 256, "MaxFds": 4096},
             "DataDir": (!is_entry).then(|| self.file(n, "data")),
-            "Cloud": {"Addr": self.list, "RatePerS": 44.0}, "Tolerate": {"Machines": 2},
+            "Cloud": {"Addr": list, "RatePerS": 44.0}, "Tolerate": {"Machines": 2},
             "Bounds": {"GraceS": GRACE.as_secs(), "LeaseMs": 3000, "ThawMs": 300,
                        "BudgetRatio": 0.2, "BudgetWindowS": 10, "BudgetSlack": 50,
                        "VersionMs": 6000, "VersionAllMs": 8400}
@@ -264,6 +267,16 @@
     }
 }
 
+impl Drop for Process {
+    /// A check that fails leaves nothing running.
+    fn drop(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            child.kill().expect("it is ours");
+            child.wait().expect("it ends");
+        }
+    }
+}
+
 impl Process {
     fn begin(&mut self, what: Disturbance) {
         self.disturbances.push((what, Instant::now(), None));
