--- a/tests/platform_stand_in/account.rs
+++ b/tests/platform_stand_in/account.rs
@@ -47,32 +47,58 @@
     pub violations: Vec<String>,
     /// Orders that targets have taken.
     pub orders: u64,
-    /// What must not happen while nothing is wrong.
-    pub doubtful: Vec<Doubtful>,
+    /// What came later than a deployment allows.
+    pub late: Vec<Late>,
     /// Versions of weights that were acknowledged, and when.
     pub named: Vec<(u64, Instant)>,
     stamps: u64,
 }
 
-/// What must not happen, unless something was wrong in a span of time.
+/// Something that came late. It must not come later than is allowed, unless something was wrong
+/// meanwhile.
 #[derive(Clone, Debug)]
-pub struct Doubtful {
+pub struct Late {
+    /// Which promise it is about.
+    pub promise: Promise,
     /// What it is.
     pub what: String,
-    /// The span.
+    /// How late it came.
+    pub late: Duration,
+    /// The span in which something may have been wrong.
     pub from: Instant,
-    /// Its end, when it happened.
+    /// Its end, when it came.
     pub to: Instant,
 }
 
-/// Prompts begin on named weights this long after their acknowledgement. Longer than the deployment of
-/// the soak allows: a busy machine may keep a process waiting for a while.
-pub const NAMED_WITHIN: Duration = Duration::from_secs(10);
-/// A leaving target may get new requests for this long after its list showed that it leaves, if
-/// nothing is wrong.
-pub const LEAVES_WITHIN: Duration = Duration::from_secs(5);
-/// And for this long whatever is wrong.
-pub const LEAVES_AT_LAST: Duration = Duration::from_secs(8);
+/// What is promised within a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Promise {
+    /// A target that leaves gets no new requests.
+    Leaving,
+    /// Prompts begin on named weights.
+    Weights,
+}
+
+impl Promise {
+    /// What the soak's deployment allows.
+    pub fn bound(self) -> Duration {
+        match self {
+            Promise::Leaving => Duration::from_secs(3),
+            Promise::Weights => Duration::from_secs(6),
+        }
+    }
+
+    /// What the soak allows: a busy machine may keep a process waiting for a while.
+    pub fn allowed(self) -> Duration {
+        match self {
+            Promise::Leaving => Duration::from_secs(5),
+            Promise::Weights => Duration::from_secs(10),
+        }
+    }
+}
+
+/// A leaving target gets no new requests after this time whatever is wrong.
+const LEAVES_AT_LAST: Duration = Duration::from_secs(8);
 
 impl Account {
     /// Records something that must never happen.
@@ -84,24 +110,30 @@
     pub fn reaches_leaving(&mut self, request: &str, target: &str, from: Instant) {
         let late = from.elapsed();
         let what = format!("{request} reaches {target} {late:?} after it began to leave");
-        if late > LEAVES_AT_LAST {
-            self.violations.push(what);
-        } else if late > LEAVES_WITHIN {
-            self.doubtful.push(Doubtful { what, from, to: Instant::now() });
+        match late {
+            late if late > LEAVES_AT_LAST => self.violations.push(what),
+            late => self.came_late(Promise::Leaving, what, late),
         }
     }
 
     /// A prompt begins on weights.
     pub fn begins_on(&mut self, request: &str, target: &str, weights: u64) {
-        let is_due = |at: &Instant| at.elapsed() > NAMED_WITHIN;
-        let newer = self.named.iter().find(|(version, at)| *version > weights && is_due(at));
-        let Some((version, at)) = newer else { return };
+        let newer = self.named.iter().find(|(version, _)| *version > weights);
+        let Some((version, late)) = newer.map(|(version, at)| (*version, at.elapsed())) else {
+            return;
+        };
         let what = format!(
-            "{request} begins at {target} on weights {weights}, {:?} after {version} was named",
-            at.elapsed()
+            "{request} begins at {target} on weights {weights}, {late:?} after {version} was named"
         );
-        let to = Instant::now();
-        self.doubtful.push(Doubtful { what, from: to - NAMED_WITHIN, to });
+        self.came_late(Promise::Weights, what, late);
+    }
+
+    fn came_late(&mut self, promise: Promise, what: String, late: Duration) {
+        if late > promise.bound() {
+            let to = Instant::now();
+            let from = to - late.min(promise.allowed());
+            self.late.push(Late { promise, what, late, from, to });
+        }
     }
 
     /// A stamp that no other run has.
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -26,7 +26,7 @@
 use futures::StreamExt;
 use operator::Published;
 use platform_stand_in::Platform;
-use platform_stand_in::account::RunEnd;
+use platform_stand_in::account::{Promise, RunEnd};
 use platform_stand_in::target::Fault;
 use proxy::Proxy;
 use system::{Disturbance, REPLICAS, System};
@@ -154,16 +154,24 @@
         }
     }
 
+    /// How late something came at most while nothing was wrong, if later than a deployment allows.
+    fn latest_ms(&self, promise: Promise) -> u128 {
+        let platform = self.platform.lock();
+        let late = platform.account.late.iter().filter(|late| late.promise == promise);
+        let calm = late.filter(|late| !self.was_harmed(late.from, late.to));
+        calm.map(|late| late.late.as_millis()).max().unwrap_or(0)
+    }
+
     fn check_repeats(&self) {
         let platform = self.platform.lock();
         let repeats: usize = platform.account.runs.values().map(|runs| runs.len() - 1).sum();
         let (ratio, slack) = REPEATS;
         let most = platform.account.runs.len() as f64 * ratio + slack;
         let mut violations = platform.account.violations.clone();
-        let doubtful = platform.account.doubtful.clone();
+        let late = platform.account.late.iter().filter(|late| late.late > late.promise.allowed());
+        let wrong = late.filter(|late| !self.was_harmed(late.from, late.to));
+        violations.extend(wrong.map(|late| late.what.clone()));
         drop(platform);
-        let wrong = doubtful.into_iter().filter(|doubt| !self.was_harmed(doubt.from, doubt.to));
-        violations.extend(wrong.map(|doubt| doubt.what));
         if repeats as f64 > most {
             self.violation(format!("{repeats} repeats, at most {most} are allowed"));
         }
@@ -225,11 +233,13 @@
 }
 
 fn summary(world: &World, faults: &Faults, begun: Instant) -> String {
+    let (leaving_ms, weights_ms) =
+        (world.latest_ms(Promise::Leaving), world.latest_ms(Promise::Weights));
     let platform = world.platform.lock();
     let of = |count: &AtomicU64| count.load(Ordering::Relaxed);
     format!(
         "sent={} whole={} refused={} failed={} faults={} restarts={} orders={} freed={} fetched={} \
-         judged={} doubtful={} seconds={}",
+         judged={} late_leaving_ms={leaving_ms} late_weights_ms={weights_ms} seconds={}",
         of(&world.tally.sent),
         of(&world.tally.whole),
         of(&world.tally.refused),
@@ -240,7 +250,6 @@
         platform.store.freed,
         platform.store.fetched,
         of(&world.judged),
-        platform.account.doubtful.len(),
         begun.elapsed().as_secs(),
     )
 }
