--- a/tests/deployment/restarts.rs
+++ b/tests/deployment/restarts.rs
@@ -15,6 +15,8 @@
 
 /// Longest wait for what must happen: many times what it takes, for busy machines.
 const PATIENCE: Duration = Duration::from_secs(40);
+/// Prompts at a time: more than one engine would get of its own accord.
+const PROMPTS_AT_A_TIME: usize = 12;
 /// Events of a stream that goes on while its target is told to load weights and starts again.
 const LONG_STREAM: u64 = 400;
 
@@ -69,7 +71,7 @@
         .header("authorization", "Bearer key-alpha")
         .header("x-model", "m")
         .header("x-token-count", format!("1200,{events}"))
-        .header("x-prompt-prefix", format!("c1:1000,{id}:200"))
+        .header("x-prompt-prefix", format!("c-{id}:1000,{id}:200"))
         .body("a question");
     let Ok(mut answer) = asking.send().await else {
         return Got { status: 0, body: String::new(), is_whole: false };
@@ -132,15 +134,18 @@
         format!("{kind}-{}", self.requests)
     }
 
-    /// Sends short prompts until something holds. Returns whether it came to hold.
+    /// Sends short prompts, many at a time and without shared contexts, until something holds. Returns
+    /// whether it came to hold.
     async fn serves_until(&mut self, holds: impl Fn(&Site) -> bool) -> bool {
         let begun = Instant::now();
         while !holds(self) {
             if begun.elapsed() > PATIENCE {
                 return false;
             }
-            let id = self.next_id("stream");
-            stream(self.client.clone(), self.system.callers(0), "stream", &id, 2).await;
+            let (client, entry) = (self.client.clone(), self.system.callers(0));
+            let ids: Vec<String> = (0..PROMPTS_AT_A_TIME).map(|_| self.next_id("stream")).collect();
+            let prompts = ids.iter().map(|id| stream(client.clone(), entry, "stream", id, 5));
+            futures::future::join_all(prompts).await;
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
         true
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -26,7 +26,7 @@
 use futures::StreamExt;
 use operator::Published;
 use platform_stand_in::Platform;
-use platform_stand_in::account::{Promise, RunEnd};
+use platform_stand_in::account::{Late, Promise, RunEnd};
 use platform_stand_in::target::Fault;
 use proxy::Proxy;
 use system::{Disturbance, REPLICAS, System};
@@ -154,12 +154,12 @@
         }
     }
 
-    /// How late something came at most while nothing was wrong, if later than a deployment allows.
-    fn latest_ms(&self, promise: Promise) -> u128 {
+    /// What came latest while nothing was wrong, if later than a deployment allows.
+    fn latest(&self, promise: Promise) -> Option<Late> {
         let platform = self.platform.lock();
         let late = platform.account.late.iter().filter(|late| late.promise == promise);
         let calm = late.filter(|late| !self.was_harmed(late.from, late.to));
-        calm.map(|late| late.late.as_millis()).max().unwrap_or(0)
+        calm.max_by_key(|late| late.late).cloned()
     }
 
     fn check_repeats(&self) {
@@ -228,18 +228,17 @@
     world.check_claims();
     world.check_repeats();
     let told = summary(&world, &faults, begun);
+    let latest = [Promise::Leaving, Promise::Weights].map(|promise| world.latest(promise));
     faults.close().await;
-    close(world, &told)
+    close(world, &told, latest.into_iter().flatten().collect())
 }
 
 fn summary(world: &World, faults: &Faults, begun: Instant) -> String {
-    let (leaving_ms, weights_ms) =
-        (world.latest_ms(Promise::Leaving), world.latest_ms(Promise::Weights));
     let platform = world.platform.lock();
     let of = |count: &AtomicU64| count.load(Ordering::Relaxed);
     format!(
         "sent={} whole={} refused={} failed={} faults={} restarts={} orders={} freed={} fetched={} \
-         judged={} late_leaving_ms={leaving_ms} late_weights_ms={weights_ms} seconds={}",
+         judged={} seconds={}",
         of(&world.tally.sent),
         of(&world.tally.whole),
         of(&world.tally.refused),
@@ -254,8 +253,8 @@
     )
 }
 
-/// Ends the processes; keeps their logs if something was wrong.
-fn close(world: Arc<World>, told: &str) -> Vec<String> {
+/// Ends the processes; keeps their logs if something was wrong, or came late.
+fn close(world: Arc<World>, told: &str, late: Vec<Late>) -> Vec<String> {
     let world = Arc::into_inner(world).expect("all tasks have ended");
     let mut violations = world.violations.into_inner().expect("nobody panics with it");
     let folder = world.system.into_inner().expect("nobody panics with it").close();
@@ -267,7 +266,8 @@
         violations.extend(panics.map(|line| format!("{}: {line}", path.display())));
     }
     println!("seed {}: {told} violations={}", world.seed, violations.len());
-    if !violations.is_empty() {
+    late.iter().for_each(|late| println!("seed {}: late: {}", world.seed, late.what));
+    if !violations.is_empty() || !late.is_empty() {
         println!("seed {}: logs in {}", world.seed, folder.keep().display());
     }
     violations
