--- a/tests/soak/system.rs
+++ b/tests/soak/system.rs
@@ -70,10 +70,13 @@
         let process = |n: usize| {
             let is_entry = n < entries;
             let (role, number) = if is_entry { ("entry", n) } else { ("replica", n - entries) };
-            let part = (n / 250) as u8;
+            // Another run on this machine may have the same seed: processes have ports of their own
+            // and one that is always the same.
+            let run = (std::process::id() % 75) as u8;
+            let part = 90 + run * 2 + (n / 250) as u8;
             Process {
                 name: format!("{role}-{number}"),
-                ip: Ipv4Addr::new(127, 90 + part, network, (n % 250) as u8 + 1).into(),
+                ip: Ipv4Addr::new(127, part, network, (n % 250) as u8 + 1).into(),
                 role,
                 child: None,
                 starts: 0,
