--- a/tests/platform_stand_in/starts.rs
+++ b/tests/platform_stand_in/starts.rs
@@ -55,8 +55,9 @@
         let mut inner = self.lock();
         let weights = (service == "llm").then_some(inner.named_weights);
         let listed_address = listed_address.unwrap_or(address);
-        let mut target = Target::new(id, service, zone, listed_address);
-        (target.weights, target.address, target.server) = (weights, address, Some(server));
+        let mut target = Target::new(id, service, zone, address);
+        (target.weights, target.server) = (weights, Some(server));
+        target.listed_address = listed_address;
         inner.targets.insert(id.to_string(), target);
         inner.list_changed();
         address
@@ -103,7 +104,7 @@
         target.listed_address = restart.listed_address.unwrap_or(address);
         (target.start, target.born_ms, target.server) =
             (earlier + 1, restart.born_ms, Some(server));
-        (target.weights, target.address) = (known.weights, address);
+        target.weights = known.weights;
         let lags_until = Instant::now() + restart.entry_lags;
         target.earlier_entry = known.listed().map(|entry| (entry, lags_until));
         inner.targets.insert(id.to_string(), target);
--- a/tests/platform_stand_in/target.rs
+++ b/tests/platform_stand_in/target.rs
@@ -68,8 +68,8 @@
     running: u32,
     /// The highest fencing token of an order.
     fence: u64,
-    /// Who may use what it has read: the text under which it is kept, and whose request read it.
-    resident: HashMap<PartName, Reader>,
+    /// What it has read: the text under which it is kept, whose request read it, and its tokens.
+    resident: HashMap<PartName, (Reader, u64)>,
     events: VecDeque<Value>,
     next_event: u64,
 }
@@ -192,7 +192,9 @@
     }
 
     fn parts(&self) -> Value {
-        let held = self.resident.keys().map(|(salt, id)| json!([salt, id, 1, "m"]));
+        let part =
+            |((salt, id), (_, tokens)): (&PartName, &(Reader, u64))| json!([salt, id, tokens, "m"]);
+        let held = self.resident.iter().map(part);
         json!({"BootEpoch": self.start, "NextToken": self.next_event,
                "Held": held.collect::<Vec<_>>(), "clock_ms": clock_ms(), "born": self.born_ms})
     }
@@ -544,9 +546,9 @@
     fn read(&mut self, id: &str, name: &str, parts: &[(PartName, u64)], reader: &Reader) {
         for (part, tokens) in parts {
             let Some(target) = self.targets.get_mut(id) else { return };
-            let resident = target.resident.get(part).cloned();
+            let resident = target.resident.get(part).map(|(reader, _)| reader.clone());
             if resident.is_none() {
-                target.resident.insert(part.clone(), reader.clone());
+                target.resident.insert(part.clone(), (reader.clone(), *tokens));
                 target.tell("+", part, *tokens);
             }
             self.check_reader(name, resident, reader);
