--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -15,6 +15,7 @@
 mod headers;
 mod identity;
 mod instances;
+mod leaving;
 mod links;
 mod memory;
 mod placement;
@@ -24,6 +25,7 @@
 #[allow(dead_code, reason = "the soak uses the rest")]
 #[path = "../soak/system.rs"]
 mod processes;
+mod reading;
 mod replicas;
 mod restarts;
 mod rollout;
@@ -35,4 +37,5 @@
 mod stores;
 mod table;
 mod weights;
+mod weights_alone;
 mod weights_in_force;
--- a/tests/deployment/state.rs
+++ b/tests/deployment/state.rs
@@ -5,8 +5,9 @@
 use std::sync::Arc;
 
 use kumquatpost::control::state::{Command, ControlState, Published, Reply};
+use kumquatpost::scheduler::weights::{NAMINGS_KEPT, NamedWeights};
 
-use crate::fixtures::deployment;
+use crate::fixtures::{deployment, ms};
 
 fn publish(version: u64, text: &str) -> Command {
     let text = Arc::new(text.as_bytes().to_vec());
@@ -44,6 +45,26 @@
     assert_eq!(name(3), Reply::Named(4));
 }
 
+fn record(version: u64, age_ms: u64) -> Command {
+    Command::RecordAge { model: "m".into(), weights: NamedWeights { version, age: ms(age_ms) } }
+}
+
+/// A new leader may believe in a shorter time than the one before it.
+#[test]
+fn recorded_ages_of_named_weights_never_fall() {
+    let mut state = ControlState::default();
+    let steps = [(2, 1_000, 1_000), (2, 400, 1_000), (2, 2_000, 2_000), (3, 100, 100)];
+    for (version, age_ms, held_ms) in steps {
+        state.apply(record(version, age_ms));
+        assert_eq!(state.weight_ages["m"][&version], ms(held_ms));
+    }
+    assert_eq!(state.weight_ages["m"][&2], ms(2_000), "each version has its own");
+    for version in 4..100 {
+        state.apply(record(version, 0));
+    }
+    assert_eq!(state.weight_ages["m"].len(), NAMINGS_KEPT);
+}
+
 #[test]
 fn the_right_to_order_tells_who_had_it() {
     let mut state = ControlState::default();
@@ -59,6 +80,7 @@
     let mut state = ControlState::founded(BTreeMap::from([(1, ip)]));
     state.apply(publish(3, "three"));
     state.apply(Command::NameWeights { model: "m".into(), version: 2 });
+    state.apply(record(2, 1_000));
     state.apply(Command::TakeOrders { holder: 9 });
     state.apply(Command::Place { node: 2, ip });
     let bytes = state.snapshot();
