--- /dev/null
+++ b/src/scheduler/plan/intake.rs
@@ -0,0 +1,180 @@
+//! What the scheduler is told: the deployment, targets, weights, and what engines and stores hold.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use super::{EnginesClock, Scheduler};
+use crate::clock::BootTime;
+use crate::deployment::{Deployment, ServiceRole};
+use crate::fleet::{Presence, Roster};
+use crate::ids::TargetStart;
+use crate::scheduler::engine::Engine;
+use crate::scheduler::memory::PartKey;
+use crate::scheduler::store::{FreePlan, Inventory, Store, StoreEvent, part_key};
+use crate::scheduler::weights::{NamedSince, OldWeights};
+
+impl Scheduler {
+    /// Sets how long prompts may begin on older weights once newer ones are named.
+    pub fn set_old_weights(&mut self, old_weights: OldWeights) {
+        self.weights.old_weights = old_weights;
+    }
+
+    /// Takes which engines get no prompts, since they change their weights.
+    pub fn take_changing(&mut self, changing: &BTreeSet<TargetStart>) {
+        if self.weights.changing != *changing {
+            self.weights.changing.clone_from(changing);
+        }
+    }
+
+    /// Takes the newest weights of each model, with the times since when they are known.
+    pub fn take_named(&mut self, named: &NamedSince) {
+        if self.weights.named != *named {
+            self.weights.named.clone_from(named);
+        }
+    }
+
+    /// Engines whose weights are not known, with their addresses.
+    pub fn doubted(&self) -> Vec<(TargetStart, SocketAddr)> {
+        let listed = |id: &TargetStart| Some((id.clone(), self.engines.get(id)?.listed.address));
+        self.weights.doubted.iter().filter_map(listed).collect()
+    }
+
+    /// An engine whose weights were not known was asked. Without an answer it is trusted again: it
+    /// refuses what it must not run.
+    pub fn resolve(&mut self, engine: &TargetStart, weight_version: Option<u64>) {
+        self.weights.doubted.remove(engine);
+        if let Some(engine) = self.engines.get_mut(engine) {
+            engine.set_weights(weight_version);
+        }
+    }
+
+    /// Prompts that were placed on an engine and have not ended.
+    pub fn placed_on(&self, engine: &TargetStart) -> u32 {
+        self.engines.get(engine).map_or(0, Engine::placed)
+    }
+
+    /// Takes a deployment.
+    pub fn take_deployment(&mut self, deployment: &Deployment) {
+        self.traits.clear();
+        let mut stores = BTreeMap::new();
+        for (name, service) in &deployment.services {
+            match &service.role {
+                ServiceRole::Engines(traits) => {
+                    self.traits.insert(name.clone(), traits.clone());
+                }
+                ServiceRole::Store(traits) => {
+                    let known = self.stores.remove(&traits.address);
+                    let store = known.filter(|store| store.traits == *traits);
+                    let store = store.unwrap_or_else(|| Store::new(traits.clone()));
+                    stores.insert(traits.address, store);
+                }
+                ServiceRole::Plain => {}
+            }
+        }
+        self.stores = stores;
+    }
+
+    /// Takes a list of targets.
+    pub fn take_roster(&mut self, roster: &Roster) {
+        // Until their prompts have ended: a target whose entry is missing for a while comes back.
+        self.engines.retain(|start, engine| roster.get(start).is_some() || engine.placed() > 0);
+        for engine in self.engines.values_mut().filter(|e| roster.get(&e.listed.start).is_none()) {
+            engine.listed.presence = Presence::Leaving;
+        }
+        self.weights.doubted.retain(|id| roster.get(id).is_some());
+        for listed in roster.iter() {
+            let Some(traits) = self.traits.get(&listed.service) else { continue };
+            let version = listed.weights.values().next().copied();
+            let engine = self.engines.entry(listed.start.clone()).or_insert_with(|| {
+                Engine::new(listed.clone(), version, traits.capacity_tokens, traits.link_mbps)
+            });
+            engine.listed.clone_from(listed);
+            // The list lags: it may still name weights older than an answer has told.
+            if version > engine.weight_version {
+                engine.set_weights(version);
+            }
+        }
+    }
+
+    /// All engines with their addresses.
+    pub fn engines(&self) -> Vec<(TargetStart, SocketAddr)> {
+        self.engines.iter().map(|(id, engine)| (id.clone(), engine.listed.address)).collect()
+    }
+
+    /// Takes what an engine has told of its memory, in the order in which it happened. Returns how
+    /// many parts of its present weights it holds.
+    pub fn recall(&mut self, engine: &TargetStart, events: Vec<StoreEvent>) -> usize {
+        let Some(engine) = self.engines.get_mut(engine) else { return 0 };
+        let weights = format!("/{}", engine.weight_version.unwrap_or_default());
+        let mut held: BTreeMap<(String, String), (usize, u64)> = BTreeMap::new();
+        for (order, event) in events.into_iter().enumerate() {
+            match event {
+                StoreEvent::Stored(part) => {
+                    held.insert((part.salt, part.id), (order, part.tokens));
+                }
+                StoreEvent::Gone(part) => drop(held.remove(&(part.salt, part.id))),
+            }
+        }
+        held.retain(|(salt, _), _| salt.ends_with(&weights));
+        let mut parts: Vec<(usize, PartKey, u64)> = held
+            .iter()
+            .map(|((salt, id), (order, tokens))| (*order, part_key(salt, id), *tokens))
+            .collect();
+        parts.sort_unstable_by_key(|(order, ..)| *order);
+        parts.iter().for_each(|(_, key, tokens)| engine.memory.recall(*key, *tokens));
+        parts.len()
+    }
+
+    /// Addresses of all stores.
+    pub fn stores(&self) -> Vec<SocketAddr> {
+        self.stores.keys().copied().collect()
+    }
+
+    /// Takes a store's inventory.
+    pub fn take_inventory(&mut self, store: SocketAddr, inventory: Inventory, now: BootTime) {
+        if let Some(store) = self.stores.get_mut(&store) {
+            store.take_inventory(inventory, now);
+        }
+    }
+
+    /// Takes what a store reports.
+    pub fn take_events(&mut self, store: SocketAddr, events: Vec<StoreEvent>, now: BootTime) {
+        if let Some(store) = self.stores.get_mut(&store) {
+            events.into_iter().for_each(|event| store.take_event(event, now));
+        }
+    }
+
+    /// A store has started anew or can't be reached.
+    pub fn lost_store(&mut self, store: SocketAddr) {
+        if let Some(store) = self.stores.get_mut(&store) {
+            store.forget();
+        }
+    }
+
+    /// Reads the engines' clock. The answer was on its way for a while, so the clock is at least
+    /// there.
+    pub fn read_clock(&mut self, at_ms: u64, read_at: BootTime) {
+        self.clock = Some(EnginesClock { at_ms, read_at });
+    }
+
+    /// The engines' clock at `now`, or a little earlier.
+    pub fn engines_clock_ms(&self, now: BootTime) -> Option<u64> {
+        let clock = self.clock?;
+        Some(clock.at_ms + now.saturating_sub(clock.read_at).as_millis() as u64)
+    }
+
+    /// Parts to be freed now.
+    pub fn plan_frees(&mut self, now: BootTime) -> Vec<FreePlan> {
+        if now < self.frees_from {
+            return Vec::new();
+        }
+        self.stores.values_mut().filter_map(|store| store.plan_frees(now)).collect()
+    }
+
+    /// Records that parts were freed.
+    pub fn freed(&mut self, plan: &FreePlan) {
+        if let Some(store) = self.stores.get_mut(&plan.store) {
+            store.freed(plan);
+        }
+    }
+}
