--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -213,6 +213,8 @@
         if self.listed.weights != listed.weights {
             self.weights.clone_from(&listed.weights);
         }
+        // What answered for it at its former address says nothing of this one.
+        self.has_left &= listed.address == self.listed.address;
         self.listed.clone_from(listed);
         self.has_left |= listed.presence == Presence::Leaving;
         if self.has_left {
