--- a/src/control/roster_reader.rs
+++ b/src/control/roster_reader.rs
@@ -12,11 +12,15 @@
 use super::frames::ToReplica;
 use super::reading_turn::{LATE_AFTER, LOOK_EVERY, PAGE_TIMEOUT, READ_EVERY};
 use super::replica::Shared;
+use super::unreadable::UnreadableLines;
 use crate::clock::{BootTime, boot_now};
-use crate::fleet::Listed;
+use crate::fleet::{Listed, Listing};
 use crate::net::http::{Answer, CallError, Exchange, fetch};
-use crate::platform::instances;
+use crate::platform::instances::{self, Page};
+use crate::telemetry::roles::ReplicaMetrics;
 
+/// A list is read once in this time at the least, however few calls it takes.
+const RAREST_READ_S: f64 = 60.0;
 /// Readers use at most this part of the calls that the list takes: when a leader changes, two read.
 const RATE_PART: f64 = 0.6;
 /// A page that was asked for too often is asked for again within this time, so many times.
@@ -40,14 +44,15 @@
         if self.rate_per_s <= 0.0 {
             return READ_EVERY;
         }
-        let by_rate = Duration::from_secs_f64(pages as f64 / (self.rate_per_s * RATE_PART));
-        READ_EVERY.max(by_rate)
+        let by_rate_s = pages as f64 / (self.rate_per_s * RATE_PART);
+        READ_EVERY.max(Duration::from_secs_f64(by_rate_s.min(RAREST_READ_S)))
     }
 }
 
 /// Reads for as long as the process lives, whenever it is this replica's turn.
-pub async fn run(shared: Rc<Shared>, own: IpAddr, list: ListAddress) {
-    Reader { shared, own, list: list.address, asks_again_at: Cell::default() }.run(list).await;
+pub async fn run(shared: Rc<Shared>, own: IpAddr, list: ListAddress, metrics: Rc<ReplicaMetrics>) {
+    let asks_again_at = Cell::default();
+    Reader { shared, own, list: list.address, metrics, asks_again_at }.run(list).await;
 }
 
 /// The list's reader at one replica.
@@ -55,6 +60,7 @@
     shared: Rc<Shared>,
     own: IpAddr,
     list: SocketAddr,
+    metrics: Rc<ReplicaMetrics>,
     /// Others are asked to read once for each read here that fails.
     asks_again_at: Cell<BootTime>,
 }
@@ -62,6 +68,7 @@
 impl Reader {
     async fn run(&self, list: ListAddress) {
         let mut failing = false;
+        let mut unreadable = UnreadableLines::default();
         let mut pages = 1;
         let mut last_own = None;
         loop {
@@ -77,7 +84,10 @@
                     }
                     failing = false;
                     pages = read.pages;
-                    self.take(read.targets, began);
+                    let count = read.listing.unreadable_count() as u64;
+                    self.metrics.unreadable_entries.add(count, &[]);
+                    unreadable.note(&read.listing, boot_now());
+                    self.take(read.listing.into_targets(), began);
                     last_own = Some(self.shared.reading.get().read_at());
                 }
                 Err(error) => {
@@ -120,24 +130,21 @@
     }
 
     async fn read(&self) -> Result<Read, CallError> {
-        let mut targets = Vec::new();
+        let mut listing = Listing::default();
         let mut token: Option<String> = None;
         for pages in 1..=MAX_PAGES {
-            let (page, next) = self.read_page(token.as_deref()).await?;
-            targets.extend(page);
-            token = next;
+            let page = self.read_page(token.as_deref()).await?;
+            page.entries.into_iter().for_each(|entry| listing.add(entry));
+            token = page.next;
             if token.is_none() {
-                return Ok(Read { targets, pages });
+                return Ok(Read { listing: listing.finish()?, pages });
             }
         }
         Err("the list does not end".into())
     }
 
     /// Reads a page, again after a while if the list has been asked too often.
-    async fn read_page(
-        &self,
-        token: Option<&str>,
-    ) -> Result<(Vec<Listed>, Option<String>), CallError> {
+    async fn read_page(&self, token: Option<&str>) -> Result<Page, CallError> {
         let mut tries = 0;
         loop {
             let answer = self.fetch_page(token).await?;
@@ -200,6 +207,6 @@
 
 /// A whole list.
 struct Read {
-    targets: Vec<Listed>,
+    listing: Listing,
     pages: usize,
 }
--- a/tests/deployment/leaving.rs
+++ b/tests/deployment/leaving.rs
@@ -30,7 +30,7 @@
 use tokio::net::TcpListener;
 
 use crate::asking::shared;
-use crate::fixtures::{address, loopback, roster, target};
+use crate::fixtures::{address, loopback, roster, start, target};
 use crate::gateway::{PROMPT, entry, ok, run, unhurried};
 use crate::stand_in::{StandIn, Then};
 
@@ -55,7 +55,7 @@
 /// Finds an engine with newer weights than the list shows.
 fn find_weights(shared: &Shared) {
     let weights = [("m".to_string(), 2)].into();
-    shared.change_roster(|known| known.set_weights(&"i-3".to_string(), &weights));
+    shared.change_roster(|known| known.set_weights(&start("i-3"), &weights));
 }
 
 fn current(shared: &Shared) -> NumberedRoster {
@@ -64,11 +64,11 @@
 
 fn knows_who_leaves(shared: &Shared) -> bool {
     let roster = current(shared).roster;
-    roster.get(LEAVES).is_some_and(|listed| listed.presence == Presence::Leaving)
+    roster.get(&start(LEAVES)).is_some_and(|listed| listed.presence == Presence::Leaving)
 }
 
 fn takes_work(gateway: &Gateway) -> bool {
-    gateway.fleet.borrow().live("app").any(|state| state.listed.id == LEAVES)
+    gateway.fleet.borrow().live("app").any(|state| state.listed.start.id == LEAVES)
 }
 
 /// An entry's connection to a replica, without the network.
@@ -131,16 +131,19 @@
     assert!(knows_who_leaves(&earlier), "a list with a higher number brought a target back");
     leader.take_roster(current(&earlier));
     assert!(knows_who_leaves(&leader), "what another replica knows is not heard");
-    assert_eq!(current(&leader).roster.get(LEAVES), current(&earlier).roster.get(LEAVES));
+    assert_eq!(
+        current(&leader).roster.get(&start(LEAVES)),
+        current(&earlier).roster.get(&start(LEAVES))
+    );
     // Nor at an entry, which may have found out by itself that a target has ended.
-    let live = |view: &FleetView| view.live("app").any(|state| state.listed.id == LEAVES);
+    let live = |view: &FleetView| view.live("app").any(|state| state.listed.start.id == LEAVES);
     let mut view = FleetView::default();
     view.take(&roster(listed(Presence::Leaving)));
     view.take(&roster(listed(Presence::Live)));
     assert!(!live(&view), "a later list brought a leaving target back to an entry");
     let mut view = FleetView::default();
     view.take(&roster(listed(Presence::Live)));
-    view.replaced(&LEAVES.to_string());
+    view.replaced(&start(LEAVES));
     view.take(&roster(listed(Presence::Live)));
     assert!(!live(&view), "a list that lags brought an ended target back to an entry");
     let mut elsewhere = listed(Presence::Live);
@@ -217,9 +220,11 @@
     // It ends with the test.
     while let Ok(frame) = read(&mut from_entry).await {
         if let FromEntry::Ask(number, ask) = frame {
-            let engine = engines.iter().find(|engine| !ask.avoid.iter().any(|id| id == *engine));
+            let engine = engines
+                .iter()
+                .find(|engine| !ask.avoid.iter().any(|avoided| avoided.id == **engine));
             let target = engine.expect("one is left").to_string();
-            let placed = Placed { target, ..Placed::default() };
+            let placed = Placed { target: start(&target), ..Placed::default() };
             let answer = encode(&ToEntry::Placed(number, Ok(placed)));
             write.write_all(&answer).await.expect("the entry reads");
         }
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -18,17 +18,23 @@
 mod leaving;
 mod links;
 mod memory;
+mod orders;
 mod placement;
 #[allow(dead_code, reason = "the soak uses the rest")]
 #[path = "../platform_stand_in/mod.rs"]
 mod platform_stand_in;
+#[allow(dead_code, reason = "the soak uses the rest")]
+#[path = "../soak/system.rs"]
+mod processes;
 mod reading;
 mod replicas;
+mod restarts;
 mod rollout;
 mod roster;
 mod scheduling;
 mod settings;
 mod stand_in;
+mod starts;
 mod state;
 mod stores;
 mod table;
--- a/tests/deployment/placement.rs
+++ b/tests/deployment/placement.rs
@@ -7,7 +7,7 @@
 use kumquatpost::gateway::call::{Part, Prompt};
 use kumquatpost::scheduler::weights::{NamedSince, OldWeights, take_named};
 
-use crate::fixtures::{address, ms, roster, target};
+use crate::fixtures::{address, ms, roster, start, target};
 
 fn view(engines: u16) -> FleetView {
     let mut view = FleetView::default();
@@ -87,7 +87,7 @@
 fn engines_out_of_order_and_tried_ones_are_left_out() {
     let mut view = view(2);
     let prompt = prompt(1, 2_000);
-    let id = |n: u64| format!("i-{n}");
+    let id = |n: u64| start(&format!("i-{n}"));
     view.unreachable(&id(0), ms(0));
     for context in 0..20 {
         let prompt = self::prompt(context, 2_000);
@@ -136,11 +136,11 @@
         let prompt = prompt(context, 7_000);
         let ask = Ask { named: &named, old_weights, ..ask(&prompt, "all", context) };
         let choice = choose(&view, &ask, ms(1_100)).expect("an engine");
-        assert_eq!((choice.target.as_str(), choice.weight_version), ("i-1", Some(2)));
-        let tried = ["i-1".to_string()];
+        assert_eq!((choice.target.id.as_str(), choice.weight_version), ("i-1", Some(2)));
+        let tried = [start("i-1")];
         let again = Ask { tried: &tried, ..ask };
         let older = choose(&view, &again, ms(1_100)).expect("an engine");
-        assert_eq!((older.target.as_str(), older.weight_version), ("i-0", Some(1)));
+        assert_eq!((older.target.id.as_str(), older.weight_version), ("i-0", Some(1)));
         // A prompt begins up to 0.8 s after it was placed, and after what the engine reads before it.
         assert_eq!(choose(&view, &again, ms(6_200)), Err(Unplaced::OldWeights));
         assert!(choose(&view, &ask, ms(60_000)).is_ok());
@@ -156,21 +156,23 @@
     let prompt = prompt(1, 2_000);
     let ask = Ask { named: &named, old_weights, ..ask(&prompt, "all", 0) };
     assert_eq!(choose(&view, &ask, ms(60_000)), Err(Unplaced::OldWeights));
-    view.refused_weights(&"i-0".to_string(), &"m".to_string(), None);
+    view.refused_weights(&start("i-0"), &"m".to_string(), None);
     let choice = choose(&view, &ask, ms(60_000)).expect("the engine decides");
     assert_eq!(choice.weight_version, Some(2));
 }
 
 #[test]
 fn what_an_engine_says_of_its_weights_holds_until_the_list_says_something_new() {
-    let (id, model) = ("i-0".to_string(), "m".to_string());
+    let (id, model) = (start("i-0"), "m".to_string());
     let listed = |version| {
         let mut listed = target("i-0", "llm", address(0));
         listed.weights.insert("m".to_string(), version);
         roster([listed])
     };
     let mut view = FleetView::default();
-    let has = |view: &FleetView| view.get("i-0").and_then(|state| state.weights.get("m").copied());
+    let has = |view: &FleetView| {
+        view.get(&start("i-0")).and_then(|state| state.weights.get("m").copied())
+    };
     view.take(&listed(1));
     view.answered_on(&id, &model, 2);
     view.take(&listed(1));
--- a/tests/deployment/reading.rs
+++ b/tests/deployment/reading.rs
@@ -11,6 +11,7 @@
 };
 use kumquatpost::control::roster_reader::{self, ListAddress};
 use kumquatpost::control::state::ControlState;
+use kumquatpost::telemetry::roles::ReplicaMetrics;
 use tokio::io::BufReader;
 use tokio::net::TcpListener;
 
@@ -110,7 +111,8 @@
         .belief
         .send_modify(|belief| belief.state = ControlState::founded([(1, own), (2, other)].into()));
     let list = ListAddress { address: list, rate_per_s: 44.0 };
-    tokio::task::spawn_local(roster_reader::run(Rc::new(leader), own, list));
+    let metrics = Rc::new(ReplicaMetrics::new().expect("instruments"));
+    tokio::task::spawn_local(roster_reader::run(Rc::new(leader), own, list, metrics));
     let connected = tokio::time::timeout(PATIENCE, listener.accept()).await;
     let (stream, _) = connected.expect("somebody is asked").expect("it connects");
     let mut frames = BufReader::new(stream);
--- a/tests/deployment/scheduling.rs
+++ b/tests/deployment/scheduling.rs
@@ -10,14 +10,14 @@
 use kumquatpost::deployment::{Deployment, ServiceRole};
 use kumquatpost::fleet::Listed;
 use kumquatpost::gateway::call::Part;
-use kumquatpost::ids::TargetId;
+use kumquatpost::ids::TargetStart;
 use kumquatpost::scheduler::pace::Pace;
 use kumquatpost::scheduler::store::{Inventory, StoreEvent, StoredPart};
 use kumquatpost::scheduler::{Ask, End, Note, Outcome, Placed, Scheduler, Unplaced, WaiterId};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
-use crate::fixtures::{address, deployment, ms, roster, target};
+use crate::fixtures::{address, deployment, ms, roster, start, store_start, target};
 
 const READ_TOKENS_PER_MS: f64 = 140.0;
 const FIRST_AFTER: Duration = Duration::from_millis(53);
@@ -54,7 +54,7 @@
     let mut scheduler = Scheduler::new(1, ms(0));
     scheduler.take_deployment(&site());
     scheduler.take_roster(&roster(engines(count)));
-    let empty = Inventory { epoch: 1, ..Inventory::default() };
+    let empty = Inventory { start: store_start(1), ..Inventory::default() };
     scheduler.take_inventory(address(9_000), empty, ms(0));
     scheduler.read_clock(0, ms(0));
     scheduler
@@ -129,11 +129,11 @@
     let ask = ask_of(0, 1, 1);
     let whole =
         vec![StoredPart { salt: "all/m/1".into(), id: ask.parts[0].id.clone(), tokens: 9_100 }];
-    let inventory = Inventory { epoch: 1, whole, ..Inventory::default() };
+    let inventory = Inventory { start: store_start(1), whole, ..Inventory::default() };
     scheduler.take_inventory(address(9_000), inventory, ms(0));
     assert_eq!(placed(scheduler.submit(1, ask.clone(), ms(10))).fetch[0], None);
     scheduler.read_clock(77, ms(20));
-    let avoid = vec!["i-00".to_string()];
+    let avoid = vec![start("i-00")];
     assert!(placed(scheduler.submit(2, Ask { avoid, ..ask }, ms(30))).fetch[0].is_some());
 }
 
@@ -168,7 +168,7 @@
     let two = placed(scheduler.submit(2, ask_of(1, 1, 2), ms(11)));
     end(&mut scheduler, one.ticket, End::OtherWeights(None), ms(20));
     assert!(scheduler.submit(3, ask_of(1, 1, 3), ms(21)).is_none(), "it waits");
-    assert_eq!(scheduler.doubted(), [("i-00".to_string(), address(0))]);
+    assert_eq!(scheduler.doubted(), [(start("i-00"), address(0))]);
     scheduler.resolve(&one.target, Some(2));
     // What was sent before, under the same belief, tells nothing new.
     end(&mut scheduler, two.ticket, End::OtherWeights(None), ms(30));
@@ -191,7 +191,8 @@
     }
     scheduler.take_deployment(&site);
     let whole = (0..10).map(|n| StoredPart { salt: "s".into(), id: n.to_string(), tokens: 992 });
-    let inventory = Inventory { epoch: 1, whole: whole.collect(), ..Inventory::default() };
+    let inventory =
+        Inventory { start: store_start(1), whole: whole.collect(), ..Inventory::default() };
     scheduler.take_inventory(address(9_000), inventory, ms(10_000));
     assert!(scheduler.plan_frees(ms(12_400)).is_empty());
     assert_eq!(scheduler.plan_frees(ms(12_600)).len(), 1);
@@ -271,8 +272,8 @@
     asks: HashMap<WaiterId, (usize, Ask, Duration)>,
     /// What happens to prompts at engines, by time.
     due: BTreeMap<(Duration, u64), Due>,
-    free_at: HashMap<TargetId, Duration>,
-    dead: BTreeSet<TargetId>,
+    free_at: HashMap<TargetStart, Duration>,
+    dead: BTreeSet<TargetStart>,
     next: u64,
     tally: Tally,
 }
@@ -429,7 +430,7 @@
 fn with_a_quarter_of_the_engines_gone_most_are_still_on_time() {
     let mut world = World::new(12);
     world.run(3, 1.0);
-    world.dead = (0..3).map(|n| format!("i-{n:02}")).collect();
+    world.dead = (0..3).map(|n| start(&format!("i-{n:02}"))).collect();
     let hit = world.run(5, 1.0);
     assert!(hit.part_in_aim() > 0.85, "{hit:?}");
     world.dead.clear();
@@ -443,7 +444,7 @@
 fn engines_that_are_found_full_are_not_taken_for_slow() {
     let mut world = World::new(12);
     for engine in engines(12) {
-        world.free_at.insert(engine.id, ms(1_500));
+        world.free_at.insert(engine.start, ms(1_500));
     }
     world.run(3, 1.0);
     let after = world.run(5, 1.0);
@@ -492,3 +493,19 @@
     let after = pace.reading(1_000) + pace.base();
     assert!(after < before * 3, "{before:?} became {after:?}");
 }
+
+/// It runs older weights than it was found with, so the belief of all is wrong.
+#[test]
+fn an_engine_that_runs_older_weights_than_believed_is_asked() {
+    let mut scheduler = scheduler(1);
+    let mut listed = engines(1);
+    listed[0].weights.insert("m".to_string(), 2);
+    scheduler.take_roster(&roster(listed));
+    let one = placed(scheduler.submit(1, ask_of(1, 1, 1), ms(10)));
+    let two = placed(scheduler.submit(2, ask_of(1, 1, 2), ms(80)));
+    assert_eq!(one.weight_version, Some(2));
+    end(&mut scheduler, one.ticket, End::OtherWeights(Some(3)), ms(90));
+    assert_eq!(scheduler.doubted(), [], "newer ones come to the list by themselves");
+    end(&mut scheduler, two.ticket, End::OtherWeights(Some(1)), ms(91));
+    assert_eq!(scheduler.doubted().len(), 1);
+}
--- a/tests/deployment/weights.rs
+++ b/tests/deployment/weights.rs
@@ -21,6 +21,10 @@
     roster(versions.iter().enumerate().map(engine))
 }
 
+fn is_llm(service: &String) -> bool {
+    service == "llm"
+}
+
 fn named(version: u64) -> BTreeMap<String, u64> {
     BTreeMap::from([("m".to_string(), version)])
 }
@@ -31,25 +35,49 @@
     assert_eq!(loads_at_once(&roster, &"m".to_string()), 2);
     let mut under_way = BTreeSet::new();
     for expected in [3, 0] {
-        let next = next_loads(&roster, &named(2), &under_way);
+        let next = next_loads(&roster, &named(2), &under_way, &BTreeSet::new(), is_llm);
         assert_eq!(next.len(), expected);
         under_way.extend(next.into_iter().map(|lagging| lagging.engine));
     }
 }
 
+/// Orders that are carried out seconds late: a quarter changes at a time, and half and a quarter wait.
+#[test]
+fn engines_that_are_awaited_leave_their_place_to_others_but_some_are_never_told_at_once() {
+    let roster = engines_with(&[1; 12]);
+    let (changing, mut awaited) = (BTreeSet::new(), BTreeSet::new());
+    let mut told = Vec::new();
+    for _ in 0..5 {
+        let next = next_loads(&roster, &named(2), &changing, &awaited, is_llm);
+        told.push(next.len());
+        awaited.extend(next.into_iter().map(|lagging| lagging.engine));
+    }
+    assert_eq!(told, [3, 3, 3, 0, 0]);
+}
+
 #[test]
 fn a_small_fleet_goes_on_one_by_one() {
     assert_eq!(loads_at_once(&engines_with(&[1, 1, 1]), &"m".to_string()), 1);
-    assert_eq!(next_loads(&engines_with(&[1, 1, 1]), &named(2), &BTreeSet::new()).len(), 1);
+    assert_eq!(
+        next_loads(
+            &engines_with(&[1, 1, 1]),
+            &named(2),
+            &BTreeSet::new(),
+            &BTreeSet::new(),
+            is_llm
+        )
+        .len(),
+        1
+    );
 }
 
 #[test]
 fn engines_that_lag_are_found_whichever_version_they_have() {
     // One that starts again with old weights, one that missed a version, one that is ahead.
-    let roster = engines_with(&[4, 2, 3, 5, 4, 4, 4, 4, 4, 4, 4, 4, 4, 4, 4, 4, 4, 4]);
-    let next = next_loads(&roster, &named(4), &BTreeSet::new());
-    let names: Vec<&str> = next.iter().map(|lagging| lagging.engine.as_str()).collect();
-    assert_eq!(names, ["i-01", "i-02"]);
+    let roster = engines_with(&[4, 3, 2, 5, 4, 4, 4, 4, 4, 4, 4, 4, 4, 4, 4, 4, 4, 4]);
+    let next = next_loads(&roster, &named(4), &BTreeSet::new(), &BTreeSet::new(), is_llm);
+    let names: Vec<&str> = next.iter().map(|lagging| lagging.engine.id.as_str()).collect();
+    assert_eq!(names, ["i-02", "i-01"], "what has missed most goes first");
 }
 
 #[test]
@@ -59,7 +87,7 @@
     let mut other = target("i-2", "llm", address(2));
     other.weights = BTreeMap::from([("other".to_string(), 1)]);
     let roster = roster([leaving, other, target("i-3", "app", address(3))]);
-    assert_eq!(next_loads(&roster, &named(2), &BTreeSet::new()), []);
+    assert_eq!(next_loads(&roster, &named(2), &BTreeSet::new(), &BTreeSet::new(), is_llm), []);
 }
 
 #[test]
@@ -92,6 +120,31 @@
     assert!(engines::decode_report(b"{}").is_err());
 }
 
+#[test]
+fn a_report_tells_which_start_it_is_of() {
+    let report = |born: &str| engines::decode_report(format!(r#"{{"Seq":2{born}}}"#).as_bytes());
+    assert_eq!(report("").expect("a report").born_ms, None);
+    assert_eq!(
+        report(r#","born":1700000000001"#).expect("a report").born_ms,
+        Some(1_700_000_000_001)
+    );
+    for born in ["\"1\"", "1.5", "null"] {
+        assert!(report(&format!(r#","born":{born}"#)).is_err(), "{born}");
+    }
+    let start = crate::fixtures::born("i-1", 7);
+    assert!(start.may_be_born(Some(7)) && start.may_be_born(None) && !start.may_be_born(Some(8)));
+    assert!(crate::fixtures::start("i-1").may_be_born(Some(8)), "births may be told here alone");
+}
+
+#[test]
+fn an_entry_of_an_unknown_service_is_told_nothing_and_keeps_nobody_waiting() {
+    let mut strange = target("a-first", "unheard", address(1));
+    strange.weights = BTreeMap::from([("m".to_string(), 1)]);
+    let roster = roster([strange, target("i-1", "llm", address(2))]);
+    let next = next_loads(&roster, &named(2), &BTreeSet::new(), &BTreeSet::new(), is_llm);
+    assert_eq!(next.iter().map(|next| next.engine.id.as_str()).collect::<Vec<_>>(), ["i-1"]);
+}
+
 /// Weights 2 are named at 10 s; older ones may be used for 8.4 s.
 #[test]
 fn the_age_of_a_naming_is_recorded_each_second_until_nothing_depends_on_it() {
--- a/tests/platform_stand_in/account.rs
+++ b/tests/platform_stand_in/account.rs
@@ -1,7 +1,7 @@
 //! What has reached the targets, and what must not have.
 
 use std::collections::HashMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Requests whose ids begin so may run more than once.
 pub const REPEATABLE: &str = "safe-";
@@ -13,6 +13,8 @@
 pub struct Run {
     /// The target's id.
     pub target: String,
+    /// Which of its starts that was.
+    pub start: u64,
     /// When it began.
     pub begun: Instant,
     /// The account that it was said to be of.
@@ -45,15 +47,95 @@
     pub violations: Vec<String>,
     /// Orders that targets have taken.
     pub orders: u64,
+    /// What came later than a deployment allows.
+    pub late: Vec<Late>,
+    /// Versions of weights that were acknowledged, and when.
+    pub named: Vec<(u64, Instant)>,
     stamps: u64,
 }
 
+/// Something that came late. It must not come later than is allowed, unless something was wrong
+/// meanwhile.
+#[derive(Clone, Debug)]
+pub struct Late {
+    /// Which promise it is about.
+    pub promise: Promise,
+    /// What it is.
+    pub what: String,
+    /// How late it came.
+    pub late: Duration,
+    /// The span in which something may have been wrong.
+    pub from: Instant,
+    /// Its end, when it came.
+    pub to: Instant,
+}
+
+/// What is promised within a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Promise {
+    /// A target that leaves gets no new requests.
+    Leaving,
+    /// Prompts begin on named weights.
+    Weights,
+}
+
+impl Promise {
+    /// What the soak's deployment allows.
+    pub fn bound(self) -> Duration {
+        match self {
+            Promise::Leaving => Duration::from_secs(3),
+            Promise::Weights => Duration::from_secs(6),
+        }
+    }
+
+    /// What the soak allows: a busy machine may keep a process waiting for a while.
+    pub fn allowed(self) -> Duration {
+        match self {
+            Promise::Leaving => Duration::from_secs(5),
+            Promise::Weights => Duration::from_secs(10),
+        }
+    }
+}
+
+/// A leaving target gets no new requests after this time whatever is wrong.
+const LEAVES_AT_LAST: Duration = Duration::from_secs(8);
+
 impl Account {
     /// Records something that must never happen.
     pub fn violation(&mut self, what: String) {
         self.violations.push(what);
     }
 
+    /// A request reaches a target that leaves.
+    pub fn reaches_leaving(&mut self, request: &str, target: &str, from: Instant) {
+        let late = from.elapsed();
+        let what = format!("{request} reaches {target} {late:?} after it began to leave");
+        match late {
+            late if late > LEAVES_AT_LAST => self.violations.push(what),
+            late => self.came_late(Promise::Leaving, what, late),
+        }
+    }
+
+    /// A prompt begins on weights.
+    pub fn begins_on(&mut self, request: &str, target: &str, weights: u64) {
+        let newer = self.named.iter().find(|(version, _)| *version > weights);
+        let Some((version, late)) = newer.map(|(version, at)| (*version, at.elapsed())) else {
+            return;
+        };
+        let what = format!(
+            "{request} begins at {target} on weights {weights}, {late:?} after {version} was named"
+        );
+        self.came_late(Promise::Weights, what, late);
+    }
+
+    fn came_late(&mut self, promise: Promise, what: String, late: Duration) {
+        if late > promise.bound() {
+            let to = Instant::now();
+            let from = to - late.min(promise.allowed());
+            self.late.push(Late { promise, what, late, from, to });
+        }
+    }
+
     /// A stamp that no other run has.
     pub fn next_stamp(&mut self) -> String {
         self.stamps += 1;
