--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -30,15 +30,30 @@
 const ENGINES: usize = 4;
 const INSTANCES: usize = 3;
 
+/// Which faults strike.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kinds {
+    /// All but those of the list and of targets that start again.
+    Plain,
+    /// All.
+    All,
+}
+
 /// Draws and applies faults.
 pub struct Faults {
-    world: Arc<World>,
+    pub(super) world: Arc<World>,
     random: SmallRng,
-    targets: BTreeMap<String, Proxy>,
-    list: Proxy,
+    /// Draws what befalls the list and the targets on it, if that is wanted: apart from the rest, so
+    /// that earlier seeds draw what they drew.
+    pub(super) list_random: Option<SmallRng>,
+    pub(super) targets: BTreeMap<String, Proxy>,
+    /// Before the list, one for each replica.
+    pub(super) lists: Vec<Proxy>,
+    /// What entries of other writers name.
+    pub(super) nobody: SocketAddr,
     starts: u64,
     /// What ends faults that have begun.
-    healing: JoinSet<()>,
+    pub(super) healing: JoinSet<()>,
     /// Targets that leave.
     leaving: JoinSet<()>,
     /// Replicas that are lost, until when.
@@ -49,13 +64,17 @@
 
 impl Faults {
     /// Starts the targets. Nothing is wrong yet.
-    pub async fn new(world: Arc<World>, list: Proxy) -> Faults {
+    pub async fn new(world: Arc<World>, lists: Vec<Proxy>, kinds: Kinds) -> Faults {
         let random = SmallRng::seed_from_u64(world.seed);
+        let list_random = SmallRng::seed_from_u64(world.seed ^ 0x6c69_7374);
+        let nobody = world.platform.serve_nobody(any_address()).await;
         let mut faults = Faults {
             world,
             random,
+            list_random: (kinds == Kinds::All).then_some(list_random),
             targets: BTreeMap::new(),
-            list,
+            lists,
+            nobody,
             starts: 0,
             healing: JoinSet::new(),
             leaving: JoinSet::new(),
@@ -75,13 +94,11 @@
         self.starts += 1;
         let id = format!("i-{service}-{}", self.starts);
         let zone = format!("hall-{}", self.starts % 3);
-        let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
-        let held = tokio::net::TcpListener::bind(any).await.expect("a port");
-        let address = held.local_addr().expect("an address");
-        drop(held);
-        let proxy = Proxy::start(address).await;
+        let proxy = Proxy::start(any_address()).await;
         let platform = &self.world.platform;
-        platform.start_target(&id, service, &zone, address, Some(proxy.address)).await;
+        let listed = Some(proxy.address);
+        let address = platform.start_target(&id, service, &zone, any_address(), listed).await;
+        proxy.redirect(address);
         self.targets.insert(id, proxy);
     }
 
@@ -93,12 +110,14 @@
             while Instant::now() < storm_ends {
                 self.pause().await;
                 self.strike().await;
+                self.strike_list().await;
             }
             self.heal().await;
             let calm_ends = (Instant::now() + CALM).min(end);
             while Instant::now() < calm_ends {
                 self.pause().await;
                 self.plan();
+                self.plan_list().await;
             }
         }
         self.heal().await;
@@ -200,7 +219,14 @@
 
     fn any_target(&mut self) -> Option<String> {
         let ids: Vec<&String> = self.targets.keys().collect();
-        ids.choose(&mut self.random).map(|id| id.to_string())
+        let id = ids.choose(&mut self.random).map(|id| id.to_string());
+        id.filter(|id| self.is_up(id))
+    }
+
+    /// Whether a target runs: one that starts again is down for a while.
+    pub(super) fn is_up(&self, id: &str) -> bool {
+        let platform = self.world.platform.lock();
+        platform.targets.get(id).is_some_and(|target| platform.runs(id, target.start))
     }
 
     fn harm_connections(&mut self, lasts: Duration) {
@@ -215,10 +241,12 @@
     }
 
     fn harm_list(&mut self, lasts: Duration) {
-        self.set(self.list.clone(), Harm::Silence, lasts);
+        for list in self.lists.clone() {
+            self.set(list, Harm::Silence, lasts);
+        }
     }
 
-    fn set(&mut self, proxy: Proxy, harm: Harm, lasts: Duration) {
+    pub(super) fn set(&mut self, proxy: Proxy, harm: Harm, lasts: Duration) {
         proxy.set(harm);
         self.later(lasts, move |_| proxy.set(Harm::None));
     }
@@ -239,25 +267,31 @@
     async fn replace_target(&mut self) {
         let Some(id) = self.any_target() else { return };
         self.targets.remove(&id);
-        self.world.platform.crash_target(&id);
+        let start = self.world.platform.lock().targets[&id].start;
+        self.world.platform.crash_target(&id, start);
         self.start_target(service_of(&id)).await;
     }
 
     /// A target leaves, and another one starts before it does.
     async fn drain_target(&mut self) {
-        let Some(id) = self.any_target() else { return };
+        if let Some(id) = self.any_target() {
+            self.drain(id).await;
+        }
+    }
+
+    pub(super) async fn drain(&mut self, id: String) {
         self.targets.remove(&id);
         self.start_target(service_of(&id)).await;
-        self.world.platform.drain_target(&id);
+        let start = self.world.platform.drain_target(&id);
         // Planned: nothing is wrong meanwhile.
         let world = self.world.clone();
         self.leaving.spawn(async move {
             tokio::time::sleep(LEAVES_AFTER).await;
-            world.platform.crash_target(&id);
+            world.platform.crash_target(&id, start);
         });
     }
 
-    fn later(&mut self, after: Duration, end: impl FnOnce(&World) + Send + 'static) {
+    pub(super) fn later(&mut self, after: Duration, end: impl FnOnce(&World) + Send + 'static) {
         let world = self.world.clone();
         let harm = world.begin_harm();
         self.healing.spawn(async move {
@@ -281,3 +315,8 @@
 fn service_of(id: &str) -> &'static str {
     if id.contains("-llm-") { "llm" } else { "app" }
 }
+
+/// A free port on loopback.
+pub fn any_address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -2,14 +2,17 @@
 //! faults from outside, drawn from one seed. It checks what callers and targets see while it runs.
 //!
 //! `cargo test --release --test soak -- --seed 7 --processes 8 --minutes 2`; `--seeds N` runs N seeds
-//! from there. Without arguments: one short run.
+//! from there, with `--plain` without faults of the list and of targets that start again. Without
+//! arguments: short runs.
 
 mod callers;
 mod faults;
+mod listing;
 mod operator;
 #[path = "../platform_stand_in/mod.rs"]
 mod platform_stand_in;
 mod proxy;
+mod starts;
 mod system;
 
 use std::net::SocketAddr;
@@ -19,10 +22,11 @@
 use std::time::{Duration, Instant};
 
 use callers::{Claim, Tally};
-use faults::Faults;
+use faults::{Faults, Kinds};
+use futures::StreamExt;
 use operator::Published;
 use platform_stand_in::Platform;
-use platform_stand_in::account::RunEnd;
+use platform_stand_in::account::{Late, Promise, RunEnd};
 use platform_stand_in::target::Fault;
 use proxy::Proxy;
 use system::{Disturbance, REPLICAS, System};
@@ -33,8 +37,10 @@
 const SHORT: Duration = Duration::from_secs(30);
 /// Seeds that once failed, run each time. 10: two prompts under way to an engine that changed its
 /// weights moved the belief about it by two versions. 19: SIGHUP ended a process that had just started.
-/// 108: after all replicas had started anew, entries took their lists of targets for old ones.
-const REGRESSIONS: [u64; 3] = [10, 19, 108];
+/// 108: after all replicas had started anew, entries took their lists of targets for old ones. 321: one
+/// entry of another writer took the whole list away; targets that had left and started again got nothing.
+const REGRESSIONS: [(u64, Kinds); 4] =
+    [(10, Kinds::Plain), (19, Kinds::Plain), (108, Kinds::Plain), (321, Kinds::All)];
 /// Work for a caller who has left ends after this time. Longer than deployments ask for: a busy
 /// machine may keep a process waiting for a while.
 const LEAVING_TAKES: Duration = Duration::from_secs(3);
@@ -148,12 +154,23 @@
         }
     }
 
+    /// What came latest while nothing was wrong, if later than a deployment allows.
+    fn latest(&self, promise: Promise) -> Option<Late> {
+        let platform = self.platform.lock();
+        let late = platform.account.late.iter().filter(|late| late.promise == promise);
+        let calm = late.filter(|late| !self.was_harmed(late.from, late.to));
+        calm.max_by_key(|late| late.late).cloned()
+    }
+
     fn check_repeats(&self) {
         let platform = self.platform.lock();
         let repeats: usize = platform.account.runs.values().map(|runs| runs.len() - 1).sum();
         let (ratio, slack) = REPEATS;
         let most = platform.account.runs.len() as f64 * ratio + slack;
-        let violations = platform.account.violations.clone();
+        let mut violations = platform.account.violations.clone();
+        let late = platform.account.late.iter().filter(|late| late.late > late.promise.allowed());
+        let wrong = late.filter(|late| !self.was_harmed(late.from, late.to));
+        violations.extend(wrong.map(|late| late.what.clone()));
         drop(platform);
         if repeats as f64 > most {
             self.violation(format!("{repeats} repeats, at most {most} are allowed"));
@@ -163,11 +180,13 @@
 }
 
 /// Runs one seed. Returns what must not have happened.
-async fn soak(seed: u64, entries: usize, lasts: Duration) -> Vec<String> {
+async fn soak(seed: u64, entries: usize, lasts: Duration, kinds: Kinds) -> Vec<String> {
     let begun = Instant::now();
     let platform = Platform::new();
     let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
-    let list = Proxy::start(platform.serve_list(any).await).await;
+    let list = platform.serve_list(any).await;
+    let lists: Vec<Proxy> =
+        futures::stream::iter(0..REPLICAS).then(|_| Proxy::start(list)).collect().await;
     let store = platform.serve_store(any).await;
     let world = Arc::new(World {
         seed,
@@ -176,13 +195,17 @@
         store,
         tally: Tally::default(),
         judged: AtomicU64::new(0),
-        system: Mutex::new(System::start(entries, list.address, (seed % 200) as u8)),
+        system: Mutex::new(System::start(
+            entries,
+            lists.iter().map(|list| list.address).collect(),
+            (seed % 200) as u8,
+        )),
         published: Mutex::default(),
         claims: Mutex::default(),
         violations: Mutex::default(),
         harms: Mutex::default(),
     });
-    let mut faults = Faults::new(world.clone(), list).await;
+    let mut faults = Faults::new(world.clone(), lists, kinds).await;
     operator::check_recovery(&world).await;
     let ending = Arc::new(AtomicBool::new(false));
     let mut tasks = tokio::task::JoinSet::new();
@@ -196,6 +219,7 @@
     settled.store(true, Ordering::Relaxed);
     operator.await.expect("it does not panic");
     operator::check_recovery(&world).await;
+    starts::check(&world).await;
     ending.store(true, Ordering::Relaxed);
     while let Some(ended) = tasks.join_next().await {
         ended.expect("no task panics");
@@ -204,21 +228,23 @@
     world.check_claims();
     world.check_repeats();
     let told = summary(&world, &faults, begun);
+    let latest = [Promise::Leaving, Promise::Weights].map(|promise| world.latest(promise));
     faults.close().await;
-    close(world, &told)
+    close(world, &told, latest.into_iter().flatten().collect())
 }
 
 fn summary(world: &World, faults: &Faults, begun: Instant) -> String {
     let platform = world.platform.lock();
     let of = |count: &AtomicU64| count.load(Ordering::Relaxed);
     format!(
-        "sent={} whole={} refused={} failed={} faults={} orders={} freed={} fetched={} judged={} \
-         seconds={}",
+        "sent={} whole={} refused={} failed={} faults={} restarts={} orders={} freed={} fetched={} \
+         judged={} seconds={}",
         of(&world.tally.sent),
         of(&world.tally.whole),
         of(&world.tally.refused),
         of(&world.tally.failed),
         faults.count,
+        platform.targets.values().map(|target| target.start - 1).sum::<u64>(),
         platform.account.orders,
         platform.store.freed,
         platform.store.fetched,
@@ -227,8 +253,8 @@
     )
 }
 
-/// Ends the processes; keeps their logs if something was wrong.
-fn close(world: Arc<World>, told: &str) -> Vec<String> {
+/// Ends the processes; keeps their logs if something was wrong, or came late.
+fn close(world: Arc<World>, told: &str, late: Vec<Late>) -> Vec<String> {
     let world = Arc::into_inner(world).expect("all tasks have ended");
     let mut violations = world.violations.into_inner().expect("nobody panics with it");
     let folder = world.system.into_inner().expect("nobody panics with it").close();
@@ -240,7 +266,8 @@
         violations.extend(panics.map(|line| format!("{}: {line}", path.display())));
     }
     println!("seed {}: {told} violations={}", world.seed, violations.len());
-    if !violations.is_empty() {
+    late.iter().for_each(|late| println!("seed {}: late: {}", world.seed, late.what));
+    if !violations.is_empty() || !late.is_empty() {
         println!("seed {}: logs in {}", world.seed, folder.keep().display());
     }
     violations
@@ -253,15 +280,16 @@
     let processes: Option<usize> = arguments.opt_value_from_str("--processes").expect("a number");
     let minutes: Option<f64> = arguments.opt_value_from_str("--minutes").expect("a number");
     let lasts = minutes.map_or(SHORT, |minutes| Duration::from_secs_f64(minutes * 60.0));
+    let kinds = if arguments.contains("--plain") { Kinds::Plain } else { Kinds::All };
     let entries = processes.unwrap_or(8).saturating_sub(REPLICAS).max(1);
-    let seeds: Vec<u64> = match first {
-        Some(first) => (first..first + seeds).collect(),
+    let seeds: Vec<(u64, Kinds)> = match first {
+        Some(first) => (first..first + seeds).map(|seed| (seed, kinds)).collect(),
         None => REGRESSIONS.to_vec(),
     };
     let mut failed = 0;
-    for seed in &seeds {
+    for (seed, kinds) in &seeds {
         let runtime = tokio::runtime::Runtime::new().expect("a runtime");
-        let violations = runtime.block_on(soak(*seed, entries, lasts));
+        let violations = runtime.block_on(soak(*seed, entries, lasts, *kinds));
         violations.iter().for_each(|what| println!("seed {seed}: {what}"));
         failed += u32::from(!violations.is_empty());
     }
