Show six ways by which what must only advance falls back: tests that fail

An entry that is frozen while weights are named takes them for newer for good; the scheduler's word on old weights is sent after the bound; a list with a greater name takes back found weights; recorded ages exceed the time that has passed; who leaves is forgotten for a target that is not listed yet; a replica that has just started tells an entry that it is the only one. Not mended here.

--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -32,6 +32,7 @@
 mod state;
 mod stores;
 mod table;
+mod told_once;
 mod weights;
 mod weights_alone;
 mod weights_in_force;
