--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -38,6 +38,7 @@
 mod state;
 mod stores;
 mod table;
+mod told_once;
 mod weights;
 mod weights_alone;
 mod weights_in_force;
