--- a/tests/deployment/told_once.rs
+++ b/tests/deployment/told_once.rs
@@ -29,7 +29,7 @@
 use tokio::task::LocalSet;
 
 use crate::asking::shared;
-use crate::fixtures::{address, ms, target};
+use crate::fixtures::{address, ms, start, target};
 use crate::gateway::{PROMPT, entry, events, run, unhurried};
 use crate::replicas::Core;
 use crate::stand_in::{StandIn, Then};
@@ -99,7 +99,7 @@
     while let Ok(frame) = read(&mut from_entry).await {
         if let FromEntry::Ask(number, _) = frame {
             let placed =
-                Placed { target: "i-1".into(), weight_version: Some(1), ..Placed::default() };
+                Placed { target: start("i-1"), weight_version: Some(1), ..Placed::default() };
             let answer = encode(&ToEntry::Placed(number, Ok(placed)));
             write.write_all(&answer).await.expect("the entry reads");
         }
@@ -136,7 +136,7 @@
 }
 
 fn weights_known(shared: &Shared) -> u64 {
-    shared.roster.borrow().roster.get("i-3").expect("it is listed").weights["m"]
+    shared.roster.borrow().roster.get(&start("i-3")).expect("it is listed").weights["m"]
 }
 
 /// Who leaves is joined; what was found out about weights is not, though one start of a target never
@@ -149,7 +149,7 @@
     reader.belief.send_modify(|belief| belief.leads = false);
     // An order was carried out, which the platform's list does not show yet.
     let weights = [("m".to_string(), 2)].into();
-    leader.change_roster(|known| known.set_weights(&"i-3".to_string(), &weights));
+    leader.change_roster(|known| known.set_weights(&start("i-3"), &weights));
     // Meanwhile another replica has read two changes.
     reader.change_roster(|known| known.take(listed(1)[1..].to_vec()));
     reader.change_roster(|known| known.take(listed(1)));
@@ -194,7 +194,7 @@
         entry.hears_list(9, vec![app(Presence::Leaving), other.clone()]);
         entry.hears_list(11, vec![app(Presence::Live), other]);
         let fleet = entry.gateway.fleet.borrow();
-        assert!(!fleet.takes_work(&"i-1".to_string()), "it was told that the target leaves");
+        assert!(!fleet.takes_work(&start("i-1")), "it was told that the target leaves");
     });
 }
 
