Ages of namings are repeated while a bound may depend on them

Cause: an age counts from when it is read. Change: the ages go with each word that what is known is current, until they were told beyond 30 s and the replica's own bounds. Only differences of 100 ms and more are logged again.

--- a/.ci/mutations.py
+++ b/.ci/mutations.py
@@ -300,6 +300,8 @@
     ("platform: a read that began before it was asked for does", "src/control/reading_turn.rs",
      "self.asked_at.filter(|asked| began < *asked)", "self.asked_at.filter(|asked| began > *asked)",
      "deployment", "reading"),
+    ("platform: ages of namings are told once", "src/control/news.rs",
+     "known.repeat_ages(repeated_for, &mut bytes);", "let _ = repeated_for;", "deployment", "told_once"),
 ]
 
 
--- a/src/control/news.rs
+++ b/src/control/news.rs
@@ -13,7 +13,7 @@
 use super::frames::{self, Introduction, News, NumberedRoster, ToReplica, encode};
 use super::replica::{Input, Shared};
 use super::scheduling::Scheduling;
-use crate::clock::boot_now;
+use crate::clock::{BootTime, boot_now};
 use crate::net;
 use crate::scheduler::weights::{NamedSince, NamedWeights};
 
@@ -28,6 +28,9 @@
 const INTRODUCTION_TIMEOUT: Duration = Duration::from_secs(1);
 /// A connection whose bytes are not acknowledged for this long is given up.
 const UNACKNOWLEDGED: Duration = Duration::from_secs(1);
+/// Ages of namings are repeated until they are beyond this and each bound that is known here: an
+/// entry's bound is its own.
+const AGES_REPEATED_FOR: Duration = Duration::from_secs(30);
 /// Accepts connections for as long as the process lives.
 pub async fn accept(
     listener: TcpListener,
@@ -65,7 +68,7 @@
         Introduction::Entry { name, failure_domain } => {
             log::info!("event=entry_connected entry={name} failure_domain={failure_domain}");
             *shared.own_entries.borrow_mut().entry(name.clone()).or_default() += 1;
-            let ended = tell_entry(read, write, shared).await;
+            let ended = tell_entry(read, write, &scheduling).await;
             let mut entries = shared.own_entries.borrow_mut();
             if let Some(count) = entries.get_mut(&name) {
                 *count -= 1;
@@ -92,8 +95,10 @@
 async fn tell_entry(
     mut read: BufReader<OwnedReadHalf>,
     mut write: OwnedWriteHalf,
-    shared: &Shared,
+    scheduling: &Scheduling,
 ) -> std::io::Result<()> {
+    let shared = &scheduling.shared;
+    let repeated_for = scheduling.old_weights.last().unwrap_or_default().max(AGES_REPEATED_FOR);
     let mut belief = shared.belief.subscribe();
     let mut roster = shared.roster.subscribe();
     belief.mark_changed();
@@ -109,6 +114,7 @@
             changed = roster.changed() => changed.map_err(std::io::Error::other)?,
             () = tokio::time::sleep_until(next_look) => {
                 if is_current {
+                    known.repeat_ages(repeated_for, &mut bytes);
                     bytes.extend_from_slice(&current_news(shared));
                 }
                 next_look = Instant::now() + if is_current { CURRENT_EVERY } else { LOOK_EVERY };
@@ -131,9 +137,23 @@
     version: u64,
     roster: Option<NumberedRoster>,
     weights: NamedSince,
+    /// Whether an age that was told last is one that a bound may depend on.
+    repeats_ages: bool,
 }
 
 impl Told {
+    /// Repeats ages that a bound may depend on, until they have been told beyond it. They count from
+    /// when the entry reads them: what has lain in a socket meanwhile makes namings too young for good.
+    fn repeat_ages(&mut self, repeated_for: Duration, bytes: &mut Vec<u8>) {
+        if !self.repeats_ages {
+            return;
+        }
+        let now = boot_now();
+        let is_young = |(_, since): (u64, BootTime)| now.saturating_sub(since) < repeated_for;
+        self.repeats_ages = self.weights.values().any(|namings| namings.iter().any(is_young));
+        bytes.extend_from_slice(&weights_news(&self.weights));
+    }
+
     /// Adds what the entry does not know yet.
     fn add_news(&mut self, shared: &Shared, bytes: &mut Vec<u8>) {
         let belief = shared.belief.borrow();
@@ -142,6 +162,7 @@
         let named = shared.named_since.borrow();
         if self.weights != *named {
             self.weights.clone_from(&named);
+            self.repeats_ages = true;
             bytes.extend_from_slice(&weights_news(&named));
         }
         if self.roster.as_ref().map(NumberedRoster::name) != Some(roster.name()) {
--- a/src/control/scheduling.rs
+++ b/src/control/scheduling.rs
@@ -46,7 +46,7 @@
     /// The replica's state.
     pub shared: Rc<Shared>,
     /// How long prompts may begin on older weights once newer ones are named.
-    old_weights: OldWeights,
+    pub old_weights: OldWeights,
     /// The scheduler with its term; `None` while another replica leads.
     active: RefCell<Option<(Term, Scheduler)>>,
     /// Prompts that wait.
--- a/src/control/weight_ages.rs
+++ b/src/control/weight_ages.rs
@@ -65,7 +65,7 @@
     inputs: mpsc::Sender<Input>,
     old_weights: OldWeights,
 ) {
-    let Some(bound) = old_weights.at_last_within.max(old_weights.within) else {
+    let Some(bound) = old_weights.last() else {
         return std::future::pending().await;
     };
     loop {
--- a/src/scheduler/weights.rs
+++ b/src/scheduler/weights.rs
@@ -15,6 +15,9 @@
 /// A prompt begins at most this long after it was placed: what an engine has ahead, and a fetch.
 pub const BEGINS_WITHIN: Duration = Duration::from_millis(800);
 
+/// A naming that is found to be older is logged again from this difference.
+const LOGGED_FROM: Duration = Duration::from_millis(100);
+
 /// Named versions of a model that are kept in mind. Older ones are in force for long, unless more than
 /// this were named within the bound.
 pub const NAMINGS_KEPT: usize = 16;
@@ -84,7 +87,9 @@
 ) {
     let namings = known.entry(model.clone()).or_default();
     let before = namings.newest();
-    if namings.take(version, since) {
+    let is_told = namings.since.get(&version).is_some_and(|told| *told < since + LOGGED_FROM);
+    // Ages are repeated, and their ways differ by milliseconds.
+    if namings.take(version, since) && !is_told {
         log::info!(
             "event=weights_named model={model} version={version} before={before:?} age_ms={}",
             now.saturating_sub(since).as_millis()
@@ -103,6 +108,11 @@
 }
 
 impl OldWeights {
+    /// The age of a naming from which nothing depends on it; `None` if nothing ever does.
+    pub fn last(&self) -> Option<Duration> {
+        self.at_last_within.max(self.within)
+    }
+
     /// What speaks against an engine with these weights for a prompt that begins by then, in
     /// milliseconds; `None` if it must not begin one. The bound counts from the naming, or from
     /// `counts_from` if that is later.
