A prompt is not sent on weights that must be replaced by now

Cause: the scheduler judges weights when it places; its word may lie at a starved entry, or wait for a connection, beyond the bound. The entry looked again at who leaves, not at weights. Change: right before it sends, the entry looks at the bound that holds whoever led, and at both bounds where it chose alone. If it is over, the placement is given back and the prompt chosen anew.

--- a/.ci/mutations.py
+++ b/.ci/mutations.py
@@ -302,6 +302,8 @@
      "deployment", "reading"),
     ("platform: ages of namings are told once", "src/control/news.rs",
      "known.repeat_ages(repeated_for, &mut bytes);", "let _ = repeated_for;", "deployment", "told_once"),
+    ("platform: placed on old weights, sent whenever", "src/gateway/attempt.rs",
+     "if !place::may_still_begin(gateway, job, &chosen) {", "if false {", "deployment", "told_once"),
 ]
 
 
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -116,6 +116,14 @@
             avoid.push(target);
             continue;
         }
+        // Its word may have lain for long at an entry that was starved, and connecting takes time.
+        if !place::may_still_begin(gateway, job, &chosen) {
+            record.failed(&target, "its weights must be replaced by now");
+            at_target.ends(End::NotRun);
+            gateway.give_back(&target, connection);
+            avoid.push(target);
+            continue;
+        }
         record.chosen(&chosen, connection.was_used);
         let time_left = job.ends_at.saturating_duration_since(Instant::now());
         if time_left < LEAST_TIME {
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -5,11 +5,11 @@
 
 use super::attempt::Job;
 use super::state::Gateway;
-use crate::clock::boot_now;
+use crate::clock::{BootTime, boot_now};
 use crate::control::frames::PlaceError;
 use crate::fleet::placement;
 use crate::ids::TargetStart;
-use crate::scheduler::weights::Namings;
+use crate::scheduler::weights::{BEGINS_WITHIN, Namings, OldWeights};
 use crate::scheduler::{Ask, Placed, Unplaced};
 
 /// A target for one attempt.
@@ -101,6 +101,20 @@
     Ok(Chosen { target: choice.target, placed: None, weight_version, grounds })
 }
 
+/// Whether a prompt may still begin on the weights that it was placed for.
+pub fn may_still_begin(gateway: &Gateway, job: &Job, chosen: &Chosen) -> bool {
+    let Some(prompt) = &job.call.prompt else { return true };
+    let old_weights = gateway.host.periods.old_weights;
+    let old_weights = match chosen.placed {
+        // Only the scheduler knows from when its own bound counts.
+        Some(_) => OldWeights { within: None, ..old_weights },
+        None => old_weights,
+    };
+    let named_since = gateway.named_since.borrow();
+    let (named, has) = (named_since.get(&prompt.model), chosen.weight_version);
+    old_weights.cost_ms(named, has, BootTime::ZERO, boot_now() + BEGINS_WITHIN).is_some()
+}
+
 /// Which weights the engine must run, the newest named ones, and how long ago the first were named
 /// that the engine has missed.
 fn weights_grounds(gateway: &Gateway, job: &Job, expected: Option<u64>) -> String {
