An entry keeps in mind who leaves though it does not list that target

Cause: who leaves was noted only at targets that the entry listed. Heard of from one replica before the entry's own list showed the target, or after, it was forgotten, and a late list had it take work. Change: the entry keeps starts that it heard leave, and drops them as lists of targets drop their own.

--- a/src/fleet/roster.rs
+++ b/src/fleet/roster.rs
@@ -39,10 +39,10 @@
 
 /// A target that was not shown for so many lists is forgotten, with what is known of its starts. Far
 /// beyond the platform's lag: 20 s and more.
-const FORGOTTEN_AFTER_LISTS: u32 = 40;
+pub const FORGOTTEN_AFTER_LISTS: u32 = 40;
 /// An earlier start of a target that is still listed is forgotten after so many lists: half an hour
 /// and more.
-const REPLACED_FORGOTTEN_AFTER_LISTS: u32 = 4_000;
+pub const REPLACED_FORGOTTEN_AFTER_LISTS: u32 = 4_000;
 
 /// All listed targets. The platform's list lags, and its readers may see older answers later. Two
 /// rosters are equal if they list the same.
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -1,12 +1,14 @@
 //! The fleet as one entry sees it: the roster, its own requests, and what answers say.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 
-use super::roster::{Listed, Presence, Roster};
+use super::roster::{
+    FORGOTTEN_AFTER_LISTS, Listed, Presence, REPLACED_FORGOTTEN_AFTER_LISTS, Roster,
+};
 use crate::clock::BootTime;
 use crate::gateway::call::TargetLoad;
-use crate::ids::{ModelId, ServiceId, TargetStart};
+use crate::ids::{ModelId, ServiceId, TargetId, TargetStart};
 pub use crate::route::health::Fault;
 use crate::route::health::Health;
 
@@ -20,6 +22,9 @@
     targets: HashMap<TargetStart, TargetState>,
     /// Targets that take work, by service, in order.
     by_service: HashMap<ServiceId, Vec<TargetStart>>,
+    /// Starts that were told to leave, and for how many lists they have been neither told nor shown
+    /// since. Lists that show them may be yet to come, or come once more.
+    told_to_leave: HashMap<TargetStart, u32>,
 }
 
 /// One target.
@@ -61,6 +66,7 @@
 impl FleetView {
     /// Takes a newer roster.
     pub fn take(&mut self, roster: &Roster) {
+        self.count_list(roster);
         self.targets.retain(|start, state| roster.get(start).is_some() || state.running > 0);
         for state in self.targets.values_mut() {
             if roster.get(&state.listed.start).is_none() {
@@ -70,7 +76,13 @@
         for listed in roster.iter() {
             match self.targets.get_mut(&listed.start) {
                 Some(state) => state.list(listed),
-                None => drop(self.targets.insert(listed.start.clone(), TargetState::new(listed))),
+                None => {
+                    let mut state = TargetState::new(listed);
+                    if self.told_to_leave.contains_key(&listed.start) {
+                        state.leave();
+                    }
+                    self.targets.insert(listed.start.clone(), state);
+                }
             }
         }
         self.index();
@@ -144,24 +156,35 @@
 
     /// Records that another target answers at a target's address: this start of it has ended.
     pub fn replaced(&mut self, target: &TargetStart) {
-        self.leave(std::iter::once(target));
+        if self.targets.get_mut(target).is_some_and(TargetState::leave) {
+            self.index();
+        }
     }
 
-    /// Records that targets leave, or have left.
+    /// Hears that targets leave, whether they are listed here or not.
     pub fn leave<'a>(&mut self, targets: impl Iterator<Item = &'a TargetStart>) {
         let mut is_news = false;
         for target in targets {
-            if let Some(state) = self.targets.get_mut(target) {
-                is_news |= state.listed.presence == Presence::Live;
-                state.listed.presence = Presence::Leaving;
-                state.has_left = true;
-            }
+            self.told_to_leave.insert(target.clone(), 0);
+            is_news |= self.targets.get_mut(target).is_some_and(TargetState::leave);
         }
         if is_news {
             self.index();
         }
     }
 
+    /// Forgets who left as lists of targets themselves do.
+    fn count_list(&mut self, roster: &Roster) {
+        let ids: HashSet<&TargetId> = roster.iter().map(|listed| &listed.start.id).collect();
+        self.told_to_leave.retain(|start, lists| {
+            *lists = if roster.get(start).is_some() { 0 } else { *lists + 1 };
+            let is_listed = ids.contains(&start.id);
+            let most =
+                if is_listed { REPLACED_FORGOTTEN_AFTER_LISTS } else { FORGOTTEN_AFTER_LISTS };
+            *lists < most
+        });
+    }
+
     /// Whether a target takes new work.
     pub fn takes_work(&self, target: &TargetStart) -> bool {
         self.get(target).is_some_and(|state| state.listed.presence == Presence::Live)
@@ -222,6 +245,12 @@
         }
     }
 
+    /// Returns whether that is news.
+    fn leave(&mut self) -> bool {
+        self.has_left = true;
+        std::mem::replace(&mut self.listed.presence, Presence::Leaving) == Presence::Live
+    }
+
     /// Requests that it probably runs or holds, of all entries.
     pub fn load(&self, now: BootTime) -> f64 {
         let others = self.reported.map_or(0.0, |reported| {
--- a/tests/deployment/told_once.rs
+++ b/tests/deployment/told_once.rs
@@ -19,7 +19,7 @@
 use kumquatpost::control::state::{Command, ControlState};
 use kumquatpost::control::weight_ages::{age_of, due};
 use kumquatpost::essential::essentials;
-use kumquatpost::fleet::{Listed, Presence};
+use kumquatpost::fleet::{FleetView, Listed, Presence};
 use kumquatpost::gateway::{asking, subscription};
 use kumquatpost::scheduler::Placed;
 use kumquatpost::scheduler::weights::{NamedSince, NamedWeights, OldWeights, take_named};
@@ -29,7 +29,7 @@
 use tokio::task::LocalSet;
 
 use crate::asking::shared;
-use crate::fixtures::{address, ms, start, target};
+use crate::fixtures::{address, ms, roster, start, target};
 use crate::gateway::{PROMPT, entry, events, run, unhurried};
 use crate::replicas::Core;
 use crate::stand_in::{StandIn, Then};
@@ -212,6 +212,25 @@
     });
 }
 
+/// As a list of targets itself does, for as long as late lists may show a target again.
+#[test]
+fn an_entry_forgets_who_has_left_once_many_lists_have_not_shown_it() {
+    let mut fleet = FleetView::default();
+    fleet.leave([start("i-1")].iter());
+    let without = roster([target("i-2", "app", address(2))]);
+    let with = roster([target("i-1", "app", address(1)), target("i-2", "app", address(2))]);
+    for _ in 0..30 {
+        fleet.take(&without);
+    }
+    fleet.take(&with);
+    assert!(!fleet.takes_work(&start("i-1")), "it is kept in mind");
+    for _ in 0..50 {
+        fleet.take(&without);
+    }
+    fleet.take(&with);
+    assert!(fleet.takes_work(&start("i-1")), "what is kept in mind is bounded");
+}
+
 /// How many entries share the retries, as a replica tells an entry first.
 async fn sharing(replica: SocketAddr, name: &str) -> std::io::Result<(u32, TcpStream)> {
     let mut stream = TcpStream::connect(replica).await?;
