What has perhaps passed since a naming is not recorded as passed

Cause: a replica that starts adds a second that may have passed unrecorded, for its own bound, and recorded the sum once it led. Each further leader added another one: 6.6 s recorded, 4.6 s passed. Change: beside the time of a naming each process keeps the time that has surely passed, and records that.

--- a/.ci/mutations.py
+++ b/.ci/mutations.py
@@ -288,6 +288,8 @@
      "self.told_to_leave.insert(target.clone(), 0);", "", "deployment", "told_once"),
     ("platform: an entry remembers for good who has left", "src/fleet/view.rs",
      "            *lists < most\n", "            *lists < most || true\n", "deployment", "told_once"),
+    ("platform: what has perhaps passed is recorded as passed", "src/scheduler/weights.rs",
+     "let surely_since = (since + UNRECORDED).min(now);", "let surely_since = since.min(now);", "deployment", "told_once"),
     ("platform: a belief that was too high comes back", "src/fleet/roster.rs",
      "*self.lowered.entry(start.clone()).or_default() += 1;", "", "deployment", "told_once"),
     ("platform: an entry is deaf to lists that it does not take", "src/gateway/state.rs",
--- a/src/control/weight_ages.rs
+++ b/src/control/weight_ages.rs
@@ -11,26 +11,27 @@
 use super::state::{Command, ControlState, WeightAges};
 use crate::clock::{BootTime, boot_now};
 use crate::ids::ModelId;
-use crate::scheduler::weights::{NamedSince, NamedWeights, OldWeights};
+use crate::scheduler::weights::{NamedSince, NamedWeights, OldWeights, UNRECORDED};
 
 /// An age is recorded each time that it has grown by this: the ages of one naming are some nine
 /// entries of the log until its bound is over.
-const RECORD_EVERY: Duration = Duration::from_secs(1);
+const RECORD_EVERY: Duration = UNRECORDED;
 /// How often it is looked whether one has.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 /// A replica that had all that was committed within this time hears of a naming as it is decided.
 const HEARD_AT_ONCE_WITHIN: Duration = Duration::from_millis(500);
 
-/// Ages that the log should have by now; `bound` is the age from which nothing depends on it.
+/// Ages that the log should have by now; `bound` is the age from which nothing depends on it. What may
+/// have passed unrecorded is not recorded as passed: each process that hears late adds it anew.
 pub fn due(
     named: &NamedSince,
     recorded: &BTreeMap<ModelId, WeightAges>,
     bound: Duration,
     now: BootTime,
 ) -> Vec<Command> {
-    let all = named.iter().flat_map(|(model, namings)| namings.iter().map(move |one| (model, one)));
-    let due = all.filter_map(|(model, (version, since))| {
-        let age = now.saturating_sub(since);
+    let all =
+        named.iter().flat_map(|(model, namings)| namings.surely(now).map(move |one| (model, one)));
+    let due = all.filter_map(|(model, (version, age))| {
         let known = recorded.get(model).and_then(|ages| ages.get(&version));
         let known = known.copied().unwrap_or_default();
         let is_due = known < bound && age >= (known + RECORD_EVERY).min(bound);
--- a/src/scheduler/weights.rs
+++ b/src/scheduler/weights.rs
@@ -18,6 +18,10 @@
 /// A naming that is found to be older is logged again from this difference.
 const LOGGED_FROM: Duration = Duration::from_millis(100);
 
+/// What may have passed since a naming and is in no log yet. A process that hears late of a naming
+/// adds it to the age, for its own bound.
+pub const UNRECORDED: Duration = Duration::from_secs(1);
+
 /// Named versions of a model that are kept in mind. Older ones are in force for long, unless more than
 /// this were named within the bound.
 pub const NAMINGS_KEPT: usize = 16;
@@ -31,18 +35,30 @@
 pub struct Namings {
     /// At most `NAMINGS_KEPT`, the newest. Times of one version never rise.
     since: BTreeMap<u64, BootTime>,
+    /// The time since then has surely passed since the naming. Of the same versions, and never rises.
+    surely_since: BTreeMap<u64, BootTime>,
 }
 
 impl Namings {
-    /// Takes that a version was named then or earlier. Returns whether anything changed.
-    pub fn take(&mut self, version: u64, since: BootTime) -> bool {
+    /// Hears at `now` that a version was named then or earlier. Returns whether anything changed.
+    pub fn take(&mut self, version: u64, since: BootTime, now: BootTime) -> bool {
         let before = self.clone();
         let known = self.since.entry(version).or_insert(since);
         *known = since.min(*known);
+        // The age that was heard of may hold what has only perhaps passed.
+        let surely_since = (since + UNRECORDED).min(now);
+        let known = self.surely_since.entry(version).or_insert(surely_since);
+        *known = surely_since.min(*known);
         keep_newest(&mut self.since);
+        keep_newest(&mut self.surely_since);
         *self != before
     }
 
+    /// All versions that are kept, with how long ago they were named at the least.
+    pub fn surely(&self, now: BootTime) -> impl Iterator<Item = (u64, Duration)> {
+        self.surely_since.iter().map(move |(version, since)| (*version, now.saturating_sub(*since)))
+    }
+
     /// The newest version, if any was named.
     pub fn newest(&self) -> Option<u64> {
         self.since.last_key_value().map(|(version, _)| *version)
@@ -89,7 +105,7 @@
     let before = namings.newest();
     let is_told = namings.since.get(&version).is_some_and(|told| *told < since + LOGGED_FROM);
     // Ages are repeated, and their ways differ by milliseconds.
-    if namings.take(version, since) && !is_told {
+    if namings.take(version, since, now) && !is_told {
         log::info!(
             "event=weights_named model={model} version={version} before={before:?} age_ms={}",
             now.saturating_sub(since).as_millis()
