A replica tells no count of entries before it has heard the others

Cause: entries divide the retries by a count that each replica keeps in memory; one that had just started told its own part of them, 1 in place of 9 in the test. Change: the count is told once others have told theirs for twice as long as they take, or if there are no others; entries keep what was told last.

--- a/src/control/frames.rs
+++ b/src/control/frames.rs
@@ -170,8 +170,8 @@
     Current {
         /// Hosts of all replicas.
         replicas: BTreeSet<IpAddr>,
-        /// How many entries there are.
-        entries: u32,
+        /// How many entries there are, if the sender can know: until it does, what was told last holds.
+        entries: Option<u32>,
         /// The host of the replica that leads, and schedules.
         leader: Option<IpAddr>,
     },
--- a/src/control/news.rs
+++ b/src/control/news.rs
@@ -196,6 +196,6 @@
 fn current_news(shared: &Shared) -> std::sync::Arc<[u8]> {
     let belief = shared.belief.borrow();
     let replicas: BTreeSet<_> = belief.state.places.values().copied().collect();
-    let entries = shared.entries.get().max(1);
+    let entries = shared.entries.get().map(|entries| entries.max(1));
     encode(&News::Current { replicas, entries, leader: belief.leader })
 }
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -56,8 +56,8 @@
     pub caught_up_at: Cell<Option<BootTime>>,
     /// Entries that are connected here, with the number of their connections.
     pub own_entries: RefCell<BTreeMap<String, u32>>,
-    /// Entries that are connected to any replica.
-    pub entries: Cell<u32>,
+    /// Entries that are connected to any replica; `None` until the others had time to tell theirs.
+    pub entries: Cell<Option<u32>>,
     /// Engines that are about to load other weights, or load them. They get no new prompts.
     pub changing: RefCell<BTreeSet<TargetStart>>,
     /// When weights were named, as far as this replica knows.
@@ -133,6 +133,8 @@
     reads: BTreeMap<ReadId, oneshot::Sender<Result<Option<Published>, Undecided>>>,
     /// Entries of other replicas, with the time at which they told of them.
     others_entries: BTreeMap<NodeId, (BTreeSet<String>, BootTime)>,
+    /// When another replica first told of its entries.
+    others_heard_from: Option<BootTime>,
     heard_leader_at: BootTime,
     told_at: BootTime,
     led: bool,
@@ -164,6 +166,7 @@
             decisions: BTreeMap::new(),
             reads: BTreeMap::new(),
             others_entries: BTreeMap::new(),
+            others_heard_from: None,
             heard_leader_at: boot_now(),
             told_at: BootTime::ZERO,
             led: false,
@@ -242,6 +245,7 @@
             ToReplica::RosterWanted => self.tell_roster(ip),
             ToReplica::Entries(entries) => {
                 self.others_entries.insert(node, (entries, now));
+                self.others_heard_from.get_or_insert(now);
             }
         }
     }
@@ -318,7 +322,12 @@
         self.others_entries.retain(|_, (_, at)| now.saturating_sub(*at) < ENTRIES_LAST);
         let others = self.others_entries.values().flat_map(|(entries, _)| entries);
         let all: BTreeSet<&String> = entries.iter().chain(others).collect();
-        self.shared.entries.set(all.len() as u32);
+        // Each of several replicas knows a part of the entries; by a part, each may retry too much.
+        let is_only = self.state.places.keys().eq([&self.shared.node]);
+        let has_heard = |from: BootTime| now.saturating_sub(from) >= TELL * 2;
+        if is_only || self.others_heard_from.is_some_and(has_heard) {
+            self.shared.entries.set(Some(all.len() as u32));
+        }
         self.shared.tell(&self.state, self.ip, &ToReplica::Entries(entries.clone()));
         let is_alone = now.saturating_sub(self.heard_leader_at) >= ASK_TO_JOIN_AFTER;
         let is_member = self.driver.raft.status().members.all().any(|id| id == self.shared.node);
--- a/src/control/run.rs
+++ b/src/control/run.rs
@@ -73,7 +73,7 @@
         reading: Cell::new(ReadingTurn::new(boot_now())),
         caught_up_at: Cell::new(None),
         own_entries: RefCell::default(),
-        entries: Cell::new(0),
+        entries: Cell::new(None),
         changing: RefCell::default(),
         named_since: RefCell::default(),
         links,
@@ -138,7 +138,9 @@
     metrics.leads.record(belief.leads.into(), &[]);
     let version = belief.state.published.as_ref().map_or(0, |published| published.version());
     metrics.deployment_version.record(version, &[]);
-    metrics.entries.record(shared.entries.get().into(), &[]);
+    if let Some(entries) = shared.entries.get() {
+        metrics.entries.record(entries.into(), &[]);
+    }
     let age = boot_now().saturating_sub(shared.reading.get().read_at());
     metrics.target_list_age_s.record(age.as_secs_f64(), &[]);
     metrics.waiting.record(scheduling.waiting() as u64, &[]);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -172,7 +172,9 @@
             News::Current { replicas, entries, leader } => {
                 self.leader.set(leader.or(self.leader.get()));
                 self.current_at.set(Some(boot_now()));
-                self.retries.borrow_mut().set_entries(entries);
+                if let Some(entries) = entries {
+                    self.retries.borrow_mut().set_entries(entries);
+                }
                 if !replicas.is_empty() {
                     *self.replicas.borrow_mut() = replicas;
                 }
