Replicas that are asked to read the list do so one after another

Cause: all who were asked read within 0.2 s, while a page counts as late from 0.35 s on: none was spared where the list is merely slow, and each that was late asked all the others once more. Change: the leader alone asks; the next replica reads 0.4 s after the one before it, unless one has read.

--- a/.ci/mutations.py
+++ b/.ci/mutations.py
@@ -310,6 +310,8 @@
     ("platform: who is asked to read waits as before", "src/control/reading_turn.rs",
      "asked.map_or(silent, |asked| asked.min(silent))", "asked.map_or(silent, |asked| asked.max(silent))",
      "deployment", "reading"),
+    ("platform: all who are asked to read do at once", "src/control/reading_turn.rs",
+     "asked + ASKED_STEP * before as u32", "asked + ASKED_STEP * (before as u32).min(0)", "deployment", "reading"),
     ("platform: a read that began before it was asked for does", "src/control/reading_turn.rs",
      "self.asked_at.filter(|asked| began < *asked)", "self.asked_at.filter(|asked| began > *asked)",
      "deployment", "reading"),
--- a/src/control/reading_turn.rs
+++ b/src/control/reading_turn.rs
@@ -1,10 +1,10 @@
 //! Which replica reads the platform's list of targets, and when. Pure.
 //!
 //! The leader reads regularly. Another replica does once it is asked to, or once nobody has for long. From
-//! the moment at which the list shows that a target leaves until a replica knows it, at most 2.15 s
-//! pass, of the 3 s after which that target must get no new work, as long as one replica reaches the
-//! list: 0.35 s for an answer that came just too early, 0.5 s to the leader's next call, 0.35 s until it
-//! asks others, 0.25 s until one of these calls, 0.7 s for a slow answer.
+//! the moment at which the list shows that a target leaves until a replica knows it, at most 1.97 s
+//! pass, of the 3 s after which that target must get no new work, if one of the first two that are asked
+//! reaches the list, and 2.53 s as long as one replica does. Of the former: 0.35 s for an answer that came just
+//! too early, 0.5 s to the leader's next call, 0.35 s until it asks others, the rest until one of these has read.
 
 use std::time::Duration;
 
@@ -23,8 +23,9 @@
 const TAKE_OVER_AFTER: Duration = Duration::from_millis(1_200);
 /// Spreads replicas that take over at the same time.
 const TAKE_OVER_SPREAD: Duration = Duration::from_millis(600);
-/// Spreads replicas that were asked: the first one that has read spares the others the call.
-const ASKED_SPREAD: Duration = Duration::from_millis(200);
+/// Replicas that were asked read one after another: the next one only if those before it are late, too,
+/// since each call has a price, and more of them make a slow list slower.
+const ASKED_STEP: Duration = Duration::from_millis(400);
 
 /// What a replica knows of reads of the list, by itself and others.
 #[derive(Clone, Copy, Debug)]
@@ -57,12 +58,12 @@
         self.asked_at = self.asked_at.or(Some(now));
     }
 
-    /// When a replica that does not lead reads. Its place among the others is between 0 and 1; a long
-    /// list is read every `read_every`.
-    pub fn takes_over_at(&self, place: f64, read_every: Duration) -> BootTime {
+    /// When a replica that does not lead reads. Its place among the others is between 0 and 1, and
+    /// `before` of them are asked before it; a long list is read every `read_every`.
+    pub fn takes_over_at(&self, place: f64, before: usize, read_every: Duration) -> BootTime {
         let patience = TAKE_OVER_AFTER + TAKE_OVER_SPREAD.mul_f64(place);
         let silent = self.read_at + patience.max(read_every * 2);
-        let asked = self.asked_at.map(|asked| asked + ASKED_SPREAD.mul_f64(place));
+        let asked = self.asked_at.map(|asked| asked + ASKED_STEP * before as u32);
         asked.map_or(silent, |asked| asked.min(silent))
     }
 }
--- a/src/control/roster_reader.rs
+++ b/src/control/roster_reader.rs
@@ -72,7 +72,7 @@
         let mut pages = 1;
         let mut last_own = None;
         loop {
-            turn(&self.shared, list.read_every(pages)).await;
+            turn(&self.shared, self.own, list.read_every(pages)).await;
             if last_own != Some(self.shared.reading.get().read_at()) {
                 log_turn(&self.shared);
             }
@@ -106,11 +106,14 @@
     /// must be known everywhere in time.
     fn ask_others(&self) {
         let now = boot_now();
-        if now < self.asks_again_at.get() {
+        let belief = self.shared.belief.borrow();
+        // Others who read were asked with all the rest, or come one after another: asked once more, all
+        // of them would go on reading for as long as the list is slow.
+        if !belief.leads || now < self.asks_again_at.get() {
             return;
         }
         self.asks_again_at.set(now + READ_EVERY);
-        let state = &self.shared.belief.borrow().state;
+        let state = &belief.state;
         self.shared.tell(state, self.own, &ToReplica::RosterUnread);
     }
 
@@ -175,7 +178,7 @@
 
 /// Waits until this replica should read: as soon as it leads, since all replicas may have just started
 /// and entries wait for the first list, and then regularly, or once another one fails to or nobody does.
-async fn turn(shared: &Shared, read_every: Duration) {
+async fn turn(shared: &Shared, own: IpAddr, read_every: Duration) {
     let mut belief = shared.belief.subscribe();
     let led = belief.borrow_and_update().leads;
     tokio::select! {
@@ -185,7 +188,8 @@
     }
     let place = rand::rng().random();
     while !shared.belief.borrow().leads
-        && boot_now() < shared.reading.get().takes_over_at(place, read_every)
+        && boot_now()
+            < shared.reading.get().takes_over_at(place, asked_before(shared, own), read_every)
     {
         tokio::select! {
             () = tokio::time::sleep(LOOK_EVERY) => {}
@@ -194,6 +198,13 @@
     }
 }
 
+/// How many replicas that don't lead are asked to read before this one.
+fn asked_before(shared: &Shared, own: IpAddr) -> usize {
+    let belief = shared.belief.borrow();
+    let others = belief.state.places.values().filter(|ip| Some(**ip) != belief.leader);
+    others.filter(|ip| **ip < own).count()
+}
+
 /// Tells that this replica reads the list, which another one did before.
 fn log_turn(shared: &Shared) {
     let unread = boot_now().saturating_sub(shared.reading.get().read_at());
