--- a/src/scheduler/weights.rs
+++ b/src/scheduler/weights.rs
@@ -15,6 +15,13 @@
 /// A prompt begins at most this long after it was placed: what an engine has ahead, and a fetch.
 pub const BEGINS_WITHIN: Duration = Duration::from_millis(800);
 
+/// A naming that is found to be older is logged again from this difference.
+const LOGGED_FROM: Duration = Duration::from_millis(100);
+
+/// What may have passed since a naming and is in no log yet. A process that hears late of a naming
+/// adds it to the age, for its own bound.
+pub const UNRECORDED: Duration = Duration::from_secs(1);
+
 /// Named versions of a model that are kept in mind. Older ones are in force for long, unless more than
 /// this were named within the bound.
 pub const NAMINGS_KEPT: usize = 16;
@@ -28,18 +35,30 @@
 pub struct Namings {
     /// At most `NAMINGS_KEPT`, the newest. Times of one version never rise.
     since: BTreeMap<u64, BootTime>,
+    /// The time since then has surely passed since the naming. Of the same versions, and never rises.
+    surely_since: BTreeMap<u64, BootTime>,
 }
 
 impl Namings {
-    /// Takes that a version was named then or earlier. Returns whether anything changed.
-    pub fn take(&mut self, version: u64, since: BootTime) -> bool {
+    /// Hears at `now` that a version was named then or earlier. Returns whether anything changed.
+    pub fn take(&mut self, version: u64, since: BootTime, now: BootTime) -> bool {
         let before = self.clone();
         let known = self.since.entry(version).or_insert(since);
         *known = since.min(*known);
+        // The age that was heard of may hold what has only perhaps passed.
+        let surely_since = (since + UNRECORDED).min(now);
+        let known = self.surely_since.entry(version).or_insert(surely_since);
+        *known = surely_since.min(*known);
         keep_newest(&mut self.since);
+        keep_newest(&mut self.surely_since);
         *self != before
     }
 
+    /// All versions that are kept, with how long ago they were named at the least.
+    pub fn surely(&self, now: BootTime) -> impl Iterator<Item = (u64, Duration)> {
+        self.surely_since.iter().map(move |(version, since)| (*version, now.saturating_sub(*since)))
+    }
+
     /// The newest version, if any was named.
     pub fn newest(&self) -> Option<u64> {
         self.since.last_key_value().map(|(version, _)| *version)
@@ -84,7 +103,9 @@
 ) {
     let namings = known.entry(model.clone()).or_default();
     let before = namings.newest();
-    if namings.take(version, since) {
+    let is_told = namings.since.get(&version).is_some_and(|told| *told < since + LOGGED_FROM);
+    // Ages are repeated, and their ways differ by milliseconds.
+    if namings.take(version, since, now) && !is_told {
         log::info!(
             "event=weights_named model={model} version={version} before={before:?} age_ms={}",
             now.saturating_sub(since).as_millis()
@@ -103,6 +124,11 @@
 }
 
 impl OldWeights {
+    /// The age of a naming from which nothing depends on it; `None` if nothing ever does.
+    pub fn last(&self) -> Option<Duration> {
+        self.at_last_within.max(self.within)
+    }
+
     /// What speaks against an engine with these weights for a prompt that begins by then, in
     /// milliseconds; `None` if it must not begin one. The bound counts from the naming, or from
     /// `counts_from` if that is later.
