--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -14,6 +14,7 @@
 pub mod roster_reader;
 pub mod run;
 pub mod scheduling;
+pub mod shared;
 pub mod state;
 pub mod store_reader;
 pub mod unreadable;
--- a/src/control/news.rs
+++ b/src/control/news.rs
@@ -11,8 +11,9 @@
 use tokio::time::Instant;
 
 use super::frames::{self, Introduction, News, NumberedRoster, ToReplica, encode};
-use super::replica::{Input, Shared};
+use super::replica::Input;
 use super::scheduling::Scheduling;
+use super::shared::Shared;
 use crate::clock::{BootTime, boot_now};
 use crate::net;
 use crate::scheduler::weights::{NamedSince, NamedWeights};
--- a/src/control/ordering.rs
+++ b/src/control/ordering.rs
@@ -9,9 +9,10 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
-use super::replica::{Input, Shared};
+use super::replica::Input;
 use super::report;
 use super::scheduling::Scheduling;
+use super::shared::Shared;
 use super::state::{Command, Reply};
 use super::weights::{
     EngineReport, Lagging, RunningPrompts, WeightOrder, loads_at_once, next_loads,
--- a/src/control/roster_reader.rs
+++ b/src/control/roster_reader.rs
@@ -11,7 +11,7 @@
 
 use super::frames::ToReplica;
 use super::reading_turn::{LATE_AFTER, LOOK_EVERY, PAGE_TIMEOUT, READ_EVERY};
-use super::replica::Shared;
+use super::shared::Shared;
 use super::unreadable::UnreadableLines;
 use crate::clock::{BootTime, boot_now};
 use crate::fleet::{Listed, Listing};
--- a/src/control/scheduling.rs
+++ b/src/control/scheduling.rs
@@ -13,8 +13,8 @@
 
 use super::frames::{self, FromEntry, PlaceError, RosterName, ToEntry, encode};
 use super::memory_reader;
-use super::replica::Shared;
 use super::report;
+use super::shared::Shared;
 use super::store_reader;
 use crate::clock::{BootTime, boot_now};
 use crate::ids::TargetStart;
--- /dev/null
+++ b/src/control/shared.rs
@@ -0,0 +1,168 @@
+//! What the tasks of one replica share: what it believes, and the list of targets that it knows.
+
+use std::cell::{Cell, RefCell};
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::watch;
+
+use super::frames::{News, NumberedRoster, RosterName, ToReplica, encode};
+use super::links::SharedLinks;
+use super::reading_turn::ReadingTurn;
+use super::state::ControlState;
+use super::weight_ages;
+use crate::clock::{BootTime, boot_now};
+use crate::fleet::Roster;
+use crate::ids::{NodeId, TargetStart};
+use crate::log::Term;
+use crate::scheduler::weights::{self, NamedSince};
+
+/// Lists of one term are numbered after those of all earlier terms: replicas that have all started
+/// anew know no number, while entries go on with the one that they have.
+const ROSTERS_PER_TERM: u32 = 24;
+
+/// What the tasks of one replica share.
+pub struct Shared {
+    /// This replica.
+    pub node: NodeId,
+    /// The newest state that is known here.
+    pub belief: watch::Sender<Belief>,
+    /// The list of targets.
+    pub roster: watch::Sender<NumberedRoster>,
+    /// The frame that tells entries of the last change of the list, with both names: most entries
+    /// are told the same.
+    pub roster_news: RefCell<(RosterName, RosterName, Arc<[u8]>)>,
+    /// Who reads the list.
+    pub reading: Cell<ReadingTurn>,
+    /// When this replica last had all that was committed.
+    pub caught_up_at: Cell<Option<BootTime>>,
+    /// Entries that are connected here, with the number of their connections.
+    pub own_entries: RefCell<BTreeMap<String, u32>>,
+    /// Entries that are connected to any replica; `None` until the others had time to tell theirs.
+    pub entries: Cell<Option<u32>>,
+    /// Engines that are about to load other weights, or load them. They get no new prompts.
+    pub changing: RefCell<BTreeSet<TargetStart>>,
+    /// When weights were named, as far as this replica knows.
+    pub named_since: RefCell<NamedSince>,
+    /// Connections to other replicas.
+    pub links: SharedLinks,
+    /// Hosts of replicas that the settings or other replicas named at some time.
+    pub seeds: RefCell<BTreeSet<IpAddr>>,
+}
+
+/// What one replica believes.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Belief {
+    /// The replicated state, as far as it is applied here.
+    pub state: ControlState,
+    /// The term.
+    pub term: Term,
+    /// Whether this replica leads.
+    pub leads: bool,
+    /// The leader's host, as far as is known.
+    pub leader: Option<IpAddr>,
+}
+
+/// Who does not know what this replica knows once it has heard a list of targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lacking {
+    /// The list that was heard is the one that is known here.
+    Nobody,
+    /// The sender has an earlier list.
+    Sender,
+    /// Neither list told all who leave.
+    Everybody,
+}
+
+impl Shared {
+    /// Sends a frame to the hosts of all other replicas.
+    pub fn tell(&self, state: &ControlState, own: IpAddr, frame: &ToReplica) {
+        let bytes = encode(frame);
+        let hosts: BTreeSet<IpAddr> = state.places.values().copied().collect();
+        for host in hosts.into_iter().filter(|host| *host != own) {
+            self.links.send(host, bytes.clone());
+        }
+    }
+
+    /// Takes a list of targets that another replica knows. Returns who must be told what is known now.
+    pub fn take_roster(&self, heard: NumberedRoster) -> Lacking {
+        let before = self.roster.borrow().name();
+        self.roster.send_if_modified(|known| {
+            known.join(&heard);
+            known.name() != before
+        });
+        match self.roster.borrow().name() {
+            known if known == heard.name() => Lacking::Nobody,
+            known if known == before => Lacking::Sender,
+            _ => Lacking::Everybody,
+        }
+    }
+
+    /// Hears that another replica has read the list. Returns whether the one that it knows is later than
+    /// the one that is known here.
+    pub fn hear_read(&self, name: RosterName, began: BootTime) -> Ordering {
+        let order = name.cmp(&self.roster.borrow().name());
+        // Who knows an earlier list may have seen less than was known here before.
+        if order.is_ge() {
+            self.note_read(began);
+        }
+        order
+    }
+
+    /// Records that the list was read.
+    pub fn note_read(&self, began: BootTime) {
+        self.reading.update(|mut reading| {
+            reading.was_read(began);
+            reading
+        });
+    }
+
+    /// Takes a list of targets that this replica has read, or found out more about. Returns whether
+    /// others must be told of it.
+    pub fn change_roster(&self, change: impl FnOnce(&mut Roster) -> bool) -> bool {
+        let least = {
+            let belief = self.belief.borrow();
+            if belief.leads { belief.term << ROSTERS_PER_TERM } else { 0 }
+        };
+        self.roster.send_if_modified(|known| {
+            let changed = change(Arc::make_mut(&mut known.roster));
+            let is_news = changed || known.number < least;
+            if is_news {
+                *known = NumberedRoster::new(known.number.max(least) + 1, known.roster.clone());
+            }
+            is_news
+        })
+    }
+
+    /// The frame that tells an entry how the list differs from the one that it was told.
+    pub fn roster_change(&self, told: &NumberedRoster, now: &NumberedRoster) -> Arc<[u8]> {
+        let mut news = self.roster_news.borrow_mut();
+        let (before, name) = (told.name(), now.name());
+        if (news.0, news.1) != (before, name) {
+            let change = told.roster.change_to(&now.roster);
+            *news = (before, name, encode(&News::RosterChanged { before, name, change }));
+        }
+        news.2.clone()
+    }
+
+    /// Takes when weights were named, as the replicated state tells it.
+    pub(super) fn take_named(&self, state: &ControlState, now: BootTime) {
+        let mut named = self.named_since.borrow_mut();
+        for (model, newest) in state.weights.iter() {
+            let recorded = state.weight_ages.get(model).into_iter().flat_map(BTreeMap::keys);
+            for version in recorded.chain([newest]) {
+                let age = weight_ages::age_of(state, model, *version, self.caught_up_at.get(), now);
+                weights::take_named(&mut named, model, *version, now.saturating_sub(age), now);
+            }
+        }
+    }
+
+    /// Whether this replica had all that was committed within the last `within`.
+    pub fn is_current(&self, within: Duration) -> bool {
+        let now = boot_now();
+        self.caught_up_at.get().is_some_and(|at| now.saturating_sub(at) <= within)
+    }
+}
--- a/src/control/weight_ages.rs
+++ b/src/control/weight_ages.rs
@@ -7,7 +7,8 @@
 
 use tokio::sync::{mpsc, oneshot};
 
-use super::replica::{Input, Shared};
+use super::replica::Input;
+use super::shared::Shared;
 use super::state::{Command, ControlState, WeightAges};
 use crate::clock::{BootTime, boot_now};
 use crate::ids::ModelId;
--- a/tests/deployment/asking.rs
+++ b/tests/deployment/asking.rs
@@ -11,8 +11,8 @@
 };
 use kumquatpost::control::links::Links;
 use kumquatpost::control::reading_turn::ReadingTurn;
-use kumquatpost::control::replica::{Belief, Shared};
 use kumquatpost::control::scheduling::Scheduling;
+use kumquatpost::control::shared::{Belief, Shared};
 use kumquatpost::control::state::{ControlState, Published};
 use kumquatpost::gateway::call::Part;
 use kumquatpost::log::Term;
--- a/tests/deployment/leaving.rs
+++ b/tests/deployment/leaving.rs
@@ -21,7 +21,7 @@
 use kumquatpost::control::frames::{
     FromEntry, Introduction, News, NumberedRoster, ToEntry, encode, read,
 };
-use kumquatpost::control::replica::{Lacking, Shared};
+use kumquatpost::control::shared::{Lacking, Shared};
 use kumquatpost::fleet::{FleetView, Listed, Presence};
 use kumquatpost::gateway::asking;
 use kumquatpost::gateway::state::Gateway;
--- a/tests/deployment/orders.rs
+++ b/tests/deployment/orders.rs
@@ -8,8 +8,9 @@
 
 use kumquatpost::control::frames::NumberedRoster;
 use kumquatpost::control::ordering::Ordering;
-use kumquatpost::control::replica::{Input, Shared};
+use kumquatpost::control::replica::Input;
 use kumquatpost::control::scheduling::Scheduling;
+use kumquatpost::control::shared::Shared;
 use kumquatpost::control::state::Reply;
 use kumquatpost::fleet::Listed;
 use kumquatpost::scheduler::weights::OldWeights;
--- a/tests/deployment/told_once.rs
+++ b/tests/deployment/told_once.rs
@@ -14,8 +14,8 @@
     FromEntry, Introduction, News, NumberedRoster, ToEntry, encode, read,
 };
 use kumquatpost::control::news;
-use kumquatpost::control::replica::Shared;
 use kumquatpost::control::scheduling::Scheduling;
+use kumquatpost::control::shared::Shared;
 use kumquatpost::control::state::{Command, ControlState};
 use kumquatpost::control::weight_ages::{age_of, due};
 use kumquatpost::essential::essentials;
