--- a/tests/deployment/weights_in_force.rs
+++ b/tests/deployment/weights_in_force.rs
@@ -13,9 +13,8 @@
 
 const ENGINES: usize = 6;
 
-#[test]
-fn named_weights_are_loaded_by_all_engines() {
-    let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+/// Replicas before engines with weights 1. The engines end with the runtime.
+fn before_engines(runtime: &tokio::runtime::Runtime) -> (Platform, Core) {
     let platform = Platform::new();
     let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
     let list = runtime.block_on(async {
@@ -26,11 +25,22 @@
     });
     let core = Core::start_with_list(3, Some(list));
     core.publish(1);
-    platform.lock().named_weights = 2;
+    (platform, core)
+}
+
+fn name_weights_2(core: &Core) {
     core.eventually("the weights are named", |core| {
         let body = json!({"Model": "m", "Version": 2});
         core.any(|host| core.send(host, "POST", "version-put", Some(&body))).is_some()
     });
+}
+
+#[test]
+fn named_weights_are_loaded_by_all_engines() {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+    let (platform, core) = before_engines(&runtime);
+    platform.lock().named_weights = 2;
+    name_weights_2(&core);
     core.eventually("all engines run them", |_| {
         platform.lock().targets.values().all(|engine| engine.weights == Some(2))
     });
@@ -63,10 +73,7 @@
     let runtime = tokio::runtime::Runtime::new().expect("a runtime");
     let mut core = Core::start(3);
     core.publish(1);
-    core.eventually("the weights are named", |core| {
-        let body = json!({"Model": "m", "Version": 2});
-        core.any(|host| core.send(host, "POST", "version-put", Some(&body))).is_some()
-    });
+    name_weights_2(&core);
     std::thread::sleep(in_force + Duration::from_millis(700));
     for host in 0..3 {
         core.kill(host);
@@ -93,24 +100,12 @@
 #[test]
 fn engines_that_do_not_answer_their_order_do_not_hold_up_the_others() {
     let runtime = tokio::runtime::Runtime::new().expect("a runtime");
-    let platform = Platform::new();
-    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
-    let list = runtime.block_on(async {
-        for n in 0..ENGINES {
-            platform.start_target(&format!("i-{n}"), "llm", "hall", any, None).await;
-        }
-        platform.serve_list(any).await
-    });
-    let core = Core::start_with_list(3, Some(list));
-    core.publish(1);
+    let (platform, core) = before_engines(&runtime);
     {
         let mut inner = platform.lock();
         (inner.named_weights, inner.holds_orders) = (2, true);
     }
-    core.eventually("the weights are named", |core| {
-        let body = json!({"Model": "m", "Version": 2});
-        core.any(|host| core.send(host, "POST", "version-put", Some(&body))).is_some()
-    });
+    name_weights_2(&core);
     core.eventually("more than half of the engines are told", |_| {
         platform.lock().ordered.len() > ENGINES / 2
     });
