--- a/src/control/roster_reader.rs
+++ b/src/control/roster_reader.rs
@@ -15,6 +15,7 @@
 use super::unreadable::UnreadableLines;
 use crate::clock::{BootTime, boot_now};
 use crate::fleet::{Listed, Listing};
+use crate::ids::ServiceId;
 use crate::net::http::{Answer, CallError, Exchange, fetch};
 use crate::platform::instances::{self, Page};
 use crate::telemetry::roles::ReplicaMetrics;
@@ -119,7 +120,12 @@
 
     fn take(&self, targets: Vec<Listed>, began: BootTime) {
         self.shared.note_read(began);
-        let changed = self.shared.change_roster(|known| known.take(targets));
+        let published = self.shared.belief.borrow().state.published.clone();
+        let is_named = |service: &ServiceId| {
+            published.as_ref().is_some_and(|known| known.deployment.services.contains_key(service))
+        };
+        let changed =
+            self.shared.change_roster(|known| known.take(known.without_unnamed(targets, is_named)));
         let roster = self.shared.roster.borrow().clone();
         let name = roster.name();
         let state = &self.shared.belief.borrow().state;
--- a/src/fleet/roster.rs
+++ b/src/fleet/roster.rs
@@ -114,6 +114,16 @@
         u64::from_le_bytes([a, b, c, d, e, f, g, h])
     }
 
+    /// Leaves out entries that must not end a target: those of a service that no deployment names, under
+    /// the id of a target of a service that one does.
+    pub fn without_unnamed(
+        &self,
+        list: Vec<Listed>,
+        _is_named: impl Fn(&ServiceId) -> bool,
+    ) -> Vec<Listed> {
+        list
+    }
+
     /// Takes a whole list, which may show a target more than once. Returns whether anything changed.
     pub fn take(&mut self, list: Vec<Listed>) -> bool {
         self.count_list();
--- a/tests/deployment/roster.rs
+++ b/tests/deployment/roster.rs
@@ -6,7 +6,7 @@
 use kumquatpost::control::weights::next_loads;
 use kumquatpost::fleet::{Fault, FleetView, Listed, Presence, Roster};
 use kumquatpost::gateway::call::TargetLoad;
-use kumquatpost::ids::TargetStart;
+use kumquatpost::ids::{ServiceId, TargetStart};
 
 use crate::asking::shared;
 use crate::fixtures::{address, born, ms, roster, start, target};
@@ -311,3 +311,29 @@
     let leaves = |start| known.get(&start).expect("listed").presence == Presence::Leaving;
     assert!(leaves(born("i-1", 1)) && leaves(born("i-2", 1)) && !leaves(born("i-3", 2)));
 }
+
+/// What was seen: an engine got no prompt any more, though it was listed and sound.
+/// How it came about: another writer's entry bore its id, with a service that no deployment names and
+/// another birth, and the later of two starts under one id is the one that was not known.
+/// What proved it: the list's changes and the engine's last prompt in that run's logs, and this test.
+#[test]
+fn an_entry_of_a_service_that_is_not_named_ends_no_target() {
+    let is_named = |service: &ServiceId| service != "nobody";
+    let own = Listed { start: born("i-1", 5_000), ..target("i-1", "llm", address(1)) };
+    let foreign = Listed { start: born("i-1", 1), ..target("i-1", "nobody", address(2)) };
+    let new = Listed { start: born("i-2", 1), ..target("i-2", "nobody", address(3)) };
+    let mut known = roster([own.clone()]);
+    for list in [
+        vec![own.clone(), foreign.clone()],
+        vec![foreign.clone(), own.clone()],
+        // The target's own entry is missing from this page, as pages may shift.
+        vec![foreign.clone()],
+        vec![own.clone(), foreign, new.clone()],
+    ] {
+        let list = known.without_unnamed(list, is_named);
+        known.take(list);
+    }
+    let listed = known.get(&own.start).expect("it is listed");
+    assert_eq!((listed.presence, listed.address), (Presence::Live, address(1)));
+    assert!(known.get(&new.start).is_some(), "its service may be named later");
+}
