An entry of a service that is not named ends no target

Cause: the list may bear a target's id in another writer's entry, with a service that no deployment names and a birth of its own; of two starts of one id the one that was not known is taken for the later one, so the target's own start was over for good. Change: such an entry is left out where a named service has the id, in this list or before; others stay, since a service may be named later. Before: the test failed with 'it is listed'.

--- a/src/fleet/roster.rs
+++ b/src/fleet/roster.rs
@@ -1,8 +1,8 @@
 //! The list of targets: read from the platform by one replica, known to all entries.
 
 use std::cmp::Ordering;
-use std::collections::BTreeMap;
 use std::collections::btree_map::Entry;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -115,12 +115,24 @@
     }
 
     /// Leaves out entries that must not end a target: those of a service that no deployment names, under
-    /// the id of a target of a service that one does.
+    /// the id of a target of a service that one does. Another writer made them, and by their births they
+    /// would pass for a later start. Other entries of such services stay: they may be named later.
     pub fn without_unnamed(
         &self,
-        list: Vec<Listed>,
-        _is_named: impl Fn(&ServiceId) -> bool,
+        mut list: Vec<Listed>,
+        is_named: impl Fn(&ServiceId) -> bool,
     ) -> Vec<Listed> {
+        if list.iter().all(|entry| is_named(&entry.service)) {
+            return list;
+        }
+        let named = list.iter().filter(|entry| is_named(&entry.service));
+        let in_use: BTreeSet<TargetId> = named.map(|entry| entry.start.id.clone()).collect();
+        let was_in_use =
+            |id: &TargetId| self.known(id).is_some_and(|known| is_named(&known.service));
+        list.retain(|entry| {
+            let id = &entry.start.id;
+            is_named(&entry.service) || !(in_use.contains(id) || was_in_use(id))
+        });
         list
     }
 
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -38,9 +38,15 @@
 /// Seeds that once failed, run each time. 10: two prompts under way to an engine that changed its
 /// weights moved the belief about it by two versions. 19: SIGHUP ended a process that had just started.
 /// 108: after all replicas had started anew, entries took their lists of targets for old ones. 321: one
-/// entry of another writer took the whole list away; targets that had left and started again got nothing.
-const REGRESSIONS: [(u64, Kinds); 4] =
-    [(10, Kinds::Plain), (19, Kinds::Plain), (108, Kinds::Plain), (321, Kinds::All)];
+/// entry of another writer took the whole list away; targets that had left and started again got nothing. 2048: an entry of another
+/// writer under an engine's id, of a service that is not named, was taken for a later start of that engine.
+const REGRESSIONS: [(u64, Kinds); 5] = [
+    (10, Kinds::Plain),
+    (19, Kinds::Plain),
+    (108, Kinds::Plain),
+    (321, Kinds::All),
+    (2048, Kinds::All),
+];
 /// Work for a caller who has left ends after this time. Longer than deployments ask for: a busy
 /// machine may keep a process waiting for a while.
 const LEAVING_TAKES: Duration = Duration::from_secs(3);
