The time for which a fetch keeps its links from others has a price

Cause: fetches between failure domains keep links twice as long, and where the fetch was hidden behind an engine's other prompts the choice did not see it; full links are now the first cause of reading again. Change: a fetch costs half of the time for which it keeps links, beside its own duration.

--- a/src/scheduler/source.rs
+++ b/src/scheduler/source.rs
@@ -26,6 +26,15 @@
     first_byte: Duration,
 }
 
+/// How long a transfer takes.
+#[derive(Clone, Copy, Debug)]
+pub struct Transfer {
+    /// How long it waits for others.
+    pub queue: Duration,
+    /// How long it takes then.
+    pub transfer: Duration,
+}
+
 impl<'a> Source<'a> {
     fn store(store: &'a Store) -> Source<'a> {
         Source {
@@ -45,13 +54,13 @@
         }
     }
 
-    /// How long a transfer to an engine waits for others, and how long it takes then.
-    pub fn transfer(&self, size_bytes: f64, to: &Engine, now: BootTime) -> (Duration, Duration) {
+    /// How long a transfer to an engine takes.
+    pub fn transfer(&self, size_bytes: f64, to: &Engine, now: BootTime) -> Transfer {
         let distance = distance(self.failure_domain, &to.listed.failure_domain);
         let queue = self.link.queue(now).max(to.link.queue(now));
         let at_source = self.link.transfer(size_bytes, distance, now);
         let transfer = at_source.max(to.link.transfer(size_bytes, distance, now));
-        (queue, self.first_byte + transfer)
+        Transfer { queue, transfer: self.first_byte + transfer }
     }
 }
 
--- a/src/scheduler/way.rs
+++ b/src/scheduler/way.rs
@@ -7,7 +7,7 @@
 use super::memory::PartKey;
 use super::messages::{Ask, Grounds, NotFetched, ReadAgain};
 use super::pace::Pace;
-use super::source::{Source, sources};
+use super::source::{Source, Transfer, sources};
 use super::store::{Store, part_key};
 use crate::clock::BootTime;
 use crate::deployment::EngineTraits;
@@ -19,6 +19,10 @@
 /// Reading tokens again that are kept somewhere else costs this much beside the time that it takes:
 /// operators weigh work that is thrown away.
 const READ_AGAIN_MS_PER_TOKEN: f64 = 0.03;
+/// A fetch costs this much for each millisecond that it keeps its links from others, beside its own time:
+/// fetches between failure domains keep them twice as long, and where links are full what can't be fetched
+/// is read again.
+const LINK_TIME_WEIGHT: f64 = 0.5;
 /// Running prompts take at most this part of an engine's memory: beyond it they push each other
 /// out, and what was read must be read again.
 const MEMORY_PART: f64 = 0.9;
@@ -115,7 +119,7 @@
         }
         let mut fetch = vec![None; ask.parts.len()];
         let mut fetched_tokens = 0;
-        let mut fetch_ms: f64 = 0.0;
+        let (mut fetch_ms, mut link_ms): (f64, f64) = (0.0, 0.0);
         for (at, fetched) in fetch.iter_mut().enumerate().take(self.shared) {
             let found = self.nearest(at, engine, traits, now);
             // What is resident is named too: it may have been pushed out without our knowing, and
@@ -123,9 +127,10 @@
             *fetched = found.map(|(store, _)| store);
             match found {
                 _ if at < resident => {}
-                Some((_, takes)) => {
+                Some((_, found)) => {
                     fetched_tokens += ask.parts[at].tokens;
-                    fetch_ms = fetch_ms.max(millis(takes));
+                    fetch_ms = fetch_ms.max(millis(found.queue + found.transfer));
+                    link_ms += millis(found.transfer);
                 }
                 // A part is of use only after all before it.
                 None => break,
@@ -146,7 +151,9 @@
             + engine.others(now) * DELAY_PER_OTHER_MS;
         let rest_ms = millis(pace.reading(read_tokens)) + millis(pace.base());
         let expected_ms = ahead_ms.max(fetch_ms) + rest_ms;
-        let cost_ms = expected_ms + again_tokens as f64 * READ_AGAIN_MS_PER_TOKEN;
+        let cost_ms = expected_ms
+            + again_tokens as f64 * READ_AGAIN_MS_PER_TOKEN
+            + link_ms * LINK_TIME_WEIGHT;
         let grounds = Grounds {
             running: engine.placed(),
             ahead_ms: ahead_ms as u32,
@@ -166,19 +173,20 @@
         engine: &Engine,
         traits: &EngineTraits,
         now: BootTime,
-    ) -> Option<(SocketAddr, Duration)> {
+    ) -> Option<(SocketAddr, Transfer)> {
         let size_bytes = (self.ask.parts[at].tokens * traits.token_bytes) as f64;
-        let ways = self.sources_for(at, engine).map(|source| {
-            let (queue, transfer) = source.transfer(size_bytes, engine, now);
-            (source.address, queue + transfer)
-        });
+        let ways = self
+            .sources_for(at, engine)
+            .map(|source| (source.address, source.transfer(size_bytes, engine, now)));
         let longest = self.longest_fetch();
-        ways.filter(|(_, takes)| *takes <= longest).min_by_key(|(_, takes)| *takes)
+        let takes = |transfer: &Transfer| transfer.queue + transfer.transfer;
+        ways.filter(|(_, way)| takes(way) <= longest).min_by_key(|(_, way)| takes(way))
     }
 
     /// Why a part is read again that could be fetched from nowhere in time.
     fn why_not_fetched(&self, at: usize, engine: &Engine, now: BootTime) -> NotFetched {
-        let queues = self.sources_for(at, engine).map(|source| source.transfer(0.0, engine, now).0);
+        let queues =
+            self.sources_for(at, engine).map(|source| source.transfer(0.0, engine, now).queue);
         match queues.min() {
             None => NotFetched::NowhereWhole,
             Some(queue) if queue > self.longest_fetch() / 2 => NotFetched::LinkFull,
--- a/tests/deployment/sources.rs
+++ b/tests/deployment/sources.rs
@@ -140,3 +140,26 @@
     (0..21).for_each(|_| lateness.add(-30.0));
     assert_eq!(lateness.usual_ms(), 0.0);
 }
+
+/// Two engines that are equally busy: the one in the store's failure domain gets the prompt, since its
+/// fetch keeps the store's link half as long from others.
+#[test]
+fn of_engines_that_are_as_soon_the_one_that_keeps_links_for_less_time_fetches() {
+    let mut scheduler = scheduler(2);
+    let mut listed = engines(2);
+    listed[0].failure_domain = "b".to_string();
+    scheduler.take_roster(&roster(listed));
+    let ask = ask_of(0, 1, 1);
+    let context = &ask.parts[0];
+    let salt = "all/m/1".to_string();
+    let part = StoredPart { salt, id: context.id.clone(), tokens: context.tokens };
+    let inventory = Inventory { start: store_start(1), whole: vec![part], ..Inventory::default() };
+    scheduler.take_inventory(address(9_000), inventory, ms(0));
+    // Each has 2,400 tokens of another prompt to read, for longer than the fetch takes.
+    for (waiter, other) in [(1, "i-01"), (2, "i-00")] {
+        let busy = Ask { avoid: vec![start(other)], ..ask_of(2, waiter, waiter) };
+        placed(scheduler.submit(waiter, busy, ms(10)));
+    }
+    let fetches = placed(scheduler.submit(3, ask, ms(11)));
+    assert_eq!((fetches.target, fetches.grounds.fetched_tokens), (start("i-01"), 9_100));
+}
--- a/tests/logic/replicas.rs
+++ b/tests/logic/replicas.rs
@@ -47,6 +47,8 @@
     world.cut_off([old]);
     assert!(world.change(old, Change::Remove(old)));
     world.crash(old);
+    // What it has sent of that arrives nowhere.
+    world.run(Duration::from_millis(10));
     world.start(old);
     world.recover();
     assert!(world.leader().is_none_or(|leader| leader != old), "it has left by now");
