Who can't be on time waits longer for a fetch

Cause: after an outage links are full, and prompts that have waited for longer than they could be fetched in time were read again by engines that others needed (250,000 tokens in the two seconds after it). Change: the scheduler is told how long a prompt has waited at its entry; one that can't be on time waits for a fetch for up to a second. A replica whose disk has lost bytes is not relieved early of what it acknowledged.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -50,6 +50,8 @@
     pub rank: Rank,
     /// The service that serves it.
     pub service: ServiceId,
+    /// When its head was here.
+    pub arrived: Instant,
     /// When its time is over.
     pub ends_at: Instant,
     /// Breaks ties between targets.
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -159,6 +159,7 @@
         priority: job.rank.order(),
         objective: job.route.objective,
         time_left: job.ends_at.saturating_duration_since(tokio::time::Instant::now()),
+        waited: job.arrived.elapsed(),
         avoid,
     })
 }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -119,6 +119,7 @@
             .map_or_else(|| SHARED_CACHE.to_string(), |account| format!("only:{}", account.id)),
         rank,
         service,
+        arrived,
         ends_at: arrived + most,
         drawn: random.random(),
         route,
--- a/src/log/raft/restart.rs
+++ b/src/log/raft/restart.rs
@@ -45,10 +45,10 @@
     ) -> Restart {
         let acknowledged = recovered.vote.acknowledged;
         Restart {
-            counted_on_by: acknowledged.filter(|leader| *leader != id),
+            // What a disk has lost may have been acknowledged to somebody else.
+            counted_on_by: acknowledged.filter(|leader| *leader != id && !recovered.lost),
             nonce: random.random(),
             asked_at: None,
-            // What a disk has lost may have been acknowledged to somebody else.
             was_leader: acknowledged == Some(id) && !recovered.lost,
             ends_at,
         }
--- a/src/scheduler/messages.rs
+++ b/src/scheduler/messages.rs
@@ -32,6 +32,8 @@
     pub objective: Duration,
     /// How much of the caller's time is left.
     pub time_left: Duration,
+    /// How much of it has passed at the entry.
+    pub waited: Duration,
     /// Engines that this request was sent to before, or that the entry can't reach.
     pub avoid: Vec<TargetStart>,
 }
--- a/src/scheduler/way.rs
+++ b/src/scheduler/way.rs
@@ -204,9 +204,12 @@
     }
 
     fn longest_fetch(&self) -> Duration {
-        match self.ask.objective.is_zero() {
-            true => LONGEST_FETCH,
-            false => self.ask.objective.mul_f64(FETCH_PART).min(LONGEST_FETCH),
+        let most = self.ask.objective.mul_f64(FETCH_PART);
+        match self.ask.waited < most {
+            true => most.min(LONGEST_FETCH),
+            // It can't be on time, or need not be: better late than read again while engines have most
+            // to do for others.
+            false => LONGEST_FETCH,
         }
     }
 }
--- a/tests/deployment/load.rs
+++ b/tests/deployment/load.rs
@@ -75,6 +75,7 @@
         priority,
         objective: ms(objective_ms),
         time_left: ms(8_000),
+        waited: ms(0),
         avoid: Vec::new(),
     }
 }
--- a/tests/deployment/sources.rs
+++ b/tests/deployment/sources.rs
@@ -163,3 +163,28 @@
     let fetches = placed(scheduler.submit(3, ask, ms(11)));
     assert_eq!((fetches.target, fetches.grounds.fetched_tokens), (start("i-01"), 9_100));
 }
+
+/// After an outage links are full, and most of those who have waited can't be on time: they wait for
+/// their fetch, and leave engines to read for others.
+#[test]
+fn who_cannot_be_on_time_waits_longer_for_a_fetch() {
+    let mut scheduler = scheduler(1);
+    let salt = "all/m/1".to_string();
+    let part = |n: u64| {
+        let context = &ask_of(0, n, n).parts[0];
+        StoredPart { salt: salt.clone(), id: context.id.clone(), tokens: 9_100 }
+    };
+    let whole = (0..60).map(part).collect();
+    let inventory = Inventory { start: store_start(1), whole, ..Inventory::default() };
+    scheduler.take_inventory(address(9_000), inventory, ms(0));
+    // 50 fetches of 9 ms each keep the engine's link; their prompts leave.
+    for n in 0..50 {
+        let placed = placed(scheduler.submit(n, ask_of(0, n, n), ms(10)));
+        end(&mut scheduler, placed.ticket, End::Left, ms(10));
+    }
+    let hurried = placed(scheduler.submit(50, ask_of(0, 50, 50), ms(11)));
+    assert_eq!(hurried.grounds.read_again.link_full_tokens, 9_100);
+    end(&mut scheduler, hurried.ticket, End::Left, ms(11));
+    let late = Ask { waited: ms(600), ..ask_of(0, 51, 51) };
+    assert_eq!(placed(scheduler.submit(51, late, ms(12))).grounds.fetched_tokens, 9_100);
+}
