--- a/tests/platform_stand_in/mod.rs
+++ b/tests/platform_stand_in/mod.rs
@@ -10,6 +10,7 @@
 pub mod target;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use account::Account;
@@ -28,6 +29,9 @@
 pub struct Inner {
     /// Targets by id, each as it last started.
     pub targets: BTreeMap<String, Target>,
+    /// Addresses at which engines were listed at some time: whoever fetches from one that has gone finds
+    /// nothing.
+    pub engine_addresses: BTreeSet<SocketAddr>,
     /// What has reached them.
     pub account: Account,
     /// The store of kept KV cache.
