A test of waiting prompts looks at memories apart from stores

The mutation "prompts don't wait for memories" survived: the test had told of memories before the store was known. It tells of them last now, fails without the safeguard and passes with it.

--- a/tests/deployment/sources.rs
+++ b/tests/deployment/sources.rs
@@ -94,14 +94,15 @@
     let part =
         StoredPart { salt: "all/m/1".into(), id: context.id.clone(), tokens: context.tokens };
     scheduler.recall(&start("i-01"), vec![StoreEvent::Stored(part)]);
-    scheduler.memories_read();
     assert_eq!(scheduler.dispatch(ms(20)), [], "the store's contents are not known");
     let empty = Inventory { start: store_start(1), ..Inventory::default() };
     scheduler.take_inventory(address(9_000), empty, ms(25));
     assert_eq!(scheduler.dispatch(ms(30)), [], "nothing can be fetched without the engines' clock");
     scheduler.read_clock(5, ms(35));
     assert_eq!(scheduler.dispatch(ms(60)), [], "frees of an earlier scheduler may be under way");
-    let (waiter, outcome) = scheduler.dispatch(ms(75)).remove(0);
+    assert_eq!(scheduler.dispatch(ms(75)), [], "engines' memories are not all read");
+    scheduler.memories_read();
+    let (waiter, outcome) = scheduler.dispatch(ms(80)).remove(0);
     let placed = outcome.expect("it is placed");
     assert_eq!((waiter, placed.target, placed.grounds.resident_tokens), (1, start("i-01"), 9_100));
 }
