A replica that starts again hears from the leader how long ago weights were named

Cause of the known red test: ages reach a restarted process through the log alone, and the log grows only while a quorum's disks sync. A stall between an age's proposal and its record leaves the log behind by as long as it lasts; the second that is added on a restart covers the regular lag only. Ruled out: lost leadership (the next leader counts from its own memory and records), order of entries in the log.

Change: who starts asks the other replicas for the ages that they know and tells entries nothing until a leader has answered or it leads itself; entries tell theirs when they connect, for restarts of all replicas at once. The earliest time of each naming holds, so nothing grows by being told around.

--- a/src/control/frames.rs
+++ b/src/control/frames.rs
@@ -22,6 +22,9 @@
 /// The length before each frame.
 const HEADER_BYTES: usize = 4;
 
+/// Named weights of each model, the newest and some before, with how long ago they were named.
+pub type NamedAges = BTreeMap<ModelId, Vec<NamedWeights>>;
+
 /// The first frame on each connection: who opened it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Introduction {
@@ -38,6 +41,8 @@
         name: String,
         /// Its failure domain.
         failure_domain: DomainId,
+        /// Named weights that it was told of: replicas that were all restarted may know less.
+        named: NamedAges,
     },
     /// An entry that asks the scheduler; `FromEntry` frames follow, `ToEntry` is sent back.
     Asker {
@@ -110,6 +115,15 @@
     RosterWanted,
     /// Entries that are connected to the sender.
     Entries(BTreeSet<String>),
+    /// The sender has just started: `NamedAges` is the answer.
+    NamedAgesWanted,
+    /// Named weights that the sender knows of.
+    NamedAges {
+        /// Their ages.
+        named: NamedAges,
+        /// Whether the sender leads.
+        leads: bool,
+    },
 }
 
 /// Names a list of targets. Two replicas may give the same number to lists that differ: these differ
@@ -190,8 +204,8 @@
         /// The differences.
         change: RosterChange,
     },
-    /// Named weights of each model, the newest and some before.
-    Weights(BTreeMap<ModelId, Vec<NamedWeights>>),
+    /// Named weights.
+    Weights(NamedAges),
 }
 
 /// Writes a frame.
--- a/src/control/news.rs
+++ b/src/control/news.rs
@@ -18,7 +18,7 @@
 use crate::clock::{BootTime, boot_now};
 use crate::log::Term;
 use crate::net;
-use crate::scheduler::weights::{NamedSince, NamedWeights};
+use crate::scheduler::weights::{self, NamedSince};
 
 /// How often an entry is told that what it knows is current.
 pub const CURRENT_EVERY: Duration = Duration::from_millis(250);
@@ -71,8 +71,9 @@
                 }
             }
         }
-        Introduction::Entry { name, failure_domain } => {
+        Introduction::Entry { name, failure_domain, named } => {
             log::info!("event=entry_connected entry={name} failure_domain={failure_domain}");
+            shared.take_ages(named);
             *shared.own_entries.borrow_mut().entry(name.clone()).or_default() += 1;
             let ended = tell_entry(read, write, &scheduling).await;
             let mut entries = shared.own_entries.borrow_mut();
@@ -205,14 +206,7 @@
 }
 
 fn weights_news(named: &NamedSince) -> std::sync::Arc<[u8]> {
-    let now = boot_now();
-    let told = named.iter().map(|(model, namings)| {
-        let age = |since| now.saturating_sub(since);
-        let namings =
-            namings.iter().map(|(version, since)| NamedWeights { version, age: age(since) });
-        (model.clone(), namings.collect())
-    });
-    encode(&News::Weights(told.collect()))
+    encode(&News::Weights(weights::ages(named, boot_now())))
 }
 
 fn current_news(shared: &Shared) -> std::sync::Arc<[u8]> {
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -181,6 +181,15 @@
                 Ordering::Greater => self.shared.links.send(ip, encode(&ToReplica::RosterWanted)),
             },
             ToReplica::RosterWanted => self.tell_roster(ip),
+            ToReplica::NamedAgesWanted => {
+                let leads = self.driver.raft.status().is_leader;
+                let ages = ToReplica::NamedAges { named: self.shared.ages(), leads };
+                self.shared.links.send(ip, encode(&ages));
+            }
+            ToReplica::NamedAges { named, leads } => {
+                self.shared.take_ages(named);
+                self.shared.knows_ages.set(leads || self.shared.knows_ages.get());
+            }
             ToReplica::Entries(entries) => {
                 self.others_entries.insert(node, (entries, now));
                 self.others_heard_from.get_or_insert(now);
@@ -223,10 +232,14 @@
         self.led = status.is_leader;
         if status.is_leader {
             self.heard_leader_at = now;
+            self.shared.knows_ages.set(true);
             self.take_step(now);
         } else {
             self.reads.clear();
         }
+        if !self.shared.knows_ages.get() {
+            self.shared.tell(&self.state, self.ip, &ToReplica::NamedAgesWanted);
+        }
         if now >= self.told_at + TELL {
             self.told_at = now;
             self.tell_others(now);
--- a/src/control/run.rs
+++ b/src/control/run.rs
@@ -77,6 +77,7 @@
         entries: Cell::new(None),
         changing: RefCell::default(),
         named_since: RefCell::default(),
+        knows_ages: Cell::new(false),
         links,
         seeds: RefCell::new(seeds),
     });
--- a/src/control/shared.rs
+++ b/src/control/shared.rs
@@ -9,7 +9,7 @@
 
 use tokio::sync::watch;
 
-use super::frames::{News, NumberedRoster, RosterName, ToReplica, encode};
+use super::frames::{NamedAges, News, NumberedRoster, RosterName, ToReplica, encode};
 use super::links::SharedLinks;
 use super::reading_turn::ReadingTurn;
 use super::state::ControlState;
@@ -47,6 +47,9 @@
     pub changing: RefCell<BTreeSet<TargetStart>>,
     /// When weights were named, as far as this replica knows.
     pub named_since: RefCell<NamedSince>,
+    /// Whether this process has led, or a leader has told it how long ago weights were named. Until
+    /// then it may take old namings for new: the log lags behind ages while disks stand still.
+    pub knows_ages: Cell<bool>,
     /// Connections to other replicas.
     pub links: SharedLinks,
     /// Hosts of replicas that the settings or other replicas named at some time.
@@ -160,9 +163,21 @@
         }
     }
 
-    /// Whether this replica had all that was committed within the last `within`.
+    /// Takes how long ago weights were named, as another process tells it.
+    pub fn take_ages(&self, named: NamedAges) {
+        weights::take_ages(&mut self.named_since.borrow_mut(), named, boot_now());
+    }
+
+    /// How long ago weights were named, to tell another process.
+    pub fn ages(&self) -> NamedAges {
+        weights::ages(&self.named_since.borrow(), boot_now())
+    }
+
+    /// Whether this replica had all that was committed within the last `within`, and knows how long
+    /// ago weights were named.
     pub fn is_current(&self, within: Duration) -> bool {
         let now = boot_now();
-        self.caught_up_at.get().is_some_and(|at| now.saturating_sub(at) <= within)
+        self.knows_ages.get()
+            && self.caught_up_at.get().is_some_and(|at| now.saturating_sub(at) <= within)
     }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,7 +1,7 @@
 //! What the tasks of one entry share.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -19,9 +19,9 @@
 use crate::fleet::budget::{RetryRule, RetryShare};
 use crate::fleet::{Dispatch, FleetView, Listed, Presence};
 use crate::host::HostSettings;
-use crate::ids::{ModelId, TargetStart};
+use crate::ids::TargetStart;
 use crate::log::Term;
-use crate::scheduler::weights::{self, NamedSince, NamedWeights};
+use crate::scheduler::weights::{self, NamedSince};
 use crate::scheduler::{End, Note, TicketId};
 use crate::telemetry::roles::EntryMetrics;
 
@@ -191,7 +191,9 @@
                 }
             }
             News::Deployment(deployment) => self.take_deployment(deployment),
-            News::Weights(named) => self.take_named(named),
+            News::Weights(named) => {
+                weights::take_ages(&mut self.named_since.borrow_mut(), named, boot_now());
+            }
             News::Roster(roster) => {
                 self.hear_leaving(roster.roster.iter());
                 self.take_roster(roster);
@@ -242,17 +244,6 @@
         self.fleet.borrow_mut().leave(leaving.map(|listed| &listed.start));
     }
 
-    /// Replicas that have started again may know a later time of the naming: the earliest holds.
-    fn take_named(&self, named: BTreeMap<ModelId, Vec<NamedWeights>>) {
-        let now = boot_now();
-        let mut known = self.named_since.borrow_mut();
-        for (model, namings) in named {
-            for NamedWeights { version, age } in namings {
-                weights::take_named(&mut known, &model, version, now.saturating_sub(age), now);
-            }
-        }
-    }
-
     fn take_roster(&self, roster: NumberedRoster) {
         if roster.name() <= self.roster.borrow().name() {
             return;
--- a/src/gateway/subscription.rs
+++ b/src/gateway/subscription.rs
@@ -10,10 +10,12 @@
 use tokio::io::{AsyncWriteExt, BufReader};
 
 use super::state::Gateway;
+use crate::clock::boot_now;
 use crate::control::frames::{self, Introduction, News, encode};
 use crate::control::news::CURRENT_EVERY;
 use crate::essential::Essentials;
 use crate::net;
+use crate::scheduler::weights;
 
 /// Replicas that an entry hears at a time: one may be cut off from its leader just when a deployment
 /// is published.
@@ -70,6 +72,7 @@
     let introduction = Introduction::Entry {
         name: gateway.host.name.clone(),
         failure_domain: gateway.host.failure_domain.clone(),
+        named: weights::ages(&gateway.named_since.borrow(), boot_now()),
     };
     write.write_all(&encode(&introduction)).await?;
     let mut read = BufReader::new(read);
--- a/src/scheduler/weights.rs
+++ b/src/scheduler/weights.rs
@@ -113,6 +113,30 @@
     }
 }
 
+/// How long ago weights were named, to tell another process.
+pub fn ages(named: &NamedSince, now: BootTime) -> BTreeMap<ModelId, Vec<NamedWeights>> {
+    let told = named.iter().map(|(model, namings)| {
+        let age = |since| now.saturating_sub(since);
+        let namings =
+            namings.iter().map(|(version, since)| NamedWeights { version, age: age(since) });
+        (model.clone(), namings.collect())
+    });
+    told.collect()
+}
+
+/// Takes ages that another process told. The earliest time of each naming holds.
+pub fn take_ages(
+    known: &mut NamedSince,
+    named: BTreeMap<ModelId, Vec<NamedWeights>>,
+    now: BootTime,
+) {
+    for (model, namings) in named {
+        for NamedWeights { version, age } in namings {
+            take_named(known, &model, version, now.saturating_sub(age), now);
+        }
+    }
+}
+
 /// How long prompts may begin on older weights once newer ones are named.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct OldWeights {
--- a/tests/deployment/asking.rs
+++ b/tests/deployment/asking.rs
@@ -54,6 +54,7 @@
         entries: Cell::new(None),
         changing: RefCell::default(),
         named_since: RefCell::default(),
+        knows_ages: Cell::new(true),
         links: Rc::new(Links::new(1, ip, 1)),
         seeds: RefCell::default(),
     }
--- a/tests/deployment/told_once.rs
+++ b/tests/deployment/told_once.rs
@@ -11,7 +11,7 @@
 
 use kumquatpost::clock::boot_now;
 use kumquatpost::control::frames::{
-    FromEntry, Introduction, News, NumberedRoster, ToEntry, encode, read,
+    FromEntry, Introduction, NamedAges, News, NumberedRoster, ToEntry, encode, read,
 };
 use kumquatpost::control::news;
 use kumquatpost::control::scheduling::Scheduling;
@@ -196,6 +196,57 @@
     assert!(recorded <= passed + ms(1_000), "{recorded:?} recorded, {passed:?} passed");
 }
 
+/// What was seen: a replica that had started again took weights for 2.75 s old that had been named 3.5 s
+/// before, and allowed older ones for that much longer.
+/// What caused it: the log holds an age only once a quorum has synced it, and the disks stood still.
+#[test]
+fn a_replica_that_starts_again_hears_ages_that_are_not_in_the_log() {
+    let model = "m".to_string();
+    let mut log = ControlState::default();
+    log.apply(Command::NameWeights { model: model.clone(), version: 2 });
+    let runs_on = shared(1, NumberedRoster::default());
+    let named_at = boot_now().saturating_sub(ms(3_500));
+    take_named(&mut runs_on.named_since.borrow_mut(), &model, 2, named_at, boot_now());
+    let started = shared(1, NumberedRoster::default());
+    started.knows_ages.set(false);
+    assert!(!started.is_current(ms(500)), "it may take old namings for new");
+    let age = age_of(&log, &model, 2, None, boot_now());
+    let since = boot_now().saturating_sub(age);
+    take_named(&mut started.named_since.borrow_mut(), &model, 2, since, boot_now());
+    started.take_ages(runs_on.ages());
+    started.knows_ages.set(true);
+    assert!(started.is_current(ms(500)));
+    assert!(started.ages()[&model][0].age >= ms(3_500), "{:?}", started.ages());
+}
+
+/// All replicas were restarted while their disks stood still; entries went on.
+#[test]
+fn an_entry_tells_replicas_how_long_ago_weights_were_named() {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+    let core = Core::start(3);
+    core.publish(1);
+    let named = vec![NamedWeights { version: 2, age: ms(60_000) }];
+    let entry = Introduction::Entry {
+        name: "entry".into(),
+        failure_domain: "hall".into(),
+        named: [("m".to_string(), named)].into(),
+    };
+    core.eventually("it tells what it was told", |core| {
+        let telling = async {
+            let mut stream = TcpStream::connect(core.peer_address(0)).await?;
+            stream.write_all(&encode(&entry)).await?;
+            loop {
+                if let News::Weights(named) = read(&mut stream).await? {
+                    return Ok::<_, std::io::Error>(named);
+                }
+            }
+        };
+        let told = runtime.block_on(async { tokio::time::timeout(ms(2_000), telling).await });
+        let told = told.ok().and_then(Result::ok);
+        told.is_some_and(|named| named["m"].last().is_some_and(|weights| weights.age >= ms(60_000)))
+    });
+}
+
 /// An entry hears from one replica that a target leaves which its own list does not hold yet, or no
 /// longer; the list that it takes next lags.
 #[test]
@@ -234,7 +285,11 @@
 /// How many entries share the retries, as a replica tells an entry first. Until it can know, it tells none.
 async fn sharing(replica: SocketAddr, name: &str) -> std::io::Result<(u32, TcpStream)> {
     let mut stream = TcpStream::connect(replica).await?;
-    let entry = Introduction::Entry { name: name.into(), failure_domain: "hall".into() };
+    let entry = Introduction::Entry {
+        name: name.into(),
+        failure_domain: "hall".into(),
+        named: NamedAges::new(),
+    };
     stream.write_all(&encode(&entry)).await?;
     loop {
         if let News::Current { entries: Some(entries), .. } = read(&mut stream).await? {
