--- a/src/control/frames.rs
+++ b/src/control/frames.rs
@@ -11,8 +11,8 @@
 
 use super::pieces::Piece;
 use crate::deployment::Deployment;
-use crate::fleet::Roster;
 use crate::fleet::compact::CompactTargets;
+use crate::fleet::{Remembered, Roster, RosterChange};
 use crate::ids::{DomainId, ModelId, NodeId, TargetStart};
 use crate::log::{Message, Term};
 use crate::scheduler::weights::NamedWeights;
@@ -128,6 +128,20 @@
     Hosts(BTreeSet<IpAddr>),
     /// The list of targets.
     Roster(NumberedRoster),
+    /// How the list of targets differs from an earlier one: a whole list is some 220 KB for 3,000 targets, and
+    /// changes with each read while targets come and go.
+    RosterChanged {
+        /// The earlier list.
+        before: RosterName,
+        /// The list.
+        name: RosterName,
+        /// Targets that are new, or not as they were.
+        changed: CompactTargets,
+        /// Starts of targets that are listed no more.
+        gone: Vec<TargetStart>,
+        /// What the list remembers, and the earlier one does not.
+        remembered: Remembered,
+    },
     /// The sender has read the list.
     RosterRead {
         /// The list that it knows now.
@@ -184,6 +198,24 @@
         RosterName { number: self.number, digest: self.digest }
     }
 
+    /// The list that comes after this one by a change; `None` if the change is of another list, or makes
+    /// another one.
+    pub fn advanced(
+        &self,
+        before: RosterName,
+        name: RosterName,
+        change: RosterChange,
+        remembered: Remembered,
+    ) -> Option<NumberedRoster> {
+        if self.name() != before {
+            return None;
+        }
+        let mut roster = Roster::clone(&self.roster);
+        roster.advance(change, remembered);
+        let list = NumberedRoster::new(name.number, Arc::new(roster));
+        (list.name() == name).then_some(list)
+    }
+
     /// Takes the later of this list and another one, and who leaves by either of them: a target that
     /// leaves never comes back, and none gets older weights, whichever list is the later one.
     pub fn join(&mut self, other: &NumberedRoster) {
--- a/src/control/kept_targets.rs
+++ b/src/control/kept_targets.rs
@@ -23,6 +23,8 @@
 pub fn load(folder: &Path) -> NumberedRoster {
     let read = std::fs::read(folder.join(FILE)).map_err(|error| error.to_string());
     match read.and_then(|bytes| decode(&bytes)) {
+        // Kept before the first read: entries must not take that for the list.
+        Ok(list) if list.roster.is_empty() => NumberedRoster::default(),
         Ok(list) => {
             log::info!("event=targets_kept number={} count={}", list.number, list.roster.len());
             list
--- a/src/control/memory_reader.rs
+++ b/src/control/memory_reader.rs
@@ -11,6 +11,7 @@
 use super::scheduling::Scheduling;
 use crate::clock::boot_now;
 use crate::ids::TargetStart;
+use crate::log::Term;
 use crate::net::http::{CallError, Exchange, fetch};
 use crate::platform::stores::{self, Events};
 
@@ -26,12 +27,13 @@
 const READS_FOR: Duration = Duration::from_millis(1_500);
 
 /// Reads the events that engines still have.
-pub async fn run(scheduling: Rc<Scheduling>, engines: Vec<(TargetStart, SocketAddr)>) {
+pub async fn run(scheduling: Rc<Scheduling>, engines: Vec<(TargetStart, SocketAddr)>, term: Term) {
     let count = engines.len();
     let scheduling = &scheduling;
     let reading = futures::stream::iter(engines).map(|(engine, address)| async move {
         match read(&engine, address).await {
             Ok(page) => {
+                scheduling.until_sure(term).await;
                 let now = boot_now();
                 let recalled = scheduling.with(|scheduler| {
                     // Stores tell it with their next events, which may be long in coming.
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -13,6 +13,7 @@
 use super::shared::{Belief, Lacking, Shared};
 use super::state::{Command, ControlState, Published, Reply};
 use crate::clock::{BootTime, boot_now};
+use crate::fleet::RosterChange;
 use crate::ids::NodeId;
 use crate::log::driver::{Driver, Output};
 use crate::log::raft::{Change, NotLeader, ReadId};
@@ -168,6 +169,16 @@
             }
             ToReplica::Hosts(hosts) => self.shared.seeds.borrow_mut().extend(hosts),
             ToReplica::Roster(roster) => self.take_roster(roster, ip),
+            ToReplica::RosterChanged { before, name, changed, gone, remembered } => {
+                let change = changed.listed().map(|changed| RosterChange { changed, gone });
+                let known = self.shared.roster.borrow().clone();
+                let heard =
+                    change.ok().and_then(|change| known.advanced(before, name, change, remembered));
+                match heard {
+                    Some(roster) => self.take_roster(roster, ip),
+                    None => self.shared.links.send(ip, encode(&ToReplica::RosterWanted)),
+                }
+            }
             ToReplica::RosterUnread => self.shared.reading.update(|mut reading| {
                 reading.was_asked(now);
                 reading
@@ -232,7 +243,6 @@
         self.led = status.is_leader;
         if status.is_leader {
             self.heard_leader_at = now;
-            self.shared.knows_ages.set(true);
             self.take_step(now);
         } else {
             self.reads.clear();
@@ -353,6 +363,10 @@
         let now = boot_now();
         self.shared.take_named(&self.state, now);
         let status = self.driver.raft.status();
+        if status.is_leader {
+            // Before others hear that it leads: what a scheduler is told until then is lost.
+            self.shared.knows_ages.set(true);
+        }
         self.shared.caught_up_at.set(self.driver.raft.caught_up_at(now));
         let leader = status.leader.and_then(|node| self.place_of(node));
         let belief = Belief {
--- a/src/control/roster_reader.rs
+++ b/src/control/roster_reader.rs
@@ -9,12 +9,13 @@
 use http::{Method, StatusCode};
 use rand::RngExt;
 
-use super::frames::ToReplica;
+use super::frames::{NumberedRoster, ToReplica};
 use super::reading_turn::{LATE_AFTER, LOOK_EVERY, PAGE_TIMEOUT, READ_EVERY};
 use super::shared::Shared;
 use super::unreadable::UnreadableLines;
 use crate::clock::{BootTime, boot_now};
-use crate::fleet::{Listed, Listing};
+use crate::fleet::compact::CompactTargets;
+use crate::fleet::{Listed, Listing, RosterChange};
 use crate::ids::ServiceId;
 use crate::net::http::{Answer, CallError, Exchange, fetch};
 use crate::platform::instances::{self, Page};
@@ -124,6 +125,7 @@
         let is_named = |service: &ServiceId| {
             published.as_ref().is_some_and(|known| known.deployment.services.contains_key(service))
         };
+        let before = self.shared.roster.borrow().clone();
         let changed =
             self.shared.change_roster(|known| known.take(known.without_unnamed(targets, is_named)));
         let roster = self.shared.roster.borrow().clone();
@@ -132,7 +134,7 @@
         if changed {
             let (number, count) = (roster.number, roster.roster.len());
             log::info!("event=targets_changed number={number} count={count}");
-            self.shared.tell(state, self.own, &ToReplica::Roster(roster));
+            self.shared.tell(state, self.own, &change_between(&before, &roster));
         }
         let age = boot_now().saturating_sub(began);
         self.shared.tell(state, self.own, &ToReplica::RosterRead { name, age });
@@ -182,6 +184,18 @@
     }
 }
 
+/// What tells another replica that has one list of the next one.
+fn change_between(before: &NumberedRoster, now: &NumberedRoster) -> ToReplica {
+    let RosterChange { changed, gone } = before.roster.change_to(&now.roster);
+    ToReplica::RosterChanged {
+        before: before.name(),
+        name: now.name(),
+        changed: CompactTargets::of(changed.iter()),
+        gone,
+        remembered: before.roster.remembered_by(&now.roster),
+    }
+}
+
 /// Waits until this replica should read: as soon as it leads, since all replicas may have just started
 /// and entries wait for the first list, and then regularly, or once another one fails to or nobody does.
 async fn turn(shared: &Shared, own: IpAddr, read_every: Duration) {
--- a/src/control/scheduling.rs
+++ b/src/control/scheduling.rs
@@ -34,7 +34,8 @@
 /// A leader that has not been confirmed for this long schedules nothing: well within the time in
 /// which no other can have been elected.
 const SURE_WITHIN: Duration = Duration::from_millis(250);
-/// A free is void this long after it was decided: before another leader grants a fetch.
+/// How often it is looked whether a leader is sure to lead by now: a commit takes two milliseconds or more.
+const SURE_AGAIN: Duration = Duration::from_millis(2);
 /// Longest time for a call that frees parts.
 const FREE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Tickets of one term begin after those of all earlier terms.
@@ -107,6 +108,22 @@
         active.as_mut().map(|(_, scheduler)| call(scheduler))
     }
 
+    /// Waits until the scheduler can be told something. Returns false if this replica schedules no more in
+    /// the term.
+    ///
+    /// A leader is not sure to lead until its term's first entry is committed, and while a quorum is late.
+    /// An inventory that is lost then is read again 10 s later, and what stores hold is computed anew
+    /// until then: 18 million tokens after one outage of all hosts.
+    pub async fn until_sure(&self, term: Term) -> bool {
+        while self.is_active(term) {
+            if self.with(|_| {}).is_some() {
+                return true;
+            }
+            tokio::time::sleep(SURE_AGAIN).await;
+        }
+        false
+    }
+
     /// How many prompts wait for an engine.
     pub fn waiting(&self) -> usize {
         self.waiters.borrow().len()
@@ -192,7 +209,7 @@
             scheduler.take_roster(&roster.roster);
             if is_first {
                 let engines = scheduler.engines();
-                tokio::task::spawn_local(memory_reader::run(self.clone(), engines));
+                tokio::task::spawn_local(memory_reader::run(self.clone(), engines, term));
             }
         }
         scheduler.take_changing(&self.shared.changing.borrow());
--- a/src/control/store_reader.rs
+++ b/src/control/store_reader.rs
@@ -65,6 +65,7 @@
         stores::decode_list(&text).map_err(|source| Lost::Unreadable { source })?;
     let (start, mut next) = (inventory.start, inventory.next);
     log::info!("event=store_read store={store} start={start:?} whole={}", inventory.whole.len());
+    scheduling.until_sure(term).await;
     let now = boot_now();
     let _ = scheduling.with(|scheduler| {
         clock_ms.into_iter().for_each(|ms| scheduler.read_clock(ms, now));
@@ -80,6 +81,7 @@
             return Err(Lost::Gap);
         }
         next = page.next;
+        scheduling.until_sure(term).await;
         let now = boot_now();
         let _ = scheduling.with(|scheduler| {
             page.clock_ms.into_iter().for_each(|ms| scheduler.read_clock(ms, now));
--- a/src/fleet/roster.rs
+++ b/src/fleet/roster.rs
@@ -81,7 +81,40 @@
     pub gone: Vec<TargetStart>,
 }
 
+/// What a later list remembers beside the listed targets, and an earlier one does not.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Remembered {
+    /// Starts that get no new work any more.
+    over: Vec<TargetStart>,
+    /// How often a listed start was found with older weights than were believed of it.
+    lowered: BTreeMap<TargetStart, u32>,
+}
+
 impl Roster {
+    /// What a later list remembers, and this one does not.
+    pub fn remembered_by(&self, later: &Roster) -> Remembered {
+        let over = later.over.keys().filter(|start| !self.over.contains_key(start));
+        let lowered = later.lowered.iter().filter(|(start, n)| self.lowered.get(start) != Some(n));
+        Remembered {
+            over: over.cloned().collect(),
+            lowered: lowered.map(|(start, n)| (start.clone(), *n)).collect(),
+        }
+    }
+
+    /// Applies how a later list differs from this one, with what that one remembers.
+    pub fn advance(&mut self, change: RosterChange, remembered: Remembered) {
+        for start in &change.gone {
+            if let Some(listed) = self.get(start).cloned() {
+                self.absent.insert(start.id.clone(), Absent { listed, lists: 0 });
+            }
+        }
+        self.apply(change);
+        let targets = &self.targets;
+        self.absent.retain(|id, _| !targets.contains_key(id));
+        self.over.extend(remembered.over.into_iter().map(|start| (start, 0)));
+        self.lowered.extend(remembered.lowered);
+    }
+
     /// A list of these targets, none of which has been seen before.
     pub fn of_targets(targets: Vec<Listed>) -> Roster {
         let targets = targets.into_iter().map(|listed| (listed.start.id.clone(), listed)).collect();
--- a/tests/deployment/asking.rs
+++ b/tests/deployment/asking.rs
@@ -63,6 +63,36 @@
     }
 }
 
+/// What was seen: after an outage of all hosts 18 million tokens were read again that lay in stores.
+/// What caused it: stores' inventories came within the 5 ms in which the new leader was not sure to lead, and
+/// were dropped; they are read again after 10 s.
+#[test]
+fn what_a_new_leader_reads_is_kept_until_it_is_sure_to_lead() {
+    run(async |scheduling| {
+        scheduling.shared.caught_up_at.set(None);
+        while !scheduling.is_active(1) {
+            tokio::time::sleep(ms(5)).await;
+        }
+        let reading = scheduling.until_sure(1);
+        let elected = async {
+            tokio::time::sleep(ms(20)).await;
+            assert!(scheduling.with(|_| {}).is_none(), "it is not sure yet");
+            scheduling.shared.caught_up_at.set(Some(boot_now() + ms(600_000)));
+        };
+        let (is_sure, ()) = tokio::join!(reading, elected);
+        assert!(is_sure && scheduling.with(|_| {}).is_some());
+    });
+}
+
+/// A replica that leads no more waits for nothing.
+#[test]
+fn what_a_replica_reads_that_leads_no_more_is_dropped() {
+    run(async |scheduling| {
+        scheduling.shared.caught_up_at.set(None);
+        assert!(!scheduling.until_sure(2).await, "it does not schedule in that term");
+    });
+}
+
 struct Asker {
     stream: BufReader<TcpStream>,
 }
--- a/tests/deployment/kept_targets.rs
+++ b/tests/deployment/kept_targets.rs
@@ -58,3 +58,15 @@
     std::fs::write(&path, flipped).expect("it is written");
     assert_eq!(load(folder.path()).number, 0);
 }
+
+/// What was seen: power was lost, and a replica came back with a list from before the first read.
+#[test]
+fn a_kept_list_without_targets_is_none() {
+    let folder = tempfile::tempdir().expect("a folder");
+    write_one(folder.path());
+    let empty = postcard::to_stdvec(&NumberedRoster::new(1, Arc::default())).expect("bytes");
+    let mut bytes = crc32fast::hash(&empty).to_le_bytes().to_vec();
+    bytes.extend_from_slice(&empty);
+    std::fs::write(folder.path().join("targets"), bytes).expect("it is written");
+    assert_eq!(load(folder.path()).number, 0);
+}
--- a/tests/deployment/many_hosts.rs
+++ b/tests/deployment/many_hosts.rs
@@ -10,7 +10,7 @@
 use kumquatpost::control::pieces::{Assembly, Piece, PieceError, split};
 use kumquatpost::control::reading_turn::{READ_EVERY, ReadingTurn};
 use kumquatpost::control::shared::Shared;
-use kumquatpost::fleet::{Listed, Presence};
+use kumquatpost::fleet::{Listed, Presence, Roster};
 use kumquatpost::gateway::news_sources::{Hearing, HeldTargets, NewsSources};
 use kumquatpost::ids::DomainId;
 use rand::SeedableRng;
@@ -300,6 +300,37 @@
     assert!(teller.is_up_to_date(&replica));
 }
 
+/// Replicas tell each other what has changed. A replica that takes a change knows all that the other one does,
+/// also who left before: it may have to read the next list itself.
+#[test]
+fn a_replica_that_is_told_a_change_remembers_who_leaves() {
+    let (before, after) = (list(7), changed_list(&list(7)));
+    let leaves = before.roster.iter().next().expect("a target").start.clone();
+    // The reader saw it leave, and lists it no more.
+    let mut read = Roster::clone(&before.roster);
+    assert!(read.take(after.roster.iter().cloned().collect()));
+    let left = NumberedRoster::new(8, Arc::new(read.clone()));
+    let rest = after.roster.iter().filter(|listed| listed.start != leaves).cloned();
+    assert!(read.take(rest.collect()));
+    let gone = NumberedRoster::new(9, Arc::new(read));
+    let change = |from: &NumberedRoster, to: &NumberedRoster| {
+        (from.roster.change_to(&to.roster), from.roster.remembered_by(&to.roster))
+    };
+    let (first, first_remembered) = change(&before, &left);
+    let (second, second_remembered) = change(&left, &gone);
+    let told = before.advanced(before.name(), left.name(), first.clone(), first_remembered.clone());
+    let told = told.expect("it is of that list");
+    let told = told.advanced(left.name(), gone.name(), second, second_remembered);
+    let told = told.expect("it is of that list");
+    assert_eq!(told.name(), gone.name());
+    // A lagging list shows it once more, as live.
+    let mut roster = Roster::clone(&told.roster);
+    roster.take(before.roster.iter().cloned().collect());
+    assert_eq!(roster.get(&leaves).map(|listed| listed.presence), Some(Presence::Leaving));
+    let other = NumberedRoster::new(6, before.roster.clone());
+    assert_eq!(other.advanced(before.name(), left.name(), first, first_remembered), None);
+}
+
 /// Bytes that make no list, and pieces out of order.
 #[test]
 fn pieces_that_make_no_list_are_refused() {
