--- a/src/control/frames.rs
+++ b/src/control/frames.rs
@@ -16,7 +16,7 @@
 use crate::ids::{DomainId, ModelId, NodeId, TargetStart};
 use crate::log::{Message, Term};
 use crate::scheduler::weights::NamedWeights;
-use crate::scheduler::{Ask, Note, Placed, Unplaced};
+use crate::scheduler::{Note, Placed, PlacementError, PlacementRequest};
 
 /// A longer frame is taken for damage. Larger than any deployment with its text: a body of an
 /// operator's call is at most 4 MiB.
@@ -81,7 +81,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum FromEntry {
     /// Place a prompt; the number names the answer.
-    Ask(u64, Ask),
+    Place(u64, PlacementRequest),
     /// The caller of the ask with this number has left.
     Withdraw(u64),
     /// What became of a placement.
@@ -94,21 +94,21 @@
     /// The prompt waits for an engine with room; `Placed` follows.
     Queued(u64),
     /// Where a prompt runs.
-    Placed(u64, Result<Placed, PlaceError>),
+    Placed(u64, Result<Placed, SchedulerError>),
 }
 
 /// Why a prompt was not placed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum PlaceError {
+pub enum SchedulerError {
     /// The asked replica does not lead, or is not sure of it.
     NotScheduling,
     /// There is no engine for it.
-    Unplaced(Unplaced),
+    Placement(PlacementError),
 }
 
-impl From<Unplaced> for PlaceError {
-    fn from(unplaced: Unplaced) -> PlaceError {
-        PlaceError::Unplaced(unplaced)
+impl From<PlacementError> for SchedulerError {
+    fn from(unplaced: PlacementError) -> SchedulerError {
+        SchedulerError::Placement(unplaced)
     }
 }
 
--- a/src/control/scheduling.rs
+++ b/src/control/scheduling.rs
@@ -11,7 +11,7 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::mpsc;
 
-use super::frames::{self, FromEntry, PlaceError, RosterName, ToEntry, encode};
+use super::frames::{self, FromEntry, RosterName, SchedulerError, ToEntry, encode};
 use super::memory_reader;
 use super::report;
 use super::shared::Shared;
@@ -23,7 +23,7 @@
 use crate::platform::stores;
 use crate::scheduler::store::{FREE_LASTS, FreePlan};
 use crate::scheduler::weights::OldWeights;
-use crate::scheduler::{Ask, End, Note, Placed, Scheduler, TicketId, WaiterId};
+use crate::scheduler::{End, Note, Placed, PlacementRequest, Scheduler, TicketId, WaiterId};
 
 /// How often changes are taken over and frees are planned.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
@@ -75,7 +75,7 @@
 
 impl EntryLink {
     /// Answers an ask. What is placed counts from here on, whether the entry hears of it or not.
-    fn answer(&self, number: u64, answer: Result<Placed, PlaceError>) {
+    fn answer(&self, number: u64, answer: Result<Placed, SchedulerError>) {
         self.waiting.borrow_mut().remove(&number);
         if let Ok(placed) = &answer {
             self.placed.borrow_mut().insert(placed.ticket);
@@ -177,7 +177,7 @@
         for Waiter { entry, number } in
             std::mem::take(&mut *self.waiters.borrow_mut()).into_values()
         {
-            entry.answer(number, Err(PlaceError::NotScheduling));
+            entry.answer(number, Err(SchedulerError::NotScheduling));
         }
     }
 
@@ -309,7 +309,7 @@
         let outcomes = self.with(|scheduler| scheduler.dispatch(boot_now()));
         for (waiter, outcome) in outcomes.into_iter().flatten() {
             if let Some(Waiter { entry, number }) = self.waiters.borrow_mut().remove(&waiter) {
-                entry.answer(number, outcome.map_err(PlaceError::from));
+                entry.answer(number, outcome.map_err(SchedulerError::from));
             }
         }
     }
@@ -345,7 +345,7 @@
     async fn take_all(&self, mut read: BufReader<OwnedReadHalf>) -> std::io::Result<()> {
         loop {
             match frames::read(&mut read).await? {
-                FromEntry::Ask(number, ask) => self.ask(number, ask),
+                FromEntry::Place(number, ask) => self.ask(number, ask),
                 FromEntry::Withdraw(number) => {
                     let waiter = self.entry.waiting.borrow_mut().remove(&number);
                     waiter.into_iter().for_each(|waiter| self.withdraw(waiter));
@@ -355,13 +355,13 @@
         }
     }
 
-    fn ask(&self, number: u64, ask: Ask) {
+    fn ask(&self, number: u64, ask: PlacementRequest) {
         let waiter = self.scheduling.next_waiter.get();
         self.scheduling.next_waiter.set(waiter + 1);
         let outcome = self.scheduling.with(|scheduler| scheduler.submit(waiter, ask, boot_now()));
         match outcome {
-            None => self.entry.answer(number, Err(PlaceError::NotScheduling)),
-            Some(Some(outcome)) => self.entry.answer(number, outcome.map_err(PlaceError::from)),
+            None => self.entry.answer(number, Err(SchedulerError::NotScheduling)),
+            Some(Some(outcome)) => self.entry.answer(number, outcome.map_err(SchedulerError::from)),
             Some(None) => {
                 let waits = Waiter { entry: self.entry.clone(), number };
                 self.scheduling.waiters.borrow_mut().insert(waiter, waits);
--- a/src/fleet/placement.rs
+++ b/src/fleet/placement.rs
@@ -27,7 +27,7 @@
 
 /// What is asked of the placement.
 #[derive(Clone, Copy, Debug)]
-pub struct Ask<'a> {
+pub struct Criteria<'a> {
     /// The service.
     pub service: &'a str,
     /// The prompt, if it is one.
@@ -46,7 +46,7 @@
 
 /// Why no target was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Unplaced {
+pub enum SelectionError {
     /// No target of the service is listed.
     NoneListed,
     /// All that are listed are out of order, or this request was sent to them before.
@@ -74,7 +74,11 @@
 ///
 /// # Errors
 /// If there is none.
-pub fn choose(view: &FleetView, ask: &Ask<'_>, now: BootTime) -> Result<Choice, Unplaced> {
+pub fn choose(
+    view: &FleetView,
+    ask: &Criteria<'_>,
+    now: BootTime,
+) -> Result<Choice, SelectionError> {
     let mut is_listed = false;
     let mut sound = Vec::new();
     for state in view.live(ask.service) {
@@ -85,7 +89,7 @@
         }
     }
     if sound.is_empty() {
-        return Err(if is_listed { Unplaced::NoneSound } else { Unplaced::NoneListed });
+        return Err(if is_listed { SelectionError::NoneSound } else { SelectionError::NoneListed });
     }
     let choices = match ask.prompt {
         Some(prompt) => engine_choices(&sound, prompt, ask, now),
@@ -94,7 +98,7 @@
     let best = choices.into_iter().min_by(|(a, tie_a), (b, tie_b)| {
         a.expected.cmp(&b.expected).then(mixed(tie_a, ask.drawn).cmp(&mixed(tie_b, ask.drawn)))
     });
-    best.map(|(choice, _)| choice).ok_or(Unplaced::OldWeights)
+    best.map(|(choice, _)| choice).ok_or(SelectionError::OldWeights)
 }
 
 fn plain_choices(sound: &[&TargetState], now: BootTime) -> Vec<(Choice, u64)> {
@@ -111,7 +115,7 @@
 fn engine_choices(
     sound: &[&TargetState],
     prompt: &Prompt,
-    ask: &Ask<'_>,
+    ask: &Criteria<'_>,
     now: BootTime,
 ) -> Vec<(Choice, u64)> {
     let context = prompt.shared_parts().last().map_or("", |part| part.id.as_str());
@@ -149,7 +153,7 @@
 fn weights_of(
     state: &TargetState,
     prompt: &Prompt,
-    ask: &Ask<'_>,
+    ask: &Criteria<'_>,
     read_by: BootTime,
 ) -> Option<(Option<u64>, f64)> {
     let named = ask.named.get(&prompt.model);
--- a/src/gateway/asking.rs
+++ b/src/gateway/asking.rs
@@ -14,10 +14,10 @@
 
 use super::state::Gateway;
 use crate::clock::{BootTime, boot_now};
-use crate::control::frames::{self, FromEntry, Introduction, PlaceError, ToEntry, encode};
+use crate::control::frames::{self, FromEntry, Introduction, SchedulerError, ToEntry, encode};
 use crate::log::Term;
 use crate::net;
-use crate::scheduler::{Ask, End, Note, Placed};
+use crate::scheduler::{End, Note, Placed, PlacementRequest};
 
 /// An answer takes one or two milliseconds. After this time the entry decides alone.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(40);
@@ -45,7 +45,7 @@
 /// How often it is asked again meanwhile.
 const ASK_AGAIN_EVERY: Duration = Duration::from_millis(30);
 
-type Answer = Result<Placed, PlaceError>;
+type Answer = Result<Placed, SchedulerError>;
 
 /// What the scheduler says to an ask.
 enum Reply {
@@ -94,11 +94,11 @@
 impl Asking {
     /// Asks where a prompt runs; `None` if there is no answer in time. While nothing schedules, it waits
     /// for a scheduler for a part of the prompt's objective.
-    pub async fn ask(&self, ask: Ask) -> Option<Answer> {
+    pub async fn ask(&self, ask: PlacementRequest) -> Option<Answer> {
         let until = Instant::now() + held_for(&ask);
         loop {
             match self.ask_once(ask.clone()).await {
-                None | Some(Err(PlaceError::NotScheduling)) => {}
+                None | Some(Err(SchedulerError::NotScheduling)) => {}
                 answered => {
                     self.absent_since.set(None);
                     return answered;
@@ -122,13 +122,13 @@
         self.absent_since.get()
     }
 
-    async fn ask_once(&self, ask: Ask) -> Option<Answer> {
+    async fn ask_once(&self, ask: PlacementRequest) -> Option<Answer> {
         if boot_now() < self.paused_until.get() {
             return None;
         }
         let most = ask.time_left;
         let mut pending = self.pending();
-        if !self.send(&FromEntry::Ask(pending.number, ask)) {
+        if !self.send(&FromEntry::Place(pending.number, ask)) {
             return None;
         }
         match tokio::time::timeout(ANSWER_TIMEOUT, pending.answers.recv()).await {
@@ -173,7 +173,7 @@
 }
 
 /// How long a prompt waits for a scheduler.
-fn held_for(ask: &Ask) -> Duration {
+fn held_for(ask: &PlacementRequest) -> Duration {
     let held = ask.objective.mul_f64(HELD_PART).max(HELD_AT_LEAST);
     held.min(ask.time_left / HELD_PART_OF_TIME_LEFT)
 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -18,7 +18,7 @@
 use crate::clock::boot_now;
 use crate::deployment::Route;
 use crate::fleet::Fault;
-use crate::fleet::placement::Unplaced;
+use crate::fleet::placement::SelectionError;
 use crate::ids::{AccountId, ServiceId, TargetStart};
 use crate::platform::headers;
 use crate::scheduler::End;
@@ -159,7 +159,7 @@
         let answered = Answered { target, answer, outcome, connection, at_target };
         return judge(gateway, job, answered, record);
     }
-    Err(Missed::Unplaced(NoChoice::NoTarget(Unplaced::NoneSound)))
+    Err(Missed::Unplaced(NoChoice::NoTarget(SelectionError::NoneSound)))
 }
 
 async fn connect(
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -6,11 +6,11 @@
 use super::attempt::Job;
 use super::state::Gateway;
 use crate::clock::{BootTime, boot_now};
-use crate::control::frames::PlaceError;
+use crate::control::frames::SchedulerError;
 use crate::fleet::placement;
 use crate::ids::TargetStart;
 use crate::scheduler::weights::{BEGINS_WITHIN, Namings, OldWeights};
-use crate::scheduler::{Ask, Placed, Unplaced};
+use crate::scheduler::{Placed, PlacementError, PlacementRequest};
 
 /// An entry that has a part of the list of targets waits so long for one that a prompt was placed at: the
 /// rest of the list takes a tenth of a second.
@@ -32,7 +32,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NoChoice {
     /// None is known here, or none is sound.
-    NoTarget(placement::Unplaced),
+    NoTarget(placement::SelectionError),
     /// None will have room in time. Come back after this time.
     Busy(Duration),
 }
@@ -56,7 +56,7 @@
                 return Ok(by_scheduler(placed));
             }
             Some(Ok(placed)) => gateway.asking.give_back(&placed),
-            Some(Err(PlaceError::Unplaced(Unplaced::Busy(come_back)))) => {
+            Some(Err(SchedulerError::Placement(PlacementError::Busy(come_back)))) => {
                 return Err(NoChoice::Busy(come_back));
             }
             Some(Err(_)) | None => {}
@@ -87,7 +87,7 @@
 }
 
 fn alone(gateway: &Gateway, job: &Job, avoid: &[TargetStart]) -> Result<Chosen, NoChoice> {
-    let ask = placement::Ask {
+    let ask = placement::Criteria {
         service: &job.service,
         prompt: job.call.prompt.as_ref(),
         cache_wall: &job.cache_wall,
@@ -144,7 +144,7 @@
 }
 
 /// What the scheduler is asked; `None` if the request is no prompt.
-fn ask_of(gateway: &Gateway, job: &Job, avoid: &[TargetStart]) -> Option<Ask> {
+fn ask_of(gateway: &Gateway, job: &Job, avoid: &[TargetStart]) -> Option<PlacementRequest> {
     let prompt = job.call.prompt.as_ref()?;
     let now = boot_now();
     let fleet = gateway.fleet.borrow();
@@ -157,7 +157,7 @@
     if avoid.len() * 2 > fleet.live(&job.service).count() {
         avoid.truncate(job.route.attempts as usize);
     }
-    Some(Ask {
+    Some(PlacementRequest {
         service: job.service.clone(),
         model: prompt.model.clone(),
         wall: job.cache_wall.clone(),
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -21,7 +21,7 @@
 use super::state::Gateway;
 use crate::clock::boot_now;
 use crate::deployment::{Rejection, RunPolicy, Table};
-use crate::fleet::placement::Unplaced;
+use crate::fleet::placement::SelectionError;
 use crate::ids::TargetStart;
 use crate::platform::headers;
 
@@ -167,7 +167,7 @@
                 let refusal = match (may_have_run, why) {
                     (true, _) => Refusal::Broken,
                     (false, NoChoice::Busy(come_back)) => Refusal::Busy(come_back),
-                    (false, NoChoice::NoTarget(Unplaced::OldWeights)) => Refusal::OldWeights,
+                    (false, NoChoice::NoTarget(SelectionError::OldWeights)) => Refusal::OldWeights,
                     (false, NoChoice::NoTarget(_)) => Refusal::NoTarget,
                 };
                 return refused(refusal, &job.call.id, &record);
--- a/src/scheduler/messages.rs
+++ b/src/scheduler/messages.rs
@@ -13,7 +13,7 @@
 
 /// A prompt that needs an engine.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Ask {
+pub struct PlacementRequest {
     /// The service.
     pub service: ServiceId,
     /// The model.
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -18,6 +18,6 @@
 mod way;
 pub mod weights;
 
-pub use messages::{Ask, End, Note, Placed, TicketId};
-pub use plan::{Outcome, Scheduler, Unplaced};
+pub use messages::{End, Note, Placed, PlacementRequest, TicketId};
+pub use plan::{Outcome, PlacementError, Scheduler};
 pub use queue::WaiterId;
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -11,7 +11,7 @@
 use super::engine::{Engine, Load};
 use super::lateness::Lateness;
 use super::memory::PartKey;
-use super::messages::{Ask, End, Grounds, Note, Placed, TicketId};
+use super::messages::{End, Grounds, Note, Placed, PlacementRequest, TicketId};
 use super::pace::Pace;
 use super::queue::{Queue, WaiterId, Waiting};
 use super::source::distance;
@@ -45,7 +45,7 @@
 
 /// Why a prompt was not placed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub enum Unplaced {
+pub enum PlacementError {
     /// No engine of the service is known here.
     NoneListed,
     /// All that are known are out of order, or must be avoided.
@@ -55,7 +55,7 @@
 }
 
 /// What comes of an ask.
-pub type Outcome = Result<Placed, Unplaced>;
+pub type Outcome = Result<Placed, PlacementError>;
 
 /// The engines' clock, as it was read.
 #[derive(Clone, Copy, Debug)]
@@ -152,7 +152,12 @@
     }
 
     /// Takes a prompt: it is placed at once or refused, or it waits and comes out of `dispatch`.
-    pub fn submit(&mut self, waiter: WaiterId, ask: Ask, now: BootTime) -> Option<Outcome> {
+    pub fn submit(
+        &mut self,
+        waiter: WaiterId,
+        ask: PlacementRequest,
+        now: BootTime,
+    ) -> Option<Outcome> {
         let must_wait = !self.queue.is_empty() || !self.is_informed(now);
         let waiting = Waiting { waiter, ask, since: now };
         if !must_wait && let Placing::Done(outcome) = self.try_place(&waiting, now) {
@@ -171,7 +176,7 @@
     pub fn dispatch(&mut self, now: BootTime) -> Vec<(WaiterId, Outcome)> {
         let hopeless = self.queue.take_hopeless(now).into_iter();
         let mut outcomes: Vec<(WaiterId, Outcome)> = hopeless
-            .map(|waiting| (waiting.waiter, Err(Unplaced::Busy(come_back(waiting.waiter)))))
+            .map(|waiting| (waiting.waiter, Err(PlacementError::Busy(come_back(waiting.waiter)))))
             .collect();
         if !self.is_informed(now) {
             return outcomes;
@@ -202,7 +207,7 @@
     fn try_place(&mut self, waiting: &Waiting, now: BootTime) -> Placing {
         let ask = &waiting.ask;
         let Some(traits) = self.traits.get(&ask.service) else {
-            return Placing::Done(Err(Unplaced::NoneListed));
+            return Placing::Done(Err(PlacementError::NoneListed));
         };
         let pace = self.paces.get(&ask.service).copied().unwrap_or_default();
         let (mut is_listed, mut is_sound, mut is_free) = (false, false, false);
@@ -242,8 +247,8 @@
         }
         let Some((target, way)) = best else {
             return match (is_listed, is_sound, is_free) {
-                (false, ..) => Placing::Done(Err(Unplaced::NoneListed)),
-                (_, false, _) => Placing::Done(Err(Unplaced::NoneSound)),
+                (false, ..) => Placing::Done(Err(PlacementError::NoneListed)),
+                (_, false, _) => Placing::Done(Err(PlacementError::NoneSound)),
                 (.., false) => Placing::AllBusy,
                 _ => Placing::NoRoom,
             };
--- a/src/scheduler/queue.rs
+++ b/src/scheduler/queue.rs
@@ -4,7 +4,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use super::messages::Ask;
+use super::messages::PlacementRequest;
 use crate::clock::BootTime;
 
 /// Names a prompt that waits.
@@ -24,7 +24,7 @@
     /// Its name.
     pub waiter: WaiterId,
     /// What it asks.
-    pub ask: Ask,
+    pub ask: PlacementRequest,
     /// When it came.
     pub since: BootTime,
 }
--- a/src/scheduler/way.rs
+++ b/src/scheduler/way.rs
@@ -5,7 +5,7 @@
 
 use super::engine::Engine;
 use super::memory::PartKey;
-use super::messages::{Ask, Grounds, NotFetched, ReadAgain};
+use super::messages::{Grounds, NotFetched, PlacementRequest, ReadAgain};
 use super::pace::Pace;
 use super::source::{Source, Transfer, sources};
 use super::store::{Store, part_key};
@@ -33,7 +33,7 @@
 
 /// A prompt as all engines with the same weights see it: worked out once, looked at for each.
 pub struct Wanted<'a> {
-    ask: &'a Ask,
+    ask: &'a PlacementRequest,
     /// The text under which its parts are kept. Other weights make other parts.
     pub salt: String,
     /// Its parts.
@@ -67,7 +67,7 @@
 }
 
 /// How many parts others share: all but the last, which belongs to the request itself.
-pub fn shared_count(ask: &Ask) -> usize {
+pub fn shared_count(ask: &PlacementRequest) -> usize {
     match ask.parts.len() {
         0 | 1 => ask.parts.len(),
         count => count - 1,
@@ -78,7 +78,7 @@
     /// Works out what all engines with these weights have in common. Without `may_fetch`, nothing is
     /// fetched.
     pub fn new(
-        ask: &'a Ask,
+        ask: &'a PlacementRequest,
         weight_version: Option<u64>,
         stores: impl Iterator<Item = &'a Store> + Clone,
         engines: impl Iterator<Item = &'a Engine> + Clone,
@@ -214,7 +214,7 @@
     }
 }
 
-fn has_room(engine: &Engine, new_tokens: u64, ask: &Ask) -> bool {
+fn has_room(engine: &Engine, new_tokens: u64, ask: &PlacementRequest) -> bool {
     let room = (engine.capacity_tokens as f64 * MEMORY_PART) as u64;
     let has_slot = engine.listed.slots == 0 || engine.placed() < engine.listed.slots;
     let fits = engine.busy_tokens() + new_tokens + ask.output_tokens <= room;
--- a/tests/deployment/asking.rs
+++ b/tests/deployment/asking.rs
@@ -7,7 +7,7 @@
 
 use kumquatpost::clock::boot_now;
 use kumquatpost::control::frames::{
-    FromEntry, Introduction, NumberedRoster, PlaceError, RosterName, ToEntry, encode, read,
+    FromEntry, Introduction, NumberedRoster, RosterName, SchedulerError, ToEntry, encode, read,
 };
 use kumquatpost::control::links::Links;
 use kumquatpost::control::reading_turn::ReadingTurn;
@@ -18,7 +18,7 @@
 use kumquatpost::gateway::call::Part;
 use kumquatpost::log::Term;
 use kumquatpost::scheduler::weights::OldWeights;
-use kumquatpost::scheduler::{Ask, End, Note, Placed};
+use kumquatpost::scheduler::{End, Note, Placed, PlacementRequest};
 use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -121,7 +121,7 @@
 
     /// Asks, and waits if it must.
     async fn placed_in_the_end(&mut self) -> Placed {
-        self.tell(FromEntry::Ask(1, ask())).await;
+        self.tell(FromEntry::Place(1, ask())).await;
         loop {
             match self.hear().await {
                 ToEntry::Queued(1) => {}
@@ -134,14 +134,17 @@
     /// Asks until the scheduler has begun, which has the first prompt wait for engines' memories.
     async fn placed(&mut self) -> Placed {
         loop {
-            self.tell(FromEntry::Ask(1, ask())).await;
+            self.tell(FromEntry::Place(1, ask())).await;
             let mut answer = self.hear().await;
             if answer == ToEntry::Queued(1) {
                 answer = self.hear().await;
             }
             match answer {
                 ToEntry::Placed(1, Ok(placed)) => return placed,
-                ToEntry::Placed(1, Err(PlaceError::NotScheduling | PlaceError::Unplaced(_))) => {
+                ToEntry::Placed(
+                    1,
+                    Err(SchedulerError::NotScheduling | SchedulerError::Placement(_)),
+                ) => {
                     tokio::time::sleep(ms(5)).await;
                 }
                 other => panic!("{other:?}"),
@@ -151,9 +154,9 @@
 }
 
 /// A prompt that takes an engine more than a dispatch's horizon to read.
-fn ask() -> Ask {
+fn ask() -> PlacementRequest {
     let part = |id: &str, tokens| Part { id: id.to_string(), tokens };
-    Ask {
+    PlacementRequest {
         service: "llm".to_string(),
         model: "m".to_string(),
         wall: "all".to_string(),
@@ -162,7 +165,7 @@
         output_tokens: 10,
         objective: ms(60_000),
         time_left: ms(60_000),
-        ..Ask::default()
+        ..PlacementRequest::default()
     }
 }
 
@@ -182,7 +185,7 @@
         let mut killed = Asker::connect(&scheduling).await;
         killed.placed().await;
         let mut other = Asker::connect(&scheduling).await;
-        other.tell(FromEntry::Ask(7, ask())).await;
+        other.tell(FromEntry::Place(7, ask())).await;
         assert_eq!(other.hear().await, ToEntry::Queued(7), "the engine is busy");
         drop(killed);
         // Without it, the scheduler would forget them only after 20 s.
@@ -199,7 +202,7 @@
         let mut first = Asker::connect(&scheduling).await;
         first.placed().await;
         let mut killed = Asker::connect(&scheduling).await;
-        killed.tell(FromEntry::Ask(1, ask())).await;
+        killed.tell(FromEntry::Place(1, ask())).await;
         assert_eq!(killed.hear().await, ToEntry::Queued(1));
         drop(first);
         assert!(matches!(killed.hear().await, ToEntry::Placed(1, Ok(_))));
@@ -216,10 +219,10 @@
         let mut first = Asker::connect(&scheduling).await;
         first.placed().await;
         let mut left = Asker::connect(&scheduling).await;
-        left.tell(FromEntry::Ask(1, ask())).await;
+        left.tell(FromEntry::Place(1, ask())).await;
         assert_eq!(left.hear().await, ToEntry::Queued(1));
         left.tell(FromEntry::Withdraw(1)).await;
-        left.tell(FromEntry::Ask(2, ask())).await;
+        left.tell(FromEntry::Place(2, ask())).await;
         assert_eq!(left.hear().await, ToEntry::Queued(2));
         assert_eq!(scheduling.waiting(), 1);
         drop(first);
@@ -232,10 +235,10 @@
     run(|scheduling| async move {
         let mut first = Asker::connect(&scheduling).await;
         first.placed().await;
-        first.tell(FromEntry::Ask(2, ask())).await;
+        first.tell(FromEntry::Place(2, ask())).await;
         assert_eq!(first.hear().await, ToEntry::Queued(2));
         scheduling.shared.belief.send_modify(|belief| belief.leads = false);
-        assert_eq!(first.hear().await, ToEntry::Placed(2, Err(PlaceError::NotScheduling)));
+        assert_eq!(first.hear().await, ToEntry::Placed(2, Err(SchedulerError::NotScheduling)));
     });
 }
 
@@ -255,17 +258,17 @@
             let _: Introduction = read(&mut stream).await.expect("who it is");
             for asked in 1..=4 {
                 let frame = read(&mut stream).await.expect("it asks again");
-                let FromEntry::Ask(number, _) = frame else { panic!("{frame:?}") };
+                let FromEntry::Place(number, _) = frame else { panic!("{frame:?}") };
                 let answer = match asked {
                     4 => Ok(Placed { target: start("i-1"), ..Placed::default() }),
-                    _ => Err(PlaceError::NotScheduling),
+                    _ => Err(SchedulerError::NotScheduling),
                 };
                 let answer = encode(&ToEntry::Placed(number, answer));
                 stream.write_all(&answer).await.expect("the entry reads");
             }
             std::future::pending::<()>().await;
         });
-        let hurried = Ask { objective: ms(600), time_left: ms(6_000), ..ask() };
+        let hurried = PlacementRequest { objective: ms(600), time_left: ms(6_000), ..ask() };
         let answer = entry.gateway.asking.ask(hurried).await;
         let placed = answer.expect("it waited").expect("it is placed");
         assert_eq!(placed.target, start("i-1"));
@@ -277,7 +280,7 @@
 fn prompts_wait_for_a_part_of_their_objective_and_not_at_all_once_replicas_are_gone() {
     crate::gateway::run(async {
         let entry = crate::gateway::entry(crate::gateway::unhurried(), Vec::new()).await;
-        let hurried = Ask { objective: ms(600), time_left: ms(6_000), ..ask() };
+        let hurried = PlacementRequest { objective: ms(600), time_left: ms(6_000), ..ask() };
         let waited = async || {
             let begun = boot_now();
             assert_eq!(entry.gateway.asking.ask(hurried.clone()).await, None);
--- a/tests/deployment/foreign_bytes.rs
+++ b/tests/deployment/foreign_bytes.rs
@@ -9,7 +9,7 @@
 use kumquatpost::deployment::validate;
 use kumquatpost::fleet::{Listing, Roster};
 use kumquatpost::platform::{documents, engines, headers, instances, operator, settings, stores};
-use kumquatpost::scheduler::Ask;
+use kumquatpost::scheduler::PlacementRequest;
 use proptest::prelude::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -155,7 +155,7 @@
         let prompt = call.prompt.expect("it names a model");
         let mut scheduler = scheduler(2);
         for waiter in 0..3 {
-            let ask = Ask {
+            let ask = PlacementRequest {
                 parts: prompt.parts.clone(),
                 prompt_tokens: prompt.prompt_tokens,
                 output_tokens: prompt.output_tokens,
--- a/tests/deployment/leaving.rs
+++ b/tests/deployment/leaving.rs
@@ -219,7 +219,7 @@
     let _: Introduction = read(&mut from_entry).await.expect("who it is");
     // It ends with the test.
     while let Ok(frame) = read(&mut from_entry).await {
-        if let FromEntry::Ask(number, ask) = frame {
+        if let FromEntry::Place(number, ask) = frame {
             let engine = engines
                 .iter()
                 .find(|engine| !ask.avoid.iter().any(|avoided| avoided.id == **engine));
--- a/tests/deployment/load.rs
+++ b/tests/deployment/load.rs
@@ -12,7 +12,7 @@
 use kumquatpost::gateway::call::Part;
 use kumquatpost::ids::TargetStart;
 use kumquatpost::scheduler::store::{Inventory, StoreEvent, StoredPart};
-use kumquatpost::scheduler::{Ask, End, Note, Outcome, Placed, Scheduler, WaiterId};
+use kumquatpost::scheduler::{End, Note, Outcome, Placed, PlacementRequest, Scheduler, WaiterId};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
@@ -59,10 +59,10 @@
     scheduler
 }
 
-pub fn ask_of(kind: usize, context: u64, own: u64) -> Ask {
+pub fn ask_of(kind: usize, context: u64, own: u64) -> PlacementRequest {
     let (_, context_tokens, own_tokens, output_tokens, priority, objective_ms) = MIX[kind];
     let part = |id: String, tokens| Part { id, tokens };
-    Ask {
+    PlacementRequest {
         service: "llm".to_string(),
         model: "m".to_string(),
         wall: "all".to_string(),
@@ -93,7 +93,12 @@
 }
 
 /// Makes what was granted to be saved whole.
-pub fn finish_saves(scheduler: &mut Scheduler, placed: &Placed, ask: &Ask, now: Duration) {
+pub fn finish_saves(
+    scheduler: &mut Scheduler,
+    placed: &Placed,
+    ask: &PlacementRequest,
+    now: Duration,
+) {
     for (store, part) in placed.save.iter().zip(&ask.parts) {
         let Some(store) = store else { continue };
         let part =
@@ -107,7 +112,7 @@
     pub scheduler: Scheduler,
     random: SmallRng,
     pub now: Duration,
-    asks: HashMap<WaiterId, (usize, Ask, Duration)>,
+    asks: HashMap<WaiterId, (usize, PlacementRequest, Duration)>,
     /// What happens to prompts at engines, by time.
     due: BTreeMap<(Duration, u64), Due>,
     pub free_at: HashMap<TargetStart, Duration>,
@@ -195,7 +200,7 @@
             self.scheduler
                 .note(&Note::Ended { ticket: placed.ticket, end: End::Unreachable }, self.now);
             self.asks.insert(waiter, (kind, ask.clone(), since));
-            let again = Ask { avoid: vec![placed.target], ..ask };
+            let again = PlacementRequest { avoid: vec![placed.target], ..ask };
             if let Some(outcome) = self.scheduler.submit(waiter, again, self.now) {
                 self.take(waiter, outcome);
             }
--- a/tests/deployment/placement.rs
+++ b/tests/deployment/placement.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use kumquatpost::fleet::placement::{Ask, Unplaced, choose};
+use kumquatpost::fleet::placement::{Criteria, SelectionError, choose};
 use kumquatpost::fleet::{Fault, FleetView};
 use kumquatpost::gateway::call::{Part, Prompt};
 use kumquatpost::scheduler::weights::{NamedSince, OldWeights, take_named};
@@ -25,11 +25,11 @@
     }
 }
 
-fn ask<'a>(prompt: &'a Prompt, wall: &'a str, drawn: u64) -> Ask<'a> {
+fn ask<'a>(prompt: &'a Prompt, wall: &'a str, drawn: u64) -> Criteria<'a> {
     let named = const { &NamedSince::new() };
     let old_weights = OldWeights::default();
     let prompt = Some(prompt);
-    Ask { service: "llm", prompt, cache_wall: wall, tried: &[], drawn, named, old_weights }
+    Criteria { service: "llm", prompt, cache_wall: wall, tried: &[], drawn, named, old_weights }
 }
 
 /// Weights 2 were named then.
@@ -97,13 +97,13 @@
     for _ in 0..3 {
         view.failed(&id(1), Fault::Target, ms(1));
     }
-    assert_eq!(choose(&view, &ask(&prompt, "all", 0), ms(2)), Err(Unplaced::NoneSound));
+    assert_eq!(choose(&view, &ask(&prompt, "all", 0), ms(2)), Err(SelectionError::NoneSound));
     assert!(choose(&view, &ask(&prompt, "all", 0), ms(600)).is_ok(), "one is tried again");
     let tried = [id(0), id(1)];
-    let again = Ask { tried: &tried, ..ask(&prompt, "all", 0) };
-    assert_eq!(choose(&view, &again, ms(600)), Err(Unplaced::NoneSound));
-    let elsewhere = Ask { service: "nowhere", ..ask(&prompt, "all", 0) };
-    assert_eq!(choose(&view, &elsewhere, ms(0)), Err(Unplaced::NoneListed));
+    let again = Criteria { tried: &tried, ..ask(&prompt, "all", 0) };
+    assert_eq!(choose(&view, &again, ms(600)), Err(SelectionError::NoneSound));
+    let elsewhere = Criteria { service: "nowhere", ..ask(&prompt, "all", 0) };
+    assert_eq!(choose(&view, &elsewhere, ms(0)), Err(SelectionError::NoneListed));
 }
 
 /// Plain services: calls spread over their targets by what runs there.
@@ -114,7 +114,7 @@
     let mut dispatches = Vec::new();
     for drawn in 0..30 {
         let unused = prompt(0, 0);
-        let ask = Ask { service: "app", prompt: None, ..ask(&unused, "", drawn) };
+        let ask = Criteria { service: "app", prompt: None, ..ask(&unused, "", drawn) };
         let choice = choose(&view, &ask, ms(0)).expect("a target");
         dispatches.push(view.begin(&choice.target, 0));
     }
@@ -134,15 +134,15 @@
     // A returning context would go home to either engine, and reading it again takes 76 ms.
     for context in 0..20 {
         let prompt = prompt(context, 7_000);
-        let ask = Ask { named: &named, old_weights, ..ask(&prompt, "all", context) };
+        let ask = Criteria { named: &named, old_weights, ..ask(&prompt, "all", context) };
         let choice = choose(&view, &ask, ms(1_100)).expect("an engine");
         assert_eq!((choice.target.id.as_str(), choice.weight_version), ("i-1", Some(2)));
         let tried = [start("i-1")];
-        let again = Ask { tried: &tried, ..ask };
+        let again = Criteria { tried: &tried, ..ask };
         let older = choose(&view, &again, ms(1_100)).expect("an engine");
         assert_eq!((older.target.id.as_str(), older.weight_version), ("i-0", Some(1)));
         // A prompt begins up to 0.8 s after it was placed, and after what the engine reads before it.
-        assert_eq!(choose(&view, &again, ms(6_200)), Err(Unplaced::OldWeights));
+        assert_eq!(choose(&view, &again, ms(6_200)), Err(SelectionError::OldWeights));
         assert!(choose(&view, &ask, ms(60_000)).is_ok());
     }
 }
@@ -154,8 +154,8 @@
     let named = named_at(ms(1_000));
     let old_weights = OldWeights { within: Some(ms(6_000)), at_last_within: Some(ms(8_400)) };
     let prompt = prompt(1, 2_000);
-    let ask = Ask { named: &named, old_weights, ..ask(&prompt, "all", 0) };
-    assert_eq!(choose(&view, &ask, ms(60_000)), Err(Unplaced::OldWeights));
+    let ask = Criteria { named: &named, old_weights, ..ask(&prompt, "all", 0) };
+    assert_eq!(choose(&view, &ask, ms(60_000)), Err(SelectionError::OldWeights));
     view.refused_weights(&start("i-0"), &"m".to_string(), None);
     let choice = choose(&view, &ask, ms(60_000)).expect("the engine decides");
     assert_eq!(choice.weight_version, Some(2));
--- a/tests/deployment/rollout.rs
+++ b/tests/deployment/rollout.rs
@@ -8,7 +8,7 @@
 
 use kumquatpost::ids::TargetStart;
 use kumquatpost::scheduler::weights::{NamedSince, OldWeights, take_named};
-use kumquatpost::scheduler::{Ask, End, Scheduler, Unplaced};
+use kumquatpost::scheduler::{End, PlacementError, PlacementRequest, Scheduler};
 
 use crate::fixtures::{ms, roster, start};
 use crate::load::{ask_of, end, engines, placed, scheduler};
@@ -80,7 +80,7 @@
 
 #[test]
 fn no_prompt_begins_on_old_weights_once_newer_ones_must_be_in_force() {
-    let ask = |n| Ask { time_left: ms(30_000), ..ask_of(1, n, n) };
+    let ask = |n| PlacementRequest { time_left: ms(30_000), ..ask_of(1, n, n) };
     let mut scheduler = scheduler(2);
     name_weights(&mut scheduler, ms(1_000));
     let before = ms(1_000) + IN_FORCE - ms(900);
@@ -88,7 +88,7 @@
     let after = ms(1_000) + IN_FORCE - ms(700);
     assert!(scheduler.submit(2, ask(2), after).is_none(), "it waits for an engine that has them");
     let outcomes = scheduler.dispatch(after + ms(1_000));
-    assert!(matches!(outcomes[0].1, Err(Unplaced::Busy(_))), "and is refused, not run");
+    assert!(matches!(outcomes[0].1, Err(PlacementError::Busy(_))), "and is refused, not run");
     load(&mut scheduler, 1, 2);
     assert_eq!(placed(scheduler.submit(3, ask(3), after + ms(2_000))).weight_version, Some(2));
 }
@@ -113,7 +113,7 @@
 /// were allowed the whole bound anew.
 #[test]
 fn weights_that_are_named_later_do_not_prolong_the_bound_of_those_named_before() {
-    let ask = |n| Ask { time_left: ms(30_000), ..ask_of(1, n, n) };
+    let ask = |n| PlacementRequest { time_left: ms(30_000), ..ask_of(1, n, n) };
     let mut scheduler = scheduler(2);
     let old_weights = OldWeights { within: Some(IN_FORCE), at_last_within: Some(IN_FORCE_AT_LAST) };
     scheduler.set_old_weights(old_weights);
--- a/tests/deployment/scheduling.rs
+++ b/tests/deployment/scheduling.rs
@@ -6,7 +6,7 @@
 use kumquatpost::deployment::ServiceRole;
 use kumquatpost::scheduler::pace::Pace;
 use kumquatpost::scheduler::store::{Inventory, StoredPart};
-use kumquatpost::scheduler::{Ask, End, Scheduler, Unplaced};
+use kumquatpost::scheduler::{End, PlacementError, PlacementRequest, Scheduler};
 
 use crate::fixtures::{address, ms, roster, start, store_start};
 use crate::load::{
@@ -19,14 +19,17 @@
     let ask = ask_of(0, 1, 1);
     let one = placed(scheduler.submit(1, ask.clone(), ms(10)));
     assert!(one.save[0].is_some() && one.save[1].is_none(), "the own part is not shared");
-    let two =
-        placed(scheduler.submit(2, Ask { avoid: vec![one.target.clone()], ..ask.clone() }, ms(11)));
+    let two = placed(scheduler.submit(
+        2,
+        PlacementRequest { avoid: vec![one.target.clone()], ..ask.clone() },
+        ms(11),
+    ));
     assert_eq!((two.save[0], two.fetch[0]), (None, None), "its save has been granted already");
     finish_saves(&mut scheduler, &one, &ask, ms(200));
     end(&mut scheduler, one.ticket, End::Whole, ms(300));
     end(&mut scheduler, two.ticket, End::Left, ms(300));
     let avoid = vec![one.target];
-    let three = placed(scheduler.submit(3, Ask { avoid, ..ask }, ms(400)));
+    let three = placed(scheduler.submit(3, PlacementRequest { avoid, ..ask }, ms(400)));
     assert_eq!(three.fetch[0], Some(address(9_000)));
     assert_eq!(three.fetch_until_ms, 400 + 1_500, "and not after that");
     assert_eq!(three.grounds.fetched_tokens, 9_100);
@@ -45,7 +48,9 @@
     assert_eq!(placed(scheduler.submit(1, ask.clone(), ms(10))).fetch[0], None);
     scheduler.read_clock(77, ms(20));
     let avoid = vec![start("i-00")];
-    assert!(placed(scheduler.submit(2, Ask { avoid, ..ask }, ms(30))).fetch[0].is_some());
+    assert!(
+        placed(scheduler.submit(2, PlacementRequest { avoid, ..ask }, ms(30))).fetch[0].is_some()
+    );
 }
 
 #[test]
@@ -56,7 +61,7 @@
     finish_saves(&mut scheduler, &one, &ask, ms(200));
     first(&mut scheduler, one.ticket, ms(200));
     end(&mut scheduler, one.ticket, End::Whole, ms(300));
-    let walled = Ask { wall: "only:beta".to_string(), ..ask.clone() };
+    let walled = PlacementRequest { wall: "only:beta".to_string(), ..ask.clone() };
     let two = placed(scheduler.submit(2, walled, ms(400)));
     assert_eq!((two.grounds.resident_tokens, two.fetch[0]), (0, None));
     assert_ne!(two.salt, one.salt);
@@ -117,11 +122,11 @@
     let two = placed(scheduler.submit(2, ask_of(1, 1, 2), ms(30)));
     assert_ne!(two.target, one.target);
     end(&mut scheduler, two.ticket, End::Replaced, ms(40));
-    assert_eq!(scheduler.submit(3, ask_of(1, 1, 3), ms(50)), Some(Err(Unplaced::NoneSound)));
+    assert_eq!(scheduler.submit(3, ask_of(1, 1, 3), ms(50)), Some(Err(PlacementError::NoneSound)));
     let three = placed(scheduler.submit(4, ask_of(1, 1, 4), ms(700)));
     assert_eq!(three.target, one.target, "tried again after a while");
-    let elsewhere = Ask { service: "app".to_string(), ..ask_of(1, 1, 5) };
-    assert_eq!(scheduler.submit(5, elsewhere, ms(710)), Some(Err(Unplaced::NoneListed)));
+    let elsewhere = PlacementRequest { service: "app".to_string(), ..ask_of(1, 1, 5) };
+    assert_eq!(scheduler.submit(5, elsewhere, ms(710)), Some(Err(PlacementError::NoneListed)));
 }
 
 #[test]
@@ -147,7 +152,7 @@
     let back: BTreeSet<Duration> = refused
         .into_iter()
         .filter_map(|(_, outcome)| match outcome {
-            Err(Unplaced::Busy(after)) => Some(after),
+            Err(PlacementError::Busy(after)) => Some(after),
             _ => None,
         })
         .collect();
--- a/tests/deployment/sources.rs
+++ b/tests/deployment/sources.rs
@@ -7,13 +7,13 @@
 use kumquatpost::fleet::Presence;
 use kumquatpost::scheduler::lateness::Lateness;
 use kumquatpost::scheduler::store::{Inventory, StoreEvent, StoredPart};
-use kumquatpost::scheduler::{Ask, End, Placed, Scheduler};
+use kumquatpost::scheduler::{End, Placed, PlacementRequest, Scheduler};
 
 use crate::fixtures::{address, ms, roster, start, store_start};
 use crate::load::{World, ask_of, end, engines, first, placed, scheduler, site};
 
 /// Two engines and a store that is lost, after one engine was given a context.
-fn after_one() -> (Scheduler, Ask, Placed) {
+fn after_one() -> (Scheduler, PlacementRequest, Placed) {
     let mut scheduler = scheduler(2);
     scheduler.lost_store(address(9_000));
     let ask = ask_of(0, 1, 1);
@@ -21,8 +21,8 @@
     (scheduler, ask, one)
 }
 
-fn elsewhere(ask: &Ask, one: &Placed) -> Ask {
-    Ask { avoid: vec![one.target.clone()], ..ask.clone() }
+fn elsewhere(ask: &PlacementRequest, one: &Placed) -> PlacementRequest {
+    PlacementRequest { avoid: vec![one.target.clone()], ..ask.clone() }
 }
 
 #[test]
@@ -158,7 +158,7 @@
     scheduler.take_inventory(address(9_000), inventory, ms(0));
     // Each has 2,400 tokens of another prompt to read, for longer than the fetch takes.
     for (waiter, other) in [(1, "i-01"), (2, "i-00")] {
-        let busy = Ask { avoid: vec![start(other)], ..ask_of(2, waiter, waiter) };
+        let busy = PlacementRequest { avoid: vec![start(other)], ..ask_of(2, waiter, waiter) };
         placed(scheduler.submit(waiter, busy, ms(10)));
     }
     let fetches = placed(scheduler.submit(3, ask, ms(11)));
@@ -186,6 +186,6 @@
     let hurried = placed(scheduler.submit(50, ask_of(0, 50, 50), ms(11)));
     assert_eq!(hurried.grounds.read_again.link_full_tokens, 9_100);
     end(&mut scheduler, hurried.ticket, End::Left, ms(11));
-    let late = Ask { waited: ms(600), ..ask_of(0, 51, 51) };
+    let late = PlacementRequest { waited: ms(600), ..ask_of(0, 51, 51) };
     assert_eq!(placed(scheduler.submit(51, late, ms(12))).grounds.fetched_tokens, 9_100);
 }
--- a/tests/deployment/starts.rs
+++ b/tests/deployment/starts.rs
@@ -6,7 +6,7 @@
 use kumquatpost::gateway::call::TargetLoad;
 use kumquatpost::ids::TargetStart;
 use kumquatpost::scheduler::store::{StoreEvent, StoredPart};
-use kumquatpost::scheduler::{Ask, End, Note, Placed, Scheduler};
+use kumquatpost::scheduler::{End, Note, Placed, PlacementRequest, Scheduler};
 
 use crate::fixtures::{address, born, ms, roster, target};
 use crate::load::{ask_of, end, placed, scheduler};
@@ -128,14 +128,14 @@
     let other = Listed { start: born("i-2", 1), ..target("i-2", "llm", address(2)) };
     scheduler.take_roster(&roster([other.clone()]));
     let avoid = vec![other.start.clone()];
-    let asked = Ask { avoid, ..ask_of(1, 1, 2) };
+    let asked = PlacementRequest { avoid, ..ask_of(1, 1, 2) };
     let outcome = scheduler.submit(2, asked, ms(600)).expect("no engine is sound");
     assert!(outcome.is_err(), "none but one that must be avoided takes new work");
     assert_eq!(scheduler.placed_on(&first), 1);
     scheduler.take_roster(&roster([listed(&first), other.clone()]));
     first_part(&mut scheduler, one.ticket, 1, 700);
     end(&mut scheduler, one.ticket, End::Whole, ms(800));
-    let again = Ask { avoid: vec![other.start], ..ask_of(1, 1, 3) };
+    let again = PlacementRequest { avoid: vec![other.start], ..ask_of(1, 1, 3) };
     let again = placed(scheduler.submit(3, again, ms(2_000)));
     assert_eq!((again.target, again.grounds.resident_tokens), (first, 650));
 }
--- a/tests/deployment/told_once.rs
+++ b/tests/deployment/told_once.rs
@@ -97,7 +97,7 @@
     let _: Introduction = read(&mut from_entry).await.expect("who it is");
     // It ends with the test.
     while let Ok(frame) = read(&mut from_entry).await {
-        if let FromEntry::Ask(number, _) = frame {
+        if let FromEntry::Place(number, _) = frame {
             let placed =
                 Placed { target: start("i-1"), weight_version: Some(1), ..Placed::default() };
             let answer = encode(&ToEntry::Placed(number, Ok(placed)));
