--- a/src/control/frames.rs
+++ b/src/control/frames.rs
@@ -16,7 +16,7 @@
 use crate::ids::{DomainId, ModelId, NodeId, TargetStart};
 use crate::log::{Message, Term};
 use crate::scheduler::weights::NamedWeights;
-use crate::scheduler::{Note, Placed, PlacementError, PlacementRequest};
+use crate::scheduler::{Placed, PlacementError, PlacementEvent, PlacementRequest};
 
 /// A longer frame is taken for damage. Larger than any deployment with its text: a body of an
 /// operator's call is at most 4 MiB.
@@ -85,7 +85,7 @@
     /// The caller of the ask with this number has left.
     Withdraw(u64),
     /// What became of a placement.
-    Note(Note),
+    Event(PlacementEvent),
 }
 
 /// From the scheduler to an entry.
--- a/src/control/scheduling.rs
+++ b/src/control/scheduling.rs
@@ -23,7 +23,9 @@
 use crate::platform::stores;
 use crate::scheduler::store::{FREE_LASTS, FreePlan};
 use crate::scheduler::weights::OldWeights;
-use crate::scheduler::{End, Note, Placed, PlacementRequest, Scheduler, TicketId, WaiterId};
+use crate::scheduler::{
+    End, Placed, PlacementEvent, PlacementRequest, Scheduler, TicketId, WaiterId,
+};
 
 /// How often changes are taken over and frees are planned.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
@@ -350,7 +352,7 @@
                     let waiter = self.entry.waiting.borrow_mut().remove(&number);
                     waiter.into_iter().for_each(|waiter| self.withdraw(waiter));
                 }
-                FromEntry::Note(note) => self.note(&note),
+                FromEntry::Event(note) => self.note(&note),
             }
         }
     }
@@ -377,12 +379,12 @@
         let _ = self.scheduling.with(|scheduler| scheduler.withdraw(waiter));
     }
 
-    fn note(&self, note: &Note) {
-        if let Note::Ended { ticket, .. } = note {
+    fn note(&self, note: &PlacementEvent) {
+        if let PlacementEvent::Ended { ticket, .. } = note {
             self.entry.placed.borrow_mut().remove(ticket);
         }
         let now = boot_now();
-        let _ = self.scheduling.with(|scheduler| scheduler.note(note, now));
+        let _ = self.scheduling.with(|scheduler| scheduler.observe(note, now));
         let is_due = now >= self.scheduling.dispatched_at.get() + DISPATCH_PAUSE;
         if is_due && !self.scheduling.waiters.borrow().is_empty() {
             self.scheduling.dispatch();
@@ -394,8 +396,8 @@
         let waiting = self.entry.waiting.take();
         waiting.into_values().for_each(|waiter| self.withdraw(waiter));
         for ticket in self.entry.placed.take() {
-            let note = Note::Ended { ticket, end: End::Left };
-            let _ = self.scheduling.with(|scheduler| scheduler.note(&note, boot_now()));
+            let note = PlacementEvent::Ended { ticket, end: End::Left };
+            let _ = self.scheduling.with(|scheduler| scheduler.observe(&note, boot_now()));
         }
     }
 }
--- a/src/gateway/asking.rs
+++ b/src/gateway/asking.rs
@@ -17,7 +17,7 @@
 use crate::control::frames::{self, FromEntry, Introduction, SchedulerError, ToEntry, encode};
 use crate::log::Term;
 use crate::net;
-use crate::scheduler::{End, Note, Placed, PlacementRequest};
+use crate::scheduler::{End, Placed, PlacementEvent, PlacementRequest};
 
 /// An answer takes one or two milliseconds. After this time the entry decides alone.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(40);
@@ -157,13 +157,13 @@
 
     /// Tells what became of a placement. It is lost if there is no connection: the scheduler forgets
     /// the placement by itself.
-    pub fn tell(&self, note: Note) {
-        self.send(&FromEntry::Note(note));
+    pub fn tell(&self, note: PlacementEvent) {
+        self.send(&FromEntry::Event(note));
     }
 
     /// Gives back a placement that is not used.
     pub fn give_back(&self, placed: &Placed) {
-        self.tell(Note::Ended { ticket: placed.ticket, end: End::NotRun });
+        self.tell(PlacementEvent::Ended { ticket: placed.ticket, end: End::NotRun });
     }
 
     fn send(&self, frame: &FromEntry) -> bool {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -25,7 +25,7 @@
 use crate::ids::TargetStart;
 use crate::log::Term;
 use crate::scheduler::weights::{self, NamedSince};
-use crate::scheduler::{End, Note, TicketId};
+use crate::scheduler::{End, PlacementEvent, TicketId};
 use crate::telemetry::roles::EntryMetrics;
 
 /// Entries that are assumed to share the retry budget until a replica tells how many there are.
@@ -365,7 +365,7 @@
         }
         if let Some(ticket) = self.ticket {
             let (weight_version, load) = (outcome.weight_version, outcome.load);
-            self.gateway.asking.tell(Note::FirstPart { ticket, weight_version, load });
+            self.gateway.asking.tell(PlacementEvent::FirstPart { ticket, weight_version, load });
         }
     }
 
@@ -381,7 +381,7 @@
             self.gateway.fleet.borrow_mut().end(dispatch);
         }
         if let Some(ticket) = self.ticket {
-            self.gateway.asking.tell(Note::Ended { ticket, end: self.end });
+            self.gateway.asking.tell(PlacementEvent::Ended { ticket, end: self.end });
         }
     }
 }
--- a/src/scheduler/messages.rs
+++ b/src/scheduler/messages.rs
@@ -118,7 +118,7 @@
 
 /// What became of a placement.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Note {
+pub enum PlacementEvent {
     /// The first part of the answer is here.
     FirstPart {
         /// The placement.
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -18,6 +18,6 @@
 mod way;
 pub mod weights;
 
-pub use messages::{End, Note, Placed, PlacementRequest, TicketId};
+pub use messages::{End, Placed, PlacementEvent, PlacementRequest, TicketId};
 pub use plan::{Outcome, PlacementError, Scheduler};
 pub use queue::WaiterId;
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -11,7 +11,7 @@
 use super::engine::{Engine, Load};
 use super::lateness::Lateness;
 use super::memory::PartKey;
-use super::messages::{End, Grounds, Note, Placed, PlacementRequest, TicketId};
+use super::messages::{End, Grounds, Placed, PlacementEvent, PlacementRequest, TicketId};
 use super::pace::Pace;
 use super::queue::{Queue, WaiterId, Waiting};
 use super::source::distance;
@@ -386,9 +386,9 @@
     }
 
     /// Takes what became of a placement.
-    pub fn note(&mut self, note: &Note, now: BootTime) {
-        match note {
-            Note::FirstPart { ticket, weight_version, load } => {
+    pub fn observe(&mut self, event: &PlacementEvent, now: BootTime) {
+        match event {
+            PlacementEvent::FirstPart { ticket, weight_version, load } => {
                 let Some(known) = self.tickets.get_mut(ticket) else { return };
                 let fetched_from = known.slowest.take();
                 let (fetch_ms, expected_ms) = (known.fetch_ms, known.expected_ms);
@@ -411,7 +411,7 @@
                     engine.set_weights(*weight_version);
                 }
             }
-            Note::Ended { ticket, end } => {
+            PlacementEvent::Ended { ticket, end } => {
                 let Some(known) = self.tickets.remove(ticket) else { return };
                 let Some(engine) = self.engines.get_mut(&known.target) else { return };
                 engine.end(*ticket, now);
--- a/tests/deployment/asking.rs
+++ b/tests/deployment/asking.rs
@@ -18,7 +18,7 @@
 use kumquatpost::gateway::call::Part;
 use kumquatpost::log::Term;
 use kumquatpost::scheduler::weights::OldWeights;
-use kumquatpost::scheduler::{End, Note, Placed, PlacementRequest};
+use kumquatpost::scheduler::{End, Placed, PlacementEvent, PlacementRequest};
 use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -313,7 +313,7 @@
         let placed = asker.placed().await;
         assert_eq!(placed.weight_version, Some(2));
         let end = End::OtherWeights(Some(1));
-        asker.tell(FromEntry::Note(Note::Ended { ticket: placed.ticket, end })).await;
+        asker.tell(FromEntry::Event(PlacementEvent::Ended { ticket: placed.ticket, end })).await;
         let mut changes = shared.roster.subscribe();
         let is_listed = |known: &NumberedRoster| {
             known.roster.get(&start("i-1")).is_some_and(|engine| engine.weights["m"] == 1)
--- a/tests/deployment/load.rs
+++ b/tests/deployment/load.rs
@@ -12,7 +12,9 @@
 use kumquatpost::gateway::call::Part;
 use kumquatpost::ids::TargetStart;
 use kumquatpost::scheduler::store::{Inventory, StoreEvent, StoredPart};
-use kumquatpost::scheduler::{End, Note, Outcome, Placed, PlacementRequest, Scheduler, WaiterId};
+use kumquatpost::scheduler::{
+    End, Outcome, Placed, PlacementEvent, PlacementRequest, Scheduler, WaiterId,
+};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
@@ -85,11 +87,12 @@
 }
 
 pub fn end(scheduler: &mut Scheduler, ticket: u64, end: End, now: Duration) {
-    scheduler.note(&Note::Ended { ticket, end }, now);
+    scheduler.observe(&PlacementEvent::Ended { ticket, end }, now);
 }
 
 pub fn first(scheduler: &mut Scheduler, ticket: u64, now: Duration) {
-    scheduler.note(&Note::FirstPart { ticket, weight_version: Some(1), load: None }, now);
+    scheduler
+        .observe(&PlacementEvent::FirstPart { ticket, weight_version: Some(1), load: None }, now);
 }
 
 /// Makes what was granted to be saved whole.
@@ -197,8 +200,10 @@
             return;
         };
         if self.dead.contains(&placed.target) {
-            self.scheduler
-                .note(&Note::Ended { ticket: placed.ticket, end: End::Unreachable }, self.now);
+            self.scheduler.observe(
+                &PlacementEvent::Ended { ticket: placed.ticket, end: End::Unreachable },
+                self.now,
+            );
             self.asks.insert(waiter, (kind, ask.clone(), since));
             let again = PlacementRequest { avoid: vec![placed.target], ..ask };
             if let Some(outcome) = self.scheduler.submit(waiter, again, self.now) {
--- a/tests/deployment/starts.rs
+++ b/tests/deployment/starts.rs
@@ -6,7 +6,7 @@
 use kumquatpost::gateway::call::TargetLoad;
 use kumquatpost::ids::TargetStart;
 use kumquatpost::scheduler::store::{StoreEvent, StoredPart};
-use kumquatpost::scheduler::{End, Note, Placed, PlacementRequest, Scheduler};
+use kumquatpost::scheduler::{End, Placed, PlacementEvent, PlacementRequest, Scheduler};
 
 use crate::fixtures::{address, born, ms, roster, target};
 use crate::load::{ask_of, end, placed, scheduler};
@@ -36,7 +36,10 @@
 
 fn first_part(scheduler: &mut Scheduler, ticket: u64, weights: u64, at_ms: u64) {
     let load = Some(TargetLoad { running: 90, waiting: 90, slots: 48 });
-    scheduler.note(&Note::FirstPart { ticket, weight_version: Some(weights), load }, ms(at_ms));
+    scheduler.observe(
+        &PlacementEvent::FirstPart { ticket, weight_version: Some(weights), load },
+        ms(at_ms),
+    );
 }
 
 #[test]
