--- a/src/scheduler/way.rs
+++ b/src/scheduler/candidate.rs
@@ -32,7 +32,7 @@
 const FETCH_PART: f64 = 0.6;
 
 /// A prompt as all engines with the same weights see it: worked out once, looked at for each.
-pub struct Wanted<'a> {
+pub struct RequiredPrefix<'a> {
     ask: &'a PlacementRequest,
     /// The text under which its parts are kept. Other weights make other parts.
     pub salt: String,
@@ -49,7 +49,7 @@
 
 /// How an engine would get at a prompt.
 #[derive(Clone, Debug)]
-pub struct Way {
+pub struct Candidate {
     /// What speaks against it, in milliseconds.
     pub cost_ms: f64,
     /// How long the fetch takes.
@@ -74,7 +74,7 @@
     }
 }
 
-impl<'a> Wanted<'a> {
+impl<'a> RequiredPrefix<'a> {
     /// Works out what all engines with these weights have in common. Without `may_fetch`, nothing is
     /// fetched.
     pub fn new(
@@ -84,7 +84,7 @@
         engines: impl Iterator<Item = &'a Engine> + Clone,
         may_fetch: bool,
         now: BootTime,
-    ) -> Wanted<'a> {
+    ) -> RequiredPrefix<'a> {
         let salt = format!("{}/{}/{}", ask.wall, ask.model, weight_version.unwrap_or_default());
         let keys: Vec<PartKey> = ask.parts.iter().map(|part| part_key(&salt, &part.id)).collect();
         let shared = shared_count(ask);
@@ -100,17 +100,17 @@
             keys[..shared].iter().map(found).collect(),
             keys[..shared].iter().map(was_read).collect(),
         );
-        Wanted { ask, salt, keys, shared, sources, was_read }
+        RequiredPrefix { ask, salt, keys, shared, sources, was_read }
     }
 
     /// How an engine would get at it; `None` if the engine has no room.
-    pub fn way(
+    pub fn candidate(
         &self,
         engine: &Engine,
         traits: &EngineTraits,
         pace: &Pace,
         now: BootTime,
-    ) -> Option<Way> {
+    ) -> Option<Candidate> {
         let ask = self.ask;
         let resident = self.keys.iter().take_while(|key| engine.memory.holds(**key)).count();
         let resident_tokens = ask.parts[..resident].iter().map(|part| part.tokens).sum::<u64>();
@@ -163,7 +163,7 @@
             expected_ms: expected_ms as u32,
             waited_ms: 0,
         };
-        Some(Way { cost_ms, fetch_ms, rest_ms, ahead_ms, resident, fetch, grounds })
+        Some(Candidate { cost_ms, fetch_ms, rest_ms, ahead_ms, resident, fetch, grounds })
     }
 
     /// From where a part comes soonest, and how long that takes.
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -5,6 +5,7 @@
 //! entry that gets no answer in time decides alone, without the stores. Pure: fed asks, notes and the
 //! time.
 
+mod candidate;
 pub mod engine;
 pub mod lateness;
 pub mod link;
@@ -15,7 +16,6 @@
 pub mod queue;
 mod source;
 pub mod store;
-mod way;
 pub mod weights;
 
 pub use messages::{End, Placed, PlacementEvent, PlacementRequest, TicketId};
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -8,6 +8,7 @@
 
 use rustc_hash::FxHashMap;
 
+use super::candidate::{Candidate, RequiredPrefix, shared_count};
 use super::engine::{Engine, Load};
 use super::lateness::Lateness;
 use super::memory::PartKey;
@@ -16,7 +17,6 @@
 use super::queue::{Queue, WaiterId, Waiting};
 use super::source::distance;
 use super::store::{FETCH_LASTS, FREE_LASTS, Store};
-use super::way::{Wanted, Way, shared_count};
 use super::weights::Weights;
 use crate::clock::BootTime;
 use crate::deployment::EngineTraits;
@@ -78,7 +78,7 @@
     next_ticket: TicketId,
     clock: Option<EnginesClock>,
     frees_from: BootTime,
-    /// Before this time frees of an earlier scheduler may be under way.
+    /// Before this time frees of an earlier scheduler may be under candidate.
     fetches_from: BootTime,
     /// Until this time prompts wait for what engines and stores hold to be read, unless it has been.
     knows_by: BootTime,
@@ -211,8 +211,8 @@
         };
         let pace = self.paces.get(&ask.service).copied().unwrap_or_default();
         let (mut is_listed, mut is_sound, mut is_free) = (false, false, false);
-        let mut best: Option<(&TargetStart, Way)> = None;
-        let mut wanted: Vec<(Option<u64>, Wanted<'_>)> = Vec::new();
+        let mut best: Option<(&TargetStart, Candidate)> = None;
+        let mut required: Vec<(Option<u64>, RequiredPrefix<'_>)> = Vec::new();
         for (id, engine) in &self.engines {
             if engine.listed.service != ask.service || engine.listed.presence != Presence::Live {
                 continue;
@@ -232,20 +232,26 @@
             };
             is_free = true;
             let version = engine.weight_version;
-            let known = wanted.iter().position(|(known, _)| *known == version);
+            let known = required.iter().position(|(known, _)| *known == version);
             let known = known.unwrap_or_else(|| {
                 let (stores, engines) = (self.stores.values(), self.engines.values());
                 let may_fetch = self.clock.is_some() && now >= self.fetches_from;
-                wanted.push((version, Wanted::new(ask, version, stores, engines, may_fetch, now)));
-                wanted.len() - 1
+                required.push((
+                    version,
+                    RequiredPrefix::new(ask, version, stores, engines, may_fetch, now),
+                ));
+                required.len() - 1
             });
-            let Some(mut way) = wanted[known].1.way(engine, traits, &pace, now) else { continue };
-            way.cost_ms += weights_cost_ms;
-            if best.as_ref().is_none_or(|(_, best)| way.cost_ms < best.cost_ms) {
-                best = Some((id, way));
+            let Some(mut candidate) = required[known].1.candidate(engine, traits, &pace, now)
+            else {
+                continue;
+            };
+            candidate.cost_ms += weights_cost_ms;
+            if best.as_ref().is_none_or(|(_, best)| candidate.cost_ms < best.cost_ms) {
+                best = Some((id, candidate));
             }
         }
-        let Some((target, way)) = best else {
+        let Some((target, candidate)) = best else {
             return match (is_listed, is_sound, is_free) {
                 (false, ..) => Placing::Done(Err(PlacementError::NoneListed)),
                 (_, false, _) => Placing::Done(Err(PlacementError::NoneSound)),
@@ -255,15 +261,16 @@
         };
         let target = target.clone();
         let version = self.engines.get(&target).and_then(|engine| engine.weight_version);
-        let chosen = wanted.into_iter().find(|(known, _)| *known == version);
-        let (salt, keys) = chosen.map(|(_, wanted)| (wanted.salt, wanted.keys)).unwrap_or_default();
-        Placing::Done(Ok(self.grant(target, way, salt, keys, waiting, now)))
+        let chosen = required.into_iter().find(|(known, _)| *known == version);
+        let (salt, keys) =
+            chosen.map(|(_, required)| (required.salt, required.keys)).unwrap_or_default();
+        Placing::Done(Ok(self.grant(target, candidate, salt, keys, waiting, now)))
     }
 
     fn grant(
         &mut self,
         target: TargetStart,
-        way: Way,
+        candidate: Candidate,
         salt: String,
         keys: Vec<PartKey>,
         waiting: &Waiting,
@@ -276,8 +283,8 @@
         let mut save = vec![None; ask.parts.len()];
         for (at, saved) in save.iter_mut().enumerate().take(shared) {
             let key = keys[at];
-            if let Some(address) = way.fetch[at] {
-                let is_resident = at < way.resident;
+            if let Some(address) = candidate.fetch[at] {
+                let is_resident = at < candidate.resident;
                 self.grant_fetch(address, key, &ask.parts[at], &target, is_resident, now);
             }
             if self.stores.values().any(|store| store.knows(key)) {
@@ -293,19 +300,22 @@
             for (key, part) in keys.iter().zip(&ask.parts) {
                 engine.memory.begin_use(*key, part.tokens);
             }
-            let resident_or_fetched = way.grounds.resident_tokens + way.grounds.fetched_tokens;
+            let resident_or_fetched =
+                candidate.grounds.resident_tokens + candidate.grounds.fetched_tokens;
             let load = Load {
                 parts: keys,
                 read_tokens: ask.prompt_tokens.saturating_sub(resident_or_fetched).max(1),
                 output_tokens: ask.output_tokens,
-                fetch: Duration::from_secs_f64(way.fetch_ms / 1e3),
+                fetch: Duration::from_secs_f64(candidate.fetch_ms / 1e3),
             };
             let pace = self.paces.entry(ask.service.clone()).or_default();
             engine.begin(ticket, load, pace, now);
         }
-        let parts = way.fetch.iter().zip(&ask.parts).skip(way.resident);
+        let parts = candidate.fetch.iter().zip(&ask.parts).skip(candidate.resident);
         let largest = parts.filter(|(store, _)| store.is_some()).max_by_key(|(_, p)| p.tokens);
-        let slowest = largest.and_then(|(store, _)| *store).filter(|_| way.fetch_ms > way.ahead_ms);
+        let slowest = largest
+            .and_then(|(store, _)| *store)
+            .filter(|_| candidate.fetch_ms > candidate.ahead_ms);
         self.tickets.insert(
             ticket,
             Ticket {
@@ -313,8 +323,8 @@
                 weight_version,
                 since: now,
                 slowest,
-                fetch_ms: way.fetch_ms,
-                expected_ms: way.ahead_ms.max(way.fetch_ms) + way.rest_ms,
+                fetch_ms: candidate.fetch_ms,
+                expected_ms: candidate.ahead_ms.max(candidate.fetch_ms) + candidate.rest_ms,
             },
         );
         Placed {
@@ -322,12 +332,12 @@
             target,
             salt,
             weight_version,
-            fetch: way.fetch,
+            fetch: candidate.fetch,
             save,
             fetch_until_ms: clock_ms + FETCH_LASTS.as_millis() as u64,
             grounds: Grounds {
                 waited_ms: now.saturating_sub(waiting.since).as_millis() as u32,
-                ..way.grounds
+                ..candidate.grounds
             },
         }
     }
