--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 
-use super::call::{Call, Forwarded, KeptParts, Outcome};
+use super::call::{Call, Forwarded, KeptParts, ResponseMetadata};
 use super::place::{self, Chosen, NoChoice};
 use super::pool::{Connection, Sent};
 use super::rank::Rank;
@@ -65,7 +65,7 @@
     /// The answer.
     pub answer: Response<Incoming>,
     /// What it says beside its content.
-    pub outcome: Outcome,
+    pub outcome: ResponseMetadata,
     /// The connection, to be given back once the body is whole.
     pub connection: Connection,
     /// Counts the request at the target.
@@ -155,7 +155,7 @@
                 return Err(Missed::TimedOut(target));
             }
         };
-        let outcome = headers::decode_outcome(answer.headers());
+        let outcome = headers::decode_metadata(answer.headers());
         let answered = Answered { target, answer, outcome, connection, at_target };
         return judge(gateway, job, answered, record);
     }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -98,7 +98,7 @@
 
 /// What a target's answer says beside its content.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Outcome {
+pub struct ResponseMetadata {
     /// The request that it answers.
     pub request_id: Option<RequestId>,
     /// The target states that it did not run the request.
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -25,7 +25,7 @@
     /// The weights that the engine must run.
     pub weight_version: Option<u64>,
     /// What the choice rests on, as key=value pairs.
-    pub grounds: String,
+    pub trace: String,
 }
 
 /// Why there is no target.
@@ -66,24 +66,24 @@
 }
 
 fn by_scheduler(placed: Placed) -> Chosen {
-    let grounds = format!(
+    let trace = format!(
         "by=scheduler weights={} running={} ahead_ms={} resident_tokens={} fetched_tokens={} \
          again_nowhere_whole={} again_link_full={} again_link_slow={} expected_ms={} waited_ms={} \
          saves={}",
         placed.weight_version.map_or("-".to_string(), |version| version.to_string()),
-        placed.grounds.running,
-        placed.grounds.ahead_ms,
-        placed.grounds.resident_tokens,
-        placed.grounds.fetched_tokens,
-        placed.grounds.read_again.nowhere_whole_tokens,
-        placed.grounds.read_again.link_full_tokens,
-        placed.grounds.read_again.link_slow_tokens,
-        placed.grounds.expected_ms,
-        placed.grounds.waited_ms,
+        placed.trace.running,
+        placed.trace.ahead_ms,
+        placed.trace.resident_tokens,
+        placed.trace.fetched_tokens,
+        placed.trace.read_again.nowhere_whole_tokens,
+        placed.trace.read_again.link_full_tokens,
+        placed.trace.read_again.link_slow_tokens,
+        placed.trace.expected_ms,
+        placed.trace.waited_ms,
         placed.save.iter().flatten().count(),
     );
     let weight_version = placed.weight_version;
-    Chosen { target: placed.target.clone(), placed: Some(placed), weight_version, grounds }
+    Chosen { target: placed.target.clone(), placed: Some(placed), weight_version, trace }
 }
 
 fn alone(gateway: &Gateway, job: &Job, avoid: &[TargetStart]) -> Result<Chosen, NoChoice> {
@@ -101,15 +101,15 @@
     if job.call.prompt.is_some() {
         gateway.metrics.placed_alone.add(1, &[]);
     }
-    let grounds = format!(
+    let trace = format!(
         "by=entry load={:.1} home={} expected_ms={}{}",
         choice.load,
         choice.home,
         choice.expected.as_millis(),
-        weights_grounds(gateway, job, choice.weight_version),
+        weights_trace(gateway, job, choice.weight_version),
     );
     let weight_version = choice.weight_version;
-    Ok(Chosen { target: choice.target, placed: None, weight_version, grounds })
+    Ok(Chosen { target: choice.target, placed: None, weight_version, trace })
 }
 
 /// Whether a prompt may still begin on the weights that it was placed for.
@@ -128,7 +128,7 @@
 
 /// Which weights the engine must run, the newest named ones, and how long ago the first were named
 /// that the engine has missed.
-fn weights_grounds(gateway: &Gateway, job: &Job, expected: Option<u64>) -> String {
+fn weights_trace(gateway: &Gateway, job: &Job, expected: Option<u64>) -> String {
     let Some(prompt) = &job.call.prompt else { return String::new() };
     let named_since = gateway.named_since.borrow();
     let named = named_since.get(&prompt.model);
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -8,7 +8,7 @@
 
 use rustc_hash::FxBuildHasher;
 
-use super::call::{Call, Outcome};
+use super::call::{Call, ResponseMetadata};
 use super::place::Chosen;
 use super::rank::Rank;
 use super::state::Gateway;
@@ -122,13 +122,13 @@
     /// A target was chosen.
     pub fn chosen(&mut self, chosen: &Chosen, is_reused: bool) {
         let at_ms = self.elapsed().as_millis();
-        let (target, grounds) = (&chosen.target, &chosen.grounds);
+        let (target, trace) = (&chosen.target, &chosen.trace);
         // Writing to a string can't fail.
-        let _ = write!(self.steps, " at_ms={at_ms} target={target} {grounds} reused={is_reused}");
+        let _ = write!(self.steps, " at_ms={at_ms} target={target} {trace} reused={is_reused}");
     }
 
     /// A target answered, and told how busy it is.
-    pub fn answered(&mut self, outcome: &Outcome) {
+    pub fn answered(&mut self, outcome: &ResponseMetadata) {
         let at_ms = self.elapsed().as_millis();
         let _ = write!(self.steps, " answered_ms={at_ms}");
         if let Some(load) = outcome.load {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -12,7 +12,7 @@
 
 use super::answer::{AnswerBody, RelayError, in_parts};
 use super::attempt::{Answered, Job, Missed, attempt};
-use super::call::Outcome;
+use super::call::ResponseMetadata;
 use super::events::EventSplitter;
 use super::pool::Connection;
 use super::record::{Ended, Record};
@@ -63,7 +63,7 @@
 struct Source {
     target: TargetStart,
     body: Incoming,
-    outcome: Outcome,
+    outcome: ResponseMetadata,
     connection: Connection,
     at_target: AtTarget,
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -10,7 +10,7 @@
 use tokio::sync::Notify;
 
 use super::asking::Asking;
-use super::call::Outcome;
+use super::call::ResponseMetadata;
 use super::news_sources::{HeldTargets, NewsSources};
 use super::pool::{Connection, Pool};
 use super::record::LineBudget;
@@ -358,7 +358,7 @@
     }
 
     /// Its prompt has been read: the first part of the answer is here.
-    pub fn has_read(&mut self, outcome: &Outcome) {
+    pub fn has_read(&mut self, outcome: &ResponseMetadata) {
         let Some(dispatch) = &mut self.dispatch else { return };
         if !self.gateway.fleet.borrow_mut().has_read(dispatch) {
             return;
--- a/src/scheduler/candidate.rs
+++ b/src/scheduler/candidate.rs
@@ -5,7 +5,7 @@
 
 use super::engine::Engine;
 use super::memory::PartKey;
-use super::messages::{Grounds, NotFetched, PlacementRequest, ReadAgain};
+use super::messages::{DecisionTrace, NotFetched, PlacementRequest, ReadAgain};
 use super::pace::Pace;
 use super::source::{Source, Transfer, sources};
 use super::store::{Store, part_key};
@@ -63,7 +63,7 @@
     /// Where parts are fetched from.
     pub fetch: Vec<Option<SocketAddr>>,
     /// What the decision rests on.
-    pub grounds: Grounds,
+    pub trace: DecisionTrace,
 }
 
 /// How many parts others share: all but the last, which belongs to the request itself.
@@ -154,7 +154,7 @@
         let cost_ms = expected_ms
             + again_tokens as f64 * READ_AGAIN_MS_PER_TOKEN
             + link_ms * LINK_TIME_WEIGHT;
-        let grounds = Grounds {
+        let trace = DecisionTrace {
             running: engine.placed(),
             ahead_ms: ahead_ms as u32,
             resident_tokens,
@@ -163,7 +163,7 @@
             expected_ms: expected_ms as u32,
             waited_ms: 0,
         };
-        Some(Candidate { cost_ms, fetch_ms, rest_ms, ahead_ms, resident, fetch, grounds })
+        Some(Candidate { cost_ms, fetch_ms, rest_ms, ahead_ms, resident, fetch, trace })
     }
 
     /// From where a part comes soonest, and how long that takes.
--- a/src/scheduler/messages.rs
+++ b/src/scheduler/messages.rs
@@ -56,12 +56,12 @@
     /// A fetch that has not ended by then, on the engines' clock, must be thrown away.
     pub fetch_until_ms: u64,
     /// What the decision rests on, for the log.
-    pub grounds: Grounds,
+    pub trace: DecisionTrace,
 }
 
 /// What a placement rests on.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Grounds {
+pub struct DecisionTrace {
     /// Requests at the engine.
     pub running: u32,
     /// How long the engine still reads other prompts.
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -19,5 +19,5 @@
 pub mod weights;
 
 pub use messages::{End, Placed, PlacementEvent, PlacementRequest, TicketId};
-pub use plan::{Outcome, PlacementError, Scheduler};
+pub use plan::{PlacementError, PlacementResult, Scheduler};
 pub use queue::WaiterId;
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -12,7 +12,7 @@
 use super::engine::{Engine, Load};
 use super::lateness::Lateness;
 use super::memory::PartKey;
-use super::messages::{End, Grounds, Placed, PlacementEvent, PlacementRequest, TicketId};
+use super::messages::{DecisionTrace, End, Placed, PlacementEvent, PlacementRequest, TicketId};
 use super::pace::Pace;
 use super::queue::{Queue, WaiterId, Waiting};
 use super::source::distance;
@@ -55,7 +55,7 @@
 }
 
 /// What comes of an ask.
-pub type Outcome = Result<Placed, PlacementError>;
+pub type PlacementResult = Result<Placed, PlacementError>;
 
 /// The engines' clock, as it was read.
 #[derive(Clone, Copy, Debug)]
@@ -103,8 +103,8 @@
 }
 
 /// What came of trying to place a prompt.
-enum Placing {
-    Done(Outcome),
+enum PlacementAttempt {
+    Done(PlacementResult),
     /// All engines have enough to read: no other prompt would be placed either.
     AllBusy,
     /// The engines that could read lack the memory.
@@ -157,10 +157,10 @@
         waiter: WaiterId,
         ask: PlacementRequest,
         now: BootTime,
-    ) -> Option<Outcome> {
+    ) -> Option<PlacementResult> {
         let must_wait = !self.queue.is_empty() || !self.is_informed(now);
         let waiting = Waiting { waiter, ask, since: now };
-        if !must_wait && let Placing::Done(outcome) = self.try_place(&waiting, now) {
+        if !must_wait && let PlacementAttempt::Done(outcome) = self.try_place(&waiting, now) {
             return Some(outcome);
         }
         self.queue.add(waiting);
@@ -173,9 +173,9 @@
     }
 
     /// Places those that wait as far as engines have room, and refuses those that have no hope.
-    pub fn dispatch(&mut self, now: BootTime) -> Vec<(WaiterId, Outcome)> {
+    pub fn dispatch(&mut self, now: BootTime) -> Vec<(WaiterId, PlacementResult)> {
         let hopeless = self.queue.take_hopeless(now).into_iter();
-        let mut outcomes: Vec<(WaiterId, Outcome)> = hopeless
+        let mut outcomes: Vec<(WaiterId, PlacementResult)> = hopeless
             .map(|waiting| (waiting.waiter, Err(PlacementError::Busy(come_back(waiting.waiter)))))
             .collect();
         if !self.is_informed(now) {
@@ -186,9 +186,9 @@
             && let Some(waiting) = self.queue.pick()
         {
             match self.try_place(&waiting, now) {
-                Placing::Done(outcome) => outcomes.push((waiting.waiter, outcome)),
-                Placing::NoRoom => stuck.push(waiting),
-                Placing::AllBusy => {
+                PlacementAttempt::Done(outcome) => outcomes.push((waiting.waiter, outcome)),
+                PlacementAttempt::NoRoom => stuck.push(waiting),
+                PlacementAttempt::AllBusy => {
                     stuck.push(waiting);
                     break;
                 }
@@ -204,10 +204,10 @@
     }
 
     /// Places a prompt on the engine where it costs least.
-    fn try_place(&mut self, waiting: &Waiting, now: BootTime) -> Placing {
+    fn try_place(&mut self, waiting: &Waiting, now: BootTime) -> PlacementAttempt {
         let ask = &waiting.ask;
         let Some(traits) = self.traits.get(&ask.service) else {
-            return Placing::Done(Err(PlacementError::NoneListed));
+            return PlacementAttempt::Done(Err(PlacementError::NoneListed));
         };
         let pace = self.paces.get(&ask.service).copied().unwrap_or_default();
         let (mut is_listed, mut is_sound, mut is_free) = (false, false, false);
@@ -253,10 +253,10 @@
         }
         let Some((target, candidate)) = best else {
             return match (is_listed, is_sound, is_free) {
-                (false, ..) => Placing::Done(Err(PlacementError::NoneListed)),
-                (_, false, _) => Placing::Done(Err(PlacementError::NoneSound)),
-                (.., false) => Placing::AllBusy,
-                _ => Placing::NoRoom,
+                (false, ..) => PlacementAttempt::Done(Err(PlacementError::NoneListed)),
+                (_, false, _) => PlacementAttempt::Done(Err(PlacementError::NoneSound)),
+                (.., false) => PlacementAttempt::AllBusy,
+                _ => PlacementAttempt::NoRoom,
             };
         };
         let target = target.clone();
@@ -264,7 +264,7 @@
         let chosen = required.into_iter().find(|(known, _)| *known == version);
         let (salt, keys) =
             chosen.map(|(_, required)| (required.salt, required.keys)).unwrap_or_default();
-        Placing::Done(Ok(self.grant(target, candidate, salt, keys, waiting, now)))
+        PlacementAttempt::Done(Ok(self.grant(target, candidate, salt, keys, waiting, now)))
     }
 
     fn grant(
@@ -301,7 +301,7 @@
                 engine.memory.begin_use(*key, part.tokens);
             }
             let resident_or_fetched =
-                candidate.grounds.resident_tokens + candidate.grounds.fetched_tokens;
+                candidate.trace.resident_tokens + candidate.trace.fetched_tokens;
             let load = Load {
                 parts: keys,
                 read_tokens: ask.prompt_tokens.saturating_sub(resident_or_fetched).max(1),
@@ -335,9 +335,9 @@
             fetch: candidate.fetch,
             save,
             fetch_until_ms: clock_ms + FETCH_LASTS.as_millis() as u64,
-            grounds: Grounds {
+            trace: DecisionTrace {
                 waited_ms: now.saturating_sub(waiting.since).as_millis() as u32,
-                ..candidate.grounds
+                ..candidate.trace
             },
         }
     }
--- a/tests/deployment/asking.rs
+++ b/tests/deployment/asking.rs
@@ -191,7 +191,7 @@
         // Without it, the scheduler would forget them only after 20 s.
         let heard = tokio::time::timeout(ms(15_000), other.hear()).await;
         let ToEntry::Placed(7, Ok(placed)) = heard.expect("soon") else { panic!("not placed") };
-        assert_eq!(placed.grounds.running, 0);
+        assert_eq!(placed.trace.running, 0);
     });
 }
 
@@ -209,7 +209,7 @@
         drop(killed);
         let mut last = Asker::connect(&scheduling).await;
         let placed = tokio::time::timeout(ms(15_000), last.placed_in_the_end());
-        assert_eq!(placed.await.expect("soon").grounds.running, 0);
+        assert_eq!(placed.await.expect("soon").trace.running, 0);
     });
 }
 
--- a/tests/deployment/headers.rs
+++ b/tests/deployment/headers.rs
@@ -150,12 +150,12 @@
         ("keep-alive", "timeout=5, max=100"),
         ("connection", "close"),
     ]);
-    let outcome = headers::decode_outcome(&answer);
+    let outcome = headers::decode_metadata(&answer);
     assert!(outcome.did_not_run && outcome.closes);
     assert_eq!(outcome.answered_by.as_deref(), Some("i-2"));
     assert_eq!(outcome.load.map(|load| (load.running, load.waiting, load.slots)), Some((3, 1, 48)));
     assert_eq!(outcome.weight_version, Some(2));
     assert_eq!(outcome.idle_timeout, Some(Duration::from_secs(5)));
-    let broken = headers::decode_outcome(&map(&[("x-server-load", "3,"), ("keep-alive", "x")]));
+    let broken = headers::decode_metadata(&map(&[("x-server-load", "3,"), ("keep-alive", "x")]));
     assert_eq!((broken.load, broken.idle_timeout), (None, None));
 }
--- a/tests/deployment/load.rs
+++ b/tests/deployment/load.rs
@@ -13,7 +13,7 @@
 use kumquatpost::ids::TargetStart;
 use kumquatpost::scheduler::store::{Inventory, StoreEvent, StoredPart};
 use kumquatpost::scheduler::{
-    End, Outcome, Placed, PlacementEvent, PlacementRequest, Scheduler, WaiterId,
+    End, Placed, PlacementEvent, PlacementRequest, PlacementResult, Scheduler, WaiterId,
 };
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -82,7 +82,7 @@
     }
 }
 
-pub fn placed(outcome: Option<Outcome>) -> Placed {
+pub fn placed(outcome: Option<PlacementResult>) -> Placed {
     outcome.expect("it need not wait").expect("it is placed")
 }
 
@@ -193,7 +193,7 @@
         }
     }
 
-    fn take(&mut self, waiter: WaiterId, outcome: Outcome) {
+    fn take(&mut self, waiter: WaiterId, outcome: PlacementResult) {
         let (kind, ask, since) = self.asks.remove(&waiter).expect("it was asked");
         let Ok(placed) = outcome else {
             self.tally.refused += 1;
@@ -211,10 +211,10 @@
             }
             return;
         }
-        let kept = placed.grounds.resident_tokens + placed.grounds.fetched_tokens;
+        let kept = placed.trace.resident_tokens + placed.trace.fetched_tokens;
         let tokens = ask.prompt_tokens.saturating_sub(kept);
         self.tally.read_tokens += tokens;
-        self.tally.again_tokens += placed.grounds.read_again.tokens();
+        self.tally.again_tokens += placed.trace.read_again.tokens();
         let free_at = self.free_at.entry(placed.target.clone()).or_default();
         *free_at = (*free_at).max(self.now)
             + Duration::from_secs_f64(tokens as f64 / READ_TOKENS_PER_MS / 1e3);
--- a/tests/deployment/many_hosts.rs
+++ b/tests/deployment/many_hosts.rs
@@ -136,7 +136,7 @@
 /// replicas each, wherever these were: 0.25 GB between failure domains a day with two starts, a third of that
 /// day's worth, and the last of them served 1.6 s after its start.
 ///
-/// Grounds: the list is at most 40 bytes a target, sent once to each entry and from its own failure
+/// DecisionTrace: the list is at most 40 bytes a target, sent once to each entry and from its own failure
 /// domain; an entry's link of 10 Mbit/s takes a tenth of a second for that.
 #[test]
 fn entries_that_start_at_once_are_sent_the_list_once_and_from_their_own_domain() {
@@ -361,7 +361,7 @@
 /// Herd of readers. What was seen: the list of 3,000 targets has 60 pages and takes 0.9 s, so four replicas
 /// that don't lead took the leader for silent and read it as well, each time.
 ///
-/// Grounds: between the begins of two reads of the leader pass its duration and the pause; it is told at
+/// DecisionTrace: between the begins of two reads of the leader pass its duration and the pause; it is told at
 /// the end of a read.
 #[test]
 fn replicas_wait_for_a_leader_that_reads_a_long_list() {
--- a/tests/deployment/scheduling.rs
+++ b/tests/deployment/scheduling.rs
@@ -32,7 +32,7 @@
     let three = placed(scheduler.submit(3, PlacementRequest { avoid, ..ask }, ms(400)));
     assert_eq!(three.fetch[0], Some(address(9_000)));
     assert_eq!(three.fetch_until_ms, 400 + 1_500, "and not after that");
-    assert_eq!(three.grounds.fetched_tokens, 9_100);
+    assert_eq!(three.trace.fetched_tokens, 9_100);
 }
 
 #[test]
@@ -63,15 +63,15 @@
     end(&mut scheduler, one.ticket, End::Whole, ms(300));
     let walled = PlacementRequest { wall: "only:beta".to_string(), ..ask.clone() };
     let two = placed(scheduler.submit(2, walled, ms(400)));
-    assert_eq!((two.grounds.resident_tokens, two.fetch[0]), (0, None));
+    assert_eq!((two.trace.resident_tokens, two.fetch[0]), (0, None));
     assert_ne!(two.salt, one.salt);
     end(&mut scheduler, two.ticket, End::Left, ms(410));
     let three = placed(scheduler.submit(3, ask_of(0, 1, 3), ms(420)));
-    assert_eq!(three.grounds.resident_tokens, 9_100);
+    assert_eq!(three.trace.resident_tokens, 9_100);
     end(&mut scheduler, three.ticket, End::OtherWeights(Some(2)), ms(430));
     let four = placed(scheduler.submit(4, ask, ms(440)));
     assert_eq!(
-        (four.weight_version, four.grounds.resident_tokens, four.fetch[0]),
+        (four.weight_version, four.trace.resident_tokens, four.fetch[0]),
         (Some(2), 0, None)
     );
     assert!(four.save[0].is_some(), "the new weights' part is another part");
--- a/tests/deployment/sources.rs
+++ b/tests/deployment/sources.rs
@@ -30,13 +30,13 @@
     let (mut scheduler, ask, one) = after_one();
     let early = placed(scheduler.submit(2, elsewhere(&ask, &one), ms(20)));
     assert_eq!(early.fetch[0], None, "it may not be whole yet");
-    assert_eq!(early.grounds.read_again.nowhere_whole_tokens, 9_100);
+    assert_eq!(early.trace.read_again.nowhere_whole_tokens, 9_100);
     end(&mut scheduler, early.ticket, End::Left, ms(30));
     first(&mut scheduler, one.ticket, ms(130));
     let later = placed(scheduler.submit(3, elsewhere(&ask, &one), ms(140)));
     let from = if one.target.id == "i-00" { address(0) } else { address(1) };
-    assert_eq!((later.fetch[0], later.grounds.fetched_tokens), (Some(from), 9_100));
-    assert_eq!(later.grounds.read_again.tokens(), 0);
+    assert_eq!((later.fetch[0], later.trace.fetched_tokens), (Some(from), 9_100));
+    assert_eq!(later.trace.read_again.tokens(), 0);
 }
 
 #[test]
@@ -104,7 +104,7 @@
     scheduler.memories_read();
     let (waiter, outcome) = scheduler.dispatch(ms(80)).remove(0);
     let placed = outcome.expect("it is placed");
-    assert_eq!((waiter, placed.target, placed.grounds.resident_tokens), (1, start("i-01"), 9_100));
+    assert_eq!((waiter, placed.target, placed.trace.resident_tokens), (1, start("i-01"), 9_100));
 }
 
 #[test]
@@ -162,7 +162,7 @@
         placed(scheduler.submit(waiter, busy, ms(10)));
     }
     let fetches = placed(scheduler.submit(3, ask, ms(11)));
-    assert_eq!((fetches.target, fetches.grounds.fetched_tokens), (start("i-01"), 9_100));
+    assert_eq!((fetches.target, fetches.trace.fetched_tokens), (start("i-01"), 9_100));
 }
 
 /// After an outage links are full, and most of those who have waited can't be on time: they wait for
@@ -184,8 +184,8 @@
         end(&mut scheduler, placed.ticket, End::Left, ms(10));
     }
     let hurried = placed(scheduler.submit(50, ask_of(0, 50, 50), ms(11)));
-    assert_eq!(hurried.grounds.read_again.link_full_tokens, 9_100);
+    assert_eq!(hurried.trace.read_again.link_full_tokens, 9_100);
     end(&mut scheduler, hurried.ticket, End::Left, ms(11));
     let late = PlacementRequest { waited: ms(600), ..ask_of(0, 51, 51) };
-    assert_eq!(placed(scheduler.submit(51, late, ms(12))).grounds.fetched_tokens, 9_100);
+    assert_eq!(placed(scheduler.submit(51, late, ms(12))).trace.fetched_tokens, 9_100);
 }
--- a/tests/deployment/starts.rs
+++ b/tests/deployment/starts.rs
@@ -49,11 +49,11 @@
     first_part(&mut scheduler, one.ticket, 1, 80);
     end(&mut scheduler, one.ticket, End::Whole, ms(200));
     let again = submit(&mut scheduler, 2, 2_000);
-    assert_eq!(again.grounds.resident_tokens, 650, "the context is resident");
+    assert_eq!(again.trace.resident_tokens, 650, "the context is resident");
     end(&mut scheduler, again.ticket, End::Whole, ms(2_100));
     list(&mut scheduler, &starts().1);
     let anew = submit(&mut scheduler, 3, 4_000);
-    assert_eq!((&anew.target, anew.grounds.resident_tokens), (&starts().1, 0));
+    assert_eq!((&anew.target, anew.trace.resident_tokens), (&starts().1, 0));
 }
 
 #[test]
@@ -62,11 +62,11 @@
     list(&mut scheduler, &starts().1);
     let part = StoredPart { salt: "all/m/1".into(), id: "1-context-1".into(), tokens: 650 };
     assert_eq!(scheduler.recall(&starts().0, vec![StoreEvent::Stored(part.clone())]), 0);
-    assert_eq!(submit(&mut scheduler, 1, 10).grounds.resident_tokens, 0);
+    assert_eq!(submit(&mut scheduler, 1, 10).trace.resident_tokens, 0);
     // Its own is.
     let mut scheduler = in_first_start();
     assert_eq!(scheduler.recall(&starts().0, vec![StoreEvent::Stored(part)]), 1);
-    assert_eq!(submit(&mut scheduler, 1, 10).grounds.resident_tokens, 650);
+    assert_eq!(submit(&mut scheduler, 1, 10).trace.resident_tokens, 650);
 }
 
 #[test]
@@ -94,7 +94,7 @@
     assert_eq!(scheduler.doubted(), [], "the later start runs what it is listed with");
     let next = submit(&mut scheduler, 20, 3_002);
     assert_eq!((&next.target, next.weight_version), (&second, Some(1)));
-    assert_eq!(next.grounds.running, 0);
+    assert_eq!(next.trace.running, 0);
     assert_eq!((scheduler.placed_on(&first), scheduler.placed_on(&second)), (0, 1));
 }
 
@@ -140,7 +140,7 @@
     end(&mut scheduler, one.ticket, End::Whole, ms(800));
     let again = PlacementRequest { avoid: vec![other.start], ..ask_of(1, 1, 3) };
     let again = placed(scheduler.submit(3, again, ms(2_000)));
-    assert_eq!((again.target, again.grounds.resident_tokens), (first, 650));
+    assert_eq!((again.target, again.trace.resident_tokens), (first, 650));
 }
 
 #[test]
