--- a/.ci/mutations.py
+++ b/.ci/mutations.py
@@ -22,7 +22,7 @@
     ("after a restart, answers to earlier starts count", "src/log/raft/restart.rs",
      "restart.nonce == nonce && restart", "restart", "logic", "restarting"),
     ("after a restart, words of others count", "src/log/raft/restart.rs",
-     "restart.counted_on_by == Some(from)", "restart.counted_on_by.is_some()", "logic", "restarting"),
+     "restart.lease_holder == Some(from)", "restart.lease_holder.is_some()", "logic", "restarting"),
     ("after a restart, a former leader waits like others", "src/log/raft/restart.rs",
      "self.was_leader && now < self.ends_at", "false", "logic", "restarting"),
     ("a removed leader that is needed does not stand", "src/log/raft/election.rs",
--- a/src/control/frames.rs
+++ b/src/control/frames.rs
@@ -49,7 +49,7 @@
         named: NamedAges,
     },
     /// An entry that asks the scheduler; `FromEntry` frames follow, `ToEntry` is sent back.
-    Asker {
+    SchedulerClient {
         /// Its host's name.
         name: String,
     },
--- a/src/control/news.rs
+++ b/src/control/news.rs
@@ -93,7 +93,7 @@
             );
             Ok(())
         }
-        Introduction::Asker { name } => {
+        Introduction::SchedulerClient { name } => {
             let ended = scheduling.serve(read, write).await;
             log::info!(
                 "event=asker_gone entry={name} reason={:?}",
--- a/src/control/scheduling.rs
+++ b/src/control/scheduling.rs
@@ -286,7 +286,7 @@
         mut write: OwnedWriteHalf,
     ) -> std::io::Result<()> {
         let (sender, mut answers) = mpsc::unbounded_channel::<ToEntry>();
-        let asker = Asker::new(self, sender);
+        let asker = ClientConnection::new(self, sender);
         let writing = async {
             while let Some(first) = answers.recv().await {
                 let mut bytes = encode(&first).to_vec();
@@ -333,15 +333,18 @@
 }
 
 /// One entry that asks.
-struct Asker<'s> {
+struct ClientConnection<'s> {
     scheduling: &'s Scheduling,
     entry: Rc<EntryLink>,
 }
 
-impl<'s> Asker<'s> {
-    fn new(scheduling: &'s Scheduling, answers: mpsc::UnboundedSender<ToEntry>) -> Asker<'s> {
+impl<'s> ClientConnection<'s> {
+    fn new(
+        scheduling: &'s Scheduling,
+        answers: mpsc::UnboundedSender<ToEntry>,
+    ) -> ClientConnection<'s> {
         let (waiting, placed) = (RefCell::default(), RefCell::default());
-        Asker { scheduling, entry: Rc::new(EntryLink { answers, waiting, placed }) }
+        ClientConnection { scheduling, entry: Rc::new(EntryLink { answers, waiting, placed }) }
     }
 
     async fn take_all(&self, mut read: BufReader<OwnedReadHalf>) -> std::io::Result<()> {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,7 +1,6 @@
 //! Entry of a deployment: takes callers' requests and relays them to targets unchanged.
 
 pub mod answer;
-pub mod asking;
 pub mod attempt;
 pub mod call;
 pub mod events;
@@ -13,6 +12,7 @@
 pub mod relay;
 pub mod request;
 pub mod run;
+pub mod scheduler_client;
 pub mod server;
 pub mod state;
 pub mod subscription;
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -47,7 +47,7 @@
     avoid: &[TargetStart],
 ) -> Result<Chosen, NoChoice> {
     if let Some(ask) = ask_of(gateway, job, avoid) {
-        let answer = gateway.asking.ask(ask).await;
+        let answer = gateway.scheduler.ask(ask).await;
         if let Some(Ok(placed)) = &answer {
             gateway.until_listed(&placed.target, LISTED_WITHIN).await;
         }
@@ -55,7 +55,7 @@
             Some(Ok(placed)) if gateway.fleet.borrow().get(&placed.target).is_some() => {
                 return Ok(by_scheduler(placed));
             }
-            Some(Ok(placed)) => gateway.asking.give_back(&placed),
+            Some(Ok(placed)) => gateway.scheduler.give_back(&placed),
             Some(Err(SchedulerError::Placement(PlacementError::Busy(come_back)))) => {
                 return Err(NoChoice::Busy(come_back));
             }
--- a/src/gateway/asking.rs
+++ b/src/gateway/scheduler_client.rs
@@ -55,7 +55,7 @@
 
 /// An ask that is not answered yet. The scheduler is told when nobody waits any more.
 struct Pending<'a> {
-    asking: &'a Asking,
+    asking: &'a SchedulerClient,
     number: u64,
     answers: mpsc::Receiver<Reply>,
 }
@@ -80,7 +80,7 @@
 
 /// The connection to the scheduler.
 #[derive(Default)]
-pub struct Asking {
+pub struct SchedulerClient {
     outgoing: RefCell<Option<mpsc::Sender<Arc<[u8]>>>>,
     waiting: RefCell<HashMap<u64, mpsc::Sender<Reply>>>,
     next: Cell<u64>,
@@ -91,7 +91,7 @@
     absent_since: Cell<Option<BootTime>>,
 }
 
-impl Asking {
+impl SchedulerClient {
     /// Asks where a prompt runs; `None` if there is no answer in time. While nothing schedules, it waits
     /// for a scheduler for a part of the prompt's objective.
     pub async fn ask(&self, ask: PlacementRequest) -> Option<Answer> {
@@ -186,8 +186,8 @@
             continue;
         };
         let ended = connected(&gateway, named).await;
-        *gateway.asking.outgoing.borrow_mut() = None;
-        gateway.asking.waiting.borrow_mut().clear();
+        *gateway.scheduler.outgoing.borrow_mut() = None;
+        gateway.scheduler.waiting.borrow_mut().clear();
         let reason = ended.err().map(|error| error.to_string());
         log::info!("event=scheduler_lost replica={} reason={reason:?}", named.0);
         // A leader that is not reached is tried again after a pause; another one at once.
@@ -199,12 +199,12 @@
     let to = SocketAddr::new(named.0, gateway.host.peer_port);
     let stream = net::connect(to, CONNECT_TIMEOUT, UNACKNOWLEDGED).await?;
     let (read, mut write) = stream.into_split();
-    let introduction = Introduction::Asker { name: gateway.host.name.clone() };
+    let introduction = Introduction::SchedulerClient { name: gateway.host.name.clone() };
     write.write_all(&encode(&introduction)).await?;
     let (sender, mut outgoing) = mpsc::channel::<Arc<[u8]>>(QUEUE_LEN);
-    *gateway.asking.outgoing.borrow_mut() = Some(sender);
-    gateway.asking.paused_until.set(BootTime::ZERO);
-    gateway.asking.connected.notify_waiters();
+    *gateway.scheduler.outgoing.borrow_mut() = Some(sender);
+    gateway.scheduler.paused_until.set(BootTime::ZERO);
+    gateway.scheduler.connected.notify_waiters();
     log::info!("event=scheduler_found replica={} term={}", named.0, named.1);
     let writing = async {
         while let Some(frame) = outgoing.recv().await {
@@ -228,8 +228,8 @@
         };
         let is_last = matches!(reply, Reply::Placed(_));
         let waiting = match is_last {
-            true => gateway.asking.waiting.borrow_mut().remove(&number),
-            false => gateway.asking.waiting.borrow().get(&number).cloned(),
+            true => gateway.scheduler.waiting.borrow_mut().remove(&number),
+            false => gateway.scheduler.waiting.borrow().get(&number).cloned(),
         };
         let unwanted = match waiting {
             Some(waiting) => waiting.try_send(reply).err().map(|error| error.into_inner()),
@@ -239,7 +239,7 @@
         if let Some(Reply::Placed(answer)) = unwanted
             && let Ok(placed) = *answer
         {
-            gateway.asking.give_back(&placed);
+            gateway.scheduler.give_back(&placed);
         }
     }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -9,11 +9,11 @@
 
 use tokio::sync::Notify;
 
-use super::asking::Asking;
 use super::call::ResponseMetadata;
 use super::news_sources::{HeldTargets, NewsSources};
 use super::pool::{Connection, Pool};
 use super::record::LineBudget;
+use super::scheduler_client::SchedulerClient;
 use crate::clock::{BootTime, boot_now};
 use crate::control::frames::{News, NumberedRoster, RosterName};
 use crate::control::pieces::{Assembly, Piece, PieceError};
@@ -66,7 +66,7 @@
     /// Connections to targets.
     pub pool: Pool,
     /// The connection to the scheduler.
-    pub asking: Asking,
+    pub scheduler: SchedulerClient,
     /// The host of the replica that leads, as far as is known.
     pub leader: Cell<Option<IpAddr>>,
     /// The term in which it leads, and when it was last named: replicas that are behind name earlier
@@ -114,7 +114,7 @@
             fleet: RefCell::default(),
             retries: RefCell::new(RetryShare::new(rule, ENTRIES_AT_FIRST)),
             pool: Pool::default(),
-            asking: Asking::default(),
+            scheduler: SchedulerClient::default(),
             leader: Cell::new(None),
             leader_term: Cell::default(),
             leader_changed: Notify::new(),
@@ -365,7 +365,7 @@
         }
         if let Some(ticket) = self.ticket {
             let (weight_version, load) = (outcome.weight_version, outcome.load);
-            self.gateway.asking.tell(PlacementEvent::FirstPart { ticket, weight_version, load });
+            self.gateway.scheduler.tell(PlacementEvent::FirstPart { ticket, weight_version, load });
         }
     }
 
@@ -381,7 +381,7 @@
             self.gateway.fleet.borrow_mut().end(dispatch);
         }
         if let Some(ticket) = self.ticket {
-            self.gateway.asking.tell(PlacementEvent::Ended { ticket, end: self.end });
+            self.gateway.scheduler.tell(PlacementEvent::Ended { ticket, end: self.end });
         }
     }
 }
--- a/src/log/raft/restart.rs
+++ b/src/log/raft/restart.rs
@@ -26,7 +26,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Restart {
     /// The leader that may count on what an earlier process of this replica acknowledged.
-    counted_on_by: Option<NodeId>,
+    lease_holder: Option<NodeId>,
     /// Tells answers to this start from answers to earlier ones.
     nonce: u64,
     asked_at: Option<BootTime>,
@@ -46,7 +46,7 @@
         let acknowledged = recovered.vote.acknowledged;
         Restart {
             // What a disk has lost may have been acknowledged to somebody else.
-            counted_on_by: acknowledged.filter(|leader| *leader != id && !recovered.lost),
+            lease_holder: acknowledged.filter(|leader| *leader != id && !recovered.lost),
             nonce: random.random(),
             asked_at: None,
             was_leader: acknowledged == Some(id) && !recovered.lost,
@@ -67,7 +67,7 @@
 
     /// Whom to ask now whether a process that led still runs.
     pub(super) fn asks(&mut self, now: BootTime) -> Option<(NodeId, u64)> {
-        let leader = self.counted_on_by.filter(|_| now < self.ends_at)?;
+        let leader = self.lease_holder.filter(|_| now < self.ends_at)?;
         if self.asked_at.is_some_and(|asked_at| now < asked_at + ASK_EVERY) {
             return None;
         }
@@ -77,7 +77,7 @@
 
     /// A leader was heard by this process: what was before does not matter any more.
     pub(super) fn heard_leader_since(&mut self) {
-        self.counted_on_by = None;
+        self.lease_holder = None;
         self.was_leader = false;
     }
 }
@@ -92,8 +92,8 @@
     pub(super) fn on_not_led(&mut self, from: NodeId, nonce: u64) {
         let restart = &mut self.restart;
         // Later than this start, and so than all that was acknowledged before it.
-        if restart.nonce == nonce && restart.counted_on_by == Some(from) {
-            restart.counted_on_by = None;
+        if restart.nonce == nonce && restart.lease_holder == Some(from) {
+            restart.lease_holder = None;
             self.heard_leader = None;
         }
     }
--- a/tests/deployment/asking.rs
+++ b/tests/deployment/asking.rs
@@ -14,8 +14,8 @@
 use kumquatpost::control::scheduling::Scheduling;
 use kumquatpost::control::shared::{Belief, Shared};
 use kumquatpost::control::state::{ControlState, Published};
-use kumquatpost::gateway::asking;
 use kumquatpost::gateway::call::Part;
+use kumquatpost::gateway::scheduler_client;
 use kumquatpost::log::Term;
 use kumquatpost::scheduler::weights::OldWeights;
 use kumquatpost::scheduler::{End, Placed, PlacementEvent, PlacementRequest};
@@ -251,7 +251,7 @@
         let ip = "127.98.0.3".parse().expect("an address");
         let listener = TcpListener::bind((ip, entry.gateway.host.peer_port)).await.expect("a port");
         entry.gateway.leader.set(Some(ip));
-        tokio::task::spawn_local(asking::keep_connected(entry.gateway.clone()));
+        tokio::task::spawn_local(scheduler_client::keep_connected(entry.gateway.clone()));
         tokio::task::spawn_local(async move {
             let (stream, _) = listener.accept().await.expect("the entry connects");
             let mut stream = BufReader::new(stream);
@@ -269,7 +269,7 @@
             std::future::pending::<()>().await;
         });
         let hurried = PlacementRequest { objective: ms(600), time_left: ms(6_000), ..ask() };
-        let answer = entry.gateway.asking.ask(hurried).await;
+        let answer = entry.gateway.scheduler.ask(hurried).await;
         let placed = answer.expect("it waited").expect("it is placed");
         assert_eq!(placed.target, start("i-1"));
     });
@@ -283,12 +283,12 @@
         let hurried = PlacementRequest { objective: ms(600), time_left: ms(6_000), ..ask() };
         let waited = async || {
             let begun = boot_now();
-            assert_eq!(entry.gateway.asking.ask(hurried.clone()).await, None);
+            assert_eq!(entry.gateway.scheduler.ask(hurried.clone()).await, None);
             boot_now() - begun
         };
         assert!(waited().await >= ms(240), "a leader may be elected meanwhile");
         while boot_now()
-            < entry.gateway.asking.absent_since().expect("it had no answer") + ms(1_000)
+            < entry.gateway.scheduler.absent_since().expect("it had no answer") + ms(1_000)
         {
             waited().await;
         }
