--- a/src/control/kept_targets.rs
+++ b/src/control/kept_targets.rs
@@ -26,11 +26,11 @@
         // Kept before the first read: entries must not take that for the list.
         Ok(list) if list.roster.is_empty() => NumberedRoster::default(),
         Ok(list) => {
-            log::info!("event=targets_kept number={} count={}", list.number, list.roster.len());
+            log::info!("event=targets_restored number={} count={}", list.number, list.roster.len());
             list
         }
         Err(reason) => {
-            log::info!("event=no_targets_kept reason={reason:?}");
+            log::info!("event=targets_not_restored reason={reason:?}");
             NumberedRoster::default()
         }
     }
@@ -49,7 +49,7 @@
         if let Some(error) = &failure
             && !has_failed
         {
-            log::warn!("event=targets_not_kept reason={:?}", error.to_string());
+            log::warn!("event=targets_write_failed reason={:?}", error.to_string());
         }
         has_failed = failure.is_some();
         tokio::time::sleep(WRITE_EVERY).await;
--- a/src/control/memory_reader.rs
+++ b/src/control/memory_reader.rs
@@ -44,7 +44,7 @@
             }
             Err(error) => {
                 let reason = error.to_string();
-                log::warn!("event=memory_not_read engine={engine} reason={reason:?}");
+                log::warn!("event=engine_cache_unread engine={engine} reason={reason:?}");
                 0
             }
         }
@@ -55,7 +55,7 @@
         .fold((0, 0), |(read, sum), parts| async move { (read + 1, sum + parts) })
         .await;
     let _ = scheduling.with(|scheduler| scheduler.memories_read());
-    log::info!("event=memories_read engines={read} of={count} parts={parts}");
+    log::info!("event=engine_caches_read engines={read} of={count} parts={parts}");
 }
 
 async fn read(engine: &TargetStart, address: SocketAddr) -> Result<Events, CallError> {
--- a/src/control/news.rs
+++ b/src/control/news.rs
@@ -88,7 +88,7 @@
             }
             entries.retain(|_, count| *count > 0);
             log::info!(
-                "event=entry_gone entry={name} reason={:?}",
+                "event=entry_disconnected entry={name} reason={:?}",
                 ended.err().map(|e| e.to_string())
             );
             Ok(())
@@ -96,7 +96,7 @@
         Introduction::SchedulerClient { name } => {
             let ended = scheduling.serve(read, write).await;
             log::info!(
-                "event=asker_gone entry={name} reason={:?}",
+                "event=scheduler_client_disconnected entry={name} reason={:?}",
                 ended.err().map(|e| e.to_string())
             );
             Ok(())
--- a/src/control/ordering.rs
+++ b/src/control/ordering.rs
@@ -144,7 +144,7 @@
             );
             tokio::time::sleep(self.apart + APART_MARGIN).await;
         }
-        log::info!("event=orders_taken holder={holder} fencing={term}");
+        log::info!("event=orders_lease_acquired holder={holder} fencing={term}");
         Some(term)
     }
 
--- a/src/control/roster_reader.rs
+++ b/src/control/roster_reader.rs
@@ -229,7 +229,7 @@
 fn log_turn(shared: &Shared) {
     let unread = boot_now().saturating_sub(shared.reading.get().read_at());
     log::info!(
-        "event=target_list_turn leads={} unread_ms={} number={}",
+        "event=target_list_reader_changed leads={} unread_ms={} number={}",
         shared.belief.borrow().leads,
         unread.as_millis(),
         shared.roster.borrow().number
--- a/src/control/scheduling.rs
+++ b/src/control/scheduling.rs
@@ -150,13 +150,13 @@
             };
             if !leads {
                 if self.active.borrow_mut().take().is_some() {
-                    log::info!("event=scheduling_ended");
+                    log::info!("event=scheduler_stopped");
                     self.refuse_waiters();
                 }
                 continue;
             }
             if !self.is_active(term) {
-                log::info!("event=scheduling_begun term={term}");
+                log::info!("event=scheduler_started term={term}");
                 let first_ticket = term << TICKETS_PER_TERM;
                 *self.active.borrow_mut() = Some((term, self.new_scheduler(first_ticket)));
                 (version, roster_name) = (0, RosterName::default());
@@ -228,7 +228,7 @@
             tokio::task::spawn_local(async move {
                 let report = report::read(&engine, address).await;
                 let weights = report.map(|report| report.weights);
-                log::info!("event=weights_asked engine={engine} weights={weights:?}");
+                log::info!("event=weights_queried engine={engine} weights={weights:?}");
                 if let Some(weights) = &weights {
                     // Else an engine that runs older ones than are listed is not told to load.
                     scheduling.shared.change_roster(|known| known.set_weights(&engine, weights));
--- a/src/gateway/scheduler_client.rs
+++ b/src/gateway/scheduler_client.rs
@@ -136,7 +136,7 @@
             Ok(Some(Reply::Queued)) => {}
             Ok(None) => return None,
             Err(_) => {
-                log::warn!("event=scheduler_late waited_ms={}", ANSWER_TIMEOUT.as_millis());
+                log::warn!("event=scheduler_timeout waited_ms={}", ANSWER_TIMEOUT.as_millis());
                 self.paused_until.set(boot_now() + PAUSE_AFTER_TIMEOUT);
                 return None;
             }
@@ -189,7 +189,7 @@
         *gateway.scheduler.outgoing.borrow_mut() = None;
         gateway.scheduler.waiting.borrow_mut().clear();
         let reason = ended.err().map(|error| error.to_string());
-        log::info!("event=scheduler_lost replica={} reason={reason:?}", named.0);
+        log::info!("event=scheduler_disconnected replica={} reason={reason:?}", named.0);
         // A leader that is not reached is tried again after a pause; another one at once.
         let _ = tokio::time::timeout(TRY_AGAIN_AFTER, is_replaced(&gateway, named)).await;
     }
@@ -205,7 +205,7 @@
     *gateway.scheduler.outgoing.borrow_mut() = Some(sender);
     gateway.scheduler.paused_until.set(BootTime::ZERO);
     gateway.scheduler.connected.notify_waiters();
-    log::info!("event=scheduler_found replica={} term={}", named.0, named.1);
+    log::info!("event=scheduler_connected replica={} term={}", named.0, named.1);
     let writing = async {
         while let Some(frame) = outgoing.recv().await {
             write.write_all(&frame).await?;
--- a/src/gateway/subscription.rs
+++ b/src/gateway/subscription.rs
@@ -52,7 +52,7 @@
                 Ok(()) => pause = Duration::ZERO,
                 Err(error) => {
                     let reason = error.to_string();
-                    log::info!("event=replica_left replica={replica} reason={reason:?}");
+                    log::info!("event=news_source_lost replica={replica} reason={reason:?}");
                 }
             }
         }
@@ -104,7 +104,7 @@
 fn log_roster(gateway: &Gateway, replica: IpAddr) {
     let (name, leaving) = (gateway.roster_name(), gateway.leaving());
     log::info!(
-        "event=targets_heard number={} digest={:x} replica={replica} leaving={} first_leaving={:?}",
+        "event=targets_updated number={} digest={:x} replica={replica} leaving={} first_leaving={:?}",
         name.number,
         name.digest,
         leaving.len(),
--- a/src/net/text_server.rs
+++ b/src/net/text_server.rs
@@ -27,6 +27,6 @@
     });
     let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
     if let Err(error) = served.await {
-        log::debug!("event=asker_gone reason={:?}", error.to_string());
+        log::debug!("event=scheduler_client_disconnected reason={:?}", error.to_string());
     }
 }
