--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,5 +1,6 @@
 //! Replicas: the replicated state of a deployment, its operators, and news for entries.
 
+pub mod age_recorder;
 pub mod forming;
 pub mod frames;
 pub mod identity;
@@ -8,6 +9,7 @@
 pub mod list_teller;
 pub mod memory_reader;
 pub mod news;
+pub mod numbered_roster;
 pub mod operators;
 pub mod ordering;
 pub mod pieces;
@@ -16,6 +18,7 @@
 pub mod report;
 pub mod roster_reader;
 pub mod run;
+mod scheduler_sync;
 pub mod scheduling;
 pub mod shared;
 pub mod state;
--- a/src/control/pieces.rs
+++ b/src/control/pieces.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
-use super::frames::{NumberedRoster, RosterName};
+use super::numbered_roster::{NumberedRoster, RosterName};
 use crate::fleet::compact::CompactTargets;
 use crate::fleet::{Listed, Roster};
 use crate::ids::ServiceId;
--- a/src/control/run.rs
+++ b/src/control/run.rs
@@ -13,6 +13,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 
+use super::age_recorder;
 use super::frames::RosterName;
 use super::identity::Identity;
 use super::kept_targets;
@@ -26,7 +27,6 @@
 use super::scheduling::Scheduling;
 use super::shared::{Belief, Shared};
 use super::state::ControlState;
-use super::weight_ages;
 use crate::clock::boot_now;
 use crate::error::{Error, Result};
 use crate::essential::essentials;
@@ -115,7 +115,7 @@
     }
     tasks.spawn("kept_targets", kept_targets::keep_writing(shared.clone(), folder.clone()));
     let recording =
-        weight_ages::keep_recording(shared.clone(), inputs.clone(), host.periods.old_weights);
+        age_recorder::keep_recording(shared.clone(), inputs.clone(), host.periods.old_weights);
     tasks.spawn("weight_ages", recording);
     let apart = host.periods.order_lease;
     let ordering = Rc::new(Ordering {
--- a/src/control/scheduling.rs
+++ b/src/control/scheduling.rs
@@ -11,11 +11,9 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::mpsc;
 
-use super::frames::{self, FromEntry, RosterName, SchedulerError, ToEntry, encode};
-use super::memory_reader;
+use super::frames::{self, FromEntry, SchedulerError, ToEntry, encode};
 use super::report;
 use super::shared::Shared;
-use super::store_reader;
 use crate::clock::{BootTime, boot_now};
 use crate::ids::TargetStart;
 use crate::log::Term;
@@ -27,8 +25,6 @@
     End, Placed, PlacementEvent, PlacementRequest, Scheduler, TicketId, WaiterId,
 };
 
-/// How often changes are taken over and frees are planned.
-const LOOK_EVERY: Duration = Duration::from_millis(50);
 /// How often it is looked whether prompts that wait can be placed.
 const DISPATCH_EVERY: Duration = Duration::from_millis(10);
 /// Notes that come closer together than this share a dispatch.
@@ -40,8 +36,6 @@
 const SURE_AGAIN: Duration = Duration::from_millis(2);
 /// Longest time for a call that frees parts.
 const FREE_TIMEOUT: Duration = Duration::from_millis(500);
-/// Tickets of one term begin after those of all earlier terms.
-const TICKETS_PER_TERM: u32 = 36;
 
 /// The scheduler of this replica.
 pub struct Scheduling {
@@ -50,7 +44,7 @@
     /// How long prompts may begin on older weights once newer ones are named.
     pub old_weights: OldWeights,
     /// The scheduler with its term; `None` while another replica leads.
-    active: RefCell<Option<(Term, Scheduler)>>,
+    pub(super) active: RefCell<Option<(Term, Scheduler)>>,
     /// Prompts that wait.
     waiters: RefCell<HashMap<WaiterId, Waiter>>,
     next_waiter: Cell<WaiterId>,
@@ -136,46 +130,8 @@
         self.active.borrow().as_ref().is_some_and(|(active, _)| *active == term)
     }
 
-    /// Takes over what changes, for as long as the process lives.
-    pub async fn run(self: Rc<Scheduling>) {
-        let mut version = 0;
-        let mut roster_name = RosterName::default();
-        let mut belief = self.shared.belief.subscribe();
-        loop {
-            // Prompts wait while a new leader does not schedule yet.
-            let _ = tokio::time::timeout(LOOK_EVERY, belief.changed()).await;
-            let (leads, term) = {
-                let belief = self.shared.belief.borrow();
-                (belief.leads, belief.term)
-            };
-            if !leads {
-                if self.active.borrow_mut().take().is_some() {
-                    log::info!("event=scheduler_stopped");
-                    self.refuse_waiters();
-                }
-                continue;
-            }
-            if !self.is_active(term) {
-                log::info!("event=scheduler_started term={term}");
-                let first_ticket = term << TICKETS_PER_TERM;
-                *self.active.borrow_mut() = Some((term, self.new_scheduler(first_ticket)));
-                (version, roster_name) = (0, RosterName::default());
-            }
-            self.sync(term, &mut version, &mut roster_name);
-            self.ask_doubted();
-            self.free_parts();
-        }
-    }
-
-    fn new_scheduler(&self, first_ticket: TicketId) -> Scheduler {
-        let mut scheduler = Scheduler::new(first_ticket, boot_now());
-        scheduler.set_old_weights(self.old_weights);
-        scheduler.await_memories(boot_now());
-        scheduler
-    }
-
     /// Sends those that wait to another replica.
-    fn refuse_waiters(&self) {
+    pub(super) fn refuse_waiters(&self) {
         for Waiter { entry, number } in
             std::mem::take(&mut *self.waiters.borrow_mut()).into_values()
         {
@@ -183,42 +139,8 @@
         }
     }
 
-    fn sync(self: &Rc<Scheduling>, term: Term, version: &mut u64, roster_name: &mut RosterName) {
-        let belief = self.shared.belief.borrow();
-        let roster = self.shared.roster.borrow();
-        let mut active = self.active.borrow_mut();
-        let Some((_, scheduler)) = active.as_mut() else { return };
-        let mut new_stores = Vec::new();
-        if let Some(published) = &belief.state.published
-            && published.version() > *version
-        {
-            *version = published.version();
-            let before = scheduler.stores();
-            scheduler.observe_deployment(&published.deployment);
-            new_stores = scheduler.stores();
-            new_stores.retain(|store| !before.contains(store));
-            // Services may be others now.
-            scheduler.observe_roster(&roster.roster);
-        }
-        if roster.name() != *roster_name && *version > 0 {
-            let is_first = roster_name.number == 0;
-            *roster_name = roster.name();
-            scheduler.observe_roster(&roster.roster);
-            if is_first {
-                let engines = scheduler.engines();
-                tokio::task::spawn_local(memory_reader::run(self.clone(), engines, term));
-            }
-        }
-        scheduler.observe_changing(&self.shared.changing.borrow());
-        scheduler.observe_named(&self.shared.named_since.borrow());
-        scheduler.forget_lost(boot_now());
-        for store in new_stores {
-            tokio::task::spawn_local(store_reader::run(self.clone(), store, term));
-        }
-    }
-
     /// Asks engines whose weights are not known for them.
-    fn ask_doubted(self: &Rc<Scheduling>) {
+    pub(super) fn ask_doubted(self: &Rc<Scheduling>) {
         let doubted = self.with(|scheduler| scheduler.doubted()).unwrap_or_default();
         for (engine, address) in doubted {
             if !self.asked.borrow_mut().insert(engine.clone()) {
@@ -241,7 +163,7 @@
         }
     }
 
-    fn free_parts(self: &Rc<Scheduling>) {
+    pub(super) fn free_parts(self: &Rc<Scheduling>) {
         let now = boot_now();
         let planned = self.with(|scheduler| {
             let clock_ms = scheduler.engines_clock_ms(now)?;
--- a/src/control/store_reader.rs
+++ b/src/control/store_reader.rs
@@ -64,7 +64,10 @@
     let (inventory, clock_ms) =
         stores::decode_list(&text).map_err(|source| Lost::Unreadable { source })?;
     let (start, mut next) = (inventory.start, inventory.next);
-    log::info!("event=store_inventory_read store={store} start={start:?} whole={}", inventory.whole.len());
+    log::info!(
+        "event=store_inventory_read store={store} start={start:?} whole={}",
+        inventory.whole.len()
+    );
     scheduling.until_sure(term).await;
     let now = boot_now();
     let _ = scheduling.with(|scheduler| {
--- a/src/control/weight_ages.rs
+++ b/src/control/weight_ages.rs
@@ -2,23 +2,16 @@
 //! otherwise take weights that were named long ago for new, and allow older ones once more.
 
 use std::collections::BTreeMap;
-use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::sync::{mpsc, oneshot};
-
-use super::replica::Input;
-use super::shared::Shared;
 use super::state::{Command, ControlState, WeightAges};
-use crate::clock::{BootTime, boot_now};
+use crate::clock::BootTime;
 use crate::ids::ModelId;
-use crate::scheduler::weights::{NamedWeights, OldWeights, RolloutHistories, UNRECORDED};
+use crate::scheduler::weights::{NamedWeights, RolloutHistories, UNRECORDED};
 
 /// An age is recorded each time that it has grown by this: the ages of one naming are some nine
 /// entries of the log until its bound is over.
 const RECORD_EVERY: Duration = UNRECORDED;
-/// How often it is looked whether one has.
-const LOOK_EVERY: Duration = Duration::from_millis(100);
 /// A replica that had all that was committed within this time hears of a naming as it is decided.
 const HEARD_AT_ONCE_WITHIN: Duration = Duration::from_millis(500);
 
@@ -60,33 +53,3 @@
         caught_up_at.is_some_and(|at| now.saturating_sub(at) < HEARD_AT_ONCE_WITHIN);
     if is_heard_at_once { recorded } else { recorded + RECORD_EVERY }
 }
-
-/// Records ages while this replica leads, for as long as the process lives.
-pub async fn keep_recording(
-    shared: Rc<Shared>,
-    inputs: mpsc::Sender<Input>,
-    old_weights: OldWeights,
-) {
-    let Some(bound) = old_weights.last() else {
-        return std::future::pending().await;
-    };
-    loop {
-        tokio::time::sleep(LOOK_EVERY).await;
-        let due = {
-            let belief = shared.belief.borrow();
-            let named = shared.named_since.borrow();
-            match belief.leads {
-                true => due(&named, &belief.state.weight_ages, bound, boot_now()),
-                false => Vec::new(),
-            }
-        };
-        for command in due {
-            let (sender, decided) = oneshot::channel();
-            if inputs.send(Input::Propose(command, sender)).await.is_err() {
-                return;
-            }
-            // Not decided: it is due again, here or at another leader.
-            let _ = decided.await;
-        }
-    }
-}
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -4,22 +4,21 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 
-use super::call::{Call, Forwarded, KeptParts, ResponseMetadata};
+use super::call::{Forwarded, KeptParts, ResponseMetadata};
+use super::job::Job;
 use super::place::{self, Chosen, NoChoice};
 use super::pool::{Connection, Sent};
-use super::rank::Rank;
 use super::record::Record;
 use super::state::{AtTarget, Gateway};
 use crate::clock::boot_now;
-use crate::deployment::Route;
 use crate::fleet::Fault;
 use crate::fleet::placement::SelectionError;
-use crate::ids::{AccountId, ServiceId, TargetStart};
+use crate::ids::TargetStart;
 use crate::platform::headers;
 use crate::scheduler::End;
 
@@ -28,36 +27,6 @@
 /// Below this there is no point in sending a request: it could not be answered in time.
 const LEAST_TIME: Duration = Duration::from_millis(10);
 
-/// What all attempts of one request have in common.
-pub struct Job {
-    /// What the caller says.
-    pub call: Call,
-    /// The method.
-    pub method: Method,
-    /// Path and query, as the caller sent them.
-    pub uri: Uri,
-    /// The caller's headers.
-    pub headers: HeaderMap,
-    /// The whole body.
-    pub body: Bytes,
-    /// Its route.
-    pub route: Route,
-    /// Its account.
-    pub account: Option<AccountId>,
-    /// Names those who may share kept cache with it.
-    pub cache_wall: String,
-    /// How urgent it is.
-    pub rank: Rank,
-    /// The service that serves it.
-    pub service: ServiceId,
-    /// When its head was here.
-    pub arrived: Instant,
-    /// When its time is over.
-    pub ends_at: Instant,
-    /// Breaks ties between targets.
-    pub drawn: u64,
-}
-
 /// An answer whose head is here.
 pub struct Answered {
     /// The target.
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::attempt::Job;
+use super::job::Job;
 use super::state::Gateway;
 use crate::clock::{BootTime, boot_now};
 use crate::control::frames::SchedulerError;
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -2,12 +2,9 @@
 
 use std::cell::Cell;
 use std::fmt::Write;
-use std::hash::BuildHasher;
 use std::rc::Rc;
 use std::time::Duration;
 
-use rustc_hash::FxBuildHasher;
-
 use super::call::{Call, ResponseMetadata};
 use super::place::Chosen;
 use super::rank::Rank;
@@ -48,39 +45,6 @@
     }
 }
 
-/// Lines of whole answers that are written each second. Beyond that only those of some requests
-/// are, by a hash of their ids, so that all processes keep the same ones.
-const WHOLE_PER_S: u32 = 100;
-/// One request in this many is kept then.
-const KEPT_ONE_IN: u64 = 16;
-/// Lines of all other endings that are written each second: 20 for each of a hundred connections.
-const OTHERS_PER_S: u32 = 2_000;
-
-/// Bounds the lines that are written for requests.
-#[derive(Debug, Default)]
-pub struct LineBudget {
-    second: Cell<u64>,
-    whole: Cell<u32>,
-    others: Cell<u32>,
-}
-
-impl LineBudget {
-    /// Whether the line of a request is written.
-    pub fn allows(&self, id: &str, is_success: bool, now: BootTime) -> bool {
-        if self.second.replace(now.as_secs()) != now.as_secs() {
-            self.whole.set(0);
-            self.others.set(0);
-        }
-        let (count, most) = match is_success {
-            true => (&self.whole, WHOLE_PER_S),
-            false => (&self.others, OTHERS_PER_S),
-        };
-        count.set(count.get() + 1);
-        let is_kept = is_success && FxBuildHasher.hash_one(id).is_multiple_of(KEPT_ONE_IN);
-        count.get() <= most || is_kept
-    }
-}
-
 /// Follows one request. The line is written when it is dropped.
 pub struct Record {
     gateway: Rc<Gateway>,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -11,9 +11,10 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::answer::{AnswerBody, RelayError, in_parts};
-use super::attempt::{Answered, Job, Missed, attempt};
+use super::attempt::{Answered, Missed, attempt};
 use super::call::ResponseMetadata;
 use super::events::EventSplitter;
+use super::job::Job;
 use super::pool::Connection;
 use super::record::{Ended, Record};
 use super::state::{AtTarget, Gateway};
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -12,8 +12,9 @@
 use tokio::time::Instant;
 
 use super::answer::{Answer, Refusal, refuse, whole};
-use super::attempt::{Answered, Job, Missed, attempt};
+use super::attempt::{Answered, Missed, attempt};
 use super::call::Call;
+use super::job::Job;
 use super::place::NoChoice;
 use super::rank::Rank;
 use super::record::{Ended, Record};
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -10,7 +10,7 @@
 use tokio::time::Instant;
 
 use super::state::Gateway;
-use super::{scheduler_client, server, subscription};
+use super::{scheduler_connection, server, subscription};
 use crate::control::run::listen;
 use crate::error::{Error, Result};
 use crate::essential::essentials;
@@ -46,7 +46,7 @@
     let open = Rc::new(Cell::new(0));
     let (tasks, mut first_end) = essentials();
     subscription::start(&gateway, &tasks);
-    tasks.spawn("scheduler_client", scheduler_client::keep_connected(gateway.clone()));
+    tasks.spawn("scheduler_connection", scheduler_connection::keep_connected(gateway.clone()));
     let ready = listen(readiness_address).await?;
     let asked = gateway.clone();
     let readiness = move || match asked.is_ready() {
--- a/src/gateway/scheduler_client.rs
+++ b/src/gateway/scheduler_client.rs
@@ -1,36 +1,21 @@
-//! Asks the scheduler at the leading replica.
+//! Asks the scheduler where prompts run.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::net::{IpAddr, SocketAddr};
-use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::io::{AsyncWriteExt, BufReader};
-use tokio::net::tcp::OwnedReadHalf;
 use tokio::sync::{Notify, mpsc};
 use tokio::time::Instant;
 
-use super::state::Gateway;
 use crate::clock::{BootTime, boot_now};
-use crate::control::frames::{self, FromEntry, Introduction, SchedulerError, ToEntry, encode};
-use crate::log::Term;
-use crate::net;
+use crate::control::frames::{FromEntry, SchedulerError, encode};
 use crate::scheduler::{End, Placed, PlacementEvent, PlacementRequest};
 
 /// An answer takes one or two milliseconds. After this time the entry decides alone.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(40);
 /// After an answer that did not come in time, nothing is asked for this long.
 const PAUSE_AFTER_TIMEOUT: Duration = Duration::from_millis(200);
-/// Longest time to connect.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-/// A connection whose bytes are not acknowledged for this long is given up.
-const UNACKNOWLEDGED: Duration = Duration::from_millis(500);
-/// Frames that wait for the connection.
-const QUEUE_LEN: usize = 512;
-/// Pause before a leader that could not be reached is tried again.
-const TRY_AGAIN_AFTER: Duration = Duration::from_millis(50);
 
 /// While nothing schedules, a prompt waits for this part of its objective, and at least for so long: an
 /// election takes some 50 to 600 ms. An entry that decides alone does not know what is resident where, and
@@ -47,8 +32,8 @@
 
 type Answer = Result<Placed, SchedulerError>;
 
-/// What the scheduler says to an ask.
-enum Reply {
+/// What the scheduler says to a placement request.
+pub(super) enum Reply {
     Queued,
     Placed(Box<Answer>),
 }
@@ -166,88 +151,45 @@
         self.tell(PlacementEvent::Ended { ticket: placed.ticket, end: End::NotRun });
     }
 
-    fn send(&self, frame: &FromEntry) -> bool {
-        let outgoing = self.outgoing.borrow();
-        outgoing.as_ref().is_some_and(|outgoing| outgoing.try_send(encode(frame)).is_ok())
+    /// A connection is made: requests go through this channel.
+    pub(super) fn attach(&self, outgoing: mpsc::Sender<Arc<[u8]>>) {
+        *self.outgoing.borrow_mut() = Some(outgoing);
+        self.paused_until.set(BootTime::ZERO);
+        self.connected.notify_waiters();
     }
-}
-
-/// How long a prompt waits for a scheduler.
-fn hold_timeout(ask: &PlacementRequest) -> Duration {
-    let held = ask.objective.mul_f64(HELD_PART).max(HELD_AT_LEAST);
-    held.min(ask.time_left / HELD_PART_OF_TIME_LEFT)
-}
 
-/// Keeps connected to the replica that leads, for as long as the process lives.
-pub async fn keep_connected(gateway: Rc<Gateway>) {
-    loop {
-        let Some(named) = gateway.named_leader() else {
-            let _ = tokio::time::timeout(TRY_AGAIN_AFTER, gateway.leader_changed.notified()).await;
-            continue;
-        };
-        let ended = connected(&gateway, named).await;
-        *gateway.scheduler.outgoing.borrow_mut() = None;
-        gateway.scheduler.waiting.borrow_mut().clear();
-        let reason = ended.err().map(|error| error.to_string());
-        log::info!("event=scheduler_disconnected replica={} reason={reason:?}", named.0);
-        // A leader that is not reached is tried again after a pause; another one at once.
-        let _ = tokio::time::timeout(TRY_AGAIN_AFTER, is_replaced(&gateway, named)).await;
+    /// The connection has ended, and with it all that waits for an answer.
+    pub(super) fn detach(&self) {
+        *self.outgoing.borrow_mut() = None;
+        self.waiting.borrow_mut().clear();
     }
-}
 
-async fn connected(gateway: &Rc<Gateway>, named: (IpAddr, Term)) -> std::io::Result<()> {
-    let to = SocketAddr::new(named.0, gateway.host.peer_port);
-    let stream = net::connect(to, CONNECT_TIMEOUT, UNACKNOWLEDGED).await?;
-    let (read, mut write) = stream.into_split();
-    let introduction = Introduction::SchedulerClient { name: gateway.host.name.clone() };
-    write.write_all(&encode(&introduction)).await?;
-    let (sender, mut outgoing) = mpsc::channel::<Arc<[u8]>>(QUEUE_LEN);
-    *gateway.scheduler.outgoing.borrow_mut() = Some(sender);
-    gateway.scheduler.paused_until.set(BootTime::ZERO);
-    gateway.scheduler.connected.notify_waiters();
-    log::info!("event=scheduler_connected replica={} term={}", named.0, named.1);
-    let writing = async {
-        while let Some(frame) = outgoing.recv().await {
-            write.write_all(&frame).await?;
-        }
-        Ok::<_, std::io::Error>(())
-    };
-    tokio::select! {
-        ended = writing => ended,
-        ended = dispatch_answers(gateway, read) => ended,
-        () = is_replaced(gateway, named) => Ok(()),
-    }
-}
-
-async fn dispatch_answers(gateway: &Gateway, read: OwnedReadHalf) -> std::io::Result<()> {
-    let mut read = BufReader::new(read);
-    loop {
-        let (number, reply) = match frames::read(&mut read).await? {
-            ToEntry::Queued(number) => (number, Reply::Queued),
-            ToEntry::Placed(number, answer) => (number, Reply::Placed(Box::new(answer))),
-        };
-        let is_last = matches!(reply, Reply::Placed(_));
-        let waiting = match is_last {
-            true => gateway.scheduler.waiting.borrow_mut().remove(&number),
-            false => gateway.scheduler.waiting.borrow().get(&number).cloned(),
+    /// Hands an answer to whoever waits for it. A placement that nobody waits for is given back: the caller
+    /// has left, or the entry has decided alone.
+    pub(super) fn deliver(&self, number: u64, reply: Reply) {
+        let waiting = match reply {
+            Reply::Placed(_) => self.waiting.borrow_mut().remove(&number),
+            Reply::Queued => self.waiting.borrow().get(&number).cloned(),
         };
         let unwanted = match waiting {
             Some(waiting) => waiting.try_send(reply).err().map(|error| error.into_inner()),
             None => Some(reply),
         };
-        // Nobody waits any more: the caller has left, or the entry has decided alone.
         if let Some(Reply::Placed(answer)) = unwanted
             && let Ok(placed) = *answer
         {
-            gateway.scheduler.give_back(&placed);
+            self.give_back(&placed);
         }
     }
-}
 
-/// Ends once another replica leads, or the same one in another term.
-async fn is_replaced(gateway: &Gateway, named: (IpAddr, Term)) {
-    while gateway.named_leader() == Some(named) {
-        // A change that comes just before is seen after the pause.
-        let _ = tokio::time::timeout(TRY_AGAIN_AFTER, gateway.leader_changed.notified()).await;
+    fn send(&self, frame: &FromEntry) -> bool {
+        let outgoing = self.outgoing.borrow();
+        outgoing.as_ref().is_some_and(|outgoing| outgoing.try_send(encode(frame)).is_ok())
     }
 }
+
+/// How long a prompt waits for a scheduler.
+fn hold_timeout(ask: &PlacementRequest) -> Duration {
+    let held = ask.objective.mul_f64(HELD_PART).max(HELD_AT_LEAST);
+    held.min(ask.time_left / HELD_PART_OF_TIME_LEFT)
+}
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -10,9 +10,9 @@
 use tokio::sync::Notify;
 
 use super::call::ResponseMetadata;
+use super::line_budget::LineBudget;
 use super::news_sources::{HeldTargets, NewsSources};
 use super::pool::{Connection, Pool};
-use super::record::LineBudget;
 use super::scheduler_client::SchedulerClient;
 use crate::clock::{BootTime, boot_now};
 use crate::control::frames::{News, NumberedRoster, RosterName};
--- a/src/log/raft/restart.rs
+++ b/src/log/raft/restart.rs
@@ -4,7 +4,7 @@
 //! has acknowledged it. So a replica that has just started, and does not know when it acknowledged whom,
 //! must keep from voting for that long. Where all replicas were killed at once that would be the longest
 //! part of the outage (0.3 to 0.6 s of 0.5 s and more, measured). It ends as soon as the leader itself is
-//! known to have started again: a process that is gone counts on nobody.
+//! known to have started again: a process that has ended holds no lease.
 
 use std::time::Duration;
 
--- a/src/scheduler/lateness.rs
+++ b/src/scheduler/lateness.rs
@@ -1,4 +1,4 @@
-//! How late first parts of answers come lately, whatever delays them.
+//! Recent delay of first tokens beyond what was expected, whatever its cause.
 
 use std::collections::VecDeque;
 
--- a/src/scheduler/link.rs
+++ b/src/scheduler/link.rs
@@ -6,7 +6,7 @@
 
 /// A transfer this many times as slow as expected, and a bit, shows that the link has turned slow.
 const SLOW_FROM: f64 = 2.0;
-/// Differences below this are no sign of a slow link: engines do other things too.
+/// Differences below this do not lower the bandwidth estimate: engines delay transfers, too.
 const SLOW_FROM_MS: f64 = 40.0;
 /// A slow transfer raises what is expected of the next ones by this factor, at both of its ends: the
 /// slow one has others that show it, the sound one has more that show the contrary.
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -54,7 +54,7 @@
     Busy(Duration),
 }
 
-/// What comes of an ask.
+/// A placement, or why there is none.
 pub type PlacementResult = Result<Placed, PlacementError>;
 
 /// The engines' clock, as it was read.
@@ -71,7 +71,8 @@
     traits: HashMap<ServiceId, EngineTraits>,
     stores: BTreeMap<SocketAddr, Store>,
     paces: HashMap<ServiceId, Pace>,
-    /// How late answers come lately: what engines' own load delays is no sign of a slow link.
+    /// Recent delay of first tokens beyond what was expected: queueing delay at engines, which must not
+    /// lower the bandwidth estimate of a link.
     lateness: HashMap<ServiceId, Lateness>,
     queue: Queue,
     tickets: FxHashMap<TicketId, Ticket>,
--- a/tests/deployment/asking.rs
+++ b/tests/deployment/asking.rs
@@ -15,7 +15,7 @@
 use kumquatpost::control::shared::{Belief, Shared};
 use kumquatpost::control::state::{ControlState, Published};
 use kumquatpost::gateway::call::Part;
-use kumquatpost::gateway::scheduler_client;
+use kumquatpost::gateway::scheduler_connection;
 use kumquatpost::log::Term;
 use kumquatpost::scheduler::weights::OldWeights;
 use kumquatpost::scheduler::{End, Placed, PlacementEvent, PlacementRequest};
@@ -251,7 +251,7 @@
         let ip = "127.98.0.3".parse().expect("an address");
         let listener = TcpListener::bind((ip, entry.gateway.host.peer_port)).await.expect("a port");
         entry.gateway.leader.set(Some(ip));
-        tokio::task::spawn_local(scheduler_client::keep_connected(entry.gateway.clone()));
+        tokio::task::spawn_local(scheduler_connection::keep_connected(entry.gateway.clone()));
         tokio::task::spawn_local(async move {
             let (stream, _) = listener.accept().await.expect("the entry connects");
             let mut stream = BufReader::new(stream);
--- a/tests/deployment/explaining.rs
+++ b/tests/deployment/explaining.rs
@@ -4,7 +4,7 @@
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::Instant;
 
-use kumquatpost::gateway::record::LineBudget;
+use kumquatpost::gateway::line_budget::LineBudget;
 use kumquatpost::queries::request::{Line, story};
 use kumquatpost::telemetry::bounded::BoundedAppender;
 use kumquatpost::telemetry::roles::EntryMetrics;
--- a/tests/deployment/gateway.rs
+++ b/tests/deployment/gateway.rs
@@ -5,10 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kumquatpost::control::frames::{News, NumberedRoster, RosterName};
+use kumquatpost::control::frames::{News, NumberedRoster};
 use kumquatpost::deployment::Deployment;
 use kumquatpost::fleet::Listed;
-use kumquatpost::fleet::compact::CompactTargets;
 use kumquatpost::gateway::request::patience_at_start;
 use kumquatpost::gateway::server;
 use kumquatpost::gateway::state::Gateway;
@@ -20,7 +19,7 @@
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
-use crate::fixtures::{address, born, deployment, ms, roster, start, target};
+use crate::fixtures::{deployment, ms, roster, start, target};
 use crate::stand_in::{Script, StandIn, Then, header};
 
 /// A running entry.
@@ -452,87 +451,11 @@
     });
 }
 
-#[test]
-fn an_older_deployment_or_list_that_comes_late_changes_nothing() {
-    run(async {
-        let entry = entry(deployment(5), vec![]).await;
-        entry.gateway.observe(News::Deployment(Arc::new(deployment(4)))).expect("it is whole");
-        let version = entry.gateway.table().expect("a table").deployment().version;
-        assert_eq!(version, 5);
-        let known = entry.gateway.roster_name();
-        let late = NumberedRoster::new(0, Arc::new(roster([target("i-1", "app", entry.address)])));
-        assert!(late.name() < known);
-        entry.gateway.observe_list(late);
-        assert!(entry.gateway.fleet.borrow().get(&start("i-1")).is_none());
-    });
-}
-
 /// Waits for what other tasks bring about, and fails when it never comes.
-async fn eventually(holds: impl Fn() -> bool) {
+pub async fn eventually(holds: impl Fn() -> bool) {
     let begun = std::time::Instant::now();
     while !holds() {
         assert!(begun.elapsed() < LONG, "it never held");
         tokio::time::sleep(ms(2)).await;
     }
 }
-
-#[test]
-fn a_change_of_another_list_than_the_known_one_is_not_taken() {
-    run(async {
-        let entry = entry(deployment(3), vec![target("i-1", "app", address(1))]).await;
-        let other = target("i-2", "app", address(2));
-        let list = |number, listed: &Listed| {
-            NumberedRoster::new(number, Arc::new(roster([listed.clone()]))).name()
-        };
-        let change = |before, name| News::RosterChanged {
-            before,
-            name,
-            changed: CompactTargets::of([other.clone()].iter()),
-            gone: vec![start("i-1")],
-        };
-        let known = entry.gateway.roster_name();
-        let is_listed = |id: &str| entry.gateway.fleet.borrow().get(&start(id)).is_some();
-        let another = list(1, &other);
-        assert_ne!(another, known, "the same number, other targets");
-        assert!(
-            entry.gateway.observe(change(list(2, &other), list(3, &other))).is_err(),
-            "unknown"
-        );
-        assert!(entry.gateway.observe(change(another, list(2, &other))).is_err(), "another one");
-        let third = list(2, &target("i-3", "app", address(3)));
-        assert!(entry.gateway.observe(change(known, third)).is_err(), "it makes another list");
-        assert!(
-            entry.gateway.observe(change(RosterName::default(), known)).is_ok(),
-            "known already"
-        );
-        assert!(is_listed("i-1") && !is_listed("i-2"));
-        assert!(entry.gateway.observe(change(known, list(2, &other))).is_ok());
-        assert!(is_listed("i-2") && !is_listed("i-1"));
-    });
-}
-
-/// A target starts again under its id and at its address, and is listed so.
-#[test]
-fn a_connection_to_an_earlier_start_is_not_used_for_the_later_one() {
-    run(async {
-        let answers = (0..4).map(|_| (ok("done"), Then::KeepOpen)).collect();
-        let one = StandIn::start(answers).await;
-        let at =
-            |born_ms| Listed { start: born("i-1", born_ms), ..target("i-1", "app", one.address) };
-        let entry = entry(unhurried(), vec![at(9)]).await;
-        for (id, connections) in [("r1", 1), ("r2", 1)] {
-            assert_eq!(entry.call("/safe/a", id).await.status, 200);
-            assert_eq!(one.connections.get(), connections, "it is kept");
-        }
-        let connection = entry.gateway.pool.reuse(&born("i-1", 9)).expect("it is kept");
-        let roster = NumberedRoster::new(2, Arc::new(roster([at(3)])));
-        entry.gateway.observe_list(roster);
-        // A request that was under way ends, and its connection is given back.
-        entry.gateway.give_back(&born("i-1", 9), connection);
-        assert!(entry.gateway.pool.reuse(&born("i-1", 9)).is_none());
-        assert_eq!(entry.call("/safe/a", "r3").await.status, 200);
-        assert_eq!(one.connections.get(), 2);
-        let request = one.requests.borrow().last().cloned().expect("it was asked");
-        assert_eq!(header(&request, "x-expect-instance").as_deref(), Some("i-1"), "the id alone");
-    });
-}
--- a/tests/deployment/leaving.rs
+++ b/tests/deployment/leaving.rs
@@ -23,7 +23,7 @@
 };
 use kumquatpost::control::shared::{Shared, StalePeers};
 use kumquatpost::fleet::{FleetView, Listed, Presence};
-use kumquatpost::gateway::scheduler_client;
+use kumquatpost::gateway::scheduler_connection;
 use kumquatpost::gateway::state::Gateway;
 use kumquatpost::scheduler::Placed;
 use tokio::io::{AsyncWriteExt, BufReader};
@@ -243,7 +243,7 @@
         let ip = loopback(3);
         let listener = TcpListener::bind((ip, entry.gateway.host.peer_port)).await.expect("a port");
         entry.gateway.leader.set(Some(ip));
-        tokio::task::spawn_local(scheduler_client::keep_connected(entry.gateway.clone()));
+        tokio::task::spawn_local(scheduler_connection::keep_connected(entry.gateway.clone()));
         tokio::task::spawn_local(place_on_first_of(["i-1", "i-2"], listener));
         // The entry hears that the engine leaves before the scheduler does.
         let replica = shared(4, NumberedRoster::default());
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -16,6 +16,7 @@
 mod identity;
 mod instances;
 mod kept_targets;
+mod late_news;
 mod leaving;
 mod links;
 mod load;
--- a/tests/deployment/told_once.rs
+++ b/tests/deployment/told_once.rs
@@ -20,7 +20,7 @@
 use kumquatpost::control::weight_ages::{age_of, due};
 use kumquatpost::essential::essentials;
 use kumquatpost::fleet::{FleetView, Listed, Presence};
-use kumquatpost::gateway::{scheduler_client, subscription};
+use kumquatpost::gateway::{scheduler_connection, subscription};
 use kumquatpost::scheduler::Placed;
 use kumquatpost::scheduler::weights::{NamedWeights, OldWeights, RolloutHistories, observe_named};
 use tokio::io::{AsyncWriteExt, BufReader};
@@ -117,7 +117,7 @@
         let ip = "127.98.0.2".parse().expect("an address");
         let listener = TcpListener::bind((ip, entry.gateway.host.peer_port)).await.expect("a port");
         entry.gateway.leader.set(Some(ip));
-        tokio::task::spawn_local(scheduler_client::keep_connected(entry.gateway.clone()));
+        tokio::task::spawn_local(scheduler_connection::keep_connected(entry.gateway.clone()));
         tokio::task::spawn_local(place_on_weights_1(listener));
         tokio::time::sleep(ms(500)).await;
         // Beyond the bound that holds whoever led since.
--- a/tests/platform_stand_in/mod.rs
+++ b/tests/platform_stand_in/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod account;
 pub mod http;
+pub mod job;
 pub mod list;
 pub mod starts;
 pub mod store;
--- a/tests/platform_stand_in/target.rs
+++ b/tests/platform_stand_in/target.rs
@@ -5,25 +5,23 @@
 use std::time::{Duration, Instant};
 
 use ::http::{HeaderValue, Request};
-use bytes::Bytes;
-use futures::StreamExt;
 use hyper::body::Incoming;
 use serde_json::{Value, json};
 use tokio::task::AbortHandle;
 
 use super::account::{Run, RunEnd};
 use super::http::{self, Answer, header};
+use super::job::Job;
+pub use super::job::{event_of, text_of};
 use super::store::{PartName, clock_ms};
 use super::{Inner, Platform};
 
 /// Time between two events of a stream.
-const EVENT_EVERY: Duration = Duration::from_millis(8);
+pub(super) const EVENT_EVERY: Duration = Duration::from_millis(8);
 /// How long a load of weights takes.
 const LOAD_TAKES: Duration = Duration::from_millis(300);
 /// How often it is looked whether orders are still held.
 const HELD_LOOK_EVERY: Duration = Duration::from_millis(10);
-/// How long a save or a fetch takes.
-const TRANSFER_TAKES: Duration = Duration::from_millis(5);
 /// How late an order that gets no answer is carried out.
 const ORDER_LATE: Duration = Duration::from_millis(1_500);
 /// An order may rest on a report of an earlier start for this long: it was under way, on a busy
@@ -67,7 +65,7 @@
     /// Answers its calls; none once it has ended.
     pub(super) server: Option<AbortHandle>,
     started_at: Instant,
-    running: u32,
+    pub(super) running: u32,
     /// The highest fencing token of an order.
     fence: u64,
     /// What it has read: the text under which it is kept, whose request read it, and its tokens.
@@ -305,125 +303,6 @@
     }
 }
 
-/// The whole answer of a plain request.
-pub fn text_of(request: &str) -> String {
-    format!("the answer to {request}")
-}
-
-/// One event of a stream.
-pub fn event_of(request: &str, number: u64) -> String {
-    format!("id: {number}\ndata: {request} {number}\n\n")
-}
-
-/// A request that a target runs.
-struct Job {
-    platform: Platform,
-    target: String,
-    start: u64,
-    request: String,
-    stamp: String,
-    is_stream: bool,
-    /// Events that have been made before, and that there shall be.
-    events: (u64, u64),
-    weights: Option<u64>,
-    /// What it takes from the store.
-    fetches: Vec<PartName>,
-    until_ms: u64,
-    saves: Vec<PartName>,
-}
-
-impl Drop for Job {
-    /// However it ends, also when its caller closes the connection.
-    fn drop(&mut self) {
-        self.end(RunEnd::Left(Instant::now()));
-        let mut inner = self.platform.lock();
-        let target = inner.targets.get_mut(&self.target);
-        if let Some(target) = target.filter(|target| target.start == self.start) {
-            target.running -= 1;
-        }
-    }
-}
-
-impl Job {
-    fn end(&self, end: RunEnd) {
-        self.platform.lock().account.ended(&self.request, &self.stamp, end);
-    }
-
-    fn stamped(&self, mut answer: Answer) -> Answer {
-        let load = self.platform.lock().targets.get(&self.target).map_or(0, |t| t.running);
-        let mut set = |name: &'static str, value: String| {
-            let value = HeaderValue::from_str(&value).expect("a header's text");
-            answer.headers_mut().insert(name, value);
-        };
-        set("x-request-id", self.request.clone());
-        set("x-response-stamp", self.stamp.clone());
-        set("x-server-load", format!("{load},0,16"));
-        if let Some(weights) = self.weights {
-            set("x-weight-versions", weights.to_string());
-        }
-        answer
-    }
-
-    /// Takes parts from the store, and then saves what it was told to.
-    async fn fetch(&self) {
-        if !self.fetches.is_empty() {
-            self.check_fetches("at its begin");
-            tokio::time::sleep(TRANSFER_TAKES).await;
-            if clock_ms() <= self.until_ms {
-                self.check_fetches("at its end");
-            }
-        }
-        let (platform, saves) = (self.platform.clone(), self.saves.clone());
-        let (target, start) = (self.target.clone(), self.start);
-        if !saves.is_empty() {
-            tokio::spawn(async move {
-                let epoch = platform.lock().store.epoch;
-                tokio::time::sleep(TRANSFER_TAKES).await;
-                let mut inner = platform.lock();
-                if inner.store.epoch == epoch && inner.runs(&target, start) {
-                    saves.iter().for_each(|part| inner.store.end_save(part));
-                }
-            });
-        }
-    }
-
-    fn check_fetches(&self, when: &str) {
-        let mut inner = self.platform.lock();
-        for part in &self.fetches {
-            // What is missing is read again. What is there but not whole must not be asked for.
-            if inner.store.is_partial(part) {
-                let what = format!("{} takes {part:?}, which is not whole {when}", self.request);
-                inner.account.violation(what);
-            }
-        }
-        inner.store.fetched += 1;
-    }
-
-    fn into_events(self, breaks_off: bool) -> Answer {
-        let (made, all) = self.events;
-        let breaks_at = if breaks_off { made + (all - made) / 2 } else { u64::MAX };
-        let stamped = self.stamped(http::status(200));
-        let parts = futures::stream::unfold((self, made), move |(job, made)| async move {
-            if made == all {
-                job.end(RunEnd::Whole);
-                return None;
-            }
-            tokio::time::sleep(EVENT_EVERY).await;
-            if made >= breaks_at {
-                let broken = std::io::Error::other("it breaks off");
-                return Some((Err(broken), (job, all)));
-            }
-            let event = event_of(&job.request, made + 1);
-            Some((Ok(Bytes::from(event)), (job, made + 1)))
-        });
-        let mut answer = http::in_parts(parts.boxed());
-        answer.headers_mut().extend(stamped.headers().clone());
-        let kind = HeaderValue::from_static("text/event-stream");
-        answer.headers_mut().insert("content-type", kind);
-        answer
-    }
-}
-
 impl Inner {
     /// Takes an order. Returns the status of its answer.
     fn take_order(
