--- a/tests/deployment/asking.rs
+++ b/tests/deployment/asking.rs
@@ -73,14 +73,17 @@
         while !scheduling.is_active(1) {
             tokio::time::sleep(ms(5)).await;
         }
-        let reading = scheduling.until_sure(1);
+        let reading = async {
+            let is_sure = scheduling.until_sure(1).await;
+            is_sure && scheduling.with(|_| {}).is_some()
+        };
         let elected = async {
             tokio::time::sleep(ms(20)).await;
             assert!(scheduling.with(|_| {}).is_none(), "it is not sure yet");
             scheduling.shared.caught_up_at.set(Some(boot_now() + ms(600_000)));
         };
-        let (is_sure, ()) = tokio::join!(reading, elected);
-        assert!(is_sure && scheduling.with(|_| {}).is_some());
+        let (is_told, ()) = tokio::join!(reading, elected);
+        assert!(is_told, "what it has read would be lost");
     });
 }
 
--- a/tests/deployment/kept_targets.rs
+++ b/tests/deployment/kept_targets.rs
@@ -54,7 +54,8 @@
         assert_eq!(load(folder.path()).number, 0, "{} bytes", damaged.len());
     }
     let mut flipped = whole.clone();
-    flipped[whole.len() / 2] ^= 1;
+    let name = whole.windows(3).position(|bytes| bytes == b"i-1").expect("a target's id");
+    flipped[name + 2] ^= 1;
     std::fs::write(&path, flipped).expect("it is written");
     assert_eq!(load(folder.path()).number, 0);
 }
