--- a/src/control/scheduling.rs
+++ b/src/control/scheduling.rs
@@ -109,7 +109,7 @@
     ///
     /// A leader is not sure to lead until its term's first entry is committed, and while a quorum is late.
     /// An inventory that is lost then is read again 10 s later, and what stores hold is computed anew
-    /// until then: 18 million tokens after one outage of all hosts.
+    /// until then.
     pub async fn until_sure(&self, term: Term) -> bool {
         while self.is_active(term) {
             if self.with(|_| {}).is_some() {
--- a/tests/deployment/asking.rs
+++ b/tests/deployment/asking.rs
@@ -64,7 +64,7 @@
 }
 
 /// What was seen: after an outage of all hosts 18 million tokens were read again that lay in stores.
-/// What caused it: stores' inventories came within the 5 ms in which the new leader was not sure to lead, and
+/// What caused it: stores' inventories came 4 ms after the election, before the new leader was sure to lead, and
 /// were dropped; they are read again after 10 s.
 #[test]
 fn what_a_new_leader_reads_is_kept_until_it_is_sure_to_lead() {
