Sight: replicas tell that they keep silent and why, slow saves, and by which version a caller is refused

Before, a majority of replicas that was silent for ten seconds left no line, and the line of a refused caller told version=0. Lines: replica_currency, disk_slow, belief_current, age_ms in news_source_lost.

--- a/src/control/news.rs
+++ b/src/control/news.rs
@@ -30,7 +30,7 @@
 const LOOK_EVERY: Duration = Duration::from_millis(25);
 /// A replica that has not heard of its leader for this long keeps silent, so that entries turn to
 /// another one. Several heartbeats.
-const CURRENT_WITHIN: Duration = Duration::from_millis(500);
+pub const CURRENT_WITHIN: Duration = Duration::from_millis(500);
 /// Longest time for the first frame.
 const INTRODUCTION_TIMEOUT: Duration = Duration::from_secs(1);
 /// A connection whose bytes are not acknowledged for this long is given up.
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -10,7 +10,8 @@
 
 use super::forming::{Presence, Step};
 use super::frames::{NumberedRoster, ToReplica, encode};
-use super::shared::{Belief, Shared, StalePeers};
+use super::news::CURRENT_WITHIN;
+use super::shared::{Belief, Currency, Shared, StalePeers};
 use super::state::{Command, ControlState, Published, Reply};
 use crate::clock::{BootTime, boot_now};
 use crate::fleet::RosterChange;
@@ -78,6 +79,8 @@
     heard_leader_at: BootTime,
     told_at: BootTime,
     led: bool,
+    /// Whether entries may rely on this replica, as the log told last, and since when.
+    currency: (Currency, BootTime),
 }
 
 /// What a replica starts from.
@@ -110,6 +113,7 @@
             heard_leader_at: boot_now(),
             told_at: BootTime::ZERO,
             led: false,
+            currency: (Currency::NoLeader, boot_now()),
         }
     }
 
@@ -399,6 +403,22 @@
             *before = belief;
             changed
         });
+        self.log_currency(now);
+    }
+
+    /// Logs when this replica begins to keep silent towards entries, why, and when that ends.
+    fn log_currency(&mut self, now: BootTime) {
+        let (before, since) = self.currency;
+        let currency = self.shared.currency(CURRENT_WITHIN);
+        if currency == before {
+            return;
+        }
+        self.currency = (currency, now);
+        log::info!(
+            "event=replica_currency now={currency:?} before={before:?} lasted_ms={} term={}",
+            now.saturating_sub(since).as_millis(),
+            self.driver.raft.term()
+        );
     }
 
     fn place_of(&self, node: NodeId) -> Option<IpAddr> {
--- a/src/control/shared.rs
+++ b/src/control/shared.rs
@@ -91,6 +91,19 @@
     pub leader: Option<IpAddr>,
 }
 
+/// Whether a replica knows all that was committed lately. If not, it publishes nothing to entries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Currency {
+    /// It does.
+    Current,
+    /// It knows no leader.
+    NoLeader,
+    /// It knows who leads, and has not had all from that one lately.
+    Behind,
+    /// It does, but for how long ago weights were named.
+    AgesUnknown,
+}
+
 /// Who does not know what this replica knows once it has heard a list of targets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StalePeers {
@@ -243,8 +256,18 @@
     /// Whether this replica had all that was committed within the last `within`, and knows how long
     /// ago weights were named.
     pub fn is_current(&self, within: Duration) -> bool {
+        self.currency(within) == Currency::Current
+    }
+
+    /// Whether entries may rely on what this replica knows, or why not.
+    pub fn currency(&self, within: Duration) -> Currency {
         let now = boot_now();
-        self.knows_ages.get()
-            && self.caught_up_at.get().is_some_and(|at| now.saturating_sub(at) <= within)
+        let is_recent = |at: BootTime| now.saturating_sub(at) <= within;
+        match (self.caught_up_at.get().is_some_and(is_recent), self.knows_ages.get()) {
+            (true, true) => Currency::Current,
+            (true, false) => Currency::AgesUnknown,
+            (false, _) if self.belief.borrow().leader.is_none() => Currency::NoLeader,
+            (false, _) => Currency::Behind,
+        }
     }
 }
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -80,10 +80,14 @@
         }
     }
 
-    /// The route that was found, by this version of the deployment, and how urgent the request is.
-    pub fn routed(&mut self, route: &str, version: DeploymentVersion, rank: Rank) {
-        self.route = route.to_string();
+    /// The version of the deployment by which its route is looked up.
+    pub fn looked_up(&mut self, version: DeploymentVersion) {
         self.version = version;
+    }
+
+    /// The route that was found, and how urgent the request is.
+    pub fn routed(&mut self, route: &str, rank: Rank) {
+        self.route = route.to_string();
         self.rank = rank.order();
     }
 
@@ -150,7 +154,7 @@
             return;
         }
         let first_ms = self.first_part.map_or(-1, |first| first.as_millis() as i64);
-        let age_ms = self.gateway.belief_age().map_or(-1, |age| age.as_millis() as i64);
+        let age_ms = self.gateway.belief_age_ms();
         log::info!(
             "event=request id={} route={} rank={} version={} age_ms={age_ms} took_ms={} \
              first_ms={first_ms} ended={:?}{}",
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -100,6 +100,7 @@
     arrived: Instant,
     record: &mut Record,
 ) -> Result<Job, (Refusal, String)> {
+    record.looked_up(table.deployment().version);
     let found = match table.find(&call.host, &call.path, call.key.as_deref()) {
         Ok(found) => found,
         Err(Rejection::NoRoute) => return Err((Refusal::NoRoute, call.id)),
@@ -107,7 +108,7 @@
     };
     let route = found.route.clone();
     let rank = Rank::of(found.account, &route);
-    record.routed(&route.name, table.deployment().version, rank);
+    record.routed(&route.name, rank);
     let mut random = rand::rng();
     let Some(service) = route.pick(random.random()).cloned() else {
         return Err((Refusal::NoTarget, call.id));
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -38,6 +38,10 @@
 /// begin again only after all replicas have lost their disks.
 const EARLIER_TERM_AFTER: Duration = Duration::from_secs(1);
 
+/// A time without a replica's confirmation that is worth a line in the log once it is over: longer than it takes
+/// to turn to another replica.
+const STALE_LOGGED_AFTER: Duration = Duration::from_secs(1);
+
 /// A change of a list of targets that is not the one that is known here.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, snafu::Snafu)]
 #[snafu(display("a change of another list of targets than the known one"))]
@@ -207,6 +211,18 @@
         self.current_at.get().map(|at| boot_now().saturating_sub(at))
     }
 
+    /// The same in milliseconds, -1 if nothing is known.
+    pub fn belief_age_ms(&self) -> i64 {
+        self.belief_age().map_or(-1, |age| age.as_millis() as i64)
+    }
+
+    fn observe_current(&self) {
+        if let Some(age) = self.belief_age().filter(|age| *age >= STALE_LOGGED_AFTER) {
+            log::info!("event=belief_current again_after_ms={}", age.as_millis());
+        }
+        self.current_at.set(Some(boot_now()));
+    }
+
     /// The name of the list of targets that is in use.
     pub fn roster_name(&self) -> RosterName {
         self.roster.borrow().name()
@@ -228,7 +244,7 @@
         match news {
             News::Current { replicas, entries, leader, term } => {
                 self.observe_leader(leader, term);
-                self.current_at.set(Some(boot_now()));
+                self.observe_current();
                 if let Some(entries) = entries {
                     self.retries.borrow_mut().set_entries(entries);
                 }
--- a/src/gateway/subscription.rs
+++ b/src/gateway/subscription.rs
@@ -57,7 +57,10 @@
                 Ok(()) => pause = Duration::ZERO,
                 Err(error) => {
                     let reason = error.to_string();
-                    log::info!("event=news_source_lost replica={replica} reason={reason:?}");
+                    let age_ms = gateway.belief_age_ms();
+                    log::info!(
+                        "event=news_source_lost replica={replica} reason={reason:?} age_ms={age_ms}"
+                    );
                 }
             }
         }
--- a/src/log/driver.rs
+++ b/src/log/driver.rs
@@ -1,11 +1,16 @@
 //! Carries out what a replica's state machine asks for: sends, makes durable, hands out.
 
+use std::time::Duration;
+
 use super::disk::Disk;
 use super::raft::{Effects, Raft, ReadId};
 use super::types::{Entry, Index, Message, Persist, Snapshot};
 use crate::clock::boot_now;
 use crate::ids::NodeId;
 
+/// A save that took this long is logged: about a heartbeat of the log.
+const SLOW_SAVE: Duration = Duration::from_millis(100);
+
 /// A replica's state machine with its disk.
 pub struct Driver {
     /// The state machine. Call `settle` after feeding it.
@@ -64,6 +69,7 @@
     /// Returns false if the disk has failed: this replica takes no part any more then.
     async fn save(&mut self, persist: Persist) -> bool {
         let Some(mut disk) = self.disk.take() else { return false };
+        let begun = boot_now();
         let kept = if persist.snapshot.is_some() { self.raft.kept_entries() } else { Vec::new() };
         let last = self.raft.last_index();
         let saved = tokio::task::spawn_blocking(move || {
@@ -73,6 +79,10 @@
         let failure = match saved.await {
             Ok((disk, Ok(()))) => {
                 self.disk = Some(disk);
+                let took = boot_now().saturating_sub(begun);
+                if took >= SLOW_SAVE {
+                    log::warn!("event=disk_slow took_ms={}", took.as_millis());
+                }
                 self.raft.persisted(last);
                 self.note_recovery();
                 return true;
