Failing tests: replicas on slow disks elect nobody and keep silent, entries refuse for good what they can't know

What callers saw: 401 and 404 for routes and keys of a deployment that was acknowledged seconds before.

--- /dev/null
+++ b/tests/deployment/final_refusals.rs
@@ -0,0 +1,203 @@
+//! What an entry says of routes and keys that it doesn't know, beside replicas that fall silent.
+
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use kumquatpost::clock::boot_now;
+use kumquatpost::control::frames::NumberedRoster;
+use kumquatpost::control::news;
+use kumquatpost::control::scheduling::Scheduling;
+use kumquatpost::control::state::Published;
+use kumquatpost::deployment::Deployment;
+use kumquatpost::deployment::document::RunPolicy;
+use kumquatpost::essential::{Essentials, essentials};
+use kumquatpost::gateway::subscription;
+use kumquatpost::scheduler::weights::OldWeights;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::task::LocalSet;
+
+use crate::asking::shared;
+use crate::fixtures::{account, ms, route, target};
+use crate::gateway::{Entry, Got, entry, ok, run, unhurried};
+use crate::stand_in::{StandIn, Then, header};
+
+/// A deployment must be in force after this time.
+const IN_FORCE: Duration = Duration::from_millis(2_000);
+
+/// A replica on a thread of its own.
+#[derive(Default)]
+struct StandInReplica {
+    /// Whether it has not had all that was committed lately.
+    is_behind: AtomicBool,
+    /// The version of the deployment that it has applied.
+    version: AtomicU64,
+}
+
+impl StandInReplica {
+    fn start(entry: &Entry, ip: &str, version: u64) -> Arc<StandInReplica> {
+        let replica = Arc::new(StandInReplica { version: version.into(), ..Default::default() });
+        let ip: IpAddr = ip.parse().expect("an address");
+        let at = SocketAddr::new(ip, entry.gateway.host.peer_port);
+        let serving = replica.clone();
+        std::thread::spawn(move || serving.serve(at));
+        entry.gateway.replicas.borrow_mut().insert(ip);
+        replica
+    }
+
+    /// Ends with the test.
+    fn serve(&self, at: SocketAddr) {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        LocalSet::new().block_on(&runtime.expect("a runtime"), async {
+            let shared = Rc::new(shared(1, NumberedRoster::default()));
+            let scheduling = Rc::new(Scheduling::new(shared.clone(), OldWeights::default()));
+            let listener = TcpListener::bind(at).await.expect("a port");
+            let (inputs, _kept) = mpsc::channel(1);
+            tokio::task::spawn_local(news::accept(listener, scheduling, inputs));
+            loop {
+                let is_behind = self.is_behind.load(Ordering::SeqCst);
+                shared.caught_up_at.set((!is_behind).then(|| boot_now() + ms(600_000)));
+                let deployment = Arc::new(deployment(self.version.load(Ordering::SeqCst)));
+                shared.belief.send_if_modified(|belief| {
+                    let known = belief.state.published.as_ref().map(Published::version);
+                    let is_new = known != Some(deployment.version);
+                    belief.state.published = Some(Published { text: Arc::default(), deployment });
+                    is_new
+                });
+                tokio::time::sleep(ms(5)).await;
+            }
+        });
+    }
+
+    fn set_behind(&self, is_behind: bool) {
+        self.is_behind.store(is_behind, Ordering::SeqCst);
+    }
+
+    fn publish(&self, version: u64) {
+        self.version.store(version, Ordering::SeqCst);
+    }
+}
+
+/// From version 2 on with a route and a key more.
+fn deployment(version: u64) -> Deployment {
+    let mut deployment = Deployment { version, ..unhurried() };
+    if version > 1 {
+        deployment.routes.push(route("added", RunPolicy::Idempotent, "app"));
+        deployment.accounts.iter_mut().for_each(|accounts| {
+            accounts.push(account("gamma", "key-added", false));
+        });
+    }
+    deployment
+}
+
+async fn listening(entry: &Entry) -> Essentials {
+    let (tasks, _first_end) = essentials();
+    subscription::start(&entry.gateway, &tasks);
+    tasks
+}
+
+async fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let holding = async {
+        while !holds() {
+            tokio::time::sleep(ms(10)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(60), holding).await.expect(what);
+}
+
+/// An entry before one target, which hears one replica that has published version 1.
+async fn hearing(ip: &str) -> (Entry, Arc<StandInReplica>, StandIn, Essentials) {
+    let answers = (0..4).map(|_| (ok("done"), Then::KeepOpen)).collect();
+    let app = StandIn::start(answers).await;
+    let entry = entry(unhurried(), vec![target("i-1", "app", app.address)]).await;
+    let replica = StandInReplica::start(&entry, ip, 1);
+    let tasks = listening(&entry).await;
+    until("it hears the replica", || entry.gateway.belief_age().is_some()).await;
+    (entry, replica, app, tasks)
+}
+
+/// The caller may send it again, at once and elsewhere, and knows that it has not run.
+fn may_come_back(got: &Got, what: &str) {
+    assert_eq!(got.status, 503, "{what}: {}", got.text);
+    let after = header(&got.text, "retry-after").expect("it tells when to come back");
+    let after_s: f64 = after.parse().expect("a number");
+    assert!(after_s <= 0.1, "{what}: at once, not after {after_s} s");
+}
+
+async fn call_with_key(entry: &Entry, path: &str, key: &str) -> Got {
+    entry.call_as(path, "r-key", key).await
+}
+
+/// Guards against a final refusal by an entry that no replica has confirmed for longer than a deployment
+/// may take to be in force.
+#[test]
+fn an_entry_that_no_replica_confirms_refuses_nobody_for_good_and_serves_what_it_knows() {
+    run(async {
+        let (entry, replica, app, _tasks) = hearing("127.98.1.1").await;
+        replica.set_behind(true);
+        tokio::time::sleep(IN_FORCE + ms(200)).await;
+        may_come_back(&entry.call("/added/", "r1").await, "a route");
+        may_come_back(&call_with_key(&entry, "/safe/", "key-added").await, "a key");
+        assert_eq!(
+            entry.call("/safe/", "r2").await.status,
+            200,
+            "nothing is known to have changed"
+        );
+        assert_eq!(app.seen(), 1);
+    });
+}
+
+/// Guards against a mend that never says no: such callers would come back for nothing.
+#[test]
+fn an_entry_that_a_replica_confirms_refuses_unknown_routes_and_keys_for_good() {
+    run(async {
+        let (entry, replica, app, _tasks) = hearing("127.98.1.2").await;
+        assert_eq!(entry.call("/added/", "r1").await.status, 404);
+        assert_eq!(call_with_key(&entry, "/safe/", "key-added").await.status, 401);
+        replica.publish(2);
+        until("it hears of the change", || {
+            entry.gateway.table().unwrap().deployment().version == 2
+        })
+        .await;
+        assert_eq!(entry.call("/added/", "r2").await.status, 200);
+        assert_eq!(call_with_key(&entry, "/safe/", "key-added").await.status, 200);
+        assert_eq!(entry.call("/elsewhere/", "r3").await.status, 404);
+        assert_eq!(app.seen(), 2);
+    });
+}
+
+/// Guards against freshness that counts from when a confirmation is read: it may have lain in a socket for as long as
+/// the entry stood still.
+#[test]
+fn an_entry_that_stood_still_is_not_confirmed_by_what_came_meanwhile() {
+    run(async {
+        let (entry, replica, _app, _tasks) = hearing("127.98.1.3").await;
+        let silenced = std::thread::spawn(move || {
+            std::thread::sleep(ms(1_000));
+            replica.set_behind(true);
+        });
+        std::thread::sleep(IN_FORCE + ms(1_200));
+        silenced.join().expect("it ends");
+        // It reads now what the replica has said more than two seconds ago.
+        until("it reads", || entry.gateway.belief_age().is_some_and(|age| age < ms(1_000))).await;
+        may_come_back(&entry.call("/added/", "r1").await, "a route");
+    });
+}
+
+/// Guards against replicas that know of a change and keep it to themselves, since they may lack a later one.
+#[test]
+fn an_entry_is_told_of_a_change_by_a_replica_that_is_behind() {
+    run(async {
+        let (entry, replica, _app, _tasks) = hearing("127.98.1.4").await;
+        replica.set_behind(true);
+        replica.publish(2);
+        until("it hears of the change", || {
+            entry.gateway.table().unwrap().deployment().version == 2
+        })
+        .await;
+        assert_eq!(entry.call("/added/", "r1").await.status, 200);
+    });
+}
--- a/tests/deployment/gateway.rs
+++ b/tests/deployment/gateway.rs
@@ -92,10 +92,19 @@
     }
 
     pub async fn call_with(&self, path: &str, id: &str, extra: &str) -> Got {
+        self.send(path, id, "key-a", extra).await
+    }
+
+    /// A call with another key.
+    pub async fn call_as(&self, path: &str, id: &str, key: &str) -> Got {
+        self.send(path, id, key, "").await
+    }
+
+    async fn send(&self, path: &str, id: &str, key: &str, extra: &str) -> Got {
         let mut stream = TcpStream::connect(self.address).await.expect("it listens");
         let request = format!(
             "POST {path} HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: {id}\r\n\
-             X-Deadline-Ms: 120000\r\nAuthorization: Bearer key-a\r\nConnection: close\r\n{extra}\
+             X-Deadline-Ms: 120000\r\nAuthorization: Bearer {key}\r\nConnection: close\r\n{extra}\
              Content-Length: 4\r\n\r\nbody"
         );
         stream.write_all(request.as_bytes()).await.expect("it reads");
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -9,6 +9,7 @@
 mod essential;
 mod events;
 mod explaining;
+mod final_refusals;
 mod fixtures;
 mod foreign_bytes;
 mod forming;
--- a/tests/logic/log_schedules.rs
+++ b/tests/logic/log_schedules.rs
@@ -7,7 +7,7 @@
 use proptest::test_runner::RngSeed;
 use rand::RngExt;
 
-use crate::log_world::{Faults, World};
+use crate::log_world::{Faults, NO_FAULTS, World};
 
 /// The same schedules on every run.
 fn schedules(cases: u32) -> ProptestConfig {
@@ -87,6 +87,7 @@
             duplicates,
             longest_delay: Duration::from_millis(60),
             crash_while_syncing: crashes,
+            save_takes: Duration::ZERO,
         };
         for _ in 0..120 {
             disturb(&mut world, false);
@@ -94,6 +95,18 @@
         world.recover();
     }
 
+    /// Guards against a replica that takes a leader's message for news as of when it reads it.
+    #[test]
+    fn a_replica_had_all_when_it_says_that_it_last_had_all(seed in any::<u64>(), loss in 0.0..0.2) {
+        let mut world = World::new(5, seed);
+        world.checks_caught_up = true;
+        world.faults = Faults { loss, longest_delay: Duration::from_millis(60), ..NO_FAULTS };
+        for _ in 0..120 {
+            disturb(&mut world, false);
+        }
+        world.recover();
+    }
+
     #[test]
     fn a_replica_that_lost_synced_bytes_never_makes_others_lose_them(
         seed in any::<u64>(),
@@ -105,6 +118,7 @@
             duplicates: 0.05,
             longest_delay: Duration::from_millis(60),
             crash_while_syncing: 0.0,
+            save_takes: Duration::ZERO,
         };
         for _ in 0..120 {
             disturb(&mut world, true);
--- a/tests/logic/log_world.rs
+++ b/tests/logic/log_world.rs
@@ -17,6 +17,9 @@
 /// Clocks run at most this much faster or slower: well within what leases allow for.
 const DRIFT: f64 = 0.02;
 
+/// Rounding of times that are told by two clocks.
+const CLOCK_GRAIN: Duration = Duration::from_micros(1);
+
 /// Replica 1 of three in term 5, with entries 1 to 4 of term 5.
 pub fn replica_in_term_5(now: Duration) -> Raft {
     let entries = (1..=4).map(|index| Entry { index, term: 5, payload: Payload::Noop }).collect();
@@ -35,10 +38,20 @@
     rate: f64,
     /// Frozen until then: it takes no step, but its clock runs on.
     frozen_until: Duration,
+    /// A save that is under way.
+    save: Option<Save>,
     applied: Vec<Entry>,
     snapshot_applied: Index,
 }
 
+/// What a replica waits for its disk to write.
+struct Save {
+    ends_at: Duration,
+    effects: Effects,
+    /// The last index that is durable then.
+    last: Index,
+}
+
 #[derive(Clone, Default)]
 struct Disk {
     recovered: Recovered,
@@ -78,6 +91,8 @@
     pub duplicates: f64,
     pub longest_delay: Duration,
     pub crash_while_syncing: f64,
+    /// How long each save takes.
+    pub save_takes: Duration,
 }
 
 pub const NO_FAULTS: Faults = Faults {
@@ -85,6 +100,7 @@
     duplicates: 0.0,
     longest_delay: Duration::from_millis(4),
     crash_while_syncing: 0.0,
+    save_takes: Duration::ZERO,
 };
 
 pub struct World {
@@ -101,9 +117,13 @@
     proposals: u64,
     /// Proposals that were answered, with the index at which each must stay.
     pub acknowledged: Vec<(Index, Vec<u8>)>,
+    /// When each of them was answered.
+    acknowledged_at: Vec<Duration>,
     waiting: BTreeMap<(NodeId, Index), (Term, Vec<u8>)>,
     /// Reads that wait: replica, read, and the commit that the read must not miss.
     reads: Vec<(NodeId, u64, usize)>,
+    /// Whether it is checked that replicas had all by the time at which they say they last had.
+    pub checks_caught_up: bool,
     pub reads_answered: usize,
 }
 
@@ -120,8 +140,10 @@
             leaders: BTreeMap::new(),
             proposals: 0,
             acknowledged: Vec::new(),
+            acknowledged_at: Vec::new(),
             waiting: BTreeMap::new(),
             reads: Vec::new(),
+            checks_caught_up: false,
             reads_answered: 0,
         };
         for id in 1..=voters {
@@ -166,6 +188,7 @@
             first_members,
             rate,
             frozen_until: Duration::ZERO,
+            save: None,
             applied: Vec::new(),
             snapshot_applied: 0,
         };
@@ -200,7 +223,9 @@
     }
 
     pub fn crash(&mut self, id: NodeId) {
-        self.replicas.get_mut(&id).expect("a replica").raft = None;
+        let replica = self.replicas.get_mut(&id).expect("a replica");
+        replica.raft = None;
+        replica.save = None;
         self.waiting.retain(|(replica, _), _| *replica != id);
         self.reads.retain(|(replica, ..)| *replica != id);
     }
@@ -307,6 +332,12 @@
             if replica.frozen_until > self.now {
                 continue;
             }
+            self.end_save(id);
+            let replica = self.replicas.get_mut(&id).expect("a replica");
+            // The task around a replica waits for its disk.
+            if replica.save.is_some() {
+                continue;
+            }
             if let Some(raft) = &mut replica.raft {
                 raft.tick(now);
                 self.settle(id);
@@ -327,6 +358,11 @@
             self.packets.push(Packet { at, from, to, message });
             return;
         }
+        if let Some(save) = &replica.save {
+            let at = save.ends_at + STEP;
+            self.packets.push(Packet { at, from, to, message });
+            return;
+        }
         let now = self.clock(to);
         let replica = self.replicas.get_mut(&to).expect("a replica");
         if let Some(raft) = &mut replica.raft {
@@ -372,15 +408,32 @@
                 self.crash(id);
                 return;
             }
-            let replica = self.replicas.get_mut(&id).expect("a replica");
-            replica.disk.write(&effects.persist, parts);
-            if let Some(raft) = &mut replica.raft {
-                raft.persisted(last);
-                replica.disk.recovered.lost &= raft.status().recovering;
+            let takes =
+                if effects.persist.is_empty() { Duration::ZERO } else { self.faults.save_takes };
+            let save = Save { ends_at: self.now + takes, effects, last };
+            self.replicas.get_mut(&id).expect("a replica").save = Some(save);
+            if !takes.is_zero() {
+                return;
             }
-            self.send(id, effects.late.clone());
-            self.apply(id, effects);
+            self.end_save(id);
+        }
+    }
+
+    /// Ends a save if it is time.
+    fn end_save(&mut self, id: NodeId) {
+        let now = self.now;
+        let replica = self.replicas.get_mut(&id).expect("a replica");
+        let Some(Save { effects, last, .. }) = replica.save.take_if(|save| save.ends_at <= now)
+        else {
+            return;
+        };
+        replica.disk.write(&effects.persist, usize::MAX);
+        if let Some(raft) = &mut replica.raft {
+            raft.persisted(last);
+            replica.disk.recovered.lost &= raft.status().recovering;
         }
+        self.send(id, effects.late.clone());
+        self.apply(id, effects);
     }
 
     fn apply(&mut self, id: NodeId, effects: Effects) {
@@ -400,6 +453,7 @@
             {
                 assert_eq!(entry.payload, Payload::Command(command.clone().into()));
                 self.acknowledged.push((entry.index, command));
+                self.acknowledged_at.push(self.now);
             }
         }
         let applied = replica.applied.len();
@@ -426,6 +480,13 @@
             if raft.holds_leadership(now) {
                 sure_leaders.push(id);
             }
+            if let Some(at) = raft.caught_up_at(now).filter(|_| self.checks_caught_up) {
+                let at = at.div_f64(self.replicas[&id].rate).saturating_sub(CLOCK_GRAIN);
+                let before = self.acknowledged_at.partition_point(|answered| *answered < at);
+                let newest = self.acknowledged[..before].iter().map(|(index, _)| *index).max();
+                let commit = status.commit;
+                assert!(newest <= Some(commit), "{id} had all at {at:?}, but {newest:?}: {commit}");
+            }
             if status.is_leader {
                 let other = *self.leaders.entry(status.term).or_insert(id);
                 assert_eq!(other, id, "at most one leader in term {}", status.term);
--- a/tests/logic/main.rs
+++ b/tests/logic/main.rs
@@ -21,6 +21,7 @@
 mod replicas;
 mod restarting;
 mod shares;
+mod slow_disks;
 mod swim;
 mod targets;
 mod votes;
--- a/tests/logic/replacing.rs
+++ b/tests/logic/replacing.rs
@@ -182,6 +182,7 @@
             duplicates: 0.05,
             longest_delay: Duration::from_millis(40),
             crash_while_syncing: crashes,
+            save_takes: Duration::ZERO,
         };
         for _ in 0..80 {
             core.disturb();
