Replicas go on while their disk writes

What callers saw: 401 and 404 for routes and keys that had been acknowledged, by entries that no replica had confirmed for ten seconds. Cause of that silence: a replica did nothing while its disk wrote. A leader sent no heartbeats, a follower answered none, and timers ran on, so that saves of some 0.1 s cost a leader its office, and saves longer than a candidate's time (0.3 to 0.6 s, for two saves one after the other) kept elections from ever ending.

Now saves run beside the state machine. Heartbeats go on; that a follower still counts on its leader, which its durable vote says, is answered at once, and what must be durable for it after the save. A vote binds until its candidate has had the time that saves take, own or doubled after each candidacy without a winner; no candidacy ends while its own vote is being written. Pre-votes promise nothing and wait for no save.

--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -121,6 +121,7 @@
     pub async fn run(mut self, inputs: &mut mpsc::Receiver<Input>) {
         let mut ticks = tokio::time::interval(TICK);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let save_ended = self.driver.save_ended();
         while !self.driver.raft.status().stopped {
             tokio::select! {
                 input = inputs.recv() => match input {
@@ -128,8 +129,9 @@
                     None => return,
                 },
                 _ = ticks.tick() => self.tick(),
+                () = save_ended.notified() => {}
             }
-            self.settle().await;
+            self.settle();
         }
     }
 
@@ -322,7 +324,7 @@
         seeds.iter().chain(known).copied().collect()
     }
 
-    async fn settle(&mut self) {
+    fn settle(&mut self) {
         let (links, places, introduced) =
             (self.shared.links.clone(), self.state.places.clone(), &self.introduced);
         let send = |to: NodeId, message| {
@@ -331,7 +333,7 @@
                 links.send(*ip, encode(&ToReplica::Log { to, message }));
             }
         };
-        for output in self.driver.settle(send).await {
+        for output in self.driver.settle(send) {
             match output {
                 Output::Restore(snapshot) => match ControlState::restored(&snapshot.data) {
                     Ok(state) => {
--- a/src/log/driver.rs
+++ b/src/log/driver.rs
@@ -1,11 +1,16 @@
 //! Carries out what a replica's state machine asks for: sends, makes durable, hands out.
 
+use std::io;
+use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::sync::oneshot::error::TryRecvError;
+use tokio::sync::{Notify, oneshot};
+
 use super::disk::Disk;
 use super::raft::{Effects, Raft, ReadId};
 use super::types::{Entry, Index, Message, Persist, Snapshot};
-use crate::clock::boot_now;
+use crate::clock::{BootTime, boot_now};
 use crate::ids::NodeId;
 
 /// A save that took this long is logged: about a heartbeat of the log.
@@ -17,10 +22,20 @@
     pub raft: Raft,
     /// `None` only while a save is under way, or after the disk has failed.
     disk: Option<Disk>,
+    save: Option<Save>,
+    save_ended: Arc<Notify>,
     /// Entries after which a snapshot replaces them.
     snapshot_every: Index,
 }
 
+/// A save that is under way, on a thread of its own.
+struct Save {
+    begun: BootTime,
+    /// Messages that promise what it makes durable.
+    late: Vec<(NodeId, Message)>,
+    ended: oneshot::Receiver<(Disk, io::Result<()>)>,
+}
+
 /// What is to be done with the state that the log carries, in this order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Output {
@@ -35,12 +50,20 @@
 impl Driver {
     /// A replica as it starts.
     pub fn new(raft: Raft, disk: Disk, snapshot_every: Index) -> Driver {
-        Driver { raft, disk: Some(disk), snapshot_every }
+        let save_ended = Arc::default();
+        Driver { raft, disk: Some(disk), save: None, save_ended, snapshot_every }
     }
 
-    /// Makes all that is due happen. Messages leave through `send`; those that promise something
-    /// leave only once it is durable.
-    pub async fn settle(&mut self, send: impl Fn(NodeId, Message)) -> Vec<Output> {
+    /// Rings when a save has ended: call `settle` then.
+    pub fn save_ended(&self) -> Arc<Notify> {
+        self.save_ended.clone()
+    }
+
+    /// Makes all that is due happen, without waiting for the disk: a leader that falls silent while it writes is
+    /// replaced, and a follower that does is of no use to entries. Messages leave through `send`; those that promise
+    /// something leave only once it is durable.
+    pub fn settle(&mut self, send: impl Fn(NodeId, Message)) -> Vec<Output> {
+        self.end_save().into_iter().for_each(|(to, message)| send(to, message));
         let mut outputs = Vec::new();
         loop {
             let effects = self.raft.take_effects(boot_now());
@@ -49,10 +72,11 @@
             }
             let Effects { early, persist, late, restore, committed, reads } = effects;
             early.into_iter().for_each(|(to, message)| send(to, message));
-            if !persist.is_empty() && !self.save(persist).await {
-                return outputs;
+            if persist.is_empty() {
+                late.into_iter().for_each(|(to, message)| send(to, message));
+            } else {
+                self.begin_save(persist, late);
             }
-            late.into_iter().for_each(|(to, message)| send(to, message));
             outputs.extend(restore.map(Output::Restore));
             outputs.extend(committed.into_iter().map(Output::Apply));
             outputs.extend(reads.into_iter().map(|(read, _)| Output::Read(read)));
@@ -66,36 +90,52 @@
         }
     }
 
-    /// Returns false if the disk has failed: this replica takes no part any more then.
-    async fn save(&mut self, persist: Persist) -> bool {
-        let Some(mut disk) = self.disk.take() else { return false };
-        let begun = boot_now();
+    fn begin_save(&mut self, persist: Persist, late: Vec<(NodeId, Message)>) {
+        let Some(mut disk) = self.disk.take() else { return };
         let kept = if persist.snapshot.is_some() { self.raft.kept_entries() } else { Vec::new() };
-        let last = self.raft.last_index();
-        let saved = tokio::task::spawn_blocking(move || {
+        let (sender, ended) = oneshot::channel();
+        let rings = self.save_ended.clone();
+        self.save = Some(Save { begun: boot_now(), late, ended });
+        tokio::task::spawn_blocking(move || {
             let result = disk.save(&persist, &kept);
-            (disk, result)
+            // The replica may have ended meanwhile.
+            let _ = sender.send((disk, result));
+            rings.notify_one();
         });
-        let failure = match saved.await {
+    }
+
+    /// Takes note of a save that has ended, and returns the messages that waited for it.
+    fn end_save(&mut self) -> Vec<(NodeId, Message)> {
+        let Some(mut save) = self.save.take() else { return Vec::new() };
+        let failure = match save.ended.try_recv() {
+            Err(TryRecvError::Empty) => {
+                self.save = Some(save);
+                return Vec::new();
+            }
             Ok((disk, Ok(()))) => {
                 self.disk = Some(disk);
-                let took = boot_now().saturating_sub(begun);
-                if took >= SLOW_SAVE {
-                    log::warn!("event=disk_slow took_ms={}", took.as_millis());
-                }
-                self.raft.persisted(last);
-                self.note_recovery();
-                return true;
+                self.saved(save.begun);
+                return save.late;
             }
             Ok((_, Err(error))) => error.to_string(),
-            Err(error) => error.to_string(),
+            Err(error @ TryRecvError::Closed) => error.to_string(),
         };
         log::error!(
             "event=disk_failed reason={failure:?} effect=\"votes and acknowledges no more\" \
              remedy=\"mend or replace the disk, then restart\""
         );
         self.raft.disk_failed();
-        false
+        Vec::new()
+    }
+
+    fn saved(&mut self, begun: BootTime) {
+        let now = boot_now();
+        let took = now.saturating_sub(begun);
+        if took >= SLOW_SAVE {
+            log::warn!("event=disk_slow took_ms={}", took.as_millis());
+        }
+        self.raft.saved(now);
+        self.note_recovery();
     }
 
     fn note_recovery(&mut self) {
--- a/src/log/raft/election.rs
+++ b/src/log/raft/election.rs
@@ -19,7 +19,11 @@
     }
 
     pub(super) fn start_pre_vote(&mut self, now: BootTime) {
+        if matches!(self.role, Role::Candidate { .. }) {
+            self.failed_candidacies += 1;
+        }
         self.leader = None;
+        self.awaits_election = false;
         self.role = Role::PreCandidate { granted: BTreeSet::from([self.id]) };
         self.reset_election(now);
         if self.restart.is_eager(now) {
@@ -27,7 +31,9 @@
         }
         let (last_term, last_index) = self.log.last();
         let term = self.vote.term + 1;
-        self.ask_voters(Message::PreVote { term, last_index, last_term });
+        // Early: nothing is promised by asking.
+        let asked = self.ask_voters(Message::PreVote { term, last_index, last_term });
+        self.effects.early.extend(asked);
         self.count_pre_votes(now);
     }
 
@@ -38,11 +44,13 @@
         last: (Term, Index),
         now: BootTime,
     ) {
-        let granted =
-            term > self.vote.term && last >= self.log.last() && !self.has_live_leader(now);
+        let granted = term > self.vote.term
+            && last >= self.log.last()
+            && !self.has_live_leader(now)
+            && !self.may_be_elected(now);
         let reply_term = if granted { term } else { self.vote.term };
         let reply = Message::PreVoteReply { term: reply_term, granted };
-        self.effects.late.push((from, reply));
+        self.effects.early.push((from, reply));
     }
 
     pub(super) fn on_pre_vote_reply(
@@ -92,6 +100,7 @@
             // Nobody else counts on this replica by now, and so the first answer to it needs no write more.
             self.vote.acknowledged = Some(from);
             self.effects.persist.vote = Some(self.vote);
+            self.awaits_election = true;
             self.reset_election(now);
         }
         self.effects.late.push((from, Message::VoteReply { term: self.vote.term, granted }));
@@ -129,10 +138,13 @@
         self.vote = Vote { term, voted_for: own, acknowledged: own };
         self.effects.persist.vote = Some(self.vote);
         self.role = Role::Candidate { granted: BTreeSet::from([self.id]) };
+        self.awaits_election = true;
         self.reset_election(now);
         let (last_term, last_index) = self.log.last();
         let term = self.vote.term;
-        self.ask_voters(Message::RequestVote { term, last_index, last_term });
+        // Late: the candidate's own vote must be durable before others count on it.
+        let asked = self.ask_voters(Message::RequestVote { term, last_index, last_term });
+        self.effects.late.extend(asked);
         self.count_votes(now);
     }
 
@@ -164,6 +176,8 @@
         });
         self.leader = Some(self.id);
         self.has_led = true;
+        self.awaits_election = false;
+        self.failed_candidacies = 0;
         let appended = self.append_own(Payload::Noop);
         debug_assert!(appended.is_ok(), "this replica has just become the leader");
     }
@@ -180,10 +194,9 @@
         granted.intersection(&self.members.voters).count() >= self.members.quorum()
     }
 
-    fn ask_voters(&mut self, message: Message) {
+    fn ask_voters(&self, message: Message) -> Vec<(NodeId, Message)> {
         let others = self.members.voters.iter().filter(|id| **id != self.id);
-        // Late: the candidate's own vote must be durable before others count on it.
-        self.effects.late.extend(others.map(|id| (*id, message.clone())));
+        others.map(|id| (*id, message.clone())).collect()
     }
 }
 
--- a/src/log/raft/mod.rs
+++ b/src/log/raft/mod.rs
@@ -1,13 +1,15 @@
 //! Raft as a state machine without I/O: fed messages and time, it returns effects.
 //!
-//! The caller takes the effects after each input or a few of them, sends `early`, makes `persist`
-//! durable, calls `persisted`, sends `late`, and applies what is committed, in this order.
+//! The caller takes the effects after each input or a few of them, sends `early` and applies what is
+//! committed. It makes `persist` durable, calls `saved`, and then sends `late`. Inputs go on meanwhile: what they
+//! need durable is handed out after that save.
 
 mod change;
 mod election;
 mod entries;
 mod replication;
 mod restart;
+mod save;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -22,6 +24,7 @@
 pub use change::{Change, ChangeError};
 use entries::Entries;
 use restart::Restart;
+use save::Save;
 
 /// What of an election timeout is given up for clocks that run at different rates.
 const DRIFT_PART: u32 = 10;
@@ -108,8 +111,18 @@
     commit: Index,
     /// Entries up to here were handed out. Never passes `commit`.
     applied: Index,
-    /// Entries up to here are durable here.
+    /// Entries up to here are durable here, and the same as the log's.
     persisted: Index,
+    /// The save that is under way.
+    save: Option<Save>,
+    /// The vote that is durable here.
+    durable_vote: Vote,
+    /// How long the last save took.
+    save_took: Duration,
+    /// Set while this replica waits for what comes of a vote that it gave, its own candidacy included.
+    awaits_election: bool,
+    /// Candidacies without a winner since a leader was heard.
+    failed_candidacies: u32,
     /// Set while synced bytes are known to be lost: no vote until caught up.
     recovering: Option<Recovering>,
     /// Set for good once the disk has failed.
@@ -217,6 +230,11 @@
             commit: snapshot_index,
             applied: snapshot_index,
             persisted: log.last_index(),
+            save: None,
+            durable_vote: recovered.vote,
+            save_took: Duration::ZERO,
+            awaits_election: false,
+            failed_candidacies: 0,
             log,
             recovering,
             stopped: false,
@@ -245,7 +263,9 @@
                     self.broadcast(now);
                 }
             }
-            _ if now >= self.election_at && self.may_stand() => self.start_pre_vote(now),
+            _ if now >= self.election_at && self.may_stand() && self.is_vote_durable() => {
+                self.start_pre_vote(now);
+            }
             _ => {}
         }
     }
@@ -305,7 +325,8 @@
         Ok(id)
     }
 
-    /// Takes everything that must be done now.
+    /// Takes everything that must be done now. While a save is under way nothing is to be saved, and
+    /// nothing sent late.
     pub fn take_effects(&mut self, now: BootTime) -> Effects {
         if let Role::Leader(leader) = &self.role
             && leader.broadcast_due
@@ -313,21 +334,20 @@
             self.broadcast(now);
         }
         self.hand_out_committed();
-        std::mem::take(&mut self.effects)
-    }
-
-    /// Records that everything up to `index` is durable here.
-    pub fn persisted(&mut self, index: Index) {
-        self.persisted = self.persisted.max(index.min(self.log.last_index()));
-        if self.recovering.is_some_and(|r| r.until.is_some_and(|until| self.persisted >= until)) {
-            self.recovering = None;
+        let mut effects = std::mem::take(&mut self.effects);
+        if self.save.is_some() {
+            self.effects.persist = std::mem::take(&mut effects.persist);
+            self.effects.late = std::mem::take(&mut effects.late);
+        } else if !effects.persist.is_empty() {
+            self.begin_save(now);
         }
-        self.advance_commit();
+        effects
     }
 
     /// Records that the disk has failed: this replica votes and acknowledges no more.
     pub fn disk_failed(&mut self) {
         self.stopped = true;
+        self.save = None;
         self.role = Role::Follower;
         self.leader = None;
         self.effects = Effects::default();
@@ -339,6 +359,8 @@
             return;
         }
         self.effects.persist.snapshot = self.log.compact(index, data).cloned();
+        // Entries that wait for the save before are in the snapshot.
+        self.effects.persist.append.retain(|entry| entry.index > index);
     }
 
     /// Whether this replica surely leads at `now`: nobody else can have been elected yet.
@@ -432,6 +454,7 @@
         }
         self.role = Role::Follower;
         self.leader = leader;
+        self.awaits_election = false;
         self.reset_election(now);
     }
 }
--- a/src/log/raft/replication.rs
+++ b/src/log/raft/replication.rs
@@ -137,7 +137,7 @@
             persist.append.retain(|entry| follows_on && entry.index > index);
             if !follows_on {
                 persist.truncate_from = Some(persist.truncate_from.unwrap_or(0).max(index + 1));
-                self.persisted = index;
+                self.void_saved_from(1);
             }
             self.effects.persist.snapshot = Some(snapshot.clone());
             self.effects.restore = Some(snapshot);
@@ -160,6 +160,7 @@
             return false;
         }
         self.follow(term, Some(from), now);
+        self.failed_candidacies = 0;
         self.heard_leader = Some(now);
         self.restart.heard_leader_since();
         self.acknowledge(from);
@@ -172,17 +173,26 @@
     fn truncate_from(&mut self, index: Index) {
         debug_assert!(index > self.commit, "a committed entry must never be void");
         self.log.truncate_from(index);
-        self.persisted = self.persisted.min(index - 1);
+        self.void_saved_from(index);
         let persist = &mut self.effects.persist;
         persist.append.retain(|entry| entry.index < index);
         let earlier = persist.truncate_from.unwrap_or(index);
         persist.truncate_from = Some(earlier.min(index));
     }
 
+    /// Answers a leader. What is acknowledged must be durable; that this replica still counts on the leader is said
+    /// at once, so that no leader is lost while disks are slow.
     fn answer(&mut self, to: NodeId, result: Result<Index, Mismatch>, round: u64) {
-        // Late: what is acknowledged here must be durable.
-        let reply = Message::AppendReply { term: self.vote.term, result, round };
-        self.effects.late.push((to, reply));
+        let term = self.vote.term;
+        let reply = |result| (to, Message::AppendReply { term, result, round });
+        if self.has_unsaved() && self.is_vote_durable() {
+            let durable = result.map(|index| index.min(self.persisted));
+            self.effects.early.push(reply(durable));
+            if durable == result {
+                return;
+            }
+        }
+        self.effects.late.push(reply(result));
     }
 
     pub(super) fn on_append_reply(
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -316,12 +316,22 @@
     let state = State::new(settings.timing.claim_retention.as_millis() as u64);
     let (actor, status) =
         Replica::new(raft, disk, state, links.clone(), metrics.clone(), settings.timing.lease);
+    let save_ended = actor.save_ended();
     let address = xtra::spawn_tokio(actor, Mailbox::unbounded());
     let ticking = address.clone();
     tokio::spawn(every(TICK, move || {
         let address = ticking.clone();
         async move { address.send(replica::Tick).await.is_ok() }
     }));
+    let saving = address.clone();
+    tokio::spawn(async move {
+        loop {
+            save_ended.notified().await;
+            if saving.send(replica::SaveEnded).await.is_err() {
+                return;
+            }
+        }
+    });
     Ok(Some(ReplicaHandle { address, status }))
 }
 
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::{oneshot, watch};
+use tokio::sync::{Notify, oneshot, watch};
 use xtra::prelude::*;
 
 use crate::clock::{BootTime, boot_now, unix_ms};
@@ -109,6 +109,9 @@
 /// Time passes.
 pub struct Tick;
 
+/// A save has ended: `Replica::save_ended` has rung.
+pub struct SaveEnded;
+
 impl Replica {
     /// The actor, not started yet. The receiver shows its status.
     pub fn new(
@@ -139,8 +142,13 @@
         (replica, receiver)
     }
 
+    /// Rings when a save has ended: send `SaveEnded` then.
+    pub fn save_ended(&self) -> Arc<Notify> {
+        self.driver.save_ended()
+    }
+
     /// Makes effects happen, unless more inputs wait that can share the sync.
-    async fn settle(&mut self, context: &mut Context<Self>) {
+    fn settle(&mut self, context: &mut Context<Self>) {
         self.batched += 1;
         let waiting = context.mailbox().address().try_upgrade().map_or(0, |address| address.len());
         if waiting > 0 && self.batched < BATCH {
@@ -148,7 +156,7 @@
         }
         self.batched = 0;
         let links = self.links.clone();
-        for output in self.driver.settle(|to, message| links.send(to, message)).await {
+        for output in self.driver.settle(|to, message| links.send(to, message)) {
             self.carry_out(output);
         }
         if self.driver.raft.status().stopped {
@@ -273,7 +281,7 @@
 
     async fn handle(&mut self, message: FromPeer, context: &mut Context<Self>) {
         self.driver.raft.receive(message.0, message.1, boot_now());
-        self.settle(context).await;
+        self.settle(context);
     }
 }
 
@@ -287,7 +295,15 @@
         if !self.driver.raft.status().is_leader {
             self.reads.clear();
         }
-        self.settle(context).await;
+        self.settle(context);
+    }
+}
+
+impl Handler<SaveEnded> for Replica {
+    type Return = ();
+
+    async fn handle(&mut self, _ended: SaveEnded, context: &mut Context<Self>) {
+        self.settle(context);
     }
 }
 
@@ -305,7 +321,7 @@
             }
             Err(NotLeader { leader }) => drop(sender.send(Err(Undecided::NotLeader(leader)))),
         }
-        self.settle(context).await;
+        self.settle(context);
     }
 }
 
@@ -320,7 +336,7 @@
             }
             Err(NotLeader { leader }) => drop(sender.send(Err(Undecided::NotLeader(leader)))),
         }
-        self.settle(context).await;
+        self.settle(context);
     }
 }
 
@@ -335,7 +351,7 @@
             }
             Err(error) => drop(sender.send(Err(error))),
         }
-        self.settle(context).await;
+        self.settle(context);
     }
 }
 
@@ -343,7 +359,7 @@
     type Return = Result<(Duration, ConfigNumber, Update), Option<NodeId>>;
 
     async fn handle(&mut self, grant: Grant, context: &mut Context<Self>) -> Self::Return {
-        self.settle(context).await;
+        self.settle(context);
         let now = boot_now();
         let leader = self.driver.raft.status().leader;
         let number = self.state.config().number;
