A follower has caught up as of an answer that its leader had read, not as of when it reads a message

What callers saw: refusals by what was long out of date, from entries and replicas that took themselves for current. Cause: a follower counted its freshness from when it read the leader's message. What had lain in a socket while it stood still, or came from a leader that had been deposed meanwhile, made it current. Messages of a leader that surely leads name the last answer that it had read: the message was sent after that answer, and is news as of then, on the follower's own clock. Answers name the start of their sender, so that rounds of an earlier process don't count.

--- a/src/log/raft/election.rs
+++ b/src/log/raft/election.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+use super::answered::AnsweredRounds;
 use super::restart::EAGER_AGAIN;
 use super::{Leader, Progress, Raft, Role};
 use crate::clock::BootTime;
@@ -136,6 +137,7 @@
     fn stand(&mut self, now: BootTime) {
         let (own, term) = (Some(self.id), self.vote.term + 1);
         self.vote = Vote { term, voted_for: own, acknowledged: own };
+        self.answered_rounds = AnsweredRounds::default();
         self.effects.persist.vote = Some(self.vote);
         self.role = Role::Candidate { granted: BTreeSet::from([self.id]) };
         self.awaits_election = true;
@@ -202,6 +204,6 @@
 
 impl Progress {
     pub(super) fn new(next: Index) -> Progress {
-        Progress { next, matched: 0, acked_round: 0, snapshot_sent: None }
+        Progress { next, matched: 0, acked_round: 0, answered: None, snapshot_sent: None }
     }
 }
--- a/src/log/raft/mod.rs
+++ b/src/log/raft/mod.rs
@@ -4,6 +4,7 @@
 //! committed. It makes `persist` durable, calls `saved`, and then sends `late`. Inputs go on meanwhile: what they
 //! need durable is handed out after that save.
 
+mod answered;
 mod change;
 mod election;
 mod entries;
@@ -18,9 +19,12 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
-use super::types::{Entry, Index, Members, Message, Payload, Persist, Snapshot, Term, Vote};
+use super::types::{
+    Answered, Entry, Index, Members, Message, Payload, Persist, Snapshot, Term, Vote,
+};
 use crate::clock::BootTime;
 use crate::ids::NodeId;
+use answered::AnsweredRounds;
 pub use change::{Change, ChangeError};
 use entries::Entries;
 use restart::Restart;
@@ -106,6 +110,7 @@
     has_led: bool,
     /// When this replica last had all that its leader had committed by then.
     caught_up_at: Option<BootTime>,
+    answered_rounds: AnsweredRounds,
     election_at: BootTime,
     /// Never falls, and never passes the last index.
     commit: Index,
@@ -174,6 +179,8 @@
     next: Index,
     matched: Index,
     acked_round: u64,
+    /// The last answer that was read.
+    answered: Option<Answered>,
     snapshot_sent: Option<BootTime>,
 }
 
@@ -226,6 +233,7 @@
             restart,
             has_led: false,
             caught_up_at: None,
+            answered_rounds: AnsweredRounds::default(),
             election_at: now,
             commit: snapshot_index,
             applied: snapshot_index,
@@ -289,8 +297,8 @@
             Message::Started { nonce } => self.on_started(from, nonce),
             Message::NotLed { nonce } => self.on_not_led(from, nonce),
             Message::Append { .. } => self.on_append(from, message, now),
-            Message::AppendReply { term, result, round } => {
-                self.on_append_reply(from, term, result, round, now);
+            Message::AppendReply { term, result, answered } => {
+                self.on_append_reply(from, term, result, answered, now);
             }
             Message::InstallSnapshot { term, snapshot, last_index, round } => {
                 self.on_snapshot(from, term, snapshot, last_index, round, now);
@@ -450,6 +458,7 @@
     fn follow(&mut self, term: Term, leader: Option<NodeId>, now: BootTime) {
         if term > self.vote.term {
             self.vote = Vote { term, voted_for: None, ..self.vote };
+            self.answered_rounds = AnsweredRounds::default();
             self.effects.persist.vote = Some(self.vote);
         }
         self.role = Role::Follower;
--- a/src/log/raft/replication.rs
+++ b/src/log/raft/replication.rs
@@ -5,7 +5,7 @@
 use super::{Leader, Progress, Raft, Recovering, Role};
 use crate::clock::BootTime;
 use crate::ids::NodeId;
-use crate::log::types::{Index, Message, Mismatch, Payload, Snapshot, Term};
+use crate::log::types::{Answered, Index, Message, Mismatch, Payload, Snapshot, Term};
 
 /// A snapshot is sent again if it was not acknowledged within this time.
 const SNAPSHOT_RESEND: Duration = Duration::from_secs(2);
@@ -37,6 +37,7 @@
 
     fn send_to(&mut self, id: NodeId, now: BootTime) {
         let last_index = self.log.last_index();
+        let is_sure = self.holds_leadership(now);
         let Role::Leader(leader) = &mut self.role else { return };
         let Some(progress) = leader.progress.get_mut(&id) else { return };
         let (term, commit, round) = (self.vote.term, self.commit, leader.round);
@@ -45,7 +46,17 @@
             (Some(prev_term), _) => {
                 let entries = self.log.batch(progress.next);
                 progress.next += entries.len() as Index;
-                Message::Append { term, prev_index, prev_term, entries, commit, last_index, round }
+                let answered = progress.answered.filter(|_| is_sure);
+                Message::Append {
+                    term,
+                    prev_index,
+                    prev_term,
+                    entries,
+                    commit,
+                    last_index,
+                    round,
+                    answered,
+                }
             }
             (None, Some(snapshot)) => {
                 let waits = progress.snapshot_sent.is_some_and(|at| now < at + SNAPSHOT_RESEND);
@@ -62,8 +73,16 @@
     }
 
     pub(super) fn on_append(&mut self, from: NodeId, message: Message, now: BootTime) {
-        let Message::Append { term, prev_index, prev_term, entries, commit, last_index, round } =
-            message
+        let Message::Append {
+            term,
+            prev_index,
+            prev_term,
+            entries,
+            commit,
+            last_index,
+            round,
+            answered,
+        } = message
         else {
             return;
         };
@@ -107,7 +126,10 @@
         // Until it has committed in its own term a leader may not know of all that was committed before.
         let knows_all = self.log.term_at(commit) == Some(term);
         if knows_all && self.commit >= commit {
-            self.caught_up_at = Some(now);
+            let answered = answered.filter(|answered| answered.start == self.restart.nonce());
+            let sent_after =
+                answered.and_then(|answered| self.answered_rounds.sent_after(answered.round));
+            self.caught_up_at = self.caught_up_at.max(sent_after);
         }
         self.answer(from, Ok(equal_until.max(self.log.snapshot_index())), round);
     }
@@ -160,6 +182,7 @@
             return false;
         }
         self.follow(term, Some(from), now);
+        self.answered_rounds.answer(round, now);
         self.failed_candidacies = 0;
         self.heard_leader = Some(now);
         self.restart.heard_leader_since();
@@ -184,7 +207,8 @@
     /// at once, so that no leader is lost while disks are slow.
     fn answer(&mut self, to: NodeId, result: Result<Index, Mismatch>, round: u64) {
         let term = self.vote.term;
-        let reply = |result| (to, Message::AppendReply { term, result, round });
+        let answered = Answered { start: self.restart.nonce(), round };
+        let reply = |result| (to, Message::AppendReply { term, result, answered });
         if self.has_unsaved() && self.is_vote_durable() {
             let durable = result.map(|index| index.min(self.persisted));
             self.effects.early.push(reply(durable));
@@ -200,7 +224,7 @@
         from: NodeId,
         term: Term,
         result: Result<Index, Mismatch>,
-        round: u64,
+        answered: Answered,
         now: BootTime,
     ) {
         if term > self.vote.term {
@@ -213,7 +237,11 @@
         if term < self.vote.term {
             return;
         }
-        progress.acked_round = progress.acked_round.max(round);
+        progress.acked_round = progress.acked_round.max(answered.round);
+        let is_late = |last: Answered| last.start == answered.start && last.round > answered.round;
+        if !progress.answered.is_some_and(is_late) {
+            progress.answered = Some(answered);
+        }
         let behind = match result {
             Ok(index) => {
                 progress.snapshot_sent = None;
--- a/src/log/raft/restart.rs
+++ b/src/log/raft/restart.rs
@@ -54,6 +54,11 @@
         }
     }
 
+    /// Drawn at this start.
+    pub(super) fn nonce(&self) -> u64 {
+        self.nonce
+    }
+
     /// When a leader must be taken to have been heard by an earlier process.
     pub(super) fn heard_leader(&self, now: BootTime) -> Option<BootTime> {
         (!self.was_leader).then_some(now)
--- a/src/log/types.rs
+++ b/src/log/types.rs
@@ -156,6 +156,8 @@
         last_index: Index,
         /// Counts the leader's broadcasts, to confirm that it still leads.
         round: u64,
+        /// The receiver's last answer that the leader had read, if it was sure to lead.
+        answered: Option<Answered>,
     },
     /// Answer to `Append`.
     AppendReply {
@@ -163,8 +165,8 @@
         term: Term,
         /// The last index that is durable and equal to the leader's, or why not.
         result: Result<Index, Mismatch>,
-        /// The round that is answered.
-        round: u64,
+        /// The round that is answered, and by which start of the sender.
+        answered: Answered,
     },
     /// A snapshot, for a replica that is behind the leader's first entry.
     InstallSnapshot {
@@ -198,6 +200,15 @@
     }
 }
 
+/// A round of a leader's broadcasts that was answered.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answered {
+    /// Drawn by the replica that answered when it started: what it answered before is void.
+    pub start: u64,
+    /// The round.
+    pub round: u64,
+}
+
 /// The entry before the first one sent is missing or different.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Mismatch {
--- a/tests/logic/leading.rs
+++ b/tests/logic/leading.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use kumquatpost::log::Message;
 use kumquatpost::log::raft::Raft;
+use kumquatpost::log::{Answered, Message};
 
 use crate::log_world::replica_in_term_5;
 
@@ -24,7 +24,11 @@
 }
 
 fn acknowledge(raft: &mut Raft, from: u64, index: u64) {
-    let reply = Message::AppendReply { term: 6, result: Ok(index), round: 1 };
+    let reply = Message::AppendReply {
+        term: 6,
+        result: Ok(index),
+        answered: Answered { start: 1, round: 1 },
+    };
     raft.receive(from, reply, LATER);
 }
 
@@ -64,7 +68,11 @@
 #[test]
 fn a_leader_of_a_higher_term_deposes_it() {
     let mut raft = leader();
-    raft.receive(2, Message::AppendReply { term: 7, result: Ok(5), round: 1 }, LATER);
+    raft.receive(
+        2,
+        Message::AppendReply { term: 7, result: Ok(5), answered: Answered { start: 1, round: 1 } },
+        LATER,
+    );
     assert!(!raft.status().is_leader);
     assert!(raft.propose(vec![1]).is_err());
     assert!(raft.read().is_err());
--- a/tests/logic/log_schedules.rs
+++ b/tests/logic/log_schedules.rs
@@ -104,7 +104,6 @@
         save_ms in prop::sample::select(vec![0_u64, 20, 150]),
     ) {
         let mut world = World::new(5, seed);
-        world.checks_caught_up = true;
         world.faults = Faults {
             loss,
             longest_delay: Duration::from_millis(60),
--- a/tests/logic/log_world.rs
+++ b/tests/logic/log_world.rs
@@ -121,8 +121,6 @@
     waiting: BTreeMap<(NodeId, Index), (Term, Vec<u8>)>,
     /// Reads that wait: replica, read, and the commit that the read must not miss.
     reads: Vec<(NodeId, u64, usize)>,
-    /// Whether it is checked that replicas had all by the time at which they say they last had.
-    pub checks_caught_up: bool,
     pub reads_answered: usize,
 }
 
@@ -142,7 +140,6 @@
             acknowledged_at: Vec::new(),
             waiting: BTreeMap::new(),
             reads: Vec::new(),
-            checks_caught_up: false,
             reads_answered: 0,
         };
         for id in 1..=voters {
@@ -473,7 +470,7 @@
             if raft.holds_leadership(now) {
                 sure_leaders.push(id);
             }
-            if let Some(at) = raft.caught_up_at(now).filter(|_| self.checks_caught_up) {
+            if let Some(at) = raft.caught_up_at(now) {
                 let at = at.div_f64(self.replicas[&id].rate).saturating_sub(CLOCK_GRAIN);
                 let before = self.acknowledged_at.partition_point(|answered| *answered < at);
                 let newest = self.acknowledged[..before].iter().map(|(index, _)| *index).max();
--- a/tests/logic/votes.rs
+++ b/tests/logic/votes.rs
@@ -78,6 +78,7 @@
         commit: 4,
         last_index: 4,
         round: 1,
+        answered: None,
     };
     let soon = LATER + TIMING.election - Duration::from_millis(1);
     let mut raft = replica();
@@ -117,6 +118,7 @@
         commit: 0,
         last_index: 4,
         round: 1,
+        answered: None,
     };
     for (prev_index, count, recovering) in [(0, 3, true), (3, 1, false)] {
         raft.receive(3, append(prev_index, count), LATER);
