A refused message of an earlier term answers no round of a later one

A replica that refused a leader's message of an earlier term told its own term and that message's round. A leader of that earlier term that led again, and had counted 9 rounds anew, took the answer to round 28 for a quorum's part in rounds 10 to 28: its lease, confirmed reads and what followers hold for current could rest on answers that were never given. The refusal names no round now; votes::a_message_of_an_earlier_term_… guards it.

--- a/src/log/raft/replication.rs
+++ b/src/log/raft/replication.rs
@@ -10,6 +10,9 @@
 /// A snapshot is sent again if it was not acknowledged within this time.
 const SNAPSHOT_RESEND: Duration = Duration::from_secs(2);
 
+/// Before the first round of any leader.
+const NO_ROUND: u64 = 0;
+
 impl Raft {
     /// Sends entries or a heartbeat to every other replica.
     pub(super) fn broadcast(&mut self, now: BootTime) {
@@ -178,7 +181,8 @@
     ) -> bool {
         if term < self.vote.term {
             let hint = self.log.last_index();
-            self.answer(from, Err(Mismatch { hint }), round);
+            // Its sender may lead again by now, and count rounds anew.
+            self.answer(from, Err(Mismatch { hint }), NO_ROUND);
             return false;
         }
         self.follow(term, Some(from), now);
--- a/tests/logic/votes.rs
+++ b/tests/logic/votes.rs
@@ -93,6 +93,28 @@
     assert_eq!(answer(&mut replica(), request(9, 9, 9), early), (None, 5));
 }
 
+/// Guards against a lease that rests on an answer to nothing: who led in an earlier term and leads again counts its
+/// rounds anew, and took the number of the earlier one for an answer to later ones.
+#[test]
+fn a_message_of_an_earlier_term_is_refused_without_answering_its_round() {
+    let mut raft = replica();
+    let earlier = Message::Append {
+        term: 4,
+        prev_index: 4,
+        prev_term: 4,
+        entries: Vec::new(),
+        commit: 4,
+        last_index: 4,
+        round: 28,
+        answered: None,
+    };
+    raft.receive(3, earlier, LATER);
+    let effects = raft.take_effects(LATER);
+    let (to, reply) = effects.late.first().expect("it is told of the later term");
+    let Message::AppendReply { term, answered, .. } = reply else { panic!("{reply:?}") };
+    assert_eq!((*to, *term, answered.round), (3, 5, 0));
+}
+
 #[test]
 fn asking_for_a_pre_vote_changes_nothing() {
     let mut raft = replica();
