An entry refuses a route or key for good only when a replica has just confirmed that it knows the newest deployment

What callers saw: 401 and 404 for routes and keys of a deployment that had been acknowledged, by entries that no replica had told anything for ten seconds; nobody sends such a request again. Cause: a refusal looked at the routing table alone, whatever its age. Class: a final answer from knowledge whose age isn't bounded.

Without an answer the caller is told that the request hasn't run and may be sent again at once; after one request without an answer nobody waits for the next. What the known table allows is served as before, whatever its age.

what_no_route_or_account_allows_never_reaches_a_target: its entry has heard a deployment and no replica, which is now the case that is refused for a moment only; a stand-in confirms there, and 404 and 401 are expected as before.

--- a/src/control/frames.rs
+++ b/src/control/frames.rs
@@ -12,6 +12,7 @@
 pub use super::numbered_roster::{NumberedRoster, RosterName};
 use super::pieces::Piece;
 use crate::deployment::Deployment;
+use crate::deployment::document::DeploymentVersion;
 use crate::fleet::Remembered;
 use crate::fleet::compact::CompactTargets;
 use crate::ids::{DomainId, ModelId, NodeId, TargetStart};
@@ -47,6 +48,8 @@
         name: String,
         /// Its failure domain.
         failure_domain: DomainId,
+        /// The version of the deployment that it knows; 0 if it knows none.
+        deployment: DeploymentVersion,
         /// Named weights that it was told of: replicas that were all restarted may know less.
         named: NamedAges,
     },
@@ -64,8 +67,13 @@
     FollowTargets(FollowTargets),
     /// What the entry knows of requests under which targets have ended, and the replica may not.
     Quarantine(Vec<Report>),
+    /// Confirm that the entry knows the newest deployment: `News::Confirmed` is the answer.
+    Confirm(ConfirmId),
 }
 
+/// Tells requests for a confirmation of one entry apart. They rise.
+pub type ConfirmId = u64;
+
 /// What to tell an entry of the list of targets, first what is missing there.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FollowTargets {
@@ -221,6 +229,13 @@
     },
     /// Named weights.
     Weights(NamedAges),
+    /// The entry was sent all deployments that were committed before this age. Comes after them.
+    Confirmed {
+        /// The request that is answered. One that is not answered yet is void once a later one comes.
+        id: ConfirmId,
+        /// How long ago, when this was sent, the sender was last sure to have all.
+        age: Duration,
+    },
     /// Requests under which several targets have ended.
     Quarantine(Vec<Report>),
 }
--- a/src/control/news.rs
+++ b/src/control/news.rs
@@ -18,6 +18,7 @@
 use super::scheduling::Scheduling;
 use super::shared::Shared;
 use crate::clock::{BootTime, boot_now};
+use crate::deployment::document::DeploymentVersion;
 use crate::ids::DomainId;
 use crate::log::Term;
 use crate::net;
@@ -78,11 +79,11 @@
                 }
             }
         }
-        Introduction::Entry { name, failure_domain, named } => {
+        Introduction::Entry { name, failure_domain, deployment, named } => {
             log::info!("event=entry_connected entry={name} failure_domain={failure_domain}");
             shared.observe_ages(named);
             *shared.own_entries.borrow_mut().entry(name.clone()).or_default() += 1;
-            let ended = publish_to_entry(read, write, &scheduling).await;
+            let ended = publish_to_entry(read, write, &scheduling, deployment).await;
             let mut entries = shared.own_entries.borrow_mut();
             if let Some(count) = entries.get_mut(&name) {
                 *count -= 1;
@@ -110,6 +111,7 @@
     read: BufReader<OwnedReadHalf>,
     mut write: OwnedWriteHalf,
     scheduling: &Scheduling,
+    deployment: DeploymentVersion,
 ) -> std::io::Result<()> {
     let shared = &scheduling.shared;
     let repeated_for = scheduling.old_weights.last().unwrap_or_default().max(AGES_REPEATED_FOR);
@@ -118,7 +120,8 @@
     let mut domains = shared.domains.subscribe();
     let mut suspects = shared.suspects.subscribe();
     belief.mark_changed();
-    let mut known = Told::default();
+    let mut known = Told { version: deployment, ..Told::default() };
+    let mut confirm = None;
     let mut list = ListTeller::default();
     let mut request = pin!(next_request(read));
     let mut next_look = Instant::now();
@@ -131,10 +134,11 @@
                 match frame {
                     FromListener::FollowTargets(asked) => list.ask(asked, shared),
                     FromListener::Quarantine(reports) => shared.observe_quarantine(reports),
+                    FromListener::Confirm(id) => confirm = Some(id),
                 }
                 request.set(next_request(read));
             }
-            () = tokio::task::yield_now(), if list.is_sending() => {}
+            () = tokio::task::yield_now(), if is_current && list.is_sending() => {}
             changed = domains.changed() => changed.map_err(std::io::Error::other)?,
             changed = belief.changed() => changed.map_err(std::io::Error::other)?,
             changed = suspects.changed() => changed.map_err(std::io::Error::other)?,
@@ -155,7 +159,12 @@
         if shared.is_current(CURRENT_WITHIN) {
             known.add_domains(shared, &mut bytes);
             known.add_leader(shared, &mut bytes);
-            known.add_news(shared, &mut bytes);
+            known.add_weights(shared, &mut bytes);
+            known.add_deployment(shared, &mut bytes);
+            if let Some(id) = confirm.take() {
+                let age = shared.caught_up_age();
+                bytes.extend_from_slice(&encode(&News::Confirmed { id, age }));
+            }
             if let Some(frame) = list.next_frame(shared) {
                 bytes.extend_from_slice(&frame);
             }
@@ -177,7 +186,7 @@
 /// What an entry was told last, but for the list of targets.
 #[derive(Default)]
 struct Told {
-    version: u64,
+    version: DeploymentVersion,
     domains: BTreeMap<IpAddr, DomainId>,
     weights: RolloutHistories,
     /// Whether an age that was told last is one that a bound may depend on.
@@ -233,16 +242,20 @@
         }
     }
 
-    /// Adds what the entry does not know yet.
-    fn add_news(&mut self, shared: &Shared, bytes: &mut Vec<u8>) {
-        let belief = shared.belief.borrow();
-        // Before what an entry needs to serve: it must not place a prompt without knowing them.
+    /// Adds named weights that the entry does not know yet. Before what it needs to serve: it must not place a
+    /// prompt without knowing them.
+    fn add_weights(&mut self, shared: &Shared, bytes: &mut Vec<u8>) {
         let named = shared.named_since.borrow();
         if self.weights != *named {
             self.weights.clone_from(&named);
             self.repeats_ages = true;
             bytes.extend_from_slice(&weights_news(&named));
         }
+    }
+
+    /// Adds the newest deployment that is committed, as far as this replica knows, if the entry has an older one.
+    fn add_deployment(&mut self, shared: &Shared, bytes: &mut Vec<u8>) {
+        let belief = shared.belief.borrow();
         if let Some(published) = &belief.state.published
             && published.version() > self.version
         {
--- a/src/control/shared.rs
+++ b/src/control/shared.rs
@@ -259,6 +259,11 @@
         self.currency(within) == Currency::Current
     }
 
+    /// How long ago this replica was last sure to have all that was committed.
+    pub fn caught_up_age(&self) -> Duration {
+        self.caught_up_at.get().map_or(Duration::MAX, |at| boot_now().saturating_sub(at))
+    }
+
     /// Whether entries may rely on what this replica knows, or why not.
     pub fn currency(&self, within: Duration) -> Currency {
         let now = boot_now();
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -39,6 +39,8 @@
     Malformed,
     /// No deployment is known here yet.
     NotReady,
+    /// The known deployment refuses it, and no replica has confirmed that there is no later one. It has not run.
+    Unconfirmed,
     /// No target can take it now. It has not run.
     NoTarget,
     /// All targets run older weights than must be in force by now. It has not run.
@@ -65,6 +67,7 @@
             Refusal::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::Malformed => StatusCode::BAD_REQUEST,
             Refusal::NotReady
+            | Refusal::Unconfirmed
             | Refusal::NoTarget
             | Refusal::OldWeights
             | Refusal::Busy(_)
@@ -83,6 +86,7 @@
             Refusal::BodyTooLarge => "body_too_large",
             Refusal::Malformed => "malformed",
             Refusal::NotReady => "not_ready",
+            Refusal::Unconfirmed => "unconfirmed",
             Refusal::NoTarget => "no_target",
             Refusal::OldWeights => "old_weights",
             Refusal::Busy(_) => "busy",
@@ -100,6 +104,7 @@
             Refusal::BodyTooLarge => "the body is longer than allowed; send less",
             Refusal::Malformed => "the request can't be read; send it whole",
             Refusal::NotReady => "not run: this entry has just started; come back",
+            Refusal::Unconfirmed => "not run: this entry may lack a change; ask another one",
             Refusal::NoTarget => "not run: no target can take it now; come back",
             Refusal::OldWeights => "not run: no target runs the newest weights yet; come back",
             Refusal::Busy(_) | Refusal::TooLate => "not run: no target was free in time; come back",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 pub mod call;
 pub mod events;
 pub mod examine;
+pub mod freshness;
 pub mod job;
 pub mod line_budget;
 pub mod news_sources;
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -21,7 +21,7 @@
 use super::rank::Rank;
 use super::record::{Ended, Record};
 use super::relay::{self, EventRelay};
-use super::state::Gateway;
+use super::state::{Confirmation, Gateway};
 use crate::clock::boot_now;
 use crate::deployment::{Rejection, RunPolicy, Table};
 use crate::fleet::placement::SelectionError;
@@ -74,7 +74,10 @@
 ) -> Result<Job, (Refusal, String)> {
     let patience = patience_at_start(call.deadline);
     gateway.until_deployed(patience).await;
-    let Some(table) = gateway.table() else { return Err((Refusal::NotReady, call.id)) };
+    let table = match table_for(gateway, &call, record).await {
+        Ok(table) => table,
+        Err(refusal) => return Err((refusal, call.id)),
+    };
     let mut job = job(&table, head, call, arrived, record)?;
     let most = table.deployment().bounds.body_bytes;
     drop(table);
@@ -86,6 +89,27 @@
     Ok(job)
 }
 
+/// The table by which a request is routed, or refused for good: only by the newest deployment.
+async fn table_for(
+    gateway: &Gateway,
+    call: &Call,
+    record: &mut Record,
+) -> Result<Rc<Table>, Refusal> {
+    loop {
+        let table = gateway.table().ok_or(Refusal::NotReady)?;
+        let version = table.deployment().version;
+        record.looked_up(version);
+        if table.find(&call.host, &call.path, call.key.as_deref()).is_ok() {
+            return Ok(table);
+        }
+        match gateway.confirm(version).await {
+            Confirmation::Newest => return Ok(table),
+            Confirmation::LaterDeployment => {}
+            Confirmation::Unknown => return Err(Refusal::Unconfirmed),
+        }
+    }
+}
+
 /// How long a caller is kept waiting by an entry that has just started and knows nothing yet: a
 /// refusal would send it to another entry, which may have just started, too.
 pub fn patience_at_start(deadline: Option<Duration>) -> Duration {
@@ -100,7 +124,6 @@
     arrived: Instant,
     record: &mut Record,
 ) -> Result<Job, (Refusal, String)> {
-    record.looked_up(table.deployment().version);
     let found = match table.find(&call.host, &call.path, call.key.as_deref()) {
         Ok(found) => found,
         Err(Rejection::NoRoute) => return Err((Refusal::NoRoute, call.id)),
@@ -267,6 +290,8 @@
     let spread = COME_BACK_SPREAD.mul_f64(rand::rng().random());
     let come_back = match refusal {
         Refusal::Busy(come_back) | Refusal::Held(come_back) => come_back,
+        // Another entry may know more.
+        Refusal::Unconfirmed => Duration::ZERO,
         _ => COME_BACK_AFTER + spread,
     };
     let answer = refuse(refusal, id, come_back);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -11,14 +11,16 @@
 
 use super::call::ResponseMetadata;
 use super::examine;
+use super::freshness::{Freshness, Verdict};
 use super::job::Job;
 use super::line_budget::LineBudget;
 use super::news_sources::{HeldTargets, NewsSources};
 use super::pool::{Connection, Pool};
 use super::scheduler_client::SchedulerClient;
 use crate::clock::{BootTime, boot_now};
-use crate::control::frames::{News, NumberedRoster, RosterName};
+use crate::control::frames::{ConfirmId, News, NumberedRoster, RosterName};
 use crate::control::pieces::{Assembly, Piece, PieceError};
+use crate::deployment::document::DeploymentVersion;
 use crate::deployment::{Deployment, Table};
 use crate::fleet::budget::{RetryRule, RetryShare};
 use crate::fleet::compact::NameMissing;
@@ -61,6 +63,17 @@
     }
 }
 
+/// What is known of a deployment's being the newest one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Confirmation {
+    /// A replica has just confirmed it.
+    Newest,
+    /// A later one has come.
+    LaterDeployment,
+    /// No replica has confirmed it lately.
+    Unknown,
+}
+
 /// One entry.
 pub struct Gateway {
     /// Its settings.
@@ -100,6 +113,10 @@
     pub named_since: RefCell<RolloutHistories>,
     /// When a replica last said that what is known here is current.
     current_at: Cell<Option<BootTime>>,
+    /// How recent the deployment that is known here surely is.
+    freshness: RefCell<Freshness>,
+    /// The last request for a confirmation; 0 if there was none.
+    pub confirm_requests: watch::Sender<ConfirmId>,
     /// Rings when a deployment, or targets, are known that were not.
     known: Notify,
     /// Whether the process was asked to end.
@@ -122,6 +139,7 @@
         };
         let replicas = host.seeds.iter().map(|seed| seed.ip()).collect();
         let sources = RefCell::new(NewsSources::new(host.failure_domain.clone()));
+        let freshness = RefCell::new(Freshness::new(host.periods.in_force));
         Gateway {
             host,
             table: RefCell::default(),
@@ -141,6 +159,8 @@
             assembly: RefCell::default(),
             named_since: RefCell::default(),
             current_at: Cell::new(None),
+            freshness,
+            confirm_requests: watch::Sender::default(),
             known: Notify::new(),
             stopping: Cell::new(false),
             answering: Cell::new(0),
@@ -184,6 +204,27 @@
         self.until(at_most, || self.table.borrow().is_some()).await;
     }
 
+    /// Whether a request that the deployment of this version refuses may be refused for good. Waits for a replica's
+    /// confirmation if need be, and for a later deployment with it.
+    pub async fn confirm(&self, version: DeploymentVersion) -> Confirmation {
+        let request = self.freshness.borrow_mut().request(boot_now());
+        if let Some(id) = request {
+            self.confirm_requests.send_replace(id);
+        }
+        let verdict = || self.freshness.borrow().verdict(boot_now());
+        let is_later = || self.table().is_some_and(|table| table.deployment().version > version);
+        let first = verdict();
+        if let Verdict::Wait(until) = first {
+            let is_answered = || !matches!(verdict(), Verdict::Wait(_));
+            self.until(until.saturating_sub(boot_now()), || is_later() || is_answered()).await;
+        }
+        match verdict() {
+            _ if is_later() => Confirmation::LaterDeployment,
+            Verdict::Final => Confirmation::Newest,
+            Verdict::Wait(_) | Verdict::Unsure => Confirmation::Unknown,
+        }
+    }
+
     /// Waits until a target of a service is known, or the whole list, for so long at the most.
     pub async fn until_served(&self, service: &str, at_most: Duration) {
         let is_served = || self.fleet.borrow().live(service).next().is_some();
@@ -253,6 +294,10 @@
                 }
             }
             News::Deployment(deployment) => self.observe_deployment(deployment),
+            News::Confirmed { id, age } => {
+                self.freshness.borrow_mut().confirmed(id, age);
+                self.known.notify_waiters();
+            }
             News::Weights(named) => {
                 weights::observe_ages(&mut self.named_since.borrow_mut(), named, boot_now());
             }
--- a/src/gateway/subscription.rs
+++ b/src/gateway/subscription.rs
@@ -78,6 +78,7 @@
     let introduction = Introduction::Entry {
         name: gateway.host.name.clone(),
         failure_domain: gateway.host.failure_domain.clone(),
+        deployment: gateway.table().map_or(0, |table| table.deployment().version),
         named: weights::ages(&gateway.named_since.borrow(), boot_now()),
     };
     write.write_all(&encode(&introduction)).await?;
@@ -97,6 +98,11 @@
     // A replica that has started again knows only what it is told.
     quarantine.mark_changed();
     let mut told = Revision::default();
+    let mut confirm = gateway.confirm_requests.subscribe();
+    // A replica that was just turned to may know what the one before did not.
+    if *confirm.borrow() > 0 {
+        confirm.mark_changed();
+    }
     loop {
         let frame = tokio::select! {
             request = requested.recv() => match request {
@@ -104,6 +110,10 @@
                 // Nobody listens any more.
                 None => return Ok(()),
             },
+            changed = confirm.changed() => {
+                changed.map_err(std::io::Error::other)?;
+                FromListener::Confirm(*confirm.borrow_and_update())
+            }
             changed = quarantine.changed() => {
                 changed.map_err(std::io::Error::other)?;
                 let known = quarantine.borrow_and_update();
--- a/src/host.rs
+++ b/src/host.rs
@@ -61,4 +61,6 @@
     pub old_weights: OldWeights,
     /// The window in which retries are counted.
     pub retry_window: Duration,
+    /// How long after its acknowledgement a deployment may take to be in force; `None` if nothing is promised.
+    pub in_force: Option<Duration>,
 }
--- a/tests/deployment/gateway.rs
+++ b/tests/deployment/gateway.rs
@@ -82,6 +82,19 @@
         self.hears_list(1, targets);
     }
 
+    /// A replica confirms from now on that what the entry knows is the newest.
+    pub fn is_confirmed(&self) {
+        let gateway = self.gateway.clone();
+        tokio::task::spawn_local(async move {
+            let mut requests = gateway.confirm_requests.subscribe();
+            while requests.changed().await.is_ok() {
+                let id = *requests.borrow_and_update();
+                let confirmed = News::Confirmed { id, age: Duration::ZERO };
+                gateway.observe(confirmed).expect("it is whole");
+            }
+        });
+    }
+
     pub fn hears_list(&self, number: u64, targets: Vec<Listed>) {
         let roster = NumberedRoster::new(number, Arc::new(roster(targets)));
         self.gateway.observe_list(roster);
@@ -184,6 +197,7 @@
 fn what_no_route_or_account_allows_never_reaches_a_target() {
     run(async {
         let (entry, one, two) = before_two("app", vec![], vec![]).await;
+        entry.is_confirmed();
         assert_eq!(entry.call("/elsewhere/", "r1").await.status, 404);
         let mut stream = TcpStream::connect(entry.address).await.expect("it listens");
         let request = "GET /safe/ HTTP/1.1\r\nHost: shop.example\r\nAuthorization: Bearer no\r\n\
--- a/tests/deployment/told_once.rs
+++ b/tests/deployment/told_once.rs
@@ -229,6 +229,7 @@
     let entry = Introduction::Entry {
         name: "entry".into(),
         failure_domain: "hall".into(),
+        deployment: 0,
         named: [("m".to_string(), named)].into(),
     };
     core.eventually("it tells what it was told", |core| {
@@ -288,6 +289,7 @@
     let entry = Introduction::Entry {
         name: name.into(),
         failure_domain: "hall".into(),
+        deployment: 0,
         named: NamedAges::new(),
     };
     stream.write_all(&encode(&entry)).await?;
--- a/tests/deployment/weights_in_force.rs
+++ b/tests/deployment/weights_in_force.rs
@@ -55,6 +55,7 @@
     let entry = Introduction::Entry {
         name: "entry".into(),
         failure_domain: "hall".into(),
+        deployment: 0,
         named: NamedAges::new(),
     };
     stream.write_all(&encode(&entry)).await?;
