A replica that may be behind still publishes a later deployment to entries that serve by an older one

What callers saw: the same refusals, and requests sent by old routes, while replicas that had applied the change kept it to themselves. Cause: a replica without a recent word of its leader publishes nothing, lest an entry that has just started begins with an old deployment. What is committed stays so, and for an entry that has an older one it is never wrong: entries tell their version when they connect. Evidence: final_refusals::an_entry_is_told_of_a_change_by_a_replica_that_is_behind (red before).

--- a/src/control/news.rs
+++ b/src/control/news.rs
@@ -168,6 +168,9 @@
             if let Some(frame) = list.next_frame(shared) {
                 bytes.extend_from_slice(&frame);
             }
+        } else if known.version > 0 {
+            // What is committed stays so: for an entry that serves by an older one it is never wrong.
+            known.add_deployment(shared, &mut bytes);
         }
         if !bytes.is_empty() {
             write.write_all(&bytes).await?;
