Soak: no entry refuses for good what the newest deployment allows, whatever befalls it; disks that are kept busy

The soak judged an entry's answers about deployments only after ten calm seconds, by a bound longer than the deployments', and never a 401. Now a route and a key of the newest deployment, acknowledged two seconds before, are asked for at all times, during faults too.

--- /dev/null
+++ b/tests/soak/disks.rs
@@ -0,0 +1,53 @@
+//! The disk that all replicas of a run share, kept busy for some seconds now and then.
+
+use std::fs::File;
+use std::io::Write;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::World;
+
+/// One seed of so many keeps its disk busy: it slows all that a machine writes.
+const ONE_SEED_OF: u64 = 4;
+/// Files that are written and synced at a time, and their size.
+const WRITERS: usize = 6;
+const FILE_BYTES: usize = 16 << 20;
+
+/// Keeps the disk busy by turns until the run has settled.
+pub async fn run(world: Arc<World>, settled: Arc<AtomicBool>) {
+    if !world.seed.is_multiple_of(ONE_SEED_OF) {
+        return;
+    }
+    let mut random = SmallRng::seed_from_u64(world.seed ^ 0x6469_736b);
+    while !settled.load(Ordering::Relaxed) {
+        tokio::time::sleep(Duration::from_millis(random.random_range(4_000..12_000))).await;
+        let ends = Instant::now() + Duration::from_millis(random.random_range(1_000..5_000));
+        let harm = world.begin_harm();
+        let folder = world.system().folder.path().to_path_buf();
+        let writers = (0..WRITERS).map(|n| {
+            let path = folder.join(format!("busy-{n}"));
+            tokio::task::spawn_blocking(move || write_until(path, ends))
+        });
+        for writer in writers.collect::<Vec<_>>() {
+            writer.await.expect("it does not panic");
+        }
+        world.end_harm(harm);
+    }
+}
+
+fn write_until(path: PathBuf, ends: Instant) {
+    let block = vec![7; 1 << 20];
+    while Instant::now() < ends {
+        let mut file = File::create(&path).expect("a file");
+        for _ in 0..FILE_BYTES / block.len() {
+            file.write_all(&block).expect("there is room");
+        }
+        file.sync_all().expect("it is written");
+    }
+    std::fs::remove_file(&path).expect("it is ours");
+}
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -6,6 +6,7 @@
 //! arguments: short runs.
 
 mod callers;
+mod disks;
 mod ending;
 mod faults;
 mod listing;
@@ -68,6 +69,8 @@
     pub tally: Tally,
     /// Answers of entries about what is in force that could be judged.
     pub judged: AtomicU64,
+    /// Requests of routes and keys that must not be refused for good.
+    pub finals: AtomicU64,
     system: Mutex<System>,
     published: Mutex<Published>,
     claims: Mutex<Vec<Claim>>,
@@ -203,6 +206,7 @@
         store,
         tally: Tally::default(),
         judged: AtomicU64::new(0),
+        finals: AtomicU64::new(0),
         system: Mutex::new(System::start(
             entries,
             lists.iter().map(|list| list.address).collect(),
@@ -224,6 +228,7 @@
     let operator = tokio::spawn(operator::run(world.clone(), settled.clone()));
     tasks.spawn(operator::probe(world.clone(), ending.clone()));
     tasks.spawn(ending::run(world.clone(), settled.clone()));
+    tasks.spawn(disks::run(world.clone(), settled.clone()));
     faults.run(lasts).await;
     settled.store(true, Ordering::Relaxed);
     operator.await.expect("it does not panic");
@@ -248,7 +253,7 @@
     let of = |count: &AtomicU64| count.load(Ordering::Relaxed);
     format!(
         "sent={} whole={} refused={} failed={} faults={} restarts={} orders={} freed={} fetched={} \
-         judged={} ending={} ends={} held={} seconds={}",
+         judged={} finals={} ending={} ends={} held={} seconds={}",
         of(&world.tally.sent),
         of(&world.tally.whole),
         of(&world.tally.refused),
@@ -259,6 +264,7 @@
         platform.store.freed,
         platform.store.fetched,
         of(&world.judged),
+        of(&world.finals),
         platform.account.ending.len(),
         platform.account.ending.values().map(|ending| ending.ended.len()).sum::<usize>(),
         of(&world.tally.held),
--- a/tests/soak/operator.rs
+++ b/tests/soak/operator.rs
@@ -18,8 +18,13 @@
 /// An acknowledged deployment is in force everywhere after this time. Longer than deployments ask
 /// for: a busy machine may keep a process waiting for a while.
 const IN_FORCE: Duration = Duration::from_secs(10);
+/// A route or key is not refused for good later than this after its deployment was acknowledged: as deployments ask
+/// for, and by every entry, whatever befalls it.
+const NOT_REFUSED_AFTER: Duration = Duration::from_secs(2);
 /// Longest wait for one call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// The first of the numbers that tell these requests from others.
+const REFUSALS_FROM: u64 = 2_000_000;
 /// Longest wait for the system to be whole again after its last fault.
 const RECOVERS_WITHIN: Duration = Duration::from_secs(40);
 
@@ -32,7 +37,7 @@
     acknowledged: Option<(u64, Instant)>,
 }
 
-/// Routes for each kind, and one that only this version has.
+/// Routes for each kind, and a route and a key that only this version has.
 fn document(version: u64, store: &str) -> Value {
     let route = |name: &str, kind: &str, service: &str, resumable: bool| {
         json!({"Name": name, "Host": "shop.example", "PathPrefix": format!("/{name}/"),
@@ -40,13 +45,14 @@
                "Attempts": 2, "Public": false, "Sticky": kind == "stream",
                "Resumable": resumable, "GapTargetMs": 300})
     };
-    let tenants: Vec<Value> = ACCOUNTS
+    let mut tenants: Vec<Value> = ACCOUNTS
         .iter()
         .map(|(name, key)| {
             let isolated = *name == crate::platform_stand_in::target::ISOLATED;
             json!({"Name": name, "ApiKeys": [key], "Isolated": isolated})
         })
         .collect();
+    tenants.push(json!({"Name": "changing", "ApiKeys": [key_of(version)]}));
     json!({"Version": version,
            "Routes": [route("unsafe", "unsafe", "app", false), route("safe", "safe", "app", false),
                       route("stream", "stream", "llm", false),
@@ -67,6 +73,10 @@
     format!("only-{version}")
 }
 
+fn key_of(version: u64) -> String {
+    format!("key-of-{version}")
+}
+
 /// Makes changes until it is told to end.
 pub async fn run(world: Arc<World>, ending: Arc<AtomicBool>) {
     let mut random = SmallRng::seed_from_u64(world.seed ^ 0x6f70);
@@ -195,7 +205,10 @@
             (system.callers(entry), system.processes[entry].starts, Instant::now())
         };
         count += 1;
-        let Some(status) = ask(address, &only(version), count).await else { continue };
+        check_refusal(&world, entry, address, count).await;
+        let Some(status) = ask(address, &only(version), ACCOUNTS[0].1, count).await else {
+            continue;
+        };
         if !(200..300).contains(&status) && status != 404 {
             continue;
         }
@@ -223,13 +236,34 @@
     }
 }
 
-async fn ask(address: std::net::SocketAddr, route: &str, count: u64) -> Option<u16> {
+/// Asks an entry for what only the newest deployment allows, a route or a key by turns.
+async fn check_refusal(world: &World, entry: usize, address: std::net::SocketAddr, count: u64) {
+    let Some((newest, at)) = world.published().acknowledged else { return };
+    if at.elapsed() <= NOT_REFUSED_AFTER {
+        return;
+    }
+    let (route, key) = match count % 2 {
+        0 => (only(newest), ACCOUNTS[0].1.to_string()),
+        _ => ("safe".to_string(), key_of(newest)),
+    };
+    let Some(status) = ask(address, &route, &key, REFUSALS_FROM + count).await else { return };
+    world.finals.fetch_add(1, Ordering::Relaxed);
+    let is_final = [401, 403, 404].contains(&status);
+    if is_final && world.published().is_newest(newest) {
+        let after = at.elapsed();
+        world.violation(format!(
+            "entry-{entry} refuses {route} with {key} for good: {status}, {after:?} after {newest}"
+        ));
+    }
+}
+
+async fn ask(address: std::net::SocketAddr, route: &str, key: &str, count: u64) -> Option<u16> {
     let request = Request::builder()
         .uri(format!("/{route}/"))
         .header("host", "shop.example")
         .header("x-request-id", format!("safe-probe-{count}"))
         .header("x-deadline-ms", 2_000)
-        .header("authorization", format!("Bearer {}", ACCOUNTS[0].1))
+        .header("authorization", format!("Bearer {key}"))
         .body(Full::new(Bytes::new()))
         .expect("valid headers");
     let mut sender = open(address).await?;
@@ -250,7 +284,7 @@
     for entry in 0..world.entries {
         let address = world.system().callers(entry);
         let mut count = 0;
-        while ask(address, &only(version), 1_000_000 + count).await != Some(200) {
+        while ask(address, &only(version), ACCOUNTS[0].1, 1_000_000 + count).await != Some(200) {
             count += 1;
             // One that was stopped by plan may have to be started still.
             let wrong = world.system().look_after();
--- a/tests/soak/system.rs
+++ b/tests/soak/system.rs
@@ -138,7 +138,7 @@
             "FirstStart": is_first_start, "Limits": {"MemoryMb": 256, "MaxFds": 4096},
             "DataDir": (!is_entry).then(|| self.file(n, "data")),
             "Cloud": {"Addr": list, "RatePerS": 44.0}, "Tolerate": {"Machines": 2},
-            "Bounds": {"GraceS": GRACE.as_secs(), "LeaseMs": 3000, "ThawMs": 300,
+            "Bounds": {"ConfigApplyMs": 2000, "GraceS": GRACE.as_secs(), "LeaseMs": 3000, "ThawMs": 300,
                        "BudgetRatio": 0.2, "BudgetWindowS": 10, "BudgetSlack": 50,
                        "VersionMs": 6000, "VersionAllMs": 8400}
         });
