A body is refused for good as too long only by the newest deployment

The same cause elsewhere: 413 is final for callers as 401 and 404 are, and rested on a bound of whatever age. Red before (final_refusals::an_entry_that_no_replica_confirms_refuses_no_long_body_for_good: 413 in place of 503; the mend is in the same commit). Heads beyond their bound (431) are still refused by the HTTP library, by the bound that was in force when the connection was opened.

--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -79,11 +79,15 @@
         Err(refusal) => return Err((refusal, call.id)),
     };
     let mut job = job(&table, head, call, arrived, record)?;
-    let most = table.deployment().bounds.body_bytes;
+    let (version, most) = (table.deployment().version, table.deployment().bounds.body_bytes);
     drop(table);
     gateway.until_served(&job.service, patience.saturating_sub(arrived.elapsed())).await;
     job.body = match read_body(body, most).await {
         Ok(body) => body,
+        // Its beginning is gone, so that it can't be taken by a later deployment that allows more.
+        Err(Refusal::BodyTooLarge) if gateway.confirm(version).await != Confirmation::Newest => {
+            return Err((Refusal::Unconfirmed, job.call.id));
+        }
         Err(refusal) => return Err((refusal, job.call.id)),
     };
     Ok(job)
--- a/tests/deployment/final_refusals.rs
+++ b/tests/deployment/final_refusals.rs
@@ -21,7 +21,7 @@
 use tokio::task::LocalSet;
 
 use crate::asking::shared;
-use crate::fixtures::{account, ms, route, target};
+use crate::fixtures::{account, address, ms, route, target};
 use crate::gateway::{Entry, Got, entry, ok, run, unhurried};
 use crate::stand_in::{StandIn, Then, header};
 
@@ -150,6 +150,21 @@
     });
 }
 
+/// Guards against the same where a bound forbids what a later deployment allows.
+#[test]
+fn an_entry_that_no_replica_confirms_refuses_no_long_body_for_good() {
+    run(async {
+        let mut strict = unhurried();
+        strict.bounds.body_bytes = 3;
+        let entry = entry(strict, vec![target("i-1", "app", address(1))]).await;
+        may_come_back(&entry.call("/safe/", "r1").await, "a body of four bytes");
+        entry.is_confirmed();
+        // After a request without an answer nobody waits for the next one, which this caller makes.
+        may_come_back(&entry.call("/safe/", "r2").await, "a body of four bytes");
+        assert_eq!(entry.call("/safe/", "r3").await.status, 413);
+    });
+}
+
 /// Guards against a mend that never says no: such callers would come back for nothing.
 #[test]
 fn an_entry_that_a_replica_confirms_refuses_unknown_routes_and_keys_for_good() {
