--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -13,6 +13,7 @@
 mod fixtures;
 mod foreign_bytes;
 mod forming;
+mod freshness;
 mod gateway;
 mod headers;
 mod identity;
