--- a/.ci/mutations.py
+++ b/.ci/mutations.py
@@ -38,7 +38,7 @@
     ("fresh: a confirmation of any age counts", "src/gateway/freshness.rs",
      "asked_at.checked_sub(age)", "asked_at.checked_sub(age.min(Duration::ZERO))", "deployment", "freshness"),
     ("fresh: a replica that is behind keeps changes", "src/control/publisher.rs",
-     "} else if sent.version > 0 {", "} else if sent.version > u64::MAX - 1 {", "deployment", "final_refusals"),
+     "} else if self.version > 0 {", "} else if self.version > u64::MAX - 1 {", "deployment", "final_refusals"),
     ("vote twice in a term", "src/log/raft/election.rs",
      "let free = self.vote.voted_for.is_none_or(|voted_for| voted_for == from);", "let free = true;", "logic", "log_schedules"),
     ("after a restart, vote at once", "src/log/raft/restart.rs",
--- a/src/control/publisher.rs
+++ b/src/control/publisher.rs
@@ -12,7 +12,7 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use super::frames::{self, FromSubscriber, Introduction, ToReplica, Update, encode};
+use super::frames::{self, ConfirmId, FromSubscriber, Introduction, ToReplica, Update, encode};
 use super::list_publisher::ListPublisher;
 use super::replica::Input;
 use super::scheduling::Scheduling;
@@ -122,7 +122,6 @@
     let mut suspects = shared.suspects.subscribe();
     belief.mark_changed();
     let mut sent = Sent { version: deployment, ..Sent::default() };
-    let mut confirm = None;
     let mut list = ListPublisher::default();
     let mut request = pin!(next_request(read));
     let mut next_look = Instant::now();
@@ -135,7 +134,7 @@
                 match frame {
                     FromSubscriber::FollowTargets(asked) => list.subscribe(asked, shared),
                     FromSubscriber::Quarantine(reports) => shared.observe_quarantine(reports),
-                    FromSubscriber::Confirm(id) => confirm = Some(id),
+                    FromSubscriber::Confirm(id) => sent.confirm = Some(id),
                 }
                 request.set(next_request(read));
             }
@@ -153,25 +152,11 @@
                 next_look = Instant::now() + if is_current { HEARTBEAT_EVERY } else { LOOK_EVERY };
             }
         }
-        // Before an entry that has just started knows what it needs to serve.
-        sent.add_quarantine(shared, &mut bytes);
-        // What this replica has is published only once it is sure not to be behind: an entry that has
-        // just started would otherwise act on an old deployment.
-        if shared.is_current(CURRENT_WITHIN) {
-            sent.add_domains(shared, &mut bytes);
-            sent.add_leader(shared, &mut bytes);
-            sent.add_weights(shared, &mut bytes);
-            sent.add_deployment(shared, &mut bytes);
-            if let Some(id) = confirm.take() {
-                let age = shared.caught_up_age();
-                bytes.extend_from_slice(&encode(&Update::Confirmed { id, age }));
-            }
-            if let Some(frame) = list.next_frame(shared) {
-                bytes.extend_from_slice(&frame);
-            }
-        } else if sent.version > 0 {
-            // What is committed stays so: for an entry that serves by an older one it is never wrong.
-            sent.add_deployment(shared, &mut bytes);
+        sent.add_changes(shared, &mut bytes);
+        if shared.is_current(CURRENT_WITHIN)
+            && let Some(frame) = list.next_frame(shared)
+        {
+            bytes.extend_from_slice(&frame);
         }
         if !bytes.is_empty() {
             write.write_all(&bytes).await?;
@@ -191,6 +176,8 @@
 #[derive(Default)]
 struct Sent {
     version: DeploymentVersion,
+    /// A request for a confirmation that has no answer yet.
+    confirm: Option<ConfirmId>,
     domains: BTreeMap<IpAddr, DomainId>,
     weights: RolloutHistories,
     /// Whether an age that was sent last is one that a bound may depend on.
@@ -202,6 +189,32 @@
 }
 
 impl Sent {
+    /// Adds what has changed since it was last sent, as far as this replica may publish it.
+    fn add_changes(&mut self, shared: &Shared, bytes: &mut Vec<u8>) {
+        // Before an entry that has just started knows what it needs to serve.
+        self.add_quarantine(shared, bytes);
+        // What this replica has is published only once it is sure not to be behind: an entry that has
+        // just started would otherwise act on an old deployment.
+        if shared.is_current(CURRENT_WITHIN) {
+            self.add_domains(shared, bytes);
+            self.add_leader(shared, bytes);
+            self.add_weights(shared, bytes);
+            self.add_deployment(shared, bytes);
+            self.add_confirmation(shared, bytes);
+        } else if self.version > 0 {
+            // What is committed stays so: for an entry that serves by an older one it is never wrong.
+            self.add_deployment(shared, bytes);
+        }
+    }
+
+    /// Confirms that the entry was sent the newest deployment, if it waits for that.
+    fn add_confirmation(&mut self, shared: &Shared, bytes: &mut Vec<u8>) {
+        if let Some(id) = self.confirm.take() {
+            let age = shared.caught_up_age();
+            bytes.extend_from_slice(&encode(&Update::Confirmed { id, age }));
+        }
+    }
+
     /// Repeats ages that a bound may depend on, until they have been sent beyond it. They count from
     /// when the entry reads them: what has lain in a socket meanwhile makes namings too young for good.
     fn repeat_ages(&mut self, repeated_for: Duration, bytes: &mut Vec<u8>) {
