--- a/tests/deployment/gateway.rs
+++ b/tests/deployment/gateway.rs
@@ -447,6 +447,7 @@
         small.bounds.body_bytes = 3;
         let one = StandIn::start(vec![]).await;
         let entry = entry(small, vec![target("i-1", "app", one.address)]).await;
+        entry.is_confirmed();
         assert_eq!(entry.call("/once/", "r1").await.status, 413);
         assert_eq!(one.seen(), 0);
     });
