--- a/tests/logic/votes.rs
+++ b/tests/logic/votes.rs
@@ -152,3 +152,53 @@
     let late = LATER + TIMING.election;
     assert_eq!(answer(&mut raft, request(7, 6, 4), late).0, Some(true));
 }
+
+/// Guards against elections that are torn down while voters still write their votes.
+#[test]
+fn who_has_voted_helps_nobody_else_to_an_election_until_its_candidate_has_had_its_time() {
+    let mut raft = replica();
+    raft.receive(2, request(6, 5, 4), LATER);
+    raft.take_effects(LATER);
+    let pre_vote = || Message::PreVote { term: 7, last_index: 9, last_term: 6 };
+    let is_granted = |raft: &mut Raft, now: Duration| {
+        raft.receive(3, pre_vote(), now);
+        let early = raft.take_effects(now).early;
+        let reply = |(_, message): &(u64, Message)| match message {
+            Message::PreVoteReply { granted, .. } => Some(*granted),
+            _ => None,
+        };
+        early.iter().find_map(reply).expect("it answers at once")
+    };
+    let saved_at = LATER + Duration::from_secs(2);
+    assert!(!is_granted(&mut raft, saved_at), "its vote is still being written");
+    raft.saved(saved_at);
+    assert!(!is_granted(&mut raft, saved_at + Duration::from_secs(4)), "others write as long");
+    let over = saved_at + Duration::from_secs(4) + TIMING.election * 2;
+    assert!(is_granted(&mut raft, over), "the candidate has had its time");
+}
+
+/// Guards against entries that became void while they were being written, and count as durable.
+#[test]
+fn a_recovering_replica_does_not_count_entries_that_became_void_while_they_were_written() {
+    let vote = Vote { term: 5, ..Vote::default() };
+    let recovered = Recovered { vote, lost: true, ..Recovered::default() };
+    let mut raft = Raft::new(1, Members::of([1, 2, 3]), TIMING, recovered, 1, START);
+    let append = |term: u64, count: u64| Message::Append {
+        term,
+        prev_index: 0,
+        prev_term: 0,
+        entries: (1..=count).map(|index| Entry { index, term, payload: Payload::Noop }).collect(),
+        commit: 0,
+        last_index: 4,
+        round: 1,
+        answered: None,
+    };
+    raft.receive(2, append(6, 4), LATER);
+    raft.take_effects(LATER);
+    raft.receive(3, append(7, 2), LATER);
+    raft.saved(LATER);
+    assert!(raft.status().recovering, "what was written is void");
+    raft.take_effects(LATER);
+    raft.saved(LATER);
+    assert!(raft.status().recovering, "it has two entries of four");
+}
