The soak's processes have process groups of their own

The soak had just halted one of its processes: a process group that is orphaned with a halted member gets SIGHUP, of which shell, cargo and soak died, while the soak's entries and replicas, which take it for a reload, ran on. A test more guards followers of a leader that was cut off.

--- a/tests/logic/replicas.rs
+++ b/tests/logic/replicas.rs
@@ -148,3 +148,22 @@
     world.run(TIMING.election * 10);
     world.recover();
 }
+
+/// Guards against a follower that is kept current by a leader which others have replaced.
+#[test]
+fn who_follows_a_leader_that_was_cut_off_has_not_caught_up_by_it() {
+    for seed in 0..50 {
+        let (mut world, old) = with_leader(5, seed);
+        let follower = others(&world, old)[0];
+        world.cut_off([old, follower]);
+        let end = world.now + TIMING.election * 4;
+        while world.now < end {
+            // The world checks after each step who holds itself for caught up.
+            if let Some(new) = world.leader().filter(|new| *new != old) {
+                world.propose(new);
+            }
+            world.step();
+        }
+        assert!(!world.acknowledged.is_empty(), "seed {seed}: the others go on");
+    }
+}
--- a/tests/soak/system.rs
+++ b/tests/soak/system.rs
@@ -2,6 +2,7 @@
 
 use std::fs::File;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command};
 use std::time::{Duration, Instant};
@@ -148,6 +149,9 @@
         let child = Command::new(env!("CARGO_BIN_EXE_kumquatpost"))
             .arg(process.role)
             .env("KUMQUATPOST_SETTINGS", path)
+            // The shell that started the soak may end before it: a group that is orphaned while one of its
+            // processes is halted gets SIGHUP.
+            .process_group(0)
             .stdout(log().expect("a file"))
             .stderr(log().expect("a file"))
             .spawn()
