--- a/tests/deployment/final_refusals.rs
+++ b/tests/deployment/final_refusals.rs
@@ -21,7 +21,7 @@
 use tokio::task::LocalSet;
 
 use crate::asking::shared;
-use crate::fixtures::{account, address, ms, route, target};
+use crate::fixtures::{account, address, loopback, ms, route, target};
 use crate::gateway::{Entry, Got, entry, ok, run, unhurried};
 use crate::stand_in::{StandIn, Then, header};
 
@@ -38,9 +38,8 @@
 }
 
 impl StandInReplica {
-    fn start(entry: &Entry, ip: &str, version: u64) -> Arc<StandInReplica> {
+    fn start(entry: &Entry, ip: IpAddr, version: u64) -> Arc<StandInReplica> {
         let replica = Arc::new(StandInReplica { version: version.into(), ..Default::default() });
-        let ip: IpAddr = ip.parse().expect("an address");
         let at = SocketAddr::new(ip, entry.gateway.host.peer_port);
         let serving = replica.clone();
         std::thread::spawn(move || serving.serve(at));
@@ -109,7 +108,7 @@
 }
 
 /// An entry before one target, which hears one replica that has published version 1.
-async fn hearing(ip: &str) -> (Entry, Arc<StandInReplica>, StandIn, Essentials) {
+async fn hearing(ip: IpAddr) -> (Entry, Arc<StandInReplica>, StandIn, Essentials) {
     let answers = (0..4).map(|_| (ok("done"), Then::KeepOpen)).collect();
     let app = StandIn::start(answers).await;
     let entry = entry(unhurried(), vec![target("i-1", "app", app.address)]).await;
@@ -136,7 +135,7 @@
 #[test]
 fn an_entry_that_no_replica_confirms_refuses_nobody_for_good_and_serves_what_it_knows() {
     run(async {
-        let (entry, replica, app, _tasks) = hearing("127.98.1.1").await;
+        let (entry, replica, app, _tasks) = hearing(loopback(101)).await;
         replica.set_behind(true);
         tokio::time::sleep(IN_FORCE + ms(200)).await;
         may_come_back(&entry.call("/added/", "r1").await, "a route");
@@ -169,7 +168,7 @@
 #[test]
 fn an_entry_that_a_replica_confirms_refuses_unknown_routes_and_keys_for_good() {
     run(async {
-        let (entry, replica, app, _tasks) = hearing("127.98.1.2").await;
+        let (entry, replica, app, _tasks) = hearing(loopback(102)).await;
         assert_eq!(entry.call("/added/", "r1").await.status, 404);
         assert_eq!(call_with_key(&entry, "/safe/", "key-added").await.status, 401);
         replica.publish(2);
@@ -189,7 +188,7 @@
 #[test]
 fn an_entry_that_stood_still_is_not_confirmed_by_what_came_meanwhile() {
     run(async {
-        let (entry, replica, _app, _tasks) = hearing("127.98.1.3").await;
+        let (entry, replica, _app, _tasks) = hearing(loopback(103)).await;
         let silenced = std::thread::spawn(move || {
             std::thread::sleep(ms(1_000));
             replica.set_behind(true);
@@ -206,7 +205,7 @@
 #[test]
 fn an_entry_is_told_of_a_change_by_a_replica_that_is_behind() {
     run(async {
-        let (entry, replica, _app, _tasks) = hearing("127.98.1.4").await;
+        let (entry, replica, _app, _tasks) = hearing(loopback(104)).await;
         replica.set_behind(true);
         replica.publish(2);
         until("it hears of the change", || {
