--- a/src/control/shared.rs
+++ b/src/control/shared.rs
@@ -43,14 +43,14 @@
     /// The list of targets.
     pub roster: watch::Sender<NumberedRoster>,
     /// Lists of targets before that one, the last ones: what an entry holds that has just lost another
-    /// replica is one of them, and it is told the differences alone.
+    /// replica is one of them, and it is sent the differences alone.
     pub earlier_rosters: RefCell<VecDeque<NumberedRoster>>,
-    /// The frames that tell entries the whole list, with its name: all entries are told the same.
+    /// The frames that publish the whole list, with its name: all entries are sent the same.
     pub roster_pieces: RefCell<(RosterName, PieceFrames)>,
     /// The failure domain of each replica that is known.
     pub domains: watch::Sender<BTreeMap<IpAddr, DomainId>>,
-    /// The frame that tells entries of the last change of the list, with both names: most entries
-    /// are told the same.
+    /// The frame that publishes the last change of the list, with both names: most entries
+    /// are sent the same.
     pub roster_update: RefCell<(RosterName, RosterName, Arc<[u8]>)>,
     /// Who reads the list.
     pub reading: Cell<ReaderElection>,
@@ -58,18 +58,18 @@
     pub caught_up_at: Cell<Option<BootTime>>,
     /// Entries that are connected here, with the number of their connections.
     pub own_entries: RefCell<BTreeMap<String, u32>>,
-    /// Entries that are connected to any replica; `None` until the others had time to tell theirs.
+    /// Entries that are connected to any replica; `None` until the others had time to send theirs.
     pub entries: Cell<Option<u32>>,
     /// Engines that are about to load other weights, or load them. They get no new prompts.
     pub changing: RefCell<BTreeSet<TargetStart>>,
     /// When weights were named, as far as this replica knows.
     pub named_since: RefCell<RolloutHistories>,
-    /// Whether this process has led, or a leader has told it how long ago weights were named. Until
+    /// Whether this process has led, or a leader has sent it how long ago weights were named. Until
     /// then it may take old namings for new: the log lags behind ages while disks stand still.
     pub knows_ages: Cell<bool>,
     /// Requests under which targets have ended.
     pub quarantine: watch::Sender<Quarantine>,
-    /// The revision of that which entries must hear of: most changes concern requests under which one target has
+    /// The revision of that which entries must know of: most changes concern requests under which one target has
     /// ended, and wake no entry's connection.
     pub suspects: watch::Sender<Revision>,
     /// Connections to other replicas.
@@ -104,14 +104,14 @@
     AgesUnknown,
 }
 
-/// Who does not know what this replica knows once it has heard a list of targets.
+/// Who does not know what this replica knows once it has received a list of targets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StalePeers {
-    /// The list that was heard is the one that is known here.
+    /// The list that was received is the one that is known here.
     Nobody,
     /// The sender has an earlier list.
     Sender,
-    /// Neither list told all who leave.
+    /// Neither list named all who leave.
     Everybody,
 }
 
@@ -125,25 +125,25 @@
         }
     }
 
-    /// Takes a list of targets that another replica knows. Returns who must be told what is known now.
-    pub fn observe_roster(&self, heard: NumberedRoster) -> StalePeers {
+    /// Takes a list of targets that another replica knows. Returns to whom to send what is known now.
+    pub fn observe_roster(&self, received: NumberedRoster) -> StalePeers {
         let earlier = self.roster.borrow().clone();
         let before = earlier.name();
         let changed = self.roster.send_if_modified(|known| {
-            known.join(&heard);
+            known.join(&received);
             known.name() != before
         });
         if changed {
             self.keep_earlier(earlier);
         }
         match self.roster.borrow().name() {
-            known if known == heard.name() => StalePeers::Nobody,
+            known if known == received.name() => StalePeers::Nobody,
             known if known == before => StalePeers::Sender,
             _ => StalePeers::Everybody,
         }
     }
 
-    /// Hears that another replica has read the list. Returns whether the one that it knows is later than
+    /// Takes note that another replica has read the list. Returns whether the one that it knows is later than
     /// the one that is known here.
     pub fn observe_read(&self, name: RosterName, began: BootTime) -> Ordering {
         let order = name.cmp(&self.roster.borrow().name());
@@ -164,7 +164,7 @@
     }
 
     /// Takes a list of targets that this replica has read, or found out more about. Returns whether
-    /// others must be told of it.
+    /// it must be sent to others.
     pub fn change_roster(&self, change: impl FnOnce(&mut Roster) -> bool) -> bool {
         let least = {
             let belief = self.belief.borrow();
@@ -202,7 +202,7 @@
         self.earlier_rosters.borrow().iter().find(|earlier| earlier.name() == name).cloned()
     }
 
-    /// The frames that tell a whole list.
+    /// The frames that publish a whole list.
     pub fn pieces_of(&self, list: &NumberedRoster) -> PieceFrames {
         let mut cached = self.roster_pieces.borrow_mut();
         if cached.0 != list.name() {
@@ -212,16 +212,17 @@
         cached.1.clone()
     }
 
-    /// The frame that tells an entry how the list differs from the one that it was told.
-    pub fn roster_change(&self, told: &NumberedRoster, now: &NumberedRoster) -> Arc<[u8]> {
-        let mut news = self.roster_update.borrow_mut();
-        let (before, name) = (told.name(), now.name());
-        if (news.0, news.1) != (before, name) {
-            let RosterChange { changed, gone } = told.roster.change_to(&now.roster);
+    /// The frame that publishes how the list differs from the one that an entry was sent.
+    pub fn roster_change(&self, sent: &NumberedRoster, now: &NumberedRoster) -> Arc<[u8]> {
+        let mut update = self.roster_update.borrow_mut();
+        let (before, name) = (sent.name(), now.name());
+        if (update.0, update.1) != (before, name) {
+            let RosterChange { changed, gone } = sent.roster.change_to(&now.roster);
             let changed = CompactTargets::of(changed.iter());
-            *news = (before, name, encode(&Update::RosterChanged { before, name, changed, gone }));
+            *update =
+                (before, name, encode(&Update::RosterChanged { before, name, changed, gone }));
         }
-        news.2.clone()
+        update.2.clone()
     }
 
     /// Takes when weights were named, as the replicated state tells it.
@@ -243,12 +244,12 @@
         self.suspects.send_if_modified(|known| std::mem::replace(known, revision) != revision);
     }
 
-    /// Takes how long ago weights were named, as another process tells it.
+    /// Takes how long ago weights were named, as another process sends it.
     pub fn observe_ages(&self, named: NamedAges) {
         weights::observe_ages(&mut self.named_since.borrow_mut(), named, boot_now());
     }
 
-    /// How long ago weights were named, to tell another process.
+    /// How long ago weights were named, to send to another process.
     pub fn ages(&self) -> NamedAges {
         weights::ages(&self.named_since.borrow(), boot_now())
     }
--- a/src/gateway/freshness.rs
+++ b/src/gateway/freshness.rs
@@ -1,6 +1,6 @@
 //! How recent what an entry knows of the deployment surely is. Pure.
 //!
-//! Replicas tell entries of changes by themselves, and an entry serves on by what it knows while none does. Only
+//! Replicas publish changes by themselves, and an entry serves on by what it knows while none does. Only
 //! before it says for good that there is no such route or key does it need to be sure. It asks for that then:
 //! a confirmation counts from when it was asked for, as what comes may have lain in a socket for long.
 
