--- a/tests/logic/log_world.rs
+++ b/tests/logic/log_world.rs
@@ -11,6 +11,8 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
+use crate::log_disk::Disk;
+
 pub const TIMING: RaftTiming =
     RaftTiming { heartbeat: Duration::from_millis(50), election: Duration::from_millis(300) };
 const STEP: Duration = Duration::from_millis(5);
@@ -51,31 +53,6 @@
     late: Vec<(NodeId, Message)>,
 }
 
-#[derive(Clone, Default)]
-struct Disk {
-    recovered: Recovered,
-}
-
-impl Disk {
-    /// Writes the changes, or only a part of them if `parts` ends early.
-    fn write(&mut self, persist: &Persist, parts: usize) {
-        let found = &mut self.recovered;
-        if let Some(vote) = persist.vote.filter(|_| parts > 0) {
-            found.vote = vote;
-        }
-        if let Some(snapshot) = persist.snapshot.clone().filter(|_| parts > 1) {
-            found.entries.retain(|entry| entry.index > snapshot.index);
-            found.snapshot = Some(snapshot);
-        }
-        if let Some(from) = persist.truncate_from.filter(|_| parts > 2) {
-            found.entries.retain(|entry| entry.index < from);
-        }
-        for entry in persist.append.iter().take(parts.saturating_sub(3)) {
-            found.entries.push(entry.clone());
-        }
-    }
-}
-
 struct Packet {
     at: Duration,
     from: NodeId,
--- a/tests/logic/main.rs
+++ b/tests/logic/main.rs
@@ -12,6 +12,7 @@
 mod leading;
 mod lease;
 mod links;
+mod log_disk;
 mod log_schedules;
 mod log_world;
 mod orders;
