Pace requests to cold engines

How long an engine is cold was decoded and thrown away, and the rate that it bears wasn't decoded.

The list's coldness travels with the roster. An engine is taken for cold as well for as long as a cold start lasts after its failure domain was restored, after it could not be reached, and after it lost all its connections at once, since the list lags. The scheduler spaces the prompts of a cold engine evenly, so that successive schedulers together keep the rate without knowing of each other; entries that place alone send none there. Cold instances of plain services get random shares of half the rate, since entries decide alone there.

Shares by number of entries would give each of 81 entries less than a request in three seconds.

--- a/src/deployment/document.rs
+++ b/src/deployment/document.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::fleet::cold::ColdStart;
 use crate::ids::{AccountId, DomainId, ModelId, ServiceId};
 
 /// Version of a deployment, chosen by the operator. The highest published version is in force.
@@ -94,6 +95,8 @@
     pub role: ServiceRole,
     /// Maximum number of connections that each target accepts in total.
     pub max_connections: u32,
+    /// What its targets bear after their start; `None` if they bear any rate.
+    pub cold_start: Option<ColdStart>,
 }
 
 /// Role of the targets of a service.
--- a/src/fleet/budget.rs
+++ b/src/fleet/budget.rs
@@ -41,6 +41,11 @@
         RetryBudget { limit, entries: entries.max(1), services: HashMap::new() }
     }
 
+    /// Number of entries that share the budget, including this one.
+    pub fn entries(&self) -> u32 {
+        self.entries
+    }
+
     pub fn set_entries(&mut self, entries: u32) {
         self.entries = entries.max(1);
     }
--- a/src/fleet/compact.rs
+++ b/src/fleet/compact.rs
@@ -34,6 +34,7 @@
     slots: u32,
     presence: Presence,
     weights: Vec<(u32, u64)>,
+    is_cold: bool,
 }
 
 impl CompactTargets {
@@ -68,6 +69,7 @@
                 .iter()
                 .map(|(m, version)| (names.intern(m), *version))
                 .collect(),
+            is_cold: listed.is_cold,
         }
     }
 
@@ -82,6 +84,7 @@
             slots: self.slots,
             presence: self.presence,
             weights: weights.collect::<Result<_, UnknownName>>()?,
+            is_cold: self.is_cold,
         })
     }
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! The targets behind this system: their list, load and health.
 
 pub mod budget;
+pub mod cold;
 pub mod compact;
 pub mod evacuation;
 pub mod listing;
--- a/src/fleet/placement.rs
+++ b/src/fleet/placement.rs
@@ -6,6 +6,7 @@
 
 use rustc_hash::FxBuildHasher;
 
+use super::cold::IndependentShare;
 use super::view::{FleetView, TargetState};
 use crate::clock::BootTime;
 use crate::gateway::metadata::Prompt;
@@ -41,6 +42,8 @@
     pub tie_breaker: u64,
     pub named: &'a RolloutHistories,
     pub old_weights: OldWeightsPolicy,
+    /// Share of this entry in the requests to cold targets.
+    pub cold_share: &'a IndependentShare,
 }
 
 /// Why no target was selected.
@@ -50,6 +53,8 @@
     NoTargetListed,
     /// All listed targets are ejected or were already tried.
     NoHealthyTarget,
+    /// All healthy targets are cold and bear no more requests of this entry now.
+    Cold,
     /// All healthy targets run older weights than may still be used.
     OldWeights,
 }
@@ -77,20 +82,24 @@
     criteria: &Criteria<'_>,
     now: BootTime,
 ) -> Result<Choice, SelectionError> {
-    let mut is_listed = false;
+    let (mut is_listed, mut is_healthy) = (false, false);
     let mut healthy = Vec::new();
     for state in view.live(criteria.service) {
         is_listed = true;
         let was_tried = criteria.tried.contains(&state.listed.start);
-        if !was_tried && state.health.admits(state.running, now) {
+        if was_tried || !state.health.admits(state.running, now) {
+            continue;
+        }
+        is_healthy = true;
+        if view.admits_independent(state, criteria.prompt.is_some(), criteria.cold_share, now) {
             healthy.push(state);
         }
     }
     if healthy.is_empty() {
-        return Err(if is_listed {
-            SelectionError::NoHealthyTarget
-        } else {
-            SelectionError::NoTargetListed
+        return Err(match (is_listed, is_healthy) {
+            (false, _) => SelectionError::NoTargetListed,
+            (true, false) => SelectionError::NoHealthyTarget,
+            (true, true) => SelectionError::Cold,
         });
     }
     let choices = match criteria.prompt {
--- a/src/fleet/roster.rs
+++ b/src/fleet/roster.rs
@@ -22,6 +22,8 @@
     pub presence: Presence,
     /// Version of each model's weights that it runs.
     pub weights: BTreeMap<ModelId, u64>,
+    /// Whether it is still cold after its start.
+    pub is_cold: bool,
 }
 
 /// Whether a target takes new work.
@@ -362,5 +364,6 @@
         first.presence = Presence::Leaving;
     }
     raise_weights(&mut first.weights, &other.weights);
+    first.is_cold |= other.is_cold;
     is_same.then_some(first)
 }
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -3,9 +3,11 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 
+use super::cold::{ColdStart, Coldness, IndependentShare, ShareUse};
 use super::evacuation::{EvacuatedDomains, Evacuations};
 use super::roster::{ABSENT_TTL_LISTS, Listed, Presence, RETIRED_TTL_LISTS, Roster};
 use crate::clock::BootTime;
+use crate::deployment::Service;
 use crate::gateway::metadata::TargetLoad;
 use crate::ids::{ModelId, ServiceId, TargetId, TargetStart};
 pub use crate::route::health::FailureCause;
@@ -25,6 +27,8 @@
     /// listed. They may be listed later, or again.
     announced_leaving: HashMap<TargetStart, u32>,
     evacuated: EvacuatedDomains,
+    /// What the targets of each service bear while they are cold. Services without limit are absent.
+    cold_starts: HashMap<ServiceId, ColdStart>,
 }
 
 /// A target and its load and health as seen by this entry.
@@ -43,6 +47,9 @@
     /// lag, unless its address changes.
     is_leaving: bool,
     reported_load: Option<ReportedLoad>,
+    coldness: Coldness,
+    /// Requests that this entry has sent to it by its own decision while it was cold.
+    cold_use: ShareUse,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -102,6 +109,49 @@
         &self.evacuated
     }
 
+    /// Applies the services of a deployment.
+    pub fn observe_services(&mut self, services: &BTreeMap<ServiceId, Service>) {
+        let limited = services.iter().filter_map(|(id, s)| Some((id.clone(), s.cold_start?)));
+        self.cold_starts = limited.collect();
+    }
+
+    /// What a target bears now; `None` if it is not cold.
+    pub fn cold_limit(&self, state: &TargetState, now: BootTime) -> Option<&ColdStart> {
+        let cold_start = self.cold_starts.get(&state.listed.service)?;
+        let domain = &state.listed.failure_domain;
+        let is_cold = state.coldness.is_cold(now)
+            || self.evacuated.was_restored(domain, cold_start.duration, now);
+        is_cold.then_some(cold_start)
+    }
+
+    /// Whether this entry may send a request that no scheduler places to a target now. The
+    /// scheduler uses the whole rate of cold engines.
+    pub fn admits_independent(
+        &self,
+        state: &TargetState,
+        is_prompt: bool,
+        share: &IndependentShare,
+        now: BootTime,
+    ) -> bool {
+        match self.cold_limit(state, now) {
+            None => true,
+            Some(_) if is_prompt => false,
+            Some(limit) => share.admits(&state.listed.start, limit, state.cold_use, now),
+        }
+    }
+
+    /// Records a request that no scheduler placed.
+    pub fn record_independent(
+        &mut self,
+        target: &TargetStart,
+        share: &IndependentShare,
+        now: BootTime,
+    ) {
+        if let Some(state) = self.targets.get_mut(target) {
+            share.record(&mut state.cold_use, now);
+        }
+    }
+
     /// Adds targets from a partially received list.
     pub fn add_partial(&mut self, listed_targets: &[Listed]) {
         for listed in listed_targets {
@@ -168,9 +218,16 @@
     }
 
     pub fn unreachable(&mut self, target: &TargetStart, now: BootTime) {
-        if let Some(state) = self.targets.get_mut(target) {
-            state.health.record_unreachable(now);
-        }
+        let Some(state) = self.targets.get_mut(target) else { return };
+        state.health.record_unreachable(now);
+        state.presume_cold(&self.cold_starts, now);
+    }
+
+    /// Records that a connection broke before the end of an answer.
+    pub fn connection_lost(&mut self, target: &TargetStart, now: BootTime) {
+        let Some(state) = self.targets.get_mut(target) else { return };
+        state.health.record_failure(FailureCause::Target, now);
+        state.presume_cold(&self.cold_starts, now);
     }
 
     /// Records that another target answers at a target's address, so this start has ended.
@@ -257,10 +314,13 @@
             health: Health::default(),
             is_leaving: listed.presence == Presence::Leaving,
             reported_load: None,
+            coldness: Coldness::listed(listed.is_cold),
+            cold_use: ShareUse::default(),
         }
     }
 
     fn update(&mut self, listed: &Listed) {
+        self.coldness.set_listed(listed.is_cold);
         if self.listed.weights != listed.weights {
             self.weights.clone_from(&listed.weights);
         }
@@ -279,6 +339,13 @@
         std::mem::replace(&mut self.listed.presence, Presence::Leaving) == Presence::Live
     }
 
+    /// Takes the target for cold: it may have restarted, and the list lags.
+    fn presume_cold(&mut self, cold_starts: &HashMap<ServiceId, ColdStart>, now: BootTime) {
+        if let Some(cold_start) = cold_starts.get(&self.listed.service) {
+            self.coldness.presume(cold_start, now);
+        }
+    }
+
     /// Estimated number of requests of all entries that it runs or queues.
     pub fn load(&self, now: BootTime) -> f64 {
         let others = self.reported_load.map_or(0.0, |reported_load| {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -135,9 +135,9 @@
             }
             Ok(SendOutcome::Broken(reason)) => {
                 record.attempt_failed(&target, &reason);
-                in_flight.set_end(EndReason::Failed);
+                in_flight.set_end(EndReason::ConnectionLost);
                 drop(in_flight);
-                gateway.fleet.borrow_mut().failed(&target, FailureCause::Target, now);
+                gateway.fleet.borrow_mut().connection_lost(&target, now);
                 termination::report_broken_run(gateway, routed, &target, sent_at, record).await;
                 return Err(AttemptError::MayHaveRun(target));
             }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -75,6 +75,8 @@
     Events(Bytes),
     Complete,
     Broken(String),
+    /// The connection to the target broke.
+    Lost(String),
     TimedOut,
 }
 
@@ -119,7 +121,8 @@
                     self.record.set_outcome(Outcome::BrokenOff);
                     return Err("its time is over".into());
                 }
-                SourceRead::Broken(reason) => self.resume(reason).await?,
+                SourceRead::Broken(reason) => self.resume(reason, EndReason::Failed).await?,
+                SourceRead::Lost(reason) => self.resume(reason, EndReason::ConnectionLost).await?,
             }
         }
     }
@@ -140,7 +143,7 @@
                     return SourceRead::Broken("ends within an event".into());
                 }
                 None => return SourceRead::Complete,
-                Some(Err(error)) => return SourceRead::Broken(error.to_string()),
+                Some(Err(error)) => return SourceRead::Lost(error.to_string()),
                 Some(Ok(frame)) => {
                     let Ok(data) = frame.into_data() else { continue };
                     source.in_flight.prompt_read(&source.response_metadata);
@@ -181,16 +184,21 @@
     }
 
     /// Resumes the stream at another target, after the last complete event.
-    async fn resume(&mut self, reason: String) -> Result<(), RelayError> {
+    async fn resume(&mut self, reason: String, end: EndReason) -> Result<(), RelayError> {
         let may_resume = self.may_resume();
         if let Some(mut source) = self.source.take() {
-            source.in_flight.set_end(EndReason::Failed);
+            source.in_flight.set_end(end);
             self.record.attempt_failed(&source.target, &reason);
-            self.gateway.fleet.borrow_mut().failed(
-                &source.target,
-                FailureCause::Target,
-                boot_now(),
-            );
+            match end {
+                EndReason::ConnectionLost => {
+                    self.gateway.fleet.borrow_mut().connection_lost(&source.target, boot_now())
+                }
+                _ => self.gateway.fleet.borrow_mut().failed(
+                    &source.target,
+                    FailureCause::Target,
+                    boot_now(),
+                ),
+            }
             let (target, sent_at) = (source.target.clone(), source.sent_at);
             // Closes the connection, which cancels the request at the target.
             drop(source);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -22,6 +22,7 @@
 use crate::deployment::document::DeploymentVersion;
 use crate::deployment::{Deployment, RoutingTable};
 use crate::fleet::budget::{RetryBudget, RetryLimit};
+use crate::fleet::cold::IndependentShare;
 use crate::fleet::compact::UnknownName;
 use crate::fleet::{Dispatch, FleetView, Listed, Presence, RosterChange};
 use crate::host::HostSettings;
@@ -117,6 +118,8 @@
     freshness: RefCell<Freshness>,
     /// Id of the last request for a confirmation; 0 if there was none.
     pub confirm_requests: watch::Sender<ConfirmId>,
+    /// Makes this entry's shares of cold targets independent of those of other entries.
+    cold_share_seed: u64,
     /// Notified when a deployment, targets or a confirmation arrive.
     state_changed: Notify,
     /// Whether a shutdown has begun.
@@ -161,6 +164,7 @@
             last_heartbeat: Cell::new(None),
             freshness,
             confirm_requests: watch::Sender::default(),
+            cold_share_seed: rand::random(),
             state_changed: Notify::new(),
             stopping: Cell::new(false),
             active_requests: Cell::new(0),
@@ -185,6 +189,11 @@
         self.metrics.text()
     }
 
+    /// The share of this entry in the requests to cold targets.
+    pub fn cold_share(&self) -> IndependentShare {
+        IndependentShare { entries: self.retries.borrow().entries(), seed: self.cold_share_seed }
+    }
+
     /// Routing table of the newest known deployment.
     pub fn table(&self) -> Option<Rc<RoutingTable>> {
         self.table.borrow().clone()
@@ -437,6 +446,7 @@
                 deployment.version,
                 deployment.routes.len()
             );
+            self.fleet.borrow_mut().observe_services(&deployment.services);
             *table = Some(Rc::new(RoutingTable::new(deployment)));
             self.state_changed.notify_waiters();
         }
--- a/src/scheduler/engine.rs
+++ b/src/scheduler/engine.rs
@@ -10,6 +10,7 @@
 use super::prefill::PrefillEstimator;
 use crate::clock::BootTime;
 use crate::fleet::Listed;
+use crate::fleet::cold::{Coldness, Pacer};
 use crate::gateway::metadata::TargetLoad;
 use crate::route::health::Health;
 
@@ -42,6 +43,9 @@
     /// Output tokens reserved for running prompts.
     reserved_output_tokens: u64,
     reported_load: Option<(u32, BootTime)>,
+    pub coldness: Coldness,
+    /// Spaces the prompts placed on it while it is cold.
+    pub pacer: Pacer,
 }
 
 /// What a prompt demands of an engine.
@@ -82,6 +86,7 @@
         link_mbps: f64,
     ) -> Engine {
         Engine {
+            coldness: Coldness::listed(listed.is_cold),
             listed,
             weight_version,
             cache: EngineCache::new(capacity_tokens),
@@ -93,6 +98,7 @@
             running: FxHashMap::default(),
             reserved_output_tokens: 0,
             reported_load: None,
+            pacer: Pacer::default(),
         }
     }
 
--- a/src/scheduler/messages.rs
+++ b/src/scheduler/messages.rs
@@ -135,8 +135,10 @@
     Cancelled,
     /// The engine could not be reached.
     Unreachable,
-    /// The engine aborted the answer or reported an internal error.
+    /// The engine reported an internal error, or sent a wrong answer or none in time.
     Failed,
+    /// The connection to the engine broke before the end of the answer.
+    ConnectionLost,
     /// The engine did not run the request.
     NotRun,
     /// The engine refused the request since it runs other weights; it may report which.
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -25,6 +25,7 @@
 use super::weights::WeightState;
 use crate::clock::BootTime;
 use crate::deployment::EngineSpec;
+use crate::fleet::cold::ColdStart;
 use crate::fleet::evacuation::EvacuatedDomains;
 use crate::fleet::{FailureCause, Presence};
 use crate::gateway::metadata::Part;
@@ -92,6 +93,8 @@
     engine_caches_known: bool,
     weights: WeightState,
     evacuated: EvacuatedDomains,
+    /// What the engines of each service bear while they are cold. Services without limit are absent.
+    cold_starts: HashMap<ServiceId, ColdStart>,
 }
 
 /// A placement that has not ended.
@@ -139,6 +142,7 @@
             engine_caches_known: true,
             weights: WeightState::new(now),
             evacuated: EvacuatedDomains::default(),
+            cold_starts: HashMap::new(),
         }
     }
 
@@ -243,6 +247,9 @@
             if engine.prefill_backlog(now) >= MAX_PREFILL_BACKLOG || self.weights.excludes(id) {
                 continue;
             }
+            if self.cold_limit(engine, now).is_some() && !engine.pacer.admits(now) {
+                continue;
+            }
             let Some(weights_cost_ms) =
                 self.weights.cost_ms(&request.model, engine.weight_version, now)
             else {
@@ -287,6 +294,15 @@
         PlacementAttempt::Done(Ok(self.grant(target, candidate, salt, keys, queued, now)))
     }
 
+    /// What an engine bears now; `None` if it is not cold.
+    fn cold_limit(&self, engine: &Engine, now: BootTime) -> Option<ColdStart> {
+        let cold_start = self.cold_starts.get(&engine.listed.service)?;
+        let domain = &engine.listed.failure_domain;
+        let is_cold = engine.coldness.is_cold(now)
+            || self.evacuated.was_restored(domain, cold_start.duration, now);
+        is_cold.then_some(*cold_start)
+    }
+
     fn grant(
         &mut self,
         target: TargetStart,
@@ -315,7 +331,11 @@
         }
         let clock_ms = self.engines_clock_ms(now).unwrap_or_default();
         let mut weight_version = None;
+        let cold_limit = self.engines.get(&target).and_then(|engine| self.cold_limit(engine, now));
         if let Some(engine) = self.engines.get_mut(&target) {
+            if let Some(cold_start) = cold_limit {
+                engine.pacer.record(&cold_start, now);
+            }
             weight_version = engine.weight_version;
             for (key, part) in keys.iter().zip(&request.parts) {
                 engine.cache.acquire(*key, part.tokens);
@@ -463,6 +483,17 @@
                     _ => false,
                 };
                 observe_end(engine, *end, now);
+                // An engine that crashes loses all its connections, a lost answer only one.
+                let may_have_restarted = match end {
+                    EndReason::Unreachable => true,
+                    EndReason::ConnectionLost => engine.active_placements() == 0,
+                    _ => false,
+                };
+                if may_have_restarted
+                    && let Some(cold_start) = self.cold_starts.get(&engine.listed.service)
+                {
+                    engine.coldness.presume(cold_start, now);
+                }
                 if must_query {
                     self.weights.unverified.insert(placement.target);
                 }
@@ -500,7 +531,9 @@
         EndReason::Completed => engine.health.record_success(),
         EndReason::Cancelled | EndReason::NotRun => {}
         EndReason::Unreachable => engine.health.record_unreachable(now),
-        EndReason::Failed => engine.health.record_failure(FailureCause::Target, now),
+        EndReason::Failed | EndReason::ConnectionLost => {
+            engine.health.record_failure(FailureCause::Target, now)
+        }
         EndReason::WeightMismatch(version) => engine.set_weights(version),
         EndReason::Replaced => engine.listed.presence = Presence::Leaving,
     }
--- a/src/scheduler/plan/updates.rs
+++ b/src/scheduler/plan/updates.rs
@@ -64,8 +64,12 @@
     /// Applies a deployment. Stores that are unchanged keep their state.
     pub fn observe_deployment(&mut self, deployment: &Deployment) {
         self.engine_specs.clear();
+        self.cold_starts.clear();
         let mut stores = BTreeMap::new();
         for (name, service) in &deployment.services {
+            if let Some(cold_start) = service.cold_start {
+                self.cold_starts.insert(name.clone(), cold_start);
+            }
             match &service.role {
                 ServiceRole::Engines(spec) => {
                     self.engine_specs.insert(name.clone(), spec.clone());
@@ -98,6 +102,7 @@
                 Engine::new(listed.clone(), version, spec.capacity_tokens, spec.link_mbps)
             });
             engine.listed.clone_from(listed);
+            engine.coldness.set_listed(listed.is_cold);
             // The roster lags: it may name older weights than the engine has already reported.
             if version > engine.weight_version {
                 engine.set_weights(version);
--- /dev/null
+++ b/tests/deployment/cold.rs
@@ -0,0 +1,230 @@
+//! Cold targets: the rate of all hosts together at a target that has just started.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use kumquatpost::deployment::{Service, ServiceRole};
+use kumquatpost::fleet::cold::{ColdStart, IndependentShare, Pacer};
+use kumquatpost::fleet::evacuation::{EvacuatedDomains, EvacuationOrder, Evacuations};
+use kumquatpost::fleet::{FleetView, Listed};
+use kumquatpost::ids::TargetStart;
+use kumquatpost::scheduler::{EndReason, Scheduler};
+
+use crate::fixtures::{address, ms, roster, start, target};
+use crate::load::{
+    Simulation, end_placement, engines, expect_placed, placement_request, scheduler,
+    simulated_deployment,
+};
+
+const COLD_START: ColdStart = ColdStart { duration: Duration::from_secs(3), requests_per_s: 18.0 };
+
+fn with_cold_start(scheduler: &mut Scheduler) {
+    let mut deployment = simulated_deployment();
+    deployment.services.get_mut("llm").expect("engines").cold_start = Some(COLD_START);
+    scheduler.observe_deployment(&deployment);
+}
+
+fn cold(listed: Vec<Listed>) -> Vec<Listed> {
+    listed.into_iter().map(|listed| Listed { is_cold: true, ..listed }).collect()
+}
+
+/// The highest number of times within one second.
+fn max_per_second(times: &[Duration]) -> usize {
+    let count =
+        |from: Duration| times.iter().filter(|at| (from..from + ms(1_000)).contains(*at)).count();
+    times.iter().map(|from| count(*from)).max().unwrap_or(0)
+}
+
+/// Submits more prompts than a cold engine bears, each ending after 40 ms, and returns when each
+/// engine got one.
+fn storm(
+    scheduler: &mut Scheduler,
+    from_ms: u64,
+    to_ms: u64,
+) -> BTreeMap<TargetStart, Vec<Duration>> {
+    let mut placed: BTreeMap<TargetStart, Vec<Duration>> = BTreeMap::new();
+    let mut running = VecDeque::new();
+    for at in from_ms..to_ms {
+        let now = ms(at);
+        while let Some((ticket, _)) = running.pop_front_if(|(_, ends)| *ends <= now) {
+            end_placement(scheduler, ticket, EndReason::Completed, now);
+        }
+        let submitted = scheduler.submit(at, placement_request(2, at % 40, at), now);
+        let outcomes = submitted.map(|outcome| (at, outcome)).into_iter();
+        for (_, outcome) in outcomes.chain(scheduler.dispatch(now)).collect::<Vec<_>>() {
+            let Ok(placement) = outcome else { continue };
+            placed.entry(placement.target).or_default().push(now);
+            running.push_back((placement.ticket, now + ms(40)));
+        }
+    }
+    for (ticket, ends) in running {
+        end_placement(scheduler, ticket, EndReason::Completed, ends);
+    }
+    placed
+}
+
+/// Engines that return together after an outage are empty and idle, so that all prompts would go
+/// there.
+#[test]
+fn returning_engines_get_no_more_than_they_bear() {
+    let mut scheduler = scheduler(2);
+    with_cold_start(&mut scheduler);
+    let mut listed = engines(4);
+    let returned = cold(listed.split_off(2));
+    scheduler.observe_roster(&roster(listed.into_iter().chain(returned)));
+    let placed = storm(&mut scheduler, 0, 3_000);
+    for engine in ["i-02", "i-03"] {
+        let times = &placed[&start(engine)];
+        assert!(max_per_second(times) <= 18, "{engine}: {}", max_per_second(times));
+        assert!(times.len() >= 45, "{engine} must be used as far as it bears: {}", times.len());
+    }
+    assert!(placed[&start("i-00")].len() > 100, "the others are not limited");
+}
+
+/// Guards against two schedulers that each use the whole rate within the same second.
+#[test]
+fn a_change_of_leader_does_not_exceed_the_rate() {
+    let cold_roster = roster(cold(engines(1)));
+    let mut times = Vec::new();
+    for (from_ms, to_ms) in [(0, 700), (700, 1_100), (1_100, 2_500)] {
+        let mut scheduler = scheduler(1);
+        with_cold_start(&mut scheduler);
+        scheduler.observe_roster(&cold_roster);
+        let placed = storm(&mut scheduler, from_ms, to_ms);
+        times.extend(placed.into_values().flatten());
+    }
+    assert!(max_per_second(&times) <= 18 + 2, "{}", max_per_second(&times));
+}
+
+#[test]
+fn engines_of_a_restored_domain_are_taken_for_cold() {
+    let mut scheduler = scheduler(1);
+    with_cold_start(&mut scheduler);
+    scheduler.observe_roster(&roster(engines(1)));
+    let mut record = Evacuations::default();
+    for order in [EvacuationOrder::Evacuate, EvacuationOrder::Restore] {
+        let expected = record.revision("a");
+        record.order("a".to_string(), order, expected).expect("the revision is current");
+    }
+    let mut known = EvacuatedDomains::default();
+    known.update(&record, ms(10_000));
+    scheduler.observe_evacuated(&known);
+    let restored = storm(&mut scheduler, 10_000, 12_900);
+    assert!(max_per_second(&restored[&start("i-00")]) <= 18);
+    let warm = storm(&mut scheduler, 13_000, 15_000);
+    assert!(max_per_second(&warm[&start("i-00")]) > 30);
+}
+
+#[test]
+fn an_unreachable_engine_is_taken_for_cold() {
+    let mut scheduler = scheduler(1);
+    with_cold_start(&mut scheduler);
+    let placed = expect_placed(scheduler.submit(1, placement_request(2, 1, 1), ms(100)));
+    end_placement(&mut scheduler, placed.ticket, EndReason::Unreachable, ms(110));
+    let returned = storm(&mut scheduler, 700, 2_900);
+    assert!(max_per_second(&returned[&start("i-00")]) <= 18);
+}
+
+/// A service without a limit, and one whose engines are warm, place as before.
+#[test]
+fn warm_engines_and_services_without_a_limit_are_not_paced() {
+    let mut unlimited = scheduler(1);
+    unlimited.observe_roster(&roster(cold(engines(1))));
+    assert!(max_per_second(&storm(&mut unlimited, 0, 1_000)[&start("i-00")]) > 30);
+    let mut warm = scheduler(1);
+    with_cold_start(&mut warm);
+    assert!(max_per_second(&storm(&mut warm, 0, 1_000)[&start("i-00")]) > 30);
+}
+
+/// The pattern of an outage: half of the engines are lost under load and return cold.
+#[test]
+fn most_prompts_are_on_time_while_half_of_the_engines_is_cold() {
+    let mut simulation = Simulation::new(12);
+    with_cold_start(&mut simulation.scheduler);
+    simulation.run(5, 0.8);
+    let mut listed = engines(12);
+    let returned = cold(listed.split_off(6));
+    simulation.scheduler.observe_roster(&roster(listed.into_iter().chain(returned)));
+    let during = simulation.run(3, 0.8);
+    assert!(during.on_time_share() > 0.9, "{during:?}");
+}
+
+fn plain_view(is_cold: bool) -> FleetView {
+    let mut view = FleetView::default();
+    let service =
+        Service { role: ServiceRole::Plain, max_connections: 100, cold_start: Some(COLD_START) };
+    view.observe_services(&BTreeMap::from([("app".to_string(), service)]));
+    view.update(&roster([Listed { is_cold, ..target("i-1", "app", address(1)) }]));
+    view
+}
+
+/// Requests that the entries of a deployment, each deciding for itself, send to one cold target
+/// within any second, while they have more than it bears.
+fn independent_requests(entries: u32) -> Vec<Duration> {
+    let mut times = Vec::new();
+    for seed in 0..u64::from(entries) {
+        let share = IndependentShare { entries, seed: seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) };
+        let mut view = plain_view(true);
+        for at in (0..20_000).step_by(10).map(ms) {
+            let state = view.get(&start("i-1")).expect("listed");
+            if view.admits_independent(state, false, &share, at) {
+                view.record_independent(&start("i-1"), &share, at);
+                times.push(at);
+            }
+        }
+    }
+    times
+}
+
+#[test]
+fn entries_that_decide_alone_together_keep_the_rate_of_a_cold_target() {
+    for entries in [1, 4, 8, 27, 81, 1_500] {
+        let times = independent_requests(entries);
+        assert!(max_per_second(&times) <= 27 + 5, "{entries}: {}", max_per_second(&times));
+        let mean = times.len() as f64 / 20.0;
+        assert!((6.0..=12.0).contains(&mean), "{entries} entries: {mean} requests per second");
+    }
+}
+
+/// The scheduler uses the whole rate of cold engines, whether or not an entry can reach it.
+#[test]
+fn an_entry_alone_sends_no_prompt_to_a_cold_engine() {
+    let share = IndependentShare { entries: 1, seed: 1 };
+    for (is_cold, admits) in [(true, false), (false, true)] {
+        let view = plain_view(is_cold);
+        let state = view.get(&start("i-1")).expect("listed");
+        assert_eq!(view.admits_independent(state, true, &share, ms(0)), admits);
+    }
+}
+
+#[test]
+fn a_pacer_spaces_requests_and_saves_nothing_up() {
+    let mut pacer = Pacer::default();
+    let mut times = Vec::new();
+    for at in (5_000..7_000).map(ms) {
+        if pacer.admits(at) {
+            pacer.record(&COLD_START, at);
+            times.push(at);
+        }
+    }
+    assert!(max_per_second(&times) <= 18);
+}
+
+/// Guards against full load on an engine that restarted under its id while the list still shows its
+/// earlier start, and against pacing an engine that lost a single answer.
+#[test]
+fn an_engine_that_lost_all_its_connections_is_taken_for_cold() {
+    for (lost, is_paced) in [(1, false), (2, true)] {
+        let mut scheduler = scheduler(1);
+        with_cold_start(&mut scheduler);
+        let place = |scheduler: &mut Scheduler, n: u64| {
+            expect_placed(scheduler.submit(n, placement_request(2, n, n), ms(100 + n))).ticket
+        };
+        let tickets = [place(&mut scheduler, 1), place(&mut scheduler, 2)];
+        for ticket in &tickets[..lost] {
+            end_placement(&mut scheduler, *ticket, EndReason::ConnectionLost, ms(200));
+        }
+        let times = storm(&mut scheduler, 300, 2_500).remove(&start("i-00")).expect("placements");
+        assert_eq!(max_per_second(&times) <= 18, is_paced, "{lost} connections lost");
+    }
+}
--- a/tests/deployment/fixtures.rs
+++ b/tests/deployment/fixtures.rs
@@ -73,7 +73,7 @@
         first_byte: ms(6),
         is_managed: true,
     });
-    let service = |role| Service { role, max_connections: 100 };
+    let service = |role| Service { role, max_connections: 100, cold_start: None };
     Deployment {
         version,
         routes: vec![
@@ -124,6 +124,7 @@
         slots: 48,
         presence: Presence::Live,
         weights,
+        is_cold: false,
     }
 }
 
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -3,6 +3,7 @@
 
 mod boundary;
 mod budget;
+mod cold;
 mod diagnostics;
 mod documents;
 mod ending_prompts;
--- a/tests/deployment/placement.rs
+++ b/tests/deployment/placement.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use kumquatpost::fleet::cold::IndependentShare;
 use kumquatpost::fleet::placement::{Criteria, SelectionError, choose};
 use kumquatpost::fleet::{FailureCause, FleetView};
 use kumquatpost::gateway::metadata::{Part, Prompt};
@@ -9,6 +10,9 @@
 
 use crate::fixtures::{address, ms, roster, start, target};
 
+/// Share of a single entry.
+const COLD_SHARE: IndependentShare = IndependentShare { entries: 1, seed: 0 };
+
 fn view(engines: u16) -> FleetView {
     let mut view = FleetView::default();
     view.update(&roster((0..engines).map(|n| target(&format!("i-{n}"), "llm", address(n)))));
@@ -37,6 +41,7 @@
         tie_breaker,
         named,
         old_weights,
+        cold_share: &COLD_SHARE,
     }
 }
 
--- a/tests/platform_stand_in/mod.rs
+++ b/tests/platform_stand_in/mod.rs
@@ -12,6 +12,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use list::List;
 use observations::Observations;
@@ -40,6 +41,22 @@
     /// Ids of targets that have received an order.
     pub ordered: BTreeSet<String>,
     pub list: List,
+    /// What engines bear after a start; `None` if they are never cold.
+    pub cold_start: Option<ColdStart>,
+}
+
+/// What an engine bears after a start.
+#[derive(Clone, Copy, Debug)]
+pub struct ColdStart {
+    pub duration: Duration,
+    pub requests_per_s: f64,
+}
+
+impl ColdStart {
+    /// Requests within a second from which on a cold engine crashes.
+    pub fn max_per_s(&self) -> usize {
+        (self.requests_per_s * 1.5) as usize + 5
+    }
 }
 
 impl Platform {
--- a/tests/platform_stand_in/observations.rs
+++ b/tests/platform_stand_in/observations.rs
@@ -53,6 +53,10 @@
     pub announced_weights: Vec<(u64, Instant)>,
     /// Requests that crash targets, by body.
     pub crashing_requests: BTreeMap<String, CrashingRequest>,
+    /// Evacuated zones, each with the time of the acknowledgement.
+    pub evacuated: BTreeMap<String, Instant>,
+    /// Descriptions of seconds in which a cold engine got more requests than it bears.
+    pub cold_bursts: Vec<(Instant, String)>,
     stamps: u64,
 }
 
@@ -109,6 +113,8 @@
     Leaving,
     /// Prompts start on announced weights.
     Weights,
+    /// Nothing is sent to an evacuated zone.
+    Evacuation,
 }
 
 impl Guarantee {
@@ -117,6 +123,7 @@
         match self {
             Guarantee::Leaving => Duration::from_secs(3),
             Guarantee::Weights => Duration::from_secs(6),
+            Guarantee::Evacuation => Duration::from_secs(1),
         }
     }
 
@@ -125,6 +132,7 @@
         match self {
             Guarantee::Leaving => Duration::from_secs(5),
             Guarantee::Weights => Duration::from_secs(10),
+            Guarantee::Evacuation => Duration::from_secs(5),
         }
     }
 }
@@ -160,6 +168,19 @@
         self.record_late(Guarantee::Weights, what, late);
     }
 
+    /// Records that a request reached a target of a zone that may be evacuated.
+    pub fn record_zone(&mut self, request: &str, target: &str, zone: &str) {
+        let Some(late) = self.evacuated.get(zone).map(Instant::elapsed) else { return };
+        let what = format!("{request} reaches {target} {late:?} after {zone} was evacuated");
+        self.record_late(Guarantee::Evacuation, what, late);
+    }
+
+    /// Records that a cold engine got more requests within a second than it bears.
+    pub fn record_cold_burst(&mut self, target: &str, requests: usize) {
+        let what = format!("{target} is cold and got {requests} requests within a second");
+        self.cold_bursts.push((Instant::now(), what));
+    }
+
     fn record_late(&mut self, guarantee: Guarantee, what: String, late: Duration) {
         if late > guarantee.bound() {
             let to = Instant::now();
--- a/tests/platform_stand_in/starts.rs
+++ b/tests/platform_stand_in/starts.rs
@@ -58,11 +58,25 @@
         let mut target = Target::new(id, service, zone, address);
         (target.weights, target.server) = (weights, Some(server));
         target.listed_address = listed_address;
+        self.start_cold(&inner, &mut target);
         inner.targets.insert(id.to_string(), target);
         inner.list_changed();
         address
     }
 
+    /// Makes an engine cold after its start, if engines are, and lists it as warm later.
+    fn start_cold(&self, inner: &Inner, target: &mut Target) {
+        let Some(cold_start) = inner.cold_start.filter(|_| target.weights.is_some()) else {
+            return;
+        };
+        target.cold_for = cold_start.duration;
+        let platform = self.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(cold_start.duration).await;
+            platform.lock().list_changed();
+        });
+    }
+
     async fn serve_target(
         &self,
         id: &str,
@@ -105,6 +119,7 @@
         (target.start, target.born_ms, target.server) =
             (earlier + 1, restart.born_ms, Some(server));
         target.weights = known.weights;
+        self.start_cold(&inner, &mut target);
         let lags_until = Instant::now() + restart.entry_lags;
         target.earlier_entry = known.listed().map(|entry| (entry, lags_until));
         inner.targets.insert(id.to_string(), target);
--- a/tests/platform_stand_in/target.rs
+++ b/tests/platform_stand_in/target.rs
@@ -65,7 +65,11 @@
     pub(super) earlier_entry: Option<(Value, Instant)>,
     /// Its HTTP server; `None` once it has stopped.
     pub(super) server: Option<AbortHandle>,
-    started_at: Instant,
+    pub(super) started_at: Instant,
+    /// How long it is cold after its start.
+    pub(super) cold_for: Duration,
+    /// Requests that arrived while it was cold, within the last second.
+    cold_arrivals: VecDeque<Instant>,
     pub(super) running: u32,
     /// The highest fencing token of an order.
     fence: u64,
@@ -136,6 +140,8 @@
             earlier_entry: None,
             server: None,
             started_at: Instant::now(),
+            cold_for: Duration::ZERO,
+            cold_arrivals: VecDeque::new(),
             running: 0,
             fence: 0,
             resident: HashMap::new(),
@@ -153,11 +159,28 @@
 
     fn entry(&self) -> Value {
         json!({"Id": self.id, "Service": self.service, "Addr": self.listed_address,
-               "Zone": self.zone, "Version": "v1", "Slots": 16, "ColdLeftMs": 0,
+               "Zone": self.zone, "Version": "v1", "Slots": 16,
+               "ColdLeftMs": self.cold_left().as_millis() as u64,
                "State": if self.leaves_from.is_some() { "draining" } else { "ready" },
                "Models": self.models(), "born": self.born_ms})
     }
 
+    /// How much longer it is cold.
+    fn cold_left(&self) -> Duration {
+        self.cold_for.saturating_sub(self.started_at.elapsed())
+    }
+
+    /// Number of requests that arrived within the last second, including this one; 0 if it is warm.
+    fn record_cold_arrival(&mut self) -> usize {
+        if self.cold_left().is_zero() {
+            return 0;
+        }
+        let now = Instant::now();
+        self.cold_arrivals.retain(|at| now - *at < Duration::from_secs(1));
+        self.cold_arrivals.push_back(now);
+        self.cold_arrivals.len()
+    }
+
     fn models(&self) -> Vec<Value> {
         let model = |version| json!({"Name": "m", "Version": version, "Adapters": []});
         self.weights.iter().map(model).collect()
@@ -426,9 +449,15 @@
         let (weights, fault, start) = (target.weights, target.fault, target.start);
         target.running += 1;
         target.begun += 1;
+        let cold_arrivals = target.record_cold_arrival();
+        let zone = target.zone.clone();
         if let Some(from) = target.leaves_from {
             self.observations.record_leaving_target(&name, id, from);
         }
+        self.observations.record_zone(&name, id, &zone);
+        if self.cold_start.is_some_and(|cold| cold_arrivals > cold.max_per_s()) {
+            self.observations.record_cold_burst(id, cold_arrivals);
+        }
         if let Some(weights) = weights {
             self.observations.record_weights_of_run(&name, id, weights);
         }
--- a/tests/process/testenv.rs
+++ b/tests/process/testenv.rs
@@ -5,6 +5,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use kumquatpost::config::document::key_hash;
@@ -26,6 +27,8 @@
     child: Child,
     /// The `name=value` pairs of the line that the process printed when it was ready.
     pub ready_values: Vec<(String, String)>,
+    /// Its log.
+    log: Arc<Mutex<String>>,
 }
 
 impl Process {
@@ -34,12 +37,23 @@
         let mut child = Command::new(env!("CARGO_BIN_EXE_kumquatpost"))
             .args(args)
             .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
             .spawn()
             .expect("the binary starts");
         let mut line = String::new();
         let stdout = child.stdout.take().expect("its output is piped");
+        let stderr = BufReader::new(child.stderr.take().expect("its log is piped"));
+        let log: Arc<Mutex<String>> = Arc::default();
+        let written_log = log.clone();
+        std::thread::spawn(move || {
+            for line in stderr.lines().map_while(Result::ok) {
+                written_log.lock().expect("no reader panics").extend([&line, "\n"]);
+            }
+        });
         BufReader::new(stdout).read_line(&mut line).expect("its output can be read");
-        Process::from_ready_line(child, &line)
+        let mut process = Process::from_ready_line(child, &line);
+        process.log = log;
+        process
     }
 
     /// Wraps a child process that has printed `line`; panics if that is no `ready` line.
@@ -47,7 +61,7 @@
         assert!(line.starts_with("ready "), "not a ready line: {line:?}");
         let values = line.split_whitespace().filter_map(|word| word.split_once('='));
         let ready_values = values.map(|(name, value)| (name.into(), value.into())).collect();
-        Process { child, ready_values }
+        Process { child, ready_values, log: Arc::default() }
     }
 
     pub fn ready_value(&self, name: &str) -> &str {
@@ -182,7 +196,7 @@
                     "peer_address": peers[i], "key_file": key_file,
                     "data_folder": folder.path().join(format!("data-{}", i + 1)),
                     "platform_url": emulator.ready_value("platform"), "nodes": nodes,
-                    "first_config": initial_config(), "log": {"level": "warn"},
+                    "first_config": initial_config(), "log": {"level": "info"},
                     "timing": options.timing, "bounds": options.bounds,
                 });
                 write(&format!("node-{}.json", i + 1), &value)
@@ -217,11 +231,12 @@
     /// Waits until a node is ready and answers prompts.
     pub fn wait_until_ready(&self, node: usize) {
         let url = format!("{}/health/ready", self.callers_url(node));
-        wait_for("the node is ready", || {
+        let is_ready = poll_until_timeout(|| {
             let ready = self.client.get(&url).send().is_ok_and(|r| r.status().is_success());
             let engines = self.status(node)["engines"].as_array().map_or(0, Vec::len);
             (ready && engines > 0).then_some(())
         });
+        assert!(is_ready.is_some(), "node {node} is not ready\n{}", self.diagnostics());
         // Prompts are answered only once the loads of engines are known.
         wait_for("a prompt is answered", || {
             let response = self.send_prompt(node, "anna", "warm up", 1);
@@ -229,6 +244,15 @@
         });
     }
 
+    /// The status and the log of each node.
+    fn diagnostics(&self) -> String {
+        let of_node = |(n, process): (usize, &Process)| {
+            let log = process.log.lock().expect("no writer panics");
+            format!("node {n}: {}\n{log}", self.status(n))
+        };
+        self.nodes.iter().enumerate().map(of_node).collect()
+    }
+
     /// The status document of a node, or null if it cannot be read.
     pub fn status(&self, node: usize) -> Value {
         let url = format!("{}/v1/status", self.operators_url(node));
@@ -333,13 +357,20 @@
 }
 
 /// Polls until there is a result. Panics after [`WAIT_TIMEOUT`].
-pub fn wait_for<T>(what: &str, mut poll: impl FnMut() -> Option<T>) -> T {
+pub fn wait_for<T>(what: &str, poll: impl FnMut() -> Option<T>) -> T {
+    poll_until_timeout(poll).unwrap_or_else(|| panic!("timed out waiting for: {what}"))
+}
+
+/// Polls until there is a result; `None` after [`WAIT_TIMEOUT`].
+fn poll_until_timeout<T>(mut poll: impl FnMut() -> Option<T>) -> Option<T> {
     let end = Instant::now() + WAIT_TIMEOUT;
     loop {
         if let Some(found) = poll() {
-            return found;
+            return Some(found);
+        }
+        if Instant::now() >= end {
+            return None;
         }
-        assert!(Instant::now() < end, "timed out waiting for: {what}");
         std::thread::yield_now();
         std::thread::park_timeout(Duration::from_millis(20));
     }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -7,6 +7,7 @@
 
 mod callers;
 mod disk_load;
+mod evacuation;
 mod faults;
 mod list_faults;
 mod operator;
@@ -27,7 +28,7 @@
 use faults::{FaultInjector, FaultSet};
 use futures::StreamExt;
 use operator::Published;
-use platform_stand_in::Platform;
+use platform_stand_in::{ColdStart, Platform};
 
 use platform_stand_in::observations::{Guarantee, LateEvent, RunEnd};
 use platform_stand_in::target::Fault;
@@ -51,6 +52,10 @@
     (321, FaultSet::All),
     (2048, FaultSet::All),
 ];
+/// What engines bear after a start: less than callers send to an idle engine.
+const COLD_START: ColdStart = ColdStart { duration: Duration::from_secs(2), requests_per_s: 8.0 };
+/// A request that was held up by a fault this long ago may arrive together with later ones.
+const HELD_UP_TIME: Duration = Duration::from_secs(3);
 /// Longest time that a target may run a request after its caller has disconnected. Exceeds the
 /// limit of the deployment, as processes may be delayed on a busy machine.
 const ABANDONED_RUN_TIMEOUT: Duration = Duration::from_secs(3);
@@ -195,6 +200,10 @@
             platform.observations.late.iter().filter(|late| late.late > late.guarantee.allowed());
         let unexcused = late.filter(|late| !self.had_fault_between(late.from, late.to));
         violations.extend(unexcused.map(|late| late.what.clone()));
+        let cold_bursts = platform.observations.cold_bursts.iter();
+        let unexcused =
+            cold_bursts.filter(|(at, _)| !self.had_fault_between(*at - HELD_UP_TIME, *at));
+        violations.extend(unexcused.map(|(_, what)| what.clone()));
         drop(platform);
         if repeats as f64 > max_repeats {
             self.record_violation(format!("{repeats} repeated runs, the limit is {max_repeats}"));
@@ -212,6 +221,7 @@
 ) -> Vec<String> {
     let started = Instant::now();
     let platform = Platform::new();
+    platform.lock().cold_start = Some(COLD_START);
     let any_port: SocketAddr = "127.0.0.1:0".parse().expect("a valid address");
     let list_address = platform.serve_list(any_port).await;
     let list_proxies: Vec<Proxy> =
@@ -261,7 +271,7 @@
     harness.check_platform_account();
     quarantine::check(&harness);
     let summary_line = summary(&harness, &injector, started);
-    let latest = [Guarantee::Leaving, Guarantee::Weights]
+    let latest = [Guarantee::Leaving, Guarantee::Weights, Guarantee::Evacuation]
         .map(|guarantee| harness.latest_without_fault(guarantee));
     injector.close().await;
     close(harness, &summary_line, latest.into_iter().flatten().collect())
@@ -272,7 +282,7 @@
     let load = |count: &AtomicU64| count.load(Ordering::Relaxed);
     format!(
         "sent={} whole={} refused={} failed={} faults={} restarts={} orders={} freed={} fetched={} \
-         judged={} finals={} ending={} ends={} held={} seconds={}",
+         cold_bursts={} judged={} finals={} ending={} ends={} held={} seconds={}",
         load(&harness.request_counts.sent),
         load(&harness.request_counts.completed),
         load(&harness.request_counts.refused),
@@ -282,6 +292,7 @@
         platform.observations.orders,
         platform.store.freed,
         platform.store.fetched,
+        platform.observations.cold_bursts.len(),
         load(&harness.version_checks),
         load(&harness.refusal_checks),
         platform.observations.crashing_requests.len(),
--- a/tests/soak/operator.rs
+++ b/tests/soak/operator.rs
@@ -12,9 +12,10 @@
 use rand::{RngExt, SeedableRng};
 use serde_json::{Value, json};
 
-use crate::Harness;
 use crate::callers::{ACCOUNTS, open_connection};
+use crate::evacuation::Evacuations;
 use crate::system::REPLICAS;
+use crate::{COLD_START, Harness};
 
 /// Time until all entries use an acknowledged deployment. Exceeds the limit of the deployment, as
 /// processes may be delayed on a busy machine.
@@ -62,6 +63,8 @@
                       route(&version_route(version), "safe", "app", false)],
            "Services": [{"Name": "app", "HealthPath": "/healthz", "MaxConns": 100},
                         {"Name": "llm", "HealthPath": "/healthz", "MaxConns": 100,
+                         "ColdStartS": COLD_START.duration.as_secs_f64(),
+                         "ColdPerS": COLD_START.requests_per_s,
                          "Engine": {"Slots": 16, "KvCapacity": 60_000, "KvTokenBytes": 1000,
                                     "LinkMbps": 1_000_000.0, "Models": [{"Name": "m"}]}},
                         {"Name": "store", "KvStoreAddr": store, "Zone": "hall-0", "Managed": true,
@@ -82,6 +85,8 @@
 /// Performs random operations until `stop` is set.
 pub async fn run(harness: Arc<Harness>, stop: Arc<AtomicBool>) {
     let mut random = SmallRng::seed_from_u64(harness.seed ^ 0x6f70);
+    let mut evacuation_random = SmallRng::seed_from_u64(harness.seed ^ 0x6576);
+    let mut evacuations = Evacuations::default();
     let mut version = harness.published().newest();
     while !stop.load(Ordering::Relaxed) {
         tokio::time::sleep(Duration::from_millis(random.random_range(50..900))).await;
@@ -93,9 +98,11 @@
             4 => send_stale(&harness, version, &mut random).await,
             5 => send_invalid(&harness, version + 1, &mut random).await,
             6 if random.random_ratio(1, 2) => set_weights_version(&harness).await,
+            7 => evacuations.next(&harness, &mut evacuation_random).await,
             _ => read_back(&harness, random.random_range(0..REPLICAS)).await,
         }
     }
+    evacuations.check_and_restore(&harness).await;
 }
 
 /// Sends a version to the replicas in turn. Returns whether one has acknowledged it.
@@ -333,7 +340,7 @@
     }
 }
 
-async fn call(
+pub async fn call(
     harness: &Harness,
     replica: usize,
     method: &str,
@@ -345,26 +352,24 @@
         system.operator_address(system.replicas().start + replica)
     };
     let calling = async {
-        let mut to = address;
+        let (mut to, mut path) = (address, path.to_string());
         // Followers redirect to the leader.
         for _ in 0..3 {
             let request = Request::builder()
                 .method(method)
-                .uri(path)
+                .uri(&path)
                 .header("host", to.to_string())
                 .body(Full::new(Bytes::from(body.map(Value::to_string).unwrap_or_default())))
                 .expect("a valid request");
             let answer = open_connection(to).await?.send_request(request).await.ok()?;
-            let location = answer.headers().get("location").and_then(|l| l.to_str().ok());
-            match location.and_then(|l| l.strip_prefix("http://")?.split('/').next()?.parse().ok())
-            {
-                Some(other) if answer.status() == 307 => to = other,
-                _ => {
-                    let status = answer.status().as_u16();
-                    let body = answer.into_body().collect().await.ok()?.to_bytes();
-                    return Some((status, String::from_utf8_lossy(&body).into_owned()));
-                }
+            if answer.status() != 307 {
+                let status = answer.status().as_u16();
+                let body = answer.into_body().collect().await.ok()?.to_bytes();
+                return Some((status, String::from_utf8_lossy(&body).into_owned()));
             }
+            let location = answer.headers().get("location")?.to_str().ok()?;
+            let (host, rest) = location.strip_prefix("http://")?.split_once('/')?;
+            (to, path) = (host.parse().ok()?, format!("/{rest}"));
         }
         None
     };
