Count idle parts against an engine's memory, and use more of it

A prompt whose context was idle on an engine counted there with its own part alone, though the context stays in use while it runs; nine tenths of the memory as limit covered the difference. Now all parts that aren't in use yet count, and prompts may use 0.97 of the memory.

Streams last ten times as long as their prefill and hold their context in memory all the while, so memory binds before prefill does.

--- a/src/scheduler/candidate.rs
+++ b/src/scheduler/candidate.rs
@@ -25,7 +25,7 @@
 const LINK_TIME_WEIGHT: f64 = 0.5;
 /// Running prompts may use at most this fraction of an engine's KV cache. Beyond it they evict each
 /// other's parts, which must then be recomputed.
-const MAX_IN_USE_FRACTION: f64 = 0.9;
+const MAX_IN_USE_FRACTION: f64 = 0.97;
 /// Fetches expected to take longer are not started.
 const MAX_FETCH_TIME: Duration = Duration::from_millis(1_000);
 /// Longest fetch, as a fraction of the prompt's time-to-first-token objective.
@@ -123,11 +123,12 @@
             self.keys.iter().take_while(|key| engine.cache.contains(**key)).count();
         let resident_tokens =
             request.parts[..resident_parts].iter().map(|part| part.tokens).sum::<u64>();
-        if !has_room(
-            engine,
-            request.prompt_tokens - resident_tokens.min(request.prompt_tokens),
-            request,
-        ) {
+        let in_use = self.keys.iter().zip(&request.parts);
+        let in_use = in_use.filter(|(key, _)| engine.cache.is_in_use(**key));
+        let in_use_tokens: u64 = in_use.map(|(_, part)| part.tokens).sum();
+        // Idle parts stay in use while the prompt runs, so they count as well.
+        let needed_tokens = request.prompt_tokens.saturating_sub(in_use_tokens);
+        if !has_room(engine, needed_tokens, request) {
             return None;
         }
         let mut fetch = vec![None; request.parts.len()];
--- a/src/scheduler/engine_cache.rs
+++ b/src/scheduler/engine_cache.rs
@@ -55,6 +55,11 @@
         }
     }
 
+    /// Whether a running prompt uses a part.
+    pub fn is_in_use(&self, key: PartKey) -> bool {
+        self.parts.get(&key).is_some_and(|part| part.users > 0)
+    }
+
     pub fn in_use_tokens(&self) -> u64 {
         self.in_use_tokens
     }
--- a/tests/deployment/scheduling.rs
+++ b/tests/deployment/scheduling.rs
@@ -1,12 +1,15 @@
 //! Placement decisions of the scheduler, and its behaviour under simulated load, on a virtual clock.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use kumquatpost::deployment::ServiceRole;
+use kumquatpost::ids::TargetStart;
 use kumquatpost::scheduler::prefill::PrefillEstimator;
 use kumquatpost::scheduler::store::{Inventory, StoredPart};
 use kumquatpost::scheduler::{EndReason, PlacementError, PlacementRequest, Scheduler};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
 
 use crate::fixtures::{address, ms, roster, start, store_start};
 use crate::load::{
@@ -190,6 +193,38 @@
     }
 }
 
+/// Guards against placing more prompts on an engine than its memory holds: the parts of a prompt are
+/// in use while it runs, also those that were idle there before.
+#[test]
+fn the_parts_of_running_prompts_fit_into_the_memory_of_their_engine() {
+    const CAPACITY_TOKENS: u64 = 109_900;
+    let mut random = SmallRng::seed_from_u64(3);
+    let mut scheduler = scheduler(2);
+    let mut running: Vec<(u64, TargetStart, PlacementRequest)> = Vec::new();
+    for at in 1..4_000 {
+        let request = placement_request(0, random.random_range(0..14), at);
+        let mut outcomes: Vec<_> =
+            scheduler.submit(at, request.clone(), ms(at * 20)).into_iter().collect();
+        scheduler.withdraw(at);
+        if let Some(Ok(placed)) = outcomes.pop() {
+            observe_first_token(&mut scheduler, placed.ticket, ms(at * 20 + 1));
+            running.push((placed.ticket, placed.target, request));
+        }
+        for engine in ["i-00", "i-01"].map(start) {
+            let here = running.iter().filter(|(_, target, _)| *target == engine);
+            let parts: BTreeMap<_, _> =
+                here.flat_map(|(.., r)| &r.parts).map(|part| (&part.id, part.tokens)).collect();
+            let tokens: u64 = parts.values().sum();
+            assert!(tokens <= CAPACITY_TOKENS * 97 / 100, "{tokens} tokens in use at {at}");
+        }
+        if random.random_ratio(1, 3) && !running.is_empty() {
+            let (ticket, ..) = running.swap_remove(random.random_range(0..running.len()));
+            end_placement(&mut scheduler, ticket, EndReason::Completed, ms(at * 20 + 2));
+        }
+    }
+    assert!(running.len() > 10, "the engines must be full at the end");
+}
+
 #[test]
 fn urgent_prompts_go_first_without_starving_others() {
     let mut scheduler = scheduler(1);
