Keep requests within the regions that routes and accounts name

A document may name the regions that requests of a route or an account may reach, with their bodies and cached parts; the field was ignored, so a request could run anywhere. Targets, stores for saves and sources of fetches are filtered by it now, at the scheduler and at entries that place alone.

--- a/src/control/run.rs
+++ b/src/control/run.rs
@@ -118,7 +118,7 @@
     tasks.spawn("metrics", text_server::serve(listen(address).await?, metrics_text));
     let operators = Rc::new(OperatorServer {
         shared: shared.clone(),
-        known_domains: host.known_domains.clone(),
+        known_domains: host.regions.keys().chain([&host.failure_domain]).cloned().collect(),
         inputs: inputs.clone(),
         port: operators_address.port(),
         metrics: metrics.clone(),
--- a/src/deployment/document.rs
+++ b/src/deployment/document.rs
@@ -1,13 +1,13 @@
 //! The content of a deployment. A published version never changes.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use crate::fleet::cold::ColdStart;
-use crate::ids::{AccountId, DomainId, ModelId, ServiceId};
+use crate::ids::{AccountId, DomainId, ModelId, RegionId, ServiceId};
 
 /// Version of a deployment, chosen by the operator. The highest published version is in force.
 pub type DeploymentVersion = u64;
@@ -53,6 +53,8 @@
     pub is_sticky: bool,
     /// Maximum time between two events of a response that is on time.
     pub max_event_gap: Option<Duration>,
+    /// Regions that its requests and their cached prompt parts may reach; empty for all.
+    pub allowed_regions: BTreeSet<RegionId>,
 }
 
 /// Whether a request may run more than once, and how its response is sent.
@@ -151,6 +153,8 @@
     pub is_isolated: bool,
     /// Overrides the priority of the route if present.
     pub priority: Option<u8>,
+    /// Regions that its requests and their cached prompt parts may reach; empty for all.
+    pub allowed_regions: BTreeSet<RegionId>,
 }
 
 /// Limits on the requests of callers.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 pub mod evacuation;
 pub mod listing;
 pub mod placement;
+pub mod regions;
 pub mod roster;
 pub mod view;
 
--- a/src/fleet/placement.rs
+++ b/src/fleet/placement.rs
@@ -7,6 +7,7 @@
 use rustc_hash::FxBuildHasher;
 
 use super::cold::IndependentShare;
+use super::regions::AllowedDomains;
 use super::view::{FleetView, TargetState};
 use crate::clock::BootTime;
 use crate::gateway::metadata::Prompt;
@@ -44,12 +45,14 @@
     pub old_weights: OldWeightsPolicy,
     /// Share of this entry in the requests to cold targets.
     pub cold_share: &'a IndependentShare,
+    /// The failure domains that the request may reach.
+    pub allowed_domains: &'a AllowedDomains,
 }
 
 /// Why no target was selected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SelectionError {
-    /// No target of the service is listed.
+    /// No target of the service is listed where the request may run.
     NoTargetListed,
     /// All listed targets are ejected or were already tried.
     NoHealthyTarget,
@@ -85,6 +88,9 @@
     let (mut is_listed, mut is_healthy) = (false, false);
     let mut healthy = Vec::new();
     for state in view.live(criteria.service) {
+        if !criteria.allowed_domains.contains(&state.listed.failure_domain) {
+            continue;
+        }
         is_listed = true;
         let was_tried = criteria.tried.contains(&state.listed.start);
         if was_tried || !state.health.admits(state.running, now) {
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -1,6 +1,7 @@
 //! Handles one request of a caller: routing, attempts at targets, and the response.
 
 use std::cell::OnceCell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -25,7 +26,8 @@
 use crate::clock::boot_now;
 use crate::deployment::{Rejection, RoutingTable, RunPolicy};
 use crate::fleet::placement::SelectionError;
-use crate::ids::TargetStart;
+use crate::fleet::regions::AllowedDomains;
+use crate::ids::{DomainId, RegionId, TargetStart};
 use crate::platform::headers;
 
 /// Shortest `Retry-After` of a refusal: about the time that an engine needs for one prompt.
@@ -78,7 +80,8 @@
         Ok(table) => table,
         Err(refusal) => return Err((refusal, metadata.id)),
     };
-    let mut routed = route_request(&table, head, metadata, arrived, record)?;
+    let regions = &gateway.host.regions;
+    let mut routed = route_request(&table, regions, head, metadata, arrived, record)?;
     let (version, max_bytes) =
         (table.deployment().version, table.deployment().request_limits.body_bytes);
     drop(table);
@@ -127,6 +130,7 @@
 /// Finds the route, account and service of a request. The body is added later.
 fn route_request(
     table: &RoutingTable,
+    regions: &BTreeMap<DomainId, RegionId>,
     head: http::request::Parts,
     metadata: RequestMetadata,
     arrived: Instant,
@@ -144,6 +148,9 @@
     let Some(service) = route.pick_service(random.random()).cloned() else {
         return Err((Refusal::NoTarget, metadata.id));
     };
+    let account_regions = found.account.map(|account| &account.allowed_regions);
+    let region_lists = account_regions.into_iter().chain([&route.allowed_regions]);
+    let allowed_domains = AllowedDomains::from_regions(region_lists, regions);
     let isolated = found.account.filter(|account| account.is_isolated);
     let timeout = metadata.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
     Ok(RoutedRequest {
@@ -152,6 +159,7 @@
         headers: head.headers,
         body: Bytes::new(),
         account: found.account.map(|account| account.id.clone()),
+        allowed_domains,
         cache_namespace: isolated.map_or_else(
             || SHARED_CACHE_NAMESPACE.to_string(),
             |account| format!("only:{}", account.id),
--- a/src/gateway/routed_request.rs
+++ b/src/gateway/routed_request.rs
@@ -9,6 +9,7 @@
 use super::metadata::RequestMetadata;
 use super::priority::Priority;
 use crate::deployment::Route;
+use crate::fleet::regions::AllowedDomains;
 use crate::ids::{AccountId, ServiceId};
 use crate::quarantine::Fingerprint;
 
@@ -28,6 +29,8 @@
     pub route: Route,
     /// The account of the caller's key, if any.
     pub account: Option<AccountId>,
+    /// The failure domains that it may reach.
+    pub allowed_domains: AllowedDomains,
     /// Requests with equal namespaces may share cached prompt parts.
     pub cache_namespace: String,
     /// Its priority among other requests.
--- a/src/gateway/target_selection.rs
+++ b/src/gateway/target_selection.rs
@@ -101,6 +101,7 @@
         named: &gateway.rollouts.borrow(),
         old_weights: gateway.host.periods.old_weights,
         cold_share: &cold_share,
+        allowed_domains: &routed.allowed_domains,
     };
     let now = boot_now();
     let choice = placement::choose(&gateway.fleet.borrow(), &criteria, now);
@@ -185,5 +186,6 @@
         time_left: routed.deadline.saturating_duration_since(tokio::time::Instant::now()),
         elapsed: routed.arrived.elapsed(),
         avoid,
+        allowed_domains: routed.allowed_domains.clone(),
     })
 }
--- a/src/host.rs
+++ b/src/host.rs
@@ -1,11 +1,11 @@
 //! Settings of a process that depend on its host, read at the start.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 use std::time::Duration;
 
-use crate::ids::DomainId;
+use crate::ids::{DomainId, RegionId};
 use crate::scheduler::weights::OldWeightsPolicy;
 
 /// Settings of one process, independent of the format that they are read from.
@@ -16,8 +16,8 @@
     /// The host's address.
     pub ip: IpAddr,
     pub failure_domain: DomainId,
-    /// All failure domains that the platform names.
-    pub known_domains: BTreeSet<DomainId>,
+    /// The region of each failure domain that the platform names.
+    pub regions: BTreeMap<DomainId, RegionId>,
     /// Address of the server for callers, on an entry.
     pub callers_address: Option<SocketAddr>,
     /// Address of the readiness check, on an entry.
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -60,6 +60,8 @@
 pub type RequestId = String;
 /// Identifies a failure domain.
 pub type DomainId = String;
+/// Identifies a region, which consists of failure domains.
+pub type RegionId = String;
 /// Number of a dispatch of a request, starting at 1.
 pub type Attempt = u32;
 /// Number of a version of the configuration. The content of an accepted number never changes.
--- a/src/scheduler/candidate.rs
+++ b/src/scheduler/candidate.rs
@@ -96,7 +96,10 @@
             request.parts.iter().map(|part| part_key(&salt, &part.id)).collect();
         let shared_parts = shared_part_count(request);
         let find_sources = |key: &PartKey| match may_fetch {
-            true => sources(*key, stores.clone(), engines.clone(), now),
+            true => {
+                let allowed = &request.allowed_domains;
+                sources(*key, allowed, stores.clone(), engines.clone(), now)
+            }
             false => Vec::new(),
         };
         let was_computed = |key: &PartKey| {
--- a/src/scheduler/messages.rs
+++ b/src/scheduler/messages.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::fleet::regions::AllowedDomains;
 use crate::gateway::metadata::{Part, TargetLoad};
 use crate::ids::{ModelId, ServiceId, TargetStart};
 
@@ -33,6 +34,8 @@
     pub elapsed: Duration,
     /// Engines that were already tried or that the entry can't reach.
     pub avoid: Vec<TargetStart>,
+    /// The failure domains that the prompt and its parts may reach.
+    pub allowed_domains: AllowedDomains,
 }
 
 /// The engine chosen for a prompt, and its cache transfers.
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -238,6 +238,7 @@
             if engine.listed.service != request.service
                 || engine.listed.presence != Presence::Live
                 || self.evacuated.contains(&engine.listed.failure_domain)
+                || !request.allowed_domains.contains(&engine.listed.failure_domain)
             {
                 continue;
             }
@@ -329,7 +330,7 @@
             if self.stores.values().any(|store| store.contains(key)) {
                 self.stores.values_mut().for_each(|store| store.touch(key, now));
             } else {
-                *save_to = self.grant_save(key, &salt, &request.parts[index], &target, now);
+                *save_to = self.grant_save(key, &salt, index, request, &target, now);
             }
         }
         let clock_ms = self.engines_clock_ms(now).unwrap_or_default();
@@ -423,12 +424,17 @@
         &mut self,
         key: PartKey,
         salt: &str,
-        part: &Part,
+        part_index: usize,
+        request: &PlacementRequest,
         target: &TargetStart,
         now: BootTime,
     ) -> Option<SocketAddr> {
         self.engines.get(target)?.weight_version?;
-        let fits = |store: &&mut Store| store.can_save(key, part.tokens, now);
+        let part = &request.parts[part_index];
+        let fits = |store: &&mut Store| {
+            request.allowed_domains.contains(&store.spec.failure_domain)
+                && store.can_save(key, part.tokens, now)
+        };
         let is_short = part.tokens <= SHORT_CONTEXT_TOKENS;
         let store = self.stores.values_mut().filter(fits).min_by_key(|store| {
             let by_time = if is_short { store.spec.first_byte } else { Duration::ZERO };
--- a/src/scheduler/source.rs
+++ b/src/scheduler/source.rs
@@ -9,6 +9,7 @@
 use super::store::Store;
 use crate::clock::BootTime;
 use crate::fleet::Presence;
+use crate::fleet::regions::AllowedDomains;
 
 /// Transfers between failure domains take this many times as long.
 const CROSS_DOMAIN_FACTOR: f64 = 2.0;
@@ -63,21 +64,26 @@
     }
 }
 
-/// All sources of a part.
+/// All sources of a part in the allowed failure domains.
 ///
 /// Engines serve as sources, too: together their links have many times the bandwidth of the
 /// stores', and their caches outlive the loss of a store.
 pub fn sources<'a>(
     key: PartKey,
+    allowed_domains: &AllowedDomains,
     stores: impl Iterator<Item = &'a Store>,
     engines: impl Iterator<Item = &'a Engine>,
     now: BootTime,
 ) -> Vec<Source<'a>> {
     let mut holders: Vec<&Engine> =
         engines.filter(|engine| engine.cache.is_computed(key) && is_fetchable(engine)).collect();
+    holders.retain(|engine| allowed_domains.contains(&engine.listed.failure_domain));
     holders.sort_by_key(|engine| engine.link.queue_delay(now));
     let engines = holders.into_iter().take(MAX_ENGINE_SOURCES).map(Source::engine);
-    stores.filter(|store| store.is_complete(key)).map(Source::store).chain(engines).collect()
+    let stores = stores.filter(|store| {
+        store.is_complete(key) && allowed_domains.contains(&store.spec.failure_domain)
+    });
+    stores.map(Source::store).chain(engines).collect()
 }
 
 /// Factor on transfer times between two failure domains; 1 within a domain.
--- a/tests/deployment/fixtures.rs
+++ b/tests/deployment/fixtures.rs
@@ -1,6 +1,6 @@
 //! Deployments, targets and other fixtures that several tests share.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
@@ -53,6 +53,7 @@
         is_public: false,
         is_sticky: policy.is_stream(),
         max_event_gap: policy.is_stream().then(|| ms(300)),
+        allowed_regions: BTreeSet::new(),
     }
 }
 
@@ -93,7 +94,13 @@
 }
 
 pub fn account(id: &str, key: &str, is_isolated: bool) -> Account {
-    Account { id: id.to_string(), keys: vec![key.to_string()], is_isolated, priority: None }
+    Account {
+        id: id.to_string(),
+        keys: vec![key.to_string()],
+        is_isolated,
+        priority: None,
+        allowed_regions: BTreeSet::new(),
+    }
 }
 
 /// A start of a target that doesn't report its birth time.
--- a/tests/deployment/load.rs
+++ b/tests/deployment/load.rs
@@ -8,6 +8,7 @@
 
 use kumquatpost::deployment::{Deployment, ServiceRole};
 use kumquatpost::fleet::Listed;
+use kumquatpost::fleet::regions::AllowedDomains;
 use kumquatpost::gateway::metadata::Part;
 use kumquatpost::ids::TargetStart;
 use kumquatpost::scheduler::store::{Inventory, StoreEvent, StoredPart};
@@ -80,6 +81,7 @@
         time_left: ms(8_000),
         elapsed: ms(0),
         avoid: Vec::new(),
+        allowed_domains: AllowedDomains::All,
     }
 }
 
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -33,6 +33,7 @@
 #[path = "../soak/system.rs"]
 mod processes;
 mod reader_election;
+mod regions;
 mod replicas;
 mod restarts;
 mod rollout;
--- a/tests/deployment/placement.rs
+++ b/tests/deployment/placement.rs
@@ -4,6 +4,7 @@
 
 use kumquatpost::fleet::cold::IndependentShare;
 use kumquatpost::fleet::placement::{Criteria, SelectionError, choose};
+use kumquatpost::fleet::regions::AllowedDomains;
 use kumquatpost::fleet::{FailureCause, FleetView};
 use kumquatpost::gateway::metadata::{Part, Prompt};
 use kumquatpost::scheduler::weights::{OldWeightsPolicy, RolloutHistories, observe_named};
@@ -42,6 +43,7 @@
         named,
         old_weights,
         cold_share: &COLD_SHARE,
+        allowed_domains: &AllowedDomains::All,
     }
 }
 
