--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -10,11 +10,12 @@
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 
+use super::in_flight::InFlightRequest;
 use super::metadata::{ForwardingMetadata, PartTransfers, ResponseMetadata};
 use super::pool::{Connection, SendOutcome};
 use super::request_record::RequestRecord;
 use super::routed_request::RoutedRequest;
-use super::state::{Gateway, InFlightRequest};
+use super::state::Gateway;
 use super::target_selection::{self, NoTarget, SelectedTarget};
 use super::termination;
 use crate::clock::{BootTime, boot_now};
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 pub mod attempt;
 pub mod events;
 pub mod freshness;
+pub mod in_flight;
 pub mod log_limiter;
 pub mod metadata;
 pub mod pool;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -12,12 +12,13 @@
 
 use super::attempt::{AttemptError, TargetResponse, attempt};
 use super::events::EventSplitter;
+use super::in_flight::InFlightRequest;
 use super::metadata::ResponseMetadata;
 use super::pool::Connection;
 use super::request_record::{Outcome, RequestRecord};
 use super::response::{RelayError, ResponseBody, stream_body};
 use super::routed_request::RoutedRequest;
-use super::state::{Gateway, InFlightRequest};
+use super::state::Gateway;
 use super::termination;
 use crate::clock::{BootTime, boot_now};
 use crate::fleet::FailureCause;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -11,7 +11,6 @@
 
 use super::freshness::{Freshness, Verdict};
 use super::log_limiter::RequestLogLimiter;
-use super::metadata::ResponseMetadata;
 use super::pool::{Connection, Pool};
 use super::routed_request::RoutedRequest;
 use super::scheduler_client::SchedulerClient;
@@ -24,7 +23,7 @@
 use crate::fleet::budget::{RetryBudget, RetryLimit};
 use crate::fleet::cold::IndependentShare;
 use crate::fleet::compact::UnknownName;
-use crate::fleet::{Dispatch, FleetView, Listed, Presence, RosterChange};
+use crate::fleet::{FleetView, Listed, Presence, RosterChange};
 use crate::host::HostSettings;
 use crate::ids::TargetStart;
 use crate::log::Term;
@@ -32,7 +31,6 @@
 use crate::quarantine::broken_runs::BrokenRuns;
 use crate::quarantine::{Quarantine, notify};
 use crate::scheduler::weights::{self, RolloutHistories};
-use crate::scheduler::{EndReason, PlacementEvent, TicketId};
 use crate::telemetry::deployment_metrics::EntryMetrics;
 
 /// Number of entries that share the retry budget until a replica reports it.
@@ -452,62 +450,3 @@
         }
     }
 }
-
-/// A request that is in progress at a target. The fleet view and the scheduler account for it until
-/// this is dropped.
-pub struct InFlightRequest {
-    gateway: Rc<Gateway>,
-    dispatch: Option<Dispatch>,
-    ticket: Option<TicketId>,
-    end: EndReason,
-}
-
-impl InFlightRequest {
-    /// Registers a request at a target; `ticket` identifies its placement by the scheduler.
-    pub fn new(
-        gateway: &Rc<Gateway>,
-        target: &TargetStart,
-        ticket: Option<TicketId>,
-        prompt_tokens: u64,
-    ) -> InFlightRequest {
-        let dispatch = gateway.fleet.borrow_mut().begin(target, prompt_tokens);
-        InFlightRequest {
-            gateway: gateway.clone(),
-            dispatch: Some(dispatch),
-            ticket,
-            end: EndReason::Cancelled,
-        }
-    }
-
-    /// Records that response data has arrived, so that the target has read the prompt.
-    pub fn prompt_read(&mut self, response_metadata: &ResponseMetadata) {
-        let Some(dispatch) = &mut self.dispatch else { return };
-        if !self.gateway.fleet.borrow_mut().end_prefill(dispatch) {
-            return;
-        }
-        if let Some(ticket) = self.ticket {
-            let (weight_version, load) = (response_metadata.weight_version, response_metadata.load);
-            self.gateway.scheduler.send_event(PlacementEvent::FirstToken {
-                ticket,
-                weight_version,
-                load,
-            });
-        }
-    }
-
-    /// Sets how the request ended at the target. The default is that the caller left.
-    pub fn set_end(&mut self, end: EndReason) {
-        self.end = end;
-    }
-}
-
-impl Drop for InFlightRequest {
-    fn drop(&mut self) {
-        if let Some(dispatch) = self.dispatch.take() {
-            self.gateway.fleet.borrow_mut().end(dispatch);
-        }
-        if let Some(ticket) = self.ticket {
-            self.gateway.scheduler.send_event(PlacementEvent::Ended { ticket, end: self.end });
-        }
-    }
-}
