--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -44,13 +44,15 @@
 /// restart of all replicas, entries rejected new target lists as outdated. 321: one foreign list
 /// entry invalidated the whole list, and targets that had left and restarted got no requests.
 /// 2048: a foreign list entry with the id of an engine but an undefined service was taken for a
-/// restart of that engine.
-const REGRESSIONS: [(u64, FaultSet); 5] = [
+/// restart of that engine. 9510: an engine that restarted at once under its id got full load while
+/// it was cold.
+const REGRESSIONS: [(u64, FaultSet); 6] = [
     (10, FaultSet::Plain),
     (19, FaultSet::Plain),
     (108, FaultSet::Plain),
     (321, FaultSet::All),
     (2048, FaultSet::All),
+    (9510, FaultSet::All),
 ];
 /// What engines bear after a start: less than callers send to an idle engine.
 const COLD_START: ColdStart = ColdStart { duration: Duration::from_secs(2), requests_per_s: 8.0 };
