Log why a request is held

A line of a held request told its fingerprint alone, so that a request held in vain couldn't be told from the one that ends its targets: neither the number of ends attributed to it, nor the targets, nor whether another request was a rival. All three are in the line now, at entries, replicas and nodes.

--- a/src/node/quarantine.rs
+++ b/src/node/quarantine.rs
@@ -13,7 +13,7 @@
 use crate::net;
 use crate::peer::message::QuarantineCursor;
 use crate::quarantine::broken_runs::{BrokenRun, BrokenRuns, TargetCheck};
-use crate::quarantine::{Fingerprint, MergeResult, Quarantine, Report, Revision};
+use crate::quarantine::{Fingerprint, Quarantine, Report, Revision, notify};
 
 /// Timeout of the connection attempt that checks whether a target is still listening.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
@@ -79,22 +79,21 @@
             self.quarantine.lock().broken_runs.mark_listening(&start);
             return;
         }
-        let merged = {
-            let mut state = self.quarantine.lock();
-            let mut runs = state.broken_runs.mark_ended(&start, boot_now());
-            if check == TargetCheck::TargetEnded {
-                runs.push(run);
-            }
-            log::warn!("event=target_ended target={start} runs={}", runs.len());
-            state.quarantine.record_target_end(&runs, &start, boot_now())
-        };
-        log_quarantined(&merged);
+        let mut state = self.quarantine.lock();
+        let mut runs = state.broken_runs.mark_ended(&start, boot_now());
+        if check == TargetCheck::TargetEnded {
+            runs.push(run);
+        }
+        log::warn!("event=target_ended target={start} runs={}", runs.len());
+        let merged = state.quarantine.record_target_end(&runs, &start, boot_now());
+        notify::log_held(&state.quarantine, &merged.held);
     }
 
     /// Merges reports of another node.
     pub(super) fn merge_quarantine_reports(&self, reports: Vec<Report>) {
-        let merged = self.quarantine.lock().quarantine.merge_reports(reports, boot_now());
-        log_quarantined(&merged);
+        let quarantine = &mut self.quarantine.lock().quarantine;
+        let merged = quarantine.merge_reports(reports, boot_now());
+        notify::log_held(quarantine, &merged.held);
     }
 
     /// What to send to a grantor with a renewal: the new reports, and the revision up to which this
@@ -150,9 +149,3 @@
         _ => false,
     }
 }
-
-fn log_quarantined(merged: &MergeResult) {
-    for fingerprint in &merged.held {
-        log::warn!("event=request_held fingerprint={fingerprint}");
-    }
-}
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -12,4 +12,4 @@
 mod state;
 
 pub use fingerprint::Fingerprint;
-pub use state::{MergeResult, Quarantine, Report, Revision};
+pub use state::{HoldReason, MergeResult, Quarantine, Report, Revision};
--- a/src/quarantine/notify.rs
+++ b/src/quarantine/notify.rs
@@ -2,7 +2,7 @@
 
 use tokio::sync::watch;
 
-use super::{MergeResult, Quarantine};
+use super::{Fingerprint, MergeResult, Quarantine};
 
 /// Updates the quarantine, notifies its subscribers if it changed, and logs newly held requests.
 pub fn update_and_notify(
@@ -15,7 +15,14 @@
         held = merged.held;
         merged.changed
     });
+    log_held(&quarantine.borrow(), &held);
+}
+
+/// Logs newly held requests with the reason for each.
+pub fn log_held(quarantine: &Quarantine, held: &[Fingerprint]) {
     for fingerprint in held {
-        log::warn!("event=request_held fingerprint={fingerprint}");
+        if let Some(reason) = quarantine.hold_reason(*fingerprint) {
+            log::warn!("event=request_held fingerprint={fingerprint} {reason}");
+        }
     }
 }
--- a/src/quarantine/state.rs
+++ b/src/quarantine/state.rs
@@ -5,6 +5,7 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap, HashSet};
+use std::fmt;
 use std::hash::{Hash, Hasher};
 use std::time::Duration;
 
@@ -84,6 +85,16 @@
     is_certain: bool,
 }
 
+/// Why a request is held, as pairs of a log line.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HoldReason {
+    /// The ends attributed to the request.
+    ends: usize,
+    is_certain: bool,
+    /// All targets with uncleared ends.
+    targets: Vec<TargetStart>,
+}
+
 /// What is known of one request.
 #[derive(Clone, Debug, Default, PartialEq)]
 struct RequestRecord {
@@ -274,6 +285,14 @@
         (left_ms > 0).then(|| Duration::from_millis(left_ms.unsigned_abs()))
     }
 
+    /// Why a request is held, for logs; `None` if it has too few ends.
+    pub fn hold_reason(&self, fingerprint: Fingerprint) -> Option<HoldReason> {
+        let Blame { ends, is_certain } = *self.blamed.get(&fingerprint)?;
+        let record = self.requests.get(&fingerprint)?;
+        let targets = record.uncleared_ends().map(|(target, _)| target.clone()).collect();
+        Some(HoldReason { ends, is_certain, targets })
+    }
+
     /// Whether there are no records.
     pub fn is_empty(&self) -> bool {
         self.requests.is_empty()
@@ -458,6 +477,14 @@
     }
 }
 
+impl fmt::Display for HoldReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let targets: Vec<String> = self.targets.iter().map(TargetStart::to_string).collect();
+        let HoldReason { ends, is_certain, .. } = self;
+        write!(f, "ends={ends} is_certain={is_certain} targets={}", targets.join(","))
+    }
+}
+
 impl Blame {
     /// How long the request is held after its last end.
     fn hold_duration(self) -> Duration {
