Send all responses completely before a planned stop ends the process

Callers saw: a stream that ended with "unexpected EOF during chunk size line" when its node was asked to stop (once, in a test beside builds), and a node that ended with exit code 0 and cut_off=0 nevertheless.

Cause: the node counted a request as ended once its run had handed the last event to a channel of 64, waited 20 ms and ended the process. Whatever was still in the channel, in the HTTP server's buffers or not yet taken by the caller's connection was lost. Operators' calls weren't counted at all.

Evidence: with a caller that reads late, a response of 3 MB was cut off after some 47 KB, with exit code 0, each time (a_planned_stop_completes_a_long_response_that_its_caller_reads_late), an operator's call that waited for a leader got a closed connection (a_planned_stop_answers_an_operators_call_in_progress), and a caller that never reads wasn't reported (a_caller_that_never_reads_...). All three fail on the code before. That the failure in the list had the same cause fits (buffered events, a busy machine) and isn't traced.

Fix: the server counts connections on which a request was received. A stop closes idle connections, and the others as soon as their responses are sent; the node ends once none is left, or after timing.shutdown_ms. What is left then is reported as cut off. The server accepts connections itself for that, with warp's service, as warp's own server doesn't tell of its connections.

--- a/src/emulator/supervisor.rs
+++ b/src/emulator/supervisor.rs
@@ -21,7 +21,7 @@
 use super::target_list::DelayedTargetList;
 
 use crate::error::{Error, Result};
-use crate::http::{self, Request, Response};
+use crate::http::{self, Request, Response, UsedConnections};
 use crate::ids::{Incarnation, TargetId};
 use crate::upstream::api::{Presence, Role, Target};
 
@@ -127,7 +127,7 @@
             let emulator = self.clone();
             async move { emulator.handle(&request) }
         };
-        tokio::spawn(http::serve(listener, BODY_LIMIT_BYTES, handler, std::future::pending()));
+        tokio::spawn(serve_until_dropped(listener, handler));
         Ok(address)
     }
 
@@ -293,24 +293,25 @@
                     self.weight_loads,
                     self.weight_load_duration,
                 );
-                serve_target(listener, move |request| engine.clone().handle(request)).await;
+                serve_until_dropped(listener, move |request| engine.clone().handle(request)).await;
             }
             TargetSettings::Store(settings) => {
                 let store = Store::start(settings, self.incarnation, self.faults, self.ledger);
-                serve_target(listener, move |request| store.clone().handle(request)).await;
+                serve_until_dropped(listener, move |request| store.clone().handle(request)).await;
             }
             TargetSettings::Service(settings) => {
                 let service = Service::start(settings, self.faults, self.ledger);
-                serve_target(listener, move |request| service.clone().handle(request)).await;
+                serve_until_dropped(listener, move |request| service.clone().handle(request)).await;
             }
         }
     }
 }
 
-async fn serve_target<H, F>(listener: tokio::net::TcpListener, handler: H)
+async fn serve_until_dropped<H, F>(listener: tokio::net::TcpListener, handler: H)
 where
     H: Fn(Request) -> F + Send + Sync + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
-    http::serve(listener, BODY_LIMIT_BYTES, handler, std::future::pending()).await;
+    let (used, stop) = (UsedConnections::default(), std::future::pending());
+    http::serve(listener, BODY_LIMIT_BYTES, handler, used, stop).await;
 }
--- a/src/http.rs
+++ b/src/http.rs
@@ -2,15 +2,23 @@
 
 use std::future::Future;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
 use bytes::{Buf, Bytes, BytesMut};
 use futures::{Stream, StreamExt};
+use hyper::service::{Service, service_fn};
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use hyper_util::server::conn::auto::Builder;
+use hyper_util::server::graceful::GracefulShutdown;
+use hyper_util::service::TowerToHyperService;
 use serde::Serialize;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use warp::Filter;
 use warp::Reply;
 use warp::http::{HeaderMap, HeaderValue, Method, StatusCode};
 
+use crate::net;
+
 /// An HTTP response.
 pub type Response = warp::reply::Response;
 
@@ -69,21 +77,52 @@
     }
 }
 
-/// Serves requests with `handler` until `stop` completes, then waits for responses in progress.
+/// Number of open connections on which a request was received. Once a graceful shutdown has closed
+/// the idle connections, these are the responses that are not completely sent.
+#[derive(Clone, Debug, Default)]
+pub struct UsedConnections(Arc<AtomicUsize>);
+
+impl UsedConnections {
+    /// The current number.
+    pub fn count(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// Counts one connection from its first request until it is dropped.
+struct ConnectionUse {
+    used: UsedConnections,
+    is_counted: AtomicBool,
+}
+
+impl ConnectionUse {
+    fn mark_used(&self) {
+        if !self.is_counted.swap(true, Ordering::Relaxed) {
+            self.used.0.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+impl Drop for ConnectionUse {
+    fn drop(&mut self) {
+        if *self.is_counted.get_mut() {
+            self.used.0.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+}
+
+/// Serves requests with `handler` until `stop` completes. Then closes each connection as soon as its
+/// response is completely sent, and returns once all are closed.
 pub async fn serve<H, F>(
     listener: TcpListener,
     body_limit: usize,
     handler: H,
+    used: UsedConnections,
     stop: impl Future<Output = ()> + Send + 'static,
 ) where
     H: Fn(Request) -> F + Send + Sync + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
-    // Accepted connections inherit the option. Without it, Nagle's algorithm delays the parts of a stream
-    // until the receiver's delayed acknowledgements, about 40 ms.
-    if let Err(error) = socket2::SockRef::from(&listener).set_tcp_nodelay(true) {
-        log::warn!("event=nodelay_failed error={:?}", error.to_string());
-    }
     let handler = Arc::new(handler);
     let query = warp::query::raw().or(warp::any().map(String::new)).unify();
     let filter = warp::method()
@@ -99,7 +138,34 @@
                 handler(Request { method, path, query, headers, body }).await
             }
         });
-    warp::serve(filter).incoming(listener).graceful(stop).run().await;
+    let service = TowerToHyperService::new(warp::service(filter));
+    let graceful = GracefulShutdown::new();
+    let serve_connection = |stream: TcpStream| {
+        // Without this option, Nagle's algorithm delays the parts of a stream until the receiver's
+        // delayed acknowledgements, about 40 ms.
+        if let Err(error) = stream.set_nodelay(true) {
+            log::warn!("event=nodelay_failed error={:?}", error.to_string());
+        }
+        let (service, watcher) = (service.clone(), graceful.watcher());
+        let connection_use =
+            ConnectionUse { used: used.clone(), is_counted: AtomicBool::new(false) };
+        tokio::spawn(async move {
+            let service = service_fn(|request| {
+                connection_use.mark_used();
+                service.call(request)
+            });
+            let builder = Builder::new(TokioExecutor::new());
+            let connection = builder.serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = watcher.watch(connection).await {
+                log::debug!("event=client_disconnected reason={:?}", error.to_string());
+            }
+        });
+    };
+    tokio::select! {
+        () = net::for_each_connection(listener, serve_connection) => {}
+        () = stop => {}
+    }
+    graceful.shutdown().await;
 }
 
 async fn read_body(
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -27,7 +27,7 @@
 use crate::config::NumberedConfig;
 
 use crate::error::{Error, Result};
-use crate::http;
+use crate::http::{self, UsedConnections};
 use crate::http_api;
 use crate::ids::NodeId;
 use crate::log::Members;
@@ -83,6 +83,8 @@
     claim_count: AtomicU64,
     stopping: AtomicBool,
     stopped: watch::Sender<bool>,
+    /// Connections of callers and operators.
+    used_connections: UsedConnections,
 }
 
 struct ReplicaHandle {
@@ -134,6 +136,7 @@
             claim_count: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
             stopped: watch::Sender::new(false),
+            used_connections: UsedConnections::default(),
             links: links.clone(),
             settings,
         });
@@ -154,8 +157,9 @@
         Ok((node, listen_addresses))
     }
 
-    /// Shuts down gracefully: admits no new requests and waits up to `timing.shutdown_ms` for the
-    /// others. Returns the number of requests that were aborted.
+    /// Shuts down gracefully: admits no new requests and waits up to `timing.shutdown_ms` until the
+    /// others have ended and all responses are sent. Returns the number of requests that were aborted
+    /// or whose responses were cut off.
     pub async fn shut_down(self: Arc<Node>) -> usize {
         self.stopping.store(true, Ordering::SeqCst);
         log::info!("event=shutdown_started running={}", self.admission.running());
@@ -163,11 +167,16 @@
         while self.admission.running() + self.admission.waiting() > 0 && boot_now() < deadline {
             tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
         }
-        let cut_off = self.admission.running() + self.admission.waiting();
+        // A request ends before its response is completely sent; its connection closes after that.
         self.stopped.send_replace(true);
-        // Gives the HTTP server time to send the remaining bytes of completed responses.
         tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
-        log::info!("event=shutdown_ended cut_off={cut_off}");
+        while self.used_connections.count() > 0 && boot_now() < deadline {
+            tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
+        }
+        let unfinished = self.admission.running() + self.admission.waiting();
+        // Requests that have not ended have a connection, too, unless their callers have left.
+        let cut_off = unfinished.max(self.used_connections.count());
+        log::info!("event=shutdown_ended cut_off={cut_off} unfinished={unfinished}");
         cut_off
     }
 
@@ -227,13 +236,22 @@
     }
 
     fn serve_http(self: &Arc<Node>, callers: TcpListener, operators: TcpListener) {
-        let body_bytes = self.settings.bounds.body_bytes;
         let node = self.clone();
-        let handler = move |request| http_api::callers::handle(node.clone(), request);
-        tokio::spawn(http::serve(callers, body_bytes, handler, self.until_stopped()));
+        self.spawn_server(callers, move |request| http_api::callers::handle(node.clone(), request));
         let node = self.clone();
-        let handler = move |request| http_api::operators::handle(node.clone(), request);
-        tokio::spawn(http::serve(operators, body_bytes, handler, self.until_stopped()));
+        self.spawn_server(operators, move |request| {
+            http_api::operators::handle(node.clone(), request)
+        });
+    }
+
+    fn spawn_server<H, F>(&self, listener: TcpListener, handler: H)
+    where
+        H: Fn(http::Request) -> F + Send + Sync + 'static,
+        F: Future<Output = http::Response> + Send + 'static,
+    {
+        let body_limit = self.settings.bounds.body_bytes;
+        let (used, stop) = (self.used_connections.clone(), self.until_stopped());
+        tokio::spawn(http::serve(listener, body_limit, handler, used, stop));
     }
 
     fn until_stopped(&self) -> impl Future<Output = ()> + Send + 'static {
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -6,4 +6,5 @@
 mod interface;
 mod requests;
 mod serving;
+mod shutdown;
 mod testenv;
--- /dev/null
+++ b/tests/process/shutdown.rs
@@ -0,0 +1,106 @@
+//! A planned stop completes all responses, however slowly their callers read, within
+//! `timing.shutdown_ms`.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use serde_json::json;
+use socket2::{Domain, Socket, Type};
+
+use crate::testenv::{Process, TestEnv, TestEnvOptions, wait_for};
+
+/// Receive buffer and segment size of a slow caller, so that few bytes of a response fit into the
+/// buffers of its connection.
+const RECEIVE_BUFFER_BYTES: usize = 4 << 10;
+const SEGMENT_BYTES: u32 = 536;
+/// How long a slow caller doesn't read.
+const CALLER_PAUSE: Duration = Duration::from_millis(500);
+/// Far more than the buffers of a slow caller's connection hold.
+const LONG_ORDER_BYTES: usize = 3 << 20;
+
+fn start_node(shutdown: Duration) -> TestEnv {
+    let mut options = TestEnvOptions { nodes: 1, replicas: 1, ..TestEnvOptions::default() };
+    options.timing["shutdown_ms"] = json!(shutdown.as_millis());
+    TestEnv::start(options)
+}
+
+/// Sends a request on a connection whose caller does not read yet.
+fn send_unread(env: &TestEnv, path: &str, headers: &str, body: &str) -> TcpStream {
+    let address: SocketAddr = env.nodes[0].ready_value("callers").parse().expect("an address");
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES).expect("the buffer can be set");
+    socket.set_tcp_mss(SEGMENT_BYTES).expect("the segment size can be set");
+    socket.connect(&address.into()).expect("the node listens");
+    let mut caller = TcpStream::from(socket);
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nHost: node\r\nAuthorization: Bearer key-of-anna\r\n{headers}\
+         Content-Length: {}\r\n\r\n",
+        body.len()
+    );
+    caller.write_all(format!("{head}{body}").as_bytes()).expect("the node reads the request");
+    caller
+}
+
+fn start_long_order(env: &TestEnv) -> TcpStream {
+    let body = "x".repeat(LONG_ORDER_BYTES);
+    let caller =
+        send_unread(env, "/v1/services/part-order/orders", "Idempotency-Key: long\r\n", &body);
+    wait_for("the order has run", || {
+        (env.run_count("long") == 1 && running(env) == 0).then_some(())
+    });
+    caller
+}
+
+fn running(env: &TestEnv) -> u64 {
+    env.status(0)["running"].as_u64().expect("a number")
+}
+
+/// Reads the rest of a response, which the node ends by closing the connection.
+fn read_to_end(mut caller: TcpStream) -> String {
+    let mut text = String::new();
+    caller.read_to_string(&mut text).expect("the response is complete");
+    text
+}
+
+/// Guards against responses that are cut off because their last bytes have not been sent when their
+/// requests have ended.
+#[test]
+fn a_planned_stop_completes_a_long_response_that_its_caller_reads_late() {
+    let mut env = start_node(Duration::from_secs(20));
+    let caller = start_long_order(&env);
+    env.nodes[0].signal("TERM");
+    std::thread::sleep(CALLER_PAUSE);
+    let text = read_to_end(caller);
+    let (_, body) = text.split_once("\r\n\r\n").expect("a response head");
+    let order: serde_json::Value = serde_json::from_str(body).expect("a complete response");
+    assert_eq!(order["body"].as_str().map(str::len), Some(LONG_ORDER_BYTES));
+    assert_eq!(env.nodes[0].exit_code(), Some(0));
+}
+
+#[test]
+fn a_caller_that_never_reads_does_not_delay_a_planned_stop_beyond_its_time_limit() {
+    let mut env = start_node(Duration::from_secs(1));
+    let caller = start_long_order(&env);
+    env.nodes[0].signal("TERM");
+    // A non-zero exit code reports that a response was cut off.
+    assert_eq!(env.nodes[0].exit_code(), Some(1));
+    drop(caller);
+}
+
+/// Guards against operators' calls that are cut off because only callers' requests are waited for.
+#[test]
+fn a_planned_stop_answers_an_operators_call_in_progress() {
+    let mut env = TestEnv::start(TestEnvOptions::default());
+    env.nodes[1..].iter_mut().for_each(Process::kill);
+    let env = &env;
+    let response = std::thread::scope(|scope| {
+        let patch = json!({"kinds": {"counter": {"priority": 1}}});
+        let sent = scope.spawn(move || env.send_patch(0, 1, "without-a-leader", &patch));
+        std::thread::sleep(CALLER_PAUSE);
+        assert!(!sent.is_finished(), "the node waits for a leader");
+        env.nodes[0].signal("TERM");
+        sent.join().expect("the thread does not panic")
+    });
+    assert_eq!(response.expect("a response").status(), 503);
+}
