Blame ends on requests that were never answered first, and hold others briefly

Cause: ends were blamed on the request with the most of them. A frequent request that is always the same runs at each target that ends, so it soon had two ends more than any culprit and counted as certain; as it was held, no answer could clear it.

Ends are attributed to requests without one first; what is left is held for 2 s, eight times as long after each end more, and released by the next answer. A request that never was answered is held as before, and also where a frequent one made it doubtful. The store of complete answers also renews what it knows while it is full.

--- a/src/quarantine/state.rs
+++ b/src/quarantine/state.rs
@@ -28,9 +28,11 @@
 const COINCIDENCE_WINDOW: Duration = Duration::from_millis(100);
 /// How long a request is held at first. Each further end doubles this.
 const INITIAL_HOLD: Duration = Duration::from_secs(600);
-/// How long a request is held while another request may be to blame. The next attempts of both will
-/// show which one is.
+/// How long a request is held at first while it may not be to blame. The next attempts will show.
 const UNCERTAIN_HOLD: Duration = Duration::from_secs(2);
+/// Each end beyond `ENDS_TO_HOLD` multiplies a doubtful hold by this. After three ends more it is as
+/// long as any other.
+const DOUBTFUL_HOLD_FACTOR: u32 = 8;
 /// Two requests can't be distinguished if their numbers of ends differ by no more than this, as a
 /// target may have terminated for an unrelated reason.
 const RIVAL_MARGIN_ENDS: usize = 1;
@@ -77,12 +79,29 @@
     blamed: HashMap<Fingerprint, Blame>,
 }
 
+/// A request with enough ends to be held.
+struct Suspect {
+    fingerprint: Fingerprint,
+    /// Its uncleared ends, whichever request they are attributed to.
+    ends: usize,
+}
+
 /// The ends attributed to a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Blame {
     ends: usize,
-    /// Whether no other request with about as many ends explains most of these.
-    is_certain: bool,
+    certainty: Certainty,
+}
+
+/// How certain it is that a request terminated the targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Certainty {
+    Certain,
+    /// The request has been answered before, or a request that has been answered before explains most
+    /// ends and has others.
+    Doubtful,
+    /// Another request with about as many ends explains most of them.
+    Indistinguishable,
 }
 
 /// Why a request is held, as pairs of a log line.
@@ -90,7 +109,7 @@
 pub struct HoldReason {
     /// The ends attributed to the request.
     ends: usize,
-    is_certain: bool,
+    certainty: Certainty,
     /// All targets with uncleared ends.
     targets: Vec<TargetStart>,
 }
@@ -101,6 +120,9 @@
     /// Ends by target. They are added and cleared but not removed, until the request expires or has
     /// more than `MAX_ENDS_PER_REQUEST`.
     ends: BTreeMap<TargetStart, TargetEnd>,
+    /// Whether the request got a complete answer, shortly before its ends or after one of them. It
+    /// does not terminate each target that runs it.
+    was_answered: bool,
     /// Revision and time of the last change to this record.
     last_change: (Revision, BootTime),
 }
@@ -124,6 +146,8 @@
     pub fingerprint: Fingerprint,
     /// The targets that ended during its runs.
     pub ends: Vec<ReportedEnd>,
+    /// Whether it got a complete answer, shortly before its ends or after one of them.
+    pub was_answered: bool,
 }
 
 /// The end of a target, as reported to another process.
@@ -161,21 +185,26 @@
             lasted: run.broke_at.saturating_sub(run.sent_at),
             is_cleared: false,
         };
-        let report =
-            |run: &BrokenRun| Report { fingerprint: run.fingerprint, ends: vec![end(run)] };
+        let report = |run: &BrokenRun| Report {
+            fingerprint: run.fingerprint,
+            ends: vec![end(run)],
+            was_answered: false,
+        };
         self.merge_reports(runs.iter().map(report).collect(), now)
     }
 
     /// Records that a request got a complete answer, which clears its earlier ends. Returns whether
-    /// there were any.
+    /// this changed its record.
     pub fn record_completion(&mut self, fingerprint: Fingerprint, now: BootTime) -> bool {
         self.remove_expired(now);
-        if self.completed_at_ms.len() < MAX_COMPLETIONS {
+        let is_known = self.completed_at_ms.contains_key(&fingerprint);
+        if is_known || self.completed_at_ms.len() < MAX_COMPLETIONS {
             self.completed_at_ms.insert(fingerprint, ms(now));
         }
         let Some(record) = self.requests.get_mut(&fingerprint) else { return false };
-        let changed = record.ends.values().any(|end| !end.is_cleared);
+        let changed = !record.was_answered || record.ends.values().any(|end| !end.is_cleared);
         if changed {
+            record.was_answered = true;
             record.ends.values_mut().for_each(|end| end.is_cleared = true);
             self.revision += 1;
             record.last_change = (self.revision, now);
@@ -196,7 +225,9 @@
             let before = self.requests.get(&fingerprint).cloned().unwrap_or_default();
             let mut record = before.clone();
             record.merge_ends(report.ends, now);
+            record.was_answered |= report.was_answered;
             if let Some(completed_at_ms) = self.completed_at_ms.get(&fingerprint) {
+                record.was_answered = true;
                 record.clear_ends_before(*completed_at_ms);
             }
             if !record.reports_same_as(&before) {
@@ -225,51 +256,81 @@
     /// A target that ends breaks the runs of many requests, and frequent requests soon have run on
     /// several such targets. Each end is therefore attributed to a single request: first the ends
     /// of the request with the most ends, or with the shortest runs if there are several, then the
-    /// remaining ends in the same way. If the wrong request is held, the right one soon has one end
-    /// more, and the wrong one is released.
+    /// remaining ends in the same way. Requests that have been answered before come last. If the
+    /// wrong request is held, the right one soon has one end more, and the wrong one is released.
     fn assign_blame(&mut self) -> Vec<Fingerprint> {
         let suspects = self.ranked_suspects();
+        let attributed = self.attribute_ends(&suspects);
+        let blame = |(fingerprint, ends): (&Fingerprint, &usize)| {
+            let certainty = self.certainty(*fingerprint, &suspects, &attributed);
+            (*fingerprint, Blame { ends: *ends, certainty })
+        };
+        let blamed: HashMap<Fingerprint, Blame> = attributed.iter().map(blame).collect();
+        let is_new = |fingerprint: &&Fingerprint| !self.blamed.contains_key(fingerprint);
+        let new = blamed.keys().filter(is_new).copied().collect();
+        self.blamed = blamed;
+        new
+    }
+
+    /// The suspects that are blamed, with the number of ends attributed to each.
+    fn attribute_ends(&self, suspects: &[Suspect]) -> HashMap<Fingerprint, usize> {
         let mut explained = HashSet::new();
-        let mut blamed = HashMap::new();
-        for (_, fingerprint) in &suspects {
-            let record = &self.requests[fingerprint];
+        let mut attributed = HashMap::new();
+        for suspect in suspects {
+            let record = &self.requests[&suspect.fingerprint];
             let ends = record.counted_ends(|target| explained.contains(target));
             if ends >= ENDS_TO_HOLD {
-                let is_rival = |(count, other): &(usize, Fingerprint)| {
-                    let remaining = || {
-                        record.counted_ends(|target| self.requests[other].has_uncleared_end(target))
-                    };
-                    other != fingerprint
-                        && count + RIVAL_MARGIN_ENDS >= ends
-                        && remaining() < ENDS_TO_HOLD
-                };
-                let is_certain = !suspects.iter().any(is_rival);
-                explained.extend(record.uncleared_ends().map(|(target, _)| target.clone()));
-                blamed.insert(*fingerprint, Blame { ends, is_certain });
+                explained.extend(record.uncleared_ends().map(|(target, _)| target));
+                attributed.insert(suspect.fingerprint, ends);
             }
         }
-        let is_new = |fingerprint: &&Fingerprint| !self.blamed.contains_key(fingerprint);
-        let new = blamed.keys().filter(is_new).copied().collect();
-        self.blamed = blamed;
-        new
+        attributed
     }
 
-    /// Requests with enough ends to be held, and their number of ends, in the order in which they
-    /// are blamed.
-    fn ranked_suspects(&self) -> Vec<(usize, Fingerprint)> {
-        let suspects = self
-            .requests
-            .iter()
-            .map(|(fingerprint, record)| (record.counted_ends(|_| false), fingerprint));
-        let mut suspects: Vec<_> = suspects
-            .filter(|(count, _)| *count >= ENDS_TO_HOLD)
-            .map(|(n, fingerprint)| (n, *fingerprint))
-            .collect();
-        let rank = |(count, fingerprint): &(usize, Fingerprint)| {
-            (Reverse(*count), self.requests[fingerprint].total_run_ms())
+    /// How certain it is that a blamed request is the cause of the ends `attributed` to it.
+    fn certainty(
+        &self,
+        fingerprint: Fingerprint,
+        suspects: &[Suspect],
+        attributed: &HashMap<Fingerprint, usize>,
+    ) -> Certainty {
+        let record = &self.requests[&fingerprint];
+        let explains_most = |other: &&Suspect| {
+            let other_record = &self.requests[&other.fingerprint];
+            other.fingerprint != fingerprint
+                && record.counted_ends(|target| other_record.has_uncleared_end(target))
+                    < ENDS_TO_HOLD
         };
-        suspects.sort_unstable_by_key(|suspect| (rank(suspect), suspect.1));
+        let mut certainty =
+            if record.was_answered { Certainty::Doubtful } else { Certainty::Certain };
+        for other in suspects.iter().filter(explains_most) {
+            let was_other_answered = self.requests[&other.fingerprint].was_answered;
+            if was_other_answered && !record.was_answered {
+                // Only ends that nothing else explains show that it terminates targets now.
+                if attributed.contains_key(&other.fingerprint) {
+                    certainty = Certainty::Doubtful;
+                }
+            } else if other.ends + RIVAL_MARGIN_ENDS >= attributed[&fingerprint] {
+                return Certainty::Indistinguishable;
+            }
+        }
+        certainty
+    }
+
+    /// Requests with enough ends to be held, in the order in which they are blamed.
+    fn ranked_suspects(&self) -> Vec<Suspect> {
+        let suspects = self.requests.iter().map(|(fingerprint, record)| Suspect {
+            fingerprint: *fingerprint,
+            ends: record.counted_ends(|_| false),
+        });
+        let mut suspects: Vec<_> =
+            suspects.filter(|suspect| suspect.ends >= ENDS_TO_HOLD).collect();
+        suspects.sort_unstable_by_key(|suspect| {
+            let total_run_ms = self.requests[&suspect.fingerprint].total_run_ms();
+            (Reverse(suspect.ends), total_run_ms, suspect.fingerprint)
+        });
         suspects.truncate(MAX_RANKED_SUSPECTS);
+        suspects.sort_by_key(|suspect| self.requests[&suspect.fingerprint].was_answered);
         suspects
     }
 
@@ -287,10 +348,10 @@
 
     /// Why a request is held, for logs; `None` if it has too few ends.
     pub fn hold_reason(&self, fingerprint: Fingerprint) -> Option<HoldReason> {
-        let Blame { ends, is_certain } = *self.blamed.get(&fingerprint)?;
+        let Blame { ends, certainty } = *self.blamed.get(&fingerprint)?;
         let record = self.requests.get(&fingerprint)?;
         let targets = record.uncleared_ends().map(|(target, _)| target.clone()).collect();
-        Some(HoldReason { ends, is_certain, targets })
+        Some(HoldReason { ends, certainty, targets })
     }
 
     /// Whether there are no records.
@@ -336,7 +397,7 @@
     pub fn digest(&self) -> u64 {
         let digest_of = |(fingerprint, record): (&Fingerprint, &RequestRecord)| {
             let mut hasher = FxHasher::default();
-            fingerprint.hash(&mut hasher);
+            (fingerprint, record.was_answered).hash(&mut hasher);
             record.ends.iter().for_each(|(target, end)| {
                 (target, end.lasted_ms, end.is_cleared).hash(&mut hasher);
             });
@@ -409,7 +470,7 @@
             };
             record.ends.iter().map(reported).collect()
         };
-        reported(self) == reported(before)
+        self.was_answered == before.was_answered && reported(self) == reported(before)
     }
 
     /// Whether the target ended during a run of the request, and this was not cleared.
@@ -465,7 +526,8 @@
             lasted: Duration::from_millis(end.lasted_ms.unsigned_abs()),
             is_cleared: end.is_cleared,
         };
-        Report { fingerprint, ends: self.ends.iter().map(report).collect() }
+        let ends = self.ends.iter().map(report).collect();
+        Report { fingerprint, ends, was_answered: self.was_answered }
     }
 }
 
@@ -480,22 +542,35 @@
 impl fmt::Display for HoldReason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let targets: Vec<String> = self.targets.iter().map(TargetStart::to_string).collect();
-        let HoldReason { ends, is_certain, .. } = self;
-        write!(f, "ends={ends} is_certain={is_certain} targets={}", targets.join(","))
+        let HoldReason { ends, certainty, .. } = self;
+        write!(f, "ends={ends} certainty={certainty:?} targets={}", targets.join(","))
     }
 }
 
 impl Blame {
     /// How long the request is held after its last end.
     fn hold_duration(self) -> Duration {
-        if self.is_certain { hold_duration(self.ends) } else { UNCERTAIN_HOLD }
+        let full_hold = hold_duration(self.ends);
+        match self.certainty {
+            Certainty::Certain => full_hold,
+            Certainty::Doubtful => {
+                let factor = DOUBTFUL_HOLD_FACTOR.saturating_pow(further_ends(self.ends));
+                UNCERTAIN_HOLD.saturating_mul(factor).min(full_hold)
+            }
+            Certainty::Indistinguishable => UNCERTAIN_HOLD,
+        }
     }
 }
 
 /// How long a request with this many ends is held if it is certainly the cause.
 fn hold_duration(ends: usize) -> Duration {
-    let further = ends.saturating_sub(ENDS_TO_HOLD).min(MAX_ENDS_PER_REQUEST);
-    INITIAL_HOLD.saturating_mul(1 << further).min(MAX_HOLD)
+    INITIAL_HOLD.saturating_mul(1 << further_ends(ends)).min(MAX_HOLD)
+}
+
+/// Number of ends beyond those for which a request is held.
+fn further_ends(ends: usize) -> u32 {
+    // At most `MAX_ENDS_PER_REQUEST`, so that the conversion can't fail.
+    ends.saturating_sub(ENDS_TO_HOLD).min(MAX_ENDS_PER_REQUEST) as u32
 }
 
 /// Converts a time since boot, or a duration, to signed milliseconds, so that differences may be
--- a/tests/logic/main.rs
+++ b/tests/logic/main.rs
@@ -2,6 +2,7 @@
 //! fault schedules.
 
 mod admission;
+mod answered_requests;
 mod auth;
 mod broken_runs;
 mod burn;
