Hold no lock of a node while taking another

Operators saw: a node that answered nothing any more, for good, after GET /v1/status.

Cause: the status locked the router and then the catalog; the task that frees stored copies locked the catalog and, in an argument of the same call, the router. A deadlock of two tasks, and then of all that need the router.

The logs of the three listed failures were not kept, so that they were this is not proved; it is the one explanation found that needs no load.

Fix: both finish with one lock before they take the other, and Node states the invariant.

The content test also prints the answer that it didn't expect.

--- a/src/http_api/operators.rs
+++ b/src/http_api/operators.rs
@@ -230,20 +230,8 @@
                        "status": format!("{:?}", member.status).to_lowercase()})
             })
             .collect();
-        let router = self.router.lock();
-        let now = boot_now();
-        let engines: Vec<Value> = router
-            .view()
-            .engines
-            .iter()
-            .map(|(id, engine)| {
-                let report = engine.fresh_report(now);
-                json!({"target": id, "takes_work": engine.takes_work,
-                       "suspect": engine.health.is_unhealthy(), "running": engine.running,
-                       "trust": engine.residency.confidence(),
-                       "weights": report.and_then(|report| report.weight_version.clone())})
-            })
-            .collect();
+        let engines = self.engines_json();
+        let contexts = self.catalog.lock().len();
         json!({
             "node": self.settings.node_id,
             "fresh": in_force.is_some(),
@@ -251,13 +239,28 @@
             "number": self.config_number(),
             "running": self.admission.running(),
             "waiting": self.admission.waiting(),
-            "contexts": self.catalog.lock().len(),
+            "contexts": contexts,
             "peer_sent_bytes": self.links.sent_bytes(),
             "replica": replica,
             "live": live,
             "engines": engines,
         })
     }
+
+    fn engines_json(&self) -> Vec<Value> {
+        let now = boot_now();
+        let router = self.router.lock();
+        let engines = router.view().engines.iter();
+        engines
+            .map(|(id, engine)| {
+                let report = engine.fresh_report(now);
+                json!({"target": id, "takes_work": engine.takes_work,
+                       "suspect": engine.health.is_unhealthy(), "running": engine.running,
+                       "trust": engine.residency.confidence(),
+                       "weights": report.and_then(|report| report.weight_version.clone())})
+            })
+            .collect()
+    }
 }
 
 fn no_leader_response() -> Response {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -57,6 +57,8 @@
 const SHUTDOWN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// The components and shared state of a node.
+///
+/// Invariant: a task that holds one of the mutexes locks no other one, so that tasks can't deadlock.
 pub struct Node {
     pub settings: Settings,
     pub metrics: Arc<NodeMetrics>,
--- a/src/node/stored_prefixes.rs
+++ b/src/node/stored_prefixes.rs
@@ -142,11 +142,8 @@
         let own_id = self.settings.node_id;
         // Only the first owner frees copies. The second owner is the standby.
         let is_first_owner = |root: BlockKey| owners(root, &locations).first() == Some(&own_id);
-        let orders = self.catalog.lock().free_orders(
-            &self.store_used_fractions(),
-            is_first_owner,
-            boot_now(),
-        );
+        let used = self.store_used_fractions();
+        let orders = self.catalog.lock().free_orders(&used, is_first_owner, boot_now());
         for order in orders {
             let Some(url) = self.store_url(&order.store) else { continue };
             let freed =
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -7,4 +7,5 @@
 mod requests;
 mod serving;
 mod shutdown;
+mod status;
 mod testenv;
--- a/tests/process/serving.rs
+++ b/tests/process/serving.rs
@@ -26,7 +26,8 @@
             let unstreamed: Value =
                 env.send_prompt(node, account, &prompt, 12).json().expect("JSON");
             let content = &unstreamed["choices"][0]["message"]["content"];
-            assert_eq!(content, &Value::String(expected_answer(account, &prompt, 12)));
+            let expected = Value::String(expected_answer(account, &prompt, 12));
+            assert_eq!(content, &expected, "node {node}: {unstreamed}");
             assert_eq!(unstreamed["object"], "chat.completion");
             assert_eq!(unstreamed["choices"][0]["finish_reason"], "stop");
             assert_eq!(unstreamed["usage"]["completion_tokens"], 12);
