Take grants of leases that arrive late

Callers saw: 503 not_fresh from a node whose leader was there, on a machine that was only slow.

Cause: a renewal was given up after 300 ms, and its grant thrown away when it came, though a lease counts from when it was asked for and lasts 1.5 s and more. Where each answer takes longer, no lease is ever renewed.

Evidence: the line of a lost lease tells what each node asked answered, and failed tests print their nodes' logs. Beside 24 busy processes and four copies of the process tests, nodes lose leases with answers still pending.

Fix: a renewal waits for as long as a lease lasts. After 300 ms the next node is asked as well.

--- a/src/node/freshness.rs
+++ b/src/node/freshness.rs
@@ -14,8 +14,8 @@
 use crate::lease::{HeldLease, LeaseGrantor};
 use crate::peer::message::{PeerRequest, PeerResponse, RenewLease};
 
-/// Timeout of a renewal, after which another node is tried.
-const RENEW_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long a renewal waits for a grant before another node is tried as well.
+const RENEW_PATIENCE: Duration = Duration::from_millis(300);
 /// Delay after a failed renewal.
 const RENEW_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -29,6 +29,19 @@
     grantor: LeaseGrantor,
 }
 
+/// Why a renewal resulted in no lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RenewalError {
+    /// There is no answer yet.
+    Pending,
+    /// The node can't be reached, or did not answer within the duration of a lease.
+    Unanswered,
+    /// The node is not the leader, or is no relay with a lease of its own.
+    Refused,
+    /// The granted lease has no duration, or its configuration can't be applied.
+    Unusable,
+}
+
 impl Freshness {
     /// Creates the state of a node that has just started, without lease and configuration.
     pub fn new(lease: Duration, now: BootTime) -> Freshness {
@@ -98,11 +111,15 @@
             let renewed = self.renew().await;
             let is_fresh = self.in_force().is_some();
             if is_fresh != was_fresh {
-                log::info!("event=freshness fresh={is_fresh} number={}", self.config_number());
+                let errors = renewed.as_ref().err().map(|errors| describe_errors(errors));
+                let errors = errors.unwrap_or_default();
+                let number = self.config_number();
+                log::info!("event=freshness fresh={is_fresh} number={number} errors={errors:?}");
                 was_fresh = is_fresh;
             }
             self.metrics.config_number.record(self.config_number(), &[]);
-            let delay = if renewed { self.settings.timing.renew } else { RENEW_RETRY_DELAY };
+            let delay =
+                if renewed.is_ok() { self.settings.timing.renew } else { RENEW_RETRY_DELAY };
             tokio::time::sleep(delay).await;
         }
     }
@@ -134,20 +151,29 @@
         }
     }
 
-    async fn renew(self: &Arc<Node>) -> bool {
+    /// Asks for a lease at one node after the other until one is granted.
+    ///
+    /// # Errors
+    /// Why each node granted none so far. A grant that arrives later is still applied.
+    async fn renew(self: &Arc<Node>) -> Result<(), Vec<(NodeId, RenewalError)>> {
         let relay = self.lease_relay();
-        if relay != self.settings.node_id && self.renew_with(relay, true).await {
-            return true;
-        }
-        for node in self.leader_candidates() {
-            if self.renew_with(node, false).await {
-                return true;
-            }
+        let by_relay = (relay != self.settings.node_id).then_some((relay, true));
+        let by_leader = self.leader_candidates().into_iter().map(|node| (node, false));
+        let mut errors = Vec::new();
+        for (node, as_relay) in by_relay.into_iter().chain(by_leader) {
+            let renewal = tokio::spawn(self.clone().renew_with(node, as_relay));
+            let error = match tokio::time::timeout(RENEW_PATIENCE, renewal).await {
+                Ok(Ok(Ok(()))) => return Ok(()),
+                Ok(Ok(Err(error))) => error,
+                Ok(Err(_)) => RenewalError::Unanswered,
+                Err(_) => RenewalError::Pending,
+            };
+            errors.push((node, error));
         }
-        false
+        Err(errors)
     }
 
-    async fn renew_with(self: &Arc<Node>, node: NodeId, as_relay: bool) -> bool {
+    async fn renew_with(self: Arc<Node>, node: NodeId, as_relay: bool) -> Result<(), RenewalError> {
         // The lease starts before the renewal is sent, so that it expires before the grantor's
         // record of it.
         let sent_at = boot_now();
@@ -155,20 +181,25 @@
         let (quarantine, quarantine_received, sent_revision) = self.quarantine_reports_for(node);
         let renew =
             RenewLease { known_number, subtree_number, as_relay, quarantine, quarantine_received };
-        match self.links.request(node, PeerRequest::RenewLease(renew), RENEW_TIMEOUT).await {
-            Ok(PeerResponse::Granted { lasts_ms, number, update, quarantine, quarantine_sent }) => {
+        let request = PeerRequest::RenewLease(renew);
+        // A grant that takes longer has expired when it arrives.
+        let answer = self.links.request(node, request, self.settings.timing.lease).await;
+        match answer.map_err(|_| RenewalError::Unanswered)? {
+            PeerResponse::Granted { lasts_ms, number, update, quarantine, quarantine_sent } => {
                 if !as_relay {
                     self.leader_hint.store(node, Ordering::Relaxed);
                 }
                 self.apply_quarantine_reports(node, quarantine, quarantine_sent, sent_revision);
                 let duration = Duration::from_millis(lasts_ms);
-                self.freshness.lock().apply_grant(sent_at, duration, number, &update)
+                let is_usable =
+                    self.freshness.lock().apply_grant(sent_at, duration, number, &update);
+                is_usable.then_some(()).ok_or(RenewalError::Unusable)
             }
-            Ok(PeerResponse::NotLeader(Some(leader))) => {
+            PeerResponse::NotLeader(Some(leader)) => {
                 self.leader_hint.store(leader, Ordering::Relaxed);
-                false
+                Err(RenewalError::Refused)
             }
-            _ => false,
+            _ => Err(RenewalError::Refused),
         }
     }
 
@@ -180,3 +211,9 @@
         domain_members.map(|member| member.node).min().unwrap_or(self.settings.node_id)
     }
 }
+
+fn describe_errors(errors: &[(NodeId, RenewalError)]) -> String {
+    let described: Vec<String> =
+        errors.iter().map(|(node, error)| format!("{node}:{error:?}")).collect();
+    described.join(",")
+}
--- a/tests/process/testenv.rs
+++ b/tests/process/testenv.rs
@@ -351,6 +351,14 @@
     }
 }
 
+impl Drop for TestEnv {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            println!("{}", self.diagnostics());
+        }
+    }
+}
+
 /// Runs the binary and waits for it to exit.
 pub fn run_binary(args: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_kumquatpost")).args(args).output().expect("the binary runs")
