Let a leader confirm itself before it refuses a lease

Callers saw: 503 not_fresh, in a test as an answer without content.

Cause: the leader refused each renewal, its own node's as well, while its leader lease had lapsed. That lease lasts a bit less than an election timeout after the last heartbeat that a quorum answered; the leader itself goes on for twice that time.

Evidence: in the failing test's log the leader refuses itself five seconds before it loses office.

Fix: the renewal waits until a quorum has answered a heartbeat sent after it, like a linearizable read. A later leader can only be elected after that, and counts a full lease of its predecessor from its own start.

--- a/src/node/peer_requests.rs
+++ b/src/node/peer_requests.rs
@@ -114,13 +114,18 @@
     }
 
     async fn grant_as_leader(&self, child: NodeId, renew: &RenewLease) -> PeerResponse {
-        let Some(replica) = &self.replica else { return PeerResponse::NotLeader(None) };
+        if self.replica.is_none() {
+            return PeerResponse::NotLeader(None);
+        }
+        let (sender, receiver) = oneshot::channel();
         let grant = replica::GrantLease {
             child,
             known_number: renew.known_number,
             acked: renew.subtree_number,
+            sender,
         };
-        match replica.address.send(grant).await {
+        self.send_to_replica(grant).await;
+        match receiver.await {
             Ok(Ok(grant)) => self.grant_answer(grant, renew),
             Ok(Err(leader)) => PeerResponse::NotLeader(leader),
             Err(_) => PeerResponse::Unavailable,
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -18,6 +18,7 @@
 use crate::log::raft::{Change, ChangeError, NotLeader, Raft, RaftStatus, ReadId};
 use crate::log::state::{Command, PatchAnswer, Reply, State};
 use crate::log::{Index, Message, Payload, Term};
+use crate::node::freshness::LeaseGrant;
 use crate::peer::Links;
 use crate::telemetry::metrics::NodeMetrics;
 
@@ -75,9 +76,10 @@
     Change(oneshot::Sender<Result<(), ChangeError>>),
 }
 
-struct ReadWaiter {
-    known_number: ConfigNumber,
-    sender: oneshot::Sender<Result<Update, ReplicaError>>,
+/// What waits until a quorum has confirmed that this replica leads.
+enum ReadWaiter {
+    Config(ReadConfig),
+    Grant(GrantLease),
 }
 
 /// A message from another replica.
@@ -99,6 +101,8 @@
     pub known_number: ConfigNumber,
     /// The number that the child and all nodes with leases from it have applied.
     pub acked: ConfigNumber,
+    /// Gets the grant, or the leader, if known.
+    pub sender: oneshot::Sender<Result<LeaseGrant, Option<NodeId>>>,
 }
 
 /// Returns the term of this replica if it holds the leader lease.
@@ -188,12 +192,14 @@
             }
             Output::Read(read) => {
                 // All entries committed before the read have been applied by earlier outputs.
-                if let Some(waiter) = self.pending_reads.remove(&read) {
-                    drop(
-                        waiter
-                            .sender
-                            .send(Ok(self.state.history().update_since(waiter.known_number))),
-                    );
+                match self.pending_reads.remove(&read) {
+                    Some(ReadWaiter::Config(ReadConfig(known_number, sender))) => {
+                        let update = self.state.history().update_since(known_number);
+                        // Fails only if the receiver has been dropped.
+                        let _ = sender.send(Ok(update));
+                    }
+                    Some(ReadWaiter::Grant(grant)) => self.grant_lease(grant, boot_now()),
+                    None => {}
                 }
             }
         }
@@ -232,22 +238,32 @@
         }
     }
 
-    /// The grantor of the current term, if this replica holds the leader lease at `now`.
-    fn grantor_if_leader(&mut self, now: BootTime) -> Option<&mut LeaseGrantor> {
-        if !self.driver.raft.holds_leader_lease(now) {
-            return None;
-        }
-        if self.grantor.is_none() || self.grantor_term != self.driver.raft.term() {
-            self.grantor = Some(LeaseGrantor::new(self.lease_duration, now));
-            self.grantor_term = self.driver.raft.term();
+    /// Grants a lease. Requires that this replica has been confirmed as the leader since the request.
+    fn grant_lease(&mut self, grant: GrantLease, now: BootTime) {
+        let GrantLease { child, known_number, acked, sender } = grant;
+        let (number, lease_duration) = (self.state.config().number, self.lease_duration);
+        let update = self.state.history().update_since(known_number);
+        let duration = self.grantor(now).grant(child, acked, lease_duration, now);
+        // Fails only if the receiver has been dropped.
+        let _ = sender.send(Ok((duration, number, update)));
+    }
+
+    /// The grantor of the current term.
+    fn grantor(&mut self, now: BootTime) -> &mut LeaseGrantor {
+        let term = self.driver.raft.term();
+        if self.grantor_term != term {
+            self.grantor = None;
+            self.grantor_term = term;
         }
-        self.grantor.as_mut()
+        self.grantor.get_or_insert_with(|| LeaseGrantor::new(self.lease_duration, now))
     }
 
     fn update_in_force(&mut self, now: BootTime) {
         let number = self.state.config().number;
-        let Some(grantor) = self.grantor_if_leader(now) else { return };
-        let min_acked = grantor.min_acked(number, now);
+        if !self.driver.raft.holds_leader_lease(now) {
+            return;
+        }
+        let min_acked = self.grantor(now).min_acked(number, now);
         self.in_force = self.in_force.max(min_acked);
         while let Some((number, accepted_at)) = self.awaiting_in_force.first_key_value()
             && *number <= min_acked
@@ -332,12 +348,11 @@
     type Return = ();
 
     async fn handle(&mut self, read: ReadConfig, context: &mut Context<Self>) {
-        let ReadConfig(known_number, sender) = read;
         match self.driver.raft.read() {
             Ok(id) => {
-                self.pending_reads.insert(id, ReadWaiter { known_number, sender });
+                self.pending_reads.insert(id, ReadWaiter::Config(read));
             }
-            Err(NotLeader { leader }) => drop(sender.send(Err(ReplicaError::NotLeader(leader)))),
+            Err(NotLeader { leader }) => drop(read.1.send(Err(ReplicaError::NotLeader(leader)))),
         }
         self.process_batch(context);
     }
@@ -359,17 +374,21 @@
 }
 
 impl Handler<GrantLease> for Replica {
-    type Return = Result<(Duration, ConfigNumber, Update), Option<NodeId>>;
+    type Return = ();
 
-    async fn handle(&mut self, grant: GrantLease, context: &mut Context<Self>) -> Self::Return {
+    async fn handle(&mut self, grant: GrantLease, context: &mut Context<Self>) {
         self.process_batch(context);
         let now = boot_now();
-        let leader = self.driver.raft.status().leader;
-        let number = self.state.config().number;
-        let update = self.state.history().update_since(grant.known_number);
-        let lease_duration = self.lease_duration;
-        let Some(grantor) = self.grantor_if_leader(now) else { return Err(leader) };
-        Ok((grantor.grant(grant.child, grant.acked, lease_duration, now), number, update))
+        if self.driver.raft.holds_leader_lease(now) {
+            self.grant_lease(grant, now);
+            return;
+        }
+        // The leader lease expires when heartbeats are slow, well before leadership is lost.
+        match self.driver.raft.read() {
+            Ok(id) => drop(self.pending_reads.insert(id, ReadWaiter::Grant(grant))),
+            Err(NotLeader { leader }) => drop(grant.sender.send(Err(leader))),
+        }
+        self.process_batch(context);
     }
 }
 
--- a/tests/logic/main.rs
+++ b/tests/logic/main.rs
@@ -13,6 +13,7 @@
 mod disk;
 mod leader_commit;
 mod lease;
+mod lease_grants;
 mod links;
 mod log_cluster;
 mod log_scenarios;
