Answer operators' calls before a planned stop ends a replica

Operators saw: a closed connection for a call in progress at a replica that was asked to stop.

Cause: the same as at nodes, where a call counted as ended before its response was sent; a replica ended at once.

Fix: SIGTERM closes idle connections of operators, and the others once their calls are answered; the replica goes on deciding meanwhile, for at most the grace period less 0.4 s.

--- a/.ci/mutations.py
+++ b/.ci/mutations.py
@@ -449,6 +449,8 @@
      "if attributed.contains_key(&other.fingerprint) {", "if false {", "logic", "answered_requests"),
     ("lease: a leader whose own lease has lapsed refuses", "src/replica.rs",
      "Ok(id) => drop(self.pending_reads.insert(id, ReadWaiter::Grant(grant))),", "Ok(_) => drop(grant.sender.send(Err(None))),", "logic", "lease_grants"),
+    ("stop: replicas leave operators' calls", "src/control/operator_server.rs",
+     "while self.used_connections.count() > 0 && boot_now() < deadline {", "while false {", "deployment", "replicas::a_planned"),
     ("stop: responses are not waited for", "src/node/mod.rs",
      "while self.used_connections.count() > 0 && boot_now() < deadline {", "while false {", "process", "shutdown"),
     ("stop: unread responses are waited for without limit", "src/node/mod.rs",
--- a/src/control/operator_server.rs
+++ b/src/control/operator_server.rs
@@ -19,13 +19,15 @@
 use hyper_util::rt::TokioIo;
 use serde_json::json;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use super::replica::{Input, Undecided};
 use super::shared::Shared;
 use super::state::{Command, ControlState, Published, Reply};
+use crate::clock::boot_now;
 use crate::deployment::{Deployment, validate};
 use crate::fleet::evacuation::{AcceptedOrder, EvacuationOrder, Evacuations, OrderRevision};
+use crate::http::UsedConnections;
 use crate::ids::{DomainId, ModelId};
 use crate::net;
 use crate::platform::operator::{self, RejectedCall};
@@ -39,6 +41,9 @@
 const DECISION_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// A connection whose data is not acknowledged for this long is closed.
 const UNACKED_TIMEOUT: Duration = Duration::from_secs(3);
+/// How often a shutdown checks whether all calls are answered.
+const SHUTDOWN_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// A request from an operator.
 #[derive(Clone, Debug, PartialEq)]
 pub enum OperatorCall {
@@ -93,9 +98,23 @@
     pub port: u16,
     /// Counts requests.
     pub metrics: Rc<ReplicaMetrics>,
+    /// Connections of operators.
+    pub used_connections: UsedConnections,
+    /// Once true, each connection is closed after its current response.
+    pub closing: watch::Sender<bool>,
 }
 
 impl OperatorServer {
+    /// Waits until all calls in progress are answered, at most for `limit`.
+    pub async fn finish_calls(&self, limit: Duration) {
+        self.closing.send_replace(true);
+        let deadline = boot_now() + limit;
+        tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
+        while self.used_connections.count() > 0 && boot_now() < deadline {
+            tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
+        }
+    }
+
     /// Accepts connections for as long as the process lives.
     pub async fn accept(self: Rc<OperatorServer>, listener: TcpListener) {
         let spawn_connection = |stream| drop(tokio::task::spawn_local(self.clone().serve(stream)));
@@ -106,11 +125,23 @@
         if let Err(error) = net::set_ack_timeout(&stream, UNACKED_TIMEOUT) {
             log::warn!("event=connection_not_set reason={:?}", error.to_string());
         }
-        let service = service_fn(move |request| {
+        let mut closing = self.closing.subscribe();
+        let connection_use = self.used_connections.track();
+        let service = service_fn(|request| {
+            connection_use.mark_used();
             let operators = self.clone();
             async move { Ok::<Answer, Infallible>(operators.answer(request).await) }
         });
-        let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        let mut connection = std::pin::pin!(connection);
+        let served = tokio::select! {
+            served = connection.as_mut() => served,
+            // An error means that the process ends.
+            _ = closing.wait_for(|closing| *closing) => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        };
         if let Err(error) = served {
             log::debug!("event=operator_gone reason={:?}", error.to_string());
         }
--- a/src/control/run.rs
+++ b/src/control/run.rs
@@ -34,6 +34,7 @@
 use crate::error::{Error, Result};
 use crate::essential_tasks::essential_tasks;
 use crate::host::HostSettings;
+use crate::http::UsedConnections;
 use crate::log::disk::Disk;
 use crate::log::driver::Driver;
 use crate::log::raft::{Raft, RaftTiming};
@@ -53,6 +54,8 @@
 const SNAPSHOT_INTERVAL: Index = 256;
 /// Inputs queued while the disk is busy.
 const QUEUE_LEN: usize = 1_024;
+/// How long before the end of the grace period operators' calls in progress are abandoned.
+const GRACE_RESERVE: Duration = Duration::from_millis(400);
 /// Delay before a failed disk is reopened.
 const DISK_RETRY_DELAY: Duration = Duration::from_secs(1);
 
@@ -122,8 +125,10 @@
         inputs: inputs.clone(),
         port: operators_address.port(),
         metrics: metrics.clone(),
+        used_connections: UsedConnections::default(),
+        closing: watch::Sender::new(false),
     });
-    tasks.spawn("operators", operators.accept(listen(operators_address).await?));
+    tasks.spawn("operators", operators.clone().accept(listen(operators_address).await?));
     if let Some(address) = host.target_list {
         let list = TargetListSource { address, rate_per_s: host.target_list_reads_per_s };
         tasks.spawn(
@@ -149,9 +154,14 @@
     let reloaded = reload::watch_settings(host.clone(), |host| {
         shared.seeds.borrow_mut().extend(host.seeds.iter().map(|seed| seed.ip()));
     });
+    let shutdown = async {
+        crate::commands::wait_for_shutdown_signal().await?;
+        operators.finish_calls(host.periods.shutdown_grace.saturating_sub(GRACE_RESERVE)).await;
+        Ok(())
+    };
     tokio::select! {
         ended = run_replica(&host, &folder, &identity, shared.clone(), receiver) => ended,
-        asked = crate::commands::wait_for_shutdown_signal() => asked,
+        ended = shutdown => ended,
         failed = reloaded => failed,
         error = first_exit.wait() => Err(error),
     }?;
--- a/src/http.rs
+++ b/src/http.rs
@@ -87,16 +87,23 @@
     pub fn count(&self) -> usize {
         self.0.load(Ordering::Relaxed)
     }
+
+    /// Tracks a new connection.
+    pub fn track(&self) -> ConnectionUse {
+        ConnectionUse { used: self.clone(), is_counted: AtomicBool::new(false) }
+    }
 }
 
 /// Counts one connection from its first request until it is dropped.
-struct ConnectionUse {
+#[derive(Debug)]
+pub struct ConnectionUse {
     used: UsedConnections,
     is_counted: AtomicBool,
 }
 
 impl ConnectionUse {
-    fn mark_used(&self) {
+    /// Records that a request was received.
+    pub fn mark_used(&self) {
         if !self.is_counted.swap(true, Ordering::Relaxed) {
             self.used.0.fetch_add(1, Ordering::Relaxed);
         }
@@ -146,9 +153,8 @@
         if let Err(error) = stream.set_nodelay(true) {
             log::warn!("event=nodelay_failed error={:?}", error.to_string());
         }
-        let (service, watcher) = (service.clone(), graceful.watcher());
-        let connection_use =
-            ConnectionUse { used: used.clone(), is_counted: AtomicBool::new(false) };
+        let (service, watcher, connection_use) =
+            (service.clone(), graceful.watcher(), used.track());
         tokio::spawn(async move {
             let service = service_fn(|request| {
                 connection_use.mark_used();
--- a/tests/deployment/evacuation.rs
+++ b/tests/deployment/evacuation.rs
@@ -244,7 +244,7 @@
     let cluster = ReplicaCluster::start(3);
     accepted(&cluster, "POST", "hall");
     for host in 0..3 {
-        let answer = cluster.send_without_redirects(host, "DELETE", "evacuate/hall");
+        let answer = cluster.send_without_redirects(host, "DELETE", "evacuate/hall", None);
         assert_eq!(answer, Some(307));
     }
     assert_eq!(read_evacuated(&cluster), json!(["hall"]));
--- a/tests/deployment/replicas.rs
+++ b/tests/deployment/replicas.rs
@@ -80,7 +80,7 @@
             "Listen": {"Control": seed(host)}, "PortRange": [self.port, self.port + 8],
             "Seeds": [seed(0), seed(1), seed(2)], "FirstStart": is_first_start,
             "Limits": {"MemoryMb": 256, "MaxFds": 4096}, "DataDir": self.file(host, "data"),
-            "Cloud": self.target_list.map(|list| json!({"Addr": list, "RatePerS": 44.0})), "Tolerate": {"Machines": 2}, "Bounds": {"LeaseMs": 3000, "VersionMs": 2000, "VersionAllMs": 2800}
+            "Cloud": self.target_list.map(|list| json!({"Addr": list, "RatePerS": 44.0})), "Tolerate": {"Machines": 2}, "Bounds": {"GraceS": 8, "LeaseMs": 3000, "VersionMs": 2000, "VersionAllMs": 2800}
         });
         let path = self.file(host, "settings.json");
         std::fs::write(&path, settings.to_string()).expect("a file");
@@ -94,6 +94,12 @@
         self.running[host] = Some(child);
     }
 
+    fn terminate(&self, host: usize) {
+        let id = self.running[host].as_ref().expect("the replica is running").id().to_string();
+        let status = Command::new("kill").args(["-s", "TERM", &id]).status();
+        assert!(status.expect("kill runs").success());
+    }
+
     pub fn kill(&mut self, host: usize) {
         let mut child = self.running[host].take().expect("the replica is running");
         child.kill().expect("the child can be killed");
@@ -150,12 +156,19 @@
     }
 
     /// The status of a response, even if that is a redirect.
-    pub fn send_without_redirects(&self, host: usize, method: &str, path: &str) -> Option<u16> {
+    pub fn send_without_redirects(
+        &self,
+        host: usize,
+        method: &str,
+        path: &str,
+        body: Option<&Value>,
+    ) -> Option<u16> {
         let no_redirects = reqwest::redirect::Policy::none();
         let client = Client::builder().redirect(no_redirects).build().expect("a client");
         let url = format!("http://{}:{}/{path}", self.ip(host), self.port + 9);
         let request = client.request(method.parse().expect("a method"), url);
-        Some(request.send().ok()?.status().as_u16())
+        let body = body.map(Value::to_string).unwrap_or_default();
+        Some(request.body(body).send().ok()?.status().as_u16())
     }
 
     /// Publishes a document at the first replica that acknowledges it.
@@ -253,3 +266,25 @@
     cluster.start_replica(0, false);
     assert_eq!(cluster.read(), document(2));
 }
+
+/// Guards against operators' calls that are cut off by a planned stop.
+#[test]
+fn a_planned_stop_answers_an_operators_call_in_progress() {
+    let mut cluster = ReplicaCluster::start(3);
+    cluster.publish(2);
+    let leads =
+        |host: &usize| cluster.send_without_redirects(*host, "GET", "config", None) == Some(200);
+    let leader = (0..3).find(leads).expect("a leader");
+    (0..3).filter(|host| *host != leader).for_each(|host| cluster.kill(host));
+    let answer = std::thread::scope(|scope| {
+        // A call waits for a decision until the leader has noticed that it lost its quorum.
+        let publish =
+            || cluster.send_without_redirects(leader, "PUT", "config", Some(&document(3)));
+        let call = scope.spawn(publish);
+        std::thread::sleep(Duration::from_millis(100));
+        assert!(!call.is_finished(), "the call waits");
+        cluster.terminate(leader);
+        call.join().expect("the call does not panic")
+    });
+    assert_eq!(answer, Some(503));
+}
