--- a/src/fleet/compact.rs
+++ b/src/fleet/compact.rs
@@ -1,5 +1,5 @@
 //! Compact encoding of target lists: names of services, failure domains and models are sent once
-//! and referred to by index.
+//! and referred to by index. A target takes some 30 bytes in place of 73.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/src/fleet/roster.rs
+++ b/src/fleet/roster.rs
@@ -36,9 +36,10 @@
 }
 
 /// A target missing from this many consecutive lists is forgotten, together with its retired
-/// starts. Far longer than the platform's list lags.
+/// starts. That is 20 s and more, far longer than the platform's list lags.
 pub const ABSENT_TTL_LISTS: u32 = 40;
-/// A retired start of a target that is still known is forgotten after this many lists without it.
+/// A retired start of a target that is still known is forgotten after this many lists without it, half
+/// an hour and more.
 pub const RETIRED_TTL_LISTS: u32 = 4_000;
 
 /// All listed targets. The platform's list lags, and successive reads may return older states.
--- a/src/gateway/subscription_policy.rs
+++ b/src/gateway/subscription_policy.rs
@@ -2,8 +2,9 @@
 //!
 //! After an outage all entries start at the same time. If each received the complete roster from
 //! every replica that it subscribes to, large deployments would saturate the links between failure
-//! domains. Each entry therefore receives it once, preferably from a replica in its own failure
-//! domain (a local replica).
+//! domains: 300 entries and 3,000 targets make 130 MB at each start, four fifths of it between
+//! failure domains. Each entry therefore receives it once, preferably from a replica in its own
+//! failure domain (a local replica).
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::IpAddr;
@@ -24,7 +25,8 @@
 const LOCAL_WAIT: Duration = Duration::from_millis(250);
 
 /// If one replica announces a later roster, the changes should arrive from the other one within
-/// this time, which is one heartbeat. Otherwise they are requested from the announcing replica.
+/// this time, which is one heartbeat: many changes pass a link of 10 Mbit/s in it. Otherwise they
+/// are requested from the announcing replica.
 const CHANGES_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// The subscriptions of an entry, and what it knows of the replicas.
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -75,6 +75,7 @@
     tickets: FxHashMap<TicketId, Ticket>,
     next_ticket: TicketId,
     clock: Option<EngineClock>,
+    /// Until this time, fetches granted by an earlier scheduler may still run, so nothing is freed.
     frees_allowed_from: BootTime,
     /// Until this time, frees issued by an earlier scheduler may still take effect, so nothing is
     /// fetched.
