Split the quarantine into records, blame and state

The record of one request, and the decision which requests are to blame, are modules of their own now; the latter is a pure function of the records. Behaviour is unchanged.

--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -6,10 +6,17 @@
 //! commutative and idempotent, so reports may be repeated or reordered, no leader is needed, and a
 //! restarted process catches up from any other.
 
+mod blame;
 pub mod broken_runs;
 mod fingerprint;
 pub mod notify;
+mod record;
 mod state;
 
+pub use blame::HoldReason;
 pub use fingerprint::Fingerprint;
-pub use state::{HoldReason, MergeResult, Quarantine, Report, Revision};
+pub use record::{Report, ReportedEnd};
+pub use state::{MergeResult, Quarantine};
+
+/// Number of changes to one process's quarantine; 0 is before the first.
+pub type Revision = u64;
