--- a/src/control/operator_server.rs
+++ b/src/control/operator_server.rs
@@ -41,8 +41,6 @@
 const DECISION_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// A connection whose data is not acknowledged for this long is closed.
 const UNACKED_TIMEOUT: Duration = Duration::from_secs(3);
-/// How often a shutdown checks whether all calls are answered.
-const SHUTDOWN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// A request from an operator.
 #[derive(Clone, Debug, PartialEq)]
@@ -108,11 +106,7 @@
     /// Waits until all calls in progress are answered, at most for `limit`.
     pub async fn finish_calls(&self, limit: Duration) {
         self.closing.send_replace(true);
-        let deadline = boot_now() + limit;
-        tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
-        while self.used_connections.count() > 0 && boot_now() < deadline {
-            tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
-        }
+        self.used_connections.wait_until_closed(boot_now() + limit).await;
     }
 
     /// Accepts connections for as long as the process lives.
--- a/src/http.rs
+++ b/src/http.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
 use futures::{Stream, StreamExt};
@@ -17,8 +18,12 @@
 use warp::Reply;
 use warp::http::{HeaderMap, HeaderValue, Method, StatusCode};
 
+use crate::clock::{BootTime, boot_now};
 use crate::net;
 
+/// How often a shutdown checks whether all responses are sent.
+const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// An HTTP response.
 pub type Response = warp::reply::Response;
 
@@ -88,6 +93,15 @@
         self.0.load(Ordering::Relaxed)
     }
 
+    /// Waits until there are none, at most until `deadline`. To be called after a graceful shutdown has
+    /// begun, which takes a moment to close the idle connections.
+    pub async fn wait_until_closed(&self, deadline: BootTime) {
+        tokio::time::sleep(CLOSE_POLL_INTERVAL).await;
+        while self.count() > 0 && boot_now() < deadline {
+            tokio::time::sleep(CLOSE_POLL_INTERVAL).await;
+        }
+    }
+
     /// Tracks a new connection.
     pub fn track(&self) -> ConnectionUse {
         ConnectionUse { used: self.clone(), is_counted: AtomicBool::new(false) }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -171,10 +171,7 @@
         }
         // A request ends before its response is completely sent; its connection closes after that.
         self.stopped.send_replace(true);
-        tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
-        while self.used_connections.count() > 0 && boot_now() < deadline {
-            tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
-        }
+        self.used_connections.wait_until_closed(deadline).await;
         let unfinished = self.admission.running() + self.admission.waiting();
         // Requests that have not ended have a connection, too, unless their callers have left.
         let cut_off = unfinished.max(self.used_connections.count());
