Close connections without discarding the last response

Callers saw a connection reset in place of the end of a response if they pipelined a request behind it, or were still sending a body that was answered early. Cause: the kernel resets a connection that is closed while received bytes are unread, and drops what it has not sent yet. The new test fails on the code before with 'Connection reset by peer' while it reads a response of 3 MB during a planned stop.

Servers of nodes, entries and replicas end the sending side first, then discard what still arrives until the caller closes, for at most one second, so no unread byte is left at the close.

--- a/src/control/operator_server.rs
+++ b/src/control/operator_server.rs
@@ -30,6 +30,7 @@
 use crate::http::UsedConnections;
 use crate::ids::{DomainId, ModelId};
 use crate::net;
+use crate::net::lingering_stream::LingeringStream;
 use crate::platform::operator::{self, RejectedCall};
 use crate::telemetry::deployment_metrics::ReplicaMetrics;
 use crate::telemetry::metrics::label;
@@ -126,7 +127,8 @@
             let operators = self.clone();
             async move { Ok::<Answer, Infallible>(operators.answer(request).await) }
         });
-        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        let connection = http1::Builder::new()
+            .serve_connection(TokioIo::new(LingeringStream::new(stream)), service);
         let mut connection = std::pin::pin!(connection);
         let served = tokio::select! {
             served = connection.as_mut() => served,
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -16,6 +16,7 @@
 use super::state::Gateway;
 use crate::clock::{BootTime, boot_now};
 use crate::net;
+use crate::net::lingering_stream::LingeringStream;
 
 /// A connection whose sent bytes are not acknowledged for this long is closed.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(5);
@@ -65,7 +66,7 @@
     };
     let connection = http1::Builder::new()
         .max_buf_size(limits.head_bytes.max(MIN_HEAD_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(LingeringStream::new(stream)), service);
     tokio::pin!(connection);
     let mut is_closing = *closing.borrow();
     if is_closing {
--- a/src/http.rs
+++ b/src/http.rs
@@ -20,6 +20,7 @@
 
 use crate::clock::{BootTime, boot_now};
 use crate::net;
+use crate::net::lingering_stream::LingeringStream;
 
 /// How often a shutdown checks whether all responses are sent.
 const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -175,7 +176,8 @@
                 service.call(request)
             });
             let builder = Builder::new(TokioExecutor::new());
-            let connection = builder.serve_connection(TokioIo::new(stream), service);
+            let connection =
+                builder.serve_connection(TokioIo::new(LingeringStream::new(stream)), service);
             if let Err(error) = watcher.watch(connection).await {
                 log::debug!("event=client_disconnected reason={:?}", error.to_string());
             }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! TCP connections with a timeout for unacknowledged data.
 
 pub mod http;
+pub mod lingering_stream;
 pub mod text_server;
 
 use std::io;
--- a/tests/process/shutdown.rs
+++ b/tests/process/shutdown.rs
@@ -104,3 +104,26 @@
     });
     assert_eq!(response.expect("a response").status(), 503);
 }
+
+const HALF_ORDER: &str = "POST /v1/services/part-order/orders HTTP/1.1\r\n\
+                          Authorization: Bearer key-of-anna\r\nIdempotency-Key: half\r\n";
+
+/// Guards against a response whose end is lost because bytes of a pipelined request are unread when
+/// the connection is closed.
+#[test]
+fn a_planned_stop_completes_a_response_behind_which_more_requests_are_pipelined() {
+    let mut env = start_node(Duration::from_secs(20));
+    let mut caller = start_long_order(&env);
+    let more = HALF_ORDER.to_string() + "Content-Length: 1000000\r\n\r\n" + &"x".repeat(500_000);
+    caller.set_nonblocking(true).expect("the mode can be set");
+    // The buffers of the connection may not take all of it.
+    let _ = caller.write(more.as_bytes()).expect("a part is taken");
+    caller.set_nonblocking(false).expect("the mode can be set");
+    env.nodes[0].signal("TERM");
+    std::thread::sleep(CALLER_PAUSE);
+    let text = read_to_end(caller);
+    let (_, body) = text.split_once("\r\n\r\n").expect("a response head");
+    let order: serde_json::Value = serde_json::from_str(body).expect("a complete response");
+    assert_eq!(order["body"].as_str().map(str::len), Some(LONG_ORDER_BYTES));
+    assert_eq!(env.nodes[0].exit_code(), Some(0));
+}
