Refuse half-sent requests when a planned stop begins

A caller whose body was incomplete at SIGTERM got a closed connection without a response after the whole of shutdown_ms (6.05 of 6 s in a trial), and the node ended with exit code 1. Entries waited for their whole grace period, replicas for 7.6 of 8 s. Cause: the body was read to its end before the request was looked at, although a stopping node refuses it in any case.

Bodies are no longer waited for once a node refuses requests, an entry closes its connections, or a replica finishes its calls: the caller gets a 503 at once, not run, with Retry-After. Outside of a stop an entry answers 408 at the request's deadline; it waited for ever before.

--- a/src/control/operator_server.rs
+++ b/src/control/operator_server.rs
@@ -12,7 +12,7 @@
 use http::header::{CONTENT_TYPE, LOCATION};
 use http::uri::PathAndQuery;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -27,10 +27,11 @@
 use crate::clock::boot_now;
 use crate::deployment::{Deployment, validate};
 use crate::fleet::evacuation::{AcceptedOrder, EvacuationOrder, Evacuations, OrderRevision};
-use crate::http::UsedConnections;
+use crate::http::{BodyError, UsedConnections};
 use crate::ids::{DomainId, ModelId};
 use crate::net;
 use crate::net::lingering_stream::LingeringStream;
+use crate::net::request_body::RequestBody;
 use crate::platform::operator::{self, RejectedCall};
 use crate::telemetry::deployment_metrics::ReplicaMetrics;
 use crate::telemetry::metrics::label;
@@ -146,10 +147,12 @@
     async fn answer(&self, request: Request<Incoming>) -> Answer {
         let (head, body) = request.into_parts();
         let path = head.uri.path_and_query().map_or("/", PathAndQuery::as_str).to_string();
-        let Ok(body) = Limited::new(body, MAX_BODY_BYTES).collect().await else {
-            return text(StatusCode::BAD_REQUEST, "the body is too large or broke off".into());
+        let body = RequestBody::new(body, self.closing.subscribe());
+        let body = match body.read(MAX_BODY_BYTES).await {
+            Ok(body) => body,
+            Err(error) => return body_error_answer(error),
         };
-        let decoded = operator::decode(&head.method, &path, &body.to_bytes());
+        let decoded = operator::decode(&head.method, &path, &body);
         let answer = match decoded.and_then(validate_call) {
             Ok(OperatorCall::ReadDeployment) => self.read(&path).await,
             Ok(OperatorCall::Publish { deployment, text }) => {
@@ -311,6 +314,19 @@
     answer
 }
 
+fn body_error_answer(error: BodyError) -> Answer {
+    let (status, message) = match error {
+        BodyError::TooLarge(_) | BodyError::Disconnected => {
+            (StatusCode::BAD_REQUEST, "the body is too large or broke off")
+        }
+        BodyError::Interrupted => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "nothing was changed, this replica shuts down; ask another one",
+        ),
+    };
+    text(status, message.into())
+}
+
 fn json_answer(body: Bytes) -> Answer {
     with_type(StatusCode::OK, body, "application/json")
 }
--- a/src/emulator/supervisor.rs
+++ b/src/emulator/supervisor.rs
@@ -9,7 +9,7 @@
 
 use parking_lot::Mutex;
 use serde_json::json;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use warp::http::{Method, StatusCode};
 
 use super::engine::{ActiveWeightLoads, Engine};
@@ -21,7 +21,7 @@
 use super::target_list::DelayedTargetList;
 
 use crate::error::{Error, Result};
-use crate::http::{self, Request, Response, UsedConnections};
+use crate::http::{self, Request, Response, ShutdownPhase, UsedConnections};
 use crate::ids::{Incarnation, TargetId};
 use crate::upstream::api::{Presence, Role, Target};
 
@@ -312,6 +312,6 @@
     H: Fn(Request) -> F + Send + Sync + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
-    let (used, stop) = (UsedConnections::default(), std::future::pending());
-    http::serve(listener, BODY_LIMIT_BYTES, handler, used, stop).await;
+    let (_sender, phase) = watch::channel(ShutdownPhase::Serving);
+    http::serve(listener, BODY_LIMIT_BYTES, handler, UsedConnections::default(), phase).await;
 }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -8,10 +8,10 @@
 use bytes::Bytes;
 use http::header::CONNECTION;
 use http::{HeaderValue, Request, Response, StatusCode};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use rand::RngExt;
-use tokio::time::Instant;
+use tokio::sync::watch;
+use tokio::time::{Instant, timeout_at};
 
 use super::attempt::{AttemptError, TargetResponse, attempt};
 use super::metadata::RequestMetadata;
@@ -27,7 +27,9 @@
 use crate::deployment::{Rejection, RoutingTable, RunPolicy};
 use crate::fleet::placement::SelectionError;
 use crate::fleet::regions::AllowedDomains;
+use crate::http::BodyError;
 use crate::ids::{DomainId, RegionId, TargetStart};
+use crate::net::request_body::RequestBody;
 use crate::platform::headers;
 
 /// Shortest `Retry-After` of a refusal: about the time that an engine needs for one prompt.
@@ -48,11 +50,17 @@
 /// Cache namespace of all requests whose account is not isolated.
 const SHARED_CACHE_NAMESPACE: &str = "all";
 
-/// Handles a request and returns the response for its caller.
-pub async fn handle(gateway: Rc<Gateway>, request: Request<Incoming>) -> GatewayResponse {
+/// Handles a request and returns the response for its caller. Once `closing` is true, a request
+/// whose body is incomplete is refused.
+pub async fn handle(
+    gateway: Rc<Gateway>,
+    request: Request<Incoming>,
+    closing: watch::Receiver<bool>,
+) -> GatewayResponse {
     let started_at = boot_now();
     let arrived = Instant::now();
     let (head, body) = request.into_parts();
+    let body = RequestBody::new(body, closing);
     let metadata = headers::decode_request(&head.uri, &head.headers);
     let mut record = RequestRecord::new(&gateway, &metadata, started_at);
     let mut response = match admit(&gateway, head, metadata, body, arrived, &mut record).await {
@@ -70,7 +78,7 @@
     gateway: &Gateway,
     head: http::request::Parts,
     metadata: RequestMetadata,
-    body: Incoming,
+    body: RequestBody,
     arrived: Instant,
     record: &mut RequestRecord,
 ) -> Result<RoutedRequest, (Refusal, String)> {
@@ -86,7 +94,7 @@
         (table.deployment().version, table.deployment().request_limits.body_bytes);
     drop(table);
     gateway.wait_for_service(&routed.service, max_wait.saturating_sub(arrived.elapsed())).await;
-    routed.body = match read_body(body, max_bytes).await {
+    routed.body = match read_body(body, max_bytes, routed.deadline).await {
         Ok(body) => body,
         // The body is partly consumed, so the request can't be checked against a later deployment
         // with a larger limit.
@@ -180,12 +188,19 @@
     uri.path_and_query().cloned().map(http::Uri::from).unwrap_or_default()
 }
 
-async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, Refusal> {
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
-        Err(_) => Err(Refusal::Malformed),
-    }
+async fn read_body(
+    body: RequestBody,
+    max_bytes: usize,
+    deadline: Instant,
+) -> Result<Bytes, Refusal> {
+    let Ok(read) = timeout_at(deadline, body.read(max_bytes)).await else {
+        return Err(Refusal::BodyTooLate);
+    };
+    read.map_err(|error| match error {
+        BodyError::TooLarge(_) => Refusal::BodyTooLarge,
+        BodyError::Disconnected => Refusal::Malformed,
+        BodyError::Interrupted => Refusal::ShuttingDown,
+    })
 }
 
 async fn serve(
@@ -329,8 +344,8 @@
     let jitter = RETRY_AFTER_JITTER.mul_f64(rand::rng().random());
     let retry_after = match refusal {
         Refusal::Busy(retry_after) | Refusal::Held(retry_after) => retry_after,
-        // Another entry may have a later deployment, so the caller can retry there at once.
-        Refusal::Unconfirmed => Duration::ZERO,
+        // Another entry may serve the request, so the caller can retry there at once.
+        Refusal::Unconfirmed | Refusal::ShuttingDown => Duration::ZERO,
         _ => MIN_RETRY_AFTER + jitter,
     };
     let response = refusal_response(refusal, id, retry_after);
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -37,6 +37,11 @@
     BodyTooLarge,
     /// The body could not be read.
     Malformed,
+    /// The body was not complete by the deadline. The request has not run.
+    BodyTooLate,
+    /// The entry closes its connections and does not wait for the rest of the body. The request has
+    /// not run.
+    ShuttingDown,
     /// The entry knows no deployment yet.
     NotReady,
     /// The known deployment rejects the request, but no replica has confirmed that it is the
@@ -68,7 +73,9 @@
             Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
             Refusal::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::Malformed => StatusCode::BAD_REQUEST,
+            Refusal::BodyTooLate => StatusCode::REQUEST_TIMEOUT,
             Refusal::NotReady
+            | Refusal::ShuttingDown
             | Refusal::Unconfirmed
             | Refusal::NoTarget
             | Refusal::OldWeights
@@ -87,6 +94,8 @@
             Refusal::UnknownKey => "unknown_key",
             Refusal::BodyTooLarge => "body_too_large",
             Refusal::Malformed => "malformed",
+            Refusal::BodyTooLate => "body_too_late",
+            Refusal::ShuttingDown => "shutting_down",
             Refusal::NotReady => "not_ready",
             Refusal::Unconfirmed => "unconfirmed",
             Refusal::NoTarget => "no_target",
@@ -105,6 +114,10 @@
             Refusal::UnknownKey => "give the key of an account",
             Refusal::BodyTooLarge => "the body is longer than allowed; send less",
             Refusal::Malformed => "the request can't be read; send it whole",
+            Refusal::BodyTooLate => {
+                "not run: the body was incomplete at the deadline; send it sooner"
+            }
+            Refusal::ShuttingDown => "not run: this entry shuts down; ask another one",
             Refusal::NotReady => "not run: this entry has just started; come back",
             Refusal::Unconfirmed => "not run: this entry may lack a change; ask another one",
             Refusal::NoTarget => "not run: no target can take it now; come back",
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -53,12 +53,13 @@
         gateway.table().map(|table| table.deployment().request_limits.clone()).unwrap_or_default();
     let last_used = Rc::new(Cell::new(boot_now()));
     let service = {
-        let last_used = last_used.clone();
+        let (last_used, closing) = (last_used.clone(), closing.clone());
         service_fn(move |request| {
-            let (gateway, last_used) = (gateway.clone(), last_used.clone());
+            let (gateway, last_used, closing) =
+                (gateway.clone(), last_used.clone(), closing.clone());
             async move {
                 last_used.set(BootTime::MAX);
-                let response = request::handle(gateway, request).await;
+                let response = request::handle(gateway, request, closing).await;
                 last_used.set(boot_now());
                 Ok::<GatewayResponse, Infallible>(response)
             }
--- a/src/http.rs
+++ b/src/http.rs
@@ -14,6 +14,7 @@
 use hyper_util::service::TowerToHyperService;
 use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use warp::Filter;
 use warp::Reply;
 use warp::http::{HeaderMap, HeaderValue, Method, StatusCode};
@@ -48,6 +49,19 @@
     TooLarge(usize),
     /// The client disconnected.
     Disconnected,
+    /// The server shuts down and does not wait for the rest.
+    Interrupted,
+}
+
+/// How far a server's graceful shutdown has progressed. Only advances.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ShutdownPhase {
+    /// Not shutting down.
+    Serving,
+    /// Requests are refused, so the rest of an incomplete body is not waited for.
+    Refusing,
+    /// Each connection is closed as soon as its response is completely sent.
+    Closing,
 }
 
 impl Request {
@@ -133,19 +147,20 @@
     }
 }
 
-/// Serves requests with `handler` until `stop` completes. Then closes each connection as soon as its
-/// response is completely sent, and returns once all are closed.
+/// Serves requests with `handler` until the phase is `Closing`, and returns once all connections are
+/// closed.
 pub async fn serve<H, F>(
     listener: TcpListener,
     body_limit: usize,
     handler: H,
     used: UsedConnections,
-    stop: impl Future<Output = ()> + Send + 'static,
+    phase: watch::Receiver<ShutdownPhase>,
 ) where
     H: Fn(Request) -> F + Send + Sync + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
     let handler = Arc::new(handler);
+    let handler_phase = phase.clone();
     let query = warp::query::raw().or(warp::any().map(String::new)).unify();
     let filter = warp::method()
         .and(warp::path::full())
@@ -153,9 +168,13 @@
         .and(warp::header::headers_cloned())
         .and(warp::body::stream())
         .then(move |method, path: warp::path::FullPath, query, headers, body| {
-            let handler = handler.clone();
+            let (handler, phase) = (handler.clone(), handler_phase.clone());
             async move {
-                let body = read_body(body, body_limit).await;
+                let body = tokio::select! {
+                    biased;
+                    body = read_body(body, body_limit) => body,
+                    () = reached(phase, ShutdownPhase::Refusing) => Err(BodyError::Interrupted),
+                };
                 let path = path.as_str().to_string();
                 handler(Request { method, path, query, headers, body }).await
             }
@@ -185,11 +204,16 @@
     };
     tokio::select! {
         () = net::for_each_connection(listener, serve_connection) => {}
-        () = stop => {}
+        () = reached(phase, ShutdownPhase::Closing) => {}
     }
     graceful.shutdown().await;
 }
 
+/// Waits for a phase. An error means that the server's owner was dropped, which also ends serving.
+async fn reached(mut phase: watch::Receiver<ShutdownPhase>, expected: ShutdownPhase) {
+    let _ = phase.wait_for(|phase| *phase >= expected).await;
+}
+
 async fn read_body(
     body: impl Stream<Item = Result<impl Buf, warp::Error>>,
     limit: usize,
--- a/src/http_api/callers.rs
+++ b/src/http_api/callers.rs
@@ -119,8 +119,7 @@
 /// If this node does not admit requests.
 pub fn admission_config(node: &Node) -> Result<Arc<NumberedConfig>, Refusal> {
     if node.is_stopping() {
-        let refusal = Refusal::not_run(RefusalCode::ShuttingDown, "this node is shutting down");
-        return Err(refusal.with_retry_after(NOT_FRESH_RETRY_AFTER));
+        return Err(shutdown_refusal());
     }
     node.in_force().filter(|config| config.number > 0).ok_or_else(|| {
         let message = "this node has no freshness lease, or no configuration yet";
@@ -273,6 +272,11 @@
     }
 }
 
+fn shutdown_refusal() -> Refusal {
+    Refusal::not_run(RefusalCode::ShuttingDown, "this node is shutting down")
+        .with_retry_after(NOT_FRESH_RETRY_AFTER)
+}
+
 fn body_refusal(error: BodyError) -> Refusal {
     match error {
         BodyError::TooLarge(limit) => Refusal::not_run(
@@ -282,6 +286,7 @@
         BodyError::Disconnected => {
             Refusal::not_run(RefusalCode::BadRequest, "the body is incomplete")
         }
+        BodyError::Interrupted => shutdown_refusal(),
     }
 }
 
--- a/src/http_api/operators.rs
+++ b/src/http_api/operators.rs
@@ -9,19 +9,23 @@
 
 use crate::clock::boot_now;
 use crate::config::{ConfigHistory, Update};
-use crate::http::{self, Request, Response};
+use crate::http::{self, BodyError, Request, Response};
 use crate::ids::NodeId;
 use crate::log::raft::Change;
 use crate::log::state::{Command, Patch, PatchAnswer, Reply};
 use crate::node::Node;
 use crate::node::leader_client::NoLeader;
 
-const NO_LEADER_RETRY_AFTER_S: &str = "1";
+/// Suggested retry delay if this node can't decide.
+const RETRY_AFTER_S: &str = "1";
 /// Number of patches in the history.
 const MAX_HISTORY_LEN: u64 = 50;
 
 /// Handles a request on the operators' listener.
 pub async fn handle(node: Arc<Node>, request: Request) -> Response {
+    if let Err(error) = request.body {
+        return body_error_response(error);
+    }
     match (&request.method, request.segments().as_slice()) {
         (&Method::GET, ["v1", "config"]) => get_config(&node, &request).await,
         (&Method::PATCH, ["v1", "config"]) => patch_config(&node, &request).await,
@@ -266,10 +270,30 @@
 fn no_leader_response() -> Response {
     let message = "no leader of the replicated log answered; see /v1/status, then try again";
     let mut response = error_response(StatusCode::SERVICE_UNAVAILABLE, "no_leader", message);
-    http::set_header(&mut response, "retry-after", NO_LEADER_RETRY_AFTER_S);
+    http::set_header(&mut response, "retry-after", RETRY_AFTER_S);
     response
 }
 
+fn body_error_response(error: BodyError) -> Response {
+    match error {
+        BodyError::TooLarge(limit) => {
+            let message = format!("the body is longer than {limit} bytes; send a shorter one");
+            error_response(StatusCode::PAYLOAD_TOO_LARGE, "too_large", &message)
+        }
+        BodyError::Disconnected => {
+            let message = "the body is incomplete; send all of it";
+            error_response(StatusCode::BAD_REQUEST, "body_incomplete", message)
+        }
+        BodyError::Interrupted => {
+            let message = "nothing was changed, this node is shutting down; ask another one";
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            let mut response = error_response(status, "shutting_down", message);
+            http::set_header(&mut response, "retry-after", RETRY_AFTER_S);
+            response
+        }
+    }
+}
+
 fn error_response(status: StatusCode, code: &str, message: &str) -> Response {
     http::json(status, &json!({"error": {"code": code, "message": message}}))
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod http;
 pub mod lingering_stream;
+pub mod request_body;
 pub mod text_server;
 
 use std::io;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -13,7 +13,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use parking_lot::Mutex;
@@ -27,7 +27,7 @@
 use crate::config::NumberedConfig;
 
 use crate::error::{Error, Result};
-use crate::http::{self, UsedConnections};
+use crate::http::{self, ShutdownPhase, UsedConnections};
 use crate::http_api;
 use crate::ids::NodeId;
 use crate::log::Members;
@@ -83,8 +83,7 @@
     /// Identifies this start of the process: its time in milliseconds since the Unix epoch.
     boot: u64,
     claim_count: AtomicU64,
-    stopping: AtomicBool,
-    stopped: watch::Sender<bool>,
+    shutdown_phase: watch::Sender<ShutdownPhase>,
     /// Connections of callers and operators.
     used_connections: UsedConnections,
 }
@@ -136,8 +135,7 @@
             leader_hint: AtomicU64::new(0),
             boot,
             claim_count: AtomicU64::new(0),
-            stopping: AtomicBool::new(false),
-            stopped: watch::Sender::new(false),
+            shutdown_phase: watch::Sender::new(ShutdownPhase::Serving),
             used_connections: UsedConnections::default(),
             links: links.clone(),
             settings,
@@ -163,14 +161,14 @@
     /// others have ended and all responses are sent. Returns the number of requests that were aborted
     /// or whose responses were cut off.
     pub async fn shut_down(self: Arc<Node>) -> usize {
-        self.stopping.store(true, Ordering::SeqCst);
+        self.shutdown_phase.send_replace(ShutdownPhase::Refusing);
         log::info!("event=shutdown_started running={}", self.admission.running());
         let deadline = boot_now() + self.settings.timing.shutdown;
         while self.admission.running() + self.admission.waiting() > 0 && boot_now() < deadline {
             tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
         }
         // A request ends before its response is completely sent; its connection closes after that.
-        self.stopped.send_replace(true);
+        self.shutdown_phase.send_replace(ShutdownPhase::Closing);
         self.used_connections.wait_until_closed(deadline).await;
         let unfinished = self.admission.running() + self.admission.waiting();
         // Requests that have not ended have a connection, too, unless their callers have left.
@@ -181,7 +179,7 @@
 
     /// Whether the node is shutting down.
     pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::SeqCst)
+        *self.shutdown_phase.borrow() >= ShutdownPhase::Refusing
     }
 
     /// The configuration in force; `None` without a valid freshness lease.
@@ -249,16 +247,8 @@
         F: Future<Output = http::Response> + Send + 'static,
     {
         let body_limit = self.settings.bounds.body_bytes;
-        let (used, stop) = (self.used_connections.clone(), self.until_stopped());
-        tokio::spawn(http::serve(listener, body_limit, handler, used, stop));
-    }
-
-    fn until_stopped(&self) -> impl Future<Output = ()> + Send + 'static {
-        let mut stopped = self.stopped.subscribe();
-        async move {
-            // An error means that the node was dropped, which also ends serving.
-            let _ = stopped.wait_for(|stopped| *stopped).await;
-        }
+        let (used, phase) = (self.used_connections.clone(), self.shutdown_phase.subscribe());
+        tokio::spawn(http::serve(listener, body_limit, handler, used, phase));
     }
 }
 
--- a/tests/deployment/gateway.rs
+++ b/tests/deployment/gateway.rs
@@ -538,6 +538,47 @@
     });
 }
 
+const HALF_REQUEST: &str = "POST /safe/ HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: r1\r\n\
+                            Authorization: Bearer key-a\r\nContent-Length: 1000\r\n";
+
+/// Guards against a shutdown that waits for the rest of a request until its grace period ends.
+#[test]
+fn a_shutdown_refuses_a_half_sent_request_when_it_closes_connections() {
+    run_local(async {
+        let (entry, first_target, _second_target) =
+            entry_with_two_targets("app", vec![], vec![]).await;
+        let mut stream =
+            TcpStream::connect(entry.address).await.expect("the entry accepts connections");
+        let half = format!("{HALF_REQUEST}\r\nhalf");
+        stream.write_all(half.as_bytes()).await.expect("the entry reads the request");
+        tokio::time::sleep(ms(50)).await;
+        entry.gateway.stopping.set(true);
+        entry.closing.send_replace(true);
+        let mut text = String::new();
+        stream.read_to_string(&mut text).await.expect("a response and the end of the connection");
+        assert!(text.starts_with("HTTP/1.1 503"), "{text}");
+        assert!(header(&text, "retry-after").is_some(), "{text}");
+        assert_eq!(first_target.request_count(), 0);
+    });
+}
+
+/// Guards against requests that keep their connections for ever because their bodies never end.
+#[test]
+fn a_request_that_is_incomplete_at_its_deadline_is_refused() {
+    run_local(async {
+        let (entry, first_target, _second_target) =
+            entry_with_two_targets("app", vec![], vec![]).await;
+        let mut stream =
+            TcpStream::connect(entry.address).await.expect("the entry accepts connections");
+        let half = format!("{HALF_REQUEST}X-Deadline-Ms: 100\r\n\r\nhalf");
+        stream.write_all(half.as_bytes()).await.expect("the entry reads the request");
+        let mut text = String::new();
+        stream.read_to_string(&mut text).await.expect("a response and the end of the connection");
+        assert!(text.starts_with("HTTP/1.1 408"), "{text}");
+        assert_eq!(first_target.request_count(), 0);
+    });
+}
+
 /// Waits until a condition holds; panics after `TEST_TIMEOUT`.
 pub async fn eventually(holds: impl Fn() -> bool) {
     let begun = std::time::Instant::now();
--- a/tests/deployment/replicas.rs
+++ b/tests/deployment/replicas.rs
@@ -2,7 +2,8 @@
 //! published documents.
 
 use std::fs::{File, read_to_string};
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command};
 use std::sync::atomic::{AtomicU16, Ordering};
@@ -100,6 +101,11 @@
         assert!(status.expect("kill runs").success());
     }
 
+    fn wait_for_exit(&mut self, host: usize) {
+        let mut child = self.running[host].take().expect("the replica is running");
+        child.wait().expect("the child exits");
+    }
+
     pub fn kill(&mut self, host: usize) {
         let mut child = self.running[host].take().expect("the replica is running");
         child.kill().expect("the child can be killed");
@@ -288,3 +294,22 @@
     });
     assert_eq!(answer, Some(503));
 }
+
+/// Guards against a planned stop that waits for the rest of an operator's call.
+#[test]
+fn a_half_sent_operators_call_is_refused_at_once_and_does_not_delay_a_planned_stop() {
+    let mut cluster = ReplicaCluster::start(3);
+    cluster.publish(2);
+    let address = (cluster.ip(0), cluster.port + 9);
+    let mut caller = TcpStream::connect(address).expect("the replica listens");
+    let half = "PUT /config HTTP/1.1\r\nHost: replica\r\nContent-Length: 1000\r\n\r\n{";
+    caller.write_all(half.as_bytes()).expect("the replica reads the call");
+    std::thread::sleep(Duration::from_millis(500));
+    let stopped_at = Instant::now();
+    cluster.terminate(0);
+    let mut text = String::new();
+    caller.read_to_string(&mut text).expect("a complete response");
+    assert!(text.starts_with("HTTP/1.1 503"), "{text}");
+    cluster.wait_for_exit(0);
+    assert!(stopped_at.elapsed() < Duration::from_secs(4), "{:?}", stopped_at.elapsed());
+}
--- a/tests/process/shutdown.rs
+++ b/tests/process/shutdown.rs
@@ -3,7 +3,7 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::json;
 use socket2::{Domain, Socket, Type};
@@ -25,6 +25,15 @@
     TestEnv::start(options)
 }
 
+/// Sends a request to `listener` whose body is incomplete.
+fn send_half(env: &TestEnv, listener: &str, head: &str) -> TcpStream {
+    let mut caller =
+        TcpStream::connect(env.nodes[0].ready_value(listener)).expect("the node listens");
+    let text = format!("{head}Host: node\r\nContent-Length: 1000000\r\n\r\n{{\"half\":");
+    caller.write_all(text.as_bytes()).expect("the node reads the request");
+    caller
+}
+
 /// Sends a request on a connection whose caller does not read yet.
 fn send_unread(env: &TestEnv, path: &str, headers: &str, body: &str) -> TcpStream {
     let address: SocketAddr = env.nodes[0].ready_value("callers").parse().expect("an address");
@@ -107,6 +116,42 @@
 
 const HALF_ORDER: &str = "POST /v1/services/part-order/orders HTTP/1.1\r\n\
                           Authorization: Bearer key-of-anna\r\nIdempotency-Key: half\r\n";
+const HALF_PATCH: &str = "PATCH /v1/config HTTP/1.1\r\nIf-Match: \"1\"\r\n\
+                          Idempotency-Key: half\r\nContent-Type: application/json\r\n";
+
+/// Guards against a planned stop that waits for the rest of a request which it will refuse anyway.
+#[test]
+fn a_half_sent_request_is_refused_at_once_and_does_not_delay_a_planned_stop() {
+    for (listener, head) in [("callers", HALF_ORDER), ("operators", HALF_PATCH)] {
+        let mut env = start_node(Duration::from_secs(20));
+        let caller = send_half(&env, listener, head);
+        std::thread::sleep(CALLER_PAUSE);
+        let stopped_at = Instant::now();
+        env.nodes[0].signal("TERM");
+        let text = read_to_end(caller);
+        assert!(text.starts_with("HTTP/1.1 503"), "{listener}: {text}");
+        assert!(text.contains("retry-after: 1"), "{listener}: {text}");
+        assert!(text.contains("\"shutting_down\""), "{listener}: {text}");
+        assert_eq!(env.nodes[0].exit_code(), Some(0), "{listener}");
+        assert!(stopped_at.elapsed() < Duration::from_secs(10), "{listener}");
+    }
+}
+
+/// Guards against a refusal that is lost because the connection is reset while the caller still
+/// sends the body.
+#[test]
+fn a_caller_that_is_still_sending_receives_the_refusal_of_a_planned_stop() {
+    let mut env = start_node(Duration::from_secs(20));
+    let mut caller = send_half(&env, "callers", HALF_ORDER);
+    env.nodes[0].signal("TERM");
+    for _ in 0..10 {
+        std::thread::sleep(Duration::from_millis(20));
+        caller.write_all(&[b'x'; 10_000]).expect("the connection is not reset");
+    }
+    let text = read_to_end(caller);
+    assert!(text.starts_with("HTTP/1.1 503"), "{text}");
+    assert_eq!(env.nodes[0].exit_code(), Some(0));
+}
 
 /// Guards against a response whose end is lost because bytes of a pipelined request are unread when
 /// the connection is closed.
