Count a cold start from the first answer after a break

Cause: the time for which an engine is taken for cold counted from the break of its connections. It starts only later, by 0.25 s and about 1 s in the two traces, and got full load two seconds, a cold start, after the break.

The first answer to a request that was sent after the break bounds the start from above, so the time counts from there; until then the scheduler paces the engine. The new test fails without either half.

The stand-in prints how long an overrun engine has run and was down before.

--- a/src/fleet/cold.rs
+++ b/src/fleet/cold.rs
@@ -32,23 +32,44 @@
     is_listed: bool,
     /// It is taken for cold until then: it may have restarted, and the list lags.
     presumed_until: BootTime,
+    /// When it may have ended, if it has answered nothing that was sent since. A restart happens
+    /// between this time and the next answer.
+    may_have_ended_at: Option<BootTime>,
 }
 
 impl Coldness {
     /// A target as the platform lists it.
     pub fn listed(is_cold: bool) -> Coldness {
-        Coldness { is_listed: is_cold, presumed_until: BootTime::ZERO }
+        Coldness { is_listed: is_cold, ..Coldness::default() }
     }
 
     pub fn set_listed(&mut self, is_cold: bool) {
         self.is_listed = is_cold;
     }
 
-    /// Takes the target for cold for as long as a cold start lasts.
-    pub fn presume(&mut self, cold_start: &ColdStart, now: BootTime) {
+    /// Records that the target may have ended. It is taken for cold for as long as a cold start
+    /// lasts, and once more from its next answer.
+    pub fn may_have_ended(&mut self, cold_start: &ColdStart, now: BootTime) {
+        self.may_have_ended_at = Some(now);
+        self.presume(cold_start, now);
+    }
+
+    /// Records an answer to a request that was sent at `sent_at`.
+    pub fn answered(&mut self, cold_start: &ColdStart, sent_at: BootTime, now: BootTime) {
+        if self.may_have_ended_at.take_if(|ended_at| *ended_at <= sent_at).is_some() {
+            self.presume(cold_start, now);
+        }
+    }
+
+    fn presume(&mut self, cold_start: &ColdStart, now: BootTime) {
         self.presumed_until = self.presumed_until.max(now + cold_start.duration);
     }
 
+    /// Whether the target may have ended and has not answered since.
+    pub fn awaits_answer(&self) -> bool {
+        self.may_have_ended_at.is_some()
+    }
+
     pub fn is_cold(&self, now: BootTime) -> bool {
         self.is_listed || now < self.presumed_until
     }
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -204,10 +204,12 @@
         }
     }
 
-    /// Records a successful answer.
-    pub fn succeeded(&mut self, target: &TargetStart) {
-        if let Some(state) = self.targets.get_mut(target) {
-            state.health.record_success();
+    /// Records a successful answer to a request that was sent at `sent_at`.
+    pub fn succeeded(&mut self, target: &TargetStart, sent_at: BootTime, now: BootTime) {
+        let Some(state) = self.targets.get_mut(target) else { return };
+        state.health.record_success();
+        if let Some(cold_start) = self.cold_starts.get(&state.listed.service) {
+            state.coldness.answered(cold_start, sent_at, now);
         }
     }
 
@@ -220,14 +222,14 @@
     pub fn unreachable(&mut self, target: &TargetStart, now: BootTime) {
         let Some(state) = self.targets.get_mut(target) else { return };
         state.health.record_unreachable(now);
-        state.presume_cold(&self.cold_starts, now);
+        state.may_have_ended(&self.cold_starts, now);
     }
 
     /// Records that a connection broke before the end of an answer.
     pub fn connection_lost(&mut self, target: &TargetStart, now: BootTime) {
         let Some(state) = self.targets.get_mut(target) else { return };
         state.health.record_failure(FailureCause::Target, now);
-        state.presume_cold(&self.cold_starts, now);
+        state.may_have_ended(&self.cold_starts, now);
     }
 
     /// Records that another target answers at a target's address, so this start has ended.
@@ -339,10 +341,9 @@
         std::mem::replace(&mut self.listed.presence, Presence::Leaving) == Presence::Live
     }
 
-    /// Takes the target for cold: it may have restarted, and the list lags.
-    fn presume_cold(&mut self, cold_starts: &HashMap<ServiceId, ColdStart>, now: BootTime) {
+    fn may_have_ended(&mut self, cold_starts: &HashMap<ServiceId, ColdStart>, now: BootTime) {
         if let Some(cold_start) = cold_starts.get(&self.listed.service) {
-            self.coldness.presume(cold_start, now);
+            self.coldness.may_have_ended(cold_start, now);
         }
     }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -176,7 +176,8 @@
         self.record.set_outcome(Outcome::Relayed(StatusCode::OK.as_u16()));
         if let Some(mut source) = self.source.take() {
             source.in_flight.set_end(EndReason::Completed);
-            self.gateway.fleet.borrow_mut().succeeded(&source.target);
+            let now = boot_now();
+            self.gateway.fleet.borrow_mut().succeeded(&source.target, source.sent_at, now);
             self.gateway.record_success(&self.routed);
             if !source.response_metadata.closes {
                 self.gateway.return_connection(&source.target, source.connection);
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -312,7 +312,7 @@
                 record.first_part_sent();
                 record.set_outcome(Outcome::Relayed(status.as_u16()));
                 if status.is_success() {
-                    gateway.fleet.borrow_mut().succeeded(&target);
+                    gateway.fleet.borrow_mut().succeeded(&target, sent_at, boot_now());
                     gateway.record_success(&routed);
                 }
                 connection.set_idle_timeout(response_metadata.idle_timeout);
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -327,7 +327,9 @@
     fn cold_limit(&self, engine: &Engine, now: BootTime) -> Option<ColdStart> {
         let cold_start = self.cold_starts.get(&engine.listed.service)?;
         let domain = &engine.listed.failure_domain;
+        // Its next answer shows when it runs again, so it is paced until then.
         let is_cold = engine.coldness.is_cold(now)
+            || engine.coldness.awaits_answer()
             || self.evacuated.was_restored(domain, cold_start.duration, now);
         is_cold.then_some(*cold_start)
     }
--- a/src/scheduler/plan/events.rs
+++ b/src/scheduler/plan/events.rs
@@ -18,7 +18,7 @@
                 let fetched_from = placement.slowest_source.take();
                 let (fetch_ms, expected_ms) = (placement.fetch_ms, placement.expected_ms);
                 let late_ms = millis(now.saturating_sub(placement.since)) - expected_ms;
-                let target = placement.target.clone();
+                let (target, placed_at) = (placement.target.clone(), placement.since);
                 let Some(engine) = self.engines.get(&target) else { return };
                 let lateness = self.lateness.entry(engine.listed.service.clone()).or_default();
                 let own_late_ms = late_ms - lateness.median_ms();
@@ -35,6 +35,9 @@
                 let Some(engine) = self.engines.get_mut(&target) else { return };
                 let estimator = self.estimators.entry(engine.listed.service.clone()).or_default();
                 engine.end_prefill(*ticket, estimator, now);
+                if let Some(cold_start) = self.cold_starts.get(&engine.listed.service) {
+                    engine.coldness.answered(cold_start, placed_at, now);
+                }
                 if let Some(load) = load {
                     engine.observe_load(*load, now);
                 }
@@ -57,15 +60,17 @@
                     _ => false,
                 };
                 observe_end(engine, *end, now);
-                let may_have_restarted = match end {
-                    EndReason::Unreachable => true,
-                    EndReason::ConnectionLost => engine.connection_lost(now),
-                    _ => false,
-                };
-                if may_have_restarted
-                    && let Some(cold_start) = self.cold_starts.get(&engine.listed.service)
-                {
-                    engine.coldness.presume(cold_start, now);
+                if let Some(cold_start) = self.cold_starts.get(&engine.listed.service) {
+                    match end {
+                        EndReason::Unreachable => engine.coldness.may_have_ended(cold_start, now),
+                        EndReason::ConnectionLost if engine.connection_lost(now) => {
+                            engine.coldness.may_have_ended(cold_start, now)
+                        }
+                        EndReason::Completed => {
+                            engine.coldness.answered(cold_start, placement.since, now)
+                        }
+                        _ => {}
+                    }
                 }
                 if must_query {
                     self.weights.unverified.insert(placement.target);
--- a/tests/deployment/cold.rs
+++ b/tests/deployment/cold.rs
@@ -229,3 +229,23 @@
         assert_eq!(max_per_second(&times) <= 18, is_paced, "connections lost at {lost_at:?}");
     }
 }
+
+/// Guards against full load on an engine that was down for longer than a cold start lasts, or that
+/// started long after its connections broke: the time for which it is cold begins with its answers.
+#[test]
+fn an_engine_stays_cold_for_a_whole_cold_start_after_its_first_answer() {
+    let mut scheduler = scheduler(1);
+    with_cold_start(&mut scheduler);
+    let placed = expect_placed(scheduler.submit(1, placement_request(2, 1, 1), ms(100)));
+    end_placement(&mut scheduler, placed.ticket, EndReason::Unreachable, ms(110));
+    for down_until in [2_500, 8_000] {
+        let before = scheduler.submit(2, placement_request(2, 2, 2), ms(down_until));
+        let ticket = expect_placed(before).ticket;
+        end_placement(&mut scheduler, ticket, EndReason::Unreachable, ms(down_until + 10));
+    }
+    // Nobody asks between 8 s and the restart at 15 s.
+    let times = storm(&mut scheduler, 15_000, 18_000).remove(&start("i-00")).expect("used");
+    assert!(max_per_second(&times) <= 18, "{}", max_per_second(&times));
+    let warm = storm(&mut scheduler, 18_200, 20_000).remove(&start("i-00")).expect("used");
+    assert!(max_per_second(&warm) > 30, "{}", max_per_second(&warm));
+}
--- a/tests/platform_stand_in/observations.rs
+++ b/tests/platform_stand_in/observations.rs
@@ -3,6 +3,8 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
+use super::store::clock_ms;
+
 /// Requests whose ids have this prefix may run more than once.
 pub const REPEATABLE_ID_PREFIX: &str = "safe-";
 /// Streams whose ids have this prefix may be resumed at another target.
@@ -176,8 +178,18 @@
     }
 
     /// Records that a cold engine got more requests within a second than it bears.
-    pub fn record_cold_burst(&mut self, target: &str, requests: usize) {
-        let what = format!("{target} is cold and got {requests} requests within a second");
+    pub fn record_cold_burst(
+        &mut self,
+        target: &str,
+        requests: usize,
+        age: Duration,
+        down_for: Duration,
+    ) {
+        let what = format!(
+            "{target} is cold and got {requests} requests within a second, {age:?} after its start, \
+             before which it was down for {down_for:?}, at {} of its clock",
+            clock_ms()
+        );
         self.cold_bursts.push((Instant::now(), what));
     }
 
--- a/tests/platform_stand_in/starts.rs
+++ b/tests/platform_stand_in/starts.rs
@@ -100,6 +100,7 @@
             target.end();
             target.start
         };
+        let ended_at = Instant::now();
         tokio::time::sleep(restart.down).await;
         let begun = Instant::now();
         while restart.at.port() != 0
@@ -119,6 +120,7 @@
         (target.start, target.born_ms, target.server) =
             (earlier + 1, restart.born_ms, Some(server));
         target.weights = known.weights;
+        target.down_for = ended_at.elapsed();
         self.start_cold(&inner, &mut target);
         let lags_until = Instant::now() + restart.entry_lags;
         target.earlier_entry = known.listed().map(|entry| (entry, lags_until));
--- a/tests/platform_stand_in/target.rs
+++ b/tests/platform_stand_in/target.rs
@@ -66,6 +66,8 @@
     /// Its HTTP server; `None` once it has stopped.
     pub(super) server: Option<AbortHandle>,
     pub(super) started_at: Instant,
+    /// Time between the end of its previous start and this start.
+    pub(super) down_for: Duration,
     /// How long it is cold after its start.
     pub(super) cold_for: Duration,
     /// Requests that arrived while it was cold, within the last second.
@@ -140,6 +142,7 @@
             earlier_entry: None,
             server: None,
             started_at: Instant::now(),
+            down_for: Duration::ZERO,
             cold_for: Duration::ZERO,
             cold_arrivals: VecDeque::new(),
             running: 0,
@@ -450,13 +453,14 @@
         target.running += 1;
         target.begun += 1;
         let cold_arrivals = target.record_cold_arrival();
+        let (age, down_for) = (target.started_at.elapsed(), target.down_for);
         let zone = target.zone.clone();
         if let Some(from) = target.leaves_from {
             self.observations.record_leaving_target(&name, id, from);
         }
         self.observations.record_zone(&name, id, &zone);
         if self.cold_start.is_some_and(|cold| cold_arrivals > cold.max_per_s()) {
-            self.observations.record_cold_burst(id, cold_arrivals);
+            self.observations.record_cold_burst(id, cold_arrivals, age, down_for);
         }
         if let Some(weights) = weights {
             self.observations.record_weights_of_run(&name, id, weights);
