Restore held requests from files of earlier builds

An upgrade released all held requests: the file of reports on a replica's disk had no version of its layout, and a build with another layout took it for damaged. Requests under which targets had ended could end three more each.

The file names its layout now, in a file of its own, and both earlier layouts are read. The first write removes the earlier file, so that a rollback does not restore outdated ends. Decoding accepts no left-over bytes any more, which tells the two earlier layouts apart. The test writes both.

--- a/src/control/checksummed_file.rs
+++ b/src/control/checksummed_file.rs
@@ -23,7 +23,7 @@
 ///
 /// # Errors
 ///
-/// If the file is missing, damaged or cannot be decoded.
+/// If the file is missing or damaged, or has another layout.
 pub fn load<T: DeserializeOwned>(folder: &Path, name: &str) -> Result<T, String> {
     let bytes = std::fs::read(folder.join(name)).map_err(|error| error.to_string())?;
     let Some((checksum, body)) = bytes.split_at_checked(CHECKSUM_BYTES) else {
@@ -32,7 +32,11 @@
     if checksum != crc32fast::hash(body).to_le_bytes() {
         return Err("the checksum does not match".to_string());
     }
-    postcard::from_bytes(body).map_err(|error| error.to_string())
+    match postcard::take_from_bytes(body) {
+        Ok((content, [])) => Ok(content),
+        Ok(_) => Err("bytes are left over".to_string()),
+        Err(error) => Err(error.to_string()),
+    }
 }
 
 /// Replaces a file atomically.
--- a/src/control/quarantine_file.rs
+++ b/src/control/quarantine_file.rs
@@ -3,24 +3,49 @@
 //!
 //! Ages resume from the time of writing, so time without power lengthens a quarantine.
 
-use std::io;
+use std::io::{self, ErrorKind};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use super::checksummed_file::{self, Durability};
 use super::shared::Shared;
 use crate::clock::boot_now;
-use crate::quarantine::{Quarantine, Report, Revision};
+use crate::quarantine::{Fingerprint, Quarantine, Report, ReportedEnd, Revision};
 
-const FILE: &str = "quarantine";
+const FILE: &str = "quarantine-versioned";
+/// Written by earlier builds: reports without a version of their layout.
+const UNVERSIONED_FILE: &str = "quarantine";
 /// Shortest time between writes. Several targets tend to end at about the same time.
 const WRITE_INTERVAL: Duration = Duration::from_millis(250);
 
+/// The content of the file. A change to the layout of reports adds a variant at the end; the layouts
+/// of earlier builds remain readable, so that an upgrade releases no held request.
+#[derive(Serialize, Deserialize)]
+enum Content {
+    V1(Vec<Report>),
+}
+
+/// The layout of reports before they told whether the request was ever answered.
+#[derive(Deserialize)]
+struct ReportOfEnds {
+    fingerprint: Fingerprint,
+    ends: Vec<ReportedEnd>,
+}
+
+impl From<ReportOfEnds> for Report {
+    fn from(report: ReportOfEnds) -> Report {
+        let ReportOfEnds { fingerprint, ends } = report;
+        Report { fingerprint, ends, was_answered: false }
+    }
+}
+
 /// Reads the quarantine; empty if the file is missing or damaged.
 pub fn load(folder: &Path) -> Quarantine {
     let mut quarantine = Quarantine::default();
-    match checksummed_file::load::<Vec<Report>>(folder, FILE) {
+    match read(folder) {
         Ok(reports) => {
             log::info!("event=quarantine_restored requests={}", reports.len());
             // The result only tells whether anything was new.
@@ -31,6 +56,30 @@
     quarantine
 }
 
+/// Reads the reports of this build, or else those of an earlier one.
+fn read(folder: &Path) -> Result<Vec<Report>, String> {
+    checksummed_file::load(folder, FILE)
+        .map(|Content::V1(reports)| reports)
+        .or_else(|_| checksummed_file::load(folder, UNVERSIONED_FILE))
+        .or_else(|_| {
+            let reports = checksummed_file::load::<Vec<ReportOfEnds>>(folder, UNVERSIONED_FILE)?;
+            Ok(reports.into_iter().map(Report::from).collect())
+        })
+}
+
+/// Replaces the stored reports. They survive a power loss.
+///
+/// # Errors
+/// If they cannot be written.
+pub fn write(folder: &Path, reports: Vec<Report>) -> io::Result<()> {
+    checksummed_file::write(folder, FILE, &Content::V1(reports), Durability::PowerLoss)?;
+    // An earlier build that is started again must not restore outdated reports.
+    match std::fs::remove_file(folder.join(UNVERSIONED_FILE)) {
+        Err(error) if error.kind() != ErrorKind::NotFound => Err(error),
+        _ => Ok(()),
+    }
+}
+
 /// Writes changes to disk for as long as the process lives.
 pub async fn keep_writing(shared: Rc<Shared>, folder: PathBuf) {
     let mut quarantine = shared.quarantine.subscribe();
@@ -47,8 +96,7 @@
             continue;
         }
         let into = folder.clone();
-        let write = move || checksummed_file::write(&into, FILE, &all, Durability::PowerLoss);
-        let ended = tokio::task::spawn_blocking(write).await;
+        let ended = tokio::task::spawn_blocking(move || write(&into, all)).await;
         match ended.map_err(io::Error::other).and_then(|ended| ended) {
             Ok(()) => (written, has_failed) = (revision, false),
             Err(error) => {
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -32,6 +32,7 @@
 #[allow(dead_code, reason = "the soak test uses the rest")]
 #[path = "../soak/system.rs"]
 mod processes;
+mod quarantine_file;
 mod reader_election;
 mod regions;
 mod replicas;
