Roll out weights to engines that answer first

Engines that did not answer the last request for their report now come last. Both new tests fail without that: a plan, and a controller with an engine that accepts connections and never answers.

--- a/src/control/rollout.rs
+++ b/src/control/rollout.rs
@@ -58,6 +58,9 @@
     /// Engines that have not answered an order. They may still carry it out seconds later, and get
     /// prompts until then so that they do not hold up the rollout.
     pub unanswered: RefCell<BTreeSet<TargetStart>>,
+    /// Engines that did not answer the last request for their report. The list may still contain
+    /// them for a long time.
+    pub unreachable: RefCell<BTreeSet<TargetStart>>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -126,8 +129,14 @@
             let service = services.and_then(|services| services.get(service));
             service.is_some_and(|service| matches!(service.role, ServiceRole::Engines(_)))
         };
-        let (changing, unanswered) = (self.shared.changing.borrow(), self.unanswered.borrow());
-        next_loads(&roster.roster, &view.state.weights, &changing, &unanswered, is_engine_service)
+        next_loads(
+            &roster.roster,
+            &view.state.weights,
+            &self.shared.changing.borrow(),
+            &self.unanswered.borrow(),
+            &self.unreachable.borrow(),
+            is_engine_service,
+        )
     }
 
     /// Becomes the holder of the order lease, and waits until no order of the previous holder can
@@ -219,7 +228,7 @@
                 // A newer version may have been named during the wait.
                 version = self.newest_version(load);
             }
-            let report = engine_report::read(&target.start, target.address).await;
+            let report = self.read_report(target).await;
             if was_busy && report.as_ref().is_some_and(|report| !report.is_busy) {
                 // The load has ended. Another order is needed if it was for an outdated version.
                 (slot, was_busy) = (None, false);
@@ -262,6 +271,20 @@
         );
     }
 
+    /// Reads the report of an engine, and records whether it can be reached.
+    async fn read_report(&self, target: &Listed) -> Option<EngineReport> {
+        let report = engine_report::read(&target.start, target.address).await;
+        let mut unreachable = self.unreachable.borrow_mut();
+        if report.is_some() {
+            unreachable.remove(&target.start);
+        } else {
+            let roster = self.shared.roster.borrow();
+            unreachable.retain(|start| roster.roster.get(start).is_some());
+            unreachable.insert(target.start.clone());
+        }
+        report
+    }
+
     fn is_unanswered(&self, engine: &TargetStart) -> bool {
         self.unanswered.borrow().contains(engine)
     }
--- a/src/control/rollout_plan.rs
+++ b/src/control/rollout_plan.rs
@@ -63,12 +63,14 @@
 }
 
 /// Picks the engines to update next. Excludes engines in `changing` and `unanswered`, which count
-/// towards the limits, and targets whose service is not an engine service.
+/// towards the limits, and targets whose service is not an engine service. Engines in `unreachable`
+/// come last, so that they don't hold up the others.
 pub fn next_loads(
     roster: &Roster,
     named: &BTreeMap<ModelId, u64>,
     changing: &BTreeSet<TargetStart>,
     unanswered: &BTreeSet<TargetStart>,
+    unreachable: &BTreeSet<TargetStart>,
     is_engine_service: impl Fn(&ServiceId) -> bool,
 ) -> Vec<PendingLoad> {
     let mut loads = Vec::new();
@@ -96,7 +98,8 @@
                 !changing.contains(&engine.start) && !unanswered.contains(&engine.start)
             })
             .collect();
-        outdated.sort_by_key(|engine| engine.weights.get(model));
+        outdated
+            .sort_by_key(|engine| (unreachable.contains(&engine.start), engine.weights.get(model)));
         let outdated = outdated.into_iter().take(slots).map(|engine| PendingLoad {
             engine: engine.start.clone(),
             model: model.clone(),
--- a/src/control/run.rs
+++ b/src/control/run.rs
@@ -149,6 +149,7 @@
         order_lease,
         loads_in_progress: Cell::new(0),
         unanswered: RefCell::default(),
+        unreachable: RefCell::default(),
     });
     tasks.spawn("ordering", rollout.run());
     let reloaded = reload::watch_settings(host.clone(), |host| {
--- a/tests/deployment/orders.rs
+++ b/tests/deployment/orders.rs
@@ -36,9 +36,9 @@
     Listed { start: start_born_at("i-1", 1), ..target("i-1", "llm", engine.address) }
 }
 
-/// Starts the rollout of weights 2 to an engine that is listed in its start 1 with weights 1.
-fn start_rollout(engine: Listed) -> Rc<Shared> {
-    let roster = VersionedRoster::new(1, Arc::new(roster([engine])));
+/// Starts the rollout of weights 2 to engines that are listed in their start 1 with weights 1.
+fn start_rollout(engines: impl IntoIterator<Item = Listed>) -> Rc<Shared> {
+    let roster = VersionedRoster::new(1, Arc::new(roster(engines)));
     let shared = leader_state(1, roster);
     let named = Arc::new(BTreeMap::from([("m".to_string(), 2)]));
     shared.view.send_modify(|view| view.state.weights = named);
@@ -57,6 +57,7 @@
         order_lease: Duration::ZERO,
         loads_in_progress: Cell::new(0),
         unanswered: RefCell::default(),
+        unreachable: RefCell::default(),
     };
     tokio::task::spawn_local(Rc::new(rollout).run());
     shared
@@ -81,7 +82,7 @@
     run_local(async {
         let engine =
             StandIn::start(vec![report(1), (ACCEPTED.to_string(), AfterAnswer::Close)]).await;
-        start_rollout(listed(&engine));
+        start_rollout([listed(&engine)]);
         wait_until(|| !orders(&engine).is_empty()).await;
         let order = orders(&engine).remove(0);
         assert!(order.to_lowercase().contains("x-expect-instance: i-1\r\n"), "{order}");
@@ -94,7 +95,7 @@
     run_local(async {
         let reports = (0..30).map(|_| report(2)).collect();
         let engine = StandIn::start(reports).await;
-        start_rollout(listed(&engine));
+        start_rollout([listed(&engine)]);
         wait_until(|| engine.request_count() >= 4).await;
         assert_eq!(orders(&engine), [] as [String; 0]);
     });
@@ -108,7 +109,7 @@
             start: start_born_at("i-1", 1),
             ..target("i-1", "llm", listener.local_addr().expect("an address"))
         };
-        let shared = start_rollout(engine.clone());
+        let shared = start_rollout([engine.clone()]);
         let (mut stream, _) = listener.accept().await.expect("a request for the report");
         // The roster shows the next start before the report arrives.
         let mut second = Listed { start: start_born_at("i-1", 2), ..engine };
@@ -120,3 +121,17 @@
         assert!(shared.changing.borrow().is_empty());
     });
 }
+
+/// Guards against a listed engine that never answers and holds up the rollout to all others, as it
+/// is picked again and again.
+#[test]
+fn an_engine_that_never_answers_does_not_hold_up_the_rollout() {
+    run_local(async {
+        let silent = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let silent = target("i-0", "llm", silent.local_addr().expect("an address"));
+        let engine =
+            StandIn::start(vec![report(1), (ACCEPTED.to_string(), AfterAnswer::Close)]).await;
+        start_rollout([silent, listed(&engine)]);
+        wait_until(|| !orders(&engine).is_empty()).await;
+    });
+}
--- a/tests/deployment/roster.rs
+++ b/tests/deployment/roster.rs
@@ -170,6 +170,7 @@
         &[("m".to_string(), 4)].into(),
         &[start_born_at("i-1", 1)].into(),
         &[].into(),
+        &[].into(),
         |_| true,
     );
     assert_eq!(lagging.len(), 1);
--- a/tests/deployment/weights.rs
+++ b/tests/deployment/weights.rs
@@ -12,7 +12,7 @@
 use kumquatpost::scheduler::weights::{NamedWeights, RolloutHistories, observe_named};
 use serde_json::{Value, json};
 
-use crate::fixtures::{address, ms, roster, target};
+use crate::fixtures::{address, ms, roster, start, target};
 
 fn engines_with_versions(versions: &[u64]) -> Roster {
     let engine = |(n, version): (usize, &u64)| -> Listed {
@@ -37,7 +37,8 @@
     assert_eq!(max_concurrent_loads(&roster, &"m".to_string()), 2);
     let mut under_way = BTreeSet::new();
     for expected in [3, 0] {
-        let next = next_loads(&roster, &named(2), &under_way, &BTreeSet::new(), is_llm);
+        let next =
+            next_loads(&roster, &named(2), &under_way, &BTreeSet::new(), &BTreeSet::new(), is_llm);
         assert_eq!(next.len(), expected);
         under_way.extend(next.into_iter().map(|lagging| lagging.engine));
     }
@@ -50,7 +51,7 @@
     let (changing, mut unanswered) = (BTreeSet::new(), BTreeSet::new());
     let mut order_counts = Vec::new();
     for _ in 0..5 {
-        let next = next_loads(&roster, &named(2), &changing, &unanswered, is_llm);
+        let next = next_loads(&roster, &named(2), &changing, &unanswered, &BTreeSet::new(), is_llm);
         order_counts.push(next.len());
         unanswered.extend(next.into_iter().map(|lagging| lagging.engine));
     }
@@ -66,6 +67,7 @@
             &named(2),
             &BTreeSet::new(),
             &BTreeSet::new(),
+            &BTreeSet::new(),
             is_llm
         )
         .len(),
@@ -77,11 +79,32 @@
 fn engines_furthest_behind_are_ordered_first() {
     // i-01 missed a version, i-02 restarted with older weights, and i-03 is ahead.
     let roster = engines_with_versions(&[4, 3, 2, 5, 4, 4, 4, 4, 4, 4, 4, 4, 4, 4, 4, 4, 4, 4]);
-    let next = next_loads(&roster, &named(4), &BTreeSet::new(), &BTreeSet::new(), is_llm);
+    let next = next_loads(
+        &roster,
+        &named(4),
+        &BTreeSet::new(),
+        &BTreeSet::new(),
+        &BTreeSet::new(),
+        is_llm,
+    );
     let names: Vec<&str> = next.iter().map(|lagging| lagging.engine.id.as_str()).collect();
     assert_eq!(names, ["i-02", "i-01"], "the engine furthest behind comes first");
 }
 
+/// Guards against a listed engine that can't be reached and takes the only place in a small fleet
+/// again and again, so that no other engine is updated.
+#[test]
+fn an_unreachable_engine_does_not_hold_up_the_others() {
+    let roster = engines_with_versions(&[1, 2, 2]);
+    let none = BTreeSet::new();
+    let unreachable = BTreeSet::from([start("i-00")]);
+    let next = next_loads(&roster, &named(3), &none, &none, &unreachable, is_llm);
+    assert_eq!(next.iter().map(|next| next.engine.id.as_str()).collect::<Vec<_>>(), ["i-01"]);
+    let roster = engines_with_versions(&[1, 3, 3]);
+    let next = next_loads(&roster, &named(3), &none, &none, &unreachable, is_llm);
+    assert_eq!(next.len(), 1, "it is tried again once the others are updated");
+}
+
 #[test]
 fn leaving_engines_and_other_models_get_no_orders() {
     let mut leaving = target("i-1", "llm", address(1));
@@ -89,7 +112,17 @@
     let mut other = target("i-2", "llm", address(2));
     other.weights = BTreeMap::from([("other".to_string(), 1)]);
     let roster = roster([leaving, other, target("i-3", "app", address(3))]);
-    assert_eq!(next_loads(&roster, &named(2), &BTreeSet::new(), &BTreeSet::new(), is_llm), []);
+    assert_eq!(
+        next_loads(
+            &roster,
+            &named(2),
+            &BTreeSet::new(),
+            &BTreeSet::new(),
+            &BTreeSet::new(),
+            is_llm
+        ),
+        []
+    );
 }
 
 #[test]
@@ -150,7 +183,14 @@
     let mut unknown_service = target("a-first", "unheard", address(1));
     unknown_service.weights = BTreeMap::from([("m".to_string(), 1)]);
     let roster = roster([unknown_service, target("i-1", "llm", address(2))]);
-    let next = next_loads(&roster, &named(2), &BTreeSet::new(), &BTreeSet::new(), is_llm);
+    let next = next_loads(
+        &roster,
+        &named(2),
+        &BTreeSet::new(),
+        &BTreeSet::new(),
+        &BTreeSet::new(),
+        is_llm,
+    );
     assert_eq!(next.iter().map(|next| next.engine.id.as_str()).collect::<Vec<_>>(), ["i-1"]);
 }
 
