Soak: an address of its own for the stand-ins of each run

Stand-ins and proxies of a run now use an address in the subnet of its processes. Overrun cold engines are printed also where a fault excuses them.

--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -73,7 +73,8 @@
     ) -> FaultInjector {
         let random = SmallRng::seed_from_u64(harness.seed);
         let list_random = SmallRng::seed_from_u64(harness.seed ^ 0x6c69_7374);
-        let foreign_address = harness.platform.serve_unused_address(any_loopback_address()).await;
+        let foreign_address =
+            harness.platform.serve_unused_address(harness.any_stand_in_address).await;
         let mut injector = FaultInjector {
             harness,
             random,
@@ -100,11 +101,11 @@
         self.started_targets += 1;
         let id = format!("i-{service}-{}", self.started_targets);
         let zone = format!("hall-{}", self.started_targets % 3);
-        let proxy = Proxy::start(any_loopback_address()).await;
+        let any_address = self.harness.any_stand_in_address;
+        let proxy = Proxy::start(any_address, any_address).await;
         let platform = &self.harness.platform;
         let listed = Some(proxy.address);
-        let address =
-            platform.start_target(&id, service, &zone, any_loopback_address(), listed).await;
+        let address = platform.start_target(&id, service, &zone, any_address, listed).await;
         proxy.redirect(address);
         self.targets.insert(id, proxy);
     }
@@ -340,8 +341,3 @@
 fn service_of(id: &str) -> &'static str {
     if id.contains("-llm-") { "llm" } else { "app" }
 }
-
-/// Loopback address with port 0, for binding to a free port.
-pub fn any_loopback_address() -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], 0))
-}
--- a/tests/soak/list_faults.rs
+++ b/tests/soak/list_faults.rs
@@ -8,7 +8,7 @@
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 
-use crate::faults::{FaultInjector, any_loopback_address};
+use crate::faults::FaultInjector;
 use crate::platform_stand_in::list::FOREIGN_ENTRIES;
 use crate::platform_stand_in::starts::Restart;
 use crate::platform_stand_in::store::clock_ms;
@@ -147,10 +147,11 @@
         let born_ms = clock_ms() + down - zero_or_random(MAX_CLOCK_BACK_MS);
         let changes_address = random.random_ratio(1, 2);
         let (harness, current_proxy) = (self.harness.clone(), self.targets[&id].clone());
+        let any_address = harness.any_stand_in_address;
         // Another process may take the old port while the target is down.
-        current_proxy.redirect(any_loopback_address());
+        current_proxy.redirect(any_address);
         let listed = if changes_address {
-            Proxy::start(any_loopback_address()).await
+            Proxy::start(any_address, any_address).await
         } else {
             current_proxy
         };
@@ -160,7 +161,7 @@
             listed_address: Some(listed.address),
             born_ms,
             entry_lags: Duration::from_millis(entry_lag),
-            ..Restart::at(any_loopback_address())
+            ..Restart::at(any_address)
         };
         self.clearing.spawn(async move {
             if let Some(address) = harness.platform.restart_target(&id, restart).await {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -78,6 +78,8 @@
     pub platform: Platform,
     /// Address of the KV cache store.
     pub store: SocketAddr,
+    /// Address with port 0, at which stand-ins of this run bind to a free port.
+    pub any_stand_in_address: SocketAddr,
     /// Results of requests.
     pub request_counts: RequestCounts,
     /// Number of entry responses that were checked for the deployment version in force.
@@ -207,10 +209,16 @@
             platform.observations.late.iter().filter(|late| late.late > late.guarantee.allowed());
         let unexcused = late.filter(|late| !self.had_fault_between(late.from, late.to));
         violations.extend(unexcused.map(|late| late.what.clone()));
-        let cold_bursts = platform.observations.cold_bursts.iter();
-        let unexcused =
-            cold_bursts.filter(|(at, _)| !self.had_fault_between(*at - HELD_UP_TIME, *at));
-        let cold_bursts: Vec<String> = unexcused.map(|(_, what)| what.clone()).collect();
+        let (excused, unexcused): (Vec<_>, Vec<_>) = platform
+            .observations
+            .cold_bursts
+            .iter()
+            .partition(|(at, _)| self.had_fault_between(*at - HELD_UP_TIME, *at));
+        if let Some((_, first)) = excused.first() {
+            println!("seed {}: during a fault: {first}", self.seed);
+        }
+        let cold_bursts: Vec<String> =
+            unexcused.into_iter().map(|(_, what)| what.clone()).collect();
         match self.skips_cold_bursts {
             true => cold_bursts
                 .iter()
@@ -236,10 +244,13 @@
     let started = Instant::now();
     let platform = Platform::new();
     platform.lock().cold_start = Some(COLD_START);
-    let any_port: SocketAddr = "127.0.0.1:0".parse().expect("a valid address");
+    let network = (seed % 200) as u8;
+    let any_port = system::any_stand_in_address(network);
     let list_address = platform.serve_list(any_port).await;
-    let list_proxies: Vec<Proxy> =
-        futures::stream::iter(0..REPLICAS).then(|_| Proxy::start(list_address)).collect().await;
+    let list_proxies: Vec<Proxy> = futures::stream::iter(0..REPLICAS)
+        .then(|_| Proxy::start(any_port, list_address))
+        .collect()
+        .await;
     let store = platform.serve_store(any_port).await;
     let harness = Arc::new(Harness {
         seed,
@@ -247,13 +258,14 @@
         entries,
         platform,
         store,
+        any_stand_in_address: any_port,
         request_counts: RequestCounts::default(),
         version_checks: AtomicU64::new(0),
         refusal_checks: AtomicU64::new(0),
         system: Mutex::new(System::start(
             entries,
             list_proxies.iter().map(|proxy| proxy.address).collect(),
-            (seed % 200) as u8,
+            network,
         )),
         published: Mutex::default(),
         deferred_checks: Mutex::default(),
--- a/tests/soak/proxy.rs
+++ b/tests/soak/proxy.rs
@@ -34,9 +34,9 @@
 }
 
 impl Proxy {
-    /// Starts a proxy on a free port.
-    pub async fn start(target_address: SocketAddr) -> Proxy {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    /// Starts a proxy at `address`, on a free port if its port is 0.
+    pub async fn start(address: SocketAddr, target_address: SocketAddr) -> Proxy {
+        let listener = TcpListener::bind(address).await.expect("a free port");
         let proxy = Proxy {
             address: listener.local_addr().expect("the listener has an address"),
             fault: Arc::new(watch::Sender::new(NetworkFault::None)),
--- a/tests/soak/system.rs
+++ b/tests/soak/system.rs
@@ -63,6 +63,23 @@
     base_port: u16,
 }
 
+/// Number of processes with addresses in the same subnet.
+const MAX_HOSTS_PER_SUBNET: usize = 250;
+/// Last octet of the address of stand-ins, which no process has.
+const STAND_IN_HOST: u8 = 254;
+
+/// Second octet of the addresses of this run. Derived from the process id, as a concurrent run on
+/// this machine may use the same seed.
+fn run_subnet() -> u8 {
+    90 + (std::process::id() % 75) as u8 * 2
+}
+
+/// Address with port 0 at which stand-ins of the platform bind to a free port. No other run uses
+/// this address, so the port of a target that has ended is not taken by a server of another run.
+pub fn any_stand_in_address(network: u8) -> SocketAddr {
+    SocketAddr::from(([127, run_subnet(), network, STAND_IN_HOST], 0))
+}
+
 impl System {
     /// Starts all processes, with one address of the target list per replica. `network` is the
     /// third octet of their IP addresses and separates systems on one machine.
@@ -71,13 +88,11 @@
         let process = |n: usize| {
             let is_entry = n < entries;
             let (role, number) = if is_entry { ("entry", n) } else { ("replica", n - entries) };
-            // Derived from the process id, as a concurrent run on this machine may use the same
-            // seed.
-            let run = (std::process::id() % 75) as u8;
-            let subnet = 90 + run * 2 + (n / 250) as u8;
+            let subnet = run_subnet() + (n / MAX_HOSTS_PER_SUBNET) as u8;
             Process {
                 name: format!("{role}-{number}"),
-                ip: Ipv4Addr::new(127, subnet, network, (n % 250) as u8 + 1).into(),
+                ip: Ipv4Addr::new(127, subnet, network, (n % MAX_HOSTS_PER_SUBNET) as u8 + 1)
+                    .into(),
                 role,
                 child: None,
                 starts: 0,
