Keep the planner of load orders while the leader lease lapses

A roll-out stood still for 15 s and failed its test when the process tests ran four times at once beside 24 busy processes. Engines that ignore fencing get no orders for 2.4 s after a new leader is elected, and the leader started that wait again whenever it had not held the leader lease for a moment: in a trial that logs each new planner, five began in one term within 7 s.

The planner belongs to the term now. The lease may lapse and return in it, but no other node leads the same term. The new test fails on a planner that is replaced after a lapse.

--- a/src/node/load_orders.rs
+++ b/src/node/load_orders.rs
@@ -8,7 +8,7 @@
 
 use crate::log::Term;
 use crate::log::state::{Command, Reply};
-use crate::orders::{EngineState, LoadOrder, Planner};
+use crate::orders::{EngineState, LoadOrder, Planner, TermPlanner};
 use crate::replica::LeadingTerm;
 use crate::upstream::api::EngineOrder;
 
@@ -18,19 +18,12 @@
 impl Node {
     /// Periodically plans and sends orders.
     pub(super) async fn run_load_orders(self: Arc<Node>) {
-        let mut planner: Option<(Term, Planner)> = None;
+        let mut planner = TermPlanner::new(self.settings.timing.election);
         let mut interval = tokio::time::interval(PLAN_INTERVAL);
         loop {
             interval.tick().await;
-            let Some(term) = self.leading_term().await else {
-                planner = None;
-                continue;
-            };
-            if planner.as_ref().is_none_or(|(planned_term, _)| *planned_term != term) {
-                planner = Some((term, Planner::new(self.settings.timing.election, boot_now())));
-            }
-            if let Some((_, planner)) = &mut planner {
-                self.send_load_orders(planner, term).await;
+            if let Some(term) = self.leading_term().await {
+                self.send_load_orders(planner.for_term(term, boot_now()), term).await;
             }
         }
     }
--- a/src/orders.rs
+++ b/src/orders.rs
@@ -10,6 +10,7 @@
 use crate::clock::BootTime;
 use crate::config::Model;
 use crate::ids::{DomainId, ModelId, TargetId, WeightVersion};
+use crate::log::Term;
 
 /// An order that its engine has not accepted within this time is abandoned.
 pub const ORDER_TIMEOUT: Duration = Duration::from_secs(2);
@@ -54,6 +55,35 @@
     at: BootTime,
 }
 
+/// The planner of this node's latest term as the leader.
+///
+/// The leader lease may lapse and return within a term. No other node leads in the meantime, so the
+/// planner remains valid.
+#[derive(Clone, Debug)]
+pub struct TermPlanner {
+    lease: Duration,
+    planner: Option<(Term, Planner)>,
+}
+
+impl TermPlanner {
+    /// Creates the state of a node that has not led. `lease` is as for `Planner::new`.
+    pub fn new(lease: Duration) -> TermPlanner {
+        TermPlanner { lease, planner: None }
+    }
+
+    /// Returns the planner of `term`, in which this node holds the leader lease at `now`.
+    pub fn for_term(&mut self, term: Term, now: BootTime) -> &mut Planner {
+        if self.planner.as_ref().is_some_and(|(planned_term, _)| *planned_term != term) {
+            self.planner = None;
+        }
+        let (_, planner) = self.planner.get_or_insert_with(|| {
+            log::info!("event=load_planning_started term={term}");
+            (term, Planner::new(self.lease, now))
+        });
+        planner
+    }
+}
+
 impl Planner {
     /// Creates the planner of a leader elected at `now`. `lease` is the longest time for which an
     /// earlier leader may still have considered itself the leader.
--- a/tests/logic/orders.rs
+++ b/tests/logic/orders.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use kumquatpost::config::{Model, Policy};
-use kumquatpost::orders::{EngineState, ORDER_TIMEOUT, Planner};
+use kumquatpost::orders::{EngineState, ORDER_TIMEOUT, Planner, TermPlanner};
 
 const START: Duration = Duration::from_secs(100);
 const LEASE_DURATION: Duration = Duration::from_secs(1);
@@ -121,3 +121,19 @@
     assert_eq!(planned.len(), 1);
     assert_eq!(planned[0].engine, "a");
 }
+
+/// Guards against rollouts that stop at engines without fencing while the leader lease lapses again
+/// and again, as each return of the lease started the wait anew.
+#[test]
+fn a_lapse_of_the_leader_lease_does_not_restart_the_wait() {
+    let models = models(1, 2);
+    let mut without_fencing = engine("a", "d", Some("v1"));
+    without_fencing.checks_fencing = false;
+    let engines = [without_fencing, engine("b", "d", Some("v2"))];
+    let mut planner = TermPlanner::new(LEASE_DURATION);
+    let mut plan = |term, at| planner.for_term(term, at).plan(&models, &engines, at).len();
+    assert_eq!(plan(1, START), 0);
+    // The lease lapses in between.
+    assert_eq!(plan(1, START + LEASE_DURATION + ORDER_TIMEOUT), 1, "the wait is over");
+    assert_eq!(plan(3, START + LEASE_DURATION * 9), 0, "another leader may have sent orders");
+}
