Let requests wait for the next freshness lease

A node now lets them wait for it, for a third of the time that they have left at most, and only until two lease durations after the last lease: a node that has been cut off for longer refuses at once, as before. A stop ends the wait.

Part of that time was the leader's own: until its first commit it rejected requests for leases, its own node's too, which were sent again 50 ms later or to replicas that could not grant them. They wait for that commit instead.

The new test stops the other nodes so that a lease lapses, and expects a prompt to wait, and to be refused at once when none is expected any more.

--- a/src/http_api/callers.rs
+++ b/src/http_api/callers.rs
@@ -32,6 +32,9 @@
 /// The host part of fingerprints. The Host header is left out, since a caller may reach the same
 /// endpoint under several names.
 const FINGERPRINT_HOST: &str = "";
+/// A request waits for the next freshness lease for at most the remaining time divided by this, so
+/// that enough is left to run it or to retry elsewhere.
+const LEASE_WAIT_DIVISOR: u32 = 3;
 /// Suggested retry delay if the node can't admit requests.
 const NOT_FRESH_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -81,10 +84,10 @@
     let method = request.method.clone();
     let path = request.path.clone();
     if method == Method::GET && path == "/v1/models" {
-        return list_models(node, &request);
+        return list_models(node, &request).await;
     }
     if let Some(format) = ApiFormat::from_path(&path).filter(|_| method == Method::POST) {
-        let call = ApiCall::from_request(node, &request)?;
+        let call = ApiCall::from_request(node, &request).await?;
         return prompts::serve(node, call, &request, format).await;
     }
     if let ["v1", "services", service, ..] = request.segments().as_slice() {
@@ -101,8 +104,8 @@
     http::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n".into())
 }
 
-fn list_models(node: &Node, request: &Request) -> Result<Response, Refusal> {
-    let config = admission_config(node)?;
+async fn list_models(node: &Node, request: &Request) -> Result<Response, Refusal> {
+    let config = admission_config(node, request, boot_now()).await?;
     authenticate(&config, request)?;
     let models: Vec<_> = config
         .config
@@ -113,11 +116,20 @@
     Ok(http::json(StatusCode::OK, &json!({"object": "list", "data": models})))
 }
 
-/// The configuration in force.
+/// The configuration in force, after a bounded wait for the next freshness lease.
 ///
 /// # Errors
 /// If this node does not admit requests.
-pub fn admission_config(node: &Node) -> Result<Arc<NumberedConfig>, Refusal> {
+async fn admission_config(
+    node: &Node,
+    request: &Request,
+    received_at: BootTime,
+) -> Result<Arc<NumberedConfig>, Refusal> {
+    tokio::select! {
+        biased;
+        () = node.until_stopping() => {}
+        () = node.wait_for_lease(lease_wait_end(node, request, received_at)) => {}
+    }
     if node.is_stopping() {
         return Err(shutdown_refusal());
     }
@@ -127,6 +139,17 @@
     })
 }
 
+/// When a request without a lease is refused. The configuration may be outdated, but only this wait
+/// depends on it.
+fn lease_wait_end(node: &Node, request: &Request, received_at: BootTime) -> BootTime {
+    let kind_id = request.header(KIND_HEADER).unwrap_or(DEFAULT_KIND);
+    let kind = node.newest_config().config.kind(kind_id);
+    // An invalid deadline is reported once the request is read.
+    let requested_ms = deadline_ms(request).unwrap_or_default();
+    let deadline_ms = requested_ms.or(kind.map(|kind| kind.deadline_ms)).unwrap_or_default();
+    received_at + Duration::from_millis(deadline_ms) / LEASE_WAIT_DIVISOR
+}
+
 fn authenticate(config: &NumberedConfig, request: &Request) -> Result<AccountId, Refusal> {
     let bearer = request.header("authorization").and_then(|value| value.strip_prefix("Bearer "));
     let account = bearer.and_then(|key| config.account_of_key(key.trim()));
@@ -140,8 +163,9 @@
     ///
     /// # Errors
     /// If the request is invalid, or if this node does not admit requests.
-    pub fn from_request(node: &Node, request: &Request) -> Result<ApiCall, Refusal> {
-        let config = admission_config(node)?;
+    pub async fn from_request(node: &Node, request: &Request) -> Result<ApiCall, Refusal> {
+        let received_at = boot_now();
+        let config = admission_config(node, request, received_at).await?;
         let account = authenticate(&config, request)?;
         if let Err(error) = &request.body {
             return Err(body_refusal(*error));
@@ -152,7 +176,6 @@
             let message = format!("unknown kind {kind_id:?}; configured kinds: {known}");
             return Err(Refusal::not_run(RefusalCode::UnknownKind, message));
         };
-        let received_at = boot_now();
         let deadline_ms = deadline_ms(request)?.unwrap_or(kind.deadline_ms);
         // The header can only make a repeatable kind non-repeatable, not the other way round.
         let repeatable = kind.repeatable && request.header(REPEATABLE_HEADER) != Some("false");
@@ -198,16 +221,19 @@
             Refusal::not_run(code, message).with_retry_after(refused.retry_after)
         })?;
         // The node or the request may have changed state while the request was queued.
-        self.check_dispatch_in_time(node)?;
+        self.check_dispatch_in_time(node).await?;
         Ok(permit)
     }
 
-    /// Checks that the request may be sent to a target before its deadline. Must be called
-    /// directly before each dispatch.
+    /// Checks that the request may be sent to a target before its deadline, after a bounded wait for
+    /// the next freshness lease. Must be called directly before each dispatch.
     ///
     /// # Errors
     /// As `check_dispatch`, and if the deadline has passed.
-    pub fn check_dispatch_in_time(&self, node: &Node) -> Result<(), Refusal> {
+    pub async fn check_dispatch_in_time(&self, node: &Node) -> Result<(), Refusal> {
+        let now = boot_now();
+        let max_wait = self.deadline.saturating_sub(now) / LEASE_WAIT_DIVISOR;
+        node.wait_for_lease(now + max_wait).await;
         self.check_dispatch(node)?;
         if boot_now() >= self.deadline {
             let refusal =
--- a/src/http_api/prompt_run.rs
+++ b/src/http_api/prompt_run.rs
@@ -127,11 +127,11 @@
         self.node.router.lock().deposit_retry();
         loop {
             self.attempt += 1;
-            let dispatch = match self.start_dispatch() {
+            let dispatch = match self.start_dispatch().await {
                 Err(NoDispatch::NoEngine(NoEngine::NoneAvailable))
                     if self.switch_weight_version().await =>
                 {
-                    self.start_dispatch()
+                    self.start_dispatch().await
                 }
                 started => started,
             };
@@ -210,13 +210,14 @@
         true
     }
 
-    fn start_dispatch(&self) -> Result<Dispatch, NoDispatch> {
+    async fn start_dispatch(&self) -> Result<Dispatch, NoDispatch> {
         let call = &self.prompt.call;
         let has_begun = self.first_token_latency.is_some();
         let admitted = if has_begun {
+            self.node.wait_for_lease(BootTime::MAX).await;
             call.check_dispatch(&self.node)
         } else {
-            call.check_dispatch_in_time(&self.node)
+            call.check_dispatch_in_time(&self.node).await
         };
         admitted.map_err(NoDispatch::Refused)?;
         // The deadline applies only to the first token.
--- a/src/http_api/services.rs
+++ b/src/http_api/services.rs
@@ -31,7 +31,7 @@
     request: &Request,
     service: &str,
 ) -> Result<Response, Refusal> {
-    let mut call = ApiCall::from_request(node, request)?;
+    let mut call = ApiCall::from_request(node, request).await?;
     let services = &call.config.config.services;
     let Some(configured) = services.get(service) else {
         let known = services.keys().cloned().collect::<Vec<_>>().join(", ");
@@ -92,7 +92,7 @@
     let mut may_have_run = false;
     let mut last_refusal = no_instance_refusal(service);
     for instance in candidate_instances(node, service) {
-        call.check_dispatch_in_time(node)?;
+        call.check_dispatch_in_time(node).await?;
         let sent_at = boot_now();
         match send_call(node, call, request, &instance, false).await {
             Ok(outcome) => {
@@ -125,7 +125,7 @@
 ) -> Result<Outcome, Refusal> {
     let mut last_refusal = no_instance_refusal(service);
     for instance in candidate_instances(node, service) {
-        call.check_dispatch_in_time(node)?;
+        call.check_dispatch_in_time(node).await?;
         held_claim.mark_dispatched()?;
         let sent_at = boot_now();
         match send_call(node, call, request, &instance, true).await {
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -13,6 +13,10 @@
 /// Leases are shortened by one part in this many, as clocks run at different rates.
 const CLOCK_DRIFT_DIVISOR: u32 = 50;
 
+/// Time to replace a lost leader and to get a lease from the new one, in lease durations. On a busy
+/// host an election takes longer than a lease.
+const RENEWAL_EXPECTED_LEASES: u32 = 2;
+
 /// The lease that this node holds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct HeldLease {
@@ -31,6 +35,12 @@
         self.expires_at.saturating_sub(now)
     }
 
+    /// Until when a lapsed lease is likely to be renewed. A node without a lease for longer is probably
+    /// isolated.
+    pub fn renewal_expected_until(&self, lease_duration: Duration) -> BootTime {
+        self.expires_at + lease_duration * RENEWAL_EXPECTED_LEASES
+    }
+
     /// Applies a grant in response to the renewal sent at `sent_at`.
     pub fn extend(&mut self, sent_at: BootTime, duration: Duration) {
         let drift_adjusted = duration - duration / CLOCK_DRIFT_DIVISOR;
--- a/src/node/freshness.rs
+++ b/src/node/freshness.rs
@@ -62,6 +62,14 @@
         self.history.number()
     }
 
+    /// How long to wait for the next lease; zero if there is a valid one, or if none is expected.
+    fn lease_wait(&self, lease_duration: Duration, now: BootTime) -> Duration {
+        if self.held_lease.is_fresh(now) {
+            return Duration::ZERO;
+        }
+        self.held_lease.renewal_expected_until(lease_duration).saturating_sub(now)
+    }
+
     /// The configuration number of this node, and the number that this node and all nodes with
     /// leases from it have applied.
     fn own_and_acked_numbers(&self, now: BootTime) -> (ConfigNumber, ConfigNumber) {
@@ -129,6 +137,27 @@
         self.freshness.lock().config_number()
     }
 
+    /// The newest known configuration, whether or not it is in force.
+    pub fn newest_config(&self) -> Arc<NumberedConfig> {
+        self.freshness.lock().history.newest().clone()
+    }
+
+    /// Waits for the next lease if the last one has expired, at most until `deadline`. Returns at once
+    /// if no lease is expected soon.
+    pub async fn wait_for_lease(&self, deadline: BootTime) {
+        let mut renewed = self.lease_renewed.subscribe();
+        loop {
+            let now = boot_now();
+            let wait = self.freshness.lock().lease_wait(self.settings.timing.lease, now);
+            let wait = wait.min(deadline.saturating_sub(now));
+            if wait.is_zero() {
+                return;
+            }
+            // A timeout is noticed by the next iteration; the sender lives as long as this node.
+            let _ = tokio::time::timeout(wait, renewed.changed()).await;
+        }
+    }
+
     /// Grants a lease to another node as the relay of the failure domain.
     pub(super) fn grant_as_relay(&self, child: NodeId, renew: &RenewLease) -> PeerResponse {
         let grant = self.freshness.lock().grant_lease(child, renew, boot_now());
@@ -193,6 +222,7 @@
                 let duration = Duration::from_millis(lasts_ms);
                 let is_usable =
                     self.freshness.lock().apply_grant(sent_at, duration, number, &update);
+                self.lease_renewed.send_replace(());
                 is_usable.then_some(()).ok_or(RenewalError::Unusable)
             }
             PeerResponse::NotLeader(Some(leader)) => {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -75,6 +75,8 @@
     account_shares: Mutex<AccountShares>,
     quarantine: Mutex<QuarantineState>,
     freshness: Mutex<Freshness>,
+    /// Notifies of each grant of a lease.
+    lease_renewed: watch::Sender<()>,
     membership_view: Arc<Mutex<MembershipView>>,
     membership: Address<Membership>,
     replica: Option<ReplicaHandle>,
@@ -129,6 +131,7 @@
             account_shares: Mutex::new(AccountShares::new(settings.timing.lease)),
             quarantine: Mutex::new(QuarantineState::new(boot)),
             freshness: Mutex::new(Freshness::new(settings.timing.lease, now)),
+            lease_renewed: watch::Sender::new(()),
             membership_view,
             membership,
             replica,
@@ -182,6 +185,13 @@
         *self.shutdown_phase.borrow() >= ShutdownPhase::Refusing
     }
 
+    /// Waits until the node is shutting down.
+    pub async fn until_stopping(&self) {
+        let mut phase = self.shutdown_phase.subscribe();
+        // Never fails, since the sender lives as long as this node.
+        let _ = phase.wait_for(|phase| *phase >= ShutdownPhase::Refusing).await;
+    }
+
     /// The configuration in force; `None` without a valid freshness lease.
     pub fn in_force(&self) -> Option<Arc<NumberedConfig>> {
         self.freshness.lock().in_force(boot_now())
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -40,6 +40,8 @@
     grantor_term: Term,
     pending_proposals: BTreeMap<Index, (Term, ProposalWaiter)>,
     pending_reads: BTreeMap<ReadId, ReadWaiter>,
+    /// Requests for leases that wait for the first commit of this replica's term as the leader.
+    early_grants: Vec<GrantLease>,
     /// Accepted configuration numbers that are not yet in force on all nodes, with the times when
     /// they were accepted.
     awaiting_in_force: BTreeMap<ConfigNumber, BootTime>,
@@ -136,6 +138,7 @@
             grantor_term: 0,
             pending_proposals: BTreeMap::new(),
             pending_reads: BTreeMap::new(),
+            early_grants: Vec::new(),
             awaiting_in_force: BTreeMap::new(),
             in_force: 0,
             batched_inputs: 0,
@@ -210,6 +213,7 @@
         self.grantor = None;
         self.pending_proposals.clear();
         self.pending_reads.clear();
+        self.early_grants.clear();
     }
 
     fn apply(&mut self, command: &Command) -> Reply {
@@ -238,6 +242,20 @@
         }
     }
 
+    /// Grants a lease once this replica is confirmed as the leader, or rejects it.
+    fn request_grant(&mut self, grant: GrantLease, now: BootTime) {
+        if self.driver.raft.holds_leader_lease(now) {
+            self.grant_lease(grant, now);
+            return;
+        }
+        // The leader lease expires when heartbeats are slow, well before leadership is lost.
+        match self.driver.raft.read() {
+            Ok(id) => drop(self.pending_reads.insert(id, ReadWaiter::Grant(grant))),
+            Err(_) if self.driver.raft.status().is_leader => self.early_grants.push(grant),
+            Err(NotLeader { leader }) => drop(grant.sender.send(Err(leader))),
+        }
+    }
+
     /// Grants a lease. Requires that this replica has been confirmed as the leader since the request.
     fn grant_lease(&mut self, grant: GrantLease, now: BootTime) {
         let GrantLease { child, known_number, acked, sender } = grant;
@@ -311,6 +329,11 @@
         let now = boot_now();
         self.driver.raft.tick(now);
         self.update_in_force(now);
+        for grant in std::mem::take(&mut self.early_grants) {
+            if !grant.sender.is_closed() {
+                self.request_grant(grant, now);
+            }
+        }
         if !self.driver.raft.status().is_leader {
             self.pending_reads.clear();
         }
@@ -378,16 +401,7 @@
 
     async fn handle(&mut self, grant: GrantLease, context: &mut Context<Self>) {
         self.process_batch(context);
-        let now = boot_now();
-        if self.driver.raft.holds_leader_lease(now) {
-            self.grant_lease(grant, now);
-            return;
-        }
-        // The leader lease expires when heartbeats are slow, well before leadership is lost.
-        match self.driver.raft.read() {
-            Ok(id) => drop(self.pending_reads.insert(id, ReadWaiter::Grant(grant))),
-            Err(NotLeader { leader }) => drop(grant.sender.send(Err(leader))),
-        }
+        self.request_grant(grant, boot_now());
         self.process_batch(context);
     }
 }
--- a/tests/logic/lease.rs
+++ b/tests/logic/lease.rs
@@ -27,6 +27,14 @@
     assert!(holder.is_fresh(ms(3_900)));
 }
 
+#[test]
+fn a_renewal_is_expected_for_two_lease_durations_after_the_last_lease() {
+    let mut holder = HeldLease::default();
+    holder.extend(ms(1_000), LEASE_DURATION);
+    let expires_at = ms(1_000) + holder.remaining(ms(1_000));
+    assert_eq!(holder.renewal_expected_until(LEASE_DURATION), expires_at + LEASE_DURATION * 2);
+}
+
 #[test]
 fn a_new_grantor_assumes_a_full_lease_outstanding_everywhere() {
     let grantor = LeaseGrantor::new(LEASE_DURATION, ms(1_000));
--- a/tests/process/failures.rs
+++ b/tests/process/failures.rs
@@ -2,6 +2,7 @@
 
 use std::io::{BufRead, BufReader};
 use std::process::Command;
+use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 
@@ -126,6 +127,49 @@
     assert_eq!(env.status(isolated)["number"].as_u64(), Some(base));
 }
 
+/// Guards against prompts that are refused as `not_fresh` while the next lease is on its way, and
+/// against prompts that wait at a node that has been cut off for long.
+#[test]
+fn prompts_wait_for_the_next_lease_only_while_it_is_expected() {
+    const LEASE: Duration = Duration::from_secs(6);
+    let mut options = TestEnvOptions::default();
+    options.timing["lease_ms"] = json!(LEASE.as_millis());
+    let env = TestEnv::start(options);
+    let node = (env.leader() + 1) % 3;
+    let signal_others = |signal| {
+        (0..3).filter(|other| *other != node).for_each(|other| env.nodes[other].signal(signal))
+    };
+    let send_prompt = || {
+        let request = env.prompt_request(node, "anna", "still waiting?", 2, false);
+        request.header("x-kumquatpost-deadline-ms", "60000").send().expect("the node answers")
+    };
+    let wait_until_lapsed = || {
+        wait_for("the lease has expired", || {
+            (env.status(node)["fresh"] == Value::Bool(false)).then_some(())
+        })
+    };
+    signal_others("STOP");
+    wait_until_lapsed();
+    std::thread::scope(|scope| {
+        let waiting = scope.spawn(send_prompt);
+        std::thread::sleep(Duration::from_millis(300));
+        assert!(!waiting.is_finished(), "the prompt waits");
+        signal_others("CONT");
+        let response = waiting.join().expect("the thread does not panic");
+        assert!(response.status().is_success(), "{}", response.text().unwrap_or_default());
+    });
+    signal_others("STOP");
+    wait_until_lapsed();
+    std::thread::sleep(LEASE * 2);
+    let sent_at = Instant::now();
+    let response = send_prompt();
+    assert!(sent_at.elapsed() < LEASE / 2, "refused after {:?}", sent_at.elapsed());
+    assert!(response.headers().contains_key("retry-after"));
+    let body: Value = response.json().expect("JSON");
+    assert_eq!((execution_of(&body), &body["error"]["code"]), ("not_run", &json!("not_fresh")));
+    signal_others("CONT");
+}
+
 #[test]
 fn a_replica_that_missed_hundreds_of_changes_catches_up_by_itself() {
     let mut env = TestEnv::start(TestEnvOptions::default());
