--- a/src/node/load_orders.rs
+++ b/src/node/load_orders.rs
@@ -23,6 +23,9 @@
         loop {
             interval.tick().await;
             if let Some(term) = self.leading_term().await {
+                if planner.term() != Some(term) {
+                    log::info!("event=load_planning_started term={term}");
+                }
                 self.send_load_orders(planner.for_term(term, boot_now()), term).await;
             }
         }
--- a/src/orders.rs
+++ b/src/orders.rs
@@ -76,12 +76,15 @@
         if self.planner.as_ref().is_some_and(|(planned_term, _)| *planned_term != term) {
             self.planner = None;
         }
-        let (_, planner) = self.planner.get_or_insert_with(|| {
-            log::info!("event=load_planning_started term={term}");
-            (term, Planner::new(self.lease, now))
-        });
+        let (_, planner) =
+            self.planner.get_or_insert_with(|| (term, Planner::new(self.lease, now)));
         planner
     }
+
+    /// The latest term that was planned for.
+    pub fn term(&self) -> Option<Term> {
+        self.planner.as_ref().map(|(term, _)| *term)
+    }
 }
 
 impl Planner {
--- a/tests/process/serving.rs
+++ b/tests/process/serving.rs
@@ -37,7 +37,7 @@
             let text = streamed.text().expect("the stream is complete");
             let mut events: Vec<&str> =
                 text.lines().filter_map(|line| line.strip_prefix("data: ")).collect();
-            assert_eq!(events.pop(), Some("[DONE]"), "[DONE] is the last event");
+            assert_eq!(events.pop(), Some("[DONE]"), "the last event of node {node}: {text}");
             let chunks: Vec<Value> =
                 events.iter().map(|data| serde_json::from_str(data).expect("JSON")).collect();
             assert!(chunks.iter().all(|chunk| chunk["object"] == "chat.completion.chunk"));
