Notice that an engine restarted while nothing ran there

Entries keep idle connections to engines, and a restart closes all of them before their timeout. An entry looks at that before it uses one, takes the target for cold, and tells the scheduler, with a new placement event that earlier builds don't understand. Services without cold starts are not affected.

--- a/.ci/mutations.py
+++ b/.ci/mutations.py
@@ -29,6 +29,8 @@
      "            || self.evacuated.was_restored(domain, cold_start.duration, now);", "            || (self.evacuated.was_restored(domain, cold_start.duration, now) && false);", "deployment", "cold"),
     ("cold: an engine that lost its connections counts as warm", "src/scheduler/plan/events.rs",
      "EndReason::ConnectionLost if engine.connection_lost(now) => {", "EndReason::ConnectionLost if false => {", "deployment", "cold"),
+    ("cold: idle connections that close are not noticed", "src/gateway/attempt.rs",
+     "if gateway.pool.remove_lost(target) {", "if false {", "deployment", "cold"),
     ("cold: the time of an answer does not count", "src/fleet/cold.rs",
      "if self.may_have_ended_at.take_if(|ended_at| *ended_at <= sent_at).is_some() {", "if self.may_have_ended_at.take_if(|_| false).is_some() {", "deployment", "cold"),
     ("cold: an engine that has not answered counts as warm", "src/scheduler/plan.rs",
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -232,6 +232,14 @@
         state.may_have_ended(&self.cold_starts, now);
     }
 
+    /// Records that a target closed all idle connections before their timeout. Returns whether it is
+    /// cold after a start.
+    pub fn idle_connections_lost(&mut self, target: &TargetStart, now: BootTime) -> bool {
+        let Some(state) = self.targets.get_mut(target) else { return false };
+        state.may_have_ended(&self.cold_starts, now);
+        self.cold_starts.contains_key(&state.listed.service)
+    }
+
     /// Records that another target answers at a target's address, so this start has ended.
     pub fn replaced(&mut self, target: &TargetStart) {
         if self.targets.get_mut(target).is_some_and(TargetState::mark_leaving) {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -174,6 +174,9 @@
     deadline: Instant,
     record: &mut RequestRecord,
 ) -> Option<Connection> {
+    if gateway.pool.remove_lost(target) {
+        gateway.idle_connections_lost(target);
+    }
     if let Some(connection) = gateway.pool.take_idle(target) {
         return Some(connection);
     }
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -73,6 +73,24 @@
         None
     }
 
+    /// Whether a target has closed all idle connections before their timeout, as a restart does.
+    /// Removes them.
+    pub fn remove_lost(&self, target: &TargetStart) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let Some(connections) = idle.get(target) else { return false };
+        let now = boot_now();
+        let is_lost = |idle: &Idle| {
+            let age = now.saturating_sub(idle.since);
+            idle.connection.sender.is_closed()
+                && age + IDLE_TIMEOUT_MARGIN < idle.connection.idle_timeout
+        };
+        let all_lost = !connections.is_empty() && connections.iter().all(is_lost);
+        if all_lost {
+            idle.remove(target);
+        }
+        all_lost
+    }
+
     /// Returns a connection to the pool, unless it is closed.
     pub fn put_idle(&self, target: &TargetStart, mut connection: Connection) {
         if connection.sender.is_closed() {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -30,6 +30,7 @@
 
 use crate::quarantine::broken_runs::BrokenRuns;
 use crate::quarantine::{Quarantine, notify};
+use crate::scheduler::PlacementEvent;
 use crate::scheduler::weights::{self, RolloutHistories};
 use crate::telemetry::deployment_metrics::EntryMetrics;
 
@@ -428,6 +429,16 @@
         self.pool.retain(|target| listed.get(target).is_some());
     }
 
+    /// Records, here and at the scheduler, that a target may have restarted since it was last used.
+    pub fn idle_connections_lost(&self, target: &TargetStart) {
+        if !self.fleet.borrow_mut().idle_connections_lost(target, boot_now()) {
+            return;
+        }
+        log::info!("event=idle_connections_lost target={target}");
+        let event = PlacementEvent::IdleConnectionsLost { target: target.clone() };
+        self.scheduler.send_event(event);
+    }
+
     /// Returns a connection to the pool if the target is still in the roster.
     pub fn return_connection(&self, target: &TargetStart, connection: Connection) {
         if self.is_listed(target) {
--- a/src/scheduler/messages.rs
+++ b/src/scheduler/messages.rs
@@ -127,6 +127,9 @@
     },
     /// The request has left the engine.
     Ended { ticket: TicketId, end: EndReason },
+    /// The engine closed all idle connections of the entry before their timeout. It may have
+    /// restarted.
+    IdleConnectionsLost { target: TargetStart },
 }
 
 /// How a request ended on an engine.
--- a/src/scheduler/plan/events.rs
+++ b/src/scheduler/plan/events.rs
@@ -45,6 +45,9 @@
                     engine.set_weights(*weight_version);
                 }
             }
+            PlacementEvent::IdleConnectionsLost { target } => {
+                self.observe_idle_connections_lost(target, now)
+            }
             PlacementEvent::Ended { ticket, end } => {
                 let Some(placement) = self.tickets.remove(ticket) else { return };
                 let Some(engine) = self.engines.get_mut(&placement.target) else { return };
@@ -79,6 +82,14 @@
         }
     }
 
+    /// Takes an engine for cold that may have restarted while no prompt ran there.
+    fn observe_idle_connections_lost(&mut self, target: &TargetStart, now: BootTime) {
+        let Some(engine) = self.engines.get_mut(target) else { return };
+        if let Some(cold_start) = self.cold_starts.get(&engine.listed.service) {
+            engine.coldness.may_have_ended(cold_start, now);
+        }
+    }
+
     /// Applies a measured fetch time to the links at both ends, since either may be the slow one.
     fn observe_fetch_time(
         &mut self,
--- a/tests/deployment/cold.rs
+++ b/tests/deployment/cold.rs
@@ -3,18 +3,21 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
+use kumquatpost::clock::boot_now;
 use kumquatpost::deployment::{Service, ServiceRole};
 use kumquatpost::fleet::cold::{ColdStart, IndependentShare, Pacer};
 use kumquatpost::fleet::evacuation::{EvacuatedDomains, EvacuationOrder, Evacuations};
 use kumquatpost::fleet::{FleetView, Listed};
 use kumquatpost::ids::TargetStart;
-use kumquatpost::scheduler::{EndReason, Scheduler};
+use kumquatpost::scheduler::{EndReason, PlacementEvent, Scheduler};
 
 use crate::fixtures::{address, ms, roster, start, target};
+use crate::gateway::{deployment_with_long_timeouts, ok_response, run_local, start_entry};
 use crate::load::{
     Simulation, end_placement, engines, expect_placed, placement_request, scheduler,
     simulated_deployment,
 };
+use crate::stand_in::{AfterAnswer, StandIn};
 
 const COLD_START: ColdStart = ColdStart { duration: Duration::from_secs(3), requests_per_s: 18.0 };
 
@@ -249,3 +252,41 @@
     let warm = storm(&mut scheduler, 18_200, 20_000).remove(&start("i-00")).expect("used");
     assert!(max_per_second(&warm) > 30, "{}", max_per_second(&warm));
 }
+
+/// Guards against full load on an engine that restarted under its id while no prompt ran there.
+#[test]
+fn an_engine_that_closed_idle_connections_early_is_taken_for_cold() {
+    let mut scheduler = scheduler(1);
+    with_cold_start(&mut scheduler);
+    let lost = PlacementEvent::IdleConnectionsLost { target: start("i-00") };
+    scheduler.observe(&lost, ms(5_000));
+    let times = storm(&mut scheduler, 5_000, 7_900).remove(&start("i-00")).expect("placements");
+    assert!(max_per_second(&times) <= 18, "{}", max_per_second(&times));
+}
+
+/// Guards against entries that don't notice a restart between two requests. The closing of one of
+/// several connections shows none.
+#[test]
+fn an_entry_notices_that_all_idle_connections_were_closed_early() {
+    for (first_answer, is_cold) in [(AfterAnswer::CloseLater, true), (AfterAnswer::KeepOpen, false)]
+    {
+        run_local(async move {
+            let answers = [first_answer, AfterAnswer::KeepOpen]
+                .map(|after_answer| (ok_response("done"), after_answer));
+            let instance = StandIn::start(answers.to_vec()).await;
+            let mut deployment = deployment_with_long_timeouts();
+            deployment.services.get_mut("app").expect("a service").cold_start = Some(COLD_START);
+            let entry = start_entry(deployment, vec![target("i-1", "app", instance.address)]).await;
+            let is_taken_for_cold = || {
+                let fleet = entry.gateway.fleet.borrow();
+                let state = fleet.get(&start("i-1")).expect("listed");
+                fleet.cold_limit(state, boot_now()).is_some()
+            };
+            for (id, expected) in [("r1", false), ("r2", is_cold)] {
+                assert_eq!(entry.call("/safe/a", id).await.status, 200);
+                assert_eq!(is_taken_for_cold(), expected, "{id}");
+                tokio::time::sleep(ms(200)).await;
+            }
+        });
+    }
+}
--- a/tests/deployment/stand_in.rs
+++ b/tests/deployment/stand_in.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -14,10 +15,15 @@
 pub enum AfterAnswer {
     KeepOpen,
     Close,
+    /// Closes the connection while it is idle, without an announcement.
+    CloseLater,
     /// Sends nothing more and waits until the caller closes the connection.
     Hang,
 }
 
+/// How long a connection is idle before it is closed.
+const IDLE_BEFORE_CLOSE: Duration = Duration::from_millis(20);
+
 /// A target that gives each request the next answer of its script.
 pub struct StandIn {
     pub address: SocketAddr,
@@ -73,6 +79,10 @@
         match after_answer {
             AfterAnswer::KeepOpen => {}
             AfterAnswer::Close => return,
+            AfterAnswer::CloseLater => {
+                tokio::time::sleep(IDLE_BEFORE_CLOSE).await;
+                return;
+            }
             AfterAnswer::Hang => {
                 let mut byte = [0];
                 let _ = stream.read(&mut byte).await;
