Reject failure domains only by what a replica knows

It answers 503 now until it has caught up and, where it reads a list, has one.

The new test starts one of three replicas without the others; it got a 404 on the code before. The older test of an unknown domain took the first answer of a starting replica for its verdict, which is the fault: it now waits for an answer other than 503, and expects the same 404 and text as before.

--- a/.ci/mutations.py
+++ b/.ci/mutations.py
@@ -17,6 +17,8 @@
      "if self.revision(&domain) != expected {", "if false {", "deployment", "evacuation"),
     ("evacuation: an order without a revision is proposed", "src/control/operator_server.rs",
      "let Some(expected) = shown else { return self.redirect_with_revision(&domain) };", "let expected = shown.unwrap_or_else(|| self.shared.view.borrow().state.evacuations.revision(&domain));", "deployment", "evacuation"),
+    ("evacuation: a replica that knows nothing rejects domains", "src/control/operator_server.rs",
+     "self.shared.caught_up_at.get().is_some() && has_list", "has_list", "deployment", "evacuation"),
     ("evacuation: the scheduler places prompts there", "src/scheduler/plan.rs",
      "            || self.evacuated.contains(&listed.failure_domain)\n", "", "deployment", "evacuation"),
     ("evacuation: entries send requests there", "src/fleet/view.rs",
--- a/src/control/operator_server.rs
+++ b/src/control/operator_server.rs
@@ -92,6 +92,8 @@
     pub shared: Rc<Shared>,
     /// Failure domains that can be evacuated even while no target is listed there.
     pub known_domains: BTreeSet<DomainId>,
+    /// Whether the replicas read a list of targets, which names failure domains as well.
+    pub reads_target_list: bool,
     /// Accepts commands and reads.
     pub inputs: mpsc::Sender<Input>,
     /// The operator port, which is the same at all replicas.
@@ -232,6 +234,10 @@
         path: &str,
     ) -> Answer {
         let known = self.known_domains();
+        if !known.contains(&domain) && !self.knows_all_domains() {
+            let message = "this replica does not know the failure domains yet; ask another one";
+            return text(StatusCode::SERVICE_UNAVAILABLE, message.into());
+        }
         if !known.contains(&domain) {
             let message = format!("no failure domain is named {domain:?}; name one of {known:?}");
             return text(StatusCode::NOT_FOUND, message);
@@ -261,6 +267,13 @@
         self.known_domains.iter().chain(listed).chain(ordered).cloned().collect()
     }
 
+    /// Whether an unknown failure domain can be rejected for good: this replica has the orders that
+    /// were accepted before, and a list of targets if there is one.
+    fn knows_all_domains(&self) -> bool {
+        let has_list = !self.reads_target_list || !self.shared.roster.borrow().roster.is_empty();
+        self.shared.caught_up_at.get().is_some() && has_list
+    }
+
     fn redirect_with_revision(&self, domain: &DomainId) -> Answer {
         let view = self.shared.view.borrow();
         let revision = view.state.evacuations.revision(domain);
--- a/src/control/run.rs
+++ b/src/control/run.rs
@@ -122,6 +122,7 @@
     let operators = Rc::new(OperatorServer {
         shared: shared.clone(),
         known_domains: host.regions.keys().chain([&host.failure_domain]).cloned().collect(),
+        reads_target_list: host.target_list.is_some(),
         inputs: inputs.clone(),
         port: operators_address.port(),
         metrics: metrics.clone(),
--- a/tests/deployment/evacuation.rs
+++ b/tests/deployment/evacuation.rs
@@ -228,15 +228,30 @@
 fn an_unknown_failure_domain_is_rejected_with_the_known_ones() {
     let cluster = ReplicaCluster::start(3);
     let mut answer = None;
-    cluster.eventually("the replica answers", |cluster| {
+    cluster.eventually("the replica has caught up", |cluster| {
         answer = cluster.send(1, "POST", "evacuate/elsewhere", None);
-        answer.is_some()
+        answer.as_ref().is_some_and(|(status, _)| *status != 503)
     });
     let (status, text) = answer.expect("a response");
     assert_eq!(status, 404);
     assert!(text.contains("hall"), "{text}");
 }
 
+/// Guards against orders that are rejected for good by a replica that has just started and does not
+/// know the failure domains yet.
+#[test]
+fn a_replica_without_a_leader_rejects_no_failure_domain_for_good() {
+    let mut cluster = ReplicaCluster::start(3);
+    (0..3).for_each(|host| cluster.kill(host));
+    cluster.start_replica(1, false);
+    let mut answer = None;
+    cluster.eventually("the replica answers", |cluster| {
+        answer = cluster.send(1, "POST", "evacuate/elsewhere", None);
+        answer.is_some()
+    });
+    assert_eq!(answer.map(|(status, _)| status), Some(503));
+}
+
 /// Guards against an order that takes effect although its sender no longer waits: it reaches a
 /// replica late and nobody follows the redirect.
 #[test]
