--- a/.ci/mutations.py
+++ b/.ci/mutations.py
@@ -341,7 +341,7 @@
     ("platform: all engines are told at once while orders go unanswered", "src/control/rollout_plan.rs",
      ".min(max_in_progress.saturating_sub(in_progress));", ".min(max_in_progress.saturating_add(in_progress));", "deployment", "weights::"),
     ("platform: engines that have missed most wait", "src/control/rollout_plan.rs",
-     "        outdated.sort_by_key(|engine| engine.weights.get(model));\n", "", "deployment", "weights::"),
+     "(unreachable.contains(&engine.start), engine.weights.get(model))", "unreachable.contains(&engine.start)", "deployment", "weights::"),
     ("platform: an engine with older weights than believed is not asked", "src/scheduler/plan/events.rs",
      "EndReason::WeightMismatch(reported) => *reported < placement.weight_version,", "EndReason::WeightMismatch(_) => false,", "deployment", "scheduling"),
     ("platform: what an engine is found with does not reach the list", "src/control/scheduler_service.rs",
