--- a/src/control/pieces.rs
+++ b/src/control/pieces.rs
@@ -70,7 +70,7 @@
     /// # Errors
     ///
     /// If the piece cannot be decoded.
-    pub fn listed(&self) -> Result<Vec<Listed>, PieceError> {
+    pub fn listed(&self) -> Result<Vec<Arc<Listed>>, PieceError> {
         self.targets.to_listed().map_err(|_| PieceError::Damaged)
     }
 }
@@ -81,7 +81,7 @@
     of: RosterVersion,
     /// The index of the next expected piece.
     next: u32,
-    targets: Vec<Listed>,
+    roster: Roster,
 }
 
 impl Assembly {
@@ -114,12 +114,12 @@
         if piece.index != self.next || piece.index >= piece.count || piece.count > MAX_PIECES {
             return Err(PieceError::Damaged);
         }
-        self.targets.extend(piece.listed()?);
+        self.roster.add(piece.listed()?);
         self.next += 1;
         if self.next < piece.count {
             return Ok(None);
         }
-        let roster = Roster::from_targets(std::mem::take(&mut self.targets));
+        let roster = std::mem::take(&mut self.roster);
         let versioned = VersionedRoster::new(self.of.number, Arc::new(roster));
         match versioned.version() == self.of {
             true => Ok(Some(versioned)),
--- a/src/control/roster_publisher.rs
+++ b/src/control/roster_publisher.rs
@@ -113,6 +113,6 @@
 fn version_frame(sent: &VersionedRoster, current: &VersionedRoster) -> Arc<[u8]> {
     let changed = sent.roster.change_to(&current.roster).changed.into_iter();
     let leaving = changed.filter(|listed| listed.presence == Presence::Leaving);
-    let leaving = leaving.map(|listed| listed.start).collect();
+    let leaving = leaving.map(|listed| listed.start.clone()).collect();
     encode(&Update::RosterVersionOnly { version: current.version(), leaving })
 }
--- a/src/control/roster_reader.rs
+++ b/src/control/roster_reader.rs
@@ -198,7 +198,7 @@
     ReplicaFrame::RosterChanged {
         before: before.version(),
         version: now.version(),
-        changed: CompactTargets::from_targets(changed.iter()),
+        changed: CompactTargets::from_targets(changed.iter().map(AsRef::as_ref)),
         gone,
         remembered: before.roster.history_change_to(&now.roster),
     }
--- a/src/control/shared.rs
+++ b/src/control/shared.rs
@@ -225,7 +225,7 @@
         let (before, version) = (sent.version(), now.version());
         if (update.0, update.1) != (before, version) {
             let RosterChange { changed, gone } = sent.roster.change_to(&now.roster);
-            let changed = CompactTargets::from_targets(changed.iter());
+            let changed = CompactTargets::from_targets(changed.iter().map(AsRef::as_ref));
             *update = (
                 before,
                 version,
--- a/src/control/versioned_roster.rs
+++ b/src/control/versioned_roster.rs
@@ -21,20 +21,18 @@
 pub struct VersionedRoster {
     /// Higher than that of any roster its creator had seen.
     pub number: u64,
-    /// The digest of `roster`.
-    digest: u64,
     pub roster: Arc<Roster>,
 }
 
 impl VersionedRoster {
     /// Assigns a number to a roster.
     pub fn new(number: u64, roster: Arc<Roster>) -> VersionedRoster {
-        VersionedRoster { number, digest: roster.digest(), roster }
+        VersionedRoster { number, roster }
     }
 
     /// The version of the roster.
     pub fn version(&self) -> RosterVersion {
-        RosterVersion { number: self.number, digest: self.digest }
+        RosterVersion { number: self.number, digest: self.roster.targets().digest() }
     }
 
     /// Applies a change. Returns `None` if the change is based on another roster or does not lead
--- a/src/fleet/compact.rs
+++ b/src/fleet/compact.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
@@ -49,8 +50,8 @@
     ///
     /// # Errors
     /// If a name is missing from the table.
-    pub fn to_listed(&self) -> Result<Vec<Listed>, UnknownName> {
-        self.rows.iter().map(|row| row.to_listed(&self.names)).collect()
+    pub fn to_listed(&self) -> Result<Vec<Arc<Listed>>, UnknownName> {
+        self.rows.iter().map(|row| row.to_listed(&self.names).map(Arc::new)).collect()
     }
 }
 
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -7,9 +7,13 @@
 pub mod listing;
 pub mod placement;
 pub mod regions;
+pub mod ring;
 pub mod roster;
+pub mod target_table;
+mod usage;
 pub mod view;
 
 pub use listing::{Listing, UnreadableEntry};
 pub use roster::{Listed, Presence, Roster, RosterChange, RosterHistory};
+pub use target_table::TargetTable;
 pub use view::{Dispatch, FailureCause, FleetView, TargetState};
--- a/src/fleet/placement.rs
+++ b/src/fleet/placement.rs
@@ -8,6 +8,7 @@
 
 use super::cold::IndependentShare;
 use super::regions::AllowedDomains;
+use super::ring::{mix, target_hash};
 use super::view::{FleetView, TargetState};
 use crate::clock::BootTime;
 use crate::gateway::metadata::Prompt;
@@ -28,6 +29,9 @@
 const AFFINITY_ENGINES: usize = 2;
 /// Expected recomputation on the second engine in affinity order, as a fraction of the context.
 const SECOND_CHOICE_FRACTION: f64 = 0.5;
+/// Number of targets that may take a request among which one is chosen, so that the cost doesn't
+/// grow with the service. Smaller services are examined whole.
+const MAX_CANDIDATES: usize = 32;
 
 /// Selection criteria of a request.
 #[derive(Clone, Copy, Debug)]
@@ -70,13 +74,17 @@
     pub load: f64,
     /// Its position in the affinity order of the request's context; 0 is preferred.
     pub affinity_rank: usize,
+    /// Number of targets that were examined.
+    pub examined: usize,
     /// Expected time to first token.
     pub expected: Duration,
     /// Weight version that the engine must run; it refuses the request otherwise.
     pub weight_version: Option<u64>,
 }
 
-/// Selects the target with the shortest expected time to first token.
+/// Selects the target with the shortest expected time to first token among those that follow the
+/// request's point on the hash ring of the service: for prompts the point of their context, so that
+/// all entries prefer the same engines for it; a random one for others.
 ///
 /// # Errors
 /// If no target is eligible.
@@ -85,62 +93,107 @@
     criteria: &Criteria<'_>,
     now: BootTime,
 ) -> Result<Choice, SelectionError> {
-    let (mut is_listed, mut is_healthy) = (false, false);
-    let mut healthy = Vec::new();
-    for state in view.live(criteria.service) {
+    let key = match criteria.prompt {
+        Some(prompt) => context_hash(prompt, criteria.cache_namespace),
+        None => mix(criteria.tie_breaker),
+    };
+    let mut survey = Survey::default();
+    let mut targets = view.live_from(criteria.service, key);
+    loop {
+        let candidates: Vec<TargetState<'_>> = targets
+            .by_ref()
+            .filter(|state| survey.is_eligible(view, criteria, *state, now))
+            .take(MAX_CANDIDATES)
+            .collect();
+        if candidates.is_empty() {
+            return Err(survey.error());
+        }
+        let choices = match criteria.prompt {
+            Some(prompt) => engine_choices(&candidates, prompt, key, criteria, now),
+            None => plain_choices(&candidates, now),
+        };
+        let best = choices.into_iter().min_by_key(|choice| {
+            (choice.expected, mix_pair(target_hash(&choice.target.id), criteria.tie_breaker))
+        });
+        // None if all candidates run older weights than may still be used.
+        if let Some(best) = best {
+            return Ok(Choice { examined: survey.examined, ..best });
+        }
+    }
+}
+
+/// What was found of the targets of a service.
+#[derive(Clone, Copy, Debug, Default)]
+struct Survey {
+    examined: usize,
+    is_listed: bool,
+    is_healthy: bool,
+    is_eligible: bool,
+}
+
+impl Survey {
+    /// Whether a target may take the request, apart from its weights.
+    fn is_eligible(
+        &mut self,
+        view: &FleetView,
+        criteria: &Criteria<'_>,
+        state: TargetState<'_>,
+        now: BootTime,
+    ) -> bool {
+        self.examined += 1;
         if !criteria.allowed_domains.contains(&state.listed.failure_domain) {
-            continue;
+            return false;
         }
-        is_listed = true;
+        self.is_listed = true;
         let was_tried = criteria.tried.contains(&state.listed.start);
         if was_tried || !state.health.admits(state.running, now) {
-            continue;
-        }
-        is_healthy = true;
-        if view.admits_independent(state, criteria.prompt.is_some(), criteria.cold_share, now) {
-            healthy.push(state);
+            return false;
         }
+        self.is_healthy = true;
+        let is_prompt = criteria.prompt.is_some();
+        let is_eligible = view.admits_independent(state, is_prompt, criteria.cold_share, now);
+        self.is_eligible |= is_eligible;
+        is_eligible
     }
-    if healthy.is_empty() {
-        return Err(match (is_listed, is_healthy) {
-            (false, _) => SelectionError::NoTargetListed,
-            (true, false) => SelectionError::NoHealthyTarget,
-            (true, true) => SelectionError::Cold,
-        });
+
+    /// Why no target was selected.
+    fn error(&self) -> SelectionError {
+        match (self.is_listed, self.is_healthy, self.is_eligible) {
+            (false, ..) => SelectionError::NoTargetListed,
+            (_, false, _) => SelectionError::NoHealthyTarget,
+            (.., false) => SelectionError::Cold,
+            _ => SelectionError::OldWeights,
+        }
     }
-    let choices = match criteria.prompt {
-        Some(prompt) => engine_choices(&healthy, prompt, criteria, now),
-        None => plain_choices(&healthy, now),
-    };
-    let best = choices.into_iter().min_by(|(a, hash_a), (b, hash_b)| {
-        a.expected
-            .cmp(&b.expected)
-            .then(mix(hash_a, criteria.tie_breaker).cmp(&mix(hash_b, criteria.tie_breaker)))
-    });
-    best.map(|(choice, _)| choice).ok_or(SelectionError::OldWeights)
 }
 
-fn plain_choices(healthy: &[&TargetState], now: BootTime) -> Vec<(Choice, u64)> {
-    let choice = |state: &&TargetState| {
+fn context_hash(prompt: &Prompt, cache_namespace: &str) -> u64 {
+    let context = prompt.shared_parts().last().map_or("", |part| part.id.as_str());
+    mix(FxBuildHasher.hash_one((cache_namespace, context)))
+}
+
+fn plain_choices(candidates: &[TargetState<'_>], now: BootTime) -> Vec<Choice> {
+    let choice = |state: &TargetState<'_>| {
         let load = state.load(now);
         let expected = DELAY_PER_PLAIN_REQUEST.mul_f64(load);
         let target = state.listed.start.clone();
-        let choice = Choice { target, load, affinity_rank: 0, expected, weight_version: None };
-        (choice, target_hash(state))
+        Choice { target, load, affinity_rank: 0, examined: 0, expected, weight_version: None }
     };
-    healthy.iter().map(choice).collect()
+    candidates.iter().map(choice).collect()
 }
 
 fn engine_choices(
-    healthy: &[&TargetState],
+    candidates: &[TargetState<'_>],
     prompt: &Prompt,
+    context_hash: u64,
     criteria: &Criteria<'_>,
     now: BootTime,
-) -> Vec<(Choice, u64)> {
-    let context = prompt.shared_parts().last().map_or("", |part| part.id.as_str());
-    let key = FxBuildHasher.hash_one((criteria.cache_namespace, context));
-    let mut ranked: Vec<(u64, &TargetState)> =
-        healthy.iter().map(|state| (mix(&target_hash(state), key), *state)).collect();
+) -> Vec<Choice> {
+    // Ranking by rendezvous spreads contexts evenly, as distances on the ring vary.
+    let mut ranked: Vec<(u64, TargetState<'_>)> = candidates
+        .iter()
+        .map(|state| (mix_pair(target_hash(&state.listed.start.id), context_hash), *state))
+        .collect();
     ranked.sort_unstable_by_key(|(rank, _)| std::cmp::Reverse(*rank));
     let own_tokens = prompt.prompt_tokens.saturating_sub(prompt.shared_tokens());
     ranked
@@ -161,10 +214,7 @@
                 required_weights(state, prompt, criteria, now + expected)?;
             let expected = expected + Duration::from_secs_f64(cost_ms / 1e3);
             let target = state.listed.start.clone();
-            Some((
-                Choice { target, load, affinity_rank, expected, weight_version },
-                target_hash(state),
-            ))
+            Some(Choice { target, load, affinity_rank, examined: 0, expected, weight_version })
         })
         .collect()
 }
@@ -175,7 +225,7 @@
 /// The limit counts from the naming, whoever has led since: entries lose the scheduler more often
 /// than the replicas change leaders, and only a leader change restarts it.
 fn required_weights(
-    state: &TargetState,
+    state: &TargetState<'_>,
     prompt: &Prompt,
     criteria: &Criteria<'_>,
     prefill_by: BootTime,
@@ -195,14 +245,7 @@
     }
 }
 
-fn target_hash(state: &TargetState) -> u64 {
-    FxBuildHasher.hash_one(&state.listed.start.id)
-}
-
-/// Combines two hashes with the MurmurHash3 finalizer.
-fn mix(a: &u64, b: u64) -> u64 {
-    let mut hash = a ^ b.rotate_left(32);
-    hash = (hash ^ (hash >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
-    hash = (hash ^ (hash >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
-    hash ^ (hash >> 33)
+/// Combines two hashes.
+fn mix_pair(a: u64, b: u64) -> u64 {
+    mix(a ^ b.rotate_left(32))
 }
--- a/src/fleet/roster.rs
+++ b/src/fleet/roster.rs
@@ -5,13 +5,15 @@
 use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
+use super::target_table::TargetTable;
 use crate::ids::{DomainId, ModelId, ServiceId, TargetId, TargetStart};
 
 /// A target as last listed.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Listed {
     pub start: TargetStart,
     pub service: ServiceId,
@@ -46,8 +48,8 @@
 /// Rosters compare equal if they list the same targets.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Roster {
-    /// By id. Invariant: for each target, the start that was first listed most recently.
-    targets: BTreeMap<TargetId, Listed>,
+    /// Invariant: for each target, the start that was first listed most recently.
+    targets: TargetTable,
     /// Targets that are no longer listed.
     absent: BTreeMap<TargetId, Absent>,
     /// Starts that take no new work, since they were listed as leaving or were replaced by another
@@ -59,7 +61,7 @@
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct Absent {
-    listed: Listed,
+    listed: Arc<Listed>,
     missed_lists: u32,
 }
 
@@ -73,7 +75,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct RosterChange {
     /// Targets that are new or changed.
-    pub changed: Vec<Listed>,
+    pub changed: Vec<Arc<Listed>>,
     /// Starts that are no longer listed.
     pub gone: Vec<TargetStart>,
 }
@@ -102,53 +104,40 @@
     /// Applies the difference to a later roster, including its history.
     pub fn advance(&mut self, change: RosterChange, history: RosterHistory) {
         for start in &change.gone {
-            if let Some(listed) = self.get(start).cloned() {
+            if let Some(listed) = self.targets.get(start).cloned() {
                 self.absent.insert(start.id.clone(), Absent { listed, missed_lists: 0 });
             }
         }
         self.apply(change);
         let targets = &self.targets;
-        self.absent.retain(|id, _| !targets.contains_key(id));
+        self.absent.retain(|id, _| targets.get_by_id(id).is_none());
         self.retired.extend(history.retired.into_iter().map(|start| (start, 0)));
         self.downgrades.extend(history.downgrades);
     }
 
-    /// Creates a roster of targets without history.
-    pub fn from_targets(targets: Vec<Listed>) -> Roster {
-        let targets = targets.into_iter().map(|listed| (listed.start.id.clone(), listed)).collect();
-        Roster { targets, ..Roster::default() }
-    }
-
     /// The difference from this roster to a later one.
     pub fn change_to(&self, later: &Roster) -> RosterChange {
-        let is_changed = |listed: &&Listed| self.get(&listed.start) != Some(*listed);
-        let is_gone = |start: &&TargetStart| later.get(start).is_none();
-        RosterChange {
-            changed: later.iter().filter(is_changed).cloned().collect(),
-            gone: self.iter().map(|listed| &listed.start).filter(is_gone).cloned().collect(),
-        }
+        self.targets.change_to(&later.targets)
     }
 
     /// Applies the difference to a later roster, without its history.
     pub fn apply(&mut self, change: RosterChange) {
         for start in &change.gone {
-            if self.get(start).is_some() {
-                self.targets.remove(&start.id);
-            }
+            self.targets.remove(start);
         }
-        let changed = change.changed.into_iter().map(|listed| (listed.start.id.clone(), listed));
-        self.targets.extend(changed);
+        self.add(change.changed);
     }
 
-    /// Hash of the listed targets; 0 if none is listed.
-    pub fn digest(&self) -> u64 {
-        if self.targets.is_empty() {
-            return 0;
+    /// Adds targets, which replace those under the same ids.
+    pub fn add(&mut self, targets: impl IntoIterator<Item = Arc<Listed>>) {
+        for listed in targets {
+            self.targets.insert(listed);
         }
-        // Can't fail: all field types are serializable.
-        let bytes = postcard::to_stdvec(&self.targets).unwrap_or_default();
-        let [a, b, c, d, e, f, g, h, ..] = *blake3::hash(&bytes).as_bytes();
-        u64::from_le_bytes([a, b, c, d, e, f, g, h])
+    }
+
+    /// The listed targets without the history.
+    pub fn targets(&self) -> &TargetTable {
+        &self.targets
     }
 
     /// Drops entries that would wrongly replace a target: those of a service that no deployment
@@ -194,13 +183,26 @@
             by_id.extend(resolved.map(|entry| (id, entry)));
         }
         by_id.values_mut().for_each(|entry| self.merge_known(entry));
-        let changed = by_id != self.targets;
-        if changed {
-            self.absent.retain(|id, _| !by_id.contains_key(id));
-            let gone = std::mem::take(&mut self.targets).into_iter();
-            let gone = gone.filter(|(id, _)| !by_id.contains_key(id));
-            self.absent.extend(gone.map(|(id, listed)| (id, Absent { listed, missed_lists: 0 })));
-            self.targets = by_id;
+        self.replace_targets(by_id)
+    }
+
+    /// Replaces the listed targets. Returns whether they changed.
+    fn replace_targets(&mut self, by_id: BTreeMap<TargetId, Listed>) -> bool {
+        let is_gone = |listed: &&Arc<Listed>| !by_id.contains_key(&listed.start.id);
+        let gone: Vec<Arc<Listed>> = self.targets.iter().filter(is_gone).cloned().collect();
+        let mut changed = !gone.is_empty();
+        for listed in gone {
+            self.targets.remove(&listed.start);
+            self.absent.insert(listed.start.id.clone(), Absent { listed, missed_lists: 0 });
+        }
+        for (id, listed) in by_id {
+            // Unchanged targets stay shared with earlier copies of the roster.
+            if self.targets.get_by_id(&id).is_some_and(|known| **known == listed) {
+                continue;
+            }
+            changed = true;
+            self.absent.remove(&id);
+            self.targets.insert(Arc::new(listed));
         }
         changed
     }
@@ -211,38 +213,43 @@
         for (start, lists) in &other.retired {
             self.retired.entry(start.clone()).or_insert(*lists);
         }
-        let mut changed = false;
-        for target in self.targets.values_mut() {
-            let is_newly_retired =
-                target.presence == Presence::Live && self.retired.contains_key(&target.start);
-            if is_newly_retired {
-                target.presence = Presence::Leaving;
-                changed = true;
-            }
+        let is_newly_retired = |target: &&Arc<Listed>| {
+            target.presence == Presence::Live && self.retired.contains_key(&target.start)
+        };
+        let newly_retired: Vec<Arc<Listed>> =
+            self.targets.iter().filter(is_newly_retired).cloned().collect();
+        for target in &newly_retired {
+            self.targets.update(&target.start.id, |listed| listed.presence = Presence::Leaving);
         }
-        changed
+        !newly_retired.is_empty()
     }
 
     /// Merges the weights recorded in another roster. Returns whether a listed target changed.
     pub fn merge_weights(&mut self, other: &Roster) -> bool {
-        let mut changed = false;
-        for target in self.targets.values_mut() {
+        let mut merged: Vec<(TargetId, BTreeMap<ModelId, u64>)> = Vec::new();
+        for target in self.targets.iter() {
             let other_entry =
                 other.known(&target.start.id).filter(|known| known.start == target.start);
             let Some(other_entry) = other_entry else { continue };
-            let before = target.weights.clone();
+            let mut weights = target.weights.clone();
             let downgrades = |roster: &Roster| roster.downgrades.get(&target.start).copied();
-            match downgrades(other).cmp(&self.downgrades.get(&target.start).copied()) {
+            match downgrades(other).cmp(&downgrades(self)) {
                 // A version that was corrected downwards must not return with an older roster.
                 Ordering::Less => {}
-                Ordering::Equal => raise_weights(&mut target.weights, &other_entry.weights),
+                Ordering::Equal => raise_weights(&mut weights, &other_entry.weights),
                 Ordering::Greater => {
-                    target.weights.clone_from(&other_entry.weights);
+                    weights.clone_from(&other_entry.weights);
                     let times = downgrades(other).unwrap_or_default();
                     self.downgrades.insert(target.start.clone(), times);
                 }
             }
-            changed |= target.weights != before;
+            if weights != target.weights {
+                merged.push((target.start.id.clone(), weights));
+            }
+        }
+        let changed = !merged.is_empty();
+        for (id, weights) in merged {
+            self.targets.update(&id, |listed| listed.weights = weights);
         }
         changed
     }
@@ -253,17 +260,18 @@
         let (targets, absent) = (&self.targets, &self.absent);
         self.retired.retain(|start, lists| {
             *lists += 1;
-            let is_known = targets.contains_key(&start.id) || absent.contains_key(&start.id);
+            let is_known = targets.get_by_id(&start.id).is_some() || absent.contains_key(&start.id);
             let ttl = if is_known { RETIRED_TTL_LISTS } else { ABSENT_TTL_LISTS };
             *lists < ttl
         });
-        self.downgrades
-            .retain(|start, _| targets.contains_key(&start.id) || absent.contains_key(&start.id));
+        self.downgrades.retain(|start, _| {
+            targets.get_by_id(&start.id).is_some() || absent.contains_key(&start.id)
+        });
     }
 
     /// The target's entry in the last list that contained it.
-    fn known(&self, id: &str) -> Option<&Listed> {
-        self.targets.get(id).or_else(|| self.absent.get(id).map(|absent| &absent.listed))
+    fn known(&self, id: &str) -> Option<&Arc<Listed>> {
+        self.targets.get_by_id(id).or_else(|| self.absent.get(id).map(|absent| &absent.listed))
     }
 
     /// Resolves several entries of one id into one; `None` if they conflict.
@@ -287,9 +295,7 @@
 
     /// Merges what is already known of a target into its new entry.
     fn merge_known(&mut self, entry: &mut Listed) {
-        let known = self.targets.get(&entry.start.id);
-        let known = known.or_else(|| self.absent.get(&entry.start.id).map(|absent| &absent.listed));
-        if let Some(known) = known {
+        if let Some(known) = self.known(&entry.start.id).cloned() {
             if entry.start.born_ms.is_none() {
                 entry.start.clone_from(&known.start);
             }
@@ -300,7 +306,7 @@
             } else if let Some(lists) = self.retired.get_mut(&entry.start) {
                 // A late entry of a retired start does not affect the current one.
                 *lists = 0;
-                entry.clone_from(known);
+                entry.clone_from(&known);
             } else {
                 self.retired.insert(known.start.clone(), 0);
             }
@@ -319,23 +325,24 @@
 
     /// Sets the weights that a target was found to run. Returns whether they changed.
     pub fn set_weights(&mut self, start: &TargetStart, weights: &BTreeMap<ModelId, u64>) -> bool {
-        let target = self.targets.get_mut(&start.id).filter(|target| target.start == *start);
-        let Some(target) = target else { return false };
+        let Some(target) = self.targets.get(start) else { return false };
         let changed = target.weights != *weights;
         let is_older = |(model, version)| weights.get(model).is_none_or(|found| found < version);
         if target.weights.iter().any(is_older) {
             *self.downgrades.entry(start.clone()).or_default() += 1;
         }
-        target.weights.clone_from(weights);
+        if changed {
+            self.targets.update(&start.id, |listed| listed.weights.clone_from(weights));
+        }
         changed
     }
 
     pub fn iter(&self) -> impl Iterator<Item = &Listed> {
-        self.targets.values()
+        self.targets.iter().map(AsRef::as_ref)
     }
 
     pub fn get(&self, start: &TargetStart) -> Option<&Listed> {
-        self.targets.get(&start.id).filter(|target| target.start == *start)
+        self.targets.get(start).map(AsRef::as_ref)
     }
 
     pub fn len(&self) -> usize {
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -1,62 +1,62 @@
-//! An entry's view of the fleet: the roster, its own requests, and the state that answers report.
+//! An entry's view of the fleet: the listed targets, its own requests, and the state that answers
+//! report.
+//!
+//! An entry uses few of the targets, so it keeps state only for these, and a change of the list
+//! costs the targets that it concerns.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
-use std::time::Duration;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::{Arc, LazyLock};
 
-use super::cold::{ColdStart, Coldness, IndependentShare, ShareUse};
+use rustc_hash::FxHashMap;
+
+use super::cold::{ColdStart, Coldness, IndependentShare};
 use super::evacuation::{EvacuatedDomains, Evacuations};
-use super::roster::{ABSENT_TTL_LISTS, Listed, Presence, RETIRED_TTL_LISTS, Roster};
+use super::ring::TargetRing;
+use super::roster::{ABSENT_TTL_LISTS, Listed, Presence, RETIRED_TTL_LISTS, Roster, RosterChange};
+use super::target_table::TargetTable;
+use super::usage::{ReportedLoad, TargetUsage};
 use crate::clock::BootTime;
 use crate::deployment::Service;
 use crate::gateway::metadata::TargetLoad;
-use crate::ids::{ModelId, ServiceId, TargetId, TargetStart};
+use crate::ids::{ModelId, ServiceId, TargetStart};
 pub use crate::route::health::FailureCause;
 use crate::route::health::Health;
 
-/// The influence of a reported load decays linearly to zero within this time: about how long a
-/// request runs on an engine.
-const REPORTED_LOAD_TTL: Duration = Duration::from_millis(600);
+static UNUSED: LazyLock<TargetUsage> = LazyLock::new(TargetUsage::default);
 
 /// The targets known to an entry.
 #[derive(Clone, Debug, Default)]
 pub struct FleetView {
-    targets: HashMap<TargetStart, TargetState>,
-    /// Targets that take work, by service, sorted.
-    by_service: HashMap<ServiceId, Vec<TargetStart>>,
+    listed: TargetTable,
+    /// Targets that this entry has used or that have begun to leave. Invariant: each is listed, or
+    /// requests of this entry run there.
+    used: FxHashMap<TargetStart, TargetUsage>,
+    /// Targets that take work, by service.
+    in_service: HashMap<ServiceId, TargetRing>,
+    /// Listed targets that are listed as leaving.
+    listed_leaving: BTreeSet<TargetStart>,
+    /// Targets that are ejected or on trial.
+    unhealthy: BTreeSet<TargetStart>,
     /// Starts announced as leaving, with the number of lists since they were last announced or
     /// listed. They may be listed later, or again.
-    announced_leaving: HashMap<TargetStart, u32>,
+    announced_leaving: FxHashMap<TargetStart, u32>,
     evacuated: EvacuatedDomains,
     /// What the targets of each service bear while they are cold. Services without limit are absent.
     cold_starts: HashMap<ServiceId, ColdStart>,
 }
 
-/// A target and its load and health as seen by this entry.
-#[derive(Clone, Debug)]
-pub struct TargetState {
-    pub listed: Listed,
-    /// Version of each model's weights that it is believed to run. Versions reported by the target
-    /// take precedence over the list, which lags, until the list changes.
-    pub weights: BTreeMap<ModelId, u64>,
+/// A target and its load and health as seen by an entry.
+#[derive(Clone, Copy, Debug)]
+pub struct TargetState<'a> {
+    pub listed: &'a Listed,
+    /// Version of each model's weights that it is believed to run.
+    pub weights: &'a BTreeMap<ModelId, u64>,
     /// Requests of this entry that it runs or queues.
     pub running: u32,
     /// Prompt tokens of requests whose prefill has not ended.
     pub prefill_tokens: u64,
     pub health: Health,
-    /// Whether it was listed as leaving or found to have ended. Not reset by later lists, which may
-    /// lag, unless its address changes.
-    is_leaving: bool,
-    reported_load: Option<ReportedLoad>,
-    coldness: Coldness,
-    /// Requests that this entry has sent to it by its own decision while it was cold.
-    cold_use: ShareUse,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct ReportedLoad {
-    /// Requests of other entries at the time of the report.
-    others: u32,
-    at: BootTime,
+    usage: &'a TargetUsage,
 }
 
 /// A request that was sent to a target. It must be returned with `FleetView::end`.
@@ -71,26 +71,98 @@
 impl FleetView {
     /// Applies a newer roster.
     pub fn update(&mut self, roster: &Roster) {
-        self.expire_announcements(roster);
-        self.targets.retain(|start, state| roster.get(start).is_some() || state.running > 0);
-        for state in self.targets.values_mut() {
-            if roster.get(&state.listed.start).is_none() {
-                state.listed.presence = Presence::Leaving;
+        self.apply(self.listed.change_to(roster.targets()));
+    }
+
+    /// Applies the change to a newer roster.
+    pub fn apply(&mut self, change: RosterChange) {
+        for start in &change.gone {
+            self.remove_listed(start);
+        }
+        for listed in change.changed {
+            self.insert_listed(listed);
+        }
+        self.expire_announcements();
+    }
+
+    /// The listed targets.
+    pub fn listed(&self) -> &TargetTable {
+        &self.listed
+    }
+
+    /// Listed targets that are listed as leaving.
+    pub fn listed_leaving(&self) -> &BTreeSet<TargetStart> {
+        &self.listed_leaving
+    }
+
+    /// Adds targets from a partially received list.
+    pub fn add_partial(&mut self, targets: &[Arc<Listed>]) {
+        for listed in targets {
+            if self.listed.get(&listed.start).is_none() {
+                self.insert_listed(listed.clone());
             }
         }
-        for listed in roster.iter() {
-            match self.targets.get_mut(&listed.start) {
-                Some(state) => state.update(listed),
-                None => {
-                    let mut state = TargetState::new(listed);
-                    if self.announced_leaving.contains_key(&listed.start) {
-                        state.mark_leaving();
-                    }
-                    self.targets.insert(listed.start.clone(), state);
-                }
+    }
+
+    fn insert_listed(&mut self, listed: Arc<Listed>) {
+        let start = listed.start.clone();
+        let before = self.listed.insert(listed.clone());
+        // Another start of the target ends when a later one is listed under its id.
+        let (earlier_start, before) = match before {
+            Some(before) if before.start != start => (Some(before), None),
+            before => (None, before),
+        };
+        earlier_start.into_iter().for_each(|earlier| self.unlist(earlier));
+        let is_announced = before.is_none() && self.announced_leaving.contains_key(&start);
+        match self.used.get_mut(&start) {
+            Some(usage) => usage.relisted(before.as_deref(), &listed),
+            None if is_announced || listed.presence == Presence::Leaving => {
+                let usage = TargetUsage { is_leaving: true, ..TargetUsage::default() };
+                self.used.insert(start.clone(), usage);
             }
+            None => {}
+        }
+        match listed.presence {
+            Presence::Leaving => drop(self.listed_leaving.insert(start)),
+            Presence::Live => drop(self.listed_leaving.remove(&start)),
+        }
+        self.index(&listed);
+    }
+
+    fn remove_listed(&mut self, start: &TargetStart) {
+        if let Some(listed) = self.listed.remove(start) {
+            self.unlist(listed);
+        }
+    }
+
+    /// Forgets a target that is no longer listed, unless requests run there.
+    fn unlist(&mut self, listed: Arc<Listed>) {
+        let start = &listed.start;
+        self.listed_leaving.remove(start);
+        if let Some(ring) = self.in_service.get_mut(&listed.service) {
+            ring.remove(start);
+        }
+        match self.used.get_mut(start) {
+            Some(usage) if usage.running > 0 => usage.unlisted = Some(listed),
+            _ => self.forget(&listed.start),
+        }
+    }
+
+    fn forget(&mut self, start: &TargetStart) {
+        self.used.remove(start);
+        self.unhealthy.remove(start);
+    }
+
+    /// Adds a listed target to those that take work, or removes it from them.
+    fn index(&mut self, listed: &Arc<Listed>) {
+        let is_leaving = self.used.get(&listed.start).is_some_and(|usage| usage.is_leaving);
+        let takes_work = !is_leaving && !self.evacuated.contains(&listed.failure_domain);
+        if takes_work {
+            let ring = self.in_service.entry(listed.service.clone()).or_default();
+            ring.insert(listed.clone());
+        } else if let Some(ring) = self.in_service.get_mut(&listed.service) {
+            ring.remove(&listed.start);
         }
-        self.rebuild_index();
     }
 
     /// Applies a record of evacuated failure domains. Returns whether it was later than the known
@@ -99,7 +171,8 @@
         let is_later = self.evacuated.update(record, now);
         if is_later {
             self.evacuated.log_applied();
-            self.rebuild_index();
+            let listed: Vec<Arc<Listed>> = self.listed.iter().cloned().collect();
+            listed.iter().for_each(|listed| self.index(listed));
         }
         is_later
     }
@@ -116,10 +189,10 @@
     }
 
     /// What a target bears now; `None` if it is not cold.
-    pub fn cold_limit(&self, state: &TargetState, now: BootTime) -> Option<&ColdStart> {
+    pub fn cold_limit(&self, state: TargetState<'_>, now: BootTime) -> Option<&ColdStart> {
         let cold_start = self.cold_starts.get(&state.listed.service)?;
         let domain = &state.listed.failure_domain;
-        let is_cold = state.coldness.is_cold(now)
+        let is_cold = state.coldness().is_cold(now)
             || self.evacuated.was_restored(domain, cold_start.duration, now);
         is_cold.then_some(cold_start)
     }
@@ -128,7 +201,7 @@
     /// scheduler uses the whole rate of cold engines.
     pub fn admits_independent(
         &self,
-        state: &TargetState,
+        state: TargetState<'_>,
         is_prompt: bool,
         share: &IndependentShare,
         now: BootTime,
@@ -136,7 +209,7 @@
         match self.cold_limit(state, now) {
             None => true,
             Some(_) if is_prompt => false,
-            Some(limit) => share.admits(&state.listed.start, limit, state.cold_use, now),
+            Some(limit) => share.admits(&state.listed.start, limit, state.usage.cold_use, now),
         }
     }
 
@@ -147,34 +220,70 @@
         share: &IndependentShare,
         now: BootTime,
     ) {
-        if let Some(state) = self.targets.get_mut(target) {
-            share.record(&mut state.cold_use, now);
+        if let Some(usage) = self.usage_mut(target) {
+            share.record(&mut usage.cold_use, now);
         }
     }
 
-    /// Adds targets from a partially received list.
-    pub fn add_partial(&mut self, listed_targets: &[Listed]) {
-        for listed in listed_targets {
-            self.targets.entry(listed.start.clone()).or_insert_with(|| TargetState::new(listed));
-        }
-        self.rebuild_index();
+    /// Targets of a service that take work.
+    pub fn live(&self, service: &str) -> impl Iterator<Item = TargetState<'_>> {
+        let rings = self.in_service.get(service).into_iter();
+        rings.flat_map(TargetRing::iter).map(|listed| self.state(listed))
     }
 
-    /// Targets of a service that take work.
-    pub fn live(&self, service: &str) -> impl Iterator<Item = &TargetState> {
-        let starts = self.by_service.get(service).into_iter().flatten();
-        starts.filter_map(|start| self.targets.get(start))
+    /// The same, in the order of the service's hash ring from the point of a key on.
+    pub fn live_from(&self, service: &str, key: u64) -> impl Iterator<Item = TargetState<'_>> {
+        let rings = self.in_service.get(service).into_iter();
+        rings.flat_map(move |ring| ring.iter_from(key)).map(|listed| self.state(listed))
+    }
+
+    /// Number of targets of a service that take work.
+    pub fn live_count(&self, service: &str) -> usize {
+        self.in_service.get(service).map_or(0, TargetRing::len)
+    }
+
+    /// Targets of a service that take work but no further request now, since they are ejected or on
+    /// trial.
+    pub fn rejecting(&self, service: &str, now: BootTime) -> impl Iterator<Item = &TargetStart> {
+        self.unhealthy.iter().filter(move |start| {
+            self.get(start).is_some_and(|state| {
+                state.listed.service == service
+                    && self.takes_work(start)
+                    && !state.health.admits(state.running, now)
+            })
+        })
+    }
+
+    pub fn get(&self, start: &TargetStart) -> Option<TargetState<'_>> {
+        let unlisted = || self.used.get(start)?.unlisted.as_ref();
+        self.listed.get(start).or_else(unlisted).map(|listed| self.state(listed))
+    }
+
+    fn state<'a>(&'a self, listed: &'a Listed) -> TargetState<'a> {
+        let usage = self.used.get(&listed.start).unwrap_or(&UNUSED);
+        TargetState {
+            listed,
+            weights: usage.reported_weights.as_ref().unwrap_or(&listed.weights),
+            running: usage.running,
+            prefill_tokens: usage.prefill_tokens,
+            health: usage.health,
+            usage,
+        }
     }
 
-    pub fn get(&self, start: &TargetStart) -> Option<&TargetState> {
-        self.targets.get(start)
+    /// The state of a target, which is created at its first use. `None` if the target is unknown.
+    fn usage_mut(&mut self, target: &TargetStart) -> Option<&mut TargetUsage> {
+        if self.listed.get(target).is_some() {
+            return Some(self.used.entry(target.clone()).or_default());
+        }
+        self.used.get_mut(target)
     }
 
     /// Records that a request is sent to a target.
     pub fn begin(&mut self, target: &TargetStart, prefill_tokens: u64) -> Dispatch {
-        if let Some(state) = self.targets.get_mut(target) {
-            state.running += 1;
-            state.prefill_tokens += prefill_tokens;
+        if let Some(usage) = self.usage_mut(target) {
+            usage.running += 1;
+            usage.prefill_tokens += prefill_tokens;
         }
         Dispatch { target: target.clone(), prefill_tokens: Some(prefill_tokens) }
     }
@@ -182,8 +291,8 @@
     /// Records that a request's prefill has ended. Returns false if it was already recorded.
     pub fn end_prefill(&mut self, dispatch: &mut Dispatch) -> bool {
         let Some(tokens) = dispatch.prefill_tokens.take() else { return false };
-        if let Some(state) = self.targets.get_mut(&dispatch.target) {
-            state.prefill_tokens = state.prefill_tokens.saturating_sub(tokens);
+        if let Some(usage) = self.used.get_mut(&dispatch.target) {
+            usage.prefill_tokens = usage.prefill_tokens.saturating_sub(tokens);
         }
         true
     }
@@ -191,71 +300,90 @@
     /// Records that a request has left a target.
     pub fn end(&mut self, mut dispatch: Dispatch) {
         self.end_prefill(&mut dispatch);
-        if let Some(state) = self.targets.get_mut(&dispatch.target) {
-            state.running = state.running.saturating_sub(1);
+        let Some(usage) = self.used.get_mut(&dispatch.target) else { return };
+        usage.running = usage.running.saturating_sub(1);
+        if usage.running == 0 && usage.unlisted.is_some() {
+            self.forget(&dispatch.target);
         }
     }
 
     /// Records the load that a target's answer reports.
     pub fn observe_load(&mut self, target: &TargetStart, load: TargetLoad, now: BootTime) {
-        if let Some(state) = self.targets.get_mut(target) {
-            let others = (load.running + load.waiting).saturating_sub(state.running);
-            state.reported_load = Some(ReportedLoad { others, at: now });
+        if let Some(usage) = self.usage_mut(target) {
+            let others = (load.running + load.waiting).saturating_sub(usage.running);
+            usage.reported_load = Some(ReportedLoad { others, at: now });
         }
     }
 
     /// Records a successful answer to a request that was sent at `sent_at`.
     pub fn succeeded(&mut self, target: &TargetStart, sent_at: BootTime, now: BootTime) {
-        let Some(state) = self.targets.get_mut(target) else { return };
-        state.health.record_success();
-        if let Some(cold_start) = self.cold_starts.get(&state.listed.service) {
-            state.coldness.answered(cold_start, sent_at, now);
-        }
+        self.update_health(target, Health::record_success);
+        self.update_coldness(target, |coldness, limit| coldness.answered(limit, sent_at, now));
     }
 
     pub fn failed(&mut self, target: &TargetStart, cause: FailureCause, now: BootTime) {
-        if let Some(state) = self.targets.get_mut(target) {
-            state.health.record_failure(cause, now);
-        }
+        self.update_health(target, |health| health.record_failure(cause, now));
     }
 
     pub fn unreachable(&mut self, target: &TargetStart, now: BootTime) {
-        let Some(state) = self.targets.get_mut(target) else { return };
-        state.health.record_unreachable(now);
-        state.may_have_ended(&self.cold_starts, now);
+        self.update_health(target, |health| health.record_unreachable(now));
+        self.update_coldness(target, |coldness, limit| coldness.may_have_ended(limit, now));
     }
 
     /// Records that a connection broke before the end of an answer.
     pub fn connection_lost(&mut self, target: &TargetStart, now: BootTime) {
-        let Some(state) = self.targets.get_mut(target) else { return };
-        state.health.record_failure(FailureCause::Target, now);
-        state.may_have_ended(&self.cold_starts, now);
+        self.update_health(target, |health| health.record_failure(FailureCause::Target, now));
+        self.update_coldness(target, |coldness, limit| coldness.may_have_ended(limit, now));
     }
 
     /// Records that a target closed all idle connections before their timeout. Returns whether it is
     /// cold after a start.
     pub fn idle_connections_lost(&mut self, target: &TargetStart, now: BootTime) -> bool {
-        let Some(state) = self.targets.get_mut(target) else { return false };
-        state.may_have_ended(&self.cold_starts, now);
-        self.cold_starts.contains_key(&state.listed.service)
+        self.update_coldness(target, |coldness, limit| coldness.may_have_ended(limit, now))
+    }
+
+    fn update_health(&mut self, target: &TargetStart, change: impl FnOnce(&mut Health)) {
+        let Some(usage) = self.usage_mut(target) else { return };
+        change(&mut usage.health);
+        match usage.health.is_unhealthy() {
+            true => drop(self.unhealthy.insert(target.clone())),
+            false => drop(self.unhealthy.remove(target)),
+        }
+    }
+
+    /// Returns false if the target is unknown or its service bears full load after a start.
+    fn update_coldness(
+        &mut self,
+        target: &TargetStart,
+        change: impl FnOnce(&mut Coldness, &ColdStart),
+    ) -> bool {
+        let Some(state) = self.get(target) else { return false };
+        let Some(limit) = self.cold_starts.get(&state.listed.service).copied() else {
+            return false;
+        };
+        let Some(usage) = self.usage_mut(target) else { return false };
+        change(&mut usage.coldness, &limit);
+        true
     }
 
     /// Records that another target answers at a target's address, so this start has ended.
     pub fn replaced(&mut self, target: &TargetStart) {
-        if self.targets.get_mut(target).is_some_and(TargetState::mark_leaving) {
-            self.rebuild_index();
-        }
+        self.mark_one_leaving(target);
     }
 
     /// Records announcements that targets leave, whether or not they are listed here.
     pub fn mark_leaving<'a>(&mut self, targets: impl Iterator<Item = &'a TargetStart>) {
-        let mut changed = false;
         for target in targets {
             self.announced_leaving.insert(target.clone(), 0);
-            changed |= self.targets.get_mut(target).is_some_and(TargetState::mark_leaving);
+            self.mark_one_leaving(target);
         }
-        if changed {
-            self.rebuild_index();
+    }
+
+    fn mark_one_leaving(&mut self, target: &TargetStart) {
+        let Some(usage) = self.usage_mut(target) else { return };
+        usage.is_leaving = true;
+        if let Some(listed) = self.listed.get(target).cloned() {
+            self.index(&listed);
         }
     }
 
@@ -265,11 +393,11 @@
     }
 
     /// Forgets announcements as the roster forgets retired starts.
-    fn expire_announcements(&mut self, roster: &Roster) {
-        let ids: HashSet<&TargetId> = roster.iter().map(|listed| &listed.start.id).collect();
+    fn expire_announcements(&mut self) {
+        let listed = &self.listed;
         self.announced_leaving.retain(|start, lists| {
-            *lists = if roster.get(start).is_some() { 0 } else { *lists + 1 };
-            let is_listed = ids.contains(&start.id);
+            *lists = if listed.get(start).is_some() { 0 } else { *lists + 1 };
+            let is_listed = listed.get_by_id(&start.id).is_some();
             let ttl = if is_listed { RETIRED_TTL_LISTS } else { ABSENT_TTL_LISTS };
             *lists < ttl
         });
@@ -277,91 +405,46 @@
 
     /// Whether a target takes new work.
     pub fn takes_work(&self, target: &TargetStart) -> bool {
-        self.get(target).is_some_and(|state| self.is_in_service(state))
-    }
-
-    fn is_in_service(&self, state: &TargetState) -> bool {
-        let is_evacuated = self.evacuated.contains(&state.listed.failure_domain);
-        state.listed.presence == Presence::Live && !is_evacuated
+        let ring = self.listed.get(target).and_then(|listed| self.in_service.get(&listed.service));
+        ring.is_some_and(|ring| ring.contains(target))
     }
 
     /// Records the weight version that a target's answer reports.
     pub fn observe_weights(&mut self, target: &TargetStart, model: &ModelId, version: u64) {
-        if let Some(state) = self.targets.get_mut(target) {
-            // Answers may arrive out of order, and the weights of a start only rise.
-            let known = state.weights.entry(model.clone()).or_default();
-            *known = version.max(*known);
+        // Answers may arrive out of order, and the weights of a start only rise.
+        let is_later =
+            |state: &TargetState<'_>| state.weights.get(model).is_none_or(|known| version > *known);
+        if self.get(target).is_some_and(|state| is_later(&state)) {
+            self.set_weights(target, model, Some(version));
         }
     }
 
     /// Records that a target refused a prompt since it runs other weights, which it may report.
     pub fn refused_weights(&mut self, target: &TargetStart, model: &ModelId, has: Option<u64>) {
-        let Some(state) = self.targets.get_mut(target) else { return };
-        match has {
-            Some(version) => drop(state.weights.insert(model.clone(), version)),
-            None => drop(state.weights.remove(model)),
-        }
-    }
-
-    fn rebuild_index(&mut self) {
-        let mut by_service: HashMap<ServiceId, Vec<TargetStart>> = HashMap::new();
-        for state in self.targets.values().filter(|state| self.is_in_service(state)) {
-            let starts = by_service.entry(state.listed.service.clone()).or_default();
-            starts.push(state.listed.start.clone());
-        }
-        self.by_service = by_service;
-        self.by_service.values_mut().for_each(|starts| starts.sort_unstable());
-    }
-}
-
-impl TargetState {
-    fn new(listed: &Listed) -> TargetState {
-        TargetState {
-            listed: listed.clone(),
-            weights: listed.weights.clone(),
-            running: 0,
-            prefill_tokens: 0,
-            health: Health::default(),
-            is_leaving: listed.presence == Presence::Leaving,
-            reported_load: None,
-            coldness: Coldness::listed(listed.is_cold),
-            cold_use: ShareUse::default(),
-        }
+        self.set_weights(target, model, has);
     }
 
-    fn update(&mut self, listed: &Listed) {
-        self.coldness.set_listed(listed.is_cold);
-        if self.listed.weights != listed.weights {
-            self.weights.clone_from(&listed.weights);
-        }
-        // Another process may have answered at its former address.
-        self.is_leaving &= listed.address == self.listed.address;
-        self.listed.clone_from(listed);
-        self.is_leaving |= listed.presence == Presence::Leaving;
-        if self.is_leaving {
-            self.listed.presence = Presence::Leaving;
+    fn set_weights(&mut self, target: &TargetStart, model: &ModelId, version: Option<u64>) {
+        let Some(mut weights) = self.get(target).map(|state| state.weights.clone()) else { return };
+        match version {
+            Some(version) => drop(weights.insert(model.clone(), version)),
+            None => drop(weights.remove(model)),
         }
-    }
-
-    /// Returns whether the target was live.
-    fn mark_leaving(&mut self) -> bool {
-        self.is_leaving = true;
-        std::mem::replace(&mut self.listed.presence, Presence::Leaving) == Presence::Live
-    }
-
-    fn may_have_ended(&mut self, cold_starts: &HashMap<ServiceId, ColdStart>, now: BootTime) {
-        if let Some(cold_start) = cold_starts.get(&self.listed.service) {
-            self.coldness.may_have_ended(cold_start, now);
+        if let Some(usage) = self.usage_mut(target) {
+            usage.reported_weights = Some(weights);
         }
     }
+}
 
+impl TargetState<'_> {
     /// Estimated number of requests of all entries that it runs or queues.
     pub fn load(&self, now: BootTime) -> f64 {
-        let others = self.reported_load.map_or(0.0, |reported_load| {
-            let age = now.saturating_sub(reported_load.at).as_secs_f64();
-            let left = (1.0 - age / REPORTED_LOAD_TTL.as_secs_f64()).max(0.0);
-            f64::from(reported_load.others) * left
-        });
-        f64::from(self.running) + others
+        self.usage.load(now)
+    }
+
+    fn coldness(&self) -> Coldness {
+        let mut coldness = self.usage.coldness;
+        coldness.set_listed(self.listed.is_cold);
+        coldness
     }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -105,8 +105,8 @@
     pub replicas: RefCell<BTreeSet<IpAddr>>,
     /// Chooses the replicas to subscribe to.
     pub subscriptions: RefCell<Subscriptions>,
-    /// The roster: all targets that the platform lists.
-    roster: RefCell<VersionedRoster>,
+    /// The number of the complete roster in use; 0 if there is none yet.
+    roster_number: Cell<u64>,
     /// A roster that has been received in part.
     assembly: RefCell<Assembly>,
     /// Weight versions that were announced for each model, and when.
@@ -157,7 +157,7 @@
             leader_changed: Notify::new(),
             replicas: RefCell::new(replicas),
             subscriptions,
-            roster: RefCell::default(),
+            roster_number: Cell::new(0),
             assembly: RefCell::default(),
             rollouts: RefCell::default(),
             last_heartbeat: Cell::new(None),
@@ -205,7 +205,7 @@
 
     /// Whether a complete roster has been received.
     fn has_roster(&self) -> bool {
-        self.roster.borrow().number > 0
+        self.roster_number.get() > 0
     }
 
     /// Waits until a deployment is known, for at most `timeout`. An entry that has just started
@@ -276,19 +276,15 @@
 
     /// The name of the complete roster in use.
     pub fn roster_name(&self) -> RosterVersion {
-        self.roster.borrow().version()
+        match self.roster_number.get() {
+            0 => RosterVersion::default(),
+            number => RosterVersion { number, digest: self.fleet.borrow().listed().digest() },
+        }
     }
 
-    /// Whether a target is in the roster in use.
+    /// Whether a target is listed.
     pub fn is_listed(&self, target: &TargetStart) -> bool {
-        self.roster.borrow().roster.get(target).is_some()
-    }
-
-    /// Targets that are leaving according to the roster in use.
-    pub fn leaving(&self) -> Vec<TargetStart> {
-        let roster = &self.roster.borrow().roster;
-        let leaving = roster.iter().filter(|listed| listed.presence == Presence::Leaving);
-        leaving.map(|listed| listed.start.clone()).collect()
+        self.fleet.borrow().listed().get(target).is_some()
     }
 
     /// Applies an update from a replica. Updates older than the known state have no effect.
@@ -331,21 +327,7 @@
             }
             Update::RosterChanged { before, version, changed, gone } => {
                 let change = RosterChange { changed: changed.to_listed()?, gone };
-                self.observe_leaving(change.changed.iter());
-                let known = self.roster.borrow().clone();
-                if known.version() >= version {
-                    return Ok(());
-                }
-                if known.version() != before {
-                    return Err(RosterMismatch);
-                }
-                let mut roster = known.roster;
-                Arc::make_mut(&mut roster).apply(change);
-                let changed = VersionedRoster::new(version.number, roster);
-                if changed.version() != version {
-                    return Err(RosterMismatch);
-                }
-                self.replace_roster(changed);
+                self.observe_roster_change(before, version, change)?;
             }
         }
         Ok(())
@@ -404,7 +386,7 @@
             self.fleet.borrow_mut().add_partial(&listed);
             self.state_changed.notify_waiters();
         }
-        self.observe_leaving(listed.iter());
+        self.observe_leaving(listed.iter().map(AsRef::as_ref));
         let whole = self.assembly.borrow_mut().take(piece)?;
         whole.into_iter().for_each(|roster| self.replace_roster(roster));
         Ok(())
@@ -417,16 +399,40 @@
     }
 
     fn replace_roster(&self, roster: VersionedRoster) {
-        if roster.version() <= self.roster.borrow().version() {
+        if roster.version() <= self.roster_name() {
             return;
         }
         self.fleet.borrow_mut().update(&roster.roster);
-        *self.roster.borrow_mut() = roster;
         *self.assembly.borrow_mut() = Assembly::default();
         self.subscriptions.borrow_mut().roster_complete();
+        self.roster_replaced(roster.number);
+    }
+
+    /// Applies the change from the roster `before` to the roster `version`.
+    fn observe_roster_change(
+        &self,
+        before: RosterVersion,
+        version: RosterVersion,
+        change: RosterChange,
+    ) -> Result<(), RosterMismatch> {
+        self.observe_leaving(change.changed.iter().map(AsRef::as_ref));
+        let known = self.roster_name();
+        if known >= version {
+            return Ok(());
+        }
+        let digest = self.fleet.borrow().listed().digest_after(&change);
+        if known != before || digest != version.digest {
+            return Err(RosterMismatch);
+        }
+        self.fleet.borrow_mut().apply(change);
+        self.roster_replaced(version.number);
+        Ok(())
+    }
+
+    fn roster_replaced(&self, number: u64) {
+        self.roster_number.set(number);
         self.state_changed.notify_waiters();
-        let listed = &self.roster.borrow().roster;
-        self.pool.retain(|target| listed.get(target).is_some());
+        self.pool.retain(|target| self.is_listed(target));
     }
 
     /// Records, here and at the scheduler, that a target may have restarted since it was last used.
--- a/src/gateway/subscription.rs
+++ b/src/gateway/subscription.rs
@@ -17,6 +17,7 @@
 };
 use crate::control::publisher::HEARTBEAT_INTERVAL;
 use crate::essential_tasks::EssentialTasks;
+use crate::ids::TargetStart;
 use crate::net;
 use crate::quarantine::Revision;
 use crate::scheduler::weights;
@@ -172,12 +173,15 @@
 
 /// Logs the roster that is now in use and the targets that are leaving.
 fn log_roster(gateway: &Gateway, replica: IpAddr) {
-    let (name, leaving) = (gateway.roster_name(), gateway.leaving());
+    let name = gateway.roster_name();
+    let fleet = gateway.fleet.borrow();
+    let leaving = fleet.listed_leaving();
+    let first_leaving: Vec<&TargetStart> = leaving.iter().take(MAX_LOGGED_LEAVING).collect();
     log::info!(
-        "event=targets_updated number={} digest={:x} replica={replica} leaving={} first_leaving={:?}",
+        "event=targets_updated number={} digest={:x} replica={replica} leaving={} \
+         first_leaving={first_leaving:?}",
         name.number,
         name.digest,
         leaving.len(),
-        &leaving[..leaving.len().min(MAX_LOGGED_LEAVING)]
     );
 }
--- a/src/gateway/target_selection.rs
+++ b/src/gateway/target_selection.rs
@@ -111,9 +111,10 @@
         gateway.metrics.fallback_placements.add(1, &[]);
     }
     let trace = format!(
-        "by=entry load={:.1} home={} expected_ms={}{}",
+        "by=entry load={:.1} home={} examined={} expected_ms={}{}",
         choice.load,
         choice.affinity_rank,
+        choice.examined,
         choice.expected.as_millis(),
         weights_trace(gateway, routed, choice.weight_version),
     );
@@ -165,13 +166,10 @@
     let prompt = routed.metadata.prompt.as_ref()?;
     let now = boot_now();
     let fleet = gateway.fleet.borrow();
-    let suspects = fleet
-        .live(&routed.service)
-        .filter(|state| !state.health.admits(state.running, now))
-        .map(|state| state.listed.start.clone());
-    let mut avoid: Vec<TargetStart> = avoid.iter().cloned().chain(suspects).collect();
+    let rejecting = fleet.rejecting(&routed.service, now);
+    let mut avoid: Vec<TargetStart> = avoid.iter().chain(rejecting).cloned().collect();
     // If most targets seem unhealthy, the cause is probably this entry's own network.
-    if avoid.len() * 2 > fleet.live(&routed.service).count() {
+    if avoid.len() * 2 > fleet.live_count(&routed.service) {
         avoid.truncate(routed.route.attempts as usize);
     }
     Some(PlacementRequest {
--- a/src/route/health.rs
+++ b/src/route/health.rs
@@ -31,7 +31,7 @@
 }
 
 /// Health of one target as seen by this process.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Health {
     state: State,
     /// Ejections since the target was last healthy.
--- /dev/null
+++ b/tests/deployment/fleet_size.rs
@@ -0,0 +1,149 @@
+//! Work that must not grow with the fleet: what a placement examines, and what a change of the
+//! target list touches.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use kumquatpost::fleet::cold::IndependentShare;
+use kumquatpost::fleet::placement::{Criteria, choose};
+use kumquatpost::fleet::regions::AllowedDomains;
+use kumquatpost::fleet::{FleetView, Listed, Presence, Roster};
+use kumquatpost::gateway::metadata::{Part, Prompt};
+use kumquatpost::scheduler::weights::{OldWeightsPolicy, RolloutHistories};
+use proptest::prelude::*;
+
+use crate::fixtures::{address, cases, ms, roster, start, target};
+
+const SIZES: [u16; 3] = [2_500, 5_000, 10_000];
+const DOMAINS: u16 = 5;
+
+const MAX_EXAMINED_TARGETS: usize = 64;
+
+fn in_domains(count: u16, service: &str) -> Vec<Listed> {
+    let listed = |n: u16| Listed {
+        failure_domain: format!("domain-{}", n % DOMAINS),
+        ..target(&format!("i-{n:05}"), service, address(n))
+    };
+    (0..count).map(listed).collect()
+}
+
+proptest! {
+    #![proptest_config(cases(24))]
+
+    /// An entry that applies changes must know the same targets as one that got the whole list.
+    #[test]
+    fn applied_changes_lead_to_the_same_view_and_digest_as_the_whole_list(
+        steps in proptest::collection::vec(
+            proptest::collection::btree_map(0..24_u8, (0..4_u8, 0..3_i64), 0..16),
+            1..8,
+        ),
+    ) {
+        let mut applied = FleetView::default();
+        let mut known = Roster::default();
+        for step in steps {
+            let listed = step.iter().map(|(id, (kind, born_ms))| {
+                let mut listed = target(&format!("i-{id}"), "llm", address(u16::from(*id)));
+                listed.start.born_ms = Some(*born_ms);
+                listed.slots = 40 + u32::from(*kind);
+                listed
+            });
+            let mut later = Roster::default();
+            later.add(listed.map(Arc::new));
+            let change = known.change_to(&later);
+            let digest = applied.listed().digest_after(&change);
+            applied.apply(change.clone());
+            let mut changed = known.clone();
+            changed.apply(change);
+            prop_assert!(changed.iter().eq(later.iter()));
+            let mut whole = FleetView::default();
+            whole.update(&later);
+            prop_assert_eq!(applied.listed(), whole.listed());
+            prop_assert_eq!(applied.listed().digest(), digest);
+            let live = |view: &FleetView| -> BTreeMap<_, _> {
+                view.live("llm").map(|state| (state.listed.start.clone(), state.listed.slots)).collect()
+            };
+            prop_assert_eq!(live(&applied), live(&whole));
+            known = later;
+        }
+    }
+}
+
+fn prompt(context: u64) -> Prompt {
+    let part = |id: String, tokens| Part { id, tokens };
+    Prompt {
+        model: "m".to_string(),
+        prompt_tokens: 3_100,
+        output_tokens: 40,
+        parts: vec![part(format!("c{context}"), 3_000), part("own".to_string(), 100)],
+    }
+}
+
+fn criteria<'a>(prompt: Option<&'a Prompt>, service: &'a str, n: u64) -> Criteria<'a> {
+    const COLD_SHARE: IndependentShare = IndependentShare { entries: 1, seed: 0 };
+    Criteria {
+        service,
+        prompt,
+        cache_namespace: "all",
+        tried: &[],
+        tie_breaker: n,
+        named: const { &RolloutHistories::new() },
+        old_weights: OldWeightsPolicy::default(),
+        cold_share: &COLD_SHARE,
+        allowed_domains: &AllowedDomains::All,
+    }
+}
+
+/// Guards against an entry that examines all targets of a service for each request that it places
+/// itself.
+#[test]
+fn an_entry_examines_as_many_targets_in_a_fleet_of_any_size() {
+    for count in SIZES {
+        let mut view = FleetView::default();
+        let plain = in_domains(count, "app")
+            .into_iter()
+            .map(|listed| Listed { start: start(&format!("a-{}", listed.start.id)), ..listed });
+        view.update(&roster(in_domains(count, "llm").into_iter().chain(plain)));
+        // A tenth of the engines has failed.
+        (0..count).step_by(10).for_each(|n| view.unreachable(&start(&format!("i-{n:05}")), ms(0)));
+        let mut chosen = std::collections::BTreeSet::new();
+        for n in 0..200 {
+            let prompt = prompt(n);
+            for (prompt, service) in [(Some(&prompt), "llm"), (None, "app")] {
+                let choice = choose(&view, &criteria(prompt, service, n), ms(1)).expect("a target");
+                assert!(choice.examined <= MAX_EXAMINED_TARGETS, "{} of {count}", choice.examined);
+                chosen.insert(choice.target);
+            }
+        }
+        assert!(chosen.len() > 300, "requests spread: {} targets", chosen.len());
+    }
+}
+
+/// Entries must agree on the engine of a context also in a service that none of them examines whole.
+#[test]
+fn contexts_of_a_large_service_keep_their_engine_when_others_come_and_go() {
+    let mut view = FleetView::default();
+    view.update(&roster(in_domains(2_000, "llm")));
+    let mut changed = FleetView::default();
+    changed.update(&roster(in_domains(1_960, "llm")));
+    let chosen = |view: &FleetView, n| {
+        choose(view, &criteria(Some(&prompt(n)), "llm", n), ms(0)).expect("an engine").target
+    };
+    let moved = (0..500).filter(|n| chosen(&view, *n) != chosen(&changed, *n)).count();
+    // A fiftieth of the engines has left, each with the contexts that preferred it.
+    assert!(moved <= 40, "{moved} of 500 contexts moved");
+}
+
+/// A change of the list must leave all other targets shared with the list before, at replicas and
+/// entries: copying them took an entry with a tenth of a core a third of a second.
+#[test]
+fn a_changed_list_shares_all_other_targets_with_the_list_before() {
+    let before = roster(in_domains(1_000, "llm"));
+    let mut list = in_domains(1_000, "llm");
+    list[7].presence = Presence::Leaving;
+    let mut after = before.clone();
+    assert!(after.update(list));
+    let is_shared =
+        |listed: &&Arc<Listed>| before.targets().iter().any(|known| Arc::ptr_eq(known, listed));
+    assert_eq!(after.targets().iter().filter(is_shared).count(), 999);
+    assert_eq!(before.change_to(&after).changed.len(), 1);
+}
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -12,6 +12,7 @@
 mod events;
 mod final_refusals;
 mod fixtures;
+mod fleet_size;
 mod freshness;
 mod gateway;
 mod headers;
--- a/tests/deployment/roster.rs
+++ b/tests/deployment/roster.rs
@@ -278,7 +278,7 @@
     let later = roster([listed_engine("i-1", 2), listed_engine("i-2", 1)]);
     let change = before.change_to(&later);
     assert_eq!(change.gone, [start_born_at("i-1", 1)]);
-    assert_eq!(change.changed, [listed_engine("i-1", 2)]);
+    assert_eq!(change.changed, [Arc::new(listed_engine("i-1", 2))]);
     let mut applied = before.clone();
     applied.apply(change);
     assert!(applied.iter().eq(later.iter()));
