Place prompts by an index of load and cached parts

Callers waited for prompts that no scheduler placed. With 9,640 engines the scheduler evaluated each engine for each prompt, 9 ms of a whole core; its replica answered nothing in the meantime, missed heartbeats and lost the leadership 16 times in nine seconds. Entries gave up after 40 ms and placed 215 of 218 logged prompts themselves, where nobody fetches cached parts.

The scheduler keeps its engines by failure domain and weights, in the order of running prompts and backlog, and knows which engines hold a part. It examines 64 of the least loaded ones and some holders of each shared part; up to 64 engines are examined whole, as before. Of equal engines it takes the one that was idle for longest, in place of the first one listed: contexts spread over all caches. Changes of the list, ends of lost placements and measured transfers no longer pass all engines either.

A property test compares it with a full search: the mean cost is at most 1 ms higher.

--- a/src/gateway/target_selection.rs
+++ b/src/gateway/target_selection.rs
@@ -69,7 +69,7 @@
     let trace = format!(
         "by=scheduler weights={} running={} ahead_ms={} resident_tokens={} fetched_tokens={} \
          again_nowhere_whole={} again_link_full={} again_link_slow={} expected_ms={} waited_ms={} \
-         saves={}",
+         examined={} saves={}",
         placed.weight_version.map_or("-".to_string(), |version| version.to_string()),
         placed.trace.running,
         placed.trace.ahead_ms,
@@ -80,6 +80,7 @@
         placed.trace.recomputed.link_slow_tokens,
         placed.trace.expected_ms,
         placed.trace.waited_ms,
+        placed.trace.examined,
         placed.save.iter().flatten().count(),
     );
     let weight_version = placed.weight_version;
--- a/src/scheduler/candidate.rs
+++ b/src/scheduler/candidate.rs
@@ -5,6 +5,7 @@
 
 use super::engine::Engine;
 use super::engine_cache::PartKey;
+use super::engines::{EngineNumber, Engines};
 use super::messages::{DecisionTrace, PlacementRequest, RecomputeReason, RecomputedTokens};
 use super::prefill::PrefillEstimator;
 use super::source::{Source, TransferEstimate, sources};
@@ -76,14 +77,14 @@
 }
 
 impl<'a> RequiredPrefix<'a> {
-    /// Computes what engines with these weights have in common. If `may_fetch` is false, no sources
-    /// are considered.
+    /// Computes what engines with these weights have in common. Engines are considered as sources
+    /// from the number `sources_from` on; if that is `None`, nothing can be fetched.
     pub fn new(
         request: &'a PlacementRequest,
         weight_version: Option<u64>,
         stores: impl Iterator<Item = &'a Store> + Clone,
-        engines: impl Iterator<Item = &'a Engine> + Clone,
-        may_fetch: bool,
+        engines: &'a Engines,
+        sources_from: Option<EngineNumber>,
         now: BootTime,
     ) -> RequiredPrefix<'a> {
         let salt = format!(
@@ -95,16 +96,15 @@
         let keys: Vec<PartKey> =
             request.parts.iter().map(|part| part_key(&salt, &part.id)).collect();
         let shared_parts = shared_part_count(request);
-        let find_sources = |key: &PartKey| match may_fetch {
-            true => {
+        let find_sources = |key: &PartKey| match sources_from {
+            Some(from) => {
                 let allowed = &request.allowed_domains;
-                sources(*key, allowed, stores.clone(), engines.clone(), now)
+                sources(*key, allowed, stores.clone(), engines, from, now)
             }
-            false => Vec::new(),
+            None => Vec::new(),
         };
         let was_computed = |key: &PartKey| {
-            stores.clone().any(|store| store.contains(*key))
-                || engines.clone().any(|engine| engine.cache.contains(*key))
+            engines.is_held(*key) || stores.clone().any(|store| store.contains(*key))
         };
         let (sources, was_computed) = (
             keys[..shared_parts].iter().map(find_sources).collect(),
@@ -161,7 +161,7 @@
         for index in recomputed_parts {
             let tokens = request.parts[index].tokens;
             recomputed_tokens += tokens;
-            *recomputed.for_reason(self.recompute_reason(index, engine, now)) += tokens;
+            *recomputed.for_reason(self.recompute_reason(index, engine, now)) += tokens as u32;
         }
         let prefill_tokens = request.prompt_tokens.saturating_sub(resident_tokens + fetched_tokens);
         let ahead_ms = millis(engine.prefill_backlog(now))
@@ -181,6 +181,7 @@
             recomputed,
             expected_ms: expected_ms as u32,
             waited_ms: 0,
+            examined: 0,
         };
         Some(Candidate {
             cost_ms,
--- a/src/scheduler/engine.rs
+++ b/src/scheduler/engine.rs
@@ -1,5 +1,6 @@
 //! The scheduler's model of one engine: its load, prefill backlog and KV cache.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use rustc_hash::FxHashMap;
@@ -9,16 +10,14 @@
 use super::messages::TicketId;
 use super::prefill::PrefillEstimator;
 use crate::clock::BootTime;
-use crate::fleet::Listed;
 use crate::fleet::cold::{Coldness, Pacer};
+use crate::fleet::{Listed, Presence};
 use crate::gateway::metadata::TargetLoad;
 use crate::route::health::Health;
 
 /// The influence of a reported load decays linearly to zero within this time: about how long a
 /// prompt runs.
 const REPORTED_LOAD_TTL: Duration = Duration::from_millis(800);
-/// A placement that has not ended after this time has lost its entry.
-const TICKET_TTL: Duration = Duration::from_secs(20);
 /// Connections that break within this time were broken by the same event. Covers the delay until
 /// entries report them.
 const CRASH_WINDOW: Duration = Duration::from_millis(100);
@@ -28,7 +27,7 @@
 #[derive(Clone, Debug)]
 pub struct Engine {
     /// Its latest entry in the roster.
-    pub listed: Listed,
+    pub listed: Arc<Listed>,
     /// Latest known version of the weights that it runs.
     pub weight_version: Option<u64>,
     /// Expected contents of its KV cache.
@@ -85,7 +84,7 @@
 impl Engine {
     /// Creates an idle engine with an empty cache.
     pub fn new(
-        listed: Listed,
+        listed: Arc<Listed>,
         weight_version: Option<u64>,
         capacity_tokens: u64,
         link_mbps: f64,
@@ -108,14 +107,35 @@
         }
     }
 
+    /// Applies a changed listing.
+    pub fn relist(&mut self, listed: Arc<Listed>) {
+        self.coldness.set_listed(listed.is_cold);
+        let version = listed.weights.values().next().copied();
+        self.listed = listed;
+        // The roster lags: it may name older weights than the engine has already reported.
+        if version > self.weight_version {
+            self.set_weights(version);
+        }
+    }
+
+    /// Takes the engine for leaving until it is listed anew.
+    pub fn mark_leaving(&mut self) {
+        Arc::make_mut(&mut self.listed).presence = Presence::Leaving;
+    }
+
     /// Sets the weight version. A new version invalidates the cache.
     pub fn set_weights(&mut self, version: Option<u64>) {
         if version.is_some() && self.weight_version != version {
             self.weight_version = version;
-            self.cache = EngineCache::new(self.capacity_tokens);
+            self.cache.clear();
         }
     }
 
+    /// Expected end of the prefill backlog.
+    pub fn prefill_free_at(&self) -> BootTime {
+        self.prefill_free_at
+    }
+
     /// Time until all placed prompts are prefilled.
     pub fn prefill_backlog(&self, now: BootTime) -> Duration {
         self.prefill_free_at.saturating_sub(now)
@@ -175,14 +195,6 @@
         }
     }
 
-    /// Ends placements whose entry was lost.
-    pub fn expire_tickets(&mut self, now: BootTime) {
-        let is_lost = |running: &RunningPrompt| now.saturating_sub(running.since) > TICKET_TTL;
-        let lost: Vec<TicketId> =
-            self.running.iter().filter(|(_, r)| is_lost(r)).map(|(ticket, _)| *ticket).collect();
-        lost.into_iter().for_each(|ticket| self.end(ticket, now));
-    }
-
     /// Records the load that an answer reports.
     pub fn observe_load(&mut self, load: TargetLoad, now: BootTime) {
         let other_requests =
--- a/src/scheduler/engine_cache.rs
+++ b/src/scheduler/engine_cache.rs
@@ -20,6 +20,8 @@
     /// Tokens of parts that running prompts use.
     in_use_tokens: u64,
     use_sequence: u64,
+    /// Parts that were added or removed since `take_changes`.
+    changed: Vec<PartKey>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -69,6 +71,7 @@
         self.use_sequence += 1;
         let part = self.parts.entry(key).or_insert_with(|| {
             self.used_tokens += tokens;
+            self.changed.push(key);
             Resident { tokens, users: 0, last_use: 0, is_computed: false }
         });
         if part.users == 0 {
@@ -110,13 +113,28 @@
         if let Some(part) = self.parts.remove(&key) {
             self.used_tokens -= part.tokens;
             self.idle.remove(&part.last_use);
+            self.changed.push(key);
         }
     }
 
+    /// Removes all parts.
+    pub fn clear(&mut self) {
+        let mut changed = std::mem::take(&mut self.changed);
+        changed.extend(self.parts.keys());
+        *self = EngineCache { changed, ..EngineCache::new(self.capacity_tokens) };
+    }
+
+    /// Parts that were added or removed since the last call, with whether they are present now.
+    pub fn take_changes(&mut self) -> Vec<(PartKey, bool)> {
+        let changed = std::mem::take(&mut self.changed);
+        changed.into_iter().map(|key| (key, self.contains(key))).collect()
+    }
+
     fn evict(&mut self) {
         while self.used_tokens > self.capacity_tokens {
             let Some((_, key)) = self.idle.pop_first() else { return };
             if let Some(part) = self.parts.remove(&key) {
+                self.changed.push(key);
                 self.used_tokens -= part.tokens;
             }
         }
--- a/src/scheduler/messages.rs
+++ b/src/scheduler/messages.rs
@@ -74,17 +74,19 @@
     pub expected_ms: u32,
     /// Time that the prompt spent in the scheduler's queue.
     pub waited_ms: u32,
+    /// Number of engines that were examined.
+    pub examined: u32,
 }
 
 /// Tokens of shared parts that are recomputed, by the reason why they are not fetched.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct RecomputedTokens {
     /// No store and no engine holds them completely: a save or another prefill is in progress.
-    pub nowhere_whole_tokens: u64,
+    pub nowhere_whole_tokens: u32,
     /// Earlier transfers keep the links busy for too long.
-    pub link_full_tokens: u64,
+    pub link_full_tokens: u32,
     /// The transfer itself would take too long.
-    pub link_slow_tokens: u64,
+    pub link_slow_tokens: u32,
 }
 
 /// Why a part that was computed before is not fetched.
@@ -101,11 +103,12 @@
 impl RecomputedTokens {
     /// Tokens recomputed for any reason.
     pub fn total(&self) -> u64 {
-        self.nowhere_whole_tokens + self.link_full_tokens + self.link_slow_tokens
+        let by_reason = [self.nowhere_whole_tokens, self.link_full_tokens, self.link_slow_tokens];
+        by_reason.into_iter().map(u64::from).sum()
     }
 
     /// The counter of one reason.
-    pub fn for_reason(&mut self, reason: RecomputeReason) -> &mut u64 {
+    pub fn for_reason(&mut self, reason: RecomputeReason) -> &mut u32 {
         match reason {
             RecomputeReason::NowhereWhole => &mut self.nowhere_whole_tokens,
             RecomputeReason::LinkFull => &mut self.link_full_tokens,
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -8,6 +8,7 @@
 mod candidate;
 pub mod engine;
 pub mod engine_cache;
+pub mod engines;
 pub mod lateness;
 pub mod link;
 pub mod messages;
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -3,16 +3,18 @@
 
 mod events;
 mod grants;
+mod search;
 mod updates;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use rustc_hash::FxHashMap;
 
-use super::candidate::{Candidate, RequiredPrefix};
+use self::search::{BestEngine, MAX_EXAMINED, SearchError};
 use super::engine::Engine;
+use super::engines::{EngineNumber, Engines};
 use super::lateness::Lateness;
 use super::messages::{Placement, PlacementRequest, TicketId};
 use super::prefill::PrefillEstimator;
@@ -21,9 +23,9 @@
 use super::weights::WeightState;
 use crate::clock::BootTime;
 use crate::deployment::EngineSpec;
-use crate::fleet::Presence;
 use crate::fleet::cold::ColdStart;
 use crate::fleet::evacuation::EvacuatedDomains;
+use crate::fleet::{Presence, TargetTable};
 use crate::ids::{ServiceId, TargetStart};
 
 /// Engines with a longer prefill backlog get no further prompts. Long enough to keep an engine busy
@@ -64,7 +66,13 @@
 /// Places prompts on engines; see the module documentation.
 #[derive(Clone, Debug)]
 pub struct Scheduler {
-    engines: BTreeMap<TargetStart, Engine>,
+    engines: Engines,
+    /// The targets last listed, engines and others.
+    roster: TargetTable,
+    /// Engines that take no prompts although they were not listed as leaving: they are no longer
+    /// listed, or another target answered at their address. They are looked at again with the next
+    /// roster.
+    suspended: BTreeSet<TargetStart>,
     engine_specs: HashMap<ServiceId, EngineSpec>,
     stores: BTreeMap<SocketAddr, Store>,
     estimators: HashMap<ServiceId, PrefillEstimator>,
@@ -73,6 +81,8 @@
     lateness: HashMap<ServiceId, Lateness>,
     queue: Queue,
     tickets: FxHashMap<TicketId, Ticket>,
+    /// Tickets in the order in which they were granted, some of which have ended.
+    granted: VecDeque<(BootTime, TicketId)>,
     next_ticket: TicketId,
     clock: Option<EngineClock>,
     /// Until this time, fetches granted by an earlier scheduler may still run, so nothing is freed.
@@ -88,6 +98,9 @@
     evacuated: EvacuatedDomains,
     /// What the engines of each service bear while they are cold. Services without limit are absent.
     cold_starts: HashMap<ServiceId, ColdStart>,
+    /// Number of least loaded engines that are examined for a prompt. A service with at most this
+    /// many engines is examined whole.
+    max_examined: usize,
 }
 
 /// A placement that has not ended.
@@ -134,13 +147,16 @@
     /// must not overlap.
     pub fn new(first_ticket: TicketId, now: BootTime) -> Scheduler {
         Scheduler {
-            engines: BTreeMap::new(),
+            engines: Engines::default(),
+            roster: TargetTable::default(),
+            suspended: BTreeSet::new(),
             engine_specs: HashMap::new(),
             stores: BTreeMap::new(),
             estimators: HashMap::new(),
             lateness: HashMap::new(),
             queue: Queue::default(),
             tickets: FxHashMap::default(),
+            granted: VecDeque::new(),
             next_ticket: first_ticket,
             clock: None,
             frees_allowed_from: now + FIRST_FREE_DELAY,
@@ -150,9 +166,15 @@
             weights: WeightState::new(now),
             evacuated: EvacuatedDomains::default(),
             cold_starts: HashMap::new(),
+            max_examined: MAX_EXAMINED,
         }
     }
 
+    /// Sets the number of least loaded engines that are examined for a prompt.
+    pub fn set_max_examined(&mut self, max_examined: usize) {
+        self.max_examined = max_examined;
+    }
+
     /// Holds prompts back until engine caches and store inventories are known. Must be called
     /// before the first prompt: after an outage, prompts arrive all at once and would otherwise be
     /// recomputed on engines that don't hold their context.
@@ -233,70 +255,27 @@
 
     /// Places a prompt on the engine with the lowest cost.
     fn try_place(&mut self, queued: &QueuedPrompt, now: BootTime) -> PlacementAttempt {
-        let request = &queued.request;
-        let Some(spec) = self.engine_specs.get(&request.service) else {
-            return PlacementAttempt::Done(Err(PlacementError::NoTargetListed));
-        };
-        let estimator = self.estimators.get(&request.service).copied().unwrap_or_default();
-        let (mut is_listed, mut is_healthy, mut is_free) = (false, false, false);
-        let mut best: Option<(&TargetStart, Candidate)> = None;
-        let mut required: Vec<(Option<u64>, RequiredPrefix<'_>)> = Vec::new();
-        for (id, engine) in &self.engines {
-            let weights_cost_ms = match self.eligibility(id, engine, request, now) {
-                Eligibility::Unsuitable => continue,
-                Eligibility::Unhealthy => {
-                    is_listed = true;
-                    continue;
-                }
-                Eligibility::Busy => {
-                    (is_listed, is_healthy) = (true, true);
-                    continue;
-                }
-                Eligibility::Free { weights_cost_ms } => weights_cost_ms,
-            };
-            (is_listed, is_healthy, is_free) = (true, true, true);
-            let version = engine.weight_version;
-            let index =
-                required.iter().position(|(required_version, _)| *required_version == version);
-            let index = index.unwrap_or_else(|| {
-                let (stores, engines) = (self.stores.values(), self.engines.values());
-                let may_fetch = self.clock.is_some() && now >= self.fetches_allowed_from;
-                required.push((
-                    version,
-                    RequiredPrefix::new(request, version, stores, engines, may_fetch, now),
-                ));
-                required.len() - 1
-            });
-            let Some(mut candidate) = required[index].1.candidate(engine, spec, &estimator, now)
-            else {
-                continue;
-            };
-            candidate.cost_ms += weights_cost_ms;
-            if best.as_ref().is_none_or(|(_, best)| candidate.cost_ms < best.cost_ms) {
-                best = Some((id, candidate));
+        match self.find_engine(&queued.request, now) {
+            Ok(best) => PlacementAttempt::Done(Ok(self.grant(best, queued, now))),
+            Err(SearchError::NoTargetListed) => {
+                PlacementAttempt::Done(Err(PlacementError::NoTargetListed))
+            }
+            Err(SearchError::NoHealthyTarget) => {
+                PlacementAttempt::Done(Err(PlacementError::NoHealthyTarget))
             }
+            Err(SearchError::AllBusy) => PlacementAttempt::AllBusy,
+            Err(SearchError::NoRoom) => PlacementAttempt::NoRoom,
         }
-        let Some((target, candidate)) = best else {
-            return match (is_listed, is_healthy, is_free) {
-                (false, ..) => PlacementAttempt::Done(Err(PlacementError::NoTargetListed)),
-                (_, false, _) => PlacementAttempt::Done(Err(PlacementError::NoHealthyTarget)),
-                (.., false) => PlacementAttempt::AllBusy,
-                _ => PlacementAttempt::NoRoom,
-            };
-        };
-        let target = target.clone();
-        let version = self.engines.get(&target).and_then(|engine| engine.weight_version);
-        let chosen =
-            required.into_iter().find(|(required_version, _)| *required_version == version);
-        let (salt, keys) =
-            chosen.map(|(_, required)| (required.salt, required.keys)).unwrap_or_default();
-        PlacementAttempt::Done(Ok(self.grant(target, candidate, salt, keys, queued, now)))
+    }
+
+    /// Whether a prompt may run on the engines of a failure domain.
+    fn is_suitable_domain(&self, domain: &str, request: &PlacementRequest) -> bool {
+        !self.evacuated.contains(domain) && request.allowed_domains.contains(domain)
     }
 
     /// Whether an engine can take a prompt now, apart from its memory.
     fn eligibility(
         &self,
-        id: &TargetStart,
         engine: &Engine,
         request: &PlacementRequest,
         now: BootTime,
@@ -304,17 +283,17 @@
         let listed = &engine.listed;
         if listed.service != request.service
             || listed.presence != Presence::Live
-            || self.evacuated.contains(&listed.failure_domain)
-            || !request.allowed_domains.contains(&listed.failure_domain)
+            || !self.is_suitable_domain(&listed.failure_domain, request)
         {
             return Eligibility::Unsuitable;
         }
-        if request.avoid.contains(id) || !engine.health.admits(engine.active_placements(), now) {
+        let is_avoided = request.avoid.contains(&listed.start);
+        if is_avoided || !engine.health.admits(engine.active_placements(), now) {
             return Eligibility::Unhealthy;
         }
         let is_paced = self.cold_limit(engine, now).is_some() && !engine.pacer.admits(now);
         let is_full = engine.prefill_backlog(now) >= MAX_PREFILL_BACKLOG;
-        if is_full || is_paced || self.weights.excludes(id) {
+        if is_full || is_paced || self.weights.excludes(&listed.start) {
             return Eligibility::Busy;
         }
         match self.weights.cost_ms(&request.model, engine.weight_version, now) {
--- a/src/scheduler/plan/events.rs
+++ b/src/scheduler/plan/events.rs
@@ -1,13 +1,18 @@
 //! Events of placements: first tokens and ends correct the state of engines and links.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
-use super::{Scheduler, millis};
+use super::{Scheduler, Ticket, millis};
 use crate::clock::BootTime;
-use crate::fleet::{FailureCause, Presence};
+use crate::fleet::FailureCause;
+use crate::fleet::cold::ColdStart;
 use crate::ids::TargetStart;
 use crate::scheduler::engine::Engine;
-use crate::scheduler::messages::{EndReason, PlacementEvent};
+use crate::scheduler::messages::{EndReason, PlacementEvent, TicketId};
+
+/// A placement that has not ended after this time has lost its entry.
+const TICKET_TTL: Duration = Duration::from_secs(20);
 
 impl Scheduler {
     /// Applies an event of a placement.
@@ -19,8 +24,9 @@
                 let (fetch_ms, expected_ms) = (placement.fetch_ms, placement.expected_ms);
                 let late_ms = millis(now.saturating_sub(placement.since)) - expected_ms;
                 let (target, placed_at) = (placement.target.clone(), placement.since);
-                let Some(engine) = self.engines.get(&target) else { return };
-                let lateness = self.lateness.entry(engine.listed.service.clone()).or_default();
+                let Some(engine) = self.engines.get_by_start(&target) else { return };
+                let service = engine.listed.service.clone();
+                let lateness = self.lateness.entry(service.clone()).or_default();
                 let own_late_ms = late_ms - lateness.median_ms();
                 lateness.add(late_ms);
                 if let Some(address) = fetched_from {
@@ -32,62 +38,66 @@
                         now,
                     );
                 }
-                let Some(engine) = self.engines.get_mut(&target) else { return };
-                let estimator = self.estimators.entry(engine.listed.service.clone()).or_default();
-                engine.end_prefill(*ticket, estimator, now);
-                if let Some(cold_start) = self.cold_starts.get(&engine.listed.service) {
-                    engine.coldness.answered(cold_start, placed_at, now);
-                }
-                if let Some(load) = load {
-                    engine.observe_load(*load, now);
-                }
-                if *weight_version > engine.weight_version {
-                    engine.set_weights(*weight_version);
-                }
+                let estimator = self.estimators.entry(service.clone()).or_default();
+                let cold_start = self.cold_starts.get(&service);
+                self.engines.update_by_start(&target, |engine| {
+                    engine.end_prefill(*ticket, estimator, now);
+                    if let Some(cold_start) = cold_start {
+                        engine.coldness.answered(cold_start, placed_at, now);
+                    }
+                    if let Some(load) = load {
+                        engine.observe_load(*load, now);
+                    }
+                    if *weight_version > engine.weight_version {
+                        engine.set_weights(*weight_version);
+                    }
+                });
             }
             PlacementEvent::IdleConnectionsLost { target } => {
                 self.observe_idle_connections_lost(target, now)
             }
             PlacementEvent::Ended { ticket, end } => {
                 let Some(placement) = self.tickets.remove(ticket) else { return };
-                let Some(engine) = self.engines.get_mut(&placement.target) else { return };
-                engine.end(*ticket, now);
-                // Several prompts may have been sent on the same wrong assumption; only the first
-                // mismatch counts.
-                let is_first_mismatch = engine.weight_version == placement.weight_version;
-                let must_query = match end {
-                    EndReason::WeightMismatch(None) => is_first_mismatch,
-                    // The engine runs older weights than listed. The roster must be corrected, too,
-                    // or the engine is never ordered to load newer ones.
-                    EndReason::WeightMismatch(reported) => *reported < placement.weight_version,
-                    _ => false,
-                };
-                observe_end(engine, *end, now);
-                if let Some(cold_start) = self.cold_starts.get(&engine.listed.service) {
-                    match end {
-                        EndReason::Unreachable => engine.coldness.may_have_ended(cold_start, now),
-                        EndReason::ConnectionLost if engine.connection_lost(now) => {
-                            engine.coldness.may_have_ended(cold_start, now)
-                        }
-                        EndReason::Completed => {
-                            engine.coldness.answered(cold_start, placement.since, now)
-                        }
-                        _ => {}
-                    }
-                }
-                if must_query {
-                    self.weights.unverified.insert(placement.target);
-                }
+                self.end_placement(*ticket, placement, *end, now);
             }
         }
     }
 
+    fn end_placement(&mut self, id: TicketId, placement: Ticket, end: EndReason, now: BootTime) {
+        let cold_starts = &self.cold_starts;
+        let must_query = self.engines.update_by_start(&placement.target, |engine| {
+            engine.end(id, now);
+            // Several prompts may have been sent on the same wrong assumption; only the first
+            // mismatch counts.
+            let is_first_mismatch = engine.weight_version == placement.weight_version;
+            observe_end(engine, end, now);
+            if let Some(cold_start) = cold_starts.get(&engine.listed.service) {
+                observe_cold_start(engine, cold_start, end, placement.since, now);
+            }
+            match end {
+                EndReason::WeightMismatch(None) => is_first_mismatch,
+                // The engine runs older weights than listed. The roster must be corrected, too,
+                // or the engine is never ordered to load newer ones.
+                EndReason::WeightMismatch(reported) => reported < placement.weight_version,
+                _ => false,
+            }
+        });
+        if end == EndReason::Replaced {
+            self.suspended.insert(placement.target.clone());
+        }
+        if must_query == Some(true) {
+            self.weights.unverified.insert(placement.target);
+        }
+    }
+
     /// Takes an engine for cold that may have restarted while no prompt ran there.
     fn observe_idle_connections_lost(&mut self, target: &TargetStart, now: BootTime) {
-        let Some(engine) = self.engines.get_mut(target) else { return };
-        if let Some(cold_start) = self.cold_starts.get(&engine.listed.service) {
-            engine.coldness.may_have_ended(cold_start, now);
-        }
+        let cold_starts = &self.cold_starts;
+        self.engines.update_by_start(target, |engine| {
+            if let Some(cold_start) = cold_starts.get(&engine.listed.service) {
+                engine.coldness.may_have_ended(cold_start, now);
+            }
+        });
     }
 
     /// Applies a measured fetch time to the links at both ends, since either may be the slow one.
@@ -102,16 +112,40 @@
         if let Some(store) = self.stores.get_mut(&from) {
             store.link.observe_transfer(expected_ms, took_ms, now);
         }
-        let is_end =
-            |(id, engine): &(&TargetStart, &mut Engine)| *id == to || engine.listed.address == from;
-        for (_, engine) in self.engines.iter_mut().filter(is_end) {
-            engine.link.observe_transfer(expected_ms, took_ms, now);
+        let ends = [self.engines.number(to), self.engines.number_at(&from)];
+        for number in ends.into_iter().flatten() {
+            self.engines.update(number, |engine| {
+                engine.link.observe_transfer(expected_ms, took_ms, now);
+            });
         }
     }
 
     /// Ends placements whose entry was lost.
     pub fn expire_tickets(&mut self, now: BootTime) {
-        self.engines.values_mut().for_each(|engine| engine.expire_tickets(now));
+        let is_lost =
+            |(since, _): &mut (BootTime, TicketId)| now.saturating_sub(*since) > TICKET_TTL;
+        while let Some((_, ticket)) = self.granted.pop_front_if(is_lost) {
+            if let Some(placement) = self.tickets.remove(&ticket) {
+                self.engines.update_by_start(&placement.target, |engine| engine.end(ticket, now));
+            }
+        }
+    }
+}
+
+fn observe_cold_start(
+    engine: &mut Engine,
+    cold_start: &ColdStart,
+    end: EndReason,
+    placed_at: BootTime,
+    now: BootTime,
+) {
+    match end {
+        EndReason::Unreachable => engine.coldness.may_have_ended(cold_start, now),
+        EndReason::ConnectionLost if engine.connection_lost(now) => {
+            engine.coldness.may_have_ended(cold_start, now)
+        }
+        EndReason::Completed => engine.coldness.answered(cold_start, placed_at, now),
+        _ => {}
     }
 }
 
@@ -124,6 +158,6 @@
             engine.health.record_failure(FailureCause::Target, now)
         }
         EndReason::WeightMismatch(version) => engine.set_weights(version),
-        EndReason::Replaced => engine.listed.presence = Presence::Leaving,
+        EndReason::Replaced => engine.mark_leaving(),
     }
 }
--- a/src/scheduler/plan/grants.rs
+++ b/src/scheduler/plan/grants.rs
@@ -3,12 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::{Scheduler, Ticket};
+use super::{BestEngine, EngineNumber, Scheduler, Ticket};
 use crate::clock::BootTime;
 use crate::gateway::metadata::Part;
-use crate::ids::TargetStart;
-use crate::scheduler::candidate::{Candidate, shared_part_count};
-use crate::scheduler::engine::{Engine, PromptLoad};
+use crate::scheduler::candidate::shared_part_count;
+use crate::scheduler::engine::PromptLoad;
 use crate::scheduler::engine_cache::PartKey;
 use crate::scheduler::messages::{DecisionTrace, Placement, PlacementRequest};
 use crate::scheduler::queue::QueuedPrompt;
@@ -22,14 +21,14 @@
 impl Scheduler {
     pub(super) fn grant(
         &mut self,
-        target: TargetStart,
-        candidate: Candidate,
-        salt: String,
-        keys: Vec<PartKey>,
+        best: BestEngine,
         queued: &QueuedPrompt,
         now: BootTime,
     ) -> Placement {
+        let BestEngine { number, candidate, salt, keys } = best;
         let request = &queued.request;
+        let target =
+            self.engines.get(number).map(|engine| engine.listed.start.clone()).unwrap_or_default();
         let ticket = self.next_ticket;
         self.next_ticket += 1;
         let shared_parts = shared_part_count(request);
@@ -38,41 +37,42 @@
             let key = keys[index];
             if let Some(address) = candidate.fetch[index] {
                 let is_resident = index < candidate.resident_parts;
-                self.grant_fetch(address, key, &request.parts[index], &target, is_resident, now);
+                self.grant_fetch(address, key, &request.parts[index], number, is_resident, now);
             }
             if self.stores.values().any(|store| store.contains(key)) {
                 self.stores.values_mut().for_each(|store| store.touch(key, now));
             } else {
-                *save_to = self.grant_save(key, &salt, index, request, &target, now);
+                *save_to = self.grant_save(key, &salt, index, request, number, now);
             }
         }
         let clock_ms = self.engines_clock_ms(now).unwrap_or_default();
-        let mut weight_version = None;
-        let cold_limit = self.engines.get(&target).and_then(|engine| self.cold_limit(engine, now));
-        if let Some(engine) = self.engines.get_mut(&target) {
+        let cold_limit = self.engines.get(number).and_then(|engine| self.cold_limit(engine, now));
+        let resident_or_fetched = candidate.trace.resident_tokens + candidate.trace.fetched_tokens;
+        let prefill_tokens = request.prompt_tokens.saturating_sub(resident_or_fetched).max(1);
+        let estimator = self.estimators.entry(request.service.clone()).or_default();
+        let weight_version = self.engines.update(number, |engine| {
             if let Some(cold_start) = cold_limit {
                 engine.pacer.record(&cold_start, now);
             }
-            weight_version = engine.weight_version;
             for (key, part) in keys.iter().zip(&request.parts) {
                 engine.cache.acquire(*key, part.tokens);
             }
-            let resident_or_fetched =
-                candidate.trace.resident_tokens + candidate.trace.fetched_tokens;
             let load = PromptLoad {
                 parts: keys,
-                prefill_tokens: request.prompt_tokens.saturating_sub(resident_or_fetched).max(1),
+                prefill_tokens,
                 output_tokens: request.output_tokens,
                 fetch_time: Duration::from_secs_f64(candidate.fetch_ms / 1e3),
             };
-            let estimator = self.estimators.entry(request.service.clone()).or_default();
             engine.begin(ticket, load, estimator, now);
-        }
+            engine.weight_version
+        });
+        let weight_version = weight_version.flatten();
         let parts = candidate.fetch.iter().zip(&request.parts).skip(candidate.resident_parts);
         let largest = parts.filter(|(store, _)| store.is_some()).max_by_key(|(_, p)| p.tokens);
         let slowest_source = largest
             .and_then(|(store, _)| *store)
             .filter(|_| candidate.fetch_ms > candidate.ahead_ms);
+        self.granted.push_back((now, ticket));
         self.tickets.insert(
             ticket,
             Ticket {
@@ -104,29 +104,36 @@
         address: SocketAddr,
         key: PartKey,
         part: &Part,
-        target: &TargetStart,
+        target: EngineNumber,
         is_resident: bool,
         now: BootTime,
     ) {
+        if let Some(store) = self.stores.get_mut(&address) {
+            store.grant_fetch(key, now);
+        }
+        if is_resident {
+            return;
+        }
         let Some(to) = self.engines.get(target).map(|engine| engine.listed.clone()) else { return };
         let Some(spec) = self.engine_specs.get(&to.service) else { return };
         let size_bytes = (part.tokens * spec.token_bytes) as f64;
-        let is_source = |engine: &&mut Engine| engine.listed.address == address;
-        let (link, from_domain) = if let Some(store) = self.stores.get_mut(&address) {
-            store.grant_fetch(key, now);
-            (&mut store.link, &store.spec.failure_domain)
-        } else if let Some(source) = self.engines.values_mut().find(is_source) {
-            (&mut source.link, &source.listed.failure_domain)
+        let factor = |from: &str| domain_factor(from, &to.failure_domain);
+        let reserved_factor = if let Some(store) = self.stores.get_mut(&address) {
+            let factor = factor(&store.spec.failure_domain);
+            store.link.reserve(size_bytes, factor, now);
+            Some(factor)
         } else {
-            return;
+            let source = self.engines.number_at(&address);
+            source.and_then(|source| {
+                self.engines.update(source, |source| {
+                    let factor = factor(&source.listed.failure_domain);
+                    source.link.reserve(size_bytes, factor, now);
+                    factor
+                })
+            })
         };
-        if is_resident {
-            return;
-        }
-        let domain_factor = domain_factor(from_domain, &to.failure_domain);
-        link.reserve(size_bytes, domain_factor, now);
-        if let Some(engine) = self.engines.get_mut(target) {
-            engine.link.reserve(size_bytes, domain_factor, now);
+        if let Some(factor) = reserved_factor {
+            self.engines.update(target, |engine| engine.link.reserve(size_bytes, factor, now));
         }
     }
 
@@ -139,7 +146,7 @@
         salt: &str,
         part_index: usize,
         request: &PlacementRequest,
-        target: &TargetStart,
+        target: EngineNumber,
         now: BootTime,
     ) -> Option<SocketAddr> {
         self.engines.get(target)?.weight_version?;
--- a/src/scheduler/plan/updates.rs
+++ b/src/scheduler/plan/updates.rs
@@ -2,12 +2,13 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use super::{EngineClock, Scheduler};
 use crate::clock::BootTime;
 use crate::deployment::{Deployment, ServiceRole};
 use crate::fleet::evacuation::EvacuatedDomains;
-use crate::fleet::{Presence, Roster};
+use crate::fleet::{Listed, Roster, RosterChange};
 use crate::ids::TargetStart;
 use crate::scheduler::engine::Engine;
 use crate::scheduler::engine_cache::PartKey;
@@ -43,7 +44,8 @@
 
     /// Engines whose weight version must be queried, with their addresses.
     pub fn unverified_engines(&self) -> Vec<(TargetStart, SocketAddr)> {
-        let listed = |id: &TargetStart| Some((id.clone(), self.engines.get(id)?.listed.address));
+        let listed =
+            |id: &TargetStart| Some((id.clone(), self.engines.get_by_start(id)?.listed.address));
         self.weights.unverified.iter().filter_map(listed).collect()
     }
 
@@ -51,14 +53,12 @@
     /// prompts again: it refuses those that need other weights.
     pub fn resolve_weights(&mut self, engine: &TargetStart, weight_version: Option<u64>) {
         self.weights.unverified.remove(engine);
-        if let Some(engine) = self.engines.get_mut(engine) {
-            engine.set_weights(weight_version);
-        }
+        self.engines.update_by_start(engine, |engine| engine.set_weights(weight_version));
     }
 
     /// Number of prompts placed on an engine that have not ended.
     pub fn placed_on(&self, engine: &TargetStart) -> u32 {
-        self.engines.get(engine).map_or(0, Engine::active_placements)
+        self.engines.get_by_start(engine).map_or(0, Engine::active_placements)
     }
 
     /// Applies a deployment. Stores that are unchanged keep their state.
@@ -84,29 +84,44 @@
             }
         }
         self.stores = stores;
+        let roster = self.roster.clone();
+        roster.iter().for_each(|listed| self.list_engine(listed));
     }
 
     /// Applies a roster.
     pub fn observe_roster(&mut self, roster: &Roster) {
-        // Engines with active prompts are kept: a target missing from one list may be listed again.
-        self.engines
-            .retain(|start, engine| roster.get(start).is_some() || engine.active_placements() > 0);
-        for engine in self.engines.values_mut().filter(|e| roster.get(&e.listed.start).is_none()) {
-            engine.listed.presence = Presence::Leaving;
+        let RosterChange { changed, gone } = self.roster.change_to(roster.targets());
+        self.roster = roster.targets().clone();
+        let suspended = std::mem::take(&mut self.suspended);
+        for start in suspended.into_iter().chain(gone) {
+            match self.roster.get(&start).cloned() {
+                Some(listed) => self.list_engine(&listed),
+                None => self.unlist_engine(start),
+            }
         }
+        changed.iter().for_each(|listed| self.list_engine(listed));
         self.weights.unverified.retain(|id| roster.get(id).is_some());
-        for listed in roster.iter() {
-            let Some(spec) = self.engine_specs.get(&listed.service) else { continue };
-            let version = listed.weights.values().next().copied();
-            let engine = self.engines.entry(listed.start.clone()).or_insert_with(|| {
-                Engine::new(listed.clone(), version, spec.capacity_tokens, spec.link_mbps)
-            });
-            engine.listed.clone_from(listed);
-            engine.coldness.set_listed(listed.is_cold);
-            // The roster lags: it may name older weights than the engine has already reported.
-            if version > engine.weight_version {
-                engine.set_weights(version);
-            }
+    }
+
+    /// Adds or updates a listed target if it is an engine.
+    fn list_engine(&mut self, listed: &Arc<Listed>) {
+        if self.engines.relist(listed) {
+            return;
+        }
+        let Some(spec) = self.engine_specs.get(&listed.service) else { return };
+        let version = listed.weights.values().next().copied();
+        let engine = Engine::new(listed.clone(), version, spec.capacity_tokens, spec.link_mbps);
+        self.engines.insert(engine);
+    }
+
+    /// Removes an engine that is no longer listed. One with active prompts is kept, since a target
+    /// that is missing from one list may be listed again.
+    fn unlist_engine(&mut self, start: TargetStart) {
+        if self.placed_on(&start) == 0 {
+            self.engines.remove(&start);
+        } else {
+            self.engines.update_by_start(&start, Engine::mark_leaving);
+            self.suspended.insert(start);
         }
     }
 
@@ -117,8 +132,9 @@
     /// Applies an engine's cache events, oldest first. Returns how many parts of its current
     /// weights it holds.
     pub fn observe_cache_events(&mut self, engine: &TargetStart, events: Vec<StoreEvent>) -> usize {
-        let Some(engine) = self.engines.get_mut(engine) else { return 0 };
-        let weights = format!("/{}", engine.weight_version.unwrap_or_default());
+        let Some(number) = self.engines.number(engine) else { return 0 };
+        let version = self.engines.get(number).and_then(|engine| engine.weight_version);
+        let weights = format!("/{}", version.unwrap_or_default());
         let mut held: BTreeMap<(String, String), (usize, u64)> = BTreeMap::new();
         for (order, event) in events.into_iter().enumerate() {
             match event {
@@ -134,7 +150,9 @@
             .map(|((salt, id), (order, tokens))| (*order, part_key(salt, id), *tokens))
             .collect();
         parts.sort_unstable_by_key(|(order, ..)| *order);
-        parts.iter().for_each(|(_, key, tokens)| engine.cache.insert_idle(*key, *tokens));
+        self.engines.update(number, |engine| {
+            parts.iter().for_each(|(_, key, tokens)| engine.cache.insert_idle(*key, *tokens));
+        });
         parts.len()
     }
 
--- a/src/scheduler/source.rs
+++ b/src/scheduler/source.rs
@@ -5,6 +5,7 @@
 
 use super::engine::Engine;
 use super::engine_cache::PartKey;
+use super::engines::{EngineNumber, Engines};
 use super::link::Link;
 use super::store::Store;
 use crate::clock::BootTime;
@@ -16,6 +17,8 @@
 /// Number of engines considered as sources of a part, those with the least busy links first. Each
 /// source is evaluated for each candidate engine, and more would rarely be faster.
 const MAX_ENGINE_SOURCES: usize = 4;
+/// Number of holders of a part among which these are chosen.
+const MAX_HOLDERS: usize = 64;
 
 /// A store or engine from which a part can be fetched.
 #[derive(Clone, Copy, Debug)]
@@ -64,7 +67,8 @@
     }
 }
 
-/// All sources of a part in the allowed failure domains.
+/// Sources of a part in the allowed failure domains: all stores that hold it, and some engines from
+/// the engine number `from` on.
 ///
 /// Engines serve as sources, too: together their links have many times the bandwidth of the
 /// stores', and their caches outlive the loss of a store.
@@ -72,12 +76,16 @@
     key: PartKey,
     allowed_domains: &AllowedDomains,
     stores: impl Iterator<Item = &'a Store>,
-    engines: impl Iterator<Item = &'a Engine>,
+    engines: &'a Engines,
+    from: EngineNumber,
     now: BootTime,
 ) -> Vec<Source<'a>> {
-    let mut holders: Vec<&Engine> =
-        engines.filter(|engine| engine.cache.is_computed(key) && is_fetchable(engine)).collect();
-    holders.retain(|engine| allowed_domains.contains(&engine.listed.failure_domain));
+    let holders = engines.holders(key, from).take(MAX_HOLDERS);
+    let mut holders: Vec<&Engine> = holders
+        .filter_map(|number| engines.get(number))
+        .filter(|engine| engine.cache.is_computed(key) && is_fetchable(engine))
+        .filter(|engine| allowed_domains.contains(&engine.listed.failure_domain))
+        .collect();
     holders.sort_by_key(|engine| engine.link.queue_delay(now));
     let engines = holders.into_iter().take(MAX_ENGINE_SOURCES).map(Source::engine);
     let stores = stores.filter(|store| {
--- a/tests/deployment/fleet_size.rs
+++ b/tests/deployment/fleet_size.rs
@@ -10,13 +10,21 @@
 use kumquatpost::fleet::{FleetView, Listed, Presence, Roster};
 use kumquatpost::gateway::metadata::{Part, Prompt};
 use kumquatpost::scheduler::weights::{OldWeightsPolicy, RolloutHistories};
+use kumquatpost::scheduler::{EndReason, PlacementResult, Scheduler};
 use proptest::prelude::*;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
 
 use crate::fixtures::{address, cases, ms, roster, start, target};
+use crate::load::{
+    end_placement, expect_placed, finish_saves, observe_first_token, placement_request, scheduler,
+};
 
 const SIZES: [u16; 3] = [2_500, 5_000, 10_000];
 const DOMAINS: u16 = 5;
 
+/// Least loaded engines, holders of each shared part, and those that run no more prompts now.
+const MAX_EXAMINED_ENGINES: u32 = 128;
 const MAX_EXAMINED_TARGETS: usize = 64;
 
 fn in_domains(count: u16, service: &str) -> Vec<Listed> {
@@ -27,9 +35,101 @@
     (0..count).map(listed).collect()
 }
 
+fn scheduler_of(count: u16) -> Scheduler {
+    let mut scheduler = scheduler(0);
+    scheduler.observe_roster(&roster(in_domains(count, "llm")));
+    scheduler
+}
+
+/// Guards against a scheduler that examines each engine for each prompt: before 10,000 engines its
+/// replica missed heartbeats, lost the leadership, and entries placed nearly all prompts alone.
+#[test]
+fn a_placement_examines_as_many_engines_in_a_fleet_of_any_size() {
+    for count in SIZES {
+        let mut scheduler = scheduler_of(count);
+        let mut examined = Vec::new();
+        for n in 0..400 {
+            let now = ms(10 + n);
+            let request = placement_request(1, n % 40, n);
+            let placed = expect_placed(scheduler.submit(n, request.clone(), now));
+            observe_first_token(&mut scheduler, placed.ticket, now);
+            finish_saves(&mut scheduler, &placed, &request, now);
+            if n % 3 == 0 {
+                end_placement(&mut scheduler, placed.ticket, EndReason::Completed, now);
+            }
+            examined.push(placed.trace.examined);
+        }
+        let most = examined.into_iter().max().expect("placements");
+        assert!(most <= MAX_EXAMINED_ENGINES, "{most} of {count}");
+    }
+}
+
+/// Contexts must spread over the caches of all engines, not only over those that come first.
+#[test]
+fn new_contexts_go_to_the_engine_that_was_idle_for_longest() {
+    let mut scheduler = scheduler_of(200);
+    let mut used = std::collections::BTreeSet::new();
+    for n in 0..200 {
+        let placed = expect_placed(scheduler.submit(n, placement_request(1, n, n), ms(100 * n)));
+        observe_first_token(&mut scheduler, placed.ticket, ms(100 * n + 60));
+        end_placement(&mut scheduler, placed.ticket, EndReason::Completed, ms(100 * n + 90));
+        used.insert(placed.target);
+    }
+    assert!(used.len() > 150, "{} of 200 engines were used", used.len());
+}
+
+/// What a placement costs the caller, in milliseconds, and the redundant work in it.
+fn cost_ms(outcome: &Option<PlacementResult>) -> Option<f64> {
+    let placed = outcome.as_ref()?.as_ref().ok()?;
+    let recomputed_tokens = placed.trace.recomputed.total() as f64;
+    Some(f64::from(placed.trace.expected_ms) + recomputed_tokens * 0.03)
+}
+
 proptest! {
     #![proptest_config(cases(24))]
 
+    /// A bounded search must choose as well as one over all engines.
+    #[test]
+    fn a_bounded_search_is_as_good_as_a_full_one(seed in any::<u64>(), load in 1..24_u64) {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let mut bounded = scheduler_of(150);
+        let mut running: Vec<u64> = Vec::new();
+        let (mut bounded_ms, mut full_ms, mut compared) = (0.0, 0.0, 0);
+        for n in 0..600_u64 {
+            let now = ms(10 + 2 * n);
+            let request =
+                placement_request(random.random_range(0..3), random.random_range(0..60), n);
+            let full_outcome = (n % 4 == 0).then(|| {
+                let mut full = bounded.clone();
+                full.set_max_examined(usize::MAX);
+                full.submit(n, request.clone(), now)
+            });
+            let outcome = bounded.submit(n, request.clone(), now);
+            if let Some(full_outcome) = full_outcome {
+                let (by_full, by_bounded) = (cost_ms(&full_outcome), cost_ms(&outcome));
+                prop_assert_eq!(by_full.is_some(), by_bounded.is_some());
+                full_ms += by_full.unwrap_or_default();
+                bounded_ms += by_bounded.unwrap_or_default();
+                compared += 1;
+            }
+            if let Some(Ok(placed)) = outcome {
+                if random.random::<f64>() < 0.9 {
+                    observe_first_token(&mut bounded, placed.ticket, now);
+                    finish_saves(&mut bounded, &placed, &request, now);
+                }
+                running.push(placed.ticket);
+            }
+            while running.len() as u64 > load * 10 {
+                let ticket = running.swap_remove(random.random_range(0..running.len()));
+                end_placement(&mut bounded, ticket, EndReason::Completed, now);
+            }
+        }
+        prop_assert!(compared > 0);
+        let (bounded_ms, full_ms) =
+            (bounded_ms / f64::from(compared), full_ms / f64::from(compared));
+        prop_assert!(bounded_ms <= full_ms + 1.0, "{bounded_ms} ms, a full search {full_ms} ms");
+    }
+
     /// An entry that applies changes must know the same targets as one that got the whole list.
     #[test]
     fn applied_changes_lead_to_the_same_view_and_digest_as_the_whole_list(
