Tell all entries of targets that may have restarted

A target that is cold after a restart bears a low rate from all entries together, and the platform's list lags. A new leader's scheduler knew nothing of the breaks that its predecessor was told either.

An entry that is refused a connection, or finds all idle connections closed early, tells the replicas; they tell each other, all entries and the scheduler, also a new one for five seconds. It is sent without a leader too, since entries place alone then. A single broken connection is no such news: lossy links break many. Nothing is sent for services that bear full load after a start.

Both tests fail without it: the first at the second entry, which took the target for warm, the second for lack of the news.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -15,6 +15,7 @@
 pub mod quarantine_publisher;
 pub mod reader_election;
 pub mod replica;
+pub mod restart_publisher;
 pub mod rollout;
 pub mod rollout_plan;
 pub mod roster_file;
--- a/src/control/publisher.rs
+++ b/src/control/publisher.rs
@@ -21,6 +21,7 @@
 use crate::clock::{BootTime, boot_now};
 use crate::deployment::document::DeploymentVersion;
 use crate::fleet::evacuation::OrderRevision;
+use crate::fleet::restarts::RestartRevision;
 use crate::ids::DomainId;
 use crate::log::Term;
 use crate::net;
@@ -123,6 +124,7 @@
     let mut roster = shared.roster.subscribe();
     let mut domains = shared.domains.subscribe();
     let mut suspects = shared.suspects.subscribe();
+    let mut restarts = shared.restarts.subscribe();
     view.mark_changed();
     let mut sent = Sent { version: deployment, ..Sent::default() };
     let mut roster_publisher = RosterPublisher::default();
@@ -139,6 +141,7 @@
                         roster_publisher.subscribe(request, shared)
                     }
                     SubscriberRequest::Quarantine(reports) => shared.observe_quarantine(reports),
+                    SubscriberRequest::Restarts(restarts) => shared.observe_restarts(&restarts),
                     SubscriberRequest::Confirm(id) => sent.confirm = Some(id),
                 }
                 incoming.set(next_request(read));
@@ -147,6 +150,7 @@
             changed = domains.changed() => changed.map_err(std::io::Error::other)?,
             changed = view.changed() => changed.map_err(std::io::Error::other)?,
             changed = suspects.changed() => changed.map_err(std::io::Error::other)?,
+            changed = restarts.changed() => changed.map_err(std::io::Error::other)?,
             changed = roster.changed() => changed.map_err(std::io::Error::other)?,
             () = tokio::time::sleep_until(next_poll) => {
                 if is_current {
@@ -192,6 +196,8 @@
     leader: Option<(Term, IpAddr)>,
     /// The quarantine revision that was sent.
     quarantine: Revision,
+    /// The revision of the news of restarts that was sent.
+    restarts: RestartRevision,
     /// Number of evacuation orders that were accepted when the evacuated domains were sent.
     evacuation_orders: OrderRevision,
 }
@@ -201,6 +207,7 @@
     fn add_changes(&mut self, shared: &Shared, bytes: &mut Vec<u8>) {
         // Before anything else, since an entry starts to serve once it has received the rest.
         self.add_quarantine(shared, bytes);
+        self.add_restarts(shared, bytes);
         // A replica that may be behind publishes nothing else to a new entry, which would begin to
         // serve with an outdated deployment.
         if shared.is_current(MAX_STALENESS) {
@@ -271,6 +278,17 @@
         }
     }
 
+    /// Appends targets that may have restarted. Also sent without a leader: entries need them most
+    /// while no scheduler paces cold targets.
+    fn add_restarts(&mut self, shared: &Shared, bytes: &mut Vec<u8>) {
+        let known = shared.restarts.borrow();
+        let restarts = known.since(self.restarts, boot_now());
+        self.restarts = known.revision();
+        if !restarts.is_empty() {
+            bytes.extend_from_slice(&encode(&Update::Restarts(restarts)));
+        }
+    }
+
     /// Appends weight versions that the entry does not know. Comes before the deployment, since the
     /// entry must not place a prompt without them.
     fn add_weights(&mut self, shared: &Shared, bytes: &mut Vec<u8>) {
--- a/src/control/run.rs
+++ b/src/control/run.rs
@@ -23,6 +23,7 @@
 use super::quarantine_publisher;
 use super::reader_election::ReaderElection;
 use super::replica::{Input, Replica, ReplicaInit};
+use super::restart_publisher;
 use super::roster_reader::{self, TargetListSource};
 
 use super::operator_server::OperatorServer;
@@ -101,6 +102,7 @@
         evacuated: RefCell::default(),
         quarantine: watch::Sender::new(quarantine_file::load(&folder)),
         suspects: watch::Sender::default(),
+        restarts: watch::Sender::default(),
         links,
         seeds: RefCell::new(seeds),
     });
@@ -140,6 +142,7 @@
     tasks.spawn("kept_targets", roster_file::keep_writing(shared.clone(), folder.clone()));
     tasks.spawn("kept_quarantine", quarantine_file::keep_writing(shared.clone(), folder.clone()));
     tasks.spawn("quarantine", quarantine_publisher::keep_publishing(shared.clone(), host.ip));
+    tasks.spawn("restarts", restart_publisher::keep_publishing(shared.clone(), host.ip));
     let recording = age_recorder::run(shared.clone(), inputs.clone(), host.periods.old_weights);
     tasks.spawn("weight_ages", recording);
     let order_lease = host.periods.min_order_interval;
--- a/src/control/scheduler_sync.rs
+++ b/src/control/scheduler_sync.rs
@@ -8,6 +8,8 @@
 use super::scheduler_service::SchedulerService;
 use super::store_reader;
 use crate::clock::boot_now;
+use crate::deployment::document::DeploymentVersion;
+use crate::fleet::restarts::RestartRevision;
 use crate::log::Term;
 use crate::scheduler::{Scheduler, TicketId};
 
@@ -17,11 +19,18 @@
 /// those of an earlier term.
 const TICKET_NUMBER_BITS: u32 = 36;
 
+/// What a scheduler has been told of the replica's state.
+#[derive(Default)]
+struct Synced {
+    deployment: DeploymentVersion,
+    roster: RosterVersion,
+    restarts: RestartRevision,
+}
+
 impl SchedulerService {
     /// Synchronizes the scheduler for as long as the process lives.
     pub async fn run(self: Rc<SchedulerService>) {
-        let mut deployment_version = 0;
-        let mut roster_version = RosterVersion::default();
+        let mut synced = Synced::default();
         let mut view = self.shared.view.subscribe();
         loop {
             // A change of leadership wakes this up early, since prompts wait for the new scheduler.
@@ -41,9 +50,9 @@
                 log::info!("event=scheduler_started term={term}");
                 let first_ticket = term << TICKET_NUMBER_BITS;
                 *self.active.borrow_mut() = Some((term, self.new_scheduler(first_ticket)));
-                (deployment_version, roster_version) = (0, RosterVersion::default());
+                synced = Synced::default();
             }
-            self.sync(term, &mut deployment_version, &mut roster_version);
+            self.sync(term, &mut synced);
             self.query_doubted_engines();
             self.free_parts();
         }
@@ -56,21 +65,16 @@
         scheduler
     }
 
-    fn sync(
-        self: &Rc<SchedulerService>,
-        term: Term,
-        deployment_version: &mut u64,
-        roster_version: &mut RosterVersion,
-    ) {
+    fn sync(self: &Rc<SchedulerService>, term: Term, synced: &mut Synced) {
         let view = self.shared.view.borrow();
         let roster = self.shared.roster.borrow();
         let mut active = self.active.borrow_mut();
         let Some((_, scheduler)) = active.as_mut() else { return };
         let mut new_stores = Vec::new();
         if let Some(published) = &view.state.published
-            && published.version() > *deployment_version
+            && published.version() > synced.deployment
         {
-            *deployment_version = published.version();
+            synced.deployment = published.version();
             let before = scheduler.stores();
             scheduler.observe_deployment(&published.deployment);
             new_stores = scheduler.stores();
@@ -78,15 +82,20 @@
             // The deployment decides which services' targets the scheduler uses.
             scheduler.observe_roster(&roster.roster);
         }
-        if roster.version() != *roster_version && *deployment_version > 0 {
-            let is_first = roster_version.number == 0;
-            *roster_version = roster.version();
+        if roster.version() != synced.roster && synced.deployment > 0 {
+            let is_first = synced.roster.number == 0;
+            synced.roster = roster.version();
             scheduler.observe_roster(&roster.roster);
             if is_first {
                 let engines = scheduler.engines();
                 tokio::task::spawn_local(engine_cache_reader::run(self.clone(), engines, term));
             }
         }
+        for restart in self.shared.restarts.borrow().since(synced.restarts, boot_now()) {
+            let at = boot_now().saturating_sub(restart.age);
+            scheduler.may_have_restarted(&restart.target, at);
+        }
+        synced.restarts = self.shared.restarts.borrow().revision();
         scheduler.observe_changing(&self.shared.changing.borrow());
         scheduler.observe_evacuated(&self.shared.evacuated.borrow());
         scheduler.observe_named(&self.shared.named_since.borrow());
--- a/src/control/shared.rs
+++ b/src/control/shared.rs
@@ -19,6 +19,7 @@
 use crate::clock::{BootTime, boot_now};
 use crate::fleet::compact::CompactTargets;
 use crate::fleet::evacuation::EvacuatedDomains;
+use crate::fleet::restarts::{PossibleRestart, RestartNews};
 use crate::fleet::{Roster, RosterChange};
 use crate::ids::{DomainId, NodeId, TargetStart};
 use crate::log::Term;
@@ -78,6 +79,8 @@
     /// requests under which a single target has ended; those need not wake the connections to
     /// entries.
     pub suspects: watch::Sender<Revision>,
+    /// Targets that may have restarted. The list lags.
+    pub restarts: watch::Sender<RestartNews>,
     /// Connections to other replicas.
     pub links: SharedLinks,
     /// Hosts of replicas named by the settings or by other replicas.
@@ -262,6 +265,11 @@
         self.suspects.send_if_modified(|known| std::mem::replace(known, revision) != revision);
     }
 
+    /// Merges news of restarts from another process.
+    pub fn observe_restarts(&self, restarts: &[PossibleRestart]) {
+        self.restarts.send_if_modified(|known| known.merge(restarts, boot_now()));
+    }
+
     /// Merges ages of weight versions from another process.
     pub fn observe_ages(&self, named: NamedAges) {
         weights::observe_ages(&mut self.named_since.borrow_mut(), named, boot_now());
--- a/src/fleet/cold.rs
+++ b/src/fleet/cold.rs
@@ -50,7 +50,7 @@
     /// Records that the target may have ended. It is taken for cold for as long as a cold start
     /// lasts, and once more from its next answer.
     pub fn may_have_ended(&mut self, cold_start: &ColdStart, now: BootTime) {
-        self.may_have_ended_at = Some(now);
+        self.may_have_ended_at = self.may_have_ended_at.max(Some(now));
         self.presume(cold_start, now);
     }
 
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 pub mod listing;
 pub mod placement;
 pub mod regions;
+pub mod restarts;
 pub mod ring;
 pub mod roster;
 pub mod target_table;
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -342,6 +342,16 @@
         self.update_coldness(target, |coldness, limit| coldness.may_have_ended(limit, now))
     }
 
+    /// Records news that a target may have restarted at `at`.
+    pub fn may_have_restarted(&mut self, target: &TargetStart, at: BootTime) {
+        self.update_coldness(target, |coldness, limit| coldness.may_have_ended(limit, at));
+    }
+
+    /// Whether the targets of this one's service bear only a low rate after a start.
+    pub fn is_paced_when_cold(&self, target: &TargetStart) -> bool {
+        self.get(target).is_some_and(|state| self.cold_starts.contains_key(&state.listed.service))
+    }
+
     fn update_health(&mut self, target: &TargetStart, change: impl FnOnce(&mut Health)) {
         let Some(usage) = self.usage_mut(target) else { return };
         change(&mut usage.health);
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -187,6 +187,7 @@
             record.attempt_failed(target, &error.to_string());
             gateway.fleet.borrow_mut().unreachable(target, boot_now());
             if error.kind() == ErrorKind::ConnectionRefused {
+                gateway.connection_refused(target);
                 termination::record_termination(gateway, target, "refuses connections");
             }
             None
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -23,6 +23,7 @@
 use crate::fleet::budget::{RetryBudget, RetryLimit};
 use crate::fleet::cold::IndependentShare;
 use crate::fleet::compact::UnknownName;
+use crate::fleet::restarts::RestartNews;
 use crate::fleet::{FleetView, Listed, Presence, RosterChange};
 use crate::host::HostSettings;
 use crate::ids::TargetStart;
@@ -86,6 +87,8 @@
     pub retries: RefCell<RetryBudget>,
     /// Requests that repeatedly terminate targets.
     pub quarantine: watch::Sender<Quarantine>,
+    /// Targets that may have restarted, as noticed here.
+    pub restarts: watch::Sender<RestartNews>,
     /// Failed runs at targets that may have terminated.
     pub broken_runs: RefCell<BrokenRuns>,
     /// Notified after each probe of whether a target still listens.
@@ -148,6 +151,7 @@
             fleet: RefCell::default(),
             retries: RefCell::new(RetryBudget::new(rule, INITIAL_ENTRY_COUNT)),
             quarantine: watch::Sender::default(),
+            restarts: watch::Sender::default(),
             broken_runs: RefCell::default(),
             probe_finished: Notify::new(),
             pool: Pool::default(),
@@ -320,6 +324,12 @@
                     known.merge_reports(reports, boot_now())
                 });
             }
+            Update::Restarts(restarts) => {
+                let (now, mut fleet) = (boot_now(), self.fleet.borrow_mut());
+                for restart in restarts {
+                    fleet.may_have_restarted(&restart.target, now.saturating_sub(restart.age));
+                }
+            }
             Update::Domains(domains) => self.subscriptions.borrow_mut().observe_domains(domains),
             Update::RosterPiece(piece) => self.observe_piece(&piece)?,
             Update::RosterVersionOnly { leaving, .. } => {
@@ -441,10 +451,24 @@
             return;
         }
         log::info!("event=idle_connections_lost target={target}");
+        self.announce_restart(target);
         let event = PlacementEvent::IdleConnectionsLost { target: target.clone() };
         self.scheduler.send_event(event);
     }
 
+    /// Records that a target refuses connections, so that its process has ended.
+    pub fn connection_refused(&self, target: &TargetStart) {
+        if self.fleet.borrow().is_paced_when_cold(target) {
+            self.announce_restart(target);
+        }
+    }
+
+    /// Tells the other entries that a target may have restarted.
+    fn announce_restart(&self, target: &TargetStart) {
+        let now = boot_now();
+        self.restarts.send_if_modified(|known| known.observe(target, now, now));
+    }
+
     /// Returns a connection to the pool if the target is still in the roster.
     pub fn return_connection(&self, target: &TargetStart, connection: Connection) {
         if self.is_listed(target) {
--- a/src/gateway/subscription.rs
+++ b/src/gateway/subscription.rs
@@ -102,6 +102,9 @@
     // A restarted replica may have lost its quarantine, so it gets all reports at first.
     quarantine.mark_changed();
     let mut sent = Revision::default();
+    let mut restarts = gateway.restarts.subscribe();
+    let mut restarts_sent = 0;
+    restarts.mark_changed();
     let mut confirm = gateway.confirm_requests.subscribe();
     // Repeats the last request for a confirmation, as the previous replica may not have answered.
     if *confirm.borrow() > 0 {
@@ -118,6 +121,16 @@
                 changed.map_err(std::io::Error::other)?;
                 SubscriberRequest::Confirm(*confirm.borrow_and_update())
             }
+            changed = restarts.changed() => {
+                changed.map_err(std::io::Error::other)?;
+                let known = restarts.borrow_and_update();
+                let news = known.since(restarts_sent, boot_now());
+                restarts_sent = known.revision();
+                if news.is_empty() {
+                    continue;
+                }
+                SubscriberRequest::Restarts(news)
+            }
             changed = quarantine.changed() => {
                 changed.map_err(std::io::Error::other)?;
                 let known = quarantine.borrow_and_update();
--- a/src/scheduler/plan/events.rs
+++ b/src/scheduler/plan/events.rs
@@ -53,9 +53,7 @@
                     }
                 });
             }
-            PlacementEvent::IdleConnectionsLost { target } => {
-                self.observe_idle_connections_lost(target, now)
-            }
+            PlacementEvent::IdleConnectionsLost { target } => self.may_have_restarted(target, now),
             PlacementEvent::Ended { ticket, end } => {
                 let Some(placement) = self.tickets.remove(ticket) else { return };
                 self.end_placement(*ticket, placement, *end, now);
@@ -90,12 +88,12 @@
         }
     }
 
-    /// Takes an engine for cold that may have restarted while no prompt ran there.
-    fn observe_idle_connections_lost(&mut self, target: &TargetStart, now: BootTime) {
+    /// Takes an engine for cold that may have restarted at `at`.
+    pub fn may_have_restarted(&mut self, target: &TargetStart, at: BootTime) {
         let cold_starts = &self.cold_starts;
         self.engines.update_by_start(target, |engine| {
             if let Some(cold_start) = cold_starts.get(&engine.listed.service) {
-                engine.coldness.may_have_ended(cold_start, now);
+                engine.coldness.may_have_ended(cold_start, at);
             }
         });
     }
--- a/tests/deployment/cold.rs
+++ b/tests/deployment/cold.rs
@@ -1,22 +1,26 @@
 //! Cold targets: the rate of all hosts together at a target that has just started.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use kumquatpost::clock::boot_now;
+use kumquatpost::control::frames::{Update, VersionedRoster};
 use kumquatpost::deployment::{Service, ServiceRole};
 use kumquatpost::fleet::cold::{ColdStart, IndependentShare, Pacer};
 use kumquatpost::fleet::evacuation::{EvacuatedDomains, EvacuationOrder, Evacuations};
+use kumquatpost::fleet::restarts::RestartNews;
 use kumquatpost::fleet::{FleetView, Listed};
 use kumquatpost::ids::TargetStart;
 use kumquatpost::scheduler::{EndReason, PlacementEvent, Scheduler};
 
 use crate::fixtures::{address, ms, roster, start, target};
-use crate::gateway::{deployment_with_long_timeouts, ok_response, run_local, start_entry};
+use crate::gateway::{Entry, deployment_with_long_timeouts, ok_response, run_local, start_entry};
 use crate::load::{
     Simulation, end_placement, engines, expect_placed, placement_request, scheduler,
     simulated_deployment,
 };
+use crate::scheduler_service::leader_state;
 use crate::stand_in::{AfterAnswer, StandIn};
 
 const COLD_START: ColdStart = ColdStart { duration: Duration::from_secs(3), requests_per_s: 18.0 };
@@ -290,3 +294,50 @@
         });
     }
 }
+
+/// Guards against full load on a restarted target by entries that place requests themselves: only the
+/// one that was refused a connection knew of the restart.
+#[test]
+fn entries_tell_each_other_of_a_restart_through_replicas() {
+    run_local(async {
+        let mut deployment = deployment_with_long_timeouts();
+        deployment.services.get_mut("app").expect("a service").cold_start = Some(COLD_START);
+        // Nothing listens there.
+        let listed = || vec![target("i-1", "app", SocketAddr::from(([127, 0, 0, 1], 1)))];
+        let refused = start_entry(deployment.clone(), listed()).await;
+        let other = start_entry(deployment, listed()).await;
+        let is_taken_for_cold = |entry: &Entry| {
+            let fleet = entry.gateway.fleet.borrow();
+            let state = fleet.get(&start("i-1")).expect("listed");
+            fleet.cold_limit(state, boot_now()).is_some()
+        };
+        assert_ne!(refused.call("/safe/a", "r1").await.status, 200);
+        assert!(is_taken_for_cold(&refused) && !is_taken_for_cold(&other));
+        // The replicas of both entries.
+        let replicas = [1, 2].map(|term| leader_state(term, VersionedRoster::default()));
+        let news = refused.gateway.restarts.borrow().since(0, boot_now());
+        replicas[0].observe_restarts(&news);
+        replicas[1].observe_restarts(&replicas[0].restarts.borrow().since(0, boot_now()));
+        let news = replicas[1].restarts.borrow().since(0, boot_now());
+        other.gateway.observe(Update::Restarts(news)).expect("a valid update");
+        assert!(is_taken_for_cold(&other));
+    });
+}
+
+/// The scheduler of a new leader must pace engines whose restart its predecessor was told of.
+#[test]
+fn news_of_a_restart_are_kept_for_a_new_scheduler_and_then_forgotten() {
+    let mut news = RestartNews::default();
+    assert!(news.observe(&start("i-00"), ms(5_000), ms(5_000)));
+    assert!(!news.observe(&start("i-00"), ms(5_100), ms(5_100)), "the same restart");
+    assert!(news.observe(&start("i-00"), ms(5_400), ms(5_400)), "another one");
+    let kept = news.since(0, ms(6_000));
+    assert_eq!(kept.iter().map(|restart| restart.age).collect::<Vec<_>>(), [ms(600)]);
+    assert!(news.since(news.revision(), ms(6_000)).is_empty());
+    let mut scheduler = scheduler(1);
+    with_cold_start(&mut scheduler);
+    scheduler.may_have_restarted(&kept[0].target, ms(6_000) - kept[0].age);
+    let times = storm(&mut scheduler, 6_000, 8_300).remove(&start("i-00")).expect("placements");
+    assert!(max_per_second(&times) <= 18, "{}", max_per_second(&times));
+    assert!(news.since(0, ms(10_500)).is_empty());
+}
--- a/tests/deployment/headers.rs
+++ b/tests/deployment/headers.rs
@@ -164,6 +164,9 @@
     );
     assert_eq!(metadata.weight_version, Some(2));
     assert_eq!(metadata.idle_timeout, Some(Duration::from_secs(5)));
+    // Some services add the current speed of the host.
+    let with_speed = headers::decode_response(&header_map(&[("x-server-load", "3,1,48,140")]));
+    assert_eq!(with_speed.load, metadata.load);
     let broken =
         headers::decode_response(&header_map(&[("x-server-load", "3,"), ("keep-alive", "x")]));
     assert_eq!((broken.load, broken.idle_timeout), (None, None));
