--- a/src/control/engine_cache_reader.rs
+++ b/src/control/engine_cache_reader.rs
@@ -23,9 +23,9 @@
 /// Maximum number of engines read concurrently. An answer takes up to several hundred kilobytes.
 const MAX_CONCURRENT_READS: usize = 6;
 
-/// Time limit for reading all engines. The scheduler has other work, and among thousands of engines
-/// a single one matters little.
-const TOTAL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time limit for reading all engines. Prompts wait for about half of it. After that the reads
+/// compete with placements, and among thousands of engines a single one matters little.
+const TOTAL_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Reads the events that the engines still retain and passes them to the scheduler.
 pub async fn run(
