Encode a deployment once and send it from one replica

And each entry got each deployment from both replicas that it subscribes to, one of them mostly in another failure domain.

The frame is encoded once for a version. The replica from which an entry gets no full changes holds a deployment back for 100 ms, and the entry tells it which one it has. An entry without a deployment, or one that waits for a confirmation, gets it at once, so a confirmation still follows what it confirms.

--- a/src/control/frames.rs
+++ b/src/control/frames.rs
@@ -71,6 +71,8 @@
     Quarantine(Vec<Report>),
     /// Targets that may have restarted.
     Restarts(Vec<PossibleRestart>),
+    /// The entry has this deployment, from whichever replica.
+    DeploymentHeld(DeploymentVersion),
     /// Asks for an `Update::Confirmed` once the entry has been sent the newest deployment.
     Confirm(ConfirmId),
 }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod age_recorder;
 pub mod checksummed_file;
+pub mod deployment_schedule;
 pub mod engine_cache_reader;
 pub mod engine_report;
 pub mod frames;
--- a/src/control/publisher.rs
+++ b/src/control/publisher.rs
@@ -13,6 +13,7 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
+use super::deployment_schedule::DeploymentSchedule;
 use super::frames::{self, ConfirmId, Handshake, ReplicaFrame, SubscriberRequest, Update, encode};
 use super::replica::Input;
 use super::roster_publisher::RosterPublisher;
@@ -126,7 +127,7 @@
     let mut suspects = shared.suspects.subscribe();
     let mut restarts = shared.restarts.subscribe();
     view.mark_changed();
-    let mut sent = Sent { version: deployment, ..Sent::default() };
+    let mut sent = Sent { deployment: DeploymentSchedule::new(deployment), ..Sent::default() };
     let mut roster_publisher = RosterPublisher::default();
     let mut incoming = pin!(next_request(read));
     let mut next_poll = Instant::now();
@@ -142,6 +143,7 @@
                     }
                     SubscriberRequest::Quarantine(reports) => shared.observe_quarantine(reports),
                     SubscriberRequest::Restarts(restarts) => shared.observe_restarts(&restarts),
+                    SubscriberRequest::DeploymentHeld(version) => sent.deployment.observe_held(version),
                     SubscriberRequest::Confirm(id) => sent.confirm = Some(id),
                 }
                 incoming.set(next_request(read));
@@ -162,7 +164,7 @@
                     Instant::now() + if is_current { HEARTBEAT_INTERVAL } else { POLL_INTERVAL };
             }
         }
-        sent.add_changes(shared, &mut bytes);
+        sent.add_changes(shared, roster_publisher.is_secondary(), &mut bytes);
         if shared.is_current(MAX_STALENESS)
             && let Some(frame) = roster_publisher.next_frame(shared)
         {
@@ -185,7 +187,7 @@
 /// What was last sent to an entry, except for the roster.
 #[derive(Default)]
 struct Sent {
-    version: DeploymentVersion,
+    deployment: DeploymentSchedule,
     /// A confirmation request that has not been answered yet.
     confirm: Option<ConfirmId>,
     domains: BTreeMap<IpAddr, DomainId>,
@@ -204,7 +206,7 @@
 
 impl Sent {
     /// Appends everything that has changed since it was last sent and may be published now.
-    fn add_changes(&mut self, shared: &Shared, bytes: &mut Vec<u8>) {
+    fn add_changes(&mut self, shared: &Shared, is_secondary: bool, bytes: &mut Vec<u8>) {
         // Before anything else, since an entry starts to serve once it has received the rest.
         self.add_quarantine(shared, bytes);
         self.add_restarts(shared, bytes);
@@ -215,12 +217,12 @@
             self.add_leader(shared, bytes);
             self.add_weights(shared, bytes);
             self.add_evacuations(shared, bytes);
-            self.add_deployment(shared, bytes);
+            self.add_deployment(shared, is_secondary, bytes);
             self.add_confirmation(shared, bytes);
-        } else if self.version > 0 {
+        } else if self.deployment.held() > 0 {
             // Newer committed state is always safe for an entry that already has older state.
             self.add_evacuations(shared, bytes);
-            self.add_deployment(shared, bytes);
+            self.add_deployment(shared, is_secondary, bytes);
         }
     }
 
@@ -311,14 +313,15 @@
         }
     }
 
-    /// Appends the newest deployment known here if the entry has an older one.
-    fn add_deployment(&mut self, shared: &Shared, bytes: &mut Vec<u8>) {
+    /// Appends the newest deployment known here if the entry should be sent it now.
+    fn add_deployment(&mut self, shared: &Shared, is_secondary: bool, bytes: &mut Vec<u8>) {
         let view = shared.view.borrow();
-        if let Some(published) = &view.state.published
-            && published.version() > self.version
-        {
-            self.version = published.version();
-            bytes.extend_from_slice(&encode(&Update::Deployment(published.deployment.clone())));
+        let Some(published) = &view.state.published else { return };
+        let newest = published.version();
+        let awaits_confirmation = self.confirm.is_some();
+        if self.deployment.should_send(newest, is_secondary, awaits_confirmation, boot_now()) {
+            self.deployment.observe_held(newest);
+            bytes.extend_from_slice(&shared.deployment_frame(&published.deployment));
         }
     }
 }
--- a/src/control/roster_publisher.rs
+++ b/src/control/roster_publisher.rs
@@ -50,6 +50,11 @@
         };
     }
 
+    /// Whether the entry gets full changes from another replica.
+    pub fn is_secondary(&self) -> bool {
+        self.detail == RosterDetail::Versions
+    }
+
     /// Whether pieces are left to send.
     pub fn is_sending(&self) -> bool {
         matches!(self.sent, Sent::Pieces { .. })
--- a/src/control/run.rs
+++ b/src/control/run.rs
@@ -92,6 +92,7 @@
             RosterVersion::default(),
             Arc::from([]),
         )),
+        deployment_update: RefCell::new((0, Arc::from([]))),
         reader_election: Cell::new(ReaderElection::new(boot_now())),
         caught_up_at: Cell::new(None),
         connected_entries: RefCell::default(),
--- a/src/control/shared.rs
+++ b/src/control/shared.rs
@@ -17,6 +17,8 @@
 use super::state::ControlState;
 use super::weight_ages;
 use crate::clock::{BootTime, boot_now};
+use crate::deployment::Deployment;
+use crate::deployment::document::DeploymentVersion;
 use crate::fleet::compact::CompactTargets;
 use crate::fleet::evacuation::EvacuatedDomains;
 use crate::fleet::restarts::{PossibleRestart, RestartNews};
@@ -55,6 +57,8 @@
     /// The cached frame of the last roster change, with the versions before and after it. Most
     /// entries get the same frame.
     pub roster_update: RefCell<(RosterVersion, RosterVersion, Arc<[u8]>)>,
+    /// The cached frame of the newest deployment.
+    pub deployment_update: RefCell<(DeploymentVersion, Arc<[u8]>)>,
     /// Decides when this replica reads the target list.
     pub reader_election: Cell<ReaderElection>,
     /// When this replica was last known to have every committed log entry.
@@ -238,6 +242,16 @@
         update.2.clone()
     }
 
+    /// The frame that transfers a deployment, which is the same for all entries. Encoding one of
+    /// 260 routes for each of 200 entries delays heartbeats to the leader.
+    pub fn deployment_frame(&self, deployment: &Arc<Deployment>) -> Arc<[u8]> {
+        let mut cached = self.deployment_update.borrow_mut();
+        if cached.0 != deployment.version {
+            *cached = (deployment.version, encode(&Update::Deployment(deployment.clone())));
+        }
+        cached.1.clone()
+    }
+
     /// Records the weight versions in the replicated state, with their estimated ages.
     pub(super) fn observe_named(&self, state: &ControlState, now: BootTime) {
         let mut named = self.named_since.borrow_mut();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -87,6 +87,8 @@
     pub retries: RefCell<RetryBudget>,
     /// Requests that repeatedly terminate targets.
     pub quarantine: watch::Sender<Quarantine>,
+    /// Version of the newest known deployment; 0 if there is none.
+    pub deployment_held: watch::Sender<DeploymentVersion>,
     /// Targets that may have restarted, as noticed here.
     pub restarts: watch::Sender<RestartNews>,
     /// Failed runs at targets that may have terminated.
@@ -151,6 +153,7 @@
             fleet: RefCell::default(),
             retries: RefCell::new(RetryBudget::new(rule, INITIAL_ENTRY_COUNT)),
             quarantine: watch::Sender::default(),
+            deployment_held: watch::Sender::default(),
             restarts: watch::Sender::default(),
             broken_runs: RefCell::default(),
             probe_finished: Notify::new(),
@@ -486,6 +489,7 @@
                 deployment.routes.len()
             );
             self.fleet.borrow_mut().observe_services(&deployment.services);
+            self.deployment_held.send_replace(deployment.version);
             *table = Some(Rc::new(RoutingTable::new(deployment)));
             self.state_changed.notify_waiters();
         }
--- a/src/gateway/subscription.rs
+++ b/src/gateway/subscription.rs
@@ -104,6 +104,8 @@
     let mut sent = Revision::default();
     let mut restarts = gateway.restarts.subscribe();
     let mut restarts_sent = 0;
+    // The handshake has told the version known so far.
+    let mut held = gateway.deployment_held.subscribe();
     restarts.mark_changed();
     let mut confirm = gateway.confirm_requests.subscribe();
     // Repeats the last request for a confirmation, as the previous replica may not have answered.
@@ -121,6 +123,10 @@
                 changed.map_err(std::io::Error::other)?;
                 SubscriberRequest::Confirm(*confirm.borrow_and_update())
             }
+            changed = held.changed() => {
+                changed.map_err(std::io::Error::other)?;
+                SubscriberRequest::DeploymentHeld(*held.borrow_and_update())
+            }
             changed = restarts.changed() => {
                 changed.map_err(std::io::Error::other)?;
                 let known = restarts.borrow_and_update();
--- a/tests/deployment/many_hosts.rs
+++ b/tests/deployment/many_hosts.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use kumquatpost::control::deployment_schedule::DeploymentSchedule;
 use kumquatpost::control::frames::{
     RosterDetail, RosterSubscription, Update, VersionedRoster, encode,
 };
@@ -19,7 +20,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use crate::fixtures::{address, ms, roster, target};
+use crate::fixtures::{address, deployment, ms, roster, target};
 use crate::scheduler_service::leader_state;
 
 const HOSTS: usize = 300;
@@ -405,3 +406,34 @@
         read_start = read_end + READ_INTERVAL;
     }
 }
+
+/// Guards against encoding a large deployment once for each entry: replicas missed their heartbeats
+/// meanwhile, and the leader placed no prompts.
+#[test]
+fn a_deployment_is_encoded_once_for_all_entries() {
+    let replica = leader_state(1, list(1));
+    let newest = Arc::new(deployment(7));
+    let frame = replica.deployment_frame(&newest);
+    assert_eq!(frame, encode(&Update::Deployment(newest.clone())));
+    assert!(Arc::ptr_eq(&frame, &replica.deployment_frame(&newest)));
+    let later = Arc::new(deployment(8));
+    assert_eq!(replica.deployment_frame(&later), encode(&Update::Deployment(later)));
+}
+
+/// An entry subscribes to two replicas, mostly in different failure domains. Guards against sending
+/// each deployment twice: six versions of 100 KB to 985 entries were most of the bytes between
+/// failure domains.
+#[test]
+fn a_second_replica_sends_a_deployment_only_if_the_first_one_does_not() {
+    let mut first = DeploymentSchedule::new(7);
+    assert!(!first.should_send(7, false, false, ms(0)));
+    assert!(first.should_send(8, false, false, ms(0)));
+    let mut second = DeploymentSchedule::new(7);
+    assert!(!second.should_send(8, true, false, ms(0)));
+    second.observe_held(8);
+    assert!(!second.should_send(8, true, false, ms(500)), "the entry has it");
+    assert!(!second.should_send(9, true, false, ms(1_000)));
+    assert!(second.should_send(9, true, false, ms(1_250)), "the first replica did not send it");
+    assert!(second.should_send(9, true, true, ms(1_000)), "the entry waits for a confirmation");
+    assert!(DeploymentSchedule::new(0).should_send(9, true, false, ms(0)), "the entry has none");
+}
--- a/tests/deployment/scheduler_service.rs
+++ b/tests/deployment/scheduler_service.rs
@@ -55,6 +55,7 @@
             RosterVersion::default(),
             Arc::from([]),
         )),
+        deployment_update: RefCell::new((0, Arc::from([]))),
         reader_election: Cell::new(ReaderElection::new(boot_now())),
         // Leadership stays confirmed for longer than a test runs.
         caught_up_at: Cell::new(Some(boot_now() + ms(600_000))),
