--- a/tests/deployment/many_hosts.rs
+++ b/tests/deployment/many_hosts.rs
@@ -421,8 +421,7 @@
 }
 
 /// An entry subscribes to two replicas, mostly in different failure domains. Guards against sending
-/// each deployment twice: six versions of 100 KB to 985 entries were most of the bytes between
-/// failure domains.
+/// each deployment twice.
 #[test]
 fn a_second_replica_sends_a_deployment_only_if_the_first_one_does_not() {
     let mut first = DeploymentSchedule::new(7);
