--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -44,6 +44,7 @@
 mod scheduler_service;
 mod scheduling;
 mod settings;
+mod slow_readers;
 mod sources;
 mod stand_in;
 mod starts;
