Take a target out of the service that it leaves

An entry that applied a change by which a start's service changed kept the start among the targets of its former service, and would have sent requests there. Found by reading; the property test of applied changes covers it now and fails without this.

--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -113,6 +113,8 @@
             before => (None, before),
         };
         earlier_start.into_iter().for_each(|earlier| self.unlist(earlier));
+        // Its service may have changed.
+        before.iter().for_each(|before| self.withdraw(before));
         let is_announced = before.is_none() && self.announced_leaving.contains_key(&start);
         match self.used.get_mut(&start) {
             Some(usage) => usage.relisted(before.as_deref(), &listed),
@@ -139,9 +141,7 @@
     fn unlist(&mut self, listed: Arc<Listed>) {
         let start = &listed.start;
         self.listed_leaving.remove(start);
-        if let Some(ring) = self.in_service.get_mut(&listed.service) {
-            ring.remove(start);
-        }
+        self.withdraw(&listed);
         match self.used.get_mut(start) {
             Some(usage) if usage.running > 0 => usage.unlisted = Some(listed),
             _ => self.forget(&listed.start),
@@ -160,7 +160,14 @@
         if takes_work {
             let ring = self.in_service.entry(listed.service.clone()).or_default();
             ring.insert(listed.clone());
-        } else if let Some(ring) = self.in_service.get_mut(&listed.service) {
+        } else {
+            self.withdraw(listed);
+        }
+    }
+
+    /// Removes a target from those that take work.
+    fn withdraw(&mut self, listed: &Listed) {
+        if let Some(ring) = self.in_service.get_mut(&listed.service) {
             ring.remove(&listed.start);
         }
     }
--- a/tests/deployment/fleet_size.rs
+++ b/tests/deployment/fleet_size.rs
@@ -142,7 +142,8 @@
         let mut known = Roster::default();
         for step in steps {
             let listed = step.iter().map(|(id, (kind, born_ms))| {
-                let mut listed = target(&format!("i-{id}"), "llm", address(u16::from(*id)));
+                let service = if *kind == 3 { "app" } else { "llm" };
+                let mut listed = target(&format!("i-{id}"), service, address(u16::from(*id)));
                 listed.start.born_ms = Some(*born_ms);
                 listed.slots = 40 + u32::from(*kind);
                 listed
@@ -159,10 +160,13 @@
             whole.update(&later);
             prop_assert_eq!(applied.listed(), whole.listed());
             prop_assert_eq!(applied.listed().digest(), digest);
-            let live = |view: &FleetView| -> BTreeMap<_, _> {
-                view.live("llm").map(|state| (state.listed.start.clone(), state.listed.slots)).collect()
-            };
-            prop_assert_eq!(live(&applied), live(&whole));
+            for service in ["llm", "app"] {
+                let live = |view: &FleetView| -> BTreeMap<_, _> {
+                    let live = view.live(service);
+                    live.map(|state| (state.listed.start.clone(), state.listed.slots)).collect()
+                };
+                prop_assert_eq!(live(&applied), live(&whole));
+            }
             known = later;
         }
     }
