--- a/src/fleet/placement.rs
+++ b/src/fleet/placement.rs
@@ -97,16 +97,16 @@
         Some(prompt) => context_hash(prompt, criteria.cache_namespace),
         None => mix(criteria.tie_breaker),
     };
-    let mut survey = Survey::default();
+    let mut summary = SearchSummary::default();
     let mut targets = view.live_from(criteria.service, key);
     loop {
         let candidates: Vec<TargetState<'_>> = targets
             .by_ref()
-            .filter(|state| survey.is_eligible(view, criteria, *state, now))
+            .filter(|state| summary.is_eligible(view, criteria, *state, now))
             .take(MAX_CANDIDATES)
             .collect();
         if candidates.is_empty() {
-            return Err(survey.error());
+            return Err(summary.error());
         }
         let choices = match criteria.prompt {
             Some(prompt) => engine_choices(&candidates, prompt, key, criteria, now),
@@ -117,21 +117,21 @@
         });
         // None if all candidates run older weights than may still be used.
         if let Some(best) = best {
-            return Ok(Choice { examined: survey.examined, ..best });
+            return Ok(Choice { examined: summary.examined, ..best });
         }
     }
 }
 
 /// What was found of the targets of a service.
 #[derive(Clone, Copy, Debug, Default)]
-struct Survey {
+struct SearchSummary {
     examined: usize,
     is_listed: bool,
     is_healthy: bool,
     is_eligible: bool,
 }
 
-impl Survey {
+impl SearchSummary {
     /// Whether a target may take the request, apart from its weights.
     fn is_eligible(
         &mut self,
