Tell why a retry was granted or denied

Request lines tell the verdict of the retry budget, the retries of this entry in the window, the number that it may make and the number of entries that share the slack; kumquatpost_retries counts the verdicts by service.

--- a/src/fleet/budget.rs
+++ b/src/fleet/budget.rs
@@ -20,6 +20,18 @@
     pub window: Duration,
 }
 
+/// Whether a retry may be made, and why.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryDecision {
+    pub is_granted: bool,
+    /// Retries in the current window, including this one if it is granted.
+    pub retries: usize,
+    /// Retries that this entry may make in the window.
+    pub allowed: f64,
+    /// Number of entries that share the slack.
+    pub entries: u32,
+}
+
 /// Counts requests and retries of each service in a sliding window.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
@@ -55,16 +67,18 @@
         self.counts(service, now).requests.push_back(now);
     }
 
-    /// Takes one retry from the budget; false if it is exhausted.
-    pub fn try_retry(&mut self, service: &ServiceId, now: BootTime) -> bool {
-        let (ratio, slack) = (self.limit.ratio, self.limit.slack / f64::from(self.entries));
+    /// Takes one retry from the budget unless it is exhausted.
+    pub fn try_retry(&mut self, service: &ServiceId, now: BootTime) -> RetryDecision {
+        let (entries, ratio) = (self.entries, self.limit.ratio);
+        let slack = self.limit.slack / f64::from(entries);
         let counts = self.counts(service, now);
         let allowed = (ratio * counts.requests.len() as f64 + slack) * USED_FRACTION;
-        if counts.retries.len() as f64 + 1.0 > allowed.max(1.0) {
-            return false;
+        let allowed = allowed.max(1.0);
+        let is_granted = counts.retries.len() as f64 + 1.0 <= allowed;
+        if is_granted {
+            counts.retries.push_back(now);
         }
-        counts.retries.push_back(now);
-        true
+        RetryDecision { is_granted, retries: counts.retries.len(), allowed, entries }
     }
 
     fn counts(&mut self, service: &ServiceId, now: BootTime) -> &mut Counts {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -214,9 +214,7 @@
             .await;
         }
         self.record.set_outcome(Outcome::BrokenOff);
-        let has_retry_budget =
-            || self.gateway.retries.borrow_mut().try_retry(&self.routed.service, boot_now());
-        if !may_resume || !has_retry_budget() {
+        if !may_resume || !self.gateway.try_retry(&self.routed.service, &mut self.record) {
             return Err(reason.into());
         }
         self.events.discard_partial();
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -229,7 +229,7 @@
                 tried.push(target);
                 let wants_another = received.response.status().is_server_error()
                     && routed.route.policy == RunPolicy::Idempotent;
-                if !(wants_another && may_retry(gateway, &routed, &tried)) {
+                if !(wants_another && may_retry(gateway, &routed, &tried, &mut record)) {
                     return relay_response(gateway, routed, record, tried, received).await;
                 }
                 may_have_run = true;
@@ -263,7 +263,7 @@
             (_, attempt_refusal) => attempt_refusal,
         };
         let may_repeat = !may_have_run || routed.route.policy.may_repeat();
-        if !may_repeat || !may_retry(gateway, &routed, &tried) {
+        if !may_repeat || !may_retry(gateway, &routed, &tried, &mut record) {
             return refuse(refusal, &routed.metadata.id, &record);
         }
     }
@@ -279,10 +279,15 @@
     (has_another && !wait.is_zero()).then(|| wait.max(least))
 }
 
-fn may_retry(gateway: &Gateway, routed: &RoutedRequest, tried: &[TargetStart]) -> bool {
+fn may_retry(
+    gateway: &Gateway,
+    routed: &RoutedRequest,
+    tried: &[TargetStart],
+    record: &mut RequestRecord,
+) -> bool {
     (tried.len() as u32) < routed.route.attempts.max(2)
         && Instant::now() < routed.deadline
-        && gateway.retries.borrow_mut().try_retry(&routed.service, boot_now())
+        && gateway.try_retry(&routed.service, record)
 }
 
 async fn relay_response(
--- a/src/gateway/request_record.rs
+++ b/src/gateway/request_record.rs
@@ -11,7 +11,8 @@
 use super::target_selection::SelectedTarget;
 use crate::clock::{BootTime, boot_now};
 use crate::deployment::document::DeploymentVersion;
-use crate::ids::TargetStart;
+use crate::fleet::budget::RetryDecision;
+use crate::ids::{ServiceId, TargetStart};
 use crate::quarantine::Fingerprint;
 use crate::telemetry::metrics::label;
 
@@ -119,6 +120,18 @@
         let _ = write!(self.attempts, " at_ms={at_ms} failed={target} reason={reason:?}");
     }
 
+    /// Records whether the retry budget allows another attempt.
+    pub fn retry_decided(&mut self, service: &ServiceId, decision: &RetryDecision) {
+        let RetryDecision { is_granted, retries, allowed, entries } = decision;
+        let verdict = if *is_granted { "granted" } else { "denied" };
+        let labels = [label("service", service), label("verdict", verdict)];
+        self.gateway.metrics.retries.add(1, &labels);
+        let _ = write!(
+            self.attempts,
+            " retry={verdict} retries={retries} allowed={allowed:.1} entries={entries}"
+        );
+    }
+
     /// Sets the fingerprint, by which the log lines of a caller's retries can be found.
     pub fn set_fingerprint(&mut self, fingerprint: Fingerprint) {
         if self.fingerprint.replace(fingerprint).is_none() {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -12,6 +12,7 @@
 use super::freshness::{Freshness, Verdict};
 use super::log_limiter::RequestLogLimiter;
 use super::pool::{Connection, Pool};
+use super::request_record::RequestRecord;
 use super::routed_request::RoutedRequest;
 use super::scheduler_client::SchedulerClient;
 use super::subscription_policy::{HeldRoster, Subscriptions};
@@ -26,7 +27,7 @@
 use crate::fleet::restarts::RestartNews;
 use crate::fleet::{FleetView, Listed, Presence, RosterChange};
 use crate::host::HostSettings;
-use crate::ids::TargetStart;
+use crate::ids::{ServiceId, TargetStart};
 use crate::log::Term;
 
 use crate::quarantine::broken_runs::BrokenRuns;
@@ -195,6 +196,13 @@
         self.metrics.text()
     }
 
+    /// Takes a retry from the budget; false if it is exhausted.
+    pub fn try_retry(&self, service: &ServiceId, record: &mut RequestRecord) -> bool {
+        let decision = self.retries.borrow_mut().try_retry(service, boot_now());
+        record.retry_decided(service, &decision);
+        decision.is_granted
+    }
+
     /// The share of this entry in the requests to cold targets.
     pub fn cold_share(&self) -> IndependentShare {
         IndependentShare { entries: self.retries.borrow().entries(), seed: self.cold_share_seed }
--- a/tests/deployment/budget.rs
+++ b/tests/deployment/budget.rs
@@ -8,7 +8,7 @@
     RetryLimit { ratio: 0.2, slack: 56.0, window: std::time::Duration::from_secs(10) };
 
 fn count_allowed_retries(budget: &mut RetryBudget, at: u64) -> usize {
-    (0..1_000).filter(|_| budget.try_retry(&"app".to_string(), ms(at))).count()
+    (0..1_000).filter(|_| budget.try_retry(&"app".to_string(), ms(at)).is_granted).count()
 }
 
 #[test]
@@ -39,7 +39,7 @@
 #[test]
 fn each_service_has_its_own_budget_of_at_least_one_retry() {
     let mut budget = RetryBudget::new(RETRY_LIMIT, 10_000);
-    assert!(budget.try_retry(&"a".to_string(), ms(0)));
-    assert!(!budget.try_retry(&"a".to_string(), ms(1)));
-    assert!(budget.try_retry(&"b".to_string(), ms(2)));
+    assert!(budget.try_retry(&"a".to_string(), ms(0)).is_granted);
+    assert!(!budget.try_retry(&"a".to_string(), ms(1)).is_granted);
+    assert!(budget.try_retry(&"b".to_string(), ms(2)).is_granted);
 }
