--- a/tests/deployment/budget.rs
+++ b/tests/deployment/budget.rs
@@ -1,11 +1,31 @@
-//! Retry budgets of single entries.
+//! Retry budgets of single entries, and what all entries together spend.
+
+use std::time::Duration;
 
 use kumquatpost::fleet::budget::{RetryBudget, RetryLimit};
 
 use crate::fixtures::ms;
 
 const RETRY_LIMIT: RetryLimit =
-    RetryLimit { ratio: 0.2, slack: 56.0, window: std::time::Duration::from_secs(10) };
+    RetryLimit { ratio: 0.2, slack: 56.0, window: Duration::from_secs(10) };
+/// A time at which entries have run for longer than a window.
+const SETTLED: Duration = Duration::from_secs(60);
+
+/// The budget of an entry that started at `at` and has been told the number of entries.
+fn budget_started(entries: u32, _at: Duration) -> RetryBudget {
+    RetryBudget::new(RETRY_LIMIT, entries)
+}
+
+fn tell_entries(budget: &mut RetryBudget, entries: u32, _at: Duration) {
+    budget.set_entries(entries);
+}
+
+/// Records requests, makes as many retries as the budget allows, and returns their number.
+fn spend_all(budget: &mut RetryBudget, requests: usize, at: Duration) -> usize {
+    let service = "app".to_string();
+    (0..requests).for_each(|_| budget.record_request(&service, at));
+    (0..1_000).filter(|_| budget.try_retry(&service, at).is_granted).count()
+}
 
 fn count_allowed_retries(budget: &mut RetryBudget, at: u64) -> usize {
     (0..1_000).filter(|_| budget.try_retry(&"app".to_string(), ms(at)).is_granted).count()
@@ -43,3 +63,46 @@
     assert!(!budget.try_retry(&"a".to_string(), ms(1)).is_granted);
     assert!(budget.try_retry(&"b".to_string(), ms(2)).is_granted);
 }
+
+// Guards against more retries than the limit of all entries while entries restart again and again.
+#[test]
+fn entries_that_restart_within_a_window_stay_within_the_retry_limit() {
+    const ENTRIES: u32 = 8;
+    const REQUESTS: usize = 10;
+    for restarts in [1, 4, 16] {
+        let mut retries = 0;
+        for _ in 0..ENTRIES {
+            let mut budget = budget_started(ENTRIES, Duration::ZERO);
+            retries += spend_all(&mut budget, REQUESTS, SETTLED);
+            for restart in 1..=restarts {
+                let at = SETTLED + ms(500) * restart;
+                let mut budget = budget_started(ENTRIES, at);
+                retries += spend_all(&mut budget, REQUESTS, at + ms(400));
+            }
+        }
+        let requests = REQUESTS as f64 * f64::from(ENTRIES * (restarts + 1));
+        let allowed = RETRY_LIMIT.ratio * requests + RETRY_LIMIT.slack;
+        assert!(retries as f64 <= allowed, "{restarts} restarts: {retries} of {allowed}");
+    }
+}
+
+// Guards against shares that grow while retries of entries that have ended still count.
+#[test]
+fn entries_that_end_leave_their_shares_unused_for_a_window() {
+    const ENTRIES: u32 = 8;
+    let mut budgets: Vec<RetryBudget> =
+        (0..ENTRIES).map(|_| budget_started(ENTRIES, Duration::ZERO)).collect();
+    let mut retries: usize = budgets.iter_mut().map(|budget| spend_all(budget, 0, SETTLED)).sum();
+    let mut survivor = budgets.remove(0);
+    tell_entries(&mut survivor, ENTRIES, SETTLED);
+    for after_ms in [300, 5_000, 9_000] {
+        let at = SETTLED + ms(after_ms);
+        tell_entries(&mut survivor, 1, at);
+        retries += spend_all(&mut survivor, 0, at);
+    }
+    assert!(retries as f64 <= RETRY_LIMIT.slack, "{retries} of {}", RETRY_LIMIT.slack);
+    let later = SETTLED + ms(300) + RETRY_LIMIT.window * 2;
+    tell_entries(&mut survivor, 1, later);
+    let last = spend_all(&mut survivor, 0, later);
+    assert!(last as f64 >= RETRY_LIMIT.slack * 0.5, "the only entry got {last}");
+}
