Give a new process no slack of the retry limit for a window

A process that starts again has spent nothing, so each life of an entry got a whole share of the slack and one retry for each service.

A process now has neither until it is one window old, when what its predecessor spent has left the window. It retries for its own requests meanwhile. budget::entries_that_restart_within_a_window_stay_within_the_retry_limit failed before (96 of 88 after one restart). The tests of settled entries create them a window earlier; their bounds are unchanged.

--- a/src/fleet/budget.rs
+++ b/src/fleet/budget.rs
@@ -33,9 +33,15 @@
 }
 
 /// Counts requests and retries of each service in a sliding window.
+///
+/// An earlier process of the same entry may have spent its share of the slack just before it ended.
+/// The limit counts these retries for a window, so a new process has only the retries that its own
+/// requests allow until then.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     limit: RetryLimit,
+    /// When the slack becomes available.
+    slack_from: BootTime,
     /// Number of entries that share the slack, including this one.
     entries: u32,
     services: HashMap<ServiceId, Counts>,
@@ -48,9 +54,14 @@
 }
 
 impl RetryBudget {
-    /// Creates the budget of one of `entries` entries.
-    pub fn new(limit: RetryLimit, entries: u32) -> RetryBudget {
-        RetryBudget { limit, entries: entries.max(1), services: HashMap::new() }
+    /// Creates the budget of one of `entries` entries, whose process starts now.
+    pub fn new(limit: RetryLimit, entries: u32, now: BootTime) -> RetryBudget {
+        RetryBudget {
+            limit,
+            slack_from: now + limit.window,
+            entries: entries.max(1),
+            services: HashMap::new(),
+        }
     }
 
     /// Number of entries that share the budget, including this one.
@@ -70,10 +81,11 @@
     /// Takes one retry from the budget unless it is exhausted.
     pub fn try_retry(&mut self, service: &ServiceId, now: BootTime) -> RetryDecision {
         let (entries, ratio) = (self.entries, self.limit.ratio);
-        let slack = self.limit.slack / f64::from(entries);
+        let has_slack = now >= self.slack_from;
+        let slack = if has_slack { self.limit.slack / f64::from(entries) } else { 0.0 };
         let counts = self.counts(service, now);
-        let allowed = (ratio * counts.requests.len() as f64 + slack) * USED_FRACTION;
-        let allowed = allowed.max(1.0);
+        let share = (ratio * counts.requests.len() as f64 + slack) * USED_FRACTION;
+        let allowed = if has_slack { share.max(1.0) } else { share };
         let is_granted = counts.retries.len() as f64 + 1.0 <= allowed;
         if is_granted {
             counts.retries.push_back(now);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -152,7 +152,7 @@
             host,
             table: RefCell::default(),
             fleet: RefCell::default(),
-            retries: RefCell::new(RetryBudget::new(rule, INITIAL_ENTRY_COUNT)),
+            retries: RefCell::new(RetryBudget::new(rule, INITIAL_ENTRY_COUNT, boot_now())),
             quarantine: watch::Sender::default(),
             deployment_held: watch::Sender::default(),
             restarts: watch::Sender::default(),
--- a/tests/deployment/budget.rs
+++ b/tests/deployment/budget.rs
@@ -12,8 +12,8 @@
 const SETTLED: Duration = Duration::from_secs(60);
 
 /// The budget of an entry that started at `at` and has been told the number of entries.
-fn budget_started(entries: u32, _at: Duration) -> RetryBudget {
-    RetryBudget::new(RETRY_LIMIT, entries)
+fn budget_started(entries: u32, at: Duration) -> RetryBudget {
+    RetryBudget::new(RETRY_LIMIT, entries, at)
 }
 
 fn tell_entries(budget: &mut RetryBudget, entries: u32, _at: Duration) {
@@ -27,18 +27,19 @@
     (0..1_000).filter(|_| budget.try_retry(&service, at).is_granted).count()
 }
 
-fn count_allowed_retries(budget: &mut RetryBudget, at: u64) -> usize {
-    (0..1_000).filter(|_| budget.try_retry(&"app".to_string(), ms(at)).is_granted).count()
+/// The same at a time in milliseconds after `SETTLED`, without further requests.
+fn count_allowed_retries(budget: &mut RetryBudget, at_ms: u64) -> usize {
+    spend_all(budget, 0, SETTLED + ms(at_ms))
 }
 
 #[test]
 fn all_entries_together_stay_within_the_retry_limit() {
     for entries in [1, 7, 67] {
         let mut budgets: Vec<RetryBudget> =
-            (0..entries).map(|_| RetryBudget::new(RETRY_LIMIT, entries)).collect();
+            (0..entries).map(|_| budget_started(entries, Duration::ZERO)).collect();
         let mut all = 0;
         for budget in &mut budgets {
-            (0..50).for_each(|_| budget.record_request(&"app".to_string(), ms(0)));
+            (0..50).for_each(|_| budget.record_request(&"app".to_string(), SETTLED));
             all += count_allowed_retries(budget, 1);
         }
         let allowed = RETRY_LIMIT.ratio * 50.0 * f64::from(entries) + RETRY_LIMIT.slack;
@@ -49,8 +50,8 @@
 
 #[test]
 fn retries_are_allowed_again_after_the_window() {
-    let mut budget = RetryBudget::new(RETRY_LIMIT, 8);
-    (0..100).for_each(|_| budget.record_request(&"app".to_string(), ms(0)));
+    let mut budget = budget_started(8, Duration::ZERO);
+    (0..100).for_each(|_| budget.record_request(&"app".to_string(), SETTLED));
     assert!(count_allowed_retries(&mut budget, 1) > 10);
     assert_eq!(count_allowed_retries(&mut budget, 5_000), 0, "the budget is used up");
     assert!(count_allowed_retries(&mut budget, 10_500) > 0, "earlier retries have left the window");
@@ -58,10 +59,22 @@
 
 #[test]
 fn each_service_has_its_own_budget_of_at_least_one_retry() {
-    let mut budget = RetryBudget::new(RETRY_LIMIT, 10_000);
-    assert!(budget.try_retry(&"a".to_string(), ms(0)).is_granted);
-    assert!(!budget.try_retry(&"a".to_string(), ms(1)).is_granted);
-    assert!(budget.try_retry(&"b".to_string(), ms(2)).is_granted);
+    let mut budget = budget_started(10_000, Duration::ZERO);
+    let mut is_granted = |service: &str, at_ms| {
+        budget.try_retry(&service.to_string(), SETTLED + ms(at_ms)).is_granted
+    };
+    assert!(is_granted("a", 0));
+    assert!(!is_granted("a", 1));
+    assert!(is_granted("b", 2));
+}
+
+#[test]
+fn an_entry_that_has_just_started_retries_for_its_own_requests() {
+    let mut budget = budget_started(8, SETTLED);
+    let retries = spend_all(&mut budget, 100, SETTLED + ms(100));
+    assert!(retries as f64 >= RETRY_LIMIT.ratio * 100.0 * 0.5, "{retries}");
+    let rest = spend_all(&mut budget, 0, SETTLED + RETRY_LIMIT.window);
+    assert!(rest >= 4, "its share of the slack after a window, but got {rest}");
 }
 
 // Guards against more retries than the limit of all entries while entries restart again and again.
