Keep the shares of entries that have ended out of the retry budget for a window

Callers saw nothing of it: while most entries are down, each that is left or comes back divides the slack of the retry limit by the few that are connected, although retries of the ended ones still count.

An entry now divides by the largest number of entries that it was told within a window, so a share passes on when what its owner spent no longer counts. budget::entries_that_end_leave_their_shares_unused_for_a_window failed before (67 of 56).

--- a/.ci/mutations.py
+++ b/.ci/mutations.py
@@ -315,6 +315,8 @@
      "for ticket in self.entry.active_tickets.take() {", "for ticket in self.entry.active_tickets.take().into_iter().take(0) {", "deployment", "scheduler_service"),
     ("platform: retries beyond the share", "src/fleet/budget.rs",
      "let is_granted = counts.retries.len() as f64 + 1.0 <= allowed;", "let is_granted = true;", "deployment", "budget"),
+    ("platform: shares of ended entries pass to others at once", "src/fleet/budget.rs",
+     "largest.or(self.latest)", "self.latest.or(largest)", "deployment", "budget"),
     ("platform: a new process has its share of the slack at once", "src/fleet/budget.rs",
      "let has_slack = now >= self.slack_from;", "let has_slack = true;", "deployment", "budget"),
     ("platform: a silent voter goes without a successor", "src/control/voter_set.rs",
--- a/src/fleet/budget.rs
+++ b/src/fleet/budget.rs
@@ -9,6 +9,8 @@
 /// Fraction of its share that an entry uses. The rest covers entries it has not heard of yet, and
 /// requests whose retries fall into a later window.
 const USED_FRACTION: f64 = 0.7;
+/// Number of entries that share the slack until a replica reports it.
+const INITIAL_ENTRY_COUNT: u32 = 16;
 
 /// Limit on the retries of all entries at one service.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -42,11 +44,20 @@
     limit: RetryLimit,
     /// When the slack becomes available.
     slack_from: BootTime,
-    /// Number of entries that share the slack, including this one.
-    entries: u32,
+    /// Entries that share the slack, including this one.
+    entries: EntryCount,
     services: HashMap<ServiceId, Counts>,
 }
 
+/// The reported number of entries, and the largest one within a window. Retries of entries that have
+/// ended still count for a window, so their shares must not pass to the others before.
+#[derive(Clone, Debug, Default)]
+struct EntryCount {
+    latest: Option<u32>,
+    /// Earlier numbers that are larger than all later ones, with the time at which each was replaced.
+    larger: VecDeque<(u32, BootTime)>,
+}
+
 #[derive(Clone, Debug, Default)]
 struct Counts {
     requests: VecDeque<BootTime>,
@@ -54,23 +65,25 @@
 }
 
 impl RetryBudget {
-    /// Creates the budget of one of `entries` entries, whose process starts now.
-    pub fn new(limit: RetryLimit, entries: u32, now: BootTime) -> RetryBudget {
+    /// Creates the budget of a process that starts now.
+    pub fn new(limit: RetryLimit, now: BootTime) -> RetryBudget {
         RetryBudget {
             limit,
             slack_from: now + limit.window,
-            entries: entries.max(1),
+            entries: EntryCount::default(),
             services: HashMap::new(),
         }
     }
 
-    /// Number of entries that share the budget, including this one.
-    pub fn entries(&self) -> u32 {
-        self.entries
+    /// Number of entries that share the slack, including this one and those that may have ended
+    /// within a window.
+    pub fn entries(&self, now: BootTime) -> u32 {
+        self.entries.largest_since(now.saturating_sub(self.limit.window))
     }
 
-    pub fn set_entries(&mut self, entries: u32) {
-        self.entries = entries.max(1);
+    /// Records the number of entries that a replica reports.
+    pub fn observe_entries(&mut self, entries: u32, now: BootTime) {
+        self.entries.observe(entries, now, self.limit.window);
     }
 
     /// Records the first attempt of a request.
@@ -80,7 +93,7 @@
 
     /// Takes one retry from the budget unless it is exhausted.
     pub fn try_retry(&mut self, service: &ServiceId, now: BootTime) -> RetryDecision {
-        let (entries, ratio) = (self.entries, self.limit.ratio);
+        let (entries, ratio) = (self.entries(now), self.limit.ratio);
         let has_slack = now >= self.slack_from;
         let slack = if has_slack { self.limit.slack / f64::from(entries) } else { 0.0 };
         let counts = self.counts(service, now);
@@ -105,6 +118,22 @@
     }
 }
 
+impl EntryCount {
+    fn observe(&mut self, entries: u32, now: BootTime, window: Duration) {
+        let entries = entries.max(1);
+        self.larger.extend(self.latest.replace(entries).map(|replaced| (replaced, now)));
+        while self.larger.pop_back_if(|(count, _)| *count <= entries).is_some() {}
+        let since = now.saturating_sub(window);
+        while self.larger.pop_front_if(|(_, replaced_at)| *replaced_at < since).is_some() {}
+    }
+
+    fn largest_since(&self, since: BootTime) -> u32 {
+        let mut held = self.larger.iter().filter(|(_, replaced_at)| *replaced_at >= since);
+        let largest = held.next().map(|(count, _)| *count);
+        largest.or(self.latest).unwrap_or(INITIAL_ENTRY_COUNT)
+    }
+}
+
 fn drop_before(times: &mut VecDeque<BootTime>, since: BootTime) {
     while times.front().is_some_and(|time| *time < since) {
         times.pop_front();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -36,8 +36,6 @@
 use crate::scheduler::weights::{self, RolloutHistories};
 use crate::telemetry::deployment_metrics::EntryMetrics;
 
-/// Number of entries that share the retry budget until a replica reports it.
-const INITIAL_ENTRY_COUNT: u32 = 16;
 /// A leader of an earlier term is accepted if no leader of the known term was reported for this
 /// long. Terms start over only after all replicas have lost their disks.
 const TERM_RESET_AFTER: Duration = Duration::from_secs(1);
@@ -152,7 +150,7 @@
             host,
             table: RefCell::default(),
             fleet: RefCell::default(),
-            retries: RefCell::new(RetryBudget::new(rule, INITIAL_ENTRY_COUNT, boot_now())),
+            retries: RefCell::new(RetryBudget::new(rule, boot_now())),
             quarantine: watch::Sender::default(),
             deployment_held: watch::Sender::default(),
             restarts: watch::Sender::default(),
@@ -205,7 +203,8 @@
 
     /// The share of this entry in the requests to cold targets.
     pub fn cold_share(&self) -> IndependentShare {
-        IndependentShare { entries: self.retries.borrow().entries(), seed: self.cold_share_seed }
+        let entries = self.retries.borrow().entries(boot_now());
+        IndependentShare { entries, seed: self.cold_share_seed }
     }
 
     /// Routing table of the newest known deployment.
@@ -313,7 +312,7 @@
                 self.observe_leader(leader, term);
                 self.observe_heartbeat();
                 if let Some(entries) = entries {
-                    self.retries.borrow_mut().set_entries(entries);
+                    self.retries.borrow_mut().observe_entries(entries, boot_now());
                 }
                 if !replicas.is_empty() {
                     *self.replicas.borrow_mut() = replicas;
--- a/tests/deployment/budget.rs
+++ b/tests/deployment/budget.rs
@@ -13,11 +13,9 @@
 
 /// The budget of an entry that started at `at` and has been told the number of entries.
 fn budget_started(entries: u32, at: Duration) -> RetryBudget {
-    RetryBudget::new(RETRY_LIMIT, entries, at)
-}
-
-fn tell_entries(budget: &mut RetryBudget, entries: u32, _at: Duration) {
-    budget.set_entries(entries);
+    let mut budget = RetryBudget::new(RETRY_LIMIT, at);
+    budget.observe_entries(entries, at);
+    budget
 }
 
 /// Records requests, makes as many retries as the budget allows, and returns their number.
@@ -107,15 +105,15 @@
         (0..ENTRIES).map(|_| budget_started(ENTRIES, Duration::ZERO)).collect();
     let mut retries: usize = budgets.iter_mut().map(|budget| spend_all(budget, 0, SETTLED)).sum();
     let mut survivor = budgets.remove(0);
-    tell_entries(&mut survivor, ENTRIES, SETTLED);
+    survivor.observe_entries(ENTRIES, SETTLED);
     for after_ms in [300, 5_000, 9_000] {
         let at = SETTLED + ms(after_ms);
-        tell_entries(&mut survivor, 1, at);
+        survivor.observe_entries(1, at);
         retries += spend_all(&mut survivor, 0, at);
     }
     assert!(retries as f64 <= RETRY_LIMIT.slack, "{retries} of {}", RETRY_LIMIT.slack);
     let later = SETTLED + ms(300) + RETRY_LIMIT.window * 2;
-    tell_entries(&mut survivor, 1, later);
+    survivor.observe_entries(1, later);
     let last = spend_all(&mut survivor, 0, later);
     assert!(last as f64 >= RETRY_LIMIT.slack * 0.5, "the only entry got {last}");
 }
