Decode the rate limit that a target names in its answers

Targets in need name the number of requests a second that they take from all hosts together. Lines of requests now tell limit_per_s; no decision uses it yet.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 pub mod evacuation;
 pub mod listing;
 pub mod placement;
+pub mod rate;
 pub mod regions;
 pub mod restarts;
 pub mod ring;
--- a/src/gateway/metadata.rs
+++ b/src/gateway/metadata.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::fleet::rate::RateLimit;
 use crate::ids::{AccountId, ModelId, RequestId, TargetId};
 
 /// What routing and placement need to know of a caller's request.
@@ -97,7 +98,7 @@
 }
 
 /// What the headers of a target's response say.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseMetadata {
     /// Id of the request that the response belongs to.
     pub request_id: Option<RequestId>,
@@ -107,6 +108,8 @@
     pub answered_by: Option<TargetId>,
     /// The load of the target.
     pub load: Option<TargetLoad>,
+    /// The rate that the target takes at present; `None` if it names no limit.
+    pub rate_limit: Option<RateLimit>,
     /// Version of the weights that the target runs.
     pub weight_version: Option<u64>,
     /// How long the target keeps an idle connection open.
--- a/src/gateway/request_record.rs
+++ b/src/gateway/request_record.rs
@@ -104,13 +104,17 @@
         let _ = write!(self.attempts, " at_ms={at_ms} target={target} {trace} reused={is_reused}");
     }
 
-    /// Records that the head of a response has arrived, with the load that the target reports.
+    /// Records that the head of a response has arrived, with the load and the rate limit that the
+    /// target reports.
     pub fn response_received(&mut self, response_metadata: &ResponseMetadata) {
         let at_ms = self.elapsed().as_millis();
         let _ = write!(self.attempts, " answered_ms={at_ms}");
         if let Some(load) = response_metadata.load {
             let _ = write!(self.attempts, " running={} waiting={}", load.running, load.waiting);
         }
+        if let Some(limit) = response_metadata.rate_limit {
+            let _ = write!(self.attempts, " limit_per_s={}", limit.requests_per_s);
+        }
     }
 
     /// Records that an attempt at a target failed.
--- a/tests/deployment/headers.rs
+++ b/tests/deployment/headers.rs
@@ -171,3 +171,22 @@
         headers::decode_response(&header_map(&[("x-server-load", "3,"), ("keep-alive", "x")]));
     assert_eq!((broken.load, broken.idle_timeout), (None, None));
 }
+
+#[test]
+fn a_named_rate_limit_is_decoded() {
+    let cases = [
+        ("3.8", Some(3.8)),
+        (" 12 ", Some(12.0)),
+        ("0", Some(0.0)),
+        ("-1", None),
+        ("inf", None),
+        ("NaN", None),
+        ("3,8", None),
+        ("", None),
+    ];
+    for (text, expected) in cases {
+        let metadata = headers::decode_response(&header_map(&[("server-limit", text)]));
+        assert_eq!(metadata.rate_limit.map(|limit| limit.requests_per_s), expected, "{text:?}");
+    }
+    assert_eq!(headers::decode_response(&header_map(&[])).rate_limit, None);
+}
