--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -34,6 +34,7 @@
 #[path = "../soak/system.rs"]
 mod processes;
 mod quarantine_file;
+mod rate_limits;
 mod reader_election;
 mod regions;
 mod replicas;
--- a/tests/deployment/restarts.rs
+++ b/tests/deployment/restarts.rs
@@ -56,7 +56,7 @@
 }
 
 /// Sends a prompt and reads its stream.
-async fn send_prompt(
+pub async fn send_prompt(
     client: reqwest::Client,
     entry: SocketAddr,
     kind: &str,
--- a/tests/platform_stand_in/mod.rs
+++ b/tests/platform_stand_in/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod http;
 pub mod job;
+pub mod limits;
 pub mod list;
 pub mod observations;
 pub mod starts;
--- a/tests/platform_stand_in/observations.rs
+++ b/tests/platform_stand_in/observations.rs
@@ -59,6 +59,8 @@
     pub evacuated: BTreeMap<String, Instant>,
     /// Descriptions of seconds in which a cold engine got more requests than it bears.
     pub cold_bursts: Vec<(Instant, String)>,
+    /// Descriptions of windows in which a target got more requests than the limit that it named.
+    pub limit_excesses: Vec<(Instant, String)>,
     stamps: u64,
 }
 
--- a/tests/platform_stand_in/target.rs
+++ b/tests/platform_stand_in/target.rs
@@ -12,6 +12,7 @@
 use super::http::{self, HttpResponse, header};
 use super::job::Job;
 pub use super::job::{expected_body, expected_event};
+use super::limits::NamedLimit;
 use super::observations::{Run, RunEnd};
 use super::starts::Restart;
 use super::store::{PartName, clock_ms};
@@ -55,6 +56,8 @@
     pub is_listed: bool,
     /// Injected fault.
     pub fault: Fault,
+    /// The rate limit that it names.
+    pub(super) limit: Option<NamedLimit>,
     /// The weights that it is loading.
     pub loading: Option<u64>,
     /// Number of orders that it has accepted.
@@ -136,6 +139,7 @@
             leaves_from: None,
             is_listed: true,
             fault: Fault::None,
+            limit: None,
             loading: None,
             orders: 0,
             begun: 0,
@@ -284,7 +288,12 @@
                 });
                 carried_out.await.unwrap_or_else(|_| http::status(500))
             }
-            _ => self.run(id, request).await,
+            _ => {
+                self.lock().record_limited_arrival(id);
+                let mut answer = self.run(id, request).await;
+                self.add_limit(id, &mut answer);
+                answer
+            }
         }
     }
 
