Send all news of targets between processes on one path

RestartNews becomes NewsTable, whose events have a kind each, so that further news of targets need no publisher, frame and subscription of their own. One kind so far; no decision changes. Messages between processes have changed.

--- a/.ci/mutations.py
+++ b/.ci/mutations.py
@@ -508,7 +508,7 @@
     ("cold: entries keep restarts to themselves", "src/gateway/attempt.rs",
      "                gateway.connection_refused(target);\n", "", "deployment", "cold"),
     ("cold: news of restarts are dropped by entries", "src/gateway/state.rs",
-     "fleet.may_have_restarted(&restart.target, now.saturating_sub(restart.age));", "let _ = (&restart, now, &mut fleet);", "deployment", "cold"),
+     "self.fleet.borrow_mut().may_have_restarted(&news.target, at)", "let _ = at;", "deployment", "cold"),
     ("fleet: a changed list is copied", "src/fleet/roster.rs",
      "if self.targets.get_by_id(&id).is_some_and(|known| **known == listed) {", "if false {", "deployment", "fleet_size"),
     ("fleet: a digest forgets what a change removes", "src/fleet/target_table.rs",
--- a/src/control/frames.rs
+++ b/src/control/frames.rs
@@ -17,7 +17,7 @@
 use crate::fleet::RosterHistory;
 use crate::fleet::compact::CompactTargets;
 use crate::fleet::evacuation::Evacuations;
-use crate::fleet::restarts::PossibleRestart;
+use crate::fleet::news::TargetNews;
 use crate::ids::{DomainId, ModelId, NodeId, TargetStart};
 use crate::log::{Message, Term};
 use crate::quarantine::Report;
@@ -69,8 +69,8 @@
     SubscribeRoster(RosterSubscription),
     /// Quarantine reports that the replica may not have.
     Quarantine(Vec<Report>),
-    /// Targets that may have restarted.
-    Restarts(Vec<PossibleRestart>),
+    /// News of targets.
+    News(Vec<TargetNews>),
     /// The entry has this deployment, from whichever replica.
     DeploymentHeld(DeploymentVersion),
     /// Asks for an `Update::Confirmed` once the entry has been sent the newest deployment.
@@ -184,8 +184,8 @@
     Quarantine(Vec<Report>),
     /// The digest of the sender's quarantine. The recipient sends `Quarantine` if its own differs.
     QuarantineDigest(u64),
-    /// Targets that may have restarted.
-    Restarts(Vec<PossibleRestart>),
+    /// News of targets.
+    News(Vec<TargetNews>),
     /// Asks for `NamedAges`, after a restart.
     NamedAgesRequested,
     /// Weight versions known to the sender.
@@ -249,8 +249,8 @@
     },
     /// Requests under which several targets have ended.
     Quarantine(Vec<Report>),
-    /// Targets that may have restarted.
-    Restarts(Vec<PossibleRestart>),
+    /// News of targets.
+    News(Vec<TargetNews>),
 }
 
 /// Encodes a frame with its length prefix.
--- a/src/control/publisher.rs
+++ b/src/control/publisher.rs
@@ -22,7 +22,7 @@
 use crate::clock::{BootTime, boot_now};
 use crate::deployment::document::DeploymentVersion;
 use crate::fleet::evacuation::OrderRevision;
-use crate::fleet::restarts::RestartRevision;
+use crate::fleet::news::NewsRevision;
 use crate::ids::DomainId;
 use crate::log::Term;
 use crate::net;
@@ -125,7 +125,7 @@
     let mut roster = shared.roster.subscribe();
     let mut domains = shared.domains.subscribe();
     let mut suspects = shared.suspects.subscribe();
-    let mut restarts = shared.restarts.subscribe();
+    let mut news = shared.news.subscribe();
     view.mark_changed();
     let mut sent = Sent { deployment: DeploymentSchedule::new(deployment), ..Sent::default() };
     let mut roster_publisher = RosterPublisher::default();
@@ -142,7 +142,7 @@
                         roster_publisher.subscribe(request, shared)
                     }
                     SubscriberRequest::Quarantine(reports) => shared.observe_quarantine(reports),
-                    SubscriberRequest::Restarts(restarts) => shared.observe_restarts(&restarts),
+                    SubscriberRequest::News(news) => shared.observe_news(&news),
                     SubscriberRequest::DeploymentHeld(version) => sent.deployment.observe_held(version),
                     SubscriberRequest::Confirm(id) => sent.confirm = Some(id),
                 }
@@ -152,7 +152,7 @@
             changed = domains.changed() => changed.map_err(std::io::Error::other)?,
             changed = view.changed() => changed.map_err(std::io::Error::other)?,
             changed = suspects.changed() => changed.map_err(std::io::Error::other)?,
-            changed = restarts.changed() => changed.map_err(std::io::Error::other)?,
+            changed = news.changed() => changed.map_err(std::io::Error::other)?,
             changed = roster.changed() => changed.map_err(std::io::Error::other)?,
             () = tokio::time::sleep_until(next_poll) => {
                 if is_current {
@@ -198,8 +198,8 @@
     leader: Option<(Term, IpAddr)>,
     /// The quarantine revision that was sent.
     quarantine: Revision,
-    /// The revision of the news of restarts that was sent.
-    restarts: RestartRevision,
+    /// The revision of the news of targets that was sent.
+    news: NewsRevision,
     /// Number of evacuation orders that were accepted when the evacuated domains were sent.
     evacuation_orders: OrderRevision,
 }
@@ -209,7 +209,7 @@
     fn add_changes(&mut self, shared: &Shared, is_secondary: bool, bytes: &mut Vec<u8>) {
         // Before anything else, since an entry starts to serve once it has received the rest.
         self.add_quarantine(shared, bytes);
-        self.add_restarts(shared, bytes);
+        self.add_news(shared, bytes);
         // A replica that may be behind publishes nothing else to a new entry, which would begin to
         // serve with an outdated deployment.
         if shared.is_current(MAX_STALENESS) {
@@ -280,14 +280,14 @@
         }
     }
 
-    /// Appends targets that may have restarted. Also sent without a leader: entries need them most
-    /// while no scheduler paces cold targets.
-    fn add_restarts(&mut self, shared: &Shared, bytes: &mut Vec<u8>) {
-        let known = shared.restarts.borrow();
-        let restarts = known.since(self.restarts, boot_now());
-        self.restarts = known.revision();
-        if !restarts.is_empty() {
-            bytes.extend_from_slice(&encode(&Update::Restarts(restarts)));
+    /// Appends news of targets. Also sent without a leader: entries need them most while no scheduler
+    /// paces targets.
+    fn add_news(&mut self, shared: &Shared, bytes: &mut Vec<u8>) {
+        let known = shared.news.borrow();
+        let news = known.since(self.news, boot_now());
+        self.news = known.revision();
+        if !news.is_empty() {
+            bytes.extend_from_slice(&encode(&Update::News(news)));
         }
     }
 
--- a/src/control/run.rs
+++ b/src/control/run.rs
@@ -23,9 +23,9 @@
 use super::quarantine_publisher;
 use super::reader_election::ReaderElection;
 use super::replica::{Input, Replica, ReplicaInit};
-use super::restart_publisher;
 use super::roster_reader::{self, TargetListSource};
 
+use super::news_publisher;
 use super::operator_server::OperatorServer;
 use super::rollout::RolloutController;
 use super::scheduler_service::SchedulerService;
@@ -103,7 +103,7 @@
         evacuated: RefCell::default(),
         quarantine: watch::Sender::new(quarantine_file::load(&folder)),
         suspects: watch::Sender::default(),
-        restarts: watch::Sender::default(),
+        news: watch::Sender::default(),
         links,
         seeds: RefCell::new(seeds),
     });
@@ -143,7 +143,7 @@
     tasks.spawn("kept_targets", roster_file::keep_writing(shared.clone(), folder.clone()));
     tasks.spawn("kept_quarantine", quarantine_file::keep_writing(shared.clone(), folder.clone()));
     tasks.spawn("quarantine", quarantine_publisher::keep_publishing(shared.clone(), host.ip));
-    tasks.spawn("restarts", restart_publisher::keep_publishing(shared.clone(), host.ip));
+    tasks.spawn("news", news_publisher::keep_publishing(shared.clone(), host.ip));
     let recording = age_recorder::run(shared.clone(), inputs.clone(), host.periods.old_weights);
     tasks.spawn("weight_ages", recording);
     let order_lease = host.periods.min_order_interval;
--- a/src/control/scheduler_sync.rs
+++ b/src/control/scheduler_sync.rs
@@ -9,7 +9,7 @@
 use super::store_reader;
 use crate::clock::boot_now;
 use crate::deployment::document::DeploymentVersion;
-use crate::fleet::restarts::RestartRevision;
+use crate::fleet::news::{NewsRevision, TargetEvent, TargetNews};
 use crate::log::Term;
 use crate::scheduler::{Scheduler, TicketId};
 
@@ -24,7 +24,7 @@
 struct Synced {
     deployment: DeploymentVersion,
     roster: RosterVersion,
-    restarts: RestartRevision,
+    news: NewsRevision,
 }
 
 impl SchedulerService {
@@ -91,11 +91,15 @@
                 tokio::task::spawn_local(engine_cache_reader::run(self.clone(), engines, term));
             }
         }
-        for restart in self.shared.restarts.borrow().since(synced.restarts, boot_now()) {
-            let at = boot_now().saturating_sub(restart.age);
-            scheduler.may_have_restarted(&restart.target, at);
+        let now = boot_now();
+        for TargetNews { target, event, age } in self.shared.news.borrow().since(synced.news, now) {
+            match event {
+                TargetEvent::MayHaveRestarted => {
+                    scheduler.may_have_restarted(&target, now.saturating_sub(age))
+                }
+            }
         }
-        synced.restarts = self.shared.restarts.borrow().revision();
+        synced.news = self.shared.news.borrow().revision();
         scheduler.observe_changing(&self.shared.changing.borrow());
         scheduler.observe_evacuated(&self.shared.evacuated.borrow());
         scheduler.observe_named(&self.shared.named_since.borrow());
--- a/src/control/shared.rs
+++ b/src/control/shared.rs
@@ -21,7 +21,7 @@
 use crate::deployment::document::DeploymentVersion;
 use crate::fleet::compact::CompactTargets;
 use crate::fleet::evacuation::EvacuatedDomains;
-use crate::fleet::restarts::{PossibleRestart, RestartNews};
+use crate::fleet::news::{NewsTable, TargetNews};
 use crate::fleet::{Roster, RosterChange};
 use crate::ids::{DomainId, NodeId, TargetStart};
 use crate::log::Term;
@@ -83,8 +83,8 @@
     /// requests under which a single target has ended; those need not wake the connections to
     /// entries.
     pub suspects: watch::Sender<Revision>,
-    /// Targets that may have restarted. The list lags.
-    pub restarts: watch::Sender<RestartNews>,
+    /// News of targets, from entries and other replicas.
+    pub news: watch::Sender<NewsTable>,
     /// Connections to other replicas.
     pub links: SharedLinks,
     /// Hosts of replicas named by the settings or by other replicas.
@@ -279,9 +279,9 @@
         self.suspects.send_if_modified(|known| std::mem::replace(known, revision) != revision);
     }
 
-    /// Merges news of restarts from another process.
-    pub fn observe_restarts(&self, restarts: &[PossibleRestart]) {
-        self.restarts.send_if_modified(|known| known.merge(restarts, boot_now()));
+    /// Merges news of targets from another process.
+    pub fn observe_news(&self, news: &[TargetNews]) {
+        self.news.send_if_modified(|known| known.merge(news, boot_now()));
     }
 
     /// Merges ages of weight versions from another process.
--- /dev/null
+++ b/src/fleet/news.rs
@@ -0,0 +1,120 @@
+//! News of targets, which processes tell each other through the replicas: the platform's list does
+//! not show them, or lags.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::clock::BootTime;
+use crate::ids::TargetStart;
+
+/// News of restarts are kept for this long, which is longer than the list lags.
+const RESTART_TTL: Duration = Duration::from_secs(5);
+/// All news of a target within this time are of the same restart. Covers the delay until entries
+/// notice it.
+const SAME_RESTART_WINDOW: Duration = Duration::from_millis(200);
+
+/// Increases with each news.
+pub type NewsRevision = u64;
+
+/// What happened to a target.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub enum TargetEvent {
+    /// It may have restarted. Entries that place requests themselves must know, since a cold target
+    /// bears a low rate from all of them together.
+    MayHaveRestarted,
+}
+
+/// An event of a target, as sent to another process. Clocks differ between hosts, so the age is sent
+/// instead of the time.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TargetNews {
+    pub target: TargetStart,
+    pub event: TargetEvent,
+    /// Time since it was noticed.
+    pub age: Duration,
+}
+
+/// The latest events of targets.
+#[derive(Clone, Debug, Default)]
+pub struct NewsTable {
+    latest: BTreeMap<TargetStart, Noticed>,
+    revision: NewsRevision,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Noticed {
+    event: TargetEvent,
+    at: BootTime,
+    revision: NewsRevision,
+}
+
+impl TargetEvent {
+    /// How long it is kept.
+    fn ttl(self) -> Duration {
+        match self {
+            TargetEvent::MayHaveRestarted => RESTART_TTL,
+        }
+    }
+
+    /// Within this time the same event is no news.
+    fn repeat_window(self) -> Duration {
+        match self {
+            TargetEvent::MayHaveRestarted => SAME_RESTART_WINDOW,
+        }
+    }
+}
+
+impl Noticed {
+    fn is_expired(&self, now: BootTime) -> bool {
+        now.saturating_sub(self.at) >= self.event.ttl()
+    }
+}
+
+impl NewsTable {
+    pub fn revision(&self) -> NewsRevision {
+        self.revision
+    }
+
+    /// Records an event at `at`. Returns whether that is news.
+    pub fn observe(
+        &mut self,
+        target: &TargetStart,
+        event: TargetEvent,
+        at: BootTime,
+        now: BootTime,
+    ) -> bool {
+        self.latest.retain(|_, noticed| !noticed.is_expired(now));
+        let is_known =
+            self.latest.get(target).is_some_and(|noticed| at < noticed.at + event.repeat_window());
+        let noticed = Noticed { event, at, revision: self.revision + 1 };
+        if is_known || noticed.is_expired(now) {
+            return false;
+        }
+        self.revision += 1;
+        self.latest.insert(target.clone(), noticed);
+        true
+    }
+
+    /// Records news from another process. Returns whether any of them is news here.
+    pub fn merge(&mut self, news: &[TargetNews], now: BootTime) -> bool {
+        let mut is_news = false;
+        for TargetNews { target, event, age } in news {
+            is_news |= self.observe(target, *event, now.saturating_sub(*age), now);
+        }
+        is_news
+    }
+
+    /// The news after a revision.
+    pub fn since(&self, revision: NewsRevision, now: BootTime) -> Vec<TargetNews> {
+        let is_sent = |noticed: &Noticed| noticed.revision > revision && !noticed.is_expired(now);
+        let news = self.latest.iter().filter(|(_, noticed)| is_sent(noticed));
+        let news = news.map(|(target, noticed)| TargetNews {
+            target: target.clone(),
+            event: noticed.event,
+            age: now.saturating_sub(noticed.at),
+        });
+        news.collect()
+    }
+}
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -24,7 +24,7 @@
 use crate::fleet::budget::{RetryBudget, RetryLimit};
 use crate::fleet::cold::IndependentShare;
 use crate::fleet::compact::UnknownName;
-use crate::fleet::restarts::RestartNews;
+use crate::fleet::news::{NewsTable, TargetEvent, TargetNews};
 use crate::fleet::{FleetView, Listed, Presence, RosterChange};
 use crate::host::HostSettings;
 use crate::ids::{ServiceId, TargetStart};
@@ -88,8 +88,8 @@
     pub quarantine: watch::Sender<Quarantine>,
     /// Version of the newest known deployment; 0 if there is none.
     pub deployment_held: watch::Sender<DeploymentVersion>,
-    /// Targets that may have restarted, as noticed here.
-    pub restarts: watch::Sender<RestartNews>,
+    /// News of targets, as noticed here.
+    pub news: watch::Sender<NewsTable>,
     /// Failed runs at targets that may have terminated.
     pub broken_runs: RefCell<BrokenRuns>,
     /// Notified after each probe of whether a target still listens.
@@ -153,7 +153,7 @@
             retries: RefCell::new(RetryBudget::new(rule, boot_now())),
             quarantine: watch::Sender::default(),
             deployment_held: watch::Sender::default(),
-            restarts: watch::Sender::default(),
+            news: watch::Sender::default(),
             broken_runs: RefCell::default(),
             probe_finished: Notify::new(),
             pool: Pool::default(),
@@ -334,12 +334,7 @@
                     known.merge_reports(reports, boot_now())
                 });
             }
-            Update::Restarts(restarts) => {
-                let (now, mut fleet) = (boot_now(), self.fleet.borrow_mut());
-                for restart in restarts {
-                    fleet.may_have_restarted(&restart.target, now.saturating_sub(restart.age));
-                }
-            }
+            Update::News(news) => news.iter().for_each(|news| self.observe_news(news)),
             Update::Domains(domains) => self.subscriptions.borrow_mut().observe_domains(domains),
             Update::RosterPiece(piece) => self.observe_piece(&piece)?,
             Update::RosterVersionOnly { leaving, .. } => {
@@ -353,6 +348,15 @@
         Ok(())
     }
 
+    fn observe_news(&self, news: &TargetNews) {
+        let at = boot_now().saturating_sub(news.age);
+        match news.event {
+            TargetEvent::MayHaveRestarted => {
+                self.fleet.borrow_mut().may_have_restarted(&news.target, at)
+            }
+        }
+    }
+
     /// How long a request remains quarantined; `None` if it is not.
     pub fn held_for(&self, routed: &RoutedRequest) -> Option<Duration> {
         let known = self.quarantine.borrow();
@@ -476,7 +480,8 @@
     /// Tells the other entries that a target may have restarted.
     fn announce_restart(&self, target: &TargetStart) {
         let now = boot_now();
-        self.restarts.send_if_modified(|known| known.observe(target, now, now));
+        let event = TargetEvent::MayHaveRestarted;
+        self.news.send_if_modified(|known| known.observe(target, event, now, now));
     }
 
     /// Returns a connection to the pool if the target is still in the roster.
--- a/src/gateway/subscription.rs
+++ b/src/gateway/subscription.rs
@@ -92,7 +92,7 @@
     }
 }
 
-/// Sends requests, and news of the quarantine, to a replica.
+/// Sends requests, and news of the quarantine and of targets, to a replica.
 async fn send(
     gateway: &Gateway,
     mut write: OwnedWriteHalf,
@@ -102,11 +102,11 @@
     // A restarted replica may have lost its quarantine, so it gets all reports at first.
     quarantine.mark_changed();
     let mut sent = Revision::default();
-    let mut restarts = gateway.restarts.subscribe();
-    let mut restarts_sent = 0;
+    let mut news = gateway.news.subscribe();
+    let mut news_sent = 0;
     // The handshake has told the version known so far.
     let mut held = gateway.deployment_held.subscribe();
-    restarts.mark_changed();
+    news.mark_changed();
     let mut confirm = gateway.confirm_requests.subscribe();
     // Repeats the last request for a confirmation, as the previous replica may not have answered.
     if *confirm.borrow() > 0 {
@@ -127,15 +127,15 @@
                 changed.map_err(std::io::Error::other)?;
                 SubscriberRequest::DeploymentHeld(*held.borrow_and_update())
             }
-            changed = restarts.changed() => {
+            changed = news.changed() => {
                 changed.map_err(std::io::Error::other)?;
-                let known = restarts.borrow_and_update();
-                let news = known.since(restarts_sent, boot_now());
-                restarts_sent = known.revision();
-                if news.is_empty() {
+                let known = news.borrow_and_update();
+                let unsent = known.since(news_sent, boot_now());
+                news_sent = known.revision();
+                if unsent.is_empty() {
                     continue;
                 }
-                SubscriberRequest::Restarts(news)
+                SubscriberRequest::News(unsent)
             }
             changed = quarantine.changed() => {
                 changed.map_err(std::io::Error::other)?;
--- a/tests/deployment/cold.rs
+++ b/tests/deployment/cold.rs
@@ -9,7 +9,7 @@
 use kumquatpost::deployment::{Service, ServiceRole};
 use kumquatpost::fleet::cold::{ColdStart, IndependentShare, Pacer};
 use kumquatpost::fleet::evacuation::{EvacuatedDomains, EvacuationOrder, Evacuations};
-use kumquatpost::fleet::restarts::RestartNews;
+use kumquatpost::fleet::news::{NewsTable, TargetEvent};
 use kumquatpost::fleet::{FleetView, Listed};
 use kumquatpost::ids::TargetStart;
 use kumquatpost::scheduler::{EndReason, PlacementEvent, Scheduler};
@@ -315,11 +315,11 @@
         assert!(is_taken_for_cold(&refused) && !is_taken_for_cold(&other));
         // The replicas of both entries.
         let replicas = [1, 2].map(|term| leader_state(term, VersionedRoster::default()));
-        let news = refused.gateway.restarts.borrow().since(0, boot_now());
-        replicas[0].observe_restarts(&news);
-        replicas[1].observe_restarts(&replicas[0].restarts.borrow().since(0, boot_now()));
-        let news = replicas[1].restarts.borrow().since(0, boot_now());
-        other.gateway.observe(Update::Restarts(news)).expect("a valid update");
+        let news = refused.gateway.news.borrow().since(0, boot_now());
+        replicas[0].observe_news(&news);
+        replicas[1].observe_news(&replicas[0].news.borrow().since(0, boot_now()));
+        let news = replicas[1].news.borrow().since(0, boot_now());
+        other.gateway.observe(Update::News(news)).expect("a valid update");
         assert!(is_taken_for_cold(&other));
     });
 }
@@ -327,10 +327,12 @@
 /// The scheduler of a new leader must pace engines whose restart its predecessor was told of.
 #[test]
 fn news_of_a_restart_are_kept_for_a_new_scheduler_and_then_forgotten() {
-    let mut news = RestartNews::default();
-    assert!(news.observe(&start("i-00"), ms(5_000), ms(5_000)));
-    assert!(!news.observe(&start("i-00"), ms(5_100), ms(5_100)), "the same restart");
-    assert!(news.observe(&start("i-00"), ms(5_400), ms(5_400)), "another one");
+    let mut news = NewsTable::default();
+    let mut is_news =
+        |at| news.observe(&start("i-00"), TargetEvent::MayHaveRestarted, ms(at), ms(at));
+    assert!(is_news(5_000));
+    assert!(!is_news(5_100), "the same restart");
+    assert!(is_news(5_400), "another one");
     let kept = news.since(0, ms(6_000));
     assert_eq!(kept.iter().map(|restart| restart.age).collect::<Vec<_>>(), [ms(600)]);
     assert!(news.since(news.revision(), ms(6_000)).is_empty());
--- a/tests/deployment/scheduler_service.rs
+++ b/tests/deployment/scheduler_service.rs
@@ -67,7 +67,7 @@
         evacuated: RefCell::default(),
         quarantine: watch::Sender::default(),
         suspects: watch::Sender::default(),
-        restarts: watch::Sender::default(),
+        news: watch::Sender::default(),
         links: Rc::new(Links::new(1, ip, "hall".into(), 1)),
         seeds: RefCell::default(),
     }
