Pace targets by a rate, whatever it comes from

The pacer of the scheduler and the shares of entries that decide alone take a RateLimit in place of a cold start, so that limits that targets name can use them. No decision changes.

--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -12,9 +12,9 @@
 use kumquatpost::deployment::{
     Deployment, EngineSpec, RequestLimits, Service, ServiceRole, StoreSpec,
 };
-use kumquatpost::fleet::cold::IndependentShare;
 use kumquatpost::fleet::compact::CompactTargets;
 use kumquatpost::fleet::placement::{self, Criteria};
+use kumquatpost::fleet::rate::IndependentShare;
 use kumquatpost::fleet::regions::AllowedDomains;
 use kumquatpost::fleet::{Listed, Presence, Roster};
 use kumquatpost::gateway::metadata::{Part, Prompt};
@@ -173,7 +173,7 @@
 /// Time in which an entry chooses a target without the scheduler.
 fn placement_us(gateway: &Gateway, is_prompt: bool) -> f64 {
     let part = |id: String, tokens| Part { id, tokens };
-    let cold_share = IndependentShare { entries: 1, seed: 0 };
+    let share = IndependentShare { entries: 1, seed: 0 };
     let named = RolloutHistories::new();
     mean_us(100, |n| {
         let prompt = Prompt {
@@ -193,7 +193,7 @@
             tie_breaker: (n as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15),
             named: &named,
             old_weights: OldWeightsPolicy::default(),
-            cold_share: &cold_share,
+            share: &share,
             allowed_domains: &AllowedDomains::All,
         };
         let choice = placement::choose(&gateway.fleet.borrow(), &criteria, Duration::ZERO);
--- a/src/fleet/cold.rs
+++ b/src/fleet/cold.rs
@@ -1,20 +1,16 @@
 //! Cold targets: for some time after its start a target bears only a low rate of requests, summed
 //! over all hosts, and crashes above it.
 
-use std::hash::BuildHasher;
 use std::time::Duration;
 
-use rustc_hash::FxBuildHasher;
 use serde::{Deserialize, Serialize};
 
+use super::rate::RateLimit;
 use crate::clock::BootTime;
-use crate::ids::TargetStart;
 
 /// Fraction of a cold target's rate that entries use when each decides for itself. They draw their
 /// shares at random, so more of them than expected may send within the same second.
 const INDEPENDENT_FRACTION: f64 = 0.5;
-/// Entries draw a new share this often.
-const SHARE_PERIOD: Duration = Duration::from_secs(1);
 
 /// What the targets of a service bear while they are cold.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
@@ -25,6 +21,18 @@
     pub requests_per_s: f64,
 }
 
+impl ColdStart {
+    /// The rate of all hosts together.
+    pub fn limit(&self) -> RateLimit {
+        RateLimit { requests_per_s: self.requests_per_s }
+    }
+
+    /// The rate of all entries together that decide for themselves.
+    pub fn independent_limit(&self) -> RateLimit {
+        self.limit().scaled(INDEPENDENT_FRACTION)
+    }
+}
+
 /// What one process knows of whether a target is cold.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Coldness {
@@ -74,76 +82,3 @@
         self.is_listed || now < self.presumed_until
     }
 }
-
-/// Spaces the requests of one sender to a cold target evenly. Several senders in succession, such
-/// as the schedulers of successive leaders, together keep the rate without knowing of each other.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Pacer {
-    next_at: BootTime,
-}
-
-impl Pacer {
-    /// Whether a request may be sent now.
-    pub fn admits(&self, now: BootTime) -> bool {
-        now >= self.next_at
-    }
-
-    /// Records a request that is sent now.
-    pub fn record(&mut self, cold_start: &ColdStart, now: BootTime) {
-        self.next_at = now + Duration::from_secs_f64(1.0 / cold_start.requests_per_s);
-    }
-}
-
-/// The share of one entry in the requests to cold targets that no scheduler places.
-#[derive(Clone, Debug)]
-pub struct IndependentShare {
-    /// Number of entries that share the rate.
-    pub entries: u32,
-    /// Makes the draws of entries independent of each other.
-    pub seed: u64,
-}
-
-/// Requests that one entry has sent to a cold target in its current period.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct ShareUse {
-    period: u64,
-    requests: u32,
-}
-
-impl IndependentShare {
-    /// Whether this entry may send another request to a cold target.
-    pub fn admits(
-        &self,
-        target: &TargetStart,
-        cold_start: &ColdStart,
-        used: ShareUse,
-        now: BootTime,
-    ) -> bool {
-        let period = self.period(now);
-        let requests = if used.period == period { used.requests } else { 0 };
-        requests < self.allowance(target, cold_start, period)
-    }
-
-    /// Records a request that is sent now.
-    pub fn record(&self, used: &mut ShareUse, now: BootTime) {
-        let period = self.period(now);
-        let requests = if used.period == period { used.requests } else { 0 };
-        *used = ShareUse { period, requests: requests + 1 };
-    }
-
-    /// Requests allowed in a period. On average the allowances of all entries add up to
-    /// `INDEPENDENT_FRACTION` of the rate, also if that is less than one request an entry.
-    fn allowance(&self, target: &TargetStart, cold_start: &ColdStart, period: u64) -> u32 {
-        let share =
-            cold_start.requests_per_s * INDEPENDENT_FRACTION / f64::from(self.entries.max(1));
-        let hash = FxBuildHasher.hash_one((self.seed, &target.id, period));
-        let draw = (hash >> 11) as f64 / (1_u64 << 53) as f64;
-        share as u32 + u32::from(draw < share.fract())
-    }
-
-    /// Periods of different entries begin at different times.
-    fn period(&self, now: BootTime) -> u64 {
-        let offset_ms = self.seed % SHARE_PERIOD.as_millis() as u64;
-        (now.as_millis() as u64 + offset_ms) / SHARE_PERIOD.as_millis() as u64
-    }
-}
--- a/src/fleet/placement.rs
+++ b/src/fleet/placement.rs
@@ -6,7 +6,7 @@
 
 use rustc_hash::FxBuildHasher;
 
-use super::cold::IndependentShare;
+use super::rate::IndependentShare;
 use super::regions::AllowedDomains;
 use super::ring::{mix, target_hash};
 use super::view::{FleetView, TargetState};
@@ -47,8 +47,8 @@
     pub tie_breaker: u64,
     pub named: &'a RolloutHistories,
     pub old_weights: OldWeightsPolicy,
-    /// Share of this entry in the requests to cold targets.
-    pub cold_share: &'a IndependentShare,
+    /// Share of this entry in the requests to limited targets.
+    pub share: &'a IndependentShare,
     /// The failure domains that the request may reach.
     pub allowed_domains: &'a AllowedDomains,
 }
@@ -151,7 +151,7 @@
         }
         self.is_healthy = true;
         let is_prompt = criteria.prompt.is_some();
-        let is_eligible = view.admits_independent(state, is_prompt, criteria.cold_share, now);
+        let is_eligible = view.admits_independent(state, is_prompt, criteria.share, now);
         self.is_eligible |= is_eligible;
         is_eligible
     }
--- a/src/fleet/usage.rs
+++ b/src/fleet/usage.rs
@@ -5,7 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::cold::{Coldness, ShareUse};
+use super::cold::Coldness;
+use super::rate::ShareUse;
 use super::roster::{Listed, Presence};
 use crate::clock::BootTime;
 use crate::ids::ModelId;
@@ -35,8 +36,8 @@
     pub reported_load: Option<ReportedLoad>,
     /// Whether it may be cold, apart from its listing.
     pub coldness: Coldness,
-    /// Requests that this entry has sent to it by its own decision while it was cold.
-    pub cold_use: ShareUse,
+    /// Requests that this entry has sent to it by its own decision.
+    pub share_use: ShareUse,
 }
 
 #[derive(Clone, Copy, Debug)]
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -9,8 +9,9 @@
 
 use rustc_hash::FxHashMap;
 
-use super::cold::{ColdStart, Coldness, IndependentShare};
+use super::cold::{ColdStart, Coldness};
 use super::evacuation::{EvacuatedDomains, Evacuations};
+use super::rate::IndependentShare;
 use super::ring::TargetRing;
 use super::roster::{ABSENT_TTL_LISTS, Listed, Presence, RETIRED_TTL_LISTS, Roster, RosterChange};
 use super::target_table::TargetTable;
@@ -216,7 +217,10 @@
         match self.cold_limit(state, now) {
             None => true,
             Some(_) if is_prompt => false,
-            Some(limit) => share.admits(&state.listed.start, limit, state.usage.cold_use, now),
+            Some(cold_start) => {
+                let limit = cold_start.independent_limit();
+                share.admits(&state.listed.start, limit, state.usage.share_use, now)
+            }
         }
     }
 
@@ -228,7 +232,7 @@
         now: BootTime,
     ) {
         if let Some(usage) = self.usage_mut(target) {
-            share.record(&mut usage.cold_use, now);
+            share.record(&mut usage.share_use, now);
         }
     }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -22,9 +22,9 @@
 use crate::deployment::document::DeploymentVersion;
 use crate::deployment::{Deployment, RoutingTable};
 use crate::fleet::budget::{RetryBudget, RetryLimit};
-use crate::fleet::cold::IndependentShare;
 use crate::fleet::compact::UnknownName;
 use crate::fleet::news::{NewsTable, TargetEvent, TargetNews};
+use crate::fleet::rate::IndependentShare;
 use crate::fleet::{FleetView, Listed, Presence, RosterChange};
 use crate::host::HostSettings;
 use crate::ids::{ServiceId, TargetStart};
@@ -121,8 +121,8 @@
     freshness: RefCell<Freshness>,
     /// Id of the last request for a confirmation; 0 if there was none.
     pub confirm_requests: watch::Sender<ConfirmId>,
-    /// Makes this entry's shares of cold targets independent of those of other entries.
-    cold_share_seed: u64,
+    /// Makes this entry's shares of limited targets independent of those of other entries.
+    share_seed: u64,
     /// Notified when a deployment, targets or a confirmation arrive.
     state_changed: Notify,
     /// Whether a shutdown has begun.
@@ -169,7 +169,7 @@
             last_heartbeat: Cell::new(None),
             freshness,
             confirm_requests: watch::Sender::default(),
-            cold_share_seed: rand::random(),
+            share_seed: rand::random(),
             state_changed: Notify::new(),
             stopping: Cell::new(false),
             active_requests: Cell::new(0),
@@ -201,10 +201,10 @@
         decision.is_granted
     }
 
-    /// The share of this entry in the requests to cold targets.
-    pub fn cold_share(&self) -> IndependentShare {
+    /// The share of this entry in the requests to limited targets.
+    pub fn independent_share(&self) -> IndependentShare {
         let entries = self.retries.borrow().entries(boot_now());
-        IndependentShare { entries, seed: self.cold_share_seed }
+        IndependentShare { entries, seed: self.share_seed }
     }
 
     /// Routing table of the newest known deployment.
--- a/src/gateway/target_selection.rs
+++ b/src/gateway/target_selection.rs
@@ -92,7 +92,7 @@
     routed: &RoutedRequest,
     avoid: &[TargetStart],
 ) -> Result<SelectedTarget, NoTarget> {
-    let cold_share = gateway.cold_share();
+    let share = gateway.independent_share();
     let criteria = placement::Criteria {
         service: &routed.service,
         prompt: routed.metadata.prompt.as_ref(),
@@ -101,13 +101,13 @@
         tie_breaker: routed.tie_breaker,
         named: &gateway.rollouts.borrow(),
         old_weights: gateway.host.periods.old_weights,
-        cold_share: &cold_share,
+        share: &share,
         allowed_domains: &routed.allowed_domains,
     };
     let now = boot_now();
     let choice = placement::choose(&gateway.fleet.borrow(), &criteria, now);
     let choice = choice.map_err(NoTarget::Selection)?;
-    gateway.fleet.borrow_mut().record_independent(&choice.target, &cold_share, now);
+    gateway.fleet.borrow_mut().record_independent(&choice.target, &share, now);
     if routed.metadata.prompt.is_some() {
         gateway.metrics.fallback_placements.add(1, &[]);
     }
--- a/src/scheduler/engine.rs
+++ b/src/scheduler/engine.rs
@@ -10,7 +10,8 @@
 use super::messages::TicketId;
 use super::prefill::PrefillEstimator;
 use crate::clock::BootTime;
-use crate::fleet::cold::{Coldness, Pacer};
+use crate::fleet::cold::Coldness;
+use crate::fleet::rate::Pacer;
 use crate::fleet::{Listed, Presence};
 use crate::gateway::metadata::TargetLoad;
 use crate::route::health::Health;
@@ -48,7 +49,7 @@
     pub coldness: Coldness,
     /// When a connection last broke before the end of an answer.
     connection_lost_at: Option<BootTime>,
-    /// Spaces the prompts placed on it while it is cold.
+    /// Spaces the prompts placed on it while it is limited.
     pub pacer: Pacer,
 }
 
--- a/src/scheduler/plan/grants.rs
+++ b/src/scheduler/plan/grants.rs
@@ -52,7 +52,7 @@
         let estimator = self.estimators.entry(request.service.clone()).or_default();
         let weight_version = self.engines.update(number, |engine| {
             if let Some(cold_start) = cold_limit {
-                engine.pacer.record(&cold_start, now);
+                engine.pacer.record(cold_start.limit(), now);
             }
             for (key, part) in keys.iter().zip(&request.parts) {
                 engine.cache.acquire(*key, part.tokens);
--- a/tests/deployment/cold.rs
+++ b/tests/deployment/cold.rs
@@ -7,9 +7,10 @@
 use kumquatpost::clock::boot_now;
 use kumquatpost::control::frames::{Update, VersionedRoster};
 use kumquatpost::deployment::{Service, ServiceRole};
-use kumquatpost::fleet::cold::{ColdStart, IndependentShare, Pacer};
+use kumquatpost::fleet::cold::ColdStart;
 use kumquatpost::fleet::evacuation::{EvacuatedDomains, EvacuationOrder, Evacuations};
 use kumquatpost::fleet::news::{NewsTable, TargetEvent};
+use kumquatpost::fleet::rate::{IndependentShare, Pacer};
 use kumquatpost::fleet::{FleetView, Listed};
 use kumquatpost::ids::TargetStart;
 use kumquatpost::scheduler::{EndReason, PlacementEvent, Scheduler};
@@ -210,7 +211,7 @@
     let mut times = Vec::new();
     for at in (5_000..7_000).map(ms) {
         if pacer.admits(at) {
-            pacer.record(&COLD_START, at);
+            pacer.record(COLD_START.limit(), at);
             times.push(at);
         }
     }
--- a/tests/deployment/fleet_size.rs
+++ b/tests/deployment/fleet_size.rs
@@ -4,8 +4,8 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use kumquatpost::fleet::cold::IndependentShare;
 use kumquatpost::fleet::placement::{Criteria, choose};
+use kumquatpost::fleet::rate::IndependentShare;
 use kumquatpost::fleet::regions::AllowedDomains;
 use kumquatpost::fleet::{FleetView, Listed, Presence, Roster};
 use kumquatpost::gateway::metadata::{Part, Prompt};
@@ -183,7 +183,7 @@
 }
 
 fn criteria<'a>(prompt: Option<&'a Prompt>, service: &'a str, n: u64) -> Criteria<'a> {
-    const COLD_SHARE: IndependentShare = IndependentShare { entries: 1, seed: 0 };
+    const SHARE: IndependentShare = IndependentShare { entries: 1, seed: 0 };
     Criteria {
         service,
         prompt,
@@ -192,7 +192,7 @@
         tie_breaker: n,
         named: const { &RolloutHistories::new() },
         old_weights: OldWeightsPolicy::default(),
-        cold_share: &COLD_SHARE,
+        share: &SHARE,
         allowed_domains: &AllowedDomains::All,
     }
 }
--- a/tests/deployment/placement.rs
+++ b/tests/deployment/placement.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use kumquatpost::fleet::cold::IndependentShare;
 use kumquatpost::fleet::placement::{Criteria, SelectionError, choose};
+use kumquatpost::fleet::rate::IndependentShare;
 use kumquatpost::fleet::regions::AllowedDomains;
 use kumquatpost::fleet::{FailureCause, FleetView};
 use kumquatpost::gateway::metadata::{Part, Prompt};
@@ -12,7 +12,7 @@
 use crate::fixtures::{address, ms, roster, start, target};
 
 /// Share of a single entry.
-const COLD_SHARE: IndependentShare = IndependentShare { entries: 1, seed: 0 };
+const SHARE: IndependentShare = IndependentShare { entries: 1, seed: 0 };
 
 fn view(engines: u16) -> FleetView {
     let mut view = FleetView::default();
@@ -42,7 +42,7 @@
         tie_breaker,
         named,
         old_weights,
-        cold_share: &COLD_SHARE,
+        share: &SHARE,
         allowed_domains: &AllowedDomains::All,
     }
 }
