Keep the rate limits that targets name, where entries place requests

A target in need names in its answers how many requests a second it takes from all hosts together. Entries now remember that for each target and keep their share of it for plain services, and for prompts that they place without the scheduler; what a target can't take goes to others. If all are limited, callers are refused at once (limited) with the time at which this entry's share lets one in.

A limit ends with an answer that names none, unless its request was sent before the limit was last named. Entries tell each other through the replicas, which keep a limit for a minute. The machinery is that of cold targets: shares drawn at random, which add up to 0.8 of the limit (0.5 for prompts, as a scheduler may use it as well). A target that names zero gets one request in five seconds.

--- a/src/control/scheduler_sync.rs
+++ b/src/control/scheduler_sync.rs
@@ -97,6 +97,7 @@
                 TargetEvent::MayHaveRestarted => {
                     scheduler.may_have_restarted(&target, now.saturating_sub(age))
                 }
+                TargetEvent::RateLimit(_) => {}
             }
         }
         synced.news = self.shared.news.borrow().revision();
--- a/src/fleet/news.rs
+++ b/src/fleet/news.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::rate::RateLimit;
 use crate::clock::BootTime;
 use crate::ids::TargetStart;
 
@@ -14,6 +15,10 @@
 /// All news of a target within this time are of the same restart. Covers the delay until entries
 /// notice it.
 const SAME_RESTART_WINDOW: Duration = Duration::from_millis(200);
+/// A rate limit is kept for this long, for processes that start meanwhile.
+const LIMIT_TTL: Duration = Duration::from_secs(60);
+/// A rate limit that is still named after this time is sent again, so that it is kept.
+const LIMIT_REPEAT_WINDOW: Duration = Duration::from_secs(30);
 
 /// Increases with each news.
 pub type NewsRevision = u64;
@@ -24,6 +29,15 @@
     /// It may have restarted. Entries that place requests themselves must know, since a cold target
     /// bears a low rate from all of them together.
     MayHaveRestarted,
+    /// It names another rate limit, or none any more.
+    RateLimit(Option<RateLimit>),
+}
+
+/// Events of a kind replace each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum EventKind {
+    Restart,
+    RateLimit,
 }
 
 /// An event of a target, as sent to another process. Clocks differ between hosts, so the age is sent
@@ -39,7 +53,7 @@
 /// The latest events of targets.
 #[derive(Clone, Debug, Default)]
 pub struct NewsTable {
-    latest: BTreeMap<TargetStart, Noticed>,
+    latest: BTreeMap<(TargetStart, EventKind), Noticed>,
     revision: NewsRevision,
 }
 
@@ -51,10 +65,18 @@
 }
 
 impl TargetEvent {
+    fn kind(self) -> EventKind {
+        match self {
+            TargetEvent::MayHaveRestarted => EventKind::Restart,
+            TargetEvent::RateLimit(_) => EventKind::RateLimit,
+        }
+    }
+
     /// How long it is kept.
     fn ttl(self) -> Duration {
         match self {
             TargetEvent::MayHaveRestarted => RESTART_TTL,
+            TargetEvent::RateLimit(_) => LIMIT_TTL,
         }
     }
 
@@ -62,11 +84,18 @@
     fn repeat_window(self) -> Duration {
         match self {
             TargetEvent::MayHaveRestarted => SAME_RESTART_WINDOW,
+            TargetEvent::RateLimit(_) => LIMIT_REPEAT_WINDOW,
         }
     }
 }
 
 impl Noticed {
+    /// Whether an event of the same kind at `at` is no news after this one.
+    fn covers(&self, event: TargetEvent, at: BootTime) -> bool {
+        let is_repeated = event == self.event && at < self.at + event.repeat_window();
+        is_repeated || at <= self.at
+    }
+
     fn is_expired(&self, now: BootTime) -> bool {
         now.saturating_sub(self.at) >= self.event.ttl()
     }
@@ -86,14 +115,14 @@
         now: BootTime,
     ) -> bool {
         self.latest.retain(|_, noticed| !noticed.is_expired(now));
-        let is_known =
-            self.latest.get(target).is_some_and(|noticed| at < noticed.at + event.repeat_window());
+        let key = (target.clone(), event.kind());
+        let is_known = self.latest.get(&key).is_some_and(|known| known.covers(event, at));
         let noticed = Noticed { event, at, revision: self.revision + 1 };
         if is_known || noticed.is_expired(now) {
             return false;
         }
         self.revision += 1;
-        self.latest.insert(target.clone(), noticed);
+        self.latest.insert(key, noticed);
         true
     }
 
@@ -110,7 +139,7 @@
     pub fn since(&self, revision: NewsRevision, now: BootTime) -> Vec<TargetNews> {
         let is_sent = |noticed: &Noticed| noticed.revision > revision && !noticed.is_expired(now);
         let news = self.latest.iter().filter(|(_, noticed)| is_sent(noticed));
-        let news = news.map(|(target, noticed)| TargetNews {
+        let news = news.map(|((target, _), noticed)| TargetNews {
             target: target.clone(),
             event: noticed.event,
             age: now.saturating_sub(noticed.at),
--- a/src/fleet/placement.rs
+++ b/src/fleet/placement.rs
@@ -6,7 +6,7 @@
 
 use rustc_hash::FxBuildHasher;
 
-use super::rate::IndependentShare;
+use super::rate::{IndependentShare, RateLimit};
 use super::regions::AllowedDomains;
 use super::ring::{mix, target_hash};
 use super::view::{FleetView, TargetState};
@@ -60,8 +60,11 @@
     NoTargetListed,
     /// All listed targets are ejected or were already tried.
     NoHealthyTarget,
-    /// All healthy targets are cold and bear no more requests of this entry now.
+    /// All healthy targets are cold and take no requests of this entry.
     Cold,
+    /// All healthy targets are limited and take no more requests of this entry now. One does after
+    /// this time.
+    Limited(Duration),
     /// All healthy targets run older weights than may still be used.
     OldWeights,
 }
@@ -106,7 +109,7 @@
             .take(MAX_CANDIDATES)
             .collect();
         if candidates.is_empty() {
-            return Err(summary.error());
+            return Err(summary.error(criteria.share, now));
         }
         let choices = match criteria.prompt {
             Some(prompt) => engine_choices(&candidates, prompt, key, criteria, now),
@@ -123,21 +126,23 @@
 }
 
 /// What was found of the targets of a service.
-#[derive(Clone, Copy, Debug, Default)]
-struct SearchSummary {
+#[derive(Clone, Debug, Default)]
+struct SearchSummary<'a> {
     examined: usize,
     is_listed: bool,
     is_healthy: bool,
     is_eligible: bool,
+    /// Some of the healthy targets whose share is used up, with their limits.
+    limited: Vec<(&'a TargetStart, RateLimit)>,
 }
 
-impl SearchSummary {
+impl<'a> SearchSummary<'a> {
     /// Whether a target may take the request, apart from its weights.
     fn is_eligible(
         &mut self,
-        view: &FleetView,
+        view: &'a FleetView,
         criteria: &Criteria<'_>,
-        state: TargetState<'_>,
+        state: TargetState<'a>,
         now: BootTime,
     ) -> bool {
         self.examined += 1;
@@ -153,15 +158,22 @@
         let is_prompt = criteria.prompt.is_some();
         let is_eligible = view.admits_independent(state, is_prompt, criteria.share, now);
         self.is_eligible |= is_eligible;
+        if !is_eligible && self.limited.len() < MAX_CANDIDATES {
+            let limit = view.independent_limit(state, is_prompt, now);
+            let limit = limit.filter(|limit| *limit > RateLimit::ZERO);
+            self.limited.extend(limit.map(|limit| (&state.listed.start, limit)));
+        }
         is_eligible
     }
 
     /// Why no target was selected.
-    fn error(&self) -> SelectionError {
+    fn error(&self, share: &IndependentShare, now: BootTime) -> SelectionError {
+        let waits =
+            self.limited.iter().map(|(target, limit)| share.next_admission(target, *limit, now));
         match (self.is_listed, self.is_healthy, self.is_eligible) {
             (false, ..) => SelectionError::NoTargetListed,
             (_, false, _) => SelectionError::NoHealthyTarget,
-            (.., false) => SelectionError::Cold,
+            (.., false) => waits.min().map_or(SelectionError::Cold, SelectionError::Limited),
             _ => SelectionError::OldWeights,
         }
     }
--- a/src/fleet/usage.rs
+++ b/src/fleet/usage.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use super::cold::Coldness;
-use super::rate::ShareUse;
+use super::rate::{NamedLimit, ShareUse};
 use super::roster::{Listed, Presence};
 use crate::clock::BootTime;
 use crate::ids::ModelId;
@@ -36,6 +36,8 @@
     pub reported_load: Option<ReportedLoad>,
     /// Whether it may be cold, apart from its listing.
     pub coldness: Coldness,
+    /// The rate limit that its answers name.
+    pub named_limit: NamedLimit,
     /// Requests that this entry has sent to it by its own decision.
     pub share_use: ShareUse,
 }
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -11,7 +11,7 @@
 
 use super::cold::{ColdStart, Coldness};
 use super::evacuation::{EvacuatedDomains, Evacuations};
-use super::rate::IndependentShare;
+use super::rate::{IndependentShare, RateLimit};
 use super::ring::TargetRing;
 use super::roster::{ABSENT_TTL_LISTS, Listed, Presence, RETIRED_TTL_LISTS, Roster, RosterChange};
 use super::target_table::TargetTable;
@@ -205,8 +205,7 @@
         is_cold.then_some(cold_start)
     }
 
-    /// Whether this entry may send a request that no scheduler places to a target now. The
-    /// scheduler uses the whole rate of cold engines.
+    /// Whether this entry may send a request that no scheduler places to a target now.
     pub fn admits_independent(
         &self,
         state: TargetState<'_>,
@@ -214,16 +213,52 @@
         share: &IndependentShare,
         now: BootTime,
     ) -> bool {
-        match self.cold_limit(state, now) {
-            None => true,
-            Some(_) if is_prompt => false,
-            Some(cold_start) => {
-                let limit = cold_start.independent_limit();
-                share.admits(&state.listed.start, limit, state.usage.share_use, now)
-            }
+        let limit = self.independent_limit(state, is_prompt, now);
+        let used = state.usage.share_use;
+        limit.is_none_or(|limit| share.admits(&state.listed.start, limit, used, now))
+    }
+
+    /// What a target takes now of all entries together that decide for themselves; `None` if that
+    /// is not limited. The scheduler uses the whole rate of cold engines.
+    pub fn independent_limit(
+        &self,
+        state: TargetState<'_>,
+        is_prompt: bool,
+        now: BootTime,
+    ) -> Option<RateLimit> {
+        let cold = self.cold_limit(state, now).map(|cold_start| match is_prompt {
+            true => RateLimit::ZERO,
+            false => cold_start.independent_limit(),
+        });
+        let named = state.usage.named_limit.independent_limit(is_prompt);
+        cold.into_iter().chain(named).reduce(RateLimit::min)
+    }
+
+    /// Records the rate limit that an answer to a request sent at `sent_at` names. Returns whether
+    /// it begins, changes or ends.
+    pub fn observe_limit(
+        &mut self,
+        target: &TargetStart,
+        named: Option<RateLimit>,
+        sent_at: BootTime,
+        now: BootTime,
+    ) -> bool {
+        let usage = self.usage_mut(target);
+        usage.is_some_and(|usage| usage.named_limit.answered(named, sent_at, now))
+    }
+
+    /// Records a rate limit, or its end, that another process observed at `at`.
+    pub fn told_limit(&mut self, target: &TargetStart, limit: Option<RateLimit>, at: BootTime) {
+        if let Some(usage) = self.usage_mut(target) {
+            usage.named_limit.told(limit, at);
         }
     }
 
+    /// Targets that name a rate limit, with that limit.
+    pub fn limited(&self) -> impl Iterator<Item = (&TargetStart, RateLimit)> {
+        self.used.iter().filter_map(|(start, usage)| Some((start, usage.named_limit.get()?)))
+    }
+
     /// Records a request that no scheduler placed.
     pub fn record_independent(
         &mut self,
@@ -463,6 +498,11 @@
         self.usage.load(now)
     }
 
+    /// The rate limit that its answers name.
+    pub fn named_limit(&self) -> Option<RateLimit> {
+        self.usage.named_limit.get()
+    }
+
     fn coldness(&self) -> Coldness {
         let mut coldness = self.usage.coldness;
         coldness.set_listed(self.listed.is_cold);
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -234,7 +234,8 @@
     record: &mut RequestRecord,
 ) -> Result<TargetResponse, AttemptError> {
     let now = boot_now();
-    let TargetResponse { target, response, response_metadata, in_flight, .. } = &mut received;
+    let TargetResponse { target, response, response_metadata, in_flight, sent_at, .. } =
+        &mut received;
     record.response_received(response_metadata);
     if let Some(load) = response_metadata.load {
         gateway.fleet.borrow_mut().observe_load(target, load, now);
@@ -272,6 +273,7 @@
     {
         gateway.fleet.borrow_mut().observe_weights(target, &prompt.model, version);
     }
+    gateway.observe_limit(target, response_metadata.rate_limit, *sent_at);
     if response_metadata.did_not_run {
         record.attempt_failed(target, &format!("not run, status {}", response.status().as_u16()));
         in_flight.set_end(EndReason::NotRun);
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -239,6 +239,10 @@
                 let refusal = match (may_have_run, why) {
                     (true, _) => Refusal::Broken,
                     (false, NoTarget::Busy(retry_after)) => Refusal::Busy(retry_after),
+                    (false, NoTarget::Limited(retry_after)) => Refusal::Limited(retry_after),
+                    (false, NoTarget::Selection(SelectionError::Limited(retry_after))) => {
+                        Refusal::Limited(retry_after)
+                    }
                     (false, NoTarget::Selection(SelectionError::OldWeights)) => Refusal::OldWeights,
                     (false, NoTarget::Selection(_)) => Refusal::NoTarget,
                 };
@@ -348,7 +352,9 @@
 fn refuse(refusal: Refusal, id: &str, record: &RequestRecord) -> GatewayResponse {
     let jitter = RETRY_AFTER_JITTER.mul_f64(rand::rng().random());
     let retry_after = match refusal {
-        Refusal::Busy(retry_after) | Refusal::Held(retry_after) => retry_after,
+        Refusal::Busy(retry_after) | Refusal::Limited(retry_after) | Refusal::Held(retry_after) => {
+            retry_after
+        }
         // Another entry may serve the request, so the caller can retry there at once.
         Refusal::Unconfirmed | Refusal::ShuttingDown => Duration::ZERO,
         _ => MIN_RETRY_AFTER + jitter,
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -54,6 +54,9 @@
     /// No target will have capacity in time. The request has not run and may be retried after this
     /// time.
     Busy(Duration),
+    /// All available targets limit their rate. The request has not run and may be retried after this
+    /// time.
+    Limited(Duration),
     /// The request is quarantined because several targets terminated while they ran it. It has not
     /// run now, and may be retried after this time.
     Held(Duration),
@@ -80,6 +83,7 @@
             | Refusal::NoTarget
             | Refusal::OldWeights
             | Refusal::Busy(_)
+            | Refusal::Limited(_)
             | Refusal::Held(_)
             | Refusal::TooLate => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::Broken => StatusCode::BAD_GATEWAY,
@@ -101,6 +105,7 @@
             Refusal::NoTarget => "no_target",
             Refusal::OldWeights => "old_weights",
             Refusal::Busy(_) => "busy",
+            Refusal::Limited(_) => "limited",
             Refusal::Held(_) => "held",
             Refusal::TooLate => "too_late",
             Refusal::Broken => "broken",
@@ -122,6 +127,7 @@
             Refusal::Unconfirmed => "not run: this entry may lack a change; ask another one",
             Refusal::NoTarget => "not run: no target can take it now; come back",
             Refusal::OldWeights => "not run: no target runs the newest weights yet; come back",
+            Refusal::Limited(_) => "not run: targets limit their requests now; come back",
             Refusal::Busy(_) | Refusal::TooLate => "not run: no target was free in time; come back",
             Refusal::Held(_) => "not run: targets have ended under this request; come back later",
             Refusal::Broken => "it may have run: the target broke off",
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -24,7 +24,7 @@
 use crate::fleet::budget::{RetryBudget, RetryLimit};
 use crate::fleet::compact::UnknownName;
 use crate::fleet::news::{NewsTable, TargetEvent, TargetNews};
-use crate::fleet::rate::IndependentShare;
+use crate::fleet::rate::{IndependentShare, RateLimit};
 use crate::fleet::{FleetView, Listed, Presence, RosterChange};
 use crate::host::HostSettings;
 use crate::ids::{ServiceId, TargetStart};
@@ -185,6 +185,8 @@
         self.metrics.held_requests.record(held as u64, &[]);
         let evacuated = self.fleet.borrow().evacuated().count();
         self.metrics.evacuated_domains.record(evacuated as u64, &[]);
+        let limited = self.fleet.borrow().limited().count();
+        self.metrics.limited_targets.record(limited as u64, &[]);
         if let Some(age) = self.state_age() {
             self.metrics.state_age_s.record(age.as_secs_f64(), &[]);
         }
@@ -354,6 +356,27 @@
             TargetEvent::MayHaveRestarted => {
                 self.fleet.borrow_mut().may_have_restarted(&news.target, at)
             }
+            TargetEvent::RateLimit(limit) => {
+                self.fleet.borrow_mut().told_limit(&news.target, limit, at)
+            }
+        }
+    }
+
+    /// Records the rate limit that an answer to a request sent at `sent_at` names, and tells the
+    /// other entries and the scheduler.
+    pub fn observe_limit(&self, target: &TargetStart, named: Option<RateLimit>, sent_at: BootTime) {
+        let now = boot_now();
+        let is_change = self.fleet.borrow_mut().observe_limit(target, named, sent_at, now);
+        let limit = self.fleet.borrow().get(target).and_then(|state| state.named_limit());
+        if !is_change && limit.is_none() {
+            return;
+        }
+        // News also if it is unchanged, which keeps it for entries and replicas that start later.
+        let event = TargetEvent::RateLimit(limit);
+        self.news.send_if_modified(|known| known.observe(target, event, now, now));
+        if is_change {
+            let limit_per_s = limit.map(|limit| limit.requests_per_s);
+            log::info!("event=limit_changed target={target} limit_per_s={limit_per_s:?}");
         }
     }
 
--- a/src/gateway/target_selection.rs
+++ b/src/gateway/target_selection.rs
@@ -35,6 +35,8 @@
     Selection(placement::SelectionError),
     /// No target will have capacity in time. The caller may retry after this time.
     Busy(Duration),
+    /// All targets limit their rate. The caller may retry after this time.
+    Limited(Duration),
 }
 
 /// Selects a target that is not in `avoid`.
--- a/src/telemetry/deployment_metrics.rs
+++ b/src/telemetry/deployment_metrics.rs
@@ -35,6 +35,8 @@
     pub held_requests: Gauge<u64>,
     /// Evacuated failure domains, as this process knows them.
     pub evacuated_domains: Gauge<u64>,
+    /// Targets that name a rate limit, as this process knows them.
+    pub limited_targets: Gauge<u64>,
 }
 
 /// Metric instruments of a replica.
@@ -85,6 +87,7 @@
             target_ends: meter.u64_counter("kumquatpost_targets_ended").build(),
             held_requests: meter.u64_gauge("kumquatpost_requests_held").build(),
             evacuated_domains: meter.u64_gauge("kumquatpost_evacuated_domains").build(),
+            limited_targets: meter.u64_gauge("kumquatpost_limited_targets").build(),
             registry,
         })
     }
--- a/tests/deployment/rate_limits.rs
+++ b/tests/deployment/rate_limits.rs
@@ -1,13 +1,21 @@
 //! Rate limits that targets name in their answers: all hosts together keep them.
 
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use crate::fixtures::{ms, target};
+use kumquatpost::clock::boot_now;
+use kumquatpost::control::frames::{Update, VersionedRoster};
+use kumquatpost::fleet::FleetView;
+use kumquatpost::fleet::news::{NewsTable, TargetEvent};
+use kumquatpost::fleet::rate::{IndependentShare, NamedLimit, RateLimit};
+
+use crate::fixtures::{address, ms, roster, start, target};
 use crate::gateway::{
     PROMPT, deployment_with_long_timeouts, event_stream, ok_response, run_local, start_entry,
 };
 use crate::platform_stand_in::limits::KNOWN_WITHIN;
 use crate::restarts::{TestDeployment, send_prompt};
+use crate::scheduler_service::leader_state;
 use crate::stand_in::{AfterAnswer, Script, StandIn, header};
 
 /// Adds the header by which a target names its limit.
@@ -122,6 +130,125 @@
     });
 }
 
+fn limit(requests_per_s: f64) -> RateLimit {
+    RateLimit { requests_per_s }
+}
+
+/// The highest number of times within four seconds.
+fn max_per_window(times: impl IntoIterator<Item = Duration>) -> usize {
+    let (mut window, mut most) = (VecDeque::new(), 0);
+    for at in times {
+        window.push_back(at);
+        while window.pop_front_if(|first| at - *first >= Duration::from_secs(4)).is_some() {}
+        most = most.max(window.len());
+    }
+    most
+}
+
+/// Requests that entries, each deciding for itself, send to a target in a minute while they have
+/// more than it takes.
+fn independent_requests(entries: u32, requests_per_s: f64, is_prompt: bool) -> Vec<Duration> {
+    let mut times = Vec::new();
+    for seed in 0..u64::from(entries) {
+        let share = IndependentShare { entries, seed: seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) };
+        let mut view = FleetView::default();
+        view.update(&roster([target("i-1", "app", address(1))]));
+        view.told_limit(&start("i-1"), Some(limit(requests_per_s)), ms(1));
+        for at in (0..60_000).step_by(50).map(ms) {
+            let state = view.get(&start("i-1")).expect("listed");
+            if view.admits_independent(state, is_prompt, &share, at) {
+                view.record_independent(&start("i-1"), &share, at);
+                times.push(at);
+            }
+        }
+    }
+    times.sort_unstable();
+    times
+}
+
+// Guards against entries that each keep a limit alone and exceed it together, and against targets
+// that are hardly used.
+#[test]
+fn entries_that_decide_alone_together_keep_a_named_limit() {
+    for entries in [1, 8, 81, 300] {
+        for requests_per_s in [0.5, 1.0, 3.8, 20.0] {
+            for (is_prompt, expected) in [(false, 0.6..=1.0), (true, 0.35..=0.65)] {
+                let times = independent_requests(entries, requests_per_s, is_prompt);
+                let mean = times.len() as f64 / 60.0;
+                let most = max_per_window(times);
+                let allowed = (requests_per_s * 6.0) as usize + 5;
+                let case = format!("{entries} entries, {requests_per_s}/s, prompts {is_prompt}");
+                assert!(most <= allowed, "{case}: {most} of {allowed}");
+                assert!(expected.contains(&(mean / requests_per_s)), "{case}: {mean}/s used");
+            }
+        }
+    }
+}
+
+// Guards against a limit that ends with an answer that was given before it began.
+#[test]
+fn an_answer_to_an_earlier_request_does_not_end_a_limit() {
+    let mut known = NamedLimit::default();
+    assert!(known.answered(Some(limit(4.0)), ms(100), ms(200)));
+    assert!(!known.answered(None, ms(150), ms(210)), "it was sent before the limit was named");
+    assert_eq!(known.get(), Some(limit(4.0)));
+    assert!(!known.answered(Some(limit(4.1)), ms(220), ms(300)), "about the same limit");
+    known.told(None, ms(250));
+    assert_eq!(known.get(), Some(limit(4.0)), "older than what is known here");
+    assert!(known.answered(None, ms(300), ms(400)));
+    assert_eq!(known.get(), None);
+}
+
+// Guards against targets that are never asked again.
+#[test]
+fn a_target_that_takes_nothing_is_asked_now_and_then() {
+    let mut known = NamedLimit::default();
+    known.answered(Some(limit(0.0)), ms(100), ms(200));
+    let interval = known.get().expect("a limit").interval();
+    assert!((Duration::from_secs(1)..=Duration::from_secs(10)).contains(&interval));
+}
+
+// Guards against entries that only learn of a limit, or of its end, from their own requests.
+#[test]
+fn entries_tell_each_other_of_a_limit_and_of_its_end_through_replicas() {
+    run_local(async {
+        let script =
+            [answers(&limited(ok_response("a"), 3.0), 1), answers(&ok_response("b"), 1)].concat();
+        let instance = StandIn::start(script).await;
+        let listed = || vec![target("i-1", "app", instance.address)];
+        let first = start_entry(deployment_with_long_timeouts(), listed()).await;
+        let other = start_entry(deployment_with_long_timeouts(), listed()).await;
+        let replicas = [1, 2].map(|term| leader_state(term, VersionedRoster::default()));
+        for (id, expected) in [("r1", Some(limit(3.0))), ("r2", None)] {
+            while first.call("/safe/a", id).await.status != 200 {
+                tokio::time::sleep(ms(50)).await;
+            }
+            replicas[0].observe_news(&first.gateway.news.borrow().since(0, boot_now()));
+            replicas[1].observe_news(&replicas[0].news.borrow().since(0, boot_now()));
+            let news = replicas[1].news.borrow().since(0, boot_now());
+            other.gateway.observe(Update::News(news)).expect("a valid update");
+            let fleet = other.gateway.fleet.borrow();
+            let known = fleet.get(&start("i-1")).expect("listed").named_limit();
+            assert_eq!(known, expected, "{id}");
+        }
+    });
+}
+
+#[test]
+fn a_limit_that_is_still_named_is_news_from_time_to_time_and_kept() {
+    let mut news = NewsTable::default();
+    let mut is_news = |requests_per_s: f64, at_s: u64| {
+        let (event, at) = (TargetEvent::RateLimit(Some(limit(requests_per_s))), ms(at_s * 1_000));
+        news.observe(&start("i-1"), event, at, at)
+    };
+    assert!(is_news(3.0, 100));
+    assert!(!is_news(3.0, 101));
+    assert!(is_news(5.0, 102), "another limit");
+    assert!(is_news(5.0, 133), "still named");
+    assert_eq!(news.since(0, ms(180_000)).len(), 1);
+    assert_eq!(news.since(0, ms(194_000)).len(), 0);
+}
+
 /// Sends prompts through all entries at about 60 per second for a while.
 async fn send_prompts(site: &TestDeployment, name: &str, for_: Duration) -> usize {
     let (began, mut served, mut n) = (Instant::now(), 0, 0);
