Pace engines by the rate limits that they name

It now spaces them by the limit, as it does on cold engines, until an answer to a prompt placed later names none; other engines take the rest. If all engines are limited, a prompt waits only if its turn comes in time, and is refused at once otherwise, with the time at which the limits let it in.

Entries report a limit to the scheduler with the first answer that names it, and all that they know to each new scheduler before their first prompt there.

--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -281,7 +281,12 @@
     let mut place = |n: usize| {
         let now = Duration::from_secs_f64(n as f64 / prompts_per_s as f64);
         while let Some((ticket, _)) = running.pop_front_if(|(_, until)| *until <= now) {
-            let first = PlacementEvent::FirstToken { ticket, weight_version: Some(1), load: None };
+            let first = PlacementEvent::FirstToken {
+                ticket,
+                weight_version: Some(1),
+                load: None,
+                rate_limit: None,
+            };
             scheduler.observe(&first, now);
             let ended = PlacementEvent::Ended { ticket, end: EndReason::Completed };
             scheduler.observe(&ended, now);
--- a/src/control/scheduler_service.rs
+++ b/src/control/scheduler_service.rs
@@ -315,6 +315,10 @@
         if let PlacementEvent::Ended { ticket, .. } = event {
             self.entry.active_tickets.borrow_mut().remove(ticket);
         }
+        if let PlacementEvent::News(news) = event {
+            // Kept for the next scheduler, as none may be active here yet.
+            self.scheduling.shared.observe_news(std::slice::from_ref(news));
+        }
         let now = boot_now();
         let _ = self.scheduling.with_scheduler(|scheduler| scheduler.observe(event, now));
         let is_due = now >= self.scheduling.dispatched_at.get() + MIN_DISPATCH_GAP;
--- a/src/control/scheduler_sync.rs
+++ b/src/control/scheduler_sync.rs
@@ -9,7 +9,7 @@
 use super::store_reader;
 use crate::clock::boot_now;
 use crate::deployment::document::DeploymentVersion;
-use crate::fleet::news::{NewsRevision, TargetEvent, TargetNews};
+use crate::fleet::news::NewsRevision;
 use crate::log::Term;
 use crate::scheduler::{Scheduler, TicketId};
 
@@ -92,13 +92,8 @@
             }
         }
         let now = boot_now();
-        for TargetNews { target, event, age } in self.shared.news.borrow().since(synced.news, now) {
-            match event {
-                TargetEvent::MayHaveRestarted => {
-                    scheduler.may_have_restarted(&target, now.saturating_sub(age))
-                }
-                TargetEvent::RateLimit(_) => {}
-            }
+        for news in self.shared.news.borrow().since(synced.news, now) {
+            scheduler.observe_news(&news, now);
         }
         synced.news = self.shared.news.borrow().revision();
         scheduler.observe_changing(&self.shared.changing.borrow());
--- a/src/fleet/rate.rs
+++ b/src/fleet/rate.rs
@@ -69,6 +69,11 @@
         Some(RateLimit { requests_per_s: limit.requests_per_s.max(MIN_REQUESTS_PER_S) })
     }
 
+    /// When an answer last named it, or showed its end.
+    pub fn observed_at(&self) -> BootTime {
+        self.observed_at
+    }
+
     /// The rate of all entries together that decide for themselves.
     pub fn independent_limit(&self, is_prompt: bool) -> Option<RateLimit> {
         let fraction =
@@ -113,6 +118,11 @@
         now >= self.next_at
     }
 
+    /// When the next request may be sent.
+    pub fn next_at(&self) -> BootTime {
+        self.next_at
+    }
+
     /// Records a request that is sent now.
     pub fn record(&mut self, limit: RateLimit, now: BootTime) {
         self.next_at = now + limit.interval();
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -254,9 +254,12 @@
         }
     }
 
-    /// Targets that name a rate limit, with that limit.
-    pub fn limited(&self) -> impl Iterator<Item = (&TargetStart, RateLimit)> {
-        self.used.iter().filter_map(|(start, usage)| Some((start, usage.named_limit.get()?)))
+    /// Targets that name a rate limit, with that limit and when it was last observed.
+    pub fn limited(&self) -> impl Iterator<Item = (&TargetStart, RateLimit, BootTime)> {
+        self.used.iter().filter_map(|(start, usage)| {
+            let known = &usage.named_limit;
+            Some((start, known.get()?, known.observed_at()))
+        })
     }
 
     /// Records a request that no scheduler placed.
--- a/src/gateway/in_flight.rs
+++ b/src/gateway/in_flight.rs
@@ -41,11 +41,11 @@
             return;
         }
         if let Some(ticket) = self.ticket {
-            let (weight_version, load) = (response_metadata.weight_version, response_metadata.load);
             self.gateway.scheduler.send_event(PlacementEvent::FirstToken {
                 ticket,
-                weight_version,
-                load,
+                weight_version: response_metadata.weight_version,
+                load: response_metadata.load,
+                rate_limit: response_metadata.rate_limit,
             });
         }
     }
--- a/src/gateway/scheduler_connection.rs
+++ b/src/gateway/scheduler_connection.rs
@@ -48,6 +48,7 @@
     write.write_all(&encode(&introduction)).await?;
     let (sender, mut outgoing) = mpsc::channel::<Arc<[u8]>>(QUEUE_LEN);
     gateway.scheduler.attach(sender);
+    gateway.report_limits();
     log::info!("event=scheduler_connected replica={} term={}", leader.0, leader.1);
     let writing = async {
         while let Some(frame) = outgoing.recv().await {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -377,9 +377,24 @@
         if is_change {
             let limit_per_s = limit.map(|limit| limit.requests_per_s);
             log::info!("event=limit_changed target={target} limit_per_s={limit_per_s:?}");
+            self.report_limit(target, limit, Duration::ZERO);
         }
     }
 
+    /// Tells a scheduler that has just been connected to of the targets that limit their rate.
+    pub fn report_limits(&self) {
+        let now = boot_now();
+        for (target, limit, observed_at) in self.fleet.borrow().limited() {
+            self.report_limit(target, Some(limit), now.saturating_sub(observed_at));
+        }
+    }
+
+    fn report_limit(&self, target: &TargetStart, limit: Option<RateLimit>, age: Duration) {
+        let event = TargetEvent::RateLimit(limit);
+        let news = TargetNews { target: target.clone(), event, age };
+        self.scheduler.send_event(PlacementEvent::News(news));
+    }
+
     /// How long a request remains quarantined; `None` if it is not.
     pub fn held_for(&self, routed: &RoutedRequest) -> Option<Duration> {
         let known = self.quarantine.borrow();
--- a/src/gateway/target_selection.rs
+++ b/src/gateway/target_selection.rs
@@ -61,6 +61,9 @@
             Some(Err(SchedulerError::Placement(PlacementError::Busy(retry_after)))) => {
                 return Err(NoTarget::Busy(retry_after));
             }
+            Some(Err(SchedulerError::Placement(PlacementError::Limited(retry_after)))) => {
+                return Err(NoTarget::Limited(retry_after));
+            }
             Some(Err(_)) | None => {}
         }
     }
--- a/src/scheduler/engine.rs
+++ b/src/scheduler/engine.rs
@@ -11,7 +11,7 @@
 use super::prefill::PrefillEstimator;
 use crate::clock::BootTime;
 use crate::fleet::cold::Coldness;
-use crate::fleet::rate::Pacer;
+use crate::fleet::rate::{NamedLimit, Pacer};
 use crate::fleet::{Listed, Presence};
 use crate::gateway::metadata::TargetLoad;
 use crate::route::health::Health;
@@ -49,6 +49,8 @@
     pub coldness: Coldness,
     /// When a connection last broke before the end of an answer.
     connection_lost_at: Option<BootTime>,
+    /// The rate limit that its answers name.
+    pub named_limit: NamedLimit,
     /// Spaces the prompts placed on it while it is limited.
     pub pacer: Pacer,
 }
@@ -104,6 +106,7 @@
             reserved_output_tokens: 0,
             reported_load: None,
             connection_lost_at: None,
+            named_limit: NamedLimit::default(),
             pacer: Pacer::default(),
         }
     }
--- a/src/scheduler/messages.rs
+++ b/src/scheduler/messages.rs
@@ -5,6 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::fleet::news::TargetNews;
+use crate::fleet::rate::RateLimit;
 use crate::fleet::regions::AllowedDomains;
 use crate::gateway::metadata::{Part, TargetLoad};
 use crate::ids::{ModelId, ServiceId, TargetStart};
@@ -127,12 +129,16 @@
         weight_version: Option<u64>,
         /// Load that the engine reports.
         load: Option<TargetLoad>,
+        /// Rate limit that the engine names.
+        rate_limit: Option<RateLimit>,
     },
     /// The request has left the engine.
     Ended { ticket: TicketId, end: EndReason },
     /// The engine closed all idle connections of the entry before their timeout. It may have
     /// restarted.
     IdleConnectionsLost { target: TargetStart },
+    /// News that all processes should know.
+    News(TargetNews),
 }
 
 /// How a request ended on an engine.
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -25,6 +25,7 @@
 use crate::deployment::EngineSpec;
 use crate::fleet::cold::ColdStart;
 use crate::fleet::evacuation::EvacuatedDomains;
+use crate::fleet::rate::RateLimit;
 use crate::fleet::{Presence, TargetTable};
 use crate::ids::{ServiceId, TargetStart};
 
@@ -52,6 +53,9 @@
     NoHealthyTarget,
     /// No engine will have capacity in time; the caller may retry after this delay.
     Busy(Duration),
+    /// All engines limit their rate, and none admits the prompt in time; the caller may retry after
+    /// this delay.
+    Limited(Duration),
 }
 
 pub type PlacementResult = Result<Placement, PlacementError>;
@@ -98,6 +102,8 @@
     evacuated: EvacuatedDomains,
     /// What the engines of each service bear while they are cold. Services without limit are absent.
     cold_starts: HashMap<ServiceId, ColdStart>,
+    /// The pace of each service all of whose engines were limited when a prompt was last placed.
+    paced: HashMap<ServiceId, Pace>,
     /// Number of least loaded engines that are examined for a prompt. A service with at most this
     /// many engines is examined whole.
     max_examined: usize,
@@ -128,6 +134,15 @@
     NoRoom,
 }
 
+/// What engines admit together while each of them is limited and has had its last prompt too
+/// recently.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Pace {
+    /// When the first of them admits a prompt.
+    next_at: BootTime,
+    requests_per_s: f64,
+}
+
 /// Whether an engine can take a prompt.
 enum Eligibility {
     /// It must not run the prompt, whatever its state.
@@ -136,12 +151,23 @@
     Unhealthy,
     /// It takes no further prompt now.
     Busy,
+    /// The same, but only because of its rate limit.
+    Paced(Pace),
     Free {
         /// Cost of running the prompt on its weights.
         weights_cost_ms: f64,
     },
 }
 
+impl Pace {
+    fn and(self, other: Pace) -> Pace {
+        Pace {
+            next_at: self.next_at.min(other.next_at),
+            requests_per_s: self.requests_per_s + other.requests_per_s,
+        }
+    }
+}
+
 impl Scheduler {
     /// Creates the scheduler of a leader elected at `now`. Ticket ranges of different schedulers
     /// must not overlap.
@@ -166,6 +192,7 @@
             weights: WeightState::new(now),
             evacuated: EvacuatedDomains::default(),
             cold_starts: HashMap::new(),
+            paced: HashMap::new(),
             max_examined: MAX_EXAMINED,
         }
     }
@@ -212,10 +239,21 @@
         if !must_wait && let PlacementAttempt::Done(outcome) = self.try_place(&queued, now) {
             return Some(outcome);
         }
+        let wait = self.paced_wait(&queued.request, now);
+        if now + wait > queued.expires_at() {
+            return Some(Err(PlacementError::Limited(wait + retry_spread(waiter))));
+        }
         self.queue.add(queued);
         None
     }
 
+    /// How long a new prompt waits for an engine if all of them are limited; zero if they are not.
+    fn paced_wait(&self, request: &PlacementRequest, now: BootTime) -> Duration {
+        let Some(pace) = self.paced.get(&request.service) else { return Duration::ZERO };
+        let ahead = self.queue.ahead_of(request) as f64;
+        pace.next_at.saturating_sub(now) + Duration::from_secs_f64(ahead / pace.requests_per_s)
+    }
+
     /// Removes a queued prompt whose caller has left.
     pub fn withdraw(&mut self, waiter: WaiterId) {
         self.queue.withdraw(waiter);
@@ -255,7 +293,13 @@
 
     /// Places a prompt on the engine with the lowest cost.
     fn try_place(&mut self, queued: &QueuedPrompt, now: BootTime) -> PlacementAttempt {
-        match self.find_engine(&queued.request, now) {
+        let found = self.find_engine(&queued.request, now);
+        let service = &queued.request.service;
+        match found {
+            Err(SearchError::AllPaced(pace)) => drop(self.paced.insert(service.clone(), pace)),
+            _ => drop(self.paced.remove(service)),
+        }
+        match found {
             Ok(best) => PlacementAttempt::Done(Ok(self.grant(best, queued, now))),
             Err(SearchError::NoTargetListed) => {
                 PlacementAttempt::Done(Err(PlacementError::NoTargetListed))
@@ -263,7 +307,7 @@
             Err(SearchError::NoHealthyTarget) => {
                 PlacementAttempt::Done(Err(PlacementError::NoHealthyTarget))
             }
-            Err(SearchError::AllBusy) => PlacementAttempt::AllBusy,
+            Err(SearchError::AllBusy | SearchError::AllPaced(_)) => PlacementAttempt::AllBusy,
             Err(SearchError::NoRoom) => PlacementAttempt::NoRoom,
         }
     }
@@ -291,17 +335,29 @@
         if is_avoided || !engine.health.admits(engine.active_placements(), now) {
             return Eligibility::Unhealthy;
         }
-        let is_paced = self.cold_limit(engine, now).is_some() && !engine.pacer.admits(now);
         let is_full = engine.prefill_backlog(now) >= MAX_PREFILL_BACKLOG;
-        if is_full || is_paced || self.weights.excludes(&listed.start) {
+        if is_full || self.weights.excludes(&listed.start) {
             return Eligibility::Busy;
         }
-        match self.weights.cost_ms(&request.model, engine.weight_version, now) {
-            Some(weights_cost_ms) => Eligibility::Free { weights_cost_ms },
-            None => Eligibility::Busy,
+        let Some(weights_cost_ms) =
+            self.weights.cost_ms(&request.model, engine.weight_version, now)
+        else {
+            return Eligibility::Busy;
+        };
+        match self.rate_limit(engine, now) {
+            Some(RateLimit { requests_per_s }) if !engine.pacer.admits(now) => {
+                Eligibility::Paced(Pace { next_at: engine.pacer.next_at(), requests_per_s })
+            }
+            _ => Eligibility::Free { weights_cost_ms },
         }
     }
 
+    /// The rate at which an engine takes prompts now; `None` if it is not limited.
+    fn rate_limit(&self, engine: &Engine, now: BootTime) -> Option<RateLimit> {
+        let cold = self.cold_limit(engine, now).map(|cold_start| cold_start.limit());
+        cold.into_iter().chain(engine.named_limit.get()).reduce(RateLimit::min)
+    }
+
     /// What an engine bears now; `None` if it is not cold.
     fn cold_limit(&self, engine: &Engine, now: BootTime) -> Option<ColdStart> {
         let cold_start = self.cold_starts.get(&engine.listed.service)?;
@@ -316,9 +372,13 @@
 
 /// Retry delay for a refused caller, spread by waiter id to avoid synchronized retries.
 fn retry_after(waiter: WaiterId) -> Duration {
+    RETRY_AFTER.0 + retry_spread(waiter)
+}
+
+fn retry_spread(waiter: WaiterId) -> Duration {
     let (min, max) = RETRY_AFTER;
     let spread = (waiter.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 54) as f64 / 1_024.0;
-    min + (max - min).mul_f64(spread)
+    (max - min).mul_f64(spread)
 }
 
 fn millis(duration: Duration) -> f64 {
--- a/src/scheduler/plan/events.rs
+++ b/src/scheduler/plan/events.rs
@@ -7,6 +7,7 @@
 use crate::clock::BootTime;
 use crate::fleet::FailureCause;
 use crate::fleet::cold::ColdStart;
+use crate::fleet::news::{TargetEvent, TargetNews};
 use crate::ids::TargetStart;
 use crate::scheduler::engine::Engine;
 use crate::scheduler::messages::{EndReason, PlacementEvent, TicketId};
@@ -18,7 +19,7 @@
     /// Applies an event of a placement.
     pub fn observe(&mut self, event: &PlacementEvent, now: BootTime) {
         match event {
-            PlacementEvent::FirstToken { ticket, weight_version, load } => {
+            PlacementEvent::FirstToken { ticket, weight_version, load, rate_limit } => {
                 let Some(placement) = self.tickets.get_mut(ticket) else { return };
                 let fetched_from = placement.slowest_source.take();
                 let (fetch_ms, expected_ms) = (placement.fetch_ms, placement.expected_ms);
@@ -48,12 +49,14 @@
                     if let Some(load) = load {
                         engine.observe_load(*load, now);
                     }
+                    engine.named_limit.answered(*rate_limit, placed_at, now);
                     if *weight_version > engine.weight_version {
                         engine.set_weights(*weight_version);
                     }
                 });
             }
             PlacementEvent::IdleConnectionsLost { target } => self.may_have_restarted(target, now),
+            PlacementEvent::News(news) => self.observe_news(news, now),
             PlacementEvent::Ended { ticket, end } => {
                 let Some(placement) = self.tickets.remove(ticket) else { return };
                 self.end_placement(*ticket, placement, *end, now);
@@ -98,6 +101,18 @@
         });
     }
 
+    /// Applies news of a target.
+    pub fn observe_news(&mut self, news: &TargetNews, now: BootTime) {
+        let at = now.saturating_sub(news.age);
+        match news.event {
+            TargetEvent::MayHaveRestarted => self.may_have_restarted(&news.target, at),
+            TargetEvent::RateLimit(limit) => {
+                self.engines
+                    .update_by_start(&news.target, |engine| engine.named_limit.told(limit, at));
+            }
+        }
+    }
+
     /// Applies a measured fetch time to the links at both ends, since either may be the slow one.
     fn observe_fetch_time(
         &mut self,
--- a/src/scheduler/plan/grants.rs
+++ b/src/scheduler/plan/grants.rs
@@ -46,13 +46,13 @@
             }
         }
         let clock_ms = self.engines_clock_ms(now).unwrap_or_default();
-        let cold_limit = self.engines.get(number).and_then(|engine| self.cold_limit(engine, now));
+        let limit = self.engines.get(number).and_then(|engine| self.rate_limit(engine, now));
         let resident_or_fetched = candidate.trace.resident_tokens + candidate.trace.fetched_tokens;
         let prefill_tokens = request.prompt_tokens.saturating_sub(resident_or_fetched).max(1);
         let estimator = self.estimators.entry(request.service.clone()).or_default();
         let weight_version = self.engines.update(number, |engine| {
-            if let Some(cold_start) = cold_limit {
-                engine.pacer.record(cold_start.limit(), now);
+            if let Some(limit) = limit {
+                engine.pacer.record(limit, now);
             }
             for (key, part) in keys.iter().zip(&request.parts) {
                 engine.cache.acquire(*key, part.tokens);
--- a/src/scheduler/plan/search.rs
+++ b/src/scheduler/plan/search.rs
@@ -6,7 +6,7 @@
 
 use rustc_hash::FxHashSet;
 
-use super::{Eligibility, MAX_PREFILL_BACKLOG, Scheduler};
+use super::{Eligibility, MAX_PREFILL_BACKLOG, Pace, Scheduler};
 use crate::clock::BootTime;
 use crate::deployment::EngineSpec;
 use crate::scheduler::candidate::{Candidate, RequiredPrefix};
@@ -37,7 +37,7 @@
 }
 
 /// Why no engine was found.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) enum SearchError {
     /// No engine of the service is listed where the prompt may run.
     NoTargetListed,
@@ -45,6 +45,8 @@
     NoHealthyTarget,
     /// All eligible engines have a full prefill backlog.
     AllBusy,
+    /// All eligible engines are limited and admit no prompt now.
+    AllPaced(Pace),
     /// Engines are available, but none has capacity for this prompt.
     NoRoom,
 }
@@ -62,6 +64,10 @@
     examined: FxHashSet<EngineNumber>,
     is_healthy: bool,
     is_free: bool,
+    /// Whether an engine is busy for another reason than its rate limit.
+    is_full: bool,
+    /// What the engines admit that are busy because of their limits.
+    paced: Option<Pace>,
     best: Option<Best>,
 }
 
@@ -125,6 +131,8 @@
             examined: FxHashSet::default(),
             is_healthy: false,
             is_free: false,
+            is_full: false,
+            paced: None,
             best: None,
         }
     }
@@ -151,6 +159,7 @@
                 if prefill_free_at.saturating_sub(self.now) >= MAX_PREFILL_BACKLOG {
                     // The rest of the level has longer backlogs.
                     self.is_healthy |= !group.is_unhealthy;
+                    self.is_full = true;
                     break;
                 }
                 if self.examine(number) {
@@ -195,7 +204,12 @@
         let weights_cost_ms = match self.scheduler.eligibility(engine, self.request, self.now) {
             Eligibility::Unsuitable | Eligibility::Unhealthy => return false,
             Eligibility::Busy => {
+                (self.is_healthy, self.is_full) = (true, true);
+                return false;
+            }
+            Eligibility::Paced(pace) => {
                 self.is_healthy = true;
+                self.paced = Some(self.paced.map_or(pace, |paced| paced.and(pace)));
                 return false;
             }
             Eligibility::Free { weights_cost_ms } => weights_cost_ms,
@@ -241,9 +255,10 @@
 
     fn finish(self) -> Result<BestEngine, SearchError> {
         let Some(Best { number, mut candidate, .. }) = self.best else {
-            return Err(match (self.is_healthy, self.is_free) {
-                (false, _) => SearchError::NoHealthyTarget,
-                (_, false) => SearchError::AllBusy,
+            return Err(match (self.is_healthy, self.is_free, self.paced) {
+                (false, ..) => SearchError::NoHealthyTarget,
+                (_, false, Some(pace)) if !self.is_full => SearchError::AllPaced(pace),
+                (_, false, _) => SearchError::AllBusy,
                 _ => SearchError::NoRoom,
             });
         };
--- a/src/scheduler/queue.rs
+++ b/src/scheduler/queue.rs
@@ -31,7 +31,8 @@
 }
 
 impl QueuedPrompt {
-    fn expires_at(&self) -> BootTime {
+    /// When it is refused if it has not been placed.
+    pub fn expires_at(&self) -> BootTime {
         let objective = self.request.objective;
         let max_wait = match objective.is_zero() {
             true => DEFAULT_MAX_WAIT,
@@ -92,6 +93,14 @@
         self.waiting.remove(position)
     }
 
+    /// Number of prompts for the same service that are placed before a new one.
+    pub fn ahead_of(&self, request: &PlacementRequest) -> usize {
+        let is_ahead = |queued: &&QueuedPrompt| {
+            queued.request.service == request.service && queued.request.priority <= request.priority
+        };
+        self.waiting.iter().filter(is_ahead).count()
+    }
+
     pub fn len(&self) -> usize {
         self.waiting.len()
     }
--- a/tests/deployment/cold.rs
+++ b/tests/deployment/cold.rs
@@ -43,9 +43,9 @@
     times.iter().map(|from| count(*from)).max().unwrap_or(0)
 }
 
-/// Submits more prompts than a cold engine bears, each ending after 40 ms, and returns when each
+/// Submits more prompts than a limited engine bears, each ending after 40 ms, and returns when each
 /// engine got one.
-fn storm(
+pub fn storm(
     scheduler: &mut Scheduler,
     from_ms: u64,
     to_ms: u64,
--- a/tests/deployment/load.rs
+++ b/tests/deployment/load.rs
@@ -94,8 +94,15 @@
 }
 
 pub fn observe_first_token(scheduler: &mut Scheduler, ticket: u64, now: Duration) {
-    scheduler
-        .observe(&PlacementEvent::FirstToken { ticket, weight_version: Some(1), load: None }, now);
+    scheduler.observe(
+        &PlacementEvent::FirstToken {
+            ticket,
+            weight_version: Some(1),
+            load: None,
+            rate_limit: None,
+        },
+        now,
+    );
 }
 
 /// Reports the saves that a placement granted as completed.
--- a/tests/deployment/rate_limits.rs
+++ b/tests/deployment/rate_limits.rs
@@ -6,13 +6,17 @@
 use kumquatpost::clock::boot_now;
 use kumquatpost::control::frames::{Update, VersionedRoster};
 use kumquatpost::fleet::FleetView;
-use kumquatpost::fleet::news::{NewsTable, TargetEvent};
+use kumquatpost::fleet::news::{NewsTable, TargetEvent, TargetNews};
 use kumquatpost::fleet::rate::{IndependentShare, NamedLimit, RateLimit};
+use kumquatpost::scheduler::PlacementEvent;
+use kumquatpost::scheduler::plan::PlacementError;
 
+use crate::cold::storm;
 use crate::fixtures::{address, ms, roster, start, target};
 use crate::gateway::{
     PROMPT, deployment_with_long_timeouts, event_stream, ok_response, run_local, start_entry,
 };
+use crate::load::{expect_placed, placement_request, scheduler};
 use crate::platform_stand_in::limits::KNOWN_WITHIN;
 use crate::restarts::{TestDeployment, send_prompt};
 use crate::scheduler_service::leader_state;
@@ -249,6 +253,71 @@
     assert_eq!(news.since(0, ms(194_000)).len(), 0);
 }
 
+fn limit_news(engine: &str, limit: Option<RateLimit>) -> TargetNews {
+    TargetNews { target: start(engine), event: TargetEvent::RateLimit(limit), age: Duration::ZERO }
+}
+
+// Guards against prompts that a scheduler places beyond a named limit, and against engines that it
+// spares after the limit has ended.
+#[test]
+fn a_scheduler_spaces_prompts_by_a_named_limit_until_it_ends() {
+    let mut scheduler = scheduler(2);
+    scheduler.observe_news(&limit_news("i-00", Some(limit(4.0))), ms(1_000));
+    let placed = storm(&mut scheduler, 1_000, 9_000);
+    let most = max_per_window(placed[&start("i-00")].iter().copied());
+    assert!((12..=4 * 6 + 5).contains(&most), "{most} in four seconds");
+    assert!(placed[&start("i-01")].len() > 200, "the other engine takes the rest");
+    scheduler.observe_news(&limit_news("i-00", None), ms(9_000));
+    let placed = storm(&mut scheduler, 9_001, 11_000);
+    assert!(placed[&start("i-00")].len() > 50, "{}", placed[&start("i-00")].len());
+}
+
+// Guards against a limit that a scheduler keeps although answers name it no more.
+#[test]
+fn a_first_token_without_a_limit_ends_it() {
+    let mut scheduler = scheduler(1);
+    scheduler.observe_news(&limit_news("i-00", Some(limit(1.0))), ms(1_000));
+    let first = expect_placed(scheduler.submit(1, placement_request(2, 1, 1), ms(1_100)));
+    let refused = scheduler.submit(2, placement_request(2, 2, 2), ms(1_200));
+    assert!(matches!(refused, Some(Err(PlacementError::Limited(_)))), "{refused:?}");
+    let first_token = PlacementEvent::FirstToken {
+        ticket: first.ticket,
+        weight_version: Some(1),
+        load: None,
+        rate_limit: None,
+    };
+    scheduler.observe(&first_token, ms(1_300));
+    expect_placed(scheduler.submit(3, placement_request(2, 3, 3), ms(1_400)));
+}
+
+// Guards against prompts that wait for engines whose limits won't let them in in time.
+#[test]
+fn prompts_beyond_the_limits_of_all_engines_are_refused_at_once() {
+    let mut scheduler = scheduler(2);
+    for engine in ["i-00", "i-01"] {
+        scheduler.observe_news(&limit_news(engine, Some(limit(5.0))), ms(1_000));
+    }
+    let (mut waiting, mut refused) = (0, Vec::new());
+    for n in 0..50 {
+        match scheduler.submit(n, placement_request(2, n, n), ms(1_100)) {
+            Some(Ok(_)) => {}
+            Some(Err(PlacementError::Limited(after))) => refused.push(after),
+            None => waiting += 1,
+            other => panic!("prompt {n} got {other:?}"),
+        }
+    }
+    assert!((1..=12).contains(&waiting), "{waiting} prompts wait for ten places a second");
+    assert!(refused.len() >= 36, "{}", refused.len());
+    let all_in_time = refused.iter().all(|after| (ms(100)..=ms(3_000)).contains(after));
+    assert!(all_in_time, "{refused:?}");
+    let mut outcomes = Vec::new();
+    for at in (1_100..4_000).step_by(10) {
+        outcomes.extend(scheduler.dispatch(ms(at)));
+    }
+    let placed = outcomes.iter().filter(|(_, outcome)| outcome.is_ok()).count();
+    assert_eq!(placed, waiting, "those that wait are placed: {outcomes:?}");
+}
+
 /// Sends prompts through all entries at about 60 per second for a while.
 async fn send_prompts(site: &TestDeployment, name: &str, for_: Duration) -> usize {
     let (began, mut served, mut n) = (Instant::now(), 0, 0);
--- a/tests/deployment/starts.rs
+++ b/tests/deployment/starts.rs
@@ -37,7 +37,12 @@
 fn first_token(scheduler: &mut Scheduler, ticket: u64, weights: u64, at_ms: u64) {
     let load = Some(TargetLoad { running: 90, waiting: 90, slots: 48 });
     scheduler.observe(
-        &PlacementEvent::FirstToken { ticket, weight_version: Some(weights), load },
+        &PlacementEvent::FirstToken {
+            ticket,
+            weight_version: Some(weights),
+            load,
+            rate_limit: None,
+        },
         ms(at_ms),
     );
 }
