Soak: targets name rate limits, and what they get is checked

One target after the other names a limit for 4 to 11 s beside all other faults. It must get no more than one and a half times that in four seconds, plus five, from three seconds after it first named it, unless a fault may have held up requests.

--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -10,6 +10,7 @@
 mod disk_load;
 mod evacuation;
 mod faults;
+mod limits;
 mod list_faults;
 mod operator;
 #[path = "../platform_stand_in/mod.rs"]
@@ -226,6 +227,7 @@
             false => violations.extend(cold_bursts),
         }
         drop(platform);
+        violations.extend(limits::excesses(self));
         if repeats as f64 > max_repeats {
             self.record_violation(format!("{repeats} repeated runs, the limit is {max_repeats}"));
         }
@@ -284,6 +286,7 @@
     tasks.spawn(operator::probe_entries(harness.clone(), stop.clone()));
     tasks.spawn(quarantine::run(harness.clone(), faults_done.clone()));
     tasks.spawn(disk_load::run(harness.clone(), faults_done.clone()));
+    tasks.spawn(limits::run(harness.clone(), faults_done.clone()));
     injector.run(duration).await;
     faults_done.store(true, Ordering::Relaxed);
     operator.await.expect("the task does not panic");
