--- a/src/control/run.rs
+++ b/src/control/run.rs
@@ -19,13 +19,13 @@
 
 use super::links::Links;
 
+use super::news_publisher;
 use super::publisher;
 use super::quarantine_publisher;
 use super::reader_election::ReaderElection;
 use super::replica::{Input, Replica, ReplicaInit};
 use super::roster_reader::{self, TargetListSource};
 
-use super::news_publisher;
 use super::operator_server::OperatorServer;
 use super::rollout::RolloutController;
 use super::scheduler_service::SchedulerService;
--- a/tests/deployment/rate_limits.rs
+++ b/tests/deployment/rate_limits.rs
@@ -336,8 +336,8 @@
     served
 }
 
-// Guards against prompts that the scheduler places beyond a named limit, also after its leader was
-// lost.
+// Guards against prompts that the scheduler places beyond a named limit, also after entries have
+// restarted and leaders were lost.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_engine_gets_no_more_prompts_through_the_scheduler_than_the_limit_that_it_names() {
     let mut site =
@@ -348,12 +348,12 @@
     assert!(served > 0, "the other engines take them");
     let excesses = || site.platform.lock().observations.limit_excesses.clone();
     assert_eq!(excesses().first(), None, "while one scheduler places prompts");
-    for replica in site.system.replicas() {
-        site.system.kill(replica);
-        site.system.restart(replica, false);
-        send_prompts(&site, &format!("replica-{replica}"), Duration::from_secs(1)).await;
+    for process in 0..site.system.processes.len() {
+        site.system.kill(process);
+        site.system.restart(process, false);
+        send_prompts(&site, &format!("process-{process}"), Duration::from_secs(1)).await;
     }
     send_prompts(&site, "last", Duration::from_secs(2)).await;
     let excesses = site.platform.lock().observations.limit_excesses.clone();
-    assert_eq!(excesses.first(), None, "while replicas restart");
+    assert_eq!(excesses.first(), None, "while entries and replicas restart");
 }
