--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -367,10 +367,10 @@
     pub fn observe_limit(&self, target: &TargetStart, named: Option<RateLimit>, sent_at: BootTime) {
         let now = boot_now();
         let is_change = self.fleet.borrow_mut().observe_limit(target, named, sent_at, now);
-        let limit = self.fleet.borrow().get(target).and_then(|state| state.named_limit());
-        if !is_change && limit.is_none() {
+        if named.is_none() && !is_change {
             return;
         }
+        let limit = self.fleet.borrow().get(target).and_then(|state| state.named_limit());
         // News also if it is unchanged, which keeps it for entries and replicas that start later.
         let event = TargetEvent::RateLimit(limit);
         self.news.send_if_modified(|known| known.observe(target, event, now, now));
