Tell why a request found no target, and when the scheduler ejects an engine

Logs could not tell whether sound entries were refused because of ejections that cut entries caused, or because of queues.

--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -236,6 +236,7 @@
                 continue;
             }
             Err(AttemptError::NoTarget(why)) => {
+                record.no_target(why);
                 let refusal = match (may_have_run, why) {
                     (true, _) => Refusal::Broken,
                     (false, NoTarget::Busy(retry_after)) => Refusal::Busy(retry_after),
--- a/src/gateway/request_record.rs
+++ b/src/gateway/request_record.rs
@@ -8,7 +8,7 @@
 use super::metadata::{RequestMetadata, ResponseMetadata};
 use super::priority::Priority;
 use super::state::Gateway;
-use super::target_selection::SelectedTarget;
+use super::target_selection::{NoTarget, SelectedTarget};
 use crate::clock::{BootTime, boot_now};
 use crate::deployment::document::DeploymentVersion;
 use crate::fleet::budget::RetryDecision;
@@ -124,6 +124,12 @@
         let _ = write!(self.attempts, " at_ms={at_ms} failed={target} reason={reason:?}");
     }
 
+    /// Records why no target was selected.
+    pub fn no_target(&mut self, why: NoTarget) {
+        let at_ms = self.elapsed().as_millis();
+        let _ = write!(self.attempts, " at_ms={at_ms} why={why:?}");
+    }
+
     /// Records whether the retry budget allows another attempt.
     pub fn retry_decided(&mut self, service: &ServiceId, decision: &RetryDecision) {
         let RetryDecision { is_granted, retries, allowed, entries } = decision;
--- a/src/scheduler/plan/events.rs
+++ b/src/scheduler/plan/events.rs
@@ -71,7 +71,11 @@
             // Several prompts may have been sent on the same wrong assumption; only the first
             // mismatch counts.
             let is_first_mismatch = engine.weight_version == placement.weight_version;
+            let was_unhealthy = engine.health.is_unhealthy();
             observe_end(engine, end, now);
+            if engine.health.is_unhealthy() && !was_unhealthy {
+                log::info!("event=engine_ejected engine={} end={end:?}", placement.target);
+            }
             if let Some(cold_start) = cold_starts.get(&engine.listed.service) {
                 observe_cold_start(engine, cold_start, end, placement.since, now);
             }
