Add failing tests of paths that entries lose

One entry's word ejects an engine for all entries although it answers the others, and an outage of an entry's own path outlasts it, as each target is ejected for it.

--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -22,6 +22,7 @@
 mod leaving;
 mod links;
 mod load;
+mod lost_paths;
 mod many_hosts;
 mod memory;
 mod monotonic_state;
--- a/tests/deployment/stand_in.rs
+++ b/tests/deployment/stand_in.rs
@@ -36,7 +36,11 @@
 
 impl StandIn {
     pub async fn start(script: Script) -> StandIn {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        StandIn::start_at(SocketAddr::from(([127, 0, 0, 1], 0)), script).await
+    }
+
+    pub async fn start_at(address: SocketAddr, script: Script) -> StandIn {
+        let listener = TcpListener::bind(address).await.expect("a free port");
         let stand_in = StandIn {
             address: listener.local_addr().expect("an address"),
             requests: Rc::default(),
