Don't eject an engine that answers on the word of an entry that can't reach it

Callers of entries with a sound path were refused as busy, as entries that had lost theirs made the scheduler eject 8 of 12 engines for all within 0.72 s. An engine that has answered any entry since a placement is not ejected because that placement's entry can't reach it, and an ejection for broken connections ends with the next answer. An engine that has ended answers nobody and is ejected as before.

--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -381,7 +381,7 @@
 
     /// Records that a connection broke before the end of an answer.
     pub fn connection_lost(&mut self, target: &TargetStart, now: BootTime) {
-        self.update_health(target, |health| health.record_failure(FailureCause::Target, now));
+        self.update_health(target, |health| health.record_failure(FailureCause::Connection, now));
         self.update_coldness(target, |coldness, limit| coldness.may_have_ended(limit, now));
     }
 
--- a/src/route/health.rs
+++ b/src/route/health.rs
@@ -17,8 +17,11 @@
 /// Whether a failed request counts against the target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FailureCause {
-    /// The target crashed, hung or was unreachable.
+    /// The target crashed, hung or gave a wrong answer.
     Target,
+    /// A connection to the target broke. So do connections of a process that loses its own path to
+    /// targets.
+    Connection,
     /// Not the target's fault: an invalid request, a cancellation or a legitimate refusal.
     Other,
 }
@@ -26,10 +29,18 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
     Healthy { failures: u32 },
-    Ejected { until: BootTime },
+    Ejected { until: BootTime, cause: EjectionCause },
     Trial { successes: u32 },
 }
 
+/// Why a target was ejected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum EjectionCause {
+    Failures,
+    /// It could not be reached, or connections broke.
+    Connection,
+}
+
 /// Health of one target as seen by this process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Health {
@@ -50,7 +61,7 @@
     pub fn admits(&self, running: u32, now: BootTime) -> bool {
         match self.state {
             State::Healthy { .. } => true,
-            State::Ejected { until } => now >= until && running < MAX_TRIAL_REQUESTS,
+            State::Ejected { until, .. } => now >= until && running < MAX_TRIAL_REQUESTS,
             State::Trial { .. } => running < MAX_TRIAL_REQUESTS,
         }
     }
@@ -60,6 +71,18 @@
         !matches!(self.state, State::Healthy { .. })
     }
 
+    /// Whether the target is ejected because it could not be reached.
+    pub fn is_unreachable(&self) -> bool {
+        matches!(self.state, State::Ejected { cause: EjectionCause::Connection, .. })
+    }
+
+    /// Records that the target can be reached, which ends an ejection for broken connections.
+    pub fn record_reached(&mut self) {
+        if self.is_unreachable() {
+            *self = Health::default();
+        }
+    }
+
     /// Records a complete answer.
     pub fn record_success(&mut self) {
         self.state = match self.state {
@@ -75,30 +98,32 @@
 
     /// Records a failed request. Only failures caused by the target count.
     pub fn record_failure(&mut self, cause: FailureCause, now: BootTime) {
-        if cause == FailureCause::Other {
-            return;
-        }
+        let cause = match cause {
+            FailureCause::Other => return,
+            FailureCause::Target => EjectionCause::Failures,
+            FailureCause::Connection => EjectionCause::Connection,
+        };
         self.state = match self.state {
             State::Healthy { failures } if failures + 1 < FAILURES_TO_EJECT => {
                 State::Healthy { failures: failures + 1 }
             }
             // Requests sent before the ejection may still fail; they don't prolong it.
-            State::Ejected { until } if now < until => State::Ejected { until },
-            _ => self.eject(now),
+            ejected @ State::Ejected { until, .. } if now < until => ejected,
+            _ => self.eject(cause, now),
         };
     }
 
     /// Ejects the target at once, without waiting for further failures.
     pub fn record_unreachable(&mut self, now: BootTime) {
         self.state = match self.state {
-            State::Ejected { until } if now < until => State::Ejected { until },
-            _ => self.eject(now),
+            ejected @ State::Ejected { until, .. } if now < until => ejected,
+            _ => self.eject(EjectionCause::Connection, now),
         };
     }
 
-    fn eject(&mut self, now: BootTime) -> State {
+    fn eject(&mut self, cause: EjectionCause, now: BootTime) -> State {
         let duration = INITIAL_EJECTION.saturating_mul(1 << self.ejections.min(10));
         self.ejections += 1;
-        State::Ejected { until: now + duration.min(MAX_EJECTION) }
+        State::Ejected { until: now + duration.min(MAX_EJECTION), cause }
     }
 }
--- a/src/scheduler/engine.rs
+++ b/src/scheduler/engine.rs
@@ -47,6 +47,8 @@
     reserved_output_tokens: u64,
     reported_load: Option<(u32, BootTime)>,
     pub coldness: Coldness,
+    /// When an entry last reported an answer.
+    answered_at: Option<BootTime>,
     /// When a connection last broke before the end of an answer.
     connection_lost_at: Option<BootTime>,
     /// The rate limit that its answers name.
@@ -105,6 +107,7 @@
             running: FxHashMap::default(),
             reserved_output_tokens: 0,
             reported_load: None,
+            answered_at: None,
             connection_lost_at: None,
             named_limit: NamedLimit::default(),
             pacer: Pacer::default(),
@@ -206,6 +209,18 @@
         self.reported_load = Some((other_requests, now));
     }
 
+    /// Records an answer, which shows that the engine can be reached, whatever entries have reported
+    /// that can't reach it.
+    pub fn answered(&mut self, now: BootTime) {
+        self.answered_at = Some(now);
+        self.health.record_reached();
+    }
+
+    /// Whether it has answered an entry after `since`.
+    pub fn has_answered_since(&self, since: BootTime) -> bool {
+        self.answered_at.is_some_and(|at| at > since)
+    }
+
     /// Records that a connection broke. Returns whether the engine may have crashed: that breaks all
     /// its connections at once, while a lost answer breaks only one.
     pub fn connection_lost(&mut self, now: BootTime) -> bool {
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -116,6 +116,8 @@
     /// The weights that the engine was expected to run.
     weight_version: Option<u64>,
     since: BootTime,
+    /// When its entry is last known to have reached the engine, or when it was granted.
+    last_reached: BootTime,
     /// Source of the largest fetched part, if the fetch was expected to take longer than the
     /// engine's backlog.
     slowest_source: Option<SocketAddr>,
--- a/src/scheduler/plan/events.rs
+++ b/src/scheduler/plan/events.rs
@@ -25,6 +25,7 @@
                 let (fetch_ms, expected_ms) = (placement.fetch_ms, placement.expected_ms);
                 let late_ms = millis(now.saturating_sub(placement.since)) - expected_ms;
                 let (target, placed_at) = (placement.target.clone(), placement.since);
+                placement.last_reached = now;
                 let Some(engine) = self.engines.get_by_start(&target) else { return };
                 let service = engine.listed.service.clone();
                 let lateness = self.lateness.entry(service.clone()).or_default();
@@ -42,6 +43,7 @@
                 let estimator = self.estimators.entry(service.clone()).or_default();
                 let cold_start = self.cold_starts.get(&service);
                 self.engines.update_by_start(&target, |engine| {
+                    engine.answered(now);
                     engine.end_prefill(*ticket, estimator, now);
                     if let Some(cold_start) = cold_start {
                         engine.coldness.answered(cold_start, placed_at, now);
@@ -72,6 +74,10 @@
             // mismatch counts.
             let is_first_mismatch = engine.weight_version == placement.weight_version;
             let was_unhealthy = engine.health.is_unhealthy();
+            if end == EndReason::Unreachable && engine.has_answered_since(placement.last_reached) {
+                // The entry has lost its path to the engine, which answers others.
+                return false;
+            }
             observe_end(engine, end, now);
             if engine.health.is_unhealthy() && !was_unhealthy {
                 log::info!("event=engine_ejected engine={} end={end:?}", placement.target);
@@ -168,12 +174,14 @@
 
 fn observe_end(engine: &mut Engine, end: EndReason, now: BootTime) {
     match end {
-        EndReason::Completed => engine.health.record_success(),
+        EndReason::Completed => {
+            engine.answered(now);
+            engine.health.record_success();
+        }
         EndReason::Cancelled | EndReason::NotRun => {}
         EndReason::Unreachable => engine.health.record_unreachable(now),
-        EndReason::Failed | EndReason::ConnectionLost => {
-            engine.health.record_failure(FailureCause::Target, now)
-        }
+        EndReason::Failed => engine.health.record_failure(FailureCause::Target, now),
+        EndReason::ConnectionLost => engine.health.record_failure(FailureCause::Connection, now),
         EndReason::WeightMismatch(version) => engine.set_weights(version),
         EndReason::Replaced => engine.mark_leaving(),
     }
--- a/src/scheduler/plan/grants.rs
+++ b/src/scheduler/plan/grants.rs
@@ -79,6 +79,7 @@
                 target: target.clone(),
                 weight_version,
                 since: now,
+                last_reached: now,
                 slowest_source,
                 fetch_ms: candidate.fetch_ms,
                 expected_ms: candidate.ahead_ms.max(candidate.fetch_ms) + candidate.after_fetch_ms,
