Tell each entry of some others

Nothing uses it yet: entries that lose their path to targets will reach them through these.

An entry gets its sample again only if that changes.

--- a/src/control/frames.rs
+++ b/src/control/frames.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncRead, AsyncReadExt};
 
+use super::entry_directory::{EntriesByDomain, PeerEntry};
 use super::pieces::Piece;
 pub use super::versioned_roster::{RosterVersion, VersionedRoster};
 use crate::deployment::Deployment;
@@ -48,6 +49,8 @@
     Entry {
         /// The name of its host.
         name: String,
+        /// Its host, at whose peer port other entries reach it.
+        ip: IpAddr,
         failure_domain: DomainId,
         /// The version of its deployment; 0 if it has none.
         deployment: DeploymentVersion,
@@ -179,7 +182,7 @@
     /// Asks for the recipient's whole roster.
     RosterRequested,
     /// Entries connected to the sender.
-    Entries(BTreeSet<String>),
+    Entries(EntriesByDomain),
     /// Quarantine reports known to the sender.
     Quarantine(Vec<Report>),
     /// The digest of the sender's quarantine. The recipient sends `Quarantine` if its own differs.
@@ -251,6 +254,8 @@
     Quarantine(Vec<Report>),
     /// News of targets.
     News(Vec<TargetNews>),
+    /// Entries that may forward requests for the recipient. Replaces earlier ones.
+    PeerEntries(Vec<PeerEntry>),
 }
 
 /// Encodes a frame with its length prefix.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -6,6 +6,7 @@
 pub mod deployment_schedule;
 pub mod engine_cache_reader;
 pub mod engine_report;
+pub mod entry_directory;
 pub mod frames;
 pub mod identity;
 pub mod links;
--- a/src/control/publisher.rs
+++ b/src/control/publisher.rs
@@ -14,6 +14,7 @@
 use tokio::time::Instant;
 
 use super::deployment_schedule::DeploymentSchedule;
+use super::entry_directory::{DirectoryRevision, PeerEntry};
 use super::frames::{self, ConfirmId, Handshake, ReplicaFrame, SubscriberRequest, Update, encode};
 use super::replica::Input;
 use super::roster_publisher::RosterPublisher;
@@ -84,16 +85,13 @@
                 }
             }
         }
-        Handshake::Entry { name, failure_domain, deployment, named } => {
+        Handshake::Entry { name, ip, failure_domain, deployment, named } => {
             log::info!("event=entry_connected entry={name} failure_domain={failure_domain}");
             shared.observe_ages(named);
-            *shared.connected_entries.borrow_mut().entry(name.clone()).or_default() += 1;
-            let ended = publish_to_entry(read, write, &scheduling, deployment).await;
-            let mut entries = shared.connected_entries.borrow_mut();
-            if let Some(count) = entries.get_mut(&name) {
-                *count -= 1;
-            }
-            entries.retain(|_, count| *count > 0);
+            shared.entry_connected(&name, ip, &failure_domain);
+            let sent = Sent::new(&name, &failure_domain, deployment);
+            let ended = publish_to_entry(read, write, &scheduling, sent).await;
+            shared.entry_disconnected(&name);
             log::info!(
                 "event=entry_disconnected entry={name} reason={:?}",
                 ended.err().map(|e| e.to_string())
@@ -116,7 +114,7 @@
     read: BufReader<OwnedReadHalf>,
     mut write: OwnedWriteHalf,
     scheduling: &SchedulerService,
-    deployment: DeploymentVersion,
+    mut sent: Sent,
 ) -> std::io::Result<()> {
     let shared = &scheduling.shared;
     let repeat_period =
@@ -127,7 +125,6 @@
     let mut suspects = shared.suspects.subscribe();
     let mut news = shared.news.subscribe();
     view.mark_changed();
-    let mut sent = Sent { deployment: DeploymentSchedule::new(deployment), ..Sent::default() };
     let mut roster_publisher = RosterPublisher::default();
     let mut incoming = pin!(next_request(read));
     let mut next_poll = Instant::now();
@@ -158,6 +155,7 @@
                 if is_current {
                     sent.add_domains(shared, &mut bytes);
                     sent.repeat_ages(repeat_period, &mut bytes);
+                    sent.add_peer_entries(shared, &mut bytes);
                     bytes.extend_from_slice(&heartbeat(shared));
                 }
                 next_poll =
@@ -187,6 +185,9 @@
 /// What was last sent to an entry, except for the roster.
 #[derive(Default)]
 struct Sent {
+    /// The recipient.
+    entry: String,
+    failure_domain: DomainId,
     deployment: DeploymentSchedule,
     /// A confirmation request that has not been answered yet.
     confirm: Option<ConfirmId>,
@@ -202,9 +203,21 @@
     news: NewsRevision,
     /// Number of evacuation orders that were accepted when the evacuated domains were sent.
     evacuation_orders: OrderRevision,
+    /// The revision of the entry directory from which the peer entries were chosen.
+    directory: DirectoryRevision,
+    peer_entries: Vec<PeerEntry>,
 }
 
 impl Sent {
+    fn new(entry: &str, failure_domain: &DomainId, deployment: DeploymentVersion) -> Sent {
+        Sent {
+            entry: entry.to_string(),
+            failure_domain: failure_domain.clone(),
+            deployment: DeploymentSchedule::new(deployment),
+            ..Sent::default()
+        }
+    }
+
     /// Appends everything that has changed since it was last sent and may be published now.
     fn add_changes(&mut self, shared: &Shared, is_secondary: bool, bytes: &mut Vec<u8>) {
         // Before anything else, since an entry starts to serve once it has received the rest.
@@ -257,6 +270,21 @@
         }
     }
 
+    /// Appends the entries that may forward requests for the recipient. Only with regular
+    /// heartbeats: after an outage the directory changes with each entry that connects.
+    fn add_peer_entries(&mut self, shared: &Shared, bytes: &mut Vec<u8>) {
+        let directory = shared.entry_directory.borrow();
+        if directory.revision() == self.directory {
+            return;
+        }
+        self.directory = directory.revision();
+        let sample = directory.sample(&self.entry, &self.failure_domain);
+        if sample != self.peer_entries {
+            self.peer_entries.clone_from(&sample);
+            bytes.extend_from_slice(&encode(&Update::PeerEntries(sample)));
+        }
+    }
+
     /// Appends a heartbeat if the leader has changed. Prompts wait for the scheduler of the new
     /// leader, and waiting for the next regular heartbeat would use a tenth of their time budget.
     fn add_leader(&mut self, shared: &Shared, bytes: &mut Vec<u8>) {
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -9,6 +9,7 @@
 
 use tokio::sync::{mpsc, oneshot};
 
+use super::entry_directory::EntriesByDomain;
 use super::frames::{ReplicaFrame, VersionedRoster, encode};
 use super::publisher::MAX_STALENESS;
 use super::shared::{Freshness, ReplicaView, Shared, StalePeers};
@@ -73,7 +74,7 @@
     pending_proposals: BTreeMap<Index, (Term, oneshot::Sender<Result<Reply, Undecided>>)>,
     pending_reads: BTreeMap<ReadId, oneshot::Sender<Result<ControlState, Undecided>>>,
     /// Entries connected to other replicas, and when each replica announced them.
-    remote_entries: BTreeMap<NodeId, (BTreeSet<String>, BootTime)>,
+    remote_entries: BTreeMap<NodeId, (EntriesByDomain, BootTime)>,
     /// When another replica first announced its entries.
     remote_entries_since: Option<BootTime>,
     heard_leader_at: BootTime,
@@ -306,19 +307,23 @@
     }
 
     fn announce(&mut self, now: BootTime) {
-        let entries: BTreeSet<String> =
-            self.shared.connected_entries.borrow().keys().cloned().collect();
+        let entries = self.shared.connected_by_domain();
         self.remote_entries.retain(|_, (_, at)| now.saturating_sub(*at) < REMOTE_ENTRIES_TTL);
-        let others = self.remote_entries.values().flat_map(|(entries, _)| entries);
-        let all: BTreeSet<&String> = entries.iter().chain(others).collect();
+        let mut all = entries.clone();
+        for (domain, remote) in self.remote_entries.values().flat_map(|(entries, _)| entries) {
+            let known = all.entry(domain.clone()).or_default();
+            known.extend(remote.iter().map(|(name, ip)| (name.clone(), *ip)));
+        }
         // Without the announcements of the other replicas the count is too low, and each entry
         // would take too large a share of the retry budget.
         let is_only = self.state.replica_addresses.keys().eq([&self.shared.node]);
         let is_settled = |from: BootTime| now.saturating_sub(from) >= ANNOUNCE_INTERVAL * 2;
         if is_only || self.remote_entries_since.is_some_and(is_settled) {
-            self.shared.entry_count.set(Some(all.len() as u32));
+            let count = all.values().map(BTreeMap::len).sum::<usize>();
+            self.shared.entry_count.set(Some(count as u32));
+            self.shared.entry_directory.borrow_mut().update(all);
         }
-        self.shared.broadcast(&self.state, self.ip, &ReplicaFrame::Entries(entries.clone()));
+        self.shared.broadcast(&self.state, self.ip, &ReplicaFrame::Entries(entries));
         let digest = self.shared.quarantine.borrow().digest();
         self.shared.broadcast(&self.state, self.ip, &ReplicaFrame::QuarantineDigest(digest));
         let is_leaderless = now.saturating_sub(self.heard_leader_at) >= LEADERLESS_TIMEOUT;
--- a/src/control/run.rs
+++ b/src/control/run.rs
@@ -96,6 +96,7 @@
         reader_election: Cell::new(ReaderElection::new(boot_now())),
         caught_up_at: Cell::new(None),
         connected_entries: RefCell::default(),
+        entry_directory: RefCell::default(),
         entry_count: Cell::new(None),
         changing: RefCell::default(),
         named_since: RefCell::default(),
--- a/src/control/shared.rs
+++ b/src/control/shared.rs
@@ -10,6 +10,7 @@
 
 use tokio::sync::watch;
 
+use super::entry_directory::{EntriesByDomain, EntryDirectory};
 use super::frames::{NamedAges, ReplicaFrame, RosterVersion, Update, VersionedRoster, encode};
 use super::links::SharedLinks;
 use super::pieces;
@@ -63,8 +64,10 @@
     pub reader_election: Cell<ReaderElection>,
     /// When this replica was last known to have every committed log entry.
     pub caught_up_at: Cell<Option<BootTime>>,
-    /// Entries connected to this replica, with the number of connections of each.
-    pub connected_entries: RefCell<BTreeMap<String, u32>>,
+    /// Entries connected to this replica, by name.
+    pub connected_entries: RefCell<BTreeMap<String, ConnectedEntry>>,
+    /// Entries connected to any replica.
+    pub entry_directory: RefCell<EntryDirectory>,
     /// Number of entries connected to any replica; `None` until the other replicas have had time to
     /// announce theirs.
     pub entry_count: Cell<Option<u32>>,
@@ -91,6 +94,15 @@
     pub seeds: RefCell<BTreeSet<IpAddr>>,
 }
 
+/// An entry that is connected to this replica.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConnectedEntry {
+    pub ip: IpAddr,
+    pub failure_domain: DomainId,
+    /// Number of its connections.
+    pub connections: u32,
+}
+
 /// The control state and leadership as one replica knows them.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ReplicaView {
@@ -270,6 +282,33 @@
         }
     }
 
+    /// Records a connection of an entry.
+    pub fn entry_connected(&self, name: &str, ip: IpAddr, failure_domain: &DomainId) {
+        let mut entries = self.connected_entries.borrow_mut();
+        let connections = entries.get(name).map_or(0, |entry| entry.connections) + 1;
+        let failure_domain = failure_domain.clone();
+        entries.insert(name.to_string(), ConnectedEntry { ip, failure_domain, connections });
+    }
+
+    /// Records the end of a connection of an entry.
+    pub fn entry_disconnected(&self, name: &str) {
+        let mut entries = self.connected_entries.borrow_mut();
+        if let Some(entry) = entries.get_mut(name) {
+            entry.connections -= 1;
+        }
+        entries.retain(|_, entry| entry.connections > 0);
+    }
+
+    /// The entries connected to this replica, as other replicas are told.
+    pub fn connected_by_domain(&self) -> EntriesByDomain {
+        let mut by_domain = EntriesByDomain::new();
+        for (name, entry) in self.connected_entries.borrow().iter() {
+            let entries = by_domain.entry(entry.failure_domain.clone()).or_default();
+            entries.insert(name.clone(), entry.ip);
+        }
+        by_domain
+    }
+
     /// Merges quarantine reports from another process.
     pub fn observe_quarantine(&self, reports: Vec<Report>) {
         notify::update_and_notify(&self.quarantine, |known| {
--- /dev/null
+++ b/src/gateway/peers.rs
@@ -0,0 +1,113 @@
+//! Chooses the entries through which this one reaches targets while its own path to them fails. Pure.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::IpAddr;
+use std::time::Duration;
+
+use crate::clock::BootTime;
+use crate::control::entry_directory::PeerEntry;
+use crate::fleet::regions::AllowedDomains;
+use crate::ids::{DomainId, ServiceId};
+use crate::route::health::{FailureCause, Health};
+
+/// An entry that reaches no target of a service either is not asked for that service for this long.
+const NO_PATH_PAUSE: Duration = Duration::from_secs(1);
+
+/// The entries that replicas name, as this entry knows them.
+#[derive(Debug)]
+pub struct Peers {
+    own_domain: DomainId,
+    known: BTreeMap<IpAddr, Peer>,
+}
+
+#[derive(Debug, Default)]
+struct Peer {
+    failure_domain: DomainId,
+    /// Requests of this entry that it forwards.
+    running: u32,
+    health: Health,
+    /// Services that it does not reach either, and until when it is not asked for them.
+    without_path: BTreeMap<ServiceId, BootTime>,
+}
+
+impl Peers {
+    /// Creates the state of an entry that knows no other one.
+    pub fn new(own_domain: DomainId) -> Peers {
+        Peers { own_domain, known: BTreeMap::new() }
+    }
+
+    /// Applies the entries that a replica names.
+    pub fn observe(&mut self, named: Vec<PeerEntry>) {
+        let ips: BTreeSet<IpAddr> = named.iter().map(|entry| entry.ip).collect();
+        self.known.retain(|ip, peer| ips.contains(ip) || peer.running > 0);
+        for entry in named {
+            self.known.entry(entry.ip).or_default().failure_domain = entry.failure_domain;
+        }
+    }
+
+    /// The entry to ask for a request to a service: the one that forwards the fewest requests of this
+    /// entry, and of these one in its own failure domain. `None` if all were tried, can't be
+    /// reached or have no path themselves.
+    pub fn choose(
+        &self,
+        service: &str,
+        allowed_domains: &AllowedDomains,
+        tried: &[IpAddr],
+        tie_breaker: u64,
+        now: BootTime,
+    ) -> Option<IpAddr> {
+        let may_forward = |(ip, peer): &(&IpAddr, &Peer)| {
+            !tried.contains(ip)
+                && allowed_domains.contains(&peer.failure_domain)
+                && peer.health.admits(peer.running, now)
+                && peer.without_path.get(service).is_none_or(|until| now >= *until)
+        };
+        let candidates: Vec<_> = self.known.iter().filter(may_forward).collect();
+        let first = tie_breaker as usize % candidates.len().max(1);
+        let (after, before) = (&candidates[first..], &candidates[..first]);
+        let ordered = after.iter().chain(before);
+        let best = ordered
+            .min_by_key(|(_, peer)| (peer.running, peer.failure_domain != self.own_domain))?;
+        Some(*best.0)
+    }
+
+    /// Records that a request is sent to an entry. It must be returned with `end`.
+    pub fn begin(&mut self, ip: IpAddr) {
+        self.update(ip, |peer| peer.running += 1);
+    }
+
+    pub fn end(&mut self, ip: IpAddr) {
+        self.update(ip, |peer| peer.running = peer.running.saturating_sub(1));
+    }
+
+    /// Records that an entry answered.
+    pub fn succeeded(&mut self, ip: IpAddr) {
+        self.update(ip, |peer| {
+            peer.health.record_reached();
+            peer.health.record_success();
+        });
+    }
+
+    /// Records that an entry can't be reached, or takes no requests.
+    pub fn unreachable(&mut self, ip: IpAddr, now: BootTime) {
+        self.update(ip, |peer| peer.health.record_unreachable(now));
+    }
+
+    /// Records that an entry did not answer, or broke off.
+    pub fn failed(&mut self, ip: IpAddr, now: BootTime) {
+        self.update(ip, |peer| peer.health.record_failure(FailureCause::Target, now));
+    }
+
+    /// Records that an entry reaches no target of a service.
+    pub fn has_no_path(&mut self, ip: IpAddr, service: &ServiceId, now: BootTime) {
+        self.update(ip, |peer| {
+            peer.without_path.insert(service.clone(), now + NO_PATH_PAUSE);
+        });
+    }
+
+    fn update(&mut self, ip: IpAddr, change: impl FnOnce(&mut Peer)) {
+        if let Some(peer) = self.known.get_mut(&ip) {
+            change(peer);
+        }
+    }
+}
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -11,6 +11,7 @@
 
 use super::freshness::{Freshness, Verdict};
 use super::log_limiter::RequestLogLimiter;
+use super::peers::Peers;
 use super::pool::{Connection, Pool};
 use super::request_record::RequestRecord;
 use super::routed_request::RoutedRequest;
@@ -96,6 +97,8 @@
     pub probe_finished: Notify,
     /// Idle connections to targets.
     pub pool: Pool,
+    /// Other entries, through which this one reaches targets if its own path to them fails.
+    pub peers: RefCell<Peers>,
     /// The client of the scheduler.
     pub scheduler: SchedulerClient,
     /// Host of the replica that leads, if known.
@@ -145,6 +148,7 @@
         };
         let replicas = host.seeds.iter().map(|seed| seed.ip()).collect();
         let subscriptions = RefCell::new(Subscriptions::new(host.failure_domain.clone()));
+        let peers = RefCell::new(Peers::new(host.failure_domain.clone()));
         let freshness = RefCell::new(Freshness::new(host.periods.config_apply_limit));
         Gateway {
             host,
@@ -157,6 +161,7 @@
             broken_runs: RefCell::default(),
             probe_finished: Notify::new(),
             pool: Pool::default(),
+            peers,
             scheduler: SchedulerClient::default(),
             leader: Cell::new(None),
             leader_term: Cell::default(),
@@ -338,6 +343,7 @@
             }
             Update::News(news) => news.iter().for_each(|news| self.observe_news(news)),
             Update::Domains(domains) => self.subscriptions.borrow_mut().observe_domains(domains),
+            Update::PeerEntries(named) => self.peers.borrow_mut().observe(named),
             Update::RosterPiece(piece) => self.observe_piece(&piece)?,
             Update::RosterVersionOnly { leaving, .. } => {
                 self.fleet.borrow_mut().mark_leaving(leaving.iter())
--- a/src/gateway/subscription.rs
+++ b/src/gateway/subscription.rs
@@ -81,6 +81,7 @@
     let (requests, requested) = mpsc::channel(REQUEST_QUEUE_LEN);
     let introduction = Handshake::Entry {
         name: gateway.host.name.clone(),
+        ip: gateway.host.ip,
         failure_domain: gateway.host.failure_domain.clone(),
         deployment: gateway.table().map_or(0, |table| table.deployment().version),
         named: weights::ages(&gateway.rollouts.borrow(), boot_now()),
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -27,6 +27,7 @@
 mod memory;
 mod monotonic_state;
 mod orders;
+mod peer_entries;
 mod placement;
 #[allow(dead_code, reason = "the soak test uses the rest")]
 #[path = "../platform_stand_in/mod.rs"]
--- a/tests/deployment/monotonic_state.rs
+++ b/tests/deployment/monotonic_state.rs
@@ -240,6 +240,7 @@
     let named = vec![NamedWeights { version: 2, age: ms(60_000) }];
     let entry = Handshake::Entry {
         name: "entry".into(),
+        ip: [127, 0, 0, 1].into(),
         failure_domain: "hall".into(),
         deployment: 0,
         named: [("m".to_string(), named)].into(),
@@ -303,6 +304,7 @@
     let mut stream = TcpStream::connect(replica).await?;
     let entry = Handshake::Entry {
         name: name.into(),
+        ip: [127, 0, 0, 1].into(),
         failure_domain: "hall".into(),
         deployment: 0,
         named: NamedAges::new(),
--- a/tests/deployment/scheduler_service.rs
+++ b/tests/deployment/scheduler_service.rs
@@ -60,6 +60,7 @@
         // Leadership stays confirmed for longer than a test runs.
         caught_up_at: Cell::new(Some(boot_now() + ms(600_000))),
         connected_entries: RefCell::default(),
+        entry_directory: RefCell::default(),
         entry_count: Cell::new(None),
         changing: RefCell::default(),
         named_since: RefCell::default(),
--- a/tests/deployment/weights_in_force.rs
+++ b/tests/deployment/weights_in_force.rs
@@ -54,6 +54,7 @@
     let mut stream = TcpStream::connect(replica).await?;
     let entry = Handshake::Entry {
         name: "entry".into(),
+        ip: [127, 0, 0, 1].into(),
         failure_domain: "hall".into(),
         deployment: 0,
         named: NamedAges::new(),
