--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -13,6 +13,7 @@
 mod final_refusals;
 mod fixtures;
 mod fleet_size;
+mod forwarding;
 mod freshness;
 mod gateway;
 mod headers;
