Take an entry's own path for lost in place of each target

Callers of an entry whose path to targets was back were refused for up to five seconds more: it had booked its outage on each target, and each ejection doubles with a failed trial. It also told the others what it took for ends of targets, as restarts and as runs that end targets.

An entry that reaches none of two targets, one after the other, now takes its path to that service for lost. Before it takes a target that refuses connections for ended, it connects to another one.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 pub mod evacuation;
 pub mod listing;
 pub mod news;
+pub mod paths;
 pub mod placement;
 pub mod rate;
 pub mod regions;
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -374,15 +374,40 @@
         self.update_health(target, |health| health.record_failure(cause, now));
     }
 
+    /// Records that a target can't be reached and may have ended.
     pub fn unreachable(&mut self, target: &TargetStart, now: BootTime) {
         self.update_health(target, |health| health.record_unreachable(now));
-        self.update_coldness(target, |coldness, limit| coldness.may_have_ended(limit, now));
+        self.may_have_restarted(target, now);
     }
 
     /// Records that a connection broke before the end of an answer.
     pub fn connection_lost(&mut self, target: &TargetStart, now: BootTime) {
         self.update_health(target, |health| health.record_failure(FailureCause::Connection, now));
-        self.update_coldness(target, |coldness, limit| coldness.may_have_ended(limit, now));
+        self.may_have_restarted(target, now);
+    }
+
+    /// Records that a target can't be reached while the path of this entry may be lost.
+    pub fn path_failed(&mut self, target: &TargetStart, now: BootTime) {
+        self.update_health(target, |health| health.record_unreachable(now));
+    }
+
+    /// Readmits the targets of a service that could not be reached.
+    pub fn path_restored(&mut self, service: &str) {
+        let unreachable: Vec<TargetStart> = self.unreachable_targets(service).cloned().collect();
+        for target in &unreachable {
+            self.update_health(target, Health::record_reached);
+        }
+    }
+
+    /// Targets of a service that take work but can't be reached.
+    fn unreachable_targets(&self, service: &str) -> impl Iterator<Item = &TargetStart> {
+        self.unhealthy.iter().filter(move |start| {
+            self.get(start).is_some_and(|state| {
+                state.listed.service == service
+                    && state.health.is_unreachable()
+                    && self.takes_work(start)
+            })
+        })
     }
 
     /// Records that a target closed all idle connections before their timeout. Returns whether it is
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -89,10 +89,13 @@
             routed.metadata.prompt.as_ref().map_or(0, |prompt| prompt.prompt_tokens);
         let ticket = selected.placed.as_ref().map(|placed| placed.ticket);
         let mut in_flight = InFlightRequest::new(gateway, &target, ticket, prompt_tokens);
-        let Some(mut connection) = connect(gateway, &target, routed.deadline, record).await else {
-            in_flight.set_end(EndReason::Unreachable);
-            avoid.push(target);
-            continue;
+        let mut connection = match connect(gateway, routed, &target, record).await {
+            Ok(connection) => connection,
+            Err(end) => {
+                in_flight.set_end(end);
+                avoid.push(target);
+                continue;
+            }
         };
         // The target may have started to leave since the scheduler chose it, and while the
         // connection was opened.
@@ -136,9 +139,8 @@
             }
             Ok(SendOutcome::Broken(reason)) => {
                 record.attempt_failed(&target, &reason);
-                in_flight.set_end(EndReason::ConnectionLost);
+                in_flight.set_end(gateway.connection_broke(&routed.service, &target));
                 drop(in_flight);
-                gateway.fleet.borrow_mut().connection_lost(&target, now);
                 termination::report_broken_run(gateway, routed, &target, sent_at, record).await;
                 return Err(AttemptError::MayHaveRun(target));
             }
@@ -149,6 +151,7 @@
                 return Err(AttemptError::TimedOut(target));
             }
         };
+        gateway.target_reached(&routed.service);
         let response_metadata = headers::decode_response(response.headers());
         let received =
             TargetResponse { target, response, response_metadata, connection, in_flight, sent_at };
@@ -168,32 +171,46 @@
     Some(left)
 }
 
+/// Takes or opens a connection to a target.
+///
+/// # Errors
+/// How the request ends at the target, if that can't be reached.
 async fn connect(
-    gateway: &Gateway,
+    gateway: &Rc<Gateway>,
+    routed: &RoutedRequest,
     target: &TargetStart,
-    deadline: Instant,
     record: &mut RequestRecord,
-) -> Option<Connection> {
-    if gateway.pool.remove_lost(target) {
-        gateway.idle_connections_lost(target);
-    }
+) -> Result<Connection, EndReason> {
+    let idle_lost = gateway.pool.remove_lost(target);
     if let Some(connection) = gateway.pool.take_idle(target) {
-        return Some(connection);
+        return Ok(connection);
     }
-    let address = gateway.fleet.borrow().get(target)?.listed.address;
-    match timeout_at(deadline, Connection::open(address)).await {
-        Ok(Ok(connection)) => Some(connection),
-        Ok(Err(error)) => {
-            record.attempt_failed(target, &error.to_string());
-            gateway.fleet.borrow_mut().unreachable(target, boot_now());
-            if error.kind() == ErrorKind::ConnectionRefused {
-                gateway.connection_refused(target);
-                termination::record_termination(gateway, target, "refuses connections");
+    let address = gateway.fleet.borrow().get(target).map(|state| state.listed.address);
+    let address = address.ok_or(EndReason::NotRun)?;
+    let error = match timeout_at(routed.deadline, Connection::open(address)).await {
+        Ok(Ok(connection)) => {
+            gateway.target_reached(&routed.service);
+            if idle_lost {
+                gateway.idle_connections_lost(target);
             }
-            None
+            return Ok(connection);
         }
-        Err(_) => None,
+        Ok(Err(error)) => error,
+        Err(_) => return Err(EndReason::NotRun),
+    };
+    record.attempt_failed(target, &error.to_string());
+    if !gateway.target_unreached(&routed.service, target) {
+        gateway.fleet.borrow_mut().path_failed(target, boot_now());
+        return Err(EndReason::NotRun);
+    }
+    gateway.fleet.borrow_mut().unreachable(target, boot_now());
+    if error.kind() == ErrorKind::ConnectionRefused {
+        let (gateway, target) = (gateway.clone(), target.clone());
+        tokio::task::spawn_local(async move {
+            termination::observe_refusal(&gateway, &target).await;
+        });
     }
+    Err(EndReason::Unreachable)
 }
 
 fn build_request(
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 pub mod in_flight;
 pub mod log_limiter;
 pub mod metadata;
+pub mod path;
 pub mod peers;
 pub mod pool;
 pub mod priority;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -189,18 +189,19 @@
     async fn resume(&mut self, reason: String, end: EndReason) -> Result<(), RelayError> {
         let may_resume = self.may_resume();
         if let Some(mut source) = self.source.take() {
-            source.in_flight.set_end(end);
             self.record.attempt_failed(&source.target, &reason);
-            match end {
+            let end = match end {
                 EndReason::ConnectionLost => {
-                    self.gateway.fleet.borrow_mut().connection_lost(&source.target, boot_now())
+                    self.gateway.connection_broke(&self.routed.service, &source.target)
                 }
-                _ => self.gateway.fleet.borrow_mut().failed(
-                    &source.target,
-                    FailureCause::Target,
-                    boot_now(),
-                ),
-            }
+                end => {
+                    let now = boot_now();
+                    let mut fleet = self.gateway.fleet.borrow_mut();
+                    fleet.failed(&source.target, FailureCause::Target, now);
+                    end
+                }
+            };
+            source.in_flight.set_end(end);
             let (target, sent_at) = (source.target.clone(), source.sent_at);
             // Closes the connection, which cancels the request at the target.
             drop(source);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -25,6 +25,7 @@
 use crate::fleet::budget::{RetryBudget, RetryLimit};
 use crate::fleet::compact::UnknownName;
 use crate::fleet::news::{NewsTable, TargetEvent, TargetNews};
+use crate::fleet::paths::Paths;
 use crate::fleet::rate::{IndependentShare, RateLimit};
 use crate::fleet::{FleetView, Listed, Presence, RosterChange};
 use crate::host::HostSettings;
@@ -97,6 +98,8 @@
     pub probe_finished: Notify,
     /// Idle connections to targets.
     pub pool: Pool,
+    /// What this entry believes of its own path to targets.
+    pub paths: RefCell<Paths>,
     /// Other entries, through which this one reaches targets if its own path to them fails.
     pub peers: RefCell<Peers>,
     /// The client of the scheduler.
@@ -161,6 +164,7 @@
             broken_runs: RefCell::default(),
             probe_finished: Notify::new(),
             pool: Pool::default(),
+            paths: RefCell::default(),
             peers,
             scheduler: SchedulerClient::default(),
             leader: Cell::new(None),
@@ -192,6 +196,7 @@
         self.metrics.evacuated_domains.record(evacuated as u64, &[]);
         let limited = self.fleet.borrow().limited().count();
         self.metrics.limited_targets.record(limited as u64, &[]);
+        self.metrics.lost_paths.record(self.paths.borrow().lost_count() as u64, &[]);
         if let Some(age) = self.state_age() {
             self.metrics.state_age_s.record(age.as_secs_f64(), &[]);
         }
--- a/src/gateway/termination.rs
+++ b/src/gateway/termination.rs
@@ -21,6 +21,8 @@
 const SECOND_PROBE_DELAY: Duration = Duration::from_millis(250);
 /// How long a request waits for the result of a probe before it is retried elsewhere.
 const PROBE_WAIT: Duration = Duration::from_millis(50);
+/// Evidence that a target has ended.
+const REFUSES_CONNECTIONS: &str = "refuses connections";
 /// Number of runs whose fingerprints are logged for a terminated target.
 const MAX_LOGGED_RUNS: usize = 64;
 
@@ -78,12 +80,21 @@
         None => false,
     };
     if refuses {
-        record_termination(gateway, target, "refuses connections");
+        observe_refusal(gateway, target).await;
     }
     gateway.probe_finished.notify_waiters();
     !refuses
 }
 
+/// Records that a target refuses connections, so that its process has ended, unless this entry reaches
+/// no other target either.
+pub async fn observe_refusal(gateway: &Gateway, target: &TargetStart) {
+    if gateway.reaches_others(target).await {
+        gateway.connection_refused(target);
+        record_termination(gateway, target, REFUSES_CONNECTIONS);
+    }
+}
+
 /// Records evidence that a target has terminated, and reports its failed runs to the quarantine.
 pub fn record_termination(gateway: &Gateway, target: &TargetStart, evidence: &str) {
     let runs = gateway.broken_runs.borrow_mut().mark_ended(target, boot_now());
--- a/src/telemetry/deployment_metrics.rs
+++ b/src/telemetry/deployment_metrics.rs
@@ -19,6 +19,8 @@
     pub first_chunk_s: Histogram<f64>,
     /// Failed attempts at targets, by reason.
     pub failed_attempts: Counter<u64>,
+    /// Services to which this entry has lost its path.
+    pub lost_paths: Gauge<u64>,
     /// Retries that the budget granted or denied, by service and verdict.
     pub retries: Counter<u64>,
     /// Requests in progress.
@@ -79,6 +81,7 @@
                 .with_boundaries(FIRST_CHUNK_BOUNDARIES_S.to_vec())
                 .build(),
             failed_attempts: meter.u64_counter("kumquatpost_attempts_missed").build(),
+            lost_paths: meter.u64_gauge("kumquatpost_lost_paths").build(),
             retries: meter.u64_counter("kumquatpost_retries").build(),
             active_requests: meter.u64_gauge("kumquatpost_answering").build(),
             state_age_s: meter.f64_gauge("kumquatpost_belief_age").with_unit("s").build(),
