--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -399,6 +399,11 @@
         }
     }
 
+    /// Number of targets of a service that take work but can't be reached.
+    pub fn unreachable_count(&self, service: &str) -> usize {
+        self.unreachable_targets(service).count()
+    }
+
     /// Targets of a service that take work but can't be reached.
     fn unreachable_targets(&self, service: &str) -> impl Iterator<Item = &TargetStart> {
         self.unhealthy.iter().filter(move |start| {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -10,16 +10,18 @@
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 
+use super::attempts::Attempts;
+use super::forwarding;
 use super::in_flight::InFlightRequest;
 use super::metadata::{ForwardingMetadata, PartTransfers, ResponseMetadata};
 use super::pool::{Connection, SendOutcome};
 use super::request_record::RequestRecord;
-use super::routed_request::RoutedRequest;
+use super::responder::Responder;
+use super::routed_request::{Origin, RoutedRequest};
 use super::state::Gateway;
 use super::target_selection::{self, NoTarget, SelectedTarget};
 use super::termination;
 use crate::clock::{BootTime, boot_now};
-use crate::fleet::FailureCause;
 use crate::fleet::placement::SelectionError;
 use crate::ids::TargetStart;
 use crate::platform::headers;
@@ -28,20 +30,18 @@
 /// Connections that one attempt may try. A target that could not be reached has run nothing.
 const MAX_CONNECT_ATTEMPTS: usize = 4;
 /// A request with less time left than this is not sent.
-const MIN_TIME_LEFT: Duration = Duration::from_millis(10);
+pub const MIN_TIME_LEFT: Duration = Duration::from_millis(10);
 
 /// A response whose head has been received.
 pub struct TargetResponse {
-    /// The target that sent it.
-    pub target: TargetStart,
+    /// Who sent it.
+    pub responder: Responder,
     /// The head, with the body still to be read.
     pub response: Response<Incoming>,
     /// Metadata from the headers.
     pub response_metadata: ResponseMetadata,
     /// The connection, which returns to the pool after the body has been read.
     pub connection: Connection,
-    /// Accounts for the request at the target.
-    pub in_flight: InFlightRequest,
     /// When the request was sent.
     pub sent_at: BootTime,
 }
@@ -52,31 +52,63 @@
     /// No target can take the request now.
     NoTarget(NoTarget),
     /// The target did not run the request.
-    NotRun(TargetStart),
-    /// The target failed and may have run the request.
-    MayHaveRun(TargetStart),
+    NotRun(Option<TargetStart>),
+    /// The target failed and may have run the request. The target is unknown if another entry was
+    /// lost.
+    MayHaveRun(Option<TargetStart>),
     /// The request is quarantined for this much longer.
     Held(Duration),
     /// The deadline passed before the request was sent.
     TooLate,
     /// No response arrived in time. The target may have run the request.
-    TimedOut(TargetStart),
+    TimedOut(Option<TargetStart>),
 }
 
-/// Sends a request to the best target that accepts a connection and waits for the head of the
-/// response.
+/// Sends a request to the best target and waits for the head of the response. Another entry sends it
+/// if this one can't reach targets.
 ///
 /// # Errors
 /// If no target returned a response to this request.
 pub async fn attempt(
     gateway: &Rc<Gateway>,
     routed: &RoutedRequest,
-    tried: &[TargetStart],
+    attempts: &Attempts,
+    resume_after: Option<&str>,
+    response_timeout: Option<Duration>,
+    record: &mut RequestRecord,
+) -> Result<TargetResponse, AttemptError> {
+    let may_forward = routed.origin == Origin::Caller;
+    if may_forward && gateway.lacks_path(&routed.service) {
+        let forwarded =
+            forwarding::forward(gateway, routed, attempts, resume_after, response_timeout, record);
+        if let Some(made) = forwarded.await {
+            return made;
+        }
+    }
+    let made =
+        attempt_directly(gateway, routed, attempts, resume_after, response_timeout, record).await;
+    let is_unreachable = || gateway.fleet.borrow().unreachable_count(&routed.service) > 0;
+    match made {
+        Err(AttemptError::NoTarget(_)) if may_forward && is_unreachable() => {
+            forwarding::forward(gateway, routed, attempts, resume_after, response_timeout, record)
+                .await
+                .unwrap_or(made)
+        }
+        made => made,
+    }
+}
+
+/// Sends a request to the best target that accepts a connection and waits for the head of the
+/// response.
+async fn attempt_directly(
+    gateway: &Rc<Gateway>,
+    routed: &RoutedRequest,
+    attempts: &Attempts,
     resume_after: Option<&str>,
     response_timeout: Option<Duration>,
     record: &mut RequestRecord,
 ) -> Result<TargetResponse, AttemptError> {
-    let mut avoid = tried.to_vec();
+    let mut avoid = attempts.targets().to_vec();
     for _ in 0..MAX_CONNECT_ATTEMPTS {
         if let Some(left) = held_for(gateway, routed, record) {
             return Err(AttemptError::Held(left));
@@ -94,6 +126,9 @@
             Err(end) => {
                 in_flight.set_end(end);
                 avoid.push(target);
+                if gateway.lacks_path(&routed.service) && forwarding::is_possible(gateway, routed) {
+                    break;
+                }
                 continue;
             }
         };
@@ -129,7 +164,6 @@
             response_timeout.map_or(routed.deadline, |p| routed.deadline.min(Instant::now() + p));
         let sent_at = boot_now();
         let sent = timeout_at(response_deadline, connection.send(request)).await;
-        let now = boot_now();
         let response = match sent {
             Ok(SendOutcome::Response(response)) => response,
             Ok(SendOutcome::NotSent(reason)) => {
@@ -139,29 +173,30 @@
             }
             Ok(SendOutcome::Broken(reason)) => {
                 record.attempt_failed(&target, &reason);
-                in_flight.set_end(gateway.connection_broke(&routed.service, &target));
-                drop(in_flight);
-                termination::report_broken_run(gateway, routed, &target, sent_at, record).await;
-                return Err(AttemptError::MayHaveRun(target));
+                let mut responder = Responder::Target { target: target.clone(), in_flight };
+                responder.connection_lost(gateway, routed);
+                responder.close_broken(gateway, routed, sent_at, record).await;
+                return Err(AttemptError::MayHaveRun(Some(target)));
             }
             Err(_) => {
                 record.attempt_failed(&target, "no answer in time");
-                in_flight.set_end(EndReason::Failed);
-                gateway.fleet.borrow_mut().failed(&target, FailureCause::Target, now);
-                return Err(AttemptError::TimedOut(target));
+                let mut responder = Responder::Target { target: target.clone(), in_flight };
+                responder.failed(gateway);
+                return Err(AttemptError::TimedOut(Some(target)));
             }
         };
         gateway.target_reached(&routed.service);
         let response_metadata = headers::decode_response(response.headers());
+        let responder = Responder::Target { target, in_flight };
         let received =
-            TargetResponse { target, response, response_metadata, connection, in_flight, sent_at };
+            TargetResponse { responder, response, response_metadata, connection, sent_at };
         return check_response(gateway, routed, received, record);
     }
     Err(AttemptError::NoTarget(NoTarget::Selection(SelectionError::NoHealthyTarget)))
 }
 
 /// How long the request remains quarantined; `None` if it is not.
-fn held_for(
+pub fn held_for(
     gateway: &Gateway,
     routed: &RoutedRequest,
     record: &mut RequestRecord,
@@ -251,8 +286,8 @@
     record: &mut RequestRecord,
 ) -> Result<TargetResponse, AttemptError> {
     let now = boot_now();
-    let TargetResponse { target, response, response_metadata, in_flight, sent_at, .. } =
-        &mut received;
+    let TargetResponse { responder, response, response_metadata, sent_at, .. } = &mut received;
+    let Responder::Target { target, in_flight } = responder else { return Ok(received) };
     record.response_received(response_metadata);
     if let Some(load) = response_metadata.load {
         gateway.fleet.borrow_mut().observe_load(target, load, now);
@@ -263,7 +298,7 @@
         // The connection is out of step with its requests and must not be reused.
         record.attempt_failed(target, "answer to another request");
         in_flight.set_end(EndReason::Failed);
-        return Err(AttemptError::MayHaveRun(received.target));
+        return Err(AttemptError::MayHaveRun(Some(target.clone())));
     }
     if response.status() == StatusCode::MISDIRECTED_REQUEST {
         record.attempt_failed(target, "another target or other weights");
@@ -283,7 +318,7 @@
             }
             in_flight.set_end(EndReason::WeightMismatch(response_metadata.weight_version));
         }
-        return Err(AttemptError::NotRun(received.target));
+        return Err(AttemptError::NotRun(Some(target.clone())));
     }
     if let (Some(prompt), Some(version)) =
         (&routed.metadata.prompt, response_metadata.weight_version)
@@ -294,15 +329,14 @@
     if response_metadata.did_not_run {
         record.attempt_failed(target, &format!("not run, status {}", response.status().as_u16()));
         in_flight.set_end(EndReason::NotRun);
-        let TargetResponse { target, connection, response_metadata, .. } = received;
+        let target = target.clone();
         if !response_metadata.closes {
-            gateway.return_connection(&target, connection);
+            gateway.return_connection(&target, received.connection);
         }
-        return Err(AttemptError::NotRun(target));
+        return Err(AttemptError::NotRun(Some(target)));
     }
     if response.status().is_server_error() {
-        in_flight.set_end(EndReason::Failed);
-        gateway.fleet.borrow_mut().failed(target, FailureCause::Target, now);
+        responder.failed(gateway);
     }
     Ok(received)
 }
--- /dev/null
+++ b/src/gateway/attempts.rs
@@ -0,0 +1,27 @@
+//! The attempts made for one request.
+
+use crate::ids::TargetStart;
+
+/// Attempts at targets that may have received the request.
+#[derive(Clone, Debug, Default)]
+pub struct Attempts {
+    count: u32,
+    targets: Vec<TargetStart>,
+}
+
+impl Attempts {
+    /// Adds an attempt. The target is unknown if another entry made the attempt and was lost.
+    pub fn add(&mut self, target: Option<TargetStart>) {
+        self.count += 1;
+        self.targets.extend(target);
+    }
+
+    pub fn count(&self) -> u32 {
+        self.count
+    }
+
+    /// The known targets.
+    pub fn targets(&self) -> &[TargetStart] {
+        &self.targets
+    }
+}
--- /dev/null
+++ b/src/gateway/forwarding.rs
@@ -0,0 +1,369 @@
+//! Forwards attempts to other entries while this one can't reach targets, and makes attempts for
+//! others.
+//!
+//! The entry that the caller is connected to makes all decisions: it routes the request, counts its
+//! attempts, takes retries from its budget and resumes streams. The other entry makes one attempt at
+//! one target, relays the response, and never forwards again.
+
+use std::cell::OnceCell;
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Request};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use rand::RngExt;
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+use tokio::time::{Instant, timeout_at};
+
+use super::attempt::{self, AttemptError, TargetResponse};
+use super::attempts::Attempts;
+use super::pool::{Connection, SendOutcome};
+use super::priority::Priority;
+use super::request::{self, read_body};
+use super::request_record::{Outcome, RequestRecord};
+use super::responder::{ForwardedRequest, Responder};
+use super::response::{GatewayResponse, Refusal, full_body};
+use super::routed_request::{Origin, RoutedRequest};
+use super::state::Gateway;
+use super::target_selection::NoTarget;
+use crate::clock::boot_now;
+use crate::deployment::Route;
+use crate::fleet::placement::SelectionError;
+use crate::fleet::regions::AllowedDomains;
+use crate::ids::{AccountId, ServiceId, TargetStart};
+use crate::net::request_body::RequestBody;
+use crate::platform::headers;
+
+/// Other entries that are asked for one attempt.
+const MAX_ENTRIES_ASKED: usize = 3;
+/// What the head of a forwarded request may have in addition to that of the caller's request.
+pub const MAX_ATTEMPT_BYTES: usize = 32 << 10;
+/// Describes the attempt, in a request to another entry.
+const ATTEMPT: HeaderName = HeaderName::from_static("kumquatpost-attempt");
+/// Describes how the attempt went, in its response.
+const RESULT: HeaderName = HeaderName::from_static("kumquatpost-result");
+
+/// What the other entry needs to know beside the caller's request.
+#[derive(Debug, Serialize, Deserialize)]
+struct ForwardedAttempt {
+    route: Route,
+    service: ServiceId,
+    account: Option<AccountId>,
+    allowed_domains: AllowedDomains,
+    cache_namespace: String,
+    priority: Priority,
+    /// Targets that must not be tried again.
+    tried: Vec<TargetStart>,
+    /// Id of the last event that the caller has received.
+    resume_after: Option<String>,
+    /// Time since the request arrived.
+    elapsed: Duration,
+}
+
+/// How a forwarded attempt went.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+enum ForwardedResult {
+    /// The response is that of this target.
+    Relayed(TargetStart),
+    /// The entry took no part in the attempt.
+    NotAccepted,
+    /// The entry found no target.
+    NoTarget,
+    OldWeights,
+    Busy(Duration),
+    Limited(Duration),
+    Held(Duration),
+    TooLate,
+    /// The target did not run the request.
+    NotRun(Option<TargetStart>),
+    /// The target may have run the request.
+    MayHaveRun(Option<TargetStart>),
+    /// The same, as its response did not begin in time.
+    TimedOut(Option<TargetStart>),
+}
+
+/// Makes an attempt through another entry. Returns `None` if no entry takes it; nothing has been sent
+/// to a target then.
+pub async fn forward(
+    gateway: &Rc<Gateway>,
+    routed: &RoutedRequest,
+    attempts: &Attempts,
+    resume_after: Option<&str>,
+    response_timeout: Option<Duration>,
+    record: &mut RequestRecord,
+) -> Option<Result<TargetResponse, AttemptError>> {
+    let mut asked = Vec::new();
+    while asked.len() < MAX_ENTRIES_ASKED {
+        if let Some(left) = attempt::held_for(gateway, routed, record) {
+            return Some(Err(AttemptError::Held(left)));
+        }
+        let ip = choose_entry(gateway, routed, &asked)?;
+        asked.push(ip);
+        let Some(mut connection) = connect(gateway, ip, routed.deadline, record).await else {
+            continue;
+        };
+        let mut forwarded = ForwardedRequest::new(gateway, ip);
+        let time_left = routed.deadline.saturating_duration_since(Instant::now());
+        if time_left < attempt::MIN_TIME_LEFT {
+            return Some(Err(AttemptError::TooLate));
+        }
+        let request = build_request(routed, attempts, time_left, resume_after)?;
+        record.forwarded(ip, connection.is_reused);
+        let response_deadline =
+            response_timeout.map_or(routed.deadline, |p| routed.deadline.min(Instant::now() + p));
+        let sent_at = boot_now();
+        let mut response = match timeout_at(response_deadline, connection.send(request)).await {
+            Ok(SendOutcome::Response(response)) => response,
+            Ok(SendOutcome::NotSent(reason)) => {
+                record.entry_failed(ip, &reason);
+                continue;
+            }
+            Ok(SendOutcome::Broken(reason)) => {
+                record.entry_failed(ip, &reason);
+                gateway.peers.borrow_mut().unreachable(ip, boot_now());
+                return Some(Err(AttemptError::MayHaveRun(None)));
+            }
+            Err(_) => {
+                record.entry_failed(ip, "no answer in time");
+                gateway.peers.borrow_mut().failed(ip, boot_now());
+                return Some(Err(AttemptError::TimedOut(None)));
+            }
+        };
+        let Some(result) = decode_result(response.headers_mut()) else {
+            record.entry_failed(ip, "not the response of an entry");
+            gateway.peers.borrow_mut().unreachable(ip, boot_now());
+            return Some(Err(AttemptError::MayHaveRun(None)));
+        };
+        let target = match result {
+            ForwardedResult::Relayed(target) => target,
+            refused => {
+                record.entry_failed(ip, &format!("{refused:?}"));
+                gateway.peer_pool.put_idle(&ip, connection);
+                match refused_attempt(gateway, routed, ip, refused) {
+                    Some(error) => return Some(Err(error)),
+                    None => continue,
+                }
+            }
+        };
+        gateway.peers.borrow_mut().succeeded(ip);
+        let response_metadata = headers::decode_response(response.headers());
+        record.response_received(&response_metadata);
+        forwarded.target = Some(target);
+        let responder = Responder::Entry(forwarded);
+        return Some(Ok(TargetResponse {
+            responder,
+            response,
+            response_metadata,
+            connection,
+            sent_at,
+        }));
+    }
+    None
+}
+
+/// Whether an entry is known that may take an attempt.
+pub fn is_possible(gateway: &Gateway, routed: &RoutedRequest) -> bool {
+    routed.origin == Origin::Caller && choose_entry(gateway, routed, &[]).is_some()
+}
+
+fn choose_entry(gateway: &Gateway, routed: &RoutedRequest, asked: &[IpAddr]) -> Option<IpAddr> {
+    let peers = gateway.peers.borrow();
+    let allowed = &routed.allowed_domains;
+    peers.choose(&routed.service, allowed, asked, routed.tie_breaker, boot_now())
+}
+
+async fn connect(
+    gateway: &Gateway,
+    ip: IpAddr,
+    deadline: Instant,
+    record: &mut RequestRecord,
+) -> Option<Connection> {
+    if let Some(connection) = gateway.peer_pool.take_idle(&ip) {
+        return Some(connection);
+    }
+    let address = SocketAddr::new(ip, gateway.host.peer_port);
+    match timeout_at(deadline, Connection::open(address)).await {
+        Ok(Ok(connection)) => Some(connection),
+        Ok(Err(error)) => {
+            record.entry_failed(ip, &error.to_string());
+            gateway.peers.borrow_mut().unreachable(ip, boot_now());
+            None
+        }
+        Err(_) => None,
+    }
+}
+
+fn build_request(
+    routed: &RoutedRequest,
+    attempts: &Attempts,
+    time_left: Duration,
+    resume_after: Option<&str>,
+) -> Option<Request<Full<Bytes>>> {
+    let attempt = ForwardedAttempt {
+        route: routed.route.clone(),
+        service: routed.service.clone(),
+        account: routed.account.clone(),
+        allowed_domains: routed.allowed_domains.clone(),
+        cache_namespace: routed.cache_namespace.clone(),
+        priority: routed.priority,
+        tried: attempts.targets().to_vec(),
+        resume_after: resume_after.map(str::to_string),
+        elapsed: routed.arrived.elapsed(),
+    };
+    let mut request = Request::new(Full::new(routed.body.clone()));
+    *request.method_mut() = routed.method.clone();
+    *request.uri_mut() = routed.uri.clone();
+    *request.headers_mut() = headers::request_for_entry(&routed.headers, time_left);
+    request.headers_mut().insert(ATTEMPT, encode(&attempt)?);
+    Some(request)
+}
+
+fn encode(value: &impl Serialize) -> Option<HeaderValue> {
+    let text = serde_json::to_vec(value).ok()?;
+    HeaderValue::from_bytes(&text).ok()
+}
+
+fn decode_result(headers: &mut HeaderMap) -> Option<ForwardedResult> {
+    serde_json::from_slice(headers.remove(RESULT)?.as_bytes()).ok()
+}
+
+/// The outcome of an attempt for which the other entry has no response; `None` if a third entry may
+/// be asked.
+fn refused_attempt(
+    gateway: &Gateway,
+    routed: &RoutedRequest,
+    ip: IpAddr,
+    result: ForwardedResult,
+) -> Option<AttemptError> {
+    let error = match result {
+        ForwardedResult::Relayed(target) => AttemptError::MayHaveRun(Some(target)),
+        ForwardedResult::NotAccepted => {
+            gateway.peers.borrow_mut().unreachable(ip, boot_now());
+            return None;
+        }
+        ForwardedResult::NoTarget => {
+            gateway.peers.borrow_mut().has_no_path(ip, &routed.service, boot_now());
+            return None;
+        }
+        ForwardedResult::OldWeights => {
+            AttemptError::NoTarget(NoTarget::Selection(SelectionError::OldWeights))
+        }
+        ForwardedResult::Busy(after) => AttemptError::NoTarget(NoTarget::Busy(after)),
+        ForwardedResult::Limited(after) => AttemptError::NoTarget(NoTarget::Limited(after)),
+        ForwardedResult::Held(left) => AttemptError::Held(left),
+        ForwardedResult::TooLate => AttemptError::TooLate,
+        ForwardedResult::NotRun(target) => AttemptError::NotRun(target),
+        ForwardedResult::MayHaveRun(target) => AttemptError::MayHaveRun(target),
+        ForwardedResult::TimedOut(target) => AttemptError::TimedOut(target),
+    };
+    Some(error)
+}
+
+impl From<AttemptError> for ForwardedResult {
+    fn from(error: AttemptError) -> ForwardedResult {
+        match error {
+            AttemptError::NoTarget(NoTarget::Busy(after)) => ForwardedResult::Busy(after),
+            AttemptError::NoTarget(
+                NoTarget::Limited(after) | NoTarget::Selection(SelectionError::Limited(after)),
+            ) => ForwardedResult::Limited(after),
+            AttemptError::NoTarget(NoTarget::Selection(SelectionError::OldWeights)) => {
+                ForwardedResult::OldWeights
+            }
+            AttemptError::NoTarget(NoTarget::Selection(_)) => ForwardedResult::NoTarget,
+            AttemptError::Held(left) => ForwardedResult::Held(left),
+            AttemptError::TooLate => ForwardedResult::TooLate,
+            AttemptError::NotRun(target) => ForwardedResult::NotRun(target),
+            AttemptError::MayHaveRun(target) => ForwardedResult::MayHaveRun(target),
+            AttemptError::TimedOut(target) => ForwardedResult::TimedOut(target),
+        }
+    }
+}
+
+/// Makes an attempt for another entry and returns the response for it.
+pub async fn handle(
+    gateway: Rc<Gateway>,
+    request: Request<Incoming>,
+    closing: watch::Receiver<bool>,
+) -> GatewayResponse {
+    let arrived = Instant::now();
+    let (head, body) = request.into_parts();
+    let metadata = headers::decode_request(&head.uri, &head.headers);
+    let mut record = RequestRecord::new(&gateway, &metadata, boot_now());
+    record.for_other_entry();
+    let attempt = head.headers.get(ATTEMPT).map(HeaderValue::as_bytes);
+    let attempt: Option<ForwardedAttempt> =
+        attempt.and_then(|text| serde_json::from_slice(text).ok());
+    let Some(attempt) = attempt.filter(|_| !gateway.stopping.get()) else {
+        return respond(ForwardedResult::NotAccepted, &record);
+    };
+    record.set_route(&attempt.route.name, attempt.priority);
+    let deadline = arrived + metadata.deadline.unwrap_or(attempt.route.timeout);
+    let max_bytes = gateway.table().map(|table| table.deployment().request_limits.body_bytes);
+    let body = RequestBody::new(body, closing);
+    let Ok(body) = read_body(body, max_bytes.unwrap_or_default(), deadline).await else {
+        return respond(ForwardedResult::NotAccepted, &record);
+    };
+    let mut headers = head.headers;
+    headers.remove(ATTEMPT);
+    let routed = RoutedRequest {
+        metadata,
+        method: head.method,
+        uri: request::origin_form(&head.uri),
+        headers,
+        body,
+        route: attempt.route,
+        account: attempt.account,
+        allowed_domains: attempt.allowed_domains,
+        cache_namespace: attempt.cache_namespace,
+        priority: attempt.priority,
+        service: attempt.service,
+        arrived: arrived.checked_sub(attempt.elapsed).unwrap_or(arrived),
+        deadline,
+        tie_breaker: rand::rng().random(),
+        fingerprint: OnceCell::new(),
+        origin: Origin::Entry,
+    };
+    let mut attempts = Attempts::default();
+    attempt.tried.into_iter().for_each(|target| attempts.add(Some(target)));
+    let resume_after = attempt.resume_after.as_deref();
+    let made =
+        attempt::attempt(&gateway, &routed, &attempts, resume_after, None, &mut record).await;
+    let received = match made {
+        Ok(received) => received,
+        Err(error) => return respond(error.into(), &record),
+    };
+    let target = received.responder.target().cloned();
+    let result = encode(&target.clone().map(ForwardedResult::Relayed));
+    match request::relay_response(&gateway, routed, record, attempts, received).await {
+        Ok(mut response) => {
+            response.headers_mut().extend(result.map(|result| (RESULT, result)));
+            response
+        }
+        Err(record) => respond(ForwardedResult::MayHaveRun(target), &record),
+    }
+}
+
+fn respond(result: ForwardedResult, record: &RequestRecord) -> GatewayResponse {
+    let reason = match &result {
+        ForwardedResult::MayHaveRun(_) => Refusal::Broken,
+        ForwardedResult::TimedOut(_) => Refusal::TimedOut,
+        ForwardedResult::Busy(after) => Refusal::Busy(*after),
+        ForwardedResult::Limited(after) => Refusal::Limited(*after),
+        ForwardedResult::Held(left) => Refusal::Held(*left),
+        ForwardedResult::OldWeights => Refusal::OldWeights,
+        ForwardedResult::TooLate => Refusal::TooLate,
+        ForwardedResult::NotAccepted => Refusal::ShuttingDown,
+        ForwardedResult::Relayed(_) | ForwardedResult::NoTarget | ForwardedResult::NotRun(_) => {
+            Refusal::NoTarget
+        }
+    };
+    record.set_outcome(Outcome::Refused(reason.status().as_u16(), reason.name()));
+    let mut response = GatewayResponse::new(full_body(Bytes::new()));
+    *response.status_mut() = reason.status();
+    response.headers_mut().extend(encode(&result).map(|result| (RESULT, result)));
+    response
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,7 +1,9 @@
 //! The entry of a deployment: an HTTP proxy that relays callers' requests to targets unchanged.
 
 pub mod attempt;
+pub mod attempts;
 pub mod events;
+pub mod forwarding;
 pub mod freshness;
 pub mod in_flight;
 pub mod log_limiter;
@@ -13,6 +15,7 @@
 pub mod relay;
 pub mod request;
 pub mod request_record;
+pub mod responder;
 pub mod response;
 pub mod routed_request;
 pub mod run;
--- a/src/gateway/path.rs
+++ b/src/gateway/path.rs
@@ -17,6 +17,17 @@
 const MAX_WITNESSES: usize = 2;
 
 impl Gateway {
+    /// Whether requests to a service had better go through another entry: the path is lost, or most
+    /// targets can't be reached from here.
+    pub fn lacks_path(&self, service: &str) -> bool {
+        if self.paths.borrow().is_lost(service) {
+            return true;
+        }
+        let fleet = self.fleet.borrow();
+        let unreachable = fleet.unreachable_count(service);
+        unreachable > 0 && unreachable * 2 >= fleet.live_count(service)
+    }
+
     /// Whether the path may be lost, so that a failure tells nothing of this target.
     pub fn is_path_suspect(&self, service: &str, target: &TargetStart) -> bool {
         self.paths.borrow().is_suspect(service, target)
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -1,7 +1,8 @@
-//! Pool of HTTP/1.1 connections to targets. A connection carries one request at a time.
+//! Pool of HTTP/1.1 connections to targets and other entries. A connection carries one request at a time.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::hash::Hash;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -14,7 +15,6 @@
 use tokio::task::AbortHandle;
 
 use crate::clock::{BootTime, boot_now};
-use crate::ids::TargetStart;
 use crate::net;
 
 /// Connect timeout. Shorter than the initial TCP retransmission timeout of one second, so that a
@@ -27,11 +27,16 @@
 /// Idle timeout of targets that don't send one.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// Idle connections to targets.
-#[derive(Default)]
-pub struct Pool {
-    /// The idle connections of each target, the most recently used one last.
-    idle: RefCell<HashMap<TargetStart, Vec<Idle>>>,
+/// Idle connections to targets or other entries.
+pub struct Pool<Peer> {
+    /// The idle connections of each peer, the most recently used one last.
+    idle: RefCell<HashMap<Peer, Vec<Idle>>>,
+}
+
+impl<Peer> Default for Pool<Peer> {
+    fn default() -> Pool<Peer> {
+        Pool { idle: RefCell::default() }
+    }
 }
 
 struct Idle {
@@ -39,7 +44,7 @@
     since: BootTime,
 }
 
-/// A connection to one start of a target. Dropping it closes it.
+/// A connection to one start of a target, or to another entry. Dropping it closes it.
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
@@ -59,11 +64,11 @@
     Broken(String),
 }
 
-impl Pool {
-    /// Takes an idle connection to a target that appears to be open.
-    pub fn take_idle(&self, target: &TargetStart) -> Option<Connection> {
+impl<Peer: Clone + Eq + Hash> Pool<Peer> {
+    /// Takes an idle connection to a peer that appears to be open.
+    pub fn take_idle(&self, peer: &Peer) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
-        let connections = idle.get_mut(target)?;
+        let connections = idle.get_mut(peer)?;
         while let Some(Idle { connection, since }) = connections.pop() {
             let age = boot_now().saturating_sub(since);
             if connection.sender.is_ready() && age + IDLE_TIMEOUT_MARGIN < connection.idle_timeout {
@@ -73,11 +78,11 @@
         None
     }
 
-    /// Whether a target has closed all idle connections before their timeout, as a restart does.
+    /// Whether a peer has closed all idle connections before their timeout, as a restart does.
     /// Removes them.
-    pub fn remove_lost(&self, target: &TargetStart) -> bool {
+    pub fn remove_lost(&self, peer: &Peer) -> bool {
         let mut idle = self.idle.borrow_mut();
-        let Some(connections) = idle.get(target) else { return false };
+        let Some(connections) = idle.get(peer) else { return false };
         let now = boot_now();
         let is_lost = |idle: &Idle| {
             let age = now.saturating_sub(idle.since);
@@ -86,31 +91,31 @@
         };
         let all_lost = !connections.is_empty() && connections.iter().all(is_lost);
         if all_lost {
-            idle.remove(target);
+            idle.remove(peer);
         }
         all_lost
     }
 
     /// Returns a connection to the pool, unless it is closed.
-    pub fn put_idle(&self, target: &TargetStart, mut connection: Connection) {
+    pub fn put_idle(&self, peer: &Peer, mut connection: Connection) {
         if connection.sender.is_closed() {
             return;
         }
         connection.is_reused = true;
         let idle = Idle { connection, since: boot_now() };
-        self.idle.borrow_mut().entry(target.clone()).or_default().push(idle);
+        self.idle.borrow_mut().entry(peer.clone()).or_default().push(idle);
     }
 
-    /// Keeps only connections that may still be reused and whose target satisfies `is_kept`; closes
+    /// Keeps only connections that may still be reused and whose peer satisfies `is_kept`; closes
     /// all others.
-    pub fn retain(&self, is_kept: impl Fn(&TargetStart) -> bool) {
+    pub fn retain(&self, is_kept: impl Fn(&Peer) -> bool) {
         let now = boot_now();
-        self.idle.borrow_mut().retain(|target, connections| {
+        self.idle.borrow_mut().retain(|peer, connections| {
             connections.retain(|idle| {
                 let age = now.saturating_sub(idle.since);
                 age + IDLE_TIMEOUT_MARGIN < idle.connection.idle_timeout
             });
-            !connections.is_empty() && is_kept(target)
+            !connections.is_empty() && is_kept(peer)
         });
     }
 }
--- a/src/gateway/priority.rs
+++ b/src/gateway/priority.rs
@@ -1,5 +1,7 @@
 //! Priorities of requests.
 
+use serde::{Deserialize, Serialize};
+
 use crate::deployment::{Account, Route};
 
 /// Number of distinct levels each of account and route priority.
@@ -11,7 +13,7 @@
 
 /// The priority of a request, 0 first: the account's, and the route's among accounts of equal
 /// priority.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Priority {
     account: u8,
     route: u8,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -11,19 +11,16 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::attempt::{AttemptError, TargetResponse, attempt};
+use super::attempts::Attempts;
 use super::events::EventSplitter;
-use super::in_flight::InFlightRequest;
 use super::metadata::ResponseMetadata;
 use super::pool::Connection;
 use super::request_record::{Outcome, RequestRecord};
+use super::responder::Responder;
 use super::response::{RelayError, ResponseBody, stream_body};
-use super::routed_request::RoutedRequest;
+use super::routed_request::{Origin, RoutedRequest};
 use super::state::Gateway;
-use super::termination;
-use crate::clock::{BootTime, boot_now};
-use crate::fleet::FailureCause;
-use crate::ids::TargetStart;
-use crate::scheduler::EndReason;
+use crate::clock::BootTime;
 
 /// A body of at most this length is buffered before any of it is relayed, so that the request can
 /// be retried if the body is cut short.
@@ -56,22 +53,30 @@
     pub routed: RoutedRequest,
     /// The log record of the request.
     pub record: RequestRecord,
-    /// Targets that the request was sent to.
-    pub tried: Vec<TargetStart>,
+    /// The attempts made so far.
+    pub attempts: Attempts,
     source: Option<Source>,
     events: EventSplitter,
 }
 
 /// The target's response that events are read from.
 struct Source {
-    target: TargetStart,
+    responder: Responder,
     body: Incoming,
     response_metadata: ResponseMetadata,
     connection: Connection,
-    in_flight: InFlightRequest,
     sent_at: BootTime,
 }
 
+/// Why a stream breaks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum BreakCause {
+    /// The stream is wrong or stands still.
+    Failure,
+    /// The connection broke.
+    Connection,
+}
+
 enum SourceRead {
     Events(Bytes),
     Complete,
@@ -87,11 +92,11 @@
         gateway: Rc<Gateway>,
         routed: RoutedRequest,
         record: RequestRecord,
-        tried: Vec<TargetStart>,
+        attempts: Attempts,
         received: TargetResponse,
     ) -> EventRelay {
         let source = Some(Source::new(received));
-        EventRelay { gateway, routed, record, tried, source, events: EventSplitter::default() }
+        EventRelay { gateway, routed, record, attempts, source, events: EventSplitter::default() }
     }
 
     /// Turns the relay into the body of the response to the caller.
@@ -122,8 +127,8 @@
                     self.record.set_outcome(Outcome::BrokenOff);
                     return Err("its time is over".into());
                 }
-                SourceRead::Broken(reason) => self.resume(reason, EndReason::Failed).await?,
-                SourceRead::Lost(reason) => self.resume(reason, EndReason::ConnectionLost).await?,
+                SourceRead::Broken(reason) => self.resume(reason, BreakCause::Failure).await?,
+                SourceRead::Lost(reason) => self.resume(reason, BreakCause::Connection).await?,
             }
         }
     }
@@ -147,7 +152,7 @@
                 Some(Err(error)) => return SourceRead::Lost(error.to_string()),
                 Some(Ok(frame)) => {
                     let Ok(data) = frame.into_data() else { continue };
-                    source.in_flight.prompt_read(&source.response_metadata);
+                    source.responder.prompt_read(&source.response_metadata);
                     match self.events.push(&data) {
                         Ok(events) if events.is_empty() => {}
                         Ok(events) => return SourceRead::Events(events),
@@ -168,51 +173,35 @@
     }
 
     fn may_resume(&self) -> bool {
-        self.routed.route.policy.may_repeat()
-            && (self.tried.len() as u32) < self.routed.route.attempts
+        self.routed.origin == Origin::Caller
+            && self.routed.route.policy.may_repeat()
+            && self.attempts.count() < self.routed.route.attempts
     }
 
     fn finish(&mut self) {
         self.record.set_outcome(Outcome::Relayed(StatusCode::OK.as_u16()));
         if let Some(mut source) = self.source.take() {
-            source.in_flight.set_end(EndReason::Completed);
-            let now = boot_now();
-            self.gateway.fleet.borrow_mut().succeeded(&source.target, source.sent_at, now);
+            source.responder.succeeded(&self.gateway, source.sent_at);
             self.gateway.record_success(&self.routed);
             if !source.response_metadata.closes {
-                self.gateway.return_connection(&source.target, source.connection);
+                source.responder.return_connection(&self.gateway, source.connection);
             }
         }
     }
 
     /// Resumes the stream at another target, after the last complete event.
-    async fn resume(&mut self, reason: String, end: EndReason) -> Result<(), RelayError> {
+    async fn resume(&mut self, reason: String, cause: BreakCause) -> Result<(), RelayError> {
         let may_resume = self.may_resume();
-        if let Some(mut source) = self.source.take() {
-            self.record.attempt_failed(&source.target, &reason);
-            let end = match end {
-                EndReason::ConnectionLost => {
-                    self.gateway.connection_broke(&self.routed.service, &source.target)
-                }
-                end => {
-                    let now = boot_now();
-                    let mut fleet = self.gateway.fleet.borrow_mut();
-                    fleet.failed(&source.target, FailureCause::Target, now);
-                    end
-                }
-            };
-            source.in_flight.set_end(end);
-            let (target, sent_at) = (source.target.clone(), source.sent_at);
-            // Closes the connection, which cancels the request at the target.
-            drop(source);
-            termination::report_broken_run(
-                &self.gateway,
-                &self.routed,
-                &target,
-                sent_at,
-                &mut self.record,
-            )
-            .await;
+        if let Some(source) = self.source.take() {
+            let Source { mut responder, connection, body, sent_at, .. } = source;
+            self.record.responder_failed(&responder, &reason);
+            match cause {
+                BreakCause::Connection => responder.connection_lost(&self.gateway, &self.routed),
+                BreakCause::Failure => responder.failed(&self.gateway),
+            }
+            // Closing the connection cancels the request at the target.
+            drop((body, connection));
+            responder.close_broken(&self.gateway, &self.routed, sent_at, &mut self.record).await;
         }
         self.record.set_outcome(Outcome::BrokenOff);
         if !may_resume || !self.gateway.try_retry(&self.routed.service, &mut self.record) {
@@ -224,7 +213,7 @@
         let resumed = attempt(
             &self.gateway,
             &self.routed,
-            &self.tried,
+            &self.attempts,
             last.as_deref(),
             None,
             &mut self.record,
@@ -232,7 +221,7 @@
         .await;
         match resumed {
             Ok(received) if received.response.status() == StatusCode::OK => {
-                self.tried.push(received.target.clone());
+                self.attempts.add(received.responder.target().cloned());
                 self.source = Some(Source::new(received));
                 Ok(())
             }
@@ -249,23 +238,10 @@
 
 impl Source {
     fn new(received: TargetResponse) -> Source {
-        let TargetResponse {
-            target,
-            response,
-            response_metadata,
-            mut connection,
-            in_flight,
-            sent_at,
-        } = received;
+        let TargetResponse { responder, response, response_metadata, mut connection, sent_at } =
+            received;
         connection.set_idle_timeout(response_metadata.idle_timeout);
-        Source {
-            target,
-            body: response.into_body(),
-            response_metadata,
-            connection,
-            in_flight,
-            sent_at,
-        }
+        Source { responder, body: response.into_body(), response_metadata, connection, sent_at }
     }
 }
 
@@ -295,17 +271,11 @@
             Ok(Some(Err(error))) => error.into(),
             Err(_) => "its time is over".into(),
         };
-        record.attempt_failed(&source.target, &error.to_string());
+        record.responder_failed(&source.responder, &error.to_string());
         record.set_outcome(Outcome::BrokenOff);
         if Instant::now() < routed.deadline {
-            termination::report_broken_run(
-                &gateway,
-                &routed,
-                &source.target,
-                source.sent_at,
-                &mut record,
-            )
-            .await;
+            let Source { responder, sent_at, .. } = source;
+            responder.close_broken(&gateway, &routed, sent_at, &mut record).await;
         }
         Some((Err(error), None))
     }))
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -14,21 +14,21 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::attempt::{AttemptError, TargetResponse, attempt};
+use super::attempts::Attempts;
 use super::metadata::RequestMetadata;
 use super::priority::Priority;
 use super::relay::{self, EventRelay};
 use super::request_record::{Outcome, RequestRecord};
 use super::response::{GatewayResponse, Refusal, full_body, refusal_response};
-use super::routed_request::RoutedRequest;
+use super::routed_request::{Origin, RoutedRequest};
 use super::state::{Confirmation, Gateway};
 use super::target_selection::NoTarget;
-use super::termination;
 use crate::clock::boot_now;
 use crate::deployment::{Rejection, RoutingTable, RunPolicy};
 use crate::fleet::placement::SelectionError;
 use crate::fleet::regions::AllowedDomains;
 use crate::http::BodyError;
-use crate::ids::{DomainId, RegionId, TargetStart};
+use crate::ids::{DomainId, RegionId};
 use crate::net::request_body::RequestBody;
 use crate::platform::headers;
 
@@ -178,17 +178,22 @@
         deadline: arrived + timeout,
         tie_breaker: random.random(),
         fingerprint: OnceCell::new(),
+        origin: Origin::Caller,
         route,
         metadata,
     })
 }
 
 /// Reduces the target of a request to origin form: path and query only.
-fn origin_form(uri: &http::Uri) -> http::Uri {
+pub fn origin_form(uri: &http::Uri) -> http::Uri {
     uri.path_and_query().cloned().map(http::Uri::from).unwrap_or_default()
 }
 
-async fn read_body(
+/// Reads a body.
+///
+/// # Errors
+/// Why it can't be read.
+pub async fn read_body(
     body: RequestBody,
     max_bytes: usize,
     deadline: Instant,
@@ -209,15 +214,15 @@
     mut record: RequestRecord,
 ) -> GatewayResponse {
     gateway.retries.borrow_mut().record_request(&routed.service, boot_now());
-    let mut tried: Vec<TargetStart> = Vec::new();
+    let mut attempts = Attempts::default();
     let mut may_have_run = false;
     let resume_after = routed.metadata.resume_after.clone();
     loop {
-        let response_timeout = first_response_timeout(&routed, tried.len());
+        let response_timeout = first_response_timeout(&routed, &attempts);
         let tried_now = attempt(
             gateway,
             &routed,
-            &tried,
+            &attempts,
             resume_after.as_deref(),
             response_timeout,
             &mut record,
@@ -225,12 +230,14 @@
         .await;
         let (attempt_refusal, target) = match tried_now {
             Ok(received) => {
-                let target = received.target.clone();
-                tried.push(target);
+                attempts.add(received.responder.target().cloned());
                 let wants_another = received.response.status().is_server_error()
                     && routed.route.policy == RunPolicy::Idempotent;
-                if !(wants_another && may_retry(gateway, &routed, &tried, &mut record)) {
-                    return relay_response(gateway, routed, record, tried, received).await;
+                if !(wants_another && may_retry(gateway, &routed, &attempts, &mut record)) {
+                    let id = routed.metadata.id.clone();
+                    return relay_response(gateway, routed, record, attempts, received)
+                        .await
+                        .unwrap_or_else(|record| refuse(Refusal::Broken, &id, &record));
                 }
                 may_have_run = true;
                 continue;
@@ -261,14 +268,14 @@
             Err(AttemptError::MayHaveRun(target)) => (Refusal::Broken, target),
             Err(AttemptError::TimedOut(target)) => (Refusal::TimedOut, target),
         };
-        tried.push(target);
+        attempts.add(target);
         may_have_run |= attempt_refusal != Refusal::NoTarget;
         let refusal = match (may_have_run, attempt_refusal) {
             (true, Refusal::NoTarget) => Refusal::Broken,
             (_, attempt_refusal) => attempt_refusal,
         };
         let may_repeat = !may_have_run || routed.route.policy.may_repeat();
-        if !may_repeat || !may_retry(gateway, &routed, &tried, &mut record) {
+        if !may_repeat || !may_retry(gateway, &routed, &attempts, &mut record) {
             return refuse(refusal, &routed.metadata.id, &record);
         }
     }
@@ -276,9 +283,9 @@
 
 /// How long to wait for the head of the response before another target is tried; `None` if this is
 /// the last target.
-fn first_response_timeout(routed: &RoutedRequest, tried: usize) -> Option<Duration> {
+fn first_response_timeout(routed: &RoutedRequest, attempts: &Attempts) -> Option<Duration> {
     let has_another =
-        (tried as u32) + 1 < routed.route.attempts && routed.route.policy.may_repeat();
+        attempts.count() + 1 < routed.route.attempts && routed.route.policy.may_repeat();
     let wait = routed.route.objective * OBJECTIVES_BEFORE_RETRY;
     let least = if routed.metadata.prompt.is_some() { MIN_PROMPT_TIMEOUT } else { Duration::ZERO };
     (has_another && !wait.is_zero()).then(|| wait.max(least))
@@ -287,58 +294,54 @@
 fn may_retry(
     gateway: &Gateway,
     routed: &RoutedRequest,
-    tried: &[TargetStart],
+    attempts: &Attempts,
     record: &mut RequestRecord,
 ) -> bool {
-    (tried.len() as u32) < routed.route.attempts.max(2)
+    attempts.count() < routed.route.attempts.max(2)
         && Instant::now() < routed.deadline
         && gateway.try_retry(&routed.service, record)
 }
 
-async fn relay_response(
+/// Relays a response.
+///
+/// # Errors
+/// The record of the request, if the body is cut short before any of the response was relayed.
+pub async fn relay_response(
     gateway: &Rc<Gateway>,
     routed: RoutedRequest,
     mut record: RequestRecord,
-    tried: Vec<TargetStart>,
+    attempts: Attempts,
     received: TargetResponse,
-) -> GatewayResponse {
+) -> Result<GatewayResponse, RequestRecord> {
     let status = received.response.status();
     let values = headers::response_for_caller(received.response.headers());
     let is_stream = routed.route.policy.is_stream() && status == StatusCode::OK;
     let body = if is_stream {
-        EventRelay::new(gateway.clone(), routed, record, tried, received).into_body()
+        EventRelay::new(gateway.clone(), routed, record, attempts, received).into_body()
     } else if relay::fits_buffer(received.response.body()) {
-        let TargetResponse {
-            target,
-            response,
-            response_metadata,
-            mut connection,
-            in_flight,
-            sent_at,
-        } = received;
+        let TargetResponse { mut responder, response, response_metadata, mut connection, sent_at } =
+            received;
         match relay::read_buffered(response.into_body(), routed.deadline).await {
             Ok(bytes) => {
-                drop(in_flight);
                 record.first_part_sent();
                 record.set_outcome(Outcome::Relayed(status.as_u16()));
                 if status.is_success() {
-                    gateway.fleet.borrow_mut().succeeded(&target, sent_at, boot_now());
+                    responder.succeeded(gateway, sent_at);
                     gateway.record_success(&routed);
                 }
                 connection.set_idle_timeout(response_metadata.idle_timeout);
                 if !response_metadata.closes {
-                    gateway.return_connection(&target, connection);
+                    responder.return_connection(gateway, connection);
                 }
                 full_body(bytes)
             }
             Err(error) => {
-                record.attempt_failed(&target, &error.to_string());
-                drop((in_flight, connection));
+                record.responder_failed(&responder, &error.to_string());
+                drop(connection);
                 if Instant::now() < routed.deadline {
-                    termination::report_broken_run(gateway, &routed, &target, sent_at, &mut record)
-                        .await;
+                    responder.close_broken(gateway, &routed, sent_at, &mut record).await;
                 }
-                return refuse(Refusal::Broken, &routed.metadata.id, &record);
+                return Err(record);
             }
         }
     } else {
@@ -347,7 +350,7 @@
     let mut response = Response::new(body);
     *response.status_mut() = status;
     *response.headers_mut() = values;
-    response
+    Ok(response)
 }
 
 fn refuse(refusal: Refusal, id: &str, record: &RequestRecord) -> GatewayResponse {
--- a/src/gateway/request_record.rs
+++ b/src/gateway/request_record.rs
@@ -2,11 +2,13 @@
 
 use std::cell::Cell;
 use std::fmt::Write;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use super::metadata::{RequestMetadata, ResponseMetadata};
 use super::priority::Priority;
+use super::responder::Responder;
 use super::state::Gateway;
 use super::target_selection::{NoTarget, SelectedTarget};
 use crate::clock::{BootTime, boot_now};
@@ -124,6 +126,32 @@
         let _ = write!(self.attempts, " at_ms={at_ms} failed={target} reason={reason:?}");
     }
 
+    /// Records that the response of a target, or of another entry, is broken.
+    pub fn responder_failed(&mut self, responder: &Responder, reason: &str) {
+        match responder {
+            Responder::Target { target, .. } => self.attempt_failed(target, reason),
+            Responder::Entry(forwarded) => self.entry_failed(forwarded.ip, reason),
+        }
+    }
+
+    /// Records that the attempt is made for another entry.
+    pub fn for_other_entry(&mut self) {
+        self.attempts.push_str(" for_other_entry=true");
+    }
+
+    /// Records that another entry is asked to make an attempt.
+    pub fn forwarded(&mut self, ip: IpAddr, is_reused: bool) {
+        let at_ms = self.elapsed().as_millis();
+        self.gateway.metrics.forwarded_attempts.add(1, &[]);
+        let _ = write!(self.attempts, " at_ms={at_ms} forwarded_to={ip} reused={is_reused}");
+    }
+
+    /// Records that another entry had no response for a forwarded attempt.
+    pub fn entry_failed(&mut self, ip: IpAddr, reason: &str) {
+        let at_ms = self.elapsed().as_millis();
+        let _ = write!(self.attempts, " at_ms={at_ms} entry_failed={ip} reason={reason:?}");
+    }
+
     /// Records why no target was selected.
     pub fn no_target(&mut self, why: NoTarget) {
         let at_ms = self.elapsed().as_millis();
--- a/src/gateway/routed_request.rs
+++ b/src/gateway/routed_request.rs
@@ -13,6 +13,15 @@
 use crate::ids::{AccountId, ServiceId};
 use crate::quarantine::Fingerprint;
 
+/// Where a request comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// A caller.
+    Caller,
+    /// Another entry, which decides on further attempts.
+    Entry,
+}
+
 /// A routed request, shared by all its attempts.
 pub struct RoutedRequest {
     /// Metadata from the caller's headers.
@@ -45,6 +54,7 @@
     pub tie_breaker: u64,
     /// Cached result of `fingerprint()`.
     pub fingerprint: OnceCell<Fingerprint>,
+    pub origin: Origin,
 }
 
 impl RoutedRequest {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -9,6 +9,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use super::routed_request::Origin;
 use super::state::Gateway;
 use super::{scheduler_connection, server, subscription};
 use crate::control::run::listen;
@@ -62,10 +63,16 @@
     // Not an essential task: it ends by itself when a shutdown closes the listener.
     tokio::task::spawn_local(server::accept(
         gateway.clone(),
+        Origin::Caller,
         callers,
-        closed,
+        closed.clone(),
         open_connections.clone(),
     ));
+    let peers = listen(SocketAddr::new(gateway.host.ip, gateway.host.peer_port)).await?;
+    tasks.spawn(
+        "entries",
+        server::accept(gateway.clone(), Origin::Entry, peers, closed, open_connections.clone()),
+    );
     tasks.spawn("clean", close_expired_connections(gateway.clone()));
     let reloaded = reload::watch_settings(gateway.host.clone(), |host| {
         gateway.replicas.borrow_mut().extend(host.seeds.iter().map(|seed| seed.ip()));
@@ -83,6 +90,7 @@
     loop {
         tokio::time::sleep(POOL_CLEAN_INTERVAL).await;
         gateway.pool.retain(|_| true);
+        gateway.peer_pool.retain(|_| true);
     }
 }
 
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -11,9 +11,10 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use super::request;
 use super::response::GatewayResponse;
+use super::routed_request::Origin;
 use super::state::Gateway;
+use super::{forwarding, request};
 use crate::clock::{BootTime, boot_now};
 use crate::net;
 use crate::net::lingering_stream::LingeringStream;
@@ -25,10 +26,11 @@
 /// Lower bound on the delay between two checks of whether a connection is idle.
 const MIN_IDLE_CHECK: Duration = Duration::from_millis(20);
 
-/// Accepts callers' connections for the lifetime of the process. Once `closing` is true, each
-/// connection is closed after its current request.
+/// Accepts connections of callers, or of other entries, for the lifetime of the process. Once
+/// `closing` is true, each connection is closed after its current request.
 pub async fn accept(
     gateway: Rc<Gateway>,
+    origin: Origin,
     listener: TcpListener,
     closing: watch::Receiver<bool>,
     open_connections: Rc<Cell<usize>>,
@@ -38,19 +40,28 @@
             (gateway.clone(), closing.clone(), open_connections.clone());
         tokio::task::spawn_local(async move {
             open_connections.set(open_connections.get() + 1);
-            serve(gateway, stream, closing).await;
+            serve(gateway, origin, stream, closing).await;
             open_connections.set(open_connections.get() - 1);
         });
     };
     net::for_each_connection(listener, take).await;
 }
 
-async fn serve(gateway: Rc<Gateway>, stream: TcpStream, mut closing: watch::Receiver<bool>) {
+async fn serve(
+    gateway: Rc<Gateway>,
+    origin: Origin,
+    stream: TcpStream,
+    mut closing: watch::Receiver<bool>,
+) {
     if let Err(error) = net::set_ack_timeout(&stream, UNACKNOWLEDGED_TIMEOUT) {
         log::debug!("event=connection_not_set reason={:?}", error.to_string());
     }
     let limits =
         gateway.table().map(|table| table.deployment().request_limits.clone()).unwrap_or_default();
+    let head_bytes = match origin {
+        Origin::Caller => limits.head_bytes,
+        Origin::Entry => limits.head_bytes + forwarding::MAX_ATTEMPT_BYTES,
+    };
     let last_used = Rc::new(Cell::new(boot_now()));
     let service = {
         let (last_used, closing) = (last_used.clone(), closing.clone());
@@ -59,14 +70,17 @@
                 (gateway.clone(), last_used.clone(), closing.clone());
             async move {
                 last_used.set(BootTime::MAX);
-                let response = request::handle(gateway, request, closing).await;
+                let response = match origin {
+                    Origin::Caller => request::handle(gateway, request, closing).await,
+                    Origin::Entry => forwarding::handle(gateway, request, closing).await,
+                };
                 last_used.set(boot_now());
                 Ok::<GatewayResponse, Infallible>(response)
             }
         })
     };
     let connection = http1::Builder::new()
-        .max_buf_size(limits.head_bytes.max(MIN_HEAD_BYTES))
+        .max_buf_size(head_bytes.max(MIN_HEAD_BYTES))
         .serve_connection(TokioIo::new(LingeringStream::new(stream)), service);
     tokio::pin!(connection);
     let mut is_closing = *closing.borrow();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -97,7 +97,9 @@
     /// Notified after each probe of whether a target still listens.
     pub probe_finished: Notify,
     /// Idle connections to targets.
-    pub pool: Pool,
+    pub pool: Pool<TargetStart>,
+    /// Idle connections to other entries.
+    pub peer_pool: Pool<IpAddr>,
     /// What this entry believes of its own path to targets.
     pub paths: RefCell<Paths>,
     /// Other entries, through which this one reaches targets if its own path to them fails.
@@ -164,6 +166,7 @@
             broken_runs: RefCell::default(),
             probe_finished: Notify::new(),
             pool: Pool::default(),
+            peer_pool: Pool::default(),
             paths: RefCell::default(),
             peers,
             scheduler: SchedulerClient::default(),
--- a/src/telemetry/deployment_metrics.rs
+++ b/src/telemetry/deployment_metrics.rs
@@ -19,6 +19,8 @@
     pub first_chunk_s: Histogram<f64>,
     /// Failed attempts at targets, by reason.
     pub failed_attempts: Counter<u64>,
+    /// Attempts that other entries were asked to make.
+    pub forwarded_attempts: Counter<u64>,
     /// Services to which this entry has lost its path.
     pub lost_paths: Gauge<u64>,
     /// Retries that the budget granted or denied, by service and verdict.
@@ -81,6 +83,7 @@
                 .with_boundaries(FIRST_CHUNK_BOUNDARIES_S.to_vec())
                 .build(),
             failed_attempts: meter.u64_counter("kumquatpost_attempts_missed").build(),
+            forwarded_attempts: meter.u64_counter("kumquatpost_attempts_forwarded").build(),
             lost_paths: meter.u64_gauge("kumquatpost_lost_paths").build(),
             retries: meter.u64_counter("kumquatpost_retries").build(),
             active_requests: meter.u64_gauge("kumquatpost_answering").build(),
--- a/tests/deployment/forwarding.rs
+++ b/tests/deployment/forwarding.rs
@@ -22,7 +22,7 @@
     PROMPT, Response, deployment_with_long_timeouts, event_stream, ok_response, run_local,
 };
 use crate::restarts::EVENT_TIMEOUT;
-use crate::stand_in::{AfterAnswer, Script, StandIn};
+use crate::stand_in::{AfterAnswer, Script, StandIn, header};
 
 const PEER_PORT: u16 = 21_700;
 const CALLER_PORT: u16 = 21_705;
@@ -188,6 +188,30 @@
         Response { status, text }
     }
 
+    fn signal(&self, name: &str) {
+        let sent = Command::new("kill").args(["-s", name, &self.child.id().to_string()]).status();
+        assert!(sent.expect("the kill command runs").success(), "the signal is delivered");
+    }
+
+    /// Whether the process has a connection to a target.
+    fn has_connection_to(&self, target: &StandIn) -> bool {
+        let folder = format!("/proc/{}/fd", self.child.id());
+        let links = std::fs::read_dir(folder).expect("a process of this test");
+        let sockets: Vec<String> = links
+            .filter_map(|link| std::fs::read_link(link.ok()?.path()).ok())
+            .filter_map(|link| {
+                let text = link.to_string_lossy();
+                Some(text.strip_prefix("socket:[")?.strip_suffix(']')?.to_string())
+            })
+            .collect();
+        let table = std::fs::read_to_string("/proc/net/tcp").expect("the table of connections");
+        let port = format!(":{:04X}", target.address.port());
+        table.lines().any(|line| {
+            let fields: Vec<&str> = line.split_whitespace().collect();
+            fields.len() > 9 && fields[2].ends_with(&port) && sockets.contains(&fields[9].into())
+        })
+    }
+
     fn log(&self) -> String {
         std::fs::read_to_string(self.folder.path().join("log")).unwrap_or_default()
     }
@@ -200,16 +224,27 @@
     }
 }
 
-/// A cut entry, an entry that reaches the targets, and these targets.
+/// A cut entry, entries that reach the targets, and these targets.
 struct System {
     cut: Entry,
-    sound: Entry,
+    sound: Vec<Entry>,
     targets: Vec<StandIn>,
     _addresses: Vec<CutAddress>,
 }
 
 /// Starts a system with the scripts of its targets; `network` is unique per test.
 async fn start(cut: Cut, service: &str, scripts: Vec<Script>, network: u8) -> System {
+    start_with(cut, service, scripts, 1, network).await
+}
+
+/// The same with some entries that reach the targets.
+async fn start_with(
+    cut: Cut,
+    service: &str,
+    scripts: Vec<Script>,
+    sound_count: u8,
+    network: u8,
+) -> System {
     let (mut targets, mut reachable, mut unreachable) = (Vec::new(), Vec::new(), Vec::new());
     let mut addresses = Vec::new();
     for (n, script) in scripts.into_iter().enumerate() {
@@ -221,16 +256,36 @@
         targets.push(stand_in);
         addresses.push(cut_address);
     }
-    let [cut_ip, sound_ip, replica_1, replica_2] = [0, 1, 2, 3].map(|n| loopback(network + n));
     let deployment = deployment_with_long_timeouts();
-    let one = FakeReplica::start(replica_1, deployment.clone(), unreachable, &[sound_ip]).await;
-    let other = FakeReplica::start(replica_2, deployment, reachable, &[cut_ip]).await;
-    let (cut, sound) = (Entry::start(cut_ip, one.ip), Entry::start(sound_ip, other.ip));
+    let sound_ips: Vec<IpAddr> = (0..sound_count).map(|n| loopback(network + 2 + 2 * n)).collect();
+    let (cut_ip, replica_ip) = (loopback(network), loopback(network + 1));
+    let replica = FakeReplica::start(replica_ip, deployment.clone(), unreachable, &sound_ips).await;
+    let cut = Entry::start(cut_ip, replica.ip);
+    let mut sound = Vec::new();
+    for (n, ip) in (0..sound_count).zip(sound_ips) {
+        let replica_ip = loopback(network + 3 + 2 * n);
+        let targets = reachable.clone();
+        let replica = FakeReplica::start(replica_ip, deployment.clone(), targets, &[cut_ip]).await;
+        sound.push(Entry::start(ip, replica.ip));
+    }
     cut.until_ready().await;
-    sound.until_ready().await;
+    for entry in &sound {
+        entry.until_ready().await;
+    }
     System { cut, sound, targets, _addresses: addresses }
 }
 
+/// Reads until a text has arrived.
+async fn read_until(stream: &mut TcpStream, expected: &str) -> String {
+    let (mut received, mut bytes) = (String::new(), vec![0; 4_096]);
+    while !received.contains(expected) {
+        let count = stream.read(&mut bytes).await.expect("the response goes on");
+        assert!(count > 0, "the response ends early: {received}");
+        received += &String::from_utf8_lossy(&bytes[..count]);
+    }
+    received
+}
+
 fn answers(answer: String, count: usize) -> Script {
     vec![(answer, AfterAnswer::KeepOpen); count]
 }
@@ -257,7 +312,7 @@
                 assert!(n < 5 || took < ms(200), "{cut:?}, {id} takes {took:?}");
             }
             assert_eq!(requests(&system), 30, "{cut:?}: each reaches one target once");
-            let log = system.sound.log();
+            let log = system.sound[0].log();
             assert!(log.contains("id=r7"), "the same id is logged at the other entry: {log}");
         });
     }
@@ -279,3 +334,133 @@
         assert_eq!(requests(&system), 6);
     });
 }
+
+// Guards against a request that runs twice, or is reported as not run, since it was forwarded.
+#[test]
+fn a_forwarded_request_that_may_have_run_is_not_sent_again() {
+    run_local(async {
+        let closes = vec![(String::new(), AfterAnswer::Close); 10];
+        let system = start(Cut::Refused, "app", vec![closes.clone(), closes], 112).await;
+        let got = system.cut.call("/once/", "r1").await;
+        assert_eq!((got.status, requests(&system)), (502, 1), "{}", got.text);
+        assert!(header(&got.text, "retry-after").is_none(), "{}", got.text);
+    });
+}
+
+// Guards against a retry that goes to the same target, or is not made, since the first attempt was
+// forwarded.
+#[test]
+fn a_forwarded_request_that_did_not_run_is_sent_to_another_target() {
+    run_local(async {
+        let full = "HTTP/1.1 503 Full\r\nX-Request-Id: {id}\r\nX-Not-Run: 1\r\n\
+                    Content-Length: 0\r\n\r\n";
+        let scripts = vec![
+            answers(full.to_string(), 10),
+            answers(ok_response("one"), 10),
+            answers(full.to_string(), 10),
+        ];
+        let system = start(Cut::Refused, "app", scripts, 116).await;
+        let mut served = 0;
+        for n in 0..6 {
+            let before = requests(&system);
+            let got = system.cut.call("/once/", &format!("r{n}")).await;
+            let sent = requests(&system) - before;
+            assert!(sent <= 2, "r{n} was sent {sent} times with two attempts");
+            assert!([200, 503].contains(&got.status), "{}", got.text);
+            assert!(got.status == 200 || sent == 2, "r{n} was sent {sent} times: {}", got.text);
+            served += usize::from(got.status == 200);
+        }
+        assert!(served > 0, "none of six was served");
+    });
+}
+
+// Guards against requests that are forwarded in a circle, or wait, while no entry reaches targets.
+#[test]
+fn a_request_that_no_entry_can_send_is_refused_at_once() {
+    run_local(async {
+        let (one, other) =
+            (CutAddress::new(Cut::Refused).await, CutAddress::new(Cut::Refused).await);
+        let targets = vec![target("i-1", "app", one.address), target("i-2", "app", other.address)];
+        let [first, second, replica_1, replica_2] = [120, 121, 122, 123].map(loopback);
+        let deployment = deployment_with_long_timeouts();
+        FakeReplica::start(replica_1, deployment.clone(), targets.clone(), &[second]).await;
+        FakeReplica::start(replica_2, deployment, targets, &[first]).await;
+        let entries = [Entry::start(first, replica_1), Entry::start(second, replica_2)];
+        for entry in &entries {
+            entry.until_ready().await;
+        }
+        for n in 0..10 {
+            let sent_at = Instant::now();
+            let got = entries[n % 2].call("/once/", &format!("r{n}")).await;
+            assert_eq!(got.status, 503, "{}", got.text);
+            assert!(header(&got.text, "retry-after").is_some(), "{}", got.text);
+            assert!(sent_at.elapsed() < ms(500), "r{n} took {:?}", sent_at.elapsed());
+        }
+    });
+}
+
+// Guards against engines that go on working after the caller of a cut entry has left.
+#[test]
+fn a_caller_that_leaves_ends_the_run_behind_another_entry() {
+    run_local(async {
+        let begun = event_stream(&["id: 1\ndata: x\n\n"], false);
+        let script = vec![(begun, AfterAnswer::Hang); 3];
+        let system = start(Cut::Refused, "llm", vec![script.clone(), script], 126).await;
+        let mut caller = system.cut.send("/stream/", "r1", PROMPT).await;
+        read_until(&mut caller, "data: x").await;
+        drop(caller);
+        let left_at = Instant::now();
+        while system.targets.iter().all(|target| target.interrupted.get() == 0) {
+            assert!(left_at.elapsed() < EVENT_TIMEOUT, "the run goes on");
+            tokio::time::sleep(ms(10)).await;
+        }
+    });
+}
+
+// Guards against resumable streams that break with the entry that forwards them.
+#[test]
+fn a_stream_is_resumed_when_the_entry_that_forwards_it_is_killed() {
+    run_local(async {
+        let begun = event_stream(&["id: 1\ndata: x\n\n"], false);
+        let scripts = vec![vec![(begun, AfterAnswer::Hang)]; 2];
+        let mut system = start_with(Cut::Refused, "llm", scripts, 2, 130).await;
+        let mut caller = system.cut.send("/resumable/", "r1", PROMPT).await;
+        let mut received = read_until(&mut caller, "data: x").await;
+        let is_first = |target: &StandIn| target.request_count() == 1;
+        let (first, second) = match is_first(&system.targets[0]) {
+            true => (&system.targets[0], &system.targets[1]),
+            false => (&system.targets[1], &system.targets[0]),
+        };
+        second.set_script(answers(event_stream(&["id: 2\ndata: y\n\n"], true), 1));
+        let forwarding = system.sound.iter().position(|entry| entry.has_connection_to(first));
+        system.sound.remove(forwarding.expect("one of them forwards the stream"));
+        caller.read_to_string(&mut received).await.expect("the stream ends");
+        assert!(received.contains("data: y") && received.ends_with("0\r\n\r\n"), "{received}");
+        let resumed = second.requests.borrow()[0].clone();
+        assert_eq!(header(&resumed, "last-event-id").as_deref(), Some("1"));
+    });
+}
+
+// Guards against a planned stop of an entry that cuts off what it forwards for others.
+#[test]
+fn an_entry_that_stops_finishes_what_it_forwards_and_takes_no_more() {
+    run_local(async {
+        let stream = event_stream(&["id: 1\ndata: x\n\n"], true);
+        let scripts = vec![answers(stream, 100); 2];
+        let mut system = start_with(Cut::Refused, "llm", scripts, 2, 140).await;
+        let client = Instant::now();
+        let mut stopped = system.sound.remove(0);
+        stopped.signal("TERM");
+        let mut n = 0;
+        while stopped.child.try_wait().expect("it can be waited for").is_none() {
+            assert!(client.elapsed() < EVENT_TIMEOUT, "the entry stops");
+            n += 1;
+            let got = system.cut.call_with("/stream/", &format!("r{n}"), PROMPT).await;
+            assert_eq!(got.status, 200, "r{n}: {}", got.text);
+            assert!(got.text.ends_with("0\r\n\r\n"), "r{n}: {}", got.text);
+            tokio::time::sleep(ms(20)).await;
+        }
+        let exit = stopped.child.wait().expect("it has exited");
+        assert!(exit.success(), "{exit}");
+    });
+}
--- a/tests/deployment/gateway.rs
+++ b/tests/deployment/gateway.rs
@@ -10,6 +10,7 @@
 use kumquatpost::deployment::Deployment;
 use kumquatpost::fleet::Listed;
 use kumquatpost::gateway::request::startup_wait;
+use kumquatpost::gateway::routed_request::Origin;
 use kumquatpost::gateway::server;
 use kumquatpost::gateway::state::Gateway;
 use kumquatpost::platform::settings;
@@ -65,7 +66,13 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
     let (closing, closed) = watch::channel(false);
-    tokio::task::spawn_local(server::accept(gateway.clone(), listener, closed, Rc::default()));
+    tokio::task::spawn_local(server::accept(
+        gateway.clone(),
+        Origin::Caller,
+        listener,
+        closed,
+        Rc::default(),
+    ));
     Entry { gateway, address, closing }
 }
 
--- a/tests/deployment/stand_in.rs
+++ b/tests/deployment/stand_in.rs
@@ -1,6 +1,7 @@
 //! A stand-in target that answers from a script, over loopback.
 
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -32,6 +33,7 @@
     /// The number of connections that the caller closed after `AfterAnswer::Hang`.
     pub interrupted: Rc<Cell<u32>>,
     pub connections: Rc<Cell<u32>>,
+    script: Rc<RefCell<VecDeque<(String, AfterAnswer)>>>,
 }
 
 impl StandIn {
@@ -46,8 +48,9 @@
             requests: Rc::default(),
             interrupted: Rc::default(),
             connections: Rc::default(),
+            script: Rc::new(RefCell::new(script.into())),
         };
-        let script = Rc::new(RefCell::new(std::collections::VecDeque::from(script)));
+        let script = stand_in.script.clone();
         let (requests, interrupted) = (stand_in.requests.clone(), stand_in.interrupted.clone());
         let connections = stand_in.connections.clone();
         tokio::task::spawn_local(async move {
@@ -61,6 +64,11 @@
         stand_in
     }
 
+    /// Replaces the answers to later requests.
+    pub fn set_script(&self, script: Script) {
+        *self.script.borrow_mut() = script.into();
+    }
+
     pub fn request_count(&self) -> usize {
         self.requests.borrow().len()
     }
@@ -68,7 +76,7 @@
 
 async fn serve(
     mut stream: TcpStream,
-    script: Rc<RefCell<std::collections::VecDeque<(String, AfterAnswer)>>>,
+    script: Rc<RefCell<VecDeque<(String, AfterAnswer)>>>,
     requests: Rc<RefCell<Vec<String>>>,
     interrupted: Rc<Cell<u32>>,
 ) {
