--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -25,5 +25,6 @@
 pub mod state;
 pub mod subscription;
 pub mod subscription_policy;
+pub mod target_news;
 pub mod target_selection;
 pub mod termination;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -24,9 +24,9 @@
 use crate::deployment::{Deployment, RoutingTable};
 use crate::fleet::budget::{RetryBudget, RetryLimit};
 use crate::fleet::compact::UnknownName;
-use crate::fleet::news::{NewsTable, TargetEvent, TargetNews};
+use crate::fleet::news::NewsTable;
 use crate::fleet::paths::Paths;
-use crate::fleet::rate::{IndependentShare, RateLimit};
+use crate::fleet::rate::IndependentShare;
 use crate::fleet::{FleetView, Listed, Presence, RosterChange};
 use crate::host::HostSettings;
 use crate::ids::{ServiceId, TargetStart};
@@ -34,7 +34,6 @@
 
 use crate::quarantine::broken_runs::BrokenRuns;
 use crate::quarantine::{Quarantine, notify};
-use crate::scheduler::PlacementEvent;
 use crate::scheduler::weights::{self, RolloutHistories};
 use crate::telemetry::deployment_metrics::EntryMetrics;
 
@@ -364,51 +363,6 @@
         Ok(())
     }
 
-    fn observe_news(&self, news: &TargetNews) {
-        let at = boot_now().saturating_sub(news.age);
-        match news.event {
-            TargetEvent::MayHaveRestarted => {
-                self.fleet.borrow_mut().may_have_restarted(&news.target, at)
-            }
-            TargetEvent::RateLimit(limit) => {
-                self.fleet.borrow_mut().told_limit(&news.target, limit, at)
-            }
-        }
-    }
-
-    /// Records the rate limit that an answer to a request sent at `sent_at` names, and tells the
-    /// other entries and the scheduler.
-    pub fn observe_limit(&self, target: &TargetStart, named: Option<RateLimit>, sent_at: BootTime) {
-        let now = boot_now();
-        let is_change = self.fleet.borrow_mut().observe_limit(target, named, sent_at, now);
-        if named.is_none() && !is_change {
-            return;
-        }
-        let limit = self.fleet.borrow().get(target).and_then(|state| state.named_limit());
-        // News also if it is unchanged, which keeps it for entries and replicas that start later.
-        let event = TargetEvent::RateLimit(limit);
-        self.news.send_if_modified(|known| known.observe(target, event, now, now));
-        if is_change {
-            let limit_per_s = limit.map(|limit| limit.requests_per_s);
-            log::info!("event=limit_changed target={target} limit_per_s={limit_per_s:?}");
-            self.report_limit(target, limit, Duration::ZERO);
-        }
-    }
-
-    /// Tells a scheduler that has just been connected to of the targets that limit their rate.
-    pub fn report_limits(&self) {
-        let now = boot_now();
-        for (target, limit, observed_at) in self.fleet.borrow().limited() {
-            self.report_limit(target, Some(limit), now.saturating_sub(observed_at));
-        }
-    }
-
-    fn report_limit(&self, target: &TargetStart, limit: Option<RateLimit>, age: Duration) {
-        let event = TargetEvent::RateLimit(limit);
-        let news = TargetNews { target: target.clone(), event, age };
-        self.scheduler.send_event(PlacementEvent::News(news));
-    }
-
     /// How long a request remains quarantined; `None` if it is not.
     pub fn held_for(&self, routed: &RoutedRequest) -> Option<Duration> {
         let known = self.quarantine.borrow();
@@ -511,31 +465,6 @@
         self.pool.retain(|target| self.is_listed(target));
     }
 
-    /// Records, here and at the scheduler, that a target may have restarted since it was last used.
-    pub fn idle_connections_lost(&self, target: &TargetStart) {
-        if !self.fleet.borrow_mut().idle_connections_lost(target, boot_now()) {
-            return;
-        }
-        log::info!("event=idle_connections_lost target={target}");
-        self.announce_restart(target);
-        let event = PlacementEvent::IdleConnectionsLost { target: target.clone() };
-        self.scheduler.send_event(event);
-    }
-
-    /// Records that a target refuses connections, so that its process has ended.
-    pub fn connection_refused(&self, target: &TargetStart) {
-        if self.fleet.borrow().is_paced_when_cold(target) {
-            self.announce_restart(target);
-        }
-    }
-
-    /// Tells the other entries that a target may have restarted.
-    fn announce_restart(&self, target: &TargetStart) {
-        let now = boot_now();
-        let event = TargetEvent::MayHaveRestarted;
-        self.news.send_if_modified(|known| known.observe(target, event, now, now));
-    }
-
     /// Returns a connection to the pool if the target is still in the roster.
     pub fn return_connection(&self, target: &TargetStart, connection: Connection) {
         if self.is_listed(target) {
--- /dev/null
+++ b/src/gateway/target_news.rs
@@ -0,0 +1,84 @@
+//! News of targets, as this entry notices them and tells the other entries and the scheduler, and as it
+//! is told of them.
+
+use std::time::Duration;
+
+use super::state::Gateway;
+use crate::clock::{BootTime, boot_now};
+use crate::fleet::news::{TargetEvent, TargetNews};
+use crate::fleet::rate::RateLimit;
+use crate::ids::TargetStart;
+use crate::scheduler::PlacementEvent;
+
+impl Gateway {
+    /// Applies news from another process.
+    pub fn observe_news(&self, news: &TargetNews) {
+        let at = boot_now().saturating_sub(news.age);
+        match news.event {
+            TargetEvent::MayHaveRestarted => {
+                self.fleet.borrow_mut().may_have_restarted(&news.target, at)
+            }
+            TargetEvent::RateLimit(limit) => {
+                self.fleet.borrow_mut().told_limit(&news.target, limit, at)
+            }
+        }
+    }
+
+    /// Records the rate limit that an answer to a request sent at `sent_at` names, and tells the
+    /// other entries and the scheduler.
+    pub fn observe_limit(&self, target: &TargetStart, named: Option<RateLimit>, sent_at: BootTime) {
+        let now = boot_now();
+        let is_change = self.fleet.borrow_mut().observe_limit(target, named, sent_at, now);
+        if named.is_none() && !is_change {
+            return;
+        }
+        let limit = self.fleet.borrow().get(target).and_then(|state| state.named_limit());
+        // News also if it is unchanged, which keeps it for entries and replicas that start later.
+        let event = TargetEvent::RateLimit(limit);
+        self.news.send_if_modified(|known| known.observe(target, event, now, now));
+        if is_change {
+            let limit_per_s = limit.map(|limit| limit.requests_per_s);
+            log::info!("event=limit_changed target={target} limit_per_s={limit_per_s:?}");
+            self.report_limit(target, limit, Duration::ZERO);
+        }
+    }
+
+    /// Tells a scheduler that has just been connected to of the targets that limit their rate.
+    pub fn report_limits(&self) {
+        let now = boot_now();
+        for (target, limit, observed_at) in self.fleet.borrow().limited() {
+            self.report_limit(target, Some(limit), now.saturating_sub(observed_at));
+        }
+    }
+
+    fn report_limit(&self, target: &TargetStart, limit: Option<RateLimit>, age: Duration) {
+        let event = TargetEvent::RateLimit(limit);
+        let news = TargetNews { target: target.clone(), event, age };
+        self.scheduler.send_event(PlacementEvent::News(news));
+    }
+
+    /// Records, here and at the scheduler, that a target may have restarted since it was last used.
+    pub fn idle_connections_lost(&self, target: &TargetStart) {
+        if !self.fleet.borrow_mut().idle_connections_lost(target, boot_now()) {
+            return;
+        }
+        log::info!("event=idle_connections_lost target={target}");
+        self.announce_restart(target);
+        let event = PlacementEvent::IdleConnectionsLost { target: target.clone() };
+        self.scheduler.send_event(event);
+    }
+
+    /// Records that a target refuses connections, so that its process has ended.
+    pub fn connection_refused(&self, target: &TargetStart) {
+        if self.fleet.borrow().is_paced_when_cold(target) {
+            self.announce_restart(target);
+        }
+    }
+
+    /// Tells the other entries that a target may have restarted.
+    fn announce_restart(&self, target: &TargetStart) {
+        let now = boot_now();
+        let event = TargetEvent::MayHaveRestarted;
+        self.news.send_if_modified(|known| known.observe(target, event, now, now));
+    }
+}
