--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -2,6 +2,7 @@
 //! scheduler on a virtual clock, and an entry in front of stand-in targets.
 
 mod boundary;
+mod brittle_targets;
 mod budget;
 mod cold;
 mod diagnostics;
--- a/tests/platform_stand_in/mod.rs
+++ b/tests/platform_stand_in/mod.rs
@@ -1,6 +1,7 @@
 //! In-process emulation of the users' platform on loopback: its list of targets, model engines, plain
 //! services and a store of KV cache. It records requests and violations of guarantees.
 
+pub mod brittle;
 pub mod http;
 pub mod job;
 pub mod limits;
--- a/tests/platform_stand_in/observations.rs
+++ b/tests/platform_stand_in/observations.rs
@@ -61,6 +61,10 @@
     pub cold_bursts: Vec<(Instant, String)>,
     /// Descriptions of windows in which a target got more requests than the limit that it named.
     pub limit_excesses: Vec<(Instant, String)>,
+    /// Requests that brittle targets have turned away.
+    pub rejections: u64,
+    /// Brittle targets that have turned away too many requests.
+    pub overruns: Vec<(Instant, String)>,
     stamps: u64,
 }
 
--- a/tests/platform_stand_in/target.rs
+++ b/tests/platform_stand_in/target.rs
@@ -9,6 +9,7 @@
 use serde_json::{Value, json};
 use tokio::task::AbortHandle;
 
+use super::brittle::Brittle;
 use super::http::{self, HttpResponse, header};
 use super::job::Job;
 pub use super::job::{expected_body, expected_event};
@@ -58,6 +59,8 @@
     pub fault: Fault,
     /// The rate limit that it names.
     pub(super) limit: Option<NamedLimit>,
+    /// What it bears if it is brittle.
+    pub(super) brittle: Option<Brittle>,
     /// The weights that it is loading.
     pub loading: Option<u64>,
     /// Number of orders that it has accepted.
@@ -140,6 +143,7 @@
             is_listed: true,
             fault: Fault::None,
             limit: None,
+            brittle: None,
             loading: None,
             orders: 0,
             begun: 0,
@@ -292,6 +296,8 @@
                 self.lock().record_limited_arrival(id);
                 let mut answer = self.run(id, request).await;
                 self.add_limit(id, &mut answer);
+                self.add_brittleness(id, &mut answer);
+                self.crash_if_overrun(id);
                 answer
             }
         }
@@ -454,6 +460,10 @@
         if target.loading.is_some() || target.fault == Fault::Full {
             return Err(not_run(503));
         }
+        if self.is_out_of_room(id) {
+            return Err(not_run(503));
+        }
+        let Some(target) = self.targets.get_mut(id) else { return Err(not_run(503)) };
         let expected = number("x-expect-version");
         if expected.is_some_and(|version| Some(version) != target.weights) {
             return Err(not_run(421));
