Spare targets that crash when they must reject too many requests

Callers lost engines that had said how many rejections a second they bear: nothing read it, a rejection taught nothing, and all entries and the scheduler went on sending to a full engine. 28 of 50 requests a second were turned away where 4 were allowed, and an engine behind the scheduler crashed again and again.

The notice is decoded and passed on as rate limits are: to the scheduler, later schedulers, other entries and later processes. A brittle target gets no more requests at once than it runs, divided among entries that place alone. One rejection closes it for all for a moment; then it is probed at half of the rejections that it bears, and what it held is raised slowly. What finds no room goes to other targets or is refused at once with the time.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1,5 +1,6 @@
 //! The targets behind this system: their list, load and health.
 
+pub mod brittle;
 pub mod budget;
 pub mod cold;
 pub mod compact;
--- a/src/fleet/news.rs
+++ b/src/fleet/news.rs
@@ -20,6 +20,11 @@
 /// A rate limit that is still named after this time is sent again, so that it is kept.
 const LIMIT_REPEAT_WINDOW: Duration = Duration::from_secs(30);
 
+/// A rejection by a brittle target is kept for this long, after which it gets requests as before.
+const REJECTION_TTL: Duration = Duration::from_secs(2);
+/// Rejections within this time are one news.
+const SAME_REJECTION_WINDOW: Duration = Duration::from_millis(50);
+
 /// Increases with each news.
 pub type NewsRevision = u64;
 
@@ -31,6 +36,10 @@
     MayHaveRestarted,
     /// It names another rate limit, or none any more.
     RateLimit(Option<RateLimit>),
+    /// It is brittle, with another rate of rejections that it bears, or no longer brittle.
+    Brittle(Option<RateLimit>),
+    /// It is brittle and has rejected a request.
+    Rejected,
 }
 
 /// Events of a kind replace each other.
@@ -38,6 +47,8 @@
 enum EventKind {
     Restart,
     RateLimit,
+    Brittle,
+    Rejection,
 }
 
 /// An event of a target, as sent to another process. Clocks differ between hosts, so the age is sent
@@ -69,6 +80,8 @@
         match self {
             TargetEvent::MayHaveRestarted => EventKind::Restart,
             TargetEvent::RateLimit(_) => EventKind::RateLimit,
+            TargetEvent::Brittle(_) => EventKind::Brittle,
+            TargetEvent::Rejected => EventKind::Rejection,
         }
     }
 
@@ -76,7 +89,8 @@
     fn ttl(self) -> Duration {
         match self {
             TargetEvent::MayHaveRestarted => RESTART_TTL,
-            TargetEvent::RateLimit(_) => LIMIT_TTL,
+            TargetEvent::RateLimit(_) | TargetEvent::Brittle(_) => LIMIT_TTL,
+            TargetEvent::Rejected => REJECTION_TTL,
         }
     }
 
@@ -84,7 +98,8 @@
     fn repeat_window(self) -> Duration {
         match self {
             TargetEvent::MayHaveRestarted => SAME_RESTART_WINDOW,
-            TargetEvent::RateLimit(_) => LIMIT_REPEAT_WINDOW,
+            TargetEvent::RateLimit(_) | TargetEvent::Brittle(_) => LIMIT_REPEAT_WINDOW,
+            TargetEvent::Rejected => SAME_REJECTION_WINDOW,
         }
     }
 }
--- a/src/fleet/placement.rs
+++ b/src/fleet/placement.rs
@@ -134,6 +134,8 @@
     is_eligible: bool,
     /// Some of the healthy targets whose share is used up, with their limits.
     limited: Vec<(&'a TargetStart, RateLimit)>,
+    /// Shortest time until a brittle target may have room.
+    room_in: Option<Duration>,
 }
 
 impl<'a> SearchSummary<'a> {
@@ -158,6 +160,10 @@
         let is_prompt = criteria.prompt.is_some();
         let is_eligible = view.admits_independent(state, is_prompt, criteria.share, now);
         self.is_eligible |= is_eligible;
+        if let Some(wait) = view.wait_for_room(state, criteria.share, now) {
+            self.room_in = Some(self.room_in.map_or(wait, |known| known.min(wait)));
+            return false;
+        }
         if !is_eligible && self.limited.len() < MAX_CANDIDATES {
             let limit = view.independent_limit(state, is_prompt, now);
             let limit = limit.filter(|limit| *limit > RateLimit::ZERO);
@@ -170,6 +176,7 @@
     fn error(&self, share: &IndependentShare, now: BootTime) -> SelectionError {
         let waits =
             self.limited.iter().map(|(target, limit)| share.next_admission(target, *limit, now));
+        let waits = waits.chain(self.room_in);
         match (self.is_listed, self.is_healthy, self.is_eligible) {
             (false, ..) => SelectionError::NoTargetListed,
             (_, false, _) => SelectionError::NoHealthyTarget,
--- a/src/fleet/usage.rs
+++ b/src/fleet/usage.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::brittle::Brittleness;
 use super::cold::Coldness;
 use super::rate::{NamedLimit, ShareUse};
 use super::roster::{Listed, Presence};
@@ -38,6 +39,7 @@
     pub coldness: Coldness,
     /// The rate limit that its answers name.
     pub named_limit: NamedLimit,
+    pub brittleness: Brittleness,
     /// Requests that this entry has sent to it by its own decision.
     pub share_use: ShareUse,
 }
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -6,6 +6,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::{Arc, LazyLock};
+use std::time::Duration;
 
 use rustc_hash::FxHashMap;
 
@@ -23,6 +24,9 @@
 pub use crate::route::health::FailureCause;
 use crate::route::health::Health;
 
+/// How long a brittle target that may be full gets no request of this entry.
+const ROOM_WAIT: Duration = Duration::from_millis(100);
+
 static UNUSED: LazyLock<TargetUsage> = LazyLock::new(TargetUsage::default);
 
 /// The targets known to an entry.
@@ -213,11 +217,32 @@
         share: &IndependentShare,
         now: BootTime,
     ) -> bool {
+        if self.wait_for_room(state, share, now).is_some() {
+            return false;
+        }
         let limit = self.independent_limit(state, is_prompt, now);
         let used = state.usage.share_use;
         limit.is_none_or(|limit| share.admits(&state.listed.start, limit, used, now))
     }
 
+    /// How long this entry sends no request to a brittle target, which has rejected one or may be full;
+    /// `None` if it may send one.
+    pub fn wait_for_room(
+        &self,
+        state: TargetState<'_>,
+        share: &IndependentShare,
+        now: BootTime,
+    ) -> Option<Duration> {
+        let brittleness = &state.usage.brittleness;
+        if let Some(closed_for) = brittleness.closed_for(now) {
+            return Some(closed_for);
+        }
+        let max_requests = brittleness.max_requests(state.listed.slots, now)?;
+        let is_full = state.running >= max_requests.div_ceil(share.entries.max(1))
+            || state.load(now) >= f64::from(max_requests);
+        is_full.then_some(ROOM_WAIT)
+    }
+
     /// What a target takes now of all entries together that decide for themselves; `None` if that
     /// is not limited. The scheduler uses the whole rate of cold engines.
     pub fn independent_limit(
@@ -231,7 +256,8 @@
             false => cold_start.independent_limit(),
         });
         let named = state.usage.named_limit.independent_limit(is_prompt);
-        cold.into_iter().chain(named).reduce(RateLimit::min)
+        let probed = state.usage.brittleness.probe_limit(now);
+        cold.into_iter().chain(named).chain(probed).reduce(RateLimit::min)
     }
 
     /// Records the rate limit that an answer to a request sent at `sent_at` names. Returns whether
@@ -262,6 +288,58 @@
         })
     }
 
+    /// Records the rejections that a target bears by an answer to a request sent at `sent_at`. Returns
+    /// whether its brittleness begins, changes or ends.
+    pub fn observe_brittleness(
+        &mut self,
+        target: &TargetStart,
+        bears: Option<RateLimit>,
+        sent_at: BootTime,
+        now: BootTime,
+    ) -> bool {
+        let usage = self.usage_mut(target);
+        usage.is_some_and(|usage| usage.brittleness.answered(bears, sent_at, now))
+    }
+
+    /// Records what another process observed at `at`.
+    pub fn told_brittleness(
+        &mut self,
+        target: &TargetStart,
+        bears: Option<RateLimit>,
+        at: BootTime,
+    ) {
+        if let Some(usage) = self.usage_mut(target) {
+            usage.brittleness.told(bears, at);
+        }
+    }
+
+    /// Records that a target rejected a request of this entry. Returns whether it is brittle.
+    pub fn rejected(&mut self, target: &TargetStart, now: BootTime) -> bool {
+        let Some(usage) = self.usage_mut(target) else { return false };
+        if usage.brittleness.bears().is_none() {
+            return false;
+        }
+        // The rejected request is still counted.
+        let held = usage.load(now) as u32;
+        usage.brittleness.rejected(held.saturating_sub(1), now);
+        true
+    }
+
+    /// Records that a brittle target rejected a request of another process at `at`.
+    pub fn told_rejection(&mut self, target: &TargetStart, at: BootTime) {
+        if let Some(usage) = self.usage_mut(target) {
+            usage.brittleness.told_rejection(at);
+        }
+    }
+
+    /// Brittle targets, with the rejections that they bear and when that was last observed.
+    pub fn brittle(&self) -> impl Iterator<Item = (&TargetStart, RateLimit, BootTime)> {
+        self.used.iter().filter_map(|(start, usage)| {
+            let known = &usage.brittleness;
+            Some((start, known.bears()?, known.observed_at()))
+        })
+    }
+
     /// Records a request that no scheduler placed.
     pub fn record_independent(
         &mut self,
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -326,9 +326,15 @@
         gateway.fleet.borrow_mut().observe_weights(target, &prompt.model, version);
     }
     gateway.observe_limit(target, response_metadata.rate_limit, *sent_at);
+    gateway.observe_brittleness(target, response_metadata.rejection_limit, *sent_at);
     if response_metadata.did_not_run {
         record.attempt_failed(target, &format!("not run, status {}", response.status().as_u16()));
-        in_flight.set_end(EndReason::NotRun);
+        if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+            gateway.observe_rejection(target);
+            in_flight.set_end(EndReason::Rejected);
+        } else {
+            in_flight.set_end(EndReason::NotRun);
+        }
         let target = target.clone();
         if !response_metadata.closes {
             gateway.return_connection(&target, received.connection);
--- a/src/gateway/metadata.rs
+++ b/src/gateway/metadata.rs
@@ -110,6 +110,9 @@
     pub load: Option<TargetLoad>,
     /// The rate that the target takes at present; `None` if it names no limit.
     pub rate_limit: Option<RateLimit>,
+    /// The rate at which the target, which is brittle, can reject requests of all hosts together;
+    /// `None` if it is not brittle.
+    pub rejection_limit: Option<RateLimit>,
     /// Version of the weights that the target runs.
     pub weight_version: Option<u64>,
     /// How long the target keeps an idle connection open.
--- a/src/gateway/request_record.rs
+++ b/src/gateway/request_record.rs
@@ -117,6 +117,9 @@
         if let Some(limit) = response_metadata.rate_limit {
             let _ = write!(self.attempts, " limit_per_s={}", limit.requests_per_s);
         }
+        if let Some(bears) = response_metadata.rejection_limit {
+            let _ = write!(self.attempts, " rejections_per_s={}", bears.requests_per_s);
+        }
     }
 
     /// Records that an attempt at a target failed.
--- a/src/gateway/target_news.rs
+++ b/src/gateway/target_news.rs
@@ -21,6 +21,10 @@
             TargetEvent::RateLimit(limit) => {
                 self.fleet.borrow_mut().told_limit(&news.target, limit, at)
             }
+            TargetEvent::Brittle(bears) => {
+                self.fleet.borrow_mut().told_brittleness(&news.target, bears, at)
+            }
+            TargetEvent::Rejected => self.fleet.borrow_mut().told_rejection(&news.target, at),
         }
     }
 
@@ -39,20 +43,62 @@
         if is_change {
             let limit_per_s = limit.map(|limit| limit.requests_per_s);
             log::info!("event=limit_changed target={target} limit_per_s={limit_per_s:?}");
-            self.report_limit(target, limit, Duration::ZERO);
+            self.report(target, event, Duration::ZERO);
+        }
+    }
+
+    /// Records the rejections that a target bears by an answer to a request sent at `sent_at`, and tells
+    /// the other entries and the scheduler.
+    pub fn observe_brittleness(
+        &self,
+        target: &TargetStart,
+        bears: Option<RateLimit>,
+        sent_at: BootTime,
+    ) {
+        let now = boot_now();
+        let is_change = self.fleet.borrow_mut().observe_brittleness(target, bears, sent_at, now);
+        if bears.is_none() && !is_change {
+            return;
+        }
+        let event = TargetEvent::Brittle(bears);
+        // News also if it is unchanged, which keeps it for entries and replicas that start later.
+        self.news.send_if_modified(|known| known.observe(target, event, now, now));
+        if is_change {
+            let bears_per_s = bears.map(|bears| bears.requests_per_s);
+            log::info!("event=brittleness_changed target={target} bears_per_s={bears_per_s:?}");
+            self.report(target, event, Duration::ZERO);
         }
     }
 
-    /// Tells a scheduler that has just been connected to of the targets that limit their rate.
+    /// Records that a target rejected a request for want of room, and tells the other entries and the
+    /// scheduler if it is brittle.
+    pub fn observe_rejection(&self, target: &TargetStart) {
+        let now = boot_now();
+        if !self.fleet.borrow_mut().rejected(target, now) {
+            return;
+        }
+        log::info!("event=brittle_target_rejected target={target}");
+        let event = TargetEvent::Rejected;
+        self.news.send_if_modified(|known| known.observe(target, event, now, now));
+        self.report(target, event, Duration::ZERO);
+    }
+
+    /// Tells a scheduler that has just been connected to of the targets that limit their rate or are
+    /// brittle.
     pub fn report_limits(&self) {
         let now = boot_now();
-        for (target, limit, observed_at) in self.fleet.borrow().limited() {
-            self.report_limit(target, Some(limit), now.saturating_sub(observed_at));
+        let fleet = self.fleet.borrow();
+        for (target, limit, observed_at) in fleet.limited() {
+            let age = now.saturating_sub(observed_at);
+            self.report(target, TargetEvent::RateLimit(Some(limit)), age);
+        }
+        for (target, bears, observed_at) in fleet.brittle() {
+            let age = now.saturating_sub(observed_at);
+            self.report(target, TargetEvent::Brittle(Some(bears)), age);
         }
     }
 
-    fn report_limit(&self, target: &TargetStart, limit: Option<RateLimit>, age: Duration) {
-        let event = TargetEvent::RateLimit(limit);
+    fn report(&self, target: &TargetStart, event: TargetEvent, age: Duration) {
         let news = TargetNews { target: target.clone(), event, age };
         self.scheduler.send_event(PlacementEvent::News(news));
     }
--- a/src/scheduler/engine.rs
+++ b/src/scheduler/engine.rs
@@ -10,6 +10,7 @@
 use super::messages::TicketId;
 use super::prefill::PrefillEstimator;
 use crate::clock::BootTime;
+use crate::fleet::brittle::Brittleness;
 use crate::fleet::cold::Coldness;
 use crate::fleet::rate::{NamedLimit, Pacer};
 use crate::fleet::{Listed, Presence};
@@ -53,6 +54,7 @@
     connection_lost_at: Option<BootTime>,
     /// The rate limit that its answers name.
     pub named_limit: NamedLimit,
+    pub brittleness: Brittleness,
     /// Spaces the prompts placed on it while it is limited.
     pub pacer: Pacer,
 }
@@ -110,6 +112,7 @@
             answered_at: None,
             connection_lost_at: None,
             named_limit: NamedLimit::default(),
+            brittleness: Brittleness::default(),
             pacer: Pacer::default(),
         }
     }
@@ -242,6 +245,17 @@
         })
     }
 
+    /// Estimated number of requests that run or wait there.
+    pub fn request_count(&self, now: BootTime) -> u32 {
+        self.active_placements() + self.other_requests(now).round() as u32
+    }
+
+    /// Whether it is brittle and may have no room for another prompt.
+    pub fn may_be_full(&self, now: BootTime) -> bool {
+        let max_requests = self.brittleness.max_requests(self.listed.slots, now);
+        max_requests.is_some_and(|max| self.request_count(now) >= max)
+    }
+
     /// KV cache tokens that running prompts use or may still use.
     pub fn committed_tokens(&self) -> u64 {
         self.cache.in_use_tokens() + self.reserved_output_tokens
--- a/src/scheduler/messages.rs
+++ b/src/scheduler/messages.rs
@@ -160,4 +160,6 @@
     WeightMismatch(Option<u64>),
     /// Another target answers at the engine's address.
     Replaced,
+    /// The engine did not run the request for want of room.
+    Rejected,
 }
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -337,7 +337,11 @@
         if is_avoided || !engine.health.admits(engine.active_placements(), now) {
             return Eligibility::Unhealthy;
         }
-        let is_full = engine.prefill_backlog(now) >= MAX_PREFILL_BACKLOG;
+        if let Some(closed_for) = engine.brittleness.closed_for(now) {
+            let requests_per_s = self.rate_limit(engine, now).map_or(1.0, |l| l.requests_per_s);
+            return Eligibility::Paced(Pace { next_at: now + closed_for, requests_per_s });
+        }
+        let is_full = engine.prefill_backlog(now) >= MAX_PREFILL_BACKLOG || engine.may_be_full(now);
         if is_full || self.weights.excludes(&listed.start) {
             return Eligibility::Busy;
         }
@@ -357,7 +361,8 @@
     /// The rate at which an engine takes prompts now; `None` if it is not limited.
     fn rate_limit(&self, engine: &Engine, now: BootTime) -> Option<RateLimit> {
         let cold = self.cold_limit(engine, now).map(|cold_start| cold_start.limit());
-        cold.into_iter().chain(engine.named_limit.get()).reduce(RateLimit::min)
+        let probed = engine.brittleness.probe_limit(now);
+        cold.into_iter().chain(engine.named_limit.get()).chain(probed).reduce(RateLimit::min)
     }
 
     /// What an engine bears now; `None` if it is not cold.
--- a/src/scheduler/plan/events.rs
+++ b/src/scheduler/plan/events.rs
@@ -120,6 +120,14 @@
                 self.engines
                     .update_by_start(&news.target, |engine| engine.named_limit.told(limit, at));
             }
+            TargetEvent::Brittle(bears) => {
+                self.engines
+                    .update_by_start(&news.target, |engine| engine.brittleness.told(bears, at));
+            }
+            TargetEvent::Rejected => {
+                self.engines
+                    .update_by_start(&news.target, |engine| engine.brittleness.told_rejection(at));
+            }
         }
     }
 
@@ -179,6 +187,7 @@
             engine.health.record_success();
         }
         EndReason::Cancelled | EndReason::NotRun => {}
+        EndReason::Rejected => engine.brittleness.rejected(engine.request_count(now), now),
         EndReason::Unreachable => engine.health.record_unreachable(now),
         EndReason::Failed => engine.health.record_failure(FailureCause::Target, now),
         EndReason::ConnectionLost => engine.health.record_failure(FailureCause::Connection, now),
