Don't take a path for restored by connections that are reset soon after

A trial's connections must now stay open for 10 ms, and longer each time that the path is lost again within five seconds; in that time one target that isn't reached is enough, and none is reported.

--- a/src/fleet/paths.rs
+++ b/src/fleet/paths.rs
@@ -21,11 +21,27 @@
 const TRIAL_SUCCESSES: usize = 2;
 /// Pause between the trials of a lost path.
 pub const TRIAL_INTERVAL: Duration = Duration::from_millis(250);
+/// A trial's connection must stay open for this long: a cut may let connections be established and then
+/// reset them.
+const SETTLE_TIME: Duration = Duration::from_millis(10);
+/// Each time that a path is lost again soon after it was restored, its trials last longer.
+const RELAPSE_FACTOR: u32 = 4;
+const MAX_RELAPSES: u32 = 3;
+/// A path that was restored longer ago is lost anew.
+const RELAPSE_WINDOW: Duration = Duration::from_secs(5);
 
 /// The paths to services at which a target was not reached lately.
 #[derive(Clone, Debug, Default)]
 pub struct Paths {
     impaired: HashMap<ServiceId, ImpairedPath>,
+    restored: HashMap<ServiceId, Restoration>,
+}
+
+/// When a path was last restored, and how often it had been lost soon after the time before.
+#[derive(Clone, Copy, Debug)]
+struct Restoration {
+    at: BootTime,
+    relapses: u32,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -46,20 +62,27 @@
         self.impaired.values().filter(|path| path.lost_since.is_some()).count()
     }
 
-    /// Whether another target than this one was not reached either, and none since. What happens
-    /// to the target then tells nothing of it.
-    pub fn is_suspect(&self, service: &str, target: &TargetStart) -> bool {
+    /// Whether another target than this one was not reached either, and none since, or the path was
+    /// lost lately. What happens to the target then tells nothing of it.
+    pub fn is_suspect(&self, service: &str, target: &TargetStart, now: BootTime) -> bool {
         let path = self.impaired.get(service);
-        path.is_some_and(|path| path.unreached.iter().any(|other| other != target))
+        self.was_restored_lately(service, now)
+            || path.is_some_and(|path| path.unreached.iter().any(|other| other != target))
+    }
+
+    fn was_restored_lately(&self, service: &str, now: BootTime) -> bool {
+        let restored = self.restored.get(service);
+        restored.is_some_and(|restored| now < restored.at + RELAPSE_WINDOW)
     }
 
     /// Records that a target was not reached. Returns whether the path is lost from now on.
     pub fn unreached(&mut self, service: &ServiceId, target: &TargetStart, now: BootTime) -> bool {
+        let min_unreached = if self.was_restored_lately(service, now) { 1 } else { MIN_UNREACHED };
         let path = self.impaired.entry(service.clone()).or_default();
         if path.unreached.len() < MAX_UNREACHED {
             path.unreached.insert(target.clone());
         }
-        let is_newly_lost = path.lost_since.is_none() && path.unreached.len() >= MIN_UNREACHED;
+        let is_newly_lost = path.lost_since.is_none() && path.unreached.len() >= min_unreached;
         if is_newly_lost {
             path.lost_since = Some(now);
         }
@@ -86,7 +109,23 @@
         if reached == 0 || reached < TRIAL_SUCCESSES.min(tried) {
             return None;
         }
-        let path = self.impaired.remove(service)?;
-        path.lost_since.map(|since| now.saturating_sub(since))
+        let lost_since = self.impaired.remove(service)?.lost_since?;
+        let relapses = self.relapses(service, lost_since);
+        self.restored.insert(service.to_string(), Restoration { at: now, relapses });
+        Some(now.saturating_sub(lost_since))
+    }
+
+    /// How long the connections of a trial must stay open.
+    pub fn settle_time(&self, service: &str) -> Duration {
+        let lost_since = self.impaired.get(service).and_then(|path| path.lost_since);
+        let relapses = lost_since.map_or(0, |since| self.relapses(service, since));
+        SETTLE_TIME * RELAPSE_FACTOR.pow(relapses)
+    }
+
+    /// How often a path that is lost since `lost_since` has been lost soon after it was restored.
+    fn relapses(&self, service: &str, lost_since: BootTime) -> u32 {
+        let restored = self.restored.get(service);
+        let recent = restored.filter(|restored| lost_since < restored.at + RELAPSE_WINDOW);
+        recent.map_or(0, |restored| MAX_RELAPSES.min(restored.relapses + 1))
     }
 }
--- a/src/gateway/path.rs
+++ b/src/gateway/path.rs
@@ -30,7 +30,7 @@
 
     /// Whether the path may be lost, so that a failure tells nothing of this target.
     pub fn is_path_suspect(&self, service: &str, target: &TargetStart) -> bool {
-        self.paths.borrow().is_suspect(service, target)
+        self.paths.borrow().is_suspect(service, target, boot_now())
     }
 
     /// Records that a target answered, or accepted a connection.
@@ -74,13 +74,14 @@
 
     /// Opens a connection to a target and keeps it for later requests. Returns whether it was reached.
     async fn is_reached(&self, listed: &Listed) -> bool {
-        match Connection::open(listed.address).await {
-            Ok(connection) => {
-                self.return_connection(&listed.start, connection);
-                true
-            }
-            Err(_) => false,
+        let Ok(connection) = Connection::open(listed.address).await else { return false };
+        let settle_time = self.paths.borrow().settle_time(&listed.service);
+        tokio::time::sleep(settle_time).await;
+        if connection.is_closed() {
+            return false;
         }
+        self.return_connection(&listed.start, connection);
+        true
     }
 
     /// Whether other targets of the service can be reached, so that this target itself is at fault.
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -155,6 +155,11 @@
         }
     }
 
+    /// Whether it was closed by the other side.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
     /// Sets how long the target keeps the connection open while it is idle, if it is known.
     pub fn set_idle_timeout(&mut self, timeout: Option<Duration>) {
         if let Some(timeout) = timeout {
--- a/tests/deployment/lost_paths.rs
+++ b/tests/deployment/lost_paths.rs
@@ -3,9 +3,10 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use kumquatpost::fleet::paths::Paths;
 use kumquatpost::scheduler::EndReason;
 
-use crate::fixtures::{loopback, ms, target};
+use crate::fixtures::{loopback, ms, start, target};
 use crate::gateway::{deployment_with_long_timeouts, ok_response, run_local, start_entry};
 use crate::load::{
     end_placement, expect_placed, observe_first_token, placement_request, scheduler,
@@ -75,3 +76,46 @@
         }
     });
 }
+
+// Guards against a path that is taken for restored and lost again many times a second, since connections
+// are established before they are reset.
+#[test]
+fn a_path_that_is_lost_again_and_again_is_tried_for_longer() {
+    let mut paths = Paths::default();
+    let (service, mut now) = ("app".to_string(), ms(0));
+    let mut settle_times = Vec::new();
+    for _ in 0..6 {
+        for target in ["i-1", "i-2"] {
+            paths.unreached(&service, &start(target), now);
+        }
+        settle_times.push(paths.settle_time(&service).as_millis());
+        now += ms(100);
+        assert!(paths.tried(&service, 3, 3, now).is_some(), "restored");
+    }
+    assert_eq!(settle_times, [10, 40, 160, 640, 640, 640]);
+    now += ms(10_000);
+    for target in ["i-1", "i-2"] {
+        paths.unreached(&service, &start(target), now);
+    }
+    assert_eq!(paths.settle_time(&service), ms(10), "it was sound for a while");
+}
+
+#[test]
+fn a_path_is_lost_with_two_targets_and_restored_by_a_trial() {
+    let mut paths = Paths::default();
+    let service = "app".to_string();
+    assert!(!paths.unreached(&service, &start("i-1"), ms(0)));
+    assert!(!paths.unreached(&service, &start("i-1"), ms(10)), "the same target may have ended");
+    paths.reached(&service);
+    assert!(!paths.unreached(&service, &start("i-2"), ms(20)), "another was reached in between");
+    assert!(paths.is_suspect(&service, &start("i-1"), ms(20)));
+    assert!(!paths.is_suspect(&service, &start("i-2"), ms(20)));
+    assert!(paths.unreached(&service, &start("i-1"), ms(30)));
+    paths.reached(&service);
+    assert!(paths.is_lost(&service), "a kept connection shows nothing of new ones");
+    assert_eq!(paths.tried(&service, 1, 3, ms(280)), None);
+    assert_eq!(paths.tried(&service, 2, 3, ms(530)), Some(ms(500)));
+    assert!(!paths.is_lost(&service));
+    assert!(paths.is_suspect(&service, &start("i-1"), ms(600)), "it was lost lately");
+    assert!(paths.unreached(&service, &start("i-1"), ms(600)), "one target is enough now");
+}
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -14,6 +14,7 @@
 use rand::{RngExt, SeedableRng};
 
 use crate::Harness;
+use crate::entry_cuts::Attempt;
 
 use crate::platform_stand_in::observations::{REPEATABLE_ID_PREFIX, RESUMABLE_ID_PREFIX};
 use crate::platform_stand_in::target::{ISOLATED_ACCOUNT, expected_body, expected_event};
@@ -255,6 +256,11 @@
 
 impl RequestCheck<'_> {
     fn check(&self, outcome: &Outcome) {
+        if !self.kind.is_stream() && !matches!(outcome, Outcome::CallerLeft) {
+            let is_served = matches!(outcome, Outcome::Answer { status: 200, is_whole: true, .. });
+            let attempt = Attempt { entry: self.entry, sent_at: self.sent_at, is_served };
+            self.harness.attempts.lock().expect("the lock is not poisoned").push(attempt);
+        }
         let request_counts = &self.harness.request_counts;
         match outcome {
             Outcome::CallerLeft => {
