--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -64,6 +64,26 @@
     TimedOut(Option<TargetStart>),
 }
 
+/// What an attempt is made for.
+#[derive(Clone, Copy)]
+pub struct AttemptInput<'a> {
+    pub routed: &'a RoutedRequest,
+    /// The attempts made before.
+    pub attempts: &'a Attempts,
+    /// Id of the last event that the caller has received.
+    pub resume_after: Option<&'a str>,
+    /// How long to wait for the head of the response, if that is less than the time left.
+    pub response_timeout: Option<Duration>,
+}
+
+impl AttemptInput<'_> {
+    /// When the head of the response to a request sent now must have arrived.
+    pub fn response_deadline(&self) -> Instant {
+        let deadline = self.routed.deadline;
+        self.response_timeout.map_or(deadline, |timeout| deadline.min(Instant::now() + timeout))
+    }
+}
+
 /// Sends a request to the best target and waits for the head of the response. Another entry sends it
 /// if this one can't reach targets.
 ///
@@ -71,28 +91,23 @@
 /// If no target returned a response to this request.
 pub async fn attempt(
     gateway: &Rc<Gateway>,
-    routed: &RoutedRequest,
-    attempts: &Attempts,
-    resume_after: Option<&str>,
-    response_timeout: Option<Duration>,
+    input: AttemptInput<'_>,
     record: &mut RequestRecord,
 ) -> Result<TargetResponse, AttemptError> {
-    let may_forward = routed.origin == Origin::Caller;
-    if may_forward && gateway.lacks_path(&routed.service) {
-        let forwarded =
-            forwarding::forward(gateway, routed, attempts, resume_after, response_timeout, record);
-        if let Some(made) = forwarded.await {
-            return made;
-        }
+    let service = &input.routed.service;
+    if input.routed.origin == Origin::Entry {
+        return attempt_directly(gateway, input, record).await;
+    }
+    if gateway.lacks_path(service)
+        && let Some(made) = forwarding::forward(gateway, input, record).await
+    {
+        return made;
     }
-    let made =
-        attempt_directly(gateway, routed, attempts, resume_after, response_timeout, record).await;
-    let is_unreachable = || gateway.fleet.borrow().unreachable_count(&routed.service) > 0;
+    let made = attempt_directly(gateway, input, record).await;
+    let is_unreachable = || gateway.fleet.borrow().unreachable_count(service) > 0;
     match made {
-        Err(AttemptError::NoTarget(_)) if may_forward && is_unreachable() => {
-            forwarding::forward(gateway, routed, attempts, resume_after, response_timeout, record)
-                .await
-                .unwrap_or(made)
+        Err(AttemptError::NoTarget(_)) if is_unreachable() => {
+            forwarding::forward(gateway, input, record).await.unwrap_or(made)
         }
         made => made,
     }
@@ -102,13 +117,11 @@
 /// response.
 async fn attempt_directly(
     gateway: &Rc<Gateway>,
-    routed: &RoutedRequest,
-    attempts: &Attempts,
-    resume_after: Option<&str>,
-    response_timeout: Option<Duration>,
+    input: AttemptInput<'_>,
     record: &mut RequestRecord,
 ) -> Result<TargetResponse, AttemptError> {
-    let mut avoid = attempts.targets().to_vec();
+    let routed = input.routed;
+    let mut avoid = input.attempts.targets().to_vec();
     for _ in 0..MAX_CONNECT_ATTEMPTS {
         if let Some(left) = held_for(gateway, routed, record) {
             return Err(AttemptError::Held(left));
@@ -159,11 +172,9 @@
         if time_left < MIN_TIME_LEFT {
             return Err(AttemptError::TooLate);
         }
-        let request = build_request(routed, &selected, time_left, resume_after);
-        let response_deadline =
-            response_timeout.map_or(routed.deadline, |p| routed.deadline.min(Instant::now() + p));
+        let request = build_request(routed, &selected, time_left, input.resume_after);
         let sent_at = boot_now();
-        let sent = timeout_at(response_deadline, connection.send(request)).await;
+        let sent = timeout_at(input.response_deadline(), connection.send(request)).await;
         let response = match sent {
             Ok(SendOutcome::Response(response)) => response,
             Ok(SendOutcome::NotSent(reason)) => {
--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -19,7 +19,7 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
 
-use super::attempt::{self, AttemptError, TargetResponse};
+use super::attempt::{self, AttemptError, AttemptInput, TargetResponse};
 use super::attempts::Attempts;
 use super::pool::{Connection, SendOutcome};
 use super::priority::Priority;
@@ -90,81 +90,78 @@
 /// to a target then.
 pub async fn forward(
     gateway: &Rc<Gateway>,
-    routed: &RoutedRequest,
-    attempts: &Attempts,
-    resume_after: Option<&str>,
-    response_timeout: Option<Duration>,
+    input: AttemptInput<'_>,
     record: &mut RequestRecord,
 ) -> Option<Result<TargetResponse, AttemptError>> {
     let mut asked = Vec::new();
     while asked.len() < MAX_ENTRIES_ASKED {
-        if let Some(left) = attempt::held_for(gateway, routed, record) {
+        if let Some(left) = attempt::held_for(gateway, input.routed, record) {
             return Some(Err(AttemptError::Held(left)));
         }
-        let ip = choose_entry(gateway, routed, &asked)?;
+        let ip = choose_entry(gateway, input.routed, &asked)?;
         asked.push(ip);
-        let Some(mut connection) = connect(gateway, ip, routed.deadline, record).await else {
-            continue;
-        };
-        let mut forwarded = ForwardedRequest::new(gateway, ip);
-        let time_left = routed.deadline.saturating_duration_since(Instant::now());
-        if time_left < attempt::MIN_TIME_LEFT {
-            return Some(Err(AttemptError::TooLate));
+        if let Some(made) = ask_entry(gateway, ip, input, record).await {
+            return Some(made);
         }
-        let request = build_request(routed, attempts, time_left, resume_after)?;
-        record.forwarded(ip, connection.is_reused);
-        let response_deadline =
-            response_timeout.map_or(routed.deadline, |p| routed.deadline.min(Instant::now() + p));
-        let sent_at = boot_now();
-        let mut response = match timeout_at(response_deadline, connection.send(request)).await {
-            Ok(SendOutcome::Response(response)) => response,
-            Ok(SendOutcome::NotSent(reason)) => {
-                record.entry_failed(ip, &reason);
-                continue;
-            }
-            Ok(SendOutcome::Broken(reason)) => {
-                record.entry_failed(ip, &reason);
-                gateway.peers.borrow_mut().unreachable(ip, boot_now());
-                return Some(Err(AttemptError::MayHaveRun(None)));
-            }
-            Err(_) => {
-                record.entry_failed(ip, "no answer in time");
-                gateway.peers.borrow_mut().failed(ip, boot_now());
-                return Some(Err(AttemptError::TimedOut(None)));
-            }
-        };
-        let Some(result) = decode_result(response.headers_mut()) else {
-            record.entry_failed(ip, "not the response of an entry");
-            gateway.peers.borrow_mut().unreachable(ip, boot_now());
-            return Some(Err(AttemptError::MayHaveRun(None)));
-        };
-        let target = match result {
-            ForwardedResult::Relayed(target) => target,
-            refused => {
-                record.entry_failed(ip, &format!("{refused:?}"));
-                gateway.peer_pool.put_idle(&ip, connection);
-                match refused_attempt(gateway, routed, ip, refused) {
-                    Some(error) => return Some(Err(error)),
-                    None => continue,
-                }
-            }
-        };
-        gateway.peers.borrow_mut().succeeded(ip);
-        let response_metadata = headers::decode_response(response.headers());
-        record.response_received(&response_metadata);
-        forwarded.target = Some(target);
-        let responder = Responder::Entry(forwarded);
-        return Some(Ok(TargetResponse {
-            responder,
-            response,
-            response_metadata,
-            connection,
-            sent_at,
-        }));
     }
     None
 }
 
+/// Lets one entry make the attempt. Returns `None` if another one may be asked.
+async fn ask_entry(
+    gateway: &Rc<Gateway>,
+    ip: IpAddr,
+    input: AttemptInput<'_>,
+    record: &mut RequestRecord,
+) -> Option<Result<TargetResponse, AttemptError>> {
+    let routed = input.routed;
+    let mut connection = connect(gateway, ip, routed.deadline, record).await?;
+    let mut forwarded = ForwardedRequest::new(gateway, ip);
+    let time_left = routed.deadline.saturating_duration_since(Instant::now());
+    if time_left < attempt::MIN_TIME_LEFT {
+        return Some(Err(AttemptError::TooLate));
+    }
+    let request = build_request(input, time_left)?;
+    record.forwarded(ip, connection.is_reused);
+    let sent_at = boot_now();
+    let mut response = match timeout_at(input.response_deadline(), connection.send(request)).await {
+        Ok(SendOutcome::Response(response)) => response,
+        Ok(SendOutcome::NotSent(reason)) => {
+            record.entry_failed(ip, &reason);
+            return None;
+        }
+        Ok(SendOutcome::Broken(reason)) => {
+            record.entry_failed(ip, &reason);
+            gateway.peers.borrow_mut().unreachable(ip, boot_now());
+            return Some(Err(AttemptError::MayHaveRun(None)));
+        }
+        Err(_) => {
+            record.entry_failed(ip, "no answer in time");
+            gateway.peers.borrow_mut().failed(ip, boot_now());
+            return Some(Err(AttemptError::TimedOut(None)));
+        }
+    };
+    let Some(result) = decode_result(response.headers_mut()) else {
+        record.entry_failed(ip, "not the response of an entry");
+        gateway.peers.borrow_mut().unreachable(ip, boot_now());
+        return Some(Err(AttemptError::MayHaveRun(None)));
+    };
+    let target = match result {
+        ForwardedResult::Relayed(target) => target,
+        refused => {
+            record.entry_failed(ip, &format!("{refused:?}"));
+            gateway.peer_pool.put_idle(&ip, connection);
+            return refused_attempt(gateway, routed, ip, refused).map(Err);
+        }
+    };
+    gateway.peers.borrow_mut().succeeded(ip);
+    let response_metadata = headers::decode_response(response.headers());
+    record.response_received(&response_metadata);
+    forwarded.target = Some(target);
+    let responder = Responder::Entry(forwarded);
+    Some(Ok(TargetResponse { responder, response, response_metadata, connection, sent_at }))
+}
+
 /// Whether an entry is known that may take an attempt.
 pub fn is_possible(gateway: &Gateway, routed: &RoutedRequest) -> bool {
     routed.origin == Origin::Caller && choose_entry(gateway, routed, &[]).is_some()
@@ -197,12 +194,8 @@
     }
 }
 
-fn build_request(
-    routed: &RoutedRequest,
-    attempts: &Attempts,
-    time_left: Duration,
-    resume_after: Option<&str>,
-) -> Option<Request<Full<Bytes>>> {
+fn build_request(input: AttemptInput<'_>, time_left: Duration) -> Option<Request<Full<Bytes>>> {
+    let routed = input.routed;
     let attempt = ForwardedAttempt {
         route: routed.route.clone(),
         service: routed.service.clone(),
@@ -210,8 +203,8 @@
         allowed_domains: routed.allowed_domains.clone(),
         cache_namespace: routed.cache_namespace.clone(),
         priority: routed.priority,
-        tried: attempts.targets().to_vec(),
-        resume_after: resume_after.map(str::to_string),
+        tried: input.attempts.targets().to_vec(),
+        resume_after: input.resume_after.map(str::to_string),
         elapsed: routed.arrived.elapsed(),
     };
     let mut request = Request::new(Full::new(routed.body.clone()));
@@ -329,9 +322,13 @@
     };
     let mut attempts = Attempts::default();
     attempt.tried.into_iter().for_each(|target| attempts.add(Some(target)));
-    let resume_after = attempt.resume_after.as_deref();
-    let made =
-        attempt::attempt(&gateway, &routed, &attempts, resume_after, None, &mut record).await;
+    let input = AttemptInput {
+        routed: &routed,
+        attempts: &attempts,
+        resume_after: attempt.resume_after.as_deref(),
+        response_timeout: None,
+    };
+    let made = attempt::attempt(&gateway, input, &mut record).await;
     let received = match made {
         Ok(received) => received,
         Err(error) => return respond(error.into(), &record),
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -10,7 +10,7 @@
 use hyper::body::{Body, Frame, Incoming};
 use tokio::time::{Instant, timeout_at};
 
-use super::attempt::{AttemptError, TargetResponse, attempt};
+use super::attempt::{AttemptError, AttemptInput, TargetResponse, attempt};
 use super::attempts::Attempts;
 use super::events::EventSplitter;
 use super::metadata::ResponseMetadata;
@@ -210,15 +210,13 @@
         self.events.discard_partial();
         let last = self.events.last_id().or(self.routed.metadata.resume_after.as_deref());
         let last = last.map(str::to_string);
-        let resumed = attempt(
-            &self.gateway,
-            &self.routed,
-            &self.attempts,
-            last.as_deref(),
-            None,
-            &mut self.record,
-        )
-        .await;
+        let input = AttemptInput {
+            routed: &self.routed,
+            attempts: &self.attempts,
+            resume_after: last.as_deref(),
+            response_timeout: None,
+        };
+        let resumed = attempt(&self.gateway, input, &mut self.record).await;
         match resumed {
             Ok(received) if received.response.status() == StatusCode::OK => {
                 self.attempts.add(received.responder.target().cloned());
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -13,7 +13,7 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
 
-use super::attempt::{AttemptError, TargetResponse, attempt};
+use super::attempt::{AttemptError, AttemptInput, TargetResponse, attempt};
 use super::attempts::Attempts;
 use super::metadata::RequestMetadata;
 use super::priority::Priority;
@@ -218,17 +218,14 @@
     let mut may_have_run = false;
     let resume_after = routed.metadata.resume_after.clone();
     loop {
-        let response_timeout = first_response_timeout(&routed, &attempts);
-        let tried_now = attempt(
-            gateway,
-            &routed,
-            &attempts,
-            resume_after.as_deref(),
-            response_timeout,
-            &mut record,
-        )
-        .await;
-        let (attempt_refusal, target) = match tried_now {
+        let input = AttemptInput {
+            routed: &routed,
+            attempts: &attempts,
+            resume_after: resume_after.as_deref(),
+            response_timeout: first_response_timeout(&routed, &attempts),
+        };
+        let made = attempt(gateway, input, &mut record).await;
+        let (attempt_refusal, target) = match made {
             Ok(received) => {
                 attempts.add(received.responder.target().cloned());
                 let wants_another = received.response.status().is_server_error()
