Don't ask an entry again whose connection has just broken

A caller's resumable stream broke although another entry could have resumed it: the entry that forwarded it was killed, its listener still accepted a connection for an instant, and the resumed attempt went there and was lost with it.

--- a/src/gateway/responder.rs
+++ b/src/gateway/responder.rs
@@ -89,8 +89,9 @@
             Responder::Target { target, in_flight } => {
                 in_flight.set_end(gateway.connection_broke(&routed.service, target));
             }
+            // Its process may be ending. Others can be asked meanwhile.
             Responder::Entry(forwarded) => {
-                gateway.peers.borrow_mut().failed(forwarded.ip, boot_now());
+                gateway.peers.borrow_mut().unreachable(forwarded.ip, boot_now());
             }
         }
     }
--- a/tests/deployment/forwarding.rs
+++ b/tests/deployment/forwarding.rs
@@ -435,7 +435,9 @@
         let forwarding = system.sound.iter().position(|entry| entry.has_connection_to(first));
         system.sound.remove(forwarding.expect("one of them forwards the stream"));
         caller.read_to_string(&mut received).await.expect("the stream ends");
-        assert!(received.contains("data: y") && received.ends_with("0\r\n\r\n"), "{received}");
+        let is_whole = received.contains("data: y") && received.ends_with("0\r\n\r\n");
+        let logs = || [&system.cut, &system.sound[0]].map(Entry::log).concat();
+        assert!(is_whole, "{received}\n{}", logs());
         let resumed = second.requests.borrow()[0].clone();
         assert_eq!(header(&resumed, "last-event-id").as_deref(), Some("1"));
     });
