Decode the software version of targets and the stream that a caller takes up; log both

Request lines tell the software version of each target that is sent a request, and which stream is taken up after which event. Without that, a stream that went on at another version could not be told from one that began there. No decision uses either yet.

--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -96,6 +96,7 @@
         service: if is_plain { "app" } else { "llm" }.to_string(),
         address: address(n),
         failure_domain: format!("domain-{}", n % DOMAINS),
+        software: "v1".to_string(),
         slots: 24,
         presence: Presence::Live,
         weights: weights.into_iter().collect(),
--- a/src/fleet/compact.rs
+++ b/src/fleet/compact.rs
@@ -1,4 +1,5 @@
-//! Compact encoding of target lists: names of services, failure domains and models are sent once
+//! Compact encoding of target lists: names of services, failure domains, models and software
+//! versions are sent once
 //! and referred to by index. A target takes some 30 bytes in place of 73.
 
 use std::collections::BTreeMap;
@@ -14,7 +15,7 @@
 /// A list of targets with interned names.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct CompactTargets {
-    /// Names of services, failure domains and models.
+    /// Names of services, failure domains, models and software versions.
     names: Vec<String>,
     rows: Vec<Row>,
 }
@@ -32,6 +33,7 @@
     service: u32,
     address: SocketAddr,
     failure_domain: u32,
+    software: u32,
     slots: u32,
     presence: Presence,
     weights: Vec<(u32, u64)>,
@@ -63,6 +65,7 @@
             service: names.intern(&listed.service),
             address: listed.address,
             failure_domain: names.intern(&listed.failure_domain),
+            software: names.intern(&listed.software),
             slots: listed.slots,
             presence: listed.presence,
             weights: listed
@@ -82,6 +85,7 @@
             service: name(self.service)?,
             address: self.address,
             failure_domain: name(self.failure_domain)?,
+            software: name(self.software)?,
             slots: self.slots,
             presence: self.presence,
             weights: weights.collect::<Result<_, UnknownName>>()?,
--- a/src/fleet/roster.rs
+++ b/src/fleet/roster.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::target_table::TargetTable;
-use crate::ids::{DomainId, ModelId, ServiceId, TargetId, TargetStart};
+use crate::ids::{DomainId, ModelId, ServiceId, SoftwareVersion, TargetId, TargetStart};
 
 /// A target as last listed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -19,6 +19,8 @@
     pub service: ServiceId,
     pub address: SocketAddr,
     pub failure_domain: DomainId,
+    /// What it writes only fits what others of the same version write.
+    pub software: SoftwareVersion,
     /// Number of requests that it runs concurrently.
     pub slots: u32,
     pub presence: Presence,
@@ -367,7 +369,8 @@
 fn merge_entries(mut first: Listed, other: Listed) -> Option<Listed> {
     let is_same = first.service == other.service
         && first.address == other.address
-        && first.failure_domain == other.failure_domain;
+        && first.failure_domain == other.failure_domain
+        && first.software == other.software;
     if other.presence == Presence::Leaving {
         first.presence = Presence::Leaving;
     }
--- a/src/gateway/metadata.rs
+++ b/src/gateway/metadata.rs
@@ -25,6 +25,9 @@
     pub prompt: Option<Prompt>,
     /// Id of the last event that the caller has received of a stream that it resumes.
     pub resume_after: Option<String>,
+    /// Id of the attempt that brought the first event of that stream. The caller may have made others
+    /// since.
+    pub resumes: Option<RequestId>,
 }
 
 /// What a caller declares about its prompt.
--- a/src/gateway/request_record.rs
+++ b/src/gateway/request_record.rs
@@ -73,6 +73,9 @@
         started_at: BootTime,
     ) -> RequestRecord {
         gateway.active_requests.set(gateway.active_requests.get() + 1);
+        let resumed = metadata.resume_after.as_ref().map(|after| {
+            format!(" resumes={} after={after}", metadata.resumes.as_deref().unwrap_or("-"))
+        });
         RequestRecord {
             gateway: gateway.clone(),
             id: metadata.id.clone(),
@@ -80,7 +83,7 @@
             route: String::new(),
             version: 0,
             priority: 0,
-            attempts: String::new(),
+            attempts: resumed.unwrap_or_default(),
             fingerprint: None,
             first_part: None,
             outcome: Cell::new(Outcome::CallerLeft),
@@ -101,9 +104,12 @@
     /// Records the selection of a target.
     pub fn target_selected(&mut self, selected: &SelectedTarget, is_reused: bool) {
         let at_ms = self.elapsed().as_millis();
-        let (target, trace) = (&selected.target, &selected.trace);
+        let (target, software, trace) = (&selected.target, &selected.software, &selected.trace);
         // Writing to a string can't fail.
-        let _ = write!(self.attempts, " at_ms={at_ms} target={target} {trace} reused={is_reused}");
+        let _ = write!(
+            self.attempts,
+            " at_ms={at_ms} target={target} software={software} {trace} reused={is_reused}"
+        );
     }
 
     /// Records that the head of a response has arrived, with the load and the rate limit that the
--- a/src/gateway/target_selection.rs
+++ b/src/gateway/target_selection.rs
@@ -8,7 +8,7 @@
 use crate::clock::{BootTime, boot_now};
 use crate::control::frames::SchedulerError;
 use crate::fleet::placement;
-use crate::ids::TargetStart;
+use crate::ids::{SoftwareVersion, TargetStart};
 use crate::scheduler::weights::{MAX_START_DELAY, OldWeightsPolicy, RolloutHistory};
 use crate::scheduler::{Placement, PlacementError, PlacementRequest};
 
@@ -20,6 +20,8 @@
 pub struct SelectedTarget {
     /// The target itself.
     pub target: TargetStart,
+    /// The version of its software.
+    pub software: SoftwareVersion,
     /// The placement, if the scheduler selected the target.
     pub placed: Option<Placement>,
     /// The weights that the engine must run.
@@ -54,10 +56,10 @@
             gateway.wait_for_target(&placed.target, LISTED_TIMEOUT).await;
         }
         match outcome {
-            Some(Ok(placed)) if gateway.fleet.borrow().get(&placed.target).is_some() => {
-                return Ok(from_placement(placed));
-            }
-            Some(Ok(placed)) => gateway.scheduler.return_placement(&placed),
+            Some(Ok(placed)) => match software_of(gateway, &placed.target) {
+                Some(software) => return Ok(from_placement(placed, software)),
+                None => gateway.scheduler.return_placement(&placed),
+            },
             Some(Err(SchedulerError::Placement(PlacementError::Busy(retry_after)))) => {
                 return Err(NoTarget::Busy(retry_after));
             }
@@ -70,7 +72,12 @@
     select_locally(gateway, routed, avoid)
 }
 
-fn from_placement(placed: Placement) -> SelectedTarget {
+/// The version of a target's software; `None` if the target is unknown.
+fn software_of(gateway: &Gateway, target: &TargetStart) -> Option<SoftwareVersion> {
+    gateway.fleet.borrow().get(target).map(|state| state.listed.software.clone())
+}
+
+fn from_placement(placed: Placement, software: SoftwareVersion) -> SelectedTarget {
     let trace = format!(
         "by=scheduler weights={} running={} ahead_ms={} resident_tokens={} fetched_tokens={} \
          again_nowhere_whole={} again_link_full={} again_link_slow={} expected_ms={} waited_ms={} \
@@ -89,7 +96,8 @@
         placed.save.iter().flatten().count(),
     );
     let weight_version = placed.weight_version;
-    SelectedTarget { target: placed.target.clone(), placed: Some(placed), weight_version, trace }
+    let target = placed.target.clone();
+    SelectedTarget { target, software, placed: Some(placed), weight_version, trace }
 }
 
 fn select_locally(
@@ -125,7 +133,8 @@
         weights_trace(gateway, routed, choice.weight_version),
     );
     let weight_version = choice.weight_version;
-    Ok(SelectedTarget { target: choice.target, placed: None, weight_version, trace })
+    let software = software_of(gateway, &choice.target).unwrap_or_default();
+    Ok(SelectedTarget { target: choice.target, software, placed: None, weight_version, trace })
 }
 
 /// Whether a prompt may still start on the weights for which its target was selected.
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -14,6 +14,8 @@
 pub type ModelId = String;
 /// Identifies a version of a model's weights.
 pub type WeightVersion = String;
+/// Identifies a version of the software that a target runs, which is independent of its weights.
+pub type SoftwareVersion = String;
 /// Name of a plain service, as used by callers.
 pub type ServiceId = String;
 /// Identifies a target: a model engine, a store or an instance of a plain service.
--- a/tests/deployment/fixtures.rs
+++ b/tests/deployment/fixtures.rs
@@ -128,6 +128,7 @@
         service: service.to_string(),
         address: listen_address,
         failure_domain: "a".to_string(),
+        software: "v1".to_string(),
         slots: 48,
         presence: Presence::Live,
         weights,
--- a/tests/deployment/headers.rs
+++ b/tests/deployment/headers.rs
@@ -39,12 +39,14 @@
         ("x-token-count", "1460,80"),
         ("x-prompt-prefix", "5c1e:800,91bd:410, e440:250"),
         ("last-event-id", "4"),
+        ("resumes", "r0"),
     ]);
     let call = headers::decode_request(&Uri::from_static("/a/b?c=d"), &headers);
     assert_eq!((call.host.as_str(), call.path.as_str()), ("shop.example", "/a/b"));
     assert_eq!(call.deadline, Some(Duration::from_millis(1_500)));
     assert_eq!(call.key.as_deref(), Some("key-a"));
     assert_eq!(call.resume_after.as_deref(), Some("4"));
+    assert_eq!(call.resumes.as_deref(), Some("r0"));
     let prompt = call.prompt.expect("prompt headers");
     assert_eq!((prompt.prompt_tokens, prompt.output_tokens), (1_460, 80));
     assert_eq!(
