--- a/tests/platform_stand_in/observations.rs
+++ b/tests/platform_stand_in/observations.rs
@@ -21,8 +21,12 @@
     pub started_at: Instant,
     /// The client account in the request.
     pub tenant: String,
+    /// The version of the target's software.
+    pub software: String,
     /// The last event of an earlier run after which the stream resumes; 0 for a new stream.
     pub resumed_after: u64,
+    /// The caller's attempt that brought the first event, if the caller resumes a stream.
+    pub resumes: Option<String>,
     /// The stamp in the response.
     pub stamp: String,
     /// How the run ended.
@@ -61,6 +65,11 @@
     pub cold_bursts: Vec<(Instant, String)>,
     /// Descriptions of windows in which a target got more requests than the limit that it named.
     pub limit_excesses: Vec<(Instant, String)>,
+    /// The software version of the last run of each request that started a stream from its beginning.
+    /// Nothing has been sent of the runs before that.
+    began_at: HashMap<String, String>,
+    /// Descriptions of streams that went on at another software version than the one that began them.
+    pub mixed_streams: Vec<(Instant, String)>,
     /// Requests that brittle targets have turned away.
     pub rejections: u64,
     /// Brittle targets that have turned away too many requests.
@@ -231,6 +240,16 @@
         if !may_repeat && !runs.is_empty() {
             self.violations.push(format!("{request} runs again: {runs:?}, then {run:?}"));
         }
+        let stream = run.resumes.as_deref().unwrap_or(request);
+        if run.resumed_after == 0 {
+            self.began_at.insert(request.to_string(), run.software.clone());
+        } else if let Some(began_at) = self.began_at.get(stream).filter(|at| **at != run.software) {
+            let what = format!(
+                "{stream} began at software {began_at} and goes on as {request} at {} of {}, after event {}",
+                run.target, run.software, run.resumed_after
+            );
+            self.mixed_streams.push((Instant::now(), what));
+        }
         runs.push(run);
     }
 
--- a/tests/platform_stand_in/starts.rs
+++ b/tests/platform_stand_in/starts.rs
@@ -120,6 +120,7 @@
         (target.start, target.born_ms, target.server) =
             (earlier + 1, restart.born_ms, Some(server));
         target.weights = known.weights;
+        target.software.clone_from(&known.software);
         target.down_for = ended_at.elapsed();
         self.start_cold(&inner, &mut target);
         let lags_until = Instant::now() + restart.entry_lags;
--- a/tests/platform_stand_in/target.rs
+++ b/tests/platform_stand_in/target.rs
@@ -49,6 +49,8 @@
     pub listed_address: SocketAddr,
     /// Its failure domain.
     pub zone: String,
+    /// The version of its software.
+    pub software: String,
     /// Version of its weights; `None` for a plain service.
     pub weights: Option<u64>,
     /// When the list starts to show it as draining.
@@ -124,6 +126,9 @@
 /// Time until a crashed target restarts.
 const CRASH_DOWNTIME: Duration = Duration::from_millis(1_200);
 
+/// The version of the software of targets for which none is set.
+pub const FIRST_SOFTWARE: &str = "v1";
+
 /// Client account that shares no cache with others.
 pub const ISOLATED_ACCOUNT: &str = "walled";
 
@@ -138,6 +143,7 @@
             address,
             listed_address: address,
             zone: zone.to_string(),
+            software: FIRST_SOFTWARE.to_string(),
             weights: None,
             leaves_from: None,
             is_listed: true,
@@ -170,7 +176,7 @@
 
     fn entry(&self) -> Value {
         json!({"Id": self.id, "Service": self.service, "Addr": self.listed_address,
-               "Zone": self.zone, "Version": "v1", "Slots": 16,
+               "Zone": self.zone, "Version": self.software, "Slots": 16,
                "ColdLeftMs": self.cold_left().as_millis() as u64,
                "State": if self.leaves_from.is_some() { "draining" } else { "ready" },
                "Models": self.models(), "born": self.born_ms})
@@ -473,7 +479,7 @@
         target.begun += 1;
         let cold_arrivals = target.record_cold_arrival();
         let (age, down_for) = (target.started_at.elapsed(), target.down_for);
-        let zone = target.zone.clone();
+        let (zone, software) = (target.zone.clone(), target.software.clone());
         if let Some(from) = target.leaves_from {
             self.observations.record_leaving_target(&name, id, from);
         }
@@ -525,7 +531,9 @@
                 start,
                 started_at: Instant::now(),
                 tenant,
+                software,
                 resumed_after: made,
+                resumes: header(request, "resumes").map(str::to_string),
                 stamp: stamp.clone(),
                 end: RunEnd::Running,
             },
