Resume a stream only at the software version that began it

Callers saw streams that an entry resumed at an engine of another software version; what the two write does not fit together.

A stream is now bound to the version of the target that sent its first event; tries before that are free. Entries alone, the scheduler and entries that forward an attempt select only targets of that version, also in the group index that bounds the search. A stream that goes on is placed before new ones, since its version may have few engines left, and is refused at once if none is.

--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -191,6 +191,7 @@
             prompt: is_prompt.then_some(&prompt),
             cache_namespace: "all",
             tried: &[],
+            software: None,
             tie_breaker: (n as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15),
             named: &named,
             old_weights: OldWeightsPolicy::default(),
--- a/src/fleet/placement.rs
+++ b/src/fleet/placement.rs
@@ -43,6 +43,8 @@
     pub cache_namespace: &'a str,
     /// Targets that were already tried.
     pub tried: &'a [TargetStart],
+    /// The only software version that may take the request; `None` for any.
+    pub software: Option<&'a str>,
     /// Random number that breaks ties.
     pub tie_breaker: u64,
     pub named: &'a RolloutHistories,
@@ -56,7 +58,8 @@
 /// Why no target was selected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SelectionError {
-    /// No target of the service is listed where the request may run.
+    /// No target of the service, and of the required software version, is listed where the request may
+    /// run.
     NoTargetListed,
     /// All listed targets are ejected or were already tried.
     NoHealthyTarget,
@@ -148,7 +151,10 @@
         now: BootTime,
     ) -> bool {
         self.examined += 1;
-        if !criteria.allowed_domains.contains(&state.listed.failure_domain) {
+        let is_suitable_software =
+            criteria.software.is_none_or(|software| software == state.listed.software);
+        if !is_suitable_software || !criteria.allowed_domains.contains(&state.listed.failure_domain)
+        {
             return false;
         }
         self.is_listed = true;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -23,7 +23,7 @@
 use super::termination;
 use crate::clock::{BootTime, boot_now};
 use crate::fleet::placement::SelectionError;
-use crate::ids::TargetStart;
+use crate::ids::{SoftwareVersion, TargetStart};
 use crate::platform::headers;
 use crate::scheduler::EndReason;
 
@@ -36,6 +36,8 @@
 pub struct TargetResponse {
     /// Who sent it.
     pub responder: Responder,
+    /// The software version of the target that wrote it.
+    pub software: SoftwareVersion,
     /// The head, with the body still to be read.
     pub response: Response<Incoming>,
     /// Metadata from the headers.
@@ -199,8 +201,15 @@
         gateway.target_reached(&routed.service);
         let response_metadata = headers::decode_response(response.headers());
         let responder = Responder::Target { target, in_flight };
-        let received =
-            TargetResponse { responder, response, response_metadata, connection, sent_at };
+        let software = selected.software;
+        let received = TargetResponse {
+            responder,
+            software,
+            response,
+            response_metadata,
+            connection,
+            sent_at,
+        };
         return check_response(gateway, routed, received, record);
     }
     Err(AttemptError::NoTarget(NoTarget::Selection(SelectionError::NoHealthyTarget)))
--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -34,7 +34,7 @@
 use crate::deployment::Route;
 use crate::fleet::placement::SelectionError;
 use crate::fleet::regions::AllowedDomains;
-use crate::ids::{AccountId, ServiceId, TargetStart};
+use crate::ids::{AccountId, ServiceId, SoftwareVersion, TargetStart};
 use crate::net::request_body::RequestBody;
 use crate::platform::headers;
 
@@ -52,6 +52,8 @@
 struct ForwardedAttempt {
     route: Route,
     service: ServiceId,
+    /// The software version that began the stream, if the attempt is to go on with one.
+    software: Option<SoftwareVersion>,
     account: Option<AccountId>,
     allowed_domains: AllowedDomains,
     cache_namespace: String,
@@ -68,7 +70,10 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 enum ForwardedResult {
     /// The response is that of this target.
-    Relayed(TargetStart),
+    Relayed {
+        target: TargetStart,
+        software: SoftwareVersion,
+    },
     /// The entry took no part in the attempt.
     NotAccepted,
     /// The entry found no target.
@@ -146,8 +151,8 @@
         gateway.peers.borrow_mut().unreachable(ip, boot_now());
         return Some(Err(AttemptError::MayHaveRun(None)));
     };
-    let target = match result {
-        ForwardedResult::Relayed(target) => target,
+    let (target, software) = match result {
+        ForwardedResult::Relayed { target, software } => (target, software),
         refused => {
             record.entry_failed(ip, &format!("{refused:?}"));
             gateway.peer_pool.put_idle(&ip, connection);
@@ -159,7 +164,14 @@
     record.response_received(&response_metadata);
     forwarded.target = Some(target);
     let responder = Responder::Entry(forwarded);
-    Some(Ok(TargetResponse { responder, response, response_metadata, connection, sent_at }))
+    Some(Ok(TargetResponse {
+        responder,
+        software,
+        response,
+        response_metadata,
+        connection,
+        sent_at,
+    }))
 }
 
 /// Whether an entry is known that may take an attempt.
@@ -199,6 +211,7 @@
     let attempt = ForwardedAttempt {
         route: routed.route.clone(),
         service: routed.service.clone(),
+        software: routed.software.clone(),
         account: routed.account.clone(),
         allowed_domains: routed.allowed_domains.clone(),
         cache_namespace: routed.cache_namespace.clone(),
@@ -233,7 +246,7 @@
     result: ForwardedResult,
 ) -> Option<AttemptError> {
     let error = match result {
-        ForwardedResult::Relayed(target) => AttemptError::MayHaveRun(Some(target)),
+        ForwardedResult::Relayed { target, .. } => AttemptError::MayHaveRun(Some(target)),
         ForwardedResult::NotAccepted => {
             gateway.peers.borrow_mut().unreachable(ip, boot_now());
             return None;
@@ -314,6 +327,7 @@
         cache_namespace: attempt.cache_namespace,
         priority: attempt.priority,
         service: attempt.service,
+        software: attempt.software,
         arrived: arrived.checked_sub(attempt.elapsed).unwrap_or(arrived),
         deadline,
         tie_breaker: rand::rng().random(),
@@ -334,7 +348,9 @@
         Err(error) => return respond(error.into(), &record),
     };
     let target = received.responder.target().cloned();
-    let result = encode(&target.clone().map(ForwardedResult::Relayed));
+    let software = received.software.clone();
+    let relayed = |target| ForwardedResult::Relayed { target, software };
+    let result = encode(&target.clone().map(relayed));
     match request::relay_response(&gateway, routed, record, attempts, received).await {
         Ok(mut response) => {
             response.headers_mut().extend(result.map(|result| (RESULT, result)));
@@ -354,9 +370,9 @@
         ForwardedResult::OldWeights => Refusal::OldWeights,
         ForwardedResult::TooLate => Refusal::TooLate,
         ForwardedResult::NotAccepted => Refusal::ShuttingDown,
-        ForwardedResult::Relayed(_) | ForwardedResult::NoTarget | ForwardedResult::NotRun(_) => {
-            Refusal::NoTarget
-        }
+        ForwardedResult::Relayed { .. }
+        | ForwardedResult::NoTarget
+        | ForwardedResult::NotRun(_) => Refusal::NoTarget,
     };
     record.set_outcome(Outcome::Refused(reason.status().as_u16(), reason.name()));
     let mut response = GatewayResponse::new(full_body(Bytes::new()));
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -21,6 +21,7 @@
 use super::routed_request::{Origin, RoutedRequest};
 use super::state::Gateway;
 use crate::clock::BootTime;
+use crate::ids::SoftwareVersion;
 
 /// A body of at most this length is buffered before any of it is relayed, so that the request can
 /// be retried if the body is cut short.
@@ -62,6 +63,7 @@
 /// The target's response that events are read from.
 struct Source {
     responder: Responder,
+    software: SoftwareVersion,
     body: Incoming,
     response_metadata: ResponseMetadata,
     connection: Connection,
@@ -117,6 +119,7 @@
             match self.read_source().await {
                 SourceRead::Events(events) => {
                     self.record.first_part_sent();
+                    self.fix_software();
                     return Ok(Some(events));
                 }
                 SourceRead::Complete => {
@@ -133,6 +136,13 @@
         }
     }
 
+    /// Binds the stream to the software version of the target that sent its first event.
+    fn fix_software(&mut self) {
+        if self.routed.software.is_none() {
+            self.routed.software = self.source.as_ref().map(|source| source.software.clone());
+        }
+    }
+
     async fn read_source(&mut self) -> SourceRead {
         let max_gap = self.max_gap();
         let Some(source) = &mut self.source else { return SourceRead::Broken("no source".into()) };
@@ -236,10 +246,17 @@
 
 impl Source {
     fn new(received: TargetResponse) -> Source {
-        let TargetResponse { responder, response, response_metadata, mut connection, sent_at } =
-            received;
+        let TargetResponse {
+            responder,
+            software,
+            response,
+            response_metadata,
+            mut connection,
+            sent_at,
+        } = received;
         connection.set_idle_timeout(response_metadata.idle_timeout);
-        Source { responder, body: response.into_body(), response_metadata, connection, sent_at }
+        let body = response.into_body();
+        Source { responder, software, body, response_metadata, connection, sent_at }
     }
 }
 
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -174,6 +174,7 @@
         ),
         priority,
         service,
+        software: None,
         arrived,
         deadline: arrived + timeout,
         tie_breaker: random.random(),
@@ -316,8 +317,14 @@
     let body = if is_stream {
         EventRelay::new(gateway.clone(), routed, record, attempts, received).into_body()
     } else if relay::fits_buffer(received.response.body()) {
-        let TargetResponse { mut responder, response, response_metadata, mut connection, sent_at } =
-            received;
+        let TargetResponse {
+            mut responder,
+            response,
+            response_metadata,
+            mut connection,
+            sent_at,
+            ..
+        } = received;
         match relay::read_buffered(response.into_body(), routed.deadline).await {
             Ok(bytes) => {
                 record.first_part_sent();
--- a/src/gateway/routed_request.rs
+++ b/src/gateway/routed_request.rs
@@ -10,7 +10,7 @@
 use super::priority::Priority;
 use crate::deployment::Route;
 use crate::fleet::regions::AllowedDomains;
-use crate::ids::{AccountId, ServiceId};
+use crate::ids::{AccountId, ServiceId, SoftwareVersion};
 use crate::quarantine::Fingerprint;
 
 /// Where a request comes from.
@@ -46,6 +46,9 @@
     pub priority: Priority,
     /// The service whose targets can run it.
     pub service: ServiceId,
+    /// The software version that began the stream, which only targets of that version may go on with.
+    /// `None` for other requests, and until a target has sent the first event.
+    pub software: Option<SoftwareVersion>,
     /// When the head of the request arrived.
     pub arrived: Instant,
     /// When the caller or the route gives up on it.
--- a/src/gateway/target_selection.rs
+++ b/src/gateway/target_selection.rs
@@ -111,6 +111,7 @@
         prompt: routed.metadata.prompt.as_ref(),
         cache_namespace: &routed.cache_namespace,
         tried: avoid,
+        software: routed.software.as_deref(),
         tie_breaker: routed.tie_breaker,
         named: &gateway.rollouts.borrow(),
         old_weights: gateway.host.periods.old_weights,
@@ -200,5 +201,6 @@
         elapsed: routed.arrived.elapsed(),
         avoid,
         allowed_domains: routed.allowed_domains.clone(),
+        software: routed.software.clone(),
     })
 }
--- a/src/scheduler/engines.rs
+++ b/src/scheduler/engines.rs
@@ -12,7 +12,7 @@
 use super::engine_cache::PartKey;
 use crate::clock::BootTime;
 use crate::fleet::{Listed, Presence};
-use crate::ids::{DomainId, ServiceId, TargetStart};
+use crate::ids::{DomainId, ServiceId, SoftwareVersion, TargetStart};
 
 /// Identifies an engine within one scheduler. Numbers are not reused.
 pub type EngineNumber = u32;
@@ -22,6 +22,7 @@
 pub struct EngineGroup {
     pub service: ServiceId,
     pub failure_domain: DomainId,
+    pub software: SoftwareVersion,
     pub weight_version: Option<u64>,
     /// Engines that are ejected or on trial are apart: they are idle and would otherwise come
     /// before all others.
@@ -130,6 +131,7 @@
         let first = EngineGroup {
             service: service.to_string(),
             failure_domain: DomainId::new(),
+            software: SoftwareVersion::new(),
             weight_version: None,
             is_unhealthy: false,
         };
@@ -272,6 +274,7 @@
         EngineGroup {
             service: engine.listed.service.clone(),
             failure_domain: engine.listed.failure_domain.clone(),
+            software: engine.listed.software.clone(),
             weight_version: engine.weight_version,
             is_unhealthy: engine.health.is_unhealthy(),
         }
@@ -281,6 +284,7 @@
         self.weight_version == engine.weight_version
             && self.is_unhealthy == engine.health.is_unhealthy()
             && self.failure_domain == engine.listed.failure_domain
+            && self.software == engine.listed.software
             && self.service == engine.listed.service
     }
 }
--- a/src/scheduler/messages.rs
+++ b/src/scheduler/messages.rs
@@ -9,7 +9,7 @@
 use crate::fleet::rate::RateLimit;
 use crate::fleet::regions::AllowedDomains;
 use crate::gateway::metadata::{Part, TargetLoad};
-use crate::ids::{ModelId, ServiceId, TargetStart};
+use crate::ids::{ModelId, ServiceId, SoftwareVersion, TargetStart};
 
 /// Identifies a placement.
 pub type TicketId = u64;
@@ -38,6 +38,16 @@
     pub avoid: Vec<TargetStart>,
     /// The failure domains that the prompt and its parts may reach.
     pub allowed_domains: AllowedDomains,
+    /// The software version that began the stream that the prompt goes on with; `None` for a new
+    /// stream.
+    pub software: Option<SoftwareVersion>,
+}
+
+impl PlacementRequest {
+    /// Whether targets of a software version may take the prompt.
+    pub fn accepts_software(&self, version: &str) -> bool {
+        self.software.as_deref().is_none_or(|software| software == version)
+    }
 }
 
 /// The engine chosen for a prompt, and its cache transfers.
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -47,7 +47,7 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum PlacementError {
-    /// No engine of the service is listed.
+    /// No engine of the service, and of the required software version, is listed.
     NoTargetListed,
     /// Every listed engine is ejected or excluded by the request.
     NoHealthyTarget,
@@ -233,7 +233,8 @@
         request: PlacementRequest,
         now: BootTime,
     ) -> Option<PlacementResult> {
-        let must_wait = !self.queue.is_empty() || !self.has_cache_state(now);
+        let must_queue = !self.queue.is_empty() && request.software.is_none();
+        let must_wait = must_queue || !self.has_cache_state(now);
         let estimator = self.estimators.get(&request.service).copied().unwrap_or_default();
         // A context that can't be fetched is read as well.
         let service_time = estimator.prefill_time(request.prompt_tokens) + estimator.base_latency();
@@ -251,7 +252,9 @@
 
     /// How long a new prompt waits for an engine if all of them are limited; zero if they are not.
     fn paced_wait(&self, request: &PlacementRequest, now: BootTime) -> Duration {
-        let Some(pace) = self.paced.get(&request.service) else { return Duration::ZERO };
+        // The pace is that of all engines, of whatever software version.
+        let pace = self.paced.get(&request.service).filter(|_| request.software.is_none());
+        let Some(pace) = pace else { return Duration::ZERO };
         let ahead = self.queue.ahead_of(request) as f64;
         pace.next_at.saturating_sub(now) + Duration::from_secs_f64(ahead / pace.requests_per_s)
     }
@@ -272,11 +275,16 @@
             return outcomes;
         }
         let mut unplaced = Vec::new();
+        // The first prompt that goes on with a stream, for each software version without capacity.
+        let mut without_capacity: Vec<QueuedPrompt> = Vec::new();
         while unplaced.len() < MAX_UNPLACED_PER_DISPATCH
-            && let Some(queued) = self.queue.pop_next()
+            && let Some(queued) = self.queue.pop_next(|queued| {
+                !without_capacity.iter().any(|other| queued.needs_same_engines(other))
+            })
         {
             match self.try_place(&queued, now) {
                 PlacementAttempt::Done(outcome) => outcomes.push((queued.waiter, outcome)),
+                _ if queued.request.software.is_some() => without_capacity.push(queued),
                 PlacementAttempt::NoRoom => unplaced.push(queued),
                 PlacementAttempt::AllBusy => {
                     unplaced.push(queued);
@@ -284,7 +292,8 @@
                 }
             }
         }
-        unplaced.into_iter().for_each(|queued| self.queue.requeue(queued));
+        let unplaced = unplaced.into_iter().chain(without_capacity);
+        unplaced.for_each(|queued| self.queue.requeue(queued));
         outcomes
     }
 
@@ -297,9 +306,11 @@
     fn try_place(&mut self, queued: &QueuedPrompt, now: BootTime) -> PlacementAttempt {
         let found = self.find_engine(&queued.request, now);
         let service = &queued.request.service;
-        match found {
-            Err(SearchError::AllPaced(pace)) => drop(self.paced.insert(service.clone(), pace)),
-            _ => drop(self.paced.remove(service)),
+        if queued.request.software.is_none() {
+            match found {
+                Err(SearchError::AllPaced(pace)) => drop(self.paced.insert(service.clone(), pace)),
+                _ => drop(self.paced.remove(service)),
+            }
         }
         match found {
             Ok(best) => PlacementAttempt::Done(Ok(self.grant(best, queued, now))),
@@ -329,6 +340,7 @@
         let listed = &engine.listed;
         if listed.service != request.service
             || listed.presence != Presence::Live
+            || !request.accepts_software(&listed.software)
             || !self.is_suitable_domain(&listed.failure_domain, request)
         {
             return Eligibility::Unsuitable;
--- a/src/scheduler/plan/search.rs
+++ b/src/scheduler/plan/search.rs
@@ -39,7 +39,8 @@
 /// Why no engine was found.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) enum SearchError {
-    /// No engine of the service is listed where the prompt may run.
+    /// No engine of the service, and of the required software version, is listed where the prompt may
+    /// run.
     NoTargetListed,
     /// Every listed engine is ejected or excluded by the request.
     NoHealthyTarget,
@@ -90,7 +91,8 @@
     ) -> Result<BestEngine, SearchError> {
         let spec = self.engine_specs.get(&request.service).ok_or(SearchError::NoTargetListed)?;
         let is_suitable = |(group, _): &(&EngineGroup, &LoadOrder)| {
-            self.is_suitable_domain(&group.failure_domain, request)
+            request.accepts_software(&group.software)
+                && self.is_suitable_domain(&group.failure_domain, request)
         };
         let groups: Vec<_> = self.engines.groups(&request.service).filter(is_suitable).collect();
         let engine_count: usize = groups.iter().map(|(_, order)| order.len()).sum();
--- a/src/scheduler/queue.rs
+++ b/src/scheduler/queue.rs
@@ -1,5 +1,5 @@
-//! Queue of prompts that wait for an engine: most urgent first, periodically the oldest to
-//! prevent starvation, and each with a wait limit.
+//! Queue of prompts that wait for an engine: those that go on with a stream first, then the most
+//! urgent, periodically the oldest to prevent starvation, and each with a wait limit.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -17,7 +17,7 @@
 const WAIT_FRACTIONS: (f64, f64) = (0.3, 0.8);
 /// The longest wait leaves this multiple of the expected time from placement to first token.
 const SERVICE_TIME_RESERVE: f64 = 1.5;
-/// Longest wait if the operator sets no objective.
+/// Longest wait if the operator sets no objective, and of prompts that go on with a stream.
 const DEFAULT_MAX_WAIT: Duration = Duration::from_secs(1);
 
 #[derive(Clone, Debug)]
@@ -31,10 +31,18 @@
 }
 
 impl QueuedPrompt {
+    /// Whether it goes on with a stream and only the engines may take it that may take `other`.
+    pub fn needs_same_engines(&self, other: &QueuedPrompt) -> bool {
+        self.request.software.is_some()
+            && self.request.software == other.request.software
+            && self.request.service == other.request.service
+    }
+
     /// When it is refused if it has not been placed.
     pub fn expires_at(&self) -> BootTime {
         let objective = self.request.objective;
-        let max_wait = match objective.is_zero() {
+        // The objective is that of the first token, which the caller of a stream has.
+        let max_wait = match objective.is_zero() || self.request.software.is_some() {
             true => DEFAULT_MAX_WAIT,
             false => {
                 let left =
@@ -82,14 +90,19 @@
         expired
     }
 
-    /// Removes and returns the prompt to place next.
-    pub fn pop_next(&mut self) -> Option<QueuedPrompt> {
+    /// Removes and returns the prompt to place next, of those that `may_pop` accepts.
+    pub fn pop_next(&mut self, may_pop: impl Fn(&QueuedPrompt) -> bool) -> Option<QueuedPrompt> {
         self.pops += 1;
-        if self.pops.is_multiple_of(OLDEST_FIRST_INTERVAL) {
-            return self.waiting.pop_front();
-        }
-        let most_urgent = self.waiting.iter().map(|queued| queued.request.priority).min()?;
-        let position = self.waiting.iter().position(|w| w.request.priority == most_urgent)?;
+        let mut candidates = self.waiting.iter().enumerate().filter(|(_, queued)| may_pop(queued));
+        let next = if self.pops.is_multiple_of(OLDEST_FIRST_INTERVAL) {
+            candidates.next()
+        } else {
+            // Of equally urgent prompts, the first.
+            candidates.min_by_key(|(_, queued)| {
+                (queued.request.software.is_none(), queued.request.priority)
+            })
+        };
+        let position = next?.0;
         self.waiting.remove(position)
     }
 
--- a/tests/deployment/fleet_size.rs
+++ b/tests/deployment/fleet_size.rs
@@ -189,6 +189,7 @@
         prompt,
         cache_namespace: "all",
         tried: &[],
+        software: None,
         tie_breaker: n,
         named: const { &RolloutHistories::new() },
         old_weights: OldWeightsPolicy::default(),
--- a/tests/deployment/load.rs
+++ b/tests/deployment/load.rs
@@ -82,6 +82,7 @@
         elapsed: ms(0),
         avoid: Vec::new(),
         allowed_domains: AllowedDomains::All,
+        software: None,
     }
 }
 
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -50,6 +50,7 @@
 mod scheduling;
 mod settings;
 mod slow_readers;
+mod software_placement;
 mod software_versions;
 mod sources;
 mod stand_in;
--- a/tests/deployment/placement.rs
+++ b/tests/deployment/placement.rs
@@ -39,6 +39,7 @@
         prompt,
         cache_namespace: namespace,
         tried: &[],
+        software: None,
         tie_breaker,
         named,
         old_weights,
