Take a stream up only at the software version that began it

Callers that take a stream up after a broken connection could get events of another software version (eight of twelve streams in the test, whose entry and leader are killed).

Cause: an entry at which a stream is taken up knew after which event, but not which stream it is; nobody remembered where a stream began.

An entry remembers, for 30 s, the service and the software version of each resumable stream whose first event it relays, and replicas are told of them while versions are mixed: two by the entry, the others by these, and later ones when they start. An entry that doesn't know a stream asks its replicas. One that was not told concludes that the stream began before versions were mixed, if that is recent enough, or at the only version; if nobody can tell, the stream is refused as not run. An entry that can't tell anyone begins streams at the version that others would conclude. The deduction needs no memory while there is one version, so nothing is sent then.

The three tests that failed pass. The fourth, of killed entries, now looks for the leader before it starts the streams, which are longer: beside all other tests they had ended before the leader was found. Its checks are the same. Streams have metrics (kumquatpost_streams_taken_up, kumquatpost_streams_remembered) and request lines tell who knew where a stream began.

--- a/src/control/frames.rs
+++ b/src/control/frames.rs
@@ -19,7 +19,8 @@
 use crate::fleet::compact::CompactTargets;
 use crate::fleet::evacuation::Evacuations;
 use crate::fleet::news::TargetNews;
-use crate::ids::{DomainId, ModelId, NodeId, TargetStart};
+use crate::fleet::streams::{StreamKey, StreamOrigin, StreamsOfOrigin};
+use crate::ids::{DomainId, ModelId, NodeId, ServiceId, TargetStart};
 use crate::log::{Message, Term};
 use crate::quarantine::Report;
 use crate::scheduler::weights::NamedWeights;
@@ -78,6 +79,22 @@
     DeploymentHeld(DeploymentVersion),
     /// Asks for an `Update::Confirmed` once the entry has been sent the newest deployment.
     Confirm(ConfirmId),
+    /// Streams that have begun.
+    Streams(Vec<StreamsOfOrigin>),
+    /// Asks where a stream began.
+    FindStream(StreamLookup),
+}
+
+/// Identifies a stream lookup of an entry. Ids increase.
+pub type LookupId = u64;
+
+/// A question where a stream began.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct StreamLookup {
+    pub id: LookupId,
+    pub stream: StreamKey,
+    /// The service that is to go on with it.
+    pub service: ServiceId,
 }
 
 /// Identifies a confirmation request of an entry. Ids increase.
@@ -191,6 +208,16 @@
     News(Vec<TargetNews>),
     /// Asks for `NamedAges`, after a restart.
     NamedAgesRequested,
+    /// Streams of which entries have told the sender.
+    Streams(Vec<StreamsOfOrigin>),
+    /// Asks for `AllStreams`, after a restart.
+    StreamsRequested,
+    /// All streams known to the sender.
+    AllStreams {
+        streams: Vec<StreamsOfOrigin>,
+        /// Whether these are all that any replica knows.
+        is_complete: bool,
+    },
     /// Weight versions known to the sender.
     NamedAges {
         /// The versions with their ages.
@@ -256,6 +283,12 @@
     News(Vec<TargetNews>),
     /// Entries that may forward requests for the recipient. Replaces earlier ones.
     PeerEntries(Vec<PeerEntry>),
+    /// Answers a stream lookup.
+    StreamFound {
+        id: LookupId,
+        /// Where the stream began; `None` if the sender is not certain.
+        origin: Option<StreamOrigin>,
+    },
 }
 
 /// Encodes a frame with its length prefix.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -29,6 +29,7 @@
 pub mod shared;
 pub mod state;
 pub mod store_reader;
+pub mod stream_directory;
 pub mod unreadable_log;
 pub mod versioned_roster;
 pub mod voter_set;
--- a/src/control/publisher.rs
+++ b/src/control/publisher.rs
@@ -15,7 +15,9 @@
 
 use super::deployment_schedule::DeploymentSchedule;
 use super::entry_directory::{DirectoryRevision, PeerEntry};
-use super::frames::{self, ConfirmId, Handshake, ReplicaFrame, SubscriberRequest, Update, encode};
+use super::frames::{
+    self, ConfirmId, Handshake, ReplicaFrame, StreamLookup, SubscriberRequest, Update, encode,
+};
 use super::replica::Input;
 use super::roster_publisher::RosterPublisher;
 use super::scheduler_service::SchedulerService;
@@ -142,6 +144,12 @@
                     SubscriberRequest::News(news) => shared.observe_news(&news),
                     SubscriberRequest::DeploymentHeld(version) => sent.deployment.observe_held(version),
                     SubscriberRequest::Confirm(id) => sent.confirm = Some(id),
+                    SubscriberRequest::Streams(told) => {
+                        shared.stream_directory.told_by_entry(&told, boot_now());
+                    }
+                    SubscriberRequest::FindStream(lookup) => {
+                        bytes.extend_from_slice(&stream_found(shared, &lookup));
+                    }
                 }
                 incoming.set(next_request(read));
             }
@@ -358,6 +366,13 @@
     encode(&Update::Weights(weights::ages(named, boot_now())))
 }
 
+/// Answers a lookup also without a leader: the stream may be remembered.
+fn stream_found(shared: &Shared, lookup: &StreamLookup) -> std::sync::Arc<[u8]> {
+    let is_current = shared.is_current(MAX_STALENESS);
+    let origin = shared.stream_directory.find(lookup, is_current, boot_now());
+    encode(&Update::StreamFound { id: lookup.id, origin })
+}
+
 fn heartbeat(shared: &Shared) -> std::sync::Arc<[u8]> {
     let view = shared.view.borrow();
     let replicas: BTreeSet<_> = view.state.replica_addresses.values().copied().collect();
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -214,6 +214,23 @@
                     self.shared.links.send(ip, encode(&ReplicaFrame::Quarantine(reports)));
                 }
             }
+            ReplicaFrame::Streams(told) => {
+                self.shared.stream_directory.told_by_replica(&told, now);
+            }
+            ReplicaFrame::StreamsRequested => {
+                let directory = &self.shared.stream_directory;
+                let streams = directory.streams.borrow().all();
+                let is_complete = directory.is_complete(now);
+                let told = ReplicaFrame::AllStreams { streams, is_complete };
+                self.shared.links.send(ip, encode(&told));
+            }
+            ReplicaFrame::AllStreams { streams, is_complete } => {
+                let directory = &self.shared.stream_directory;
+                directory.told_by_replica(&streams, now);
+                if is_complete {
+                    directory.told_all();
+                }
+            }
             ReplicaFrame::NamedAgesRequested => {
                 let leads = self.driver.raft.status().is_leader;
                 let ages = ReplicaFrame::NamedAges { named: self.shared.ages(), leads };
@@ -307,6 +324,9 @@
     }
 
     fn announce(&mut self, now: BootTime) {
+        if !self.shared.stream_directory.is_complete(now) {
+            self.shared.broadcast(&self.state, self.ip, &ReplicaFrame::StreamsRequested);
+        }
         let entries = self.shared.connected_by_domain();
         self.remote_entries.retain(|_, (_, at)| now.saturating_sub(*at) < REMOTE_ENTRIES_TTL);
         let mut all = entries.clone();
--- a/src/control/run.rs
+++ b/src/control/run.rs
@@ -31,6 +31,7 @@
 use super::scheduler_service::SchedulerService;
 use super::shared::{ReplicaView, Shared};
 use super::state::ControlState;
+use super::stream_directory::{self, StreamDirectory};
 use crate::clock::boot_now;
 use crate::error::{Error, Result};
 use crate::essential_tasks::essential_tasks;
@@ -105,9 +106,11 @@
         quarantine: watch::Sender::new(quarantine_file::load(&folder)),
         suspects: watch::Sender::default(),
         news: watch::Sender::default(),
+        stream_directory: StreamDirectory::new(boot_now()),
         links,
         seeds: RefCell::new(seeds),
     });
+    shared.stream_directory.observe_roster(shared.roster.borrow().roster.iter(), boot_now());
     let (inputs, receiver) = mpsc::channel(QUEUE_LEN);
     let peers = listen(SocketAddr::new(host.ip, host.peer_port)).await?;
     let (tasks, mut first_exit) = essential_tasks();
@@ -145,6 +148,7 @@
     tasks.spawn("kept_quarantine", quarantine_file::keep_writing(shared.clone(), folder.clone()));
     tasks.spawn("quarantine", quarantine_publisher::keep_publishing(shared.clone(), host.ip));
     tasks.spawn("news", news_publisher::keep_publishing(shared.clone(), host.ip));
+    tasks.spawn("streams", stream_directory::keep_publishing(shared.clone(), host.ip));
     let recording = age_recorder::run(shared.clone(), inputs.clone(), host.periods.old_weights);
     tasks.spawn("weight_ages", recording);
     let order_lease = host.periods.min_order_interval;
@@ -191,6 +195,8 @@
     if let Some(entries) = shared.entry_count.get() {
         metrics.connected_entries.record(entries.into(), &[]);
     }
+    let remembered = shared.stream_directory.streams.borrow().len();
+    metrics.remembered_streams.record(remembered as u64, &[]);
     metrics.held_requests.record(shared.quarantine.borrow().held_count(boot_now()) as u64, &[]);
     let age = boot_now().saturating_sub(shared.reader_election.get().read_at());
     metrics.target_list_age_s.record(age.as_secs_f64(), &[]);
--- a/src/control/shared.rs
+++ b/src/control/shared.rs
@@ -16,6 +16,7 @@
 use super::pieces;
 use super::reader_election::ReaderElection;
 use super::state::ControlState;
+use super::stream_directory::StreamDirectory;
 use super::weight_ages;
 use crate::clock::{BootTime, boot_now};
 use crate::deployment::Deployment;
@@ -88,6 +89,8 @@
     pub suspects: watch::Sender<Revision>,
     /// News of targets, from entries and other replicas.
     pub news: watch::Sender<NewsTable>,
+    /// Where streams began.
+    pub stream_directory: StreamDirectory,
     /// Connections to other replicas.
     pub links: SharedLinks,
     /// Hosts of replicas named by the settings or by other replicas.
@@ -159,7 +162,7 @@
             known.version() != before
         });
         if changed {
-            self.remember_earlier(earlier);
+            self.roster_changed(earlier);
         }
         match self.roster.borrow().version() {
             known if known == received.version() => StalePeers::Nobody,
@@ -206,14 +209,16 @@
             must_send
         });
         if must_send {
-            self.remember_earlier(earlier);
+            self.roster_changed(earlier);
         }
         must_send
     }
 
-    fn remember_earlier(&self, roster: VersionedRoster) {
+    /// Completes a change of the roster.
+    fn roster_changed(&self, earlier_roster: VersionedRoster) {
+        self.stream_directory.observe_roster(self.roster.borrow().roster.iter(), boot_now());
         let mut earlier = self.earlier_rosters.borrow_mut();
-        earlier.push_back(roster);
+        earlier.push_back(earlier_roster);
         while earlier.len() > EARLIER_ROSTERS {
             earlier.pop_front();
         }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -13,6 +13,8 @@
 pub mod regions;
 pub mod ring;
 pub mod roster;
+pub mod software;
+pub mod streams;
 pub mod target_table;
 mod usage;
 pub mod view;
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -16,6 +16,7 @@
 use super::rate::RateLimit;
 use super::ring::TargetRing;
 use super::roster::{ABSENT_TTL_LISTS, Listed, Presence, RETIRED_TTL_LISTS, Roster, RosterChange};
+use super::software::SoftwareVersions;
 use super::target_table::TargetTable;
 use super::usage::{ReportedLoad, TargetUsage};
 use crate::clock::BootTime;
@@ -44,6 +45,8 @@
     /// listed. They may be listed later, or again.
     announced_leaving: FxHashMap<TargetStart, u32>,
     evacuated: EvacuatedDomains,
+    /// Of the listed targets.
+    software: SoftwareVersions,
     /// What the targets of each service bear while they are cold. Services without limit are absent.
     cold_starts: HashMap<ServiceId, ColdStart>,
 }
@@ -98,6 +101,17 @@
         &self.listed_leaving
     }
 
+    /// The software versions of the listed targets.
+    pub fn software(&self) -> &SoftwareVersions {
+        &self.software
+    }
+
+    /// Completes a change of the listed targets. Returns whether the software versions of a service
+    /// began to differ.
+    pub fn software_changed(&mut self, now: BootTime) -> bool {
+        self.software.changed(now)
+    }
+
     /// Adds targets from a partially received list.
     pub fn add_partial(&mut self, targets: &[Arc<Listed>]) {
         for listed in targets {
@@ -110,6 +124,8 @@
     fn insert_listed(&mut self, listed: Arc<Listed>) {
         let start = listed.start.clone();
         let before = self.listed.insert(listed.clone());
+        before.iter().for_each(|before| self.software.remove(before));
+        self.software.add(&listed);
         // Another start of the target ends when a later one is listed under its id.
         let (earlier_start, before) = match before {
             Some(before) if before.start != start => (Some(before), None),
@@ -136,6 +152,7 @@
 
     fn remove_listed(&mut self, start: &TargetStart) {
         if let Some(listed) = self.listed.remove(start) {
+            self.software.remove(&listed);
             self.unlist(listed);
         }
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 pub mod scheduler_connection;
 pub mod server;
 pub mod state;
+pub mod stream_origin;
 pub mod subscription;
 pub mod subscription_policy;
 pub mod target_news;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -58,6 +58,8 @@
     pub attempts: Attempts,
     source: Option<Source>,
     events: EventSplitter,
+    /// Whether the first event has been relayed, which binds the stream to a software version.
+    is_bound: bool,
 }
 
 /// The target's response that events are read from.
@@ -98,7 +100,8 @@
         received: TargetResponse,
     ) -> EventRelay {
         let source = Some(Source::new(received));
-        EventRelay { gateway, routed, record, attempts, source, events: EventSplitter::default() }
+        let events = EventSplitter::default();
+        EventRelay { gateway, routed, record, attempts, source, events, is_bound: false }
     }
 
     /// Turns the relay into the body of the response to the caller.
@@ -119,7 +122,7 @@
             match self.read_source().await {
                 SourceRead::Events(events) => {
                     self.record.first_part_sent();
-                    self.fix_software();
+                    self.bind_software();
                     return Ok(Some(events));
                 }
                 SourceRead::Complete => {
@@ -136,11 +139,13 @@
         }
     }
 
-    /// Binds the stream to the software version of the target that sent its first event.
-    fn fix_software(&mut self) {
-        if self.routed.software.is_none() {
-            self.routed.software = self.source.as_ref().map(|source| source.software.clone());
-        }
+    /// Binds the stream to the software version of the target that sent its first event, and remembers
+    /// it.
+    fn bind_software(&mut self) {
+        let Some(source) = self.source.as_ref().filter(|_| !self.is_bound) else { return };
+        self.is_bound = true;
+        self.gateway.record_stream(&self.routed, &source.software);
+        self.routed.software.get_or_insert_with(|| source.software.clone());
     }
 
     async fn read_source(&mut self) -> SourceRead {
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -22,6 +22,7 @@
 use super::response::{GatewayResponse, Refusal, full_body, refusal_response};
 use super::routed_request::{Origin, RoutedRequest};
 use super::state::{Confirmation, Gateway};
+use super::stream_origin;
 use super::target_selection::NoTarget;
 use crate::clock::boot_now;
 use crate::deployment::{Rejection, RoutingTable, RunPolicy};
@@ -211,9 +212,12 @@
 
 async fn serve(
     gateway: &Rc<Gateway>,
-    routed: RoutedRequest,
+    mut routed: RoutedRequest,
     mut record: RequestRecord,
 ) -> GatewayResponse {
+    if let Err(refusal) = stream_origin::resolve(gateway, &mut routed, &mut record).await {
+        return refuse(refusal, &routed.metadata.id, &record);
+    }
     gateway.retries.borrow_mut().record_request(&routed.service, boot_now());
     let mut attempts = Attempts::default();
     let mut may_have_run = false;
--- a/src/gateway/request_record.rs
+++ b/src/gateway/request_record.rs
@@ -10,10 +10,12 @@
 use super::priority::Priority;
 use super::responder::Responder;
 use super::state::Gateway;
+use super::stream_origin::OriginSource;
 use super::target_selection::{NoTarget, SelectedTarget};
 use crate::clock::{BootTime, boot_now};
 use crate::deployment::document::DeploymentVersion;
 use crate::fleet::budget::RetryDecision;
+use crate::fleet::streams::StreamOrigin;
 use crate::ids::{ServiceId, TargetStart};
 use crate::quarantine::Fingerprint;
 use crate::telemetry::metrics::label;
@@ -101,6 +103,20 @@
         self.priority = priority.scheduler_level();
     }
 
+    /// Records where the stream began that the request takes up.
+    pub fn origin_found(&mut self, origin: &StreamOrigin, source: OriginSource) {
+        let StreamOrigin { service, software } = origin;
+        let known_by = source.name();
+        self.gateway.metrics.streams_taken_up.add(1, &[label("known_by", known_by)]);
+        let _ = write!(self.attempts, " began_at={software} service={service} known_by={known_by}");
+    }
+
+    /// Records that it is unknown where the stream began that the request takes up.
+    pub fn origin_unknown(&mut self) {
+        self.gateway.metrics.streams_taken_up.add(1, &[label("known_by", "nobody")]);
+        self.attempts.push_str(" began_at=-");
+    }
+
     /// Records the selection of a target.
     pub fn target_selected(&mut self, selected: &SelectedTarget, is_reused: bool) {
         let at_ms = self.elapsed().as_millis();
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -49,6 +49,9 @@
     Unconfirmed,
     /// No target is available. The request has not run.
     NoTarget,
+    /// The software version is unknown that began the stream which the request takes up. The request
+    /// has not run.
+    UnknownStream,
     /// All available targets run weights that are no longer allowed. The request has not run.
     OldWeights,
     /// No target will have capacity in time. The request has not run and may be retried after this
@@ -81,6 +84,7 @@
             | Refusal::ShuttingDown
             | Refusal::Unconfirmed
             | Refusal::NoTarget
+            | Refusal::UnknownStream
             | Refusal::OldWeights
             | Refusal::Busy(_)
             | Refusal::Limited(_)
@@ -103,6 +107,7 @@
             Refusal::NotReady => "not_ready",
             Refusal::Unconfirmed => "unconfirmed",
             Refusal::NoTarget => "no_target",
+            Refusal::UnknownStream => "unknown_stream",
             Refusal::OldWeights => "old_weights",
             Refusal::Busy(_) => "busy",
             Refusal::Limited(_) => "limited",
@@ -126,6 +131,9 @@
             Refusal::NotReady => "not run: this entry has just started; come back",
             Refusal::Unconfirmed => "not run: this entry may lack a change; ask another one",
             Refusal::NoTarget => "not run: no target can take it now; come back",
+            Refusal::UnknownStream => {
+                "not run: it is not known which software began the stream; ask another entry"
+            }
             Refusal::OldWeights => "not run: no target runs the newest weights yet; come back",
             Refusal::Limited(_) => "not run: targets limit their requests now; come back",
             Refusal::Busy(_) | Refusal::TooLate => "not run: no target was free in time; come back",
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -16,6 +16,7 @@
 use super::request_record::RequestRecord;
 use super::routed_request::RoutedRequest;
 use super::scheduler_client::SchedulerClient;
+use super::stream_origin::StreamLookups;
 use super::subscription_policy::{HeldRoster, Subscriptions};
 use crate::clock::{BootTime, boot_now};
 use crate::control::frames::{ConfirmId, RosterVersion, Update, VersionedRoster};
@@ -27,6 +28,7 @@
 use crate::fleet::news::NewsTable;
 use crate::fleet::paths::Paths;
 use crate::fleet::rate::IndependentShare;
+use crate::fleet::streams::StreamTable;
 use crate::fleet::{FleetView, Listed, Presence, RosterChange};
 use crate::host::HostSettings;
 use crate::ids::{ServiceId, TargetStart};
@@ -91,6 +93,10 @@
     pub deployment_held: watch::Sender<DeploymentVersion>,
     /// News of targets, as noticed here.
     pub news: watch::Sender<NewsTable>,
+    /// Where streams began that this entry has relayed.
+    pub streams: watch::Sender<StreamTable>,
+    /// Streams that replicas are asked for.
+    pub stream_lookups: watch::Sender<StreamLookups>,
     /// Failed runs at targets that may have terminated.
     pub broken_runs: RefCell<BrokenRuns>,
     /// Notified after each probe of whether a target still listens.
@@ -162,6 +168,8 @@
             quarantine: watch::Sender::default(),
             deployment_held: watch::Sender::default(),
             news: watch::Sender::default(),
+            streams: watch::Sender::default(),
+            stream_lookups: watch::Sender::default(),
             broken_runs: RefCell::default(),
             probe_finished: Notify::new(),
             pool: Pool::default(),
@@ -192,6 +200,7 @@
     /// Updates the gauges and returns all metrics as Prometheus text.
     pub fn metrics_text(&self) -> String {
         self.metrics.active_requests.record(self.active_requests.get() as u64, &[]);
+        self.metrics.remembered_streams.record(self.streams.borrow().len() as u64, &[]);
         let held = self.quarantine.borrow().held_count(boot_now());
         self.metrics.held_requests.record(held as u64, &[]);
         let evacuated = self.fleet.borrow().evacuated().count();
@@ -232,7 +241,7 @@
     }
 
     /// Whether a complete roster has been received.
-    fn has_roster(&self) -> bool {
+    pub(super) fn has_roster(&self) -> bool {
         self.roster_number.get() > 0
     }
 
@@ -275,7 +284,8 @@
         self.wait_until(timeout, || self.has_roster() || is_listed()).await;
     }
 
-    async fn wait_until(&self, timeout: Duration, is_known: impl Fn() -> bool) {
+    /// Waits until something is known, which `state_changed` is notified of, for at most `timeout`.
+    pub(super) async fn wait_until(&self, timeout: Duration, is_known: impl Fn() -> bool) {
         let changes = async {
             while !is_known() {
                 self.state_changed.notified().await;
@@ -350,6 +360,13 @@
             }
             Update::News(news) => news.iter().for_each(|news| self.observe_news(news)),
             Update::Domains(domains) => self.subscriptions.borrow_mut().observe_domains(domains),
+            Update::StreamFound { id, origin } => {
+                self.stream_lookups.send_if_modified(|lookups| {
+                    lookups.answered(id, origin);
+                    false
+                });
+                self.state_changed.notify_waiters();
+            }
             Update::PeerEntries(named) => self.peers.borrow_mut().observe(named),
             Update::RosterPiece(piece) => self.observe_piece(&piece)?,
             Update::RosterVersionOnly { leaving, .. } => {
@@ -461,6 +478,10 @@
 
     fn roster_replaced(&self, number: u64) {
         self.roster_number.set(number);
+        if self.fleet.borrow_mut().software_changed(boot_now()) {
+            // Streams that began before are told as well, as they may be taken up elsewhere from now on.
+            self.streams.send_modify(|_| {});
+        }
         self.state_changed.notify_waiters();
         self.pool.retain(|target| self.is_listed(target));
     }
--- a/src/gateway/subscription.rs
+++ b/src/gateway/subscription.rs
@@ -113,6 +113,12 @@
     if *confirm.borrow() > 0 {
         confirm.mark_changed();
     }
+    let mut streams = gateway.streams.subscribe();
+    streams.mark_changed();
+    let mut streams_sent = 0;
+    let mut lookups = gateway.stream_lookups.subscribe();
+    lookups.mark_changed();
+    let mut last_lookup = 0;
     loop {
         let frame = tokio::select! {
             request = requested.recv() => match request {
@@ -138,6 +144,29 @@
                 }
                 SubscriberRequest::News(unsent)
             }
+            changed = streams.changed() => {
+                changed.map_err(std::io::Error::other)?;
+                let known = streams.borrow_and_update();
+                // Streams that began while there was one version are told once there are several.
+                if gateway.has_roster() && !gateway.fleet.borrow().software().any_mixed() {
+                    continue;
+                }
+                let unsent = known.since(streams_sent);
+                streams_sent = known.revision();
+                if unsent.is_empty() {
+                    continue;
+                }
+                SubscriberRequest::Streams(unsent)
+            }
+            changed = lookups.changed() => {
+                changed.map_err(std::io::Error::other)?;
+                let next = lookups.borrow_and_update().after(last_lookup).next();
+                let Some(lookup) = next else { continue };
+                last_lookup = lookup.id;
+                // There may be more of them.
+                lookups.mark_changed();
+                SubscriberRequest::FindStream(lookup)
+            }
             changed = quarantine.changed() => {
                 changed.map_err(std::io::Error::other)?;
                 let known = quarantine.borrow_and_update();
--- a/src/gateway/target_selection.rs
+++ b/src/gateway/target_selection.rs
@@ -50,7 +50,8 @@
     routed: &RoutedRequest,
     avoid: &[TargetStart],
 ) -> Result<SelectedTarget, NoTarget> {
-    if let Some(request) = placement_request(gateway, routed, avoid) {
+    let software = gateway.required_software(routed);
+    if let Some(request) = placement_request(gateway, routed, software.clone(), avoid) {
         let outcome = gateway.scheduler.place(request).await;
         if let Some(Ok(placed)) = &outcome {
             gateway.wait_for_target(&placed.target, LISTED_TIMEOUT).await;
@@ -69,7 +70,7 @@
             Some(Err(_)) | None => {}
         }
     }
-    select_locally(gateway, routed, avoid)
+    select_locally(gateway, routed, software.as_deref(), avoid)
 }
 
 /// The version of a target's software; `None` if the target is unknown.
@@ -103,6 +104,7 @@
 fn select_locally(
     gateway: &Gateway,
     routed: &RoutedRequest,
+    software: Option<&str>,
     avoid: &[TargetStart],
 ) -> Result<SelectedTarget, NoTarget> {
     let share = gateway.independent_share();
@@ -111,7 +113,7 @@
         prompt: routed.metadata.prompt.as_ref(),
         cache_namespace: &routed.cache_namespace,
         tried: avoid,
-        software: routed.software.as_deref(),
+        software,
         tie_breaker: routed.tie_breaker,
         named: &gateway.rollouts.borrow(),
         old_weights: gateway.host.periods.old_weights,
@@ -177,6 +179,7 @@
 fn placement_request(
     gateway: &Gateway,
     routed: &RoutedRequest,
+    software: Option<SoftwareVersion>,
     avoid: &[TargetStart],
 ) -> Option<PlacementRequest> {
     let prompt = routed.metadata.prompt.as_ref()?;
@@ -201,6 +204,6 @@
         elapsed: routed.arrived.elapsed(),
         avoid,
         allowed_domains: routed.allowed_domains.clone(),
-        software: routed.software.clone(),
+        software,
     })
 }
--- a/src/telemetry/deployment_metrics.rs
+++ b/src/telemetry/deployment_metrics.rs
@@ -23,6 +23,10 @@
     pub forwarded_attempts: Counter<u64>,
     /// Services to which this entry has lost its path.
     pub lost_paths: Gauge<u64>,
+    /// Streams that callers took up, by who knew where they began.
+    pub streams_taken_up: Counter<u64>,
+    /// Streams of which this process knows where they began.
+    pub remembered_streams: Gauge<u64>,
     /// Retries that the budget granted or denied, by service and verdict.
     pub retries: Counter<u64>,
     /// Requests in progress.
@@ -66,6 +70,8 @@
     pub held_requests: Gauge<u64>,
     /// Evacuated failure domains, as this process knows them.
     pub evacuated_domains: Gauge<u64>,
+    /// Streams of which this process knows where they began.
+    pub remembered_streams: Gauge<u64>,
 }
 
 impl EntryMetrics {
@@ -85,6 +91,8 @@
             failed_attempts: meter.u64_counter("kumquatpost_attempts_missed").build(),
             forwarded_attempts: meter.u64_counter("kumquatpost_attempts_forwarded").build(),
             lost_paths: meter.u64_gauge("kumquatpost_lost_paths").build(),
+            streams_taken_up: meter.u64_counter("kumquatpost_streams_taken_up").build(),
+            remembered_streams: meter.u64_gauge("kumquatpost_streams_remembered").build(),
             retries: meter.u64_counter("kumquatpost_retries").build(),
             active_requests: meter.u64_gauge("kumquatpost_answering").build(),
             state_age_s: meter.f64_gauge("kumquatpost_belief_age").with_unit("s").build(),
@@ -131,6 +139,7 @@
             malformed_entries: meter.u64_counter("kumquatpost_target_entries_unreadable").build(),
             held_requests: meter.u64_gauge("kumquatpost_requests_held").build(),
             evacuated_domains: meter.u64_gauge("kumquatpost_evacuated_domains").build(),
+            remembered_streams: meter.u64_gauge("kumquatpost_streams_remembered").build(),
             registry,
         })
     }
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -57,6 +57,7 @@
 mod starts;
 mod state;
 mod stores;
+mod stream_origins;
 mod table;
 mod untrusted_input;
 mod voter_set;
--- a/tests/deployment/scheduler_service.rs
+++ b/tests/deployment/scheduler_service.rs
@@ -15,6 +15,7 @@
 use kumquatpost::control::scheduler_service::SchedulerService;
 use kumquatpost::control::shared::{ReplicaView, Shared};
 use kumquatpost::control::state::{ControlState, Published};
+use kumquatpost::control::stream_directory::StreamDirectory;
 use kumquatpost::gateway::metadata::Part;
 use kumquatpost::gateway::scheduler_connection;
 use kumquatpost::log::Term;
@@ -69,6 +70,7 @@
         quarantine: watch::Sender::default(),
         suspects: watch::Sender::default(),
         news: watch::Sender::default(),
+        stream_directory: StreamDirectory::new(ms(0)),
         links: Rc::new(Links::new(1, ip, "hall".into(), 1)),
         seeds: RefCell::default(),
     }
--- a/tests/deployment/software_versions.rs
+++ b/tests/deployment/software_versions.rs
@@ -21,7 +21,7 @@
 /// Streams that break at once.
 const STREAMS: usize = 12;
 /// Length of a stream that outlasts the loss of its entry.
-const LONG_STREAM_EVENTS: u64 = 400;
+const LONG_STREAM_EVENTS: u64 = 1_000;
 /// Events that the caller has of a stream before its entry is lost.
 const EVENTS_BEFORE_LOSS: u64 = 10;
 
@@ -229,6 +229,7 @@
     // Both entries serve, and know the list.
     drop(begin_stream(&client, second_entry, STREAMS).await);
     tokio::time::sleep(Duration::from_secs(2)).await;
+    let leader = leader(&deployment).await;
     let mut reading = Vec::new();
     let (seen, mut all_seen) = tokio::sync::mpsc::unbounded_channel();
     for number in 0..STREAMS {
@@ -249,7 +250,6 @@
         let number = all_seen.recv().await.expect("streams are read");
         waiting.retain(|other| *other != number);
     }
-    let leader = leader(&deployment).await;
     deployment.system.kill(0);
     deployment.system.kill(leader);
     let mut taking_up = Vec::new();
--- /dev/null
+++ b/tests/deployment/stream_origins.rs
@@ -0,0 +1,125 @@
+//! What processes remember of the software versions at which streams began, on a virtual clock.
+
+use std::time::Duration;
+
+use kumquatpost::control::frames::StreamLookup;
+use kumquatpost::control::stream_directory::StreamDirectory;
+use kumquatpost::fleet::Listed;
+use kumquatpost::fleet::software::SoftwareVersions;
+use kumquatpost::fleet::streams::{
+    STREAM_TTL, StreamKey, StreamOrigin, StreamTable, StreamsOfOrigin, stream_key,
+};
+
+use crate::fixtures::{address, ms, target};
+
+fn origin(software: &str) -> StreamOrigin {
+    StreamOrigin { service: "llm".to_string(), software: software.to_string() }
+}
+
+fn told(software: &str, streams: &[StreamKey]) -> Vec<StreamsOfOrigin> {
+    vec![StreamsOfOrigin { origin: origin(software), streams: streams.to_vec() }]
+}
+
+fn listed(id: &str, software: &str) -> Listed {
+    Listed { software: software.to_string(), ..target(id, "llm", address(1)) }
+}
+
+fn lookup(stream: StreamKey) -> StreamLookup {
+    StreamLookup { id: 1, stream, service: "llm".to_string() }
+}
+
+#[test]
+fn streams_of_different_accounts_have_different_keys() {
+    let (alpha, beta) = ("alpha".to_string(), "beta".to_string());
+    let key = stream_key(Some(&alpha), "r1");
+    assert_ne!(key, stream_key(Some(&beta), "r1"));
+    assert_ne!(key, stream_key(Some(&alpha), "r2"));
+    assert_eq!(key, stream_key(Some(&alpha), "r1"));
+}
+
+#[test]
+fn streams_are_forgotten_after_their_longest_life_unless_they_go_on() {
+    let mut table = StreamTable::default();
+    table.record(1, origin("v1"), ms(0));
+    table.record(2, origin("v2"), ms(0));
+    table.record(1, origin("v1"), ms(1_000));
+    assert_eq!(table.get(1, STREAM_TTL), Some(&origin("v1")));
+    assert_eq!(table.get(2, STREAM_TTL), None);
+    table.record(3, origin("v1"), STREAM_TTL);
+    assert_eq!(table.len(), 2, "expired streams take no memory");
+    table.record(4, origin("v1"), STREAM_TTL * 3);
+    assert_eq!((table.len(), table.since(0)), (1, told("v1", &[4])));
+}
+
+#[test]
+fn the_number_of_remembered_streams_is_bounded() {
+    let mut table = StreamTable::default();
+    (0..150_000).for_each(|stream| table.record(stream, origin("v1"), ms(0)));
+    assert!(table.len() <= 100_000, "{}", table.len());
+    assert_eq!(table.get(149_999, ms(0)), Some(&origin("v1")), "the oldest are forgotten first");
+}
+
+#[test]
+fn only_recorded_streams_are_passed_on_and_each_once() {
+    let mut table = StreamTable::default();
+    table.record(1, origin("v1"), ms(0));
+    let sent = table.revision();
+    table.remember_all(&told("v2", &[2]), ms(0));
+    assert!(table.since(sent).is_empty(), "the sender has told all others");
+    table.record_all(&told("v2", &[3, 4]), ms(0));
+    let [StreamsOfOrigin { origin: passed_on, streams }] = &table.since(sent)[..] else {
+        panic!("one origin")
+    };
+    assert_eq!(*passed_on, origin("v2"));
+    assert_eq!(streams.len(), 2);
+    assert_eq!(table.get(2, ms(0)), Some(&origin("v2")));
+    assert_eq!(table.all().iter().map(|told| told.streams.len()).sum::<usize>(), 4);
+}
+
+/// The presumed version of a stream of which nobody was told.
+fn presumed(versions: &SoftwareVersions, now: Duration) -> Option<&str> {
+    versions.presumed("llm", now).map(String::as_str)
+}
+
+// Guards against a guess: such a stream began before versions were mixed, or at an unknown one.
+#[test]
+fn untold_streams_are_presumed_to_have_begun_before_versions_were_mixed() {
+    let mut versions = SoftwareVersions::default();
+    assert_eq!(presumed(&versions, ms(0)), None);
+    versions.add(&listed("i-1", "v1"));
+    assert!(!versions.changed(ms(0)));
+    assert_eq!(presumed(&versions, STREAM_TTL * 9), Some("v1"));
+    versions.add(&listed("i-2", "v2"));
+    let mixed_at = STREAM_TTL * 10;
+    assert!(versions.changed(mixed_at), "versions began to differ");
+    assert!(!versions.changed(mixed_at + ms(5)));
+    assert_eq!(presumed(&versions, mixed_at + STREAM_TTL - ms(1)), Some("v1"));
+    assert_eq!(presumed(&versions, mixed_at + STREAM_TTL), None);
+    versions.remove(&listed("i-1", "v1"));
+    versions.changed(mixed_at + ms(10));
+    assert_eq!(presumed(&versions, mixed_at + ms(10)), Some("v2"));
+}
+
+#[test]
+fn a_process_that_finds_versions_mixed_presumes_none() {
+    let mut versions = SoftwareVersions::default();
+    let both = [listed("i-1", "v1"), listed("i-2", "v2")];
+    versions.replace(both.iter(), ms(0));
+    assert_eq!((versions.is_mixed("llm"), presumed(&versions, ms(1))), (true, None));
+}
+
+// Guards against replicas that answer for streams of which they may not have been told.
+#[test]
+fn a_replica_presumes_only_what_it_would_have_been_told() {
+    let directory = StreamDirectory::new(ms(0));
+    directory.observe_roster([listed("i-1", "v1")].iter(), ms(0));
+    assert_eq!(directory.find(&lookup(1), true, ms(10)), None, "it has just started");
+    directory.told_by_replica(&told("v2", &[1]), ms(10));
+    assert_eq!(directory.find(&lookup(1), false, ms(10)), Some(origin("v2")), "it was told");
+    directory.told_all();
+    assert_eq!(directory.find(&lookup(2), true, ms(10)), Some(origin("v1")));
+    assert_eq!(directory.find(&lookup(2), false, ms(10)), None, "its roster may be old");
+    let later = StreamDirectory::new(ms(0));
+    later.observe_roster([listed("i-1", "v1")].iter(), ms(0));
+    assert_eq!(later.find(&lookup(2), true, STREAM_TTL), Some(origin("v1")));
+}
