Don't take an entry for cut off that lacks targets of one software version

Callers of a cut entry were refused for a second after a stream had been forwarded whose version has no other target: the entry that was asked found none, and its answer was taken for a lost path to the whole service. new_streams_are_forwarded_after_one_whose_software_version_is_gone failed with 503 and passes; a forwarded stream that is resumed by another entry has a test, too.

--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -252,7 +252,10 @@
             return None;
         }
         ForwardedResult::NoTarget => {
-            gateway.peers.borrow_mut().has_no_path(ip, &routed.service, boot_now());
+            // It may lack only targets of the software version that is needed.
+            if routed.software.is_none() {
+                gateway.peers.borrow_mut().has_no_path(ip, &routed.service, boot_now());
+            }
             return None;
         }
         ForwardedResult::OldWeights => {
--- a/tests/deployment/forwarding.rs
+++ b/tests/deployment/forwarding.rs
@@ -21,6 +21,7 @@
 use crate::gateway::{
     PROMPT, Response, deployment_with_long_timeouts, event_stream, ok_response, run_local,
 };
+use crate::platform_stand_in::target::FIRST_SOFTWARE;
 use crate::restarts::EVENT_TIMEOUT;
 use crate::stand_in::{AfterAnswer, Script, StandIn, header};
 
@@ -244,6 +245,18 @@
     scripts: Vec<Script>,
     sound_count: u8,
     network: u8,
+) -> System {
+    start_with_software(cut, service, scripts, &[FIRST_SOFTWARE], sound_count, network).await
+}
+
+/// The same with the software versions of the targets, in turn.
+async fn start_with_software(
+    cut: Cut,
+    service: &str,
+    scripts: Vec<Script>,
+    software: &[&str],
+    sound_count: u8,
+    network: u8,
 ) -> System {
     let (mut targets, mut reachable, mut unreachable) = (Vec::new(), Vec::new(), Vec::new());
     let mut addresses = Vec::new();
@@ -251,8 +264,12 @@
         let id = format!("i-{n}");
         let stand_in = StandIn::start(script).await;
         let cut_address = CutAddress::new(cut).await;
-        reachable.push(target(&id, service, stand_in.address));
-        unreachable.push(target(&id, service, cut_address.address));
+        let listed = |address| Listed {
+            software: software[n % software.len()].to_string(),
+            ..target(&id, service, address)
+        };
+        reachable.push(listed(stand_in.address));
+        unreachable.push(listed(cut_address.address));
         targets.push(stand_in);
         addresses.push(cut_address);
     }
@@ -443,6 +460,55 @@
     });
 }
 
+// Guards against forwarded streams that go on at another software version.
+#[test]
+fn a_forwarded_stream_is_resumed_at_the_software_version_that_began_it() {
+    run_local(async {
+        let begun = event_stream(&["id: 1\ndata: x\n\n"], false);
+        let scripts = vec![vec![(begun, AfterAnswer::Hang)]; 4];
+        let versions = [FIRST_SOFTWARE, "v2"];
+        let mut system = start_with_software(Cut::Refused, "llm", scripts, &versions, 2, 150).await;
+        let mut caller = system.cut.send("/resumable/", "r1", PROMPT).await;
+        let mut received = read_until(&mut caller, "data: x").await;
+        let first = system.targets.iter().position(|target| target.request_count() == 1);
+        let first = first.expect("a target has begun the stream");
+        let rest = answers(event_stream(&["id: 2\ndata: y\n\n"], true), 1);
+        system.targets.iter().for_each(|target| target.set_script(rest.clone()));
+        let begun_at = &system.targets[first];
+        let forwarding = system.sound.iter().position(|entry| entry.has_connection_to(begun_at));
+        system.sound.remove(forwarding.expect("one of them forwards the stream"));
+        caller.read_to_string(&mut received).await.expect("the stream ends");
+        let is_whole = received.contains("data: y") && received.ends_with("0\r\n\r\n");
+        assert!(is_whole, "{received}\n{}", system.cut.log());
+        let same_version = &system.targets[(first + 2) % 4];
+        assert_eq!((same_version.request_count(), requests(&system)), (1, 2));
+    });
+}
+
+// Guards against an entry that takes others for cut off since they lack targets of one version.
+#[test]
+fn new_streams_are_forwarded_after_one_whose_software_version_is_gone() {
+    run_local(async {
+        let begun = event_stream(&["id: 1\ndata: x\n\n"], false);
+        let scripts = vec![vec![(begun, AfterAnswer::Hang)]; 2];
+        let versions = [FIRST_SOFTWARE, "v2"];
+        let mut system = start_with_software(Cut::Refused, "llm", scripts, &versions, 2, 160).await;
+        let mut caller = system.cut.send("/resumable/", "r1", PROMPT).await;
+        let mut received = read_until(&mut caller, "data: x").await;
+        let whole = answers(event_stream(&["id: 1\ndata: y\n\n"], true), 1);
+        system.targets.iter().for_each(|target| target.set_script(whole.clone()));
+        let begun_at = system.targets.iter().find(|target| target.request_count() == 1);
+        let begun_at = begun_at.expect("a target has begun the stream");
+        let forwarding = system.sound.iter().position(|entry| entry.has_connection_to(begun_at));
+        system.sound.remove(forwarding.expect("one of them forwards the stream"));
+        // The stream breaks, as no other target has its version.
+        let _ = caller.read_to_string(&mut received).await;
+        assert_eq!(requests(&system), 1, "{received}");
+        let got = system.cut.call_with("/stream/", "r2", PROMPT).await;
+        assert_eq!(got.status, 200, "{}\n{}", got.text, system.cut.log());
+    });
+}
+
 // Guards against a planned stop of an entry that cuts off what it forwards for others.
 #[test]
 fn an_entry_that_stops_finishes_what_it_forwards_and_takes_no_more() {
--- a/tests/deployment/software_versions.rs
+++ b/tests/deployment/software_versions.rs
@@ -215,13 +215,8 @@
  {
     let engines = ["i-1", "i-2", "i-3", "i-4"];
     let mut deployment = TestDeployment::start_with_entries(2, &engines, Vec::new(), 243).await;
-    {
-        let mut platform = deployment.platform.lock();
-        for id in ["i-3", "i-4"] {
-            let engine = platform.targets.get_mut(id).expect("the engine was started");
-            engine.software = LATER_SOFTWARE.to_string();
-        }
-        platform.list_changed();
+    for id in ["i-3", "i-4"] {
+        deployment.platform.set_software(id, LATER_SOFTWARE);
     }
     let first_entry = deployment.system.caller_address(0);
     let second_entry = deployment.system.caller_address(1);
--- a/tests/platform_stand_in/starts.rs
+++ b/tests/platform_stand_in/starts.rs
@@ -64,6 +64,15 @@
         address
     }
 
+    /// Changes the software version of a target that has just started.
+    pub fn set_software(&self, id: &str, software: &str) {
+        let mut inner = self.lock();
+        if let Some(target) = inner.targets.get_mut(id) {
+            target.software = software.to_string();
+        }
+        inner.list_changed();
+    }
+
     /// Makes an engine cold after its start, if engines are, and lists it as warm later.
     fn start_cold(&self, inner: &Inner, target: &mut Target) {
         let Some(cold_start) = inner.cold_start.filter(|_| target.weights.is_some()) else {
