--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -270,6 +270,7 @@
         elapsed: Duration::ZERO,
         avoid: Vec::new(),
         allowed_domains: AllowedDomains::All,
+        software: None,
     }
 }
 
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use http::Request;
+use http::request::Builder;
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
@@ -20,6 +21,7 @@
 use crate::platform_stand_in::target::{ISOLATED_ACCOUNT, expected_body, expected_event};
 use crate::quarantine::HELD_MESSAGE;
 use crate::system::Disturbance;
+use crate::taken_up_streams::{self, BrokenStream};
 
 /// Deadline of a request.
 const DEADLINE: Duration = Duration::from_secs(4);
@@ -46,6 +48,10 @@
     pub refused: AtomicU64,
     /// Failed or truncated answers, and failed connections.
     pub failed: AtomicU64,
+    /// Broken streams that callers took up.
+    pub taken_up: AtomicU64,
+    /// Those of them that went on.
+    pub gone_on: AtomicU64,
     /// Requests that were held although they terminate no target.
     pub held: AtomicU64,
 }
@@ -66,7 +72,7 @@
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
-enum RequestKind {
+pub enum RequestKind {
     Unsafe,
     Safe,
     Stream,
@@ -98,7 +104,7 @@
 }
 
 /// Result of a request for its caller.
-enum Outcome {
+pub enum Outcome {
     /// An answer, with the stamp of the run; `is_whole` tells whether the body is complete.
     Answer { status: u16, stamp: Option<String>, body: Bytes, is_whole: bool },
     /// The connection failed, or there was no answer.
@@ -108,7 +114,7 @@
 }
 
 /// A persistent connection to an entry.
-struct KeptConnection {
+pub struct KeptConnection {
     entry: usize,
     sender: SendRequest<Full<Bytes>>,
 }
@@ -143,7 +149,7 @@
     }
 }
 
-async fn connect(harness: &Harness, random: &mut SmallRng) -> Option<KeptConnection> {
+pub async fn connect(harness: &Harness, random: &mut SmallRng) -> Option<KeptConnection> {
     let (entry, address) = {
         let system = harness.system();
         let entry = random.random_range(0..system.entries());
@@ -173,24 +179,11 @@
     let events = random.random_range(1..30);
     let (account, key) = ACCOUNTS[random.random_range(0..ACCOUNTS.len())];
     let context = random.random_range(0..CONTEXTS);
-    let mut builder = Request::builder()
-        .method("POST")
-        .uri(kind.path())
-        .header("host", "shop.example")
-        .header("x-request-id", &request_id)
-        .header("x-deadline-ms", DEADLINE.as_millis() as u64)
-        .header("authorization", format!("Bearer {key}"))
-        // Headers that callers must not be able to set.
-        .header("x-tenant", "somebody-else")
-        .header("x-cache-salt", "another-wall");
+    let mut builder = request_builder(kind, &request_id, key);
     if kind.is_stream() {
-        builder = builder
-            .header("x-model", "m")
-            .header("x-token-count", format!("1200,{events}"))
-            .header("x-prompt-prefix", format!("c{context}:1000,{request_id}:200"));
+        builder = add_prompt(builder, events, &format!("c{context}:1000,{request_id}:200"));
     }
-    let body = Full::new(Bytes::from_static(b"a question"));
-    let message = builder.body(body).expect("valid headers");
+    let message = with_question(builder);
     let leaves_after = (random.random_ratio(1, ABANDON_ONE_IN))
         .then(|| Duration::from_millis(random.random_range(1..200)));
     harness.request_counts.sent.fetch_add(1, Ordering::Relaxed);
@@ -210,10 +203,46 @@
         sent_at,
     };
     request_check.check(&outcome);
+    if let (RequestKind::Resumable, Outcome::Answer { status: 200, body, is_whole: false, .. }) =
+        (kind, &outcome)
+    {
+        let broken = BrokenStream { id: request_check.request_id, events, key, received: body };
+        taken_up_streams::take_up(harness, &broken, random).await;
+    }
     matches!(outcome, Outcome::Answer { is_whole: true, .. }).then_some(connection)
 }
 
-async fn receive_answer(connection: &mut KeptConnection, message: Request<Full<Bytes>>) -> Outcome {
+/// The headers of a request.
+pub fn request_builder(kind: RequestKind, request_id: &str, key: &str) -> Builder {
+    Request::builder()
+        .method("POST")
+        .uri(kind.path())
+        .header("host", "shop.example")
+        .header("x-request-id", request_id)
+        .header("x-deadline-ms", DEADLINE.as_millis() as u64)
+        .header("authorization", format!("Bearer {key}"))
+        // Headers that callers must not be able to set.
+        .header("x-tenant", "somebody-else")
+        .header("x-cache-salt", "another-wall")
+}
+
+/// Adds the headers of a prompt.
+pub fn add_prompt(builder: Builder, events: u64, parts: &str) -> Builder {
+    builder
+        .header("x-model", "m")
+        .header("x-token-count", format!("1200,{events}"))
+        .header("x-prompt-prefix", parts)
+}
+
+/// Completes a request.
+pub fn with_question(builder: Builder) -> Request<Full<Bytes>> {
+    builder.body(Full::new(Bytes::from_static(b"a question"))).expect("valid headers")
+}
+
+pub async fn receive_answer(
+    connection: &mut KeptConnection,
+    message: Request<Full<Bytes>>,
+) -> Outcome {
     // Entries answer at the deadline at the latest.
     let answer_timeout = DEADLINE + Duration::from_secs(3);
     let answer =
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -27,6 +27,8 @@
 const CATCH_UP_TIME: Duration = Duration::from_secs(8);
 /// Time from the start of a drain to the termination of the target.
 const DRAIN_TIME: Duration = Duration::from_secs(15);
+/// Software versions of targets, in turn.
+const SOFTWARE_VERSIONS: [&str; 2] = ["v1", "v2"];
 /// Number of model engines.
 const ENGINES: usize = 4;
 /// Number of instances of the plain service.
@@ -107,6 +109,8 @@
         let platform = &self.harness.platform;
         let listed = Some(proxy.address);
         let address = platform.start_target(&id, service, &zone, any_address, listed).await;
+        let software = SOFTWARE_VERSIONS[self.started_targets as usize % SOFTWARE_VERSIONS.len()];
+        platform.set_software(&id, software);
         proxy.redirect(address);
         self.targets.insert(id, proxy);
     }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -20,6 +20,7 @@
 mod proxy;
 mod quarantine;
 mod system;
+mod taken_up_streams;
 mod target_recovery;
 
 use std::net::SocketAddr;
@@ -238,6 +239,7 @@
         }
         drop(platform);
         violations.extend(limits::excesses(self));
+        violations.extend(taken_up_streams::violations(self));
         if repeats as f64 > max_repeats {
             self.record_violation(format!("{repeats} repeated runs, the limit is {max_repeats}"));
         }
@@ -327,7 +329,8 @@
     let load = |count: &AtomicU64| count.load(Ordering::Relaxed);
     format!(
         "sent={} whole={} refused={} failed={} faults={} restarts={} orders={} freed={} fetched={} \
-         cold_bursts={} judged={} finals={} ending={} ends={} held={} cuts={} rejected={} overruns={} seconds={}",
+         cold_bursts={} judged={} finals={} ending={} ends={} held={} cuts={} rejected={} overruns={} \
+         taken_up={} gone_on={} mixed={} seconds={}",
         load(&harness.request_counts.sent),
         load(&harness.request_counts.completed),
         load(&harness.request_counts.refused),
@@ -351,6 +354,9 @@
         load(&harness.cuts_judged),
         platform.observations.rejections,
         platform.observations.overruns.len(),
+        load(&harness.request_counts.taken_up),
+        load(&harness.request_counts.gone_on),
+        platform.observations.mixed_streams.len(),
         started.elapsed().as_secs(),
     )
 }
