Ask replicas that connect again for the streams that they know; move rosters of entries to a module of their own

A replica drops what it can't send while a connection is lost, so the other one could take a stream for untold. Found by reading; the window is that of a lost connection.

--- a/src/control/publisher.rs
+++ b/src/control/publisher.rs
@@ -77,6 +77,8 @@
     match tokio::time::timeout(HANDSHAKE_TIMEOUT, handshake).await?? {
         Handshake::Replica { node, ip, failure_domain } => {
             shared.links.host_reachable(ip);
+            // What the sender told while its connection was lost has been dropped.
+            shared.links.send(ip, encode(&ReplicaFrame::StreamsRequested));
             shared.domains.send_if_modified(|known| {
                 known.insert(ip, failure_domain.clone()).as_ref() != Some(&failure_domain)
             });
--- a/src/fleet/compact.rs
+++ b/src/fleet/compact.rs
@@ -1,6 +1,5 @@
 //! Compact encoding of target lists: names of services, failure domains, models and software
-//! versions are sent once
-//! and referred to by index. A target takes some 30 bytes in place of 73.
+//! versions are sent once and referred to by index. A target takes some 30 bytes in place of 73.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod attempt;
 pub mod attempts;
+mod entry_roster;
 pub mod events;
 pub mod forwarding;
 pub mod freshness;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -9,27 +9,27 @@
 
 use tokio::sync::{Notify, watch};
 
+use super::entry_roster::RosterMismatch;
 use super::freshness::{Freshness, Verdict};
 use super::log_limiter::RequestLogLimiter;
 use super::peers::Peers;
-use super::pool::{Connection, Pool};
+use super::pool::Pool;
 use super::request_record::RequestRecord;
 use super::routed_request::RoutedRequest;
 use super::scheduler_client::SchedulerClient;
 use super::stream_origin::StreamLookups;
-use super::subscription_policy::{HeldRoster, Subscriptions};
+use super::subscription_policy::Subscriptions;
 use crate::clock::{BootTime, boot_now};
-use crate::control::frames::{ConfirmId, RosterVersion, Update, VersionedRoster};
-use crate::control::pieces::{Assembly, Piece, PieceError};
+use crate::control::frames::{ConfirmId, Update};
+use crate::control::pieces::Assembly;
 use crate::deployment::document::DeploymentVersion;
 use crate::deployment::{Deployment, RoutingTable};
 use crate::fleet::budget::{RetryBudget, RetryLimit};
-use crate::fleet::compact::UnknownName;
 use crate::fleet::news::NewsTable;
 use crate::fleet::paths::Paths;
 use crate::fleet::rate::IndependentShare;
 use crate::fleet::streams::StreamTable;
-use crate::fleet::{FleetView, Listed, Presence, RosterChange};
+use crate::fleet::{FleetView, RosterChange};
 use crate::host::HostSettings;
 use crate::ids::{ServiceId, TargetStart};
 use crate::log::Term;
@@ -47,25 +47,6 @@
 /// replica takes.
 const LOG_STALE_AFTER: Duration = Duration::from_secs(1);
 
-/// A roster update that does not apply to the roster held here.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, snafu::Snafu)]
-#[snafu(display("the change does not apply to the known roster"))]
-pub struct RosterMismatch;
-
-impl From<UnknownName> for RosterMismatch {
-    fn from(error: UnknownName) -> RosterMismatch {
-        log::warn!("event=targets_damaged reason={:?}", error.to_string());
-        RosterMismatch
-    }
-}
-
-impl From<PieceError> for RosterMismatch {
-    fn from(error: PieceError) -> RosterMismatch {
-        log::warn!("event=targets_damaged reason={:?}", error.to_string());
-        RosterMismatch
-    }
-}
-
 /// Whether a deployment is known to be the newest one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Confirmation {
@@ -123,9 +104,9 @@
     /// Chooses the replicas to subscribe to.
     pub subscriptions: RefCell<Subscriptions>,
     /// The number of the complete roster in use; 0 if there is none yet.
-    roster_number: Cell<u64>,
+    pub(super) roster_number: Cell<u64>,
     /// A roster that has been received in part.
-    assembly: RefCell<Assembly>,
+    pub(super) assembly: RefCell<Assembly>,
     /// Weight versions that were announced for each model, and when.
     pub rollouts: RefCell<RolloutHistories>,
     /// When the last heartbeat of a replica arrived.
@@ -137,7 +118,7 @@
     /// Makes this entry's shares of limited targets independent of those of other entries.
     share_seed: u64,
     /// Notified when a deployment, targets or a confirmation arrive.
-    state_changed: Notify,
+    pub(super) state_changed: Notify,
     /// Whether a shutdown has begun.
     pub stopping: Cell<bool>,
     /// Number of requests in progress.
@@ -312,19 +293,6 @@
         self.last_heartbeat.set(Some(boot_now()));
     }
 
-    /// The name of the complete roster in use.
-    pub fn roster_name(&self) -> RosterVersion {
-        match self.roster_number.get() {
-            0 => RosterVersion::default(),
-            number => RosterVersion { number, digest: self.fleet.borrow().listed().digest() },
-        }
-    }
-
-    /// Whether a target is listed.
-    pub fn is_listed(&self, target: &TargetStart) -> bool {
-        self.fleet.borrow().listed().get(target).is_some()
-    }
-
     /// Applies an update from a replica. Updates older than the known state have no effect.
     ///
     /// # Errors
@@ -410,89 +378,6 @@
         }
     }
 
-    /// Marks targets as leaving if any roster says so, even one that is not the latest: replicas
-    /// may disagree for a while about which roster that is.
-    fn observe_leaving<'a>(&self, listed: impl Iterator<Item = &'a Listed>) {
-        let leaving = listed.filter(|listed| listed.presence == Presence::Leaving);
-        self.fleet.borrow_mut().mark_leaving(leaving.map(|listed| &listed.start));
-    }
-
-    /// The complete and partial rosters held here.
-    pub fn held_roster(&self) -> HeldRoster {
-        HeldRoster { whole: self.roster_name(), part: self.assembly.borrow().progress() }
-    }
-
-    /// Adds a piece of a roster. Until the first roster is complete, the targets of each piece are
-    /// usable at once.
-    fn observe_piece(&self, piece: &Piece) -> Result<(), PieceError> {
-        if piece.of <= self.roster_name() {
-            return Ok(());
-        }
-        let listed = piece.listed()?;
-        if !self.has_roster() {
-            self.fleet.borrow_mut().add_partial(&listed);
-            self.state_changed.notify_waiters();
-        }
-        self.observe_leaving(listed.iter().map(AsRef::as_ref));
-        let whole = self.assembly.borrow_mut().take(piece)?;
-        whole.into_iter().for_each(|roster| self.replace_roster(roster));
-        Ok(())
-    }
-
-    /// Applies a complete roster, which is ignored unless it is later than the known one.
-    pub fn observe_roster(&self, roster: VersionedRoster) {
-        self.observe_leaving(roster.roster.iter());
-        self.replace_roster(roster);
-    }
-
-    fn replace_roster(&self, roster: VersionedRoster) {
-        if roster.version() <= self.roster_name() {
-            return;
-        }
-        self.fleet.borrow_mut().update(&roster.roster);
-        *self.assembly.borrow_mut() = Assembly::default();
-        self.subscriptions.borrow_mut().roster_complete();
-        self.roster_replaced(roster.number);
-    }
-
-    /// Applies the change from the roster `before` to the roster `version`.
-    fn observe_roster_change(
-        &self,
-        before: RosterVersion,
-        version: RosterVersion,
-        change: RosterChange,
-    ) -> Result<(), RosterMismatch> {
-        self.observe_leaving(change.changed.iter().map(AsRef::as_ref));
-        let known = self.roster_name();
-        if known >= version {
-            return Ok(());
-        }
-        let digest = self.fleet.borrow().listed().digest_after(&change);
-        if known != before || digest != version.digest {
-            return Err(RosterMismatch);
-        }
-        self.fleet.borrow_mut().apply(change);
-        self.roster_replaced(version.number);
-        Ok(())
-    }
-
-    fn roster_replaced(&self, number: u64) {
-        self.roster_number.set(number);
-        if self.fleet.borrow_mut().software_changed(boot_now()) {
-            // Streams that began before are told as well, as they may be taken up elsewhere from now on.
-            self.streams.send_modify(|_| {});
-        }
-        self.state_changed.notify_waiters();
-        self.pool.retain(|target| self.is_listed(target));
-    }
-
-    /// Returns a connection to the pool if the target is still in the roster.
-    pub fn return_connection(&self, target: &TargetStart, connection: Connection) {
-        if self.is_listed(target) {
-            self.pool.put_idle(target, connection);
-        }
-    }
-
     fn observe_deployment(&self, deployment: Arc<Deployment>) {
         let mut table = self.table.borrow_mut();
         let known = table.as_ref().map(|table| table.deployment().version);
