Test of killed entries: addresses of its own

It failed in three of three runs of all tests: its second entry could not bind an address that a test of rate limits uses at the same time ("Address already in use" in its log). Nothing else of the test changed.

--- a/tests/deployment/software_versions.rs
+++ b/tests/deployment/software_versions.rs
@@ -214,7 +214,7 @@
 async fn streams_are_taken_up_at_their_software_version_after_their_entry_and_the_leader_were_killed()
  {
     let engines = ["i-1", "i-2", "i-3", "i-4"];
-    let mut deployment = TestDeployment::start_with_entries(2, &engines, Vec::new(), 243).await;
+    let mut deployment = TestDeployment::start_with_entries(2, &engines, Vec::new(), 246).await;
     for id in ["i-3", "i-4"] {
         deployment.platform.set_software(id, LATER_SOFTWARE);
     }
