Answer for untold streams from the first start of a deployment on

Streams that began before the first engine of another version was listed, and whose entry was killed just then, were refused in the first 30 s of a deployment: replicas that had just started didn't take themselves for complete. At a first start there is nothing to be told. Found by reading; the test of what replicas presume has the case. A change of the roster no longer copies the names of all services and versions.

--- a/src/control/run.rs
+++ b/src/control/run.rs
@@ -106,7 +106,7 @@
         quarantine: watch::Sender::new(quarantine_file::load(&folder)),
         suspects: watch::Sender::default(),
         news: watch::Sender::default(),
-        stream_directory: StreamDirectory::new(boot_now()),
+        stream_directory: StreamDirectory::new(host.is_first_start, boot_now()),
         links,
         seeds: RefCell::new(seeds),
     });
--- a/src/control/stream_directory.rs
+++ b/src/control/stream_directory.rs
@@ -21,18 +21,20 @@
     pub streams: watch::Sender<StreamTable>,
     software: RefCell<SoftwareVersions>,
     started_at: BootTime,
-    /// Whether another replica that knows all streams has told this one.
+    /// Whether there was no stream before this process started, or a replica that knows all has told
+    /// this one.
     was_told: Cell<bool>,
 }
 
 impl StreamDirectory {
-    /// Creates the directory of a replica that has just started.
-    pub fn new(now: BootTime) -> StreamDirectory {
+    /// Creates the directory of a replica that has just started, at the first start of the deployment
+    /// or later.
+    pub fn new(is_first_start: bool, now: BootTime) -> StreamDirectory {
         StreamDirectory {
             streams: watch::Sender::default(),
             software: RefCell::default(),
             started_at: now,
-            was_told: Cell::new(false),
+            was_told: Cell::new(is_first_start),
         }
     }
 
--- a/src/fleet/software.rs
+++ b/src/fleet/software.rs
@@ -26,8 +26,14 @@
 
 impl SoftwareVersions {
     pub fn add(&mut self, listed: &Listed) {
-        let service = self.services.entry(listed.service.clone()).or_default();
-        *service.counts.entry(listed.software.clone()).or_default() += 1;
+        if !self.services.contains_key(&listed.service) {
+            self.services.insert(listed.service.clone(), ServiceSoftware::default());
+        }
+        let Some(service) = self.services.get_mut(&listed.service) else { return };
+        match service.counts.get_mut(&listed.software) {
+            Some(count) => *count += 1,
+            None => drop(service.counts.insert(listed.software.clone(), 1)),
+        }
     }
 
     pub fn remove(&mut self, listed: &Listed) {
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -45,7 +45,7 @@
     /// listed. They may be listed later, or again.
     announced_leaving: FxHashMap<TargetStart, u32>,
     evacuated: EvacuatedDomains,
-    /// Of the listed targets.
+    /// The software versions of the listed targets.
     software: SoftwareVersions,
     /// What the targets of each service bear while they are cold. Services without limit are absent.
     cold_starts: HashMap<ServiceId, ColdStart>,
--- a/tests/deployment/scheduler_service.rs
+++ b/tests/deployment/scheduler_service.rs
@@ -70,7 +70,7 @@
         quarantine: watch::Sender::default(),
         suspects: watch::Sender::default(),
         news: watch::Sender::default(),
-        stream_directory: StreamDirectory::new(ms(0)),
+        stream_directory: StreamDirectory::new(false, ms(0)),
         links: Rc::new(Links::new(1, ip, "hall".into(), 1)),
         seeds: RefCell::default(),
     }
--- a/tests/deployment/stream_origins.rs
+++ b/tests/deployment/stream_origins.rs
@@ -111,7 +111,7 @@
 // Guards against replicas that answer for streams of which they may not have been told.
 #[test]
 fn a_replica_presumes_only_what_it_would_have_been_told() {
-    let directory = StreamDirectory::new(ms(0));
+    let directory = StreamDirectory::new(false, ms(0));
     directory.observe_roster([listed("i-1", "v1")].iter(), ms(0));
     assert_eq!(directory.find(&lookup(1), true, ms(10)), None, "it has just started");
     directory.told_by_replica(&told("v2", &[1]), ms(10));
@@ -119,7 +119,10 @@
     directory.told_all();
     assert_eq!(directory.find(&lookup(2), true, ms(10)), Some(origin("v1")));
     assert_eq!(directory.find(&lookup(2), false, ms(10)), None, "its roster may be old");
-    let later = StreamDirectory::new(ms(0));
+    let later = StreamDirectory::new(false, ms(0));
     later.observe_roster([listed("i-1", "v1")].iter(), ms(0));
     assert_eq!(later.find(&lookup(2), true, STREAM_TTL), Some(origin("v1")));
+    let first = StreamDirectory::new(true, ms(0));
+    first.observe_roster([listed("i-1", "v1")].iter(), ms(0));
+    assert_eq!(first.find(&lookup(2), true, ms(10)), Some(origin("v1")), "there was none before");
 }
