--- a/tests/deployment/stream_origins.rs
+++ b/tests/deployment/stream_origins.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use kumquatpost::control::frames::StreamLookup;
+use kumquatpost::control::frames::{StreamLookup, SubscriberRequest, encode};
 use kumquatpost::control::stream_directory::StreamDirectory;
 use kumquatpost::fleet::Listed;
 use kumquatpost::fleet::software::SoftwareVersions;
@@ -126,3 +126,11 @@
     first.observe_roster([listed("i-1", "v1")].iter(), ms(0));
     assert_eq!(first.find(&lookup(2), true, ms(10)), Some(origin("v1")), "there was none before");
 }
+
+#[test]
+fn a_told_stream_takes_about_ten_bytes() {
+    let streams: Vec<StreamKey> = (0..100).map(|n| stream_key(None, &format!("r{n}"))).collect();
+    let frame = encode(&SubscriberRequest::Streams(told("v1.2", &streams)));
+    // A key takes up to ten bytes, and the names are sent once.
+    assert!(frame.len() <= 100 * 10 + 50, "{}", frame.len());
+}
