Don't limit a target to a rate of zero that rejected a request before it was known as brittle

A leading replica ended with a panic ("cannot convert float seconds to Duration") in its scheduler's dispatch: all prompts waited for the next leader, whose scheduler could end the same way.

Cause: an engine may reject a prompt before any answer tells that it is brittle. The rate after the rejection is a fraction of what it bears, then unknown and taken for zero; once it is known as brittle, the interval between its prompts is infinite. The lowest rate now follows what the target bears at the time it is asked for, which has a lower bound. The test panicked before; no limit that is known at the rejection changes.

--- a/src/fleet/brittle.rs
+++ b/src/fleet/brittle.rs
@@ -74,8 +74,7 @@
             return;
         }
         let held = self.max_held(at).map_or(held, |known| known.min(held));
-        let lowest =
-            self.bears.get().map_or(0.0, |bears| bears.requests_per_s * FIRST_RATE_FRACTION);
+        let lowest = self.bears.get().map_or(0.0, first_rate);
         let half = self.rate_limit(at).map(|limit| (limit.requests_per_s / 2.0).max(lowest));
         let was_stable = self.rejected.is_some_and(|known| at >= known.at + STABLE_AFTER);
         self.rejected = Some(Rejection {
@@ -95,8 +94,10 @@
 
     /// The rate of requests from all hosts together after a rejection; `None` if it is not limited.
     pub fn rate_limit(&self, now: BootTime) -> Option<RateLimit> {
-        self.bears.get()?;
+        // It may have become known as brittle only after the rejection.
+        let lowest = first_rate(self.bears.get()?);
         let Rejection { at, first_per_s, threshold_per_s, .. } = self.rejected?;
+        let first_per_s = first_per_s.max(lowest);
         let open_for = now.saturating_sub(at + CLOSED_FOR);
         // Continuous, so that the shares of entries don't all rise at the same moment.
         let rises = open_for.as_secs_f64() / RISE_INTERVAL.as_secs_f64();
@@ -128,3 +129,8 @@
         Some(held.saturating_add(raised as u32))
     }
 }
+
+/// The lowest rate of requests per second after a rejection by a target that bears this many.
+fn first_rate(bears: RateLimit) -> f64 {
+    bears.requests_per_s * FIRST_RATE_FRACTION
+}
--- a/tests/deployment/brittle_targets.rs
+++ b/tests/deployment/brittle_targets.rs
@@ -3,9 +3,11 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use kumquatpost::fleet::news::{TargetEvent, TargetNews};
 use kumquatpost::fleet::rate::{IndependentShare, RateLimit};
 use kumquatpost::fleet::{Dispatch, FleetView, Listed};
 use kumquatpost::gateway::metadata::TargetLoad;
+use kumquatpost::scheduler::{EndReason, PlacementError, PlacementEvent};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
@@ -13,6 +15,7 @@
 use crate::gateway::{
     PROMPT, deployment_with_long_timeouts, event_stream, ok_response, run_local, start_entry,
 };
+use crate::load::{end_placement, expect_placed, placement_request, scheduler};
 use crate::platform_stand_in::limits::KNOWN_WITHIN;
 use crate::restarts::{TestDeployment, send_prompt};
 use crate::stand_in::{AfterAnswer, Script, StandIn};
@@ -236,3 +239,21 @@
         }
     }
 }
+
+// Guards against a scheduler that ends with its replica: an engine rejected a prompt before any answer
+// told that it is brittle, so its rate after the rejection was zero.
+#[test]
+fn a_rejection_by_an_engine_that_turns_out_to_be_brittle_limits_its_rate_and_does_not_close_it() {
+    let mut scheduler = scheduler(1);
+    let first = expect_placed(scheduler.submit(1, placement_request(2, 1, 1), ms(10)));
+    end_placement(&mut scheduler, first.ticket, EndReason::Rejected, ms(20));
+    let bears = RateLimit { requests_per_s: MAX_REJECTIONS as f64 };
+    let event = TargetEvent::Brittle(Some(bears));
+    let news = TargetNews { target: first.target, event, age: Duration::ZERO };
+    scheduler.observe(&PlacementEvent::News(news), ms(30));
+    let second = expect_placed(scheduler.submit(2, placement_request(2, 2, 2), ms(400)));
+    end_placement(&mut scheduler, second.ticket, EndReason::Completed, ms(410));
+    let third = scheduler.submit(3, placement_request(2, 3, 3), ms(411));
+    assert!(matches!(third, Some(Err(PlacementError::Limited(_)))), "{third:?}");
+    expect_placed(scheduler.submit(4, placement_request(2, 4, 4), ms(1_500)));
+}
