Test of cut entries: keep the ports at which connections are refused

Two tests of forwarding failed together in a run of all tests, one with the answer of the other: 31 requests in place of 30. The address at which connections are refused was a port that had been given back, so that the target of another test could get it. The port stays bound now, without a listener; connections to it are refused as before.

--- a/tests/deployment/forwarding.rs
+++ b/tests/deployment/forwarding.rs
@@ -43,28 +43,27 @@
 /// An address that is cut off. Keep it for as long as it is used.
 struct CutAddress {
     address: SocketAddr,
-    _listener: Option<Socket>,
+    _socket: Socket,
     _pending: Vec<TcpStream>,
 }
 
 impl CutAddress {
     async fn new(cut: Cut) -> CutAddress {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+        socket.bind(&any.into()).expect("a port");
+        let address = socket.local_addr().expect("an address").as_socket().expect("an IP");
+        let mut pending = Vec::new();
         if cut == Cut::Refused {
-            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-            let address = listener.local_addr().expect("an address");
-            return CutAddress { address, _listener: None, _pending: Vec::new() };
+            // Connections are refused, as it doesn't listen, and no other test gets the port.
+            return CutAddress { address, _socket: socket, _pending: pending };
         }
         // The kernel doesn't answer connections to a listener whose backlog is full.
-        let listener = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-        let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
-        listener.bind(&any.into()).expect("a port");
-        listener.listen(0).expect("it listens");
-        let address = listener.local_addr().expect("an address").as_socket().expect("an IP");
-        let mut pending = Vec::new();
+        socket.listen(0).expect("it listens");
         while let Ok(connected) = tokio::time::timeout(ms(100), TcpStream::connect(address)).await {
             pending.push(connected.expect("a connection"));
         }
-        CutAddress { address, _listener: Some(listener), _pending: pending }
+        CutAddress { address, _socket: socket, _pending: pending }
     }
 }
 
