Don't ask an entry again that stops and takes no attempts

The entry that stops answers that it takes no attempts, and was asked again half a second later, until its process ended: a connection that is accepted just then breaks after the request was sent, which may not be repeated. An entry that can't read a request has an answer of its own and is asked again as before.

--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -74,8 +74,10 @@
         target: TargetStart,
         software: SoftwareVersion,
     },
-    /// The entry took no part in the attempt.
+    /// The entry stops and takes no attempts.
     NotAccepted,
+    /// The entry could not read the request.
+    NotRead,
     /// The entry found no target.
     NoTarget,
     OldWeights,
@@ -248,6 +250,10 @@
     let error = match result {
         ForwardedResult::Relayed { target, .. } => AttemptError::MayHaveRun(Some(target)),
         ForwardedResult::NotAccepted => {
+            gateway.peers.borrow_mut().stopping(ip, boot_now());
+            return None;
+        }
+        ForwardedResult::NotRead => {
             gateway.peers.borrow_mut().unreachable(ip, boot_now());
             return None;
         }
@@ -314,7 +320,7 @@
     let max_bytes = gateway.table().map(|table| table.deployment().request_limits.body_bytes);
     let body = RequestBody::new(body, closing);
     let Ok(body) = read_body(body, max_bytes.unwrap_or_default(), deadline).await else {
-        return respond(ForwardedResult::NotAccepted, &record);
+        return respond(ForwardedResult::NotRead, &record);
     };
     let mut headers = head.headers;
     headers.remove(ATTEMPT);
@@ -372,7 +378,7 @@
         ForwardedResult::Held(left) => Refusal::Held(*left),
         ForwardedResult::OldWeights => Refusal::OldWeights,
         ForwardedResult::TooLate => Refusal::TooLate,
-        ForwardedResult::NotAccepted => Refusal::ShuttingDown,
+        ForwardedResult::NotAccepted | ForwardedResult::NotRead => Refusal::ShuttingDown,
         ForwardedResult::Relayed { .. }
         | ForwardedResult::NoTarget
         | ForwardedResult::NotRun(_) => Refusal::NoTarget,
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -12,6 +12,10 @@
 
 /// An entry that reaches no target of a service either is not asked for that service for this long.
 const NO_PATH_PAUSE: Duration = Duration::from_secs(1);
+/// An entry that takes no requests, since it stops, is not asked for this long. Covers the time until
+/// its process has ended: one that is asked just then may break the connection after it was sent a
+/// request.
+const STOPPING_PAUSE: Duration = Duration::from_secs(10);
 
 /// The entries that replicas name, as this entry knows them.
 #[derive(Debug)]
@@ -28,6 +32,8 @@
     health: Health,
     /// Services that it does not reach either, and until when it is not asked for them.
     without_path: BTreeMap<ServiceId, BootTime>,
+    /// Until when it is not asked, since it stops.
+    stopping_until: Option<BootTime>,
 }
 
 impl Peers {
@@ -60,6 +66,7 @@
             !tried.contains(ip)
                 && allowed_domains.contains(&peer.failure_domain)
                 && peer.health.admits(peer.running, now)
+                && peer.stopping_until.is_none_or(|until| now >= until)
                 && peer.without_path.get(service).is_none_or(|until| now >= *until)
         };
         let candidates: Vec<_> = self.known.iter().filter(may_forward).collect();
@@ -88,7 +95,12 @@
         });
     }
 
-    /// Records that an entry can't be reached, or takes no requests.
+    /// Records that an entry takes no requests, since it stops.
+    pub fn stopping(&mut self, ip: IpAddr, now: BootTime) {
+        self.update(ip, |peer| peer.stopping_until = Some(now + STOPPING_PAUSE));
+    }
+
+    /// Records that an entry can't be reached.
     pub fn unreachable(&mut self, ip: IpAddr, now: BootTime) {
         self.update(ip, |peer| peer.health.record_unreachable(now));
     }
