Place streams that go on first only among equally urgent prompts

The tests of the scheduler follow: equally urgent streams that go on come first, a more urgent prompt before them, and what waits for a version does not hold up equally urgent new ones.

--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -233,8 +233,7 @@
         request: PlacementRequest,
         now: BootTime,
     ) -> Option<PlacementResult> {
-        let must_queue = !self.queue.is_empty() && request.software.is_none();
-        let must_wait = must_queue || !self.has_cache_state(now);
+        let must_wait = !self.queue.is_empty() || !self.has_cache_state(now);
         let estimator = self.estimators.get(&request.service).copied().unwrap_or_default();
         // A context that can't be fetched is read as well.
         let service_time = estimator.prefill_time(request.prompt_tokens) + estimator.base_latency();
--- a/src/scheduler/queue.rs
+++ b/src/scheduler/queue.rs
@@ -1,5 +1,5 @@
-//! Queue of prompts that wait for an engine: those that go on with a stream first, then the most
-//! urgent, periodically the oldest to prevent starvation, and each with a wait limit.
+//! Queue of prompts that wait for an engine: the most urgent first, of equally urgent ones those that
+//! go on with a stream, periodically the oldest to prevent starvation, and each with a wait limit.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -99,7 +99,7 @@
         } else {
             // Of equally urgent prompts, the first.
             candidates.min_by_key(|(_, queued)| {
-                (queued.request.software.is_none(), queued.request.priority)
+                (queued.request.priority, queued.request.software.is_none())
             })
         };
         let position = next?.0;
