Test answers without a length, direct and forwarded

Bodies, streams and resumable streams that end with their connection: a clean end, a reset and an end within an event, for callers with HTTP/1.1 and HTTP/1.0. Two of the four tests fail for HTTP/1.0: a body that its target resets ends with a clean close and looks whole.

--- a/tests/deployment/forwarding.rs
+++ b/tests/deployment/forwarding.rs
@@ -33,7 +33,7 @@
 
 /// A way in which the targets can't be reached from an entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Cut {
+pub enum Cut {
     /// Connections are not answered.
     Silent,
     /// Connections are refused.
@@ -114,7 +114,7 @@
 }
 
 /// An entry process.
-struct Entry {
+pub struct Entry {
     ip: IpAddr,
     child: Child,
     folder: TempDir,
@@ -145,6 +145,10 @@
         Entry { ip, child, folder }
     }
 
+    pub fn callers_address(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, CALLER_PORT)
+    }
+
     async fn until_ready(&self) {
         let began = Instant::now();
         loop {
@@ -225,15 +229,15 @@
 }
 
 /// A cut entry, entries that reach the targets, and these targets.
-struct System {
-    cut: Entry,
+pub struct System {
+    pub cut: Entry,
     sound: Vec<Entry>,
-    targets: Vec<StandIn>,
+    pub targets: Vec<StandIn>,
     _addresses: Vec<CutAddress>,
 }
 
 /// Starts a system with the scripts of its targets; `network` is unique per test.
-async fn start(cut: Cut, service: &str, scripts: Vec<Script>, network: u8) -> System {
+pub async fn start(cut: Cut, service: &str, scripts: Vec<Script>, network: u8) -> System {
     start_with(cut, service, scripts, 1, network).await
 }
 
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -59,6 +59,7 @@
 mod stores;
 mod stream_origins;
 mod table;
+mod unframed_answers;
 mod untrusted_input;
 mod voter_set;
 mod weights;
--- a/tests/deployment/stand_in.rs
+++ b/tests/deployment/stand_in.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -18,6 +19,8 @@
     Close,
     /// Closes the connection while it is idle, without an announcement.
     CloseLater,
+    /// Resets the connection once the caller has had time to read the answer.
+    Reset,
     /// Sends nothing more and waits until the caller closes the connection.
     Hang,
 }
@@ -95,6 +98,11 @@
                 tokio::time::sleep(IDLE_BEFORE_CLOSE).await;
                 return;
             }
+            AfterAnswer::Reset => {
+                tokio::time::sleep(IDLE_BEFORE_CLOSE).await;
+                SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("a TCP socket");
+                return;
+            }
             AfterAnswer::Hang => {
                 let mut byte = [0];
                 let _ = stream.read(&mut byte).await;
