Reset the connection of an HTTP/1.0 caller whose answer is cut off

Callers with HTTP/1.0 took a cut answer for a whole one: without chunks, a body of unknown length ends with its connection, and the entry closed the connection in the same way after a body that its target had reset.

The server drops the connection when a body fails, and dropping a socket closes it cleanly. It now resets the connection in this case if the request came with a version before HTTP/1.1. After a whole body the connection is shut down first, so that it still ends cleanly.

--- a/.ci/mutations.py
+++ b/.ci/mutations.py
@@ -566,6 +566,8 @@
      "            gateway.observe_rejection(target);\n", "", "deployment", "brittle"),
     ("brittle: a rejection closes nothing", "src/fleet/brittle.rs",
      "(!left.is_zero()).then_some(left)", "None", "deployment", "brittle"),
+    ("connections: a cut body without chunks ends as a whole one", "src/net/lingering_stream.rs",
+     "if is_shut_down || !self.resets_on_drop.load(Ordering::Relaxed) {", "if true {", "deployment", "unframed_answers"),
     ("brittle: the scheduler fills engines", "src/scheduler/plan.rs",
      " || engine.may_be_full(now);", ";", "deployment", "brittle"),
 ]
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -3,8 +3,11 @@
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use http::{Request, Version};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -63,9 +66,14 @@
         Origin::Entry => limits.head_bytes + forwarding::MAX_ATTEMPT_BYTES,
     };
     let last_used = Rc::new(Cell::new(boot_now()));
+    let stream = LingeringStream::new(stream);
+    let resets_on_drop = stream.resets_on_drop();
     let service = {
         let (last_used, closing) = (last_used.clone(), closing.clone());
-        service_fn(move |request| {
+        let resets_on_drop = resets_on_drop.clone();
+        service_fn(move |request: Request<Incoming>| {
+            // A body without chunks may end with the connection, also if it is cut short.
+            resets_on_drop.store(request.version() < Version::HTTP_11, Ordering::Relaxed);
             let (gateway, last_used, closing) =
                 (gateway.clone(), last_used.clone(), closing.clone());
             async move {
@@ -81,7 +89,7 @@
     };
     let connection = http1::Builder::new()
         .max_buf_size(head_bytes.max(MIN_HEAD_BYTES))
-        .serve_connection(TokioIo::new(LingeringStream::new(stream)), service);
+        .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let mut is_closing = *closing.borrow();
     if is_closing {
--- a/src/net/lingering_stream.rs
+++ b/src/net/lingering_stream.rs
@@ -2,9 +2,12 @@
 
 use std::io;
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::Sleep;
@@ -25,11 +28,19 @@
     stream: TcpStream,
     /// Ends the wait for the peer; `None` until the sending side is closed.
     timeout: Option<Pin<Box<Sleep>>>,
+    /// Whether the connection is reset if it is dropped without a shutdown.
+    resets_on_drop: Arc<AtomicBool>,
 }
 
 impl LingeringStream {
     pub fn new(stream: TcpStream) -> LingeringStream {
-        LingeringStream { stream, timeout: None }
+        LingeringStream { stream, timeout: None, resets_on_drop: Arc::default() }
+    }
+
+    /// The flag that makes the connection end with a reset if it is dropped without a shutdown. To be
+    /// set while a response is sent whose end the peer only knows by the close of the connection.
+    pub fn resets_on_drop(&self) -> Arc<AtomicBool> {
+        self.resets_on_drop.clone()
     }
 
     /// Discards received bytes until the peer closes its side.
@@ -45,6 +56,18 @@
     }
 }
 
+impl Drop for LingeringStream {
+    fn drop(&mut self) {
+        let is_shut_down = self.timeout.is_some();
+        if is_shut_down || !self.resets_on_drop.load(Ordering::Relaxed) {
+            return;
+        }
+        if let Err(error) = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)) {
+            log::debug!("event=connection_not_reset reason={:?}", error.to_string());
+        }
+    }
+}
+
 impl AsyncRead for LingeringStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
