--- a/tests/deployment/gateway.rs
+++ b/tests/deployment/gateway.rs
@@ -84,7 +84,7 @@
 }
 
 impl Entry {
-    fn configure(&self, deployment: Deployment, targets: Vec<Listed>) {
+    pub fn configure(&self, deployment: Deployment, targets: Vec<Listed>) {
         self.gateway.observe(Update::Deployment(Arc::new(deployment))).expect("a valid update");
         self.observe_targets(1, targets);
     }
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -19,6 +19,7 @@
 mod gateway;
 mod headers;
 mod identity;
+mod idle_connections;
 mod instances;
 mod late_updates;
 mod leaving;
