Read what has arrived before a connection is closed as idle

Requests on kept connections got no answer if their entry was held up for a moment, although they had arrived well before the idle limit.

When the entry went on, the request and the timer of the idle limit were both due, and select! polled them in random order: in half of the cases it closed the connection and threw the request away. The connection is now polled first.

--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -99,6 +99,8 @@
         let idle_left =
             limits.idle_timeout.saturating_sub(boot_now().saturating_sub(last_used.get()));
         tokio::select! {
+            // A request that has arrived is read before the connection is found to be idle.
+            biased;
             ended = connection.as_mut() => {
                 if let Err(error) = ended {
                     log::debug!("event=caller_gone reason={:?}", error.to_string());
