Apply the idle limit in force to connections that are open

Callers reuse connections by the idle limit of the newest deployment. After a deployment that lengthens it, an entry still closed its open connections by the old limit, so that requests crossed the close.

The limits were copied when a connection was opened. They are now read when the connection is checked. The size of a head remains as it was then.

--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -19,6 +19,7 @@
 use super::state::Gateway;
 use super::{forwarding, request};
 use crate::clock::{BootTime, boot_now};
+use crate::deployment::RequestLimits;
 use crate::net;
 use crate::net::lingering_stream::LingeringStream;
 
@@ -59,15 +60,14 @@
     if let Err(error) = net::set_ack_timeout(&stream, UNACKNOWLEDGED_TIMEOUT) {
         log::debug!("event=connection_not_set reason={:?}", error.to_string());
     }
-    let limits =
-        gateway.table().map(|table| table.deployment().request_limits.clone()).unwrap_or_default();
     let head_bytes = match origin {
-        Origin::Caller => limits.head_bytes,
-        Origin::Entry => limits.head_bytes + forwarding::MAX_ATTEMPT_BYTES,
+        Origin::Caller => request_limits(&gateway).head_bytes,
+        Origin::Entry => request_limits(&gateway).head_bytes + forwarding::MAX_ATTEMPT_BYTES,
     };
     let last_used = Rc::new(Cell::new(boot_now()));
     let stream = LingeringStream::new(stream);
     let resets_on_drop = stream.resets_on_drop();
+    let state = gateway.clone();
     let service = {
         let (last_used, closing) = (last_used.clone(), closing.clone());
         let resets_on_drop = resets_on_drop.clone();
@@ -96,6 +96,7 @@
         connection.as_mut().graceful_shutdown();
     }
     loop {
+        let limits = request_limits(&state);
         let idle_left =
             limits.idle_timeout.saturating_sub(boot_now().saturating_sub(last_used.get()));
         tokio::select! {
@@ -114,7 +115,9 @@
                 }
             }
             () = tokio::time::sleep(idle_left.max(MIN_IDLE_CHECK)), if !is_closing => {
-                if boot_now().saturating_sub(last_used.get()) >= limits.idle_timeout {
+                // A deployment may have changed the limit since the wait began.
+                let idle_timeout = request_limits(&state).idle_timeout;
+                if boot_now().saturating_sub(last_used.get()) >= idle_timeout {
                     is_closing = true;
                     connection.as_mut().graceful_shutdown();
                 }
@@ -122,3 +125,8 @@
         }
     }
 }
+
+/// The limits in force now.
+fn request_limits(gateway: &Gateway) -> RequestLimits {
+    gateway.table().map(|table| table.deployment().request_limits.clone()).unwrap_or_default()
+}
