Count idle time from the end of a response to the first byte of a request

Callers lost requests on kept connections in two ways: the connection was closed as idle between two parts of a head, and right after a stream that took longer than the idle limit, without a notice, so that the next request crossed the close. And a new connection with half a head was never closed.

Idle time was counted from the moment at which the handler returned the head of a response, and ended only when hyper had read a whole head. IdleClock now counts it from the end of the body, and a connection that has brought bytes of a request at its idle limit has the time limit for heads to bring the rest; then it is dropped. That limit was not applied before.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -2,10 +2,12 @@
 
 pub mod attempt;
 pub mod attempts;
+pub mod caller_connection;
 mod entry_roster;
 pub mod events;
 pub mod forwarding;
 pub mod freshness;
+pub mod idle_clock;
 pub mod in_flight;
 pub mod log_limiter;
 pub mod metadata;
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -14,11 +14,11 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use super::response::GatewayResponse;
+use super::caller_connection::{CallerConnection, TrackedBody};
+use super::idle_clock::IdleVerdict;
 use super::routed_request::Origin;
 use super::state::Gateway;
 use super::{forwarding, request};
-use crate::clock::{BootTime, boot_now};
 use crate::deployment::RequestLimits;
 use crate::net;
 use crate::net::lingering_stream::LingeringStream;
@@ -64,26 +64,23 @@
         Origin::Caller => request_limits(&gateway).head_bytes,
         Origin::Entry => request_limits(&gateway).head_bytes + forwarding::MAX_ATTEMPT_BYTES,
     };
-    let last_used = Rc::new(Cell::new(boot_now()));
     let stream = LingeringStream::new(stream);
     let resets_on_drop = stream.resets_on_drop();
+    let caller = Rc::new(CallerConnection::new(stream.received_bytes()));
     let state = gateway.clone();
     let service = {
-        let (last_used, closing) = (last_used.clone(), closing.clone());
-        let resets_on_drop = resets_on_drop.clone();
+        let (caller, closing) = (caller.clone(), closing.clone());
         service_fn(move |request: Request<Incoming>| {
             // A body without chunks may end with the connection, also if it is cut short.
             resets_on_drop.store(request.version() < Version::HTTP_11, Ordering::Relaxed);
-            let (gateway, last_used, closing) =
-                (gateway.clone(), last_used.clone(), closing.clone());
+            let in_progress = caller.begin_request();
+            let (gateway, closing) = (gateway.clone(), closing.clone());
             async move {
-                last_used.set(BootTime::MAX);
                 let response = match origin {
                     Origin::Caller => request::handle(gateway, request, closing).await,
                     Origin::Entry => forwarding::handle(gateway, request, closing).await,
                 };
-                last_used.set(boot_now());
-                Ok::<GatewayResponse, Infallible>(response)
+                Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, in_progress)))
             }
         })
     };
@@ -96,9 +93,16 @@
         connection.as_mut().graceful_shutdown();
     }
     loop {
-        let limits = request_limits(&state);
-        let idle_left =
-            limits.idle_timeout.saturating_sub(boot_now().saturating_sub(last_used.get()));
+        let check_after = match caller.check(&request_limits(&state)) {
+            IdleVerdict::Open(left) => left.max(MIN_IDLE_CHECK),
+            IdleVerdict::HeadTooSlow => return,
+            IdleVerdict::Idle if is_closing => MIN_IDLE_CHECK,
+            IdleVerdict::Idle => {
+                is_closing = true;
+                connection.as_mut().graceful_shutdown();
+                MIN_IDLE_CHECK
+            }
+        };
         tokio::select! {
             // A request that has arrived is read before the connection is found to be idle.
             biased;
@@ -114,14 +118,7 @@
                     connection.as_mut().graceful_shutdown();
                 }
             }
-            () = tokio::time::sleep(idle_left.max(MIN_IDLE_CHECK)), if !is_closing => {
-                // A deployment may have changed the limit since the wait began.
-                let idle_timeout = request_limits(&state).idle_timeout;
-                if boot_now().saturating_sub(last_used.get()) >= idle_timeout {
-                    is_closing = true;
-                    connection.as_mut().graceful_shutdown();
-                }
-            }
+            () = tokio::time::sleep(check_after) => {}
         }
     }
 }
--- a/src/net/lingering_stream.rs
+++ b/src/net/lingering_stream.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -30,11 +30,23 @@
     timeout: Option<Pin<Box<Sleep>>>,
     /// Whether the connection is reset if it is dropped without a shutdown.
     resets_on_drop: Arc<AtomicBool>,
+    /// Number of bytes received until the shutdown.
+    received_bytes: Arc<AtomicU64>,
 }
 
 impl LingeringStream {
     pub fn new(stream: TcpStream) -> LingeringStream {
-        LingeringStream { stream, timeout: None, resets_on_drop: Arc::default() }
+        LingeringStream {
+            stream,
+            timeout: None,
+            resets_on_drop: Arc::default(),
+            received_bytes: Arc::default(),
+        }
+    }
+
+    /// The number of bytes received until the shutdown, which goes on counting.
+    pub fn received_bytes(&self) -> Arc<AtomicU64> {
+        self.received_bytes.clone()
     }
 
     /// The flag that makes the connection end with a reset if it is dropped without a shutdown. To be
@@ -74,7 +86,11 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let before = buffer.filled().len();
+        let result = ready!(Pin::new(&mut self.stream).poll_read(context, buffer));
+        let received = buffer.filled().len() - before;
+        self.received_bytes.fetch_add(received as u64, Ordering::Relaxed);
+        Poll::Ready(result)
     }
 }
 
