--- a/tests/deployment/forwarding.rs
+++ b/tests/deployment/forwarding.rs
@@ -28,6 +28,8 @@
 const PEER_PORT: u16 = 21_700;
 const CALLER_PORT: u16 = 21_705;
 const READINESS_PORT: u16 = 21_706;
+/// Descriptors of an entry, if a test sets no other number.
+const DESCRIPTORS: u32 = 1_000;
 const SHUTDOWN_GRACE_S: u64 = 8;
 const FAILURE_DOMAIN: &str = "a";
 
@@ -122,13 +124,18 @@
 
 impl Entry {
     fn start(ip: IpAddr, replica: IpAddr) -> Entry {
+        Entry::start_with_descriptors(ip, replica, DESCRIPTORS, DESCRIPTORS)
+    }
+
+    /// Starts an entry with a number of descriptors as its settings tell it, and as it really has.
+    fn start_with_descriptors(ip: IpAddr, replica: IpAddr, told: u32, real: u32) -> Entry {
         let folder = tempfile::tempdir().expect("a temporary folder");
         let settings = json!({
             "NodeName": format!("entry-{ip}"), "Ip": ip, "Zone": FAILURE_DOMAIN,
             "Listen": {"Front": SocketAddr::new(ip, CALLER_PORT),
                        "Ready": SocketAddr::new(ip, READINESS_PORT)},
             "PortRange": [PEER_PORT, PEER_PORT + 4], "Seeds": [SocketAddr::new(replica, 1)],
-            "FirstStart": true, "Limits": {"MemoryMb": 100, "MaxFds": 1000},
+            "FirstStart": true, "Limits": {"MemoryMb": 100, "MaxFds": told},
             "DataDir": null, "Cloud": null,
             "Bounds": {"GraceS": SHUTDOWN_GRACE_S, "BudgetRatio": 100.0, "BudgetWindowS": 10,
                        "BudgetSlack": 5000, "VersionMs": 6000, "VersionAllMs": 8400}
@@ -136,8 +143,9 @@
         let path = folder.path().join("settings.json");
         std::fs::write(&path, settings.to_string()).expect("the file is writable");
         let log = std::fs::File::create(folder.path().join("log")).expect("a log file");
-        let child = Command::new(env!("CARGO_BIN_EXE_kumquatpost"))
-            .arg("entry")
+        let child = Command::new("sh")
+            .args(["-c", &format!("ulimit -n {real}; exec \"$0\" entry")])
+            .arg(env!("CARGO_BIN_EXE_kumquatpost"))
             .env("KUMQUATPOST_SETTINGS", path)
             .stdout(log)
             .spawn()
@@ -178,7 +186,7 @@
         stream
     }
 
-    async fn call(&self, path: &str, id: &str) -> Response {
+    pub async fn call(&self, path: &str, id: &str) -> Response {
         self.call_with(path, id, "").await
     }
 
@@ -216,7 +224,7 @@
         })
     }
 
-    fn log(&self) -> String {
+    pub fn log(&self) -> String {
         std::fs::read_to_string(self.folder.path().join("log")).unwrap_or_default()
     }
 }
@@ -295,6 +303,23 @@
     System { cut, sound, targets, _addresses: addresses }
 }
 
+/// Starts an entry with few descriptors and one target of the service `app`.
+pub async fn start_with_few_descriptors(
+    told: u32,
+    real: u32,
+    script: Script,
+    network: u8,
+) -> (Entry, StandIn) {
+    let stand_in = StandIn::start(script).await;
+    let listed = vec![target("i-0", "app", stand_in.address)];
+    let (ip, replica_ip) = (loopback(network), loopback(network + 1));
+    let deployment = deployment_with_long_timeouts();
+    let replica = FakeReplica::start(replica_ip, deployment, listed, &[]).await;
+    let entry = Entry::start_with_descriptors(ip, replica.ip, told, real);
+    entry.until_ready().await;
+    (entry, stand_in)
+}
+
 /// Reads until a text has arrived.
 async fn read_until(stream: &mut TcpStream, expected: &str) -> String {
     let (mut received, mut bytes) = (String::new(), vec![0; 4_096]);
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -5,6 +5,7 @@
 mod brittle_targets;
 mod budget;
 mod cold;
+mod concentrated_connections;
 mod diagnostics;
 mod documents;
 mod ending_prompts;
--- a/tests/deployment/restarts.rs
+++ b/tests/deployment/restarts.rs
@@ -134,7 +134,7 @@
     }
 
     /// Sends an operator request until any replica acknowledges it.
-    async fn send_operator_request(&self, method: &str, path: &str, body: &Value) {
+    pub async fn send_operator_request(&self, method: &str, path: &str, body: &Value) {
         let begun = Instant::now();
         loop {
             for replica in self.system.replicas() {
