Close idle connections of callers when descriptors run short

An entry whose descriptors were all held by idle connections answered nobody until these reached their idle limit: accept failed, was tried again every 50 ms, and nothing gave way. An entry that gets most new connections of a zone comes to that point.

The number of descriptors stood in the settings and nothing read it. Connections now counts the open ones. From four fifths of its limit on it closes the connection that has been idle for longest for each new one, at the limit it closes new ones unread, and after a failed accept it closes 16 idle ones, as the settings may be wrong. Connections of other entries and those with a request are never closed for this. An idle connection is closed without waiting for its caller, so that its descriptor is free at once and a request that crosses the close stays unread.

--- a/.ci/mutations.py
+++ b/.ci/mutations.py
@@ -576,6 +576,10 @@
      ".map_or(IdleVerdict::HeadTooSlow, IdleVerdict::Open),", ".map_or(IdleVerdict::Open(limits.head_timeout), IdleVerdict::Open),", "deployment", "idle_connections"),
     ("connections: idle while a response is sent", "src/gateway/caller_connection.rs",
      "self.clock.borrow_mut().request_began();", "", "deployment", "idle_connections"),
+    ("connections: idle ones keep their descriptors", "src/gateway/connections.rs",
+     "close.notify_one();", "let _ = close;", "deployment", "concentrated_connections"),
+    ("connections: those in use are closed", "src/gateway/connections.rs",
+     "self.connections.idle.borrow_mut().remove(&(since, self.id));", "let _ = since;", "deployment", "only_idle_connections"),
     ("brittle: the scheduler fills engines", "src/scheduler/plan.rs",
      " || engine.may_be_full(now);", ";", "deployment", "brittle"),
 ]
--- a/src/gateway/caller_connection.rs
+++ b/src/gateway/caller_connection.rs
@@ -4,21 +4,23 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 
+use super::connections::OpenConnection;
 use super::idle_clock::{IdleClock, IdleVerdict};
 use super::response::{RelayError, ResponseBody};
 use crate::clock::boot_now;
 use crate::deployment::RequestLimits;
+use crate::net::lingering_stream::StreamControl;
 
 /// A connection of a caller or another entry.
 pub struct CallerConnection {
     clock: RefCell<IdleClock>,
-    received_bytes: Arc<AtomicU64>,
+    control: Arc<StreamControl>,
+    open: OpenConnection,
 }
 
 /// A request in progress on a connection. Dropping it ends its response.
@@ -31,28 +33,40 @@
 }
 
 impl CallerConnection {
-    /// Starts with a new connection; `received_bytes` counts what it brings.
-    pub fn new(received_bytes: Arc<AtomicU64>) -> CallerConnection {
-        CallerConnection { clock: RefCell::new(IdleClock::new(boot_now())), received_bytes }
+    /// Starts with a new connection.
+    pub fn new(open: OpenConnection, control: Arc<StreamControl>) -> CallerConnection {
+        CallerConnection { clock: RefCell::new(IdleClock::new(boot_now())), control, open }
     }
 
     /// Begins to handle a request.
     pub fn begin_request(self: &Rc<Self>) -> RequestInProgress {
         self.clock.borrow_mut().request_began();
+        self.open.set_in_use();
         RequestInProgress(self.clone())
     }
 
     /// Whether the connection stays open.
     pub fn check(&self, limits: &RequestLimits) -> IdleVerdict {
-        let received_bytes = self.received_bytes.load(Ordering::Relaxed);
-        self.clock.borrow_mut().check(received_bytes, limits, boot_now())
+        self.clock.borrow_mut().check(self.control.received_bytes(), limits, boot_now())
+    }
+
+    /// Whether no request is in progress.
+    pub fn is_idle(&self) -> bool {
+        self.open.is_idle()
+    }
+
+    /// Waits until the connection is to be closed to make room for others.
+    pub async fn close_requested(&self) {
+        self.open.close_requested().await;
     }
 }
 
 impl Drop for RequestInProgress {
     fn drop(&mut self) {
-        let CallerConnection { clock, received_bytes } = &*self.0;
-        clock.borrow_mut().response_ended(received_bytes.load(Ordering::Relaxed), boot_now());
+        let CallerConnection { clock, control, open } = &*self.0;
+        let now = boot_now();
+        clock.borrow_mut().response_ended(control.received_bytes(), now);
+        open.set_idle(now);
     }
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 pub mod attempt;
 pub mod attempts;
 pub mod caller_connection;
+pub mod connections;
 mod entry_roster;
 pub mod events;
 pub mod forwarding;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -1,6 +1,5 @@
 //! Starts an entry and shuts it down gracefully.
 
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,6 +8,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use super::connections::Connections;
 use super::routed_request::Origin;
 use super::state::Gateway;
 use super::{scheduler_connection, server, subscription};
@@ -44,7 +44,7 @@
     );
     let gateway = Rc::new(Gateway::new(host, EntryMetrics::new()?));
     let (closing, closed) = watch::channel(false);
-    let open_connections = Rc::new(Cell::new(0));
+    let connections = Rc::new(Connections::new(gateway.host.file_descriptor_limit));
     let (tasks, mut first_exit) = essential_tasks();
     subscription::start(&gateway, &tasks);
     tasks.spawn("scheduler_connection", scheduler_connection::keep_connected(gateway.clone()));
@@ -66,12 +66,12 @@
         Origin::Caller,
         callers,
         closed.clone(),
-        open_connections.clone(),
+        connections.clone(),
     ));
     let peers = listen(SocketAddr::new(gateway.host.ip, gateway.host.peer_port)).await?;
     tasks.spawn(
         "entries",
-        server::accept(gateway.clone(), Origin::Entry, peers, closed, open_connections.clone()),
+        server::accept(gateway.clone(), Origin::Entry, peers, closed, connections.clone()),
     );
     tasks.spawn("clean", close_expired_connections(gateway.clone()));
     let reloaded = reload::watch_settings(gateway.host.clone(), |host| {
@@ -82,7 +82,7 @@
         failed = reloaded => failed?,
         error = first_exit.wait() => return Err(error),
     }
-    shut_down(&gateway, &closing, &open_connections).await;
+    shut_down(&gateway, &closing, &connections).await;
     Ok(())
 }
 
@@ -94,28 +94,24 @@
     }
 }
 
-async fn shut_down(
-    gateway: &Gateway,
-    closing: &watch::Sender<bool>,
-    open_connections: &Cell<usize>,
-) {
+async fn shut_down(gateway: &Gateway, closing: &watch::Sender<bool>, connections: &Connections) {
     let started_at = Instant::now();
     log::info!(
         "event=stopping answering={} open={}",
         gateway.active_requests.get(),
-        open_connections.get()
+        connections.open_count()
     );
     gateway.stopping.set(true);
     tokio::time::sleep(DRAIN_NOTICE).await;
     closing.send_replace(true);
     let grace = gateway.host.periods.shutdown_grace.saturating_sub(GRACE_RESERVE).max(DRAIN_NOTICE);
-    while open_connections.get() > 0 && started_at.elapsed() < grace {
+    while connections.open_count() > 0 && started_at.elapsed() < grace {
         tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
     }
     log::info!(
         "event=stop answering={} open={}",
         gateway.active_requests.get(),
-        open_connections.get()
+        connections.open_count()
     );
 }
 
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -1,9 +1,7 @@
 //! Accepts and serves callers' connections.
 
-use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use http::{Request, Version};
@@ -15,10 +13,12 @@
 use tokio::sync::watch;
 
 use super::caller_connection::{CallerConnection, TrackedBody};
+use super::connections::{Connections, OpenConnection};
 use super::idle_clock::IdleVerdict;
 use super::routed_request::Origin;
 use super::state::Gateway;
 use super::{forwarding, request};
+use crate::clock::{BootTime, boot_now};
 use crate::deployment::RequestLimits;
 use crate::net;
 use crate::net::lingering_stream::LingeringStream;
@@ -29,6 +29,8 @@
 const MIN_HEAD_BYTES: usize = 8 << 10;
 /// Lower bound on the delay between two checks of whether a connection is idle.
 const MIN_IDLE_CHECK: Duration = Duration::from_millis(20);
+/// Interval between log lines about connections that are closed unread.
+const REJECTION_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Accepts connections of callers, or of other entries, for the lifetime of the process. Once
 /// `closing` is true, each connection is closed after its current request.
@@ -37,24 +39,54 @@
     origin: Origin,
     listener: TcpListener,
     closing: watch::Receiver<bool>,
-    open_connections: Rc<Cell<usize>>,
+    connections: Rc<Connections>,
 ) {
-    let take = |stream| {
-        let (gateway, closing, open_connections) =
-            (gateway.clone(), closing.clone(), open_connections.clone());
-        tokio::task::spawn_local(async move {
-            open_connections.set(open_connections.get() + 1);
-            serve(gateway, origin, stream, closing).await;
-            open_connections.set(open_connections.get() - 1);
-        });
-    };
-    net::for_each_connection(listener, take).await;
+    let mut rejections = RejectionLog::default();
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                connections.accept_failed();
+                net::pause_after_failed_accept(&error).await;
+                continue;
+            }
+        };
+        let is_rejected = connections.are_full();
+        // Another entry has chosen this one, and could not tell a close from a failure.
+        if is_rejected && origin == Origin::Caller {
+            rejections.record(connections.open_count());
+            drop(stream);
+        } else {
+            let open = connections.open(origin, boot_now());
+            let serving = serve(gateway.clone(), origin, stream, open, closing.clone());
+            tokio::task::spawn_local(serving);
+        }
+    }
+}
+
+/// Counts connections that are closed unread, and logs them from time to time.
+#[derive(Debug, Default)]
+struct RejectionLog {
+    count: u64,
+    logged_at: BootTime,
+}
+
+impl RejectionLog {
+    fn record(&mut self, open: usize) {
+        self.count += 1;
+        let now = boot_now();
+        if now.saturating_sub(self.logged_at) >= REJECTION_LOG_INTERVAL {
+            log::warn!("event=connections_rejected count={} open={open}", self.count);
+            *self = RejectionLog { count: 0, logged_at: now };
+        }
+    }
 }
 
 async fn serve(
     gateway: Rc<Gateway>,
     origin: Origin,
     stream: TcpStream,
+    open: OpenConnection,
     mut closing: watch::Receiver<bool>,
 ) {
     if let Err(error) = net::set_ack_timeout(&stream, UNACKNOWLEDGED_TIMEOUT) {
@@ -65,14 +97,14 @@
         Origin::Entry => request_limits(&gateway).head_bytes + forwarding::MAX_ATTEMPT_BYTES,
     };
     let stream = LingeringStream::new(stream);
-    let resets_on_drop = stream.resets_on_drop();
-    let caller = Rc::new(CallerConnection::new(stream.received_bytes()));
+    let control = stream.control();
+    let caller = Rc::new(CallerConnection::new(open, control.clone()));
     let state = gateway.clone();
     let service = {
-        let (caller, closing) = (caller.clone(), closing.clone());
+        let (caller, closing, control) = (caller.clone(), closing.clone(), control.clone());
         service_fn(move |request: Request<Incoming>| {
             // A body without chunks may end with the connection, also if it is cut short.
-            resets_on_drop.store(request.version() < Version::HTTP_11, Ordering::Relaxed);
+            control.set_reset_on_drop(request.version() < Version::HTTP_11);
             let in_progress = caller.begin_request();
             let (gateway, closing) = (gateway.clone(), closing.clone());
             async move {
@@ -99,6 +131,7 @@
             IdleVerdict::Idle if is_closing => MIN_IDLE_CHECK,
             IdleVerdict::Idle => {
                 is_closing = true;
+                control.skip_linger();
                 connection.as_mut().graceful_shutdown();
                 MIN_IDLE_CHECK
             }
@@ -118,6 +151,13 @@
                     connection.as_mut().graceful_shutdown();
                 }
             }
+            () = caller.close_requested(), if !is_closing => {
+                is_closing = true;
+                if caller.is_idle() {
+                    control.skip_linger();
+                }
+                connection.as_mut().graceful_shutdown();
+            }
             () = tokio::time::sleep(check_after) => {}
         }
     }
--- a/src/net/lingering_stream.rs
+++ b/src/net/lingering_stream.rs
@@ -28,31 +28,43 @@
     stream: TcpStream,
     /// Ends the wait for the peer; `None` until the sending side is closed.
     timeout: Option<Pin<Box<Sleep>>>,
-    /// Whether the connection is reset if it is dropped without a shutdown.
-    resets_on_drop: Arc<AtomicBool>,
+    control: Arc<StreamControl>,
+}
+
+/// What the server knows of a connection, and sets, while hyper owns it.
+#[derive(Debug, Default)]
+pub struct StreamControl {
+    received_bytes: AtomicU64,
+    resets_on_drop: AtomicBool,
+    skips_linger: AtomicBool,
+}
+
+impl StreamControl {
     /// Number of bytes received until the shutdown.
-    received_bytes: Arc<AtomicU64>,
+    pub fn received_bytes(&self) -> u64 {
+        self.received_bytes.load(Ordering::Relaxed)
+    }
+
+    /// Sets whether the connection ends with a reset if it is dropped without a shutdown. To be set
+    /// while a response is sent whose end the peer only knows by the close of the connection.
+    pub fn set_reset_on_drop(&self, resets: bool) {
+        self.resets_on_drop.store(resets, Ordering::Relaxed);
+    }
+
+    /// Makes the shutdown not wait for the peer. For a connection without a recent response.
+    pub fn skip_linger(&self) {
+        self.skips_linger.store(true, Ordering::Relaxed);
+    }
 }
 
 impl LingeringStream {
     pub fn new(stream: TcpStream) -> LingeringStream {
-        LingeringStream {
-            stream,
-            timeout: None,
-            resets_on_drop: Arc::default(),
-            received_bytes: Arc::default(),
-        }
-    }
-
-    /// The number of bytes received until the shutdown, which goes on counting.
-    pub fn received_bytes(&self) -> Arc<AtomicU64> {
-        self.received_bytes.clone()
+        LingeringStream { stream, timeout: None, control: Arc::default() }
     }
 
-    /// The flag that makes the connection end with a reset if it is dropped without a shutdown. To be
-    /// set while a response is sent whose end the peer only knows by the close of the connection.
-    pub fn resets_on_drop(&self) -> Arc<AtomicBool> {
-        self.resets_on_drop.clone()
+    /// The control of this connection.
+    pub fn control(&self) -> Arc<StreamControl> {
+        self.control.clone()
     }
 
     /// Discards received bytes until the peer closes its side.
@@ -71,7 +83,7 @@
 impl Drop for LingeringStream {
     fn drop(&mut self) {
         let is_shut_down = self.timeout.is_some();
-        if is_shut_down || !self.resets_on_drop.load(Ordering::Relaxed) {
+        if is_shut_down || !self.control.resets_on_drop.load(Ordering::Relaxed) {
             return;
         }
         if let Err(error) = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)) {
@@ -89,7 +101,7 @@
         let before = buffer.filled().len();
         let result = ready!(Pin::new(&mut self.stream).poll_read(context, buffer));
         let received = buffer.filled().len() - before;
-        self.received_bytes.fetch_add(received as u64, Ordering::Relaxed);
+        self.control.received_bytes.fetch_add(received as u64, Ordering::Relaxed);
         Poll::Ready(result)
     }
 }
@@ -125,7 +137,8 @@
         }
         let timeout =
             self.timeout.get_or_insert_with(|| Box::pin(tokio::time::sleep(LINGER_TIMEOUT)));
-        if timeout.as_mut().poll(context).is_ready() {
+        let is_over = timeout.as_mut().poll(context).is_ready();
+        if is_over || self.control.skips_linger.load(Ordering::Relaxed) {
             return Poll::Ready(Ok(()));
         }
         self.poll_discard(context).map(Ok)
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -20,14 +20,17 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => handle(stream),
-            Err(error) => {
-                log::warn!("event=accept_failed reason={:?}", error.to_string());
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            }
+            Err(error) => pause_after_failed_accept(&error).await,
         }
     }
 }
 
+/// Logs a failure to accept a connection, and waits before the next try.
+pub async fn pause_after_failed_accept(error: &io::Error) {
+    log::warn!("event=accept_failed reason={:?}", error.to_string());
+    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+}
+
 /// Opens a connection within `timeout`, and sets its `ack_timeout`.
 ///
 /// # Errors
