Close new connections unread while an entry can't keep up with them

Callers of an entry that got most new connections of its zone were served next to nothing: it accepted all of them, in the order of their arrival, and spent its time on requests whose callers had already left.

New connections wait in the kernel's queue, and from a rate on that the entry can't serve, each is read only after its caller's patience. AcceptQueue now watches how long that queue has not been empty: after 200 ms new connections of callers are closed unread until it is, so that their callers turn to other entries at once. At most 16 are taken before other tasks run, so that what has been read is served first. Connections of other entries are always taken: such a close would look like an attempt that may have run.

--- a/.ci/mutations.py
+++ b/.ci/mutations.py
@@ -580,6 +580,8 @@
      "close.notify_one();", "let _ = close;", "deployment", "concentrated_connections"),
     ("connections: those in use are closed", "src/gateway/connections.rs",
      "self.connections.idle.borrow_mut().remove(&(since, self.id));", "let _ = since;", "deployment", "only_idle_connections"),
+    ("connections: all are taken although the queue never empties", "src/gateway/accept_queue.rs",
+     "if now.saturating_sub(since) > MAX_BACKLOG_TIME {", "if false {", "deployment", "concentrated_connections"),
     ("brittle: the scheduler fills engines", "src/scheduler/plan.rs",
      " || engine.may_be_full(now);", ";", "deployment", "brittle"),
 ]
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,5 +1,6 @@
 //! The entry of a deployment: an HTTP proxy that relays callers' requests to targets unchanged.
 
+pub mod accept_queue;
 pub mod attempt;
 pub mod attempts;
 pub mod caller_connection;
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures::FutureExt;
 use http::{Request, Version};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -12,6 +13,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use super::accept_queue::{AcceptQueue, AcceptVerdict};
 use super::caller_connection::{CallerConnection, TrackedBody};
 use super::connections::{Connections, OpenConnection};
 use super::idle_clock::IdleVerdict;
@@ -41,9 +43,17 @@
     closing: watch::Receiver<bool>,
     connections: Rc<Connections>,
 ) {
+    let mut queue = AcceptQueue::default();
     let mut rejections = RejectionLog::default();
     loop {
-        let stream = match listener.accept().await {
+        let accepted = match listener.accept().now_or_never() {
+            Some(accepted) => accepted,
+            None => {
+                queue.is_empty();
+                listener.accept().await
+            }
+        };
+        let stream = match accepted {
             Ok((stream, _)) => stream,
             Err(error) => {
                 connections.accept_failed();
@@ -51,7 +61,8 @@
                 continue;
             }
         };
-        let is_rejected = connections.are_full();
+        let is_rejected =
+            queue.admit(boot_now()) == AcceptVerdict::Reject || connections.are_full();
         // Another entry has chosen this one, and could not tell a close from a failure.
         if is_rejected && origin == Origin::Caller {
             rejections.record(connections.open_count());
@@ -61,6 +72,9 @@
             let serving = serve(gateway.clone(), origin, stream, open, closing.clone());
             tokio::task::spawn_local(serving);
         }
+        if queue.ends_turn() {
+            tokio::task::yield_now().await;
+        }
     }
 }
 
--- a/tests/deployment/concentrated_connections.rs
+++ b/tests/deployment/concentrated_connections.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use futures::FutureExt;
+use kumquatpost::gateway::accept_queue::{AcceptQueue, AcceptVerdict};
 use kumquatpost::gateway::connections::{Connections, OpenConnection};
 use kumquatpost::gateway::routed_request::Origin;
 use serde_json::{Value, json};
@@ -186,6 +187,35 @@
     );
 }
 
+/// Guards against an entry that goes on to take connections whose callers have waited for too long,
+/// and against one that rejects them although it keeps up.
+#[test]
+fn connections_are_rejected_only_while_the_queue_never_empties() {
+    let mut queue = AcceptQueue::default();
+    for at_ms in [0, 100, 200] {
+        assert_eq!(queue.admit(ms(at_ms)), AcceptVerdict::Take);
+    }
+    assert_eq!(queue.admit(ms(201)), AcceptVerdict::Reject);
+    queue.is_empty();
+    assert_eq!(queue.admit(ms(202)), AcceptVerdict::Take);
+    for at_ms in (300..3_000).step_by(100) {
+        assert_eq!(queue.admit(ms(at_ms)), AcceptVerdict::Take);
+        queue.is_empty();
+    }
+}
+
+/// Guards against an entry that accepts a whole queue before it serves any of it.
+#[test]
+fn other_tasks_run_after_some_connections() {
+    let mut queue = AcceptQueue::default();
+    let mut take = || {
+        queue.admit(ms(1));
+        queue.ends_turn()
+    };
+    let turn: Vec<bool> = (0..32).map(|_| take()).collect();
+    assert_eq!(turn.iter().filter(|ends| **ends).count(), 2, "{turn:?}");
+}
+
 /// Guards against connections with a request, or of another entry, that are closed to make room.
 #[test]
 fn only_idle_connections_of_callers_are_closed_to_make_room() {
