--- a/src/capacity/cost_models.rs
+++ b/src/capacity/cost_models.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 
-use super::benchmarks;
+use super::{benchmarks, measure};
 use crate::error::Result;
 
 /// The measured cost at one size.
@@ -226,7 +226,7 @@
             list_bytes: CostModel::measure(
                 "target list, bytes by targets",
                 &[23, 220, 4_600],
-                |targets| benchmarks::json_bytes(&benchmarks::target_list(targets)),
+                |targets| measure::json_bytes(&benchmarks::target_list(targets)),
             ),
             engine_view_bytes,
             report_bytes: CostModel::measure(
@@ -234,7 +234,7 @@
                 &[1, 10, 100],
                 |engines| {
                     engines as f64
-                        * (benchmarks::json_bytes(&benchmarks::load_report())
+                        * (measure::json_bytes(&benchmarks::load_report())
                             + benchmarks::HTTP_HEADER_BYTES)
                 },
             ),
--- a/src/capacity/mod.rs
+++ b/src/capacity/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod benchmarks;
 pub mod cost_models;
+mod measure;
 pub mod planned_scale;
 pub mod role_loads;
 
--- a/src/emulator/engine.rs
+++ b/src/emulator/engine.rs
@@ -16,6 +16,7 @@
 use super::cache::PrefixCache;
 use super::faults::TargetFaults;
 use super::ledger::Ledger;
+use super::load_samples::LoadSamples;
 use super::priority_semaphore::{Permit, PrioritySemaphore};
 use super::settings::EngineSettings;
 use super::store;
@@ -70,8 +71,7 @@
     /// Cache events, each with the time from which it can be read.
     events: VecDeque<(Instant, CacheEvent)>,
     next_event_seq: u64,
-    /// Load reports with the time at which each was taken.
-    load_samples: VecDeque<(Instant, LoadReport)>,
+    load_samples: LoadSamples,
     /// Tokens to be prefilled for all accepted requests, estimated when each arrived.
     queued_prefill_tokens: u64,
     /// Number of requests in the batch.
@@ -108,7 +108,7 @@
             cache: PrefixCache::new(settings.cache_tokens as usize / BLOCK_TOKENS),
             events: VecDeque::new(),
             next_event_seq: 1,
-            load_samples: VecDeque::new(),
+            load_samples: LoadSamples::new(Duration::from_millis(settings.load_lag_ms)),
             queued_prefill_tokens: 0,
             running: 0,
             weight_version: Some(settings.weight_version.clone()),
@@ -443,18 +443,9 @@
     }
 
     fn load_report(&self) -> LoadReport {
-        let now = Instant::now();
-        let min_age = Duration::from_millis(self.settings.load_lag_ms);
         let state = self.state.lock();
-        let sample =
-            state.load_samples.iter().rev().find(|(at, _)| now.duration_since(*at) >= min_age);
-        match sample.or(state.load_samples.front()) {
-            Some((at, report)) => {
-                let age_ms = now.duration_since(*at).as_millis() as u64;
-                LoadReport { age_ms, ..report.clone() }
-            }
-            None => self.current_load(&state),
-        }
+        let delayed = state.load_samples.delayed(Instant::now());
+        delayed.unwrap_or_else(|| self.current_load(&state))
     }
 
     fn current_load(&self, state: &State) -> LoadReport {
@@ -473,21 +464,11 @@
     }
 
     async fn sample_load(self: Arc<Engine>) {
-        let min_age = Duration::from_millis(self.settings.load_lag_ms);
         loop {
             {
-                let now = Instant::now();
                 let mut state = self.state.lock();
                 let report = self.current_load(&state);
-                state.load_samples.push_back((now, report));
-                // Keeps one sample that is older than the lag, for the next report.
-                while state
-                    .load_samples
-                    .get(1)
-                    .is_some_and(|(at, _)| now.duration_since(*at) > min_age)
-                {
-                    state.load_samples.pop_front();
-                }
+                state.load_samples.push(report, Instant::now());
             }
             tokio::time::sleep(LOAD_SAMPLE_PERIOD).await;
         }
--- a/src/emulator/mod.rs
+++ b/src/emulator/mod.rs
@@ -9,6 +9,7 @@
 pub mod engine;
 pub mod faults;
 pub mod ledger;
+mod load_samples;
 pub mod priority_semaphore;
 pub mod service;
 pub mod settings;
