Tell entries which start of another entry's process they may ask

Handshakes of entries and announcements of replicas carry a number drawn at each start. No decision depends on it yet. Builds of before and after don't understand each other's handshakes.

--- a/src/control/entry_directory.rs
+++ b/src/control/entry_directory.rs
@@ -15,8 +15,18 @@
 /// The same of other failure domains, for when the whole domain has lost its path.
 const REMOTE_SAMPLE: usize = 8;
 
+/// Identifies one start of an entry's process.
+pub type EntryStart = u64;
+
 /// Entries by failure domain and name.
-pub type EntriesByDomain = BTreeMap<DomainId, BTreeMap<String, IpAddr>>;
+pub type EntriesByDomain = BTreeMap<DomainId, BTreeMap<String, EntryProcess>>;
+
+/// The process of an entry that is connected to a replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryProcess {
+    pub ip: IpAddr,
+    pub start: EntryStart,
+}
 
 /// Increases with each change of the known entries.
 pub type DirectoryRevision = u64;
@@ -26,6 +36,7 @@
 pub struct PeerEntry {
     pub ip: IpAddr,
     pub failure_domain: DomainId,
+    pub start: EntryStart,
 }
 
 /// All entries that are connected to any replica.
@@ -52,9 +63,10 @@
     /// entries changes it little.
     pub fn sample(&self, name: &str, failure_domain: &DomainId) -> Vec<PeerEntry> {
         let others = self.entries.iter().flat_map(|(domain, entries)| {
-            entries.iter().filter(|(other, _)| *other != name).map(move |(other, ip)| {
+            entries.iter().filter(|(other, _)| *other != name).map(move |(other, process)| {
                 let rank = FxBuildHasher.hash_one((name, other));
-                (rank, PeerEntry { ip: *ip, failure_domain: domain.clone() })
+                let EntryProcess { ip, start } = *process;
+                (rank, PeerEntry { ip, failure_domain: domain.clone(), start })
             })
         });
         let (local, remote): (Vec<_>, Vec<_>) =
--- a/src/control/frames.rs
+++ b/src/control/frames.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncRead, AsyncReadExt};
 
-use super::entry_directory::{EntriesByDomain, PeerEntry};
+use super::entry_directory::{EntriesByDomain, EntryProcess, PeerEntry};
 use super::pieces::Piece;
 pub use super::versioned_roster::{RosterVersion, VersionedRoster};
 use crate::deployment::Deployment;
@@ -50,8 +50,8 @@
     Entry {
         /// The name of its host.
         name: String,
-        /// Its host, at whose peer port other entries reach it.
-        ip: IpAddr,
+        /// Its process, at whose peer port other entries reach it.
+        process: EntryProcess,
         failure_domain: DomainId,
         /// The version of its deployment; 0 if it has none.
         deployment: DeploymentVersion,
--- a/src/control/publisher.rs
+++ b/src/control/publisher.rs
@@ -89,10 +89,10 @@
                 }
             }
         }
-        Handshake::Entry { name, ip, failure_domain, deployment, named } => {
+        Handshake::Entry { name, process, failure_domain, deployment, named } => {
             log::info!("event=entry_connected entry={name} failure_domain={failure_domain}");
             shared.observe_ages(named);
-            shared.entry_connected(&name, ip, &failure_domain);
+            shared.entry_connected(&name, process, &failure_domain);
             let sent = Sent::new(&name, &failure_domain, deployment);
             let ended = publish_to_entry(read, write, &scheduling, sent).await;
             shared.entry_disconnected(&name);
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -332,7 +332,7 @@
         let mut all = entries.clone();
         for (domain, remote) in self.remote_entries.values().flat_map(|(entries, _)| entries) {
             let known = all.entry(domain.clone()).or_default();
-            known.extend(remote.iter().map(|(name, ip)| (name.clone(), *ip)));
+            known.extend(remote.iter().map(|(name, process)| (name.clone(), *process)));
         }
         // Without the announcements of the other replicas the count is too low, and each entry
         // would take too large a share of the retry budget.
--- a/src/control/shared.rs
+++ b/src/control/shared.rs
@@ -10,7 +10,7 @@
 
 use tokio::sync::watch;
 
-use super::entry_directory::{EntriesByDomain, EntryDirectory};
+use super::entry_directory::{EntriesByDomain, EntryDirectory, EntryProcess};
 use super::frames::{NamedAges, ReplicaFrame, RosterVersion, Update, VersionedRoster, encode};
 use super::links::SharedLinks;
 use super::pieces;
@@ -100,7 +100,7 @@
 /// An entry that is connected to this replica.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ConnectedEntry {
-    pub ip: IpAddr,
+    pub process: EntryProcess,
     pub failure_domain: DomainId,
     /// Number of its connections.
     pub connections: u32,
@@ -288,11 +288,11 @@
     }
 
     /// Records a connection of an entry.
-    pub fn entry_connected(&self, name: &str, ip: IpAddr, failure_domain: &DomainId) {
+    pub fn entry_connected(&self, name: &str, process: EntryProcess, failure_domain: &DomainId) {
         let mut entries = self.connected_entries.borrow_mut();
         let connections = entries.get(name).map_or(0, |entry| entry.connections) + 1;
         let failure_domain = failure_domain.clone();
-        entries.insert(name.to_string(), ConnectedEntry { ip, failure_domain, connections });
+        entries.insert(name.to_string(), ConnectedEntry { process, failure_domain, connections });
     }
 
     /// Records the end of a connection of an entry.
@@ -309,7 +309,7 @@
         let mut by_domain = EntriesByDomain::new();
         for (name, entry) in self.connected_entries.borrow().iter() {
             let entries = by_domain.entry(entry.failure_domain.clone()).or_default();
-            entries.insert(name.clone(), entry.ip);
+            entries.insert(name.clone(), entry.process);
         }
         by_domain
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -20,6 +20,7 @@
 use super::stream_origin::StreamLookups;
 use super::subscription_policy::Subscriptions;
 use crate::clock::{BootTime, boot_now};
+use crate::control::entry_directory::EntryStart;
 use crate::control::frames::{ConfirmId, Update};
 use crate::control::pieces::Assembly;
 use crate::deployment::document::DeploymentVersion;
@@ -115,6 +116,8 @@
     freshness: RefCell<Freshness>,
     /// Id of the last request for a confirmation; 0 if there was none.
     pub confirm_requests: watch::Sender<ConfirmId>,
+    /// Identifies this start of the process.
+    pub start: EntryStart,
     /// Makes this entry's shares of limited targets independent of those of other entries.
     share_seed: u64,
     /// Notified when a deployment, targets or a confirmation arrive.
@@ -169,6 +172,7 @@
             last_heartbeat: Cell::new(None),
             freshness,
             confirm_requests: watch::Sender::default(),
+            start: rand::random(),
             share_seed: rand::random(),
             state_changed: Notify::new(),
             stopping: Cell::new(false),
--- a/src/gateway/subscription.rs
+++ b/src/gateway/subscription.rs
@@ -12,6 +12,7 @@
 use super::subscription_policy::Subscription;
 use super::termination;
 use crate::clock::boot_now;
+use crate::control::entry_directory::EntryProcess;
 use crate::control::frames::{
     self, Handshake, RosterSubscription, SubscriberRequest, Update, encode,
 };
@@ -81,7 +82,7 @@
     let (requests, requested) = mpsc::channel(REQUEST_QUEUE_LEN);
     let introduction = Handshake::Entry {
         name: gateway.host.name.clone(),
-        ip: gateway.host.ip,
+        process: EntryProcess { ip: gateway.host.ip, start: gateway.start },
         failure_domain: gateway.host.failure_domain.clone(),
         deployment: gateway.table().map_or(0, |table| table.deployment().version),
         named: weights::ages(&gateway.rollouts.borrow(), boot_now()),
--- a/tests/deployment/fixtures.rs
+++ b/tests/deployment/fixtures.rs
@@ -4,6 +4,8 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
+use kumquatpost::control::entry_directory::EntryProcess;
+use kumquatpost::control::frames::{Handshake, NamedAges};
 use kumquatpost::deployment::{
     Account, Deployment, EngineSpec, RequestLimits, Route, RunPolicy, Service, ServiceRole,
     StoreSpec, WeightedService,
@@ -38,6 +40,17 @@
     SocketAddr::from(([10, 0, 0, 1], port))
 }
 
+/// The handshake of an entry without a deployment.
+pub fn entry_handshake(name: &str, ip: IpAddr, named: NamedAges) -> Handshake {
+    Handshake::Entry {
+        name: name.to_string(),
+        process: EntryProcess { ip, start: 1 },
+        failure_domain: "hall".to_string(),
+        deployment: 0,
+        named,
+    }
+}
+
 /// A route with the path prefix `/{name}/` to a single service.
 pub fn route(name: &str, policy: RunPolicy, service: &str) -> Route {
     Route {
--- a/tests/deployment/forwarding.rs
+++ b/tests/deployment/forwarding.rs
@@ -83,7 +83,7 @@
         let versioned = VersionedRoster::new(1, Arc::new(roster(targets)));
         let named = peers
             .iter()
-            .map(|ip| PeerEntry { ip: *ip, failure_domain: FAILURE_DOMAIN.to_string() })
+            .map(|ip| PeerEntry { ip: *ip, failure_domain: FAILURE_DOMAIN.to_string(), start: 1 })
             .collect();
         let mut state: Vec<Update> =
             pieces::split(&versioned).into_iter().map(Update::RosterPiece).collect();
--- a/tests/deployment/monotonic_state.rs
+++ b/tests/deployment/monotonic_state.rs
@@ -3,7 +3,7 @@
 //! Each test guards against one way in which an entry or a replica loses state that it had
 //! received.
 
-use std::net::{IpAddr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -30,7 +30,7 @@
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 
-use crate::fixtures::{address, ms, roster, start, target};
+use crate::fixtures::{address, entry_handshake, ms, roster, start, target};
 use crate::gateway::{PROMPT, deployment_with_long_timeouts, event_stream, run_local, start_entry};
 use crate::replicas::ReplicaCluster;
 use crate::scheduler_service::leader_state;
@@ -238,13 +238,8 @@
     let core = ReplicaCluster::start(3);
     core.publish(1);
     let named = vec![NamedWeights { version: 2, age: ms(60_000) }];
-    let entry = Handshake::Entry {
-        name: "entry".into(),
-        ip: [127, 0, 0, 1].into(),
-        failure_domain: "hall".into(),
-        deployment: 0,
-        named: [("m".to_string(), named)].into(),
-    };
+    let named = [("m".to_string(), named)].into();
+    let entry = entry_handshake("entry", Ipv4Addr::LOCALHOST.into(), named);
     core.eventually("a replica sends the age that the entry reported", |core| {
         let exchange = async {
             let mut stream = TcpStream::connect(core.peer_address(0)).await?;
@@ -302,13 +297,7 @@
 /// sends none until its count is complete.
 async fn read_entry_count(replica: SocketAddr, name: &str) -> std::io::Result<(u32, TcpStream)> {
     let mut stream = TcpStream::connect(replica).await?;
-    let entry = Handshake::Entry {
-        name: name.into(),
-        ip: [127, 0, 0, 1].into(),
-        failure_domain: "hall".into(),
-        deployment: 0,
-        named: NamedAges::new(),
-    };
+    let entry = entry_handshake(name, Ipv4Addr::LOCALHOST.into(), NamedAges::new());
     stream.write_all(&encode(&entry)).await?;
     loop {
         if let Update::Heartbeat { entries: Some(entries), .. } = read(&mut stream).await? {
--- a/tests/deployment/peer_entries.rs
+++ b/tests/deployment/peer_entries.rs
@@ -3,15 +3,17 @@
 use std::collections::BTreeSet;
 use std::net::{IpAddr, SocketAddr};
 
-use kumquatpost::control::entry_directory::{EntriesByDomain, EntryDirectory, PeerEntry};
-use kumquatpost::control::frames::{Handshake, NamedAges, Update, encode, read};
+use kumquatpost::control::entry_directory::{
+    EntriesByDomain, EntryDirectory, EntryProcess, PeerEntry,
+};
+use kumquatpost::control::frames::{NamedAges, Update, encode, read};
 use kumquatpost::fleet::regions::AllowedDomains;
 use kumquatpost::gateway::peers::Peers;
 
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
-use crate::fixtures::ms;
+use crate::fixtures::{entry_handshake, ms};
 use crate::replicas::ReplicaCluster;
 use crate::restarts::EVENT_TIMEOUT;
 
@@ -25,7 +27,10 @@
     let mut entries = EntriesByDomain::new();
     for n in 0..count {
         let domain = ["a", "b", "c"][usize::from(n % 3)].to_string();
-        entries.entry(domain).or_default().insert(format!("entry-{n}"), ip(n));
+        entries
+            .entry(domain)
+            .or_default()
+            .insert(format!("entry-{n}"), EntryProcess { ip: ip(n), start: 1 });
     }
     let mut directory = EntryDirectory::default();
     directory.update(entries);
@@ -33,7 +38,7 @@
 }
 
 fn peer(number: u16, domain: &str) -> PeerEntry {
-    PeerEntry { ip: ip(number), failure_domain: domain.to_string() }
+    PeerEntry { ip: ip(number), failure_domain: domain.to_string(), start: 1 }
 }
 
 fn peers(named: &[PeerEntry]) -> Peers {
@@ -112,13 +117,7 @@
 /// Connects as an entry and returns the first named entries that the replica sends.
 async fn first_named(replica: SocketAddr, name: &str, ip: IpAddr) -> Vec<PeerEntry> {
     let mut stream = TcpStream::connect(replica).await.expect("the replica listens");
-    let entry = Handshake::Entry {
-        name: name.into(),
-        ip,
-        failure_domain: "hall".into(),
-        deployment: 0,
-        named: NamedAges::new(),
-    };
+    let entry = entry_handshake(name, ip, NamedAges::new());
     stream.write_all(&encode(&entry)).await.expect("the replica reads");
     loop {
         if let Update::PeerEntries(named) = read(&mut stream).await.expect("an update") {
--- a/tests/deployment/weights_in_force.rs
+++ b/tests/deployment/weights_in_force.rs
@@ -1,13 +1,15 @@
 //! Roll-out of named weights to all engines, with replicas as processes and stand-in engines.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use kumquatpost::control::frames::{self, Handshake, NamedAges, Update, encode};
+use kumquatpost::control::frames::{self, NamedAges, Update, encode};
 use serde_json::json;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
+use crate::fixtures::entry_handshake;
+
 use crate::platform_stand_in::Platform;
 use crate::replicas::ReplicaCluster;
 
@@ -52,13 +54,7 @@
 /// The first weights that a replica reports to a new entry, with the time since they were named.
 async fn first_reported_weights(replica: SocketAddr) -> std::io::Result<(u64, Duration)> {
     let mut stream = TcpStream::connect(replica).await?;
-    let entry = Handshake::Entry {
-        name: "entry".into(),
-        ip: [127, 0, 0, 1].into(),
-        failure_domain: "hall".into(),
-        deployment: 0,
-        named: NamedAges::new(),
-    };
+    let entry = entry_handshake("entry", Ipv4Addr::LOCALHOST.into(), NamedAges::new());
     stream.write_all(&encode(&entry)).await?;
     loop {
         if let Update::Weights(named) = frames::read(&mut stream).await? {
