--- a/tests/deployment/peer_entries.rs
+++ b/tests/deployment/peer_entries.rs
@@ -97,6 +97,17 @@
     assert_eq!(choose(&peers, &[], 600), Some(ip(1)));
 }
 
+// A cut entry refused requests although the only other entry had started again seconds before.
+#[test]
+fn an_entry_that_stopped_is_asked_again_once_it_has_started_anew() {
+    let mut peers = peers(&[peer(1, "a")]);
+    peers.stopping(ip(1), ms(0));
+    peers.observe(vec![peer(1, "a")]);
+    assert_eq!(choose(&peers, &[], 2_900), None, "the same process still stops");
+    peers.observe(vec![PeerEntry { start: 2, ..peer(1, "a") }]);
+    assert_eq!(choose(&peers, &[], 3_000), Some(ip(1)));
+}
+
 #[test]
 fn a_request_is_not_forwarded_outside_the_domains_that_it_may_reach() {
     let peers = peers(&[peer(1, "a"), peer(2, "b")]);
