Ask an entry again once it has started anew

A cut entry refused callers (503, no target) for up to ten seconds after the only other entry was back: what it knew of an earlier process of that entry, that it stops or can't be reached, outlived it. The replicas name the start of each entry's process now, and a new one starts from nothing.

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crate::clock::BootTime;
-use crate::control::entry_directory::PeerEntry;
+use crate::control::entry_directory::{EntryStart, PeerEntry};
 use crate::fleet::regions::AllowedDomains;
 use crate::ids::{DomainId, ServiceId};
 use crate::route::health::{FailureCause, Health};
@@ -27,6 +27,8 @@
 #[derive(Debug, Default)]
 struct Peer {
     failure_domain: DomainId,
+    /// The start of its process to which the rest applies; `None` until it is named.
+    start: Option<EntryStart>,
     /// Requests of this entry that it forwards.
     running: u32,
     health: Health,
@@ -42,12 +44,17 @@
         Peers { own_domain, known: BTreeMap::new() }
     }
 
-    /// Applies the entries that a replica names.
+    /// Applies the entries that a replica names. What is known of an earlier start of an entry no longer
+    /// applies.
     pub fn observe(&mut self, named: Vec<PeerEntry>) {
         let ips: BTreeSet<IpAddr> = named.iter().map(|entry| entry.ip).collect();
         self.known.retain(|ip, peer| ips.contains(ip) || peer.running > 0);
         for entry in named {
-            self.known.entry(entry.ip).or_default().failure_domain = entry.failure_domain;
+            let peer = self.known.entry(entry.ip).or_default();
+            if peer.start != Some(entry.start) {
+                *peer = Peer { running: peer.running, start: Some(entry.start), ..Peer::default() };
+            }
+            peer.failure_domain = entry.failure_domain;
         }
     }
 
