Log who ended a response that its caller did not get whole, and why

One line, event=response_cut, after the line of the request: the side that ended it, the reason, the events and bytes that had been passed on, how long the target had been silent, and the deployment by which the request was routed beside the newest one at its end. Without it a log can't tell a silent target from a broken one, or either from a change of the deployment.

--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -68,3 +68,8 @@
 fn end_of_last_event(bytes: &[u8]) -> Option<usize> {
     bytes.windows(2).rposition(|pair| pair == b"\n\n").map(|position| position + 2)
 }
+
+/// Number of events that end in these bytes.
+pub fn count(bytes: &[u8]) -> usize {
+    bytes.windows(2).filter(|pair| *pair == b"\n\n").count()
+}
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -12,10 +12,10 @@
 
 use super::attempt::{AttemptError, AttemptInput, TargetResponse, attempt};
 use super::attempts::Attempts;
-use super::events::EventSplitter;
+use super::events::{self, EventSplitter};
 use super::metadata::ResponseMetadata;
 use super::pool::Connection;
-use super::request_record::{Outcome, RequestRecord};
+use super::request_record::{CutBy, Outcome, RequestRecord};
 use super::responder::Responder;
 use super::response::{RelayError, ResponseBody, stream_body};
 use super::routed_request::{Origin, RoutedRequest};
@@ -29,6 +29,10 @@
 /// A resumable stream without an event for this multiple of the route's largest allowed gap is
 /// resumed at another target.
 const GAPS_BEFORE_RESUME: u32 = 4;
+/// Why a response is cut short at the deadline of its request.
+const TIME_IS_OVER: &str = "its time is over";
+/// Why such a stream is given up.
+const SILENT: &str = "no event for too long";
 /// Longest gap between events before such a resume if the route sets none.
 const DEFAULT_MAX_GAP: Duration = Duration::from_secs(2);
 
@@ -121,7 +125,7 @@
         loop {
             match self.read_source().await {
                 SourceRead::Events(events) => {
-                    self.record.first_part_sent();
+                    self.record.part_relayed(events::count(&events), events.len());
                     self.bind_software();
                     return Ok(Some(events));
                 }
@@ -130,8 +134,8 @@
                     return Ok(None);
                 }
                 SourceRead::TimedOut => {
-                    self.record.set_outcome(Outcome::BrokenOff);
-                    return Err("its time is over".into());
+                    self.record.broken_off(CutBy::Entry, TIME_IS_OVER);
+                    return Err(TIME_IS_OVER.into());
                 }
                 SourceRead::Broken(reason) => self.resume(reason, BreakCause::Failure).await?,
                 SourceRead::Lost(reason) => self.resume(reason, BreakCause::Connection).await?,
@@ -157,7 +161,7 @@
             let frame = match timeout_at(deadline, source.body.frame()).await {
                 Ok(frame) => frame,
                 Err(_) if Instant::now() >= self.routed.deadline => return SourceRead::TimedOut,
-                Err(_) => return SourceRead::Broken("no event for too long".into()),
+                Err(_) => return SourceRead::Broken(SILENT.into()),
             };
             match frame {
                 None if self.events.has_partial() => {
@@ -166,6 +170,7 @@
                 None => return SourceRead::Complete,
                 Some(Err(error)) => return SourceRead::Lost(error.to_string()),
                 Some(Ok(frame)) => {
+                    self.record.target_active();
                     let Ok(data) = frame.into_data() else { continue };
                     source.responder.prompt_read(&source.response_metadata);
                     match self.events.push(&data) {
@@ -218,7 +223,8 @@
             drop((body, connection));
             responder.close_broken(&self.gateway, &self.routed, sent_at, &mut self.record).await;
         }
-        self.record.set_outcome(Outcome::BrokenOff);
+        let by = if reason == SILENT { CutBy::Entry } else { CutBy::Target };
+        self.record.broken_off(by, &reason);
         if !may_resume || !self.gateway.try_retry(&self.routed.service, &mut self.record) {
             return Err(reason.into());
         }
@@ -276,23 +282,25 @@
     let source = Source::new(received);
     stream_body(stream::unfold(Some((gateway, routed, source, record)), move |state| async move {
         let (gateway, routed, mut source, mut record) = state?;
-        let error: RelayError = match timeout_at(routed.deadline, source.body.frame()).await {
-            Ok(None) => {
-                record.set_outcome(Outcome::Relayed(status.as_u16()));
-                if status.is_success() {
-                    gateway.record_success(&routed);
+        let (by, error): (CutBy, RelayError) =
+            match timeout_at(routed.deadline, source.body.frame()).await {
+                Ok(None) => {
+                    record.set_outcome(Outcome::Relayed(status.as_u16()));
+                    if status.is_success() {
+                        gateway.record_success(&routed);
+                    }
+                    return None;
                 }
-                return None;
-            }
-            Ok(Some(Ok(frame))) => {
-                record.first_part_sent();
-                return Some((Ok(frame), Some((gateway, routed, source, record))));
-            }
-            Ok(Some(Err(error))) => error.into(),
-            Err(_) => "its time is over".into(),
-        };
+                Ok(Some(Ok(frame))) => {
+                    record.target_active();
+                    record.part_relayed(0, frame.data_ref().map_or(0, Bytes::len));
+                    return Some((Ok(frame), Some((gateway, routed, source, record))));
+                }
+                Ok(Some(Err(error))) => (CutBy::Target, error.into()),
+                Err(_) => (CutBy::Entry, TIME_IS_OVER.into()),
+            };
         record.responder_failed(&source.responder, &error.to_string());
-        record.set_outcome(Outcome::BrokenOff);
+        record.broken_off(by, &error.to_string());
         if Instant::now() < routed.deadline {
             let Source { responder, sent_at, .. } = source;
             responder.close_broken(&gateway, &routed, sent_at, &mut record).await;
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -331,7 +331,7 @@
         } = received;
         match relay::read_buffered(response.into_body(), routed.deadline).await {
             Ok(bytes) => {
-                record.first_part_sent();
+                record.part_relayed(0, bytes.len());
                 record.set_outcome(Outcome::Relayed(status.as_u16()));
                 if status.is_success() {
                     responder.succeeded(gateway, sent_at);
--- a/src/gateway/request_record.rs
+++ b/src/gateway/request_record.rs
@@ -1,6 +1,6 @@
 //! Collects what happens to a request and logs it as one line at the end.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::fmt::Write;
 use std::net::IpAddr;
 use std::rc::Rc;
@@ -51,6 +51,34 @@
     }
 }
 
+/// Who ended a response before it was complete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CutBy {
+    Caller,
+    /// The target, or the entry that made the attempt.
+    Target,
+    /// This entry.
+    Entry,
+}
+
+impl CutBy {
+    fn name(self) -> &'static str {
+        match self {
+            CutBy::Caller => "caller",
+            CutBy::Target => "target",
+            CutBy::Entry => "entry",
+        }
+    }
+}
+
+/// What the caller has been sent of the response.
+#[derive(Clone, Copy, Debug, Default)]
+struct Relayed {
+    /// Complete events, if the response is a stream.
+    events: usize,
+    bytes: usize,
+}
+
 /// The record of one request. Dropping it updates the metrics and writes the log line.
 pub struct RequestRecord {
     gateway: Rc<Gateway>,
@@ -64,6 +92,11 @@
     /// The fingerprint, once it has been logged for a failed or quarantined run.
     fingerprint: Option<Fingerprint>,
     first_part: Option<Duration>,
+    relayed: Relayed,
+    /// When the target last sent something, or was sent the request.
+    target_active_at: Option<BootTime>,
+    /// Who cut the response short, and why.
+    cut: RefCell<Option<(CutBy, String)>>,
     outcome: Cell<Outcome>,
 }
 
@@ -88,6 +121,9 @@
             attempts: resumed.unwrap_or_default(),
             fingerprint: None,
             first_part: None,
+            relayed: Relayed::default(),
+            target_active_at: None,
+            cut: RefCell::default(),
             outcome: Cell::new(Outcome::CallerLeft),
         }
     }
@@ -126,6 +162,7 @@
             self.attempts,
             " at_ms={at_ms} target={target} software={software} {trace} reused={is_reused}"
         );
+        self.target_active();
     }
 
     /// Records that the head of a response has arrived, with the load and the rate limit that the
@@ -133,6 +170,7 @@
     pub fn response_received(&mut self, response_metadata: &ResponseMetadata) {
         let at_ms = self.elapsed().as_millis();
         let _ = write!(self.attempts, " answered_ms={at_ms}");
+        self.target_active();
         if let Some(load) = response_metadata.load {
             let _ = write!(self.attempts, " running={} waiting={}", load.running, load.waiting);
         }
@@ -169,6 +207,7 @@
         let at_ms = self.elapsed().as_millis();
         self.gateway.metrics.forwarded_attempts.add(1, &[]);
         let _ = write!(self.attempts, " at_ms={at_ms} forwarded_to={ip} reused={is_reused}");
+        self.target_active();
     }
 
     /// Records that another entry had no response for a forwarded attempt.
@@ -202,11 +241,24 @@
         }
     }
 
-    /// Records the time to the first data of the response body.
-    pub fn first_part_sent(&mut self) {
+    /// Records that the target has sent data.
+    pub fn target_active(&mut self) {
+        self.target_active_at = Some(boot_now());
+    }
+
+    /// Records that a part of the response body is relayed to the caller.
+    pub fn part_relayed(&mut self, events: usize, bytes: usize) {
         if self.first_part.is_none() {
             self.first_part = Some(self.elapsed());
         }
+        self.relayed.events += events;
+        self.relayed.bytes += bytes;
+    }
+
+    /// Records that the response ends before it is complete.
+    pub fn broken_off(&self, by: CutBy, reason: &str) {
+        self.outcome.set(Outcome::BrokenOff);
+        *self.cut.borrow_mut() = Some((by, reason.to_string()));
     }
 
     /// Sets how the request ended.
@@ -218,6 +270,31 @@
     pub fn elapsed(&self) -> Duration {
         boot_now().saturating_sub(self.started_at)
     }
+
+    /// Logs who ended the response of a request that got no whole one, and why.
+    fn log_cut(&self) {
+        let (by, reason) = match self.outcome.get() {
+            Outcome::CallerLeft => (CutBy::Caller, "it disconnected".to_string()),
+            Outcome::BrokenOff => {
+                self.cut.take().unwrap_or_else(|| (CutBy::Entry, "unknown".to_string()))
+            }
+            Outcome::Relayed(_) | Outcome::Refused(..) => return,
+        };
+        let Relayed { events, bytes } = self.relayed;
+        let silent_ms = self
+            .target_active_at
+            .map_or(-1, |active_at| boot_now().saturating_sub(active_at).as_millis() as i64);
+        let newest = self.gateway.table().map_or(0, |table| table.deployment().version);
+        log::info!(
+            "event=response_cut id={} route={} by={} reason={reason:?} events={events} \
+             bytes={bytes} silent_ms={silent_ms} version={} newest_version={newest} took_ms={}",
+            self.id,
+            self.route,
+            by.name(),
+            self.version,
+            self.elapsed().as_millis(),
+        );
+    }
 }
 
 impl Drop for RequestRecord {
@@ -246,5 +323,6 @@
             outcome,
             self.attempts
         );
+        self.log_cut();
     }
 }
