Failing tests: targets that are silent for a while and go on

Streams and late heads with one target, without a retry, through another entry, and a target that reads a long body late.

--- a/tests/deployment/forwarding.rs
+++ b/tests/deployment/forwarding.rs
@@ -23,6 +23,9 @@
 };
 use crate::platform_stand_in::target::FIRST_SOFTWARE;
 use crate::restarts::EVENT_TIMEOUT;
+use crate::silent_targets::{
+    assert_whole_stream, short_gaps, silent_before_the_head, silent_between_events, whole_stream,
+};
 use crate::stand_in::{AfterAnswer, Script, StandIn, header};
 
 const PEER_PORT: u16 = 21_700;
@@ -248,6 +251,17 @@
     start_with_software(cut, service, scripts, &[FIRST_SOFTWARE], sound_count, network).await
 }
 
+/// The same with a deployment, and one entry that reaches the targets.
+async fn start_with_deployment(
+    deployment: Deployment,
+    service: &str,
+    scripts: Vec<Script>,
+    network: u8,
+) -> System {
+    let targets = (service, scripts, [FIRST_SOFTWARE].as_slice());
+    start_system(Cut::Refused, deployment, targets, 1, network).await
+}
+
 /// The same with the software versions of the targets, in turn.
 async fn start_with_software(
     cut: Cut,
@@ -256,6 +270,18 @@
     software: &[&str],
     sound_count: u8,
     network: u8,
+) -> System {
+    let targets = (service, scripts, software);
+    start_system(cut, deployment_with_long_timeouts(), targets, sound_count, network).await
+}
+
+/// Starts a system; the targets are a service, their scripts and their software versions, in turn.
+async fn start_system(
+    cut: Cut,
+    deployment: Deployment,
+    (service, scripts, software): (&str, Vec<Script>, &[&str]),
+    sound_count: u8,
+    network: u8,
 ) -> System {
     let (mut targets, mut reachable, mut unreachable) = (Vec::new(), Vec::new(), Vec::new());
     let mut addresses = Vec::new();
@@ -272,7 +298,6 @@
         targets.push(stand_in);
         addresses.push(cut_address);
     }
-    let deployment = deployment_with_long_timeouts();
     let sound_ips: Vec<IpAddr> = (0..sound_count).map(|n| loopback(network + 2 + 2 * n)).collect();
     let (cut_ip, replica_ip) = (loopback(network), loopback(network + 1));
     let replica = FakeReplica::start(replica_ip, deployment.clone(), unreachable, &sound_ips).await;
@@ -531,3 +556,24 @@
         assert!(exit.success(), "{exit}");
     });
 }
+
+// Guards against a stream that its own entry cuts off, since the target behind the other entry was
+// silent for a while.
+#[test]
+fn a_forwarded_stream_whose_target_falls_silent_and_goes_on_is_whole() {
+    for (name, script, network) in [
+        ("between events", silent_between_events(), 170),
+        ("before the head", silent_before_the_head(whole_stream()), 174),
+    ] {
+        for count in [1, 2] {
+            let (script, network) = (script.clone(), network + 10 * (count as u8 - 1));
+            run_local(async move {
+                let scripts = vec![script; count];
+                let system = start_with_deployment(short_gaps(), "llm", scripts, network).await;
+                let got = system.cut.call_with("/resumable/", "r1", PROMPT).await;
+                assert_whole_stream(&format!("{name}, {count} targets"), &got);
+                assert_eq!(requests(&system), 1, "{name}, {count} targets");
+            });
+        }
+    }
+}
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -49,6 +49,7 @@
 mod scheduler_service;
 mod scheduling;
 mod settings;
+mod silent_targets;
 mod slow_readers;
 mod software_placement;
 mod software_versions;
--- /dev/null
+++ b/tests/deployment/silent_targets.rs
@@ -0,0 +1,253 @@
+//! An entry in front of scripted targets that are silent for longer than a route allows, and then go
+//! on.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use kumquatpost::clock::boot_now;
+use kumquatpost::control::frames::Update;
+use kumquatpost::deployment::Deployment;
+use kumquatpost::fleet::budget::{RetryBudget, RetryLimit};
+use socket2::SockRef;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::fixtures::{deployment, target};
+use crate::gateway::{
+    Entry, PROMPT, Response, entry_with_two_targets, event_stream, eventually, ok_response,
+    run_local, start_entry,
+};
+use crate::stand_in::{AfterAnswer, Script, StandIn};
+
+/// Longer than four of the largest gaps between events that the routes allow, and than their time for
+/// the head of a response.
+const SILENCE: Duration = Duration::from_millis(1_700);
+/// The time limit of all routes, which no test reaches.
+const ROUTE_TIMEOUT: Duration = Duration::from_secs(60);
+/// More than the buffers of a connection to a target that doesn't read take at once.
+const LONG_BODY_BYTES: usize = 900 << 10;
+const LAST_BYTES: &[u8] = b"the end";
+const FIRST_EVENTS: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+const LAST_EVENT: &str = "id: 3\ndata: c\n\n";
+
+/// Routes with events 300 ms apart at most.
+pub fn short_gaps() -> Deployment {
+    let mut deployment = deployment(1);
+    deployment.routes.iter_mut().for_each(|route| route.timeout = ROUTE_TIMEOUT);
+    deployment
+}
+
+/// A stream that is silent after the first two events, then goes on.
+pub fn silent_between_events() -> Script {
+    vec![
+        (event_stream(&[FIRST_EVENTS], false), AfterAnswer::ContinueAfter(SILENCE)),
+        (rest_of_stream(LAST_EVENT), AfterAnswer::KeepOpen),
+    ]
+}
+
+/// A stream that is silent within its third event.
+fn silent_within_an_event() -> Script {
+    vec![
+        (event_stream(&[FIRST_EVENTS, "id: 3\nda"], false), AfterAnswer::ContinueAfter(SILENCE)),
+        (rest_of_stream("ta: c\n\n"), AfterAnswer::KeepOpen),
+    ]
+}
+
+/// An answer whose head comes late.
+pub fn silent_before_the_head(answer: String) -> Script {
+    vec![(String::new(), AfterAnswer::ContinueAfter(SILENCE)), (answer, AfterAnswer::KeepOpen)]
+}
+
+/// The last chunks of a stream.
+fn rest_of_stream(chunk: &str) -> String {
+    format!("{:x}\r\n{chunk}\r\n0\r\n\r\n", chunk.len())
+}
+
+pub fn whole_stream() -> String {
+    event_stream(&[FIRST_EVENTS, LAST_EVENT], true)
+}
+
+fn spend_retries(entry: &Entry) {
+    let limit = RetryLimit { ratio: 0.0, slack: 0.0, window: ROUTE_TIMEOUT };
+    *entry.gateway.retries.borrow_mut() = RetryBudget::new(limit, boot_now());
+}
+
+fn configure(entry: &Entry, deployment: Deployment) {
+    let update = Update::Deployment(Arc::new(deployment));
+    entry.gateway.observe(update).expect("a valid update");
+}
+
+/// An entry and its targets of the service `llm`, with these scripts.
+async fn entry_with_engines(scripts: Vec<Script>) -> (Entry, Vec<StandIn>) {
+    let (mut engines, mut listed) = (Vec::new(), Vec::new());
+    for (n, script) in scripts.into_iter().enumerate() {
+        let engine = StandIn::start(script).await;
+        listed.push(target(&format!("i-{n}"), "llm", engine.address));
+        engines.push(engine);
+    }
+    (start_entry(short_gaps(), listed).await, engines)
+}
+
+pub fn assert_whole_stream(name: &str, got: &Response) {
+    assert_eq!(got.status, 200, "{name}: {}", got.text);
+    let body: String = got.text.split("\r\n").filter(|line| line.contains(": ")).collect();
+    let last = body.rsplit("text/event-stream").next().unwrap_or_default();
+    for (number, text) in [(1, "a"), (2, "b"), (3, "c")] {
+        let event = format!("id: {number}\n");
+        assert_eq!(got.text.matches(&event).count(), 1, "{name}, event {number} once: {last}");
+        assert!(got.text.contains(&format!("data: {text}")), "{name}, event {number}: {last}");
+    }
+    assert!(got.text.ends_with("0\r\n\r\n"), "{name}: the end is missing: {}", got.text);
+}
+
+fn interruptions(engines: &[StandIn]) -> u32 {
+    engines.iter().map(|engine| engine.interrupted.get()).sum()
+}
+
+fn requests(engines: &[StandIn]) -> usize {
+    engines.iter().map(StandIn::request_count).sum()
+}
+
+// Guards against a stream that is cut off because its only target was silent for a second or so.
+#[test]
+fn a_stream_whose_only_target_falls_silent_and_goes_on_is_whole() {
+    for (path, name, script) in [
+        ("/resumable/", "between events", silent_between_events as fn() -> Script),
+        ("/resumable/", "within an event", silent_within_an_event),
+        ("/stream/", "between events", silent_between_events),
+        ("/stream/", "within an event", silent_within_an_event),
+    ] {
+        run_local(async move {
+            let (entry, engines) = entry_with_engines(vec![script()]).await;
+            let got = entry.call_with(path, "r1", PROMPT).await;
+            assert_whole_stream(&format!("{path} {name}"), &got);
+            assert_eq!((requests(&engines), interruptions(&engines)), (1, 0), "{path} {name}");
+        });
+    }
+}
+
+// Guards against a stream that is cut off at a silent target because no retry is left.
+#[test]
+fn a_stream_at_a_silent_target_is_whole_without_a_retry() {
+    run_local(async {
+        let scripts = vec![silent_between_events(), silent_between_events()];
+        let (entry, engines) = entry_with_engines(scripts).await;
+        spend_retries(&entry);
+        let got = entry.call_with("/resumable/", "r1", PROMPT).await;
+        assert_whole_stream("no retry", &got);
+        assert_eq!((requests(&engines), interruptions(&engines)), (1, 0));
+    });
+}
+
+// Guards against a request that is answered with 504, though its target was only silent for a while,
+// because no other target or no retry was left.
+#[test]
+fn a_response_that_begins_late_is_whole_if_nothing_can_replace_it() {
+    for (path, count, has_retries) in
+        [("/resumable/", 1, true), ("/resumable/", 2, false), ("/stream/", 2, true)]
+    {
+        run_local(async move {
+            let scripts = vec![silent_before_the_head(whole_stream()); count];
+            let (entry, engines) = entry_with_engines(scripts).await;
+            if !has_retries {
+                spend_retries(&entry);
+            }
+            let got = entry.call_with(path, "r1", PROMPT).await;
+            assert_whole_stream(&format!("{path} {count} {has_retries}"), &got);
+            assert_eq!((requests(&engines), interruptions(&engines)), (1, 0), "{path} {count}");
+        });
+    }
+}
+
+// Guards against the same for a plain service.
+#[test]
+fn a_plain_response_that_begins_late_is_whole_if_nothing_can_replace_it() {
+    for (path, has_retries) in [("/safe/", true), ("/safe/", false), ("/once/", true)] {
+        run_local(async move {
+            let only = StandIn::start(silent_before_the_head(ok_response("done"))).await;
+            let entry = start_entry(short_gaps(), vec![target("i-0", "app", only.address)]).await;
+            if !has_retries {
+                spend_retries(&entry);
+            }
+            let got = entry.call(path, "r1").await;
+            assert_eq!(got.status, 200, "{path} {has_retries}: {}", got.text);
+            assert!(got.text.ends_with("done"), "{path} {has_retries}: {}", got.text);
+            assert_eq!((only.request_count(), only.interrupted.get()), (1, 0), "{path}");
+        });
+    }
+}
+
+// Guards against a stream that waits at a silent target although another one could go on with it,
+// and against one that runs at both.
+#[test]
+fn a_stream_at_a_silent_target_is_resumed_at_another_one() {
+    run_local(async {
+        let silent = vec![(event_stream(&[FIRST_EVENTS], false), AfterAnswer::Hang)];
+        let rest = vec![(event_stream(&[LAST_EVENT], true), AfterAnswer::KeepOpen)];
+        let (entry, first_engine, second_engine) =
+            entry_with_two_targets("llm", silent, rest).await;
+        configure(&entry, Deployment { version: 2, ..short_gaps() });
+        let got = entry.call_with("/resumable/", "r1", PROMPT).await;
+        assert_whole_stream("resumed", &got);
+        assert_eq!((first_engine.request_count(), second_engine.request_count()), (1, 1));
+        eventually(|| first_engine.interrupted.get() == 1).await;
+    });
+}
+
+// Guards against a stream that is cut off because the target that takes it over doesn't run it.
+#[test]
+fn a_resumed_stream_goes_to_a_further_target_if_the_second_does_not_run_it() {
+    run_local(async {
+        let broken = (event_stream(&[FIRST_EVENTS], false), AfterAnswer::Close);
+        let full = (
+            "HTTP/1.1 503 Full\r\nX-Request-Id: {id}\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+                .to_string(),
+            AfterAnswer::KeepOpen,
+        );
+        let rest = (event_stream(&[LAST_EVENT], true), AfterAnswer::KeepOpen);
+        let engines = StandIn::start_group(3, vec![broken, full, rest]).await;
+        let listed = engines.iter().enumerate();
+        let listed = listed.map(|(n, engine)| target(&format!("i-{n}"), "llm", engine.address));
+        let mut deployment = short_gaps();
+        deployment.routes.iter_mut().for_each(|route| route.attempts = 3);
+        let entry = start_entry(deployment, listed.collect()).await;
+        let got = entry.call_with("/resumable/", "r1", PROMPT).await;
+        assert_whole_stream("third target", &got);
+        assert_eq!(requests(&engines), 3);
+    });
+}
+
+// Guards against a request that is lost because its target doesn't read a long body for a while.
+#[test]
+fn a_target_that_reads_a_long_body_late_answers_it() {
+    run_local(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        SockRef::from(&listener).set_recv_buffer_size(4_096).expect("a small buffer");
+        let address = listener.local_addr().expect("an address");
+        let entry = start_entry(short_gaps(), vec![target("i-0", "app", address)]).await;
+        tokio::task::spawn_local(async move {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            tokio::time::sleep(SILENCE).await;
+            let mut request = Vec::new();
+            while !request.ends_with(LAST_BYTES) {
+                let count = stream.read_buf(&mut request).await.expect("the entry sends on");
+                assert!(count > 0, "the entry closes the connection");
+            }
+            let answer = ok_response("done").replace("{id}", "r1");
+            stream.write_all(answer.as_bytes()).await.expect("the entry reads");
+        });
+        let mut caller = TcpStream::connect(entry.address).await.expect("it listens");
+        let mut request = format!(
+            "POST /once/ HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: r1\r\n\
+             Authorization: Bearer key-a\r\nConnection: close\r\nContent-Length: {}\r\n\r\n",
+            LONG_BODY_BYTES
+        )
+        .into_bytes();
+        request.resize(request.len() + LONG_BODY_BYTES - LAST_BYTES.len(), b'x');
+        request.extend_from_slice(LAST_BYTES);
+        caller.write_all(&request).await.expect("the entry reads the request");
+        let mut text = String::new();
+        caller.read_to_string(&mut text).await.expect("a response");
+        assert!(text.starts_with("HTTP/1.1 200") && text.ends_with("done"), "{text}");
+    });
+}
--- a/tests/deployment/stand_in.rs
+++ b/tests/deployment/stand_in.rs
@@ -18,6 +18,8 @@
     Close,
     /// Closes the connection while it is idle, without an announcement.
     CloseLater,
+    /// Sends nothing for this long, then the next answer of the script as the rest of this one.
+    ContinueAfter(Duration),
     /// Sends nothing more and waits until the caller closes the connection.
     Hang,
 }
@@ -30,7 +32,7 @@
     pub address: SocketAddr,
     /// The head and body of each request, in order of arrival.
     pub requests: Rc<RefCell<Vec<String>>>,
-    /// The number of connections that the caller closed after `AfterAnswer::Hang`.
+    /// The number of connections that the caller closed while the answer was incomplete.
     pub interrupted: Rc<Cell<u32>>,
     pub connections: Rc<Cell<u32>>,
     script: Rc<RefCell<VecDeque<(String, AfterAnswer)>>>,
@@ -42,13 +44,31 @@
     }
 
     pub async fn start_at(address: SocketAddr, script: Script) -> StandIn {
+        StandIn::listen(address, Rc::new(RefCell::new(script.into()))).await
+    }
+
+    /// Starts targets that share a script: each request, at whichever of them, gets its next answer.
+    pub async fn start_group(count: usize, script: Script) -> Vec<StandIn> {
+        let script = Rc::new(RefCell::new(VecDeque::from(script)));
+        let mut group = Vec::new();
+        for _ in 0..count {
+            let address = SocketAddr::from(([127, 0, 0, 1], 0));
+            group.push(StandIn::listen(address, script.clone()).await);
+        }
+        group
+    }
+
+    async fn listen(
+        address: SocketAddr,
+        script: Rc<RefCell<VecDeque<(String, AfterAnswer)>>>,
+    ) -> StandIn {
         let listener = TcpListener::bind(address).await.expect("a free port");
         let stand_in = StandIn {
             address: listener.local_addr().expect("an address"),
             requests: Rc::default(),
             interrupted: Rc::default(),
             connections: Rc::default(),
-            script: Rc::new(RefCell::new(script.into())),
+            script,
         };
         let script = stand_in.script.clone();
         let (requests, interrupted) = (stand_in.requests.clone(), stand_in.interrupted.clone());
@@ -84,27 +104,40 @@
         let Some(request) = read_request(&mut stream).await else { return };
         let id = header(&request, "x-request-id").unwrap_or_default();
         requests.borrow_mut().push(request);
-        let step = script.borrow_mut().pop_front();
-        let Some((answer, after_answer)) = step else { return };
-        let answer = answer.replace("{id}", &id);
-        stream.write_all(answer.as_bytes()).await.expect("the caller reads");
-        match after_answer {
-            AfterAnswer::KeepOpen => {}
-            AfterAnswer::Close => return,
-            AfterAnswer::CloseLater => {
-                tokio::time::sleep(IDLE_BEFORE_CLOSE).await;
-                return;
-            }
-            AfterAnswer::Hang => {
-                let mut byte = [0];
-                let _ = stream.read(&mut byte).await;
-                interrupted.set(interrupted.get() + 1);
-                return;
+        loop {
+            let step = script.borrow_mut().pop_front();
+            let Some((answer, after_answer)) = step else { return };
+            let answer = answer.replace("{id}", &id);
+            stream.write_all(answer.as_bytes()).await.expect("the caller reads");
+            match after_answer {
+                AfterAnswer::KeepOpen => break,
+                AfterAnswer::Close => return,
+                AfterAnswer::CloseLater => {
+                    tokio::time::sleep(IDLE_BEFORE_CLOSE).await;
+                    return;
+                }
+                AfterAnswer::ContinueAfter(silence) => {
+                    if tokio::time::timeout(silence, until_closed(&mut stream)).await.is_ok() {
+                        interrupted.set(interrupted.get() + 1);
+                        return;
+                    }
+                }
+                AfterAnswer::Hang => {
+                    until_closed(&mut stream).await;
+                    interrupted.set(interrupted.get() + 1);
+                    return;
+                }
             }
         }
     }
 }
 
+/// Waits until the caller closes the connection.
+async fn until_closed(stream: &mut TcpStream) {
+    let mut byte = [0];
+    let _ = stream.read(&mut byte).await;
+}
+
 /// Reads a request head and a body of its `Content-Length`.
 async fn read_request(stream: &mut TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
