Let two attempts of one request write to its record

The record's steps are collected behind a shared reference, so that an attempt can be prepared while another one runs. No change of behaviour.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -94,7 +94,7 @@
 pub async fn attempt(
     gateway: &Rc<Gateway>,
     input: AttemptInput<'_>,
-    record: &mut RequestRecord,
+    record: &RequestRecord,
 ) -> Result<TargetResponse, AttemptError> {
     let service = &input.routed.service;
     if input.routed.origin == Origin::Entry {
@@ -120,7 +120,7 @@
 async fn attempt_directly(
     gateway: &Rc<Gateway>,
     input: AttemptInput<'_>,
-    record: &mut RequestRecord,
+    record: &RequestRecord,
 ) -> Result<TargetResponse, AttemptError> {
     let routed = input.routed;
     let mut avoid = input.attempts.targets().to_vec();
@@ -219,7 +219,7 @@
 pub fn held_for(
     gateway: &Gateway,
     routed: &RoutedRequest,
-    record: &mut RequestRecord,
+    record: &RequestRecord,
 ) -> Option<Duration> {
     let left = gateway.held_for(routed)?;
     record.set_fingerprint(routed.fingerprint());
@@ -234,7 +234,7 @@
     gateway: &Rc<Gateway>,
     routed: &RoutedRequest,
     target: &TargetStart,
-    record: &mut RequestRecord,
+    record: &RequestRecord,
 ) -> Result<Connection, EndReason> {
     let idle_lost = gateway.pool.remove_lost(target);
     if let Some(connection) = gateway.pool.take_idle(target) {
@@ -303,7 +303,7 @@
     gateway: &Gateway,
     routed: &RoutedRequest,
     mut received: TargetResponse,
-    record: &mut RequestRecord,
+    record: &RequestRecord,
 ) -> Result<TargetResponse, AttemptError> {
     let now = boot_now();
     let TargetResponse { responder, response, response_metadata, sent_at, .. } = &mut received;
--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -98,7 +98,7 @@
 pub async fn forward(
     gateway: &Rc<Gateway>,
     input: AttemptInput<'_>,
-    record: &mut RequestRecord,
+    record: &RequestRecord,
 ) -> Option<Result<TargetResponse, AttemptError>> {
     let mut asked = Vec::new();
     while asked.len() < MAX_ENTRIES_ASKED {
@@ -119,7 +119,7 @@
     gateway: &Rc<Gateway>,
     ip: IpAddr,
     input: AttemptInput<'_>,
-    record: &mut RequestRecord,
+    record: &RequestRecord,
 ) -> Option<Result<TargetResponse, AttemptError>> {
     let routed = input.routed;
     let mut connection = connect(gateway, ip, routed.deadline, record).await?;
@@ -191,7 +191,7 @@
     gateway: &Gateway,
     ip: IpAddr,
     deadline: Instant,
-    record: &mut RequestRecord,
+    record: &RequestRecord,
 ) -> Option<Connection> {
     if let Some(connection) = gateway.peer_pool.take_idle(&ip) {
         return Some(connection);
@@ -351,7 +351,7 @@
         resume_after: attempt.resume_after.as_deref(),
         response_timeout: None,
     };
-    let made = attempt::attempt(&gateway, input, &mut record).await;
+    let made = attempt::attempt(&gateway, input, &record).await;
     let received = match made {
         Ok(received) => received,
         Err(error) => return respond(error.into(), &record),
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -221,11 +221,11 @@
             }
             // Closing the connection cancels the request at the target.
             drop((body, connection));
-            responder.close_broken(&self.gateway, &self.routed, sent_at, &mut self.record).await;
+            responder.close_broken(&self.gateway, &self.routed, sent_at, &self.record).await;
         }
         let by = if reason == SILENT { CutBy::Entry } else { CutBy::Target };
         self.record.broken_off(by, &reason);
-        if !may_resume || !self.gateway.try_retry(&self.routed.service, &mut self.record) {
+        if !may_resume || !self.gateway.try_retry(&self.routed.service, &self.record) {
             return Err(reason.into());
         }
         self.events.discard_partial();
@@ -237,7 +237,7 @@
             resume_after: last.as_deref(),
             response_timeout: None,
         };
-        let resumed = attempt(&self.gateway, input, &mut self.record).await;
+        let resumed = attempt(&self.gateway, input, &self.record).await;
         match resumed {
             Ok(received) if received.response.status() == StatusCode::OK => {
                 self.attempts.add(received.responder.target().cloned());
@@ -281,7 +281,7 @@
     let status = received.response.status();
     let source = Source::new(received);
     stream_body(stream::unfold(Some((gateway, routed, source, record)), move |state| async move {
-        let (gateway, routed, mut source, mut record) = state?;
+        let (gateway, routed, mut source, record) = state?;
         let (by, error): (CutBy, RelayError) =
             match timeout_at(routed.deadline, source.body.frame()).await {
                 Ok(None) => {
@@ -303,7 +303,7 @@
         record.broken_off(by, &error.to_string());
         if Instant::now() < routed.deadline {
             let Source { responder, sent_at, .. } = source;
-            responder.close_broken(&gateway, &routed, sent_at, &mut record).await;
+            responder.close_broken(&gateway, &routed, sent_at, &record).await;
         }
         Some((Err(error), None))
     }))
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -213,9 +213,9 @@
 async fn serve(
     gateway: &Rc<Gateway>,
     mut routed: RoutedRequest,
-    mut record: RequestRecord,
+    record: RequestRecord,
 ) -> GatewayResponse {
-    if let Err(refusal) = stream_origin::resolve(gateway, &mut routed, &mut record).await {
+    if let Err(refusal) = stream_origin::resolve(gateway, &mut routed, &record).await {
         return refuse(refusal, &routed.metadata.id, &record);
     }
     gateway.retries.borrow_mut().record_request(&routed.service, boot_now());
@@ -229,13 +229,13 @@
             resume_after: resume_after.as_deref(),
             response_timeout: first_response_timeout(&routed, &attempts),
         };
-        let made = attempt(gateway, input, &mut record).await;
+        let made = attempt(gateway, input, &record).await;
         let (attempt_refusal, target) = match made {
             Ok(received) => {
                 attempts.add(received.responder.target().cloned());
                 let wants_another = received.response.status().is_server_error()
                     && routed.route.policy == RunPolicy::Idempotent;
-                if !(wants_another && may_retry(gateway, &routed, &attempts, &mut record)) {
+                if !(wants_another && may_retry(gateway, &routed, &attempts, &record)) {
                     let id = routed.metadata.id.clone();
                     return relay_response(gateway, routed, record, attempts, received)
                         .await
@@ -277,7 +277,7 @@
             (_, attempt_refusal) => attempt_refusal,
         };
         let may_repeat = !may_have_run || routed.route.policy.may_repeat();
-        if !may_repeat || !may_retry(gateway, &routed, &attempts, &mut record) {
+        if !may_repeat || !may_retry(gateway, &routed, &attempts, &record) {
             return refuse(refusal, &routed.metadata.id, &record);
         }
     }
@@ -297,7 +297,7 @@
     gateway: &Gateway,
     routed: &RoutedRequest,
     attempts: &Attempts,
-    record: &mut RequestRecord,
+    record: &RequestRecord,
 ) -> bool {
     attempts.count() < routed.route.attempts.max(2)
         && Instant::now() < routed.deadline
@@ -311,7 +311,7 @@
 pub async fn relay_response(
     gateway: &Rc<Gateway>,
     routed: RoutedRequest,
-    mut record: RequestRecord,
+    record: RequestRecord,
     attempts: Attempts,
     received: TargetResponse,
 ) -> Result<GatewayResponse, RequestRecord> {
@@ -347,7 +347,7 @@
                 record.responder_failed(&responder, &error.to_string());
                 drop(connection);
                 if Instant::now() < routed.deadline {
-                    responder.close_broken(gateway, &routed, sent_at, &mut record).await;
+                    responder.close_broken(gateway, &routed, sent_at, &record).await;
                 }
                 return Err(record);
             }
--- a/src/gateway/request_record.rs
+++ b/src/gateway/request_record.rs
@@ -88,13 +88,13 @@
     version: DeploymentVersion,
     /// The scheduler level, 0 first.
     priority: u8,
-    attempts: String,
+    attempts: RefCell<String>,
     /// The fingerprint, once it has been logged for a failed or quarantined run.
-    fingerprint: Option<Fingerprint>,
-    first_part: Option<Duration>,
-    relayed: Relayed,
+    fingerprint: Cell<Option<Fingerprint>>,
+    first_part: Cell<Option<Duration>>,
+    relayed: Cell<Relayed>,
     /// When the target last sent something, or was sent the request.
-    target_active_at: Option<BootTime>,
+    target_active_at: Cell<Option<BootTime>>,
     /// Who cut the response short, and why.
     cut: RefCell<Option<(CutBy, String)>>,
     outcome: Cell<Outcome>,
@@ -118,11 +118,11 @@
             route: String::new(),
             version: 0,
             priority: 0,
-            attempts: resumed.unwrap_or_default(),
-            fingerprint: None,
-            first_part: None,
-            relayed: Relayed::default(),
-            target_active_at: None,
+            attempts: RefCell::new(resumed.unwrap_or_default()),
+            fingerprint: Cell::default(),
+            first_part: Cell::default(),
+            relayed: Cell::default(),
+            target_active_at: Cell::default(),
             cut: RefCell::default(),
             outcome: Cell::new(Outcome::CallerLeft),
         }
@@ -140,57 +140,55 @@
     }
 
     /// Records where the stream began that the request takes up.
-    pub fn origin_found(&mut self, origin: &StreamOrigin, source: OriginSource) {
+    pub fn origin_found(&self, origin: &StreamOrigin, source: OriginSource) {
         let StreamOrigin { service, software } = origin;
         let known_by = source.name();
         self.gateway.metrics.streams_taken_up.add(1, &[label("known_by", known_by)]);
-        let _ = write!(self.attempts, " began_at={software} service={service} known_by={known_by}");
+        self.add_step(format_args!(" began_at={software} service={service} known_by={known_by}"));
     }
 
     /// Records that it is unknown where the stream began that the request takes up.
-    pub fn origin_unknown(&mut self) {
+    pub fn origin_unknown(&self) {
         self.gateway.metrics.streams_taken_up.add(1, &[label("known_by", "nobody")]);
-        self.attempts.push_str(" began_at=-");
+        self.add_step(format_args!(" began_at=-"));
     }
 
     /// Records the selection of a target.
-    pub fn target_selected(&mut self, selected: &SelectedTarget, is_reused: bool) {
+    pub fn target_selected(&self, selected: &SelectedTarget, is_reused: bool) {
         let at_ms = self.elapsed().as_millis();
         let (target, software, trace) = (&selected.target, &selected.software, &selected.trace);
-        // Writing to a string can't fail.
-        let _ = write!(
-            self.attempts,
+        self.add_step(format_args!(
             " at_ms={at_ms} target={target} software={software} {trace} reused={is_reused}"
-        );
+        ));
         self.target_active();
     }
 
     /// Records that the head of a response has arrived, with the load and the rate limit that the
     /// target reports.
-    pub fn response_received(&mut self, response_metadata: &ResponseMetadata) {
+    pub fn response_received(&self, response_metadata: &ResponseMetadata) {
         let at_ms = self.elapsed().as_millis();
-        let _ = write!(self.attempts, " answered_ms={at_ms}");
+        self.add_step(format_args!(" answered_ms={at_ms}"));
         self.target_active();
         if let Some(load) = response_metadata.load {
-            let _ = write!(self.attempts, " running={} waiting={}", load.running, load.waiting);
+            self.add_step(format_args!(" running={} waiting={}", load.running, load.waiting));
         }
         if let Some(limit) = response_metadata.rate_limit {
-            let _ = write!(self.attempts, " limit_per_s={}", limit.requests_per_s);
+            self.add_step(format_args!(" limit_per_s={}", limit.requests_per_s));
         }
         if let Some(bears) = response_metadata.rejection_limit {
-            let _ = write!(self.attempts, " rejections_per_s={}", bears.requests_per_s);
+            self.add_step(format_args!(" rejections_per_s={}", bears.requests_per_s));
         }
     }
 
     /// Records that an attempt at a target failed.
-    pub fn attempt_failed(&mut self, target: &TargetStart, reason: &str) {
+    pub fn attempt_failed(&self, target: &TargetStart, reason: &str) {
         let at_ms = self.elapsed().as_millis();
         self.gateway.metrics.failed_attempts.add(1, &[label("reason", reason)]);
-        let _ = write!(self.attempts, " at_ms={at_ms} failed={target} reason={reason:?}");
+        self.add_step(format_args!(" at_ms={at_ms} failed={target} reason={reason:?}"));
     }
 
     /// Records that the response of a target, or of another entry, is broken.
-    pub fn responder_failed(&mut self, responder: &Responder, reason: &str) {
+    pub fn responder_failed(&self, responder: &Responder, reason: &str) {
         match responder {
             Responder::Target { target, .. } => self.attempt_failed(target, reason),
             Responder::Entry(forwarded) => self.entry_failed(forwarded.ip, reason),
@@ -198,61 +196,61 @@
     }
 
     /// Records that the attempt is made for another entry.
-    pub fn for_other_entry(&mut self) {
-        self.attempts.push_str(" for_other_entry=true");
+    pub fn for_other_entry(&self) {
+        self.add_step(format_args!(" for_other_entry=true"));
     }
 
     /// Records that another entry is asked to make an attempt.
-    pub fn forwarded(&mut self, ip: IpAddr, is_reused: bool) {
+    pub fn forwarded(&self, ip: IpAddr, is_reused: bool) {
         let at_ms = self.elapsed().as_millis();
         self.gateway.metrics.forwarded_attempts.add(1, &[]);
-        let _ = write!(self.attempts, " at_ms={at_ms} forwarded_to={ip} reused={is_reused}");
+        self.add_step(format_args!(" at_ms={at_ms} forwarded_to={ip} reused={is_reused}"));
         self.target_active();
     }
 
     /// Records that another entry had no response for a forwarded attempt.
-    pub fn entry_failed(&mut self, ip: IpAddr, reason: &str) {
+    pub fn entry_failed(&self, ip: IpAddr, reason: &str) {
         let at_ms = self.elapsed().as_millis();
-        let _ = write!(self.attempts, " at_ms={at_ms} entry_failed={ip} reason={reason:?}");
+        self.add_step(format_args!(" at_ms={at_ms} entry_failed={ip} reason={reason:?}"));
     }
 
     /// Records why no target was selected.
-    pub fn no_target(&mut self, why: NoTarget) {
+    pub fn no_target(&self, why: NoTarget) {
         let at_ms = self.elapsed().as_millis();
-        let _ = write!(self.attempts, " at_ms={at_ms} why={why:?}");
+        self.add_step(format_args!(" at_ms={at_ms} why={why:?}"));
     }
 
     /// Records whether the retry budget allows another attempt.
-    pub fn retry_decided(&mut self, service: &ServiceId, decision: &RetryDecision) {
+    pub fn retry_decided(&self, service: &ServiceId, decision: &RetryDecision) {
         let RetryDecision { is_granted, retries, allowed, entries } = decision;
         let verdict = if *is_granted { "granted" } else { "denied" };
         let labels = [label("service", service), label("verdict", verdict)];
         self.gateway.metrics.retries.add(1, &labels);
-        let _ = write!(
-            self.attempts,
+        self.add_step(format_args!(
             " retry={verdict} retries={retries} allowed={allowed:.1} entries={entries}"
-        );
+        ));
     }
 
     /// Sets the fingerprint, by which the log lines of a caller's retries can be found.
-    pub fn set_fingerprint(&mut self, fingerprint: Fingerprint) {
-        if self.fingerprint.replace(fingerprint).is_none() {
-            let _ = write!(self.attempts, " fingerprint={fingerprint}");
+    pub fn set_fingerprint(&self, fingerprint: Fingerprint) {
+        if self.fingerprint.replace(Some(fingerprint)).is_none() {
+            self.add_step(format_args!(" fingerprint={fingerprint}"));
         }
     }
 
     /// Records that the target has sent data.
-    pub fn target_active(&mut self) {
-        self.target_active_at = Some(boot_now());
+    pub fn target_active(&self) {
+        self.target_active_at.set(Some(boot_now()));
     }
 
     /// Records that a part of the response body is relayed to the caller.
-    pub fn part_relayed(&mut self, events: usize, bytes: usize) {
-        if self.first_part.is_none() {
-            self.first_part = Some(self.elapsed());
+    pub fn part_relayed(&self, events: usize, bytes: usize) {
+        if self.first_part.get().is_none() {
+            self.first_part.set(Some(self.elapsed()));
         }
-        self.relayed.events += events;
-        self.relayed.bytes += bytes;
+        let before = self.relayed.get();
+        let (events, bytes) = (before.events + events, before.bytes + bytes);
+        self.relayed.set(Relayed { events, bytes });
     }
 
     /// Records that the response ends before it is complete.
@@ -266,6 +264,11 @@
         self.outcome.set(outcome);
     }
 
+    fn add_step(&self, step: std::fmt::Arguments<'_>) {
+        // Writing to a string can't fail.
+        let _ = self.attempts.borrow_mut().write_fmt(step);
+    }
+
     /// Time since the request arrived.
     pub fn elapsed(&self) -> Duration {
         boot_now().saturating_sub(self.started_at)
@@ -280,9 +283,10 @@
             }
             Outcome::Relayed(_) | Outcome::Refused(..) => return,
         };
-        let Relayed { events, bytes } = self.relayed;
+        let Relayed { events, bytes } = self.relayed.get();
         let silent_ms = self
             .target_active_at
+            .get()
             .map_or(-1, |active_at| boot_now().saturating_sub(active_at).as_millis() as i64);
         let newest = self.gateway.table().map_or(0, |table| table.deployment().version);
         log::info!(
@@ -303,14 +307,14 @@
         let outcome = self.outcome.get();
         let (ending, reason) = outcome.labels();
         self.gateway.metrics.record_request(&self.route, ending, reason);
-        if let Some(first) = self.first_part {
+        if let Some(first) = self.first_part.get() {
             let route = [label("route", &self.route)];
             self.gateway.metrics.first_chunk_s.record(first.as_secs_f64(), &route);
         }
         if !self.gateway.log_limiter.should_log(&self.id, outcome.is_success(), boot_now()) {
             return;
         }
-        let first_ms = self.first_part.map_or(-1, |first| first.as_millis() as i64);
+        let first_ms = self.first_part.get().map_or(-1, |first| first.as_millis() as i64);
         let age_ms = self.gateway.state_age_ms();
         log::info!(
             "event=request id={} route={} rank={} version={} age_ms={age_ms} took_ms={} \
@@ -321,7 +325,7 @@
             self.version,
             self.elapsed().as_millis(),
             outcome,
-            self.attempts
+            self.attempts.borrow()
         );
         self.log_cut();
     }
--- a/src/gateway/responder.rs
+++ b/src/gateway/responder.rs
@@ -110,7 +110,7 @@
         gateway: &Rc<Gateway>,
         routed: &RoutedRequest,
         sent_at: BootTime,
-        record: &mut RequestRecord,
+        record: &RequestRecord,
     ) {
         // The other entry reports the runs that it has seen.
         let Responder::Target { target, in_flight } = self else { return };
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -199,7 +199,7 @@
     }
 
     /// Takes a retry from the budget; false if it is exhausted.
-    pub fn try_retry(&self, service: &ServiceId, record: &mut RequestRecord) -> bool {
+    pub fn try_retry(&self, service: &ServiceId, record: &RequestRecord) -> bool {
         let decision = self.retries.borrow_mut().try_retry(service, boot_now());
         record.retry_decided(service, &decision);
         decision.is_granted
--- a/src/gateway/stream_origin.rs
+++ b/src/gateway/stream_origin.rs
@@ -89,7 +89,7 @@
 pub async fn resolve(
     gateway: &Rc<Gateway>,
     routed: &mut RoutedRequest,
-    record: &mut RequestRecord,
+    record: &RequestRecord,
 ) -> Result<(), Refusal> {
     if !routed.is_resumable_stream() || routed.metadata.resume_after.is_none() {
         return Ok(());
--- a/src/gateway/termination.rs
+++ b/src/gateway/termination.rs
@@ -33,7 +33,7 @@
     routed: &RoutedRequest,
     target: &TargetStart,
     sent_at: BootTime,
-    record: &mut RequestRecord,
+    record: &RequestRecord,
 ) {
     let run = BrokenRun { fingerprint: routed.fingerprint(), sent_at, broke_at: boot_now() };
     record.set_fingerprint(run.fingerprint);
