Keep a silent target's run until another target takes it over

Callers saw streams end between two events, and 502 in place of an answer, although their target was sound: it was silent for a second or so and would have gone on.

Cause: silence was taken for a break. A stream without an event for four gaps, and a request without a head after two objectives, were cancelled at their target before the entry knew whether the retry budget and the other targets allowed a second attempt. If they did not, nothing was left to relay.

Evidence: with one target that is silent for 1.7 s, or with two and no retry, streams of events up to 300 ms apart ended after their second event; late heads were answered 502, on routes of plain services too; so were streams through another entry.

An attempt now has a state that tells when it is sent. The entry asks for a retry and prepares the second attempt while it goes on reading the first, which is given up only when the second one has its connection and is sent. A run behind another entry is not replaced by a second forwarded attempt, since that entry finds its target only after it was asked. The order, cancel first and then send, keeps two targets from running the same stream.

--- a/.ci/mutations.py
+++ b/.ci/mutations.py
@@ -13,6 +13,16 @@
 
 # name, file, text, replacement, test target, test filter
 MUTATIONS = [
+    ("silence: a stream is given up before another target can go on", "src/gateway/relay.rs",
+     "            () = state.sent() => None,", "            () = std::future::ready(()) => None,", "deployment", "silent_targets"),
+    ("silence: an attempt is given up before another one is sent", "src/gateway/first_response.rs",
+     "            () = next.state.sent() => {}", "            () = std::future::ready(()) => {}", "deployment", "silent_targets"),
+    ("silence: a forwarded attempt is replaced by another one", "src/gateway/attempt.rs",
+     "if lacks_path && input.replaces == Some(&Recipient::Entry) {", "if false {", "deployment", "forwarding::a_forwarded_stream"),
+    ("silence: a target that is replaced goes on", "src/gateway/first_response.rs",
+     "                running.state.give_up();\n                // Ends at once, and closes the connection.\n                let _ = running.made.await;\n", "                std::mem::forget(running.made);\n", "deployment", "silent_targets"),
+    ("silence: retries that are not made are spent", "src/fleet/budget.rs",
+     "            counts.retries.pop_back();", "            let _ = counts;", "deployment", "budget"),
     ("evacuation: a copy of an earlier order is accepted", "src/fleet/evacuation.rs",
      "if self.revision(&domain) != expected {", "if false {", "deployment", "evacuation"),
     ("evacuation: an order without a revision is proposed", "src/control/operator_server.rs",
--- a/src/fleet/budget.rs
+++ b/src/fleet/budget.rs
@@ -106,6 +106,13 @@
         RetryDecision { is_granted, retries: counts.retries.len(), allowed, entries }
     }
 
+    /// Gives back a retry that was taken and not made.
+    pub fn return_retry(&mut self, service: &ServiceId) {
+        if let Some(counts) = self.services.get_mut(service) {
+            counts.retries.pop_back();
+        }
+    }
+
     fn counts(&mut self, service: &ServiceId, now: BootTime) -> &mut Counts {
         if !self.services.contains_key(service) {
             self.services.insert(service.clone(), Counts::default());
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -12,6 +12,7 @@
 
 use super::attempts::Attempts;
 use super::forwarding;
+use super::handover::{AttemptState, Recipient};
 use super::in_flight::InFlightRequest;
 use super::metadata::{ForwardingMetadata, PartTransfers, ResponseMetadata};
 use super::pool::{Connection, SendOutcome};
@@ -74,15 +75,27 @@
     pub attempts: &'a Attempts,
     /// Id of the last event that the caller has received.
     pub resume_after: Option<&'a str>,
-    /// How long to wait for the head of the response, if that is less than the time left.
-    pub response_timeout: Option<Duration>,
+    /// Who runs the request while this attempt is prepared in its place.
+    pub replaces: Option<&'a Recipient>,
+    /// How far this attempt has come.
+    pub state: &'a AttemptState,
 }
 
 impl AttemptInput<'_> {
-    /// When the head of the response to a request sent now must have arrived.
-    pub fn response_deadline(&self) -> Instant {
-        let deadline = self.routed.deadline;
-        self.response_timeout.map_or(deadline, |timeout| deadline.min(Instant::now() + timeout))
+    /// Sends the request and waits for the head of the response. Returns `None` at the deadline, or
+    /// once the attempt is given up.
+    pub async fn send(
+        &self,
+        recipient: Recipient,
+        connection: &mut Connection,
+        request: Request<Full<Bytes>>,
+    ) -> Option<SendOutcome> {
+        self.state.mark_sent(recipient);
+        tokio::select! {
+            biased;
+            () = self.state.given_up() => None,
+            sent = timeout_at(self.routed.deadline, connection.send(request)) => sent.ok(),
+        }
     }
 }
 
@@ -100,15 +113,18 @@
     if input.routed.origin == Origin::Entry {
         return attempt_directly(gateway, input, record).await;
     }
-    if gateway.lacks_path(service)
-        && let Some(made) = forwarding::forward(gateway, input, record).await
-    {
+    let lacks_path = gateway.lacks_path(service);
+    if lacks_path && input.replaces == Some(&Recipient::Entry) {
+        // Another entry may find that it has no target only once the request runs nowhere.
+        return Err(AttemptError::NoTarget(NoTarget::Selection(SelectionError::NoHealthyTarget)));
+    }
+    if lacks_path && let Some(made) = forwarding::forward(gateway, input, record).await {
         return made;
     }
     let made = attempt_directly(gateway, input, record).await;
     let is_unreachable = || gateway.fleet.borrow().unreachable_count(service) > 0;
     match made {
-        Err(AttemptError::NoTarget(_)) if is_unreachable() => {
+        Err(AttemptError::NoTarget(_)) if input.replaces.is_none() && is_unreachable() => {
             forwarding::forward(gateway, input, record).await.unwrap_or(made)
         }
         made => made,
@@ -136,6 +152,7 @@
             routed.metadata.prompt.as_ref().map_or(0, |prompt| prompt.prompt_tokens);
         let ticket = selected.placed.as_ref().map(|placed| placed.ticket);
         let mut in_flight = InFlightRequest::new(gateway, &target, ticket, prompt_tokens);
+        in_flight.set_end(EndReason::NotRun);
         let mut connection = match connect(gateway, routed, &target, record).await {
             Ok(connection) => connection,
             Err(end) => {
@@ -176,22 +193,23 @@
         }
         let request = build_request(routed, &selected, time_left, input.resume_after);
         let sent_at = boot_now();
-        let sent = timeout_at(input.response_deadline(), connection.send(request)).await;
-        let response = match sent {
-            Ok(SendOutcome::Response(response)) => response,
-            Ok(SendOutcome::NotSent(reason)) => {
+        in_flight.set_end(EndReason::Cancelled);
+        let recipient = Recipient::Target(target.clone());
+        let response = match input.send(recipient, &mut connection, request).await {
+            Some(SendOutcome::Response(response)) => response,
+            Some(SendOutcome::NotSent(reason)) => {
                 record.attempt_failed(&target, &reason);
                 in_flight.set_end(EndReason::NotRun);
                 continue;
             }
-            Ok(SendOutcome::Broken(reason)) => {
+            Some(SendOutcome::Broken(reason)) => {
                 record.attempt_failed(&target, &reason);
                 let mut responder = Responder::Target { target: target.clone(), in_flight };
                 responder.connection_lost(gateway, routed);
                 responder.close_broken(gateway, routed, sent_at, record).await;
                 return Err(AttemptError::MayHaveRun(Some(target)));
             }
-            Err(_) => {
+            None => {
                 record.attempt_failed(&target, "no answer in time");
                 let mut responder = Responder::Target { target: target.clone(), in_flight };
                 responder.failed(gateway);
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -6,6 +6,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Attempts {
     count: u32,
+    may_have_run: bool,
     targets: Vec<TargetStart>,
 }
 
@@ -16,6 +17,15 @@
         self.targets.extend(target);
     }
 
+    /// Records that one of them may have run the request.
+    pub fn mark_may_have_run(&mut self) {
+        self.may_have_run = true;
+    }
+
+    pub fn may_have_run(&self) -> bool {
+        self.may_have_run
+    }
+
     pub fn count(&self) -> u32 {
         self.count
     }
--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -21,6 +21,7 @@
 
 use super::attempt::{self, AttemptError, AttemptInput, TargetResponse};
 use super::attempts::Attempts;
+use super::handover::{AttemptState, Recipient};
 use super::pool::{Connection, SendOutcome};
 use super::priority::Priority;
 use super::request::{self, read_body};
@@ -131,18 +132,18 @@
     let request = build_request(input, time_left)?;
     record.forwarded(ip, connection.is_reused);
     let sent_at = boot_now();
-    let mut response = match timeout_at(input.response_deadline(), connection.send(request)).await {
-        Ok(SendOutcome::Response(response)) => response,
-        Ok(SendOutcome::NotSent(reason)) => {
+    let mut response = match input.send(Recipient::Entry, &mut connection, request).await {
+        Some(SendOutcome::Response(response)) => response,
+        Some(SendOutcome::NotSent(reason)) => {
             record.entry_failed(ip, &reason);
             return None;
         }
-        Ok(SendOutcome::Broken(reason)) => {
+        Some(SendOutcome::Broken(reason)) => {
             record.entry_failed(ip, &reason);
             gateway.peers.borrow_mut().unreachable(ip, boot_now());
             return Some(Err(AttemptError::MayHaveRun(None)));
         }
-        Err(_) => {
+        None => {
             record.entry_failed(ip, "no answer in time");
             gateway.peers.borrow_mut().failed(ip, boot_now());
             return Some(Err(AttemptError::TimedOut(None)));
@@ -349,7 +350,8 @@
         routed: &routed,
         attempts: &attempts,
         resume_after: attempt.resume_after.as_deref(),
-        response_timeout: None,
+        replaces: None,
+        state: &AttemptState::default(),
     };
     let made = attempt::attempt(&gateway, input, &record).await;
     let received = match made {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -13,6 +13,8 @@
 use super::attempt::{AttemptError, AttemptInput, TargetResponse, attempt};
 use super::attempts::Attempts;
 use super::events::{self, EventSplitter};
+use super::first_response::REPLACEMENT_INTERVAL;
+use super::handover::AttemptState;
 use super::metadata::ResponseMetadata;
 use super::pool::Connection;
 use super::request_record::{CutBy, Outcome, RequestRecord};
@@ -27,11 +29,11 @@
 /// be retried if the body is cut short.
 pub const MAX_BUFFERED_BYTES: u64 = 256 << 10;
 /// A resumable stream without an event for this multiple of the route's largest allowed gap is
-/// resumed at another target.
+/// resumed at another target, if there is one.
 const GAPS_BEFORE_RESUME: u32 = 4;
 /// Why a response is cut short at the deadline of its request.
 const TIME_IS_OVER: &str = "its time is over";
-/// Why such a stream is given up.
+/// Why a target is replaced by another one.
 const SILENT: &str = "no event for too long";
 /// Longest gap between events before such a resume if the route sets none.
 const DEFAULT_MAX_GAP: Duration = Duration::from_secs(2);
@@ -74,6 +76,8 @@
     response_metadata: ResponseMetadata,
     connection: Connection,
     sent_at: BootTime,
+    /// When it counts as silent; `None` until the next read.
+    silent_from: Option<Instant>,
 }
 
 /// Why a stream breaks.
@@ -86,11 +90,16 @@
 }
 
 enum SourceRead {
+    /// Complete events, or none yet.
     Events(Bytes),
     Complete,
     Broken(String),
     /// The connection to the target broke.
     Lost(String),
+    /// The target has sent nothing for too long, and may go on.
+    Silent,
+    /// Another target has taken over.
+    Replaced,
     TimedOut,
 }
 
@@ -123,7 +132,12 @@
     /// Returns the next complete events, or `None` at the end of the stream.
     async fn next(&mut self) -> Result<Option<Bytes>, RelayError> {
         loop {
-            match self.read_source().await {
+            let read = match self.read_source().await {
+                SourceRead::Silent => self.replace_silent_source().await,
+                read => read,
+            };
+            match read {
+                SourceRead::Events(events) if events.is_empty() => {}
                 SourceRead::Events(events) => {
                     self.record.part_relayed(events::count(&events), events.len());
                     self.bind_software();
@@ -137,6 +151,7 @@
                     self.record.broken_off(CutBy::Entry, TIME_IS_OVER);
                     return Err(TIME_IS_OVER.into());
                 }
+                SourceRead::Silent | SourceRead::Replaced => {}
                 SourceRead::Broken(reason) => self.resume(reason, BreakCause::Failure).await?,
                 SourceRead::Lost(reason) => self.resume(reason, BreakCause::Connection).await?,
             }
@@ -152,34 +167,16 @@
         self.routed.software.get_or_insert_with(|| source.software.clone());
     }
 
+    /// Reads the source until it sends something or is silent for too long.
     async fn read_source(&mut self) -> SourceRead {
-        let max_gap = self.max_gap();
+        let (max_gap, deadline) = (self.max_gap(), self.routed.deadline);
         let Some(source) = &mut self.source else { return SourceRead::Broken("no source".into()) };
-        loop {
-            let deadline = max_gap
-                .map_or(self.routed.deadline, |p| self.routed.deadline.min(Instant::now() + p));
-            let frame = match timeout_at(deadline, source.body.frame()).await {
-                Ok(frame) => frame,
-                Err(_) if Instant::now() >= self.routed.deadline => return SourceRead::TimedOut,
-                Err(_) => return SourceRead::Broken(SILENT.into()),
-            };
-            match frame {
-                None if self.events.has_partial() => {
-                    return SourceRead::Broken("ends within an event".into());
-                }
-                None => return SourceRead::Complete,
-                Some(Err(error)) => return SourceRead::Lost(error.to_string()),
-                Some(Ok(frame)) => {
-                    self.record.target_active();
-                    let Ok(data) = frame.into_data() else { continue };
-                    source.responder.prompt_read(&source.response_metadata);
-                    match self.events.push(&data) {
-                        Ok(events) if events.is_empty() => {}
-                        Ok(events) => return SourceRead::Events(events),
-                        Err(_) => return SourceRead::Broken("an event is too large".into()),
-                    }
-                }
-            }
+        let limit = max_gap.map(|gap| *source.silent_from.get_or_insert(Instant::now() + gap));
+        let until = limit.map_or(deadline, |limit| deadline.min(limit));
+        match timeout_at(until, source.read(&mut self.events, &self.record)).await {
+            Ok(read) => read,
+            Err(_) if Instant::now() >= deadline => SourceRead::TimedOut,
+            Err(_) => SourceRead::Silent,
         }
     }
 
@@ -209,52 +206,118 @@
         }
     }
 
+    /// Lets another target go on with the stream. The silent source is read until the request is
+    /// sent there, and kept if it goes on before or no target can take over.
+    async fn replace_silent_source(&mut self) -> SourceRead {
+        let Some(source) = &mut self.source else { return SourceRead::Silent };
+        source.silent_from = Some(Instant::now() + REPLACEMENT_INTERVAL);
+        let service = &self.routed.service;
+        if !self.gateway.try_retry(service, &self.record) {
+            return SourceRead::Silent;
+        }
+        let (recipient, state) = (source.responder.recipient(), AttemptState::default());
+        let last = last_event(&self.events, &self.routed);
+        let input = AttemptInput {
+            routed: &self.routed,
+            attempts: &self.attempts,
+            resume_after: last.as_deref(),
+            replaces: Some(&recipient),
+            state: &state,
+        };
+        let mut replacement = Box::pin(attempt(&self.gateway, input, &self.record));
+        let kept = tokio::select! {
+            biased;
+            () = state.sent() => None,
+            read = source.read(&mut self.events, &self.record) => Some(read),
+            _ = &mut replacement => Some(SourceRead::Silent),
+        };
+        if let Some(read) = kept {
+            self.gateway.return_retry(service, &self.record);
+            return read;
+        }
+        self.events.discard_partial();
+        let ended = self.source.take();
+        let ending = end_source(
+            &self.gateway,
+            &self.routed,
+            &self.record,
+            ended,
+            SILENT,
+            BreakCause::Failure,
+        );
+        let ((), made) = futures::join!(ending, replacement);
+        match self.take_over(made) {
+            Ok(()) => SourceRead::Replaced,
+            Err(reason) => SourceRead::Broken(reason),
+        }
+    }
+
     /// Resumes the stream at another target, after the last complete event.
     async fn resume(&mut self, reason: String, cause: BreakCause) -> Result<(), RelayError> {
-        let may_resume = self.may_resume();
-        if let Some(source) = self.source.take() {
-            let Source { mut responder, connection, body, sent_at, .. } = source;
-            self.record.responder_failed(&responder, &reason);
-            match cause {
-                BreakCause::Connection => responder.connection_lost(&self.gateway, &self.routed),
-                BreakCause::Failure => responder.failed(&self.gateway),
-            }
-            // Closing the connection cancels the request at the target.
-            drop((body, connection));
-            responder.close_broken(&self.gateway, &self.routed, sent_at, &self.record).await;
-        }
-        let by = if reason == SILENT { CutBy::Entry } else { CutBy::Target };
-        self.record.broken_off(by, &reason);
+        let (may_resume, ended) = (self.may_resume(), self.source.take());
+        let EventRelay { gateway, routed, record, .. } = &*self;
+        end_source(gateway, routed, record, ended, &reason, cause).await;
+        self.record.broken_off(CutBy::Target, &reason);
         if !may_resume || !self.gateway.try_retry(&self.routed.service, &self.record) {
             return Err(reason.into());
         }
         self.events.discard_partial();
-        let last = self.events.last_id().or(self.routed.metadata.resume_after.as_deref());
-        let last = last.map(str::to_string);
+        let last = last_event(&self.events, &self.routed);
         let input = AttemptInput {
             routed: &self.routed,
             attempts: &self.attempts,
             resume_after: last.as_deref(),
-            response_timeout: None,
+            replaces: None,
+            state: &AttemptState::default(),
         };
-        let resumed = attempt(&self.gateway, input, &self.record).await;
-        match resumed {
+        let made = attempt(&self.gateway, input, &self.record).await;
+        self.take_over(made).map_err(RelayError::from)
+    }
+
+    /// Goes on with the response to a resumed stream.
+    fn take_over(&mut self, made: Result<TargetResponse, AttemptError>) -> Result<(), String> {
+        match made {
             Ok(received) if received.response.status() == StatusCode::OK => {
                 self.attempts.add(received.responder.target().cloned());
                 self.source = Some(Source::new(received));
                 Ok(())
             }
             Ok(received) => {
-                Err(format!("stream resumed with status {}", received.response.status()).into())
+                Err(format!("stream resumed with status {}", received.response.status()))
             }
             Err(AttemptError::NoTarget(why)) => {
-                Err(format!("no target to resume the stream at: {why:?}").into())
+                Err(format!("no target to resume the stream at: {why:?}"))
             }
-            Err(error) => Err(format!("stream not resumed: {error:?}").into()),
+            Err(error) => Err(format!("stream not resumed: {error:?}")),
         }
     }
 }
 
+/// Id of the last event that the caller has received.
+fn last_event(events: &EventSplitter, routed: &RoutedRequest) -> Option<String> {
+    events.last_id().or(routed.metadata.resume_after.as_deref()).map(str::to_string)
+}
+
+/// Cancels the request at the target of a source that failed, and reports it.
+async fn end_source(
+    gateway: &Rc<Gateway>,
+    routed: &RoutedRequest,
+    record: &RequestRecord,
+    source: Option<Source>,
+    reason: &str,
+    cause: BreakCause,
+) {
+    let Some(Source { mut responder, connection, body, sent_at, .. }) = source else { return };
+    record.responder_failed(&responder, reason);
+    match cause {
+        BreakCause::Connection => responder.connection_lost(gateway, routed),
+        BreakCause::Failure => responder.failed(gateway),
+    }
+    // Closing the connection cancels the request at the target.
+    drop((body, connection));
+    responder.close_broken(gateway, routed, sent_at, record).await;
+}
+
 impl Source {
     fn new(received: TargetResponse) -> Source {
         let TargetResponse {
@@ -267,7 +330,28 @@
         } = received;
         connection.set_idle_timeout(response_metadata.idle_timeout);
         let body = response.into_body();
-        Source { responder, software, body, response_metadata, connection, sent_at }
+        let silent_from = None;
+        Source { responder, software, body, response_metadata, connection, sent_at, silent_from }
+    }
+
+    /// Reads what the target sends next. May be cancelled without a loss.
+    async fn read(&mut self, events: &mut EventSplitter, record: &RequestRecord) -> SourceRead {
+        let frame = match self.body.frame().await {
+            None if events.has_partial() => {
+                return SourceRead::Broken("ends within an event".into());
+            }
+            None => return SourceRead::Complete,
+            Some(Err(error)) => return SourceRead::Lost(error.to_string()),
+            Some(Ok(frame)) => frame,
+        };
+        self.silent_from = None;
+        record.target_active();
+        let Ok(data) = frame.into_data() else { return SourceRead::Events(Bytes::new()) };
+        self.responder.prompt_read(&self.response_metadata);
+        match events.push(&data) {
+            Ok(events) => SourceRead::Events(events),
+            Err(_) => SourceRead::Broken("an event is too large".into()),
+        }
     }
 }
 
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -13,8 +13,9 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
 
-use super::attempt::{AttemptError, AttemptInput, TargetResponse, attempt};
+use super::attempt::{AttemptError, TargetResponse};
 use super::attempts::Attempts;
+use super::first_response::attempt_until_answered;
 use super::metadata::RequestMetadata;
 use super::priority::Priority;
 use super::relay::{self, EventRelay};
@@ -37,12 +38,6 @@
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(200);
 /// Random addition to `Retry-After`, so that refused callers don't all return at the same time.
 const RETRY_AFTER_JITTER: Duration = Duration::from_millis(600);
-/// A request that may be repeated waits this multiple of the route's objective for the head of the
-/// response before it is sent to another target.
-const OBJECTIVES_BEFORE_RETRY: u32 = 2;
-/// Shortest such wait for a prompt. A retry makes a second engine read the whole prompt, which
-/// lengthens the queues if the engines are overloaded.
-const MIN_PROMPT_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// How long a request waits for an entry that has just started and has no deployment or targets
 /// yet. Covers an election of the replicas' leader after all hosts have lost power.
 const MAX_STARTUP_WAIT: Duration = Duration::from_millis(1_200);
@@ -220,16 +215,8 @@
     }
     gateway.retries.borrow_mut().record_request(&routed.service, boot_now());
     let mut attempts = Attempts::default();
-    let mut may_have_run = false;
-    let resume_after = routed.metadata.resume_after.clone();
     loop {
-        let input = AttemptInput {
-            routed: &routed,
-            attempts: &attempts,
-            resume_after: resume_after.as_deref(),
-            response_timeout: first_response_timeout(&routed, &attempts),
-        };
-        let made = attempt(gateway, input, &record).await;
+        let made = attempt_until_answered(gateway, &routed, &mut attempts, &record).await;
         let (attempt_refusal, target) = match made {
             Ok(received) => {
                 attempts.add(received.responder.target().cloned());
@@ -241,12 +228,12 @@
                         .await
                         .unwrap_or_else(|record| refuse(Refusal::Broken, &id, &record));
                 }
-                may_have_run = true;
+                attempts.mark_may_have_run();
                 continue;
             }
             Err(AttemptError::NoTarget(why)) => {
                 record.no_target(why);
-                let refusal = match (may_have_run, why) {
+                let refusal = match (attempts.may_have_run(), why) {
                     (true, _) => Refusal::Broken,
                     (false, NoTarget::Busy(retry_after)) => Refusal::Busy(retry_after),
                     (false, NoTarget::Limited(retry_after)) => Refusal::Limited(retry_after),
@@ -259,11 +246,13 @@
                 return refuse(refusal, &routed.metadata.id, &record);
             }
             Err(AttemptError::Held(left)) => {
-                let refusal = if may_have_run { Refusal::Broken } else { Refusal::Held(left) };
+                let refusal =
+                    if attempts.may_have_run() { Refusal::Broken } else { Refusal::Held(left) };
                 return refuse(refusal, &routed.metadata.id, &record);
             }
             Err(AttemptError::TooLate) => {
-                let refusal = if may_have_run { Refusal::TimedOut } else { Refusal::TooLate };
+                let refusal =
+                    if attempts.may_have_run() { Refusal::TimedOut } else { Refusal::TooLate };
                 return refuse(refusal, &routed.metadata.id, &record);
             }
             Err(AttemptError::NotRun(target)) => (Refusal::NoTarget, target),
@@ -271,28 +260,20 @@
             Err(AttemptError::TimedOut(target)) => (Refusal::TimedOut, target),
         };
         attempts.add(target);
-        may_have_run |= attempt_refusal != Refusal::NoTarget;
-        let refusal = match (may_have_run, attempt_refusal) {
+        if attempt_refusal != Refusal::NoTarget {
+            attempts.mark_may_have_run();
+        }
+        let refusal = match (attempts.may_have_run(), attempt_refusal) {
             (true, Refusal::NoTarget) => Refusal::Broken,
             (_, attempt_refusal) => attempt_refusal,
         };
-        let may_repeat = !may_have_run || routed.route.policy.may_repeat();
+        let may_repeat = !attempts.may_have_run() || routed.route.policy.may_repeat();
         if !may_repeat || !may_retry(gateway, &routed, &attempts, &record) {
             return refuse(refusal, &routed.metadata.id, &record);
         }
     }
 }
 
-/// How long to wait for the head of the response before another target is tried; `None` if this is
-/// the last target.
-fn first_response_timeout(routed: &RoutedRequest, attempts: &Attempts) -> Option<Duration> {
-    let has_another =
-        attempts.count() + 1 < routed.route.attempts && routed.route.policy.may_repeat();
-    let wait = routed.route.objective * OBJECTIVES_BEFORE_RETRY;
-    let least = if routed.metadata.prompt.is_some() { MIN_PROMPT_TIMEOUT } else { Duration::ZERO };
-    (has_another && !wait.is_zero()).then(|| wait.max(least))
-}
-
 fn may_retry(
     gateway: &Gateway,
     routed: &RoutedRequest,
--- a/src/gateway/request_record.rs
+++ b/src/gateway/request_record.rs
@@ -231,6 +231,12 @@
         ));
     }
 
+    /// Records that a granted retry was not made.
+    pub fn retry_returned(&self) {
+        let at_ms = self.elapsed().as_millis();
+        self.add_step(format_args!(" at_ms={at_ms} retry=returned"));
+    }
+
     /// Sets the fingerprint, by which the log lines of a caller's retries can be found.
     pub fn set_fingerprint(&self, fingerprint: Fingerprint) {
         if self.fingerprint.replace(Some(fingerprint)).is_none() {
--- a/src/gateway/responder.rs
+++ b/src/gateway/responder.rs
@@ -3,6 +3,7 @@
 use std::net::IpAddr;
 use std::rc::Rc;
 
+use super::handover::Recipient;
 use super::in_flight::InFlightRequest;
 use super::metadata::ResponseMetadata;
 use super::pool::Connection;
@@ -53,6 +54,14 @@
         }
     }
 
+    /// Who the request was sent to.
+    pub fn recipient(&self) -> Recipient {
+        match self {
+            Responder::Target { target, .. } => Recipient::Target(target.clone()),
+            Responder::Entry(_) => Recipient::Entry,
+        }
+    }
+
     /// Records that data of the response has arrived.
     pub fn prompt_read(&mut self, response_metadata: &ResponseMetadata) {
         if let Responder::Target { in_flight, .. } = self {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -205,6 +205,12 @@
         decision.is_granted
     }
 
+    /// Gives back a retry that was taken and not made.
+    pub fn return_retry(&self, service: &ServiceId, record: &RequestRecord) {
+        self.retries.borrow_mut().return_retry(service);
+        record.retry_returned();
+    }
+
     /// The share of this entry in the requests to limited targets.
     pub fn independent_share(&self) -> IndependentShare {
         let entries = self.retries.borrow().entries(boot_now());
--- a/tests/deployment/budget.rs
+++ b/tests/deployment/budget.rs
@@ -55,6 +55,15 @@
     assert!(count_allowed_retries(&mut budget, 10_500) > 0, "earlier retries have left the window");
 }
 
+/// Guards against a budget that is used up by retries that were prepared and not made.
+#[test]
+fn a_returned_retry_can_be_taken_again() {
+    let (mut budget, service) = (budget_started(8, Duration::ZERO), "app".to_string());
+    let allowed = count_allowed_retries(&mut budget, 1);
+    budget.return_retry(&service);
+    assert_eq!(count_allowed_retries(&mut budget, 2), 1, "one of {allowed} was returned");
+}
+
 #[test]
 fn each_service_has_its_own_budget_of_at_least_one_retry() {
     let mut budget = budget_started(10_000, Duration::ZERO);
--- a/tests/deployment/silent_targets.rs
+++ b/tests/deployment/silent_targets.rs
@@ -12,7 +12,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::fixtures::{deployment, target};
+use crate::fixtures::{deployment, start, target};
 use crate::gateway::{
     Entry, PROMPT, Response, entry_with_two_targets, event_stream, eventually, ok_response,
     run_local, start_entry,
@@ -194,6 +194,27 @@
     });
 }
 
+// Guards against a request that waits for a silent target although another one could answer it, and
+// against one that runs at both.
+#[test]
+fn a_request_at_a_silent_target_is_sent_to_another_one() {
+    let (stream, plain) = (whole_stream(), ok_response("done"));
+    for (path, service, answer) in [("/resumable/", "llm", stream), ("/safe/", "app", plain)] {
+        run_local(async move {
+            let silent = vec![(String::new(), AfterAnswer::Hang)];
+            let answers = vec![(answer, AfterAnswer::KeepOpen)];
+            let (entry, first, second) = entry_with_two_targets(service, silent, answers).await;
+            configure(&entry, Deployment { version: 2, ..short_gaps() });
+            let got = entry.call_with(path, "r1", PROMPT).await;
+            assert_eq!(got.status, 200, "{path}: {}", got.text);
+            assert_eq!((first.request_count(), second.request_count()), (1, 1), "{path}");
+            eventually(|| first.interrupted.get() == 1).await;
+            let fleet = entry.gateway.fleet.borrow();
+            assert_eq!(fleet.get(&start("i-1")).expect("listed").running, 0, "{path}");
+        });
+    }
+}
+
 // Guards against a stream that is cut off because the target that takes it over doesn't run it.
 #[test]
 fn a_resumed_stream_goes_to_a_further_target_if_the_second_does_not_run_it() {
