Ask further targets to resume a stream if the second one does not run it

Callers saw a resumable stream end because the one target that was asked for its rest was full, or failed too, while others had room.

Cause: one attempt at a resume was final. A target that answers that it did not run the request also used up one of the route's attempts, of which there are usually two.

Evidence: of three targets the first breaks off, the second answers 503 (not run), the third would go on; the stream ended after event 2 of 3 (a_resumed_stream_goes_to_a_further_target...). That test now also passes with the usual two attempts of a route in place of three.

Up to three targets are asked, each with a retry from the budget. Targets that did not run the request are avoided and not counted; the route's attempts still bound those that may have run it.

--- a/.ci/mutations.py
+++ b/.ci/mutations.py
@@ -21,6 +21,8 @@
      "if lacks_path && input.replaces == Some(&Recipient::Entry) {", "if false {", "deployment", "forwarding::a_forwarded_stream"),
     ("silence: a target that is replaced goes on", "src/gateway/first_response.rs",
      "                running.state.give_up();\n                // Ends at once, and closes the connection.\n                let _ = running.made.await;\n", "                std::mem::forget(running.made);\n", "deployment", "silent_targets"),
+    ("streams: one target that does not run the rest ends a stream", "src/gateway/relay.rs",
+     "const MAX_RESUME_ATTEMPTS: u32 = 3;", "const MAX_RESUME_ATTEMPTS: u32 = 1;", "deployment", "silent_targets"),
     ("silence: retries that are not made are spent", "src/fleet/budget.rs",
      "            counts.retries.pop_back();", "            let _ = counts;", "deployment", "budget"),
     ("evacuation: a copy of an earlier order is accepted", "src/fleet/evacuation.rs",
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -17,6 +17,11 @@
         self.targets.extend(target);
     }
 
+    /// Adds a target that did not run the request, and must not be asked again.
+    pub fn avoid(&mut self, target: Option<TargetStart>) {
+        self.targets.extend(target);
+    }
+
     /// Records that one of them may have run the request.
     pub fn mark_may_have_run(&mut self) {
         self.may_have_run = true;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -31,6 +31,8 @@
 /// A resumable stream without an event for this multiple of the route's largest allowed gap is
 /// resumed at another target, if there is one.
 const GAPS_BEFORE_RESUME: u32 = 4;
+/// Targets that are asked to resume a stream after one has failed.
+const MAX_RESUME_ATTEMPTS: u32 = 3;
 /// Why a response is cut short at the deadline of its request.
 const TIME_IS_OVER: &str = "its time is over";
 /// Why a target is replaced by another one.
@@ -248,20 +250,36 @@
         let ((), made) = futures::join!(ending, replacement);
         match self.take_over(made) {
             Ok(()) => SourceRead::Replaced,
-            Err(reason) => SourceRead::Broken(reason),
+            Err(failure) => SourceRead::Broken(failure.reason),
         }
     }
 
-    /// Resumes the stream at another target, after the last complete event.
+    /// Resumes the stream at another target, after the last complete event. Goes on to further targets
+    /// while retries are allowed.
     async fn resume(&mut self, reason: String, cause: BreakCause) -> Result<(), RelayError> {
         let (may_resume, ended) = (self.may_resume(), self.source.take());
         let EventRelay { gateway, routed, record, .. } = &*self;
         end_source(gateway, routed, record, ended, &reason, cause).await;
-        self.record.broken_off(CutBy::Target, &reason);
-        if !may_resume || !self.gateway.try_retry(&self.routed.service, &self.record) {
-            return Err(reason.into());
-        }
         self.events.discard_partial();
+        let mut failure = TakeoverFailure { reason, may_try_further: may_resume };
+        let mut attempts_left = MAX_RESUME_ATTEMPTS;
+        while failure.may_try_further
+            && attempts_left > 0
+            && self.gateway.try_retry(&self.routed.service, &self.record)
+        {
+            attempts_left -= 1;
+            let made = self.attempt_rest().await;
+            match self.take_over(made) {
+                Ok(()) => return Ok(()),
+                Err(further) => failure = further,
+            }
+        }
+        self.record.broken_off(CutBy::Target, &failure.reason);
+        Err(failure.reason.into())
+    }
+
+    /// Asks another target for the events that the caller has not received.
+    async fn attempt_rest(&self) -> Result<TargetResponse, AttemptError> {
         let last = last_event(&self.events, &self.routed);
         let input = AttemptInput {
             routed: &self.routed,
@@ -270,29 +288,47 @@
             replaces: None,
             state: &AttemptState::default(),
         };
-        let made = attempt(&self.gateway, input, &self.record).await;
-        self.take_over(made).map_err(RelayError::from)
+        attempt(&self.gateway, input, &self.record).await
     }
 
     /// Goes on with the response to a resumed stream.
-    fn take_over(&mut self, made: Result<TargetResponse, AttemptError>) -> Result<(), String> {
-        match made {
+    fn take_over(
+        &mut self,
+        made: Result<TargetResponse, AttemptError>,
+    ) -> Result<(), TakeoverFailure> {
+        let reason = match made {
             Ok(received) if received.response.status() == StatusCode::OK => {
                 self.attempts.add(received.responder.target().cloned());
                 self.source = Some(Source::new(received));
-                Ok(())
+                return Ok(());
             }
             Ok(received) => {
-                Err(format!("stream resumed with status {}", received.response.status()))
+                self.attempts.add(received.responder.target().cloned());
+                format!("stream resumed with status {}", received.response.status())
             }
-            Err(AttemptError::NoTarget(why)) => {
-                Err(format!("no target to resume the stream at: {why:?}"))
+            Err(AttemptError::NotRun(target)) => {
+                self.attempts.avoid(target);
+                "the target to resume the stream at did not run it".to_string()
             }
-            Err(error) => Err(format!("stream not resumed: {error:?}")),
-        }
+            Err(AttemptError::MayHaveRun(target) | AttemptError::TimedOut(target)) => {
+                self.attempts.add(target);
+                "the target to resume the stream at broke off".to_string()
+            }
+            Err(error) => {
+                let reason = format!("stream not resumed: {error:?}");
+                return Err(TakeoverFailure { reason, may_try_further: false });
+            }
+        };
+        Err(TakeoverFailure { reason, may_try_further: self.may_resume() })
     }
 }
 
+/// Why another target did not go on with a stream.
+struct TakeoverFailure {
+    reason: String,
+    may_try_further: bool,
+}
+
 /// Id of the last event that the caller has received.
 fn last_event(events: &EventSplitter, routed: &RoutedRequest) -> Option<String> {
     events.last_id().or(routed.metadata.resume_after.as_deref()).map(str::to_string)
--- a/tests/deployment/silent_targets.rs
+++ b/tests/deployment/silent_targets.rs
@@ -229,9 +229,7 @@
         let engines = StandIn::start_group(3, vec![broken, full, rest]).await;
         let listed = engines.iter().enumerate();
         let listed = listed.map(|(n, engine)| target(&format!("i-{n}"), "llm", engine.address));
-        let mut deployment = short_gaps();
-        deployment.routes.iter_mut().for_each(|route| route.attempts = 3);
-        let entry = start_entry(deployment, listed.collect()).await;
+        let entry = start_entry(short_gaps(), listed.collect()).await;
         let got = entry.call_with("/resumable/", "r1", PROMPT).await;
         assert_whole_stream("third target", &got);
         assert_eq!(requests(&engines), 3);
