Give a target more time to acknowledge a long request

Callers saw 502 in place of an answer, also on routes that must not repeat, if their target did not read a long body for a second or so.

Cause: 1.2 s without an acknowledgement end a connection (TCP_USER_TIMEOUT). The kernel counts the time in which the peer's receive buffer is full in the same way, although the peer answers each probe: with a body longer than its buffer a target that is slow to read looked like a dead path.

Evidence: a target that accepts the connection and reads 900 kB after 1.7 s; the caller got 502 (a_target_that_reads_a_long_body_late_answers_it).

Requests of more than 32 KiB now get 5 s, as callers' connections do. Shorter ones fit into a receive buffer, so that 1.2 s without an acknowledgement still tell of a lost path or host.

--- a/.ci/mutations.py
+++ b/.ci/mutations.py
@@ -23,6 +23,8 @@
      "                running.state.give_up();\n                // Ends at once, and closes the connection.\n                let _ = running.made.await;\n", "                std::mem::forget(running.made);\n", "deployment", "silent_targets"),
     ("streams: one target that does not run the rest ends a stream", "src/gateway/relay.rs",
      "const MAX_RESUME_ATTEMPTS: u32 = 3;", "const MAX_RESUME_ATTEMPTS: u32 = 1;", "deployment", "silent_targets"),
+    ("silence: a target that reads a long body late is cut off", "src/net/client_stream.rs",
+     "const LONG_REQUEST_BYTES: usize = 32 << 10;", "const LONG_REQUEST_BYTES: usize = usize::MAX;", "deployment", "silent_targets"),
     ("silence: retries that are not made are spent", "src/fleet/budget.rs",
      "            counts.retries.pop_back();", "            let _ = counts;", "deployment", "budget"),
     ("evacuation: a copy of an earlier order is accepted", "src/fleet/evacuation.rs",
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -16,12 +16,16 @@
 
 use crate::clock::{BootTime, boot_now};
 use crate::net;
+use crate::net::client_stream::{AckTimeouts, ClientStream};
 
 /// Connect timeout. Shorter than the initial TCP retransmission timeout of one second, so that a
 /// lost SYN leads to another target instead of a long wait.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// A connection whose sent bytes are not acknowledged for this long is closed.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_200);
+const ACK_TIMEOUTS: AckTimeouts = AckTimeouts {
+    short_request: Duration::from_millis(1_200),
+    long_request: Duration::from_secs(5),
+};
 /// An idle connection is not reused this shortly before the target's idle timeout.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(1_000);
 /// Idle timeout of targets that don't send one.
@@ -126,9 +130,9 @@
     /// # Errors
     /// If the target can't be reached within `CONNECT_TIMEOUT`.
     pub async fn open(to: SocketAddr) -> std::io::Result<Connection> {
-        let stream = net::connect(to, CONNECT_TIMEOUT, UNACKNOWLEDGED_TIMEOUT).await?;
+        let stream = net::connect(to, CONNECT_TIMEOUT, ACK_TIMEOUTS.short_request).await?;
         let (sender, connection) = http1::Builder::new()
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(ClientStream::new(stream, ACK_TIMEOUTS)))
             .await
             .map_err(std::io::Error::other)?;
         let driver = tokio::task::spawn_local(async move {
