--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -203,12 +203,18 @@
     }
 
     /// Takes a retry from the budget; false if it is exhausted.
-    pub fn try_retry(&self, service: &ServiceId, record: &mut RequestRecord) -> bool {
+    pub fn try_retry(&self, service: &ServiceId, record: &RequestRecord) -> bool {
         let decision = self.retries.borrow_mut().try_retry(service, boot_now());
         record.retry_decided(service, &decision);
         decision.is_granted
     }
 
+    /// Gives back a retry that was taken and not made.
+    pub fn return_retry(&self, service: &ServiceId, record: &RequestRecord) {
+        self.retries.borrow_mut().return_retry(service);
+        record.retry_returned();
+    }
+
     /// The share of this entry in the requests to limited targets.
     pub fn independent_share(&self) -> IndependentShare {
         let entries = self.retries.borrow().entries(boot_now());
