--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -3,19 +3,23 @@
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use http::{Request, Version};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use super::response::GatewayResponse;
+use super::caller_connection::{CallerConnection, TrackedBody};
+use super::idle_clock::IdleVerdict;
 use super::routed_request::Origin;
 use super::state::Gateway;
 use super::{forwarding, request};
-use crate::clock::{BootTime, boot_now};
+use crate::deployment::RequestLimits;
 use crate::net;
 use crate::net::lingering_stream::LingeringStream;
 
@@ -56,41 +60,52 @@
     if let Err(error) = net::set_ack_timeout(&stream, UNACKNOWLEDGED_TIMEOUT) {
         log::debug!("event=connection_not_set reason={:?}", error.to_string());
     }
-    let limits =
-        gateway.table().map(|table| table.deployment().request_limits.clone()).unwrap_or_default();
     let head_bytes = match origin {
-        Origin::Caller => limits.head_bytes,
-        Origin::Entry => limits.head_bytes + forwarding::MAX_ATTEMPT_BYTES,
+        Origin::Caller => request_limits(&gateway).head_bytes,
+        Origin::Entry => request_limits(&gateway).head_bytes + forwarding::MAX_ATTEMPT_BYTES,
     };
-    let last_used = Rc::new(Cell::new(boot_now()));
+    let stream = LingeringStream::new(stream);
+    let resets_on_drop = stream.resets_on_drop();
+    let caller = Rc::new(CallerConnection::new(stream.received_bytes()));
+    let state = gateway.clone();
     let service = {
-        let (last_used, closing) = (last_used.clone(), closing.clone());
-        service_fn(move |request| {
-            let (gateway, last_used, closing) =
-                (gateway.clone(), last_used.clone(), closing.clone());
+        let (caller, closing) = (caller.clone(), closing.clone());
+        service_fn(move |request: Request<Incoming>| {
+            // A body without chunks may end with the connection, also if it is cut short.
+            resets_on_drop.store(request.version() < Version::HTTP_11, Ordering::Relaxed);
+            let in_progress = caller.begin_request();
+            let (gateway, closing) = (gateway.clone(), closing.clone());
             async move {
-                last_used.set(BootTime::MAX);
                 let response = match origin {
                     Origin::Caller => request::handle(gateway, request, closing).await,
                     Origin::Entry => forwarding::handle(gateway, request, closing).await,
                 };
-                last_used.set(boot_now());
-                Ok::<GatewayResponse, Infallible>(response)
+                Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, in_progress)))
             }
         })
     };
     let connection = http1::Builder::new()
         .max_buf_size(head_bytes.max(MIN_HEAD_BYTES))
-        .serve_connection(TokioIo::new(LingeringStream::new(stream)), service);
+        .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let mut is_closing = *closing.borrow();
     if is_closing {
         connection.as_mut().graceful_shutdown();
     }
     loop {
-        let idle_left =
-            limits.idle_timeout.saturating_sub(boot_now().saturating_sub(last_used.get()));
+        let check_after = match caller.check(&request_limits(&state)) {
+            IdleVerdict::Open(left) => left.max(MIN_IDLE_CHECK),
+            IdleVerdict::HeadTooSlow => return,
+            IdleVerdict::Idle if is_closing => MIN_IDLE_CHECK,
+            IdleVerdict::Idle => {
+                is_closing = true;
+                connection.as_mut().graceful_shutdown();
+                MIN_IDLE_CHECK
+            }
+        };
         tokio::select! {
+            // A request that has arrived is read before the connection is found to be idle.
+            biased;
             ended = connection.as_mut() => {
                 if let Err(error) = ended {
                     log::debug!("event=caller_gone reason={:?}", error.to_string());
@@ -103,12 +118,12 @@
                     connection.as_mut().graceful_shutdown();
                 }
             }
-            () = tokio::time::sleep(idle_left.max(MIN_IDLE_CHECK)), if !is_closing => {
-                if boot_now().saturating_sub(last_used.get()) >= limits.idle_timeout {
-                    is_closing = true;
-                    connection.as_mut().graceful_shutdown();
-                }
-            }
+            () = tokio::time::sleep(check_after) => {}
         }
     }
 }
+
+/// The limits in force now.
+fn request_limits(gateway: &Gateway) -> RequestLimits {
+    gateway.table().map(|table| table.deployment().request_limits.clone()).unwrap_or_default()
+}
--- a/tests/deployment/stand_in.rs
+++ b/tests/deployment/stand_in.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -20,6 +21,8 @@
     CloseLater,
     /// Sends nothing for this long, then the next answer of the script as the rest of this one.
     ContinueAfter(Duration),
+    /// Resets the connection once the caller has had time to read the answer.
+    Reset,
     /// Sends nothing more and waits until the caller closes the connection.
     Hang,
 }
@@ -122,6 +125,11 @@
                         return;
                     }
                 }
+                AfterAnswer::Reset => {
+                    tokio::time::sleep(IDLE_BEFORE_CLOSE).await;
+                    SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("a TCP socket");
+                    return;
+                }
                 AfterAnswer::Hang => {
                     until_closed(&mut stream).await;
                     interrupted.set(interrupted.get() + 1);
