--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -13,8 +13,9 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
 
-use super::attempt::{AttemptError, AttemptInput, TargetResponse, attempt};
+use super::attempt::{AttemptError, TargetResponse};
 use super::attempts::Attempts;
+use super::first_response::attempt_until_answered;
 use super::metadata::RequestMetadata;
 use super::priority::Priority;
 use super::relay::{self, EventRelay};
@@ -37,12 +38,6 @@
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(200);
 /// Random addition to `Retry-After`, so that refused callers don't all return at the same time.
 const RETRY_AFTER_JITTER: Duration = Duration::from_millis(600);
-/// A request that may be repeated waits this multiple of the route's objective for the head of the
-/// response before it is sent to another target.
-const OBJECTIVES_BEFORE_RETRY: u32 = 2;
-/// Shortest such wait for a prompt. A retry makes a second engine read the whole prompt, which
-/// lengthens the queues if the engines are overloaded.
-const MIN_PROMPT_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// How long a request waits for an entry that has just started and has no deployment or targets
 /// yet. Covers an election of the replicas' leader after all hosts have lost power.
 const MAX_STARTUP_WAIT: Duration = Duration::from_millis(1_200);
@@ -213,40 +208,32 @@
 async fn serve(
     gateway: &Rc<Gateway>,
     mut routed: RoutedRequest,
-    mut record: RequestRecord,
+    record: RequestRecord,
 ) -> GatewayResponse {
-    if let Err(refusal) = stream_origin::resolve(gateway, &mut routed, &mut record).await {
+    if let Err(refusal) = stream_origin::resolve(gateway, &mut routed, &record).await {
         return refuse(refusal, &routed.metadata.id, &record);
     }
     gateway.retries.borrow_mut().record_request(&routed.service, boot_now());
     let mut attempts = Attempts::default();
-    let mut may_have_run = false;
-    let resume_after = routed.metadata.resume_after.clone();
     loop {
-        let input = AttemptInput {
-            routed: &routed,
-            attempts: &attempts,
-            resume_after: resume_after.as_deref(),
-            response_timeout: first_response_timeout(&routed, &attempts),
-        };
-        let made = attempt(gateway, input, &mut record).await;
+        let made = attempt_until_answered(gateway, &routed, &mut attempts, &record).await;
         let (attempt_refusal, target) = match made {
             Ok(received) => {
                 attempts.add(received.responder.target().cloned());
                 let wants_another = received.response.status().is_server_error()
                     && routed.route.policy == RunPolicy::Idempotent;
-                if !(wants_another && may_retry(gateway, &routed, &attempts, &mut record)) {
+                if !(wants_another && may_retry(gateway, &routed, &attempts, &record)) {
                     let id = routed.metadata.id.clone();
                     return relay_response(gateway, routed, record, attempts, received)
                         .await
                         .unwrap_or_else(|record| refuse(Refusal::Broken, &id, &record));
                 }
-                may_have_run = true;
+                attempts.mark_may_have_run();
                 continue;
             }
             Err(AttemptError::NoTarget(why)) => {
                 record.no_target(why);
-                let refusal = match (may_have_run, why) {
+                let refusal = match (attempts.may_have_run(), why) {
                     (true, _) => Refusal::Broken,
                     (false, NoTarget::Busy(retry_after)) => Refusal::Busy(retry_after),
                     (false, NoTarget::Limited(retry_after)) => Refusal::Limited(retry_after),
@@ -259,11 +246,13 @@
                 return refuse(refusal, &routed.metadata.id, &record);
             }
             Err(AttemptError::Held(left)) => {
-                let refusal = if may_have_run { Refusal::Broken } else { Refusal::Held(left) };
+                let refusal =
+                    if attempts.may_have_run() { Refusal::Broken } else { Refusal::Held(left) };
                 return refuse(refusal, &routed.metadata.id, &record);
             }
             Err(AttemptError::TooLate) => {
-                let refusal = if may_have_run { Refusal::TimedOut } else { Refusal::TooLate };
+                let refusal =
+                    if attempts.may_have_run() { Refusal::TimedOut } else { Refusal::TooLate };
                 return refuse(refusal, &routed.metadata.id, &record);
             }
             Err(AttemptError::NotRun(target)) => (Refusal::NoTarget, target),
@@ -271,33 +260,25 @@
             Err(AttemptError::TimedOut(target)) => (Refusal::TimedOut, target),
         };
         attempts.add(target);
-        may_have_run |= attempt_refusal != Refusal::NoTarget;
-        let refusal = match (may_have_run, attempt_refusal) {
+        if attempt_refusal != Refusal::NoTarget {
+            attempts.mark_may_have_run();
+        }
+        let refusal = match (attempts.may_have_run(), attempt_refusal) {
             (true, Refusal::NoTarget) => Refusal::Broken,
             (_, attempt_refusal) => attempt_refusal,
         };
-        let may_repeat = !may_have_run || routed.route.policy.may_repeat();
-        if !may_repeat || !may_retry(gateway, &routed, &attempts, &mut record) {
+        let may_repeat = !attempts.may_have_run() || routed.route.policy.may_repeat();
+        if !may_repeat || !may_retry(gateway, &routed, &attempts, &record) {
             return refuse(refusal, &routed.metadata.id, &record);
         }
     }
 }
 
-/// How long to wait for the head of the response before another target is tried; `None` if this is
-/// the last target.
-fn first_response_timeout(routed: &RoutedRequest, attempts: &Attempts) -> Option<Duration> {
-    let has_another =
-        attempts.count() + 1 < routed.route.attempts && routed.route.policy.may_repeat();
-    let wait = routed.route.objective * OBJECTIVES_BEFORE_RETRY;
-    let least = if routed.metadata.prompt.is_some() { MIN_PROMPT_TIMEOUT } else { Duration::ZERO };
-    (has_another && !wait.is_zero()).then(|| wait.max(least))
-}
-
 fn may_retry(
     gateway: &Gateway,
     routed: &RoutedRequest,
     attempts: &Attempts,
-    record: &mut RequestRecord,
+    record: &RequestRecord,
 ) -> bool {
     attempts.count() < routed.route.attempts.max(2)
         && Instant::now() < routed.deadline
@@ -311,7 +292,7 @@
 pub async fn relay_response(
     gateway: &Rc<Gateway>,
     routed: RoutedRequest,
-    mut record: RequestRecord,
+    record: RequestRecord,
     attempts: Attempts,
     received: TargetResponse,
 ) -> Result<GatewayResponse, RequestRecord> {
@@ -331,7 +312,7 @@
         } = received;
         match relay::read_buffered(response.into_body(), routed.deadline).await {
             Ok(bytes) => {
-                record.first_part_sent();
+                record.part_relayed(0, bytes.len());
                 record.set_outcome(Outcome::Relayed(status.as_u16()));
                 if status.is_success() {
                     responder.succeeded(gateway, sent_at);
@@ -347,7 +328,7 @@
                 record.responder_failed(&responder, &error.to_string());
                 drop(connection);
                 if Instant::now() < routed.deadline {
-                    responder.close_broken(gateway, &routed, sent_at, &mut record).await;
+                    responder.close_broken(gateway, &routed, sent_at, &record).await;
                 }
                 return Err(record);
             }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -20,6 +20,7 @@
 use super::stream_origin::StreamLookups;
 use super::subscription_policy::Subscriptions;
 use crate::clock::{BootTime, boot_now};
+use crate::control::entry_directory::EntryStart;
 use crate::control::frames::{ConfirmId, Update};
 use crate::control::pieces::Assembly;
 use crate::deployment::document::DeploymentVersion;
@@ -115,6 +116,8 @@
     freshness: RefCell<Freshness>,
     /// Id of the last request for a confirmation; 0 if there was none.
     pub confirm_requests: watch::Sender<ConfirmId>,
+    /// Identifies this start of the process.
+    pub start: EntryStart,
     /// Makes this entry's shares of limited targets independent of those of other entries.
     share_seed: u64,
     /// Notified when a deployment, targets or a confirmation arrive.
@@ -169,6 +172,7 @@
             last_heartbeat: Cell::new(None),
             freshness,
             confirm_requests: watch::Sender::default(),
+            start: rand::random(),
             share_seed: rand::random(),
             state_changed: Notify::new(),
             stopping: Cell::new(false),
@@ -199,12 +203,18 @@
     }
 
     /// Takes a retry from the budget; false if it is exhausted.
-    pub fn try_retry(&self, service: &ServiceId, record: &mut RequestRecord) -> bool {
+    pub fn try_retry(&self, service: &ServiceId, record: &RequestRecord) -> bool {
         let decision = self.retries.borrow_mut().try_retry(service, boot_now());
         record.retry_decided(service, &decision);
         decision.is_granted
     }
 
+    /// Gives back a retry that was taken and not made.
+    pub fn return_retry(&self, service: &ServiceId, record: &RequestRecord) {
+        self.retries.borrow_mut().return_retry(service);
+        record.retry_returned();
+    }
+
     /// The share of this entry in the requests to limited targets.
     pub fn independent_share(&self) -> IndependentShare {
         let entries = self.retries.borrow().entries(boot_now());
