Log the parts of a prompt whose run breaks off

A line names the fingerprint of the whole request alone, so that lines of two requests that broke with different engines show nothing in common. Now they name all parts of the prompt but the last.

--- a/src/gateway/metadata.rs
+++ b/src/gateway/metadata.rs
@@ -62,6 +62,11 @@
         }
     }
 
+    /// All parts but the last.
+    pub fn non_final_parts(&self) -> &[Part] {
+        self.parts.split_last().map_or(&[], |(_, others)| others)
+    }
+
     /// Total length of the shared parts in tokens.
     pub fn shared_tokens(&self) -> u64 {
         self.shared_parts().iter().map(|part| part.tokens).sum()
--- a/src/gateway/request_record.rs
+++ b/src/gateway/request_record.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::metadata::{RequestMetadata, ResponseMetadata};
+use super::metadata::{Prompt, RequestMetadata, ResponseMetadata};
 use super::priority::Priority;
 use super::responder::Responder;
 use super::state::Gateway;
@@ -202,6 +202,13 @@
         }
     }
 
+    /// Records the parts of a prompt that other prompts may share, by which the log lines of requests that
+    /// broke with one target can be compared.
+    pub fn set_shared_parts(&mut self, prompt: &Prompt) {
+        let ids: Vec<&str> = prompt.non_final_parts().iter().map(|part| part.id.as_str()).collect();
+        let _ = write!(self.attempts, " parts={}", ids.join(","));
+    }
+
     /// Records the time to the first data of the response body.
     pub fn first_part_sent(&mut self) {
         if self.first_part.is_none() {
--- a/src/gateway/termination.rs
+++ b/src/gateway/termination.rs
@@ -37,6 +37,9 @@
 ) {
     let run = BrokenRun { fingerprint: routed.fingerprint(), sent_at, broke_at: boot_now() };
     record.set_fingerprint(run.fingerprint);
+    if let Some(prompt) = &routed.metadata.prompt {
+        record.set_shared_parts(prompt);
+    }
     // The termination of a leaving target is planned.
     if gateway.fleet.borrow().is_known_to_leave(target) {
         return;
