Failing test: a prompt part that crashes engines is sent on

Stand-in engines crash under any prompt with a given part, whatever else it holds. 4 entries, 10 engines, 25 sound prompts a second with the same account, route and first part, and 4.5 a second with the crashing part, no two alike.

The second test bounds what a fix may cost the sound prompts.

--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -5,6 +5,7 @@
 mod brittle_targets;
 mod budget;
 mod cold;
+mod crashing_parts;
 mod diagnostics;
 mod documents;
 mod ending_prompts;
--- a/tests/deployment/restarts.rs
+++ b/tests/deployment/restarts.rs
@@ -74,6 +74,20 @@
     id: &str,
     events: u64,
     content: String,
+) -> StreamResponse {
+    let parts = format!("c-{id}:1000,{id}:200");
+    send_prompt_with_parts(client, entry, kind, id, events, parts, content).await
+}
+
+/// Sends a prompt with these parts and a body, and reads its stream.
+pub async fn send_prompt_with_parts(
+    client: reqwest::Client,
+    entry: SocketAddr,
+    kind: &str,
+    id: &str,
+    events: u64,
+    parts: String,
+    content: String,
 ) -> StreamResponse {
     let asking = client
         .post(format!("http://{entry}/{kind}/"))
@@ -83,7 +97,7 @@
         .header("authorization", "Bearer key-alpha")
         .header("x-model", "m")
         .header("x-token-count", format!("1200,{events}"))
-        .header("x-prompt-prefix", format!("c-{id}:1000,{id}:200"))
+        .header("x-prompt-prefix", parts)
         .body(content);
     let Ok(mut answer) = asking.send().await else {
         return StreamResponse { status: 0, body: String::new(), is_whole: false };
--- a/tests/platform_stand_in/observations.rs
+++ b/tests/platform_stand_in/observations.rs
@@ -59,6 +59,8 @@
     pub announced_weights: Vec<(u64, Instant)>,
     /// Requests that crash targets, by body.
     pub crashing_requests: BTreeMap<String, CrashingRequest>,
+    /// Requests with a part that crashes targets, by the id of that part.
+    pub crashing_parts: BTreeMap<String, CrashingRequest>,
     /// Evacuated zones, each with the time of the acknowledgement.
     pub evacuated: BTreeMap<String, Instant>,
     /// Descriptions of seconds in which a cold engine got more requests than it bears.
@@ -77,7 +79,16 @@
     stamps: u64,
 }
 
-/// The history of a request that crashes targets.
+/// What crashes targets.
+#[derive(Clone, Debug)]
+pub enum CrashCause {
+    /// A request with this body.
+    Body(String),
+    /// Any request with this part.
+    Part(String),
+}
+
+/// The history of a request, or of all requests with a part, that crashes targets.
 #[derive(Clone, Debug, Default)]
 pub struct CrashingRequest {
     /// When it was received by targets.
@@ -88,6 +99,8 @@
 
 /// Crashes after which a request must be held.
 const MAX_CRASHES_BEFORE_HOLD: usize = 3;
+/// Crashes after which all requests with a part must be held.
+const MAX_CRASHES_BEFORE_PART_HOLD: usize = 5;
 /// Sends that are tolerated after all hosts should hold the request.
 const MAX_LATE_SENDS: usize = 3;
 
@@ -99,7 +112,25 @@
         known_within: Duration,
         counts: impl Fn(Instant) -> bool,
     ) -> Option<String> {
-        let known = *self.ended.get(MAX_CRASHES_BEFORE_HOLD - 1)? + known_within;
+        self.reached_too_often_after(MAX_CRASHES_BEFORE_HOLD, known_within, counts)
+    }
+
+    /// The same for requests with a part that crashes targets.
+    pub fn part_reached_too_often(
+        &self,
+        known_within: Duration,
+        counts: impl Fn(Instant) -> bool,
+    ) -> Option<String> {
+        self.reached_too_often_after(MAX_CRASHES_BEFORE_PART_HOLD, known_within, counts)
+    }
+
+    fn reached_too_often_after(
+        &self,
+        crashes: usize,
+        known_within: Duration,
+        counts: impl Fn(Instant) -> bool,
+    ) -> Option<String> {
+        let known = *self.ended.get(crashes - 1)? + known_within;
         let late = self.reached.iter().filter(|at| **at > known && counts(**at)).count();
         let ended = self.ended.len();
         let what = || format!("sent {late} more times, {ended} crashes in total");
@@ -217,13 +248,20 @@
     }
 
     /// Records that a target received a request that crashes targets.
-    pub fn record_crashing_send(&mut self, body: &str) {
-        self.crashing_requests.entry(body.to_string()).or_default().reached.push(Instant::now());
+    pub fn record_crashing_send(&mut self, cause: &CrashCause) {
+        self.history_of(cause).reached.push(Instant::now());
     }
 
     /// Records that a request crashed a target.
-    pub fn record_crash(&mut self, body: &str) {
-        self.crashing_requests.entry(body.to_string()).or_default().ended.push(Instant::now());
+    pub fn record_crash(&mut self, cause: &CrashCause) {
+        self.history_of(cause).ended.push(Instant::now());
+    }
+
+    fn history_of(&mut self, cause: &CrashCause) -> &mut CrashingRequest {
+        match cause {
+            CrashCause::Body(body) => self.crashing_requests.entry(body.clone()).or_default(),
+            CrashCause::Part(part) => self.crashing_parts.entry(part.clone()).or_default(),
+        }
     }
 
     /// A unique response stamp.
--- a/tests/platform_stand_in/target.rs
+++ b/tests/platform_stand_in/target.rs
@@ -14,7 +14,7 @@
 use super::job::Job;
 pub use super::job::{expected_body, expected_event};
 use super::limits::NamedLimit;
-use super::observations::{Run, RunEnd};
+use super::observations::{CrashCause, Run, RunEnd};
 use super::starts::Restart;
 use super::store::{PartName, clock_ms};
 use super::{Inner, Platform};
@@ -123,6 +123,8 @@
 
 /// A request whose body has this prefix crashes its target, which restarts after [`CRASH_DOWNTIME`].
 pub const CRASHING_BODY_PREFIX: &[u8] = b"ends its target";
+/// A prompt with a part, other than its last, whose id has this prefix crashes its target, too.
+pub const CRASHING_PART_PREFIX: &str = "dead";
 /// Time until a crashed target restarts.
 const CRASH_DOWNTIME: Duration = Duration::from_millis(1_200);
 
@@ -310,10 +312,9 @@
     }
 
     /// Crashes the target shortly after the response head of a stream, and restarts it later.
-    fn crash_during(&self, job: &Job, body: &[u8]) {
+    fn crash_during(&self, job: &Job, cause: CrashCause) {
         let (id, start) = (job.target.clone(), job.start);
-        let body = String::from_utf8_lossy(body).into_owned();
-        self.lock().observations.record_crashing_send(&body);
+        self.lock().observations.record_crashing_send(&cause);
         let platform = self.clone();
         tokio::spawn(async move {
             tokio::time::sleep(EVENT_INTERVAL / 2).await;
@@ -322,7 +323,7 @@
                 if !inner.runs(&id, start) {
                     return;
                 }
-                inner.observations.record_crash(&body);
+                inner.observations.record_crash(&cause);
                 inner.targets.get(&id).map(|target| (target.address, target.listed_address))
             };
             let Some((address, listed_address)) = addresses else { return };
@@ -359,14 +360,19 @@
             Ok(began) => began,
             Err(refused) => return *refused,
         };
+        let crashing_part = crashing_part(&request);
         // Reads the body to its end, as it may come in chunks.
         let Some(body) = http::read_body(request).await else {
             job.end(RunEnd::Aborted(Instant::now()));
             return http::status(400);
         };
         job.transfer_parts().await;
-        if body.starts_with(CRASHING_BODY_PREFIX) {
-            self.crash_during(&job, &body);
+        let crashing_body = || {
+            let body = String::from_utf8_lossy(&body).into_owned();
+            body.as_bytes().starts_with(CRASHING_BODY_PREFIX).then_some(CrashCause::Body(body))
+        };
+        if let Some(cause) = crashing_part.map(CrashCause::Part).or_else(crashing_body) {
+            self.crash_during(&job, cause);
             return match job.is_stream {
                 true => job.into_event_stream(false),
                 false => std::future::pending().await,
@@ -594,6 +600,15 @@
     Box::new(answer)
 }
 
+/// The part, other than the last, under which a target crashes.
+fn crashing_part(request: &Request<Incoming>) -> Option<String> {
+    let prefix = header(request, "x-prompt-prefix")?;
+    let mut ids: Vec<&str> =
+        prefix.split(',').filter_map(|part| Some(part.split_once(':')?.0)).collect();
+    ids.pop();
+    ids.into_iter().find(|id| id.starts_with(CRASHING_PART_PREFIX)).map(str::to_string)
+}
+
 /// Parses the parts of a prompt with their numbers of tokens.
 fn parts_of(salt: &str, prefix: &str) -> Vec<(PartName, u64)> {
     let part = |text: &str| {
