Hold requests with a prompt part that crashes engines

What callers saw: prompts with one part, no two alike, crashed one engine after the other, and broke the streams of all others that ran there: 24 more were sent after five crashes, 31 engines ended.

Cause: what ended targets was recorded for the whole request only (account, method, host, path, body). Requests that share a part and differ in all else have one end each, and nothing was ever held.

Fix: each part of a prompt but the last has a fingerprint of its own, of model and part id only, and ends and complete answers are recorded for the request and for its parts. The culprit explains all its ends; parts of sound requests are cleared by their answers. Of two that can't be told apart, a request that contains both is held in full, as its run would tell nothing and cost one more engine. A request with only one of them is released after two seconds, as before, since its run tells them apart.

Reports, digests and files keep their layout, as a fingerprint is opaque.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -221,9 +221,12 @@
     routed: &RoutedRequest,
     record: &mut RequestRecord,
 ) -> Option<Duration> {
-    let left = gateway.held_for(routed)?;
-    record.set_fingerprint(routed.fingerprint());
-    Some(left)
+    let hold = gateway.hold(routed)?;
+    record.set_fingerprint(hold.fingerprint);
+    if let Some(part) = routed.part_with(hold.fingerprint) {
+        record.set_held_part(part);
+    }
+    Some(hold.left)
 }
 
 /// Takes or opens a connection to a target.
--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -340,7 +340,7 @@
         arrived: arrived.checked_sub(attempt.elapsed).unwrap_or(arrived),
         deadline,
         tie_breaker: rand::rng().random(),
-        fingerprint: OnceCell::new(),
+        fingerprints: OnceCell::new(),
         origin: Origin::Entry,
     };
     let mut attempts = Attempts::default();
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -20,7 +20,7 @@
 use super::response::{RelayError, ResponseBody, stream_body};
 use super::routed_request::{Origin, RoutedRequest};
 use super::state::Gateway;
-use crate::clock::BootTime;
+use crate::clock::{BootTime, boot_now};
 use crate::ids::SoftwareVersion;
 
 /// A body of at most this length is buffered before any of it is relayed, so that the request can
@@ -197,7 +197,7 @@
         self.record.set_outcome(Outcome::Relayed(StatusCode::OK.as_u16()));
         if let Some(mut source) = self.source.take() {
             source.responder.succeeded(&self.gateway, source.sent_at);
-            self.gateway.record_success(&self.routed);
+            self.gateway.record_success(self.routed.fingerprints(), boot_now());
             if !source.response_metadata.closes {
                 source.responder.return_connection(&self.gateway, source.connection);
             }
@@ -280,7 +280,7 @@
             Ok(None) => {
                 record.set_outcome(Outcome::Relayed(status.as_u16()));
                 if status.is_success() {
-                    gateway.record_success(&routed);
+                    gateway.record_success(routed.fingerprints(), boot_now());
                 }
                 return None;
             }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -179,7 +179,7 @@
         arrived,
         deadline: arrived + timeout,
         tie_breaker: random.random(),
-        fingerprint: OnceCell::new(),
+        fingerprints: OnceCell::new(),
         origin: Origin::Caller,
         route,
         metadata,
@@ -335,7 +335,7 @@
                 record.set_outcome(Outcome::Relayed(status.as_u16()));
                 if status.is_success() {
                     responder.succeeded(gateway, sent_at);
-                    gateway.record_success(&routed);
+                    gateway.record_success(routed.fingerprints(), boot_now());
                 }
                 connection.set_idle_timeout(response_metadata.idle_timeout);
                 if !response_metadata.closes {
--- a/src/gateway/request_record.rs
+++ b/src/gateway/request_record.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::metadata::{Prompt, RequestMetadata, ResponseMetadata};
+use super::metadata::{Part, Prompt, RequestMetadata, ResponseMetadata};
 use super::priority::Priority;
 use super::responder::Responder;
 use super::state::Gateway;
@@ -206,7 +206,12 @@
     /// broke with one target can be compared.
     pub fn set_shared_parts(&mut self, prompt: &Prompt) {
         let ids: Vec<&str> = prompt.non_final_parts().iter().map(|part| part.id.as_str()).collect();
-        let _ = write!(self.attempts, " parts={}", ids.join(","));
+        let _ = write!(self.attempts, " parts={:?}", ids.join(","));
+    }
+
+    /// Records the part of the prompt because of which the request is held.
+    pub fn set_held_part(&mut self, part: &Part) {
+        let _ = write!(self.attempts, " held_part={:?}", part.id);
     }
 
     /// Records the time to the first data of the response body.
--- a/src/gateway/routed_request.rs
+++ b/src/gateway/routed_request.rs
@@ -6,7 +6,7 @@
 use http::{HeaderMap, Method, Uri};
 use tokio::time::Instant;
 
-use super::metadata::RequestMetadata;
+use super::metadata::{Part, Prompt, RequestMetadata};
 use super::priority::Priority;
 use crate::deployment::Route;
 use crate::fleet::regions::AllowedDomains;
@@ -55,19 +55,45 @@
     pub deadline: Instant,
     /// Random number that decides between equally good targets.
     pub tie_breaker: u64,
-    /// Cached result of `fingerprint()`.
-    pub fingerprint: OnceCell<Fingerprint>,
+    /// Cached result of `fingerprints()`.
+    pub fingerprints: OnceCell<Vec<Fingerprint>>,
     pub origin: Origin,
 }
 
+/// Parts of a prompt, from its beginning, that are considered as the cause of target terminations. Bounds
+/// what one request adds to the quarantine.
+const MAX_SUSPECT_PARTS: usize = 16;
+
 impl RoutedRequest {
     /// Identifies the request across retries by its caller. Must not be called before the body is
     /// complete.
     pub fn fingerprint(&self) -> Fingerprint {
-        *self.fingerprint.get_or_init(|| {
+        self.fingerprints()[0]
+    }
+
+    /// All that may make a target terminate: the request itself, and after it the parts of its prompt that
+    /// other prompts may share. Must not be called before the body is complete.
+    pub fn fingerprints(&self) -> &[Fingerprint] {
+        self.fingerprints.get_or_init(|| {
             let path = self.uri.path_and_query().map_or("", |path| path.as_str());
             let account = self.account.as_deref();
-            Fingerprint::of(account, self.method.as_str(), &self.metadata.host, path, &self.body)
+            let method = self.method.as_str();
+            let whole = Fingerprint::of(account, method, &self.metadata.host, path, &self.body);
+            let model = self.metadata.prompt.as_ref().map_or("", |prompt| &prompt.model);
+            let parts =
+                self.suspect_parts().iter().map(|part| Fingerprint::of_part(model, &part.id));
+            std::iter::once(whole).chain(parts).collect()
         })
     }
+
+    /// The part of the prompt that has this fingerprint.
+    pub fn part_with(&self, fingerprint: Fingerprint) -> Option<&Part> {
+        let position = self.fingerprints().iter().skip(1).position(|part| *part == fingerprint)?;
+        self.suspect_parts().get(position)
+    }
+
+    fn suspect_parts(&self) -> &[Part] {
+        let parts = self.metadata.prompt.as_ref().map_or(&[][..], Prompt::non_final_parts);
+        &parts[..parts.len().min(MAX_SUSPECT_PARTS)]
+    }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -35,7 +35,7 @@
 use crate::log::Term;
 
 use crate::quarantine::broken_runs::BrokenRuns;
-use crate::quarantine::{Quarantine, notify};
+use crate::quarantine::{Fingerprint, Hold, Quarantine, notify};
 use crate::scheduler::weights::{self, RolloutHistories};
 use crate::telemetry::deployment_metrics::EntryMetrics;
 
@@ -348,16 +348,17 @@
         Ok(())
     }
 
-    /// How long a request remains quarantined; `None` if it is not.
-    pub fn held_for(&self, routed: &RoutedRequest) -> Option<Duration> {
+    /// Why a request is quarantined, and for how long; `None` if it is not.
+    pub fn hold(&self, routed: &RoutedRequest) -> Option<Hold> {
         let known = self.quarantine.borrow();
-        if known.is_empty() { None } else { known.held_for(routed.fingerprint(), boot_now()) }
+        if known.is_empty() { None } else { known.hold(routed.fingerprints(), boot_now()) }
     }
 
-    /// Records that a request succeeded, which clears earlier evidence against it.
-    pub fn record_success(&self, routed: &RoutedRequest) {
-        let run = routed.fingerprint();
-        self.quarantine.send_if_modified(|known| known.record_completion(run, boot_now()));
+    /// Records that a request succeeded, which clears earlier evidence against it and its parts.
+    pub fn record_success(&self, fingerprints: &[Fingerprint], answered_at: BootTime) {
+        self.quarantine.send_if_modified(|known| {
+            known.record_completions(fingerprints, answered_at, boot_now())
+        });
     }
 
     /// Host and term of the replica that leads.
--- a/src/gateway/termination.rs
+++ b/src/gateway/termination.rs
@@ -12,8 +12,8 @@
 use crate::clock::{BootTime, boot_now};
 use crate::ids::TargetStart;
 
-use crate::quarantine::broken_runs::{BrokenRun, TargetCheck};
-use crate::quarantine::notify;
+use crate::quarantine::broken_runs::{BrokenRun, BrokenRuns, TargetCheck};
+use crate::quarantine::{Fingerprint, notify};
 use crate::telemetry::metrics::label;
 
 /// Delay before a target that accepted a connection is probed again. A terminating process may
@@ -35,8 +35,7 @@
     sent_at: BootTime,
     record: &mut RequestRecord,
 ) {
-    let run = BrokenRun { fingerprint: routed.fingerprint(), sent_at, broke_at: boot_now() };
-    record.set_fingerprint(run.fingerprint);
+    record.set_fingerprint(routed.fingerprint());
     if let Some(prompt) = &routed.metadata.prompt {
         record.set_shared_parts(prompt);
     }
@@ -44,9 +43,10 @@
     if gateway.fleet.borrow().is_known_to_leave(target) {
         return;
     }
-    let check = gateway.broken_runs.borrow_mut().record_broken_run(target, run);
+    let runs = runs_of(routed, sent_at);
+    let check = record_all(gateway, &runs, |known, run| known.record_broken_run(target, run));
     match check {
-        TargetCheck::TargetEnded => quarantine_runs(gateway, target, &[run], "known"),
+        TargetCheck::TargetEnded => quarantine_runs(gateway, target, &runs, "known"),
         TargetCheck::StartCheck => {
             tokio::task::spawn_local(probe(gateway.clone(), target.clone()));
             wait_for_probe(gateway).await;
@@ -55,6 +55,25 @@
     }
 }
 
+/// The run of a request and of each part of its prompt, which ends now.
+fn runs_of(routed: &RoutedRequest, sent_at: BootTime) -> Vec<BrokenRun> {
+    let broke_at = boot_now();
+    let run =
+        |fingerprint: &Fingerprint| BrokenRun { fingerprint: *fingerprint, sent_at, broke_at };
+    routed.fingerprints().iter().map(run).collect()
+}
+
+/// Records the runs of one request, and returns what the first one requires.
+fn record_all(
+    gateway: &Gateway,
+    runs: &[BrokenRun],
+    record: impl Fn(&mut BrokenRuns, BrokenRun) -> TargetCheck,
+) -> TargetCheck {
+    let mut known = gateway.broken_runs.borrow_mut();
+    let checks: Vec<TargetCheck> = runs.iter().map(|run| record(&mut known, *run)).collect();
+    checks.into_iter().next().unwrap_or(TargetCheck::CheckInProgress)
+}
+
 async fn wait_for_probe(gateway: &Gateway) {
     // The request proceeds without the result after the timeout.
     let _ = tokio::time::timeout(PROBE_WAIT, gateway.probe_finished.notified()).await;
--- a/src/quarantine/blame.rs
+++ b/src/quarantine/blame.rs
@@ -1,4 +1,7 @@
-//! Decides which requests are to blame for the ends of targets, and how long they are held.
+//! Decides which requests and prompt parts are to blame for the ends of targets, and how long requests
+//! are held.
+//!
+//! Below, "request" also stands for a prompt part, that is for all requests that contain it.
 
 use std::cmp::Reverse;
 use std::collections::{HashMap, HashSet};
@@ -30,10 +33,13 @@
 }
 
 /// The ends attributed to a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct Blame {
     pub(super) ends: usize,
-    pub(super) certainty: Certainty,
+    /// Whether the request was answered before.
+    is_doubtful: bool,
+    /// Others that may be to blame in its place, as they explain most of its ends and have about as many.
+    rivals: Vec<Fingerprint>,
 }
 
 /// How certain it is that a request terminated the targets.
@@ -68,8 +74,7 @@
     let suspects = ranked_suspects(requests);
     let attributed = attribute_ends(requests, &suspects);
     let blame = |(fingerprint, ends): (&Fingerprint, &usize)| {
-        let certainty = certainty(requests, *fingerprint, &suspects, &attributed);
-        (*fingerprint, Blame { ends: *ends, certainty })
+        (*fingerprint, blame(requests, *fingerprint, *ends, &suspects, &attributed))
     };
     attributed.iter().map(blame).collect()
 }
@@ -89,42 +94,45 @@
     attributed
 }
 
-/// How certain it is that a blamed request is the cause of the ends `attributed` to it.
-fn certainty(
+/// Determines what else may be the cause of the `ends` attributed to a request.
+fn blame(
     requests: &Records,
     fingerprint: Fingerprint,
+    ends: usize,
     suspects: &[Suspect],
     attributed: &HashMap<Fingerprint, usize>,
-) -> Certainty {
+) -> Blame {
     let record = &requests[&fingerprint];
     let explains_most = |other: &&Suspect| {
         let other_record = &requests[&other.fingerprint];
         other.fingerprint != fingerprint
             && record.counted_ends(|target| other_record.has_uncleared_end(target)) < ENDS_TO_HOLD
     };
-    let mut certainty = if record.was_answered { Certainty::Doubtful } else { Certainty::Certain };
+    let mut blame = Blame { ends, is_doubtful: record.was_answered, rivals: Vec::new() };
     for other in suspects.iter().filter(explains_most) {
         let was_other_answered = requests[&other.fingerprint].was_answered;
         if was_other_answered && !record.was_answered {
             // Only ends that nothing else explains show that it terminates targets now.
             if attributed.contains_key(&other.fingerprint) {
-                certainty = Certainty::Doubtful;
+                blame.is_doubtful = true;
             }
-        } else if other.ends + RIVAL_MARGIN_ENDS >= attributed[&fingerprint] {
-            return Certainty::Indistinguishable;
+        } else if other.ends + RIVAL_MARGIN_ENDS >= ends {
+            blame.rivals.push(other.fingerprint);
         }
     }
-    certainty
+    blame
 }
 
 /// Requests with enough ends to be held, in the order in which they are blamed.
 fn ranked_suspects(requests: &Records) -> Vec<Suspect> {
-    let suspects = requests.iter().map(|(fingerprint, record)| Suspect {
+    let has_enough =
+        |(_, record): &(&Fingerprint, &RequestRecord)| record.ends.len() >= ENDS_TO_HOLD;
+    let suspects = requests.iter().filter(has_enough).map(|(fingerprint, record)| Suspect {
         fingerprint: *fingerprint,
         ends: record.counted_ends(|_| false),
     });
     let mut suspects: Vec<_> = suspects.filter(|suspect| suspect.ends >= ENDS_TO_HOLD).collect();
-    suspects.sort_unstable_by_key(|suspect| {
+    suspects.sort_by_cached_key(|suspect| {
         let total_run_ms = requests[&suspect.fingerprint].total_run_ms();
         (Reverse(suspect.ends), total_run_ms, suspect.fingerprint)
     });
@@ -134,17 +142,30 @@
 }
 
 impl Blame {
-    /// How long the request is held after its last end.
-    pub(super) fn hold_duration(self) -> Duration {
+    /// How certain it is that the blamed request is the cause.
+    pub(super) fn certainty(&self) -> Certainty {
+        match (self.rivals.is_empty(), self.is_doubtful) {
+            (false, _) => Certainty::Indistinguishable,
+            (true, true) => Certainty::Doubtful,
+            (true, false) => Certainty::Certain,
+        }
+    }
+
+    /// How long a request that contains the blamed one, and everything else in `contained`, is held after
+    /// the last end.
+    ///
+    /// The run of a request that contains only some of those that can't be distinguished will tell them apart.
+    /// That of a request that contains all of them would only terminate one more target.
+    pub(super) fn hold_duration(&self, contained: &[Fingerprint]) -> Duration {
         let full_hold = hold_duration(self.ends);
-        match self.certainty {
-            Certainty::Certain => full_hold,
-            Certainty::Doubtful => {
-                let factor = DOUBTFUL_HOLD_FACTOR.saturating_pow(further_ends(self.ends));
-                UNCERTAIN_HOLD.saturating_mul(factor).min(full_hold)
-            }
-            Certainty::Indistinguishable => UNCERTAIN_HOLD,
+        if !self.rivals.iter().all(|rival| contained.contains(rival)) {
+            return UNCERTAIN_HOLD;
+        }
+        if !self.is_doubtful {
+            return full_hold;
         }
+        let factor = DOUBTFUL_HOLD_FACTOR.saturating_pow(further_ends(self.ends));
+        UNCERTAIN_HOLD.saturating_mul(factor).min(full_hold)
     }
 }
 
--- a/src/quarantine/broken_runs.rs
+++ b/src/quarantine/broken_runs.rs
@@ -15,13 +15,14 @@
 /// How long broken runs wait for evidence that their target has terminated; the platform lists such
 /// targets for some seconds more.
 const EVIDENCE_TIMEOUT: Duration = Duration::from_secs(10);
-/// Largest number of runs tracked per target; more than an engine runs at once.
-const MAX_RUNS_PER_TARGET: usize = 512;
+/// Largest number of runs tracked per target. An engine runs fewer requests at once, each of which counts
+/// once for itself and once for each part of its prompt.
+const MAX_RUNS_PER_TARGET: usize = 1_024;
 
 /// A run of a request that ended without a complete answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct BrokenRun {
-    /// Identifies the request's content.
+    /// Identifies the request's content, or a part of its prompt.
     pub fingerprint: Fingerprint,
     pub sent_at: BootTime,
     pub broke_at: BootTime,
@@ -80,7 +81,10 @@
         let has_room = entry.runs.len() < MAX_RUNS_PER_TARGET;
         match entry.runs.iter_mut().find(|known| known.fingerprint == run.fingerprint) {
             // The target survived the start of the earlier run, so the longer one counts.
-            Some(known) => known.sent_at = known.sent_at.min(run.sent_at),
+            Some(known) => {
+                known.sent_at = known.sent_at.min(run.sent_at);
+                known.broke_at = known.broke_at.max(run.broke_at);
+            }
             None if has_room => entry.runs.push(run),
             None => {}
         }
--- a/src/quarantine/state.rs
+++ b/src/quarantine/state.rs
@@ -1,7 +1,7 @@
-//! Records of target terminations by request, and the decision which requests are held.
+//! Records of target terminations by request and by prompt part, and the decision which requests are held.
 //!
-//! An "end" is the unexpected termination of a target while it ran the request. It is cleared when
-//! the request later gets a complete answer.
+//! An "end" is the unexpected termination of a target while it ran the request, or a request with the part.
+//! It is cleared when the request, or another one with the part, later gets a complete answer.
 
 use std::collections::HashMap;
 use std::hash::{Hash, Hasher};
@@ -19,8 +19,9 @@
 /// How long complete answers are retained. Evidence that a target has terminated may arrive some
 /// seconds late.
 const COMPLETION_RETENTION: Duration = Duration::from_secs(15);
-/// Largest number of retained complete answers; enough for several hundred per second.
-const MAX_COMPLETIONS: usize = 8_192;
+/// Largest number of retained complete answers; enough for several hundred requests per second with some
+/// parts each.
+const MAX_COMPLETIONS: usize = 32_768;
 /// Largest number of requests. Those with the fewest ends are evicted first, and among them the
 /// oldest.
 const MAX_REQUESTS: usize = 2_048;
@@ -29,6 +30,14 @@
 /// Interval between removals of expired records.
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Why a request is held, and for how much longer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Hold {
+    /// The request itself or the part of its prompt that is to blame.
+    pub fingerprint: Fingerprint,
+    pub left: Duration,
+}
+
 /// What a process knows of requests during which targets terminated.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Quarantine {
@@ -79,26 +88,60 @@
     /// Records that a request got a complete answer, which clears its earlier ends. Returns whether
     /// this changed its record.
     pub fn record_completion(&mut self, fingerprint: Fingerprint, now: BootTime) -> bool {
+        self.record_completions(&[fingerprint], now, now)
+    }
+
+    /// Records that a request was answered completely at `completed_at`. `fingerprints` are its own and those
+    /// of the parts of its prompt. Returns whether this changed a record.
+    pub fn record_completions(
+        &mut self,
+        fingerprints: &[Fingerprint],
+        completed_at: BootTime,
+        now: BootTime,
+    ) -> bool {
         self.remove_expired(now);
-        let is_known = self.completed_at_ms.contains_key(&fingerprint);
-        if is_known || self.completed_at_ms.len() < MAX_COMPLETIONS {
-            self.completed_at_ms.insert(fingerprint, ms(now));
+        let mut changed = false;
+        for fingerprint in fingerprints {
+            self.remember_completion(*fingerprint, ms(completed_at));
+            changed |= self.clear_ends(*fingerprint, ms(completed_at), now);
         }
-        let Some(record) = self.requests.get_mut(&fingerprint) else { return false };
-        let changed = !record.was_answered || record.ends.values().any(|end| !end.is_cleared);
         if changed {
-            record.was_answered = true;
-            record.ends.values_mut().for_each(|end| end.is_cleared = true);
-            self.revision += 1;
-            record.last_change = (self.revision, now);
-            if record.is_suspect() {
-                self.suspects_revision = self.revision;
-            }
             self.assign_blame();
         }
         changed
     }
 
+    fn remember_completion(&mut self, fingerprint: Fingerprint, at_ms: i64) {
+        let has_room = self.completed_at_ms.len() < MAX_COMPLETIONS;
+        match self.completed_at_ms.get_mut(&fingerprint) {
+            Some(known_ms) => *known_ms = at_ms.max(*known_ms),
+            None if has_room => drop(self.completed_at_ms.insert(fingerprint, at_ms)),
+            None => {}
+        }
+    }
+
+    /// Clears the ends of one record up to a complete answer. Returns whether this changed the record.
+    fn clear_ends(
+        &mut self,
+        fingerprint: Fingerprint,
+        completed_at_ms: i64,
+        now: BootTime,
+    ) -> bool {
+        let Some(record) = self.requests.get_mut(&fingerprint) else { return false };
+        let was_answered = std::mem::replace(&mut record.was_answered, true);
+        let uncleared = record.uncleared_ends().count();
+        record.clear_ends_before(completed_at_ms.saturating_add(1));
+        if was_answered && record.uncleared_ends().count() == uncleared {
+            return false;
+        }
+        self.revision += 1;
+        record.last_change = (self.revision, now);
+        if record.is_suspect() {
+            self.suspects_revision = self.revision;
+        }
+        true
+    }
+
     /// Merges reports from another process.
     pub fn merge_reports(&mut self, reports: Vec<Report>, now: BootTime) -> MergeResult {
         self.remove_expired(now);
@@ -143,21 +186,34 @@
         new
     }
 
-    fn held_until_ms(&self, fingerprint: Fingerprint) -> Option<i64> {
-        let blame = self.blamed.get(&fingerprint)?;
-        let last_ms = self.requests.get(&fingerprint)?.last_end_ms();
-        Some(last_ms.saturating_add(ms(blame.hold_duration())))
+    /// Until when a request is held because of `blamed`, which is one of the fingerprints that it contains.
+    fn held_until_ms(&self, blamed: Fingerprint, contained: &[Fingerprint]) -> Option<i64> {
+        let blame = self.blamed.get(&blamed)?;
+        let last_ms = self.requests.get(&blamed)?.last_end_ms();
+        Some(last_ms.saturating_add(ms(blame.hold_duration(contained))))
     }
 
-    /// Remaining time for which a request is held; `None` if it may be sent.
+    /// Remaining time for which a request without known parts is held; `None` if it may be sent.
     pub fn held_for(&self, fingerprint: Fingerprint, now: BootTime) -> Option<Duration> {
-        let left_ms = self.held_until_ms(fingerprint)?.saturating_sub(ms(now));
-        (left_ms > 0).then(|| Duration::from_millis(left_ms.unsigned_abs()))
+        self.hold(&[fingerprint], now).map(|hold| hold.left)
+    }
+
+    /// The longest hold of a request; `None` if it may be sent. `fingerprints` are its own and those of the
+    /// parts of its prompt.
+    pub fn hold(&self, fingerprints: &[Fingerprint], now: BootTime) -> Option<Hold> {
+        let hold = |fingerprint: &Fingerprint| {
+            let until_ms = self.held_until_ms(*fingerprint, fingerprints)?;
+            let left_ms = u64::try_from(until_ms.saturating_sub(ms(now))).ok()?;
+            let left = Duration::from_millis(left_ms);
+            (!left.is_zero()).then_some(Hold { fingerprint: *fingerprint, left })
+        };
+        fingerprints.iter().filter_map(hold).max_by_key(|hold| hold.left)
     }
 
     /// Why a request is held, for logs; `None` if it has too few ends.
     pub fn hold_reason(&self, fingerprint: Fingerprint) -> Option<HoldReason> {
-        let Blame { ends, certainty } = *self.blamed.get(&fingerprint)?;
+        let blame = self.blamed.get(&fingerprint)?;
+        let (ends, certainty) = (blame.ends, blame.certainty());
         let record = self.requests.get(&fingerprint)?;
         let targets = record.uncleared_ends().map(|(target, _)| target.clone()).collect();
         Some(HoldReason { ends, certainty, targets })
