Failing test: an engine's last event counts as a complete answer

An answer without length or chunks ends with its connection, also if its engine crashes after a whole event.

--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -21,6 +21,7 @@
 mod headers;
 mod identity;
 mod instances;
+mod last_answers;
 mod late_updates;
 mod leaving;
 mod links;
--- a/tests/deployment/stand_in.rs
+++ b/tests/deployment/stand_in.rs
@@ -8,6 +8,8 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
 
 /// The answers to successive requests, each with what to do with the connection afterwards.
 pub type Script = Vec<(String, AfterAnswer)>;
@@ -18,12 +20,16 @@
     Close,
     /// Closes the connection while it is idle, without an announcement.
     CloseLater,
+    /// Closes the connection, and shortly after it the listener, as a crashing process may.
+    Terminate,
     /// Sends nothing more and waits until the caller closes the connection.
     Hang,
 }
 
 /// How long a connection is idle before it is closed.
 const IDLE_BEFORE_CLOSE: Duration = Duration::from_millis(20);
+/// Time between the ends of the connection and of the listener.
+const TERMINATION_TIME: Duration = Duration::from_millis(20);
 
 /// A target that gives each request the next answer of its script.
 pub struct StandIn {
@@ -53,14 +59,17 @@
         let script = stand_in.script.clone();
         let (requests, interrupted) = (stand_in.requests.clone(), stand_in.interrupted.clone());
         let connections = stand_in.connections.clone();
-        tokio::task::spawn_local(async move {
+        let (terminating, terminated) = watch::channel(false);
+        let accepting = tokio::task::spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 connections.set(connections.get() + 1);
                 let (script, requests, interrupted) =
                     (script.clone(), requests.clone(), interrupted.clone());
-                tokio::task::spawn_local(serve(stream, script, requests, interrupted));
+                let terminating = terminating.clone();
+                tokio::task::spawn_local(serve(stream, script, requests, interrupted, terminating));
             }
         });
+        tokio::task::spawn_local(terminate(accepting, terminated));
         stand_in
     }
 
@@ -74,11 +83,20 @@
     }
 }
 
+/// Closes the listener after the first `AfterAnswer::Terminate`.
+async fn terminate(accepting: JoinHandle<()>, mut terminated: watch::Receiver<bool>) {
+    if terminated.wait_for(|terminated| *terminated).await.is_ok() {
+        tokio::time::sleep(TERMINATION_TIME).await;
+        accepting.abort();
+    }
+}
+
 async fn serve(
     mut stream: TcpStream,
     script: Rc<RefCell<VecDeque<(String, AfterAnswer)>>>,
     requests: Rc<RefCell<Vec<String>>>,
     interrupted: Rc<Cell<u32>>,
+    terminating: watch::Sender<bool>,
 ) {
     loop {
         let Some(request) = read_request(&mut stream).await else { return };
@@ -91,6 +109,7 @@
         match after_answer {
             AfterAnswer::KeepOpen => {}
             AfterAnswer::Close => return,
+            AfterAnswer::Terminate => return drop(terminating.send(true)),
             AfterAnswer::CloseLater => {
                 tokio::time::sleep(IDLE_BEFORE_CLOSE).await;
                 return;
