Take an answer that ends with its connection as complete once its engine outlives it

What callers saw: an engine that crashed after a whole event of an answer without length or chunks left a stream that looked complete. It counted for nothing against the prompt, and even cleared the ends recorded before, so that such prompts went on to crash engines.

Cause: the end of the connection was taken for the end of the answer, whatever ended it.

Fix: such an answer waits for a check of its engine. If it stays open the answer is complete, as of its own end, and the connection serves a later request. If the engine refuses connections the run counts as broken. There is at most one check at a time per engine and entry, for all answers that wait. An answer through another entry is judged by that entry alone. Runs now wait for evidence one by one, as frequent checks would otherwise keep old broken runs of their engine for ever.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -16,11 +16,11 @@
 use super::metadata::ResponseMetadata;
 use super::pool::Connection;
 use super::request_record::{Outcome, RequestRecord};
-use super::responder::Responder;
+use super::responder::{Framing, Responder};
 use super::response::{RelayError, ResponseBody, stream_body};
 use super::routed_request::{Origin, RoutedRequest};
 use super::state::Gateway;
-use crate::clock::{BootTime, boot_now};
+use crate::clock::BootTime;
 use crate::ids::SoftwareVersion;
 
 /// A body of at most this length is buffered before any of it is relayed, so that the request can
@@ -70,6 +70,7 @@
     response_metadata: ResponseMetadata,
     connection: Connection,
     sent_at: BootTime,
+    framing: Framing,
 }
 
 /// Why a stream breaks.
@@ -197,7 +198,7 @@
         self.record.set_outcome(Outcome::Relayed(StatusCode::OK.as_u16()));
         if let Some(mut source) = self.source.take() {
             source.responder.succeeded(&self.gateway, source.sent_at);
-            self.gateway.record_success(self.routed.fingerprints(), boot_now());
+            source.responder.answered(&self.gateway, &self.routed, source.sent_at, source.framing);
             if !source.response_metadata.closes {
                 source.responder.return_connection(&self.gateway, source.connection);
             }
@@ -260,8 +261,9 @@
             sent_at,
         } = received;
         connection.set_idle_timeout(response_metadata.idle_timeout);
+        let framing = Framing::of(&response);
         let body = response.into_body();
-        Source { responder, software, body, response_metadata, connection, sent_at }
+        Source { responder, software, body, response_metadata, connection, sent_at, framing }
     }
 }
 
@@ -280,7 +282,7 @@
             Ok(None) => {
                 record.set_outcome(Outcome::Relayed(status.as_u16()));
                 if status.is_success() {
-                    gateway.record_success(routed.fingerprints(), boot_now());
+                    source.responder.answered(&gateway, &routed, source.sent_at, source.framing);
                 }
                 return None;
             }
--- a/src/gateway/responder.rs
+++ b/src/gateway/responder.rs
@@ -3,6 +3,10 @@
 use std::net::IpAddr;
 use std::rc::Rc;
 
+use http::Response;
+use http::header::TRANSFER_ENCODING;
+use hyper::body::{Body, Incoming};
+
 use super::in_flight::InFlightRequest;
 use super::metadata::ResponseMetadata;
 use super::pool::Connection;
@@ -15,6 +19,26 @@
 use crate::ids::TargetStart;
 use crate::scheduler::EndReason;
 
+/// How the end of a response is marked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// By its length, or by the last chunk.
+    Marked,
+    /// By the end of its connection, which a terminating target causes as well.
+    Connection,
+}
+
+impl Framing {
+    /// The framing of a response, of which only the head has been read.
+    pub fn of(response: &Response<Incoming>) -> Framing {
+        let is_chunked = response.headers().contains_key(TRANSFER_ENCODING);
+        match response.body().size_hint().exact() {
+            None if !is_chunked => Framing::Connection,
+            _ => Framing::Marked,
+        }
+    }
+}
+
 /// The sender of a response, until the response has been relayed.
 pub enum Responder {
     /// The target itself.
@@ -71,6 +95,23 @@
         }
     }
 
+    /// Reports to the quarantine that the response to a request sent at `sent_at` is complete, as far as
+    /// its framing tells.
+    pub fn answered(
+        &self,
+        gateway: &Rc<Gateway>,
+        routed: &RoutedRequest,
+        sent_at: BootTime,
+        framing: Framing,
+    ) {
+        // The other entry reports the answers that it has seen, and how they were framed.
+        let Responder::Target { target, .. } = self else { return };
+        match framing {
+            Framing::Marked => gateway.record_success(routed.fingerprints(), boot_now()),
+            Framing::Connection => termination::check_answer(gateway, routed, target, sent_at),
+        }
+    }
+
     /// Records that the response is wrong or late.
     pub fn failed(&mut self, gateway: &Gateway) {
         match self {
--- a/src/gateway/termination.rs
+++ b/src/gateway/termination.rs
@@ -23,6 +23,8 @@
 const PROBE_WAIT: Duration = Duration::from_millis(50);
 /// Evidence that a target has ended.
 const REFUSES_CONNECTIONS: &str = "refuses connections";
+/// Evidence for runs that end after their target was found to have ended.
+const KNOWN_TO_HAVE_ENDED: &str = "known";
 /// Number of runs whose fingerprints are logged for a terminated target.
 const MAX_LOGGED_RUNS: usize = 64;
 
@@ -46,7 +48,7 @@
     let runs = runs_of(routed, sent_at);
     let check = record_all(gateway, &runs, |known, run| known.record_broken_run(target, run));
     match check {
-        TargetCheck::TargetEnded => quarantine_runs(gateway, target, &runs, "known"),
+        TargetCheck::TargetEnded => quarantine_runs(gateway, target, &runs, KNOWN_TO_HAVE_ENDED),
         TargetCheck::StartCheck => {
             tokio::task::spawn_local(probe(gateway.clone(), target.clone()));
             wait_for_probe(gateway).await;
@@ -55,6 +57,27 @@
     }
 }
 
+/// Takes an answer that ended with its connection as complete once its target has outlived it.
+pub fn check_answer(
+    gateway: &Rc<Gateway>,
+    routed: &RoutedRequest,
+    target: &TargetStart,
+    sent_at: BootTime,
+) {
+    if gateway.fleet.borrow().is_known_to_leave(target) {
+        return;
+    }
+    let runs = runs_of(routed, sent_at);
+    let check = record_all(gateway, &runs, |known, run| known.record_unproven_answer(target, run));
+    match check {
+        TargetCheck::TargetEnded => quarantine_runs(gateway, target, &runs, KNOWN_TO_HAVE_ENDED),
+        TargetCheck::StartCheck => {
+            tokio::task::spawn_local(probe(gateway.clone(), target.clone()));
+        }
+        TargetCheck::CheckInProgress => {}
+    }
+}
+
 /// The run of a request and of each part of its prompt, which ends now.
 fn runs_of(routed: &RoutedRequest, sent_at: BootTime) -> Vec<BrokenRun> {
     let broke_at = boot_now();
@@ -79,33 +102,62 @@
     let _ = tokio::time::timeout(PROBE_WAIT, gateway.probe_finished.notified()).await;
 }
 
+/// The result of connecting to a target.
+enum Probed {
+    Accepted(Connection),
+    Refused,
+    /// The target did not answer, or is listed no more.
+    Unknown,
+}
+
+/// Checks whether a target still listens, until no answer waits for this any more.
 async fn probe(gateway: Rc<Gateway>, target: TargetStart) {
-    if is_listening(&gateway, &target).await {
-        tokio::time::sleep(SECOND_PROBE_DELAY).await;
-        if is_listening(&gateway, &target).await {
-            gateway.broken_runs.borrow_mut().mark_listening(&target);
+    loop {
+        match probe_twice(&gateway, &target).await {
+            Probed::Accepted(connection) => gateway.return_connection(&target, connection),
+            // Without effect if the refusal has shown that the target has ended.
+            Probed::Refused | Probed::Unknown => {
+                return gateway.broken_runs.borrow_mut().mark_unreachable(&target);
+            }
+        }
+        let listening = gateway.broken_runs.borrow_mut().mark_listening(&target);
+        for answered in listening.completed {
+            gateway.record_success(&[answered.fingerprint], answered.broke_at);
         }
+        if !listening.needs_check {
+            return;
+        }
+    }
+}
+
+async fn probe_twice(gateway: &Gateway, target: &TargetStart) -> Probed {
+    let first = probe_once(gateway, target).await;
+    if matches!(first, Probed::Refused) {
+        return first;
+    }
+    tokio::time::sleep(SECOND_PROBE_DELAY).await;
+    match first {
+        // The process that accepted it still runs.
+        Probed::Accepted(connection) if !connection.is_closed() => Probed::Accepted(connection),
+        _ => probe_once(gateway, target).await,
     }
 }
 
-/// Whether a target is listening, which is assumed unless it refuses a connection.
-async fn is_listening(gateway: &Gateway, target: &TargetStart) -> bool {
+async fn probe_once(gateway: &Gateway, target: &TargetStart) -> Probed {
     let address = gateway.fleet.borrow().get(target).map(|state| state.listed.address);
-    let refuses = match address {
+    let probed = match address {
         Some(address) => match Connection::open(address).await {
-            Ok(connection) => {
-                gateway.return_connection(target, connection);
-                false
-            }
-            Err(error) => error.kind() == ErrorKind::ConnectionRefused,
+            Ok(connection) => Probed::Accepted(connection),
+            Err(error) if error.kind() == ErrorKind::ConnectionRefused => Probed::Refused,
+            Err(_) => Probed::Unknown,
         },
-        None => false,
+        None => Probed::Unknown,
     };
-    if refuses {
+    if matches!(probed, Probed::Refused) {
         observe_refusal(gateway, target).await;
     }
     gateway.probe_finished.notify_waiters();
-    !refuses
+    probed
 }
 
 /// Records that a target refuses connections, so that its process has ended, unless this entry reaches
--- a/tests/deployment/stand_in.rs
+++ b/tests/deployment/stand_in.rs
@@ -9,7 +9,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, JoinSet};
 
 /// The answers to successive requests, each with what to do with the connection afterwards.
 pub type Script = Vec<(String, AfterAnswer)>;
@@ -20,7 +20,8 @@
     Close,
     /// Closes the connection while it is idle, without an announcement.
     CloseLater,
-    /// Closes the connection, and shortly after it the listener, as a crashing process may.
+    /// Closes the connection, and shortly after it the listener and all other connections, as a crashing
+    /// process may.
     Terminate,
     /// Sends nothing more and waits until the caller closes the connection.
     Hang,
@@ -61,12 +62,13 @@
         let connections = stand_in.connections.clone();
         let (terminating, terminated) = watch::channel(false);
         let accepting = tokio::task::spawn_local(async move {
+            let mut serving = JoinSet::new();
             while let Ok((stream, _)) = listener.accept().await {
                 connections.set(connections.get() + 1);
                 let (script, requests, interrupted) =
                     (script.clone(), requests.clone(), interrupted.clone());
                 let terminating = terminating.clone();
-                tokio::task::spawn_local(serve(stream, script, requests, interrupted, terminating));
+                serving.spawn_local(serve(stream, script, requests, interrupted, terminating));
             }
         });
         tokio::task::spawn_local(terminate(accepting, terminated));
@@ -83,7 +85,7 @@
     }
 }
 
-/// Closes the listener after the first `AfterAnswer::Terminate`.
+/// Closes the listener and all connections after the first `AfterAnswer::Terminate`.
 async fn terminate(accepting: JoinHandle<()>, mut terminated: watch::Receiver<bool>) {
     if terminated.wait_for(|terminated| *terminated).await.is_ok() {
         tokio::time::sleep(TERMINATION_TIME).await;
@@ -109,7 +111,10 @@
         match after_answer {
             AfterAnswer::KeepOpen => {}
             AfterAnswer::Close => return,
-            AfterAnswer::Terminate => return drop(terminating.send(true)),
+            AfterAnswer::Terminate => {
+                terminating.send_replace(true);
+                return;
+            }
             AfterAnswer::CloseLater => {
                 tokio::time::sleep(IDLE_BEFORE_CLOSE).await;
                 return;
--- a/tests/logic/broken_runs.rs
+++ b/tests/logic/broken_runs.rs
@@ -95,3 +95,52 @@
     broken_runs.record_broken_run(&target("a"), long);
     assert_eq!(broken_runs.mark_ended(&target("a"), secs(3)), [long]);
 }
+
+/// Guards against taking the last event of an engine that crashes for a complete answer.
+#[test]
+fn an_answer_that_ended_with_its_connection_is_complete_once_its_target_outlives_it() {
+    let mut broken_runs = BrokenRuns::default();
+    let check = broken_runs.record_unproven_answer(&target("a"), run("one", 1));
+    assert_eq!(check, TargetCheck::StartCheck);
+    // Ends while the check is in progress, which therefore proves nothing for it.
+    broken_runs.record_unproven_answer(&target("a"), run("two", 2));
+    let listening = broken_runs.mark_listening(&target("a"));
+    assert_eq!((listening.completed, listening.needs_check), (vec![run("one", 1)], true));
+    let check = broken_runs.record_broken_run(&target("a"), run("three", 3));
+    assert_eq!(check, TargetCheck::CheckInProgress);
+    assert_eq!(broken_runs.mark_ended(&target("a"), secs(3)), [run("three", 3), run("two", 2)]);
+    let check = broken_runs.record_unproven_answer(&target("a"), run("four", 3));
+    assert_eq!(check, TargetCheck::TargetEnded);
+}
+
+#[test]
+fn a_frequent_request_does_not_postpone_the_proof_of_its_own_answers() {
+    let mut broken_runs = BrokenRuns::default();
+    broken_runs.record_unproven_answer(&target("a"), run("one", 1));
+    broken_runs.record_unproven_answer(&target("a"), run("one", 2));
+    let listening = broken_runs.mark_listening(&target("a"));
+    assert_eq!((listening.completed, listening.needs_check), (vec![run("one", 1)], false));
+}
+
+#[test]
+fn an_unreachable_target_proves_nothing_and_is_checked_again() {
+    let mut broken_runs = BrokenRuns::default();
+    broken_runs.record_unproven_answer(&target("a"), run("one", 1));
+    broken_runs.mark_unreachable(&target("a"));
+    let check = broken_runs.record_unproven_answer(&target("a"), run("two", 2));
+    assert_eq!(check, TargetCheck::StartCheck);
+    let listening = broken_runs.mark_listening(&target("a"));
+    assert_eq!(listening.completed, [run("one", 1), run("two", 2)]);
+}
+
+/// Guards against blaming a run that broke off long before, as long as others end at its target.
+#[test]
+fn each_run_waits_for_evidence_on_its_own() {
+    let mut broken_runs = BrokenRuns::default();
+    broken_runs.record_broken_run(&target("a"), run("one", 1));
+    for at in 2..20 {
+        broken_runs.record_unproven_answer(&target("a"), run("two", at));
+        broken_runs.mark_listening(&target("a"));
+    }
+    assert_eq!(broken_runs.mark_ended(&target("a"), secs(20)), []);
+}
--- a/tests/logic/crashing_parts.rs
+++ b/tests/logic/crashing_parts.rs
@@ -363,9 +363,12 @@
     }
 
     /// The sound prompts that were sent and held, from `2 * CONTACT_MS` after the last culprit's fifth crash,
-    /// or its last if there are fewer.
+    /// or its last if there are fewer. Crashes at the very end are left out, as nothing follows them.
     fn sound_after_holds(&self) -> (usize, usize) {
-        let known = |crashes: &Vec<u64>| crashes.iter().take(MAX_CRASHES).next_back().copied();
+        let until_ms = START_MS + self.pattern.duration_ms - 3 * CONTACT_MS;
+        let known = |crashes: &Vec<u64>| {
+            crashes.iter().take(MAX_CRASHES).rfind(|at_ms| **at_ms <= until_ms).copied()
+        };
         let from_ms = self.crashes.iter().filter_map(known).max().unwrap_or(START_MS);
         let after = self.sound.iter().filter(|(at_ms, _)| *at_ms >= from_ms + 2 * CONTACT_MS);
         let held: Vec<bool> = after.map(|(_, held)| *held).collect();
