--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -18,7 +18,7 @@
 use super::metadata::ResponseMetadata;
 use super::pool::Connection;
 use super::request_record::{CutBy, Outcome, RequestRecord};
-use super::responder::Responder;
+use super::responder::{Framing, Responder};
 use super::response::{RelayError, ResponseBody, stream_body};
 use super::routed_request::{Origin, RoutedRequest};
 use super::state::Gateway;
@@ -78,6 +78,7 @@
     response_metadata: ResponseMetadata,
     connection: Connection,
     sent_at: BootTime,
+    framing: Framing,
     /// When it counts as silent; `None` until the next read.
     silent_from: Option<Instant>,
 }
@@ -201,7 +202,7 @@
         self.record.set_outcome(Outcome::Relayed(StatusCode::OK.as_u16()));
         if let Some(mut source) = self.source.take() {
             source.responder.succeeded(&self.gateway, source.sent_at);
-            self.gateway.record_success(&self.routed);
+            source.responder.answered(&self.gateway, &self.routed, source.sent_at, source.framing);
             if !source.response_metadata.closes {
                 source.responder.return_connection(&self.gateway, source.connection);
             }
@@ -365,9 +366,19 @@
             sent_at,
         } = received;
         connection.set_idle_timeout(response_metadata.idle_timeout);
+        let framing = Framing::of(&response);
         let body = response.into_body();
         let silent_from = None;
-        Source { responder, software, body, response_metadata, connection, sent_at, silent_from }
+        Source {
+            responder,
+            software,
+            body,
+            response_metadata,
+            connection,
+            sent_at,
+            framing,
+            silent_from,
+        }
     }
 
     /// Reads what the target sends next. May be cancelled without a loss.
@@ -407,7 +418,12 @@
                 Ok(None) => {
                     record.set_outcome(Outcome::Relayed(status.as_u16()));
                     if status.is_success() {
-                        gateway.record_success(&routed);
+                        source.responder.answered(
+                            &gateway,
+                            &routed,
+                            source.sent_at,
+                            source.framing,
+                        );
                     }
                     return None;
                 }
--- a/src/gateway/request_record.rs
+++ b/src/gateway/request_record.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::metadata::{RequestMetadata, ResponseMetadata};
+use super::metadata::{Part, Prompt, RequestMetadata, ResponseMetadata};
 use super::priority::Priority;
 use super::responder::Responder;
 use super::state::Gateway;
@@ -244,6 +244,18 @@
         }
     }
 
+    /// Records the parts of a prompt that other prompts may share, by which the log lines of requests that
+    /// broke with one target can be compared.
+    pub fn set_shared_parts(&self, prompt: &Prompt) {
+        let ids: Vec<&str> = prompt.non_final_parts().iter().map(|part| part.id.as_str()).collect();
+        let _ = write!(self.attempts.borrow_mut(), " parts={:?}", ids.join(","));
+    }
+
+    /// Records the part of the prompt because of which the request is held.
+    pub fn set_held_part(&self, part: &Part) {
+        let _ = write!(self.attempts.borrow_mut(), " held_part={:?}", part.id);
+    }
+
     /// Records that the target has sent data.
     pub fn target_active(&self) {
         self.target_active_at.set(Some(boot_now()));
