Add a failing test of foreign list entries that are read before the deployment is known

All replicas had been killed together. The new leader read the list 9 ms after its election (targets_changed at 32.722) and had applied its log 19 ms after that (evacuations_applied and replica_currency now=Current at 32.741). The rosters that all five replicas kept on disk list i-llm-11 as service "nobody", born 1, an entry that the soak's stand-in adds as another writer's, and have the running start among the retired ones.

The test plays the reads before and after the deployment is known. It fails on this code: the target is not listed after its own entry and the other one were read together.

--- a/tests/deployment/roster.rs
+++ b/tests/deployment/roster.rs
@@ -361,3 +361,30 @@
         "a new id is kept, since its service may be named later"
     );
 }
+
+/// A leader reads the list before it has applied its log, and knows no deployment until then. Guards
+/// against taking another writer's entry for a later start meanwhile, after which the engine never
+/// gets prompts again.
+#[test]
+fn before_the_deployment_is_known_an_entry_of_another_service_replaces_no_target() {
+    let own = Listed { start: start_born_at("i-1", 5_000), ..target("i-1", "llm", address(1)) };
+    let foreign = Listed { start: start_born_at("i-1", 1), ..target("i-1", "nobody", address(2)) };
+    let both = vec![own.clone(), foreign.clone()];
+    let lists_read_before = [
+        vec![vec![own.clone()], both.clone()],
+        vec![vec![own.clone()], vec![foreign.clone(), own.clone()]],
+        vec![vec![own.clone()], vec![foreign.clone()]],
+        vec![both.clone()],
+        vec![vec![foreign.clone()], both.clone()],
+        vec![vec![foreign.clone()], vec![own.clone()]],
+    ];
+    for read_before in lists_read_before {
+        let mut known = Roster::default();
+        for list in &read_before {
+            known.update(known.without_unnamed(list.clone(), |_| false));
+        }
+        known.update(known.without_unnamed(both.clone(), |service| service == "llm"));
+        let listed = known.get(&own.start).map(|listed| (listed.presence, listed.address));
+        assert_eq!(listed, Some((Presence::Live, address(1))), "after {read_before:?}");
+    }
+}
