Keep targets whose entry was read beside another writer's before the deployment is known

Cause: an entry of a service that no deployment names, under a target's id, was dropped only if the target's own service was named. A new leader reads the list at once, and a replica that has started knows no deployment until it has applied its log, so that nothing was named and nothing dropped: the other writer's entry passed for a later start, and the target's own start was retired, which is final and told to all replicas. The same holds for a replica that lags behind a deployment with a new service.

An entry of an unnamed service now replaces no target of another service, whether that one's service is named or not, so the order of the two does not matter. If a target does come back under its id with another service, it is listed once a deployment names that. The read need not wait for the log, which entries that start would pay for.

--- a/src/fleet/roster.rs
+++ b/src/fleet/roster.rs
@@ -143,9 +143,10 @@
     }
 
     /// Drops entries that would wrongly replace a target: those of a service that no deployment
-    /// names, under the id of a target whose service is named. They come from another writer, and
+    /// names, under the id of a target of another service. They come from another writer, and
     /// their births would make them look like later starts. Other entries of unnamed services stay,
-    /// since a deployment may name them later.
+    /// since a deployment may name them later: a replica that starts knows none until it has
+    /// applied its log.
     pub fn without_unnamed(
         &self,
         mut list: Vec<Listed>,
@@ -156,11 +157,12 @@
         }
         let named = list.iter().filter(|entry| is_named(&entry.service));
         let in_use: BTreeSet<TargetId> = named.map(|entry| entry.start.id.clone()).collect();
-        let was_in_use =
-            |id: &TargetId| self.known(id).is_some_and(|known| is_named(&known.service));
+        let replaces_another = |entry: &Listed| {
+            self.known(&entry.start.id).is_some_and(|known| known.service != entry.service)
+        };
         list.retain(|entry| {
-            let id = &entry.start.id;
-            is_named(&entry.service) || !(in_use.contains(id) || was_in_use(id))
+            is_named(&entry.service)
+                || !(in_use.contains(&entry.start.id) || replaces_another(entry))
         });
         list
     }
