Don't take a restarted engine for one that outlived its answer

A check of an answer that ends with its connection, found its own connection closed, and connected again, took the process that accepted then for the one that had answered.

--- a/src/gateway/termination.rs
+++ b/src/gateway/termination.rs
@@ -139,7 +139,14 @@
     match first {
         // The process that accepted it still runs.
         Probed::Accepted(connection) if !connection.is_closed() => Probed::Accepted(connection),
-        _ => probe_once(gateway, target).await,
+        // Another process may have started at the address since.
+        _ => match probe_once(gateway, target).await {
+            Probed::Accepted(connection) => {
+                gateway.return_connection(target, connection);
+                Probed::Unknown
+            }
+            probed => probed,
+        },
     }
 }
 
