Count only connections that carry a request in the test of answers without a length

Since such an answer may be the last of a crashing engine, the entry opens a connection or two to see whether the engine lives on. The test counted these as well; it asks as before for one connection for each answer, and a stand-in still closes each connection after its answer.

--- a/tests/deployment/stand_in.rs
+++ b/tests/deployment/stand_in.rs
@@ -45,6 +45,8 @@
     /// The number of connections that the caller closed while the answer was incomplete.
     pub interrupted: Rc<Cell<u32>>,
     pub connections: Rc<Cell<u32>>,
+    /// The number of connections that carried a request.
+    pub used_connections: Rc<Cell<u32>>,
     script: Rc<RefCell<VecDeque<(String, AfterAnswer)>>>,
 }
 
@@ -78,11 +80,13 @@
             requests: Rc::default(),
             interrupted: Rc::default(),
             connections: Rc::default(),
+            used_connections: Rc::default(),
             script,
         };
         let script = stand_in.script.clone();
         let (requests, interrupted) = (stand_in.requests.clone(), stand_in.interrupted.clone());
         let connections = stand_in.connections.clone();
+        let used_connections = stand_in.used_connections.clone();
         let (terminating, terminated) = watch::channel(false);
         let accepting = tokio::task::spawn_local(async move {
             let mut serving = JoinSet::new();
@@ -90,8 +94,15 @@
                 connections.set(connections.get() + 1);
                 let (script, requests, interrupted) =
                     (script.clone(), requests.clone(), interrupted.clone());
-                let terminating = terminating.clone();
-                serving.spawn_local(serve(stream, script, requests, interrupted, terminating));
+                let (terminating, used_connections) =
+                    (terminating.clone(), used_connections.clone());
+                serving.spawn_local(async move {
+                    let mut first_byte = [0];
+                    if stream.peek(&mut first_byte).await.is_ok_and(|count| count > 0) {
+                        used_connections.set(used_connections.get() + 1);
+                        serve(stream, script, requests, interrupted, terminating).await;
+                    }
+                });
             }
         });
         tokio::task::spawn_local(terminate(accepting, terminated));
--- a/tests/deployment/unframed_answers.rs
+++ b/tests/deployment/unframed_answers.rs
@@ -214,7 +214,8 @@
                 let got = call(entry.address, "HTTP/1.1", path, id).await;
                 assert!(got.looks_whole() && got.body() == body, "{path} {id}: {}", got.text);
             }
-            let connections = first_target.connections.get() + second_target.connections.get();
+            let connections =
+                first_target.used_connections.get() + second_target.used_connections.get();
             assert_eq!(connections, 3, "{path}: one for each answer");
         });
     }
