Tell in targets_changed which listed targets no known deployment names

The line now tells the version of the deployment that the reader knew, 0 before its log is applied, and up to three targets of unnamed services.

--- a/src/control/roster_reader.rs
+++ b/src/control/roster_reader.rs
@@ -13,11 +13,13 @@
 use super::frames::{ReplicaFrame, VersionedRoster};
 use super::reader_election::{PAGE_TIMEOUT, POLL_INTERVAL, READ_INTERVAL, SLOW_PAGE_TIMEOUT};
 use super::shared::Shared;
+use super::state::Published;
 use super::unreadable_log::UnreadableEntryLog;
 use crate::clock::{BootTime, boot_now};
+use crate::deployment::document::DeploymentVersion;
 use crate::fleet::compact::CompactTargets;
 use crate::fleet::{Listed, Listing, RosterChange};
-use crate::ids::ServiceId;
+use crate::ids::{ServiceId, TargetStart};
 use crate::net::http::{CallError, HttpCall, HttpResponse, fetch};
 use crate::platform::instances::{self, Page};
 use crate::telemetry::deployment_metrics::ReplicaMetrics;
@@ -33,6 +35,8 @@
 const MAX_PAGE_RETRIES: u32 = 8;
 /// A list with more pages than this is rejected.
 const MAX_PAGES: usize = 1_000;
+/// Largest number of targets of unnamed services that are logged.
+const MAX_LOGGED_UNNAMED: usize = 3;
 
 /// The address of the target list and its rate limit.
 #[derive(Clone, Copy, Debug)]
@@ -140,8 +144,7 @@
         let version = roster.version();
         let state = &self.shared.view.borrow().state;
         if changed {
-            let (number, count) = (roster.number, roster.roster.len());
-            log::info!("event=targets_changed number={number} count={count}");
+            log_roster(&roster, published.as_ref().map_or(0, Published::version), is_named);
             self.shared.broadcast(state, self.own_ip, &roster_change(&before, &roster));
         }
         let age = boot_now().saturating_sub(began);
@@ -238,6 +241,29 @@
     others.filter(|ip| **ip < own_ip).count()
 }
 
+/// Logs the targets that are listed from now on. Those of a service that the deployment does not name
+/// get no work.
+fn log_roster(
+    roster: &VersionedRoster,
+    deployment: DeploymentVersion,
+    is_named: impl Fn(&ServiceId) -> bool,
+) {
+    let unnamed: Vec<&TargetStart> = roster
+        .roster
+        .iter()
+        .filter(|listed| !is_named(&listed.service))
+        .map(|listed| &listed.start)
+        .collect();
+    log::info!(
+        "event=targets_changed number={} count={} deployment={deployment} unnamed={} \
+         first_unnamed={:?}",
+        roster.number,
+        roster.roster.len(),
+        unnamed.len(),
+        &unnamed[..unnamed.len().min(MAX_LOGGED_UNNAMED)]
+    );
+}
+
 /// Logs that this replica reads the list after another one did.
 fn log_reader_change(shared: &Shared) {
     let unread = boot_now().saturating_sub(shared.reader_election.get().read_at());
