Test kept connections while deployments, weights, settings and leaders change

Four tests with real processes: requests that come in two parts and stream over kept connections end whole or truly refused beside new weights, reloads and lost leaders. Beside deployments that take a route away and bring it back they don't, and a scripted test shows why: a refusal before the body is read doesn't say that the connection closes, and the next request on it is read and thrown away.

--- a/tests/deployment/idle_connections.rs
+++ b/tests/deployment/idle_connections.rs
@@ -11,7 +11,7 @@
 use crate::gateway::{
     Entry, PROMPT, deployment_with_long_timeouts, event_stream, ok_response, run_local, start_entry,
 };
-use crate::stand_in::{AfterAnswer, StandIn};
+use crate::stand_in::{AfterAnswer, StandIn, header};
 
 const IDLE_TIMEOUT: Duration = Duration::from_millis(400);
 const HEAD_TIMEOUT: Duration = Duration::from_millis(300);
@@ -193,6 +193,57 @@
     });
 }
 
+/// Guards against requests that get no answer since an entry closes their connection, without a notice,
+/// after it has refused the request before without reading its body.
+#[test]
+fn a_connection_is_usable_or_announced_as_closing_after_a_refusal_of_a_half_sent_request() {
+    let large = "Content-Length: 5000000";
+    let cases = [
+        ("an unknown route", "/once/", "/elsewhere/", true),
+        ("an unknown route, unconfirmed", "/once/", "/elsewhere/", false),
+        ("an unknown key", "key-a", "key-x", true),
+        ("a body that is too large", "Content-Length: 4", large, true),
+    ];
+    for (name, part, replacement, confirms) in cases {
+        run_local(async move {
+            let (entry, _stand_in) = start().await;
+            if confirms {
+                entry.start_confirming();
+            }
+            let mut stream = connect(&entry).await;
+            let refused = request("r1").replace(part, replacement);
+            let (begin, rest) = refused.split_at(refused.len() - 2);
+            stream.write_all(begin.as_bytes()).await.expect("the connection is open");
+            let got = read_response(&mut stream).await;
+            assert!(
+                got.starts_with("HTTP/1.1 4") || got.starts_with("HTTP/1.1 503"),
+                "{name}: {got:?}"
+            );
+            if header(&got, "connection").as_deref() == Some("close") {
+                return;
+            }
+            stream.write_all(rest.as_bytes()).await.expect("the connection is open");
+            ask(&mut stream, "r2").await;
+        });
+    }
+}
+
+/// Reads one response with a length, or what there is of it.
+async fn read_response(stream: &mut TcpStream) -> String {
+    let (mut received, mut bytes) = (String::new(), vec![0; 4_096]);
+    let is_whole = |text: &str| {
+        let Some((head, body)) = text.split_once("\r\n\r\n") else { return false };
+        header(head, "content-length").is_some_and(|length| length.parse() == Ok(body.len()))
+    };
+    while !is_whole(&received) {
+        match tokio::time::timeout(MAX_WAIT, stream.read(&mut bytes)).await {
+            Ok(Ok(count)) if count > 0 => received += &String::from_utf8_lossy(&bytes[..count]),
+            _ => break,
+        }
+    }
+    received
+}
+
 /// Answers requests with streams that outlast `IDLE_TIMEOUT`.
 async fn answer_slowly(mut stream: TcpStream) {
     let mut bytes = vec![0; 4_096];
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -4,6 +4,7 @@
 mod boundary;
 mod brittle_targets;
 mod budget;
+mod changes_under_load;
 mod cold;
 mod concentrated_connections;
 mod diagnostics;
--- a/tests/deployment/restarts.rs
+++ b/tests/deployment/restarts.rs
@@ -174,7 +174,7 @@
         true
     }
 
-    async fn name_weights(&self, version: u64) {
+    pub async fn name_weights(&self, version: u64) {
         self.platform.lock().named_weights = version;
         self.send_operator_request(
             "POST",
