Send the entry more of a body than it allows in the test of unread bodies

The case declared 5 MB and sent two bytes of them, and the entry rightly goes on reading: it answers 413 only after more than the limit has arrived, and the test waited for 60 s.

--- a/tests/deployment/idle_connections.rs
+++ b/tests/deployment/idle_connections.rs
@@ -23,6 +23,7 @@
     let mut deployment = deployment_with_long_timeouts();
     deployment.request_limits.idle_timeout = idle_timeout;
     deployment.request_limits.head_timeout = HEAD_TIMEOUT;
+    deployment.request_limits.body_bytes = MAX_BODY_BYTES;
     deployment
 }
 
@@ -33,6 +34,8 @@
     )
 }
 
+const MAX_BODY_BYTES: usize = 8;
+
 async fn start() -> (Entry, StandIn) {
     let script = vec![(ok_response(ANSWER), AfterAnswer::KeepOpen); 100];
     let stand_in = StandIn::start(script).await;
@@ -197,12 +200,12 @@
 /// after it has refused the request before without reading its body.
 #[test]
 fn a_connection_is_usable_or_announced_as_closing_after_a_refusal_of_a_half_sent_request() {
-    let large = "Content-Length: 5000000";
+    let large = "Content-Length: 14\r\n\r\n0123456789";
     let cases = [
         ("an unknown route", "/once/", "/elsewhere/", true),
         ("an unknown route, unconfirmed", "/once/", "/elsewhere/", false),
         ("an unknown key", "key-a", "key-x", true),
-        ("a body that is too large", "Content-Length: 4", large, true),
+        ("a body that is too large", "Content-Length: 4\r\n\r\n", large, true),
     ];
     for (name, part, replacement, confirms) in cases {
         run_local(async move {
