Failing tests: silent targets whose replacement does not run the request

A target that is silent for a while and would go on is cancelled as soon as the request is sent to another target. If that one answers that it did not run it, the caller loses its answer: a stream ends after event 2 of 3, a request gets 502. A retry that is returned also makes the budget forget a later one, which was made.

--- a/tests/deployment/budget.rs
+++ b/tests/deployment/budget.rs
@@ -64,6 +64,20 @@
     assert_eq!(count_allowed_retries(&mut budget, 2), 1, "one of {allowed} was returned");
 }
 
+/// Guards against a budget that forgets a retry that was made when it gets back one that was taken earlier.
+#[test]
+fn a_returned_retry_does_not_give_back_a_later_one() {
+    let (mut budget, service) = (budget_started(8, Duration::ZERO), "app".to_string());
+    let prepared_at = SETTLED;
+    assert!(budget.try_retry(&service, prepared_at).is_granted);
+    let made_at = SETTLED + RETRY_LIMIT.window - ms(1_000);
+    let made = spend_all(&mut budget, 0, made_at);
+    assert!(made > 0);
+    budget.return_retry(&service);
+    let after_the_first = SETTLED + RETRY_LIMIT.window + ms(1);
+    assert_eq!(spend_all(&mut budget, 0, after_the_first), 1, "{made} were made within a window");
+}
+
 #[test]
 fn each_service_has_its_own_budget_of_at_least_one_retry() {
     let mut budget = budget_started(10_000, Duration::ZERO);
--- a/tests/deployment/silent_targets.rs
+++ b/tests/deployment/silent_targets.rs
@@ -29,6 +29,9 @@
 const LAST_BYTES: &[u8] = b"the end";
 const FIRST_EVENTS: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 const LAST_EVENT: &str = "id: 3\ndata: c\n\n";
+/// The answer of a target that has no room.
+const NOT_RUN: &str =
+    "HTTP/1.1 503 Full\r\nX-Request-Id: {id}\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
 
 /// Routes with events 300 ms apart at most.
 pub fn short_gaps() -> Deployment {
@@ -220,11 +223,7 @@
 fn a_resumed_stream_goes_to_a_further_target_if_the_second_does_not_run_it() {
     run_local(async {
         let broken = (event_stream(&[FIRST_EVENTS], false), AfterAnswer::Close);
-        let full = (
-            "HTTP/1.1 503 Full\r\nX-Request-Id: {id}\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
-                .to_string(),
-            AfterAnswer::KeepOpen,
-        );
+        let full = (NOT_RUN.to_string(), AfterAnswer::KeepOpen);
         let rest = (event_stream(&[LAST_EVENT], true), AfterAnswer::KeepOpen);
         let engines = StandIn::start_group(3, vec![broken, full, rest]).await;
         let listed = engines.iter().enumerate();
@@ -236,6 +235,49 @@
     });
 }
 
+/// An entry in front of a silent target and one that runs nothing.
+async fn entry_with_a_silent_and_a_full_target(
+    service: &str,
+    silent: Script,
+) -> (Entry, [StandIn; 2]) {
+    let full = vec![(NOT_RUN.to_string(), AfterAnswer::KeepOpen); 9];
+    let (entry, silent, full) = entry_with_two_targets(service, silent, full).await;
+    configure(&entry, Deployment { version: 2, ..short_gaps() });
+    (entry, [silent, full])
+}
+
+// Guards against a stream that is cut off because the target that was to take it over from a silent one
+// doesn't run it.
+#[test]
+fn a_stream_at_a_silent_target_goes_on_there_if_the_other_one_does_not_run_it() {
+    run_local(async {
+        let (entry, [silent, full]) =
+            entry_with_a_silent_and_a_full_target("llm", silent_between_events()).await;
+        let got = entry.call_with("/resumable/", "r1", PROMPT).await;
+        assert_whole_stream("the other target is full", &got);
+        assert_eq!((silent.request_count(), silent.interrupted.get()), (1, 0));
+        assert!(full.request_count() > 0);
+    });
+}
+
+// Guards against a request that is refused because the target that was to replace a silent one doesn't
+// run it.
+#[test]
+fn a_request_at_a_silent_target_is_answered_there_if_the_other_one_does_not_run_it() {
+    let (stream, plain) = (whole_stream(), ok_response("done"));
+    for (path, service, answer) in [("/resumable/", "llm", stream), ("/safe/", "app", plain)] {
+        run_local(async move {
+            let script = silent_before_the_head(answer);
+            let (entry, [silent, full]) =
+                entry_with_a_silent_and_a_full_target(service, script).await;
+            let got = entry.call_with(path, "r1", PROMPT).await;
+            assert_eq!(got.status, 200, "{path}: {}", got.text);
+            assert_eq!((silent.request_count(), silent.interrupted.get()), (1, 0), "{path}");
+            assert!(full.request_count() > 0, "{path}");
+        });
+    }
+}
+
 // Guards against a request that is lost because its target doesn't read a long body for a while.
 #[test]
 fn a_target_that_reads_a_long_body_late_answers_it() {
