Return the retry that was taken, not the latest one

The budget of a service gave back its latest retry when a prepared one was not made. The preparation may wait for a placement, so that others have been taken and made meanwhile: these were forgotten, and the limit on retries could be exceeded by as many, if the returned one had already left the window.

Evidence: a_returned_retry_does_not_give_back_a_later_one was granted 2 retries where 1 was left. A retry is now returned by the time at which it was taken.

--- a/src/fleet/budget.rs
+++ b/src/fleet/budget.rs
@@ -106,10 +106,11 @@
         RetryDecision { is_granted, retries: counts.retries.len(), allowed, entries }
     }
 
-    /// Gives back a retry that was taken and not made.
-    pub fn return_retry(&mut self, service: &ServiceId) {
-        if let Some(counts) = self.services.get_mut(service) {
-            counts.retries.pop_back();
+    /// Gives back a retry that was taken at `taken_at` and not made. Others may have been taken since.
+    pub fn return_retry(&mut self, service: &ServiceId, taken_at: BootTime) {
+        let Some(counts) = self.services.get_mut(service) else { return };
+        if let Ok(index) = counts.retries.binary_search(&taken_at) {
+            counts.retries.remove(index);
         }
     }
 
--- a/src/gateway/first_response.rs
+++ b/src/gateway/first_response.rs
@@ -108,9 +108,7 @@
         }
         next_wait = Some(REPLACEMENT_INTERVAL);
         let Some(recipient) = running.state.recipient() else { continue };
-        if !gateway.try_retry(&routed.service, record) {
-            continue;
-        }
+        let Some(taken_at) = gateway.take_retry(&routed.service, record) else { continue };
         let mut tried = attempts.clone();
         tried.add(recipient.clone().into_target());
         let next = Running::start(gateway, routed, tried.clone(), Some(recipient), record);
@@ -125,10 +123,10 @@
                 next_wait = None;
             }
             Replacement::Needless(made) => {
-                gateway.return_retry(&routed.service, record);
+                gateway.return_retry(&routed.service, taken_at, record);
                 return *made;
             }
-            Replacement::Impossible => gateway.return_retry(&routed.service, record),
+            Replacement::Impossible => gateway.return_retry(&routed.service, taken_at, record),
         }
     }
     running.made.await
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -214,9 +214,9 @@
         let Some(source) = &mut self.source else { return SourceRead::Silent };
         source.silent_from = Some(Instant::now() + REPLACEMENT_INTERVAL);
         let service = &self.routed.service;
-        if !self.gateway.try_retry(service, &self.record) {
+        let Some(taken_at) = self.gateway.take_retry(service, &self.record) else {
             return SourceRead::Silent;
-        }
+        };
         let (recipient, state) = (source.responder.recipient(), AttemptState::default());
         let last = last_event(&self.events, &self.routed);
         let input = AttemptInput {
@@ -234,7 +234,7 @@
             _ = &mut replacement => Some(SourceRead::Silent),
         };
         if let Some(read) = kept {
-            self.gateway.return_retry(service, &self.record);
+            self.gateway.return_retry(service, taken_at, &self.record);
             return read;
         }
         self.events.discard_partial();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -204,14 +204,20 @@
 
     /// Takes a retry from the budget; false if it is exhausted.
     pub fn try_retry(&self, service: &ServiceId, record: &RequestRecord) -> bool {
-        let decision = self.retries.borrow_mut().try_retry(service, boot_now());
+        self.take_retry(service, record).is_some()
+    }
+
+    /// Takes a retry from the budget and returns when, unless it is exhausted.
+    pub fn take_retry(&self, service: &ServiceId, record: &RequestRecord) -> Option<BootTime> {
+        let now = boot_now();
+        let decision = self.retries.borrow_mut().try_retry(service, now);
         record.retry_decided(service, &decision);
-        decision.is_granted
+        decision.is_granted.then_some(now)
     }
 
-    /// Gives back a retry that was taken and not made.
-    pub fn return_retry(&self, service: &ServiceId, record: &RequestRecord) {
-        self.retries.borrow_mut().return_retry(service);
+    /// Gives back a retry that was taken at `taken_at` and not made.
+    pub fn return_retry(&self, service: &ServiceId, taken_at: BootTime, record: &RequestRecord) {
+        self.retries.borrow_mut().return_retry(service, taken_at);
         record.retry_returned();
     }
 
--- a/tests/deployment/budget.rs
+++ b/tests/deployment/budget.rs
@@ -60,7 +60,7 @@
 fn a_returned_retry_can_be_taken_again() {
     let (mut budget, service) = (budget_started(8, Duration::ZERO), "app".to_string());
     let allowed = count_allowed_retries(&mut budget, 1);
-    budget.return_retry(&service);
+    budget.return_retry(&service, SETTLED + ms(1));
     assert_eq!(count_allowed_retries(&mut budget, 2), 1, "one of {allowed} was returned");
 }
 
@@ -73,7 +73,7 @@
     let made_at = SETTLED + RETRY_LIMIT.window - ms(1_000);
     let made = spend_all(&mut budget, 0, made_at);
     assert!(made > 0);
-    budget.return_retry(&service);
+    budget.return_retry(&service, prepared_at);
     let after_the_first = SETTLED + RETRY_LIMIT.window + ms(1);
     assert_eq!(spend_all(&mut budget, 0, after_the_first), 1, "{made} were made within a window");
 }
