Keep a silent target's run until another target has accepted it

Callers lost an answer that their silent target would have gone on with: a stream ended between two events, a request got 502, if the target that was to take over was full, or refused the run for another reason.

Cause: the silent run was given up as soon as the request was sent to another target. A request that is sent may still be refused, so nothing better was in hand yet. The same happened if a reused connection turned out to be closed, or if another entry, asked in the target's place, found no target.

The silent run is now kept for up to 150 ms after the other request was sent. It ends when the other target sends the head of its response, or does not refuse in that time. If it refuses, or if the silent target goes on first, the silent run stays. A retry goes back to the budget only if nothing was sent.

--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -1,5 +1,6 @@
 //! The attempts made for one request.
 
+use super::attempt::AttemptError;
 use crate::ids::TargetStart;
 
 /// Attempts at targets that may have received the request.
@@ -22,6 +23,18 @@
         self.targets.extend(target);
     }
 
+    /// Adds an attempt without a response.
+    pub fn add_failed(&mut self, error: AttemptError) {
+        match error {
+            AttemptError::NotRun(target) => self.avoid(target),
+            AttemptError::MayHaveRun(target) | AttemptError::TimedOut(target) => {
+                self.add(target);
+                self.mark_may_have_run();
+            }
+            AttemptError::NoTarget(_) | AttemptError::Held(_) | AttemptError::TooLate => {}
+        }
+    }
+
     /// Records that one of them may have run the request.
     pub fn mark_may_have_run(&mut self) {
         self.may_have_run = true;
--- a/src/gateway/first_response.rs
+++ b/src/gateway/first_response.rs
@@ -1,5 +1,5 @@
-//! Waits for the head of a response. An attempt at a silent target runs on until another attempt is
-//! sent in its place.
+//! Waits for the head of a response. An attempt at a silent target runs on until another target has
+//! accepted the request in its place.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,7 +9,7 @@
 
 use super::attempt::{AttemptError, AttemptInput, TargetResponse, attempt};
 use super::attempts::Attempts;
-use super::handover::{AttemptState, Recipient};
+use super::handover::{ACCEPTANCE_WAIT, AttemptState, Recipient};
 use super::request_record::RequestRecord;
 use super::routed_request::RoutedRequest;
 use super::state::Gateway;
@@ -33,12 +33,14 @@
 
 /// What became of an attempt to replace another one.
 enum Replacement<'a> {
-    /// This one has been sent, so the other one must be given up.
-    Sent(Running<'a>),
+    /// Its recipient works on it. The other one is given up.
+    Accepted(Running<'a>),
+    /// It has a response. The other one is given up.
+    Answered(Box<TargetResponse>),
     /// The other one ended first.
     Needless(Box<Made>),
-    /// No target could be found or reached.
-    Impossible,
+    /// It has no response, so that the other one runs on.
+    Failed(AttemptError),
 }
 
 impl<'a> Running<'a> {
@@ -78,15 +80,48 @@
         }
     }
 
-    /// Waits until `next` is sent, or either attempt ends before.
+    /// Lets `next` replace this attempt, unless this one has a response before, or the recipient of
+    /// `next` does not run it.
     async fn replace_by(&mut self, mut next: Running<'a>) -> Replacement<'a> {
         tokio::select! {
             biased;
             () = next.state.sent() => {}
             made = &mut self.made => return Replacement::Needless(Box::new(made)),
-            _ = &mut next.made => return Replacement::Impossible,
+            made = &mut next.made => return Replacement::of(made),
+        }
+        tokio::select! {
+            biased;
+            made = &mut next.made => {
+                let replacement = Replacement::of(made);
+                if matches!(replacement, Replacement::Answered(_)) {
+                    self.end().await;
+                }
+                replacement
+            }
+            made = &mut self.made => match made {
+                Ok(_) => Replacement::Needless(Box::new(made)),
+                Err(_) => Replacement::Accepted(next),
+            },
+            () = tokio::time::sleep(ACCEPTANCE_WAIT) => {
+                self.end().await;
+                Replacement::Accepted(next)
+            }
+        }
+    }
+
+    /// Gives the attempt up, which closes its connection at once.
+    async fn end(&mut self) {
+        self.state.give_up();
+        let _ = (&mut self.made).await;
+    }
+}
+
+impl Replacement<'_> {
+    fn of(made: Made) -> Self {
+        match made {
+            Ok(received) => Replacement::Answered(Box::new(received)),
+            Err(error) => Replacement::Failed(error),
         }
-        Replacement::Sent(next)
     }
 }
 
@@ -112,21 +147,32 @@
         let mut tried = attempts.clone();
         tried.add(recipient.clone().into_target());
         let next = Running::start(gateway, routed, tried.clone(), Some(recipient), record);
-        match running.replace_by(next).await {
-            Replacement::Sent(next) => {
-                running.state.give_up();
-                // Ends at once, and closes the connection.
-                let _ = running.made.await;
+        let state = next.state.clone();
+        let replacement = running.replace_by(next).await;
+        let sent_to = state.recipient();
+        if sent_to.is_none() {
+            gateway.return_retry(&routed.service, taken_at, record);
+        }
+        match replacement {
+            Replacement::Accepted(next) => {
                 *attempts = tried;
                 attempts.mark_may_have_run();
                 running = next;
                 next_wait = None;
             }
+            Replacement::Answered(received) => {
+                *attempts = tried;
+                attempts.mark_may_have_run();
+                return Ok(*received);
+            }
             Replacement::Needless(made) => {
-                gateway.return_retry(&routed.service, taken_at, record);
+                if let Some(recipient) = sent_to {
+                    attempts.add(recipient.into_target());
+                    attempts.mark_may_have_run();
+                }
                 return *made;
             }
-            Replacement::Impossible => gateway.return_retry(&routed.service, taken_at, record),
+            Replacement::Failed(error) => attempts.add_failed(error),
         }
     }
     running.made.await
--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -1,9 +1,15 @@
-//! How far an attempt has come, so that another one can replace it once that one is sent.
+//! How far an attempt has come, so that another one can replace it.
+
+use std::time::Duration;
 
 use tokio::sync::watch;
 
 use crate::ids::TargetStart;
 
+/// How long an attempt is kept after another one was sent in its place. A target that does not run
+/// the request refuses it within this time, which is too short for two targets to do the same work.
+pub const ACCEPTANCE_WAIT: Duration = Duration::from_millis(150);
+
 /// Who a request has been sent to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Recipient {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -14,7 +14,7 @@
 use super::attempts::Attempts;
 use super::events::{self, EventSplitter};
 use super::first_response::REPLACEMENT_INTERVAL;
-use super::handover::AttemptState;
+use super::handover::{ACCEPTANCE_WAIT, AttemptState, Recipient};
 use super::metadata::ResponseMetadata;
 use super::pool::Connection;
 use super::request_record::{CutBy, Outcome, RequestRecord};
@@ -208,8 +208,8 @@
         }
     }
 
-    /// Lets another target go on with the stream. The silent source is read until the request is
-    /// sent there, and kept if it goes on before or no target can take over.
+    /// Lets another target go on with the stream. The silent source is kept until that target has
+    /// accepted the request, and stays if it goes on before or no target takes over.
     async fn replace_silent_source(&mut self) -> SourceRead {
         let Some(source) = &mut self.source else { return SourceRead::Silent };
         source.silent_from = Some(Instant::now() + REPLACEMENT_INTERVAL);
@@ -237,16 +237,26 @@
             self.gateway.return_retry(service, taken_at, &self.record);
             return read;
         }
+        let (reason, cause) = tokio::select! {
+            biased;
+            made = &mut replacement => {
+                drop(replacement);
+                return self.take_over_from_source(made).await;
+            }
+            read = source.read(&mut self.events, &self.record) => match read {
+                SourceRead::Broken(reason) => (reason, BreakCause::Failure),
+                SourceRead::Lost(reason) => (reason, BreakCause::Connection),
+                read => {
+                    drop(replacement);
+                    self.attempts.add(state.recipient().and_then(Recipient::into_target));
+                    return read;
+                }
+            },
+            () = tokio::time::sleep(ACCEPTANCE_WAIT) => (SILENT.to_string(), BreakCause::Failure),
+        };
         self.events.discard_partial();
         let ended = self.source.take();
-        let ending = end_source(
-            &self.gateway,
-            &self.routed,
-            &self.record,
-            ended,
-            SILENT,
-            BreakCause::Failure,
-        );
+        let ending = end_source(&self.gateway, &self.routed, &self.record, ended, &reason, cause);
         let ((), made) = futures::join!(ending, replacement);
         match self.take_over(made) {
             Ok(()) => SourceRead::Replaced,
@@ -254,6 +264,23 @@
         }
     }
 
+    /// Goes on with the response of another target, if that has taken over. Else the silent source is
+    /// kept.
+    async fn take_over_from_source(
+        &mut self,
+        made: Result<TargetResponse, AttemptError>,
+    ) -> SourceRead {
+        let silent = self.source.take();
+        if self.take_over(made).is_err() {
+            self.source = silent;
+            return SourceRead::Silent;
+        }
+        self.events.discard_partial();
+        let EventRelay { gateway, routed, record, .. } = &*self;
+        end_source(gateway, routed, record, silent, SILENT, BreakCause::Failure).await;
+        SourceRead::Replaced
+    }
+
     /// Resumes the stream at another target, after the last complete event. Goes on to further targets
     /// while retries are allowed.
     async fn resume(&mut self, reason: String, cause: BreakCause) -> Result<(), RelayError> {
