Failing test: a target that responds before it has read a long body

The connection to it fails after 1.2 s without an acknowledgement, since the bytes that it sends count as the end of the request. The stream ended after event 2 of 3.

--- a/tests/deployment/silent_targets.rs
+++ b/tests/deployment/silent_targets.rs
@@ -1,6 +1,7 @@
 //! An entry in front of scripted targets that are silent for longer than a route allows, and then go
 //! on.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -26,6 +27,8 @@
 const ROUTE_TIMEOUT: Duration = Duration::from_secs(60);
 /// More than the buffers of a connection to a target that doesn't read take at once.
 const LONG_BODY_BYTES: usize = 900 << 10;
+/// More than the send buffer of a connection takes at once as well.
+const UNSENT_BODY_BYTES: usize = 8 << 20;
 const LAST_BYTES: &[u8] = b"the end";
 const FIRST_EVENTS: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 const LAST_EVENT: &str = "id: 3\ndata: c\n\n";
@@ -37,6 +40,7 @@
 pub fn short_gaps() -> Deployment {
     let mut deployment = deployment(1);
     deployment.routes.iter_mut().for_each(|route| route.timeout = ROUTE_TIMEOUT);
+    deployment.request_limits.body_bytes = UNSENT_BODY_BYTES;
     deployment
 }
 
@@ -278,37 +282,65 @@
     }
 }
 
+/// A target that sends the start of its answer as soon as a request begins, and the end once it has read
+/// a long body, which it does after a silence.
+async fn start_late_reader(start: String, end: String) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    SockRef::from(&listener).set_recv_buffer_size(4_096).expect("a small buffer");
+    let address = listener.local_addr().expect("an address");
+    tokio::task::spawn_local(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut request = Vec::new();
+        stream.read_buf(&mut request).await.expect("a request begins");
+        stream.write_all(start.as_bytes()).await.expect("the entry reads");
+        tokio::time::sleep(SILENCE).await;
+        while !request.ends_with(LAST_BYTES) {
+            let count = stream.read_buf(&mut request).await.expect("the entry sends on");
+            assert!(count > 0, "the entry closes the connection");
+        }
+        stream.write_all(end.as_bytes()).await.expect("the entry reads");
+    });
+    address
+}
+
+/// Sends a request with a long body and returns the response.
+async fn call_with_long_body(entry: &Entry, path: &str, body_bytes: usize) -> Response {
+    let mut caller = TcpStream::connect(entry.address).await.expect("it listens");
+    let mut request = format!(
+        "POST {path} HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: r1\r\n\
+         Authorization: Bearer key-a\r\nConnection: close\r\nContent-Length: {body_bytes}\r\n\r\n"
+    )
+    .into_bytes();
+    request.resize(request.len() + body_bytes - LAST_BYTES.len(), b'x');
+    request.extend_from_slice(LAST_BYTES);
+    caller.write_all(&request).await.expect("the entry reads the request");
+    let mut text = String::new();
+    caller.read_to_string(&mut text).await.expect("a response");
+    let status = text.get(9..12).and_then(|status| status.parse().ok()).unwrap_or(0);
+    Response { status, text }
+}
+
 // Guards against a request that is lost because its target doesn't read a long body for a while.
 #[test]
 fn a_target_that_reads_a_long_body_late_answers_it() {
     run_local(async {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        SockRef::from(&listener).set_recv_buffer_size(4_096).expect("a small buffer");
-        let address = listener.local_addr().expect("an address");
+        let answer = ok_response("done").replace("{id}", "r1");
+        let address = start_late_reader(String::new(), answer).await;
         let entry = start_entry(short_gaps(), vec![target("i-0", "app", address)]).await;
-        tokio::task::spawn_local(async move {
-            let (mut stream, _) = listener.accept().await.expect("a connection");
-            tokio::time::sleep(SILENCE).await;
-            let mut request = Vec::new();
-            while !request.ends_with(LAST_BYTES) {
-                let count = stream.read_buf(&mut request).await.expect("the entry sends on");
-                assert!(count > 0, "the entry closes the connection");
-            }
-            let answer = ok_response("done").replace("{id}", "r1");
-            stream.write_all(answer.as_bytes()).await.expect("the entry reads");
-        });
-        let mut caller = TcpStream::connect(entry.address).await.expect("it listens");
-        let mut request = format!(
-            "POST /once/ HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: r1\r\n\
-             Authorization: Bearer key-a\r\nConnection: close\r\nContent-Length: {}\r\n\r\n",
-            LONG_BODY_BYTES
-        )
-        .into_bytes();
-        request.resize(request.len() + LONG_BODY_BYTES - LAST_BYTES.len(), b'x');
-        request.extend_from_slice(LAST_BYTES);
-        caller.write_all(&request).await.expect("the entry reads the request");
-        let mut text = String::new();
-        caller.read_to_string(&mut text).await.expect("a response");
-        assert!(text.starts_with("HTTP/1.1 200") && text.ends_with("done"), "{text}");
+        let got = call_with_long_body(&entry, "/once/", LONG_BODY_BYTES).await;
+        assert!(got.status == 200 && got.text.ends_with("done"), "{}", got.text);
+    });
+}
+
+// Guards against a response that is cut off because its target sends the start of it before it has read a
+// long body.
+#[test]
+fn a_target_that_reads_a_long_body_after_the_start_of_its_response_ends_it() {
+    run_local(async {
+        let start = event_stream(&[FIRST_EVENTS], false).replace("{id}", "r1");
+        let address = start_late_reader(start, rest_of_stream(LAST_EVENT)).await;
+        let entry = start_entry(short_gaps(), vec![target("i-0", "llm", address)]).await;
+        let got = call_with_long_body(&entry, "/stream/", UNSENT_BODY_BYTES).await;
+        assert_whole_stream("early", &got);
     });
 }
