Keep the longer timeout of a long request until all of it is written

Callers saw a response end that its target had begun before it read a long body: 1.2 s later the connection to the target failed.

Cause: whatever the target sent counted as the end of the request, so that the next write, of the same request, brought back the short timeout for acknowledgements, while the target's receive buffer was full.

Evidence: a target that sends two events, then reads 8 MiB after 1.7 s; the stream ended after event 2 of 3 (a_target_that_reads_a_long_body_after_the_start_of_its_response_ends_it).

A request is over once all that hyper holds of it is written, which the flush tells.

--- a/src/net/client_stream.rs
+++ b/src/net/client_stream.rs
@@ -29,18 +29,18 @@
     timeouts: AckTimeouts,
     /// Length of the present request as far as it is written.
     request_bytes: usize,
-    /// Whether the peer has sent something since the last write.
-    has_answered: bool,
+    /// Whether all of it is written, so that the next write begins another one.
+    is_written: bool,
 }
 
 impl ClientStream {
     /// Wraps a connection that has the timeout for short requests.
     pub fn new(stream: TcpStream, timeouts: AckTimeouts) -> ClientStream {
-        ClientStream { stream, timeouts, request_bytes: 0, has_answered: false }
+        ClientStream { stream, timeouts, request_bytes: 0, is_written: false }
     }
 
     fn begin_write(&mut self) -> io::Result<()> {
-        if !std::mem::take(&mut self.has_answered) {
+        if !std::mem::take(&mut self.is_written) {
             return Ok(());
         }
         let was_long = self.request_bytes > LONG_REQUEST_BYTES;
@@ -68,9 +68,7 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let result = ready!(Pin::new(&mut self.stream).poll_read(context, buffer));
-        self.has_answered = true;
-        Poll::Ready(result)
+        Pin::new(&mut self.stream).poll_read(context, buffer)
     }
 }
 
@@ -100,7 +98,9 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        ready!(Pin::new(&mut self.stream).poll_flush(context))?;
+        self.is_written = true;
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
