Test silent targets that go on at any time around a take-over

Series of silences, 20 ms apart, around the limits after which another target is asked: no event is lost or comes twice, each request is answered, and nothing counts as running afterwards.

--- a/tests/deployment/silent_targets.rs
+++ b/tests/deployment/silent_targets.rs
@@ -23,6 +23,15 @@
 /// Longer than four of the largest gaps between events that the routes allow, and than their time for
 /// the head of a response.
 const SILENCE: Duration = Duration::from_millis(1_700);
+/// Largest gap between events that the routes allow.
+const MAX_EVENT_GAP: Duration = Duration::from_millis(300);
+/// After this time without the head of a response, another target of a plain service is asked: twice the
+/// objective of the routes.
+const FIRST_RESPONSE_LIMIT: Duration = Duration::from_millis(800);
+/// Difference between two silences of a series.
+const SILENCE_STEP: Duration = Duration::from_millis(20);
+/// How long a target takes to answer.
+const ANSWER_TIME: Duration = Duration::from_millis(60);
 /// The time limit of all routes, which no test reaches.
 const ROUTE_TIMEOUT: Duration = Duration::from_secs(60);
 /// More than the buffers of a connection to a target that doesn't read take at once.
@@ -282,6 +291,66 @@
     }
 }
 
+/// Silences of `count` targets, around a limit after which another target is asked.
+fn silences_around(limit: Duration, count: u32) -> impl Iterator<Item = Duration> {
+    (0..count).map(move |n| limit - SILENCE_STEP * 2 + SILENCE_STEP * n)
+}
+
+/// A script that starts with a short silence.
+fn slow(answer: String) -> Script {
+    vec![(String::new(), AfterAnswer::ContinueAfter(ANSWER_TIME)), (answer, AfterAnswer::KeepOpen)]
+}
+
+// Guards against events that are lost or come twice because a silent target goes on while another one is
+// asked to take over.
+#[test]
+fn a_stream_is_whole_whenever_its_silent_target_goes_on() {
+    run_local(async {
+        let calls = silences_around(4 * MAX_EVENT_GAP, 12).map(async |silence| {
+            let silent = vec![
+                (event_stream(&[FIRST_EVENTS], false), AfterAnswer::ContinueAfter(silence)),
+                (rest_of_stream(LAST_EVENT), AfterAnswer::KeepOpen),
+            ];
+            let rest = slow(event_stream(&[LAST_EVENT], true));
+            let (entry, first, second) = entry_with_two_targets("llm", silent, rest).await;
+            configure(&entry, Deployment { version: 2, ..short_gaps() });
+            let got = entry.call_with("/resumable/", "r1", PROMPT).await;
+            assert_whole_stream(&format!("{silence:?}"), &got);
+            assert!(first.request_count() == 1 && second.request_count() <= 1, "{silence:?}");
+            let fleet = entry.gateway.fleet.borrow();
+            for id in ["i-1", "i-2"] {
+                assert_eq!(fleet.get(&start(id)).expect("listed").running, 0, "{silence:?} {id}");
+            }
+        });
+        futures::future::join_all(calls).await;
+    });
+}
+
+// Guards against a request without an answer because a silent target answers while another one is asked
+// to take over.
+#[test]
+fn a_request_is_answered_whenever_its_silent_target_answers() {
+    run_local(async {
+        let calls = silences_around(FIRST_RESPONSE_LIMIT, 12).map(async |silence| {
+            let silent = vec![
+                (String::new(), AfterAnswer::ContinueAfter(silence)),
+                (ok_response("done"), AfterAnswer::KeepOpen),
+            ];
+            let answer = slow(ok_response("done"));
+            let (entry, first, second) = entry_with_two_targets("app", silent, answer).await;
+            configure(&entry, Deployment { version: 2, ..short_gaps() });
+            let got = entry.call("/safe/", "r1").await;
+            assert!(got.status == 200 && got.text.ends_with("done"), "{silence:?}: {}", got.text);
+            assert!(first.request_count() == 1 && second.request_count() <= 1, "{silence:?}");
+            let fleet = entry.gateway.fleet.borrow();
+            for id in ["i-1", "i-2"] {
+                assert_eq!(fleet.get(&start(id)).expect("listed").running, 0, "{silence:?} {id}");
+            }
+        });
+        futures::future::join_all(calls).await;
+    });
+}
+
 /// A target that sends the start of its answer as soon as a request begins, and the end once it has read
 /// a long body, which it does after a silence.
 async fn start_late_reader(start: String, end: String) -> SocketAddr {
