--- a/tests/deployment/silent_targets.rs
+++ b/tests/deployment/silent_targets.rs
@@ -1,6 +1,7 @@
 //! An entry in front of scripted targets that are silent for longer than a route allows, and then go
 //! on.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -22,18 +23,33 @@
 /// Longer than four of the largest gaps between events that the routes allow, and than their time for
 /// the head of a response.
 const SILENCE: Duration = Duration::from_millis(1_700);
+/// Largest gap between events that the routes allow.
+const MAX_EVENT_GAP: Duration = Duration::from_millis(300);
+/// After this time without the head of a response, another target of a plain service is asked: twice the
+/// objective of the routes.
+const FIRST_RESPONSE_LIMIT: Duration = Duration::from_millis(800);
+/// Difference between two silences of a series.
+const SILENCE_STEP: Duration = Duration::from_millis(20);
+/// How long a target takes to answer.
+const ANSWER_TIME: Duration = Duration::from_millis(60);
 /// The time limit of all routes, which no test reaches.
 const ROUTE_TIMEOUT: Duration = Duration::from_secs(60);
 /// More than the buffers of a connection to a target that doesn't read take at once.
 const LONG_BODY_BYTES: usize = 900 << 10;
+/// More than the send buffer of a connection takes at once as well.
+const UNSENT_BODY_BYTES: usize = 8 << 20;
 const LAST_BYTES: &[u8] = b"the end";
 const FIRST_EVENTS: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 const LAST_EVENT: &str = "id: 3\ndata: c\n\n";
+/// The answer of a target that has no room.
+const NOT_RUN: &str =
+    "HTTP/1.1 503 Full\r\nX-Request-Id: {id}\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
 
 /// Routes with events 300 ms apart at most.
 pub fn short_gaps() -> Deployment {
     let mut deployment = deployment(1);
     deployment.routes.iter_mut().for_each(|route| route.timeout = ROUTE_TIMEOUT);
+    deployment.request_limits.body_bytes = UNSENT_BODY_BYTES;
     deployment
 }
 
@@ -220,11 +236,7 @@
 fn a_resumed_stream_goes_to_a_further_target_if_the_second_does_not_run_it() {
     run_local(async {
         let broken = (event_stream(&[FIRST_EVENTS], false), AfterAnswer::Close);
-        let full = (
-            "HTTP/1.1 503 Full\r\nX-Request-Id: {id}\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
-                .to_string(),
-            AfterAnswer::KeepOpen,
-        );
+        let full = (NOT_RUN.to_string(), AfterAnswer::KeepOpen);
         let rest = (event_stream(&[LAST_EVENT], true), AfterAnswer::KeepOpen);
         let engines = StandIn::start_group(3, vec![broken, full, rest]).await;
         let listed = engines.iter().enumerate();
@@ -236,37 +248,168 @@
     });
 }
 
+/// An entry in front of a silent target and one that runs nothing.
+async fn entry_with_a_silent_and_a_full_target(
+    service: &str,
+    silent: Script,
+) -> (Entry, [StandIn; 2]) {
+    let full = vec![(NOT_RUN.to_string(), AfterAnswer::KeepOpen); 9];
+    let (entry, silent, full) = entry_with_two_targets(service, silent, full).await;
+    configure(&entry, Deployment { version: 2, ..short_gaps() });
+    (entry, [silent, full])
+}
+
+// Guards against a stream that is cut off because the target that was to take it over from a silent one
+// doesn't run it.
+#[test]
+fn a_stream_at_a_silent_target_goes_on_there_if_the_other_one_does_not_run_it() {
+    run_local(async {
+        let (entry, [silent, full]) =
+            entry_with_a_silent_and_a_full_target("llm", silent_between_events()).await;
+        let got = entry.call_with("/resumable/", "r1", PROMPT).await;
+        assert_whole_stream("the other target is full", &got);
+        assert_eq!((silent.request_count(), silent.interrupted.get()), (1, 0));
+        assert!(full.request_count() > 0);
+    });
+}
+
+// Guards against a request that is refused because the target that was to replace a silent one doesn't
+// run it.
+#[test]
+fn a_request_at_a_silent_target_is_answered_there_if_the_other_one_does_not_run_it() {
+    let (stream, plain) = (whole_stream(), ok_response("done"));
+    for (path, service, answer) in [("/resumable/", "llm", stream), ("/safe/", "app", plain)] {
+        run_local(async move {
+            let script = silent_before_the_head(answer);
+            let (entry, [silent, full]) =
+                entry_with_a_silent_and_a_full_target(service, script).await;
+            let got = entry.call_with(path, "r1", PROMPT).await;
+            assert_eq!(got.status, 200, "{path}: {}", got.text);
+            assert_eq!((silent.request_count(), silent.interrupted.get()), (1, 0), "{path}");
+            assert!(full.request_count() > 0, "{path}");
+        });
+    }
+}
+
+/// Silences of `count` targets, around a limit after which another target is asked.
+fn silences_around(limit: Duration, count: u32) -> impl Iterator<Item = Duration> {
+    (0..count).map(move |n| limit - SILENCE_STEP * 2 + SILENCE_STEP * n)
+}
+
+/// A script that starts with a short silence.
+fn slow(answer: String) -> Script {
+    vec![(String::new(), AfterAnswer::ContinueAfter(ANSWER_TIME)), (answer, AfterAnswer::KeepOpen)]
+}
+
+// Guards against events that are lost or come twice because a silent target goes on while another one is
+// asked to take over.
+#[test]
+fn a_stream_is_whole_whenever_its_silent_target_goes_on() {
+    run_local(async {
+        let calls = silences_around(4 * MAX_EVENT_GAP, 12).map(async |silence| {
+            let silent = vec![
+                (event_stream(&[FIRST_EVENTS], false), AfterAnswer::ContinueAfter(silence)),
+                (rest_of_stream(LAST_EVENT), AfterAnswer::KeepOpen),
+            ];
+            let rest = slow(event_stream(&[LAST_EVENT], true));
+            let (entry, first, second) = entry_with_two_targets("llm", silent, rest).await;
+            configure(&entry, Deployment { version: 2, ..short_gaps() });
+            let got = entry.call_with("/resumable/", "r1", PROMPT).await;
+            assert_whole_stream(&format!("{silence:?}"), &got);
+            assert!(first.request_count() == 1 && second.request_count() <= 1, "{silence:?}");
+            let fleet = entry.gateway.fleet.borrow();
+            for id in ["i-1", "i-2"] {
+                assert_eq!(fleet.get(&start(id)).expect("listed").running, 0, "{silence:?} {id}");
+            }
+        });
+        futures::future::join_all(calls).await;
+    });
+}
+
+// Guards against a request without an answer because a silent target answers while another one is asked
+// to take over.
+#[test]
+fn a_request_is_answered_whenever_its_silent_target_answers() {
+    run_local(async {
+        let calls = silences_around(FIRST_RESPONSE_LIMIT, 12).map(async |silence| {
+            let silent = vec![
+                (String::new(), AfterAnswer::ContinueAfter(silence)),
+                (ok_response("done"), AfterAnswer::KeepOpen),
+            ];
+            let answer = slow(ok_response("done"));
+            let (entry, first, second) = entry_with_two_targets("app", silent, answer).await;
+            configure(&entry, Deployment { version: 2, ..short_gaps() });
+            let got = entry.call("/safe/", "r1").await;
+            assert!(got.status == 200 && got.text.ends_with("done"), "{silence:?}: {}", got.text);
+            assert!(first.request_count() == 1 && second.request_count() <= 1, "{silence:?}");
+            let fleet = entry.gateway.fleet.borrow();
+            for id in ["i-1", "i-2"] {
+                assert_eq!(fleet.get(&start(id)).expect("listed").running, 0, "{silence:?} {id}");
+            }
+        });
+        futures::future::join_all(calls).await;
+    });
+}
+
+/// A target that sends the start of its answer as soon as a request begins, and the end once it has read
+/// a long body, which it does after a silence.
+async fn start_late_reader(start: String, end: String) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    SockRef::from(&listener).set_recv_buffer_size(4_096).expect("a small buffer");
+    let address = listener.local_addr().expect("an address");
+    tokio::task::spawn_local(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut request = Vec::new();
+        stream.read_buf(&mut request).await.expect("a request begins");
+        stream.write_all(start.as_bytes()).await.expect("the entry reads");
+        tokio::time::sleep(SILENCE).await;
+        while !request.ends_with(LAST_BYTES) {
+            let count = stream.read_buf(&mut request).await.expect("the entry sends on");
+            assert!(count > 0, "the entry closes the connection");
+        }
+        stream.write_all(end.as_bytes()).await.expect("the entry reads");
+    });
+    address
+}
+
+/// Sends a request with a long body and returns the response.
+async fn call_with_long_body(entry: &Entry, path: &str, body_bytes: usize) -> Response {
+    let mut caller = TcpStream::connect(entry.address).await.expect("it listens");
+    let mut request = format!(
+        "POST {path} HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: r1\r\n\
+         Authorization: Bearer key-a\r\nConnection: close\r\nContent-Length: {body_bytes}\r\n\r\n"
+    )
+    .into_bytes();
+    request.resize(request.len() + body_bytes - LAST_BYTES.len(), b'x');
+    request.extend_from_slice(LAST_BYTES);
+    caller.write_all(&request).await.expect("the entry reads the request");
+    let mut text = String::new();
+    caller.read_to_string(&mut text).await.expect("a response");
+    let status = text.get(9..12).and_then(|status| status.parse().ok()).unwrap_or(0);
+    Response { status, text }
+}
+
 // Guards against a request that is lost because its target doesn't read a long body for a while.
 #[test]
 fn a_target_that_reads_a_long_body_late_answers_it() {
     run_local(async {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        SockRef::from(&listener).set_recv_buffer_size(4_096).expect("a small buffer");
-        let address = listener.local_addr().expect("an address");
+        let answer = ok_response("done").replace("{id}", "r1");
+        let address = start_late_reader(String::new(), answer).await;
         let entry = start_entry(short_gaps(), vec![target("i-0", "app", address)]).await;
-        tokio::task::spawn_local(async move {
-            let (mut stream, _) = listener.accept().await.expect("a connection");
-            tokio::time::sleep(SILENCE).await;
-            let mut request = Vec::new();
-            while !request.ends_with(LAST_BYTES) {
-                let count = stream.read_buf(&mut request).await.expect("the entry sends on");
-                assert!(count > 0, "the entry closes the connection");
-            }
-            let answer = ok_response("done").replace("{id}", "r1");
-            stream.write_all(answer.as_bytes()).await.expect("the entry reads");
-        });
-        let mut caller = TcpStream::connect(entry.address).await.expect("it listens");
-        let mut request = format!(
-            "POST /once/ HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: r1\r\n\
-             Authorization: Bearer key-a\r\nConnection: close\r\nContent-Length: {}\r\n\r\n",
-            LONG_BODY_BYTES
-        )
-        .into_bytes();
-        request.resize(request.len() + LONG_BODY_BYTES - LAST_BYTES.len(), b'x');
-        request.extend_from_slice(LAST_BYTES);
-        caller.write_all(&request).await.expect("the entry reads the request");
-        let mut text = String::new();
-        caller.read_to_string(&mut text).await.expect("a response");
-        assert!(text.starts_with("HTTP/1.1 200") && text.ends_with("done"), "{text}");
+        let got = call_with_long_body(&entry, "/once/", LONG_BODY_BYTES).await;
+        assert!(got.status == 200 && got.text.ends_with("done"), "{}", got.text);
+    });
+}
+
+// Guards against a response that is cut off because its target sends the start of it before it has read a
+// long body.
+#[test]
+fn a_target_that_reads_a_long_body_after_the_start_of_its_response_ends_it() {
+    run_local(async {
+        let start = event_stream(&[FIRST_EVENTS], false).replace("{id}", "r1");
+        let address = start_late_reader(start, rest_of_stream(LAST_EVENT)).await;
+        let entry = start_entry(short_gaps(), vec![target("i-0", "llm", address)]).await;
+        let got = call_with_long_body(&entry, "/stream/", UNSENT_BODY_BYTES).await;
+        assert_whole_stream("early", &got);
     });
 }
