--- /dev/null
+++ b/tests/deployment/early_breaks.rs
@@ -0,0 +1,69 @@
+//! Responses whose targets break off right at their beginning.
+
+use bytes::Bytes;
+use http::Response;
+use hyper::body::Frame;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use kumquatpost::gateway::response::{RelayError, stream_body};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+use crate::gateway::{PROMPT, entry_with_two_targets, event_stream, run_local};
+use crate::stand_in::AfterAnswer;
+
+// A stream that broke before its first event, or timed out before it, closed the caller's connection without
+// an answer.
+#[test]
+fn a_stream_that_breaks_before_its_first_event_is_answered_with_a_failure() {
+    for (name, chunks, is_whole) in [
+        ("no event", vec![], false),
+        ("within the first event", vec!["id: 1\nda"], false),
+        ("ends within the first event", vec!["id: 1\nda"], true),
+    ] {
+        run_local(async move {
+            let script = vec![(event_stream(&chunks, is_whole), AfterAnswer::Close)];
+            let (entry, _first_target, second_target) =
+                entry_with_two_targets("llm", script, vec![]).await;
+            let got = entry.call_with("/stream/", "r1", PROMPT).await;
+            assert_eq!(got.status, 502, "{name}: {}", got.text);
+            assert_eq!(second_target.request_count(), 0, "{name}");
+        });
+    }
+}
+
+#[test]
+fn a_stream_without_an_event_by_its_deadline_is_answered_with_a_timeout() {
+    run_local(async {
+        let script = vec![(event_stream(&[], false), AfterAnswer::Hang)];
+        let (entry, _first_target, _second_target) =
+            entry_with_two_targets("llm", script, vec![]).await;
+        let extra = format!("{PROMPT}X-Deadline-Ms: 500\r\n");
+        let got = entry.call_with("/stream/", "r1", &extra).await;
+        assert_eq!(got.status, 504, "{}", got.text);
+    });
+}
+
+// The head and the first part of a response were dropped with the connection if the next part failed at once.
+#[test]
+fn what_was_relayed_before_a_failure_reaches_the_caller() {
+    run_local(async {
+        let (mut caller, entry) = tokio::io::duplex(4_096);
+        let serve = service_fn(|_| async {
+            let parts: [Result<Frame<Bytes>, RelayError>; 2] =
+                [Ok(Frame::data(Bytes::from_static(b"the first part"))), Err("broken off".into())];
+            let body = stream_body(futures::stream::iter(parts));
+            Ok::<_, std::convert::Infallible>(Response::new(body))
+        });
+        tokio::task::spawn_local(async move {
+            // Fails, as the body does.
+            let _ = http1::Builder::new().serve_connection(TokioIo::new(entry), serve).await;
+        });
+        caller.write_all(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n").await.expect("the entry reads");
+        let mut text = String::new();
+        caller.read_to_string(&mut text).await.expect("the connection is closed");
+        assert!(text.starts_with("HTTP/1.1 200 OK\r\n"), "{text:?}");
+        assert!(text.contains("the first part"), "{text:?}");
+        assert!(!text.ends_with("0\r\n\r\n"), "{text:?}");
+    });
+}
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -10,6 +10,7 @@
 mod crashing_parts;
 mod diagnostics;
 mod documents;
+mod early_breaks;
 mod ending_prompts;
 mod essential_tasks;
 mod evacuation;
