Relay nothing of a stream before its first event, and flush what is relayed before a failure

Callers had their connection closed without a byte, neither an answer nor a refusal, although an engine had begun to answer: the head of a stream was passed on at once, and a stream that broke, or whose time was over, before its first event could then only be cut. If the failure came in the same moment as the first event, hyper dropped the head and the event with it.

An entry now waits for the first event before it answers its caller, who measures by that event anyway; a failure before it is answered with 502 or 504. After it, an error of the body is handed to hyper only once hyper has had a turn to write what it holds.

--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -367,7 +367,7 @@
             response.headers_mut().extend(result.map(|result| (RESULT, result)));
             response
         }
-        Err(record) => respond(ForwardedResult::MayHaveRun(target), &record),
+        Err((_, record)) => respond(ForwardedResult::MayHaveRun(target), &record),
     }
 }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures::stream;
+use futures::{StreamExt, stream};
 use http::StatusCode;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Frame, Incoming};
@@ -19,7 +19,7 @@
 use super::pool::Connection;
 use super::request_record::{CutBy, Outcome, RequestRecord};
 use super::responder::{Framing, Responder};
-use super::response::{RelayError, ResponseBody, stream_body};
+use super::response::{Refusal, RelayError, ResponseBody, full_body, stream_body};
 use super::routed_request::{Origin, RoutedRequest};
 use super::state::Gateway;
 use crate::clock::BootTime;
@@ -92,6 +92,12 @@
     Connection,
 }
 
+/// Why a stream ends before it is complete.
+struct StreamCut {
+    by: CutBy,
+    reason: String,
+}
+
 enum SourceRead {
     /// Complete events, or none yet.
     Events(Bytes),
@@ -120,20 +126,42 @@
         EventRelay { gateway, routed, record, attempts, source, events, is_bound: false }
     }
 
-    /// Turns the relay into the body of the response to the caller.
-    pub fn into_body(self) -> ResponseBody {
-        stream_body(stream::unfold(Some(self), |relay| async {
+    /// Waits for the first events and turns the relay into the body of the response to the caller. Until
+    /// then nothing is relayed, so that a stream that breaks before can be answered with a failure.
+    ///
+    /// # Errors
+    /// The refusal, with the record of the request, if the stream breaks before its first event.
+    pub async fn into_body(mut self) -> Result<ResponseBody, (Refusal, RequestRecord)> {
+        if self.routed.origin == Origin::Entry {
+            // The other entry waits in the same way, and has to know the target.
+            return Ok(self.relay_after(None));
+        }
+        match self.next().await {
+            Ok(Some(events)) => Ok(self.relay_after(Some(events))),
+            Ok(None) => Ok(full_body(Bytes::new())),
+            Err(StreamCut { by: CutBy::Entry, .. }) => Err((Refusal::TimedOut, self.record)),
+            Err(_) => Err((Refusal::Broken, self.record)),
+        }
+    }
+
+    /// The body of a response that begins with these events.
+    fn relay_after(self, first: Option<Bytes>) -> ResponseBody {
+        let first = stream::iter(first.map(|events| Ok(Frame::data(events))));
+        stream_body(first.chain(stream::unfold(Some(self), |relay| async {
             let mut relay = relay?;
             match relay.next().await {
                 Ok(Some(events)) => Some((Ok(Frame::data(events)), Some(relay))),
                 Ok(None) => None,
-                Err(error) => Some((Err(error), None)),
+                Err(StreamCut { by, reason }) => {
+                    relay.record.broken_off(by, &reason);
+                    Some((Err(reason.into()), None))
+                }
             }
-        }))
+        })))
     }
 
     /// Returns the next complete events, or `None` at the end of the stream.
-    async fn next(&mut self) -> Result<Option<Bytes>, RelayError> {
+    async fn next(&mut self) -> Result<Option<Bytes>, StreamCut> {
         loop {
             let read = match self.read_source().await {
                 SourceRead::Silent => self.replace_silent_source().await,
@@ -151,8 +179,7 @@
                     return Ok(None);
                 }
                 SourceRead::TimedOut => {
-                    self.record.broken_off(CutBy::Entry, TIME_IS_OVER);
-                    return Err(TIME_IS_OVER.into());
+                    return Err(StreamCut { by: CutBy::Entry, reason: TIME_IS_OVER.to_string() });
                 }
                 SourceRead::Silent | SourceRead::Replaced => {}
                 SourceRead::Broken(reason) => self.resume(reason, BreakCause::Failure).await?,
@@ -284,7 +311,7 @@
 
     /// Resumes the stream at another target, after the last complete event. Goes on to further targets
     /// while retries are allowed.
-    async fn resume(&mut self, reason: String, cause: BreakCause) -> Result<(), RelayError> {
+    async fn resume(&mut self, reason: String, cause: BreakCause) -> Result<(), StreamCut> {
         let (may_resume, ended) = (self.may_resume(), self.source.take());
         let EventRelay { gateway, routed, record, .. } = &*self;
         end_source(gateway, routed, record, ended, &reason, cause).await;
@@ -302,8 +329,7 @@
                 Err(further) => failure = further,
             }
         }
-        self.record.broken_off(CutBy::Target, &failure.reason);
-        Err(failure.reason.into())
+        Err(StreamCut { by: CutBy::Target, reason: failure.reason })
     }
 
     /// Asks another target for the events that the caller has not received.
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -226,7 +226,7 @@
                     let id = routed.metadata.id.clone();
                     return relay_response(gateway, routed, record, attempts, received)
                         .await
-                        .unwrap_or_else(|record| refuse(Refusal::Broken, &id, &record));
+                        .unwrap_or_else(|(refusal, record)| refuse(refusal, &id, &record));
                 }
                 attempts.mark_may_have_run();
                 continue;
@@ -288,19 +288,20 @@
 /// Relays a response.
 ///
 /// # Errors
-/// The record of the request, if the body is cut short before any of the response was relayed.
+/// The refusal, with the record of the request, if the body is cut short before any of the response was
+/// relayed.
 pub async fn relay_response(
     gateway: &Rc<Gateway>,
     routed: RoutedRequest,
     record: RequestRecord,
     attempts: Attempts,
     received: TargetResponse,
-) -> Result<GatewayResponse, RequestRecord> {
+) -> Result<GatewayResponse, (Refusal, RequestRecord)> {
     let status = received.response.status();
     let values = headers::response_for_caller(received.response.headers());
     let is_stream = routed.route.policy.is_stream() && status == StatusCode::OK;
     let body = if is_stream {
-        EventRelay::new(gateway.clone(), routed, record, attempts, received).into_body()
+        EventRelay::new(gateway.clone(), routed, record, attempts, received).into_body().await?
     } else if relay::fits_buffer(received.response.body()) {
         let TargetResponse {
             mut responder,
@@ -330,7 +331,7 @@
                 if Instant::now() < routed.deadline {
                     responder.close_broken(gateway, &routed, sent_at, &record).await;
                 }
-                return Err(record);
+                return Err((Refusal::Broken, record));
             }
         }
     } else {
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -172,5 +172,12 @@
 pub fn stream_body(
     frames: impl futures::Stream<Item = Result<Frame<Bytes>, RelayError>> + 'static,
 ) -> ResponseBody {
+    let frames = frames.then(|frame| async {
+        if frame.is_err() {
+            // An error drops what hyper has not written yet, which may include the head.
+            tokio::task::yield_now().await;
+        }
+        frame
+    });
     Either::Right(StreamBody::new(frames.boxed_local()))
 }
