Announce that a connection closes after a refusal with an unread body

A request on a kept connection got neither an answer nor a refusal if the one before it had been refused before its body was read, as beside a deployment that takes its route or key away, or while no replica confirms the deployment (404, 401, 413, 503 unconfirmed).

The rest of the body still stands in the connection then. hyper closes such a connection behind the response, but the response did not say so, as Connection: close was only sent while the entry stops. Callers reused the connection, and the lingering close read their next request and threw it away. The refusal of a request with a body that is not read now carries Connection: close.

--- a/.ci/mutations.py
+++ b/.ci/mutations.py
@@ -617,6 +617,8 @@
      "self.connections.idle.borrow_mut().remove(&(since, self.id));", "let _ = since;", "deployment", "only_idle_connections"),
     ("connections: all are taken although the queue never empties", "src/gateway/accept_queue.rs",
      "if now.saturating_sub(since) > MAX_BACKLOG_TIME {", "if false {", "deployment", "concentrated_connections"),
+    ("connections: closed behind a refusal without a notice", "src/gateway/request.rs",
+     "if is_body_unread || gateway.stopping.get() {", "if gateway.stopping.get() {", "deployment", "idle_connections"),
     ("brittle: the scheduler fills engines", "src/scheduler/plan.rs",
      " || engine.may_be_full(now);", ";", "deployment", "brittle"),
 ]
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use http::header::CONNECTION;
 use http::{HeaderValue, Request, Response, StatusCode};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use rand::RngExt;
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
@@ -56,14 +56,18 @@
     let started_at = boot_now();
     let arrived = Instant::now();
     let (head, body) = request.into_parts();
+    let has_body = !body.is_end_stream();
     let body = RequestBody::new(body, closing);
     let metadata = headers::decode_request(&head.uri, &head.headers);
     let mut record = RequestRecord::new(&gateway, &metadata, started_at);
-    let mut response = match admit(&gateway, head, metadata, body, arrived, &mut record).await {
+    let admitted = admit(&gateway, head, metadata, body, arrived, &mut record).await;
+    // The connection can't be used again if the rest of a body stands before the next request.
+    let is_body_unread = admitted.is_err() && has_body;
+    let mut response = match admitted {
         Ok(routed) => serve(&gateway, routed, record).await,
         Err((refusal, id)) => refuse(refusal, &id, &record),
     };
-    if gateway.stopping.get() {
+    if is_body_unread || gateway.stopping.get() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
