--- a/tests/deployment/forwarding.rs
+++ b/tests/deployment/forwarding.rs
@@ -19,7 +19,8 @@
 
 use crate::fixtures::{loopback, ms, roster, target};
 use crate::gateway::{
-    PROMPT, Response, deployment_with_long_timeouts, event_stream, ok_response, run_local,
+    PROMPT, Response, deployment_with_long_timeouts, event_stream, eventually, ok_response,
+    run_local,
 };
 use crate::platform_stand_in::target::FIRST_SOFTWARE;
 use crate::restarts::EVENT_TIMEOUT;
@@ -606,3 +607,33 @@
         }
     }
 }
+
+// Guards against logs that don't tell who ended a response which its caller did not get whole.
+#[test]
+fn the_log_tells_who_cut_a_response_short() {
+    run_local(async {
+        let broken = event_stream(&["id: 1\ndata: x\n\n", "id: 2\nda"], false);
+        let scripts = vec![vec![(broken.clone(), AfterAnswer::Close), (broken, AfterAnswer::Hang)]];
+        let system = start(Cut::Refused, "llm", scripts, 190).await;
+        let entry = &system.sound[0];
+        let got = entry.call_with("/stream/", "r1", PROMPT).await;
+        assert!(!got.text.ends_with("0\r\n\r\n"), "{}", got.text);
+        let mut left = entry.send("/stream/", "r2", PROMPT).await;
+        read_until(&mut left, "data: x").await;
+        drop(left);
+        for (id, by) in [("r1", "target"), ("r2", "caller")] {
+            let expected = format!("event=response_cut id={id} route=stream by={by}");
+            let line =
+                || entry.log().lines().find(|line| line.contains(&expected)).map(str::to_string);
+            eventually(|| line().is_some()).await;
+            let line = line().expect("just found");
+            for field in ["events=1 bytes=15", "version=1 newest_version=1", "silent_ms="] {
+                assert!(line.contains(field), "{field}: {line}");
+            }
+            let request = format!("event=request id={id}");
+            let whole =
+                entry.log().lines().any(|l| l.contains(&request) && l.contains("Relayed(200)"));
+            assert!(!whole, "{id} is logged as whole");
+        }
+    });
+}
