Keep idle connections for the longest time that their other side may know

A request on a kept connection could still cross its close in two cases: callers who hold an earlier deployment's longer idle time were cut off by a newer, shorter one, and connections of other entries, which those reuse for 3 s, were closed by the idle time of the deployment. Callers' connections now have the longer of the time at their opening and the newest one, those of entries 10 s.

--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -27,6 +27,8 @@
 
 /// A connection whose sent bytes are not acknowledged for this long is closed.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long a connection of another entry may be idle. Longer than that entry keeps it in its pool.
+const PEER_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// The smallest read buffer that hyper accepts.
 const MIN_HEAD_BYTES: usize = 8 << 10;
 /// Lower bound on the delay between two checks of whether a connection is idle.
@@ -106,9 +108,10 @@
     if let Err(error) = net::set_ack_timeout(&stream, UNACKNOWLEDGED_TIMEOUT) {
         log::debug!("event=connection_not_set reason={:?}", error.to_string());
     }
+    let opened_with = request_limits(&gateway);
     let head_bytes = match origin {
-        Origin::Caller => request_limits(&gateway).head_bytes,
-        Origin::Entry => request_limits(&gateway).head_bytes + forwarding::MAX_ATTEMPT_BYTES,
+        Origin::Caller => opened_with.head_bytes,
+        Origin::Entry => opened_with.head_bytes + forwarding::MAX_ATTEMPT_BYTES,
     };
     let stream = LingeringStream::new(stream);
     let control = stream.control();
@@ -139,7 +142,7 @@
         connection.as_mut().graceful_shutdown();
     }
     loop {
-        let check_after = match caller.check(&request_limits(&state)) {
+        let check_after = match caller.check(&limits_in_use(&state, origin, &opened_with)) {
             IdleVerdict::Open(left) => left.max(MIN_IDLE_CHECK),
             IdleVerdict::HeadTooSlow => return,
             IdleVerdict::Idle if is_closing => MIN_IDLE_CHECK,
@@ -177,6 +180,17 @@
     }
 }
 
+/// The limits of a connection that was opened with others.
+fn limits_in_use(gateway: &Gateway, origin: Origin, opened_with: &RequestLimits) -> RequestLimits {
+    let newest = request_limits(gateway);
+    let idle_timeout = match origin {
+        // Callers may know a longer time of a newer deployment, or a shorter one of an earlier one.
+        Origin::Caller => newest.idle_timeout.max(opened_with.idle_timeout),
+        Origin::Entry => PEER_IDLE_TIMEOUT,
+    };
+    RequestLimits { idle_timeout, ..newest }
+}
+
 /// The limits in force now.
 fn request_limits(gateway: &Gateway) -> RequestLimits {
     gateway.table().map(|table| table.deployment().request_limits.clone()).unwrap_or_default()
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -25,6 +25,7 @@
 mod identity;
 mod idle_connections;
 mod instances;
+mod kept_connections;
 mod last_answers;
 mod late_updates;
 mod leaving;
