Test a silent target while no connection to the other one opens

Without it, nothing noticed a run that was given up while its replacement was only prepared: since a run is kept for a while after the request was sent to another target, preparations that fail soon hid it.

--- a/tests/deployment/forwarding.rs
+++ b/tests/deployment/forwarding.rs
@@ -46,14 +46,14 @@
 }
 
 /// An address that is cut off. Keep it for as long as it is used.
-struct CutAddress {
-    address: SocketAddr,
+pub struct CutAddress {
+    pub address: SocketAddr,
     _socket: Socket,
     _pending: Vec<TcpStream>,
 }
 
 impl CutAddress {
-    async fn new(cut: Cut) -> CutAddress {
+    pub async fn new(cut: Cut) -> CutAddress {
         let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
         let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
         socket.bind(&any.into()).expect("a port");
--- a/tests/deployment/gateway.rs
+++ b/tests/deployment/gateway.rs
@@ -179,12 +179,16 @@
     let second = target("i-2", service, second_target.address);
     first.slots = 48;
     let entry = start_entry(deployment_with_long_timeouts(), vec![first, second]).await;
-    // The load report of the second target makes the entry prefer the first.
+    prefer_other_targets(&entry, "i-2");
+    (entry, first_target, second_target)
+}
+
+/// Makes an entry prefer all other targets to this one, by a report of its load.
+pub fn prefer_other_targets(entry: &Entry, id: &str) {
     let busy = kumquatpost::gateway::metadata::TargetLoad { running: 40, waiting: 0, slots: 48 };
     // A time in the future keeps the report at full weight for the whole test.
     let now = kumquatpost::clock::boot_now() + TEST_TIMEOUT;
-    entry.gateway.fleet.borrow_mut().observe_load(&start("i-2"), busy, now);
-    (entry, first_target, second_target)
+    entry.gateway.fleet.borrow_mut().observe_load(&start(id), busy, now);
 }
 
 #[test]
--- a/tests/deployment/silent_targets.rs
+++ b/tests/deployment/silent_targets.rs
@@ -14,15 +14,18 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::fixtures::{deployment, start, target};
+use crate::forwarding::{Cut, CutAddress};
 use crate::gateway::{
     Entry, PROMPT, Response, entry_with_two_targets, event_stream, eventually, ok_response,
-    run_local, start_entry,
+    prefer_other_targets, run_local, start_entry,
 };
 use crate::stand_in::{AfterAnswer, Script, StandIn};
 
 /// Longer than four of the largest gaps between events that the routes allow, and than their time for
 /// the head of a response.
 const SILENCE: Duration = Duration::from_millis(1_700);
+/// The same, and longer than a connection takes to open after that.
+const LONG_SILENCE: Duration = Duration::from_millis(2_200);
 /// Largest gap between events that the routes allow.
 const MAX_EVENT_GAP: Duration = Duration::from_millis(300);
 /// After this time without the head of a response, another target of a plain service is asked: twice the
@@ -291,6 +294,38 @@
     }
 }
 
+// Guards against a run that is given up while a connection to another target is tried.
+#[test]
+fn a_silent_target_goes_on_if_no_connection_to_the_other_one_opens() {
+    let late = |answer| {
+        vec![
+            (String::new(), AfterAnswer::ContinueAfter(LONG_SILENCE)),
+            (answer, AfterAnswer::KeepOpen),
+        ]
+    };
+    for (path, service, script) in [
+        ("/resumable/", "llm", silent_between_events()),
+        ("/resumable/", "llm", late(whole_stream())),
+        ("/safe/", "app", late(ok_response("done"))),
+    ] {
+        run_local(async move {
+            let silent = StandIn::start(script).await;
+            let cut = CutAddress::new(Cut::Silent).await;
+            let mut first = target("i-1", service, silent.address);
+            first.slots = 48;
+            let second = target("i-2", service, cut.address);
+            let entry = start_entry(short_gaps(), vec![first, second]).await;
+            prefer_other_targets(&entry, "i-2");
+            let got = entry.call_with(path, "r1", PROMPT).await;
+            assert_eq!(got.status, 200, "{path}: {}", got.text);
+            assert!(got.text.ends_with("done") || got.text.ends_with("0\r\n\r\n"), "{}", got.text);
+            assert_eq!((silent.request_count(), silent.interrupted.get()), (1, 0), "{path}");
+            let metrics = entry.gateway.metrics_text();
+            assert!(metrics.contains("timed out"), "{path}: the other target was not tried");
+        });
+    }
+}
+
 /// Silences of `count` targets, around a limit after which another target is asked.
 fn silences_around(limit: Duration, count: u32) -> impl Iterator<Item = Duration> {
     (0..count).map(move |n| limit - SILENCE_STEP * 2 + SILENCE_STEP * n)
