Compare two parts by the ends that only one of them has

What callers saw, in the model of entries and replicas: a part that crashes engines was held for two seconds at a time and sent again after each, since a request that its caller had repeated, or a session's part that had run at one of the engines, was taken for as likely a cause.

Cause: a lead was counted in ends of which those that coincide count once, so that at many crashes at once the part's lead never exceeded one; and another suspect made a hold doubtful if it explained any of three ends.

Fix: of two suspects, the ends that only one has are compared as well, and another one must explain more than half of the ends to raise a doubt.

--- a/.ci/mutations.py
+++ b/.ci/mutations.py
@@ -471,6 +471,8 @@
      "if attributed.contains_key(&other.fingerprint) {", "if false {", "logic", "answered_requests"),
     ("held: a rival releases requests that contain it", "src/quarantine/blame.rs",
      "|rival| contained.contains(rival)", "|_| false", "logic", "part_holds"),
+    ("held: a lead is counted with coincident ends alone", "src/quarantine/blame.rs",
+     "&& !has_lead_apart", "", "logic", "crashing_parts"),
     ("held: answers clear the request alone", "src/quarantine/state.rs",
      "for fingerprint in fingerprints {", "for fingerprint in fingerprints.iter().take(1) {", "logic", "part_holds"),
     ("held: only whole requests are to blame", "src/gateway/routed_request.rs",
--- a/src/quarantine/blame.rs
+++ b/src/quarantine/blame.rs
@@ -103,26 +103,36 @@
     attributed: &HashMap<Fingerprint, usize>,
 ) -> Blame {
     let record = &requests[&fingerprint];
-    let explains_most = |other: &&Suspect| {
-        let other_record = &requests[&other.fingerprint];
-        other.fingerprint != fingerprint
-            && record.counted_ends(|target| other_record.has_uncleared_end(target)) < ENDS_TO_HOLD
-    };
+    let all_ends = record.counted_ends(|_| false);
     let mut blame = Blame { ends, is_doubtful: record.was_answered, rivals: Vec::new() };
-    for other in suspects.iter().filter(explains_most) {
-        let was_other_answered = requests[&other.fingerprint].was_answered;
-        if was_other_answered && !record.was_answered {
+    for other in suspects.iter().filter(|other| other.fingerprint != fingerprint) {
+        let other_record = &requests[&other.fingerprint];
+        let unexplained = ends_apart(record, other_record);
+        let explains_most = unexplained < ENDS_TO_HOLD && unexplained * 2 < all_ends;
+        if !explains_most {
+            continue;
+        }
+        if other_record.was_answered && !record.was_answered {
             // Only ends that nothing else explains show that it terminates targets now.
             if attributed.contains_key(&other.fingerprint) {
                 blame.is_doubtful = true;
             }
-        } else if other.ends + RIVAL_MARGIN_ENDS >= ends {
+            continue;
+        }
+        // Without the ends that both have. Ends that coincide hide part of a lead.
+        let has_lead_apart = unexplained > ends_apart(other_record, record) + RIVAL_MARGIN_ENDS;
+        if other.ends + RIVAL_MARGIN_ENDS >= ends && !has_lead_apart {
             blame.rivals.push(other.fingerprint);
         }
     }
     blame
 }
 
+/// Number of ends of a request that another one does not explain.
+fn ends_apart(record: &RequestRecord, other: &RequestRecord) -> usize {
+    record.counted_ends(|target| other.has_uncleared_end(target))
+}
+
 /// Requests with enough ends to be held, in the order in which they are blamed.
 fn ranked_suspects(requests: &Records) -> Vec<Suspect> {
     let has_enough =
--- a/tests/logic/crashing_parts.rs
+++ b/tests/logic/crashing_parts.rs
@@ -379,8 +379,10 @@
 /// Runs a pattern with some seeds, and checks both bounds.
 fn check(name: &str, pattern: &Pattern) {
     const SEEDS: u64 = 8;
+    /// Seeds under which a part was released again and again, as another one had some ends in common with it.
+    const REGRESSIONS: [u64; 2] = [13, 24];
     let (mut most_crashes, mut most_held_share) = (0, 0.0_f64);
-    for seed in 0..SEEDS {
+    for seed in (0..SEEDS).chain(REGRESSIONS) {
         let model = Model::run(seed, pattern);
         for culprit in 0..pattern.culprits.len() {
             let (late, crashes) = (model.late_sends(culprit), model.crashes[culprit].len());
