Add a failing test of a shared part that ran at three targets which ended for other reasons

Three engines had ended within 1.1 s, each with a run of such a prompt, and nothing that could have cleared the part ran any more.

--- a/tests/logic/part_holds.rs
+++ b/tests/logic/part_holds.rs
@@ -45,6 +45,28 @@
     assert_ne!(part("c1"), Fingerprint::of(None, "m", "", "", b"c1"));
 }
 
+/// Guards against refusing sound prompts for ten minutes because a part that they share ran at three targets
+/// that ended for other reasons.
+#[test]
+fn a_part_with_few_ends_is_held_briefly_and_one_with_many_for_long() {
+    let (shared, culprit) = (part("shared"), part("culprit"));
+    let mut quarantine = Quarantine::default();
+    for number in 0..3 {
+        record_end(&mut quarantine, &[whole(number), shared], number, START + ms(400 * number));
+    }
+    let last_at = START + ms(800);
+    let prompt = [whole(9), shared];
+    assert!(quarantine.hold(&prompt, last_at + ms(100)).is_some());
+    assert_eq!(quarantine.hold(&prompt, last_at + BRIEF_HOLD), None, "its next run will show");
+
+    for number in 10..15 {
+        record_end(&mut quarantine, &[whole(number), culprit], number, START + ms(400 * number));
+    }
+    let now = START + ms(400 * 14 + 100);
+    let left = quarantine.hold(&[whole(9), culprit], now).map(|hold| hold.left);
+    assert!(left.is_some_and(|left| left > LONG_HOLD), "{left:?}");
+}
+
 /// Guards against releasing, again and again, requests with two parts that never occur without each other.
 #[test]
 fn a_request_with_all_parts_that_may_be_to_blame_is_held_for_long_and_others_briefly() {
