Hold a part of prompts briefly until a fourth target has ended under it

Cause: three targets that end for other reasons within a second, each with a run of such a prompt, looked like a certain cause. A request that is held for its own content is missed by nobody else; all prompts with a held part are refused, so that no answer can clear it.

A part under which three targets have ended is held for two seconds, after which its next run clears it or ends one target more; from four on it is held in full as before.

--- a/src/quarantine/blame.rs
+++ b/src/quarantine/blame.rs
@@ -14,6 +14,9 @@
 
 /// How long a request is held at first while it may not be to blame. The next attempts will show.
 const UNCERTAIN_HOLD: Duration = Duration::from_secs(2);
+/// A part of a prompt under which fewer targets ended is held as if it were doubtful. It may be shared by many
+/// requests, which are all refused meanwhile, so that nothing would clear a part that is not to blame.
+const TARGETS_TO_HOLD_PART_FULLY: usize = 4;
 /// Each end beyond `ENDS_TO_HOLD` multiplies a doubtful hold by this. After three ends more it is as
 /// long as any other.
 const DOUBTFUL_HOLD_FACTOR: u32 = 8;
@@ -36,6 +39,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct Blame {
     pub(super) ends: usize,
+    /// Targets that ended under it, also at the same time.
+    targets: usize,
     /// Whether the request was answered before.
     is_doubtful: bool,
     /// Others that may be to blame in its place, as they explain most of its ends and have about as many.
@@ -104,7 +109,12 @@
 ) -> Blame {
     let record = &requests[&fingerprint];
     let all_ends = record.counted_ends(|_| false);
-    let mut blame = Blame { ends, is_doubtful: record.was_answered, rivals: Vec::new() };
+    let mut blame = Blame {
+        ends,
+        targets: record.uncleared_ends().count(),
+        is_doubtful: record.was_answered,
+        rivals: Vec::new(),
+    };
     for other in suspects.iter().filter(|other| other.fingerprint != fingerprint) {
         let other_record = &requests[&other.fingerprint];
         let unexplained = ends_apart(record, other_record);
@@ -151,6 +161,13 @@
     suspects
 }
 
+/// What a blamed fingerprint names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Blamed {
+    Request,
+    Part,
+}
+
 impl Blame {
     /// How certain it is that the blamed request is the cause.
     pub(super) fn certainty(&self) -> Certainty {
@@ -166,12 +183,13 @@
     ///
     /// The run of a request that contains only some of those that can't be distinguished will tell them apart.
     /// That of a request that contains all of them would only terminate one more target.
-    pub(super) fn hold_duration(&self, contained: &[Fingerprint]) -> Duration {
+    pub(super) fn hold_duration(&self, blamed: Blamed, contained: &[Fingerprint]) -> Duration {
         let full_hold = hold_duration(self.ends);
         if !self.rivals.iter().all(|rival| contained.contains(rival)) {
             return UNCERTAIN_HOLD;
         }
-        if !self.is_doubtful {
+        let has_few_ends = blamed == Blamed::Part && self.targets < TARGETS_TO_HOLD_PART_FULLY;
+        if !self.is_doubtful && !has_few_ends {
             return full_hold;
         }
         let factor = DOUBTFUL_HOLD_FACTOR.saturating_pow(further_ends(self.ends));
--- a/src/quarantine/state.rs
+++ b/src/quarantine/state.rs
@@ -9,7 +9,7 @@
 
 use rustc_hash::FxHasher;
 
-use super::blame::{self, Blame, HoldReason};
+use super::blame::{self, Blame, Blamed, HoldReason};
 use super::broken_runs::BrokenRun;
 use super::record::{Report, ReportedEnd, RequestRecord, ms};
 use super::{Fingerprint, Revision};
@@ -186,11 +186,13 @@
         new
     }
 
-    /// Until when a request is held because of `blamed`, which is one of the fingerprints that it contains.
+    /// Until when a request is held because of `blamed`, which is one of the fingerprints that it contains. Its
+    /// own is the first of these.
     fn held_until_ms(&self, blamed: Fingerprint, contained: &[Fingerprint]) -> Option<i64> {
         let blame = self.blamed.get(&blamed)?;
+        let kind = if contained.first() == Some(&blamed) { Blamed::Request } else { Blamed::Part };
         let last_ms = self.requests.get(&blamed)?.last_end_ms();
-        Some(last_ms.saturating_add(ms(blame.hold_duration(contained))))
+        Some(last_ms.saturating_add(ms(blame.hold_duration(kind, contained))))
     }
 
     /// Remaining time for which a request without known parts is held; `None` if it may be sent.
@@ -198,8 +200,8 @@
         self.hold(&[fingerprint], now).map(|hold| hold.left)
     }
 
-    /// The longest hold of a request; `None` if it may be sent. `fingerprints` are its own and those of the
-    /// parts of its prompt.
+    /// The longest hold of a request; `None` if it may be sent. `fingerprints` are its own, and after it those of
+    /// the parts of its prompt.
     pub fn hold(&self, fingerprints: &[Fingerprint], now: BootTime) -> Option<Hold> {
         let hold = |fingerprint: &Fingerprint| {
             let until_ms = self.held_until_ms(*fingerprint, fingerprints)?;
