Soak: silent targets, parts that crash targets, answers without a length

Three kinds of trouble of the users' pages that the soak did not play:

- Sound targets fall silent for 1 to 2 s, on all or half of their connections, before an answer, between its events or inside one, and go on.
Each request that an entry has read must get a whole answer or a truthful refusal, unless a fault, a cut, an ended target of its service or the deadline explains why not.
A failure is printed with the entries' lines about it.
- Prompts with a part that crashes targets, no two alike, come to any entry beside sound ones with the same first part.
After the fifth crash and 3 s at most three of them may reach targets, not counted those of entries that were restarted or out of touch; from 6 s on sound ones must begin at least half as often as without them.
- One connection in six has answers with neither a length nor chunks.

The proxy passes a reset on as a reset: it closed the other side in order before, so that a target that crashed looked as if its answer had ended. A target that crashed while a list fault restarted it stayed unreachable; its proxy leads to it again.

--- a/tests/platform_stand_in/observations.rs
+++ b/tests/platform_stand_in/observations.rs
@@ -63,6 +63,8 @@
     pub crashing_parts: BTreeMap<String, CrashingRequest>,
     /// Evacuated zones, each with the time of the acknowledgement.
     pub evacuated: BTreeMap<String, Instant>,
+    /// When starts of targets ended, with the ids of the targets.
+    pub target_ends: Vec<(Instant, String)>,
     /// Descriptions of seconds in which a cold engine got more requests than it bears.
     pub cold_bursts: Vec<(Instant, String)>,
     /// Descriptions of windows in which a target got more requests than the limit that it named.
--- a/tests/platform_stand_in/starts.rs
+++ b/tests/platform_stand_in/starts.rs
@@ -107,7 +107,9 @@
             let mut inner = self.lock();
             let target = inner.targets.get_mut(id)?;
             target.end();
-            target.start
+            let start = target.start;
+            inner.observations.target_ends.push((Instant::now(), id.to_string()));
+            start
         };
         let ended_at = Instant::now();
         tokio::time::sleep(restart.down).await;
@@ -152,6 +154,7 @@
         if let Some(target) = inner.targets.get_mut(id).filter(|target| target.start == start) {
             target.is_listed = false;
             target.end();
+            inner.observations.target_ends.push((Instant::now(), id.to_string()));
         }
         inner.list_changed();
     }
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -20,17 +20,15 @@
 use crate::platform_stand_in::observations::{REPEATABLE_ID_PREFIX, RESUMABLE_ID_PREFIX};
 use crate::platform_stand_in::target::{ISOLATED_ACCOUNT, expected_body, expected_event};
 use crate::quarantine::HELD_MESSAGE;
-use crate::system::Disturbance;
 use crate::taken_up_streams::{self, BrokenStream};
+use crate::whole_answers::{self, Failure, Sent, UnexplainedFailure};
 
 /// Deadline of a request.
-const DEADLINE: Duration = Duration::from_secs(4);
+pub const DEADLINE: Duration = Duration::from_secs(4);
 /// Longest pause between two requests of a caller.
 const MAX_PAUSE_MS: u64 = 60;
 /// One request in this many is abandoned by its caller, usually before the answer is complete.
 const ABANDON_ONE_IN: u32 = 12;
-/// A disturbance or fault that ended this long before a request still counts for it.
-const STOP_MARGIN: Duration = Duration::from_secs(1);
 /// Names and API keys of the callers' accounts.
 pub const ACCOUNTS: [(&str, &str); 3] =
     [("alpha", "key-alpha"), ("beta", "key-beta"), (ISOLATED_ACCOUNT, "key-walled")];
@@ -69,6 +67,8 @@
         /// Index of the entry.
         entry: usize,
     },
+    /// The caller got no whole answer.
+    WholeAnswer(UnexplainedFailure),
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -80,7 +80,7 @@
 }
 
 impl RequestKind {
-    fn prefix(self) -> &'static str {
+    pub fn prefix(self) -> &'static str {
         match self {
             RequestKind::Unsafe => "unsafe-",
             RequestKind::Safe => REPEATABLE_ID_PREFIX,
@@ -115,8 +115,34 @@
 
 /// A persistent connection to an entry.
 pub struct KeptConnection {
-    entry: usize,
+    pub entry: usize,
     sender: SendRequest<Full<Bytes>>,
+    /// Whether a request has been sent on it.
+    is_used: bool,
+}
+
+/// What a caller asks.
+pub struct Question {
+    pub kind: RequestKind,
+    pub request_id: String,
+    /// Number of events of a stream.
+    pub events: u64,
+    /// Index of the account.
+    pub account: usize,
+    /// The parts of a prompt.
+    pub parts: Option<String>,
+}
+
+impl Question {
+    /// The request.
+    pub fn message(&self) -> Request<Full<Bytes>> {
+        let (_, key) = ACCOUNTS[self.account];
+        let builder = request_builder(self.kind, &self.request_id, key);
+        with_question(match &self.parts {
+            Some(parts) => add_prompt(builder, self.events, parts),
+            None => builder,
+        })
+    }
 }
 
 /// Sends requests until `stop` is set.
@@ -155,7 +181,7 @@
         let entry = random.random_range(0..system.entries());
         (entry, system.caller_address(entry))
     };
-    Some(KeptConnection { entry, sender: open_connection(address).await? })
+    Some(KeptConnection { entry, sender: open_connection(address).await?, is_used: false })
 }
 
 /// Opens an HTTP connection.
@@ -177,41 +203,52 @@
     random: &mut SmallRng,
 ) -> Option<KeptConnection> {
     let events = random.random_range(1..30);
-    let (account, key) = ACCOUNTS[random.random_range(0..ACCOUNTS.len())];
+    let account = random.random_range(0..ACCOUNTS.len());
     let context = random.random_range(0..CONTEXTS);
-    let mut builder = request_builder(kind, &request_id, key);
-    if kind.is_stream() {
-        builder = add_prompt(builder, events, &format!("c{context}:1000,{request_id}:200"));
-    }
-    let message = with_question(builder);
+    let parts = kind.is_stream().then(|| format!("c{context}:1000,{request_id}:200"));
     let leaves_after = (random.random_ratio(1, ABANDON_ONE_IN))
         .then(|| Duration::from_millis(random.random_range(1..200)));
-    harness.request_counts.sent.fetch_add(1, Ordering::Relaxed);
-    let sent_at = Instant::now();
-    let answer = receive_answer(&mut connection, message);
-    let outcome = match leaves_after {
-        Some(after) => tokio::time::timeout(after, answer).await.unwrap_or(Outcome::CallerLeft),
-        None => answer.await,
-    };
-    let request_check = RequestCheck {
-        harness,
-        kind,
-        request_id,
-        events,
-        account,
-        entry: connection.entry,
-        sent_at,
-    };
-    request_check.check(&outcome);
+    let question = Question { kind, request_id, events, account, parts };
+    let outcome = ask(harness, &question, &mut connection, leaves_after).await;
     if let (RequestKind::Resumable, Outcome::Answer { status: 200, body, is_whole: false, .. }) =
         (kind, &outcome)
     {
-        let broken = BrokenStream { id: request_check.request_id, events, key, received: body };
+        let (_, key) = ACCOUNTS[account];
+        let broken = BrokenStream { id: question.request_id, events, key, received: body };
         taken_up_streams::take_up(harness, &broken, random).await;
     }
     matches!(outcome, Outcome::Answer { is_whole: true, .. }).then_some(connection)
 }
 
+/// Sends a request and checks its answer. The caller may disconnect after some time.
+pub async fn ask(
+    harness: &Harness,
+    question: &Question,
+    connection: &mut KeptConnection,
+    leaves_after: Option<Duration>,
+) -> Outcome {
+    harness.request_counts.sent.fetch_add(1, Ordering::Relaxed);
+    let request_check = RequestCheck {
+        harness,
+        question,
+        sent: Sent {
+            request_id: &question.request_id,
+            service: if question.kind.is_stream() { "llm" } else { "app" },
+            entry: connection.entry,
+            at: Instant::now(),
+            is_first_on_connection: !connection.is_used,
+        },
+    };
+    connection.is_used = true;
+    let answer = receive_answer(connection, question.message());
+    let outcome = match leaves_after {
+        Some(after) => tokio::time::timeout(after, answer).await.unwrap_or(Outcome::CallerLeft),
+        None => answer.await,
+    };
+    request_check.check(&outcome);
+    outcome
+}
+
 /// The headers of a request.
 pub fn request_builder(kind: RequestKind, request_id: &str, key: &str) -> Builder {
     Request::builder()
@@ -275,25 +312,21 @@
 /// A sent request, for checking its answer.
 struct RequestCheck<'w> {
     harness: &'w Harness,
-    kind: RequestKind,
-    request_id: String,
-    events: u64,
-    account: &'static str,
-    entry: usize,
-    sent_at: Instant,
+    question: &'w Question,
+    sent: Sent<'w>,
 }
 
 impl RequestCheck<'_> {
     fn check(&self, outcome: &Outcome) {
-        if !self.kind.is_stream() && !matches!(outcome, Outcome::CallerLeft) {
+        if !self.question.kind.is_stream() && !matches!(outcome, Outcome::CallerLeft) {
             let is_served = matches!(outcome, Outcome::Answer { status: 200, is_whole: true, .. });
-            let attempt = Attempt { entry: self.entry, sent_at: self.sent_at, is_served };
+            let attempt = Attempt { entry: self.sent.entry, sent_at: self.sent.at, is_served };
             self.harness.attempts.lock().expect("the lock is not poisoned").push(attempt);
         }
         let request_counts = &self.harness.request_counts;
         match outcome {
             Outcome::CallerLeft => {
-                let (request_id, entry) = (self.request_id.clone(), self.entry);
+                let (request_id, entry) = (self.question.request_id.clone(), self.sent.entry);
                 self.harness.defer_check(DeferredCheck::CallerLeft {
                     request_id,
                     at: Instant::now(),
@@ -302,10 +335,13 @@
             }
             Outcome::ConnectionFailed(reason) => {
                 request_counts.failed.fetch_add(1, Ordering::Relaxed);
-                self.check_connection_failure(reason);
+                whole_answers::check(self.harness, &self.sent, Failure::NoAnswer(reason));
             }
             Outcome::Answer { status: 200, stamp, body, is_whole } => {
                 self.check_success(stamp.as_deref(), body, *is_whole);
+                if !is_whole {
+                    whole_answers::check(self.harness, &self.sent, Failure::Truncated(body.len()));
+                }
                 let counter =
                     if *is_whole { &request_counts.completed } else { &request_counts.failed };
                 counter.fetch_add(1, Ordering::Relaxed);
@@ -320,16 +356,16 @@
     }
 
     fn record_violation(&self, description: String) {
-        let (request_id, entry) = (&self.request_id, self.entry);
+        let (request_id, entry) = (&self.question.request_id, self.sent.entry);
         self.harness.record_violation(format!("{request_id} at entry-{entry}: {description}"));
     }
 
     fn check_success(&self, stamp: Option<&str>, body: &[u8], is_whole: bool) {
-        let expected: String = match self.kind.is_stream() {
-            true => {
-                (1..=self.events).map(|number| expected_event(&self.request_id, number)).collect()
-            }
-            false => expected_body(&self.request_id),
+        let expected: String = match self.question.kind.is_stream() {
+            true => (1..=self.question.events)
+                .map(|number| expected_event(&self.question.request_id, number))
+                .collect(),
+            false => expected_body(&self.question.request_id),
         };
         let is_expected = match is_whole {
             true => body == expected.as_bytes(),
@@ -340,18 +376,16 @@
             self.record_violation(format!("whole={is_whole} body={body:?}, expected {expected:?}"));
         }
         let platform = self.harness.platform.lock();
-        let runs = platform.observations.runs_of(&self.request_id).to_vec();
+        let runs = platform.observations.runs_of(&self.question.request_id).to_vec();
         drop(platform);
         if !runs.iter().any(|run| Some(run.stamp.as_str()) == stamp) {
             self.record_violation(format!(
                 "successful answer with stamp {stamp:?} matches none of its runs: {runs:?}"
             ));
         }
-        if runs.iter().any(|run| run.tenant != self.account) {
-            self.record_violation(format!(
-                "ran under another account than {}: {runs:?}",
-                self.account
-            ));
+        let (account, _) = ACCOUNTS[self.question.account];
+        if runs.iter().any(|run| run.tenant != account) {
+            self.record_violation(format!("ran under another account than {account}: {runs:?}"));
         }
     }
 
@@ -360,31 +394,13 @@
         match status {
             408 | 421 | 429 | 503 if !is_stamped => {
                 request_counts.refused.fetch_add(1, Ordering::Relaxed);
-                self.harness.defer_check(DeferredCheck::NotRun(self.request_id.clone()));
+                self.harness.defer_check(DeferredCheck::NotRun(self.question.request_id.clone()));
+            }
+            500 | 502 | 504 => {
+                request_counts.failed.fetch_add(1, Ordering::Relaxed);
+                whole_answers::check(self.harness, &self.sent, Failure::Status(status));
             }
-            500 | 502 | 504 => drop(request_counts.failed.fetch_add(1, Ordering::Relaxed)),
             _ => self.record_violation(format!("unexpected status {status}")),
         }
     }
-
-    /// Records a connection that failed without an answer, unless the entry had an unplanned
-    /// disturbance or a fault was active.
-    fn check_connection_failure(&self, reason: &str) {
-        let system = self.harness.system();
-        let disturbances = system.disturbances_since(self.entry, self.sent_at - STOP_MARGIN);
-        let is_planned =
-            disturbances.iter().all(|disturbance| *disturbance != Disturbance::Unplanned);
-        // A request without a run may have been sent while the entry closed the idle connection.
-        let platform = self.harness.platform.lock();
-        let runs = platform.observations.runs_of(&self.request_id);
-        // A target that has terminated since may have failed before its first byte.
-        let has_run =
-            !runs.is_empty() && runs.iter().all(|run| platform.runs(&run.target, run.start));
-        drop((system, platform));
-        if is_planned && has_run && !self.harness.had_fault_since(self.sent_at - STOP_MARGIN) {
-            self.record_violation(format!(
-                "connection failed without an unplanned disturbance ({reason}, {disturbances:?})"
-            ));
-        }
-    }
 }
--- a/tests/soak/entry_cuts.rs
+++ b/tests/soak/entry_cuts.rs
@@ -28,6 +28,14 @@
     pub is_served: bool,
 }
 
+/// A time in which an entry was cut off.
+#[derive(Clone, Copy, Debug)]
+pub struct Cut {
+    pub entry: usize,
+    /// Its end; `None` while it lasts.
+    pub until: Option<Instant>,
+}
+
 /// Cuts off one entry after the other until the faults end.
 pub async fn run(harness: Arc<Harness>, faults_done: Arc<AtomicBool>) {
     let mut random = SmallRng::seed_from_u64(harness.seed ^ 0x6375_7473);
@@ -35,6 +43,8 @@
         tokio::time::sleep(Duration::from_millis(random.random_range(PAUSE_MS))).await;
         let entry = random.random_range(0..harness.entries);
         let Some(pid) = harness.system().pid(entry) else { continue };
+        let cuts = || harness.cuts.lock().expect("the lock is not poisoned");
+        cuts().push(Cut { entry, until: None });
         harness.cut_off.send_replace(Some(pid));
         let from = Instant::now() + NOTICED_WITHIN;
         let to = from + Duration::from_millis(random.random_range(JUDGED_MS));
@@ -43,6 +53,7 @@
         }
         let to = Instant::now();
         harness.cut_off.send_replace(None);
+        cuts().last_mut().expect("it was added").until = Some(to);
         let is_same = harness.system().pid(entry) == Some(pid);
         let had_fault = harness.had_fault_between(from - NOTICED_WITHIN - HELD_UP_TIME, to);
         if is_same && !had_fault && to > from {
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -13,7 +13,7 @@
 
 use crate::Harness;
 use crate::platform_stand_in::target::Fault;
-use crate::proxy::{NetworkFault, Proxy};
+use crate::proxy::{NetworkFault, Proxy, TargetFaults};
 
 /// Duration of a fault phase.
 const FAULT_PHASE: Duration = Duration::from_secs(10);
@@ -104,8 +104,7 @@
         let id = format!("i-{service}-{}", self.started_targets);
         let zone = format!("hall-{}", self.started_targets % 3);
         let any_address = self.harness.any_stand_in_address;
-        let cut_off = self.harness.cut_off.subscribe();
-        let proxy = Proxy::start(any_address, any_address, Some(cut_off)).await;
+        let proxy = self.start_proxy().await;
         let platform = &self.harness.platform;
         let listed = Some(proxy.address);
         let address = platform.start_target(&id, service, &zone, any_address, listed).await;
@@ -115,6 +114,16 @@
         self.targets.insert(id, proxy);
     }
 
+    /// Starts a proxy for a target.
+    pub(super) async fn start_proxy(&self) -> Proxy {
+        let any_address = self.harness.any_stand_in_address;
+        let faults = TargetFaults {
+            cut_off: self.harness.cut_off.subscribe(),
+            silence: self.harness.silence.subscribe(),
+        };
+        Proxy::start(any_address, any_address, Some(faults)).await
+    }
+
     /// Injects faults for this time, then waits until all are cleared.
     pub async fn run(&mut self, duration: Duration) {
         let end = Instant::now() + duration;
--- a/tests/soak/list_faults.rs
+++ b/tests/soak/list_faults.rs
@@ -13,7 +13,7 @@
 use crate::platform_stand_in::starts::Restart;
 use crate::platform_stand_in::store::clock_ms;
 use crate::platform_stand_in::target::Fault;
-use crate::proxy::{NetworkFault, Proxy};
+use crate::proxy::NetworkFault;
 
 /// Longest downtime of a restarting target.
 const MAX_DOWN_MS: u64 = 2_500;
@@ -150,12 +150,7 @@
         let any_address = harness.any_stand_in_address;
         // Another process may take the old port while the target is down.
         current_proxy.redirect(any_address);
-        let listed = if changes_address {
-            let cut_off = self.harness.cut_off.subscribe();
-            Proxy::start(any_address, any_address, Some(cut_off)).await
-        } else {
-            current_proxy
-        };
+        let listed = if changes_address { self.start_proxy().await } else { current_proxy.clone() };
         self.targets.insert(id.clone(), listed.clone());
         let restart = Restart {
             down: Duration::from_millis(down),
@@ -166,7 +161,12 @@
         };
         self.clearing.spawn(async move {
             if let Some(address) = harness.platform.restart_target(&id, restart).await {
-                listed.redirect(address);
+                return listed.redirect(address);
+            }
+            // It crashed meanwhile and has restarted after that.
+            if let Some(target) = harness.platform.lock().targets.get(&id) {
+                current_proxy.redirect(target.address);
+                listed.redirect(target.address);
             }
         });
     }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -3,11 +3,14 @@
 //!
 //! Usage: `cargo test --release --test soak -- --seed 7 --processes 8 --minutes 2`. `--seeds N`
 //! runs N consecutive seeds; `--plain` omits faults of the target list and target restarts.
-//! Without `--seed`, runs the seeds in `REGRESSIONS`. `--skip cold_bursts` prints requests that
-//! overrun cold engines and doesn't count them.
+//! Without `--seed`, runs the seeds in `REGRESSIONS`. `--skip` with the name of a check in
+//! `SKIPPABLE_CHECKS` prints its violations and doesn't count them. `--without silence` and
+//! `--without crashing_parts` omit these disturbances, to find out which one a failure needs.
 
 mod brittle;
 mod callers;
+mod connection_owners;
+mod crashing_parts;
 mod disk_load;
 mod entry_cuts;
 mod evacuation;
@@ -19,9 +22,12 @@
 mod platform_stand_in;
 mod proxy;
 mod quarantine;
+mod silence;
 mod system;
 mod taken_up_streams;
 mod target_recovery;
+mod unframed;
+mod whole_answers;
 
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -30,7 +36,8 @@
 use std::time::{Duration, Instant};
 
 use callers::{DeferredCheck, RequestCounts};
-use entry_cuts::Attempt;
+use crashing_parts::Episode;
+use entry_cuts::{Attempt, Cut};
 use faults::{FaultInjector, FaultSet};
 use futures::StreamExt;
 use operator::Published;
@@ -39,6 +46,7 @@
 use platform_stand_in::observations::{Guarantee, LateEvent, RunEnd};
 use platform_stand_in::target::Fault;
 use proxy::Proxy;
+use silence::Silence;
 use system::{Disturbance, REPLICAS, System};
 use tokio::sync::watch;
 
@@ -63,8 +71,12 @@
 ];
 /// What engines bear after a start: less than callers send to an idle engine.
 const COLD_START: ColdStart = ColdStart { duration: Duration::from_secs(2), requests_per_s: 8.0 };
-/// Name by which `--skip` passes over the check of requests to cold engines.
+/// Names of checks that `--skip` passes over: requests to cold engines, answers of requests that
+/// entries have read, and parts of prompts that crash targets.
 const COLD_BURSTS_CHECK: &str = "cold_bursts";
+const WHOLE_ANSWERS_CHECK: &str = "whole_answers";
+const CRASHING_PARTS_CHECK: &str = "crashing_parts";
+const SKIPPABLE_CHECKS: [&str; 3] = [COLD_BURSTS_CHECK, WHOLE_ANSWERS_CHECK, CRASHING_PARTS_CHECK];
 /// A request that was held up by a fault this long ago may arrive together with later ones.
 const HELD_UP_TIME: Duration = Duration::from_secs(3);
 /// Longest time that a target may run a request after its caller has disconnected. Exceeds the
@@ -76,8 +88,8 @@
 /// State shared by all tasks of a run.
 pub struct Harness {
     pub seed: u64,
-    /// Whether requests to cold engines are printed and not counted as violations.
-    skips_cold_bursts: bool,
+    /// Names of checks whose violations are printed and not counted.
+    skipped_checks: Vec<&'static str>,
     /// Number of entries.
     pub entries: usize,
     /// Stand-ins of the platform.
@@ -94,6 +106,12 @@
     pub refusal_checks: AtomicU64,
     /// Process whose connections to targets are reset.
     pub cut_off: watch::Sender<Option<u32>>,
+    /// The target that is silent.
+    pub silence: watch::Sender<Option<Silence>>,
+    /// Times in which entries were cut off from targets.
+    pub cuts: Mutex<Vec<Cut>>,
+    /// Times in which parts of prompts crash targets.
+    pub episodes: Mutex<Vec<Episode>>,
     /// Requests to plain services whose callers have not left.
     pub attempts: Mutex<Vec<Attempt>>,
     /// Number of cuts for which the service of callers was compared.
@@ -123,6 +141,14 @@
         self.violations.lock().expect("the lock is not poisoned").push(description);
     }
 
+    /// Records a violation of one of `SKIPPABLE_CHECKS`, unless it is passed over.
+    pub fn record_failed_check(&self, check: &str, description: String) {
+        match self.skipped_checks.contains(&check) {
+            true => println!("seed {}: passed over, {check}: {description}", self.seed),
+            false => self.record_violation(format!("{check}: {description}")),
+        }
+    }
+
     /// Schedules a check for the end of the run.
     pub fn defer_check(&self, check: DeferredCheck) {
         self.deferred_checks.lock().expect("the lock is not poisoned").push(check);
@@ -175,6 +201,7 @@
                 DeferredCheck::CallerLeft { request_id, at, entry } => {
                     self.check_abandoned_runs(&request_id, at, entry)
                 }
+                DeferredCheck::WholeAnswer(failure) => whole_answers::report(self, &failure),
             }
         }
     }
@@ -231,13 +258,10 @@
         }
         let cold_bursts: Vec<String> =
             unexcused.into_iter().map(|(_, what)| what.clone()).collect();
-        match self.skips_cold_bursts {
-            true => cold_bursts
-                .iter()
-                .for_each(|what| println!("seed {}: passed over: {what}", self.seed)),
-            false => violations.extend(cold_bursts),
-        }
         drop(platform);
+        cold_bursts
+            .into_iter()
+            .for_each(|description| self.record_failed_check(COLD_BURSTS_CHECK, description));
         violations.extend(limits::excesses(self));
         violations.extend(taken_up_streams::violations(self));
         if repeats as f64 > max_repeats {
@@ -253,7 +277,8 @@
     entries: usize,
     duration: Duration,
     fault_set: FaultSet,
-    skips_cold_bursts: bool,
+    skipped_checks: Vec<&'static str>,
+    omitted: &[String],
 ) -> Vec<String> {
     let started = Instant::now();
     let platform = Platform::new();
@@ -268,7 +293,7 @@
     let store = platform.serve_store(any_port).await;
     let harness = Arc::new(Harness {
         seed,
-        skips_cold_bursts,
+        skipped_checks,
         entries,
         platform,
         store,
@@ -277,6 +302,9 @@
         version_checks: AtomicU64::new(0),
         refusal_checks: AtomicU64::new(0),
         cut_off: watch::Sender::default(),
+        silence: watch::Sender::default(),
+        cuts: Mutex::default(),
+        episodes: Mutex::default(),
         attempts: Mutex::default(),
         cuts_judged: AtomicU64::new(0),
         system: Mutex::new(System::start(
@@ -304,6 +332,13 @@
     tasks.spawn(limits::run(harness.clone(), faults_done.clone()));
     tasks.spawn(brittle::run(harness.clone(), faults_done.clone()));
     tasks.spawn(entry_cuts::run(harness.clone(), faults_done.clone()));
+    let is_omitted = |name: &str| omitted.iter().any(|omitted| omitted == name);
+    if !is_omitted("silence") {
+        tasks.spawn(silence::run(harness.clone(), faults_done.clone()));
+    }
+    if !is_omitted("crashing_parts") {
+        tasks.spawn(crashing_parts::run(harness.clone(), faults_done.clone()));
+    }
     injector.run(duration).await;
     faults_done.store(true, Ordering::Relaxed);
     operator.await.expect("the task does not panic");
@@ -317,7 +352,8 @@
     harness.run_deferred_checks();
     harness.check_platform_account();
     quarantine::check(&harness);
-    let summary_line = summary(&harness, &injector, started);
+    let parts = crashing_parts::check(&harness);
+    let summary_line = format!("{} parts={parts:?}", summary(&harness, &injector, started));
     let latest = [Guarantee::Leaving, Guarantee::Weights, Guarantee::Evacuation]
         .map(|guarantee| harness.latest_without_fault(guarantee));
     injector.close().await;
@@ -397,7 +433,10 @@
     let duration =
         minutes.map_or(DEFAULT_DURATION, |minutes| Duration::from_secs_f64(minutes * 60.0));
     let skipped: Vec<String> = arguments.values_from_str("--skip").expect("the values are names");
-    let skips_cold_bursts = skipped.iter().any(|name| name == COLD_BURSTS_CHECK);
+    let is_skipped = |check: &&str| skipped.iter().any(|name| name == check);
+    let skipped_checks: Vec<&str> = SKIPPABLE_CHECKS.into_iter().filter(is_skipped).collect();
+    let omitted: Vec<String> =
+        arguments.values_from_str("--without").expect("the values are names");
     let fault_set = if arguments.contains("--plain") { FaultSet::Plain } else { FaultSet::All };
     let entries = processes.unwrap_or(8).saturating_sub(REPLICAS).max(1);
     let seeds: Vec<(u64, FaultSet)> = match first {
@@ -407,8 +446,14 @@
     let mut failed = 0;
     for (seed, fault_set) in &seeds {
         let runtime = tokio::runtime::Runtime::new().expect("the runtime starts");
-        let violations =
-            runtime.block_on(run_seed(*seed, entries, duration, *fault_set, skips_cold_bursts));
+        let violations = runtime.block_on(run_seed(
+            *seed,
+            entries,
+            duration,
+            *fault_set,
+            skipped_checks.clone(),
+            &omitted,
+        ));
         violations.iter().for_each(|description| println!("seed {seed}: {description}"));
         failed += u32::from(!violations.is_empty());
     }
--- a/tests/soak/proxy.rs
+++ b/tests/soak/proxy.rs
@@ -1,15 +1,28 @@
 //! A loopback TCP proxy with fault injection.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use socket2::SockRef;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use super::connection_owners::owns_port;
+use super::silence::{Silence, SilentConnection};
+use super::unframed;
+
+/// What happens to the connections of targets.
+#[derive(Clone)]
+pub struct TargetFaults {
+    /// Process whose connections are reset.
+    pub cut_off: watch::Receiver<Option<u32>>,
+    /// The target that is silent.
+    pub silence: watch::Receiver<Option<Silence>>,
+}
+
 /// A fault of the connections through a proxy.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NetworkFault {
@@ -24,6 +37,9 @@
     Reset,
 }
 
+/// Most bytes that are read at once.
+const BUFFER_BYTES: usize = 16 << 10;
+
 /// A proxy for one target address.
 #[derive(Clone)]
 pub struct Proxy {
@@ -34,12 +50,12 @@
 }
 
 impl Proxy {
-    /// Starts a proxy at `address`, on a free port if its port is 0. Connections of the process in
-    /// `cut_off` are reset.
+    /// Starts a proxy at `address`, on a free port if its port is 0. A proxy of a target has
+    /// `target_faults`.
     pub async fn start(
         address: SocketAddr,
         target_address: SocketAddr,
-        cut_off: Option<watch::Receiver<Option<u32>>>,
+        target_faults: Option<TargetFaults>,
     ) -> Proxy {
         let listener = TcpListener::bind(address).await.expect("a free port");
         let proxy = Proxy {
@@ -47,18 +63,23 @@
             fault: Arc::new(watch::Sender::new(NetworkFault::None)),
             target_address: Arc::new(Mutex::new(target_address)),
         };
-        let (fault, target_address) = (proxy.fault.clone(), proxy.target_address.clone());
+        let accepting = proxy.clone();
         tokio::spawn(async move {
+            let connections = AtomicU64::new(0);
             while let Ok((stream, caller)) = listener.accept().await {
-                let target_address = *target_address.lock().expect("the lock is not poisoned");
-                let cut_off = cut_off.clone();
-                let is_cut_off = async move {
-                    match cut_off {
-                        Some(cut_off) => until_cut_off(cut_off, caller.port()).await,
-                        None => std::future::pending().await,
-                    }
+                let number = connections.fetch_add(1, Ordering::Relaxed);
+                let target_address = accepting.target_address();
+                let fault = accepting.fault.subscribe();
+                let Some(faults) = target_faults.clone() else {
+                    let never = std::future::pending();
+                    tokio::spawn(relay(stream, target_address, fault, never, None));
+                    continue;
                 };
-                tokio::spawn(relay(stream, target_address, fault.subscribe(), is_cut_off));
+                let silent = SilentConnection::new(faults.silence, accepting.address, number);
+                let is_unframed = unframed::is_unframed(number);
+                let target = Some(TargetConnection { silent, is_unframed });
+                let is_cut_off = until_cut_off(faults.cut_off, caller.port());
+                tokio::spawn(relay(stream, target_address, fault, is_cut_off, target));
             }
         });
         proxy
@@ -69,17 +90,29 @@
         *self.target_address.lock().expect("the lock is not poisoned") = target_address;
     }
 
+    fn target_address(&self) -> SocketAddr {
+        *self.target_address.lock().expect("the lock is not poisoned")
+    }
+
     /// Sets the fault of existing and new connections.
     pub fn set_fault(&self, fault: NetworkFault) {
         self.fault.send_replace(fault);
     }
 }
 
+/// How a connection of a target differs from others.
+struct TargetConnection {
+    silent: SilentConnection,
+    /// Whether its answers have no length and end with it.
+    is_unframed: bool,
+}
+
 async fn relay(
     stream: TcpStream,
     target_address: SocketAddr,
     mut fault: watch::Receiver<NetworkFault>,
     is_cut_off: impl Future<Output = ()>,
+    target_connection: Option<TargetConnection>,
 ) {
     let reset = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
     reset.expect("the socket accepts options");
@@ -92,12 +125,14 @@
     let Ok(target) = target else { return };
     stream.set_nodelay(true).expect("the socket accepts options");
     target.set_nodelay(true).expect("the socket accepts options");
-    let (from_caller, to_caller) = stream.into_split();
-    let (from_target, to_target) = target.into_split();
-    let towards_target = copy(from_caller, to_target, fault.clone(), false);
-    let towards_caller = copy(from_target, to_caller, fault.clone(), true);
+    let (from_caller, to_caller) = tokio::io::split(stream);
+    let (from_target, to_target) = tokio::io::split(target);
+    let is_unframed = target_connection.as_ref().is_some_and(|target| target.is_unframed);
+    let towards_target = copy_requests(from_caller, to_target, fault.clone(), is_unframed);
+    let towards_caller = copy_answers(from_target, to_caller, fault.clone(), target_connection);
+    // A connection that was not shut down before is reset.
     tokio::select! {
-        () = async { tokio::join!(towards_target, towards_caller); } => {}
+        _ = async { tokio::try_join!(towards_target, towards_caller) } => {}
         _ = fault.wait_for(|fault| *fault == NetworkFault::Reset) => {}
         () = is_cut_off => {}
     }
@@ -105,9 +140,10 @@
 
 /// Waits until the process that owns a local port is cut off.
 async fn until_cut_off(mut cut_off: watch::Receiver<Option<u32>>, port: u16) {
+    let open_since = Instant::now();
     loop {
         let pid = *cut_off.borrow_and_update();
-        if pid.is_some_and(|pid| owns_port(pid, port)) {
+        if pid.is_some_and(|pid| owns_port(pid, port, open_since)) {
             return;
         }
         if cut_off.changed().await.is_err() {
@@ -116,50 +152,73 @@
     }
 }
 
-/// Whether a TCP connection from a local port belongs to a process.
-fn owns_port(pid: u32, port: u16) -> bool {
-    // The process may have ended.
-    let Ok(links) = std::fs::read_dir(format!("/proc/{pid}/fd")) else { return false };
-    let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
-    let suffix = format!(":{port:04X}");
-    let inodes: Vec<String> = table
-        .lines()
-        .map(|line| line.split_whitespace().collect::<Vec<&str>>())
-        .filter(|fields| fields.len() > 9 && fields[1].ends_with(&suffix))
-        .map(|fields| format!("socket:[{}]", fields[9]))
-        .collect();
-    let targets = links.filter_map(|link| std::fs::read_link(link.ok()?.path()).ok());
-    targets
-        .into_iter()
-        .any(|target| inodes.iter().any(|inode| target.as_os_str() == inode.as_str()))
+async fn copy_requests(
+    mut from: ReadHalf<TcpStream>,
+    mut to: WriteHalf<TcpStream>,
+    mut fault: watch::Receiver<NetworkFault>,
+    is_unframed: bool,
+) -> std::io::Result<()> {
+    let mut bytes = vec![0; BUFFER_BYTES];
+    loop {
+        let read = from.read(&mut bytes).await?;
+        if read == 0 {
+            return to.shutdown().await;
+        }
+        hold_up(&mut fault, |fault| *fault == NetworkFault::Stall).await;
+        if is_unframed {
+            unframed::downgrade_request(&mut bytes[..read]);
+        }
+        // A target that does not read on may have answered.
+        if to.write_all(&bytes[..read]).await.is_err() {
+            return Ok(());
+        }
+    }
 }
 
-async fn copy(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+async fn copy_answers(
+    mut from: ReadHalf<TcpStream>,
+    mut to: WriteHalf<TcpStream>,
     mut fault: watch::Receiver<NetworkFault>,
-    is_towards_caller: bool,
-) {
-    let mut bytes = vec![0; 16 << 10];
+    mut target: Option<TargetConnection>,
+) -> std::io::Result<()> {
+    let mut bytes = vec![0; BUFFER_BYTES];
     loop {
-        let read = match from.read(&mut bytes).await {
-            Ok(0) | Err(_) => return,
-            Ok(read) => read,
-        };
+        let read = from.read(&mut bytes).await?;
+        if read == 0 {
+            return to.shutdown().await;
+        }
         let blocks = |fault: &NetworkFault| {
-            *fault == NetworkFault::Stall
-                || (*fault == NetworkFault::StallTowardsCaller && is_towards_caller)
+            matches!(fault, NetworkFault::Stall | NetworkFault::StallTowardsCaller)
         };
-        if blocks(&fault.borrow()) && fault.wait_for(|fault| !blocks(fault)).await.is_err() {
-            return;
-        }
-        let delay = match *fault.borrow() {
-            NetworkFault::Delay(delay) => delay,
-            _ => Duration::ZERO,
+        hold_up(&mut fault, blocks).await;
+        let Some(target) = &mut target else {
+            to.write_all(&bytes[..read]).await?;
+            continue;
         };
-        tokio::time::sleep(delay).await;
-        if to.write_all(&bytes[..read]).await.is_err() {
-            return;
+        let answer = match target.is_unframed {
+            true => unframed::upgrade_response(&bytes[..read]),
+            false => bytes[..read].to_vec(),
+        };
+        let mut written = 0;
+        if let Some(before) = target.silent.written_before(&answer) {
+            to.write_all(&answer[..before]).await?;
+            target.silent.goes_on().await;
+            written = before;
         }
+        to.write_all(&answer[written..]).await?;
     }
 }
+
+/// Waits as long as a fault blocks, or delays data.
+async fn hold_up(
+    fault: &mut watch::Receiver<NetworkFault>,
+    blocks: impl Fn(&NetworkFault) -> bool,
+) {
+    // The proxy may have ended.
+    let _ = fault.wait_for(|fault| !blocks(fault)).await;
+    let delay = match *fault.borrow() {
+        NetworkFault::Delay(delay) => delay,
+        _ => Duration::ZERO,
+    };
+    tokio::time::sleep(delay).await;
+}
--- a/tests/soak/system.rs
+++ b/tests/soak/system.rs
@@ -287,8 +287,13 @@
 
     /// Disturbances of a process that were active at or after a time.
     pub fn disturbances_since(&self, n: usize, since: Instant) -> Vec<Disturbance> {
-        let overlaps = |(_, _, ended): &&(Disturbance, Instant, Option<Instant>)| {
-            ended.is_none_or(|ended| ended >= since)
+        self.disturbances_between(n, since, Instant::now())
+    }
+
+    /// Disturbances of a process that were active between two times.
+    pub fn disturbances_between(&self, n: usize, from: Instant, to: Instant) -> Vec<Disturbance> {
+        let overlaps = |(_, started, ended): &&(Disturbance, Instant, Option<Instant>)| {
+            *started <= to && ended.is_none_or(|ended| ended >= from)
         };
         self.processes[n]
             .disturbances
@@ -298,6 +303,18 @@
             .collect()
     }
 
+    /// Lines in the logs of all entries that contain a text.
+    #[allow(dead_code, reason = "not used by the tests of a deployment")]
+    pub fn entry_log_lines(&self, text: &str) -> Vec<String> {
+        let logs = (0..self.entries).map(|n| std::fs::read(self.file_path(n, "log")));
+        let logs = logs.map(Result::unwrap_or_default);
+        let matching = |log: Vec<u8>| -> Vec<String> {
+            let log = String::from_utf8_lossy(&log);
+            log.lines().filter(|line| line.contains(text)).map(str::to_string).collect()
+        };
+        logs.flat_map(matching).collect()
+    }
+
     /// Kills all processes and returns their folder.
     pub fn close(mut self) -> TempDir {
         (0..self.processes.len()).for_each(|n| self.kill(n));
