Soak: excuse a request without an answer only if a target that ran it has ended

The comparison of whole answers had also excused it for any target of the service that ended shortly before, which the check that it replaced did not.

--- a/tests/soak/whole_answers.rs
+++ b/tests/soak/whole_answers.rs
@@ -65,7 +65,7 @@
         return;
     }
     let is_explained = match failure {
-        Failure::NoAnswer(_) if has_run(harness, sent) => has_target_ended(harness, sent),
+        Failure::NoAnswer(_) if has_run(harness, sent) => has_target_of_run_ended(harness, sent),
         Failure::NoAnswer(_) => {
             !sent.is_first_on_connection || disturbances.contains(&Disturbance::Stop)
         }
@@ -102,6 +102,13 @@
     !harness.platform.lock().observations.runs_of(sent.request_id).is_empty()
 }
 
+/// Whether a target that ran it has ended.
+fn has_target_of_run_ended(harness: &Harness, sent: &Sent<'_>) -> bool {
+    let platform = harness.platform.lock();
+    let runs = platform.observations.runs_of(sent.request_id);
+    runs.iter().any(|run| !platform.runs(&run.target, run.start))
+}
+
 /// Whether a target to which it may have been sent has ended.
 fn has_target_ended(harness: &Harness, sent: &Sent<'_>) -> bool {
     let platform = harness.platform.lock();
