Keep full quarantines from exchanging evicted records for ever, and assign blame less often

Cause: with parts, a quarantine of 2,048 records is full after some twenty ends. Replicas evict different records, so that their digests never agreed again: each sent all it had to all others, what these had evicted came back as new, was evicted again, and counted as a change to be told to everybody. Besides, blame was assigned anew for each of thousands of reports.

Unknown records with fewer than two uncleared ends that may have been evicted are ignored; digests cover, and replicas exchange, only records with several ends; blame is assigned every 50 ms at most, and for a request in between from what is known then.

--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -210,7 +210,7 @@
             ReplicaFrame::QuarantineDigest(digest) => {
                 let known = self.shared.quarantine.borrow();
                 if known.digest() != digest {
-                    let reports = known.reports_since(Revision::default(), now);
+                    let reports = known.suspect_reports_since(Revision::default(), now);
                     self.shared.links.send(ip, encode(&ReplicaFrame::Quarantine(reports)));
                 }
             }
--- a/src/quarantine/record.rs
+++ b/src/quarantine/record.rs
@@ -13,7 +13,7 @@
 pub(super) const ENDS_TO_HOLD: usize = 3;
 /// A request with this many ends is a suspect. Suspects are reported to all processes, so that a
 /// complete answer at any of them clears the request.
-const ENDS_TO_SUSPECT: usize = ENDS_TO_HOLD - 1;
+pub(super) const ENDS_TO_SUSPECT: usize = ENDS_TO_HOLD - 1;
 /// Ends within this time of each other count once if the request was already running on both
 /// targets: hosts that lose power together take down many targets that ran the same frequent
 /// request.
@@ -150,6 +150,11 @@
         self.uncleared_ends().map(|(_, end)| end.lasted_ms).sum()
     }
 
+    /// When the last target ended, also if that was cleared.
+    pub(super) fn latest_end_ms(&self) -> Option<i64> {
+        self.ends.values().map(|end| end.at_ms).max()
+    }
+
     pub(super) fn last_end_ms(&self) -> i64 {
         self.uncleared_ends().map(|(_, end)| end.at_ms).max().unwrap_or(i64::MIN)
     }
--- a/src/quarantine/state.rs
+++ b/src/quarantine/state.rs
@@ -3,6 +3,7 @@
 //! An "end" is the unexpected termination of a target while it ran the request, or a request with the part.
 //! It is cleared when the request, or another one with the part, later gets a complete answer.
 
+use std::borrow::Cow;
 use std::collections::HashMap;
 use std::hash::{Hash, Hasher};
 use std::time::Duration;
@@ -11,7 +12,7 @@
 
 use super::blame::{self, Blame, Blamed, HoldReason};
 use super::broken_runs::BrokenRun;
-use super::record::{Report, ReportedEnd, RequestRecord, ms};
+use super::record::{ENDS_TO_SUSPECT, Report, ReportedEnd, RequestRecord, ms};
 use super::{Fingerprint, Revision};
 use crate::clock::BootTime;
 use crate::ids::TargetStart;
@@ -29,6 +30,8 @@
 const EVICTION_BATCH: usize = 256;
 /// Interval between removals of expired records.
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(1);
+/// Shortest interval between assignments of blame. Reports come in bursts when many targets end.
+const BLAME_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Why a request is held, and for how much longer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -52,6 +55,13 @@
     suspects_revision: Revision,
     /// Requests with enough attributed ends to be held; the hold may have expired.
     blamed: HashMap<Fingerprint, Blame>,
+    /// When `blamed` was last determined.
+    blamed_at: Option<BootTime>,
+    /// Whether records have changed since.
+    is_blame_due: bool,
+    /// Records that were evicted have no later end. Reports of them are ignored, lest processes that evict
+    /// different ones send them to each other for ever.
+    evicted_until_ms: Option<i64>,
 }
 
 /// The result of merging reports.
@@ -105,9 +115,8 @@
             self.remember_completion(*fingerprint, ms(completed_at));
             changed |= self.clear_ends(*fingerprint, ms(completed_at), now);
         }
-        if changed {
-            self.assign_blame();
-        }
+        self.is_blame_due |= changed;
+        self.assign_blame(now);
         changed
     }
 
@@ -148,6 +157,9 @@
         let mut merged = MergeResult::default();
         for report in reports {
             let fingerprint = report.fingerprint;
+            if self.was_evicted(&report, now) {
+                continue;
+            }
             let before = self.requests.get(&fingerprint).cloned().unwrap_or_default();
             let mut record = before.clone();
             record.merge_ends(report.ends, now);
@@ -171,14 +183,30 @@
             self.requests.insert(fingerprint, record);
         }
         self.evict_excess();
-        if merged.changed {
-            merged.held = self.assign_blame();
-        }
+        self.is_blame_due |= merged.changed;
+        merged.held = self.assign_blame(now);
         merged
     }
 
-    /// Decides which requests are held. Returns those that were not held before.
-    fn assign_blame(&mut self) -> Vec<Fingerprint> {
+    /// Whether a report may be of a record that was evicted here.
+    fn was_evicted(&self, report: &Report, now: BootTime) -> bool {
+        let Some(until_ms) = self.evicted_until_ms else { return false };
+        let is_late = |end: &ReportedEnd| ms(now).saturating_sub(ms(end.age)) <= until_ms;
+        let uncleared = report.ends.iter().filter(|end| !end.is_cleared).count();
+        uncleared < ENDS_TO_SUSPECT
+            && !self.requests.contains_key(&report.fingerprint)
+            && report.ends.iter().all(is_late)
+    }
+
+    /// Decides which requests are held, unless that was done just before. Returns those that were not held
+    /// then.
+    fn assign_blame(&mut self, now: BootTime) -> Vec<Fingerprint> {
+        let was_just_done = self.blamed_at.is_some_and(|at| now < at + BLAME_INTERVAL);
+        if !self.is_blame_due || was_just_done {
+            return Vec::new();
+        }
+        self.blamed_at = Some(now);
+        self.is_blame_due = false;
         let blamed = blame::assign(&self.requests);
         let is_new = |fingerprint: &&Fingerprint| !self.blamed.contains_key(fingerprint);
         let new = blamed.keys().filter(is_new).copied().collect();
@@ -188,8 +216,13 @@
 
     /// Until when a request is held because of `blamed`, which is one of the fingerprints that it contains. Its
     /// own is the first of these.
-    fn held_until_ms(&self, blamed: Fingerprint, contained: &[Fingerprint]) -> Option<i64> {
-        let blame = self.blamed.get(&blamed)?;
+    fn held_until_ms(
+        &self,
+        all_blamed: &HashMap<Fingerprint, Blame>,
+        blamed: Fingerprint,
+        contained: &[Fingerprint],
+    ) -> Option<i64> {
+        let blame = all_blamed.get(&blamed)?;
         let kind = if contained.first() == Some(&blamed) { Blamed::Request } else { Blamed::Part };
         let last_ms = self.requests.get(&blamed)?.last_end_ms();
         Some(last_ms.saturating_add(ms(blame.hold_duration(kind, contained))))
@@ -203,8 +236,9 @@
     /// The longest hold of a request; `None` if it may be sent. `fingerprints` are its own, and after it those of
     /// the parts of its prompt.
     pub fn hold(&self, fingerprints: &[Fingerprint], now: BootTime) -> Option<Hold> {
+        let blamed = self.newest_blamed();
         let hold = |fingerprint: &Fingerprint| {
-            let until_ms = self.held_until_ms(*fingerprint, fingerprints)?;
+            let until_ms = self.held_until_ms(&blamed, *fingerprint, fingerprints)?;
             let left_ms = u64::try_from(until_ms.saturating_sub(ms(now))).ok()?;
             let left = Duration::from_millis(left_ms);
             (!left.is_zero()).then_some(Hold { fingerprint: *fingerprint, left })
@@ -212,9 +246,18 @@
         fingerprints.iter().filter_map(hold).max_by_key(|hold| hold.left)
     }
 
+    /// The blamed requests, also if they are yet to be determined.
+    fn newest_blamed(&self) -> Cow<'_, HashMap<Fingerprint, Blame>> {
+        match self.is_blame_due {
+            true => Cow::Owned(blame::assign(&self.requests)),
+            false => Cow::Borrowed(&self.blamed),
+        }
+    }
+
     /// Why a request is held, for logs; `None` if it has too few ends.
     pub fn hold_reason(&self, fingerprint: Fingerprint) -> Option<HoldReason> {
-        let blame = self.blamed.get(&fingerprint)?;
+        let all_blamed = self.newest_blamed();
+        let blame = all_blamed.get(&fingerprint)?;
         let (ends, certainty) = (blame.ends, blame.certainty());
         let record = self.requests.get(&fingerprint)?;
         let targets = record.uncleared_ends().map(|(target, _)| target.clone()).collect();
@@ -259,8 +302,8 @@
         self.suspects_revision
     }
 
-    /// Digest of all records without their times. Equal digests mean that two processes know the
-    /// same.
+    /// Digest of all records with several uncleared ends, without their times. Equal digests mean that two
+    /// processes know the same of these.
     pub fn digest(&self) -> u64 {
         let digest_of = |(fingerprint, record): (&Fingerprint, &RequestRecord)| {
             let mut hasher = FxHasher::default();
@@ -270,7 +313,10 @@
             });
             hasher.finish()
         };
-        self.requests.iter().map(digest_of).fold(0, u64::wrapping_add)
+        let is_counted = |(_, record): &(&Fingerprint, &RequestRecord)| {
+            record.uncleared_ends().count() >= ENDS_TO_SUSPECT
+        };
+        self.requests.iter().filter(is_counted).map(digest_of).fold(0, u64::wrapping_add)
     }
 
     fn remove_expired(&mut self, now: BootTime) {
@@ -293,9 +339,10 @@
             .map(|(fingerprint, record)| (rank(record), *fingerprint))
             .collect();
         ranks.sort_unstable();
-        ranks
-            .iter()
-            .take(excess)
-            .for_each(|(_, fingerprint)| drop(self.requests.remove(fingerprint)));
+        for (_, fingerprint) in ranks.iter().take(excess) {
+            let evicted = self.requests.remove(fingerprint);
+            let latest_ms = evicted.and_then(|record| record.latest_end_ms());
+            self.evicted_until_ms = self.evicted_until_ms.max(latest_ms);
+        }
     }
 }
