--- a/tests/deployment/early_breaks.rs
+++ b/tests/deployment/early_breaks.rs
@@ -9,8 +9,12 @@
 use kumquatpost::gateway::response::{RelayError, stream_body};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
-use crate::gateway::{PROMPT, entry_with_two_targets, event_stream, run_local};
-use crate::stand_in::AfterAnswer;
+use crate::fixtures::{ms, target};
+use crate::gateway::{
+    PROMPT, deployment_with_long_timeouts, entry_with_two_targets, event_stream, run_local,
+    start_entry,
+};
+use crate::stand_in::{AfterAnswer, StandIn};
 
 // A stream that broke before its first event, or timed out before it, closed the caller's connection without
 // an answer.
@@ -36,10 +40,11 @@
 fn a_stream_without_an_event_by_its_deadline_is_answered_with_a_timeout() {
     run_local(async {
         let script = vec![(event_stream(&[], false), AfterAnswer::Hang)];
-        let (entry, _first_target, _second_target) =
-            entry_with_two_targets("llm", script, vec![]).await;
-        let extra = format!("{PROMPT}X-Deadline-Ms: 500\r\n");
-        let got = entry.call_with("/stream/", "r1", &extra).await;
+        let engine = StandIn::start(script).await;
+        let mut deployment = deployment_with_long_timeouts();
+        deployment.routes.iter_mut().for_each(|route| route.timeout = ms(500));
+        let entry = start_entry(deployment, vec![target("i-1", "llm", engine.address)]).await;
+        let got = entry.call_with("/stream/", "r1", PROMPT).await;
         assert_eq!(got.status, 504, "{}", got.text);
     });
 }
