--- a/tests/deployment/instances.rs
+++ b/tests/deployment/instances.rs
@@ -1,4 +1,4 @@
-//! Decoding of the pages of the platform's instance list.
+//! Decoding of the pages of the instance list.
 
 use kumquatpost::control::roster_reader::TargetListSource;
 use kumquatpost::fleet::listing::EntryError;
