Test of named entries: keep both connections until both are told

It closed each connection as soon as its entry had been told. A replica that had announced an entry could so take it back before the other replica had named it, and nothing was left to be told: what is compared last is an empty list, which is not sent. Both connections stay open now; what is expected of either is the same.

--- a/tests/deployment/peer_entries.rs
+++ b/tests/deployment/peer_entries.rs
@@ -125,14 +125,16 @@
     assert_eq!(choose(&peers, &[ip(2)], 0), None);
 }
 
-/// Connects as an entry and returns the first named entries that the replica sends.
-async fn first_named(replica: SocketAddr, name: &str, ip: IpAddr) -> Vec<PeerEntry> {
+/// Connects as an entry and returns the first named entries that the replica sends, with the
+/// connection: a replica forgets an entry whose connection ends, and may not have told others of
+/// it by then.
+async fn first_named(replica: SocketAddr, name: &str, ip: IpAddr) -> (Vec<PeerEntry>, TcpStream) {
     let mut stream = TcpStream::connect(replica).await.expect("the replica listens");
     let entry = entry_handshake(name, ip, NamedAges::new());
     stream.write_all(&encode(&entry)).await.expect("the replica reads");
     loop {
         if let Update::PeerEntries(named) = read(&mut stream).await.expect("an update") {
-            return named;
+            return (named, stream);
         }
     }
 }
@@ -142,11 +144,11 @@
     let runtime = tokio::runtime::Runtime::new().expect("build the runtime");
     let core = ReplicaCluster::start(3);
     core.publish(1);
-    let named = runtime.block_on(async {
+    let ((told_one, _one), (told_other, _other)) = runtime.block_on(async {
         let one = first_named(core.peer_address(0), "entry-1", ip(1));
         let other = first_named(core.peer_address(1), "entry-2", ip(2));
         let both = async { tokio::join!(one, other) };
         tokio::time::timeout(EVENT_TIMEOUT, both).await.expect("both are told in time")
     });
-    assert_eq!(named, (vec![peer(2, "hall")], vec![peer(1, "hall")]));
+    assert_eq!((told_one, told_other), (vec![peer(2, "hall")], vec![peer(1, "hall")]));
 }
