--- a/tests/deployment/crashing_parts.rs
+++ b/tests/deployment/crashing_parts.rs
@@ -12,6 +12,8 @@
 use crate::restarts::{StreamResponse, TestDeployment, send_prompt_with_parts};
 
 const ENTRIES: usize = 4;
+/// Entries of a large system. Each of them sees few of the requests with a part.
+const MANY_ENTRIES: usize = 24;
 const ENGINES: [&str; 10] = ["i-0", "i-1", "i-2", "i-3", "i-4", "i-5", "i-6", "i-7", "i-8", "i-9"];
 /// A part under which stand-in engines crash.
 const CRASHING_PART: &str = "dead17";
@@ -44,14 +46,14 @@
 }
 
 /// Sends sound prompts all the time, and prompts with the crashing part after `SOUND_PERIOD`.
-async fn send_both_kinds(network: u8) -> Outcome {
-    let site = TestDeployment::start_with_entries(ENTRIES, &ENGINES, Vec::new(), network).await;
+async fn send_both_kinds(entries: usize, network: u8) -> Outcome {
+    let site = TestDeployment::start_with_entries(entries, &ENGINES, Vec::new(), network).await;
     let site = Arc::new(site);
     let is_over = Arc::new(AtomicBool::new(false));
-    let sound = tokio::spawn(send_sound(site.clone(), is_over.clone()));
+    let sound = tokio::spawn(send_sound(site.clone(), entries, is_over.clone()));
     tokio::time::sleep(SOUND_PERIOD).await;
     let crashing_from = Instant::now();
-    send_crashing(&site, crashing_from + CRASHING_PERIOD).await;
+    send_crashing(&site, entries, crashing_from + CRASHING_PERIOD).await;
     is_over.store(true, Ordering::Relaxed);
     let sound = sound.await.expect("the sender does not panic");
     let platform = site.platform.lock();
@@ -61,33 +63,37 @@
     Outcome { history, sound, crashing_from }
 }
 
-/// Sends a prompt without waiting for its answer.
+/// Sends a prompt to an entry without waiting for its answer.
 fn send(
     site: &TestDeployment,
-    number: usize,
+    entry: usize,
     id: &str,
     parts: String,
 ) -> tokio::task::JoinHandle<StreamResponse> {
-    let (client, entry) = (site.client.clone(), site.system.caller_address(number % ENTRIES));
+    let (client, entry) = (site.client.clone(), site.system.caller_address(entry));
     let (id, body) = (id.to_string(), format!("question {id}"));
     tokio::spawn(async move {
         send_prompt_with_parts(client, entry, "stream", &id, EVENTS, parts, body).await
     })
 }
 
-async fn send_crashing(site: &TestDeployment, until: Instant) {
+async fn send_crashing(site: &TestDeployment, entries: usize, until: Instant) {
     let mut number = 0;
     while Instant::now() < until {
         number += 1;
         let id = format!("crashing-{number}");
         let parts = format!("{FIRST_PART}:500,{CRASHING_PART}:300,{id}:200");
         // Their callers don't wait for each other.
-        drop(send(site, number, &id, parts));
+        drop(send(site, number % entries, &id, parts));
         tokio::time::sleep(CRASHING_INTERVAL).await;
     }
 }
 
-async fn send_sound(site: Arc<TestDeployment>, is_over: Arc<AtomicBool>) -> SoundPrompts {
+async fn send_sound(
+    site: Arc<TestDeployment>,
+    entries: usize,
+    is_over: Arc<AtomicBool>,
+) -> SoundPrompts {
     let mut sent = Vec::new();
     let begun = Arc::new(AtomicUsize::new(0));
     while !is_over.load(Ordering::Relaxed) {
@@ -95,7 +101,8 @@
         let id = format!("sound-{number}");
         let session = number % SESSIONS;
         let parts = format!("{FIRST_PART}:500,5e{session}:300,{id}:200");
-        sent.push((Instant::now(), send(&site, number / 2 + number, &id, parts)));
+        let entry = (number / 2 + number) % entries;
+        sent.push((Instant::now(), send(&site, entry, &id, parts)));
         tokio::time::sleep(SOUND_INTERVAL).await;
     }
     let mut sound = Vec::new();
@@ -120,7 +127,15 @@
 /// Guards against sending more than three requests with a part under which five engines have crashed.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_prompt_part_that_crashes_engines_is_hardly_sent_after_five_crashes() {
-    let outcome = send_both_kinds(247).await;
+    let outcome = send_both_kinds(ENTRIES, 247).await;
+    assert!(!outcome.history.ended.is_empty(), "no engine has crashed");
+    assert_eq!(outcome.history.part_reached_too_often(CONTACT_TIME, |_| true), None);
+}
+
+/// Guards against the same in a system of many entries, each of which sees few of these requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_prompt_part_that_crashes_engines_is_hardly_sent_by_many_entries() {
+    let outcome = send_both_kinds(MANY_ENTRIES, 249).await;
     assert!(!outcome.history.ended.is_empty(), "no engine has crashed");
     assert_eq!(outcome.history.part_reached_too_often(CONTACT_TIME, |_| true), None);
 }
@@ -129,7 +144,7 @@
 /// and a first part with those that crash engines.
 #[tokio::test(flavor = "multi_thread")]
 async fn sound_prompts_are_served_beside_a_prompt_part_that_crashes_engines() {
-    let outcome = send_both_kinds(248).await;
+    let outcome = send_both_kinds(ENTRIES, 248).await;
     let crashes = &outcome.history.ended;
     let known_at = crashes.iter().take(MAX_CRASHES).next_back().expect("an engine has crashed");
     let compared_from = *known_at + 2 * CONTACT_TIME;
