Announce the close of a connection behind a refused forwarded attempt

Seen: a connection between entries that had just brought a refusal of a forwarded attempt (not accepted, or not read) was closed without a notice when the rest of the attempt's body stood before the next request. A forwarded request on it gets no byte, and its caller a 502.

Cause: the asked entry answered before it had read the body, and the response did not say that the connection ends.

Change: the rest of the body of a refused attempt is read for at most 50 ms; if it ends in that time, the connection stays usable. Otherwise the response carries Connection: close, as refusals of callers do.

Evidence: refused_forwards::a_connection_is_usable_or_announced_as_closing_after_a_refused_attempt, on the code before: the request after one that was not accepted and was half sent gets no byte; with the fix of that case alone, the one after a body that is too long gets none.

--- a/.ci/mutations.py
+++ b/.ci/mutations.py
@@ -621,6 +621,8 @@
      "if now.saturating_sub(since) > MAX_BACKLOG_TIME {", "if false {", "deployment", "concentrated_connections"),
     ("connections: closed behind a refusal without a notice", "src/gateway/request.rs",
      "if is_body_unread || gateway.stopping.get() {", "if gateway.stopping.get() {", "deployment", "idle_connections"),
+    ("forwarded: closed behind a refusal without a notice", "src/gateway/forwarding.rs",
+     "    response.headers_mut().insert(CONNECTION, HeaderValue::from_static(\"close\"));\n", "", "deployment", "refused_forwards"),
     ("brittle: the scheduler fills engines", "src/scheduler/plan.rs",
      " || engine.may_be_full(now);", ";", "deployment", "brittle"),
 ]
--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::header::CONNECTION;
 use http::{HeaderMap, HeaderName, HeaderValue, Request};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -43,6 +44,8 @@
 const MAX_ENTRIES_ASKED: usize = 3;
 /// What the head of a forwarded request may have in addition to that of the caller's request.
 pub const MAX_ATTEMPT_BYTES: usize = 32 << 10;
+/// How long the rest of a request that is refused is read, so that its connection can be used again.
+const REFUSED_BODY_TIMEOUT: Duration = Duration::from_millis(50);
 /// Describes the attempt, in a request to another entry.
 const ATTEMPT: HeaderName = HeaderName::from_static("kumquatpost-attempt");
 /// Describes how the attempt went, in its response.
@@ -313,15 +316,23 @@
     let attempt = head.headers.get(ATTEMPT).map(HeaderValue::as_bytes);
     let attempt: Option<ForwardedAttempt> =
         attempt.and_then(|text| serde_json::from_slice(text).ok());
-    let Some(attempt) = attempt.filter(|_| !gateway.stopping.get()) else {
-        return respond(ForwardedResult::NotAccepted, &record);
+    let attempt = attempt.filter(|_| !gateway.stopping.get());
+    let read_timeout = match &attempt {
+        Some(attempt) => {
+            record.set_route(&attempt.route.name, attempt.priority);
+            metadata.deadline.unwrap_or(attempt.route.timeout)
+        }
+        None => REFUSED_BODY_TIMEOUT,
     };
-    record.set_route(&attempt.route.name, attempt.priority);
-    let deadline = arrived + metadata.deadline.unwrap_or(attempt.route.timeout);
+    let deadline = arrived + read_timeout;
     let max_bytes = gateway.table().map(|table| table.deployment().request_limits.body_bytes);
     let body = RequestBody::new(body, closing);
-    let Ok(body) = read_body(body, max_bytes.unwrap_or_default(), deadline).await else {
-        return respond(ForwardedResult::NotRead, &record);
+    let body = read_body(body, max_bytes.unwrap_or_default(), deadline).await;
+    let (attempt, body) = match (attempt, body) {
+        (Some(attempt), Ok(body)) => (attempt, body),
+        (Some(_), Err(_)) => return closing_response(ForwardedResult::NotRead, &record),
+        (None, Ok(_)) => return respond(ForwardedResult::NotAccepted, &record),
+        (None, Err(_)) => return closing_response(ForwardedResult::NotAccepted, &record),
     };
     let mut headers = head.headers;
     headers.remove(ATTEMPT);
@@ -391,3 +402,10 @@
     response.headers_mut().extend(encode(&result).map(|result| (RESULT, result)));
     response
 }
+
+/// Refuses a request whose body was not read to its end, so that its connection can't be used again.
+fn closing_response(result: ForwardedResult, record: &RequestRecord) -> GatewayResponse {
+    let mut response = respond(result, record);
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    response
+}
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -47,6 +47,7 @@
 mod quarantine_file;
 mod rate_limits;
 mod reader_election;
+mod refused_forwards;
 mod regions;
 mod replicas;
 mod restarts;
