Answer operators' calls that arrive before a planned stop

Seen: an operator's call on a kept connection, whole before the signal to stop, got no byte when the replica found both at once.

Cause: the task of the connection polled it or the notice of the stop first, at random. hyper closes an idle connection at a graceful shutdown without reading it.

Change: the connection is polled first, so that what has arrived is read and then answered before the connection closes.

Evidence: replicas::calls_that_arrive_before_a_planned_stop_are_answered stops the process for a moment, sends one call on each of 20 kept connections, and signals.

--- a/.ci/mutations.py
+++ b/.ci/mutations.py
@@ -623,6 +623,8 @@
      "if is_body_unread || gateway.stopping.get() {", "if gateway.stopping.get() {", "deployment", "idle_connections"),
     ("forwarded: closed behind a refusal without a notice", "src/gateway/forwarding.rs",
      "    response.headers_mut().insert(CONNECTION, HeaderValue::from_static(\"close\"));\n", "", "deployment", "refused_forwards"),
+    ("operators: closed as idle before what has arrived is read", "src/control/operator_server.rs",
+     "            biased;\n", "", "deployment", "calls_that_arrive_before"),
     ("brittle: the scheduler fills engines", "src/scheduler/plan.rs",
      " || engine.may_be_full(now);", ";", "deployment", "brittle"),
 ]
--- a/src/control/operator_server.rs
+++ b/src/control/operator_server.rs
@@ -134,6 +134,8 @@
             .serve_connection(TokioIo::new(LingeringStream::new(stream)), service);
         let mut connection = std::pin::pin!(connection);
         let served = tokio::select! {
+            // A call that has arrived is read before its connection is closed as idle.
+            biased;
             served = connection.as_mut() => served,
             // An error means that the process ends.
             _ = closing.wait_for(|closing| *closing) => {
--- a/tests/deployment/replicas.rs
+++ b/tests/deployment/replicas.rs
@@ -13,6 +13,7 @@
 use serde_json::{Value, json};
 
 use crate::fixtures::loopback;
+use crate::stand_in::header;
 
 /// Timeout for expected events, generous for busy machines.
 const EVENT_TIMEOUT: Duration = Duration::from_secs(120);
@@ -96,8 +97,12 @@
     }
 
     fn terminate(&self, host: usize) {
+        self.signal(host, "TERM");
+    }
+
+    fn signal(&self, host: usize, name: &str) {
         let id = self.running[host].as_ref().expect("the replica is running").id().to_string();
-        let status = Command::new("kill").args(["-s", "TERM", &id]).status();
+        let status = Command::new("kill").args(["-s", name, &id]).status();
         assert!(status.expect("kill runs").success());
     }
 
@@ -313,3 +318,48 @@
     cluster.wait_for_exit(0);
     assert!(stopped_at.elapsed() < Duration::from_secs(4), "{:?}", stopped_at.elapsed());
 }
+
+/// Reads the answer to an operator's call up to the end of its body, or what there is of it.
+fn read_answer(caller: &mut TcpStream) -> String {
+    let (mut text, mut bytes) = (String::new(), [0; 4_096]);
+    let is_whole = |text: &str| {
+        let Some((head, body)) = text.split_once("\r\n\r\n") else { return false };
+        header(head, "content-length").is_some_and(|length| length.parse() == Ok(body.len()))
+    };
+    while !is_whole(&text) {
+        match caller.read(&mut bytes) {
+            Ok(count) if count > 0 => text += &String::from_utf8_lossy(&bytes[..count]),
+            _ => break,
+        }
+    }
+    text
+}
+
+/// Guards against operators' calls on kept connections that get no answer, since a busy replica finds
+/// them and the signal to stop at once.
+#[test]
+fn calls_that_arrive_before_a_planned_stop_are_answered() {
+    const CALLERS: usize = 20;
+    const CALL: &[u8] = b"GET /config HTTP/1.1\r\nHost: replica\r\n\r\n";
+    let cluster = ReplicaCluster::start(3);
+    cluster.publish(2);
+    let address = (cluster.ip(0), cluster.port + 9);
+    let mut callers = Vec::new();
+    for _ in 0..CALLERS {
+        let mut caller = TcpStream::connect(&address).expect("the replica listens");
+        caller.set_read_timeout(Some(EVENT_TIMEOUT)).expect("a socket");
+        caller.write_all(CALL).expect("the connection is open");
+        let text = read_answer(&mut caller);
+        assert!(text.starts_with("HTTP/1.1 "), "{text:?}");
+        callers.push(caller);
+    }
+    cluster.signal(0, "STOP");
+    for caller in &mut callers {
+        caller.write_all(CALL).expect("the connection is open");
+    }
+    cluster.terminate(0);
+    cluster.signal(0, "CONT");
+    let texts = callers.iter_mut().map(read_answer);
+    let answered = texts.filter(|text| text.starts_with("HTTP/1.1 ")).count();
+    assert_eq!(answered, CALLERS, "calls that were answered");
+}
