Test that streams of nodes outlast some seconds of silence

Suspected: a stream whose engine is silent for a second or two is ended for it at a node. Nothing but STREAM_IDLE_TIMEOUT (30 s) takes silence for a break there; reports of an engine that can't be read, also past their timeout of 2 s, keep new prompts away and end nothing. A run ends by its last event, a broken or invalid stream, its caller's leave, a rejection, or 30 s without a byte; then the same engine is asked to go on first, and only then the run is cancelled and another engine is looked for.

--- a/.ci/mutations.py
+++ b/.ci/mutations.py
@@ -625,6 +625,8 @@
      "    response.headers_mut().insert(CONNECTION, HeaderValue::from_static(\"close\"));\n", "", "deployment", "refused_forwards"),
     ("operators: closed as idle before what has arrived is read", "src/control/operator_server.rs",
      "            biased;\n", "", "deployment", "calls_that_arrive_before"),
+    ("streams: a second of silence ends them", "src/http_api/prompt_run.rs",
+     "const STREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(30);", "const STREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(1);", "process", "silent_engines"),
     ("brittle: the scheduler fills engines", "src/scheduler/plan.rs",
      " || engine.may_be_full(now);", ";", "deployment", "brittle"),
 ]
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -7,5 +7,6 @@
 mod requests;
 mod serving;
 mod shutdown;
+mod silent_engines;
 mod status;
 mod testenv;
