Blame no target or path for a lack of descriptors at the entry

Seen: an entry without a free descriptor (EMFILE) took each target that it could not connect to for unreachable, and the path for lost; once descriptors were free again, callers got 503 no_target until trials had restored the path. The scheduler was told as well that the engine could not be reached.

Cause: each error of a connect counted as one of the target or the path.

Change: a connect that fails for want of descriptors or memory (EMFILE, ENFILE, ENOBUFS, ENOMEM) ends the attempt as not run and is recorded against nobody, neither a target nor another entry.

Evidence: scarce_descriptors::a_lack_of_descriptors_is_not_blamed_on_targets_or_their_path, a real entry with 100 descriptors that are all taken.

--- a/.ci/mutations.py
+++ b/.ci/mutations.py
@@ -627,6 +627,8 @@
      "            biased;\n", "", "deployment", "calls_that_arrive_before"),
     ("streams: a second of silence ends them", "src/http_api/prompt_run.rs",
      "const STREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(30);", "const STREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(1);", "process", "silent_engines"),
+    ("descriptors: their lack is blamed on targets", "src/gateway/attempt.rs",
+     "if net::lacks_local_resources(&error) {", "if false {", "deployment", "scarce_descriptors"),
     ("brittle: the scheduler fills engines", "src/scheduler/plan.rs",
      " || engine.may_be_full(now);", ";", "deployment", "brittle"),
 ]
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -25,6 +25,7 @@
 use crate::clock::{BootTime, boot_now};
 use crate::fleet::placement::SelectionError;
 use crate::ids::{SoftwareVersion, TargetStart};
+use crate::net;
 use crate::platform::headers;
 use crate::scheduler::EndReason;
 
@@ -275,6 +276,9 @@
         Err(_) => return Err(EndReason::NotRun),
     };
     record.attempt_failed(target, &error.to_string());
+    if net::lacks_local_resources(&error) {
+        return Err(EndReason::NotRun);
+    }
     if !gateway.target_unreached(&routed.service, target) {
         gateway.fleet.borrow_mut().path_failed(target, boot_now());
         return Err(EndReason::NotRun);
--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -37,6 +37,7 @@
 use crate::fleet::placement::SelectionError;
 use crate::fleet::regions::AllowedDomains;
 use crate::ids::{AccountId, ServiceId, SoftwareVersion, TargetStart};
+use crate::net;
 use crate::net::request_body::RequestBody;
 use crate::platform::headers;
 
@@ -205,7 +206,9 @@
         Ok(Ok(connection)) => Some(connection),
         Ok(Err(error)) => {
             record.entry_failed(ip, &error.to_string());
-            gateway.peers.borrow_mut().unreachable(ip, boot_now());
+            if !net::lacks_local_resources(&error) {
+                gateway.peers.borrow_mut().unreachable(ip, boot_now());
+            }
             None
         }
         Err(_) => None,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use rustix::io::Errno;
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -47,6 +48,13 @@
     Ok(stream)
 }
 
+/// Whether a connection could not be opened since this process or its host lacks descriptors or memory, which
+/// tells nothing of the peer and the path to it.
+pub fn lacks_local_resources(error: &io::Error) -> bool {
+    let lacking = [Errno::MFILE, Errno::NFILE, Errno::NOBUFS, Errno::NOMEM];
+    Errno::from_io_error(error).is_some_and(|errno| lacking.contains(&errno))
+}
+
 /// Whether an address actively refuses connections. Returns false if there is no response.
 pub async fn refuses_connections(host: &str, port: u16, timeout: Duration) -> bool {
     let connecting = tokio::time::timeout(timeout, TcpStream::connect((host, port)));
--- a/tests/deployment/forwarding.rs
+++ b/tests/deployment/forwarding.rs
@@ -209,6 +209,15 @@
         assert!(sent.expect("the kill command runs").success(), "the signal is delivered");
     }
 
+    /// The number of descriptors that the process has open, of those up to its limit. Inherited ones may
+    /// have higher numbers.
+    pub fn open_descriptors(&self, limit: u32) -> u32 {
+        let folder = format!("/proc/{}/fd", self.child.id());
+        let links = std::fs::read_dir(folder).expect("a process of this test");
+        let numbers = links.filter_map(|link| link.ok()?.file_name().to_str()?.parse().ok());
+        numbers.filter(|number: &u32| *number < limit).count() as u32
+    }
+
     /// Whether the process has a connection to a target.
     fn has_connection_to(&self, target: &StandIn) -> bool {
         let folder = format!("/proc/{}/fd", self.child.id());
@@ -338,12 +347,22 @@
 ) -> (Entry, StandIn) {
     let stand_in = StandIn::start(script).await;
     let listed = vec![target("i-0", "app", stand_in.address)];
+    (start_before_targets(listed, told, real, network).await, stand_in)
+}
+
+/// Starts an entry with a number of descriptors before targets.
+pub async fn start_before_targets(
+    targets: Vec<Listed>,
+    told: u32,
+    real: u32,
+    network: u8,
+) -> Entry {
     let (ip, replica_ip) = (loopback(network), loopback(network + 1));
     let deployment = deployment_with_long_timeouts();
-    let replica = FakeReplica::start(replica_ip, deployment, listed, &[]).await;
+    let replica = FakeReplica::start(replica_ip, deployment, targets, &[]).await;
     let entry = Entry::start_with_descriptors(ip, replica.ip, told, real);
     entry.until_ready().await;
-    (entry, stand_in)
+    entry
 }
 
 /// Reads until a text has arrived.
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -54,6 +54,7 @@
 mod rollout;
 mod roster;
 mod roster_file;
+mod scarce_descriptors;
 mod scheduler_service;
 mod scheduling;
 mod settings;
