Relay a server error in place of a refusal if no better answer follows

Seen: on a route whose requests may be repeated, a caller got the entry's own 502 or 504 although a target had answered in full, with a server error: the answer was dropped for a retry before it was known whether another target had anything better, or existed at all.

Change: a short answer with a server error is read to its end, for at most 100 ms, before another target is asked. If none answers, it is relayed with its status and headers.

--- a/.ci/mutations.py
+++ b/.ci/mutations.py
@@ -629,6 +629,8 @@
      "const STREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(30);", "const STREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(1);", "process", "silent_engines"),
     ("descriptors: their lack is blamed on targets", "src/gateway/attempt.rs",
      "if net::lacks_local_resources(&error) {", "if false {", "deployment", "scarce_descriptors"),
+    ("answers in hand: dropped for a refusal", "src/gateway/request.rs",
+     "in_hand = answer.or(in_hand);", "in_hand = answer.filter(|_| false);", "deployment", "answers_in_hand"),
     ("brittle: the scheduler fills engines", "src/scheduler/plan.rs",
      " || engine.may_be_full(now);", ";", "deployment", "brittle"),
 ]
--- /dev/null
+++ b/src/gateway/answer_in_hand.rs
@@ -0,0 +1,67 @@
+//! The answer of a target with a server error, kept while another target is asked for a better one.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Response, StatusCode};
+use tokio::time::Instant;
+
+use super::attempt::TargetResponse;
+use super::relay;
+use super::request_record::{Outcome, RequestRecord};
+use super::response::{GatewayResponse, full_body};
+use super::routed_request::RoutedRequest;
+use super::state::Gateway;
+use crate::platform::headers;
+
+/// How long the next attempt may be delayed by the rest of such an answer.
+const READ_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// A whole answer that is relayed if no better one follows.
+pub struct AnswerInHand {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+impl AnswerInHand {
+    /// Reads an answer to its end. Returns `None` if it is long, or not complete within `READ_TIMEOUT`.
+    pub async fn read(
+        gateway: &Rc<Gateway>,
+        routed: &RoutedRequest,
+        received: TargetResponse,
+        record: &RequestRecord,
+    ) -> Option<AnswerInHand> {
+        let TargetResponse { responder, response, response_metadata, mut connection, .. } =
+            received;
+        if !relay::fits_buffer(response.body()) {
+            return None;
+        }
+        let status = response.status();
+        let headers = headers::response_for_caller(response.headers());
+        let deadline = routed.deadline.min(Instant::now() + READ_TIMEOUT);
+        match relay::read_buffered(response.into_body(), deadline).await {
+            Ok(body) => {
+                connection.set_idle_timeout(response_metadata.idle_timeout);
+                if !response_metadata.closes {
+                    responder.return_connection(gateway, connection);
+                }
+                Some(AnswerInHand { status, headers, body })
+            }
+            Err(error) => {
+                record.responder_failed(&responder, &error.to_string());
+                None
+            }
+        }
+    }
+
+    pub fn into_response(self, record: &RequestRecord) -> GatewayResponse {
+        record.part_relayed(0, self.body.len());
+        record.set_outcome(Outcome::Relayed(self.status.as_u16()));
+        let mut response = Response::new(full_body(self.body));
+        *response.status_mut() = self.status;
+        *response.headers_mut() = self.headers;
+        response
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! The entry of a deployment: an HTTP proxy that relays callers' requests to targets unchanged.
 
 pub mod accept_queue;
+mod answer_in_hand;
 pub mod attempt;
 pub mod attempts;
 pub mod caller_connection;
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -13,6 +13,7 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
 
+use super::answer_in_hand::AnswerInHand;
 use super::attempt::{AttemptError, TargetResponse};
 use super::attempts::Attempts;
 use super::first_response::attempt_until_answered;
@@ -219,6 +220,7 @@
     }
     gateway.retries.borrow_mut().record_request(&routed.service, boot_now());
     let mut attempts = Attempts::default();
+    let mut in_hand = None;
     loop {
         let made = attempt_until_answered(gateway, &routed, &mut attempts, &record).await;
         let (attempt_refusal, target) = match made {
@@ -230,9 +232,13 @@
                     let id = routed.metadata.id.clone();
                     return relay_response(gateway, routed, record, attempts, received)
                         .await
-                        .unwrap_or_else(|(refusal, record)| refuse(refusal, &id, &record));
+                        .unwrap_or_else(|(refusal, record)| {
+                            answer_or_refuse(in_hand, refusal, &id, &record)
+                        });
                 }
                 attempts.mark_may_have_run();
+                let answer = AnswerInHand::read(gateway, &routed, received, &record).await;
+                in_hand = answer.or(in_hand);
                 continue;
             }
             Err(AttemptError::NoTarget(why)) => {
@@ -247,17 +253,17 @@
                     (false, NoTarget::Selection(SelectionError::OldWeights)) => Refusal::OldWeights,
                     (false, NoTarget::Selection(_)) => Refusal::NoTarget,
                 };
-                return refuse(refusal, &routed.metadata.id, &record);
+                return answer_or_refuse(in_hand, refusal, &routed.metadata.id, &record);
             }
             Err(AttemptError::Held(left)) => {
                 let refusal =
                     if attempts.may_have_run() { Refusal::Broken } else { Refusal::Held(left) };
-                return refuse(refusal, &routed.metadata.id, &record);
+                return answer_or_refuse(in_hand, refusal, &routed.metadata.id, &record);
             }
             Err(AttemptError::TooLate) => {
                 let refusal =
                     if attempts.may_have_run() { Refusal::TimedOut } else { Refusal::TooLate };
-                return refuse(refusal, &routed.metadata.id, &record);
+                return answer_or_refuse(in_hand, refusal, &routed.metadata.id, &record);
             }
             Err(AttemptError::NotRun(target)) => (Refusal::NoTarget, target),
             Err(AttemptError::MayHaveRun(target)) => (Refusal::Broken, target),
@@ -273,11 +279,24 @@
         };
         let may_repeat = !attempts.may_have_run() || routed.route.policy.may_repeat();
         if !may_repeat || !may_retry(gateway, &routed, &attempts, &record) {
-            return refuse(refusal, &routed.metadata.id, &record);
+            return answer_or_refuse(in_hand, refusal, &routed.metadata.id, &record);
         }
     }
 }
 
+/// Relays the answer of an earlier target, if there is one, in place of a refusal.
+fn answer_or_refuse(
+    in_hand: Option<AnswerInHand>,
+    refusal: Refusal,
+    id: &str,
+    record: &RequestRecord,
+) -> GatewayResponse {
+    match in_hand {
+        Some(answer) => answer.into_response(record),
+        None => refuse(refusal, id, record),
+    }
+}
+
 fn may_retry(
     gateway: &Gateway,
     routed: &RoutedRequest,
