Tests: keep the addresses of two tests apart

forwarding::the_log_tells_who_cut_a_response_short and concentrated_connections::new_connections_are_served_while_idle_ones_use_up_the_descriptors took the same loopback addresses and ports: run together, one of them failed in 3 of 3 runs with AddrInUse. With addresses of its own for the second, both pass in 3 of 3. What they check is unchanged.

--- a/tests/deployment/concentrated_connections.rs
+++ b/tests/deployment/concentrated_connections.rs
@@ -245,7 +245,7 @@
 #[test]
 fn new_connections_are_served_while_idle_ones_use_up_the_descriptors() {
     const REAL: u32 = 200;
-    for (told, network) in [(REAL, 190), (4_096, 194)] {
+    for (told, network) in [(REAL, 214), (4_096, 218)] {
         run_local(async move {
             let script = vec![(ok_response("done"), AfterAnswer::KeepOpen); 100];
             let (entry, stand_in) = start_with_few_descriptors(told, REAL, script, network).await;
