--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the platform deployment: decoding of platform documents, deployments, the fleet, replicas, the
 //! scheduler on a virtual clock, and an entry in front of stand-in targets.
 
+mod answers_in_hand;
 mod boundary;
 mod brittle_targets;
 mod budget;
@@ -47,12 +48,14 @@
 mod quarantine_file;
 mod rate_limits;
 mod reader_election;
+mod refused_forwards;
 mod regions;
 mod replicas;
 mod restarts;
 mod rollout;
 mod roster;
 mod roster_file;
+mod scarce_descriptors;
 mod scheduler_service;
 mod scheduling;
 mod settings;
