Relay a target's 408, 429 and 503 only with its proof

Callers take 408, 421, 429 and 503 for a promise that a request has not run and never will, and repeat requests that must run once. Entries relayed these statuses of a target as they were, also when the target had not marked the response as not run, so that an order could be carried out twice.

Such a response now counts as a failed attempt that may have run: callers get 502, and a request that may be repeated is tried at another target.

--- a/.ci/mutations.py
+++ b/.ci/mutations.py
@@ -330,6 +330,8 @@
      "request.cache_namespace,", "\"\",", "deployment", "scheduling"),
     ("platform: what may have run is sent again", "src/gateway/request.rs",
      "let may_repeat = !may_have_run || routed.route.policy.may_repeat();", "let may_repeat = true;", "deployment", "gateway"),
+    ("platform: a promise without proof is relayed", "src/gateway/attempt.rs",
+     "    if is_unproven_promise {\n", "    if false {\n", "deployment", "statuses_of_targets"),
     ("platform: another request's answer is relayed", "src/gateway/attempt.rs",
      "    if is_for_other_request {", "    if false && is_for_other_request {", "deployment", "gateway"),
     ("platform: a caller sets what only we may set", "platform/headers.rs",
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -319,6 +319,17 @@
     request
 }
 
+/// Whether callers take a status for a promise that the request has not run and never will. Only a
+/// target that marks its response as not run has proven that.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Separates responses to this request from refusals and from responses to other requests.
 fn check_response(
     gateway: &Gateway,
@@ -382,8 +393,13 @@
         }
         return Err(AttemptError::NotRun(Some(target)));
     }
-    if response.status().is_server_error() {
+    let is_unproven_promise = promises_not_run(response.status());
+    if is_unproven_promise || response.status().is_server_error() {
         responder.failed(gateway);
     }
+    if is_unproven_promise {
+        record.responder_failed(responder, "a promise of not run without proof");
+        return Err(AttemptError::MayHaveRun(responder.target().cloned()));
+    }
     Ok(received)
 }
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -64,6 +64,7 @@
 mod stand_in;
 mod starts;
 mod state;
+mod statuses_of_targets;
 mod stores;
 mod stream_origins;
 mod table;
