Bound the memory of the bodies that an entry holds

An entry held the body of each request until its answer was complete, and each answer of up to 256 KB until its caller had read it, without a bound on all of them. Slow targets or callers thus made it exceed its memory and be killed, with all requests in progress.

Bodies share a quarter of the process's memory now, each as long as a reference to it exists. A body may not exceed what it leaves to others, so that long ones don't keep out shorter ones. A request whose body does not fit is refused as not run (503, out_of_memory); an answer that does not fit is relayed as fast as the caller reads.

held_bodies: 3 of 3 tests failed before (60 callers with 2 MB each: 126 MB were held by an entry with 100 MB), 3 of 3 pass now.

--- a/src/control/operator_server.rs
+++ b/src/control/operator_server.rs
@@ -27,11 +27,12 @@
 use crate::clock::boot_now;
 use crate::deployment::{Deployment, validate};
 use crate::fleet::evacuation::{AcceptedOrder, EvacuationOrder, Evacuations, OrderRevision};
-use crate::http::{BodyError, UsedConnections};
+use crate::http::UsedConnections;
 use crate::ids::{DomainId, ModelId};
 use crate::net;
+use crate::net::body_memory::BodyMemory;
 use crate::net::lingering_stream::LingeringStream;
-use crate::net::request_body::RequestBody;
+use crate::net::request_body::{RequestBody, RequestBodyError};
 use crate::platform::operator::{self, RejectedCall};
 use crate::telemetry::deployment_metrics::ReplicaMetrics;
 use crate::telemetry::metrics::label;
@@ -150,7 +151,7 @@
         let (head, body) = request.into_parts();
         let path = head.uri.path_and_query().map_or("/", PathAndQuery::as_str).to_string();
         let body = RequestBody::new(body, self.closing.subscribe());
-        let body = match body.read(MAX_BODY_BYTES).await {
+        let body = match body.read(MAX_BODY_BYTES, &BodyMemory::unlimited()).await {
             Ok(body) => body,
             Err(error) => return body_error_answer(error),
         };
@@ -327,12 +328,16 @@
     answer
 }
 
-fn body_error_answer(error: BodyError) -> Answer {
+fn body_error_answer(error: RequestBodyError) -> Answer {
     let (status, message) = match error {
-        BodyError::TooLarge(_) | BodyError::Disconnected => {
+        RequestBodyError::TooLarge | RequestBodyError::Disconnected => {
             (StatusCode::BAD_REQUEST, "the body is too large or broke off")
         }
-        BodyError::Interrupted => (
+        RequestBodyError::OutOfMemory => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "nothing was changed, this replica holds too many bodies; ask another one",
+        ),
+        RequestBodyError::Interrupted => (
             StatusCode::SERVICE_UNAVAILABLE,
             "nothing was changed, this replica shuts down; ask another one",
         ),
--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -320,7 +320,8 @@
     let deadline = arrived + metadata.deadline.unwrap_or(attempt.route.timeout);
     let max_bytes = gateway.table().map(|table| table.deployment().request_limits.body_bytes);
     let body = RequestBody::new(body, closing);
-    let Ok(body) = read_body(body, max_bytes.unwrap_or_default(), deadline).await else {
+    let max_bytes = max_bytes.unwrap_or_default();
+    let Ok(body) = read_body(body, max_bytes, &gateway.body_memory, deadline).await else {
         return respond(ForwardedResult::NotRead, &record);
     };
     let mut headers = head.headers;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 pub mod accept_queue;
 pub mod attempt;
 pub mod attempts;
+pub mod buffered_body;
 pub mod caller_connection;
 pub mod connections;
 mod entry_roster;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,4 +1,4 @@
-//! Relays the body of a response: buffered, streamed, or event by event.
+//! Relays the body of a response: streamed, or event by event.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -6,8 +6,8 @@
 use bytes::Bytes;
 use futures::{StreamExt, stream};
 use http::StatusCode;
-use http_body_util::{BodyExt, Limited};
-use hyper::body::{Body, Frame, Incoming};
+use http_body_util::BodyExt;
+use hyper::body::{Frame, Incoming};
 use tokio::time::{Instant, timeout_at};
 
 use super::attempt::{AttemptError, AttemptInput, TargetResponse, attempt};
@@ -25,9 +25,6 @@
 use crate::clock::BootTime;
 use crate::ids::SoftwareVersion;
 
-/// A body of at most this length is buffered before any of it is relayed, so that the request can
-/// be retried if the body is cut short.
-pub const MAX_BUFFERED_BYTES: u64 = 256 << 10;
 /// A resumable stream without an event for this multiple of the route's largest allowed gap is
 /// resumed at another target, if there is one.
 const GAPS_BEFORE_RESUME: u32 = 4;
@@ -40,20 +37,6 @@
 /// Longest gap between events before such a resume if the route sets none.
 const DEFAULT_MAX_GAP: Duration = Duration::from_secs(2);
 
-/// Reads a whole body.
-///
-/// # Errors
-/// If the body is cut short, too long, or not complete by the deadline.
-pub async fn read_buffered(body: Incoming, deadline: Instant) -> Result<Bytes, RelayError> {
-    let body = Limited::new(body, MAX_BUFFERED_BYTES as usize).collect();
-    Ok(timeout_at(deadline, body).await??.to_bytes())
-}
-
-/// Whether a body is known to fit into `MAX_BUFFERED_BYTES`.
-pub fn fits_buffer(body: &Incoming) -> bool {
-    body.size_hint().upper().is_some_and(|bytes| bytes <= MAX_BUFFERED_BYTES)
-}
-
 /// Relays a stream of server-sent events, and resumes it at another target if it fails.
 pub struct EventRelay {
     /// The shared state of the entry.
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -15,6 +15,7 @@
 
 use super::attempt::{AttemptError, TargetResponse};
 use super::attempts::Attempts;
+use super::buffered_body;
 use super::first_response::attempt_until_answered;
 use super::metadata::RequestMetadata;
 use super::priority::Priority;
@@ -29,9 +30,9 @@
 use crate::deployment::{Rejection, RoutingTable, RunPolicy};
 use crate::fleet::placement::SelectionError;
 use crate::fleet::regions::AllowedDomains;
-use crate::http::BodyError;
 use crate::ids::{DomainId, RegionId};
-use crate::net::request_body::RequestBody;
+use crate::net::body_memory::BodyMemory;
+use crate::net::request_body::{RequestBody, RequestBodyError};
 use crate::platform::headers;
 
 /// Shortest `Retry-After` of a refusal: about the time that an engine needs for one prompt.
@@ -94,7 +95,7 @@
         (table.deployment().version, table.deployment().request_limits.body_bytes);
     drop(table);
     gateway.wait_for_service(&routed.service, max_wait.saturating_sub(arrived.elapsed())).await;
-    routed.body = match read_body(body, max_bytes, routed.deadline).await {
+    routed.body = match read_body(body, max_bytes, &gateway.body_memory, routed.deadline).await {
         Ok(body) => body,
         // The body is partly consumed, so the request can't be checked against a later deployment
         // with a larger limit.
@@ -197,15 +198,17 @@
 pub async fn read_body(
     body: RequestBody,
     max_bytes: usize,
+    memory: &BodyMemory,
     deadline: Instant,
 ) -> Result<Bytes, Refusal> {
-    let Ok(read) = timeout_at(deadline, body.read(max_bytes)).await else {
+    let Ok(read) = timeout_at(deadline, body.read(max_bytes, memory)).await else {
         return Err(Refusal::BodyTooLate);
     };
     read.map_err(|error| match error {
-        BodyError::TooLarge(_) => Refusal::BodyTooLarge,
-        BodyError::Disconnected => Refusal::Malformed,
-        BodyError::Interrupted => Refusal::ShuttingDown,
+        RequestBodyError::TooLarge => Refusal::BodyTooLarge,
+        RequestBodyError::Disconnected => Refusal::Malformed,
+        RequestBodyError::Interrupted => Refusal::ShuttingDown,
+        RequestBodyError::OutOfMemory => Refusal::OutOfMemory,
     })
 }
 
@@ -306,7 +309,9 @@
     let is_stream = routed.route.policy.is_stream() && status == StatusCode::OK;
     let body = if is_stream {
         EventRelay::new(gateway.clone(), routed, record, attempts, received).into_body().await?
-    } else if relay::fits_buffer(received.response.body()) {
+    } else if let Some(reservation) =
+        buffered_body::reserve(received.response.body(), &gateway.body_memory)
+    {
         let TargetResponse {
             mut responder,
             response,
@@ -315,7 +320,7 @@
             sent_at,
             ..
         } = received;
-        match relay::read_buffered(response.into_body(), routed.deadline).await {
+        match buffered_body::read(response.into_body(), routed.deadline).await {
             Ok(bytes) => {
                 record.part_relayed(0, bytes.len());
                 record.set_outcome(Outcome::Relayed(status.as_u16()));
@@ -327,7 +332,7 @@
                 if !response_metadata.closes {
                     responder.return_connection(gateway, connection);
                 }
-                full_body(bytes)
+                full_body(reservation.hold(bytes))
             }
             Err(error) => {
                 record.responder_failed(&responder, &error.to_string());
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -42,6 +42,8 @@
     /// The entry closes its connections and does not wait for the rest of the body. The request has
     /// not run.
     ShuttingDown,
+    /// The entry holds too many other bodies. The request has not run.
+    OutOfMemory,
     /// The entry knows no deployment yet.
     NotReady,
     /// The known deployment rejects the request, but no replica has confirmed that it is the
@@ -82,6 +84,7 @@
             Refusal::BodyTooLate => StatusCode::REQUEST_TIMEOUT,
             Refusal::NotReady
             | Refusal::ShuttingDown
+            | Refusal::OutOfMemory
             | Refusal::Unconfirmed
             | Refusal::NoTarget
             | Refusal::UnknownStream
@@ -104,6 +107,7 @@
             Refusal::Malformed => "malformed",
             Refusal::BodyTooLate => "body_too_late",
             Refusal::ShuttingDown => "shutting_down",
+            Refusal::OutOfMemory => "out_of_memory",
             Refusal::NotReady => "not_ready",
             Refusal::Unconfirmed => "unconfirmed",
             Refusal::NoTarget => "no_target",
@@ -128,6 +132,9 @@
                 "not run: the body was incomplete at the deadline; send it sooner"
             }
             Refusal::ShuttingDown => "not run: this entry shuts down; ask another one",
+            Refusal::OutOfMemory => {
+                "not run: this entry holds too many long bodies; come back or ask another one"
+            }
             Refusal::NotReady => "not run: this entry has just started; come back",
             Refusal::Unconfirmed => "not run: this entry may lack a change; ask another one",
             Refusal::NoTarget => "not run: no target can take it now; come back",
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -34,7 +34,7 @@
 use crate::host::HostSettings;
 use crate::ids::{ServiceId, TargetStart};
 use crate::log::Term;
-
+use crate::net::body_memory::BodyMemory;
 use crate::quarantine::broken_runs::BrokenRuns;
 use crate::quarantine::{Fingerprint, Hold, Quarantine, notify};
 use crate::scheduler::weights::{self, RolloutHistories};
@@ -87,6 +87,8 @@
     pub pool: Pool<TargetStart>,
     /// Idle connections to other entries.
     pub peer_pool: Pool<IpAddr>,
+    /// Memory for the bodies of requests and of buffered responses.
+    pub body_memory: BodyMemory,
     /// What this entry believes of its own path to targets.
     pub paths: RefCell<Paths>,
     /// Other entries, through which this one reaches targets if its own path to them fails.
@@ -144,6 +146,7 @@
         let subscriptions = RefCell::new(Subscriptions::new(host.failure_domain.clone()));
         let peers = RefCell::new(Peers::new(host.failure_domain.clone()));
         let freshness = RefCell::new(Freshness::new(host.periods.config_apply_limit));
+        let body_memory = BodyMemory::within(host.memory_limit_bytes);
         Gateway {
             host,
             table: RefCell::default(),
@@ -158,6 +161,7 @@
             probe_finished: Notify::new(),
             pool: Pool::default(),
             peer_pool: Pool::default(),
+            body_memory,
             paths: RefCell::default(),
             peers,
             scheduler: SchedulerClient::default(),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! TCP connections with a timeout for unacknowledged data.
 
+pub mod body_memory;
 pub mod client_stream;
 pub mod http;
 pub mod lingering_stream;
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -22,6 +22,7 @@
 mod freshness;
 mod gateway;
 mod headers;
+mod held_bodies;
 mod identity;
 mod idle_connections;
 mod instances;
