Refuse calls at a replica whose disk has failed

While the disk of a replica was full, operators' calls to it waited 2.5 s and were told that their change may or may not be decided, though nobody had seen it; an operator gives up after a second. The cause is that calls and messages stood in a queue which was only handled once the disk had room again, when what they told was long outdated. Once that queue was full, calls would have had no time limit at all (read in the code, not run).

Between two attempts to open the disk, calls are now answered with 503 as not decided, and messages are discarded, which the log tolerates as lost ones.

--- a/.ci/mutations.py
+++ b/.ci/mutations.py
@@ -336,6 +336,8 @@
      ".filter(|left| *left >= size_bytes)", "", "deployment", "held_bodies"),
     ("memory: bodies of ended requests count on", "src/net/body_memory.rs",
      "fetch_add(self.size_bytes, Ordering::Relaxed)", "fetch_add(0, Ordering::Relaxed)", "deployment", "held_bodies"),
+    ("disks: calls wait for a disk that failed", "src/control/run.rs",
+     "    let _ = tokio::time::timeout(duration, refuse).await;", "    let _ = refuse;\n    tokio::time::sleep(duration).await;", "deployment", "replicas::a_replica_with_a_full"),
     ("platform: a promise without proof is relayed", "src/gateway/attempt.rs",
      "    if is_unproven_promise {\n", "    if false {\n", "deployment", "statuses_of_targets"),
     ("platform: another request's answer is relayed", "src/gateway/attempt.rs",
--- a/src/control/run.rs
+++ b/src/control/run.rs
@@ -23,7 +23,7 @@
 use super::publisher;
 use super::quarantine_publisher;
 use super::reader_election::ReaderElection;
-use super::replica::{Input, Replica, ReplicaInit};
+use super::replica::{Input, Replica, ReplicaInit, Undecided};
 use super::roster_reader::{self, TargetListSource};
 
 use super::operator_server::OperatorServer;
@@ -220,7 +220,7 @@
             Err(error) if is_first => return Err(error),
             Err(error) => {
                 log::warn!("event=disk_still_fails reason={:?}", error.to_string());
-                tokio::time::sleep(DISK_RETRY_DELAY).await;
+                refuse_inputs(&mut inputs, DISK_RETRY_DELAY).await;
                 continue;
             }
         };
@@ -236,10 +236,28 @@
         };
         Replica::new(shared.clone(), init).run(&mut inputs).await;
         shared.caught_up_at.set(None);
-        tokio::time::sleep(DISK_RETRY_DELAY).await;
+        refuse_inputs(&mut inputs, DISK_RETRY_DELAY).await;
     }
 }
 
+/// Refuses calls and discards messages for a while. Queued ones would be outdated once the replica
+/// handles them.
+async fn refuse_inputs(inputs: &mut mpsc::Receiver<Input>, duration: Duration) {
+    let refuse = async {
+        while let Some(input) = inputs.recv().await {
+            match input {
+                Input::Frame { .. } => {}
+                // A caller that no longer waits needs no answer.
+                Input::Propose(_, sender) => drop(sender.send(Err(Undecided::NotLeader(None)))),
+                Input::Read(sender) => drop(sender.send(Err(Undecided::NotLeader(None)))),
+            }
+        }
+        std::future::pending::<()>().await;
+    };
+    // Always ends by the timeout.
+    let _ = tokio::time::timeout(duration, refuse).await;
+}
+
 /// Binds a TCP listener.
 ///
 /// # Errors
--- a/tests/deployment/replicas.rs
+++ b/tests/deployment/replicas.rs
@@ -313,3 +313,40 @@
     cluster.wait_for_exit(0);
     assert!(stopped_at.elapsed() < Duration::from_secs(4), "{:?}", stopped_at.elapsed());
 }
+
+/// How long an operator waits for an answer before it asks another replica.
+const OPERATOR_PATIENCE: Duration = Duration::from_secs(1);
+
+/// Guards against operators' calls that wait in vain at a replica whose disk is full, and against queued
+/// messages of that time, which would tell it later what is no longer so.
+#[test]
+fn a_replica_with_a_full_disk_refuses_calls_at_once_and_serves_again_when_there_is_room() {
+    let mut cluster = ReplicaCluster::start(3);
+    cluster.publish(2);
+    let leads =
+        |host: &usize| cluster.send_without_redirects(*host, "GET", "config", None) == Some(200);
+    let leader = (0..3).find(leads).expect("a leader");
+    let full = (leader + 1) % 3;
+    let folder = cluster.file(full, "data").join("replica");
+    let (mark, vote_draft) = (folder.join("mark"), folder.join("vote.draft"));
+    let kept_mark = folder.join("mark.kept");
+    std::fs::rename(&mark, &kept_mark).expect("a mark");
+    for file in [&mark, &vote_draft] {
+        std::os::unix::fs::symlink("/dev/full", file).expect("a link");
+    }
+    // The election that follows makes it write its vote.
+    cluster.kill(leader);
+    cluster.eventually("the disk stays full", |cluster| {
+        cluster.count_log_lines("event=disk_still_fails") > 0
+    });
+    for body in [None, Some(document(3))] {
+        let asked_at = Instant::now();
+        let (status, text) = cluster.config_request(full, body.as_ref()).expect("an answer");
+        assert_eq!(status, 503, "{text}");
+        assert!(text.contains("no replica leads"), "known as not decided: {text}");
+        assert!(asked_at.elapsed() < OPERATOR_PATIENCE, "{:?}", asked_at.elapsed());
+    }
+    std::fs::remove_file(&vote_draft).expect("a link");
+    std::fs::rename(&kept_mark, &mark).expect("a mark");
+    assert_eq!(cluster.read(), document(2));
+}
