--- a/tests/logic/disk.rs
+++ b/tests/logic/disk.rs
@@ -163,3 +163,24 @@
     assert_eq!(recovered.entries, vec![entry(5, 3), entry(6, 3), entry(7, 3)]);
     assert!(!recovered.has_lost_data);
 }
+
+/// Guards against a full disk that damages what it holds: a save that fails must leave the state before it.
+#[test]
+fn a_save_at_a_full_disk_fails_and_leaves_the_state_before_it() {
+    let vote = Persist { vote: Some(Vote { term: 4, ..VOTE }), ..Persist::default() };
+    let members = Members::from_voters([1]);
+    let snapshot = Snapshot { index: 3, term: 3, members, data: vec![7].into() };
+    let snapshot = Persist { snapshot: Some(snapshot), ..Persist::default() };
+    for (file, change) in [("vote", vote), ("snapshot", snapshot)] {
+        let folder = TempDir::new().expect("cannot create a temporary folder");
+        write_log(folder.path(), 5);
+        let before = recover(folder.path());
+        let draft = folder.path().join(format!("{file}.draft"));
+        std::os::unix::fs::symlink("/dev/full", &draft).expect("cannot create a link");
+        let (mut disk, _) = Disk::open(folder.path()).expect("cannot open the folder");
+        assert!(disk.save(&change, &before.entries[3..]).is_err(), "{file}");
+        disk.close();
+        std::fs::remove_file(&draft).expect("cannot remove the link");
+        assert_eq!(recover(folder.path()), before, "{file}");
+    }
+}
