--- a/src/gateway/answer_in_hand.rs
+++ b/src/gateway/answer_in_hand.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 use super::attempt::TargetResponse;
-use super::relay;
+use super::buffered_body;
 use super::request_record::{Outcome, RequestRecord};
 use super::response::{GatewayResponse, full_body};
 use super::routed_request::RoutedRequest;
@@ -26,7 +26,8 @@
 }
 
 impl AnswerInHand {
-    /// Reads an answer to its end. Returns `None` if it is long, or not complete within `READ_TIMEOUT`.
+    /// Reads an answer to its end. Returns `None` if it is long, not complete within `READ_TIMEOUT`, or there
+    /// is no memory for it.
     pub async fn read(
         gateway: &Rc<Gateway>,
         routed: &RoutedRequest,
@@ -35,19 +36,17 @@
     ) -> Option<AnswerInHand> {
         let TargetResponse { responder, response, response_metadata, mut connection, .. } =
             received;
-        if !relay::fits_buffer(response.body()) {
-            return None;
-        }
+        let reservation = buffered_body::reserve(response.body(), &gateway.body_memory)?;
         let status = response.status();
         let headers = headers::response_for_caller(response.headers());
         let deadline = routed.deadline.min(Instant::now() + READ_TIMEOUT);
-        match relay::read_buffered(response.into_body(), deadline).await {
+        match buffered_body::read(response.into_body(), deadline).await {
             Ok(body) => {
                 connection.set_idle_timeout(response_metadata.idle_timeout);
                 if !response_metadata.closes {
                     responder.return_connection(gateway, connection);
                 }
-                Some(AnswerInHand { status, headers, body })
+                Some(AnswerInHand { status, headers, body: reservation.hold(body) })
             }
             Err(error) => {
                 record.responder_failed(&responder, &error.to_string());
--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -330,7 +330,8 @@
     let deadline = arrived + read_timeout;
     let max_bytes = gateway.table().map(|table| table.deployment().request_limits.body_bytes);
     let body = RequestBody::new(body, closing);
-    let body = read_body(body, max_bytes.unwrap_or_default(), deadline).await;
+    let max_bytes = max_bytes.unwrap_or_default();
+    let body = read_body(body, max_bytes, &gateway.body_memory, deadline).await;
     let (attempt, body) = match (attempt, body) {
         (Some(attempt), Ok(body)) => (attempt, body),
         (Some(_), Err(_)) => return closing_response(ForwardedResult::NotRead, &record),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod answer_in_hand;
 pub mod attempt;
 pub mod attempts;
+pub mod buffered_body;
 pub mod caller_connection;
 pub mod connections;
 mod entry_roster;
--- a/tests/deployment/answers_in_hand.rs
+++ b/tests/deployment/answers_in_hand.rs
@@ -1,6 +1,6 @@
 //! Answers with a server error, after which another target is asked for a better one.
 
-use kumquatpost::gateway::relay::MAX_BUFFERED_BYTES;
+use kumquatpost::gateway::buffered_body::MAX_BUFFERED_BYTES;
 
 use crate::fixtures::{ms, target};
 use crate::gateway::{
