Grant retries from the leader to entries whose own budget is exhausted

Callers of resumable streams lost them when an engine ended, although another one could go on, at an entry that had started less than ten seconds before: such an entry retries for its own requests alone (retry=denied retries=3 allowed=3.4), and more streams broke with one engine.

Cause: an entry doesn't know what an earlier process of it has spent, nor how many entries start beside it, so it can't have a share of the slack in its first window. No one else gave it any of the rest.

The leader now grants retries one by one from a reserve of a tenth of the slack. Entries use 0.6 of their shares in place of 0.7, so all together may make as many as before. A new leader grants none for a window, unless no deployment had been published when its term began: no entry can have retried then. Only a confirmed leader grants, and the reserve leaves each entry the one retry that it has in any case.

Replicas of earlier builds don't understand the request.

--- a/src/control/frames.rs
+++ b/src/control/frames.rs
@@ -131,6 +131,8 @@
     Withdraw(u64),
     /// Reports progress or the end of a placement.
     Event(PlacementEvent),
+    /// Asks for a retry at the service. The id identifies the request in the reply.
+    Retry(u64, ServiceId),
 }
 
 /// A reply from the scheduler to an entry.
@@ -140,6 +142,8 @@
     Queued(u64),
     /// The result of the request with this id.
     Placed(u64, Result<Placement, SchedulerError>),
+    /// Whether the retry with this id may be made.
+    Retry(u64, bool),
 }
 
 /// Why a prompt was not placed.
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -406,6 +406,10 @@
                     None
                 }
             },
+            Payload::Noop if self.state.published.is_none() => {
+                self.shared.unserved_term.set(entry.term);
+                None
+            }
             Payload::Noop | Payload::Members(_) => None,
         };
         if let Some((term, sender)) = self.pending_proposals.remove(&entry.index) {
--- a/src/control/run.rs
+++ b/src/control/run.rs
@@ -96,6 +96,7 @@
         deployment_update: RefCell::new((0, Arc::from([]))),
         reader_election: Cell::new(ReaderElection::new(boot_now())),
         caught_up_at: Cell::new(None),
+        unserved_term: Cell::new(0),
         connected_entries: RefCell::default(),
         entry_directory: RefCell::default(),
         entry_count: Cell::new(None),
@@ -114,7 +115,8 @@
     let (inputs, receiver) = mpsc::channel(QUEUE_LEN);
     let peers = listen(SocketAddr::new(host.ip, host.peer_port)).await?;
     let (tasks, mut first_exit) = essential_tasks();
-    let scheduling = Rc::new(SchedulerService::new(shared.clone(), host.periods.old_weights));
+    let scheduling = SchedulerService::new(shared.clone(), host.periods.old_weights);
+    let scheduling = Rc::new(scheduling.with_retry_limit(host.retry_limit()));
     tasks.spawn("scheduling", scheduling.clone().run());
     tasks.spawn("dispatching", scheduling.clone().keep_dispatching());
     tasks.spawn("peers", publisher::accept(peers, scheduling.clone(), inputs.clone()));
--- a/src/control/scheduler_service.rs
+++ b/src/control/scheduler_service.rs
@@ -15,7 +15,9 @@
 use super::frames::{self, SchedulerError, SchedulerReply, SchedulerRequest, encode};
 use super::shared::Shared;
 use crate::clock::{BootTime, boot_now};
-use crate::ids::TargetStart;
+use crate::fleet::budget::RetryLimit;
+use crate::fleet::retry_reserve::{ReserveContext, RetryReserve};
+use crate::ids::{ServiceId, TargetStart};
 use crate::log::Term;
 use crate::net::http::{HttpCall, fetch};
 use crate::platform::stores;
@@ -45,6 +47,8 @@
     pub old_weights: OldWeightsPolicy,
     /// The scheduler and its term; `None` while another replica is the leader.
     pub(super) active: RefCell<Option<(Term, Scheduler)>>,
+    /// Retries for entries whose own budget is exhausted; `None` if there is no limit to share.
+    pub(super) retry_reserve: RefCell<Option<RetryReserve>>,
     /// Queued prompts.
     waiters: RefCell<HashMap<WaiterId, Waiter>>,
     next_waiter: Cell<WaiterId>,
@@ -89,6 +93,7 @@
             shared,
             old_weights,
             active: RefCell::default(),
+            retry_reserve: RefCell::default(),
             waiters: RefCell::default(),
             next_waiter: Cell::new(0),
             weight_queries: RefCell::default(),
@@ -96,6 +101,27 @@
         }
     }
 
+    /// Grants retries within this limit of all entries.
+    pub fn with_retry_limit(self, limit: RetryLimit) -> SchedulerService {
+        self.retry_reserve.replace(Some(RetryReserve::new(limit)));
+        self
+    }
+
+    /// Grants a retry from the reserve, if this replica is confirmed to be the leader.
+    fn grant_retry(&self, service: &ServiceId) -> bool {
+        let term = self.shared.view.borrow().term;
+        if !self.is_active(term) || self.with_scheduler(|_| {}).is_none() {
+            return false;
+        }
+        let context = ReserveContext {
+            term,
+            is_first_service: self.shared.unserved_term.get() == term,
+            entries: self.shared.entry_count.get(),
+        };
+        let mut reserve = self.retry_reserve.borrow_mut();
+        reserve.as_mut().is_some_and(|reserve| reserve.try_grant(service, context, boot_now()))
+    }
+
     /// Calls the scheduler if this replica is confirmed to be the leader.
     pub fn with_scheduler<T>(&self, call: impl FnOnce(&mut Scheduler) -> T) -> Option<T> {
         if !self.shared.is_current(LEADERSHIP_MAX_AGE) || !self.shared.view.borrow().leads {
@@ -281,6 +307,11 @@
                     waiter.into_iter().for_each(|waiter| self.withdraw(waiter));
                 }
                 SchedulerRequest::Event(event) => self.handle_event(&event),
+                SchedulerRequest::Retry(id, service) => {
+                    let is_granted = self.scheduling.grant_retry(&service);
+                    // If the connection has ended, `serve` sees that on the read half.
+                    let _ = self.entry.answers.send(SchedulerReply::Retry(id, is_granted));
+                }
             }
         }
     }
--- a/src/control/scheduler_sync.rs
+++ b/src/control/scheduler_sync.rs
@@ -50,6 +50,9 @@
                 log::info!("event=scheduler_started term={term}");
                 let first_ticket = term << TICKET_NUMBER_BITS;
                 *self.active.borrow_mut() = Some((term, self.new_scheduler(first_ticket)));
+                if let Some(reserve) = self.retry_reserve.borrow_mut().as_mut() {
+                    reserve.begin_term(term, boot_now());
+                }
                 synced = Synced::default();
             }
             self.sync(term, &mut synced);
--- a/src/control/shared.rs
+++ b/src/control/shared.rs
@@ -65,6 +65,8 @@
     pub reader_election: Cell<ReaderElection>,
     /// When this replica was last known to have every committed log entry.
     pub caught_up_at: Cell<Option<BootTime>>,
+    /// The last term that began before any deployment was published; 0 if there is none.
+    pub unserved_term: Cell<Term>,
     /// Entries connected to this replica, by name.
     pub connected_entries: RefCell<BTreeMap<String, ConnectedEntry>>,
     /// Entries connected to any replica.
--- a/src/fleet/budget.rs
+++ b/src/fleet/budget.rs
@@ -6,11 +6,16 @@
 use crate::clock::BootTime;
 use crate::ids::ServiceId;
 
-/// Fraction of its share that an entry uses. The rest covers entries it has not heard of yet, and
-/// requests whose retries fall into a later window.
-const USED_FRACTION: f64 = 0.7;
+/// Fraction of the retries for its own requests that an entry uses. The rest covers requests whose
+/// retries fall into a later window.
+const USED_REQUEST_FRACTION: f64 = 0.7;
+/// Fraction of its share of the slack that an entry uses. What is left beside the reserve covers entries
+/// it has not heard of yet.
+const USED_SLACK_FRACTION: f64 = 0.6;
+/// Fraction of the slack that the leader grants to entries whose budget is exhausted.
+pub(super) const RESERVE_FRACTION: f64 = 0.1;
 /// Number of entries that share the slack until a replica reports it.
-const INITIAL_ENTRY_COUNT: u32 = 16;
+pub(super) const INITIAL_ENTRY_COUNT: u32 = 16;
 
 /// Limit on the retries of all entries at one service.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -38,7 +43,7 @@
 ///
 /// An earlier process of the same entry may have spent its share of the slack just before it ended.
 /// The limit counts these retries for a window, so a new process has only the retries that its own
-/// requests allow until then.
+/// requests allow until then, and those that the leader grants (`RetryReserve`).
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     limit: RetryLimit,
@@ -97,7 +102,8 @@
         let has_slack = now >= self.slack_from;
         let slack = if has_slack { self.limit.slack / f64::from(entries) } else { 0.0 };
         let counts = self.counts(service, now);
-        let share = (ratio * counts.requests.len() as f64 + slack) * USED_FRACTION;
+        let for_requests = ratio * counts.requests.len() as f64 * USED_REQUEST_FRACTION;
+        let share = for_requests + slack * USED_SLACK_FRACTION;
         let allowed = if has_slack { share.max(1.0) } else { share };
         let is_granted = counts.retries.len() as f64 + 1.0 <= allowed;
         if is_granted {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 pub mod placement;
 pub mod rate;
 pub mod regions;
+pub mod retry_reserve;
 pub mod ring;
 pub mod roster;
 pub mod software;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -320,7 +320,7 @@
         let mut attempts_left = MAX_RESUME_ATTEMPTS;
         while failure.may_try_further
             && attempts_left > 0
-            && self.gateway.try_retry(&self.routed.service, &self.record)
+            && self.gateway.try_retry(&self.routed.service, &self.record).await
         {
             attempts_left -= 1;
             let made = self.attempt_rest().await;
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -226,7 +226,7 @@
                 attempts.add(received.responder.target().cloned());
                 let wants_another = received.response.status().is_server_error()
                     && routed.route.policy == RunPolicy::Idempotent;
-                if !(wants_another && may_retry(gateway, &routed, &attempts, &record)) {
+                if !(wants_another && may_retry(gateway, &routed, &attempts, &record).await) {
                     let id = routed.metadata.id.clone();
                     return relay_response(gateway, routed, record, attempts, received)
                         .await
@@ -272,13 +272,13 @@
             (_, attempt_refusal) => attempt_refusal,
         };
         let may_repeat = !attempts.may_have_run() || routed.route.policy.may_repeat();
-        if !may_repeat || !may_retry(gateway, &routed, &attempts, &record) {
+        if !may_repeat || !may_retry(gateway, &routed, &attempts, &record).await {
             return refuse(refusal, &routed.metadata.id, &record);
         }
     }
 }
 
-fn may_retry(
+async fn may_retry(
     gateway: &Gateway,
     routed: &RoutedRequest,
     attempts: &Attempts,
@@ -286,7 +286,7 @@
 ) -> bool {
     attempts.count() < routed.route.attempts.max(2)
         && Instant::now() < routed.deadline
-        && gateway.try_retry(&routed.service, record)
+        && gateway.try_retry(&routed.service, record).await
 }
 
 /// Relays a response.
--- a/src/gateway/request_record.rs
+++ b/src/gateway/request_record.rs
@@ -231,6 +231,14 @@
         ));
     }
 
+    /// Records that the leader allows another attempt, which the budget of this entry does not.
+    pub fn retry_granted_by_leader(&self, service: &ServiceId) {
+        let labels = [label("service", service), label("verdict", "granted_by_leader")];
+        self.gateway.metrics.retries.add(1, &labels);
+        let at_ms = self.elapsed().as_millis();
+        self.add_step(format_args!(" at_ms={at_ms} retry=granted_by_leader"));
+    }
+
     /// Records that a granted retry was not made.
     pub fn retry_returned(&self) {
         let at_ms = self.elapsed().as_millis();
--- a/src/gateway/scheduler_client.rs
+++ b/src/gateway/scheduler_client.rs
@@ -5,11 +5,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::time::Instant;
 
 use crate::clock::{BootTime, boot_now};
 use crate::control::frames::{SchedulerError, SchedulerRequest, encode};
+use crate::ids::ServiceId;
 use crate::scheduler::{EndReason, Placement, PlacementEvent, PlacementRequest};
 
 /// How long to wait for the first reply before the entry selects a target itself. Usual replies
@@ -18,6 +19,11 @@
 /// After such a timeout no requests are sent for this long.
 const PAUSE_AFTER_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// How long to wait for a retry. Without it the request fails, so a late reply is better than none.
+const RETRY_REPLY_TIMEOUT: Duration = Duration::from_millis(250);
+/// After a denial no retries are requested for the service for this long.
+const PAUSE_AFTER_DENIAL: Duration = Duration::from_millis(500);
+
 /// If no scheduler is available, a prompt waits for this fraction of its objective, but at least
 /// `MIN_SCHEDULER_WAIT`: an election of a leader usually takes 50 to 600 ms. An entry that selects
 /// a target itself can't use cached prompt parts, so the engine must read most of the prompt again.
@@ -68,6 +74,10 @@
 pub struct SchedulerClient {
     outgoing: RefCell<Option<mpsc::Sender<Arc<[u8]>>>>,
     pending: RefCell<HashMap<u64, mpsc::Sender<Reply>>>,
+    /// Requested retries without a reply.
+    pending_retries: RefCell<HashMap<u64, oneshot::Sender<bool>>>,
+    /// When retries were last denied, by service.
+    retries_denied: RefCell<HashMap<ServiceId, BootTime>>,
     next_number: Cell<u64>,
     paused_until: Cell<BootTime>,
     /// Notified when a connection is established.
@@ -132,9 +142,41 @@
         }
     }
 
-    fn register(&self) -> PendingRequest<'_> {
+    /// Asks the leader for a retry at the service. Returns false if there is no reply in time.
+    pub async fn request_retry(&self, service: &ServiceId) -> bool {
+        let denied_at = self.retries_denied.borrow().get(service).copied();
+        if denied_at.is_some_and(|at| boot_now() < at + PAUSE_AFTER_DENIAL) {
+            return false;
+        }
+        let (number, (sender, reply)) = (self.take_number(), oneshot::channel());
+        if !self.send(&SchedulerRequest::Retry(number, service.clone())) {
+            return false;
+        }
+        self.pending_retries.borrow_mut().insert(number, sender);
+        let reply = tokio::time::timeout(RETRY_REPLY_TIMEOUT, reply).await;
+        self.pending_retries.borrow_mut().remove(&number);
+        let is_granted = matches!(reply, Ok(Ok(true)));
+        if !is_granted {
+            self.retries_denied.borrow_mut().insert(service.clone(), boot_now());
+        }
+        is_granted
+    }
+
+    /// Delivers the reply to a requested retry. The retry is lost if it came too late.
+    pub(super) fn deliver_retry(&self, number: u64, is_granted: bool) {
+        if let Some(pending) = self.pending_retries.borrow_mut().remove(&number) {
+            let _ = pending.send(is_granted);
+        }
+    }
+
+    fn take_number(&self) -> u64 {
         let number = self.next_number.get();
         self.next_number.set(number + 1);
+        number
+    }
+
+    fn register(&self) -> PendingRequest<'_> {
+        let number = self.take_number();
         let (sender, replies) = mpsc::channel(2);
         self.pending.borrow_mut().insert(number, sender);
         PendingRequest { client: self, number, replies }
@@ -162,6 +204,7 @@
     pub(super) fn detach(&self) {
         *self.outgoing.borrow_mut() = None;
         self.pending.borrow_mut().clear();
+        self.pending_retries.borrow_mut().clear();
     }
 
     /// Delivers a reply to the pending request. A placement is returned if the request is no longer
--- a/src/gateway/scheduler_connection.rs
+++ b/src/gateway/scheduler_connection.rs
@@ -66,11 +66,15 @@
 async fn deliver_replies(gateway: &Gateway, read: OwnedReadHalf) -> std::io::Result<()> {
     let mut read = BufReader::new(read);
     loop {
-        let (number, reply) = match frames::read(&mut read).await? {
-            SchedulerReply::Queued(number) => (number, Reply::Queued),
-            SchedulerReply::Placed(number, answer) => (number, Reply::Placed(Box::new(answer))),
-        };
-        gateway.scheduler.deliver(number, reply);
+        match frames::read(&mut read).await? {
+            SchedulerReply::Queued(number) => gateway.scheduler.deliver(number, Reply::Queued),
+            SchedulerReply::Placed(number, answer) => {
+                gateway.scheduler.deliver(number, Reply::Placed(Box::new(answer)));
+            }
+            SchedulerReply::Retry(number, is_granted) => {
+                gateway.scheduler.deliver_retry(number, is_granted);
+            }
+        }
     }
 }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -25,7 +25,7 @@
 use crate::control::pieces::Assembly;
 use crate::deployment::document::DeploymentVersion;
 use crate::deployment::{Deployment, RoutingTable};
-use crate::fleet::budget::{RetryBudget, RetryLimit};
+use crate::fleet::budget::RetryBudget;
 use crate::fleet::news::NewsTable;
 use crate::fleet::paths::Paths;
 use crate::fleet::rate::IndependentShare;
@@ -135,11 +135,7 @@
 impl Gateway {
     /// Creates the state of an entry that has received no updates yet.
     pub fn new(host: HostSettings, metrics: EntryMetrics) -> Gateway {
-        let rule = RetryLimit {
-            ratio: host.retry_ratio,
-            slack: host.retry_slack,
-            window: host.periods.retry_window,
-        };
+        let rule = host.retry_limit();
         let replicas = host.seeds.iter().map(|seed| seed.ip()).collect();
         let subscriptions = RefCell::new(Subscriptions::new(host.failure_domain.clone()));
         let peers = RefCell::new(Peers::new(host.failure_domain.clone()));
@@ -202,9 +198,16 @@
         self.metrics.text()
     }
 
-    /// Takes a retry from the budget; false if it is exhausted.
-    pub fn try_retry(&self, service: &ServiceId, record: &RequestRecord) -> bool {
-        self.take_retry(service, record).is_some()
+    /// Takes a retry from the budget, or asks the leader for one if it is exhausted.
+    pub async fn try_retry(&self, service: &ServiceId, record: &RequestRecord) -> bool {
+        if self.take_retry(service, record).is_some() {
+            return true;
+        }
+        let is_granted = self.scheduler.request_retry(service).await;
+        if is_granted {
+            record.retry_granted_by_leader(service);
+        }
+        is_granted
     }
 
     /// Takes a retry from the budget and returns when, unless it is exhausted.
--- a/src/host.rs
+++ b/src/host.rs
@@ -5,6 +5,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use crate::fleet::budget::RetryLimit;
 use crate::ids::{DomainId, RegionId};
 use crate::scheduler::weights::OldWeightsPolicy;
 
@@ -52,6 +53,17 @@
     pub retry_slack: f64,
 }
 
+impl HostSettings {
+    /// Limit on the retries of all entries at one service.
+    pub fn retry_limit(&self) -> RetryLimit {
+        RetryLimit {
+            ratio: self.retry_ratio,
+            slack: self.retry_slack,
+            window: self.periods.retry_window,
+        }
+    }
+}
+
 /// Durations that apply to all hosts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Periods {
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -50,6 +50,7 @@
 mod regions;
 mod replicas;
 mod restarts;
+mod retry_reserve;
 mod rollout;
 mod roster;
 mod roster_file;
--- a/tests/deployment/replicas.rs
+++ b/tests/deployment/replicas.rs
@@ -81,7 +81,9 @@
             "Listen": {"Control": seed(host)}, "PortRange": [self.port, self.port + 8],
             "Seeds": [seed(0), seed(1), seed(2)], "FirstStart": is_first_start,
             "Limits": {"MemoryMb": 256, "MaxFds": 4096}, "DataDir": self.file(host, "data"),
-            "Cloud": self.target_list.map(|list| json!({"Addr": list, "RatePerS": 44.0})), "Tolerate": {"Machines": 2}, "Bounds": {"GraceS": 8, "LeaseMs": 3000, "VersionMs": 2000, "VersionAllMs": 2800}
+            "Cloud": self.target_list.map(|list| json!({"Addr": list, "RatePerS": 44.0})), "Tolerate": {"Machines": 2},
+            "Bounds": {"GraceS": 8, "LeaseMs": 3000, "VersionMs": 2000, "VersionAllMs": 2800,
+                       "BudgetRatio": 0.2, "BudgetWindowS": 60, "BudgetSlack": 56}
         });
         let path = self.file(host, "settings.json");
         std::fs::write(&path, settings.to_string()).expect("a file");
--- a/tests/deployment/scheduler_service.rs
+++ b/tests/deployment/scheduler_service.rs
@@ -16,6 +16,7 @@
 use kumquatpost::control::shared::{ReplicaView, Shared};
 use kumquatpost::control::state::{ControlState, Published};
 use kumquatpost::control::stream_directory::StreamDirectory;
+use kumquatpost::fleet::budget::RetryLimit;
 use kumquatpost::gateway::metadata::Part;
 use kumquatpost::gateway::scheduler_connection;
 use kumquatpost::log::Term;
@@ -60,6 +61,7 @@
         reader_election: Cell::new(ReaderElection::new(boot_now())),
         // Leadership stays confirmed for longer than a test runs.
         caught_up_at: Cell::new(Some(boot_now() + ms(600_000))),
+        unserved_term: Cell::new(0),
         connected_entries: RefCell::default(),
         entry_directory: RefCell::default(),
         entry_count: Cell::new(None),
@@ -173,6 +175,29 @@
     }
 }
 
+/// Guards against entries that get no retry from the leader in the first seconds of a system, and against
+/// new leaders that grant what earlier ones may have granted.
+#[test]
+fn a_new_leader_grants_retries_only_if_its_term_began_before_any_deployment() {
+    for (unserved_term, is_granted) in [(1, true), (0, false)] {
+        let shared = leader_state(1, VersionedRoster::default());
+        shared.unserved_term.set(unserved_term);
+        let scheduling = SchedulerService::new(Rc::new(shared), OldWeightsPolicy::default());
+        let limit = RetryLimit { ratio: 0.2, slack: 56.0, window: ms(10_000) };
+        run_service(Rc::new(scheduling.with_retry_limit(limit)), async |scheduling| {
+            while !scheduling.is_active(1) {
+                tokio::time::sleep(ms(5)).await;
+            }
+            let mut entry = EntryClient::connect(&scheduling).await;
+            entry.send(SchedulerRequest::Retry(7, "llm".to_string())).await;
+            assert_eq!(entry.receive().await, SchedulerReply::Retry(7, is_granted));
+            scheduling.shared.caught_up_at.set(None);
+            entry.send(SchedulerRequest::Retry(8, "llm".to_string())).await;
+            assert_eq!(entry.receive().await, SchedulerReply::Retry(8, false), "unconfirmed");
+        });
+    }
+}
+
 /// A prompt that keeps an engine busy, so that the next one is queued.
 fn long_prompt() -> PlacementRequest {
     let part = |id: &str, tokens| Part { id: id.to_string(), tokens };
@@ -190,9 +215,15 @@
 }
 
 fn run<F: Future<Output = ()>>(test: impl FnOnce(Rc<SchedulerService>) -> F) {
+    run_service(leading_scheduler(), test);
+}
+
+fn run_service<F: Future<Output = ()>>(
+    scheduling: Rc<SchedulerService>,
+    test: impl FnOnce(Rc<SchedulerService>) -> F,
+) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     LocalSet::new().block_on(&runtime.expect("build the runtime"), async {
-        let scheduling = leading_scheduler();
         tokio::task::spawn_local(scheduling.clone().run());
         tokio::task::spawn_local(scheduling.clone().keep_dispatching());
         test(scheduling).await;
