--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -53,6 +53,7 @@
 mod regions;
 mod replicas;
 mod restarts;
+mod retry_reserve;
 mod rollout;
 mod roster;
 mod roster_file;
