--- a/tests/logic/main.rs
+++ b/tests/logic/main.rs
@@ -22,6 +22,7 @@
 mod orders;
 mod part_holds;
 mod quarantine;
+mod quarantine_unrelated_ends;
 mod relay;
 mod replica_replacement;
 mod replica_restart;
