--- a/tests/deployment/concentrated_connections.rs
+++ b/tests/deployment/concentrated_connections.rs
@@ -12,8 +12,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+use crate::cut_entries::start_with_few_descriptors;
 use crate::fixtures::ms;
-use crate::forwarding::start_with_few_descriptors;
 use crate::gateway::{ok_response, run_local};
 use crate::processes::System;
 use crate::restarts::{EVENT_TIMEOUT, TestDeployment};
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -8,6 +8,7 @@
 mod cold;
 mod concentrated_connections;
 mod crashing_parts;
+mod cut_entries;
 mod diagnostics;
 mod documents;
 mod early_breaks;
--- a/tests/deployment/silent_targets.rs
+++ b/tests/deployment/silent_targets.rs
@@ -13,8 +13,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::cut_entries::{Cut, CutAddress};
 use crate::fixtures::{deployment, start, target};
-use crate::forwarding::{Cut, CutAddress};
 use crate::gateway::{
     Entry, PROMPT, Response, entry_with_two_targets, event_stream, eventually, ok_response,
     prefer_other_targets, run_local, start_entry,
--- a/tests/deployment/unframed_answers.rs
+++ b/tests/deployment/unframed_answers.rs
@@ -6,7 +6,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use crate::forwarding::{self, Cut};
+use crate::cut_entries::{self, Cut};
 use crate::gateway::{PROMPT, entry_with_two_targets, run_local};
 use crate::restarts::EVENT_TIMEOUT;
 use crate::stand_in::{AfterAnswer, Script, header};
@@ -165,7 +165,7 @@
     for (service, network) in [("app", 170), ("llm", 174)] {
         run_local(async move {
             let system =
-                forwarding::start(Cut::Refused, service, vec![vec![], vec![]], network).await;
+                cut_entries::start(Cut::Refused, service, vec![vec![], vec![]], network).await;
             for version in VERSIONS {
                 let cases = cases().into_iter().filter(|case| service_of(case.path) == service);
                 for (n, case) in cases.enumerate() {
