--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -22,6 +22,7 @@
 mod forwarding;
 mod freshness;
 mod gateway;
+mod gateway_responses;
 mod headers;
 mod identity;
 mod idle_connections;
