--- a/tests/deployment/changes_under_load.rs
+++ b/tests/deployment/changes_under_load.rs
@@ -12,7 +12,7 @@
 
 use crate::fixtures::ms;
 use crate::gateway::run_local;
-use crate::platform_stand_in::target::expected_event;
+use crate::platform_stand_in::job::expected_event;
 use crate::restarts::{EVENT_TIMEOUT, TestDeployment};
 use crate::stand_in::header;
 
--- a/tests/deployment/restarts.rs
+++ b/tests/deployment/restarts.rs
@@ -7,10 +7,10 @@
 use serde_json::{Value, json};
 
 use crate::platform_stand_in::Platform;
+use crate::platform_stand_in::job::expected_event;
 use crate::platform_stand_in::list::{FOREIGN_ENTRIES, ForeignEntry};
 use crate::platform_stand_in::starts::Restart;
 use crate::platform_stand_in::store::clock_ms;
-use crate::platform_stand_in::target::expected_event;
 use crate::processes::{REPLICAS, System};
 
 /// Timeout for expected events, generous for busy machines.
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -17,8 +17,9 @@
 use crate::Harness;
 use crate::entry_cuts::Attempt;
 
+use crate::platform_stand_in::job::{expected_body, expected_event};
 use crate::platform_stand_in::observations::{REPEATABLE_ID_PREFIX, RESUMABLE_ID_PREFIX};
-use crate::platform_stand_in::target::{ISOLATED_ACCOUNT, expected_body, expected_event};
+use crate::platform_stand_in::target::ISOLATED_ACCOUNT;
 use crate::quarantine::HELD_MESSAGE;
 use crate::taken_up_streams::{self, BrokenStream};
 use crate::whole_answers::{self, Failure, Sent, UnexplainedFailure};
--- a/tests/soak/taken_up_streams.rs
+++ b/tests/soak/taken_up_streams.rs
@@ -9,7 +9,7 @@
 
 use super::Harness;
 use super::callers::{self, Outcome, RequestKind};
-use super::platform_stand_in::target::expected_event;
+use super::platform_stand_in::job::expected_event;
 
 /// Attempts to take up a stream, each at a random entry.
 const MAX_ATTEMPTS: usize = 3;
