One definition of the prefill rate of engines that are not known yet

The scheduler's first estimate and the cost estimate of entries without a scheduler held the same rate under two names, one as its reciprocal.

--- a/src/fleet/placement.rs
+++ b/src/fleet/placement.rs
@@ -13,6 +13,7 @@
 use crate::clock::BootTime;
 use crate::gateway::metadata::Prompt;
 use crate::ids::TargetStart;
+use crate::scheduler::prefill::DEFAULT_PREFILL_TOKENS_PER_MS;
 use crate::scheduler::weights::{
     MAX_START_DELAY, OLD_WEIGHTS_COST_MS, OldWeightsPolicy, RolloutHistories, RolloutHistory,
 };
@@ -20,8 +21,6 @@
 /// Delay added by each request that an engine already holds: the prefill of a mean prompt (3,600
 /// tokens at 140 tokens/ms).
 const DELAY_PER_REQUEST: Duration = Duration::from_millis(25);
-/// Prefill speed of an engine in cost estimates: that of the slower deployed type.
-const PREFILL_TOKENS_PER_MS: f64 = 92.0;
 /// Delay added by each request in a plain service's queue.
 const DELAY_PER_PLAIN_REQUEST: Duration = Duration::from_millis(15);
 /// Number of engines expected to hold a context, first in affinity order: the preferred one and its
@@ -232,7 +231,8 @@
                     affinity_rank if affinity_rank < AFFINITY_ENGINES => SECOND_CHOICE_FRACTION,
                     _ => 1.0,
                 };
-            let prefill_ms = (own_tokens as f64 + recomputed_tokens) / PREFILL_TOKENS_PER_MS;
+            let prefill_ms =
+                (own_tokens as f64 + recomputed_tokens) / DEFAULT_PREFILL_TOKENS_PER_MS;
             let expected =
                 DELAY_PER_REQUEST.mul_f64(load) + Duration::from_secs_f64(prefill_ms / 1e3);
             let (weight_version, cost_ms) =
--- a/src/scheduler/prefill.rs
+++ b/src/scheduler/prefill.rs
@@ -2,8 +2,11 @@
 
 use std::time::Duration;
 
-/// Prefill time per token before any measurement: the slower of the deployed engine types.
-const INITIAL_MS_PER_TOKEN: f64 = 1.0 / 92.0;
+/// Prefill rate of engines whose own rate is not known. The scheduler starts from it and learns the
+/// rate of each service; entries that select targets themselves learn none.
+pub const DEFAULT_PREFILL_TOKENS_PER_MS: f64 = 92.0;
+/// Prefill time per token before any measurement.
+const INITIAL_MS_PER_TOKEN: f64 = 1.0 / DEFAULT_PREFILL_TOKENS_PER_MS;
 /// Time to first token besides prefill, before any measurement.
 const INITIAL_BASE_MS: f64 = 40.0;
 /// Number of measurements that the initial estimate counts for.
