--- a/src/control/frames.rs
+++ b/src/control/frames.rs
@@ -172,8 +172,7 @@
     Hosts(BTreeSet<IpAddr>),
     /// The sender's whole roster.
     Roster(VersionedRoster),
-    /// The change from an earlier roster. A whole roster of 3,000 targets takes about 220 KB, and
-    /// may change with each read.
+    /// The change from an earlier roster: a whole one is large, and may change with each read.
     RosterChanged {
         /// The version before the change.
         before: RosterVersion,
--- a/src/control/rollout.rs
+++ b/src/control/rollout.rs
@@ -26,11 +26,9 @@
 
 /// How often the leader looks for engines with outdated weights.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// How often an engine is polled while it loads. A load takes at least 270 ms, and each request is
-/// charged.
+/// How often an engine is polled while it loads. Each request is charged.
 const LOAD_POLL_INTERVAL: Duration = Duration::from_millis(150);
-/// How long an engine that gets no new prompts may take to finish its running ones. Most streams
-/// take less than 1 s, some up to 2 s.
+/// How long an engine that gets no new prompts may take to finish its running ones before it loads.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(600);
 /// How often to check whether an engine has drained or a load slot is free.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
--- a/src/control/run.rs
+++ b/src/control/run.rs
@@ -45,8 +45,7 @@
 use crate::reload;
 use crate::telemetry::deployment_metrics::ReplicaMetrics;
 
-/// Followers time out after 0.3 s without a heartbeat, and a new leader is elected within another
-/// 0.6 s. The round trip between replicas takes about 1 ms, a slow disk sync tens of milliseconds.
+/// The election timeout is far longer than a round trip between replicas and a slow disk sync together.
 const RAFT_TIMING: RaftTiming = RaftTiming {
     heartbeat_interval: Duration::from_millis(75),
     election_timeout: Duration::from_millis(300),
--- a/src/control/scheduler_service.rs
+++ b/src/control/scheduler_service.rs
@@ -32,7 +32,7 @@
 /// A leader whose leadership was not confirmed for this long schedules nothing. Shorter than the
 /// election timeout, so no other leader can have been elected.
 const LEADERSHIP_MAX_AGE: Duration = Duration::from_millis(250);
-/// How often to check for confirmed leadership. A commit takes at least 2 ms.
+/// How often to check for confirmed leadership.
 const LEADERSHIP_POLL_INTERVAL: Duration = Duration::from_millis(2);
 /// Timeout of a request to a store to free parts.
 const FREE_TIMEOUT: Duration = Duration::from_millis(500);
--- a/src/control/voter_set.rs
+++ b/src/control/voter_set.rs
@@ -11,8 +11,7 @@
 use crate::log::Members;
 
 /// A voter not heard from for this long is replaced by a learner. Longer than an election or a slow
-/// disk sync, and short enough for the repair to end before the next failure, expected 4 s after a
-/// replacement starts at the earliest.
+/// disk sync, and short enough for the repair to end before the next failure.
 pub const VOTER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// A join request counts for this long after it was received.
 const JOIN_REQUEST_TTL: Duration = Duration::from_secs(2);
--- a/src/fleet/placement.rs
+++ b/src/fleet/placement.rs
@@ -18,8 +18,7 @@
     MAX_START_DELAY, OLD_WEIGHTS_COST_MS, OldWeightsPolicy, RolloutHistories, RolloutHistory,
 };
 
-/// Delay added by each request that an engine already holds: the prefill of a mean prompt (3,600
-/// tokens at 140 tokens/ms).
+/// Delay added by each request that an engine already holds: about the prefill of a mean prompt.
 const DELAY_PER_REQUEST: Duration = Duration::from_millis(25);
 /// Delay added by each request in a plain service's queue.
 const DELAY_PER_PLAIN_REQUEST: Duration = Duration::from_millis(15);
--- a/src/gateway/log_limiter.rs
+++ b/src/gateway/log_limiter.rs
@@ -10,7 +10,7 @@
 /// Successful requests that are logged each second. Beyond that, a sample chosen by a hash of the
 /// request id is logged, so that all processes log the same requests.
 const SUCCESSES_PER_S: u32 = 100;
-/// Other requests that are logged each second: 20 for each of a hundred connections.
+/// Other requests that are logged each second.
 const FAILURES_PER_S: u32 = 2_000;
 /// One in this many successful requests is in the sample.
 const SAMPLE_ONE_IN: u64 = 16;
--- a/src/gateway/scheduler_client.rs
+++ b/src/gateway/scheduler_client.rs
@@ -19,8 +19,8 @@
 const PAUSE_AFTER_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// If no scheduler is available, a prompt waits for this fraction of its objective, but at least
-/// `MIN_SCHEDULER_WAIT`: an election of a leader usually takes 50 to 600 ms. An entry that selects
-/// a target itself can't use cached prompt parts, so the engine must read most of the prompt again.
+/// `MIN_SCHEDULER_WAIT`, for a leader to be elected. An entry that selects a target itself can't use
+/// cached prompt parts, so the engine must read most of the prompt again.
 const WAIT_OBJECTIVE_FRACTION: f64 = 0.4;
 const MIN_SCHEDULER_WAIT: Duration = Duration::from_millis(200);
 /// The wait is at most the time left for the prompt, divided by this.
--- a/src/log/raft/restart.rs
+++ b/src/log/raft/restart.rs
@@ -2,9 +2,9 @@
 //!
 //! A leader holds a lease, and answers reads from its own state, for almost an election timeout after a quorum
 //! has acknowledged it. The times of acknowledgements are not kept on disk, so a replica that has just started
-//! must not vote for an election timeout, 0.3 to 0.6 s, which would be most of the outage after all replicas were
-//! killed together. The wait ends early once the acknowledged leader is known to have
-//! restarted as well, because a lease does not outlive its process.
+//! must not vote for an election timeout, which would be most of the outage after all replicas were killed
+//! together. The wait ends early once the acknowledged leader is known to have restarted as well, because a
+//! lease does not outlive its process.
 
 use std::time::Duration;
 
--- a/src/queries/capacity.rs
+++ b/src/queries/capacity.rs
@@ -6,7 +6,7 @@
 const MEBIBYTE: f64 = 1_048_576.0;
 /// Roles that need another design at the planned scale; see docs/CAPACITY.md.
 const UNSCALABLE_ROLES: [&str; 2] = ["reading engines' reports", "reading the platform's list"];
-/// Assumed memory of a dedicated host.
+/// Memory of a host that is set aside for a role.
 const DEDICATED_HOST_MEMORY_BYTES: f64 = 16_384.0 * MEBIBYTE;
 
 /// Measures the costs and prints the tables of docs/CAPACITY.md.
--- a/src/scheduler/candidate.rs
+++ b/src/scheduler/candidate.rs
@@ -16,7 +16,7 @@
 /// Delay added by each prompt that the engine already runs, besides its prefill backlog.
 const DELAY_PER_RUNNING_MS: f64 = 2.0;
 /// Delay added by each request that other schedulers or entries sent to the engine: about the
-/// prefill of a mean prompt of 3,600 tokens.
+/// prefill of a mean prompt.
 const DELAY_PER_OTHER_MS: f64 = 25.0;
 /// Cost of recomputing a token that is cached elsewhere, besides the time it takes. It makes the
 /// scheduler prefer a slightly slower engine over redundant work.
