--- a/src/capacity/planned_scale.rs
+++ b/src/capacity/planned_scale.rs
@@ -11,14 +11,11 @@
     pub tokens_per_s: f64,
     /// Contexts whose prompts return.
     pub contexts: f64,
-    /// Client accounts.
     pub accounts: f64,
     /// Models in regular use.
     pub models: f64,
     pub regions: f64,
-    /// Failure domains.
     pub domains: f64,
-    /// Rate of configuration changes.
     pub config_changes_per_s: f64,
     /// Rate of node starts: recoveries from failures, restarts and replacements.
     pub node_starts_per_s: f64,
--- a/src/claims.rs
+++ b/src/claims.rs
@@ -33,7 +33,6 @@
 /// The response to a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Outcome {
-    /// HTTP status.
     pub status: u16,
     pub content_type: String,
     /// `None` if it was longer than `MAX_OUTCOME_BODY_BYTES`.
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -64,10 +64,8 @@
 
 const NODE_HELP: &str = "  --node URL     operators' address of a node, as http://IP:PORT\n";
 
-/// A parsed command.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Command {
-    /// Print a text.
     Print(String),
     /// Run a node.
     Serve(PathBuf),
@@ -77,21 +75,16 @@
     Replica,
     /// Run the emulator.
     Emulate(PathBuf),
-    /// Run the demonstration.
     Demo(demo::Options),
     /// Send a workload.
     Load(load::Options),
     /// Change the replicas.
     Replicas(replicas::Options),
-    /// Change the configuration.
     ConfigPatch(config_patch::Options),
-    /// Generate a key.
     KeyNew(PathBuf),
     /// Show the hash of an account's key.
     KeyHash(String),
-    /// Validate settings.
     CheckSettings(PathBuf),
-    /// Show the configuration.
     ConfigGet {
         /// Operators' address.
         node: String,
@@ -101,7 +94,6 @@
         /// Operators' address.
         node: String,
     },
-    /// Show a node's status.
     Status {
         /// Operators' address.
         node: String,
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -6,7 +6,6 @@
 /// include the time during which the host is suspended.
 pub type BootTime = Duration;
 
-/// The current boot time.
 pub fn boot_now() -> BootTime {
     let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
     Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
--- a/src/commands/config_patch.rs
+++ b/src/commands/config_patch.rs
@@ -12,7 +12,6 @@
 /// Maximum number of attempts to submit a patch. All have the same id, so the patch is applied at most once.
 const MAX_ATTEMPTS: u32 = 3;
 
-/// Options of the command.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Options {
     /// Operators' address of any node.
--- a/src/commands/demo.rs
+++ b/src/commands/demo.rs
@@ -27,14 +27,11 @@
 const READY_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 const PROGRESS_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Options of the command.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Options {
     /// Duration of the workload in seconds.
     pub seconds: f64,
-    /// Seed of the workload.
     pub seed: u64,
-    /// Kind of workload.
     pub profile: WorkloadProfile,
 }
 
--- a/src/commands/load.rs
+++ b/src/commands/load.rs
@@ -12,14 +12,12 @@
 };
 use crate::queries::operator_client;
 
-/// Options of the command.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Options {
     /// Base URLs of the nodes' callers' interfaces.
     pub nodes: Vec<String>,
     /// Base URL of the emulated platform, to compare the results with the requests that really ran.
     pub platform: Option<String>,
-    /// The workload to send.
     pub plan: WorkloadParameters,
     /// File to write the figures to, as JSON.
     pub json: Option<PathBuf>,
--- a/src/commands/replicas.rs
+++ b/src/commands/replicas.rs
@@ -6,12 +6,10 @@
 use crate::log::raft::Change;
 use crate::queries::operator_client;
 
-/// Options of the command.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Options {
     /// Operators' address of any node.
     pub node: String,
-    /// The membership change.
     pub change: Change,
 }
 
--- a/src/config/document.rs
+++ b/src/config/document.rs
@@ -15,11 +15,9 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Config {
-    /// Client accounts.
     pub accounts: BTreeMap<AccountId, Account>,
     /// Kinds of request. Requests that name no kind have the kind `default`.
     pub kinds: BTreeMap<KindId, Kind>,
-    /// Served models.
     pub models: BTreeMap<ModelId, Model>,
     /// Plain services, which are neither engines nor stores.
     pub services: BTreeMap<ServiceId, Service>,
@@ -27,7 +25,6 @@
     pub prices: Prices,
 }
 
-/// A client account.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Account {
@@ -68,7 +65,6 @@
     pub share: f64,
 }
 
-/// A served model.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Model {
@@ -78,7 +74,6 @@
     /// version. Set `weight_version` to it once all engines are upgraded.
     #[serde(default)]
     pub next_version: Option<WeightVersion>,
-    /// Routing policy.
     #[serde(default)]
     pub policy: Policy,
     /// Minimum number of engines that keep serving in each failure domain while others load weights.
@@ -93,7 +88,6 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Policy {
-    /// Engines in turn.
     RoundRobin,
     /// The engine with the least queued work.
     LeastLoad,
--- a/src/config/history.rs
+++ b/src/config/history.rs
@@ -81,12 +81,10 @@
 }
 
 impl ConfigHistory {
-    /// The newest configuration.
     pub fn newest(&self) -> &Arc<NumberedConfig> {
         &self.newest
     }
 
-    /// The newest number.
     pub fn number(&self) -> ConfigNumber {
         self.newest.number
     }
--- a/src/control/checksummed_file.rs
+++ b/src/control/checksummed_file.rs
@@ -7,7 +7,6 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-/// Size of the checksum.
 const CHECKSUM_BYTES: usize = 4;
 
 /// The kind of failure that a write must survive.
--- a/src/control/engine_report.rs
+++ b/src/control/engine_report.rs
@@ -10,7 +10,6 @@
 use crate::net::http::{CallError, HttpCall, fetch};
 use crate::platform::engines;
 
-/// Timeout of a request.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// The report of an engine. `None` if the engine cannot be reached or has been restarted; the
--- a/src/control/entry_directory.rs
+++ b/src/control/entry_directory.rs
@@ -51,7 +51,6 @@
         self.revision
     }
 
-    /// Replaces the known entries.
     pub fn update(&mut self, entries: EntriesByDomain) {
         if entries != self.entries {
             self.entries = entries;
--- a/src/control/frames.rs
+++ b/src/control/frames.rs
@@ -39,13 +39,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Handshake {
     /// A replica. It sends `ReplicaFrame`s and receives nothing.
-    Replica {
-        /// Its id.
-        node: NodeId,
-        /// Its host.
-        ip: IpAddr,
-        failure_domain: DomainId,
-    },
+    Replica { node: NodeId, ip: IpAddr, failure_domain: DomainId },
     /// An entry that subscribes to updates. It sends `SubscriberRequest`s and receives `Update`s.
     Entry {
         /// The name of its host.
@@ -69,11 +63,9 @@
 /// A request from a subscribed entry.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum SubscriberRequest {
-    /// Subscribes to the roster.
     SubscribeRoster(RosterSubscription),
     /// Quarantine reports that the replica may not have.
     Quarantine(Vec<Report>),
-    /// News of targets.
     News(Vec<TargetNews>),
     /// The entry has this deployment, from whichever replica.
     DeploymentHeld(DeploymentVersion),
@@ -180,7 +172,6 @@
         version: RosterVersion,
         /// Targets that were added or have changed.
         changed: CompactTargets,
-        /// Targets that were removed.
         gone: Vec<TargetStart>,
         /// Bookkeeping of the later roster that the earlier one lacks.
         remembered: RosterHistory,
@@ -203,7 +194,6 @@
     Quarantine(Vec<Report>),
     /// The digest of the sender's quarantine. The recipient sends `Quarantine` if its own differs.
     QuarantineDigest(u64),
-    /// News of targets.
     News(Vec<TargetNews>),
     /// Asks for `NamedAges`, after a restart.
     NamedAgesRequested,
@@ -254,7 +244,6 @@
         version: RosterVersion,
         /// Targets that were added or have changed.
         changed: CompactTargets,
-        /// Targets that were removed.
         gone: Vec<TargetStart>,
     },
     /// The sender has a new roster, for an entry subscribed to versions only.
@@ -266,7 +255,6 @@
     },
     /// Weight versions with their ages.
     Weights(NamedAges),
-    /// The evacuated failure domains.
     Evacuations(Arc<Evacuations>),
     /// Answers a confirmation request: the entry has been sent every deployment committed up to
     /// `age` ago. Sent after those deployments.
@@ -278,11 +266,9 @@
     },
     /// Requests under which several targets have ended.
     Quarantine(Vec<Report>),
-    /// News of targets.
     News(Vec<TargetNews>),
     /// Entries that may forward requests for the recipient. Replaces earlier ones.
     PeerEntries(Vec<PeerEntry>),
-    /// Answers a stream lookup.
     StreamFound {
         id: LookupId,
         /// Where the stream began; `None` if the sender is not certain.
--- a/src/control/operator_server.rs
+++ b/src/control/operator_server.rs
@@ -47,17 +47,17 @@
 /// A request from an operator.
 #[derive(Clone, Debug, PartialEq)]
 pub enum OperatorCall {
-    /// Publishes a deployment.
     Publish {
-        /// The parsed document.
         deployment: Deployment,
         /// The document as sent.
         text: Vec<u8>,
     },
-    /// Reads the newest deployment.
     ReadDeployment,
     /// Names a new weight version.
-    NameWeights { model: ModelId, version: u64 },
+    NameWeights {
+        model: ModelId,
+        version: u64,
+    },
     /// Evacuates or restores a failure domain.
     OrderEvacuation {
         domain: DomainId,
@@ -98,9 +98,7 @@
     pub inputs: mpsc::Sender<Input>,
     /// The operator port, which is the same at all replicas.
     pub port: u16,
-    /// Counts requests.
     pub metrics: Rc<ReplicaMetrics>,
-    /// Connections of operators.
     pub used_connections: UsedConnections,
     /// Once true, each connection is closed after its current response.
     pub closing: watch::Sender<bool>,
--- a/src/control/rollout_plan.rs
+++ b/src/control/rollout_plan.rs
@@ -30,7 +30,6 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WeightOrder {
     pub model: ModelId,
-    /// The version to load.
     pub version: u64,
     /// What to do with running prompts.
     pub running: RunningPrompts,
@@ -58,7 +57,6 @@
 pub struct PendingLoad {
     pub engine: TargetStart,
     pub model: ModelId,
-    /// The version to load.
     pub version: u64,
 }
 
--- a/src/control/scheduler_service.rs
+++ b/src/control/scheduler_service.rs
@@ -121,7 +121,6 @@
         false
     }
 
-    /// Number of queued prompts.
     pub fn waiting_count(&self) -> usize {
         self.waiters.borrow().len()
     }
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -20,16 +20,16 @@
     Publish(Published),
     /// Names the weight version that engines must run for a model. Ignored unless it is higher than
     /// the newest one.
-    NameWeights { model: ModelId, version: u64 },
+    NameWeights {
+        model: ModelId,
+        version: u64,
+    },
     SetReplicaAddress {
-        /// The replica.
         node: NodeId,
-        /// Its host.
         ip: IpAddr,
     },
     /// Makes a replica the only one that may send orders to engines.
     AcquireOrderLease {
-        /// The new holder.
         holder: NodeId,
     },
     /// Records that a weight version was named at least this long ago.
@@ -52,7 +52,6 @@
 pub struct Published {
     /// The document as the operator sent it.
     pub text: Arc<Vec<u8>>,
-    /// The parsed document.
     pub deployment: Arc<Deployment>,
 }
 
@@ -70,14 +69,12 @@
     Published(DeploymentVersion),
     /// The newest version of the model's weights.
     Named(u64),
-    /// The address was set.
     ReplicaAddressSet,
     /// The order lease was acquired.
     OrderLease {
         /// The previous holder; `None` if there was none.
         previous: Option<NodeId>,
     },
-    /// The age was recorded.
     AgeRecorded,
     /// The revision of the accepted order; `None` if a later order had been accepted before.
     EvacuationOrdered(Option<OrderRevision>),
@@ -100,7 +97,6 @@
     pub order_lease_holder: Option<NodeId>,
     /// The last recorded ages of each model's weight versions.
     pub weight_ages: Arc<BTreeMap<ModelId, WeightAges>>,
-    /// The evacuated failure domains.
     pub evacuations: Arc<Evacuations>,
 }
 
@@ -150,7 +146,6 @@
         }
     }
 
-    /// Serializes the state.
     pub fn snapshot(&self) -> Vec<u8> {
         // Serialization cannot fail: the state contains only types that postcard supports.
         postcard::to_stdvec(self).unwrap_or_default()
--- a/src/control/store_reader.rs
+++ b/src/control/store_reader.rs
@@ -19,7 +19,6 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
 /// Pause between requests, so that events are batched.
 const POLL_PAUSE: Duration = Duration::from_millis(40);
-/// Delay after a failure.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 /// How often the whole inventory is read again, since events can get lost.
 const INVENTORY_INTERVAL: Duration = Duration::from_secs(10);
--- a/src/control/stream_directory.rs
+++ b/src/control/stream_directory.rs
@@ -38,7 +38,6 @@
         }
     }
 
-    /// Applies a changed roster.
     pub fn observe_roster<'a>(&self, listed: impl Iterator<Item = &'a Listed>, now: BootTime) {
         self.software.borrow_mut().replace(listed, now);
     }
--- a/src/control/voter_set.rs
+++ b/src/control/voter_set.rs
@@ -17,7 +17,6 @@
 const JOIN_REQUEST_TTL: Duration = Duration::from_secs(2);
 /// A learner not heard from for this long is removed.
 const LEARNER_TIMEOUT: Duration = Duration::from_secs(10);
-/// Maximum number of learners.
 const MAX_LEARNERS: usize = 4;
 
 /// A step towards the desired set of voters.
@@ -29,7 +28,6 @@
     AddLearner(NodeId),
     /// Makes a learner a voter, once it has caught up.
     Promote(NodeId),
-    /// Removes a replica.
     Remove(NodeId),
 }
 
--- a/src/deployment/document.rs
+++ b/src/deployment/document.rs
@@ -93,7 +93,6 @@
 /// A group of equivalent targets.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Service {
-    /// Role of its targets.
     pub role: ServiceRole,
     /// Maximum number of connections that each target accepts in total.
     pub max_connections: u32,
@@ -104,7 +103,6 @@
 /// Role of the targets of a service.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum ServiceRole {
-    /// Model engines.
     Engines(EngineSpec),
     /// A store of KV cache.
     Store(StoreSpec),
@@ -132,7 +130,6 @@
 pub struct StoreSpec {
     pub address: SocketAddr,
     pub failure_domain: DomainId,
-    /// Capacity in tokens.
     pub capacity_tokens: u64,
     /// Bandwidth of the link in megabits per second.
     pub link_mbps: f64,
@@ -142,7 +139,6 @@
     pub is_managed: bool,
 }
 
-/// A client account.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Account {
     /// Name of the account, which is sent to targets.
--- a/src/deployment/routing_table.rs
+++ b/src/deployment/routing_table.rs
@@ -34,7 +34,6 @@
 }
 
 impl RoutingTable {
-    /// Indexes a deployment.
     pub fn new(deployment: Arc<Deployment>) -> RoutingTable {
         let mut by_host: HashMap<String, Vec<usize>> = HashMap::new();
         for (index, route) in deployment.routes.iter().enumerate() {
@@ -52,7 +51,6 @@
         RoutingTable { deployment, by_host, by_key }
     }
 
-    /// The deployment.
     pub fn deployment(&self) -> &Arc<Deployment> {
         &self.deployment
     }
--- a/src/emulator/cache.rs
+++ b/src/emulator/cache.rs
@@ -19,7 +19,6 @@
 }
 
 impl PrefixCache {
-    /// Creates an empty cache.
     pub fn new(capacity_blocks: usize) -> PrefixCache {
         PrefixCache {
             capacity_blocks,
--- a/src/emulator/engine.rs
+++ b/src/emulator/engine.rs
@@ -50,7 +50,6 @@
     count: AtomicU32,
 }
 
-/// An emulated engine.
 pub struct Engine {
     settings: EngineSettings,
     incarnation: Incarnation,
@@ -132,7 +131,6 @@
         engine
     }
 
-    /// Handles one HTTP request.
     pub async fn handle(self: Arc<Engine>, request: Request) -> Response {
         let segments = request.segments();
         match segments.as_slice() {
--- a/src/emulator/faults.rs
+++ b/src/emulator/faults.rs
@@ -16,7 +16,6 @@
     pub fault: FaultAction,
 }
 
-/// A fault to inject.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum FaultAction {
@@ -68,12 +67,10 @@
         self.settings.lock().clone()
     }
 
-    /// Replaces the current faults.
     pub fn set(&self, settings: FaultSettings) {
         *self.settings.lock() = settings;
     }
 
-    /// Makes the target crash.
     pub fn crash(&self) {
         *self.crashed_at.lock() = Some(Instant::now());
         self.crashed.notify_one();
--- a/src/emulator/load_samples.rs
+++ b/src/emulator/load_samples.rs
@@ -18,7 +18,6 @@
         LoadSamples { lag, samples: VecDeque::new() }
     }
 
-    /// Adds the present report.
     pub(super) fn push(&mut self, report: LoadReport, now: Instant) {
         self.samples.push_back((now, report));
         while self.samples.get(1).is_some_and(|(at, _)| now.duration_since(*at) > self.lag) {
--- a/src/emulator/service.rs
+++ b/src/emulator/service.rs
@@ -13,7 +13,6 @@
 use crate::http::{self, Request, Response};
 use crate::upstream::api::{NOT_RUN_HEADER, OWNER_HEADER, REQUEST_HEADER};
 
-/// An emulated service instance.
 pub struct Service {
     settings: ServiceSettings,
     faults: Arc<TargetFaults>,
@@ -29,7 +28,6 @@
         Arc::new(Service { settings, faults, ledger })
     }
 
-    /// Handles one HTTP request.
     pub async fn handle(self: Arc<Service>, request: Request) -> Response {
         let fault_settings = self.faults.settings();
         if fault_settings.refuse {
--- a/src/emulator/settings.rs
+++ b/src/emulator/settings.rs
@@ -18,7 +18,6 @@
     pub platform_port: u16,
     pub engines: Vec<EngineSettings>,
     pub stores: Vec<StoreSettings>,
-    /// Service instances.
     pub services: Vec<ServiceSettings>,
     /// Delay before the target list shows a change, in milliseconds.
     pub platform_lag_ms: u64,
@@ -27,7 +26,6 @@
     pub log: LogSettings,
 }
 
-/// Settings of one engine.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EngineSettings {
     pub id: String,
@@ -57,7 +55,6 @@
     pub reproducible: bool,
 }
 
-/// Settings of one store.
 #[derive(Clone, Debug, PartialEq)]
 pub struct StoreSettings {
     pub id: String,
@@ -76,7 +73,6 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServiceSettings {
     pub id: String,
-    /// Name of the service.
     pub service: String,
     pub failure_domain: String,
     /// Duration of a call in milliseconds.
--- a/src/emulator/store.rs
+++ b/src/emulator/store.rs
@@ -20,7 +20,6 @@
 /// Size of the synthetic content of a block. Transfer times are computed from the real size.
 const SYNTHETIC_BYTES_PER_BLOCK: usize = 16;
 
-/// An emulated store.
 pub struct Store {
     settings: StoreSettings,
     incarnation: Incarnation,
@@ -61,7 +60,6 @@
 }
 
 impl Store {
-    /// Creates an empty store.
     pub fn start(
         settings: StoreSettings,
         incarnation: Incarnation,
@@ -78,7 +76,6 @@
         Arc::new(Store { settings, incarnation, faults, ledger, state: Mutex::new(state) })
     }
 
-    /// Handles one HTTP request.
     pub async fn handle(self: Arc<Store>, request: Request) -> Response {
         let segments = request.segments();
         match (request.method.clone(), segments.as_slice()) {
--- a/src/emulator/stream.rs
+++ b/src/emulator/stream.rs
@@ -34,7 +34,6 @@
     Tokens,
     Usage,
     Done,
-    /// The stream has ended.
     End,
 }
 
--- a/src/emulator/supervisor.rs
+++ b/src/emulator/supervisor.rs
@@ -244,7 +244,6 @@
     }
 }
 
-/// Starts one target.
 struct TargetLauncher {
     target_settings: TargetSettings,
     incarnation: Incarnation,
--- a/src/error.rs
+++ b/src/error.rs
@@ -13,12 +13,7 @@
 pub enum Error {
     /// The command line is invalid.
     #[snafu(display("{message}; {remedy}"))]
-    Usage {
-        /// What is wrong.
-        message: String,
-        /// What to do.
-        remedy: String,
-    },
+    Usage { message: String, remedy: String },
     /// Settings or a configuration are invalid.
     #[snafu(display("{file}: {}", join_problems(problems)))]
     Invalid {
@@ -32,9 +27,7 @@
     Start {
         /// The setting or component.
         component: String,
-        /// Why.
         reason: String,
-        /// What to do.
         remedy: String,
     },
     /// A request to a node or target failed.
@@ -42,9 +35,7 @@
     Request {
         /// Address of the node or target.
         address: String,
-        /// Why the request failed.
         reason: String,
-        /// What to do.
         remedy: String,
     },
     /// The command ran, but was refused or a check of its results failed.
@@ -56,7 +47,6 @@
 }
 
 impl Error {
-    /// Creates an `Error::Start`.
     pub fn start(component: &str, reason: impl fmt::Display, remedy: &str) -> Error {
         Error::Start {
             component: component.to_string(),
@@ -65,7 +55,6 @@
         }
     }
 
-    /// Creates an `Error::Request`.
     pub fn request(address: &str, reason: impl fmt::Display, remedy: &str) -> Error {
         Error::Request {
             address: address.to_string(),
@@ -91,7 +80,6 @@
     pub path: String,
     /// What is wrong, including the value.
     pub message: String,
-    /// What to do.
     pub remedy: String,
 }
 
--- a/src/fleet/compact.rs
+++ b/src/fleet/compact.rs
@@ -40,7 +40,6 @@
 }
 
 impl CompactTargets {
-    /// Encodes targets.
     pub fn from_targets<'a>(targets: impl Iterator<Item = &'a Listed>) -> CompactTargets {
         let mut names = NameTable::default();
         let rows = targets.map(|listed| Row::new(listed, &mut names)).collect();
--- a/src/fleet/listing.rs
+++ b/src/fleet/listing.rs
@@ -88,7 +88,6 @@
         &self.unreadable
     }
 
-    /// Number of unreadable entries.
     pub fn unreadable_count(&self) -> usize {
         self.unreadable_count
     }
--- a/src/fleet/placement.rs
+++ b/src/fleet/placement.rs
@@ -269,7 +269,6 @@
     }
 }
 
-/// Combines two hashes.
 fn mix_pair(a: u64, b: u64) -> u64 {
     mix(a ^ b.rotate_left(32))
 }
--- a/src/fleet/roster.rs
+++ b/src/fleet/roster.rs
@@ -73,7 +73,6 @@
     }
 }
 
-/// Difference between two rosters.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct RosterChange {
     /// Targets that are new or changed.
--- a/src/fleet/streams.rs
+++ b/src/fleet/streams.rs
@@ -32,7 +32,6 @@
     u64::from_le_bytes([a, b, c, d, e, f, g, h])
 }
 
-/// Where a stream began.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct StreamOrigin {
     pub service: ServiceId,
@@ -148,7 +147,6 @@
         self.by_origin(unsent.map(|(_, stream)| *stream))
     }
 
-    /// All streams.
     pub fn all(&self) -> Vec<StreamsOfOrigin> {
         self.by_origin(self.by_key.keys().copied())
     }
--- a/src/fleet/usage.rs
+++ b/src/fleet/usage.rs
@@ -52,7 +52,6 @@
 }
 
 impl TargetUsage {
-    /// Applies a changed listing.
     pub fn relisted(&mut self, before: Option<&Listed>, listed: &Listed) {
         let unlisted = self.unlisted.take();
         let before = unlisted.as_deref().or(before);
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -75,7 +75,6 @@
 }
 
 impl FleetView {
-    /// Applies a newer roster.
     pub fn update(&mut self, roster: &Roster) {
         self.apply(self.listed.change_to(roster.targets()));
     }
@@ -91,7 +90,6 @@
         self.expire_announcements();
     }
 
-    /// The listed targets.
     pub fn listed(&self) -> &TargetTable {
         &self.listed
     }
@@ -204,7 +202,6 @@
         is_later
     }
 
-    /// The evacuated failure domains.
     pub fn evacuated(&self) -> &EvacuatedDomains {
         &self.evacuated
     }
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -43,7 +43,6 @@
     }
 }
 
-/// One open connection.
 #[derive(Debug)]
 pub struct OpenConnection {
     connections: Rc<Connections>,
@@ -63,7 +62,6 @@
         Connections { limit: limit.max(1), ..Connections::default() }
     }
 
-    /// Number of open connections.
     pub fn open_count(&self) -> usize {
         self.open.get()
     }
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -46,7 +46,6 @@
         !self.pending.is_empty()
     }
 
-    /// Discards the incomplete event.
     pub fn discard_partial(&mut self) {
         self.pending.clear();
     }
--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -13,7 +13,6 @@
 /// Who a request has been sent to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Recipient {
-    /// This target.
     Target(TargetStart),
     /// Another entry, which has not named a target yet.
     Entry,
--- a/src/gateway/metadata.rs
+++ b/src/gateway/metadata.rs
@@ -48,7 +48,6 @@
 pub struct Part {
     /// Identifies its content and that of all parts before it.
     pub id: String,
-    /// Its length in tokens.
     pub tokens: u64,
 }
 
@@ -132,7 +131,6 @@
 /// The load that a target reports.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetLoad {
-    /// Requests that are running.
     pub running: u32,
     /// Requests that are queued at the target.
     pub waiting: u32,
--- a/src/gateway/request_record.rs
+++ b/src/gateway/request_record.rs
@@ -57,7 +57,6 @@
     Caller,
     /// The target, or the entry that made the attempt.
     Target,
-    /// This entry.
     Entry,
 }
 
--- a/src/gateway/responder.rs
+++ b/src/gateway/responder.rs
@@ -42,8 +42,10 @@
 
 /// The sender of a response, until the response has been relayed.
 pub enum Responder {
-    /// The target itself.
-    Target { target: TargetStart, in_flight: InFlightRequest },
+    Target {
+        target: TargetStart,
+        in_flight: InFlightRequest,
+    },
     /// Another entry, which accounts for the request at the target.
     Entry(ForwardedRequest),
 }
--- a/src/gateway/routed_request.rs
+++ b/src/gateway/routed_request.rs
@@ -16,7 +16,6 @@
 /// Where a request comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Origin {
-    /// A caller.
     Caller,
     /// Another entry, which decides on further attempts.
     Entry,
@@ -26,7 +25,6 @@
 pub struct RoutedRequest {
     /// Metadata from the caller's headers.
     pub metadata: RequestMetadata,
-    /// The HTTP method.
     pub method: Method,
     /// Path and query, as the caller sent them.
     pub uri: Uri,
--- a/src/gateway/scheduler_connection.rs
+++ b/src/gateway/scheduler_connection.rs
@@ -15,7 +15,6 @@
 use crate::log::Term;
 use crate::net;
 
-/// Connect timeout.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// A connection whose sent bytes are not acknowledged for this long is closed.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(500);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -61,7 +61,6 @@
 
 /// The state of an entry.
 pub struct Gateway {
-    /// Settings of the host.
     pub host: HostSettings,
     /// Routing table of the newest known deployment. Its version never decreases.
     table: RefCell<Option<Rc<RoutingTable>>>,
--- a/src/gateway/subscription.rs
+++ b/src/gateway/subscription.rs
@@ -28,7 +28,6 @@
 const SUBSCRIPTIONS_AT_ONCE: usize = 2;
 /// A subscription without updates for this long, which is three heartbeats, is ended.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(HEARTBEAT_INTERVAL.as_millis() as u64 * 3);
-/// Connect timeout.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Capacity of the queue of requests to a replica.
 const REQUEST_QUEUE_LEN: usize = 4;
--- a/src/gateway/subscription_policy.rs
+++ b/src/gateway/subscription_policy.rs
@@ -47,7 +47,6 @@
 /// A subscription to one replica.
 #[derive(Debug)]
 pub struct Subscription {
-    /// The replica's host.
     pub replica: IpAddr,
     started_at: BootTime,
     /// Which roster updates the replica was asked for, if any.
@@ -116,7 +115,6 @@
         Some(Subscription { replica, started_at: now, requested: None, announced: None })
     }
 
-    /// Ends a subscription.
     pub fn end(&mut self, subscription: Subscription, has_failed: bool, now: BootTime) {
         self.subscribed.remove(&subscription.replica);
         if self.roster_from == Some(subscription.replica) {
--- a/src/gateway/target_selection.rs
+++ b/src/gateway/target_selection.rs
@@ -18,7 +18,6 @@
 
 /// The target of one attempt.
 pub struct SelectedTarget {
-    /// The target itself.
     pub target: TargetStart,
     /// The version of its software.
     pub software: SoftwareVersion,
--- a/src/host.rs
+++ b/src/host.rs
@@ -13,7 +13,6 @@
 pub struct HostSettings {
     /// The host's name, used in logs.
     pub name: String,
-    /// The host's address.
     pub ip: IpAddr,
     pub failure_domain: DomainId,
     /// The region of each failure domain that the platform names.
--- a/src/http.rs
+++ b/src/http.rs
@@ -26,7 +26,6 @@
 /// How often a shutdown checks whether all responses are sent.
 const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// An HTTP response.
 pub type Response = warp::reply::Response;
 
 /// An HTTP request with its complete body.
@@ -47,7 +46,6 @@
 pub enum BodyError {
     /// The body exceeds this limit in bytes.
     TooLarge(usize),
-    /// The client disconnected.
     Disconnected,
     /// The server shuts down and does not wait for the rest.
     Interrupted,
@@ -56,7 +54,6 @@
 /// How far a server's graceful shutdown has progressed. Only advances.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ShutdownPhase {
-    /// Not shutting down.
     Serving,
     /// Requests are refused, so the rest of an incomplete body is not waited for.
     Refusing,
@@ -103,7 +100,6 @@
 pub struct UsedConnections(Arc<AtomicUsize>);
 
 impl UsedConnections {
-    /// The current number.
     pub fn count(&self) -> usize {
         self.0.load(Ordering::Relaxed)
     }
@@ -117,7 +113,6 @@
         }
     }
 
-    /// Tracks a new connection.
     pub fn track(&self) -> ConnectionUse {
         ConnectionUse { used: self.clone(), is_counted: AtomicBool::new(false) }
     }
--- a/src/http_api/prompt_run.rs
+++ b/src/http_api/prompt_run.rs
@@ -57,7 +57,6 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct CompleteAnswer {
     pub text: String,
-    /// The finish reason.
     pub finish: String,
     pub usage: Usage,
 }
--- a/src/http_api/refusal.rs
+++ b/src/http_api/refusal.rs
@@ -31,7 +31,6 @@
 pub enum RefusalCode {
     /// The bearer key is missing or unknown.
     InvalidKey,
-    /// The request is malformed.
     BadRequest,
     BodyTooLarge,
     /// The configuration has no such model.
@@ -56,7 +55,6 @@
     NoLeader,
     /// Several targets terminated while they ran this request.
     Quarantined,
-    /// No target is available.
     NoTarget,
     TargetFailed,
     /// The answer was interrupted and can't be resumed.
@@ -163,7 +161,6 @@
         }})
     }
 
-    /// The HTTP response.
     pub fn response(&self) -> Response {
         let (_, status, _) = self.code.code_status_remedy();
         let mut response = http::json(status, &self.body());
--- a/src/http_api/responses.rs
+++ b/src/http_api/responses.rs
@@ -17,11 +17,7 @@
     /// New text.
     Text(String),
     /// The answer is complete.
-    End {
-        /// The finish reason.
-        finish: String,
-        usage: Usage,
-    },
+    End { finish: String, usage: Usage },
     /// The answer ended incomplete.
     Failed(Refusal),
 }
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -28,7 +28,6 @@
 /// always refers to one start.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct TargetStart {
-    /// The target.
     pub id: TargetId,
     /// When the target started; `None` if it is not reported. Only compared for equality: clocks may be set
     /// back, so the greater of two births is not necessarily the later one.
--- a/src/limits/admission.rs
+++ b/src/limits/admission.rs
@@ -118,12 +118,10 @@
         self.capacity = capacity.max(1);
     }
 
-    /// Number of running requests.
     pub fn running(&self) -> usize {
         self.running
     }
 
-    /// Number of waiting requests.
     pub fn waiting(&self) -> usize {
         self.waiting
     }
--- a/src/limits/shares.rs
+++ b/src/limits/shares.rs
@@ -54,7 +54,6 @@
 pub struct GrantedShare {
     /// Requests of the account that the node may run at once.
     pub share: u32,
-    /// Duration of the lease.
     pub lasts: Duration,
 }
 
@@ -85,7 +84,6 @@
         ShareAllocator { lease_duration, accounts: BTreeMap::new() }
     }
 
-    /// Duration of each lease.
     pub fn lease_duration(&self) -> Duration {
         self.lease_duration
     }
@@ -124,7 +122,6 @@
         leases.map(|leased| leased.in_use(now)).sum()
     }
 
-    /// Removes expired leases.
     pub fn remove_expired(&mut self, now: BootTime) {
         for leases in self.accounts.values_mut() {
             leases.retain(|_, leased| !leased.is_expired(now));
--- a/src/load/report.rs
+++ b/src/load/report.rs
@@ -77,7 +77,6 @@
     pub failed_imports: u64,
 }
 
-/// Percentiles of durations.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Percentiles {
     /// Number of durations.
--- a/src/load/workload.rs
+++ b/src/load/workload.rs
@@ -132,7 +132,6 @@
     pub seed: u64,
 }
 
-/// A sequence of requests.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Workload {
     pub profile: WorkloadProfile,
@@ -146,7 +145,6 @@
 }
 
 impl Workload {
-    /// Generates a workload.
     pub fn generate(parameters: &WorkloadParameters) -> Workload {
         let WorkloadParameters { profile, requests_per_s, seconds, seed, .. } = *parameters;
         let mut generator = ArrivalGenerator::new(parameters);
--- a/src/log/raft/mod.rs
+++ b/src/log/raft/mod.rs
@@ -192,17 +192,14 @@
 /// The status of a replica, for operators.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RaftStatus {
-    /// The current term.
     pub term: Term,
     /// Whether it is the leader.
     pub is_leader: bool,
     /// The current leader, if known.
     pub leader: Option<NodeId>,
-    /// The commit index.
     pub commit: Index,
     /// The index of the last entry.
     pub last: Index,
-    /// The set of replicas.
     pub members: Members,
     /// Whether it does not vote because it is catching up after a loss of data.
     pub recovering: bool,
@@ -414,7 +411,6 @@
         self.log.snapshot_index()
     }
 
-    /// The current term.
     pub fn term(&self) -> Term {
         self.vote.term
     }
--- a/src/log/state.rs
+++ b/src/log/state.rs
@@ -77,9 +77,7 @@
 /// The result of a command.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reply {
-    /// The result of `Command::Patch`.
     Patch(PatchAnswer),
-    /// The result of `Command::Claim`.
     Claim(ClaimResult),
     /// The result of `Command::Release` or `Command::Record`: whether the claim was the sender's.
     Done(bool),
@@ -129,7 +127,6 @@
         &self.history
     }
 
-    /// The claims.
     pub fn claims(&self) -> &Claims {
         &self.claims
     }
@@ -152,7 +149,6 @@
         }
     }
 
-    /// Encodes the state.
     pub fn snapshot(&self) -> Vec<u8> {
         let answers = self.answer_order.iter().filter_map(|id| self.answers.get(id)).cloned();
         let contents = SnapshotContents {
--- a/src/log/types.rs
+++ b/src/log/types.rs
@@ -12,14 +12,12 @@
 /// Position in the log, starting at 1.
 pub type Index = u64;
 
-/// A log entry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
     /// The entry's position in the log.
     pub index: Index,
     /// The term of the leader that created the entry.
     pub term: Term,
-    /// The content.
     pub payload: Payload,
 }
 
@@ -54,7 +52,6 @@
         self.voters.len() / 2 + 1
     }
 
-    /// All voters and learners.
     pub fn all(&self) -> impl Iterator<Item = NodeId> + '_ {
         self.voters.iter().chain(&self.learners).copied()
     }
@@ -95,7 +92,6 @@
     pub snapshot: Option<Snapshot>,
     /// Discards the entries from this index on.
     pub truncate_from: Option<Index>,
-    /// Entries to append.
     pub append: Vec<Entry>,
 }
 
@@ -118,7 +114,6 @@
         /// The term of that entry.
         last_term: Term,
     },
-    /// Reply to `PreVote`.
     PreVoteReply {
         /// The requested term if granted, else the sender's term.
         term: Term,
@@ -133,7 +128,6 @@
         /// The term of that entry.
         last_term: Term,
     },
-    /// Reply to `RequestVote`.
     VoteReply {
         /// The sender's term.
         term: Term,
--- a/src/membership/actor.rs
+++ b/src/membership/actor.rs
@@ -26,7 +26,6 @@
     pub leaving_targets: Vec<LeavingTarget>,
 }
 
-/// The membership actor.
 #[derive(xtra::Actor)]
 pub struct Membership {
     swim: Swim,
--- a/src/membership/swim.rs
+++ b/src/membership/swim.rs
@@ -70,7 +70,6 @@
 /// A datagram between nodes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Packet {
-    /// The request or reply.
     pub body: Body,
     /// The gossip items that are sent along.
     pub items: Vec<GossipItem>,
@@ -93,7 +92,6 @@
     PingRequest {
         /// The sender's number for the probe.
         probe: u64,
-        /// The node to ping.
         target: NodeId,
     },
 }
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -52,13 +52,11 @@
         self
     }
 
-    /// Adds a header.
     pub fn with_header(mut self, name: &'static str, value: &str) -> HttpCall {
         self.headers.push((HeaderName::from_static(name), value.to_string()));
         self
     }
 
-    /// Sets a JSON body.
     pub fn with_json(mut self, json: Vec<u8>) -> HttpCall {
         self.headers.push((CONTENT_TYPE, "application/json".to_string()));
         self.json = Some(json);
--- a/src/node/admission.rs
+++ b/src/node/admission.rs
@@ -51,12 +51,10 @@
         }
     }
 
-    /// Number of running requests.
     pub fn running(&self) -> usize {
         self.inner.lock().admission.running()
     }
 
-    /// Number of waiting requests.
     pub fn waiting(&self) -> usize {
         self.inner.lock().admission.waiting()
     }
--- a/src/orders.rs
+++ b/src/orders.rs
@@ -36,7 +36,6 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LoadOrder {
     pub engine: TargetId,
-    /// The version to load.
     pub version: WeightVersion,
 }
 
--- a/src/peer/auth.rs
+++ b/src/peer/auth.rs
@@ -10,7 +10,6 @@
 use crate::error::{Error, Result};
 use crate::ids::NodeId;
 
-/// Length of a nonce.
 pub const NONCE_BYTES: usize = 16;
 /// Length of an authentication tag.
 pub const TAG_BYTES: usize = 16;
--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -113,7 +113,6 @@
         *self.blocked.write() = nodes;
     }
 
-    /// Whether `node` is blocked.
     pub fn is_blocked(&self, node: NodeId) -> bool {
         self.blocked.read().contains(&node)
     }
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -47,7 +47,6 @@
 /// A request of a node to another one.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerRequest {
-    /// Renews a freshness lease.
     RenewLease(RenewLease),
     /// Proposes a command to the replicated log. Only the leader accepts it.
     Propose(Command),
@@ -102,11 +101,9 @@
 pub enum PeerResponse {
     /// A freshness lease. It starts when the requesting node sent the renewal.
     Granted {
-        /// Duration of the lease.
         lasts_ms: u64,
         /// The configuration number after the update is applied.
         number: ConfigNumber,
-        /// Update to that number.
         update: Update,
         /// Reports on requests suspected of terminating several targets, since `quarantine_received`.
         quarantine: Vec<Report>,
@@ -115,7 +112,6 @@
     },
     /// Result of the command, which is committed.
     Decided(Reply),
-    /// The configuration.
     Config(Update),
     /// The change of the replicas is committed, or the reason why not.
     ReplicasChanged(Result<(), String>),
@@ -125,7 +121,6 @@
     Export(Option<crate::prefix_catalog::ExportPlan>),
     /// A share of an account's limit.
     Share(GrantedShare),
-    /// The request was processed.
     Done,
     /// The status of the node as JSON text.
     Status(String),
--- a/src/prefix_catalog/mod.rs
+++ b/src/prefix_catalog/mod.rs
@@ -22,7 +22,6 @@
 /// A prefix of a chain.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Position {
-    /// Length in blocks.
     pub blocks: u32,
     pub key: BlockKey,
 }
@@ -52,7 +51,6 @@
     pub position: Position,
     pub generation: u64,
     pub owner_epoch: u64,
-    /// The destination.
     pub store: TargetId,
 }
 
--- a/src/queries/burn.rs
+++ b/src/queries/burn.rs
@@ -19,7 +19,6 @@
 /// Maximum number of targets to list.
 const MAX_WORST_TARGETS: usize = 5;
 
-/// Options of the command.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Options {
     /// Operators' addresses of the nodes.
--- a/src/queries/request.rs
+++ b/src/queries/request.rs
@@ -5,7 +5,6 @@
 
 use crate::error::{Error, Result};
 
-/// Options of the command.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Options {
     /// Id that the caller gave the request.
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -27,7 +27,6 @@
 /// Number of applied entries after which the log is compacted into a snapshot.
 const SNAPSHOT_INTERVAL: Index = 4_096;
 
-/// The replica actor.
 #[derive(xtra::Actor)]
 pub struct Replica {
     driver: Driver,
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -31,11 +31,9 @@
 /// How a dispatch ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum DispatchOutcome {
-    /// The answer was complete.
     Completed(Usage),
     /// The target refused the request without running it.
     Refused,
-    /// The target failed.
     Failed,
     /// The caller cancelled the request.
     Cancelled,
@@ -373,7 +371,6 @@
         }
     }
 
-    /// The selected engine.
     pub fn engine(&self) -> &TargetId {
         &self.decision.engine
     }
--- a/src/route/view.rs
+++ b/src/route/view.rs
@@ -26,7 +26,6 @@
 #[derive(Clone, Debug)]
 pub struct EngineView {
     pub model: ModelId,
-    /// Base URL.
     pub url: String,
     pub failure_domain: DomainId,
     /// The incarnation that this state belongs to.
@@ -47,7 +46,6 @@
 /// A store as this node sees it.
 #[derive(Clone, Debug)]
 pub struct StoreView {
-    /// Base URL.
     pub url: String,
     pub failure_domain: DomainId,
     /// Whether it accepts new requests.
--- a/src/scheduler/engine.rs
+++ b/src/scheduler/engine.rs
@@ -117,7 +117,6 @@
         }
     }
 
-    /// Applies a changed listing.
     pub fn relist(&mut self, listed: Arc<Listed>) {
         self.coldness.set_listed(listed.is_cold);
         let version = listed.weights.values().next().copied();
--- a/src/scheduler/engine_cache.rs
+++ b/src/scheduler/engine_cache.rs
@@ -35,7 +35,6 @@
 }
 
 impl EngineCache {
-    /// Creates an empty cache.
     pub fn new(capacity_tokens: u64) -> EngineCache {
         EngineCache { capacity_tokens, ..EngineCache::default() }
     }
@@ -117,7 +116,6 @@
         }
     }
 
-    /// Removes all parts.
     pub fn clear(&mut self) {
         let mut changed = std::mem::take(&mut self.changed);
         changed.extend(self.parts.keys());
--- a/src/scheduler/engines.rs
+++ b/src/scheduler/engines.rs
@@ -98,7 +98,6 @@
 }
 
 impl Engines {
-    /// Number of engines.
     pub fn count(&self) -> u32 {
         self.numbers.len() as u32
     }
--- a/src/scheduler/link.rs
+++ b/src/scheduler/link.rs
@@ -31,7 +31,6 @@
 }
 
 impl Link {
-    /// Creates an idle link.
     pub fn new(mbps: f64) -> Link {
         let (busy_until, measured_at) = (BootTime::ZERO, BootTime::ZERO);
         Link { mbps: mbps.max(1.0), busy_until, slowness: 1.0, measured_at }
--- a/src/scheduler/messages.rs
+++ b/src/scheduler/messages.rs
@@ -154,7 +154,6 @@
 /// How a request ended on an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EndReason {
-    /// The answer is complete.
     Completed,
     /// The caller left, or its deadline passed.
     Cancelled,
--- a/src/scheduler/plan/updates.rs
+++ b/src/scheduler/plan/updates.rs
@@ -88,7 +88,6 @@
         roster.iter().for_each(|listed| self.list_engine(listed));
     }
 
-    /// Applies a roster.
     pub fn observe_roster(&mut self, roster: &Roster) {
         let RosterChange { changed, gone } = self.roster.change_to(roster.targets());
         self.roster = roster.targets().clone();
--- a/src/scheduler/prefill.rs
+++ b/src/scheduler/prefill.rs
@@ -77,7 +77,6 @@
         self.add(prefill_tokens as f64, took.min(outlier_from).as_secs_f64() * 1e3, weight);
     }
 
-    /// Expected prefill time.
     pub fn prefill_time(&self, tokens: u64) -> Duration {
         Duration::from_secs_f64(tokens as f64 * self.ms_per_token() / 1e3)
     }
--- a/src/scheduler/store.rs
+++ b/src/scheduler/store.rs
@@ -44,7 +44,6 @@
     pub salt: String,
     /// Id of the part within its salt.
     pub id: String,
-    /// Number of stored tokens.
     pub tokens: u64,
 }
 
@@ -64,7 +63,6 @@
     }
 }
 
-/// Contents of a store.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Inventory {
     pub start: StoreStart,
@@ -214,7 +212,6 @@
         }
     }
 
-    /// Applies a reported change.
     pub fn observe_event(&mut self, event: StoreEvent, now: BootTime) {
         match event {
             StoreEvent::Stored(part) => {
--- a/src/scheduler/weights.rs
+++ b/src/scheduler/weights.rs
@@ -190,7 +190,6 @@
     pub unverified: BTreeSet<TargetStart>,
     pub named: RolloutHistories,
     pub old_weights: OldWeightsPolicy,
-    /// When the scheduler started.
     started_at: BootTime,
 }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -23,7 +23,6 @@
 pub struct Settings {
     /// Id of this node; unique, and never reused for another host.
     pub node_id: NodeId,
-    /// Region of this node.
     pub region: String,
     /// Failure domain of this node.
     pub failure_domain: DomainId,
--- a/src/telemetry/burn.rs
+++ b/src/telemetry/burn.rs
@@ -81,9 +81,7 @@
 /// The counts that a node reports.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct BurnCounts {
-    /// By request kind.
     pub kinds: BTreeMap<String, WindowCounts>,
-    /// By client account.
     pub accounts: BTreeMap<String, WindowCounts>,
     /// By the last target that answered or failed the request.
     pub targets: BTreeMap<String, WindowCounts>,
@@ -115,7 +113,6 @@
 }
 
 impl BurnCounts {
-    /// Adds another node's counts.
     pub fn add(&mut self, other: BurnCounts) {
         let pairs = [
             (&mut self.kinds, other.kinds),
--- a/src/telemetry/deployment_metrics.rs
+++ b/src/telemetry/deployment_metrics.rs
@@ -29,7 +29,6 @@
     pub remembered_streams: Gauge<u64>,
     /// Retries that the budget granted or denied, by service and verdict.
     pub retries: Counter<u64>,
-    /// Requests in progress.
     pub active_requests: Gauge<u64>,
     /// Maximum age of the deployment state that this entry has.
     pub state_age_s: Gauge<f64>,
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -67,7 +67,6 @@
     }
 }
 
-/// Creates a metric label.
 pub fn label(name: &'static str, value: &str) -> KeyValue {
     KeyValue::new(name, value.to_string())
 }
--- a/src/upstream/api.rs
+++ b/src/upstream/api.rs
@@ -20,19 +20,18 @@
 /// Set by a target in a response if it did not run the request.
 pub const NOT_RUN_HEADER: &str = "x-not-run";
 
-/// Role of a target.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", tag = "role")]
 pub enum Role {
-    /// A model engine.
     Engine {
-        /// The served model.
         model: ModelId,
     },
     /// A store of KV cache.
     Store,
     /// An instance of a plain service.
-    Service { service: ServiceId },
+    Service {
+        service: ServiceId,
+    },
 }
 
 /// Whether a target accepts new requests.
@@ -53,7 +52,6 @@
     pub incarnation: Incarnation,
     #[serde(flatten)]
     pub role: Role,
-    /// Its base URL.
     pub url: String,
     pub failure_domain: DomainId,
     /// Whether it accepts new requests.
@@ -138,7 +136,6 @@
     pub generation: u64,
     /// Length of the prefix in blocks.
     pub blocks: u32,
-    /// Size in bytes.
     pub size_bytes: u64,
     /// Checksum of the content, set by the commit.
     pub checksum: u32,
@@ -147,16 +144,13 @@
 /// Order to an engine to import a prefix before it prefills the rest of the prompt.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ImportOrder {
-    /// The store's base URL.
     pub store_url: String,
-    /// The object to import.
     pub object: StoredObject,
 }
 
 /// Order to an engine to export a resident prefix to a store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ExportOrder {
-    /// The store's base URL.
     pub store_url: String,
     /// The first block of the prefix.
     #[serde(with = "hex_key")]
@@ -166,7 +160,6 @@
     pub key: BlockKey,
     /// Length of the prefix in blocks.
     pub blocks: u32,
-    /// The generation to write.
     pub generation: u64,
     /// Epoch of the owner that ordered it.
     pub owner_epoch: u64,
@@ -184,7 +177,6 @@
 /// Request to a store to commit the write of an object.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CommitWrite {
-    /// Checksum of the content.
     pub checksum: u32,
 }
 
@@ -193,9 +185,7 @@
 pub struct StoreReport {
     /// Number of the store's start.
     pub incarnation: Incarnation,
-    /// Number of bytes stored.
     pub used_bytes: u64,
-    /// Capacity in bytes.
     pub capacity_bytes: u64,
     /// Bandwidth of its link in bytes per second.
     pub link_bytes_per_s: f64,
--- a/src/upstream/chat.rs
+++ b/src/upstream/chat.rs
@@ -34,7 +34,6 @@
 #[derive(Clone, Debug, Deserialize)]
 pub struct PromptRequest {
     pub model: String,
-    /// Messages of a chat.
     #[serde(default)]
     pub messages: Vec<Message>,
     /// The prompt of a text completion.
@@ -62,7 +61,6 @@
 /// A message of a chat.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Message {
-    /// Role of the author.
     pub role: String,
     /// A string, or a list of parts with a `text` field.
     #[serde(default)]
@@ -113,7 +111,6 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Usage {
     pub prompt_tokens: u64,
-    /// Tokens generated.
     pub completion_tokens: u64,
     /// Sum of both.
     pub total_tokens: u64,
--- a/src/upstream/client.rs
+++ b/src/upstream/client.rs
@@ -32,7 +32,6 @@
 /// A prompt for an engine.
 #[derive(Clone, Debug)]
 pub struct PromptCall<'a> {
-    /// The engine's base URL.
     pub url: &'a str,
     /// The interface of the engine to call.
     pub format: ApiFormat,
@@ -42,7 +41,6 @@
     pub import: Option<ImportOrder>,
     /// The request id and the attempt.
     pub stream: AttemptRef<'a>,
-    /// The client account.
     pub account: &'a str,
     /// The required version of the weights.
     pub weight_version: &'a str,
--- a/src/upstream/sse.rs
+++ b/src/upstream/sse.rs
@@ -35,7 +35,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Oversized;
 
-/// Encodes a data event.
 pub fn encode_event(data: &str) -> String {
     format!("data: {data}\n\n")
 }
