--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 pub mod pool;
 pub mod priority;
 pub mod relay;
+mod relay_source;
 pub mod request;
 pub mod request_record;
 pub mod responder;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -15,15 +15,11 @@
 use super::events::{self, EventSplitter};
 use super::first_response::REPLACEMENT_INTERVAL;
 use super::handover::{ACCEPTANCE_WAIT, AttemptState, Recipient};
-use super::metadata::ResponseMetadata;
-use super::pool::Connection;
+use super::relay_source::{BreakCause, Source, SourceRead, end_source};
 use super::request_record::{CutBy, Outcome, RequestRecord};
-use super::responder::{Framing, Responder};
 use super::response::{Refusal, RelayError, ResponseBody, full_body, stream_body};
 use super::routed_request::{Origin, RoutedRequest};
 use super::state::Gateway;
-use crate::clock::BootTime;
-use crate::ids::SoftwareVersion;
 
 /// A body of at most this length is buffered before any of it is relayed, so that the request can
 /// be retried if the body is cut short.
@@ -70,48 +66,12 @@
     is_bound: bool,
 }
 
-/// The target's response that events are read from.
-struct Source {
-    responder: Responder,
-    software: SoftwareVersion,
-    body: Incoming,
-    response_metadata: ResponseMetadata,
-    connection: Connection,
-    sent_at: BootTime,
-    framing: Framing,
-    /// When it counts as silent; `None` until the next read.
-    silent_from: Option<Instant>,
-}
-
-/// Why a stream breaks.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum BreakCause {
-    /// The stream is wrong or stands still.
-    Failure,
-    /// The connection broke.
-    Connection,
-}
-
 /// Why a stream ends before it is complete.
 struct StreamCut {
     by: CutBy,
     reason: String,
 }
 
-enum SourceRead {
-    /// Complete events, or none yet.
-    Events(Bytes),
-    Complete,
-    Broken(String),
-    /// The connection to the target broke.
-    Lost(String),
-    /// The target has sent nothing for too long, and may go on.
-    Silent,
-    /// Another target has taken over.
-    Replaced,
-    TimedOut,
-}
-
 impl EventRelay {
     /// Relays the events of this response.
     pub fn new(
@@ -388,73 +348,6 @@
     events.last_id().or(routed.metadata.resume_after.as_deref()).map(str::to_string)
 }
 
-/// Cancels the request at the target of a source that failed, and reports it.
-async fn end_source(
-    gateway: &Rc<Gateway>,
-    routed: &RoutedRequest,
-    record: &RequestRecord,
-    source: Option<Source>,
-    reason: &str,
-    cause: BreakCause,
-) {
-    let Some(Source { mut responder, connection, body, sent_at, .. }) = source else { return };
-    record.responder_failed(&responder, reason);
-    match cause {
-        BreakCause::Connection => responder.connection_lost(gateway, routed),
-        BreakCause::Failure => responder.failed(gateway),
-    }
-    // Closing the connection cancels the request at the target.
-    drop((body, connection));
-    responder.close_broken(gateway, routed, sent_at, record).await;
-}
-
-impl Source {
-    fn new(received: TargetResponse) -> Source {
-        let TargetResponse {
-            responder,
-            software,
-            response,
-            response_metadata,
-            mut connection,
-            sent_at,
-        } = received;
-        connection.set_idle_timeout(response_metadata.idle_timeout);
-        let framing = Framing::of(&response);
-        let body = response.into_body();
-        let silent_from = None;
-        Source {
-            responder,
-            software,
-            body,
-            response_metadata,
-            connection,
-            sent_at,
-            framing,
-            silent_from,
-        }
-    }
-
-    /// Reads what the target sends next. May be cancelled without a loss.
-    async fn read(&mut self, events: &mut EventSplitter, record: &RequestRecord) -> SourceRead {
-        let frame = match self.body.frame().await {
-            None if events.has_partial() => {
-                return SourceRead::Broken("ends within an event".into());
-            }
-            None => return SourceRead::Complete,
-            Some(Err(error)) => return SourceRead::Lost(error.to_string()),
-            Some(Ok(frame)) => frame,
-        };
-        self.silent_from = None;
-        record.target_active();
-        let Ok(data) = frame.into_data() else { return SourceRead::Events(Bytes::new()) };
-        self.responder.prompt_read(&self.response_metadata);
-        match events.push(&data) {
-            Ok(events) => SourceRead::Events(events),
-            Err(_) => SourceRead::Broken("an event is too large".into()),
-        }
-    }
-}
-
 /// Streams a body that is not an event stream and may be too long to be buffered.
 pub fn relay_body(
     gateway: Rc<Gateway>,
