--- a/src/control/voter_set.rs
+++ b/src/control/voter_set.rs
@@ -11,14 +11,12 @@
 use crate::log::Members;
 
 /// A voter not heard from for this long is replaced by a learner. Longer than an election or a slow
-/// disk sync, and short enough for the repair to end before the next failure, expected 4 s after a
-/// replacement starts at the earliest.
+/// disk sync, and short enough for the repair to end before the next failure.
 pub const VOTER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// A join request counts for this long after it was received.
 const JOIN_REQUEST_TTL: Duration = Duration::from_secs(2);
 /// A learner not heard from for this long is removed.
 const LEARNER_TIMEOUT: Duration = Duration::from_secs(10);
-/// Maximum number of learners.
 const MAX_LEARNERS: usize = 4;
 
 /// A step towards the desired set of voters.
@@ -30,7 +28,6 @@
     AddLearner(NodeId),
     /// Makes a learner a voter, once it has caught up.
     Promote(NodeId),
-    /// Removes a replica.
     Remove(NodeId),
 }
 
--- a/src/scheduler/prefill.rs
+++ b/src/scheduler/prefill.rs
@@ -2,8 +2,11 @@
 
 use std::time::Duration;
 
-/// Prefill time per token before any measurement: the slower of the deployed engine types.
-const INITIAL_MS_PER_TOKEN: f64 = 1.0 / 92.0;
+/// Prefill rate of engines whose own rate is not known. The scheduler starts from it and learns the
+/// rate of each service; entries that select targets themselves learn none.
+pub const DEFAULT_PREFILL_TOKENS_PER_MS: f64 = 92.0;
+/// Prefill time per token before any measurement.
+const INITIAL_MS_PER_TOKEN: f64 = 1.0 / DEFAULT_PREFILL_TOKENS_PER_MS;
 /// Time to first token besides prefill, before any measurement.
 const INITIAL_BASE_MS: f64 = 40.0;
 /// Number of measurements that the initial estimate counts for.
@@ -74,7 +77,6 @@
         self.add(prefill_tokens as f64, took.min(outlier_from).as_secs_f64() * 1e3, weight);
     }
 
-    /// Expected prefill time.
     pub fn prefill_time(&self, tokens: u64) -> Duration {
         Duration::from_secs_f64(tokens as f64 * self.ms_per_token() / 1e3)
     }
--- a/tests/deployment/refused_forwards.rs
+++ b/tests/deployment/refused_forwards.rs
@@ -11,8 +11,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use crate::cut_entries::{Cut, CutAddress};
 use crate::fixtures::{loopback, ms, target};
-use crate::forwarding::{Cut, CutAddress};
 use crate::gateway::{Entry, deployment_with_long_timeouts, ok_response, run_local, start_entry};
 use crate::stand_in::{AfterAnswer, StandIn, header};
 
--- a/tests/deployment/scarce_descriptors.rs
+++ b/tests/deployment/scarce_descriptors.rs
@@ -3,8 +3,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+use crate::cut_entries::{Entry, start_before_targets};
 use crate::fixtures::{ms, target};
-use crate::forwarding::{Entry, start_before_targets};
 use crate::gateway::{eventually, ok_response, run_local};
 use crate::stand_in::{AfterAnswer, StandIn, header};
 
