Count the end of an engine whose neighbours have ended as well

An engine that refuses connections was taken for ended only if its entry reached one of two others. These were drawn from all listed engines, also from those that had just ended. While several engines were down, as under a prompt that crashes them, some ends did not count, and the prompt was held later.

--- a/src/gateway/path.rs
+++ b/src/gateway/path.rs
@@ -85,13 +85,16 @@
     }
 
     /// Whether other targets of the service can be reached, so that this target itself is at fault.
-    /// Also true if there is no other target.
+    /// Also true if there is no other target, or all of them are known to have ended.
     pub async fn reaches_others(&self, target: &TargetStart) -> bool {
         let Some(service) = self.service_of(target) else { return true };
         let others: Vec<Listed> = {
-            let fleet = self.fleet.borrow();
+            let (fleet, broken_runs) = (self.fleet.borrow(), self.broken_runs.borrow());
             let others = fleet.live_from(&service, rand::random()).map(|state| state.listed);
-            others.filter(|other| other.start != *target).take(MAX_WITNESSES).cloned().collect()
+            let others = others.filter(|other| other.start != *target);
+            // The list may name them for some seconds more.
+            let running = others.filter(|other| !broken_runs.has_ended(&other.start));
+            running.take(MAX_WITNESSES).cloned().collect()
         };
         for other in &others {
             if self.is_reached(other).await {
--- a/src/quarantine/broken_runs.rs
+++ b/src/quarantine/broken_runs.rs
@@ -154,6 +154,11 @@
         runs
     }
 
+    /// Whether a target is known to have terminated.
+    pub fn has_ended(&self, target: &TargetStart) -> bool {
+        self.targets.get(target).is_some_and(|entry| entry.state == State::Ended)
+    }
+
     /// Targets with broken runs whose cause is not known yet.
     pub fn unresolved_targets(&self) -> impl Iterator<Item = &TargetStart> {
         let unresolved = self.targets.iter().filter(|(_, entry)| entry.state != State::Ended);
--- a/tests/deployment/last_answers.rs
+++ b/tests/deployment/last_answers.rs
@@ -73,6 +73,29 @@
     });
 }
 
+/// Guards against ends that don't count since the other engines, which were asked whether this entry reaches
+/// any, had ended before.
+#[test]
+fn the_end_of_the_last_engine_counts() {
+    run_local(async {
+        let mut engines = Vec::new();
+        for _ in 0..3 {
+            let script = vec![(unframed_stream(), AfterAnswer::Terminate)];
+            engines.push(StandIn::start(script).await);
+        }
+        let listed = engines.iter().enumerate();
+        let listed =
+            listed.map(|(index, engine)| target(&format!("i-{index}"), "llm", engine.address));
+        let entry = start_entry(deployment_with_long_timeouts(), listed.collect()).await;
+        for number in 1..=3 {
+            let got = entry.call_with(&format!("/stream/{number}"), "r1", PROMPT).await;
+            assert_eq!(got.status, 200, "{}", got.text);
+            let is_known = wait_for(|| ends_of_part(&entry.gateway).0 == number).await;
+            assert!(is_known, "crash {number} does not count: {:?}", ends_of_part(&entry.gateway));
+        }
+    });
+}
+
 /// Guards against holding prompts of engines that never mark the end of their answers.
 #[test]
 fn a_stream_that_ends_with_its_connection_clears_its_parts_if_its_engine_lives_on() {
