--- a/tests/deployment/last_answers.rs
+++ b/tests/deployment/last_answers.rs
@@ -9,12 +9,14 @@
 use kumquatpost::quarantine::broken_runs::BrokenRun;
 
 use crate::fixtures::{ms, target};
-use crate::gateway::{PROMPT, deployment_with_long_timeouts, run_local, start_entry};
+use crate::gateway::{Entry, PROMPT, deployment_with_long_timeouts, run_local, start_entry};
 use crate::stand_in::{AfterAnswer, StandIn};
 
 /// The first part of `PROMPT`.
 const PART: &str = "aa";
 const ENGINES: usize = 5;
+/// Ends after which prompts with the part are held.
+const ENDS_TO_HOLD: usize = 3;
 /// A crash is noticed within fractions of a second, also on a busy machine.
 const EVENT_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -47,26 +49,35 @@
     (ends.len(), ends.iter().all(|is_cleared| *is_cleared))
 }
 
+/// Starts an entry before engines that end after each stream.
+async fn start_with_ending_engines(count: usize) -> (Entry, Vec<StandIn>) {
+    let (mut engines, mut listed) = (Vec::new(), Vec::new());
+    for number in 0..count {
+        let script = vec![(unframed_stream(), AfterAnswer::Terminate)];
+        let engine = StandIn::start(script).await;
+        listed.push(target(&format!("i-{number}"), "llm", engine.address));
+        engines.push(engine);
+    }
+    (start_entry(deployment_with_long_timeouts(), listed).await, engines)
+}
+
+/// Sends prompts until this many engines have ended, and asserts that each end counts.
+async fn end_engines(entry: &Entry, count: usize) {
+    for number in 1..=count {
+        let got = entry.call_with(&format!("/stream/{number}"), "r1", PROMPT).await;
+        assert_eq!(got.status, 200, "{}", got.text);
+        let is_known = wait_for(|| ends_of_part(&entry.gateway).0 == number).await;
+        assert!(is_known, "crash {number} does not count: {:?}", ends_of_part(&entry.gateway));
+    }
+}
+
 /// Guards against taking the last event of an engine that crashes for a complete answer, which would prove
 /// that the prompt is harmless.
 #[test]
 fn a_stream_that_ends_with_its_engine_counts_as_broken() {
     run_local(async {
-        let mut engines = Vec::new();
-        for _ in 0..ENGINES {
-            let script = vec![(unframed_stream(), AfterAnswer::Terminate)];
-            engines.push(StandIn::start(script).await);
-        }
-        let listed = engines.iter().enumerate();
-        let listed =
-            listed.map(|(index, engine)| target(&format!("i-{index}"), "llm", engine.address));
-        let entry = start_entry(deployment_with_long_timeouts(), listed.collect()).await;
-        for number in 1..=3 {
-            let got = entry.call_with(&format!("/stream/{number}"), "r1", PROMPT).await;
-            assert_eq!(got.status, 200, "{}", got.text);
-            let is_known = wait_for(|| ends_of_part(&entry.gateway).0 == number).await;
-            assert!(is_known, "crash {number} does not count: {:?}", ends_of_part(&entry.gateway));
-        }
+        let (entry, _engines) = start_with_ending_engines(ENGINES).await;
+        end_engines(&entry, ENDS_TO_HOLD).await;
         let got = entry.call_with("/stream/another", "r1", PROMPT).await;
         assert_eq!(got.status, 503, "{}", got.text);
         assert!(got.text.contains("targets have ended"), "{}", got.text);
@@ -78,21 +89,8 @@
 #[test]
 fn the_end_of_the_last_engine_counts() {
     run_local(async {
-        let mut engines = Vec::new();
-        for _ in 0..3 {
-            let script = vec![(unframed_stream(), AfterAnswer::Terminate)];
-            engines.push(StandIn::start(script).await);
-        }
-        let listed = engines.iter().enumerate();
-        let listed =
-            listed.map(|(index, engine)| target(&format!("i-{index}"), "llm", engine.address));
-        let entry = start_entry(deployment_with_long_timeouts(), listed.collect()).await;
-        for number in 1..=3 {
-            let got = entry.call_with(&format!("/stream/{number}"), "r1", PROMPT).await;
-            assert_eq!(got.status, 200, "{}", got.text);
-            let is_known = wait_for(|| ends_of_part(&entry.gateway).0 == number).await;
-            assert!(is_known, "crash {number} does not count: {:?}", ends_of_part(&entry.gateway));
-        }
+        let (entry, _engines) = start_with_ending_engines(ENDS_TO_HOLD).await;
+        end_engines(&entry, ENDS_TO_HOLD).await;
     });
 }
 
