Tell entries the ages of ends when they connect

It was told the ends with the ages that they had when the replica last encoded them, since a frame was kept for all entries that lack the same changes, and a new entry lacks the first.

Found by review. hold_news::an_entry_that_connects_late_… failed before (an age of 0 after an hour). A frame is shared for 200 ms now.

--- a/src/control/hold_news.rs
+++ b/src/control/hold_news.rs
@@ -6,11 +6,13 @@
 
 use super::frames::{Update, encode};
 use super::shared::Shared;
-use crate::clock::boot_now;
+use crate::clock::{BootTime, boot_now};
 use crate::quarantine::{Quarantine, Revision};
 
 /// Shortest interval between updates. Many targets may end at the same time.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(50);
+/// How long a frame is sent. It tells the ages of ends at the time at which it was encoded.
+const FRAME_VALIDITY: Duration = Duration::from_millis(200);
 
 /// The last update of holds, encoded once for all entries.
 #[derive(Clone, Default)]
@@ -20,33 +22,42 @@
     /// The revision up to which `frame` tells.
     until: Revision,
     frame: Option<Arc<[u8]>>,
+    encoded_at: BootTime,
 }
 
 impl HoldNews {
     /// What to send to an entry that was told up to `told`, which becomes the newest revision.
-    pub fn frame_after(&self, told: &mut Revision, known: &Quarantine) -> Option<Arc<[u8]>> {
+    pub fn frame_after(
+        &self,
+        told: &mut Revision,
+        known: &Quarantine,
+        now: BootTime,
+    ) -> Option<Arc<[u8]>> {
         let since = std::mem::replace(told, self.until);
         match since {
             since if since == self.until => None,
-            since if since == self.since => self.frame.clone(),
-            since => encode_since(since, known),
+            since if since == self.since && now < self.encoded_at + FRAME_VALIDITY => {
+                self.frame.clone()
+            }
+            since => encode_since(since, known, now),
         }
     }
 
     /// Advances to what is known now. Returns whether there is anything new for entries.
-    fn advance(&mut self, known: &Quarantine) -> bool {
+    pub fn advance(&mut self, known: &Quarantine, now: BootTime) -> bool {
         let newest = known.holds_revision();
         if newest == self.until {
             return false;
         }
-        self.frame = encode_since(self.until, known);
+        self.frame = encode_since(self.until, known, now);
+        self.encoded_at = now;
         self.since = std::mem::replace(&mut self.until, newest);
         true
     }
 }
 
-fn encode_since(since: Revision, known: &Quarantine) -> Option<Arc<[u8]>> {
-    let reports = known.hold_reports_since(since, boot_now());
+fn encode_since(since: Revision, known: &Quarantine, now: BootTime) -> Option<Arc<[u8]>> {
+    let reports = known.hold_reports_since(since, now);
     (!reports.is_empty()).then(|| encode(&Update::Quarantine(reports)))
 }
 
@@ -59,7 +70,7 @@
     while quarantine.changed().await.is_ok() {
         let has_news = {
             let known = quarantine.borrow_and_update();
-            shared.hold_news.send_if_modified(|news| news.advance(&known))
+            shared.hold_news.send_if_modified(|news| news.advance(&known, boot_now()))
         };
         if has_news {
             tokio::time::sleep(UPDATE_INTERVAL).await;
--- a/src/control/publisher.rs
+++ b/src/control/publisher.rs
@@ -311,7 +311,8 @@
     /// Appends requests whose holds have changed.
     fn add_holds(&mut self, shared: &Shared, bytes: &mut Vec<u8>) {
         let news = shared.hold_news.borrow();
-        if let Some(frame) = news.frame_after(&mut self.holds, &shared.quarantine.borrow()) {
+        let known = shared.quarantine.borrow();
+        if let Some(frame) = news.frame_after(&mut self.holds, &known, boot_now()) {
             bytes.extend_from_slice(&frame);
         }
     }
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -26,6 +26,7 @@
 mod gateway_responses;
 mod headers;
 mod held_bodies;
+mod hold_news;
 mod identity;
 mod idle_connections;
 mod instances;
