Clear deferred ends with their answer

While replicas were out of reach, nothing recorded the ends that an entry had deferred. An answer that cleared them was forgotten after 15 s, and they then counted: a sound part that had run on engines which ended for other reasons could be held for ten minutes.

Found by review. part_holds::an_answer_clears_a_deferred_end_for_good failed before. An answer removes deferred ends at once now, and each end that is seen records those that are due, also without replicas (part_holds::a_deferred_end_is_recorded_with_the_next_one).

--- a/src/quarantine/state.rs
+++ b/src/quarantine/state.rs
@@ -68,7 +68,7 @@
     blamed_at: Option<BootTime>,
     /// Whether records have changed since.
     is_blame_due: bool,
-    /// Records that were evicted have no later end. Reports of them are ignored, lest processes that evict
+    /// Records that were evicted have no later end . Reports of them are ignored, lest processes that evict
     /// different ones send them to each other for ever.
     evicted_until_ms: Option<i64>,
 }
@@ -98,6 +98,14 @@
     pub held: Vec<Fingerprint>,
 }
 
+impl MergeResult {
+    fn and(mut self, other: MergeResult) -> MergeResult {
+        self.changed |= other.changed;
+        self.held.extend(other.held);
+        self
+    }
+}
+
 impl Quarantine {
     /// Records that a target ended during some runs.
     pub fn record_target_end(
@@ -128,6 +136,7 @@
         target: &TargetStart,
         now: BootTime,
     ) -> MergeResult {
+        let earlier = self.record_deferred(now);
         let room = MAX_REQUESTS.saturating_sub(self.deferred.len());
         let is_deferred = |run: &BrokenRun| {
             self.was_answered_since(run.fingerprint, run.broke_at.saturating_sub(RECENT_ANSWER))
@@ -137,10 +146,10 @@
         recorded.extend(deferred.drain(room.min(deferred.len())..));
         let defer = |run| DeferredEnd { target: target.clone(), run };
         self.deferred.extend(deferred.into_iter().map(defer));
-        self.record_target_end(&recorded, target, now)
+        self.record_target_end(&recorded, target, now).and(earlier)
     }
 
-    /// Records the ends that were deferred for long enough and not cleared by an answer since.
+    /// Records the ends that were deferred for long enough and not cleared by an answer meanwhile.
     pub fn record_deferred(&mut self, now: BootTime) -> MergeResult {
         let is_due = |end: &DeferredEnd| now >= end.run.broke_at + DEFERRAL;
         let (due, deferred): (Vec<_>, Vec<_>) =
@@ -148,15 +157,11 @@
         self.deferred = deferred;
         let mut runs_by_target: BTreeMap<TargetStart, Vec<BrokenRun>> = BTreeMap::new();
         for DeferredEnd { target, run } in due {
-            if !self.was_answered_since(run.fingerprint, run.broke_at) {
-                runs_by_target.entry(target).or_default().push(run);
-            }
+            runs_by_target.entry(target).or_default().push(run);
         }
         let mut merged = MergeResult::default();
         for (target, runs) in runs_by_target {
-            let MergeResult { changed, held } = self.record_target_end(&runs, &target, now);
-            merged.changed |= changed;
-            merged.held.extend(held);
+            merged = merged.and(self.record_target_end(&runs, &target, now));
         }
         merged
     }
@@ -183,6 +188,9 @@
         let mut changed = false;
         for fingerprint in fingerprints {
             self.remember_completion(*fingerprint, ms(completed_at));
+            self.deferred.retain(|DeferredEnd { run, .. }| {
+                run.fingerprint != *fingerprint || run.broke_at >= completed_at
+            });
             changed |= self.clear_ends(*fingerprint, ms(completed_at), now);
         }
         self.assign_blame(now);
--- a/tests/logic/part_holds.rs
+++ b/tests/logic/part_holds.rs
@@ -187,3 +187,40 @@
     println!("{per_change:?} per end of a target with {RECORDS} records of 16 ends");
     assert!(per_change <= MAX_PER_CHANGE * TEST_SLOWDOWN, "{per_change:?}");
 }
+
+/// Guards against the hold of a sound part during an outage of the replicas: its deferred ends were recorded
+/// long after the answer that cleared them was forgotten.
+#[test]
+fn an_answer_clears_a_deferred_end_for_good() {
+    let shared = part("shared");
+    let mut quarantine = Quarantine::default();
+    quarantine.record_completions(&[whole(0), shared], START, START);
+    for number in 1..=5 {
+        let broke_at = START + ms(100 * number);
+        let target = TargetStart { id: format!("i-{number}"), born_ms: None };
+        let run = BrokenRun { fingerprint: shared, sent_at: START, broke_at };
+        let _ = quarantine.observe_target_end(&[run], &target, broke_at);
+    }
+    let answered_at = START + ms(700);
+    quarantine.record_completions(&[whole(1), shared], answered_at, answered_at);
+    let later = START + Duration::from_secs(30);
+    quarantine.record_completions(&[whole(2)], later, later);
+    let _ = quarantine.record_deferred(later);
+    assert_eq!(quarantine.hold(&[whole(3), shared], later), None);
+    assert_eq!(quarantine.reports_since(0, later), []);
+}
+
+/// Guards against deferred ends that wait for ever where no replica is heard.
+#[test]
+fn a_deferred_end_is_recorded_with_the_next_one() {
+    let culprit = part("culprit");
+    let mut quarantine = Quarantine::default();
+    quarantine.record_completions(&[whole(0), culprit], START, START);
+    for number in 1..=5 {
+        let broke_at = START + ms(1_200 * number);
+        let target = TargetStart { id: format!("i-{number}"), born_ms: None };
+        let run = BrokenRun { fingerprint: culprit, sent_at: broke_at - ms(50), broke_at };
+        let _ = quarantine.observe_target_end(&[run], &target, broke_at);
+    }
+    assert!(quarantine.hold(&[whole(1), culprit], START + ms(6_100)).is_some());
+}
