Ignore late reports only up to the last end that was evicted uncleared

Records without uncleared ends are evicted first, but their ends counted as well: from then on a first end that was reported late, by a second or so, was ignored, and the culprit took one engine more.

Found by review. part_holds::evicted_records_without_ends_hide_no_late_report failed before.

--- a/src/quarantine/record.rs
+++ b/src/quarantine/record.rs
@@ -188,13 +188,13 @@
         self.uncleared_ends().map(|(_, end)| end.lasted_ms).sum()
     }
 
-    /// When the last target ended, also if that was cleared.
-    pub(super) fn latest_end_ms(&self) -> Option<i64> {
-        self.ends.values().map(|end| end.at_ms).max()
+    /// When the last target ended, unless all ends were cleared.
+    pub(super) fn latest_uncleared_ms(&self) -> Option<i64> {
+        self.uncleared_ends().map(|(_, end)| end.at_ms).max()
     }
 
     pub(super) fn last_end_ms(&self) -> i64 {
-        self.uncleared_ends().map(|(_, end)| end.at_ms).max().unwrap_or(i64::MIN)
+        self.latest_uncleared_ms().unwrap_or(i64::MIN)
     }
 
     pub(super) fn is_expired(&self, now: BootTime) -> bool {
--- a/src/quarantine/state.rs
+++ b/src/quarantine/state.rs
@@ -68,7 +68,7 @@
     blamed_at: Option<BootTime>,
     /// Whether records have changed since.
     is_blame_due: bool,
-    /// Records that were evicted have no later end . Reports of them are ignored, lest processes that evict
+    /// Records that were evicted have no later end that was not cleared. Reports of them are ignored, lest processes that evict
     /// different ones send them to each other for ever.
     evicted_until_ms: Option<i64>,
 }
@@ -455,7 +455,7 @@
         ranks.sort_unstable();
         for (_, fingerprint) in ranks.iter().take(excess) {
             let evicted = self.requests.remove(fingerprint);
-            let latest_ms = evicted.and_then(|record| record.latest_end_ms());
+            let latest_ms = evicted.and_then(|record| record.latest_uncleared_ms());
             self.evicted_until_ms = self.evicted_until_ms.max(latest_ms);
         }
     }
--- a/tests/logic/part_holds.rs
+++ b/tests/logic/part_holds.rs
@@ -224,3 +224,17 @@
     }
     assert!(quarantine.hold(&[whole(1), culprit], START + ms(6_100)).is_some());
 }
+
+/// Guards against late reports of a first end that are ignored since records without any were evicted.
+#[test]
+fn evicted_records_without_ends_hide_no_late_report() {
+    let mut quarantine = Quarantine::default();
+    for number in 0..3_000 {
+        record_end(&mut quarantine, &[whole(number)], number, START);
+        quarantine.record_completions(&[whole(number)], START + ms(1), START + ms(1));
+    }
+    let (culprit, late) = (part("culprit"), START + ms(2));
+    record_end(&mut quarantine, &[culprit], 9_000, START - ms(500));
+    let reports = quarantine.reports_since(0, late);
+    assert!(reports.iter().any(|report| report.fingerprint == culprit), "its end is known");
+}
