Record the addresses of the first replicas in the log

Entries knew only replicas that had replaced ones with lost disks, and these sent no heartbeats: they stayed without the ages of weights for as long as they ran.

Cause: the first replicas know their addresses from their settings, as initial state, which no log entry repeats. So it knew no address but its own, and its questions went to nobody.

Each new leader records the addresses in the log now.

--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -278,6 +278,7 @@
         let status = self.driver.raft.status();
         if status.is_leader && !self.was_leader {
             self.peer_activity.reset(now);
+            self.record_addresses();
         }
         self.was_leader = status.is_leader;
         if status.is_leader {
@@ -295,6 +296,17 @@
         }
     }
 
+    /// Records the known addresses in the log. Those of the first replicas are part of their initial state alone,
+    /// and a replica that joins later may be sent the log without a snapshot.
+    fn record_addresses(&mut self) {
+        let addresses = self.state.replica_addresses.clone();
+        for (node, ip) in addresses.iter() {
+            let command = Command::SetReplicaAddress { node: *node, ip: *ip };
+            // Without an answer: the next leader records them again.
+            self.propose(&command, oneshot::channel().0);
+        }
+    }
+
     /// Takes the next step towards the desired set of voters, if one is needed.
     fn advance_membership(&mut self, now: BootTime) {
         let members = self.driver.raft.status().members;
--- a/tests/deployment/replicas.rs
+++ b/tests/deployment/replicas.rs
@@ -402,3 +402,24 @@
     std::fs::rename(&kept_mark, &mark).expect("a mark");
     assert_eq!(cluster.read(), document(2));
 }
+
+/// Guards against replicas that never serve entries once they have replaced one whose disk was lost: they did not
+/// know the addresses of the others, and could ask none of them for the ages of weights.
+#[test]
+fn a_replica_that_replaces_one_with_a_lost_disk_becomes_current() {
+    const IS_CURRENT: &str = "event=replica_currency now=Current";
+    let mut cluster = ReplicaCluster::start(3);
+    cluster.publish(2);
+    cluster.eventually("all are current", |cluster| cluster.count_log_lines(IS_CURRENT) >= 3);
+    let is_follower =
+        |host: &usize| cluster.send_without_redirects(*host, "GET", "config", None) == Some(307);
+    let replaced = (0..3).find(is_follower).expect("a follower");
+    cluster.kill(replaced);
+    std::fs::remove_dir_all(cluster.file(replaced, "data")).expect("the data folder");
+    cluster.start_replica(replaced, false);
+    cluster.eventually("the new replica is current", |cluster| {
+        let log = read_to_string(cluster.file(replaced, "log")).unwrap_or_default();
+        let starts: Vec<&str> = log.split("event=start ").skip(1).collect();
+        starts.len() == 2 && starts[1].contains(IS_CURRENT)
+    });
+}
