Tests of targets that are all silent at once, failing

Callers of a stream whose target is silent for 1.7 s lose it after event 2 of 3 if the target that was asked to take it over is silent as well and then refuses, with and without a third target; requests without a head yet get 502; and the server error of another target takes the place of an answer.

--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the platform deployment: decoding of platform documents, deployments, the fleet, replicas, the
 //! scheduler on a virtual clock, and an entry in front of stand-in targets.
 
+mod all_silent_targets;
 mod answers_in_hand;
 mod boundary;
 mod brittle_targets;
--- a/tests/deployment/silent_targets.rs
+++ b/tests/deployment/silent_targets.rs
@@ -23,7 +23,7 @@
 
 /// Longer than four of the largest gaps between events that the routes allow, and than their time for
 /// the head of a response.
-const SILENCE: Duration = Duration::from_millis(1_700);
+pub const SILENCE: Duration = Duration::from_millis(1_700);
 /// The same, and longer than a connection takes to open after that.
 const LONG_SILENCE: Duration = Duration::from_millis(2_200);
 /// Largest gap between events that the routes allow.
@@ -45,7 +45,7 @@
 const FIRST_EVENTS: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 const LAST_EVENT: &str = "id: 3\ndata: c\n\n";
 /// The answer of a target that has no room.
-const NOT_RUN: &str =
+pub const NOT_RUN: &str =
     "HTTP/1.1 503 Full\r\nX-Request-Id: {id}\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
 
 /// Routes with events 300 ms apart at most.
@@ -91,7 +91,7 @@
     *entry.gateway.retries.borrow_mut() = RetryBudget::new(limit, boot_now());
 }
 
-fn configure(entry: &Entry, deployment: Deployment) {
+pub fn configure(entry: &Entry, deployment: Deployment) {
     let update = Update::Deployment(Arc::new(deployment));
     entry.gateway.observe(update).expect("a valid update");
 }
