Keep a silent target until the response of its replacement has begun

Callers lost their streams after the second event, or got 502 in place of an answer, when the target that was to replace a silent one was silent as well and then refused; a sound target was given up 150 ms after the request had been sent elsewhere, though nothing had come back. Requests also got the server error of another target although their own, silent one answered.

A request that was sent is no proof that it is taken over: a paused process accepts bytes and does nothing with them. A replacement counts from the first bytes of its body on (the head, if the response is no stream), and its server error only if the silent attempt fails. Until then both attempts run, and whichever goes on first is kept, the other one is cancelled at once. If both stay silent, the replacement is the one that is cancelled, in favour of a third target.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -42,6 +42,8 @@
     pub software: SoftwareVersion,
     /// The head, with the body still to be read.
     pub response: Response<Incoming>,
+    /// The start of the body, if it has been read already.
+    pub body_start: Option<Bytes>,
     /// Metadata from the headers.
     pub response_metadata: ResponseMetadata,
     /// The connection, which returns to the pool after the body has been read.
@@ -225,6 +227,7 @@
             responder,
             software,
             response,
+            body_start: None,
             response_metadata,
             connection,
             sent_at,
--- a/src/gateway/first_response.rs
+++ b/src/gateway/first_response.rs
@@ -1,5 +1,5 @@
-//! Waits for the head of a response. An attempt at a silent target runs on until another target has
-//! accepted the request in its place.
+//! Waits for the head of a response. An attempt at a silent target runs on until the response of another
+//! target has begun.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,7 +9,8 @@
 
 use super::attempt::{AttemptError, AttemptInput, TargetResponse, attempt};
 use super::attempts::Attempts;
-use super::handover::{ACCEPTANCE_WAIT, AttemptState, Recipient};
+use super::handover::{AttemptState, Recipient};
+use super::replacement::attempt_until_begun;
 use super::request_record::RequestRecord;
 use super::routed_request::RoutedRequest;
 use super::state::Gateway;
@@ -31,16 +32,20 @@
     made: LocalBoxFuture<'a, Made>,
 }
 
-/// What became of an attempt to replace another one.
+/// What became of an attempt to replace another one, whose target is silent.
 enum Replacement<'a> {
-    /// Its recipient works on it. The other one is given up.
-    Accepted(Running<'a>),
-    /// It has a response. The other one is given up.
-    Answered(Box<TargetResponse>),
-    /// The other one ended first.
-    Needless(Box<Made>),
-    /// It has no response, so that the other one runs on.
+    /// Its response has begun. The other one is given up.
+    Begun(Box<TargetResponse>),
+    /// It has failed, with a server error. The other one runs on, and may have a better answer.
+    ServerError(Box<TargetResponse>),
+    /// It has no response. The other one runs on.
     Failed(AttemptError),
+    /// Its target is silent as well. It is cancelled, and the other one runs on.
+    Silent,
+    /// The other one has a response, or failed before this one was sent.
+    Needless(Box<Made>),
+    /// The other one has failed, and this one runs on.
+    Alone(Running<'a>, AttemptError),
 }
 
 impl<'a> Running<'a> {
@@ -61,18 +66,18 @@
                 replaces: replaces.as_ref(),
                 state: &shared,
             };
-            attempt(gateway, input, record).await
+            match input.replaces {
+                None => attempt(gateway, input, record).await,
+                Some(_) => attempt_until_begun(gateway, input, record).await,
+            }
         };
         Running { state, made: made.boxed_local() }
     }
 
     /// Waits for the end of the attempt. Returns `None` once its recipient has been silent for
-    /// `limit`.
-    async fn ended_within(&mut self, limit: Duration) -> Option<Made> {
-        let silent = async {
-            self.state.sent().await;
-            tokio::time::sleep(limit).await;
-        };
+    /// `limit`, if there is one.
+    async fn ended_within(&mut self, limit: Option<Duration>) -> Option<Made> {
+        let silent = self.state.silent_for(limit);
         tokio::select! {
             biased;
             made = &mut self.made => Some(made),
@@ -80,31 +85,33 @@
         }
     }
 
-    /// Lets `next` replace this attempt, unless this one has a response before, or the recipient of
-    /// `next` does not run it.
-    async fn replace_by(&mut self, mut next: Running<'a>) -> Replacement<'a> {
-        tokio::select! {
-            biased;
-            () = next.state.sent() => {}
-            made = &mut self.made => return Replacement::Needless(Box::new(made)),
-            made = &mut next.made => return Replacement::of(made),
-        }
-        tokio::select! {
+    /// Lets `next` replace this attempt, whose target is silent. Whichever has a response first goes on:
+    /// what keeps one target silent may keep all of them silent. If `limit` is given, `next` is cancelled
+    /// once its target has been silent for as long.
+    async fn replace_by(
+        &mut self,
+        mut next: Running<'a>,
+        limit: Option<Duration>,
+    ) -> Replacement<'a> {
+        let made = tokio::select! {
             biased;
-            made = &mut next.made => {
-                let replacement = Replacement::of(made);
-                if matches!(replacement, Replacement::Answered(_)) {
-                    self.end().await;
-                }
-                replacement
-            }
             made = &mut self.made => match made {
-                Ok(_) => Replacement::Needless(Box::new(made)),
-                Err(_) => Replacement::Accepted(next),
+                Err(error) if next.state.recipient().is_some() => {
+                    return Replacement::Alone(next, error);
+                }
+                made => return Replacement::Needless(Box::new(made)),
             },
-            () = tokio::time::sleep(ACCEPTANCE_WAIT) => {
+            made = next.ended_within(limit) => made,
+        };
+        match made {
+            None => Replacement::Silent,
+            Some(Err(error)) => Replacement::Failed(error),
+            Some(Ok(received)) if received.response.status().is_server_error() => {
+                Replacement::ServerError(Box::new(received))
+            }
+            Some(Ok(received)) => {
                 self.end().await;
-                Replacement::Accepted(next)
+                Replacement::Begun(Box::new(received))
             }
         }
     }
@@ -116,15 +123,6 @@
     }
 }
 
-impl Replacement<'_> {
-    fn of(made: Made) -> Self {
-        match made {
-            Ok(received) => Replacement::Answered(Box::new(received)),
-            Err(error) => Replacement::Failed(error),
-        }
-    }
-}
-
 /// Makes an attempt, and others in its place while targets are silent.
 ///
 /// # Errors
@@ -136,46 +134,57 @@
     record: &RequestRecord,
 ) -> Made {
     let mut running = Running::start(gateway, routed, attempts.clone(), None, record);
+    let mut server_error = None;
     let mut next_wait = None;
     while let Some(limit) = silence_limit(routed, attempts) {
-        if let Some(made) = running.ended_within(next_wait.unwrap_or(limit)).await {
-            return made;
+        if let Some(made) = running.ended_within(Some(next_wait.unwrap_or(limit))).await {
+            return made.or_else(|error| server_error.ok_or(error));
         }
         next_wait = Some(REPLACEMENT_INTERVAL);
         let Some(recipient) = running.state.recipient() else { continue };
         let Some(taken_at) = gateway.take_retry(&routed.service, record) else { continue };
         let mut tried = attempts.clone();
         tried.add(recipient.clone().into_target());
-        let next = Running::start(gateway, routed, tried.clone(), Some(recipient), record);
+        let next_limit = silence_limit(routed, &tried);
+        let next = Running::start(gateway, routed, tried, Some(recipient.clone()), record);
         let state = next.state.clone();
-        let replacement = running.replace_by(next).await;
+        let replacement = running.replace_by(next, next_limit).await;
         let sent_to = state.recipient();
         if sent_to.is_none() {
             gateway.return_retry(&routed.service, taken_at, record);
         }
         match replacement {
-            Replacement::Accepted(next) => {
-                *attempts = tried;
+            Replacement::Begun(received) => {
+                attempts.add(recipient.into_target());
                 attempts.mark_may_have_run();
-                running = next;
-                next_wait = None;
+                return Ok(*received);
             }
-            Replacement::Answered(received) => {
-                *attempts = tried;
+            Replacement::ServerError(received) => {
+                attempts.add(received.responder.target().cloned());
                 attempts.mark_may_have_run();
-                return Ok(*received);
+                server_error = Some(*received);
+            }
+            Replacement::Failed(error) => attempts.add_failed(error),
+            Replacement::Silent => {
+                attempts.add(sent_to.and_then(Recipient::into_target));
+                attempts.mark_may_have_run();
+                next_wait = Some(Duration::ZERO);
             }
             Replacement::Needless(made) => {
                 if let Some(recipient) = sent_to {
                     attempts.add(recipient.into_target());
                     attempts.mark_may_have_run();
                 }
-                return *made;
+                return made.or_else(|error| server_error.ok_or(error));
+            }
+            Replacement::Alone(next, error) => {
+                attempts.add_failed(error);
+                running = next;
+                next_wait = None;
             }
-            Replacement::Failed(error) => attempts.add_failed(error),
         }
     }
-    running.made.await
+    running.made.await.or_else(|error| server_error.ok_or(error))
 }
 
 /// How long to wait for the head of the response before another target is tried; `None` if this is
--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -175,6 +175,7 @@
         responder,
         software,
         response,
+        body_start: None,
         response_metadata,
         connection,
         sent_at,
--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -6,10 +6,6 @@
 
 use crate::ids::TargetStart;
 
-/// How long an attempt is kept after another one was sent in its place. A target that does not run
-/// the request refuses it within this time, which is too short for two targets to do the same work.
-pub const ACCEPTANCE_WAIT: Duration = Duration::from_millis(150);
-
 /// Who a request has been sent to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Recipient {
@@ -52,6 +48,13 @@
         let _ = self.sent_to.subscribe().wait_for(Option::is_some).await;
     }
 
+    /// Waits until the request has been sent for as long as `limit`; forever without a limit.
+    pub async fn silent_for(&self, limit: Option<Duration>) {
+        let Some(limit) = limit else { return std::future::pending().await };
+        self.sent().await;
+        tokio::time::sleep(limit).await;
+    }
+
     /// Ends the wait for the head of the response.
     pub fn give_up(&self) {
         self.is_given_up.send_replace(true);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 pub mod priority;
 pub mod relay;
 mod relay_source;
+mod replacement;
 pub mod request;
 pub mod request_record;
 pub mod responder;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -14,8 +14,9 @@
 use super::attempts::Attempts;
 use super::events::{self, EventSplitter};
 use super::first_response::REPLACEMENT_INTERVAL;
-use super::handover::{ACCEPTANCE_WAIT, AttemptState, Recipient};
+use super::handover::{AttemptState, Recipient};
 use super::relay_source::{BreakCause, Source, SourceRead, end_source};
+use super::replacement::attempt_until_begun;
 use super::request_record::{CutBy, Outcome, RequestRecord};
 use super::response::{Refusal, RelayError, ResponseBody, full_body, stream_body};
 use super::routed_request::{Origin, RoutedRequest};
@@ -142,7 +143,8 @@
 
     /// Reads the source until it sends something or is silent for too long.
     async fn read_source(&mut self) -> SourceRead {
-        let (max_gap, deadline) = (self.max_gap(), self.routed.deadline);
+        let max_gap = self.may_resume().then(|| max_gap(&self.routed));
+        let deadline = self.routed.deadline;
         let Some(source) = &mut self.source else { return SourceRead::Broken("no source".into()) };
         let limit = max_gap.map(|gap| *source.silent_from.get_or_insert(Instant::now() + gap));
         let until = limit.map_or(deadline, |limit| deadline.min(limit));
@@ -153,15 +155,6 @@
         }
     }
 
-    fn max_gap(&self) -> Option<Duration> {
-        if !self.may_resume() {
-            return None;
-        }
-        let max_gap =
-            self.routed.route.max_event_gap.map_or(DEFAULT_MAX_GAP, |gap| gap * GAPS_BEFORE_RESUME);
-        Some(max_gap.max(self.routed.route.objective))
-    }
-
     fn may_resume(&self) -> bool {
         self.routed.origin == Origin::Caller
             && self.routed.route.policy.may_repeat()
@@ -179,8 +172,8 @@
         }
     }
 
-    /// Lets another target go on with the stream. The silent source is kept until that target has
-    /// accepted the request, and stays if it goes on before or no target takes over.
+    /// Lets another target go on with the stream. The silent source is kept until the response of that
+    /// target has begun, and stays if it goes on before or no target takes over.
     async fn replace_silent_source(&mut self) -> SourceRead {
         let Some(source) = &mut self.source else { return SourceRead::Silent };
         source.silent_from = Some(Instant::now() + REPLACEMENT_INTERVAL);
@@ -197,44 +190,69 @@
             replaces: Some(&recipient),
             state: &state,
         };
-        let mut replacement = Box::pin(attempt(&self.gateway, input, &self.record));
-        let kept = tokio::select! {
+        let may_try_further = self.attempts.count() + 1 < self.routed.route.attempts;
+        let limit = may_try_further.then(|| max_gap(&self.routed));
+        let mut replacement = Box::pin(attempt_until_begun(&self.gateway, input, &self.record));
+        let first = tokio::select! {
             biased;
-            () = state.sent() => None,
-            read = source.read(&mut self.events, &self.record) => Some(read),
-            _ = &mut replacement => Some(SourceRead::Silent),
+            read = source.read(&mut self.events, &self.record) => Race::Source(read),
+            made = &mut replacement => Race::Replacement(Box::new(made)),
+            () = state.silent_for(limit) => Race::BothSilent,
         };
-        if let Some(read) = kept {
+        let sent_to = state.recipient();
+        if sent_to.is_none() {
             self.gateway.return_retry(service, taken_at, &self.record);
-            return read;
         }
-        let (reason, cause) = tokio::select! {
-            biased;
-            made = &mut replacement => {
+        let (reason, cause) = match first {
+            Race::Replacement(made) => {
                 drop(replacement);
-                return self.take_over_from_source(made).await;
+                return self.take_over_from_source(*made).await;
+            }
+            Race::Source(SourceRead::Broken(reason)) if sent_to.is_some() => {
+                (reason, BreakCause::Failure)
+            }
+            Race::Source(SourceRead::Lost(reason)) if sent_to.is_some() => {
+                (reason, BreakCause::Connection)
+            }
+            Race::Source(read) => {
+                drop(replacement);
+                self.add_cancelled(sent_to);
+                return read;
+            }
+            Race::BothSilent => {
+                drop(replacement);
+                self.add_cancelled(sent_to);
+                return SourceRead::Silent;
             }
-            read = source.read(&mut self.events, &self.record) => match read {
-                SourceRead::Broken(reason) => (reason, BreakCause::Failure),
-                SourceRead::Lost(reason) => (reason, BreakCause::Connection),
-                read => {
-                    drop(replacement);
-                    self.attempts.add(state.recipient().and_then(Recipient::into_target));
-                    return read;
-                }
-            },
-            () = tokio::time::sleep(ACCEPTANCE_WAIT) => (SILENT.to_string(), BreakCause::Failure),
         };
-        self.events.discard_partial();
         let ended = self.source.take();
         let ending = end_source(&self.gateway, &self.routed, &self.record, ended, &reason, cause);
-        let ((), made) = futures::join!(ending, replacement);
+        let replaced = async {
+            tokio::select! {
+                biased;
+                made = replacement => Some(made),
+                () = state.silent_for(limit) => None,
+            }
+        };
+        let ((), made) = futures::join!(ending, replaced);
+        self.events.discard_partial();
+        let Some(made) = made else {
+            self.add_cancelled(sent_to);
+            return SourceRead::Broken(reason);
+        };
         match self.take_over(made) {
             Ok(()) => SourceRead::Replaced,
             Err(failure) => SourceRead::Broken(failure.reason),
         }
     }
 
+    /// Counts an attempt that was cancelled before its response began, if it was sent.
+    fn add_cancelled(&mut self, sent_to: Option<Recipient>) {
+        if let Some(recipient) = sent_to {
+            self.attempts.add(recipient.into_target());
+        }
+    }
+
     /// Goes on with the response of another target, if that has taken over. Else the silent source is
     /// kept.
     async fn take_over_from_source(
@@ -320,12 +338,27 @@
     }
 }
 
+/// What came first after another target was asked to go on with the stream of a silent one.
+enum Race {
+    Source(SourceRead),
+    Replacement(Box<Result<TargetResponse, AttemptError>>),
+    /// Neither has sent anything for as long as a target may be silent.
+    BothSilent,
+}
+
 /// Why another target did not go on with a stream.
 struct TakeoverFailure {
     reason: String,
     may_try_further: bool,
 }
 
+/// How long the target of a stream may be silent before another one is asked.
+fn max_gap(routed: &RoutedRequest) -> Duration {
+    let max_gap =
+        routed.route.max_event_gap.map_or(DEFAULT_MAX_GAP, |gap| gap * GAPS_BEFORE_RESUME);
+    max_gap.max(routed.route.objective)
+}
+
 /// Id of the last event that the caller has received.
 fn last_event(events: &EventSplitter, routed: &RoutedRequest) -> Option<String> {
     events.last_id().or(routed.metadata.resume_after.as_deref()).map(str::to_string)
--- a/src/gateway/relay_source.rs
+++ b/src/gateway/relay_source.rs
@@ -22,6 +22,8 @@
 pub(super) struct Source {
     pub(super) responder: Responder,
     pub(super) software: SoftwareVersion,
+    /// The start of the body, if it was read with the head.
+    body_start: Option<Bytes>,
     pub(super) body: Incoming,
     pub(super) response_metadata: ResponseMetadata,
     pub(super) connection: Connection,
@@ -61,6 +63,7 @@
             responder,
             software,
             response,
+            body_start,
             response_metadata,
             mut connection,
             sent_at,
@@ -72,6 +75,7 @@
         Source {
             responder,
             software,
+            body_start,
             body,
             response_metadata,
             connection,
@@ -87,17 +91,22 @@
         events: &mut EventSplitter,
         record: &RequestRecord,
     ) -> SourceRead {
-        let frame = match self.body.frame().await {
-            None if events.has_partial() => {
-                return SourceRead::Broken("ends within an event".into());
-            }
-            None => return SourceRead::Complete,
-            Some(Err(error)) => return SourceRead::Lost(error.to_string()),
-            Some(Ok(frame)) => frame,
+        let data = match self.body_start.take() {
+            Some(data) => data,
+            None => match self.body.frame().await {
+                None if events.has_partial() => {
+                    return SourceRead::Broken("ends within an event".into());
+                }
+                None => return SourceRead::Complete,
+                Some(Err(error)) => return SourceRead::Lost(error.to_string()),
+                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+            },
         };
         self.silent_from = None;
         record.target_active();
-        let Ok(data) = frame.into_data() else { return SourceRead::Events(Bytes::new()) };
+        if data.is_empty() {
+            return SourceRead::Events(data);
+        }
         self.responder.prompt_read(&self.response_metadata);
         match events.push(&data) {
             Ok(events) => SourceRead::Events(events),
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http::header::CONNECTION;
-use http::{HeaderValue, Request, Response, StatusCode};
+use http::{HeaderValue, Request, Response};
 use hyper::body::{Body, Incoming};
 use rand::RngExt;
 use tokio::sync::watch;
@@ -21,6 +21,7 @@
 use super::metadata::RequestMetadata;
 use super::priority::Priority;
 use super::relay::{self, EventRelay};
+use super::replacement;
 use super::request_record::{Outcome, RequestRecord};
 use super::response::{GatewayResponse, Refusal, full_body, refusal_response};
 use super::routed_request::{Origin, RoutedRequest};
@@ -325,8 +326,7 @@
 ) -> Result<GatewayResponse, (Refusal, RequestRecord)> {
     let status = received.response.status();
     let values = headers::response_for_caller(received.response.headers());
-    let is_stream = routed.route.policy.is_stream() && status == StatusCode::OK;
-    let body = if is_stream {
+    let body = if replacement::is_event_stream(&routed, status) {
         EventRelay::new(gateway.clone(), routed, record, attempts, received).into_body().await?
     } else if let Some(reservation) =
         buffered_body::reserve(received.response.body(), &gateway.body_memory)
