--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -70,6 +70,18 @@
     TimedOut(Option<TargetStart>),
 }
 
+impl AttemptError {
+    /// The target that the request was sent to, if it is known.
+    pub fn into_target(self) -> Option<TargetStart> {
+        match self {
+            AttemptError::NotRun(target)
+            | AttemptError::MayHaveRun(target)
+            | AttemptError::TimedOut(target) => target,
+            AttemptError::NoTarget(_) | AttemptError::Held(_) | AttemptError::TooLate => None,
+        }
+    }
+}
+
 /// What an attempt is made for.
 #[derive(Clone, Copy)]
 pub struct AttemptInput<'a> {
--- a/src/gateway/first_response.rs
+++ b/src/gateway/first_response.rs
@@ -138,7 +138,7 @@
     let mut next_wait = None;
     while let Some(limit) = silence_limit(routed, attempts) {
         if let Some(made) = running.ended_within(Some(next_wait.unwrap_or(limit))).await {
-            return made.or_else(|error| server_error.ok_or(error));
+            return or_server_error(made, server_error, attempts);
         }
         next_wait = Some(REPLACEMENT_INTERVAL);
         let Some(recipient) = running.state.recipient() else { continue };
@@ -175,7 +175,7 @@
                     attempts.add(recipient.into_target());
                     attempts.mark_may_have_run();
                 }
-                return made.or_else(|error| server_error.ok_or(error));
+                return or_server_error(*made, server_error, attempts);
             }
             Replacement::Alone(next, error) => {
                 attempts.add_failed(error);
@@ -184,7 +184,22 @@
             }
         }
     }
-    running.made.await.or_else(|error| server_error.ok_or(error))
+    or_server_error(running.made.await, server_error, attempts)
+}
+
+/// The server error of another target, which has been counted as an attempt, in place of no response.
+fn or_server_error(
+    made: Made,
+    server_error: Option<TargetResponse>,
+    attempts: &mut Attempts,
+) -> Made {
+    match (made, server_error) {
+        (Err(error), Some(received)) => {
+            attempts.avoid(error.into_target());
+            Ok(received)
+        }
+        (made, _) => made,
+    }
 }
 
 /// How long to wait for the head of the response before another target is tried; `None` if this is
