Test that a server error sent in chunks is kept for the caller

The entry keeps a server error while it asks another target only if its length was announced: the caller gets 502 in place of one sent in chunks.

--- a/tests/deployment/answers_in_hand.rs
+++ b/tests/deployment/answers_in_hand.rs
@@ -4,8 +4,8 @@
 
 use crate::fixtures::{ms, target};
 use crate::gateway::{
-    deployment_with_long_timeouts, entry_with_two_targets, ok_response, prefer_other_targets,
-    run_local, start_entry,
+    deployment_with_long_timeouts, entry_with_two_targets, event_stream, ok_response,
+    prefer_other_targets, run_local, start_entry,
 };
 use crate::stand_in::{AfterAnswer, Script, StandIn, header};
 
@@ -16,6 +16,12 @@
     vec![(answer, AfterAnswer::KeepOpen)]
 }
 
+/// A server error whose length is not announced.
+fn server_error_in_chunks(chunks: &[&str], is_whole: bool) -> String {
+    let answer = event_stream(chunks, is_whole).replace("200 OK", "500 Broken");
+    answer.replace("text/event-stream", "text/plain")
+}
+
 // Guards against callers that get the entry's own error although a target has answered, since the other
 // target that was asked for a better answer has none.
 #[test]
@@ -41,6 +47,26 @@
     }
 }
 
+// Guards against the same if the target did not announce the length of its answer.
+#[test]
+fn a_server_error_in_chunks_is_relayed_if_no_better_answer_follows() {
+    let (start, end) = FIRST_BODY.split_at(4);
+    for chunks in [vec![FIRST_BODY], vec![start, end], vec![]] {
+        let answer = server_error_in_chunks(&chunks, true);
+        run_local(async move {
+            let first = vec![(answer, AfterAnswer::KeepOpen)];
+            let second = vec![(String::new(), AfterAnswer::Close)];
+            let (entry, first_target, second_target) =
+                entry_with_two_targets("app", first, second).await;
+            let got = entry.call("/safe/", "r1").await;
+            assert_eq!(got.status, 500, "{chunks:?}: {}", got.text);
+            let body = got.text.rsplit("\r\n\r\n").next().expect("a body");
+            assert_eq!(body, chunks.concat(), "{}", got.text);
+            assert_eq!((first_target.request_count(), second_target.request_count()), (1, 1));
+        });
+    }
+}
+
 // Guards against the same while there is no other target.
 #[test]
 fn a_server_error_of_the_only_target_is_relayed() {
@@ -80,8 +106,14 @@
     let incomplete = ok_response("half")
         .replace("200 OK", "500 Broken")
         .replace("Content-Length: 4", "Content-Length: 8");
-    let long = server_error(&"x".repeat(2 * MAX_BUFFERED_BYTES as usize));
+    let long_body = "x".repeat(2 * MAX_BUFFERED_BYTES as usize);
+    let long = server_error(&long_body);
+    let long_in_chunks = server_error_in_chunks(&[&long_body], true);
+    let half_in_chunks = server_error_in_chunks(&["half"], false);
     let cases = [
+        ("cut short in chunks", vec![(half_in_chunks.clone(), AfterAnswer::Close)]),
+        ("never complete in chunks", vec![(half_in_chunks, AfterAnswer::Hang)]),
+        ("too long in chunks", vec![(long_in_chunks, AfterAnswer::KeepOpen)]),
         ("cut short", vec![(incomplete.clone(), AfterAnswer::Close)]),
         ("never complete", vec![(incomplete, AfterAnswer::Hang)]),
         ("too long", long),
