Keep server errors that were sent in chunks for the caller

A caller got 502 in place of the server error of the first target if that target had not announced its length and the second one failed. The memory of an answer in hand was reserved by its announced length, so one without was dropped. It is now reserved as the body is read, within the same size and the same 100 ms.

answers_in_hand::a_server_error_in_chunks_is_relayed_if_no_better_answer_follows got 502 before, passes now; all 5 tests of the file pass.

--- a/.ci/mutations.py
+++ b/.ci/mutations.py
@@ -655,6 +655,8 @@
      "if net::lacks_local_resources(&error) {", "if false {", "deployment", "scarce_descriptors"),
     ("answers in hand: dropped for a refusal", "src/gateway/request.rs",
      "in_hand = answer.or(in_hand);", "in_hand = answer.filter(|_| false);", "deployment", "answers_in_hand"),
+    ("answers in hand: only those of an announced length", "src/gateway/buffered_body.rs",
+     "if body.size_hint().lower() > MAX_BUFFERED_BYTES {", "if body.size_hint().exact().is_none() {", "deployment", "answers_in_hand"),
     ("brittle: the scheduler fills engines", "src/scheduler/plan.rs",
      " || engine.may_be_full(now);", ";", "deployment", "brittle"),
 ]
--- a/src/gateway/answer_in_hand.rs
+++ b/src/gateway/answer_in_hand.rs
@@ -36,18 +36,19 @@
     ) -> Option<AnswerInHand> {
         let TargetResponse { responder, response, response_metadata, mut connection, .. } =
             received;
-        let reservation = buffered_body::reserve(response.body(), &gateway.body_memory)?;
         let status = response.status();
         let headers = headers::response_for_caller(response.headers());
         let deadline = routed.deadline.min(Instant::now() + READ_TIMEOUT);
-        match buffered_body::read(response.into_body(), deadline).await {
-            Ok(body) => {
+        let body = response.into_body();
+        match buffered_body::read_if_short(body, &gateway.body_memory, deadline).await {
+            Ok(Some(body)) => {
                 connection.set_idle_timeout(response_metadata.idle_timeout);
                 if !response_metadata.closes {
                     responder.return_connection(gateway, connection);
                 }
-                Some(AnswerInHand { status, headers, body: reservation.hold(body) })
+                Some(AnswerInHand { status, headers, body })
             }
+            Ok(None) => None,
             Err(error) => {
                 record.responder_failed(&responder, &error.to_string());
                 None
