--- a/tests/process/shutdown.rs
+++ b/tests/process/shutdown.rs
@@ -114,6 +114,59 @@
     assert_eq!(response.expect("a response").status(), 503);
 }
 
+/// Reads an answer up to the end of its body, or what there is of it.
+fn read_answer(caller: &mut TcpStream) -> String {
+    let (mut text, mut bytes) = (String::new(), [0; 4_096]);
+    let is_whole = |text: &str| {
+        let Some((head, body)) = text.split_once("\r\n\r\n") else { return false };
+        let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+        length.is_some_and(|length| length.parse() == Ok(body.len()))
+    };
+    while !is_whole(&text) {
+        match caller.read(&mut bytes) {
+            Ok(count) if count > 0 => text += &String::from_utf8_lossy(&bytes[..count]),
+            _ => break,
+        }
+    }
+    text
+}
+
+/// Guards against requests on kept connections that get no answer, since a busy node finds them and the
+/// signal to stop at once.
+#[test]
+fn requests_that_arrive_before_a_planned_stop_are_answered() {
+    const CALLERS: usize = 20;
+    for (listener, request) in [
+        ("operators", "GET /v1/status HTTP/1.1\r\nHost: node\r\n\r\n"),
+        (
+            "callers",
+            "GET /v1/services HTTP/1.1\r\nHost: node\r\nAuthorization: Bearer key-of-anna\r\n\r\n",
+        ),
+    ] {
+        let mut env = start_node(Duration::from_secs(20));
+        let mut callers = Vec::new();
+        for _ in 0..CALLERS {
+            let mut caller =
+                TcpStream::connect(env.nodes[0].ready_value(listener)).expect("the node listens");
+            caller.set_read_timeout(Some(Duration::from_secs(10))).expect("a socket");
+            caller.write_all(request.as_bytes()).expect("the connection is open");
+            let text = read_answer(&mut caller);
+            assert!(text.starts_with("HTTP/1.1 "), "{listener}: {text:?}");
+            callers.push(caller);
+        }
+        env.nodes[0].signal("STOP");
+        for caller in &mut callers {
+            caller.write_all(request.as_bytes()).expect("the connection is open");
+        }
+        env.nodes[0].signal("TERM");
+        env.nodes[0].signal("CONT");
+        let texts = callers.iter_mut().map(read_answer);
+        let answered = texts.filter(|text| text.starts_with("HTTP/1.1 ")).count();
+        assert_eq!(answered, CALLERS, "{listener}: requests that were answered");
+        assert_eq!(env.nodes[0].exit_code(), Some(0), "{listener}");
+    }
+}
+
 const HALF_ORDER: &str = "POST /v1/services/part-order/orders HTTP/1.1\r\n\
                           Authorization: Bearer key-of-anna\r\nIdempotency-Key: half\r\n";
 const HALF_PATCH: &str = "PATCH /v1/config HTTP/1.1\r\nIf-Match: \"1\"\r\n\
