Answer requests that arrive at a node before a planned stop

Requests on kept connections got no answer if a busy node found them and the signal to stop at once: hyper-util's graceful shutdown polls the signal before the connection, and closes a connection as idle whose request is unread. The connection is now polled first.

--- a/.ci/mutations.py
+++ b/.ci/mutations.py
@@ -653,6 +653,8 @@
      "const STREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(30);", "const STREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(1);", "process", "silent_engines"),
     ("descriptors: their lack is blamed on targets", "src/gateway/attempt.rs",
      "if net::lacks_local_resources(&error) {", "if false {", "deployment", "scarce_descriptors"),
+    ("a node's connections: the signal to stop before requests", "src/http.rs",
+     "                biased;\n                served = connection", "                served = connection", "process", "shutdown"),
     ("answers in hand: dropped for a refusal", "src/gateway/request.rs",
      "in_hand = answer.or(in_hand);", "in_hand = answer.filter(|_| false);", "deployment", "answers_in_hand"),
     ("answers in hand: only those of an announced length", "src/gateway/buffered_body.rs",
--- a/src/http.rs
+++ b/src/http.rs
@@ -10,7 +10,6 @@
 use hyper::service::{Service, service_fn};
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use hyper_util::server::conn::auto::Builder;
-use hyper_util::server::graceful::GracefulShutdown;
 use hyper_util::service::TowerToHyperService;
 use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream};
@@ -175,15 +174,15 @@
             }
         });
     let service = TowerToHyperService::new(warp::service(filter));
-    let graceful = GracefulShutdown::new();
+    let (open_connections, _) = watch::channel(());
     let serve_connection = |stream: TcpStream| {
         // Without this option, Nagle's algorithm delays the parts of a stream until the receiver's
         // delayed acknowledgements, about 40 ms.
         if let Err(error) = stream.set_nodelay(true) {
             log::warn!("event=nodelay_failed error={:?}", error.to_string());
         }
-        let (service, watcher, connection_use) =
-            (service.clone(), graceful.watcher(), used.track());
+        let (service, phase, connection_use) = (service.clone(), phase.clone(), used.track());
+        let open_connection = open_connections.subscribe();
         tokio::spawn(async move {
             let service = service_fn(|request| {
                 connection_use.mark_used();
@@ -192,16 +191,27 @@
             let builder = Builder::new(TokioExecutor::new());
             let connection =
                 builder.serve_connection(TokioIo::new(LingeringStream::new(stream)), service);
-            if let Err(error) = watcher.watch(connection).await {
+            let mut connection = std::pin::pin!(connection);
+            let served = tokio::select! {
+                // A request that has arrived is read before its connection is closed as idle.
+                biased;
+                served = connection.as_mut() => served,
+                () = reached(phase, ShutdownPhase::Closing) => {
+                    connection.as_mut().graceful_shutdown();
+                    connection.await
+                }
+            };
+            if let Err(error) = served {
                 log::debug!("event=client_disconnected reason={:?}", error.to_string());
             }
+            drop(open_connection);
         });
     };
     tokio::select! {
         () = net::for_each_connection(listener, serve_connection) => {}
-        () = reached(phase, ShutdownPhase::Closing) => {}
+        () = reached(phase.clone(), ShutdownPhase::Closing) => {}
     }
-    graceful.shutdown().await;
+    open_connections.closed().await;
 }
 
 /// Waits for a phase. An error means that the server's owner was dropped, which also ends serving.
