Log a lost subscription once, and then seldom

An entry that could not reach a replica logged `subscription_lost` every 50 ms and replica, the delay between two attempts: most lines of a system that starts.

The first loss of a replica is logged, then a change of the reason (2 s after the line before at the earliest), and a loss that lasts every 10 s. `losses` counts those since the last line, so that none goes unseen. `subscription_restored` tells after how long the replica confirmed again.

Test: 499 losses in 25 s give three lines; losses that alternate give at most 20 lines in 20 s, and all but those of the last 2 s are counted.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -35,6 +35,7 @@
 pub mod state;
 pub mod stream_origin;
 pub mod subscription;
+pub mod subscription_log;
 pub mod subscription_policy;
 pub mod target_news;
 pub mod target_selection;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -18,6 +18,7 @@
 use super::routed_request::RoutedRequest;
 use super::scheduler_client::SchedulerClient;
 use super::stream_origin::StreamLookups;
+use super::subscription_log::SubscriptionLog;
 use super::subscription_policy::Subscriptions;
 use crate::clock::{BootTime, boot_now};
 use crate::control::entry_directory::EntryStart;
@@ -105,6 +106,8 @@
     pub replicas: RefCell<BTreeSet<IpAddr>>,
     /// Chooses the replicas to subscribe to.
     pub subscriptions: RefCell<Subscriptions>,
+    /// Limits the lines about lost subscriptions.
+    pub subscription_log: RefCell<SubscriptionLog>,
     /// The number of the complete roster in use; 0 if there is none yet.
     pub(super) roster_number: Cell<u64>,
     /// A roster that has been received in part.
@@ -165,6 +168,7 @@
             leader_changed: Notify::new(),
             replicas: RefCell::new(replicas),
             subscriptions,
+            subscription_log: RefCell::default(),
             roster_number: Cell::new(0),
             assembly: RefCell::default(),
             rollouts: RefCell::default(),
--- a/src/gateway/subscription.rs
+++ b/src/gateway/subscription.rs
@@ -9,9 +9,10 @@
 use tokio::sync::mpsc;
 
 use super::state::Gateway;
+use super::subscription_log::SubscriptionReturn;
 use super::subscription_policy::Subscription;
 use super::termination;
-use crate::clock::boot_now;
+use crate::clock::{BootTime, boot_now};
 use crate::control::entry_directory::EntryProcess;
 use crate::control::frames::{
     self, Handshake, RosterSubscription, SubscriberRequest, Update, encode,
@@ -59,13 +60,7 @@
             last = Some(replica);
             match ended {
                 Ok(()) => pause = Duration::ZERO,
-                Err(error) => {
-                    let reason = error.to_string();
-                    let age_ms = gateway.state_age_ms();
-                    log::info!(
-                        "event=subscription_lost replica={replica} reason={reason:?} age_ms={age_ms}"
-                    );
-                }
+                Err(error) => log_loss(&gateway, replica, &error.to_string()),
             }
         }
         tokio::time::sleep(pause).await;
@@ -209,6 +204,7 @@
         // Replicas send their failure domains before the first heartbeat.
         if is_heartbeat {
             let now = boot_now();
+            log_return(gateway, replica, now);
             let replicas = gateway.replicas.borrow().clone();
             if gateway.subscriptions.borrow().should_switch(subscription, &replicas, now) {
                 return Ok(());
@@ -223,6 +219,25 @@
     }
 }
 
+fn log_loss(gateway: &Gateway, replica: IpAddr, reason: &str) {
+    let mut log = gateway.subscription_log.borrow_mut();
+    log.retain(&gateway.replicas.borrow());
+    let Some(losses) = log.lost(replica, reason, boot_now()) else { return };
+    log::info!(
+        "event=subscription_lost replica={replica} reason={reason:?} losses={losses} age_ms={}",
+        gateway.state_age_ms()
+    );
+}
+
+fn log_return(gateway: &Gateway, replica: IpAddr, now: BootTime) {
+    let ended = gateway.subscription_log.borrow_mut().confirmed(replica, now);
+    let Some(SubscriptionReturn { lost_for, unlogged_losses }) = ended else { return };
+    log::info!(
+        "event=subscription_restored replica={replica} lost_ms={} losses={unlogged_losses}",
+        lost_for.as_millis()
+    );
+}
+
 /// Logs the roster that is now in use and the targets that are leaving.
 fn log_roster(gateway: &Gateway, replica: IpAddr) {
     let name = gateway.roster_name();
--- a/tests/deployment/diagnostics.rs
+++ b/tests/deployment/diagnostics.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use kumquatpost::gateway::log_limiter::RequestLogLimiter;
+use kumquatpost::gateway::subscription_log::SubscriptionLog;
 use kumquatpost::queries::request::{LogLine, related_lines};
 use kumquatpost::telemetry::deployment_metrics::EntryMetrics;
 use kumquatpost::telemetry::non_blocking_appender::NonBlockingAppender;
@@ -79,6 +80,47 @@
     assert_eq!(written(true, 2), successes, "the sample has the same ids each time");
 }
 
+// Guards against a line each 50 ms and replica while a system starts.
+#[test]
+fn a_loss_that_lasts_is_logged_once_and_then_seldom_with_a_count() {
+    const REFUSED: &str = "connection refused";
+    let (first, second) = ([10, 0, 0, 1].into(), [10, 0, 0, 2].into());
+    let mut log = SubscriptionLog::default();
+    assert_eq!(log.confirmed(first, ms(0)), None, "the first subscription follows no loss");
+    let mut lines = Vec::new();
+    for at_ms in (50..25_000).step_by(50) {
+        lines.extend(log.lost(first, REFUSED, ms(at_ms)).map(|losses| (at_ms, losses)));
+    }
+    assert_eq!(lines, [(50, 1), (10_050, 200), (20_050, 200)]);
+    assert_eq!(log.lost(second, REFUSED, ms(60)), Some(1), "replicas are counted apart");
+    assert_eq!(log.lost(first, "reset", ms(25_000)), Some(99), "the reason has changed");
+    let returned = log.confirmed(first, ms(25_100)).expect("a loss was logged");
+    assert_eq!((returned.lost_for, returned.unlogged_losses), (ms(25_050), 0));
+    assert_eq!(log.confirmed(first, ms(25_150)), None, "it is told once");
+    assert_eq!(log.lost(first, "reset", ms(29_000)), Some(1), "it is lost again");
+    log.retain(&[second].into());
+    assert_eq!(log.confirmed(first, ms(30_000)), None, "it is no longer known");
+}
+
+// Guards against a flood of lines by a replica that is lost and regained all the time, or for reasons that alternate.
+#[test]
+fn losses_that_alternate_are_logged_in_bounded_numbers_and_all_are_counted() {
+    let replica = [10, 0, 0, 1].into();
+    for returns in [false, true] {
+        let mut log = SubscriptionLog::default();
+        let (mut lines, mut counted) = (0, 0);
+        for at_ms in (0..20_000).step_by(50) {
+            let reason = if at_ms % 100 == 0 { "refused" } else { "silent" };
+            let logged = log.lost(replica, reason, ms(at_ms));
+            let returned = if returns { log.confirmed(replica, ms(at_ms + 25)) } else { None };
+            lines += usize::from(logged.is_some()) + usize::from(returned.is_some());
+            counted += logged.unwrap_or(0) + returned.map_or(0, |ended| ended.unlogged_losses);
+        }
+        assert!(lines <= 20, "{lines} lines, returns: {returns}");
+        assert!(counted > 400 - 2_000 / 50 - 1, "{counted} losses, returns: {returns}");
+    }
+}
+
 const LOGS: [(&str, &str); 7] = [
     ("entry-1", "ts=2026-01-01T10:00:00.000Z level=INFO event=deployment_in_force version=4"),
     ("entry-1", "ts=2026-01-01T10:00:01.500Z level=INFO event=subscription_lost replica=10.0.0.1"),
