Don't log state as not restored that a first start can't have

Each first start of a replica logged `quarantine_not_restored reason="No such file or directory …"` and the same of the targets, which is no trouble. And a damaged quarantine was reported as missing: the last reason of three tries was logged, which is that of the file of earlier builds.

Reading a file now tells a missing one from one that can't be read or is damaged. A missing one is logged unless the platform says that the system starts for the first time; the reason is that of this build's file, if it exists.

Tests: files_that_were_not_restored_… (three processes: no line at the first start, one each at a later one without files), a_missing_file_and_a_damaged_one_….

--- a/src/control/checksummed_file.rs
+++ b/src/control/checksummed_file.rs
@@ -6,6 +6,7 @@
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use snafu::Snafu;
 
 const CHECKSUM_BYTES: usize = 4;
 
@@ -18,23 +19,48 @@
     PowerLoss,
 }
 
+/// Why a file was not read.
+#[derive(Debug, Snafu)]
+pub enum LoadError {
+    #[snafu(display("the file is missing"))]
+    Missing,
+    #[snafu(display("{source}"))]
+    Unreadable { source: io::Error },
+    #[snafu(display("{reason}"))]
+    Damaged { reason: String },
+}
+
+impl LoadError {
+    /// Whether the error is what a first start finds.
+    pub fn is_expected(&self, is_first_start: bool) -> bool {
+        is_first_start && matches!(self, LoadError::Missing)
+    }
+
+    fn damaged(reason: impl ToString) -> LoadError {
+        LoadError::Damaged { reason: reason.to_string() }
+    }
+}
+
 /// Reads a file.
 ///
 /// # Errors
 ///
 /// If the file is missing or damaged, or has another layout.
-pub fn load<T: DeserializeOwned>(folder: &Path, name: &str) -> Result<T, String> {
-    let bytes = std::fs::read(folder.join(name)).map_err(|error| error.to_string())?;
+pub fn load<T: DeserializeOwned>(folder: &Path, name: &str) -> Result<T, LoadError> {
+    let bytes = std::fs::read(folder.join(name)).map_err(|source| match source.kind() {
+        io::ErrorKind::NotFound => LoadError::Missing,
+        _ => LoadError::Unreadable { source },
+    })?;
     let Some((checksum, body)) = bytes.split_at_checked(CHECKSUM_BYTES) else {
-        return Err("the file is too short".to_string());
+        return Err(LoadError::damaged("the file is too short"));
     };
     if checksum != crc32fast::hash(body).to_le_bytes() {
-        return Err("the checksum does not match".to_string());
+        return Err(LoadError::damaged("the checksum does not match"));
     }
     match postcard::take_from_bytes(body) {
         Ok((content, [])) => Ok(content),
-        Ok(_) => Err("bytes are left over".to_string()),
-        Err(error) => Err(error.to_string()),
+        Ok(_) => Err(LoadError::damaged("bytes are left over")),
+        Err(error) => Err(LoadError::damaged(error)),
     }
 }
 
--- a/src/control/quarantine_file.rs
+++ b/src/control/quarantine_file.rs
@@ -10,7 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::checksummed_file::{self, Durability};
+use super::checksummed_file::{self, Durability, LoadError};
 use super::shared::Shared;
 use crate::clock::boot_now;
 use crate::quarantine::{Fingerprint, Quarantine, Report, ReportedEnd, Revision};
@@ -43,7 +43,7 @@
 }
 
 /// Reads the quarantine; empty if the file is missing or damaged.
-pub fn load(folder: &Path) -> Quarantine {
+pub fn load(folder: &Path, is_first_start: bool) -> Quarantine {
     let mut quarantine = Quarantine::default();
     match read(folder) {
         Ok(reports) => {
@@ -51,20 +51,28 @@
             // The result only tells whether anything was new.
             let _ = quarantine.merge_reports(reports, boot_now());
         }
-        Err(reason) => log::info!("event=quarantine_not_restored reason={reason:?}"),
+        Err(error) if error.is_expected(is_first_start) => {}
+        Err(error) => log::info!("event=quarantine_not_restored reason={:?}", error.to_string()),
     }
     quarantine
 }
 
 /// Reads the reports of this build, or else those of an earlier one.
-fn read(folder: &Path) -> Result<Vec<Report>, String> {
-    checksummed_file::load(folder, FILE)
-        .map(|Content::V1(reports)| reports)
-        .or_else(|_| checksummed_file::load(folder, UNVERSIONED_FILE))
+///
+/// # Errors
+///
+/// If no file can be read: why not that of this build, unless only an earlier one's exists.
+pub fn read(folder: &Path) -> Result<Vec<Report>, LoadError> {
+    let error = match checksummed_file::load(folder, FILE) {
+        Ok(Content::V1(reports)) => return Ok(reports),
+        Err(error) => error,
+    };
+    checksummed_file::load(folder, UNVERSIONED_FILE)
         .or_else(|_| {
             let reports = checksummed_file::load::<Vec<ReportOfEnds>>(folder, UNVERSIONED_FILE)?;
             Ok(reports.into_iter().map(Report::from).collect())
         })
+        .map_err(|earlier| if matches!(error, LoadError::Missing) { earlier } else { error })
 }
 
 /// Replaces the stored reports. They survive a power loss.
--- a/src/control/roster_file.rs
+++ b/src/control/roster_file.rs
@@ -19,7 +19,7 @@
 const WRITE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Reads the roster; the default if the file is missing or damaged.
-pub fn load(folder: &Path) -> VersionedRoster {
+pub fn load(folder: &Path, is_first_start: bool) -> VersionedRoster {
     match checksummed_file::load::<VersionedRoster>(folder, FILE) {
         // Written before the first read of the target list. Entries must not take it for an empty
         // fleet.
@@ -28,8 +28,10 @@
             log::info!("event=targets_restored number={} count={}", list.number, list.roster.len());
             list
         }
-        Err(reason) => {
-            log::info!("event=targets_not_restored reason={reason:?}");
+        Err(error) => {
+            if !error.is_expected(is_first_start) {
+                log::info!("event=targets_not_restored reason={:?}", error.to_string());
+            }
             VersionedRoster::default()
         }
     }
--- a/src/control/run.rs
+++ b/src/control/run.rs
@@ -76,7 +76,7 @@
         identity.node,
         SocketAddr::new(host.ip, host.metrics_port)
     );
-    let restored_roster = roster_file::load(&folder);
+    let restored_roster = roster_file::load(&folder, host.is_first_start);
     let links =
         Rc::new(Links::new(identity.node, host.ip, host.failure_domain.clone(), host.peer_port));
     let seeds: BTreeSet<IpAddr> = host.seeds.iter().map(|seed| seed.ip()).collect();
@@ -103,7 +103,7 @@
         named_since: RefCell::default(),
         has_weight_ages: Cell::new(false),
         evacuated: RefCell::default(),
-        quarantine: watch::Sender::new(quarantine_file::load(&folder)),
+        quarantine: watch::Sender::new(quarantine_file::load(&folder, host.is_first_start)),
         hold_news: watch::Sender::default(),
         news: watch::Sender::default(),
         stream_directory: StreamDirectory::new(host.is_first_start, boot_now()),
--- a/tests/deployment/quarantine_file.rs
+++ b/tests/deployment/quarantine_file.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use kumquatpost::clock::boot_now;
-use kumquatpost::control::checksummed_file::{self, Durability};
+use kumquatpost::control::checksummed_file::{self, Durability, LoadError};
 use kumquatpost::control::quarantine_file;
 use kumquatpost::quarantine::{Fingerprint, Report, ReportedEnd};
 use serde::Serialize;
@@ -38,7 +38,7 @@
 }
 
 fn is_held(folder: &Path) -> bool {
-    quarantine_file::load(folder).held_for(fingerprint(), boot_now()).is_some()
+    quarantine_file::load(folder, false).held_for(fingerprint(), boot_now()).is_some()
 }
 
 #[test]
@@ -49,6 +49,19 @@
     assert!(is_held(folder.path()));
 }
 
+/// Guards against a damaged file that is taken for a missing one, as that of an earlier build is missing.
+#[test]
+fn a_missing_file_and_a_damaged_one_are_told_apart() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let missing = quarantine_file::read(folder.path()).expect_err("there is no file");
+    assert!(matches!(missing, LoadError::Missing), "{missing}");
+    assert!(missing.is_expected(true) && !missing.is_expected(false));
+    std::fs::write(folder.path().join("quarantine-versioned"), b"damaged").expect("a file");
+    let damaged = quarantine_file::read(folder.path()).expect_err("the file is damaged");
+    assert!(matches!(damaged, LoadError::Damaged { .. }), "{damaged}");
+    assert!(!damaged.is_expected(true) && !damaged.is_expected(false));
+}
+
 /// Guards against upgrades that release held requests because replicas can't read the file of the
 /// build before.
 #[test]
--- a/tests/deployment/replicas.rs
+++ b/tests/deployment/replicas.rs
@@ -403,6 +403,23 @@
     assert_eq!(cluster.read(), document(2));
 }
 
+/// Guards against lines about lost state at a first start, which an operator would take for trouble.
+#[test]
+fn files_that_were_not_restored_are_logged_unless_a_first_start_finds_none() {
+    const NOT_RESTORED: [&str; 2] = ["event=quarantine_not_restored", "event=targets_not_restored"];
+    let mut cluster = ReplicaCluster::start(3);
+    cluster.publish(2);
+    for event in NOT_RESTORED {
+        assert_eq!(cluster.count_log_lines(event), 0, "{event} at a first start");
+    }
+    cluster.kill(0);
+    cluster.start_replica(0, false);
+    for event in NOT_RESTORED {
+        let missing = format!("{event} reason=\"the file is missing\"");
+        cluster.eventually(event, |cluster| cluster.count_log_lines(&missing) == 1);
+    }
+}
+
 /// Guards against replicas that never serve entries once they have replaced one whose disk was lost: they did not
 /// know the addresses of the others, and could ask none of them for the ages of weights.
 #[test]
--- a/tests/deployment/roster_file.rs
+++ b/tests/deployment/roster_file.rs
@@ -23,7 +23,7 @@
         let file_exists = async {
             tokio::task::yield_now().await;
             shared.observe_roster(sample_roster(3));
-            while load(folder).number == 0 {
+            while load(folder, false).number == 0 {
                 tokio::time::sleep(ms(5)).await;
             }
         };
@@ -37,9 +37,9 @@
 #[test]
 fn a_restarted_replica_loads_its_roster() {
     let folder = tempfile::tempdir().expect("create a folder");
-    assert_eq!(load(folder.path()).number, 0, "there is no file yet");
+    assert_eq!(load(folder.path(), false).number, 0, "there is no file yet");
     write_roster_file(folder.path());
-    assert_eq!(load(folder.path()).version(), sample_roster(3).version());
+    assert_eq!(load(folder.path(), false).version(), sample_roster(3).version());
 }
 
 /// Guards against loading a file that was partly written at a power failure, or that the disk
@@ -52,14 +52,14 @@
     let whole = std::fs::read(&path).expect("read the file");
     for damaged in [&whole[..0], &whole[..3], &whole[..whole.len() - 1]] {
         std::fs::write(&path, damaged).expect("write the file");
-        assert_eq!(load(folder.path()).number, 0, "{} bytes", damaged.len());
+        assert_eq!(load(folder.path(), false).number, 0, "{} bytes", damaged.len());
     }
     let mut flipped = whole.clone();
     let name =
         whole.windows(3).position(|bytes| bytes == b"i-1").expect("the file contains the id");
     flipped[name + 2] ^= 1;
     std::fs::write(&path, flipped).expect("write the file");
-    assert_eq!(load(folder.path()).number, 0);
+    assert_eq!(load(folder.path(), false).number, 0);
 }
 
 /// Guards against a replica that restarts with a roster from before the first read of the target
@@ -73,5 +73,5 @@
     let mut bytes = crc32fast::hash(&empty).to_le_bytes().to_vec();
     bytes.extend_from_slice(&empty);
     std::fs::write(folder.path().join("targets"), bytes).expect("write the file");
-    assert_eq!(load(folder.path()).number, 0);
+    assert_eq!(load(folder.path(), false).number, 0);
 }
