Test what remains after all targets were silent at once

The scheduler takes engines for busy that have nothing left to do: a prompt waits at 3 idle engines, and 1 of 1,007 is refused in the simulation of a site.

--- a/tests/deployment/load.rs
+++ b/tests/deployment/load.rs
@@ -134,6 +134,8 @@
     pub free_at: HashMap<TargetStart, Duration>,
     /// Engines at which placements fail.
     pub unreachable: BTreeSet<TargetStart>,
+    /// Until when all engines do nothing.
+    silent_until: Duration,
     next_id: u64,
     tally: Tally,
 }
@@ -171,6 +173,7 @@
             events: BTreeMap::new(),
             free_at: HashMap::new(),
             unreachable: BTreeSet::new(),
+            silent_until: ms(0),
             next_id: 0,
             tally: Tally::default(),
         }
@@ -196,6 +199,14 @@
         self.tally
     }
 
+    /// Makes all engines do nothing for a while, and then go on.
+    pub fn fall_silent(&mut self, silence: Duration) {
+        self.silent_until = self.now + silence;
+        let events = std::mem::take(&mut self.events).into_iter();
+        self.events = events.map(|((at, id), event)| ((at + silence, id), event)).collect();
+        self.free_at.values_mut().for_each(|free_at| *free_at += silence);
+    }
+
     fn submit(&mut self, kind: usize) {
         self.next_id += 1;
         let context = self.random.random_range(0..CONTEXT_COUNTS[kind]);
@@ -230,7 +241,7 @@
         self.tally.prefilled_tokens += tokens;
         self.tally.recomputed_tokens += placed.trace.recomputed.total();
         let free_at = self.free_at.entry(placed.target.clone()).or_default();
-        *free_at = (*free_at).max(self.now)
+        *free_at = (*free_at).max(self.now).max(self.silent_until)
             + Duration::from_secs_f64(tokens as f64 / PREFILL_TOKENS_PER_MS / 1e3);
         let first_at = *free_at + FIRST_TOKEN_LATENCY;
         let saves = placed.save.iter().zip(&request.parts).filter_map(|(store, part)| {
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -7,6 +7,7 @@
 mod budget;
 mod changes_under_load;
 mod cold;
+mod common_silence;
 mod concentrated_connections;
 mod crashing_parts;
 mod cut_entries;
--- a/tests/deployment/scheduling.rs
+++ b/tests/deployment/scheduling.rs
@@ -342,3 +342,16 @@
     end_placement(&mut scheduler, two.ticket, EndReason::WeightMismatch(Some(1)), ms(91));
     assert_eq!(scheduler.unverified_engines().len(), 1);
 }
+
+// Guards against prompts that are refused because engines which were silent together for a while are taken for
+// busy once they go on. The pattern: all engines of a site pause for 1.8 s at its usual load.
+#[test]
+fn no_prompt_is_refused_beside_a_common_silence() {
+    let mut simulation = Simulation::new(12);
+    simulation.run(20, 1.0);
+    simulation.fall_silent(ms(1_800));
+    let beside = simulation.run(5, 1.0);
+    assert_eq!(beside.refused, 0, "of {} prompts", beside.submitted);
+    let after = simulation.run(5, 1.0);
+    assert_eq!((after.refused, after.late), (0, 0), "of {} prompts", after.submitted);
+}
