Take engines that were silent for no busier than their pending prompts

Prompts waited, and some were refused as busy, once engines that had been silent together went on. The first token after a silence comes late by all of it, and the scheduler added that lateness to the backlog that it expects from now on, though the engine has only the prompts to read that it had before: its backlog was past the bound up to which it gets work for as long as it had been silent. The lateness now raises the backlog up to the prefill time of the prompts that are pending there.

common_silence::prompts_are_placed_at_once_after_a_common_silence: a prompt waited at idle engines, is placed now.

--- a/.ci/mutations.py
+++ b/.ci/mutations.py
@@ -655,6 +655,8 @@
      "if net::lacks_local_resources(&error) {", "if false {", "deployment", "scarce_descriptors"),
     ("a node's connections: the signal to stop before requests", "src/http.rs",
      "                biased;\n                served = connection", "                served = connection", "process", "shutdown"),
+    ("silent engines: taken for busy once they go on", "src/scheduler/engine.rs",
+     "(self.prefill_free_at.max(now) + by).min(latest)", "self.prefill_free_at.max(now) + by", "deployment", "common_silence"),
     ("answers in hand: dropped for a refusal", "src/gateway/request.rs",
      "in_hand = answer.or(in_hand);", "in_hand = answer.filter(|_| false);", "deployment", "answers_in_hand"),
     ("answers in hand: only those of an announced length", "src/gateway/buffered_body.rs",
--- a/src/scheduler/engine.rs
+++ b/src/scheduler/engine.rs
@@ -260,11 +260,21 @@
         self.cache.in_use_tokens() + self.reserved_output_tokens
     }
 
+    /// Time that the prompts placed here which are not known to be prefilled take from now on.
+    fn pending_prefill_time(&self) -> Duration {
+        let pending = self.running.values().filter_map(|running| running.prefill.as_ref());
+        pending.map(|prefill| prefill.duration).sum()
+    }
+
     fn add_drift(&mut self, by_ms: f64, now: BootTime) {
         self.drift_ms += by_ms;
         let by = Duration::from_secs_f64(by_ms.abs() / 1e3);
         self.prefill_free_at = match by_ms >= 0.0 {
-            true => self.prefill_free_at.max(now) + by,
+            true => {
+                // An engine that was silent is late by all of its silence, but has no more work than before.
+                let latest = self.prefill_free_at.max(now + self.pending_prefill_time());
+                (self.prefill_free_at.max(now) + by).min(latest)
+            }
             false => self.prefill_free_at.saturating_sub(by),
         };
     }
