Write plain key=value pairs in place of debug forms in log lines

Lines told `why=Busy(558.935547ms)`, `leader=Some(10.1.0.210)` or `ended=Refused(503, "busy")`: forms of our types, with spaces and quotes inside a value, which filters by key=value can't take apart.

Now `why=busy retry_after_ms=558`, `leader=10.1.0.210` or `leader=-`, and `ended=refused status=503 reason=busy`. The same for `before`, `limit_per_s`, `bears_per_s`, `previous`, `change` (`change=promote node=…`), `now` of `replica_currency`, `order`, `running`, `answer`, `certainty`, `end` of `engine_ejected`, lists of targets and domains, unreadable entries, the start of a store, and what another entry answered to a forwarded attempt.

--- a/src/control/engine_cache_reader.rs
+++ b/src/control/engine_cache_reader.rs
@@ -14,6 +14,7 @@
 use crate::log::Term;
 use crate::net::http::{CallError, HttpCall, fetch};
 use crate::platform::stores::{self, Events};
+use crate::telemetry::logs::or_dash;
 
 /// How long the engine may hold a request open until it has events. Shorter waits are charged as
 /// health checks.
@@ -73,8 +74,8 @@
             match engine.may_match_birth(page.start.born_ms) {
                 true => Ok(page),
                 false => Err(format!(
-                    "another start of the engine answered, born {:?}",
-                    page.start.born_ms
+                    "another start of the engine answered, born {}",
+                    or_dash(page.start.born_ms)
                 )
                 .into()),
             }
--- a/src/control/engine_report.rs
+++ b/src/control/engine_report.rs
@@ -9,6 +9,7 @@
 use crate::ids::TargetStart;
 use crate::net::http::{CallError, HttpCall, fetch};
 use crate::platform::engines;
+use crate::telemetry::logs::or_dash;
 
 const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -32,5 +33,5 @@
     if engine.may_match_birth(report.born_ms) {
         return Ok(report);
     }
-    Err(format!("another start of the engine answered, born {:?}", report.born_ms).into())
+    Err(format!("another start of the engine answered, born {}", or_dash(report.born_ms)).into())
 }
--- a/src/control/operator_server.rs
+++ b/src/control/operator_server.rs
@@ -248,8 +248,9 @@
         match self.propose(command).await {
             Ok(Reply::EvacuationOrdered(Some(revision))) => {
                 log::info!(
-                    "event=evacuation_ordered domain={domain} order={order:?} \
-                     expected={expected} revision={revision}"
+                    "event=evacuation_ordered domain={domain} order={} \
+                     expected={expected} revision={revision}",
+                    order.name()
                 );
                 json_answer(format!("{{\"revision\":{revision}}}").into())
             }
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -22,6 +22,7 @@
 use crate::log::raft::{Change, NotLeader, ReadId};
 use crate::log::{Entry, Index, Payload, Term};
 use crate::quarantine::Revision;
+use crate::telemetry::logs::or_dash;
 
 /// How often Raft timers are checked.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
@@ -331,7 +332,7 @@
         };
         // Rejected while another change is in progress or the learner lags; the next tick retries.
         if self.driver.raft.propose_change(change).is_ok() {
-            log::info!("event=replicas_change change={change:?} voters={}", members.voters.len());
+            log::info!("event=replicas_change change={change} voters={}", members.voters.len());
         }
     }
 
@@ -452,9 +453,9 @@
         self.shared.view.send_if_modified(|before| {
             if before.leads != view.leads || before.leader != view.leader {
                 log::info!(
-                    "event=leader_changed term={} leader={:?} here={}",
+                    "event=leader_changed term={} leader={} here={}",
                     view.term,
-                    view.leader,
+                    or_dash(view.leader),
                     view.leads
                 );
             }
@@ -481,7 +482,9 @@
         }
         self.freshness = (freshness, now);
         log::info!(
-            "event=replica_currency now={freshness:?} before={before:?} lasted_ms={} term={}",
+            "event=replica_currency now={} before={} lasted_ms={} term={}",
+            freshness.name(),
+            before.name(),
             now.saturating_sub(since).as_millis(),
             self.driver.raft.term()
         );
--- a/src/control/rollout.rs
+++ b/src/control/rollout.rs
@@ -21,8 +21,9 @@
 use crate::fleet::Listed;
 use crate::ids::{ServiceId, TargetStart};
 use crate::log::Term;
-use crate::net::http::{HttpCall, fetch};
+use crate::net::http::{HttpCall, fetch, shown_status};
 use crate::platform::engines;
+use crate::telemetry::logs::or_dash;
 
 /// How often the leader looks for engines with outdated weights.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -147,7 +148,8 @@
         let Ok(Ok(Reply::OrderLease { previous })) = reply.await else { return None };
         if previous.is_some_and(|previous| previous != holder) {
             log::info!(
-                "event=orders_wait previous={previous:?} wait_ms={}",
+                "event=orders_wait previous={} wait_ms={}",
+                or_dash(previous),
                 self.order_lease.as_millis()
             );
             tokio::time::sleep(self.order_lease + ORDER_LEASE_MARGIN).await;
@@ -334,11 +336,12 @@
         let status = answer.as_ref().map(|answer| answer.status);
         log::info!(
             "event=weights_ordered engine={} version={} fencing={fencing} orders_accepted={} \
-             running={:?} answer={status:?}",
+             running={} answer={}",
             target.start,
             load.version,
             report.orders_accepted,
-            order.running,
+            order.running.name(),
+            shown_status(&status),
         );
         match status {
             Ok(status) if status.is_success() => OrderOutcome::Accepted,
--- a/src/control/rollout_plan.rs
+++ b/src/control/rollout_plan.rs
@@ -52,6 +52,17 @@
     GoOn,
 }
 
+impl RunningPrompts {
+    /// Its name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            RunningPrompts::Finish => "finish",
+            RunningPrompts::BreakOff => "break_off",
+            RunningPrompts::GoOn => "go_on",
+        }
+    }
+}
+
 /// An engine with outdated weights, and the version it should load.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct PendingLoad {
--- a/src/control/roster_reader.rs
+++ b/src/control/roster_reader.rs
@@ -23,6 +23,7 @@
 use crate::net::http::{CallError, HttpCall, HttpResponse, fetch};
 use crate::platform::instances::{self, Page};
 use crate::telemetry::deployment_metrics::ReplicaMetrics;
+use crate::telemetry::logs::joined;
 
 /// Upper limit of the interval between reads, however low the allowed rate is.
 const MAX_READ_INTERVAL_S: f64 = 60.0;
@@ -256,11 +257,11 @@
         .collect();
     log::info!(
         "event=targets_changed number={} count={} deployment={deployment} unnamed={} \
-         first_unnamed={:?}",
+         first_unnamed={}",
         roster.number,
         roster.roster.len(),
         unnamed.len(),
-        &unnamed[..unnamed.len().min(MAX_LOGGED_UNNAMED)]
+        joined(unnamed.iter().take(MAX_LOGGED_UNNAMED))
     );
 }
 
--- a/src/control/scheduler_service.rs
+++ b/src/control/scheduler_service.rs
@@ -19,13 +19,14 @@
 use crate::fleet::retry_reserve::{ReserveContext, RetryReserve};
 use crate::ids::{ServiceId, TargetStart};
 use crate::log::Term;
-use crate::net::http::{HttpCall, fetch};
+use crate::net::http::{HttpCall, fetch, shown_status};
 use crate::platform::stores;
 use crate::scheduler::store::{FREE_TTL, FreePlan};
 use crate::scheduler::weights::OldWeightsPolicy;
 use crate::scheduler::{
     EndReason, Placement, PlacementEvent, PlacementRequest, Scheduler, TicketId, WaiterId,
 };
+use crate::telemetry::logs::joined;
 
 /// How often queued prompts are dispatched without a triggering event.
 const DISPATCH_INTERVAL: Duration = Duration::from_millis(10);
@@ -177,7 +178,9 @@
             tokio::task::spawn_local(async move {
                 let report = engine_report::read(&engine, address).await;
                 let weights = report.map(|report| report.weights);
-                log::info!("event=weights_queried engine={engine} weights={weights:?}");
+                let shown =
+                    weights.iter().flatten().map(|(model, version)| format!("{model}:{version}"));
+                log::info!("event=weights_queried engine={engine} weights={}", joined(shown));
                 if let Some(weights) = &weights {
                     // The rollout relies on the roster: an engine with older weights than listed
                     // would not be told to load.
@@ -211,9 +214,10 @@
         let answer = fetch(call, FREE_TIMEOUT).await;
         let status = answer.as_ref().map(|answer| answer.status);
         log::info!(
-            "event=parts_freed store={} count={} answer={status:?}",
+            "event=parts_freed store={} count={} answer={}",
             plan.store,
-            plan.parts.len()
+            plan.parts.len(),
+            shown_status(&status)
         );
         // Without a success status the parts may or may not be gone: they stay excluded from
         // fetches, and the request is repeated.
--- a/src/control/shared.rs
+++ b/src/control/shared.rs
@@ -134,6 +134,18 @@
     AgesUnknown,
 }
 
+impl Freshness {
+    /// Its name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Freshness::Current => "current",
+            Freshness::NoLeader => "no_leader",
+            Freshness::Behind => "behind",
+            Freshness::AgesUnknown => "ages_unknown",
+        }
+    }
+}
+
 /// Which replicas need the current roster after another one was received.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StalePeers {
--- a/src/control/store_reader.rs
+++ b/src/control/store_reader.rs
@@ -11,6 +11,7 @@
 use crate::log::Term;
 use crate::net::http::{CallError, HttpCall, Session};
 use crate::platform::stores;
+use crate::telemetry::logs::or_dash;
 
 /// How long the store may hold a request open until it has events. Shorter waits are charged as
 /// health checks.
@@ -69,7 +70,9 @@
         stores::decode_list(&text).map_err(|source| FollowError::Unreadable { source })?;
     let (start, mut next) = (inventory.start, inventory.next_event);
     log::info!(
-        "event=store_inventory_read store={store} start={start:?} whole={}",
+        "event=store_inventory_read store={store} epoch={} born_ms={} whole={}",
+        start.epoch,
+        or_dash(start.born_ms),
         inventory.complete.len()
     );
     scheduling.wait_for_leadership(term).await;
--- a/src/control/unreadable_log.rs
+++ b/src/control/unreadable_log.rs
@@ -29,9 +29,13 @@
         self.logged_entries.clone_from(listing.unreadable());
         self.logged_at = Some(now);
         let count = listing.unreadable_count();
-        let first: Vec<&UnreadableEntry> =
-            self.logged_entries.iter().take(MAX_LOGGED_ENTRIES).collect();
-        log::warn!("event=target_entries_unreadable count={count} first={first:?}");
+        let first: Vec<String> = self
+            .logged_entries
+            .iter()
+            .take(MAX_LOGGED_ENTRIES)
+            .map(UnreadableEntry::to_string)
+            .collect();
+        log::warn!("event=target_entries_unreadable count={count} first={:?}", first.join("; "));
         true
     }
 }
--- a/src/fleet/evacuation.rs
+++ b/src/fleet/evacuation.rs
@@ -12,6 +12,7 @@
 
 use crate::clock::BootTime;
 use crate::ids::DomainId;
+use crate::telemetry::logs::joined;
 
 /// Number of orders that had been accepted when a domain was last ordered; 0 if it never was.
 pub type OrderRevision = u64;
@@ -25,6 +26,16 @@
     Restore,
 }
 
+impl EvacuationOrder {
+    /// Its name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            EvacuationOrder::Evacuate => "evacuate",
+            EvacuationOrder::Restore => "restore",
+        }
+    }
+}
+
 /// The last order accepted for a failure domain.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AcceptedOrder {
@@ -112,8 +123,8 @@
 
     /// Logs that the known orders are in force here.
     pub fn log_applied(&self) {
-        let (accepted, evacuated) = (self.record.accepted, self.record.evacuated());
-        log::info!("event=evacuations_applied accepted={accepted} evacuated={evacuated:?}");
+        let (accepted, evacuated) = (self.record.accepted, joined(self.record.evacuated()));
+        log::info!("event=evacuations_applied accepted={accepted} evacuated={evacuated}");
     }
 
     /// Whether the targets of a domain get no work.
--- a/src/fleet/listing.rs
+++ b/src/fleet/listing.rs
@@ -1,6 +1,7 @@
 //! One complete read of the platform's target list, assembled from its pages.
 
 use std::collections::BTreeSet;
+use std::fmt;
 
 use super::roster::Listed;
 use crate::ids::TargetId;
@@ -33,6 +34,19 @@
     NoBirth,
 }
 
+impl fmt::Display for UnreadableEntry {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: ", self.id.as_deref().unwrap_or("-"))?;
+        match &self.flaw {
+            EntryError::NotText => f.write_str("no text"),
+            EntryError::Field(reason) => f.write_str(reason),
+            EntryError::Id => f.write_str("unusable id"),
+            EntryError::Address => f.write_str("unusable address"),
+            EntryError::NoBirth => f.write_str("no birth"),
+        }
+    }
+}
+
 /// The entries of one complete list.
 #[derive(Clone, Debug, Default)]
 pub struct Listing {
--- a/src/fleet/placement.rs
+++ b/src/fleet/placement.rs
@@ -1,6 +1,7 @@
 //! Target selection by an entry without the scheduler. No I/O: depends only on the view, the
 //! request and the time.
 
+use std::fmt;
 use std::hash::BuildHasher;
 use std::time::Duration;
 
@@ -70,6 +71,20 @@
     OldWeights,
 }
 
+impl fmt::Display for SelectionError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            SelectionError::NoTargetListed => f.write_str("no_target_listed"),
+            SelectionError::NoHealthyTarget => f.write_str("no_healthy_target"),
+            SelectionError::Cold => f.write_str("cold"),
+            SelectionError::Limited(retry_after) => {
+                write!(f, "limited retry_after_ms={}", retry_after.as_millis())
+            }
+            SelectionError::OldWeights => f.write_str("old_weights"),
+        }
+    }
+}
+
 /// A selected target and the reasons.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,5 +1,6 @@
 //! A single attempt: sends a request to one target and waits for the head of the response.
 
+use std::fmt;
 use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
@@ -28,6 +29,7 @@
 use crate::net;
 use crate::platform::headers;
 use crate::scheduler::EndReason;
+use crate::telemetry::logs::or_dash;
 
 /// Connections that one attempt may try. A target that could not be reached has run nothing.
 const MAX_CONNECT_ATTEMPTS: usize = 4;
@@ -68,6 +70,27 @@
     TimedOut(Option<TargetStart>),
 }
 
+impl fmt::Display for AttemptError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            AttemptError::NoTarget(why) => write!(f, "{why}"),
+            AttemptError::NotRun(target) => {
+                write!(f, "not_run target={}", or_dash(target.as_ref()))
+            }
+            AttemptError::MayHaveRun(target) => {
+                write!(f, "may_have_run target={}", or_dash(target.as_ref()))
+            }
+            AttemptError::Held(remaining) => {
+                write!(f, "held retry_after_ms={}", remaining.as_millis())
+            }
+            AttemptError::TooLate => f.write_str("too_late"),
+            AttemptError::TimedOut(target) => {
+                write!(f, "timed_out target={}", or_dash(target.as_ref()))
+            }
+        }
+    }
+}
+
 /// What an attempt is made for.
 #[derive(Clone, Copy)]
 pub struct AttemptInput<'a> {
--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -6,6 +6,7 @@
 //! one target, relays the response, and never forwards again.
 
 use std::cell::OnceCell;
+use std::fmt;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
@@ -40,6 +41,7 @@
 use crate::net;
 use crate::net::request_body::RequestBody;
 use crate::platform::headers;
+use crate::telemetry::logs::or_dash;
 
 /// Other entries that are asked for one attempt.
 const MAX_ENTRIES_ASKED: usize = 3;
@@ -98,6 +100,29 @@
     TimedOut(Option<TargetStart>),
 }
 
+/// For the log of the entry that asked.
+impl fmt::Display for ForwardedResult {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let shown = |target: &Option<TargetStart>| or_dash(target.as_ref());
+        match self {
+            ForwardedResult::Relayed { target, .. } => write!(f, "relayed by {target}"),
+            ForwardedResult::NotAccepted => f.write_str("not accepted"),
+            ForwardedResult::NotRead => f.write_str("not read"),
+            ForwardedResult::NoTarget => f.write_str("no target"),
+            ForwardedResult::OldWeights => f.write_str("old weights"),
+            ForwardedResult::Busy(after) => write!(f, "busy for {} ms", after.as_millis()),
+            ForwardedResult::Limited(after) => write!(f, "limited for {} ms", after.as_millis()),
+            ForwardedResult::Held(after) => write!(f, "held for {} ms", after.as_millis()),
+            ForwardedResult::TooLate => f.write_str("too late"),
+            ForwardedResult::NotRun(target) => write!(f, "not run by {}", shown(target)),
+            ForwardedResult::MayHaveRun(target) => {
+                write!(f, "may have run at {}", shown(target))
+            }
+            ForwardedResult::TimedOut(target) => write!(f, "timed out at {}", shown(target)),
+        }
+    }
+}
+
 /// Makes an attempt through another entry. Returns `None` if no entry takes it; nothing has been sent
 /// to a target then.
 pub async fn forward(
@@ -161,7 +186,7 @@
     let (target, software) = match result {
         ForwardedResult::Relayed { target, software } => (target, software),
         refused => {
-            record.entry_failed(ip, &format!("{refused:?}"));
+            record.entry_failed(ip, &refused.to_string());
             gateway.peer_pool.put_idle(&ip, connection);
             return refused_attempt(gateway, routed, ip, refused).map(Err);
         }
--- a/src/gateway/request_record.rs
+++ b/src/gateway/request_record.rs
@@ -1,7 +1,7 @@
 //! Collects what happens to a request and logs it as one line at the end.
 
 use std::cell::{Cell, RefCell};
-use std::fmt::Write;
+use std::fmt::{self, Write};
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -51,6 +51,19 @@
     }
 }
 
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Outcome::CallerLeft => f.write_str("caller_left"),
+            Outcome::Relayed(status) => write!(f, "relayed status={status}"),
+            Outcome::Refused(status, reason) => {
+                write!(f, "refused status={status} reason={reason}")
+            }
+            Outcome::BrokenOff => f.write_str("broken_off"),
+        }
+    }
+}
+
 /// Who ended a response before it was complete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CutBy {
@@ -216,7 +229,7 @@
     /// Records why no target was selected.
     pub fn no_target(&self, why: NoTarget) {
         let at_ms = self.elapsed().as_millis();
-        self.add_step(format_args!(" at_ms={at_ms} why={why:?}"));
+        self.add_step(format_args!(" at_ms={at_ms} why={why}"));
     }
 
     /// Records whether the retry budget allows another attempt.
@@ -343,7 +356,7 @@
         let age_ms = self.gateway.state_age_ms();
         log::info!(
             "event=request id={} route={} rank={} version={} age_ms={age_ms} took_ms={} \
-             first_ms={first_ms} ended={:?}{}",
+             first_ms={first_ms} ended={}{}",
             self.id,
             self.route,
             self.priority,
--- a/src/gateway/scheduler_connection.rs
+++ b/src/gateway/scheduler_connection.rs
@@ -14,6 +14,7 @@
 use crate::control::frames::{self, Handshake, SchedulerReply, encode};
 use crate::log::Term;
 use crate::net;
+use crate::telemetry::logs::or_dash;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// A connection whose sent bytes are not acknowledged for this long is closed.
@@ -32,8 +33,8 @@
         };
         let ended = run_connection(&gateway, leader).await;
         gateway.scheduler.detach();
-        let reason = ended.err().map(|error| error.to_string());
-        log::info!("event=scheduler_disconnected replica={} reason={reason:?}", leader.0);
+        let reason = or_dash(ended.err().map(|error| format!("{:?}", error.to_string())));
+        log::info!("event=scheduler_disconnected replica={} reason={reason}", leader.0);
         // Waits before reconnecting to the same leader, but not if the leader has changed.
         let _ = tokio::time::timeout(RECONNECT_DELAY, until_leader_changes(&gateway, leader)).await;
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -40,6 +40,7 @@
 use crate::quarantine::{Fingerprint, Hold, Quarantine, notify};
 use crate::scheduler::weights::{self, RolloutHistories};
 use crate::telemetry::deployment_metrics::EntryMetrics;
+use crate::telemetry::logs::or_dash;
 
 /// A leader of an earlier term is accepted if no leader of the known term was reported for this
 /// long. Terms start over only after all replicas have lost their disks.
@@ -413,8 +414,9 @@
         let known = table.as_ref().map(|table| table.deployment().version);
         if known.is_none_or(|known| deployment.version > known) {
             log::info!(
-                "event=deployment_in_force version={} before={known:?} routes={}",
+                "event=deployment_in_force version={} before={} routes={}",
                 deployment.version,
+                or_dash(known),
                 deployment.routes.len()
             );
             self.fleet.borrow_mut().observe_services(&deployment.services);
--- a/src/gateway/subscription.rs
+++ b/src/gateway/subscription.rs
@@ -19,10 +19,10 @@
 };
 use crate::control::publisher::HEARTBEAT_INTERVAL;
 use crate::essential_tasks::EssentialTasks;
-use crate::ids::TargetStart;
 use crate::net;
 use crate::quarantine::Revision;
 use crate::scheduler::weights;
+use crate::telemetry::logs::joined;
 
 /// Number of concurrent subscriptions. With one, a new deployment would be delayed if its replica
 /// were cut off from the leader at that time.
@@ -243,10 +243,10 @@
     let name = gateway.roster_name();
     let fleet = gateway.fleet.borrow();
     let leaving = fleet.listed_leaving();
-    let first_leaving: Vec<&TargetStart> = leaving.iter().take(MAX_LOGGED_LEAVING).collect();
+    let first_leaving = joined(leaving.iter().take(MAX_LOGGED_LEAVING));
     log::info!(
         "event=targets_updated number={} digest={:x} replica={replica} leaving={} \
-         first_leaving={first_leaving:?}",
+         first_leaving={first_leaving}",
         name.number,
         name.digest,
         leaving.len(),
--- a/src/gateway/target_news.rs
+++ b/src/gateway/target_news.rs
@@ -9,6 +9,7 @@
 use crate::fleet::rate::RateLimit;
 use crate::ids::TargetStart;
 use crate::scheduler::PlacementEvent;
+use crate::telemetry::logs::or_dash;
 
 impl Gateway {
     /// Applies news from another process.
@@ -43,8 +44,8 @@
         let event = TargetEvent::RateLimit(limit);
         self.news.send_if_modified(|known| known.observe(target, event, now, now));
         if is_change {
-            let limit_per_s = limit.map(|limit| limit.requests_per_s);
-            log::info!("event=limit_changed target={target} limit_per_s={limit_per_s:?}");
+            let limit_per_s = or_dash(limit.map(|limit| limit.requests_per_s));
+            log::info!("event=limit_changed target={target} limit_per_s={limit_per_s}");
             self.report(target, event, Duration::ZERO);
         }
     }
@@ -66,8 +67,8 @@
         // News also if it is unchanged, which keeps it for entries and replicas that start later.
         self.news.send_if_modified(|known| known.observe(target, event, now, now));
         if is_change {
-            let bears_per_s = bears.map(|bears| bears.requests_per_s);
-            log::info!("event=brittleness_changed target={target} bears_per_s={bears_per_s:?}");
+            let bears_per_s = or_dash(bears.map(|bears| bears.requests_per_s));
+            log::info!("event=brittleness_changed target={target} bears_per_s={bears_per_s}");
             self.report(target, event, Duration::ZERO);
         }
     }
--- a/src/gateway/target_selection.rs
+++ b/src/gateway/target_selection.rs
@@ -1,5 +1,6 @@
 //! Selects targets: prompts are placed by the scheduler if it is available, others by the entry.
 
+use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -40,6 +41,20 @@
     Limited(Duration),
 }
 
+impl fmt::Display for NoTarget {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            NoTarget::Selection(error) => write!(f, "{error} by=entry"),
+            NoTarget::Busy(retry_after) => {
+                write!(f, "busy retry_after_ms={}", retry_after.as_millis())
+            }
+            NoTarget::Limited(retry_after) => {
+                write!(f, "limited retry_after_ms={}", retry_after.as_millis())
+            }
+        }
+    }
+}
+
 /// Selects a target that is not in `avoid`.
 ///
 /// # Errors
--- a/src/log/raft/change.rs
+++ b/src/log/raft/change.rs
@@ -1,5 +1,7 @@
 //! Membership changes, one replica at a time. A new replica is a learner until it has caught up.
 
+use std::fmt;
+
 use super::{NotLeader, Raft, Role};
 use crate::ids::NodeId;
 use crate::log::types::{Index, Payload, Term};
@@ -18,6 +20,16 @@
     Remove(NodeId),
 }
 
+impl fmt::Display for Change {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Change::AddLearner(node) => write!(f, "add_learner node={node}"),
+            Change::Promote(node) => write!(f, "promote node={node}"),
+            Change::Remove(node) => write!(f, "remove node={node}"),
+        }
+    }
+}
+
 /// Why a change was not accepted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ChangeError {
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -19,6 +19,14 @@
 /// A connection fails once sent data stays unacknowledged for this long.
 const ACK_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Formats the status of an answer, or why there is none, for a log line.
+pub fn shown_status(status: &Result<StatusCode, &CallError>) -> String {
+    match status {
+        Ok(status) => status.as_u16().to_string(),
+        Err(error) => format!("- reason={:?}", error.to_string()),
+    }
+}
+
 /// An HTTP request to an address.
 #[derive(Clone, Debug)]
 pub struct HttpCall {
--- a/src/quarantine/blame.rs
+++ b/src/quarantine/blame.rs
@@ -58,6 +58,17 @@
     Indistinguishable,
 }
 
+impl Certainty {
+    /// Its name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Certainty::Certain => "certain",
+            Certainty::Doubtful => "doubtful",
+            Certainty::Indistinguishable => "indistinguishable",
+        }
+    }
+}
+
 /// Why a request is held, as pairs of a log line.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HoldReason {
@@ -201,6 +212,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let targets: Vec<String> = self.targets.iter().map(TargetStart::to_string).collect();
         let HoldReason { ends, certainty, .. } = self;
-        write!(f, "ends={ends} certainty={certainty:?} targets={}", targets.join(","))
+        let certainty = certainty.name();
+        write!(f, "ends={ends} certainty={certainty} targets={}", targets.join(","))
     }
 }
--- a/src/scheduler/messages.rs
+++ b/src/scheduler/messages.rs
@@ -172,3 +172,20 @@
     /// The engine did not run the request for want of room.
     Rejected,
 }
+
+impl EndReason {
+    /// Its name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            EndReason::Completed => "completed",
+            EndReason::Cancelled => "cancelled",
+            EndReason::Unreachable => "unreachable",
+            EndReason::Failed => "failed",
+            EndReason::ConnectionLost => "connection_lost",
+            EndReason::NotRun => "not_run",
+            EndReason::WeightMismatch(_) => "weight_mismatch",
+            EndReason::Replaced => "replaced",
+            EndReason::Rejected => "rejected",
+        }
+    }
+}
--- a/src/scheduler/plan/events.rs
+++ b/src/scheduler/plan/events.rs
@@ -80,7 +80,7 @@
             }
             observe_end(engine, end, now);
             if engine.health.is_unhealthy() && !was_unhealthy {
-                log::info!("event=engine_ejected engine={} end={end:?}", placement.target);
+                log::info!("event=engine_ejected engine={} end={}", placement.target, end.name());
             }
             if let Some(cold_start) = cold_starts.get(&engine.listed.service) {
                 observe_cold_start(engine, cold_start, end, placement.since, now);
--- a/src/scheduler/weights.rs
+++ b/src/scheduler/weights.rs
@@ -10,6 +10,7 @@
 
 use crate::clock::BootTime;
 use crate::ids::{ModelId, TargetStart};
+use crate::telemetry::logs::or_dash;
 
 /// Cost of an engine that runs older weights than named. An answer from replaced weights is worth a
 /// fifth less, about as much as being late by this time.
@@ -113,7 +114,8 @@
     // Ages are sent repeatedly and vary by milliseconds.
     if history.record(version, since, now) && !is_logged {
         log::info!(
-            "event=weights_named model={model} version={version} before={before:?} age_ms={}",
+            "event=weights_named model={model} version={version} before={} age_ms={}",
+            or_dash(before),
             now.saturating_sub(since).as_millis()
         );
     }
--- a/src/telemetry/logs.rs
+++ b/src/telemetry/logs.rs
@@ -1,5 +1,6 @@
 //! Log setup: each event is one line of key=value pairs.
 
+use std::fmt::Display;
 use std::path::PathBuf;
 
 use log::LevelFilter;
@@ -86,3 +87,14 @@
         && !value.contains(|c: char| c.is_whitespace() || c == '"' || c == '=' || c.is_control());
     if is_bare { value.to_string() } else { format!("{value:?}") }
 }
+
+/// Formats an optional value for a log line: `-` if there is none.
+pub fn or_dash(value: Option<impl Display>) -> String {
+    value.map_or_else(|| "-".to_string(), |value| value.to_string())
+}
+
+/// Formats a list for a log line: separated by commas, `-` if it is empty.
+pub fn joined(values: impl IntoIterator<Item: Display>) -> String {
+    let values: Vec<String> = values.into_iter().map(|value| value.to_string()).collect();
+    if values.is_empty() { "-".to_string() } else { values.join(",") }
+}
