Make a cut response a warning, and never drop its lines for others

A filter of on-call engineers keeps lines with the request's id, and warnings. `event=response_cut` was INFO whoever ended the response, and its two lines shared a limit of 2,000 a second with all refusals: in a second with many refusals, those of a cut response were dropped.

It is a warning if the entry or a target ended the response, and INFO if the caller left. Such responses have a limit of their own, 4,000 a second; beyond it no other request is logged in that second, so nothing passes in their place.

Tests: cut_responses_are_logged_before_all_others_and_bounded (new), and the_log_tells_who_cut_a_response_short, which now asks for the level as well.

--- a/src/gateway/request_record.rs
+++ b/src/gateway/request_record.rs
@@ -6,6 +6,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use log::Level;
+
 use super::metadata::{Part, Prompt, RequestMetadata, ResponseMetadata};
 use super::priority::Priority;
 use super::responder::Responder;
@@ -81,6 +83,14 @@
             CutBy::Entry => "entry",
         }
     }
+
+    /// The level of the line. Callers that leave are no trouble of this system.
+    fn level(self) -> Level {
+        match self {
+            CutBy::Caller => Level::Info,
+            CutBy::Target | CutBy::Entry => Level::Warn,
+        }
+    }
 }
 
 /// What the caller has been sent of the response.
@@ -312,22 +322,27 @@
         boot_now().saturating_sub(self.started_at)
     }
 
-    /// Logs who ended the response of a request that got no whole one, and why.
-    fn log_cut(&self) {
-        let (by, reason) = match self.outcome.get() {
-            Outcome::CallerLeft => (CutBy::Caller, "it disconnected".to_string()),
+    /// Who ended the response before it was complete, and why.
+    fn take_cut(&self) -> Option<(CutBy, String)> {
+        match self.outcome.get() {
+            Outcome::CallerLeft => Some((CutBy::Caller, "it disconnected".to_string())),
             Outcome::BrokenOff => {
-                self.cut.take().unwrap_or_else(|| (CutBy::Entry, "unknown".to_string()))
+                let cut = self.cut.take();
+                Some(cut.unwrap_or_else(|| (CutBy::Entry, "unknown".to_string())))
             }
-            Outcome::Relayed(_) | Outcome::Refused(..) => return,
-        };
+            Outcome::Relayed(_) | Outcome::Refused(..) => None,
+        }
+    }
+
+    fn log_cut(&self, by: CutBy, reason: &str) {
         let Relayed { events, bytes } = self.relayed.get();
         let silent_ms = self
             .target_active_at
             .get()
             .map_or(-1, |active_at| boot_now().saturating_sub(active_at).as_millis() as i64);
         let newest = self.gateway.table().map_or(0, |table| table.deployment().version);
-        log::info!(
+        log::log!(
+            by.level(),
             "event=response_cut id={} route={} by={} reason={reason:?} events={events} \
              bytes={bytes} silent_ms={silent_ms} version={} newest_version={newest} took_ms={}",
             self.id,
@@ -349,7 +364,15 @@
             let route = [label("route", &self.route)];
             self.gateway.metrics.first_chunk_s.record(first.as_secs_f64(), &route);
         }
-        if !self.gateway.log_limiter.should_log(&self.id, outcome.is_success(), boot_now()) {
+        let cut = self.take_cut();
+        let limiter = &self.gateway.log_limiter;
+        let should_log = match &cut {
+            Some((CutBy::Target | CutBy::Entry, _)) => limiter.should_log_cut(boot_now()),
+            Some((CutBy::Caller, _)) | None => {
+                limiter.should_log(&self.id, outcome.is_success(), boot_now())
+            }
+        };
+        if !should_log {
             return;
         }
         let first_ms = self.first_part.get().map_or(-1, |first| first.as_millis() as i64);
@@ -365,6 +388,8 @@
             outcome,
             self.attempts.borrow()
         );
-        self.log_cut();
+        if let Some((by, reason)) = cut {
+            self.log_cut(by, &reason);
+        }
     }
 }
--- a/tests/deployment/diagnostics.rs
+++ b/tests/deployment/diagnostics.rs
@@ -84,6 +84,25 @@
     assert_eq!(written(true, 2), successes, "the sample has the same ids each time");
 }
 
+// Guards against a response that the entry cut short and nobody can find, beside many lines of others.
+#[test]
+fn cut_responses_are_logged_before_all_others_and_bounded() {
+    const OTHERS: usize = 10_000;
+    let limiter = RequestLogLimiter::default();
+    let others = |second: u64| {
+        let log = |n| limiter.should_log(&format!("r{n}"), n % 2 == 0, ms(second * 1_000));
+        (0..OTHERS).filter(|n| log(*n)).count()
+    };
+    let cuts = |second: u64, count: usize| {
+        (0..count).filter(|_| limiter.should_log_cut(ms(second * 1_000 + 1))).count()
+    };
+    assert!(others(1) > 2_000);
+    assert_eq!(cuts(1, 4_000), 4_000, "others have used up their limits");
+    assert_eq!(cuts(2, 100_000), 4_000, "the volume is bounded");
+    assert_eq!(others(2), 0, "no other line is written while cut responses are dropped");
+    assert!(others(3) > 2_000, "each second begins anew");
+}
+
 // Guards against a line each 50 ms and replica while a system starts.
 #[test]
 fn a_loss_that_lasts_is_logged_once_and_then_seldom_with_a_count() {
--- a/tests/deployment/forwarding.rs
+++ b/tests/deployment/forwarding.rs
@@ -295,8 +295,8 @@
         let mut left = entry.send("/stream/", "r2", PROMPT).await;
         read_until(&mut left, "data: x").await;
         drop(left);
-        for (id, by) in [("r1", "target"), ("r2", "caller")] {
-            let expected = format!("event=response_cut id={id} route=stream by={by}");
+        for (id, by, level) in [("r1", "target", "WARN"), ("r2", "caller", "INFO")] {
+            let expected = format!("level={level} event=response_cut id={id} route=stream by={by}");
             let line =
                 || entry.log().lines().find(|line| line.contains(&expected)).map(str::to_string);
             eventually(|| line().is_some()).await;
