Time a stream without an event from a head that was read

Its route's timeout of 500 ms runs from the arrival of the request, and the entry, the target and the caller share one thread: if that is held up, the deadline passes before the request is sent, and the entry rightly answers 503, not run.

Shown by delays put into the test (a task that blocks the thread and yields, in a loop): with 200 ms and less a step the old form passed, with 300 ms it got '503, no target was free in time' and with 600 ms '503, no target can take it now', both with no request at the target. With 100 ms in the same trial a 504 came although the target had not seen the request, so the old form could also pass without a stream.

The new form is as strict, and stricter in this: it judges only a round in which the entry has read the head, which it sees from the weights that the head names, and wants 504 there. A round without it must end in 503 or 504, and the next one has twice the time.

--- a/tests/deployment/early_breaks.rs
+++ b/tests/deployment/early_breaks.rs
@@ -9,10 +9,10 @@
 use kumquatpost::gateway::response::{RelayError, stream_body};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
-use crate::fixtures::{ms, target};
+use crate::fixtures::{ms, start, target};
 use crate::gateway::{
-    PROMPT, deployment_with_long_timeouts, entry_with_two_targets, event_stream, run_local,
-    start_entry,
+    Entry, PROMPT, TEST_TIMEOUT, deployment_with_long_timeouts, entry_with_two_targets,
+    event_stream, run_local, start_entry,
 };
 use crate::stand_in::{AfterAnswer, StandIn};
 
@@ -36,16 +36,42 @@
     }
 }
 
+/// The weights that a head names, from which a test sees that the entry has read it.
+const HEAD_WEIGHTS: u64 = 2;
+
+fn head_with_weights() -> String {
+    let named = format!("\r\nX-Weight-Versions: {HEAD_WEIGHTS}\r\n\r\n");
+    event_stream(&[], false).replace("\r\n\r\n", &named)
+}
+
+fn has_read_head(entry: &Entry) -> bool {
+    let fleet = entry.gateway.fleet.borrow();
+    fleet.get(&start("i-1")).is_some_and(|state| state.weights["m"] == HEAD_WEIGHTS)
+}
+
+// A stream that timed out before its first event closed the caller's connection without an answer. Its timeout
+// runs from the arrival of the request, and a busy machine may take that long to send the request and read the
+// head: such a round shows nothing of a stream, and the next one has more time.
 #[test]
 fn a_stream_without_an_event_by_its_deadline_is_answered_with_a_timeout() {
     run_local(async {
-        let script = vec![(event_stream(&[], false), AfterAnswer::Hang)];
-        let engine = StandIn::start(script).await;
-        let mut deployment = deployment_with_long_timeouts();
-        deployment.routes.iter_mut().for_each(|route| route.timeout = ms(500));
-        let entry = start_entry(deployment, vec![target("i-1", "llm", engine.address)]).await;
-        let got = entry.call_with("/stream/", "r1", PROMPT).await;
-        assert_eq!(got.status, 504, "{}", got.text);
+        let mut timeout = ms(500);
+        while timeout < TEST_TIMEOUT {
+            let script = vec![(head_with_weights(), AfterAnswer::Hang)];
+            let engine = StandIn::start(script).await;
+            let mut deployment = deployment_with_long_timeouts();
+            deployment.routes.iter_mut().for_each(|route| route.timeout = timeout);
+            let entry = start_entry(deployment, vec![target("i-1", "llm", engine.address)]).await;
+            let got = entry.call_with("/stream/", "r1", PROMPT).await;
+            if has_read_head(&entry) {
+                assert_eq!(got.status, 504, "{}", got.text);
+                assert_eq!(engine.request_count(), 1);
+                return;
+            }
+            assert!(matches!(got.status, 503 | 504), "without a head: {}", got.text);
+            timeout *= 2;
+        }
+        panic!("the entry reads no head in time");
     });
 }
 
