Soak: pause the processes of targets, and change more while they are paused

The soak silenced one target at a time, and only what it wrote. Paused processes read nothing either, on no connection, and several may be paused at once. Deployments also change idle timeout, route timeouts, weights, priorities and the connections of targets, and come three times as often during pauses.

whole_answers.rs excused more than it had to: a truncated answer by the end of any target of the service (now: of one that ran it), a kept connection that closed without an answer at any time (now: beside a stop of its entry), and streams that were taken up were not judged at all. The summary counts prompts in progress while all engines were silent whose failure nothing excuses (in_common_pause).

--- a/tests/platform_stand_in/target.rs
+++ b/tests/platform_stand_in/target.rs
@@ -175,6 +175,12 @@
                "Models": self.models(), "born": self.born_ms})
     }
 
+    /// Whether it is cold.
+    #[allow(dead_code, reason = "not used by the tests of a deployment")]
+    pub fn is_cold(&self) -> bool {
+        !self.cold_left().is_zero()
+    }
+
     /// How much longer it is cold.
     fn cold_left(&self) -> Duration {
         self.cold_for.saturating_sub(self.started_at.elapsed())
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -53,6 +53,8 @@
     pub gone_on: AtomicU64,
     /// Requests that were held although they terminate no target.
     pub held: AtomicU64,
+    /// Prompts in progress while all engines were paused, without a fault that excuses their failure.
+    pub in_common_pause: AtomicU64,
 }
 
 /// A check of a request at the end of the run.
@@ -118,8 +120,6 @@
 pub struct KeptConnection {
     pub entry: usize,
     sender: SendRequest<Full<Bytes>>,
-    /// Whether a request has been sent on it.
-    is_used: bool,
 }
 
 /// What a caller asks.
@@ -182,7 +182,7 @@
         let entry = random.random_range(0..system.entries());
         (entry, system.caller_address(entry))
     };
-    Some(KeptConnection { entry, sender: open_connection(address).await?, is_used: false })
+    Some(KeptConnection { entry, sender: open_connection(address).await? })
 }
 
 /// Opens an HTTP connection.
@@ -237,10 +237,8 @@
             service: if question.kind.is_stream() { "llm" } else { "app" },
             entry: connection.entry,
             at: Instant::now(),
-            is_first_on_connection: !connection.is_used,
         },
     };
-    connection.is_used = true;
     let answer = receive_answer(connection, question.message());
     let outcome = match leaves_after {
         Some(after) => tokio::time::timeout(after, answer).await.unwrap_or(Outcome::CallerLeft),
@@ -325,6 +323,9 @@
             self.harness.attempts.lock().expect("the lock is not poisoned").push(attempt);
         }
         let request_counts = &self.harness.request_counts;
+        if whole_answers::is_judged_in_common_pause(self.harness, &self.sent) {
+            request_counts.in_common_pause.fetch_add(1, Ordering::Relaxed);
+        }
         match outcome {
             Outcome::CallerLeft => {
                 let (request_id, entry) = (self.question.request_id.clone(), self.sent.entry);
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -119,7 +119,7 @@
         let any_address = self.harness.any_stand_in_address;
         let faults = TargetFaults {
             cut_off: self.harness.cut_off.subscribe(),
-            silence: self.harness.silence.subscribe(),
+            silences: self.harness.silences.subscribe(),
         };
         Proxy::start(any_address, any_address, Some(faults)).await
     }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -18,6 +18,7 @@
 mod limits;
 mod list_faults;
 mod operator;
+mod pauses;
 #[path = "../platform_stand_in/mod.rs"]
 mod platform_stand_in;
 mod proxy;
@@ -41,12 +42,13 @@
 use faults::{FaultInjector, FaultSet};
 use futures::StreamExt;
 use operator::Published;
+use pauses::PauseHistory;
 use platform_stand_in::{ColdStart, Platform};
 
 use platform_stand_in::observations::{Guarantee, LateEvent, RunEnd};
 use platform_stand_in::target::Fault;
 use proxy::Proxy;
-use silence::Silence;
+use silence::Silences;
 use system::{Disturbance, REPLICAS, System};
 use tokio::sync::watch;
 
@@ -106,8 +108,8 @@
     pub refusal_checks: AtomicU64,
     /// Process whose connections to targets are reset.
     pub cut_off: watch::Sender<Option<u32>>,
-    /// The target that is silent.
-    pub silence: watch::Sender<Option<Silence>>,
+    /// Targets that are silent.
+    pub silences: watch::Sender<Silences>,
     /// Times in which entries were cut off from targets.
     pub cuts: Mutex<Vec<Cut>>,
     /// Times in which parts of prompts crash targets.
@@ -118,6 +120,7 @@
     pub cuts_judged: AtomicU64,
     system: Mutex<System>,
     published: Mutex<Published>,
+    pauses: Mutex<PauseHistory>,
     deferred_checks: Mutex<Vec<DeferredCheck>>,
     violations: Mutex<Vec<String>>,
     /// Start and end of each fault period; planned operations are not faults.
@@ -135,6 +138,11 @@
         self.published.lock().expect("the lock is not poisoned")
     }
 
+    /// Locks the history of pauses.
+    pub fn pauses(&self) -> MutexGuard<'_, PauseHistory> {
+        self.pauses.lock().expect("the lock is not poisoned")
+    }
+
     /// Records and prints a violation.
     pub fn record_violation(&self, description: String) {
         println!("seed {}: VIOLATION: {description}", self.seed);
@@ -302,7 +310,7 @@
         version_checks: AtomicU64::new(0),
         refusal_checks: AtomicU64::new(0),
         cut_off: watch::Sender::default(),
-        silence: watch::Sender::default(),
+        silences: watch::Sender::default(),
         cuts: Mutex::default(),
         episodes: Mutex::default(),
         attempts: Mutex::default(),
@@ -313,6 +321,7 @@
             network,
         )),
         published: Mutex::default(),
+        pauses: Mutex::default(),
         deferred_checks: Mutex::default(),
         violations: Mutex::default(),
         fault_periods: Mutex::default(),
@@ -335,6 +344,7 @@
     let is_omitted = |name: &str| omitted.iter().any(|omitted| omitted == name);
     if !is_omitted("silence") {
         tasks.spawn(silence::run(harness.clone(), faults_done.clone()));
+        tasks.spawn(pauses::run(harness.clone(), faults_done.clone()));
     }
     if !is_omitted("crashing_parts") {
         tasks.spawn(crashing_parts::run(harness.clone(), faults_done.clone()));
@@ -353,7 +363,13 @@
     harness.check_platform_account();
     quarantine::check(&harness);
     let parts = crashing_parts::check(&harness);
-    let summary_line = format!("{} parts={parts:?}", summary(&harness, &injector, started));
+    let pauses = harness.pauses().clone();
+    let summary_line = format!(
+        "{} parts={parts:?} pauses={:?} common_pauses={}",
+        summary(&harness, &injector, started),
+        pauses.counts,
+        pauses.common_count()
+    );
     let latest = [Guarantee::Leaving, Guarantee::Weights, Guarantee::Evacuation]
         .map(|guarantee| harness.latest_without_fault(guarantee));
     injector.close().await;
@@ -366,7 +382,7 @@
     format!(
         "sent={} whole={} refused={} failed={} faults={} restarts={} orders={} freed={} fetched={} \
          cold_bursts={} judged={} finals={} ending={} ends={} held={} cuts={} rejected={} overruns={} \
-         taken_up={} gone_on={} mixed={} seconds={}",
+         taken_up={} gone_on={} mixed={} in_common_pause={} seconds={}",
         load(&harness.request_counts.sent),
         load(&harness.request_counts.completed),
         load(&harness.request_counts.refused),
@@ -393,6 +409,7 @@
         load(&harness.request_counts.taken_up),
         load(&harness.request_counts.gone_on),
         platform.observations.mixed_streams.len(),
+        load(&harness.request_counts.in_common_pause),
         started.elapsed().as_secs(),
     )
 }
--- a/tests/soak/operator.rs
+++ b/tests/soak/operator.rs
@@ -14,6 +14,7 @@
 
 use crate::callers::{ACCOUNTS, open_connection};
 use crate::evacuation::Evacuations;
+use crate::silence;
 use crate::system::REPLICAS;
 use crate::{COLD_START, Harness};
 
@@ -27,6 +28,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// First request number of `check_refusal`, to keep request ids distinct.
 const REFUSAL_BASE: u64 = 2_000_000;
+/// Operations while targets are paused, for each one in the same time otherwise.
+const PAUSED_CHANGES: u32 = 3;
 /// Time limit for the system to recover after the last fault.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(40);
 
@@ -39,12 +42,25 @@
     acknowledged: Option<(u64, Instant)>,
 }
 
+/// Timeouts of the routes, in turn. None is below the callers' deadline.
+const ROUTE_TIMEOUTS_MS: [u64; 4] = [4_000, 4_003, 6_000, 9_000];
+/// Idle timeouts, in turn. Callers pause for less.
+const IDLE_TIMEOUTS_MS: [u64; 3] = [15_000, 4_000, 1_500];
+/// Connections that each target accepts, in turn.
+const MAX_CONNECTIONS: [u64; 2] = [100, 80];
+
 /// A deployment with a route for each kind of request, and with a route and a key that are unique
-/// to the version.
+/// to the version. Timeouts, weights, priorities and limits differ between versions.
 fn document(version: u64, store: &str) -> Value {
+    let timeout_ms = in_turn(&ROUTE_TIMEOUTS_MS, version);
+    let idle_timeout_ms = in_turn(&IDLE_TIMEOUTS_MS, version);
+    let max_connections = in_turn(&MAX_CONNECTIONS, version);
     let route = |name: &str, kind: &str, service: &str, resumable: bool| {
+        // No target provides the second service, which gets no share.
+        let split = json!([{"Service": service, "Weight": 1 + version % 90},
+                           {"Service": "spare", "Weight": 0}]);
         json!({"Name": name, "Host": "shop.example", "PathPrefix": format!("/{name}/"),
-               "Kind": kind, "TimeoutMs": 4000, "SloMs": 400, "Priority": 1, "Service": service,
+               "Kind": kind, "TimeoutMs": timeout_ms, "SloMs": 400, "Priority": 1, "Split": split,
                "Attempts": 2, "Public": false, "Sticky": kind == "stream",
                "Resumable": resumable, "GapTargetMs": 300})
     };
@@ -52,7 +68,8 @@
         .iter()
         .map(|(name, key)| {
             let isolated = *name == crate::platform_stand_in::target::ISOLATED_ACCOUNT;
-            json!({"Name": name, "ApiKeys": [key], "Isolated": isolated})
+            json!({"Name": name, "ApiKeys": [key], "Isolated": isolated,
+                   "Priority": version % 3})
         })
         .collect();
     tenants.push(json!({"Name": "changing", "ApiKeys": [version_key(version)]}));
@@ -61,8 +78,9 @@
                       route("stream", "stream", "llm", false),
                       route("resumable", "stream", "llm", true),
                       route(&version_route(version), "safe", "app", false)],
-           "Services": [{"Name": "app", "HealthPath": "/healthz", "MaxConns": 100},
-                        {"Name": "llm", "HealthPath": "/healthz", "MaxConns": 100,
+           "Services": [{"Name": "app", "HealthPath": "/healthz", "MaxConns": max_connections},
+                        {"Name": "spare", "HealthPath": "/healthz", "MaxConns": max_connections},
+                        {"Name": "llm", "HealthPath": "/healthz", "MaxConns": max_connections,
                          "ColdStartS": COLD_START.duration.as_secs_f64(),
                          "ColdPerS": COLD_START.requests_per_s,
                          "Engine": {"Slots": 16, "KvCapacity": 60_000, "KvTokenBytes": 1000,
@@ -70,10 +88,14 @@
                         {"Name": "store", "KvStoreAddr": store, "Zone": "hall-0", "Managed": true,
                          "KvCapacity": 30_000, "LinkMbps": 1_000_000.0, "first_ms": 0.5}],
            "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000,
-                      "IdleTimeoutMs": 15000},
+                      "IdleTimeoutMs": idle_timeout_ms},
            "Tenants": tenants})
 }
 
+fn in_turn(values: &[u64], version: u64) -> u64 {
+    values[version as usize % values.len()]
+}
+
 fn version_route(version: u64) -> String {
     format!("only-{version}")
 }
@@ -89,7 +111,10 @@
     let mut evacuations = Evacuations::default();
     let mut version = harness.published().newest();
     while !stop.load(Ordering::Relaxed) {
-        tokio::time::sleep(Duration::from_millis(random.random_range(50..900))).await;
+        let interval = Duration::from_millis(random.random_range(50..900));
+        // Changes come in series while targets are silent.
+        let divisor = if silence::is_any_paused(&harness) { PAUSED_CHANGES } else { 1 };
+        tokio::time::sleep(interval / divisor).await;
         match random.random_range(0..10) {
             0..=3 => {
                 version += random.random_range(1..4);
@@ -151,7 +176,7 @@
 async fn send_invalid(harness: &Harness, version: u64, random: &mut SmallRng) {
     let mut invalid = document(version, &harness.store.to_string());
     match random.random_range(0..4) {
-        0 => invalid["Routes"][0]["Service"] = json!("nobody"),
+        0 => invalid["Routes"][0]["Split"][0]["Service"] = json!("nobody"),
         1 => invalid["Routes"][1]["PathPrefix"] = invalid["Routes"][0]["PathPrefix"].clone(),
         2 => invalid["Routes"][0]["TimeoutMs"] = json!(0),
         _ => invalid["Tenants"][1]["ApiKeys"] = invalid["Tenants"][0]["ApiKeys"].clone(),
@@ -386,6 +411,11 @@
         self.newest() == version
     }
 
+    /// Whether a version has been acknowledged after a time.
+    pub fn has_new_since(&self, since: Instant) -> bool {
+        self.acknowledged.is_some_and(|(_, at)| at >= since)
+    }
+
     /// Whether this version or a newer one has been acknowledged.
     fn is_acknowledged(&self, version: u64) -> bool {
         self.acknowledged.is_some_and(|(newest, _)| newest >= version)
--- a/tests/soak/proxy.rs
+++ b/tests/soak/proxy.rs
@@ -11,7 +11,7 @@
 use tokio::sync::watch;
 
 use super::connection_owners::owns_port;
-use super::silence::{Silence, SilentConnection};
+use super::silence::{Silences, SilentConnection};
 use super::unframed;
 
 /// What happens to the connections of targets.
@@ -19,8 +19,8 @@
 pub struct TargetFaults {
     /// Process whose connections are reset.
     pub cut_off: watch::Receiver<Option<u32>>,
-    /// The target that is silent.
-    pub silence: watch::Receiver<Option<Silence>>,
+    /// Targets that are silent.
+    pub silences: watch::Receiver<Silences>,
 }
 
 /// A fault of the connections through a proxy.
@@ -75,7 +75,7 @@
                     tokio::spawn(relay(stream, target_address, fault, never, None));
                     continue;
                 };
-                let silent = SilentConnection::new(faults.silence, accepting.address, number);
+                let silent = SilentConnection::new(faults.silences, accepting.address, number);
                 let is_unframed = unframed::is_unframed(number);
                 let target = Some(TargetConnection { silent, is_unframed });
                 let is_cut_off = until_cut_off(faults.cut_off, caller.port());
@@ -120,16 +120,16 @@
     let target = tokio::select! {
         biased;
         () = &mut is_cut_off => return,
-        target = TcpStream::connect(target_address) => target,
+        target = connect(target_address, target_connection.as_ref()) => target,
     };
     let Ok(target) = target else { return };
     stream.set_nodelay(true).expect("the socket accepts options");
     target.set_nodelay(true).expect("the socket accepts options");
     let (from_caller, to_caller) = tokio::io::split(stream);
     let (from_target, to_target) = tokio::io::split(target);
-    let is_unframed = target_connection.as_ref().is_some_and(|target| target.is_unframed);
-    let towards_target = copy_requests(from_caller, to_target, fault.clone(), is_unframed);
-    let towards_caller = copy_answers(from_target, to_caller, fault.clone(), target_connection);
+    let target = target_connection.as_ref();
+    let towards_target = copy_requests(from_caller, to_target, fault.clone(), target);
+    let towards_caller = copy_answers(from_target, to_caller, fault.clone(), target);
     // A connection that was not shut down before is reset.
     tokio::select! {
         _ = async { tokio::try_join!(towards_target, towards_caller) } => {}
@@ -138,6 +138,17 @@
     }
 }
 
+/// Connects to a target once it is not paused.
+async fn connect(
+    address: SocketAddr,
+    target: Option<&TargetConnection>,
+) -> std::io::Result<TcpStream> {
+    if let Some(target) = target {
+        target.silent.resumed().await;
+    }
+    TcpStream::connect(address).await
+}
+
 /// Waits until the process that owns a local port is cut off.
 async fn until_cut_off(mut cut_off: watch::Receiver<Option<u32>>, port: u16) {
     let open_since = Instant::now();
@@ -156,16 +167,19 @@
     mut from: ReadHalf<TcpStream>,
     mut to: WriteHalf<TcpStream>,
     mut fault: watch::Receiver<NetworkFault>,
-    is_unframed: bool,
+    target: Option<&TargetConnection>,
 ) -> std::io::Result<()> {
     let mut bytes = vec![0; BUFFER_BYTES];
     loop {
-        let read = from.read(&mut bytes).await?;
+        let read = match target {
+            Some(target) => read_unless_paused(&mut from, &mut bytes, &target.silent).await?,
+            None => from.read(&mut bytes).await?,
+        };
         if read == 0 {
             return to.shutdown().await;
         }
         hold_up(&mut fault, |fault| *fault == NetworkFault::Stall).await;
-        if is_unframed {
+        if target.is_some_and(|target| target.is_unframed) {
             unframed::downgrade_request(&mut bytes[..read]);
         }
         // A target that does not read on may have answered.
@@ -175,23 +189,42 @@
     }
 }
 
+/// Reads what a caller sends, not while the target is paused.
+async fn read_unless_paused(
+    from: &mut ReadHalf<TcpStream>,
+    bytes: &mut [u8],
+    silent: &SilentConnection,
+) -> std::io::Result<usize> {
+    loop {
+        silent.resumed().await;
+        tokio::select! {
+            biased;
+            () = silent.paused() => {}
+            read = from.read(bytes) => return read,
+        }
+    }
+}
+
 async fn copy_answers(
     mut from: ReadHalf<TcpStream>,
     mut to: WriteHalf<TcpStream>,
     mut fault: watch::Receiver<NetworkFault>,
-    mut target: Option<TargetConnection>,
+    target: Option<&TargetConnection>,
 ) -> std::io::Result<()> {
     let mut bytes = vec![0; BUFFER_BYTES];
     loop {
         let read = from.read(&mut bytes).await?;
         if read == 0 {
+            if let Some(target) = target {
+                target.silent.resumed().await;
+            }
             return to.shutdown().await;
         }
         let blocks = |fault: &NetworkFault| {
             matches!(fault, NetworkFault::Stall | NetworkFault::StallTowardsCaller)
         };
         hold_up(&mut fault, blocks).await;
-        let Some(target) = &mut target else {
+        let Some(target) = target else {
             to.write_all(&bytes[..read]).await?;
             continue;
         };
--- a/tests/soak/taken_up_streams.rs
+++ b/tests/soak/taken_up_streams.rs
@@ -2,7 +2,7 @@
 //! software versions serve.
 
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use rand::rngs::SmallRng;
@@ -10,6 +10,7 @@
 use super::Harness;
 use super::callers::{self, Outcome, RequestKind};
 use super::platform_stand_in::job::expected_event;
+use super::whole_answers::{self, Failure, Sent};
 
 /// Attempts to take up a stream, each at a random entry.
 const MAX_ATTEMPTS: usize = 3;
@@ -47,6 +48,12 @@
             .header("resumes", id);
         let builder = callers::add_prompt(builder, *events, &format!("{request_id}:1200"));
         let message = callers::with_question(builder);
+        let sent = Sent {
+            request_id: &request_id,
+            service: "llm",
+            entry: connection.entry,
+            at: Instant::now(),
+        };
         match callers::receive_answer(&mut connection, message).await {
             Outcome::Answer { status: 200, body, is_whole, .. } => {
                 let expected: String =
@@ -60,6 +67,9 @@
                         "{request_id} goes on after event {last} of {events} with {body:?}"
                     ));
                 }
+                if !is_whole {
+                    whole_answers::check(harness, &sent, Failure::Truncated(body.len()));
+                }
                 harness.request_counts.gone_on.fetch_add(1, Ordering::Relaxed);
                 return;
             }
--- a/tests/soak/whole_answers.rs
+++ b/tests/soak/whole_answers.rs
@@ -1,5 +1,5 @@
 //! Checks that a request that an entry has read gets a whole answer or a truthful refusal, unless a
-//! fault explains why it does not. The silence of a target is no such fault.
+//! fault explains why it does not. Silence is no such fault, not even that of all targets.
 
 use std::fmt::{Display, Formatter};
 use std::time::{Duration, Instant};
@@ -23,8 +23,6 @@
     pub service: &'static str,
     pub entry: usize,
     pub at: Instant,
-    /// Whether it was the first one on its connection, which the entry can't have closed as idle.
-    pub is_first_on_connection: bool,
 }
 
 /// What a caller got in place of a whole answer or a refusal.
@@ -59,21 +57,18 @@
 /// Records a failure that no fault explains.
 pub fn check(harness: &Harness, sent: &Sent<'_>, failure: Failure<'_>) {
     let disturbances = harness.system().disturbances_since(sent.entry, sent.at - FAULT_MARGIN);
-    if disturbances.contains(&Disturbance::Unplanned)
-        || harness.had_fault_since(sent.at - FAULT_MARGIN)
-    {
+    if is_beside_fault(harness, sent, &disturbances) {
         return;
     }
+    let is_cut_or_late =
+        || is_deadline_reached(sent) || cuts_since(harness, sent).contains(&sent.entry);
     let is_explained = match failure {
         Failure::NoAnswer(_) if has_run(harness, sent) => has_target_of_run_ended(harness, sent),
-        Failure::NoAnswer(_) => {
-            !sent.is_first_on_connection || disturbances.contains(&Disturbance::Stop)
-        }
-        Failure::Truncated(_) | Failure::Status(_) => {
-            is_deadline_reached(sent)
-                || cuts_since(harness, sent).contains(&sent.entry)
-                || has_target_ended(harness, sent)
-        }
+        // Idle connections are kept longer than callers pause, so that only a stop closes them.
+        Failure::NoAnswer(_) => disturbances.contains(&Disturbance::Stop),
+        // What has begun was run by a target that is known.
+        Failure::Truncated(_) => is_cut_or_late() || has_target_of_run_ended(harness, sent),
+        Failure::Status(_) => is_cut_or_late() || has_target_ended(harness, sent),
     };
     if !is_explained {
         let (id, entry, after) = (sent.request_id, sent.entry, sent.at.elapsed());
@@ -81,12 +76,33 @@
         let what = format!("{id} at entry-{entry}: {failure} after {after:?}, {disturbances:?}");
         harness.defer_check(DeferredCheck::WholeAnswer(UnexplainedFailure {
             request_id: id.to_string(),
-            description: format!("{what}, runs {runs:?}"),
+            description: format!("{what}, runs {runs:?}, {}", common_pauses(harness, sent)),
             is_during_cut: !cuts_since(harness, sent).is_empty(),
         }));
     }
 }
 
+/// Whether a prompt was in progress while all engines were paused, and no fault excuses its failure.
+pub fn is_judged_in_common_pause(harness: &Harness, sent: &Sent<'_>) -> bool {
+    let disturbances = harness.system().disturbances_since(sent.entry, sent.at - FAULT_MARGIN);
+    sent.service == "llm"
+        && !harness.pauses().common_between(sent.at, Instant::now()).is_empty()
+        && !is_beside_fault(harness, sent, &disturbances)
+}
+
+fn is_beside_fault(harness: &Harness, sent: &Sent<'_>, disturbances: &[Disturbance]) -> bool {
+    disturbances.contains(&Disturbance::Unplanned)
+        || harness.had_fault_since(sent.at - FAULT_MARGIN)
+}
+
+/// When all engines were paused, from the time on when the request was sent.
+fn common_pauses(harness: &Harness, sent: &Sent<'_>) -> String {
+    let common = harness.pauses().common_between(sent.at, Instant::now());
+    let since = |at: Instant| at.saturating_duration_since(sent.at);
+    let times = common.into_iter().map(|(from, until)| (since(from), since(until)));
+    format!("all engines paused at {:?}", times.collect::<Vec<_>>())
+}
+
 /// Records a failure, unless another entry made an attempt and may have been cut off from targets.
 pub fn report(harness: &Harness, failure: &UnexplainedFailure) {
     let lines = harness.system().entry_log_lines(&format!(" id={} ", failure.request_id));
