--- a/tests/soak/proxy.rs
+++ b/tests/soak/proxy.rs
@@ -10,7 +10,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use super::connection_owners::owns_port;
+use super::connection_owners::{Ends, owns_connection};
 use super::silence::{Silences, SilentConnection};
 use super::unframed;
 
@@ -78,7 +78,7 @@
                 let silent = SilentConnection::new(faults.silences, accepting.address, number);
                 let is_unframed = unframed::is_unframed(number);
                 let target = Some(TargetConnection { silent, is_unframed });
-                let is_cut_off = until_cut_off(faults.cut_off, caller.port());
+                let is_cut_off = until_cut_off(faults.cut_off, (caller, accepting.address));
                 tokio::spawn(relay(stream, target_address, fault, is_cut_off, target));
             }
         });
@@ -149,13 +149,17 @@
     TcpStream::connect(address).await
 }
 
-/// Waits until the process that owns a local port is cut off.
-async fn until_cut_off(mut cut_off: watch::Receiver<Option<u32>>, port: u16) {
+/// Waits until the process that owns a connection is cut off.
+async fn until_cut_off(mut cut_off: watch::Receiver<Option<u32>>, ends: Ends) {
     let open_since = Instant::now();
     loop {
         let pid = *cut_off.borrow_and_update();
-        if pid.is_some_and(|pid| owns_port(pid, port, open_since)) {
-            return;
+        if let Some(pid) = pid {
+            // Reading the table would hold up the other connections of this thread.
+            let owns = move || owns_connection(pid, ends, open_since);
+            if tokio::task::spawn_blocking(owns).await.expect("the table is read") {
+                return;
+            }
         }
         if cut_off.changed().await.is_err() {
             std::future::pending::<()>().await;
