Soak: judge requests that a pause held up by when they may have been sent

Targets read what was sent during a pause at its end, and name nothing to anyone before that. Requests to leaving targets that are read within 250 ms of a pause now count from its start, and a limit that a pause holds up applies that much later. Evacuations, weights and cold engines are judged as before.

--- a/tests/platform_stand_in/limits.rs
+++ b/tests/platform_stand_in/limits.rs
@@ -29,6 +29,14 @@
         (self.requests_per_s * WINDOW.as_secs_f64() * 1.5) as usize + 5
     }
 
+    /// Postpones the time from which on the limit applies by what a pause held up: no answer named it,
+    /// and requests that are read at the end of the pause were sent before.
+    pub(super) fn add_pause(&mut self, from: Instant, until: Instant) {
+        if from < self.since + KNOWN_WITHIN {
+            self.since += until.saturating_duration_since(from.max(self.since));
+        }
+    }
+
     /// Records a request. Returns how many came within the window if they are too many.
     fn record_arrival(&mut self, now: Instant) -> Option<usize> {
         if now < self.since + APPLIED_WITHIN {
--- a/tests/platform_stand_in/mod.rs
+++ b/tests/platform_stand_in/mod.rs
@@ -7,6 +7,7 @@
 pub mod limits;
 pub mod list;
 pub mod observations;
+pub mod pauses;
 pub mod requests;
 pub mod starts;
 pub mod store;
--- a/tests/platform_stand_in/target.rs
+++ b/tests/platform_stand_in/target.rs
@@ -12,6 +12,7 @@
 use super::brittle::Brittle;
 use super::http::{self, HttpResponse, header};
 use super::limits::NamedLimit;
+use super::pauses::TargetPause;
 use super::store::{PartName, clock_ms};
 use super::{Inner, Platform};
 
@@ -57,6 +58,7 @@
     pub fault: Fault,
     /// The rate limit that it names.
     pub(super) limit: Option<NamedLimit>,
+    pub(super) last_pause: Option<TargetPause>,
     /// What it bears if it is brittle.
     pub(super) brittle: Option<Brittle>,
     /// The weights that it is loading.
@@ -142,6 +144,7 @@
             is_listed: true,
             fault: Fault::None,
             limit: None,
+            last_pause: None,
             brittle: None,
             loading: None,
             orders: 0,
