Soak: tell by the answer which software version began a stream

A target that is silent is kept beside the one that is asked in its place, so that two of them begin the same stream; the check took the one that began last for the one that the caller had heard. Without an answer the last one counts, as before.

--- a/tests/deployment/software_versions.rs
+++ b/tests/deployment/software_versions.rs
@@ -258,10 +258,6 @@
     }
     let totals = futures::future::join_all(taking_up).await;
     assert_eq!(totals, vec![LONG_STREAM_EVENTS; STREAMS]);
-    let platform = deployment.platform.lock();
-    assert!(
-        platform.observations.mixed_streams.is_empty(),
-        "{:?}",
-        platform.observations.mixed_streams
-    );
+    let mixed = deployment.platform.lock().observations.mixed_streams();
+    assert!(mixed.is_empty(), "{mixed:?}");
 }
--- a/tests/platform_stand_in/observations.rs
+++ b/tests/platform_stand_in/observations.rs
@@ -69,11 +69,8 @@
     pub cold_bursts: Vec<(Instant, String)>,
     /// Descriptions of windows in which a target got more requests than the limit that it named.
     pub limit_excesses: Vec<(Instant, String)>,
-    /// The software version of the last run of each request that started a stream from its beginning.
-    /// Nothing has been sent of the runs before that.
-    began_at: HashMap<String, String>,
-    /// Descriptions of streams that went on at another software version than the one that began them.
-    pub mixed_streams: Vec<(Instant, String)>,
+    /// The stamp of each answer that callers got, by request.
+    pub answered: HashMap<String, String>,
     /// Requests that brittle targets have turned away.
     pub rejections: u64,
     /// Brittle targets that have turned away too many requests.
@@ -289,19 +286,39 @@
         if !may_repeat && !runs.is_empty() {
             self.violations.push(format!("{request} runs again: {runs:?}, then {run:?}"));
         }
-        let stream = run.resumes.as_deref().unwrap_or(request);
-        if run.resumed_after == 0 {
-            self.began_at.insert(request.to_string(), run.software.clone());
-        } else if let Some(began_at) = self.began_at.get(stream).filter(|at| **at != run.software) {
-            let what = format!(
-                "{stream} began at software {began_at} and goes on as {request} at {} of {}, after event {}",
-                run.target, run.software, run.resumed_after
-            );
-            self.mixed_streams.push((Instant::now(), what));
-        }
         runs.push(run);
     }
 
+    /// Describes streams that went on at another software version than the one that began them.
+    pub fn mixed_streams(&self) -> Vec<String> {
+        let resumed = self.runs.iter().flat_map(|(request, runs)| {
+            let later = runs.iter().filter(|run| run.resumed_after > 0);
+            later.map(move |run| (request, run))
+        });
+        let mixed = resumed.filter_map(|(request, run)| {
+            let stream = run.resumes.as_deref().unwrap_or(request);
+            let began_at = self.began_at(stream)?;
+            (began_at != run.software).then(|| {
+                format!(
+                    "{stream} began at software {began_at} and goes on as {request} at {} of {}, after event {}",
+                    run.target, run.software, run.resumed_after
+                )
+            })
+        });
+        mixed.collect()
+    }
+
+    /// The software version that began a stream. A target that is silent may run it beside the one that
+    /// was asked in its place, so that the caller's answer tells which one it was. Without an answer, it
+    /// was the last run from the beginning.
+    fn began_at(&self, stream: &str) -> Option<&str> {
+        let runs = self.runs_of(stream);
+        let answered = self.answered.get(stream);
+        let answering = runs.iter().find(|run| Some(&run.stamp) == answered);
+        let last = runs.iter().rfind(|run| run.resumed_after == 0);
+        answering.or(last).map(|run| run.software.as_str())
+    }
+
     /// Records the end of a run, unless it has ended already.
     pub fn record_end(&mut self, request: &str, stamp: &str, end: RunEnd) {
         let runs = self.runs.get_mut(request).into_iter().flatten();
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -340,6 +340,11 @@
                 whole_answers::check(self.harness, &self.sent, Failure::NoAnswer(reason));
             }
             Outcome::Answer { status: 200, stamp, body, is_whole } => {
+                if let Some(stamp) = stamp {
+                    let request_id = self.question.request_id.clone();
+                    let mut platform = self.harness.platform.lock();
+                    platform.observations.answered.insert(request_id, stamp.clone());
+                }
                 self.check_success(stamp.as_deref(), body, *is_whole);
                 if !is_whole {
                     whole_answers::check(self.harness, &self.sent, Failure::Truncated(body.len()));
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -408,7 +408,7 @@
         platform.observations.overruns.len(),
         load(&harness.request_counts.taken_up),
         load(&harness.request_counts.gone_on),
-        platform.observations.mixed_streams.len(),
+        platform.observations.mixed_streams().len(),
         load(&harness.request_counts.in_common_pause),
         started.elapsed().as_secs(),
     )
--- a/tests/soak/taken_up_streams.rs
+++ b/tests/soak/taken_up_streams.rs
@@ -82,8 +82,7 @@
 /// Describes streams that went on at another software version, if there are too many.
 pub fn violations(harness: &Harness) -> Vec<String> {
     let platform = harness.platform.lock();
-    let mixed: Vec<String> =
-        platform.observations.mixed_streams.iter().map(|(_, what)| what.clone()).collect();
+    let mixed = platform.observations.mixed_streams();
     if mixed.len() > MAX_MIXED_STREAMS {
         return mixed;
     }
