--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -420,6 +420,8 @@
     let harness = Arc::into_inner(harness).expect("all tasks have ended");
     let mut violations = harness.violations.into_inner().expect("the lock is not poisoned");
     let folder = harness.system.into_inner().expect("the lock is not poisoned").close();
+    let pauses = harness.pauses.into_inner().expect("the lock is not poisoned").log();
+    std::fs::write(folder.path().join("pauses-log"), pauses).expect("the file is writable");
     let logs = std::fs::read_dir(folder.path()).expect("the folder is readable");
     for path in logs
         .map(|entry| entry.expect("a readable folder entry").path())
--- a/tests/soak/pauses.rs
+++ b/tests/soak/pauses.rs
@@ -13,6 +13,7 @@
 use tokio::task::JoinSet;
 
 use super::Harness;
+use super::platform_stand_in::store::clock_ms;
 use super::silence::{self, Extent, Silence};
 use super::system::Disturbance;
 
@@ -59,6 +60,8 @@
     common: Vec<(Instant, Option<Instant>)>,
     /// When processes went on, by listed address.
     resumed_at: HashMap<SocketAddr, Instant>,
+    /// A line for each pause of a process, with the times of the logs.
+    lines: Vec<String>,
     pub counts: PauseCounts,
 }
 
@@ -78,6 +81,11 @@
         ended.filter(|(since, until)| *since <= to && *until >= from).collect()
     }
 
+    /// The pauses, a line for each process.
+    pub fn log(&self) -> String {
+        self.lines.join("\n")
+    }
+
     /// Number of times in which all engines were silent.
     pub fn common_count(&self) -> usize {
         self.common.len()
@@ -181,7 +189,13 @@
     silence::end(harness, &addresses);
     record_common(harness);
     let resumed = addresses.into_iter().map(|address| (address, Instant::now()));
-    harness.pauses().resumed_at.extend(resumed);
+    let mut history = harness.pauses();
+    history.resumed_at.extend(resumed);
+    history.lines.extend(group.iter().map(|paused| {
+        let length = paused.from.elapsed();
+        let (id, start) = (&paused.id, paused.start);
+        format!("until={} target={id} start={start} paused_for={length:?}", clock_text())
+    }));
 }
 
 /// Records whether all engines are silent, on all connections.
@@ -224,6 +238,14 @@
     }
 }
 
+/// The time of day, as in the logs.
+fn clock_text() -> String {
+    let now_ms = clock_ms();
+    let (seconds, ms) = (now_ms / 1_000, now_ms % 1_000);
+    let (hours, minutes) = (seconds / 3_600 % 24, seconds / 60 % 60);
+    format!("{hours:02}:{minutes:02}:{:02}.{ms:03}", seconds % 60)
+}
+
 fn count(harness: &Harness, from: Instant) {
     let now = Instant::now();
     let (has_stopping_entry, has_lost_replica) = {
