--- a/tests/platform_stand_in/target.rs
+++ b/tests/platform_stand_in/target.rs
@@ -12,6 +12,7 @@
 use super::brittle::Brittle;
 use super::http::{self, HttpResponse, header};
 use super::limits::NamedLimit;
+use super::pauses::TargetPause;
 use super::store::{PartName, clock_ms};
 use super::{Inner, Platform};
 
@@ -57,6 +58,7 @@
     pub fault: Fault,
     /// The rate limit that it names.
     pub(super) limit: Option<NamedLimit>,
+    pub(super) last_pause: Option<TargetPause>,
     /// What it bears if it is brittle.
     pub(super) brittle: Option<Brittle>,
     /// The weights that it is loading.
@@ -142,6 +144,7 @@
             is_listed: true,
             fault: Fault::None,
             limit: None,
+            last_pause: None,
             brittle: None,
             loading: None,
             orders: 0,
@@ -175,6 +178,12 @@
                "Models": self.models(), "born": self.born_ms})
     }
 
+    /// Whether it is cold.
+    #[allow(dead_code, reason = "not used by the tests of a deployment")]
+    pub fn is_cold(&self) -> bool {
+        !self.cold_left().is_zero()
+    }
+
     /// How much longer it is cold.
     fn cold_left(&self) -> Duration {
         self.cold_for.saturating_sub(self.started_at.elapsed())
