Keep a planned stop on record when the process reloads its settings

System::reload ended every disturbance of its process that had not ended, so that a SIGHUP to an entry that was stopping closed the record of its SIGTERM as well. What the entry did in the rest of its grace period was then judged as if it had not been told to stop.

--- a/tests/soak/system.rs
+++ b/tests/soak/system.rs
@@ -242,9 +242,11 @@
 
     /// Makes a process reload its settings.
     pub fn reload(&mut self, n: usize) {
-        self.processes[n].begin_disturbance(Disturbance::Reload);
+        let begun = Instant::now();
         self.signal(n, "HUP");
-        self.processes[n].end_disturbances();
+        // A planned stop may go on.
+        let reload = (Disturbance::Reload, begun, Some(Instant::now()));
+        self.processes[n].disturbances.push(reload);
     }
 
     fn signal(&self, n: usize, name: &str) {
