Test with engine processes that are paused, beside changes and planned stops

Entries and replicas run as processes in front of stand-in engines that are processes of their own, which SIGSTOP pauses for 0.8 to 1.8 s, all of them or half of them, in series that overlap. Meanwhile the deployment changes (idle timeout, route timeout, a route that comes and goes, weights of a split, limits of services and requests, the account of a key), entries are stopped and started one after the other, reload and are killed, and the leader is killed. Callers keep their connections. Each request has to be answered whole or to be refused truthfully, as the runs show that the engines report at their end.

Stand-in targets get an optional number of running requests beyond which they refuse more as full; an engine that is full when it goes on refuses what it was sent during its pause.

--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -15,6 +15,7 @@
 mod documents;
 mod early_breaks;
 mod ending_prompts;
+mod engine_processes;
 mod essential_tasks;
 mod evacuation;
 mod events;
@@ -42,6 +43,7 @@
 mod memory;
 mod monotonic_state;
 mod orders;
+mod paused_engines;
 mod peer_entries;
 mod placement;
 #[allow(dead_code, reason = "the soak test uses the rest")]
--- a/tests/platform_stand_in/job.rs
+++ b/tests/platform_stand_in/job.rs
@@ -10,7 +10,7 @@
 use super::http::{self, HttpResponse};
 use super::observations::RunEnd;
 use super::store::{PartName, clock_ms};
-use super::target::EVENT_INTERVAL;
+use super::target::{DEFAULT_SLOTS, EVENT_INTERVAL, Target};
 
 /// Duration of a save to or a fetch from the store.
 const TRANSFER_TIME: Duration = Duration::from_millis(5);
@@ -62,14 +62,16 @@
     }
 
     pub fn add_response_headers(&self, mut answer: HttpResponse) -> HttpResponse {
-        let load = self.platform.lock().targets.get(&self.target).map_or(0, |t| t.running);
+        let load = |target: &Target| (target.running, target.slots());
+        let load = self.platform.lock().targets.get(&self.target).map(load);
+        let (running, slots) = load.unwrap_or((0, DEFAULT_SLOTS));
         let mut set = |name: &'static str, value: String| {
             let value = HeaderValue::from_str(&value).expect("a valid header value");
             answer.headers_mut().insert(name, value);
         };
         set("x-request-id", self.request.clone());
         set("x-response-stamp", self.stamp.clone());
-        set("x-server-load", format!("{load},0,16"));
+        set("x-server-load", format!("{running},0,{slots}"));
         if let Some(weights) = self.weights {
             set("x-weight-versions", weights.to_string());
         }
--- a/tests/platform_stand_in/target.rs
+++ b/tests/platform_stand_in/target.rs
@@ -19,6 +19,7 @@
 pub(super) const EVENT_INTERVAL: Duration = Duration::from_millis(8);
 /// Time to load weights.
 const WEIGHT_LOAD_TIME: Duration = Duration::from_millis(300);
+pub(super) const DEFAULT_SLOTS: u32 = 16;
 /// Interval of checks whether orders are still blocked.
 const HELD_ORDER_POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Delay until an unanswered order is executed.
@@ -55,6 +56,8 @@
     pub is_listed: bool,
     /// Injected fault.
     pub fault: Fault,
+    /// Number of requests beyond which it refuses more as full; `None` if it refuses none for that.
+    pub max_running: Option<u32>,
     /// The rate limit that it names.
     pub(super) limit: Option<NamedLimit>,
     /// What it bears if it is brittle.
@@ -141,6 +144,7 @@
             leaves_from: None,
             is_listed: true,
             fault: Fault::None,
+            max_running: None,
             limit: None,
             brittle: None,
             loading: None,
@@ -169,12 +173,21 @@
 
     fn entry(&self) -> Value {
         json!({"Id": self.id, "Service": self.service, "Addr": self.listed_address,
-               "Zone": self.zone, "Version": self.software, "Slots": 16,
+               "Zone": self.zone, "Version": self.software, "Slots": self.slots(),
                "ColdLeftMs": self.cold_left().as_millis() as u64,
                "State": if self.leaves_from.is_some() { "draining" } else { "ready" },
                "Models": self.models(), "born": self.born_ms})
     }
 
+    /// The number of slots that it names.
+    pub(super) fn slots(&self) -> u32 {
+        self.max_running.unwrap_or(DEFAULT_SLOTS)
+    }
+
+    pub(super) fn is_full(&self) -> bool {
+        self.fault == Fault::Full || self.max_running.is_some_and(|max| self.running >= max)
+    }
+
     /// How much longer it is cold.
     fn cold_left(&self) -> Duration {
         self.cold_for.saturating_sub(self.started_at.elapsed())
