Tell in a request's line how replacements of silent targets end

The line of a request had neither that its target was silent nor whether that target went on or another one took over, and `silent_ms` of a cut response began anew with each target that was selected in place of the silent one.

RequestRecord gets `silent_target` (`silent=TARGET silent_ms=N`), `replacement_cancelled` and `replacement_took_over` (`replacement=cancelled` or `took_over`, with `source=TARGET`). A silence lasts until a target sends something. Nothing calls them yet: the relay is to.

Tests: tests/deployment/request_lines.rs.

--- a/src/gateway/request_record.rs
+++ b/src/gateway/request_record.rs
@@ -20,6 +20,7 @@
 use crate::fleet::streams::StreamOrigin;
 use crate::ids::{ServiceId, TargetStart};
 use crate::quarantine::Fingerprint;
+use crate::telemetry::logs::or_dash;
 use crate::telemetry::metrics::label;
 
 /// How a request ended.
@@ -115,8 +116,10 @@
     fingerprint: Cell<Option<Fingerprint>>,
     first_part: Cell<Option<Duration>>,
     relayed: Cell<Relayed>,
-    /// When the target last sent something, or was sent the request.
+    /// When the target, or one that is to replace it, last sent something or was sent the request.
     target_active_at: Cell<Option<BootTime>>,
+    /// Since when the target has been silent; `None` if no other one is to replace it.
+    silent_since: Cell<Option<BootTime>>,
     /// Who cut the response short, and why.
     cut: RefCell<Option<(CutBy, String)>>,
     outcome: Cell<Outcome>,
@@ -145,6 +148,7 @@
             first_part: Cell::default(),
             relayed: Cell::default(),
             target_active_at: Cell::default(),
+            silent_since: Cell::default(),
             cut: RefCell::default(),
             outcome: Cell::new(Outcome::CallerLeft),
         }
@@ -182,7 +186,7 @@
         self.add_step(format_args!(
             " at_ms={at_ms} target={target} software={software} {trace} reused={is_reused}"
         ));
-        self.target_active();
+        self.target_active_at.set(Some(boot_now()));
     }
 
     /// Records that the head of a response has arrived, with the load and the rate limit that the
@@ -190,7 +194,7 @@
     pub fn response_received(&self, response_metadata: &ResponseMetadata) {
         let at_ms = self.elapsed().as_millis();
         self.add_step(format_args!(" answered_ms={at_ms}"));
-        self.target_active();
+        self.target_active_at.set(Some(boot_now()));
         if let Some(load) = response_metadata.load {
             self.add_step(format_args!(" running={} waiting={}", load.running, load.waiting));
         }
@@ -227,7 +231,7 @@
         let at_ms = self.elapsed().as_millis();
         self.gateway.metrics.forwarded_attempts.add(1, &[]);
         self.add_step(format_args!(" at_ms={at_ms} forwarded_to={ip} reused={is_reused}"));
-        self.target_active();
+        self.target_active_at.set(Some(boot_now()));
     }
 
     /// Records that another entry had no response for a forwarded attempt.
@@ -242,6 +246,35 @@
         self.add_step(format_args!(" at_ms={at_ms} why={why}"));
     }
 
+    /// Records that a silent target is to be replaced; `None` if another entry has not named it yet. To
+    /// be called before the replacement is selected, which counts as activity.
+    pub fn silent_target(&self, target: Option<&TargetStart>) {
+        let active_at = self.target_active_at.get().unwrap_or(self.started_at);
+        let since = self.silent_since.get().unwrap_or(active_at);
+        self.silent_since.set(Some(since));
+        let at_ms = self.elapsed().as_millis();
+        let silent_ms = boot_now().saturating_sub(since).as_millis();
+        let target = or_dash(target);
+        self.add_step(format_args!(" at_ms={at_ms} silent={target} silent_ms={silent_ms}"));
+    }
+
+    /// Records that a replacement is cancelled since the silent target, given here, went on.
+    pub fn replacement_cancelled(&self, target: Option<&TargetStart>) {
+        self.replacement_ended("cancelled", target);
+    }
+
+    /// Records that a replacement, given here, has taken over from the silent target.
+    pub fn replacement_took_over(&self, target: Option<&TargetStart>) {
+        self.replacement_ended("took_over", target);
+    }
+
+    fn replacement_ended(&self, ending: &str, source: Option<&TargetStart>) {
+        self.silent_since.take();
+        let at_ms = self.elapsed().as_millis();
+        let source = or_dash(source);
+        self.add_step(format_args!(" at_ms={at_ms} replacement={ending} source={source}"));
+    }
+
     /// Records whether the retry budget allows another attempt.
     pub fn retry_decided(&self, service: &ServiceId, decision: &RetryDecision) {
         let RetryDecision { is_granted, retries, allowed, entries } = decision;
@@ -288,6 +321,7 @@
 
     /// Records that the target has sent data.
     pub fn target_active(&self) {
+        self.silent_since.take();
         self.target_active_at.set(Some(boot_now()));
     }
 
@@ -337,8 +371,9 @@
     fn log_cut(&self, by: CutBy, reason: &str) {
         let Relayed { events, bytes } = self.relayed.get();
         let silent_ms = self
-            .target_active_at
+            .silent_since
             .get()
+            .or(self.target_active_at.get())
             .map_or(-1, |active_at| boot_now().saturating_sub(active_at).as_millis() as i64);
         let newest = self.gateway.table().map_or(0, |table| table.deployment().version);
         log::log!(
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -55,6 +55,7 @@
 mod refused_forwards;
 mod regions;
 mod replicas;
+mod request_lines;
 mod restarts;
 mod retry_reserve;
 mod rollout;
