--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -59,6 +59,7 @@
 mod refused_forwards;
 mod regions;
 mod replicas;
+mod request_lines;
 mod restarts;
 mod retry_reserve;
 mod rollout;
