Test that an entry which did not take one body is asked again

An entry without memory for a forwarded body, or with a shorter limit, answers that it could not read the request. The entry that asked takes it for unreachable, and refuses the next request with 503.

--- a/tests/deployment/refused_forwards.rs
+++ b/tests/deployment/refused_forwards.rs
@@ -1,12 +1,15 @@
 //! Connections between entries after an attempt that the asked entry refuses.
 
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
+use std::sync::Arc;
 
 use kumquatpost::control::entry_directory::PeerEntry;
+use kumquatpost::control::frames::Update;
 use kumquatpost::gateway::routed_request::Origin;
 use kumquatpost::gateway::server;
+use kumquatpost::net::body_memory::{BodyMemory, Reservation};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -61,23 +64,29 @@
 
 /// Starts an entry that reaches no target, and the only other entry that it knows.
 async fn cut_entry_and_peer(network: u8) -> (Entry, BusyPeer, [CutAddress; 2]) {
+    let ip = loopback(network);
+    let peer = BusyPeer::start(SocketAddr::new(ip, PEER_PORT)).await;
+    let (entry, cut) = cut_entry(ip).await;
+    (entry, peer, cut)
+}
+
+/// Starts an entry that reaches no target, and knows one other entry.
+async fn cut_entry(other: IpAddr) -> (Entry, [CutAddress; 2]) {
     let cut = [CutAddress::new(Cut::Refused).await, CutAddress::new(Cut::Refused).await];
     let targets = vec![target("i-1", "app", cut[0].address), target("i-2", "app", cut[1].address)];
     let entry = start_entry(deployment_with_long_timeouts(), targets).await;
-    let ip = loopback(network);
-    let peer = BusyPeer::start(SocketAddr::new(ip, PEER_PORT)).await;
-    let named = PeerEntry { ip, failure_domain: "a".to_string(), start: 1 };
+    let named = PeerEntry { ip: other, failure_domain: "a".to_string(), start: 1 };
     entry.gateway.peers.borrow_mut().observe(vec![named]);
-    (entry, peer, cut)
+    (entry, cut)
 }
 
 /// Starts an entry that makes attempts for others.
-async fn asked_entry() -> (Entry, StandIn, SocketAddr) {
+async fn asked_entry(address: SocketAddr) -> (Entry, StandIn, SocketAddr) {
     let mut deployment = deployment_with_long_timeouts();
     deployment.request_limits.body_bytes = MAX_BODY_BYTES;
     let only = StandIn::start(vec![(ok_response("done"), AfterAnswer::KeepOpen); 10]).await;
     let entry = start_entry(deployment, vec![target("i-1", "app", only.address)]).await;
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let listener = TcpListener::bind(address).await.expect("a port");
     let address = listener.local_addr().expect("an address");
     let (closing, closed) = watch::channel(false);
     let gateway = entry.gateway.clone();
@@ -119,7 +128,7 @@
             ("not read, too long", too_long.clone(), too_long.len() - 2),
         ];
         for (name, refused, sent) in cases {
-            let (_asked, only, address) = asked_entry().await;
+            let (_asked, only, address) = asked_entry(SocketAddr::from(([127, 0, 0, 1], 0))).await;
             let mut stream = TcpStream::connect(address).await.expect("the entry listens");
             let (begin, rest) = refused.split_at(sent);
             stream.write_all(begin.as_bytes()).await.expect("the connection is open");
@@ -153,3 +162,54 @@
         assert_eq!(peer.connections.get(), requests, "one connection for each");
     });
 }
+
+/// Takes all memory for bodies.
+fn take_memory(memory: &BodyMemory) -> Vec<Reservation> {
+    let (mut taken, mut size_bytes) = (Vec::new(), 1 << 30);
+    while size_bytes > 0 {
+        let mut reservation = memory.reservation();
+        match reservation.grow(size_bytes) {
+            Ok(()) => taken.push(reservation),
+            Err(_) => size_bytes /= 2,
+        }
+    }
+    taken
+}
+
+// Guards against an entry that is taken for unreachable since it had no memory for the body of one request.
+#[test]
+fn an_entry_that_had_no_memory_for_a_body_is_asked_again_at_once() {
+    run_local(async {
+        let ip = loopback(202);
+        let (asked, only, _) = asked_entry(SocketAddr::new(ip, PEER_PORT)).await;
+        let (asking, _cut) = cut_entry(ip).await;
+        let taken = take_memory(&asked.gateway.body_memory);
+        let got = asking.call("/once/", "r1").await;
+        assert_eq!(got.status, 503, "{}", got.text);
+        drop(taken);
+        let got = asking.call("/once/", "r2").await;
+        assert_eq!(got.status, 200, "{}", got.text);
+        assert_eq!(only.request_count(), 1);
+    });
+}
+
+// Guards against the same since its deployment, another one than that of the entry that asks, allows shorter
+// bodies only.
+#[test]
+fn an_entry_that_allows_shorter_bodies_is_asked_again_at_once() {
+    run_local(async {
+        let ip = loopback(203);
+        let (asked, only, _) = asked_entry(SocketAddr::new(ip, PEER_PORT)).await;
+        let (asking, _cut) = cut_entry(ip).await;
+        for (version, body_bytes, expected) in [(2, 3, 503), (3, MAX_BODY_BYTES, 200)] {
+            let mut deployment = deployment_with_long_timeouts();
+            deployment.version = version;
+            deployment.request_limits.body_bytes = body_bytes;
+            let update = Update::Deployment(Arc::new(deployment));
+            asked.gateway.observe(update).expect("a valid update");
+            let got = asking.call("/once/", &format!("r{version}")).await;
+            assert_eq!(got.status, expected, "{}", got.text);
+        }
+        assert_eq!(only.request_count(), 1);
+    });
+}
