Ask an entry again that did not take the body of one request

Callers of an entry that reaches no target were refused with 503 after another entry had no memory for one forwarded body, or allowed shorter ones only: that entry answered as if it had not read the request, which looks like a lost path, and was not asked for 500 ms or more. It now has a result of its own for it, after which a third entry is asked and nothing is concluded. While entries of two versions run, one of the earlier version can't decode the result: it takes the request for one that may have run, and does not ask a third entry.

refused_forwards::an_entry_that_had_no_memory_for_a_body_is_asked_again_at_once and ::an_entry_that_allows_shorter_bodies_is_asked_again_at_once: 503 before, 200 now.

--- a/.ci/mutations.py
+++ b/.ci/mutations.py
@@ -657,6 +657,8 @@
      "                biased;\n                served = connection", "                served = connection", "process", "shutdown"),
     ("silent engines: taken for busy once they go on", "src/scheduler/engine.rs",
      "(self.prefill_free_at.max(now) + by).min(latest)", "self.prefill_free_at.max(now) + by", "deployment", "common_silence"),
+    ("entries: blamed for a body that they do not take", "src/gateway/forwarding.rs",
+     "ForwardedResult::BodyNotTaken => return None,", "ForwardedResult::BodyNotTaken => { gateway.peers.borrow_mut().unreachable(ip, boot_now()); return None; }", "deployment", "refused_forwards"),
     ("answers in hand: dropped for a refusal", "src/gateway/request.rs",
      "in_hand = answer.or(in_hand);", "in_hand = answer.filter(|_| false);", "deployment", "answers_in_hand"),
     ("answers in hand: only those of an announced length", "src/gateway/buffered_body.rs",
--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -83,6 +83,8 @@
     NotAccepted,
     /// The entry could not read the request.
     NotRead,
+    /// The entry has no memory for the body, or its deployment allows shorter ones only.
+    BodyNotTaken,
     /// The entry found no target.
     NoTarget,
     OldWeights,
@@ -264,6 +266,8 @@
             gateway.peers.borrow_mut().unreachable(ip, boot_now());
             return None;
         }
+        // Tells nothing of the path, and it may take the next request.
+        ForwardedResult::BodyNotTaken => return None,
         ForwardedResult::NoTarget => {
             // It may lack only targets of the software version that is needed.
             if routed.software.is_none() {
@@ -334,6 +338,9 @@
     let body = read_body(body, max_bytes, &gateway.body_memory, deadline).await;
     let (attempt, body) = match (attempt, body) {
         (Some(attempt), Ok(body)) => (attempt, body),
+        (Some(_), Err(Refusal::OutOfMemory | Refusal::BodyTooLarge)) => {
+            return closing_response(ForwardedResult::BodyNotTaken, &record);
+        }
         (Some(_), Err(_)) => return closing_response(ForwardedResult::NotRead, &record),
         (None, Ok(_)) => return respond(ForwardedResult::NotAccepted, &record),
         (None, Err(_)) => return closing_response(ForwardedResult::NotAccepted, &record),
@@ -396,6 +403,7 @@
         ForwardedResult::OldWeights => Refusal::OldWeights,
         ForwardedResult::TooLate => Refusal::TooLate,
         ForwardedResult::NotAccepted | ForwardedResult::NotRead => Refusal::ShuttingDown,
+        ForwardedResult::BodyNotTaken => Refusal::OutOfMemory,
         ForwardedResult::Relayed { .. }
         | ForwardedResult::NoTarget
         | ForwardedResult::NotRun(_) => Refusal::NoTarget,
