--- a/tests/deployment/scarce_descriptors.rs
+++ b/tests/deployment/scarce_descriptors.rs
@@ -1,5 +1,9 @@
 //! Entries that can't open connections to targets since all their descriptors are in use.
 
+use std::io;
+
+use kumquatpost::net::lacks_local_resources;
+use rustix::io::Errno;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -92,3 +96,15 @@
         assert!(requests.iter().all(|count| *count > 0), "all are used: {requests:?}");
     });
 }
+
+// Guards against a path that is taken for lost since the host has no local port left to connect from.
+#[test]
+fn a_lack_of_ports_or_memory_is_a_local_one_as_well() {
+    for errno in [Errno::MFILE, Errno::NFILE, Errno::NOBUFS, Errno::NOMEM, Errno::ADDRNOTAVAIL] {
+        assert!(lacks_local_resources(&io::Error::from(errno)), "{errno}");
+    }
+    for errno in [Errno::CONNREFUSED, Errno::CONNRESET, Errno::TIMEDOUT, Errno::HOSTUNREACH] {
+        assert!(!lacks_local_resources(&io::Error::from(errno)), "{errno}");
+    }
+    assert!(!lacks_local_resources(&io::ErrorKind::TimedOut.into()));
+}
