Don't take a lack of local ports for a lost path

An entry whose host has no local port left took targets for unreachable and their path for lost, and asked other entries or refused requests until the path was restored. EADDRNOTAVAIL now counts as a lack of its own resources, as a lack of descriptors does: the attempt has not run, and nothing is concluded.

scarce_descriptors::a_lack_of_ports_or_memory_is_a_local_one_as_well fails before and passes now. It tests the function: a host was not run out of ports.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -49,10 +49,10 @@
     Ok(stream)
 }
 
-/// Whether a connection could not be opened since this process or its host lacks descriptors or memory, which
-/// tells nothing of the peer and the path to it.
+/// Whether a connection could not be opened since this process or its host lacks descriptors, memory or local
+/// ports, which tells nothing of the peer and the path to it.
 pub fn lacks_local_resources(error: &io::Error) -> bool {
-    let lacking = [Errno::MFILE, Errno::NFILE, Errno::NOBUFS, Errno::NOMEM];
+    let lacking = [Errno::MFILE, Errno::NFILE, Errno::NOBUFS, Errno::NOMEM, Errno::ADDRNOTAVAIL];
     Errno::from_io_error(error).is_some_and(|errno| lacking.contains(&errno))
 }
 
