--- a/tests/process/shutdown.rs
+++ b/tests/process/shutdown.rs
@@ -167,6 +167,31 @@
     }
 }
 
+/// Guards against the same for new connections, which a busy node has not accepted yet.
+#[test]
+fn requests_on_connections_that_open_before_a_planned_stop_are_answered() {
+    const CALLERS: usize = 20;
+    const REQUEST: &[u8] = b"GET /v1/status HTTP/1.1\r\nHost: node\r\n\r\n";
+    for listener in ["operators", "callers"] {
+        let mut env = start_node(Duration::from_secs(20));
+        env.nodes[0].signal("STOP");
+        let mut callers = Vec::new();
+        for _ in 0..CALLERS {
+            let mut caller =
+                TcpStream::connect(env.nodes[0].ready_value(listener)).expect("the node listens");
+            caller.set_read_timeout(Some(Duration::from_secs(10))).expect("a socket");
+            caller.write_all(REQUEST).expect("the connection is open");
+            callers.push(caller);
+        }
+        env.nodes[0].signal("TERM");
+        env.nodes[0].signal("CONT");
+        let texts = callers.iter_mut().map(read_answer);
+        let answered = texts.filter(|text| text.starts_with("HTTP/1.1 ")).count();
+        assert_eq!(answered, CALLERS, "{listener}: requests that were answered");
+        assert_eq!(env.nodes[0].exit_code(), Some(0), "{listener}");
+    }
+}
+
 const HALF_ORDER: &str = "POST /v1/services/part-order/orders HTTP/1.1\r\n\
                           Authorization: Bearer key-of-anna\r\nIdempotency-Key: half\r\n";
 const HALF_PATCH: &str = "PATCH /v1/config HTTP/1.1\r\nIf-Match: \"1\"\r\n\
