Bound what a connection to a target reads ahead of its caller

Callers that read slowly could make an entry run out of memory: what hyper reads from a target of a long answer is not counted with bodies, and grew to its default of 408 KB for each connection.

Cause: the connections to targets were opened with hyper's default read buffer. They get 64 KB now, which also bounds the head of a response (a target whose head is longer, which was taken up to 408 KB before, counts as broken).

a_connection_to_a_target_holds_little_of_a_long_answer: 417,792 bytes read at once before, passes now with 65,536 allowed.

--- a/.ci/mutations.py
+++ b/.ci/mutations.py
@@ -339,6 +339,8 @@
      "request.cache_namespace,", "\"\",", "deployment", "scheduling"),
     ("platform: what may have run is sent again", "src/gateway/request.rs",
      "let may_repeat = !attempts.may_have_run() || routed.route.policy.may_repeat();", "let may_repeat = true;", "deployment", "gateway"),
+    ("memory: a connection to a target reads far ahead of a caller", "src/gateway/pool.rs",
+     "            .max_buf_size(READ_BUFFER_BYTES)\n", "", "deployment", "slow_readers"),
     ("memory: bodies are held without a bound", "src/net/body_memory.rs",
      "        taken.map_err(|_| OutOfMemory)?;\n", "        let _ = taken;\n", "deployment", "held_bodies"),
     ("memory: long bodies keep out short ones", "src/net/body_memory.rs",
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -31,6 +31,10 @@
 /// Idle timeout of targets that don't send one.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Bounds the head of a response, and what is read of a response before its caller takes it. Thousands of callers
+/// that read slowly fit so into the memory of an entry.
+const READ_BUFFER_BYTES: usize = 64 << 10;
+
 /// Idle connections to targets or other entries.
 pub struct Pool<Peer> {
     /// The idle connections of each peer, the most recently used one last.
@@ -132,6 +136,7 @@
     pub async fn open(to: SocketAddr) -> std::io::Result<Connection> {
         let stream = net::connect(to, CONNECT_TIMEOUT, ACK_TIMEOUTS.short_request).await?;
         let (sender, connection) = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
             .handshake(TokioIo::new(ClientStream::new(stream, ACK_TIMEOUTS)))
             .await
             .map_err(std::io::Error::other)?;
