Relay whichever of a silent target and its replacement begins first

And a comment, a part of an event or an empty body without framing counted as the start of a replacement, for which a sound target was given up; an empty 200 could reach the caller.

Both are held to the same now: a stream begins with its first whole event, and a server error waits for the other one. It is kept as an answer in hand, which leaves its target free. A replacement's short body counts once it is whole.

--- a/src/gateway/answer_in_hand.rs
+++ b/src/gateway/answer_in_hand.rs
@@ -34,13 +34,25 @@
         received: TargetResponse,
         record: &RequestRecord,
     ) -> Option<AnswerInHand> {
-        let TargetResponse { responder, response, response_metadata, mut connection, .. } =
-            received;
+        let TargetResponse {
+            responder,
+            response,
+            body_read,
+            response_metadata,
+            mut connection,
+            ..
+        } = received;
         let status = response.status();
         let headers = headers::response_for_caller(response.headers());
         let deadline = routed.deadline.min(Instant::now() + READ_TIMEOUT);
-        let body = response.into_body();
-        match buffered_body::read_if_short(body, &gateway.body_memory, deadline).await {
+        let read = match body_read {
+            Some(body) => Ok(Some(body)),
+            None => {
+                let body = response.into_body();
+                buffered_body::read_if_short(body, &gateway.body_memory, deadline).await
+            }
+        };
+        match read {
             Ok(Some(body)) => {
                 connection.set_idle_timeout(response_metadata.idle_timeout);
                 if !response_metadata.closes {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -12,6 +12,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::attempts::Attempts;
+use super::buffered_body;
 use super::forwarding;
 use super::handover::{AttemptState, Recipient};
 use super::in_flight::InFlightRequest;
@@ -19,6 +20,7 @@
 use super::pool::{Connection, SendOutcome};
 use super::request_record::RequestRecord;
 use super::responder::Responder;
+use super::response::RelayError;
 use super::routed_request::{Origin, RoutedRequest};
 use super::state::Gateway;
 use super::target_selection::{self, NoTarget, SelectedTarget};
@@ -44,8 +46,8 @@
     pub software: SoftwareVersion,
     /// The head, with the body still to be read.
     pub response: Response<Incoming>,
-    /// The start of the body, if it has been read already.
-    pub body_start: Option<Bytes>,
+    /// What has been read of the body: the first events of a stream, or else a whole body.
+    pub body_read: Option<Bytes>,
     /// Metadata from the headers.
     pub response_metadata: ResponseMetadata,
     /// The connection, which returns to the pool after the body has been read.
@@ -54,6 +56,23 @@
     pub sent_at: BootTime,
 }
 
+impl TargetResponse {
+    /// Reads a whole body that is short, or takes the one that has been read. Returns `None` if it is to
+    /// be streamed.
+    pub async fn read_short_body(
+        &mut self,
+        gateway: &Gateway,
+        deadline: Instant,
+    ) -> Option<Result<Bytes, RelayError>> {
+        if let Some(body) = self.body_read.take() {
+            return Some(Ok(body));
+        }
+        let body = self.response.body_mut();
+        let reservation = buffered_body::reserve(body, &gateway.body_memory)?;
+        Some(buffered_body::read(body, deadline).await.map(|body| reservation.hold(body)))
+    }
+}
+
 /// Why an attempt has no response to relay.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum AttemptError {
@@ -72,18 +91,6 @@
     TimedOut(Option<TargetStart>),
 }
 
-impl AttemptError {
-    /// The target that the request was sent to, if it is known.
-    pub fn into_target(self) -> Option<TargetStart> {
-        match self {
-            AttemptError::NotRun(target)
-            | AttemptError::MayHaveRun(target)
-            | AttemptError::TimedOut(target) => target,
-            AttemptError::NoTarget(_) | AttemptError::Held(_) | AttemptError::TooLate => None,
-        }
-    }
-}
-
 impl fmt::Display for AttemptError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -153,7 +160,7 @@
     }
     let lacks_path = gateway.lacks_path(service);
     if lacks_path && input.replaces == Some(&Recipient::Entry) {
-        // Another entry may find that it has no target only once the request runs nowhere.
+        // It is not known which target runs the request there, so that another entry might choose the same.
         return Err(AttemptError::NoTarget(NoTarget::Selection(SelectionError::NoHealthyTarget)));
     }
     if lacks_path && let Some(made) = forwarding::forward(gateway, input, record).await {
@@ -262,7 +269,7 @@
             responder,
             software,
             response,
-            body_start: None,
+            body_read: None,
             response_metadata,
             connection,
             sent_at,
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -18,6 +18,12 @@
         self.targets.extend(target);
     }
 
+    /// Adds an attempt that may have run the request.
+    pub fn add_run(&mut self, target: Option<TargetStart>) {
+        self.add(target);
+        self.mark_may_have_run();
+    }
+
     /// Adds a target that did not run the request, and must not be asked again.
     pub fn avoid(&mut self, target: Option<TargetStart>) {
         self.targets.extend(target);
@@ -28,8 +34,7 @@
         match error {
             AttemptError::NotRun(target) => self.avoid(target),
             AttemptError::MayHaveRun(target) | AttemptError::TimedOut(target) => {
-                self.add(target);
-                self.mark_may_have_run();
+                self.add_run(target);
             }
             AttemptError::NoTarget(_) | AttemptError::Held(_) | AttemptError::TooLate => {}
         }
--- a/src/gateway/buffered_body.rs
+++ b/src/gateway/buffered_body.rs
@@ -25,7 +25,7 @@
 ///
 /// # Errors
 /// If the body is cut short, too long, or not complete by the deadline.
-pub async fn read(body: Incoming, deadline: Instant) -> Result<Bytes, RelayError> {
+pub async fn read(body: &mut Incoming, deadline: Instant) -> Result<Bytes, RelayError> {
     let body = Limited::new(body, MAX_BUFFERED_BYTES as usize).collect();
     Ok(timeout_at(deadline, body).await??.to_bytes())
 }
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -3,7 +3,7 @@
 use bytes::{Bytes, BytesMut};
 
 /// Largest incomplete event that is buffered.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+pub const MAX_EVENT_BYTES: usize = 1 << 20;
 
 /// Buffers the incomplete event at the end of a stream.
 #[derive(Debug, Default)]
@@ -68,6 +68,12 @@
     bytes.windows(2).rposition(|pair| pair == b"\n\n").map(|position| position + 2)
 }
 
+/// Whether an event ends in these bytes, which comments alone are not.
+pub fn has_event(bytes: &[u8]) -> bool {
+    let whole = end_of_last_event(bytes).map_or(&[][..], |end| &bytes[..end]);
+    whole.split(|byte| *byte == b'\n').any(|line| !line.is_empty() && !line.starts_with(b":"))
+}
+
 /// Number of events that end in these bytes.
 pub fn count(bytes: &[u8]) -> usize {
     bytes.windows(2).filter(|pair| *pair == b"\n\n").count()
--- a/src/gateway/first_response.rs
+++ b/src/gateway/first_response.rs
@@ -1,4 +1,4 @@
-//! Waits for the head of a response. An attempt at a silent target runs on until the response of another
+//! Waits for the start of a response. An attempt at a silent target runs on until the response of another
 //! target has begun.
 
 use std::rc::Rc;
@@ -7,7 +7,8 @@
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
 
-use super::attempt::{AttemptError, AttemptInput, TargetResponse, attempt};
+use super::answer_in_hand::AnswerInHand;
+use super::attempt::{AttemptError, AttemptInput, TargetResponse};
 use super::attempts::Attempts;
 use super::handover::{AttemptState, Recipient};
 use super::replacement::attempt_until_begun;
@@ -15,7 +16,7 @@
 use super::routed_request::RoutedRequest;
 use super::state::Gateway;
 
-/// A request that may be repeated waits this multiple of the route's objective for the head of the
+/// A request that may be repeated waits this multiple of the route's objective for the start of the
 /// response before another target is tried.
 const OBJECTIVES_BEFORE_RETRY: u32 = 2;
 /// Shortest such wait for a prompt. A retry makes a second engine read the whole prompt, which
@@ -32,20 +33,12 @@
     made: LocalBoxFuture<'a, Made>,
 }
 
-/// What became of an attempt to replace another one, whose target is silent.
-enum Replacement<'a> {
-    /// Its response has begun. The other one is given up.
-    Begun(Box<TargetResponse>),
-    /// It has failed, with a server error. The other one runs on, and may have a better answer.
-    ServerError(Box<TargetResponse>),
-    /// It has no response. The other one runs on.
-    Failed(AttemptError),
-    /// Its target is silent as well. It is cancelled, and the other one runs on.
-    Silent,
-    /// The other one has a response, or failed before this one was sent.
-    Needless(Box<Made>),
-    /// The other one has failed, and this one runs on.
-    Alone(Running<'a>, AttemptError),
+/// What came first after another target was asked in place of a silent one.
+enum Race {
+    Original(Made),
+    Replacement(Made),
+    /// The target of the replacement has been silent for too long as well.
+    BothSilent,
 }
 
 impl<'a> Running<'a> {
@@ -66,10 +59,7 @@
                 replaces: replaces.as_ref(),
                 state: &shared,
             };
-            match input.replaces {
-                None => attempt(gateway, input, record).await,
-                Some(_) => attempt_until_begun(gateway, input, record).await,
-            }
+            attempt_until_begun(gateway, input, record).await
         };
         Running { state, made: made.boxed_local() }
     }
@@ -85,33 +75,14 @@
         }
     }
 
-    /// Lets `next` replace this attempt, whose target is silent. Whichever has a response first goes on:
-    /// what keeps one target silent may keep all of them silent. If `limit` is given, `next` is cancelled
-    /// once its target has been silent for as long.
-    async fn replace_by(
-        &mut self,
-        mut next: Running<'a>,
-        limit: Option<Duration>,
-    ) -> Replacement<'a> {
-        let made = tokio::select! {
+    /// Waits for the end of this attempt or of its replacement, or until the recipient of the replacement
+    /// has been silent for `limit`, if there is one.
+    async fn race(&mut self, replacement: &mut Running<'a>, limit: Option<Duration>) -> Race {
+        tokio::select! {
             biased;
-            made = &mut self.made => match made {
-                Err(error) if next.state.recipient().is_some() => {
-                    return Replacement::Alone(next, error);
-                }
-                made => return Replacement::Needless(Box::new(made)),
-            },
-            made = next.ended_within(limit) => made,
-        };
-        match made {
-            None => Replacement::Silent,
-            Some(Err(error)) => Replacement::Failed(error),
-            Some(Ok(received)) if received.response.status().is_server_error() => {
-                Replacement::ServerError(Box::new(received))
-            }
-            Some(Ok(received)) => {
-                self.end().await;
-                Replacement::Begun(Box::new(received))
+            made = &mut self.made => Race::Original(made),
+            made = replacement.ended_within(limit) => {
+                made.map_or(Race::BothSilent, Race::Replacement)
             }
         }
     }
@@ -123,7 +94,9 @@
     }
 }
 
-/// Makes an attempt, and others in its place while targets are silent.
+/// Makes an attempt, and others beside it while targets are silent: what keeps one target silent may keep
+/// all of them silent, so that the first one is given up only once the response of another has begun. The
+/// answer of a target with a server error is put into `in_hand` if another attempt runs on.
 ///
 /// # Errors
 /// If the last one has no response.
@@ -131,78 +104,84 @@
     gateway: &Rc<Gateway>,
     routed: &RoutedRequest,
     attempts: &mut Attempts,
+    in_hand: &mut Option<AnswerInHand>,
     record: &RequestRecord,
 ) -> Made {
     let mut running = Running::start(gateway, routed, attempts.clone(), None, record);
-    let mut server_error = None;
     let mut next_wait = None;
     while let Some(limit) = silence_limit(routed, attempts) {
         if let Some(made) = running.ended_within(Some(next_wait.unwrap_or(limit))).await {
-            return or_server_error(made, server_error, attempts);
+            return made;
         }
         next_wait = Some(REPLACEMENT_INTERVAL);
         let Some(recipient) = running.state.recipient() else { continue };
         let Some(taken_at) = gateway.take_retry(&routed.service, record) else { continue };
+        let silent = recipient.clone().into_target();
+        record.silent_target(silent.as_ref());
         let mut tried = attempts.clone();
-        tried.add(recipient.clone().into_target());
-        let next_limit = silence_limit(routed, &tried);
-        let next = Running::start(gateway, routed, tried, Some(recipient.clone()), record);
-        let state = next.state.clone();
-        let replacement = running.replace_by(next, next_limit).await;
-        let sent_to = state.recipient();
+        tried.add(silent.clone());
+        let limit = silence_limit(routed, &tried);
+        let mut replacement = Running::start(gateway, routed, tried, Some(recipient), record);
+        let first = running.race(&mut replacement, limit).await;
+        let sent_to = replacement.state.recipient();
         if sent_to.is_none() {
             gateway.return_retry(&routed.service, taken_at, record);
         }
-        match replacement {
-            Replacement::Begun(received) => {
-                attempts.add(recipient.into_target());
-                attempts.mark_may_have_run();
-                return Ok(*received);
+        match first {
+            Race::Replacement(Ok(received)) if has_server_error(&received) => {
+                attempts.add_run(received.responder.target().cloned());
+                put_in_hand(gateway, routed, received, in_hand, record).await;
             }
-            Replacement::ServerError(received) => {
-                attempts.add(received.responder.target().cloned());
-                attempts.mark_may_have_run();
-                server_error = Some(*received);
+            Race::Replacement(Ok(received)) => {
+                running.end().await;
+                record.replacement_took_over(silent.as_ref());
+                attempts.add_run(silent);
+                return Ok(received);
             }
-            Replacement::Failed(error) => attempts.add_failed(error),
-            Replacement::Silent => {
-                attempts.add(sent_to.and_then(Recipient::into_target));
-                attempts.mark_may_have_run();
-                next_wait = Some(Duration::ZERO);
+            Race::Replacement(Err(error)) => attempts.add_failed(error),
+            Race::Original(Ok(received)) if sent_to.is_some() && has_server_error(&received) => {
+                attempts.add_run(received.responder.target().cloned());
+                put_in_hand(gateway, routed, received, in_hand, record).await;
+                running = replacement;
+                next_wait = None;
             }
-            Replacement::Needless(made) => {
+            Race::Original(Err(error)) if sent_to.is_some() => {
+                attempts.add_failed(error);
+                running = replacement;
+                next_wait = None;
+            }
+            Race::Original(made) => {
                 if let Some(recipient) = sent_to {
-                    attempts.add(recipient.into_target());
-                    attempts.mark_may_have_run();
+                    record.replacement_cancelled(silent.as_ref());
+                    attempts.add_run(recipient.into_target());
                 }
-                return or_server_error(*made, server_error, attempts);
+                return made;
             }
-            Replacement::Alone(next, error) => {
-                attempts.add_failed(error);
-                running = next;
-                next_wait = None;
+            Race::BothSilent => {
+                attempts.add_run(sent_to.and_then(Recipient::into_target));
+                next_wait = Some(Duration::ZERO);
             }
         }
     }
-    or_server_error(running.made.await, server_error, attempts)
+    running.made.await
 }
 
-/// The server error of another target, which has been counted as an attempt, in place of no response.
-fn or_server_error(
-    made: Made,
-    server_error: Option<TargetResponse>,
-    attempts: &mut Attempts,
-) -> Made {
-    match (made, server_error) {
-        (Err(error), Some(received)) => {
-            attempts.avoid(error.into_target());
-            Ok(received)
-        }
-        (made, _) => made,
-    }
+fn has_server_error(received: &TargetResponse) -> bool {
+    received.response.status().is_server_error()
+}
+
+async fn put_in_hand(
+    gateway: &Rc<Gateway>,
+    routed: &RoutedRequest,
+    received: TargetResponse,
+    in_hand: &mut Option<AnswerInHand>,
+    record: &RequestRecord,
+) {
+    let answer = AnswerInHand::read(gateway, routed, received, record).await;
+    *in_hand = answer.or(in_hand.take());
 }
 
-/// How long to wait for the head of the response before another target is tried; `None` if this is
+/// How long to wait for the start of the response before another target is tried; `None` if this is
 /// the last target.
 fn silence_limit(routed: &RoutedRequest, attempts: &Attempts) -> Option<Duration> {
     let has_another =
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -181,6 +181,7 @@
         let Some(taken_at) = self.gateway.take_retry(service, &self.record) else {
             return SourceRead::Silent;
         };
+        self.record.silent_target(source.responder.target());
         let (recipient, state) = (source.responder.recipient(), AttemptState::default());
         let last = last_event(&self.events, &self.routed);
         let input = AttemptInput {
@@ -193,11 +194,18 @@
         let may_try_further = self.attempts.count() + 1 < self.routed.route.attempts;
         let limit = may_try_further.then(|| max_gap(&self.routed));
         let mut replacement = Box::pin(attempt_until_begun(&self.gateway, input, &self.record));
-        let first = tokio::select! {
-            biased;
-            read = source.read(&mut self.events, &self.record) => Race::Source(read),
-            made = &mut replacement => Race::Replacement(Box::new(made)),
-            () = state.silent_for(limit) => Race::BothSilent,
+        let mut silence = std::pin::pin!(state.silent_for(limit));
+        let first = loop {
+            let first = tokio::select! {
+                biased;
+                read = source.read(&mut self.events, &self.record) => Race::Source(read),
+                made = &mut replacement => Race::Replacement(Box::new(made)),
+                () = &mut silence => Race::BothSilent,
+            };
+            // A part of an event may be all that the source still sends.
+            if !matches!(&first, Race::Source(SourceRead::Events(events)) if events.is_empty()) {
+                break first;
+            }
         };
         let sent_to = state.recipient();
         if sent_to.is_none() {
@@ -216,6 +224,7 @@
             }
             Race::Source(read) => {
                 drop(replacement);
+                self.record.replacement_cancelled(source.responder.target());
                 self.add_cancelled(sent_to);
                 return read;
             }
@@ -230,11 +239,12 @@
         let replaced = async {
             tokio::select! {
                 biased;
-                made = replacement => Some(made),
-                () = state.silent_for(limit) => None,
+                made = &mut replacement => Some(made),
+                () = &mut silence => None,
             }
         };
         let ((), made) = futures::join!(ending, replaced);
+        drop(replacement);
         self.events.discard_partial();
         let Some(made) = made else {
             self.add_cancelled(sent_to);
@@ -266,6 +276,7 @@
         }
         self.events.discard_partial();
         let EventRelay { gateway, routed, record, .. } = &*self;
+        record.replacement_took_over(silent.as_ref().and_then(|silent| silent.responder.target()));
         end_source(gateway, routed, record, silent, SILENT, BreakCause::Failure).await;
         SourceRead::Replaced
     }
--- a/src/gateway/relay_source.rs
+++ b/src/gateway/relay_source.rs
@@ -22,8 +22,8 @@
 pub(super) struct Source {
     pub(super) responder: Responder,
     pub(super) software: SoftwareVersion,
-    /// The start of the body, if it was read with the head.
-    body_start: Option<Bytes>,
+    /// The first events, if they were read before.
+    body_read: Option<Bytes>,
     pub(super) body: Incoming,
     pub(super) response_metadata: ResponseMetadata,
     pub(super) connection: Connection,
@@ -63,7 +63,7 @@
             responder,
             software,
             response,
-            body_start,
+            body_read,
             response_metadata,
             mut connection,
             sent_at,
@@ -75,7 +75,7 @@
         Source {
             responder,
             software,
-            body_start,
+            body_read,
             body,
             response_metadata,
             connection,
@@ -91,7 +91,7 @@
         events: &mut EventSplitter,
         record: &RequestRecord,
     ) -> SourceRead {
-        let data = match self.body_start.take() {
+        let data = match self.body_read.take() {
             Some(data) => data,
             None => match self.body.frame().await {
                 None if events.has_partial() => {
--- a/src/gateway/replacement.rs
+++ b/src/gateway/replacement.rs
@@ -1,22 +1,31 @@
-//! An attempt in place of one whose target is silent. That target may be sound and go on, and the other
-//! one may be silent for the same reason, so that the first is kept until the response of the other has
-//! begun.
+//! Attempts whose response has begun. A target may fall silent before that, and be sound all the same: the
+//! entry then asks another one, and relays the response that begins first.
 
 use std::rc::Rc;
 
-use bytes::Bytes;
-use http::StatusCode;
+use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::timeout_at;
 
 use super::attempt::{AttemptError, AttemptInput, TargetResponse, attempt};
+use super::events::{MAX_EVENT_BYTES, has_event};
+use super::relay_source::{BreakCause, Source, end_source};
 use super::request_record::RequestRecord;
-use super::routed_request::RoutedRequest;
+use super::responder::Framing;
 use super::state::Gateway;
 
-/// Makes an attempt and waits until its response has begun: a stream with the first bytes of its body, as
-/// a target may fall silent after the head, and any other response with its head.
+/// How a response begins.
+enum Start {
+    /// With the first events of a stream, or with a whole body; `None` if there is none, or it is long.
+    Read(Option<Bytes>),
+    Broken(String),
+    /// The connection to the target broke.
+    Lost(String),
+}
+
+/// Makes an attempt and waits until its response has begun: a stream with its first event, as a target may
+/// fall silent after the head; a short body of a replacement with its end; any other response with its head.
 ///
 /// # Errors
 /// If no target began a response to this request.
@@ -26,49 +35,61 @@
     record: &RequestRecord,
 ) -> Result<TargetResponse, AttemptError> {
     let mut received = attempt(gateway, input, record).await?;
-    if !is_event_stream(input.routed, received.response.status()) {
-        return Ok(received);
-    }
-    let begun = tokio::select! {
+    let deadline = input.routed.deadline;
+    let start = tokio::select! {
         biased;
         () = input.state.given_up() => None,
-        begun = timeout_at(input.routed.deadline, read_start(received.response.body_mut())) => {
-            begun.ok()
-        }
+        start = timeout_at(deadline, read_start(gateway, input, &mut received)) => start.ok(),
     };
-    match begun {
-        Some(Ok(start)) => {
-            received.body_start = start;
-            Ok(received)
-        }
-        Some(Err(error)) => {
-            let TargetResponse { mut responder, sent_at, .. } = received;
-            let target = responder.target().cloned();
-            record.responder_failed(&responder, &error.to_string());
-            responder.connection_lost(gateway, input.routed);
-            responder.close_broken(gateway, input.routed, sent_at, record).await;
-            Err(AttemptError::MayHaveRun(target))
+    let (reason, cause) = match start {
+        Some(Start::Read(read)) => {
+            received.body_read = read;
+            return Ok(received);
         }
+        Some(Start::Broken(reason)) => (reason, BreakCause::Failure),
+        Some(Start::Lost(reason)) => (reason, BreakCause::Connection),
         None => {
-            record.responder_failed(&received.responder, "no event in time");
+            record.responder_failed(&received.responder, "no answer in time");
             received.responder.failed(gateway);
-            Err(AttemptError::TimedOut(received.responder.target().cloned()))
+            return Err(AttemptError::TimedOut(received.responder.target().cloned()));
         }
-    }
+    };
+    let target = received.responder.target().cloned();
+    let source = Some(Source::new(received));
+    end_source(gateway, input.routed, record, source, &reason, cause).await;
+    Err(AttemptError::MayHaveRun(target))
 }
 
-/// Whether a response with this status is relayed event by event.
-pub fn is_event_stream(routed: &RoutedRequest, status: StatusCode) -> bool {
-    routed.route.policy.is_stream() && status == StatusCode::OK
+async fn read_start(
+    gateway: &Gateway,
+    input: AttemptInput<'_>,
+    received: &mut TargetResponse,
+) -> Start {
+    let status = received.response.status();
+    if input.routed.has_event_stream(status) {
+        let framing = Framing::of(&received.response);
+        return read_first_events(received.response.body_mut(), framing).await;
+    }
+    if input.replaces.is_none() || !status.is_success() {
+        return Start::Read(None);
+    }
+    match received.read_short_body(gateway, input.routed.deadline).await {
+        Some(Ok(body)) => Start::Read(Some(body)),
+        Some(Err(error)) => Start::Lost(error.to_string()),
+        None => Start::Read(None),
+    }
 }
 
-/// Reads the first bytes of a body; `None` if it is empty.
-async fn read_start(body: &mut Incoming) -> Result<Option<Bytes>, hyper::Error> {
-    while let Some(frame) = body.frame().await {
-        let data = frame?.into_data().unwrap_or_default();
-        if !data.is_empty() {
-            return Ok(Some(data));
+/// Reads a stream until its first event is complete.
+async fn read_first_events(body: &mut Incoming, framing: Framing) -> Start {
+    let mut read = BytesMut::new();
+    while !has_event(&read) && read.len() <= MAX_EVENT_BYTES {
+        match body.frame().await {
+            Some(Ok(frame)) => read.extend_from_slice(&frame.into_data().unwrap_or_default()),
+            Some(Err(error)) => return Start::Lost(error.to_string()),
+            None if read.is_empty() && framing == Framing::Marked => return Start::Read(None),
+            None => return Start::Broken("it ends before its first event".to_string()),
         }
     }
-    Ok(None)
+    Start::Read(Some(read.freeze()))
 }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -16,12 +16,10 @@
 use super::answer_in_hand::AnswerInHand;
 use super::attempt::{AttemptError, TargetResponse};
 use super::attempts::Attempts;
-use super::buffered_body;
 use super::first_response::attempt_until_answered;
 use super::metadata::RequestMetadata;
 use super::priority::Priority;
 use super::relay::{self, EventRelay};
-use super::replacement;
 use super::request_record::{Outcome, RequestRecord};
 use super::response::{GatewayResponse, Refusal, full_body, refusal_response};
 use super::routed_request::{Origin, RoutedRequest};
@@ -226,7 +224,8 @@
     let mut attempts = Attempts::default();
     let mut in_hand = None;
     loop {
-        let made = attempt_until_answered(gateway, &routed, &mut attempts, &record).await;
+        let made =
+            attempt_until_answered(gateway, &routed, &mut attempts, &mut in_hand, &record).await;
         let (attempt_refusal, target) = match made {
             Ok(received) => {
                 attempts.add(received.responder.target().cloned());
@@ -322,24 +321,16 @@
     routed: RoutedRequest,
     record: RequestRecord,
     attempts: Attempts,
-    received: TargetResponse,
+    mut received: TargetResponse,
 ) -> Result<GatewayResponse, (Refusal, RequestRecord)> {
     let status = received.response.status();
     let values = headers::response_for_caller(received.response.headers());
-    let body = if replacement::is_event_stream(&routed, status) {
+    let body = if routed.has_event_stream(status) {
         EventRelay::new(gateway.clone(), routed, record, attempts, received).into_body().await?
-    } else if let Some(reservation) =
-        buffered_body::reserve(received.response.body(), &gateway.body_memory)
-    {
-        let TargetResponse {
-            mut responder,
-            response,
-            response_metadata,
-            mut connection,
-            sent_at,
-            ..
-        } = received;
-        match buffered_body::read(response.into_body(), routed.deadline).await {
+    } else if let Some(read) = received.read_short_body(gateway, routed.deadline).await {
+        let TargetResponse { mut responder, response_metadata, mut connection, sent_at, .. } =
+            received;
+        match read {
             Ok(bytes) => {
                 record.part_relayed(0, bytes.len());
                 record.set_outcome(Outcome::Relayed(status.as_u16()));
@@ -351,7 +342,7 @@
                 if !response_metadata.closes {
                     responder.return_connection(gateway, connection);
                 }
-                full_body(reservation.hold(bytes))
+                full_body(bytes)
             }
             Err(error) => {
                 record.responder_failed(&responder, &error.to_string());
--- a/src/gateway/routed_request.rs
+++ b/src/gateway/routed_request.rs
@@ -3,7 +3,7 @@
 use std::cell::OnceCell;
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Uri};
+use http::{HeaderMap, Method, StatusCode, Uri};
 use tokio::time::Instant;
 
 use super::metadata::{Part, Prompt, RequestMetadata};
@@ -63,6 +63,11 @@
 const MAX_SUSPECT_PARTS: usize = 16;
 
 impl RoutedRequest {
+    /// Whether a response with this status is relayed event by event.
+    pub fn has_event_stream(&self, status: StatusCode) -> bool {
+        self.route.policy.is_stream() && status == StatusCode::OK
+    }
+
     /// Identifies the request across retries by its caller. Must not be called before the body is
     /// complete.
     pub fn fingerprint(&self) -> Fingerprint {
--- a/tests/deployment/common_silence.rs
+++ b/tests/deployment/common_silence.rs
@@ -103,8 +103,7 @@
         assert_eq!(entry.gateway.broken_runs.borrow().unresolved_targets().count(), 0);
         for service in ["app", "llm"] {
             let fleet = entry.gateway.fleet.borrow();
-            let rejecting: Vec<_> =
-                fleet.rejecting(&service.to_string(), boot_now()).cloned().collect();
+            let rejecting: Vec<_> = fleet.rejecting(service, boot_now()).cloned().collect();
             assert_eq!(rejecting, [], "{service}: ejected");
             assert_eq!(fleet.unreachable_count(service), 0, "{service}: unreachable");
         }
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -54,6 +54,7 @@
 #[path = "../soak/system.rs"]
 mod processes;
 mod quarantine_file;
+mod raced_targets;
 mod rate_limits;
 mod reader_election;
 mod refused_forwards;
