Soak: excuse a failed request by the end of a target only if it was sent there

A 5xx counted as explained whenever any target of the service had ended within 2 or 5 s, which the soak's crashes make true for much of a run. What the entries logged of the request now tells to which targets it was sent.

--- a/tests/soak/whole_answers.rs
+++ b/tests/soak/whole_answers.rs
@@ -42,6 +42,8 @@
     description: String,
     /// Whether an entry was cut off from targets meanwhile.
     is_during_cut: bool,
+    /// Targets that ended meanwhile. They explain it if it was sent to one of them.
+    ended_targets: Vec<String>,
 }
 
 impl Display for Failure<'_> {
@@ -68,7 +70,7 @@
         Failure::NoAnswer(_) => disturbances.contains(&Disturbance::Stop),
         // What has begun was run by a target that is known.
         Failure::Truncated(_) => is_cut_or_late() || has_target_of_run_ended(harness, sent),
-        Failure::Status(_) => is_cut_or_late() || has_target_ended(harness, sent),
+        Failure::Status(_) => is_cut_or_late() || has_target_of_run_ended(harness, sent),
     };
     if !is_explained {
         let (id, entry, after) = (sent.request_id, sent.entry, sent.at.elapsed());
@@ -78,6 +80,10 @@
             request_id: id.to_string(),
             description: format!("{what}, runs {runs:?}, {}", common_pauses(harness, sent)),
             is_during_cut: !cuts_since(harness, sent).is_empty(),
+            ended_targets: match failure {
+                Failure::Status(_) => ended_targets(harness, sent),
+                Failure::NoAnswer(_) | Failure::Truncated(_) => Vec::new(),
+            },
         }));
     }
 }
@@ -110,6 +116,13 @@
     if was_forwarded && failure.is_during_cut {
         return;
     }
+    let was_sent_to = |id: &String| {
+        let target = format!(" target={id}/");
+        lines.is_empty() || lines.iter().any(|line| line.contains(&target))
+    };
+    if failure.ended_targets.iter().any(was_sent_to) {
+        return;
+    }
     let description = format!("{}\n  {}", failure.description, lines.join("\n  "));
     harness.record_failed_check(crate::WHOLE_ANSWERS_CHECK, description);
 }
@@ -125,16 +138,15 @@
     runs.iter().any(|run| !platform.runs(&run.target, run.start))
 }
 
-/// Whether a target to which it may have been sent has ended.
-fn has_target_ended(harness: &Harness, sent: &Sent<'_>) -> bool {
+/// The targets of its service that have ended and to which it may have been sent.
+fn ended_targets(harness: &Harness, sent: &Sent<'_>) -> Vec<String> {
     let platform = harness.platform.lock();
-    let mut ends = platform.observations.target_ends.iter();
     let runs = platform.observations.runs_of(sent.request_id);
     let time = if runs.is_empty() { LISTED_AFTER_END } else { END_NOTICED_WITHIN };
-    ends.any(|(at, id)| {
-        let serves = platform.targets.get(id).is_some_and(|target| target.service == sent.service);
-        serves && *at > sent.at - time
-    }) || runs.iter().any(|run| !platform.runs(&run.target, run.start))
+    let serves = |id: &str| platform.targets.get(id).is_some_and(|t| t.service == sent.service);
+    let ends = platform.observations.target_ends.iter();
+    let ends = ends.filter(|(at, id)| serves(id) && *at > sent.at - time);
+    ends.map(|(_, id)| id.clone()).collect()
 }
 
 fn is_deadline_reached(sent: &Sent<'_>) -> bool {
