Stand-in targets read a request before they refuse it

A target that refused a request as full answered before it had read the body, and its server then closed the connection, which resets it. An entry that still wrote a long body got the reset in place of the refusal, and answered with 502 that the target broke off, which it had.

--- a/tests/platform_stand_in/requests.rs
+++ b/tests/platform_stand_in/requests.rs
@@ -28,7 +28,11 @@
         let began = self.lock().begin(self, id, &request);
         let (job, fault) = match began {
             Ok(began) => began,
-            Err(refused) => return *refused,
+            Err(refused) => {
+                // A connection with an unread body is reset, and the refusal may be lost with it.
+                http::read_body(request).await;
+                return *refused;
+            }
         };
         let crashing_part = crashing_part(&request);
         // Reads the body to its end, as it may come in chunks.
