Test of a target that reads long bodies late more than once, failing

What callers see: 502 "it may have run: the target broke off" a fraction of a second after the request was sent, while the target is only paused.

Cause: TCP_USER_TIMEOUT is 5 s for a long request, but the kernel counts it from the first zero-window probe of the connection, which it forgets only if the window opens wide enough while nothing is in flight. A later request that fills the receive buffer on the same connection, 5 s and more after that, fails at its first probe.

--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -34,6 +34,7 @@
 mod instances;
 mod kept_connections;
 mod last_answers;
+mod late_readers;
 mod late_updates;
 mod leaving;
 mod links;
