Give a test's added route the long timeout of the others

The fixture of these tests lengthens the timeouts of all routes, but the route that version 2 adds came after that and kept 2 s, and an objective of 400 ms. What is checked is the same, and a failure prints path and answer.

--- a/tests/deployment/final_refusals.rs
+++ b/tests/deployment/final_refusals.rs
@@ -11,8 +11,8 @@
 use kumquatpost::control::publisher;
 use kumquatpost::control::scheduler_service::SchedulerService;
 use kumquatpost::control::state::Published;
-use kumquatpost::deployment::Deployment;
 use kumquatpost::deployment::document::RunPolicy;
+use kumquatpost::deployment::{Deployment, Route};
 use kumquatpost::essential_tasks::{EssentialTasks, essential_tasks};
 use kumquatpost::gateway::subscription;
 use kumquatpost::scheduler::weights::OldWeightsPolicy;
@@ -22,7 +22,8 @@
 
 use crate::fixtures::{account, address, loopback, ms, route, target};
 use crate::gateway::{
-    Entry, Response, deployment_with_long_timeouts, ok_response, run_local, start_entry,
+    Entry, Response, TEST_TIMEOUT, deployment_with_long_timeouts, ok_response, run_local,
+    start_entry,
 };
 use crate::scheduler_service::leader_state;
 use crate::stand_in::{AfterAnswer, StandIn, header};
@@ -87,7 +88,10 @@
 fn deployment(version: u64) -> Deployment {
     let mut deployment = Deployment { version, ..deployment_with_long_timeouts() };
     if version > 1 {
-        deployment.routes.push(route("added", RunPolicy::Idempotent, "app"));
+        let added = route("added", RunPolicy::Idempotent, "app");
+        // No timeout may be reached on a busy machine.
+        let added = Route { timeout: TEST_TIMEOUT, objective: TEST_TIMEOUT, ..added };
+        deployment.routes.push(added);
         deployment.accounts.iter_mut().for_each(|accounts| {
             accounts.push(account("gamma", "key-added", false));
         });
@@ -176,8 +180,10 @@
             entry.gateway.table().unwrap().deployment().version == 2
         })
         .await;
-        assert_eq!(entry.call("/added/", "r2").await.status, 200);
-        assert_eq!(call_with_key(&entry, "/safe/", "key-added").await.status, 200);
+        for (path, key) in [("/added/", "key-a"), ("/safe/", "key-added")] {
+            let got = call_with_key(&entry, path, key).await;
+            assert_eq!(got.status, 200, "{path}, {} sent on: {}", app.request_count(), got.text);
+        }
         assert_eq!(entry.call("/elsewhere/", "r3").await.status, 404);
         assert_eq!(app.request_count(), 2);
     });
