--- a/src/gateway/first_response.rs
+++ b/src/gateway/first_response.rs
@@ -134,7 +134,7 @@
             }
             Race::Replacement(Ok(received)) => {
                 running.end().await;
-                record.replacement_took_over(silent.as_ref());
+                record.replacement_took_over(received.responder.target());
                 attempts.add_run(silent);
                 return Ok(received);
             }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -276,7 +276,8 @@
         }
         self.events.discard_partial();
         let EventRelay { gateway, routed, record, .. } = &*self;
-        record.replacement_took_over(silent.as_ref().and_then(|silent| silent.responder.target()));
+        let source = self.source.as_ref();
+        record.replacement_took_over(source.and_then(|source| source.responder.target()));
         end_source(gateway, routed, record, silent, SILENT, BreakCause::Failure).await;
         SourceRead::Replaced
     }
@@ -341,7 +342,7 @@
                 "the target to resume the stream at broke off".to_string()
             }
             Err(error) => {
-                let reason = format!("stream not resumed: {error:?}");
+                let reason = format!("stream not resumed: {error}");
                 return Err(TakeoverFailure { reason, may_try_further: false });
             }
         };
