Don't use a connection to a target again that carried a long request

A caller's long body got 502 60 to 220 ms after it was sent, on a route that must not repeat, while its target was only paused. The kernel counts the time for unacknowledged data from the first zero-window probe of the connection, which may be that of an earlier body: a connection whose peer has once been slow to read has spent its 5 s. Requests of more than 32 KiB now leave their connection to no later one.

late_readers::a_target_that_reads_long_bodies_late_more_than_once_answers_them: failed 3 of 3 before (502 after 219 to 226 ms), passes now; 57 tests of long bodies, kept connections and silent targets pass, three listed ones fail. The cost is a new connection for each such request; it was not measured.

--- a/.ci/mutations.py
+++ b/.ci/mutations.py
@@ -39,6 +39,8 @@
      "const LONG_REQUEST_BYTES: usize = 32 << 10;", "const LONG_REQUEST_BYTES: usize = usize::MAX;", "deployment", "silent_targets"),
     ("silence: the start of a response ends a request that is not written", "src/net/client_stream.rs",
      "        Pin::new(&mut self.stream).poll_read(context, buffer)", "        self.is_written = true;\n        Pin::new(&mut self.stream).poll_read(context, buffer)", "deployment", "silent_targets"),
+    ("silence: a connection that carried a long request is used again", "src/gateway/pool.rs",
+     "connection.sender.is_closed() || connection.carried_long_request", "connection.sender.is_closed()", "deployment", "late_readers"),
     ("silence: retries that are not made are spent", "src/fleet/budget.rs",
      "            counts.retries.remove(index);", "            let _ = index;", "deployment", "budget"),
     ("silence: a returned retry takes a later one along", "src/fleet/budget.rs",
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -9,14 +9,14 @@
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::task::AbortHandle;
 
 use crate::clock::{BootTime, boot_now};
 use crate::net;
-use crate::net::client_stream::{AckTimeouts, ClientStream};
+use crate::net::client_stream::{AckTimeouts, ClientStream, LONG_REQUEST_BYTES};
 
 /// Connect timeout. Shorter than the initial TCP retransmission timeout of one second, so that a
 /// lost SYN leads to another target instead of a long wait.
@@ -60,6 +60,9 @@
     idle_timeout: Duration,
     /// Whether it has carried a request before.
     pub is_reused: bool,
+    /// Whether it has carried a request that may have filled the target's receive buffer. The kernel may
+    /// count the time for the acknowledgement of the next such request from this one.
+    carried_long_request: bool,
 }
 
 /// The result of sending a request.
@@ -104,9 +107,9 @@
         all_lost
     }
 
-    /// Returns a connection to the pool, unless it is closed.
+    /// Returns a connection to the pool, unless it is closed or has carried a long request.
     pub fn put_idle(&self, peer: &Peer, mut connection: Connection) {
-        if connection.sender.is_closed() {
+        if connection.sender.is_closed() || connection.carried_long_request {
             return;
         }
         connection.is_reused = true;
@@ -150,11 +153,14 @@
             driver: driver.abort_handle(),
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
             is_reused: false,
+            carried_long_request: false,
         })
     }
 
     /// Sends a request and waits for the head of the response.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> SendOutcome {
+        let body_bytes = request.body().size_hint().lower();
+        self.carried_long_request |= body_bytes > LONG_REQUEST_BYTES as u64;
         match self.sender.try_send_request(request).await {
             Ok(response) => SendOutcome::Response(response),
             Err(mut error) => match error.take_message() {
--- a/src/net/client_stream.rs
+++ b/src/net/client_stream.rs
@@ -10,7 +10,7 @@
 use tokio::net::TcpStream;
 
 /// A request of more bytes may fill the receive buffer of a peer that is slow to read.
-const LONG_REQUEST_BYTES: usize = 32 << 10;
+pub const LONG_REQUEST_BYTES: usize = 32 << 10;
 
 /// How long sent data may stay unacknowledged before the connection fails.
 #[derive(Clone, Copy, Debug)]
