--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -45,6 +45,7 @@
 mod memory;
 mod monotonic_state;
 mod orders;
+mod paused_engine_requests;
 mod paused_engines;
 mod peer_entries;
 mod placement;
