Review: case 3, requests run on more engines than their route's attempts

Cause: may_retry allows two attempts where the operator has set one, also after an attempt that may have run.

Adds review/3 (claim, script, record of a run) and its stand-ins.

--- a/review/stand_ins.rs
+++ b/review/stand_ins.rs
@@ -12,6 +12,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+mod attempts;
 mod foreign;
 mod holders;
 
@@ -53,6 +54,7 @@
     record.line(&format!("trouble: {}", if trouble { "yes" } else { "no" }));
     let result = match case.as_str() {
         "holders" => holders::run(&record, trouble),
+        "attempts" => attempts::run(&record, trouble),
         "foreign" => foreign::run(&record, trouble),
         _ => Err("no such case".to_string()),
     };
