--- a/review/attempts.rs
+++ b/review/attempts.rs
@@ -1,4 +1,4 @@
-//! Case 2: requests of a route with one attempt run on two engines.
+//! Case 3: requests of a route with one attempt run on two engines.
 
 use super::*;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
--- a/review/holders.rs
+++ b/review/holders.rs
@@ -1,4 +1,4 @@
-//! Case 1: two replicas order the same engine within `LeaseMs`.
+//! Case 2: two replicas order the same engine within `LeaseMs`.
 
 use super::*;
 
