--- a/review/attempts.rs
+++ b/review/attempts.rs
@@ -37,7 +37,8 @@
         }
         thread::sleep(WORK);
         let number = count.fetch_add(1, Ordering::Relaxed);
-        let is_lost = n < LOSING_ENGINES && loses.load(Ordering::Relaxed) && number % LOST_ONE_IN == 0;
+        let is_lost =
+            n < LOSING_ENGINES && loses.load(Ordering::Relaxed) && number % LOST_ONE_IN == 0;
         lock(&runs).entry(request.clone()).or_default().push((n, is_lost));
         if is_lost {
             return Reply::Lost;
@@ -127,7 +128,8 @@
     let (runs, answers) = (lock(&runs).clone(), lock(&answers).clone());
     let lost = runs.values().flatten().filter(|(_, is_lost)| *is_lost).count();
     let served = answers.values().filter(|answer| answer.starts_with("200")).count();
-    record.line(&format!("sent {}, answered with 200 {served}, answers lost {lost}", answers.len()));
+    record
+        .line(&format!("sent {}, answered with 200 {served}, answers lost {lost}", answers.len()));
     if served * 2 < answers.len() {
         return Err("most requests were not served".to_string());
     }
@@ -139,10 +141,15 @@
         if ran.iter().any(|(_, is_lost)| *is_lost) || engines.len() > 1 {
             let ran: Vec<String> = ran
                 .iter()
-                .map(|(engine, is_lost)| format!("i-{engine}{}", if *is_lost { " (answer lost)" } else { "" }))
+                .map(|(engine, is_lost)| {
+                    format!("i-{engine}{}", if *is_lost { " (answer lost)" } else { "" })
+                })
                 .collect();
             let answer = answers.get(request).map_or("none", String::as_str);
-            record.line(&format!("{request}: ran on {}; the client got {answer}", ran.join(", then ")));
+            record.line(&format!(
+                "{request}: ran on {}; the client got {answer}",
+                ran.join(", then ")
+            ));
         }
         beyond += usize::from(engines.len() > 1);
     }
--- a/review/holders.rs
+++ b/review/holders.rs
@@ -182,7 +182,10 @@
             for n in system.replicas() {
                 for text in ["event=start", "event=orders_", "event=leader_changed"] {
                     let name = system.machines[n].name.clone();
-                    system.log_lines(n, text).iter().for_each(|line| record.line(&format!("log of {name}: {line}")));
+                    system
+                        .log_lines(n, text)
+                        .iter()
+                        .for_each(|line| record.line(&format!("log of {name}: {line}")));
                 }
             }
             return Ok(Verdict::Broken(how));
--- a/review/stand_ins.rs
+++ b/review/stand_ins.rs
@@ -168,7 +168,8 @@
         let mut lines = text.split("\r\n");
         let first = lines.next().unwrap_or_default().to_string();
         let pairs = lines.filter_map(|line| line.split_once(':'));
-        let headers = pairs.map(|(name, value)| (name.trim().to_string(), value.trim().to_string()));
+        let headers =
+            pairs.map(|(name, value)| (name.trim().to_string(), value.trim().to_string()));
         Ok(Some(Head { first, headers: headers.collect() }))
     }
 
@@ -223,7 +224,11 @@
 
 /// What a stand-in does with a request.
 enum Reply {
-    Answer { status: u16, headers: Vec<(&'static str, String)>, body: Vec<u8> },
+    Answer {
+        status: u16,
+        headers: Vec<(&'static str, String)>,
+        body: Vec<u8>,
+    },
     /// The answer is lost: the connection is closed without one.
     Lost,
 }
@@ -338,7 +343,8 @@
 
 impl System {
     fn start(entries: usize, list: SocketAddr) -> Result<System, String> {
-        let folder = std::env::temp_dir().join(format!("kumquatpost-review-{}", std::process::id()));
+        let folder =
+            std::env::temp_dir().join(format!("kumquatpost-review-{}", std::process::id()));
         fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
         let machine = |n: usize| {
             let (role, name) = match n < entries {
@@ -384,8 +390,12 @@
     }
 
     fn start_process(&mut self, n: usize, is_first_start: bool) -> Result<(), String> {
-        let seeds: Vec<String> = self.replicas().into_iter().take(3)
-            .map(|n| format!("\"{}\"", self.control(n))).collect();
+        let seeds: Vec<String> = self
+            .replicas()
+            .into_iter()
+            .take(3)
+            .map(|n| format!("\"{}\"", self.control(n)))
+            .collect();
         let (base, list, bounds) = (self.base_port, self.list, &self.bounds);
         let is_replica = self.machines[n].role == "replica";
         let listen = match is_replica {
@@ -417,7 +427,9 @@
         );
         let path = self.folder.join(format!("{name}.json"));
         fs::write(&path, settings).map_err(|error| error.to_string())?;
-        let log = || File::options().create(true).append(true).open(self.folder.join(format!("{name}.log")));
+        let log = || {
+            File::options().create(true).append(true).open(self.folder.join(format!("{name}.log")))
+        };
         let (out, err) = (log().map_err(|e| e.to_string())?, log().map_err(|e| e.to_string())?);
         let child = Command::new("target/release/kumquatpost")
             .arg(role)
