--- a/review/build.sh
+++ b/review/build.sh
@@ -1,6 +1,10 @@
 #!/usr/bin/env bash
-# Builds the stand-ins that the scripts of the review start. Run it in the repository after the build of the deploy file.
+# The stand-ins of the scripts are Python files, which need no build: this checks that they can be run. Run it in the
+# repository after the build of the deploy file.
 set -eu
-cd "$(dirname "$0")/.."
-mkdir -p target/review
-rustc --edition 2024 -O -o target/review/stand_ins review/stand_ins.rs
+cd "$(dirname "$0")"
+PYTHONDONTWRITEBYTECODE=1 python3 - <<'PYTHON'
+import ast, glob
+for path in ["stand_ins.py"] + sorted(glob.glob("[0-9]/*.py")):
+    ast.parse(open(path).read(), path)
+PYTHON
