Review: two replicas order engines within the lease

Cause: the holder of orders is recorded before the wait for the one before, and the wait is in memory alone.

--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -41,6 +41,9 @@
 
 
 class Server(ThreadingHTTPServer):
+    def handle_error(self, *_):
+        """A connection that breaks is a client's matter."""
+
     daemon_threads = True
     request_queue_size = 128
     allow_reuse_address = True
@@ -49,7 +52,9 @@
 class Engine:
     """An engine. `respond(handler, body)` answers its requests."""
 
-    def __init__(self, net, number, service, zone, slots, respond, models=None):
+    def __init__(self, net, number, service, zone, slots, respond, models=None, order=None):
+        self.order, self.orders, self.versions = order, 0, {model: 1 for model in models or []}
+        self.busy_until = 0.0
         self.id, self.service, self.zone, self.slots = "i-%08x" % random.getrandbits(32), service, zone, slots
         self.models, self.born = models, int(time.time() * 1000)
         engine = self
@@ -73,9 +78,8 @@
                 if self.path == "/healthz":
                     return self.reply(200, b"", {"X-Instance-Id": engine.id})
                 if self.path == "/report":
-                    models = [{"Name": m, "Version": 1, "Adapters": []} for m in engine.models or []]
-                    text = {"Stage": "colocated", "Models": models, "Busy": False, "Seq": 0, "Waiting": 0,
-                            "Running": 0, "KvUsed": 0, "KvTotal": 100000, "Handles": 0, "born": engine.born}
+                    text = {"Stage": "colocated", "Models": engine.listed_models(), "Busy": engine.is_busy(),
+                            "Seq": engine.orders, "Waiting": 0, "Running": 0, "KvUsed": 0, "KvTotal": 100000, "Handles": 0, "born": engine.born}
                     return self.reply(200, json.dumps(text).encode(), {"Content-Type": "application/json"})
                 if self.path.startswith("/kv-"):
                     text = {"BootEpoch": 1, "NextToken": 1, "Lost": False, "Events": [], "Held": [], "Partial": [],
@@ -84,6 +88,8 @@
                     return self.reply(200, json.dumps(text).encode(), {"Content-Type": "application/json"})
                 if self.headers.get("X-Expect-Instance") not in (None, engine.id):
                     return self.reply(421, b"", {"X-Not-Run": "1", "X-Instance-Id": engine.id})
+                if self.path == "/order":
+                    return engine.order(engine, self, json.loads(body))
                 respond(engine, self, body)
 
             def reply(self, status, body, headers):
@@ -106,10 +112,15 @@
         entry = {"Id": self.id, "Service": self.service, "Addr": self.address, "Zone": self.zone, "Version": "v1",
                  "Slots": self.slots, "State": "ready", "ColdLeftMs": 0, "born": self.born}
         if self.models:
-            models = [{"Name": m, "Version": 1, "Adapters": []} for m in self.models]
-            entry.update({"Stage": "colocated", "Models": models})
+            entry.update({"Stage": "colocated", "Models": self.listed_models()})
         return entry
 
+    def is_busy(self):
+        return time.time() < self.busy_until
+
+    def listed_models(self):
+        return [{"Name": name, "Version": version, "Adapters": []} for name, version in self.versions.items()]
+
 
 class Net:
     """Loopback addresses and ports of one run."""
@@ -215,6 +226,17 @@
         self.processes[(role, number)] = process
         self.record.add("started %s as process of %s" % (role, name))
 
+    def kill(self, role, number):
+        process = self.processes[(role, number)]
+        process.kill()
+        process.wait()
+        self.record.add("killed %s %d" % (role, number))
+
+    def log(self, role, number):
+        name = "%s-%d.log" % ("front" if role == "entry" else "core", number)
+        with open(os.path.join(self.folder, name), errors="replace") as file:
+            return file.read()
+
     def wait_ready(self, seconds=20):
         end = time.time() + seconds
         for number in range(self.entries):
@@ -279,8 +301,9 @@
     return {"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}
 
 
-def run_case(case, folder):
-    """Runs a case. `case(deployment, record, trouble)` returns whether the rule held."""
+def run_case(case, folder, **sizes):
+    """Runs a case. `case(deployment, record, trouble)` returns whether the rule held. `sizes` are numbers of
+    processes."""
     record = Record(os.path.join(folder, "record.txt"))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.add("TROUBLE=%d" % trouble)
@@ -293,7 +316,7 @@
     signal.signal(signal.SIGALRM, stop)
     signal.alarm(110)
     try:
-        deployment = Deployment(record)
+        deployment = Deployment(record, **sizes)
         code = 0 if case(deployment, record, trouble) else 1
     except CantRun as error:
         record.add("could not run: %s" % error)
