Record the holder of the order lease only in the term of the read

Cause: a new leader reads the holder before it, waits out that holder's lease and proposes itself. The proposal was accepted in any term. If another replica led and was recorded between the read and the proposal, the proposer was recorded at once and waited afterwards, in memory alone: after a restart it found itself recorded, and ordered within the other's lease.

Fix: the proposal names the term of the read and is refused in another one. Within a term nobody else is recorded, so the holder is the one that was read, and the wait behind the record is gone.

--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -65,6 +65,8 @@
     },
     /// Proposes a command and returns its result once it is committed and applied.
     Propose(Command, oneshot::Sender<Result<Reply, Undecided>>),
+    /// The same, but only while this replica leads in this term.
+    ProposeInTerm(Term, Command, oneshot::Sender<Result<Reply, Undecided>>),
     /// Reads the control state linearizably, after a quorum has confirmed the leader.
     Read(oneshot::Sender<Result<ControlState, Undecided>>),
 }
@@ -164,6 +166,10 @@
         match input {
             Input::Frame { node, ip, frame } => self.handle_frame(node, ip, frame),
             Input::Propose(command, sender) => self.propose(&command, sender),
+            Input::ProposeInTerm(term, command, sender) => match self.driver.raft.term() == term {
+                true => self.propose(&command, sender),
+                false => drop(sender.send(Err(Undecided::NotLeader(None)))),
+            },
             Input::Read(sender) => match self.driver.raft.read() {
                 Ok(read) => drop(self.pending_reads.insert(read, sender)),
                 Err(not_leader) => drop(sender.send(Err(self.not_leader(not_leader)))),
--- a/src/control/rollout.rs
+++ b/src/control/rollout.rs
@@ -16,7 +16,7 @@
 };
 use super::scheduler_service::SchedulerService;
 use super::shared::Shared;
-use super::state::{Command, Reply};
+use super::state::Command;
 use crate::deployment::ServiceRole;
 use crate::fleet::Listed;
 use crate::ids::{NodeId, ServiceId, TargetStart};
@@ -154,12 +154,9 @@
         }
         let (sender, reply) = oneshot::channel();
         let command = Command::AcquireOrderLease { holder };
-        self.inputs.send(Input::Propose(command, sender)).await.ok()?;
-        let Ok(Ok(Reply::OrderLease { previous: replaced })) = reply.await else { return None };
-        if replaced != previous && replaced != Some(holder) {
-            // Another replica was recorded after the read.
-            self.wait_for_order_lease(replaced, term).await?;
-        }
+        // Nobody else is recorded in this term, so the holder is still the one that was read.
+        self.inputs.send(Input::ProposeInTerm(term, command, sender)).await.ok()?;
+        reply.await.ok()?.ok()?;
         log::info!("event=orders_lease_acquired holder={holder} fencing={term}");
         Some(term)
     }
--- a/src/control/run.rs
+++ b/src/control/run.rs
@@ -254,7 +254,9 @@
             match input {
                 Input::Frame { .. } => {}
                 // A caller that no longer waits needs no answer.
-                Input::Propose(_, sender) => drop(sender.send(Err(Undecided::NotLeader(None)))),
+                Input::Propose(_, sender) | Input::ProposeInTerm(_, _, sender) => {
+                    let _ = sender.send(Err(Undecided::NotLeader(None)));
+                }
                 Input::Read(sender) => drop(sender.send(Err(Undecided::NotLeader(None)))),
             }
         }
--- a/tests/deployment/orders.rs
+++ b/tests/deployment/orders.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use kumquatpost::control::frames::VersionedRoster;
-use kumquatpost::control::replica::Input;
+use kumquatpost::control::replica::{Input, Undecided};
 use kumquatpost::control::rollout::RolloutController;
 use kumquatpost::control::scheduler_service::SchedulerService;
 use kumquatpost::control::shared::Shared;
@@ -51,6 +51,17 @@
     previous: Option<NodeId>,
     order_lease: Duration,
     engines: impl IntoIterator<Item = Listed>,
+) -> (Rc<Shared>, Rc<RefCell<ControlState>>) {
+    let (shared, replicated) = leader_of_rollout(previous, engines);
+    let log = Log { shared: shared.clone(), state: replicated.clone(), later_holder: None };
+    start_controller(log, order_lease);
+    (shared, replicated)
+}
+
+/// A leader that is to load weights 2 on engines, and the state that the log holds.
+fn leader_of_rollout(
+    previous: Option<NodeId>,
+    engines: impl IntoIterator<Item = Listed>,
 ) -> (Rc<Shared>, Rc<RefCell<ControlState>>) {
     let roster = VersionedRoster::new(1, Arc::new(roster(engines)));
     let shared = leader_state(1, roster);
@@ -61,21 +72,46 @@
         order_lease_holder: previous,
         ..ControlState::default()
     }));
-    let state = replicated.clone();
-    let (inputs, mut commands) = mpsc::channel(8);
-    tokio::task::spawn_local(async move {
-        while let Some(input) = commands.recv().await {
+    (shared, replicated)
+}
+
+/// Stands in for the replicated log of a controller.
+struct Log {
+    shared: Rc<Shared>,
+    state: Rc<RefCell<ControlState>>,
+    /// A replica that leads and is recorded right after the first read, before this one leads again.
+    later_holder: Option<NodeId>,
+}
+
+impl Log {
+    async fn serve(mut self, mut inputs: mpsc::Receiver<Input>) {
+        while let Some(input) = inputs.recv().await {
             match input {
-                Input::Propose(command, sender) => {
-                    let _ = sender.send(Ok(state.borrow_mut().apply(command)));
+                Input::ProposeInTerm(term, command, sender) => {
+                    let is_term = self.shared.view.borrow().term == term;
+                    let _ = sender.send(match is_term {
+                        true => Ok(self.state.borrow_mut().apply(command)),
+                        false => Err(Undecided::NotLeader(None)),
+                    });
                 }
+                Input::Propose(..) => panic!("commands of a holder of the lease name their term"),
                 Input::Read(sender) => {
-                    let _ = sender.send(Ok(state.borrow().clone()));
+                    let _ = sender.send(Ok(self.state.borrow().clone()));
+                    if let Some(holder) = self.later_holder.take() {
+                        self.state.borrow_mut().order_lease_holder = Some(holder);
+                        self.shared.view.send_modify(|view| view.term += 2);
+                    }
                 }
                 Input::Frame { .. } => {}
             }
         }
-    });
+    }
+}
+
+fn start_controller(log: Log, order_lease: Duration) {
+    let (inputs, received) = mpsc::channel(8);
+    let shared = log.shared.clone();
+    tokio::task::spawn_local(log.serve(received));
     let rollout = RolloutController {
         shared: shared.clone(),
         scheduling: Rc::new(SchedulerService::new(shared.clone(), OldWeightsPolicy::default())),
@@ -86,7 +122,6 @@
         unreachable: RefCell::default(),
     };
     tokio::task::spawn_local(Rc::new(rollout).run());
-    (shared, replicated)
 }
 
 fn orders(engine: &StandIn) -> Vec<String> {
@@ -224,3 +259,27 @@
         wait_until(|| !orders(&engine).is_empty()).await;
     });
 }
+
+/// Guards against a replica that is recorded as the holder while the lease of one that led since its read still
+/// runs: a restart during the wait that follows would end the wait.
+#[test]
+fn a_replica_is_not_recorded_as_the_holder_of_the_order_lease_in_a_later_term_than_that_of_its_read()
+ {
+    const LEASE: Duration = Duration::from_millis(300);
+    run_local(async {
+        let engine =
+            StandIn::start(vec![report(1), (ACCEPTED.to_string(), AfterAnswer::Close)]).await;
+        let (shared, replicated) = leader_of_rollout(None, [listed(&engine)]);
+        let begun = Instant::now();
+        let log = Log { shared, state: replicated.clone(), later_holder: Some(2) };
+        start_controller(log, LEASE);
+        wait_until(|| replicated.borrow().order_lease_holder == Some(2)).await;
+        while begun.elapsed() < LEASE {
+            assert_eq!(replicated.borrow().order_lease_holder, Some(2), "{:?}", begun.elapsed());
+            assert_eq!(orders(&engine), [] as [String; 0]);
+            tokio::time::sleep(ms(5)).await;
+        }
+        wait_until(|| !orders(&engine).is_empty()).await;
+        assert_eq!(replicated.borrow().order_lease_holder, Some(1));
+    });
+}
