Send orders only while leadership was confirmed recently

Cause: a leader that orders engines asked whether its leadership had ever been confirmed in its term, not how long ago. A process that goes on after a freeze took what it knew before for the present until its next tick, although a successor may have waited out its lease meanwhile and ordered.

Fix: orders are sent only if leadership was confirmed at most 0.4 s ago, the time by which a successor waits longer than the lease.

Test: orders::a_replica_whose_leadership_was_confirmed_too_long_ago_orders_ nothing failed before (an order after 5 s without a quorum).

--- a/src/control/rollout.rs
+++ b/src/control/rollout.rs
@@ -42,7 +42,8 @@
 /// Timeout of an order, which is normally answered within milliseconds. Repeating an order is safe:
 /// the engine rejects the second one if it has accepted the first.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(200);
-/// Added to the lease wait, for timers that fire late.
+/// Added to the lease wait, for timers that fire late. A leader whose leadership was not confirmed for this long
+/// sends no orders.
 const ORDER_LEASE_MARGIN: Duration = Duration::from_millis(400);
 
 /// Sends orders to engines while this replica is the leader.
@@ -332,9 +333,12 @@
         self.shared.roster.borrow().roster.get(&target.start).is_some()
     }
 
+    /// Whether no other replica can have waited out the lease of this one since its leadership in the term was
+    /// last confirmed.
     fn may_order(&self, term: Term) -> bool {
         let view = self.shared.view.borrow();
-        view.leads && view.term == term && self.shared.caught_up_at.get().is_some()
+        let is_confirmed = self.shared.caught_up_age() <= ORDER_LEASE_MARGIN;
+        view.leads && view.term == term && is_confirmed
     }
 
     async fn order(
--- a/tests/deployment/orders.rs
+++ b/tests/deployment/orders.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use kumquatpost::clock::boot_now;
 use kumquatpost::control::frames::VersionedRoster;
 use kumquatpost::control::replica::{Input, Undecided};
 use kumquatpost::control::rollout::RolloutController;
@@ -283,3 +284,23 @@
         assert_eq!(replicated.borrow().order_lease_holder, Some(1));
     });
 }
+
+/// Guards against orders of a replica that has not heard of its quorum for longer than a successor waits, as
+/// after a freeze: what it knew before says nothing about who orders now.
+#[test]
+fn a_replica_whose_leadership_was_confirmed_too_long_ago_orders_nothing() {
+    run_local(async {
+        let reports = (0..30).map(|_| report(1)).collect();
+        let engine = StandIn::start(reports).await;
+        let (shared, replicated) = leader_of_rollout(Some(1), [listed(&engine)]);
+        shared.caught_up_at.set(Some(boot_now().saturating_sub(Duration::from_secs(5))));
+        start_controller(
+            Log { shared: shared.clone(), state: replicated, later_holder: None },
+            ms(0),
+        );
+        tokio::time::sleep(ms(500)).await;
+        assert_eq!(orders(&engine), [] as [String; 0]);
+        shared.caught_up_at.set(Some(boot_now() + Duration::from_secs(60)));
+        wait_until(|| !orders(&engine).is_empty()).await;
+    });
+}
