--- a/tests/deployment/stream_origins.rs
+++ b/tests/deployment/stream_origins.rs
@@ -134,3 +134,71 @@
     // A key takes up to ten bytes, and the names are sent once.
     assert!(frame.len() <= 100 * 10 + 50, "{}", frame.len());
 }
+
+/// A replica that has known the list for long, and what it answers for a stream of which nobody told.
+struct ReleasedService {
+    directory: StreamDirectory,
+    now: Duration,
+}
+
+impl ReleasedService {
+    /// A service whose targets have been of v1 for long.
+    fn start() -> ReleasedService {
+        let service =
+            ReleasedService { directory: StreamDirectory::new(true, ms(0)), now: STREAM_TTL * 10 };
+        service.directory.observe_roster([listed("i-1", "v1")].iter(), ms(0));
+        service
+    }
+
+    fn lists(&mut self, after: Duration, targets: &[Listed]) {
+        self.now += after;
+        self.directory.observe_roster(targets.iter(), self.now);
+    }
+
+    fn untold_after(&self, after: Duration) -> Option<String> {
+        let origin = self.directory.find(&lookup(1), true, self.now + after);
+        origin.map(|origin| origin.software)
+    }
+
+    /// Streams of v1 may be alive for as long as they are remembered. Later ones are of v2.
+    fn assert_untold_streams_are_of_v1_at_first(&self) {
+        for after in [ms(0), ms(100), ms(2_500), STREAM_TTL / 2, STREAM_TTL - ms(1)] {
+            assert_eq!(self.untold_after(after).as_deref(), Some("v1"), "after {after:?}");
+        }
+        assert_ne!(
+            self.untold_after(STREAM_TTL).as_deref(),
+            Some("v2"),
+            "cut-off entries may have begun them"
+        );
+        assert_eq!(self.untold_after(STREAM_TTL * 2).as_deref(), Some("v2"));
+    }
+}
+
+// Guards against streams of the old version, of entries that were killed before they told of them, that go on
+// at the new one since all targets changed in one step.
+#[test]
+fn untold_streams_are_of_the_version_before_a_list_that_changes_in_one_step() {
+    let mut service = ReleasedService::start();
+    service.lists(ms(10), &[listed("i-2", "v2")]);
+    service.assert_untold_streams_are_of_v1_at_first();
+}
+
+// Guards against the same after both versions were listed for a moment.
+#[test]
+fn untold_streams_are_of_the_version_before_a_short_mix() {
+    let mut service = ReleasedService::start();
+    service.lists(ms(10), &[listed("i-1", "v1"), listed("i-2", "v2")]);
+    service.lists(ms(200), &[listed("i-2", "v2")]);
+    service.now -= ms(200);
+    service.assert_untold_streams_are_of_v1_at_first();
+}
+
+// Guards against the same after the last target of the old version had left before the first new one came.
+#[test]
+fn untold_streams_are_of_the_version_before_an_empty_list() {
+    let mut service = ReleasedService::start();
+    service.lists(ms(10), &[]);
+    assert_eq!(service.untold_after(ms(10)).as_deref(), Some("v1"));
+    service.lists(ms(20), &[listed("i-2", "v2")]);
+    service.assert_untold_streams_are_of_v1_at_first();
+}
