Tell which engines are passed over while prompts wait, and why

The leader now logs once a second which engines of a service got no prompt for over a second while prompts wait, with the reason and what it rests on, twelve at most, and counts engine-seconds by reason (kumquatpost_engines_passed_over_s).

Test: passed_over::the_reason_is_counted_for_which_an_engine_gets_no_prompt.

--- a/src/scheduler/candidate.rs
+++ b/src/scheduler/candidate.rs
@@ -289,8 +289,13 @@
     engine.streams_delayed(usual + backlog, pause)
 }
 
+/// KV cache tokens that running prompts may use.
+pub fn max_committed_tokens(engine: &Engine) -> u64 {
+    (engine.capacity_tokens as f64 * MAX_IN_USE_FRACTION) as u64
+}
+
 fn has_room(engine: &Engine, new_tokens: u64, request: &PlacementRequest) -> bool {
-    let limit_tokens = (engine.capacity_tokens as f64 * MAX_IN_USE_FRACTION) as u64;
+    let limit_tokens = max_committed_tokens(engine);
     let has_slot = engine.listed.slots == 0 || engine.active_placements() < engine.listed.slots;
     let fits = engine.committed_tokens() + new_tokens + request.output_tokens <= limit_tokens;
     // A prompt larger than the remaining capacity of every engine runs alone.
--- a/src/scheduler/engine.rs
+++ b/src/scheduler/engine.rs
@@ -64,6 +64,8 @@
     /// Accumulated correction of expected prefill times.
     drift_ms: f64,
     running: FxHashMap<TicketId, RunningPrompt>,
+    /// When a prompt was last placed here.
+    placed_at: BootTime,
     /// Number of running streams by the longest pause that the engine may make in them.
     streams: BTreeMap<Duration, u32>,
     /// Output tokens reserved for running prompts.
@@ -166,6 +168,7 @@
             prefill_ended_at: BootTime::ZERO,
             drift_ms: 0.0,
             running: FxHashMap::default(),
+            placed_at: BootTime::ZERO,
             streams: BTreeMap::new(),
             reserved_output_tokens: 0,
             reported_load: None,
@@ -229,6 +232,7 @@
         let figure = self.speed.known_figure(&estimator.speed, now);
         let prefill = PendingPrefill { duration, ends_at, drift_ms, begins, figure };
         self.reserved_output_tokens += load.output_tokens;
+        self.placed_at = now;
         self.running.insert(ticket, RunningPrompt { load, since: now, prefill: Some(prefill) });
     }
 
@@ -430,6 +434,26 @@
         self.running.len() as u32
     }
 
+    /// When a prompt was last placed here.
+    pub fn placed_at(&self) -> BootTime {
+        self.placed_at
+    }
+
+    /// When the oldest prompt was placed that has not ended.
+    pub fn oldest_placement(&self) -> Option<BootTime> {
+        self.running.values().map(|running| running.since).min()
+    }
+
+    /// Number of prompts placed here of which no first token was reported.
+    pub fn unanswered_placements(&self) -> usize {
+        self.running.values().filter(|running| running.prefill.is_some()).count()
+    }
+
+    /// When an entry last reported an answer.
+    pub fn answered_at(&self) -> Option<BootTime> {
+        self.answered_at
+    }
+
     /// Estimated number of requests that this scheduler did not place here, running or queued.
     pub fn other_requests(&self, now: BootTime) -> f64 {
         self.reported_load.map_or(0.0, |(other_requests, at)| {
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -23,5 +23,7 @@
 pub mod weights;
 
 pub use messages::{EndReason, Placement, PlacementEvent, PlacementRequest, TicketId};
-pub use plan::{CompetitionReport, PlacementError, PlacementResult, RefusalReason, Scheduler};
+pub use plan::{
+    CompetitionReport, PassedOverReason, PlacementError, PlacementResult, RefusalReason, Scheduler,
+};
 pub use queue::WaiterId;
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -3,6 +3,7 @@
 
 mod events;
 mod grants;
+mod passed_over;
 mod refusals;
 mod search;
 mod updates;
@@ -13,6 +14,7 @@
 
 use rustc_hash::FxHashMap;
 
+pub use self::passed_over::PassedOverReason;
 use self::refusals::RefusalLog;
 pub use self::refusals::{CompetitionReport, RefusalReason};
 use self::search::{BestEngine, MAX_EXAMINED, SearchError};
@@ -113,6 +115,10 @@
     /// Placements of prompts that had waited, and their time, by urgency; not reported yet.
     waits: BTreeMap<u8, (u64, Duration)>,
     refusal_logs: HashMap<ServiceId, RefusalLog>,
+    /// Engines that were passed over, by reason, counted once a second; not reported yet.
+    passed_over: BTreeMap<PassedOverReason, u64>,
+    /// When those of a service were last counted.
+    passed_over_at: HashMap<ServiceId, BootTime>,
     /// Number of least loaded engines that are examined for a prompt. A service with at most this
     /// many engines is examined whole.
     max_examined: usize,
@@ -210,6 +216,8 @@
             refusals: BTreeMap::new(),
             waits: BTreeMap::new(),
             refusal_logs: HashMap::new(),
+            passed_over: BTreeMap::new(),
+            passed_over_at: HashMap::new(),
             max_examined: MAX_EXAMINED,
             cross_domain_price: BytePrice::default(),
         }
@@ -341,6 +349,9 @@
                 }
             }
         }
+        if let Some(queued) = unplaced.first() {
+            self.report_passed_over(&queued.request, now);
+        }
         let unplaced = unplaced.into_iter().chain(without_capacity);
         unplaced.for_each(|queued| self.queue.add(queued, now));
         let engines = self.available_engines(service);
--- a/src/scheduler/plan/refusals.rs
+++ b/src/scheduler/plan/refusals.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::{PlacementError, PlacementResult, Scheduler, retry_spread};
+use super::{PassedOverReason, PlacementError, PlacementResult, Scheduler, retry_spread};
 use crate::clock::BootTime;
 use crate::scheduler::placement_rate::Supply;
 use crate::scheduler::queue::{QueuedPrompt, WaiterId};
@@ -63,6 +63,8 @@
     pub waiting: BTreeMap<u8, usize>,
     /// Reservations for callers that are to return.
     pub reserved: usize,
+    /// Seconds in which engines got no prompt while prompts waited, summed over them, by reason.
+    pub passed_over_s: BTreeMap<PassedOverReason, u64>,
 }
 
 /// Limits the log lines on refusals.
@@ -204,6 +206,7 @@
             waits: std::mem::take(&mut self.waits),
             waiting: self.queue.lengths(),
             reserved: self.reserved(),
+            passed_over_s: std::mem::take(&mut self.passed_over),
         }
     }
 
--- a/src/telemetry/deployment_metrics.rs
+++ b/src/telemetry/deployment_metrics.rs
@@ -88,6 +88,8 @@
     pub prompt_wait_ms: Counter<u64>,
     /// Reservations for refused callers that are to return.
     pub reserved_returns: Gauge<u64>,
+    /// Seconds in which engines got no prompt while prompts waited, by reason.
+    pub engines_passed_over_s: Counter<u64>,
     /// Requests of operators, by status.
     pub operator_requests: Counter<u64>,
     /// Malformed entries, summed over all reads of the platform's target list by this replica.
@@ -181,6 +183,9 @@
             self.prompt_wait_ms.add(time.as_millis() as u64, &[urgency(priority)]);
         }
         self.reserved_returns.record(report.reserved as u64, &[]);
+        for (reason, seconds) in &report.passed_over_s {
+            self.engines_passed_over_s.add(*seconds, &[label("reason", reason.name())]);
+        }
     }
 
     /// Creates the instruments.
@@ -204,6 +209,7 @@
             waited_prompts: meter.u64_counter("kumquatpost_prompts_waited").build(),
             prompt_wait_ms: meter.u64_counter("kumquatpost_prompt_wait_ms").build(),
             reserved_returns: meter.u64_gauge("kumquatpost_reserved_returns").build(),
+            engines_passed_over_s: meter.u64_counter("kumquatpost_engines_passed_over_s").build(),
             operator_requests: meter.u64_counter("kumquatpost_operator_calls").build(),
             malformed_entries: meter.u64_counter("kumquatpost_target_entries_unreadable").build(),
             held_requests: meter.u64_gauge("kumquatpost_requests_held").build(),
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -50,6 +50,7 @@
 mod memory_share;
 mod monotonic_state;
 mod orders;
+mod passed_over;
 mod paused_engine_requests;
 mod paused_engines;
 mod peer_entries;
