Placements end with the process of their entry

Cause: a host that loses power closes no connection, and the leader sends nothing to an entry that asks for nothing, so the connection of the lost process stayed open and its placements held the engines' memory until they expired after 20 s.

Fix: the handshake names the process. A connection of a later process of the same entry ends the placements of the earlier one; a later connection of the same process takes them over. Keep-alive probes end those of an entry that does not come back.

--- a/src/control/frames.rs
+++ b/src/control/frames.rs
@@ -58,6 +58,7 @@
     SchedulerClient {
         /// The name of its host.
         name: String,
+        process: EntryProcess,
     },
 }
 
--- a/src/control/publisher.rs
+++ b/src/control/publisher.rs
@@ -70,6 +70,8 @@
     inputs: mpsc::Sender<Input>,
 ) -> std::io::Result<()> {
     net::set_ack_timeout(&stream, UNACKED_TIMEOUT)?;
+    // Nothing is sent to an entry that asks for no placements, and its open ones end with its connection.
+    net::set_keep_alive(&stream)?;
     let (read, write) = stream.into_split();
     let mut read = BufReader::new(read);
     let handshake = frames::read(&mut read);
@@ -102,8 +104,8 @@
             );
             Ok(())
         }
-        Handshake::SchedulerClient { name } => {
-            let ended = scheduling.serve(read, write).await;
+        Handshake::SchedulerClient { name, process } => {
+            let ended = scheduling.serve(&name, process, read, write).await;
             log::info!(
                 "event=scheduler_client_disconnected entry={name} reason={:?}",
                 ended.err().map(|e| e.to_string())
--- a/src/control/scheduler_service.rs
+++ b/src/control/scheduler_service.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,9 +10,10 @@
 use http::{Method, StatusCode};
 use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 
 use super::engine_report;
+use super::entry_directory::EntryProcess;
 use super::frames::{self, SchedulerError, SchedulerReply, SchedulerRequest, encode};
 use super::shared::Shared;
 use crate::clock::{BootTime, boot_now};
@@ -53,6 +55,8 @@
     pub(super) active: RefCell<Option<(Term, Scheduler)>>,
     /// Retries for entries whose own budget is exhausted; `None` if there is no limit to share.
     pub(super) retry_reserve: RefCell<Option<RetryReserve>>,
+    /// The last connection of each entry that is open, by name.
+    sessions: RefCell<HashMap<String, Rc<EntrySession>>>,
     /// Queued prompts.
     waiters: RefCell<HashMap<WaiterId, Waiter>>,
     next_waiter: Cell<WaiterId>,
@@ -70,6 +74,9 @@
 
 /// The replies to one entry, and its open requests.
 struct EntrySession {
+    process: EntryProcess,
+    /// Notified once the entry has another connection.
+    replaced: Notify,
     answers: mpsc::UnboundedSender<SchedulerReply>,
     /// Queued prompts by request id.
     waiting: RefCell<HashMap<u64, WaiterId>>,
@@ -78,6 +85,25 @@
 }
 
 impl EntrySession {
+    fn new(process: EntryProcess, answers: mpsc::UnboundedSender<SchedulerReply>) -> EntrySession {
+        EntrySession {
+            process,
+            replaced: Notify::new(),
+            answers,
+            waiting: RefCell::default(),
+            active_tickets: RefCell::default(),
+        }
+    }
+
+    /// Takes the place of an earlier connection of the entry, which may not have been noticed to be broken. The same
+    /// process still reports on its placements. Those of an earlier one have ended with it.
+    fn replace(&self, earlier: &EntrySession) {
+        if earlier.process == self.process {
+            self.active_tickets.borrow_mut().extend(earlier.active_tickets.take());
+        }
+        earlier.replaced.notify_one();
+    }
+
     /// Replies to a placement request. A placement is active from here on, even if the reply is
     /// lost.
     fn answer(&self, request_id: u64, answer: Result<Placement, SchedulerError>) {
@@ -99,6 +125,7 @@
             cross_domain_price: BytePrice::default(),
             active: RefCell::default(),
             retry_reserve: RefCell::default(),
+            sessions: RefCell::default(),
             waiters: RefCell::default(),
             next_waiter: Cell::new(0),
             weight_queries: RefCell::default(),
@@ -242,11 +269,13 @@
     /// If the connection breaks.
     pub async fn serve(
         &self,
+        name: &str,
+        process: EntryProcess,
         read: BufReader<OwnedReadHalf>,
         mut write: OwnedWriteHalf,
     ) -> std::io::Result<()> {
         let (sender, mut answers) = mpsc::unbounded_channel::<SchedulerReply>();
-        let client = ClientConnection::new(self, sender);
+        let client = ClientConnection::new(self, name, EntrySession::new(process, sender));
         let writing = async {
             while let Some(first) = answers.recv().await {
                 let mut bytes = encode(&first).to_vec();
@@ -260,6 +289,7 @@
         let ended = tokio::select! {
             ended = client.handle_all(read) => ended,
             ended = writing => ended,
+            () = client.entry.replaced.notified() => Err(ErrorKind::ConnectionAborted.into()),
         };
         client.close();
         ended
@@ -295,19 +325,20 @@
 /// The connection of one entry.
 struct ClientConnection<'s> {
     scheduling: &'s SchedulerService,
+    name: &'s str,
     entry: Rc<EntrySession>,
 }
 
 impl<'s> ClientConnection<'s> {
     fn new(
         scheduling: &'s SchedulerService,
-        answers: mpsc::UnboundedSender<SchedulerReply>,
+        name: &'s str,
+        entry: EntrySession,
     ) -> ClientConnection<'s> {
-        let (waiting, active_tickets) = (RefCell::default(), RefCell::default());
-        ClientConnection {
-            scheduling,
-            entry: Rc::new(EntrySession { answers, waiting, active_tickets }),
-        }
+        let entry = Rc::new(entry);
+        let earlier = scheduling.sessions.borrow_mut().insert(name.to_string(), entry.clone());
+        earlier.iter().for_each(|earlier| entry.replace(earlier));
+        ClientConnection { scheduling, name, entry }
     }
 
     async fn handle_all(&self, mut read: BufReader<OwnedReadHalf>) -> std::io::Result<()> {
@@ -372,6 +403,11 @@
 
     /// Cancels the queued prompts of the entry and ends its placements.
     fn close(self) {
+        let mut sessions = self.scheduling.sessions.borrow_mut();
+        if sessions.get(self.name).is_some_and(|last| Rc::ptr_eq(last, &self.entry)) {
+            sessions.remove(self.name);
+        }
+        drop(sessions);
         let waiting = self.entry.waiting.take();
         waiting.into_values().for_each(|waiter| self.withdraw(waiter));
         for ticket in self.entry.active_tickets.take() {
--- a/src/gateway/scheduler_connection.rs
+++ b/src/gateway/scheduler_connection.rs
@@ -11,6 +11,7 @@
 
 use super::scheduler_client::Reply;
 use super::state::Gateway;
+use crate::control::entry_directory::EntryProcess;
 use crate::control::frames::{self, Handshake, SchedulerReply, encode};
 use crate::log::Term;
 use crate::net;
@@ -44,7 +45,10 @@
     let to = SocketAddr::new(leader.0, gateway.host.peer_port);
     let stream = net::connect(to, CONNECT_TIMEOUT, UNACKNOWLEDGED_TIMEOUT).await?;
     let (read, mut write) = stream.into_split();
-    let introduction = Handshake::SchedulerClient { name: gateway.host.name.clone() };
+    let introduction = Handshake::SchedulerClient {
+        name: gateway.host.name.clone(),
+        process: EntryProcess { ip: gateway.host.ip, start: gateway.start },
+    };
     write.write_all(&encode(&introduction)).await?;
     let (sender, mut outgoing) = mpsc::channel::<Arc<[u8]>>(QUEUE_LEN);
     gateway.scheduler.attach(sender);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -12,12 +12,15 @@
 use std::time::Duration;
 
 use rustix::io::Errno;
-use socket2::SockRef;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpListener, TcpStream};
 
 /// Delay after a failed accept, for example when no file descriptors are left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Interval of keep-alive probes; the shortest that the operating system takes.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Accepts connections and passes each to `handle`. Never returns.
 pub async fn for_each_connection(listener: TcpListener, handle: impl Fn(TcpStream)) {
     loop {
@@ -72,3 +75,14 @@
     stream.set_nodelay(true)?;
     SockRef::from(stream).set_tcp_user_timeout(Some(ack_timeout))
 }
+
+/// Makes an idle connection fail once its peer has been out of reach for its `ack_timeout`, which decides how many
+/// probes may stay unanswered.
+///
+/// # Errors
+/// Errors of the operating system.
+pub fn set_keep_alive(stream: &TcpStream) -> io::Result<()> {
+    let probes =
+        TcpKeepalive::new().with_time(KEEP_ALIVE_INTERVAL).with_interval(KEEP_ALIVE_INTERVAL);
+    SockRef::from(stream).set_tcp_keepalive(&probes)
+}
--- a/tests/deployment/retry_reserve.rs
+++ b/tests/deployment/retry_reserve.rs
@@ -4,6 +4,7 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
+use kumquatpost::control::entry_directory::EntryProcess;
 use kumquatpost::control::frames::{Handshake, SchedulerReply, SchedulerRequest, encode};
 use kumquatpost::fleet::budget::{RetryBudget, RetryLimit};
 use kumquatpost::fleet::retry_reserve::{ReserveContext, RetryReserve};
@@ -181,7 +182,8 @@
 fn ask_replica(core: &ReplicaCluster, host: usize) -> Option<bool> {
     let mut stream = TcpStream::connect(core.peer_address(host)).ok()?;
     stream.set_read_timeout(Some(ms(1_000))).ok()?;
-    let handshake = encode(&Handshake::SchedulerClient { name: "entry-0".to_string() });
+    let process = EntryProcess { ip: stream.local_addr().ok()?.ip(), start: 1 };
+    let handshake = encode(&Handshake::SchedulerClient { name: "entry-0".to_string(), process });
     let request = encode(&SchedulerRequest::Retry(1, service()));
     stream.write_all(&handshake).and_then(|()| stream.write_all(&request)).ok()?;
     let expected = |is_granted| encode(&SchedulerReply::Retry(1, is_granted));
--- a/tests/deployment/scheduler_service.rs
+++ b/tests/deployment/scheduler_service.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use kumquatpost::clock::boot_now;
+use kumquatpost::control::entry_directory::{EntryProcess, EntryStart};
 use kumquatpost::control::frames::{
     Handshake, RosterVersion, SchedulerError, SchedulerReply, SchedulerRequest, VersionedRoster,
     encode, read,
@@ -119,14 +120,25 @@
 }
 
 impl EntryClient {
+    /// Connects as another entry each time.
     async fn connect(scheduling: &Rc<SchedulerService>) -> EntryClient {
+        let number = rand::random();
+        EntryClient::connect_as(&format!("entry-{number}"), number, scheduling).await
+    }
+
+    async fn connect_as(
+        name: &str,
+        start: EntryStart,
+        scheduling: &Rc<SchedulerService>,
+    ) -> EntryClient {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind the listener");
         let to = listener.local_addr().expect("local address");
         let (connected, accepted) = tokio::join!(TcpStream::connect(to), listener.accept());
         let (read, write) = accepted.expect("accept the client").0.into_split();
-        let scheduling = scheduling.clone();
+        let (scheduling, name) = (scheduling.clone(), name.to_string());
+        let process = EntryProcess { ip: to.ip(), start };
         tokio::task::spawn_local(async move {
-            let result = scheduling.serve(BufReader::new(read), write).await;
+            let result = scheduling.serve(&name, process, BufReader::new(read), write).await;
             assert!(result.is_err(), "serving ends only with the connection");
         });
         EntryClient { stream: BufReader::new(connected.expect("connect to the listener")) }
@@ -249,6 +261,38 @@
     });
 }
 
+/// Guards against engines that get no work for 20 s after entries have lost power and are back: nothing closes the
+/// connection of the process before, whose placements seem to run on.
+#[test]
+fn placements_of_an_entry_end_once_another_process_of_it_is_connected() {
+    run(|scheduling| async move {
+        let mut lost = EntryClient::connect_as("entry-0", 1, &scheduling).await;
+        lost.place_when_active().await;
+        let mut restarted = EntryClient::connect_as("entry-0", 2, &scheduling).await;
+        let placed = tokio::time::timeout(ms(15_000), restarted.place_from_queue());
+        assert_eq!(placed.await.expect("a placement within the timeout").trace.running, 0);
+        drop(lost);
+    });
+}
+
+/// Guards against placements that are forgotten although their entry, which has connected again, runs them.
+#[test]
+fn placements_of_an_entry_that_connects_again_stay() {
+    run(|scheduling| async move {
+        let mut first = EntryClient::connect_as("entry-0", 1, &scheduling).await;
+        let placed = first.place_when_active().await;
+        let mut again = EntryClient::connect_as("entry-0", 1, &scheduling).await;
+        again.send(SchedulerRequest::Place(1, Box::new(long_prompt()))).await;
+        assert_eq!(again.receive().await, SchedulerReply::Queued(1));
+        tokio::time::sleep(ms(100)).await;
+        let running = scheduling.with_scheduler(|scheduler| scheduler.placed_on(&placed.target));
+        assert_eq!(running, Some(1));
+        let ended = PlacementEvent::Ended { ticket: placed.ticket, end: EndReason::Completed };
+        again.send(SchedulerRequest::Event(ended)).await;
+        assert!(matches!(again.receive().await, SchedulerReply::Placed(1, Ok(_))));
+    });
+}
+
 /// Guards against placements that stay active when an entry is killed before it reports a first
 /// token.
 #[test]
