An engine of which nothing is heard gets a prompt, and its report counts

Cause: what takes an engine's memory and slots was ended by reports of entries alone. If these don't come, the engine got nothing, so that it could not report itself that it has room.

Fix: an engine at which nothing was placed, and of which nothing was heard for a second, takes one prompt. The load that it names with its first token ends the oldest placements that must have reached it and that it does not have.

--- a/src/scheduler/candidate.rs
+++ b/src/scheduler/candidate.rs
@@ -144,7 +144,7 @@
         let in_use_tokens: u64 = in_use.map(|(_, part)| part.tokens).sum();
         // Idle parts stay in use while the prompt runs, so they count as well.
         let needed_tokens = request.prompt_tokens.saturating_sub(in_use_tokens);
-        if !has_room(engine, needed_tokens, request) {
+        if !has_room(engine, needed_tokens, request, now) {
             return None;
         }
         let mut fetch = vec![None; request.parts.len()];
@@ -294,7 +294,11 @@
     (engine.capacity_tokens as f64 * MAX_IN_USE_FRACTION) as u64
 }
 
-fn has_room(engine: &Engine, new_tokens: u64, request: &PlacementRequest) -> bool {
+fn has_room(engine: &Engine, new_tokens: u64, request: &PlacementRequest, now: BootTime) -> bool {
+    // The answer to one more prompt tells what the engine holds.
+    if engine.is_unheard(now) {
+        return true;
+    }
     let limit_tokens = max_committed_tokens(engine);
     let has_slot = engine.listed.slots == 0 || engine.active_placements() < engine.listed.slots;
     let fits = engine.committed_tokens() + new_tokens + request.output_tokens <= limit_tokens;
--- a/src/scheduler/engine.rs
+++ b/src/scheduler/engine.rs
@@ -34,6 +34,10 @@
 /// Part of the longest pause within a stream that is left to the network and the entry, and the most that
 /// they take.
 const PAUSE_MARGIN: (f64, Duration) = (0.25, Duration::from_millis(200));
+/// A placement reaches its engine within this time, and the engine's report of it the scheduler.
+const MAX_TRANSIT: Duration = Duration::from_secs(1);
+/// An engine with placements is expected to be heard of within this time. First tokens and ends are more frequent.
+const UNHEARD_AFTER: Duration = Duration::from_secs(1);
 /// Shortest prefill whose time is learned from two successive first tokens. Times of reports vary by
 /// some milliseconds.
 const MIN_MEASURED_PREFILL: Duration = Duration::from_millis(10);
@@ -387,9 +391,21 @@
         if let Some(percent) = load.work_time_percent {
             self.speed.observe_figure(percent, &mut estimator.speed, now);
         }
-        let other_requests =
-            (load.running + load.waiting).saturating_sub(self.running.len() as u32);
-        self.reported_load = Some((other_requests, now));
+        let reported = load.running + load.waiting;
+        self.end_unreported(reported, now);
+        self.reported_load = Some((reported.saturating_sub(self.running.len() as u32), now));
+    }
+
+    /// Ends the oldest placements if the engine has fewer requests than must have reached it.
+    fn end_unreported(&mut self, reported: u32, now: BootTime) {
+        let has_arrived =
+            |(_, running): &(&TicketId, &RunningPrompt)| running.since + MAX_TRANSIT <= now;
+        let arrived = self.running.iter().filter(has_arrived);
+        let mut arrived: Vec<(BootTime, TicketId)> =
+            arrived.map(|(ticket, running)| (running.since, *ticket)).collect();
+        let ended = arrived.len().saturating_sub(reported as usize);
+        arrived.sort_unstable();
+        arrived[..ended].iter().for_each(|(_, ticket)| self.end(*ticket, now));
     }
 
     fn remove_stream(&mut self, longest_pause: &Duration) {
@@ -429,6 +445,11 @@
         is_another || self.running.is_empty()
     }
 
+    /// Whether nothing was placed here or reported of it for a while, so that placements may have ended unnoticed.
+    pub fn is_unheard(&self, now: BootTime) -> bool {
+        self.placed_at.max(self.answered_at.unwrap_or_default()) + UNHEARD_AFTER <= now
+    }
+
     /// Number of prompts placed here that have not ended.
     pub fn active_placements(&self) -> u32 {
         self.running.len() as u32
--- a/tests/deployment/load.rs
+++ b/tests/deployment/load.rs
@@ -140,6 +140,10 @@
     pub unreachable: BTreeSet<TargetStart>,
     /// Until when all engines do nothing.
     silent_until: Duration,
+    /// Whether engines report with each first token how many prompts they hold.
+    pub reports_load: bool,
+    /// Decoding time of a token in a batch.
+    pub ms_per_output_token: u64,
     /// How fast the engines' hosts are; all as usual if `None`.
     pub hosts: Option<HostSpeeds>,
     /// Prompts at each engine that have not ended.
@@ -196,6 +200,8 @@
             free_at: HashMap::new(),
             unreachable: BTreeSet::new(),
             silent_until: ms(0),
+            reports_load: false,
+            ms_per_output_token: MS_PER_OUTPUT_TOKEN,
             hosts: None,
             held: HashMap::new(),
             has_own_contexts: false,
@@ -239,6 +245,17 @@
         self.free_at.values_mut().for_each(|free_at| *free_at += silence);
     }
 
+    /// Loses all entries: nothing more is reported of their prompts, which engines run to their ends, and those that
+    /// wait are withdrawn.
+    pub fn lose_entries(&mut self) {
+        for event in std::mem::take(&mut self.events).into_values() {
+            if let EngineEvent::Ended { target, .. } = event {
+                self.held.entry(target).and_modify(|held| *held -= 1);
+            }
+        }
+        self.undecided.drain().for_each(|(waiter, _)| self.scheduler.withdraw(waiter));
+    }
+
     fn submit(&mut self, kind: usize) {
         self.next_id += 1;
         let context = match self.has_own_contexts {
@@ -315,7 +332,7 @@
                 self.late_streams += 1;
             }
         }
-        let ends_at = work(first_at, ms(request.output_tokens * MS_PER_OUTPUT_TOKEN));
+        let ends_at = work(first_at, ms(request.output_tokens * self.ms_per_output_token));
         self.streams.push((target.clone(), first_at, ends_at, false));
         self.events.insert(
             (ends_at, self.next_id * 2 + 1),
@@ -330,9 +347,10 @@
         {
             match entry.remove() {
                 EngineEvent::FirstToken { target, ticket, kind, since, saves } => {
-                    let load = self.hosts.as_ref().map(|hosts| TargetLoad {
+                    let figure = self.hosts.as_ref().map(|hosts| hosts.figure(&target, self.now));
+                    let load = (self.reports_load || figure.is_some()).then(|| TargetLoad {
                         running: self.held.get(&target).copied().unwrap_or_default(),
-                        work_time_percent: hosts.figure(&target, self.now),
+                        work_time_percent: figure.flatten(),
                         ..TargetLoad::default()
                     });
                     let (weight_version, rate_limit) = (Some(1), None);
