A stream whose software version has left is refused without a time to return

Change: such a refusal has its own reason (software_gone), says that the stream must begin anew, and promises no return. Targets of evacuated failure domains may come back, so that nothing is said for good then.

--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -54,6 +54,9 @@
     /// The software version is unknown that began the stream which the request takes up. The request
     /// has not run.
     UnknownStream,
+    /// No target runs the software version any more that began the stream which the request takes up. The
+    /// request has not run, and no later one can.
+    SoftwareGone,
     /// All available targets run weights that are no longer allowed. The request has not run.
     OldWeights,
     /// No target will have capacity in time. The request has not run and may be retried after this
@@ -88,6 +91,7 @@
             | Refusal::Unconfirmed
             | Refusal::NoTarget
             | Refusal::UnknownStream
+            | Refusal::SoftwareGone
             | Refusal::OldWeights
             | Refusal::Busy(_)
             | Refusal::Limited(_)
@@ -112,6 +116,7 @@
             Refusal::Unconfirmed => "unconfirmed",
             Refusal::NoTarget => "no_target",
             Refusal::UnknownStream => "unknown_stream",
+            Refusal::SoftwareGone => "software_gone",
             Refusal::OldWeights => "old_weights",
             Refusal::Busy(_) => "busy",
             Refusal::Limited(_) => "limited",
@@ -141,6 +146,9 @@
             Refusal::UnknownStream => {
                 "not run: it is not known which software began the stream; ask another entry"
             }
+            Refusal::SoftwareGone => {
+                "not run: no target runs the software that began the stream; begin it anew"
+            }
             Refusal::OldWeights => "not run: no target runs the newest weights yet; come back",
             Refusal::Limited(_) => "not run: targets limit their requests now; come back",
             Refusal::Busy(_) | Refusal::TooLate => "not run: no target was free in time; come back",
@@ -152,7 +160,7 @@
 
     /// Whether the caller may retry the same request.
     fn is_retryable(self) -> bool {
-        self.status() == StatusCode::SERVICE_UNAVAILABLE
+        self.status() == StatusCode::SERVICE_UNAVAILABLE && self != Refusal::SoftwareGone
     }
 }
 
--- a/src/gateway/stream_origin.rs
+++ b/src/gateway/stream_origin.rs
@@ -101,7 +101,7 @@
 /// Binds a request that takes up a stream to the service and the software version that began it.
 ///
 /// # Errors
-/// If the version is unknown and must not be guessed.
+/// If the version is unknown and must not be guessed, or no target of it is left.
 pub async fn resolve(
     gateway: &Rc<Gateway>,
     routed: &mut RoutedRequest,
@@ -120,10 +120,22 @@
     if !may_serve {
         return Err(Refusal::UnknownStream);
     }
+    if is_gone(gateway, &origin) {
+        return Err(Refusal::SoftwareGone);
+    }
     (routed.service, routed.software) = (origin.service, Some(origin.software));
     Ok(())
 }
 
+/// Whether no target of the origin's version is left. Those of evacuated failure domains may come back.
+fn is_gone(gateway: &Gateway, origin: &StreamOrigin) -> bool {
+    let fleet = gateway.fleet.borrow();
+    let mut live = fleet.live(&origin.service);
+    gateway.has_roster()
+        && fleet.evacuated().count() == 0
+        && live.all(|state| state.listed.software != origin.software)
+}
+
 /// Who knows the origin of a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OriginSource {
--- a/tests/deployment/scheduler_service.rs
+++ b/tests/deployment/scheduler_service.rs
@@ -286,7 +286,7 @@
         assert_eq!(again.receive().await, SchedulerReply::Queued(1));
         tokio::time::sleep(ms(100)).await;
         let running = scheduling.with_scheduler(|scheduler| scheduler.placed_on(&placed.target));
-        assert_eq!(running, Some(1));
+        assert_eq!((running, scheduling.waiting_count()), (Some(1), 1));
         let ended = PlacementEvent::Ended { ticket: placed.ticket, end: EndReason::Completed };
         again.send(SchedulerRequest::Event(ended)).await;
         assert!(matches!(again.receive().await, SchedulerReply::Placed(1, Ok(_))));
--- a/tests/deployment/untold_streams.rs
+++ b/tests/deployment/untold_streams.rs
@@ -17,7 +17,7 @@
     EVENTS_BEFORE_LOSS, LATER_SOFTWARE, LONG_STREAM_EVENTS, STREAMS, begin_stream, broken_stream,
     count_events, deployment_with_one_attempt, rest_of_stream, stream_request, take_up,
 };
-use crate::stand_in::{Script, StandIn};
+use crate::stand_in::{Script, StandIn, header};
 
 fn origin(software: &str) -> StreamOrigin {
     StreamOrigin { service: "llm".to_string(), software: software.to_string() }
@@ -116,6 +116,23 @@
     });
 }
 
+// Guards against callers that are told to come back with a stream that can't go on.
+#[test]
+fn a_stream_whose_software_version_has_left_is_refused_for_good() {
+    run_local(async {
+        let (entry, stand_in) = entry_with_settled_service(broken_stream()).await;
+        entry.call_with("/resumable/", "r1", PROMPT).await;
+        let mut later = target("i-2", "llm", stand_in.address);
+        later.software = LATER_SOFTWARE.to_string();
+        entry.observe_targets(2, vec![later]);
+        let taken_up = format!("{PROMPT}Last-Event-Id: 2\r\nResumes: r1\r\n");
+        let got = entry.call_with("/resumable/", "r2", &taken_up).await;
+        assert_eq!(got.status, 503, "{}", got.text);
+        assert_eq!(header(&got.text, "retry-after"), None, "{}", got.text);
+        assert_eq!(stand_in.request_count(), 1);
+    });
+}
+
 /// Begins streams at an entry, with numbers from `first` on, and reads them until each has some events.
 async fn begin_streams(
     deployment: &TestDeployment,
