A lookup of a stream's origin ends with its request

Found by reading for cancelled requests: a caller that left while replicas were asked where its stream began left the lookup behind, which was kept for good and sent to each replica that the entry subscribed to later. It ends with the request now, whether that was answered or dropped.

The lookups, which do no I/O, stand with the answers in src/control, so that the entry's folder shrinks. Test: untold_streams::a_lookup_ends_with_its_request; it was not run on the code before, which has no way to ask for open lookups.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -32,6 +32,7 @@
 pub mod state;
 pub mod store_reader;
 pub mod stream_directory;
+pub mod stream_lookups;
 pub mod unreadable_log;
 pub mod versioned_roster;
 pub mod voter_set;
--- a/src/gateway/stream_origin.rs
+++ b/src/gateway/stream_origin.rs
@@ -1,16 +1,18 @@
 //! The software version at which a stream began that a caller takes up: as this entry remembers it,
 //! or as replicas do.
 
-use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::sync::watch;
+
 use super::request_record::RequestRecord;
 use super::response::Refusal;
 use super::routed_request::RoutedRequest;
 use super::state::Gateway;
 use crate::clock::boot_now;
-use crate::control::frames::{LookupId, OriginAnswer, StreamLookup};
+use crate::control::frames::{LookupId, OriginAnswer};
+use crate::control::stream_lookups::StreamLookups;
 use crate::deployment::RunPolicy;
 use crate::fleet::streams::{StreamKey, StreamOrigin, stream_key};
 use crate::ids::{ServiceId, SoftwareVersion};
@@ -21,70 +23,6 @@
 /// may be unable to tell of streams. Covers an election of the replicas' leader.
 const MAX_STATE_AGE: Duration = Duration::from_secs(1);
 
-/// Lookups of origins that replicas have not all answered.
-#[derive(Debug, Default)]
-pub struct StreamLookups {
-    pending: BTreeMap<LookupId, PendingLookup>,
-    last: LookupId,
-}
-
-#[derive(Debug)]
-struct PendingLookup {
-    stream: StreamKey,
-    service: ServiceId,
-    answers: Vec<OriginAnswer>,
-}
-
-impl StreamLookups {
-    fn begin(&mut self, stream: StreamKey, service: ServiceId) -> LookupId {
-        self.last += 1;
-        self.pending.insert(self.last, PendingLookup { stream, service, answers: Vec::new() });
-        self.last
-    }
-
-    /// The pending lookups after one of them.
-    pub fn after(&self, id: LookupId) -> impl Iterator<Item = StreamLookup> {
-        self.pending.range(id + 1..).map(|(id, lookup)| StreamLookup {
-            id: *id,
-            stream: lookup.stream,
-            service: lookup.service.clone(),
-        })
-    }
-
-    /// Records the answer of a replica.
-    pub fn answered(&mut self, id: LookupId, answer: OriginAnswer) {
-        if let Some(lookup) = self.pending.get_mut(&id) {
-            lookup.answers.push(answer);
-        }
-    }
-
-    /// Whether replicas have told the origin, or all of them have answered.
-    fn is_complete(&self, id: LookupId, replicas: usize) -> bool {
-        self.pending.get(&id).is_none_or(|lookup| {
-            let is_told = |answer: &OriginAnswer| matches!(answer, OriginAnswer::Told(_));
-            lookup.answers.iter().any(is_told) || lookup.answers.len() >= replicas
-        })
-    }
-}
-
-/// What follows from the answers of several replicas. What one was told goes before what another presumes, and no
-/// presumption holds that one of them doubts.
-pub fn conclude(answers: Vec<OriginAnswer>) -> OriginAnswer {
-    let rank = |answer: &OriginAnswer| match answer {
-        OriginAnswer::Told(_) => 0,
-        OriginAnswer::Uncertain => 1,
-        OriginAnswer::Presumed(_) => 2,
-        OriginAnswer::Unknown => 3,
-    };
-    let is_presumed = |answer: &&OriginAnswer| matches!(answer, OriginAnswer::Presumed(_));
-    let mut presumed = answers.iter().filter(is_presumed);
-    let is_disputed = presumed.next().is_some_and(|first| presumed.any(|other| other != first));
-    match answers.into_iter().min_by_key(rank) {
-        Some(OriginAnswer::Presumed(_)) if is_disputed => OriginAnswer::Uncertain,
-        answer => answer.unwrap_or(OriginAnswer::Unknown),
-    }
-}
-
 impl RoutedRequest {
     fn is_resumable_stream(&self) -> bool {
         self.route.policy == RunPolicy::StreamResumable
@@ -183,26 +121,48 @@
     Some((StreamOrigin { service, software }, OriginSource::SoleVersion))
 }
 
-async fn ask_replicas(
-    gateway: &Rc<Gateway>,
-    stream: StreamKey,
-    service: &ServiceId,
-) -> OriginAnswer {
-    let lookups = &gateway.stream_lookups;
-    if lookups.receiver_count() == 0 {
+/// A lookup, which ends also if its request is cancelled.
+struct Lookup<'g> {
+    lookups: &'g watch::Sender<StreamLookups>,
+    id: LookupId,
+}
+
+impl<'g> Lookup<'g> {
+    fn begin(gateway: &'g Gateway, stream: StreamKey, service: &ServiceId) -> Lookup<'g> {
+        let lookups = &gateway.stream_lookups;
+        let mut id = LookupId::default();
+        lookups.send_modify(|lookups| id = lookups.begin(stream, service.clone()));
+        Lookup { lookups, id }
+    }
+
+    /// Whether nothing more is to be waited for. The number of subscriptions may change.
+    fn is_complete(&self) -> bool {
+        self.lookups.borrow().is_complete(self.id, self.lookups.receiver_count())
+    }
+
+    fn end(&self) -> OriginAnswer {
+        let mut answer = OriginAnswer::Unknown;
+        self.lookups.send_if_modified(|lookups| {
+            answer = lookups.end(self.id);
+            false
+        });
+        answer
+    }
+}
+
+impl Drop for Lookup<'_> {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
+async fn ask_replicas(gateway: &Gateway, stream: StreamKey, service: &ServiceId) -> OriginAnswer {
+    if gateway.stream_lookups.receiver_count() == 0 {
         return OriginAnswer::Unknown;
     }
-    let mut id = LookupId::default();
-    lookups.send_modify(|lookups| id = lookups.begin(stream, service.clone()));
-    // The number of subscriptions may change meanwhile.
-    let is_complete = || lookups.borrow().is_complete(id, lookups.receiver_count());
-    gateway.wait_until(LOOKUP_TIMEOUT, is_complete).await;
-    let mut answers = Vec::new();
-    lookups.send_if_modified(|lookups| {
-        answers = lookups.pending.remove(&id).map(|lookup| lookup.answers).unwrap_or_default();
-        false
-    });
-    conclude(answers)
+    let lookup = Lookup::begin(gateway, stream, service);
+    gateway.wait_until(LOOKUP_TIMEOUT, || lookup.is_complete()).await;
+    lookup.end()
 }
 
 impl Gateway {
--- a/tests/deployment/untold_streams.rs
+++ b/tests/deployment/untold_streams.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use kumquatpost::control::frames::{OriginAnswer, Update};
+use kumquatpost::control::stream_lookups::conclude;
 use kumquatpost::fleet::streams::StreamOrigin;
-use kumquatpost::gateway::stream_origin::conclude;
 use reqwest::StatusCode;
 use tokio::sync::mpsc;
 
@@ -116,6 +116,22 @@
     });
 }
 
+// Guards against lookups of callers that have left, which would be kept and sent to each new replica.
+#[test]
+fn a_lookup_ends_with_its_request() {
+    run_local(async {
+        let (entry, _stand_in) = entry_with_settled_service(rest_of_stream()).await;
+        let mut lookups = entry.gateway.stream_lookups.subscribe();
+        let taken_up = format!("{PROMPT}Last-Event-Id: 2\r\nResumes: r0\r\n");
+        tokio::select! {
+            _ = entry.call_with("/resumable/", "r1", &taken_up) => panic!("nobody answers"),
+            asked = lookups.changed() => asked.expect("the entry asks"),
+        }
+        assert!(!lookups.borrow().is_empty());
+        eventually(|| entry.gateway.stream_lookups.borrow().is_empty()).await;
+    });
+}
+
 // Guards against callers that are told to come back with a stream that can't go on.
 #[test]
 fn a_stream_whose_software_version_has_left_is_refused_for_good() {
