--- a/src/scheduler/competition.rs
+++ b/src/scheduler/competition.rs
@@ -8,11 +8,14 @@
 //! placements go to late prompts, to an urgency that is about to starve, and to the oldest prompt of
 //! any account, so that nothing starves.
 
+mod accounts;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use rustc_hash::FxHashMap;
 
+use self::accounts::{AccountQueues, AccountUse, DecayedCount};
 use super::messages::PlacementRequest;
 use super::placement_rate::{PlacementRate, Supply};
 use super::queue::{QueuedPrompt, WaiterId};
@@ -47,8 +50,6 @@
 const DECAY_TIME: Duration = Duration::from_secs(5);
 /// Weight of a placement in the share of tokens that are prefilled: about the last 20 count.
 const PREFILLED_WEIGHT: f64 = 0.05;
-/// Weights are rescaled when they have grown by the exponential function of this.
-const MAX_EXPONENT: f64 = 50.0;
 
 /// When a prompt was submitted, and its id: the order of arrival.
 type Arrival = (BootTime, WaiterId);
@@ -129,95 +130,6 @@
     }
 }
 
-/// Prompts by account, each in order of arrival.
-#[derive(Clone, Debug, Default)]
-struct AccountQueues {
-    by_account: BTreeMap<AccountNumber, BTreeSet<Arrival>>,
-    by_arrival: BTreeSet<Arrival>,
-}
-
-/// A count in which events lose weight with age.
-#[derive(Clone, Copy, Debug, Default)]
-struct DecayedCount {
-    count: f64,
-    at: BootTime,
-}
-
-/// Prefill time that accounts got, with decay. Instead of reducing all values with time, new ones
-/// are entered with growing weights, so that the order of accounts changes only with an entry.
-#[derive(Clone, Debug, Default)]
-struct AccountUse {
-    weighted_ms: Vec<f64>,
-    epoch: BootTime,
-}
-
-impl DecayedCount {
-    fn add(&mut self, now: BootTime) {
-        self.count = self.get(now) + 1.0;
-        self.at = now;
-    }
-
-    fn get(&self, now: BootTime) -> f64 {
-        let age = now.saturating_sub(self.at);
-        self.count * (-age.as_secs_f64() / DECAY_TIME.as_secs_f64()).exp()
-    }
-
-    fn per_s(&self, now: BootTime) -> f64 {
-        self.get(now) / DECAY_TIME.as_secs_f64()
-    }
-}
-
-impl AccountUse {
-    fn add(&mut self, account: AccountNumber, ms: f64, now: BootTime) {
-        let exponent = now.saturating_sub(self.epoch).as_secs_f64() / DECAY_TIME.as_secs_f64();
-        if exponent > MAX_EXPONENT {
-            let scale = (-exponent).exp();
-            self.weighted_ms.iter_mut().for_each(|ms| *ms *= scale);
-            self.epoch = now;
-            return self.add(account, ms, now);
-        }
-        let index = account as usize;
-        if self.weighted_ms.len() <= index {
-            self.weighted_ms.resize(index + 1, 0.0);
-        }
-        self.weighted_ms[index] += ms * exponent.exp();
-    }
-
-    fn get(&self, account: AccountNumber) -> f64 {
-        self.weighted_ms.get(account as usize).copied().unwrap_or_default()
-    }
-}
-
-impl AccountQueues {
-    fn insert(&mut self, account: AccountNumber, arrival: Arrival) {
-        self.by_account.entry(account).or_default().insert(arrival);
-        self.by_arrival.insert(arrival);
-    }
-
-    fn remove(&mut self, account: AccountNumber, arrival: Arrival) {
-        self.by_arrival.remove(&arrival);
-        if let Some(arrivals) = self.by_account.get_mut(&account) {
-            arrivals.remove(&arrival);
-            if arrivals.is_empty() {
-                self.by_account.remove(&account);
-            }
-        }
-    }
-
-    /// The oldest prompt of the account that got the least.
-    fn next(&self, used: &AccountUse) -> Option<Arrival> {
-        let firsts = self
-            .by_account
-            .iter()
-            .filter_map(|(account, arrivals)| Some((used.get(*account), *arrivals.first()?)));
-        firsts.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1))).map(|(_, arrival)| arrival)
-    }
-
-    fn oldest(&self) -> Option<Arrival> {
-        self.by_arrival.first().copied()
-    }
-}
-
 impl Prospect {
     /// Whether the prompt is served while its caller waits, if waits are `margin` times as long.
     pub fn is_served(&self, queued: &QueuedPrompt, margin: f64, now: BootTime) -> bool {
--- a/src/scheduler/engine.rs
+++ b/src/scheduler/engine.rs
@@ -1,5 +1,7 @@
 //! The scheduler's model of one engine: its load, prefill backlog and KV cache.
 
+mod reports;
+
 use std::collections::BTreeMap;
 use std::ops::Bound;
 use std::sync::Arc;
@@ -20,9 +22,6 @@
 use crate::gateway::metadata::TargetLoad;
 use crate::route::health::Health;
 
-/// The influence of a reported load decays linearly to zero within this time: about how long a
-/// prompt runs.
-const REPORTED_LOAD_TTL: Duration = Duration::from_millis(800);
 /// Connections that break within this time were broken by the same event. Covers the delay until
 /// entries report them.
 const CRASH_WINDOW: Duration = Duration::from_millis(100);
@@ -34,10 +33,6 @@
 /// Part of the longest pause within a stream that is left to the network and the entry, and the most that
 /// they take.
 const PAUSE_MARGIN: (f64, Duration) = (0.25, Duration::from_millis(200));
-/// A placement reaches its engine within this time, and the engine's report of it the scheduler.
-const MAX_TRANSIT: Duration = Duration::from_secs(1);
-/// An engine with placements is expected to be heard of within this time. First tokens and ends are more frequent.
-const UNHEARD_AFTER: Duration = Duration::from_secs(1);
 /// Shortest prefill whose time is learned from two successive first tokens. Times of reports vary by
 /// some milliseconds.
 const MIN_MEASURED_PREFILL: Duration = Duration::from_millis(10);
@@ -386,28 +381,6 @@
         }
     }
 
-    /// Records the load that an answer reports.
-    fn observe_load(&mut self, load: TargetLoad, estimator: &mut PrefillEstimator, now: BootTime) {
-        if let Some(percent) = load.work_time_percent {
-            self.speed.observe_figure(percent, &mut estimator.speed, now);
-        }
-        let reported = load.running + load.waiting;
-        self.end_unreported(reported, now);
-        self.reported_load = Some((reported.saturating_sub(self.running.len() as u32), now));
-    }
-
-    /// Ends the oldest placements if the engine has fewer requests than must have reached it.
-    fn end_unreported(&mut self, reported: u32, now: BootTime) {
-        let has_arrived =
-            |(_, running): &(&TicketId, &RunningPrompt)| running.since + MAX_TRANSIT <= now;
-        let arrived = self.running.iter().filter(has_arrived);
-        let mut arrived: Vec<(BootTime, TicketId)> =
-            arrived.map(|(ticket, running)| (running.since, *ticket)).collect();
-        let ended = arrived.len().saturating_sub(reported as usize);
-        arrived.sort_unstable();
-        arrived[..ended].iter().for_each(|(_, ticket)| self.end(*ticket, now));
-    }
-
     fn remove_stream(&mut self, longest_pause: &Duration) {
         let Some(count) = self.streams.get_mut(longest_pause) else { return };
         *count -= 1;
@@ -425,18 +398,6 @@
         self.streams.range(range).map(|(_, count)| count).sum()
     }
 
-    /// Records an answer, which shows that the engine can be reached, whatever entries have reported
-    /// that can't reach it.
-    pub fn answered(&mut self, now: BootTime) {
-        self.answered_at = Some(now);
-        self.health.record_reached();
-    }
-
-    /// Whether it has answered an entry after `since`.
-    pub fn has_answered_since(&self, since: BootTime) -> bool {
-        self.answered_at.is_some_and(|at| at > since)
-    }
-
     /// Records that a connection broke. Returns whether the engine may have crashed: that breaks all
     /// its connections at once, while a lost answer breaks only one.
     pub fn connection_lost(&mut self, now: BootTime) -> bool {
@@ -445,55 +406,11 @@
         is_another || self.running.is_empty()
     }
 
-    /// Whether nothing was placed here or reported of it for a while, so that placements may have ended unnoticed.
-    pub fn is_unheard(&self, now: BootTime) -> bool {
-        self.placed_at.max(self.answered_at.unwrap_or_default()) + UNHEARD_AFTER <= now
-    }
-
     /// Number of prompts placed here that have not ended.
     pub fn active_placements(&self) -> u32 {
         self.running.len() as u32
     }
 
-    /// When a prompt was last placed here.
-    pub fn placed_at(&self) -> BootTime {
-        self.placed_at
-    }
-
-    /// When the oldest prompt was placed that has not ended.
-    pub fn oldest_placement(&self) -> Option<BootTime> {
-        self.running.values().map(|running| running.since).min()
-    }
-
-    /// Number of prompts placed here of which no first token was reported.
-    pub fn unanswered_placements(&self) -> usize {
-        self.running.values().filter(|running| running.prefill.is_some()).count()
-    }
-
-    /// When an entry last reported an answer.
-    pub fn answered_at(&self) -> Option<BootTime> {
-        self.answered_at
-    }
-
-    /// Estimated number of requests that this scheduler did not place here, running or queued.
-    pub fn other_requests(&self, now: BootTime) -> f64 {
-        self.reported_load.map_or(0.0, |(other_requests, at)| {
-            let age = now.saturating_sub(at).as_secs_f64();
-            f64::from(other_requests) * (1.0 - age / REPORTED_LOAD_TTL.as_secs_f64()).max(0.0)
-        })
-    }
-
-    /// Estimated number of requests that run or wait there.
-    pub fn request_count(&self, now: BootTime) -> u32 {
-        self.active_placements() + self.other_requests(now).round() as u32
-    }
-
-    /// Whether it is brittle and may have no room for another prompt.
-    pub fn may_be_full(&self, now: BootTime) -> bool {
-        let max_requests = self.brittleness.max_requests(self.listed.slots, now);
-        max_requests.is_some_and(|max| self.request_count(now) >= max)
-    }
-
     /// KV cache tokens that running prompts use or may still use.
     pub fn committed_tokens(&self) -> u64 {
         self.cache.in_use_tokens() + self.reserved_output_tokens
--- a/tests/deployment/orders.rs
+++ b/tests/deployment/orders.rs
@@ -230,6 +230,24 @@
     });
 }
 
+/// Asserts that another holder stays recorded and nothing is ordered until its lease has ended, and then both change.
+async fn assert_waits_for(
+    holder: NodeId,
+    lease: Duration,
+    begun: Instant,
+    engine: &StandIn,
+    replicated: &RefCell<ControlState>,
+) {
+    while begun.elapsed() < lease {
+        let recorded = replicated.borrow().order_lease_holder;
+        assert_eq!(recorded, Some(holder), "{:?}", begun.elapsed());
+        assert_eq!(orders(engine), [] as [String; 0]);
+        tokio::time::sleep(ms(5)).await;
+    }
+    wait_until(|| !orders(engine).is_empty()).await;
+    assert_eq!(replicated.borrow().order_lease_holder, Some(1));
+}
+
 /// Guards against a replica that orders within the lease of the holder before it: while it waits, the log must
 /// name that holder, so that a restart during the wait does not end it.
 #[test]
@@ -240,13 +258,7 @@
             StandIn::start(vec![report(1), (ACCEPTED.to_string(), AfterAnswer::Close)]).await;
         let begun = Instant::now();
         let (_shared, replicated) = start_rollout_after(Some(2), LEASE, [listed(&engine)]);
-        while begun.elapsed() < LEASE {
-            assert_eq!(replicated.borrow().order_lease_holder, Some(2), "{:?}", begun.elapsed());
-            assert_eq!(orders(&engine), [] as [String; 0]);
-            tokio::time::sleep(ms(5)).await;
-        }
-        wait_until(|| !orders(&engine).is_empty()).await;
-        assert_eq!(replicated.borrow().order_lease_holder, Some(1));
+        assert_waits_for(2, LEASE, begun, &engine, &replicated).await;
     });
 }
 
@@ -275,13 +287,7 @@
         let log = Log { shared, state: replicated.clone(), later_holder: Some(2) };
         start_controller(log, LEASE);
         wait_until(|| replicated.borrow().order_lease_holder == Some(2)).await;
-        while begun.elapsed() < LEASE {
-            assert_eq!(replicated.borrow().order_lease_holder, Some(2), "{:?}", begun.elapsed());
-            assert_eq!(orders(&engine), [] as [String; 0]);
-            tokio::time::sleep(ms(5)).await;
-        }
-        wait_until(|| !orders(&engine).is_empty()).await;
-        assert_eq!(replicated.borrow().order_lease_holder, Some(1));
+        assert_waits_for(2, LEASE, begun, &engine, &replicated).await;
     });
 }
 
