An entry presumes the version of a stream only with an up-to-date replica's answer

What callers saw: a stream that had begun at a new software version through another entry, and broke, was taken up at an entry that was cut off or had stood still while that version joined, and went on at the old one with 200. Reported from systems like ours; shown here by a test.

Cause: if no replica answered, the entry presumed the version at which it knew its service to be settled, as long as it had read a heartbeat within a second. In the first second of a cut that list may be old. After a standstill, heartbeats that were sent long before count from their reading. Without a subscription, nobody was asked at all. A replica that was not up to date answered like one that had just started.

Change: replicas that lack knowledge of earlier streams tell the version that they list alone ('sole'), and only if they are up to date. An entry presumes that version if it has known the service to be settled at it; without such an answer it refuses. The answer is newer than the question, so neither a cut nor a standstill can make it old. A lookup without a subscription waits for the next one.

Test: untold_streams::an_entry_that_no_replica_answers_does_not_presume (200 on the code before, 503 now) and an_entry_that_subscribes_again_asks_for_streams_that_wait. an_entry_does_not_presume_what_a_replica_is_uncertain_of asserted the fault for a replica that knows nothing (200); it now expects 503 there, 200 for a replica that lists the version, and 503 for one that lists another: more cases than before.

--- a/src/control/frames.rs
+++ b/src/control/frames.rs
@@ -100,7 +100,9 @@
     Presumed(StreamOrigin),
     /// It was not told, and the stream may have begun at several versions.
     Uncertain,
-    /// It has known the targets of the service for too short a time, or may not be up to date.
+    /// It lacks knowledge of earlier streams or targets. Now only this version of the service is listed.
+    Sole(StreamOrigin),
+    /// It lacks that knowledge while several versions are listed, or may not be up to date.
     Unknown,
 }
 
--- a/src/control/stream_directory.rs
+++ b/src/control/stream_directory.rs
@@ -15,6 +15,7 @@
 use crate::fleet::Listed;
 use crate::fleet::software::{SettledVersions, SoftwareVersions, ToldSoftware};
 use crate::fleet::streams::{STREAM_TTL, StreamOrigin, StreamTable, StreamsOfOrigin};
+use crate::ids::SoftwareVersion;
 
 /// The streams and software versions that a replica knows.
 pub struct StreamDirectory {
@@ -117,15 +118,17 @@
             true => streams.has_dropped(now) && software.settled(service, now).is_none(),
             false => software.settled_until(service, self.started_at).is_none(),
         };
-        if !is_current || lacks_streams {
-            return OriginAnswer::Unknown;
-        }
-        match software.presumed(service, now).cloned() {
-            Some(software) => {
-                OriginAnswer::Presumed(StreamOrigin { service: service.clone(), software })
-            }
-            None if software.is_mixed(service, now) => OriginAnswer::Uncertain,
-            None => OriginAnswer::Unknown,
+        let origin = |software: &SoftwareVersion| StreamOrigin {
+            service: service.clone(),
+            software: software.clone(),
+        };
+        let presumed = software.presumed(service, now).filter(|_| !lacks_streams);
+        match (presumed, software.sole_listed(service)) {
+            _ if !is_current => OriginAnswer::Unknown,
+            (Some(presumed), _) => OriginAnswer::Presumed(origin(presumed)),
+            _ if !lacks_streams && software.is_mixed(service, now) => OriginAnswer::Uncertain,
+            (None, Some(sole)) => OriginAnswer::Sole(origin(sole)),
+            (None, None) => OriginAnswer::Unknown,
         }
     }
 }
--- a/src/control/stream_lookups.rs
+++ b/src/control/stream_lookups.rs
@@ -48,11 +48,11 @@
         self.pending.is_empty()
     }
 
-    /// Whether replicas have told the origin, or all of them have answered.
+    /// Whether replicas have told the origin, or all of them have answered. There may be none for a moment.
     pub fn is_complete(&self, id: LookupId, replicas: usize) -> bool {
         self.pending.get(&id).is_none_or(|lookup| {
             let is_told = |answer: &OriginAnswer| matches!(answer, OriginAnswer::Told(_));
-            lookup.answers.iter().any(is_told) || lookup.answers.len() >= replicas
+            lookup.answers.iter().any(is_told) || lookup.answers.len() >= replicas.max(1)
         })
     }
 
@@ -63,19 +63,21 @@
 }
 
 /// What follows from the answers of several replicas. What one was told goes before what another presumes, and no
-/// presumption holds that one of them doubts.
+/// presumption holds that one of them doubts or disputes.
 pub fn conclude(answers: Vec<OriginAnswer>) -> OriginAnswer {
     let rank = |answer: &OriginAnswer| match answer {
         OriginAnswer::Told(_) => 0,
         OriginAnswer::Uncertain => 1,
         OriginAnswer::Presumed(_) => 2,
-        OriginAnswer::Unknown => 3,
+        OriginAnswer::Sole(_) => 3,
+        OriginAnswer::Unknown => 4,
     };
-    let is_presumed = |answer: &&OriginAnswer| matches!(answer, OriginAnswer::Presumed(_));
-    let mut presumed = answers.iter().filter(is_presumed);
-    let is_disputed = presumed.next().is_some_and(|first| presumed.any(|other| other != first));
-    match answers.into_iter().min_by_key(rank) {
-        Some(OriginAnswer::Presumed(_)) if is_disputed => OriginAnswer::Uncertain,
-        answer => answer.unwrap_or(OriginAnswer::Unknown),
+    let Some(best) = answers.iter().min_by_key(|answer| rank(answer)) else {
+        return OriginAnswer::Unknown;
+    };
+    let is_disputed = answers.iter().any(|other| rank(other) == rank(best) && other != best);
+    match best {
+        OriginAnswer::Presumed(_) | OriginAnswer::Sole(_) if is_disputed => OriginAnswer::Uncertain,
+        best => best.clone(),
     }
 }
--- a/src/fleet/software.rs
+++ b/src/fleet/software.rs
@@ -283,6 +283,12 @@
             || service.listed.len() > 1
     }
 
+    /// The only version of which targets of a service are listed now.
+    pub fn sole_listed(&self, service: &str) -> Option<&SoftwareVersion> {
+        let mut listed = self.services.get(service)?.listed.keys();
+        listed.next().filter(|_| listed.next().is_none())
+    }
+
     /// The version at which a service is settled; `None` if it is not, or if that is unknown.
     pub fn settled(&self, service: &str, now: BootTime) -> Option<&SoftwareVersion> {
         self.services.get(service)?.settled(now)
--- a/src/gateway/stream_origin.rs
+++ b/src/gateway/stream_origin.rs
@@ -83,7 +83,8 @@
     Replica,
     /// Replicas were not told, and would have been if it had begun elsewhere.
     Presumed,
-    /// No replica knows, and the service is settled at one version.
+    /// Replicas lack knowledge of earlier streams, but list one version, at which this entry knows the service to be
+    /// settled. Without their answer, this entry could be unaware of another version.
     SoleVersion,
 }
 
@@ -109,16 +110,13 @@
         return Some((origin, OriginSource::Entry));
     }
     match ask_replicas(gateway, stream, &routed.service).await {
-        OriginAnswer::Told(origin) => return Some((origin, OriginSource::Replica)),
-        OriginAnswer::Presumed(origin) => return Some((origin, OriginSource::Presumed)),
-        OriginAnswer::Uncertain => return None,
-        OriginAnswer::Unknown => {}
+        OriginAnswer::Told(origin) => Some((origin, OriginSource::Replica)),
+        OriginAnswer::Presumed(origin) => Some((origin, OriginSource::Presumed)),
+        OriginAnswer::Sole(origin) if gateway.is_settled(&origin) => {
+            Some((origin, OriginSource::SoleVersion))
+        }
+        OriginAnswer::Sole(_) | OriginAnswer::Uncertain | OriginAnswer::Unknown => None,
     }
-    let fleet = gateway.fleet.borrow();
-    let settled = fleet.software().settled(&routed.service, boot_now());
-    let software = settled.filter(|_| gateway.is_current())?.clone();
-    let service = routed.service.clone();
-    Some((StreamOrigin { service, software }, OriginSource::SoleVersion))
 }
 
 /// A lookup, which ends also if its request is cancelled.
@@ -157,9 +155,6 @@
 }
 
 async fn ask_replicas(gateway: &Gateway, stream: StreamKey, service: &ServiceId) -> OriginAnswer {
-    if gateway.stream_lookups.receiver_count() == 0 {
-        return OriginAnswer::Unknown;
-    }
     let lookup = Lookup::begin(gateway, stream, service);
     gateway.wait_until(LOOKUP_TIMEOUT, || lookup.is_complete()).await;
     lookup.end()
@@ -171,6 +166,12 @@
         self.state_age().is_some_and(|age| age < MAX_STATE_AGE)
     }
 
+    /// Whether the service of a stream is settled at its version.
+    fn is_settled(&self, origin: &StreamOrigin) -> bool {
+        let fleet = self.fleet.borrow();
+        fleet.software().settled(&origin.service, boot_now()) == Some(&origin.software)
+    }
+
     /// Records where a stream began whose first event has arrived, or that it has gone on there. Returns whether
     /// replicas are told.
     pub fn record_stream(&self, routed: &RoutedRequest, software: &SoftwareVersion) -> bool {
--- a/tests/deployment/stream_origins.rs
+++ b/tests/deployment/stream_origins.rs
@@ -85,7 +85,7 @@
 ) -> Option<StreamOrigin> {
     match directory.find(&lookup(stream), is_current, now) {
         OriginAnswer::Told(origin) | OriginAnswer::Presumed(origin) => Some(origin),
-        OriginAnswer::Uncertain | OriginAnswer::Unknown => None,
+        OriginAnswer::Sole(_) | OriginAnswer::Uncertain | OriginAnswer::Unknown => None,
     }
 }
 
--- a/tests/deployment/untold_streams.rs
+++ b/tests/deployment/untold_streams.rs
@@ -25,11 +25,14 @@
 
 #[test]
 fn a_stream_goes_on_as_the_best_informed_replica_answers() {
-    use OriginAnswer::{Presumed, Told, Uncertain, Unknown};
+    use OriginAnswer::{Presumed, Sole, Told, Uncertain, Unknown};
     let (v1, v2) = (origin("v1"), origin("v2"));
     let cases = [
         (vec![], Unknown),
         (vec![Unknown, Unknown], Unknown),
+        (vec![Unknown, Sole(v1.clone())], Sole(v1.clone())),
+        (vec![Sole(v1.clone()), Sole(v2.clone())], Uncertain),
+        (vec![Sole(v2.clone()), Presumed(v1.clone())], Presumed(v1.clone())),
         (vec![Unknown, Presumed(v1.clone())], Presumed(v1.clone())),
         (vec![Presumed(v1.clone()), Presumed(v1.clone())], Presumed(v1.clone())),
         (vec![Presumed(v1.clone()), Presumed(v2.clone())], Uncertain),
@@ -56,7 +59,7 @@
 
 /// Takes up a stream that the entry has not relayed, while a replica answers for it. Returns the status.
 async fn take_up_with(answer: OriginAnswer) -> u16 {
-    let (entry, _stand_in) = entry_with_settled_service(rest_of_stream()).await;
+    let (entry, _stand_in) = entry_that_seems_current().await;
     let gateway = entry.gateway.clone();
     let mut lookups = gateway.stream_lookups.subscribe();
     let replica = async {
@@ -66,9 +69,6 @@
         gateway.observe(found).expect("a valid update");
         std::future::pending::<()>().await;
     };
-    let leader =
-        Update::Heartbeat { replicas: BTreeSet::new(), entries: None, leader: None, term: 1 };
-    gateway.observe(leader).expect("a valid update");
     let taken_up = format!("{PROMPT}Last-Event-Id: 2\r\nResumes: r0\r\n");
     tokio::select! {
         got = entry.call_with("/resumable/", "r1", &taken_up) => got.status,
@@ -82,12 +82,69 @@
 fn an_entry_does_not_presume_what_a_replica_is_uncertain_of() {
     run_local(async {
         assert_eq!(take_up_with(OriginAnswer::Uncertain).await, 503);
-        // A replica that has just started says nothing of the stream, and this entry knows the list for long.
-        assert_eq!(take_up_with(OriginAnswer::Unknown).await, 200);
+        assert_eq!(take_up_with(OriginAnswer::Sole(origin(LATER_SOFTWARE))).await, 503);
+        // A replica that has just started knows the list alone, and this entry has known it for long.
+        assert_eq!(take_up_with(OriginAnswer::Sole(origin(FIRST_SOFTWARE))).await, 200);
         assert_eq!(take_up_with(OriginAnswer::Presumed(origin(FIRST_SOFTWARE))).await, 200);
     });
 }
 
+/// An entry with a settled service that has heard of a replica just now.
+async fn entry_that_seems_current() -> (Entry, StandIn) {
+    let (entry, stand_in) = entry_with_settled_service(rest_of_stream()).await;
+    let heartbeat =
+        Update::Heartbeat { replicas: BTreeSet::new(), entries: None, leader: None, term: 1 };
+    entry.gateway.observe(heartbeat).expect("a valid update");
+    (entry, stand_in)
+}
+
+// Guards against streams of a version that joined while an entry was cut off or stood still: the heartbeats that it
+// has read last are recent, or were sent long ago, and it goes on with them at the only version that it knows.
+#[test]
+fn an_entry_that_no_replica_answers_does_not_presume() {
+    run_local(async {
+        let taken_up = format!("{PROMPT}Last-Event-Id: 2\r\nResumes: r0\r\n");
+        let (entry, stand_in) = entry_that_seems_current().await;
+        let got = entry.call_with("/resumable/", "r1", &taken_up).await;
+        assert_eq!(got.status, 503, "no subscription: {}", got.text);
+        assert!(header(&got.text, "retry-after").is_some(), "{}", got.text);
+        let _silent = entry.gateway.stream_lookups.subscribe();
+        let got = entry.call_with("/resumable/", "r2", &taken_up).await;
+        assert_eq!(got.status, 503, "a silent subscription: {}", got.text);
+        assert_eq!(stand_in.request_count(), 0);
+    });
+}
+
+// The same for an entry whose replica is cut off with it, and says that it may not be up to date.
+#[test]
+fn an_entry_does_not_presume_beside_an_outdated_replica() {
+    run_local(async {
+        assert_eq!(take_up_with(OriginAnswer::Unknown).await, 503);
+    });
+}
+
+// Guards against a cure that refuses what a replica could tell as soon as the entry is subscribed again.
+#[test]
+fn an_entry_that_subscribes_again_asks_for_streams_that_wait() {
+    run_local(async {
+        let (entry, _stand_in) = entry_that_seems_current().await;
+        let gateway = entry.gateway.clone();
+        let replica = async {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            let lookups = gateway.stream_lookups.subscribe();
+            let lookup = lookups.borrow().after(0).next().expect("a lookup");
+            let answer = OriginAnswer::Told(origin(FIRST_SOFTWARE));
+            gateway.observe(Update::StreamFound { id: lookup.id, answer }).expect("a valid update");
+            std::future::pending::<()>().await;
+        };
+        let taken_up = format!("{PROMPT}Last-Event-Id: 2\r\nResumes: r0\r\n");
+        tokio::select! {
+            got = entry.call_with("/resumable/", "r1", &taken_up) => assert_eq!(got.status, 200, "{}", got.text),
+            () = replica => unreachable!("it answers until the end"),
+        }
+    });
+}
+
 // Guards against streams of an entry that was started during a release, which knows the new version alone and told
 // nobody.
 #[test]
