Responses with malformed heads are not relayed

What callers saw: a faulty target's response whose head was spoilt where it tells the length of the body came as a success, with the chunk headers in the body. Reported by the users from real processes.

Cause: hyper reads a body of an unknown transfer encoding until the end of its connection and takes chunks for the truth beside a length; statuses of 101 and of 600 and above pass. Nothing else checked the head. Lines that are no field, names with blanks or control characters, lengths that are no number and status 000 were refused before, and so was a part of a response that is reset while the upload is written (tests added).

Change: net::response_head checks each head that is read from targets, other entries, engines, stores, the platform and plain services. A malformed one counts as a broken connection: closed, may have run, repeated only where that is allowed.

--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -17,6 +17,7 @@
 use crate::clock::{BootTime, boot_now};
 use crate::net;
 use crate::net::client_stream::{AckTimeouts, ClientStream, LONG_REQUEST_BYTES};
+use crate::net::response_head;
 
 /// Connect timeout. Shorter than the initial TCP retransmission timeout of one second, so that a
 /// lost SYN leads to another target instead of a long wait.
@@ -162,7 +163,10 @@
         let body_bytes = request.body().size_hint().lower();
         self.carried_long_request |= body_bytes > LONG_REQUEST_BYTES as u64;
         match self.sender.try_send_request(request).await {
-            Ok(response) => SendOutcome::Response(response),
+            Ok(response) => match response_head::check(response.status(), response.headers()) {
+                Ok(()) => SendOutcome::Response(response),
+                Err(error) => SendOutcome::Broken(error.to_string()),
+            },
             Err(mut error) => match error.take_message() {
                 Some(_) => SendOutcome::NotSent(error.error().to_string()),
                 None => SendOutcome::Broken(error.error().to_string()),
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -11,6 +11,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::task::AbortHandle;
 
+use super::response_head;
 use crate::ids::TargetId;
 use crate::platform::headers;
 
@@ -132,6 +133,7 @@
     async fn call(&mut self, call: HttpCall) -> Result<HttpResponse, CallError> {
         let response = self.sender.send_request(call.into_request()?).await?;
         let status = response.status();
+        response_head::check(status, response.headers())?;
         let body = Limited::new(response.into_body(), MAX_BODY_BYTES).collect().await?.to_bytes();
         Ok(HttpResponse { status, body })
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,6 +5,7 @@
 pub mod http;
 pub mod lingering_stream;
 pub mod request_body;
+pub mod response_head;
 pub mod text_server;
 
 use std::io;
--- a/src/upstream/client.rs
+++ b/src/upstream/client.rs
@@ -14,6 +14,7 @@
 use super::chat::ApiFormat;
 use crate::error::{Error, Result};
 use crate::ids::{Attempt, BlockKey};
+use crate::net::response_head;
 
 /// Timeout of requests for reports and lists, and of orders.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -154,13 +155,13 @@
         once: bool,
     ) -> Result<Response, CallError> {
         let client = if once { &self.unpooled } else { &self.pooled };
-        match client.execute(request).await {
-            Ok(response) if response.headers().contains_key(NOT_RUN_HEADER) => {
-                Err(CallError::NotRun(format!("refused with {}", response.status())))
-            }
-            Ok(response) => Ok(response),
-            Err(source) => Err(call_error(source)),
+        let response = client.execute(request).await.map_err(call_error)?;
+        response_head::check(response.status(), response.headers())
+            .map_err(|error| CallError::MayHaveRun(error.to_string()))?;
+        if response.headers().contains_key(NOT_RUN_HEADER) {
+            return Err(CallError::NotRun(format!("refused with {}", response.status())));
         }
+        Ok(response)
     }
 
     /// Cancels a prompt on an engine. Errors are ignored.
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -45,6 +45,7 @@
 mod load;
 mod locality;
 mod lost_paths;
+mod malformed_heads;
 mod many_hosts;
 mod memory;
 mod memory_share;
