Requests that arrive late in a planned stop are answered

What callers saw: a request whose head was completed late in the grace period of an entry was passed on and cut without an answer at its end, also one that must not be repeated; so was any request that arrived during the stop and took longer than it. Reported from a system like ours.

Cause: closing leaves a connection with half a head open, and the request that follows was served like any other. The deadline of a request did not know of the stop.

Change: a request whose head is read after connections are closed is refused as not run. The deadline of requests that arrive during a stop lies before its end, for the target too, so that they end with 504, or as not run if no target was found.

Tests: planned_stops::*.

--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -86,6 +86,10 @@
     arrived: Instant,
     record: &mut RequestRecord,
 ) -> Result<RoutedRequest, (Refusal, String)> {
+    if body.is_interrupted() {
+        // Its head has arrived since connections are closed. It might be cut off by the end of the process.
+        return Err((Refusal::ShuttingDown, metadata.id));
+    }
     let max_wait = startup_wait(metadata.deadline);
     gateway.wait_for_deployment(max_wait).await;
     let table = match confirmed_table(gateway, &metadata, record).await {
@@ -94,6 +98,9 @@
     };
     let regions = &gateway.host.regions;
     let mut routed = route_request(&table, regions, head, metadata, arrived, record)?;
+    if let Some(stops_at) = gateway.stops_at.get() {
+        routed.deadline = routed.deadline.min(stops_at);
+    }
     let (version, max_bytes) =
         (table.deployment().version, table.deployment().request_limits.body_bytes);
     drop(table);
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -25,6 +25,8 @@
 const DRAIN_NOTICE: Duration = Duration::from_millis(2_600);
 /// How long before the end of the grace period the remaining connections are abandoned.
 const GRACE_RESERVE: Duration = Duration::from_millis(400);
+/// How long before that the time of requests is over which arrive during a shutdown. Covers the answer.
+const ANSWER_RESERVE: Duration = Duration::from_millis(250);
 /// How often a shutdown checks whether all connections are closed.
 const SHUTDOWN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// How often expired idle connections to targets are closed.
@@ -101,10 +103,11 @@
         gateway.active_requests.get(),
         connections.open_count()
     );
+    let grace = gateway.host.periods.shutdown_grace.saturating_sub(GRACE_RESERVE).max(DRAIN_NOTICE);
+    gateway.stops_at.set(Some(started_at + grace.saturating_sub(ANSWER_RESERVE)));
     gateway.stopping.set(true);
     tokio::time::sleep(DRAIN_NOTICE).await;
     closing.send_replace(true);
-    let grace = gateway.host.periods.shutdown_grace.saturating_sub(GRACE_RESERVE).max(DRAIN_NOTICE);
     while connections.open_count() > 0 && started_at.elapsed() < grace {
         tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
 
 use super::entry_roster::RosterMismatch;
 use super::freshness::{Freshness, Verdict};
@@ -132,6 +133,8 @@
     pub(super) state_changed: Notify,
     /// Whether a shutdown has begun.
     pub stopping: Cell<bool>,
+    /// Deadline of requests that arrive during a shutdown, so that they are answered before the process ends.
+    pub stops_at: Cell<Option<Instant>>,
     /// Number of requests in progress.
     pub active_requests: Cell<usize>,
     /// The metrics of this entry.
@@ -185,6 +188,7 @@
             share_seed: rand::random(),
             state_changed: Notify::new(),
             stopping: Cell::new(false),
+            stops_at: Cell::new(None),
             active_requests: Cell::new(0),
             metrics,
             log_limiter: RequestLogLimiter::default(),
--- a/src/net/request_body.rs
+++ b/src/net/request_body.rs
@@ -33,6 +33,11 @@
         RequestBody { incoming, closing }
     }
 
+    /// Whether the server closes its connections.
+    pub fn is_interrupted(&self) -> bool {
+        *self.closing.borrow()
+    }
+
     /// Reads a body of at most `limit_bytes`, which uses `memory` until its last reference is dropped.
     ///
     /// # Errors
--- a/tests/deployment/main.rs
+++ b/tests/deployment/main.rs
@@ -56,6 +56,7 @@
 mod paused_engines;
 mod peer_entries;
 mod placement;
+mod planned_stops;
 #[allow(dead_code, reason = "the soak test uses the rest")]
 #[path = "../platform_stand_in/mod.rs"]
 mod platform_stand_in;
