Replicas read no more of an answer than a report has

What happened: a faulty engine that sends a body without end could make a replica keep 8 MB for each call to it, and several engines at once the whole of its memory.

Cause: one bound for all calls, which suits the inventory of a store.

Change: 256 KB for reports, orders and frees; lists and events keep 8 MB.

Test: foreign_bytes::a_call_to_an_engine_reads_no_more_than_a_report_has; a body of 1 MB was read on the code before, which has one bound for both calls of the test.

--- a/src/control/engine_cache_reader.rs
+++ b/src/control/engine_cache_reader.rs
@@ -66,6 +66,7 @@
 
 async fn read(engine: &TargetStart, address: SocketAddr) -> Result<Events, CallError> {
     let call = HttpCall::new(address, Method::GET, &stores::events_path(0))
+        .with_long_response()
         .with_header(stores::WAIT_HEADER, &EVENT_WAIT.as_millis().to_string());
     let answer = fetch(call, READ_TIMEOUT).await?;
     match answer.status {
--- a/src/control/roster_reader.rs
+++ b/src/control/roster_reader.rs
@@ -184,7 +184,8 @@
 
     /// Requests a page, and asks the other replicas to read if the answer is slow.
     async fn fetch_page(&self, token: Option<&str>) -> Result<HttpResponse, CallError> {
-        let call = HttpCall::new(self.list, Method::GET, &instances::page_path(token));
+        let call = HttpCall::new(self.list, Method::GET, &instances::page_path(token))
+            .with_long_response();
         let mut fetching = pin!(fetch(call, PAGE_TIMEOUT));
         match tokio::time::timeout(SLOW_PAGE_TIMEOUT, &mut fetching).await {
             Ok(answer) => answer,
--- a/src/control/store_reader.rs
+++ b/src/control/store_reader.rs
@@ -64,7 +64,7 @@
     term: Term,
 ) -> Result<(), FollowError> {
     let mut session = Session::new(store);
-    let list = HttpCall::new(store, Method::GET, stores::LIST_PATH);
+    let list = HttpCall::new(store, Method::GET, stores::LIST_PATH).with_long_response();
     let text = fetch_body(&mut session, list).await?;
     let (inventory, clock_ms) =
         stores::decode_list(&text).map_err(|source| FollowError::Unreadable { source })?;
@@ -84,6 +84,7 @@
     let due = tokio::time::Instant::now() + INVENTORY_INTERVAL;
     while scheduling.is_active(term) && tokio::time::Instant::now() < due {
         let call = HttpCall::new(store, Method::GET, &stores::events_path(next))
+            .with_long_response()
             .with_header(stores::WAIT_HEADER, &EVENT_WAIT.as_millis().to_string());
         let text = fetch_body(&mut session, call).await?;
         let page =
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -15,8 +15,11 @@
 use crate::ids::TargetId;
 use crate::platform::headers;
 
-/// Maximum size of a response body. The inventory of a store with tens of thousands of parts fits.
-const MAX_BODY_BYTES: usize = 8 << 20;
+/// Largest response body, unless the call allows a longer one. A faulty peer may send without end, and many may do so
+/// at once.
+const MAX_BODY_BYTES: usize = 256 << 10;
+/// Bodies of long lists. The inventory of a store with tens of thousands of parts fits.
+const MAX_LIST_BYTES: usize = 8 << 20;
 /// A connection fails once sent data stays unacknowledged for this long.
 const ACK_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -36,6 +39,7 @@
     path: String,
     headers: Vec<(HeaderName, String)>,
     json: Option<Vec<u8>>,
+    max_body_bytes: usize,
 }
 
 /// The response to an `HttpCall`.
@@ -52,7 +56,14 @@
 impl HttpCall {
     /// Creates a call without a body.
     pub fn new(to: SocketAddr, method: Method, path: &str) -> HttpCall {
-        HttpCall { to, method, path: path.to_string(), headers: Vec::new(), json: None }
+        HttpCall {
+            to,
+            method,
+            path: path.to_string(),
+            headers: Vec::new(),
+            json: None,
+            max_body_bytes: MAX_BODY_BYTES,
+        }
     }
 
     /// Makes every target but this one refuse the call.
@@ -61,6 +72,12 @@
         self
     }
 
+    /// Allows a response as long as that of a list.
+    pub fn with_long_response(mut self) -> HttpCall {
+        self.max_body_bytes = MAX_LIST_BYTES;
+        self
+    }
+
     pub fn with_header(mut self, name: &'static str, value: &str) -> HttpCall {
         self.headers.push((HeaderName::from_static(name), value.to_string()));
         self
@@ -131,10 +148,11 @@
 
 impl Connection {
     async fn call(&mut self, call: HttpCall) -> Result<HttpResponse, CallError> {
+        let max_body_bytes = call.max_body_bytes;
         let response = self.sender.send_request(call.into_request()?).await?;
         let status = response.status();
         response_head::check(status, response.headers())?;
-        let body = Limited::new(response.into_body(), MAX_BODY_BYTES).collect().await?.to_bytes();
+        let body = Limited::new(response.into_body(), max_body_bytes).collect().await?.to_bytes();
         Ok(HttpResponse { status, body })
     }
 }
--- a/tests/deployment/foreign_bytes.rs
+++ b/tests/deployment/foreign_bytes.rs
@@ -3,6 +3,8 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
+use kumquatpost::net::http::{HttpCall, fetch};
+use reqwest::Method;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -11,7 +13,7 @@
     Entry, PROMPT, deployment_with_long_timeouts, entry_with_two_targets, event_stream, eventually,
     ok_response, run_local, start_entry,
 };
-use crate::stand_in::{AfterAnswer, header};
+use crate::stand_in::{AfterAnswer, StandIn, header};
 
 /// Bytes in the form of a response that belong to no request.
 const STRAY: &str = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray";
@@ -117,6 +119,19 @@
     });
 }
 
+/// Guards against engines that fill the memory of a replica with bodies in place of their reports.
+#[test]
+fn a_call_to_an_engine_reads_no_more_than_a_report_has() {
+    run_local(async {
+        let long = format!("{{\"Busy\":false,\"More\":\"{}\"}}", "x".repeat(1 << 20));
+        let engine = StandIn::start(vec![(ok_response(&long), AfterAnswer::KeepOpen); 2]).await;
+        let call = || HttpCall::new(engine.address, Method::GET, "/report");
+        fetch(call(), ms(30_000)).await.expect_err("the body is too long for a report");
+        let read = fetch(call().with_long_response(), ms(30_000)).await.expect("a long list");
+        assert_eq!(read.body.len(), long.len());
+    });
+}
+
 /// Guards against a body without end that is relayed beyond the deadline, as long as its caller reads.
 #[test]
 fn a_body_without_end_is_cut_at_the_deadline() {
