--- a/src/control/stream_directory.rs
+++ b/src/control/stream_directory.rs
@@ -122,14 +122,17 @@
             service: service.clone(),
             software: software.clone(),
         };
-        let presumed = software.presumed(service, now).filter(|_| !lacks_streams);
-        match (presumed, software.sole_listed(service)) {
-            _ if !is_current => OriginAnswer::Unknown,
-            (Some(presumed), _) => OriginAnswer::Presumed(origin(presumed)),
-            _ if !lacks_streams && software.is_mixed(service, now) => OriginAnswer::Uncertain,
-            (None, Some(sole)) => OriginAnswer::Sole(origin(sole)),
-            (None, None) => OriginAnswer::Unknown,
+        if !is_current {
+            return OriginAnswer::Unknown;
         }
+        if !lacks_streams && let Some(presumed) = software.presumed(service, now) {
+            return OriginAnswer::Presumed(origin(presumed));
+        }
+        if !lacks_streams && software.is_mixed(service, now) {
+            return OriginAnswer::Uncertain;
+        }
+        let sole = software.sole_listed(service);
+        sole.map_or(OriginAnswer::Unknown, |sole| OriginAnswer::Sole(origin(sole)))
     }
 }
 
