Close idle connections for requests that find no descriptor for their target

A caller whose request came with the last descriptor of an entry got 503, although idle connections of callers held most of them. Only a failure to accept closed idle connections; a failure to connect to a target refused the request.

The open connections are part of the gateway now, so that tests start entries with a bounded number of them.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -310,7 +310,7 @@
     let listed = gateway.fleet.borrow().get(target).map(|state| state.listed.clone());
     let Listed { address, failure_domain, .. } = listed.ok_or(EndReason::NotRun)?;
     let opened_at = Instant::now();
-    let error = match timeout_at(routed.deadline, Connection::open(address)).await {
+    let error = match timeout_at(routed.deadline, gateway.connections.connect(address)).await {
         Ok(Ok(connection)) => {
             gateway.target_reached(&routed.service);
             gateway.locality.borrow_mut().observe_opening(&failure_domain, opened_at.elapsed());
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -2,12 +2,17 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::sync::Notify;
 
+use super::pool::Connection;
 use super::routed_request::Origin;
 use crate::clock::BootTime;
+use crate::net;
 
 /// Descriptors for listeners, replicas, logs and idle connections to targets.
 const RESERVED_DESCRIPTORS: usize = 64;
@@ -18,6 +23,8 @@
 const CROWDED_FRACTION: f64 = 0.8;
 /// Idle connections that are closed after a failure to accept.
 const CLOSED_AFTER_FAILURE: usize = 16;
+/// Time in which connections that make room are closed.
+const ROOM_DELAY: Duration = Duration::from_millis(5);
 
 type ConnectionId = u64;
 
@@ -27,6 +34,8 @@
     limit: usize,
     open: Cell<usize>,
     last_id: Cell<ConnectionId>,
+    /// Requests that wait for a descriptor.
+    waiting: Cell<usize>,
     /// Connections without a request, the one that has been idle for longest first.
     idle: RefCell<BTreeMap<(BootTime, ConnectionId), Rc<Notify>>>,
 }
@@ -38,6 +47,7 @@
             limit: usize::MAX,
             open: Cell::default(),
             last_id: Cell::default(),
+            waiting: Cell::default(),
             idle: RefCell::default(),
         }
     }
@@ -94,13 +104,49 @@
         self.close_idle(CLOSED_AFTER_FAILURE);
     }
 
-    fn close_idle(&self, count: usize) {
-        let mut idle = self.idle.borrow_mut();
-        for _ in 0..count {
-            let Some((_, close)) = idle.pop_first() else { return };
-            close.notify_one();
+    /// Whether requests wait for descriptors, which new connections would take from them.
+    pub fn are_awaited(&self) -> bool {
+        self.waiting.get() > 0
+    }
+
+    /// Opens a connection for a request. Idle connections of callers make room for it.
+    ///
+    /// # Errors
+    /// If the recipient can't be reached, or descriptors are short and no connection is idle.
+    pub async fn connect(&self, to: SocketAddr) -> io::Result<Connection> {
+        loop {
+            let result = Connection::open(to).await;
+            let is_short = result.as_ref().is_err_and(net::lacks_descriptors);
+            if !is_short || self.close_idle(CLOSED_AFTER_FAILURE) == 0 {
+                return result;
+            }
+            let _waiting = Waiting::new(&self.waiting);
+            tokio::time::sleep(ROOM_DELAY).await;
         }
     }
+
+    /// Closes some of the connections that have been idle for longest. Returns how many.
+    fn close_idle(&self, count: usize) -> usize {
+        let mut idle = self.idle.borrow_mut();
+        let closed = std::iter::from_fn(|| idle.pop_first()).take(count);
+        closed.map(|(_, close)| close.notify_one()).count()
+    }
+}
+
+/// Counts a request that waits for a descriptor, also if it is cancelled.
+struct Waiting<'a>(&'a Cell<usize>);
+
+impl Waiting<'_> {
+    fn new(count: &Cell<usize>) -> Waiting<'_> {
+        count.set(count.get() + 1);
+        Waiting(count)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
 }
 
 impl OpenConnection {
--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -236,7 +236,7 @@
     }
     let address = SocketAddr::new(ip, gateway.host.peer_port);
     let opened_at = Instant::now();
-    match timeout_at(deadline, Connection::open(address)).await {
+    match timeout_at(deadline, gateway.connections.connect(address)).await {
         Ok(Ok(connection)) => {
             if let Some(domain) = gateway.peers.borrow().domain(ip) {
                 gateway.locality.borrow_mut().observe_opening(domain, opened_at.elapsed());
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -8,7 +8,6 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use super::connections::Connections;
 use super::routed_request::Origin;
 use super::state::Gateway;
 use super::{scheduler_connection, server, subscription};
@@ -46,7 +45,6 @@
     );
     let gateway = Rc::new(Gateway::new(host, EntryMetrics::new()?));
     let (closing, closed) = watch::channel(false);
-    let connections = Rc::new(Connections::new(gateway.host.file_descriptor_limit));
     let (tasks, mut first_exit) = essential_tasks();
     subscription::start(&gateway, &tasks);
     tasks.spawn("scheduler_connection", scheduler_connection::keep_connected(gateway.clone()));
@@ -68,13 +66,9 @@
         Origin::Caller,
         callers,
         closed.clone(),
-        connections.clone(),
     ));
     let peers = listen(SocketAddr::new(gateway.host.ip, gateway.host.peer_port)).await?;
-    tasks.spawn(
-        "entries",
-        server::accept(gateway.clone(), Origin::Entry, peers, closed, connections.clone()),
-    );
+    tasks.spawn("entries", server::accept(gateway.clone(), Origin::Entry, peers, closed));
     tasks.spawn("clean", close_expired_connections(gateway.clone()));
     let reloaded = reload::watch_settings(gateway.host.clone(), |host| {
         gateway.replicas.borrow_mut().extend(host.seeds.iter().map(|seed| seed.ip()));
@@ -84,7 +78,7 @@
         failed = reloaded => failed?,
         error = first_exit.wait() => return Err(error),
     }
-    shut_down(&gateway, &closing, &connections).await;
+    shut_down(&gateway, &closing).await;
     Ok(())
 }
 
@@ -96,25 +90,25 @@
     }
 }
 
-async fn shut_down(gateway: &Gateway, closing: &watch::Sender<bool>, connections: &Connections) {
+async fn shut_down(gateway: &Gateway, closing: &watch::Sender<bool>) {
     let started_at = Instant::now();
     log::info!(
         "event=stopping answering={} open={}",
         gateway.active_requests.get(),
-        connections.open_count()
+        gateway.connections.open_count()
     );
     let grace = gateway.host.periods.shutdown_grace.saturating_sub(GRACE_RESERVE).max(DRAIN_NOTICE);
     gateway.stops_at.set(Some(started_at + grace.saturating_sub(ANSWER_RESERVE)));
     gateway.stopping.set(true);
     tokio::time::sleep(DRAIN_NOTICE).await;
     closing.send_replace(true);
-    while connections.open_count() > 0 && started_at.elapsed() < grace {
+    while gateway.connections.open_count() > 0 && started_at.elapsed() < grace {
         tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
     }
     log::info!(
         "event=stop answering={} open={}",
         gateway.active_requests.get(),
-        connections.open_count()
+        gateway.connections.open_count()
     );
 }
 
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -15,7 +15,7 @@
 
 use super::accept_queue::{AcceptQueue, AcceptVerdict};
 use super::caller_connection::{CallerConnection, TrackedBody};
-use super::connections::{Connections, OpenConnection};
+use super::connections::OpenConnection;
 use super::idle_clock::IdleVerdict;
 use super::routed_request::Origin;
 use super::state::Gateway;
@@ -36,6 +36,8 @@
 const MIN_HEAD_BYTES: usize = 8 << 10;
 /// Lower bound on the delay between two checks of whether a connection is idle.
 const MIN_IDLE_CHECK: Duration = Duration::from_millis(20);
+/// How often it is checked whether requests still wait for descriptors.
+const AWAITED_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// Interval between log lines about connections that are closed unread.
 const REJECTION_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -46,11 +48,14 @@
     origin: Origin,
     listener: TcpListener,
     closing: watch::Receiver<bool>,
-    connections: Rc<Connections>,
 ) {
+    let connections = gateway.connections.clone();
     let mut queue = AcceptQueue::default();
     let mut rejections = RejectionLog::default();
     loop {
+        while connections.are_awaited() {
+            tokio::time::sleep(AWAITED_CHECK_INTERVAL).await;
+        }
         let accepted = match listener.accept().now_or_never() {
             Some(accepted) => accepted,
             None => {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -10,6 +10,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
+use super::connections::Connections;
 use super::entry_roster::RosterMismatch;
 use super::freshness::{Freshness, Verdict};
 use super::log_limiter::RequestLogLimiter;
@@ -86,6 +87,8 @@
     pub broken_runs: RefCell<BrokenRuns>,
     /// Notified after each probe of whether a target still listens.
     pub probe_finished: Notify,
+    /// Open connections of callers and other entries.
+    pub connections: Rc<Connections>,
     /// Idle connections to targets.
     pub pool: Pool<TargetStart>,
     /// Idle connections to other entries.
@@ -151,6 +154,7 @@
         let subscriptions = RefCell::new(Subscriptions::new(host.failure_domain.clone()));
         let freshness = RefCell::new(Freshness::new(host.periods.config_apply_limit));
         let body_memory = BodyMemory::within(host.memory_limit_bytes);
+        let connections = Rc::new(Connections::new(host.file_descriptor_limit));
         let (domain, price) = (host.failure_domain.clone(), host.cross_domain_price);
         let locality = RefCell::new(Locality::new(domain, price, rand::random()));
         Gateway {
@@ -165,6 +169,7 @@
             stream_lookups: watch::Sender::default(),
             broken_runs: RefCell::default(),
             probe_finished: Notify::new(),
+            connections,
             pool: Pool::default(),
             peer_pool: Pool::default(),
             body_memory,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -60,6 +60,12 @@
     Errno::from_io_error(error).is_some_and(|errno| lacking.contains(&errno))
 }
 
+/// Whether a connection could not be opened since this process or its host has no descriptor left.
+pub fn lacks_descriptors(error: &io::Error) -> bool {
+    let errno = Errno::from_io_error(error);
+    errno.is_some_and(|errno| [Errno::MFILE, Errno::NFILE].contains(&errno))
+}
+
 /// Whether an address actively refuses connections. Returns false if there is no response.
 pub async fn refuses_connections(host: &str, port: u16, timeout: Duration) -> bool {
     let connecting = tokio::time::timeout(timeout, TcpStream::connect((host, port)));
--- a/tests/deployment/gateway.rs
+++ b/tests/deployment/gateway.rs
@@ -64,13 +64,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
     let (closing, closed) = watch::channel(false);
-    tokio::task::spawn_local(server::accept(
-        gateway.clone(),
-        Origin::Caller,
-        listener,
-        closed,
-        Rc::default(),
-    ));
+    tokio::task::spawn_local(server::accept(gateway.clone(), Origin::Caller, listener, closed));
     Entry { gateway, address, closing }
 }
 
--- a/tests/deployment/kept_connections.rs
+++ b/tests/deployment/kept_connections.rs
@@ -2,7 +2,6 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -152,7 +151,7 @@
         let address = listener.local_addr().expect("an address");
         let (_closing, closed) = watch::channel(false);
         let gateway = entry.gateway.clone();
-        let accepting = server::accept(gateway, Origin::Entry, listener, closed, Rc::default());
+        let accepting = server::accept(gateway, Origin::Entry, listener, closed);
         tokio::task::spawn_local(accepting);
         let mut other = connect(address).await;
         for wait in [Duration::ZERO, ms(3_000)] {
--- a/tests/deployment/refused_forwards.rs
+++ b/tests/deployment/refused_forwards.rs
@@ -107,7 +107,7 @@
     let (closing, closed) = watch::channel(false);
     let gateway = entry.gateway.clone();
     tokio::task::spawn_local(async move {
-        server::accept(gateway, origin, listener, closed, Rc::default()).await;
+        server::accept(gateway, origin, listener, closed).await;
     });
     (entry, only, address, closing)
 }
--- a/tests/deployment/scarce_descriptors.rs
+++ b/tests/deployment/scarce_descriptors.rs
@@ -7,7 +7,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use crate::cut_entries::{Entry, start_before_targets};
+use crate::cut_entries::{Entry, start_before_targets, start_with_few_descriptors};
 use crate::fixtures::{ms, target};
 use crate::gateway::{eventually, ok_response, run_local};
 use crate::stand_in::{AfterAnswer, StandIn, header};
@@ -38,6 +38,21 @@
     callers
 }
 
+/// Opens idle connections until an entry uses `count` descriptors.
+async fn fill_with_idle_connections(entry: &Entry, count: u32, idle: &mut Vec<TcpStream>) {
+    loop {
+        tokio::time::sleep(ms(20)).await;
+        let used = entry.open_descriptors(DESCRIPTORS);
+        if used >= count {
+            return;
+        }
+        for _ in used..count {
+            let connecting = TcpStream::connect(entry.callers_address());
+            idle.push(connecting.await.expect("the entry listens"));
+        }
+    }
+}
+
 async fn is_still_full(entry: &Entry) -> bool {
     tokio::time::sleep(ms(200)).await;
     entry.open_descriptors(DESCRIPTORS) == DESCRIPTORS
@@ -97,6 +112,28 @@
     });
 }
 
+// Guards against a request that gets the last descriptor with its connection and is then refused since none is
+// left for the connection to its target, although most are held by idle connections.
+#[test]
+fn idle_connections_make_room_for_the_connection_to_a_target() {
+    run_local(async {
+        for left in [1, 2] {
+            let script = vec![(ok_response("done"), AfterAnswer::Close); 20];
+            let network = 154 + 2 * left as u8;
+            let (entry, stand_in) =
+                start_with_few_descriptors(4_096, DESCRIPTORS, script, network).await;
+            let mut idle = Vec::new();
+            for n in 0..10 {
+                fill_with_idle_connections(&entry, DESCRIPTORS - left, &mut idle).await;
+                let got = entry.call("/once/", &format!("r{n}")).await;
+                let text = &got.text;
+                assert_eq!(got.status, 200, "{left} left, r{n}: {text}\n{}", entry.log());
+            }
+            assert_eq!(stand_in.request_count(), 10, "{left} left");
+        }
+    });
+}
+
 // Guards against a path that is taken for lost since the host has no local port left to connect from.
 #[test]
 fn a_lack_of_ports_or_memory_is_a_local_one_as_well() {
