Refused callers return in order, and nothing is reserved for them

Cause: capacity that was reserved for refused callers counted as taken for others, which were refused or placed late for it; and a caller that had returned was not refused again, however late it was by then.

A refused caller still gets the time at which the prompts ahead of it are placed, one after another at the measured rate. When it returns it is judged as a new one. The claims, fingerprints and the metric of reserved returns are gone.

unclaimed_reservations_expire_and_withdrawn_prompts_hold_nothing tested what no longer exists. refused_and_withdrawn_prompts_hold_nothing is in its place, and stricter: after refusals and a withdrawal as many prompts are admitted as beside a scheduler that had neither. That callers who return in order are served is tested as before; counts of reservations left that test and the one of the report.

--- a/src/scheduler/competition.rs
+++ b/src/scheduler/competition.rs
@@ -19,7 +19,7 @@
 use super::messages::PlacementRequest;
 use super::placement_rate::{PlacementRate, Supply};
 use super::queue::{QueuedPrompt, WaiterId};
-use super::reservations::{Fingerprint, Reservations};
+use super::return_times::{ReturnTimes, ReturnWindow};
 use crate::clock::BootTime;
 use crate::ids::AccountId;
 
@@ -116,7 +116,7 @@
     /// Those that were not refused at once.
     admitted: DecayedCount,
     served: DecayedCount,
-    reservations: Reservations,
+    return_times: ReturnTimes,
     prefilled: PrefilledShare,
 }
 
@@ -334,8 +334,7 @@
         self.urgencies.range(..=priority).map(|(_, urgency)| urgency.len()).sum()
     }
 
-    /// When the turn of a new prompt is expected. Capacity that is reserved for returning callers
-    /// counts as taken.
+    /// When the turn of a new prompt is expected.
     pub fn prospect_of_new(
         &self,
         queued: &QueuedPrompt,
@@ -352,7 +351,7 @@
             account.and_then(|account| queues.by_account.get(account)).map_or(0, BTreeSet::len);
         // Accounts take turns, so those with longer queues don't delay this one by all of theirs.
         let in_time = queues.by_arrival.len().min((own + 1) * queues.by_account.len());
-        let ahead = urgency.continuing.len() + urgency.reservations.len();
+        let ahead = urgency.continuing.len();
         let late = ahead + queues.by_arrival.len() + urgency.late.by_arrival.len();
         let priority = queued.request.priority;
         Prospect {
@@ -382,8 +381,7 @@
         supply.time_for((ahead + waiting + 1) as f64, arriving, min_share)
     }
 
-    /// Waiting prompts whose turn is not expected while their callers wait. Those whose callers have
-    /// returned are not refused again.
+    /// Waiting prompts whose turn is not expected while their callers wait.
     pub fn hopeless(
         &self,
         waiting: &FxHashMap<WaiterId, QueuedPrompt>,
@@ -407,7 +405,7 @@
                     false => self.wait(*priority, continuing + kept_in_time, false, supply, now),
                 };
                 let prospect = Prospect { in_time, late };
-                if !queued.has_returned && !prospect.is_served(queued, margin, now) {
+                if !prospect.is_served(queued, margin, now) {
                     hopeless.push(*waiter);
                     continue;
                 }
@@ -418,39 +416,23 @@
         hopeless
     }
 
-    /// Reserves capacity for the return of a refused caller, and returns when it is to return.
-    pub fn reserve(
+    /// When the caller of a refused prompt is to return: after the prompts that wait, and after those
+    /// whose callers were refused before.
+    pub fn return_time(
         &mut self,
-        request: &PlacementRequest,
+        priority: u8,
         supply: &Supply,
-        earliest: BootTime,
-        latest: BootTime,
-        now: BootTime,
+        window: ReturnWindow,
+        random: f64,
     ) -> BootTime {
-        let priority = request.priority;
+        let now = window.now;
         let waiting = self.urgencies.get(&priority).map_or(0, Urgency::len);
         let turn = self.wait(priority, waiting, false, supply, now);
         // The time for one more prompt.
         let interval = self.wait(priority, waiting + 1, false, supply, now).saturating_sub(turn);
-        let reservations = &mut self.urgencies.entry(priority).or_default().reservations;
-        let prompt = Fingerprint::of(request);
-        reservations.reserve(prompt, now, earliest.max(now + turn), latest, interval)
-    }
-
-    /// Ends the reservation of a prompt. Returns whether there was one.
-    pub fn claim(&mut self, request: &PlacementRequest) -> bool {
-        let urgency = self.urgencies.get_mut(&request.priority);
-        urgency.is_some_and(|urgency| urgency.reservations.claim(Fingerprint::of(request)))
-    }
-
-    /// Ends reservations of callers that have not returned.
-    pub fn expire_reservations(&mut self, now: BootTime) {
-        self.urgencies.values_mut().for_each(|urgency| urgency.reservations.expire(now));
-    }
-
-    /// Number of reservations for returning callers.
-    pub fn reserved(&self) -> usize {
-        self.urgencies.values().map(|urgency| urgency.reservations.len()).sum()
+        let return_times = &mut self.urgencies.entry(priority).or_default().return_times;
+        let earliest = window.earliest.max(now + turn);
+        return_times.next(ReturnWindow { earliest, ..window }, interval, random)
     }
 
     pub fn is_empty(&self) -> bool {
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -17,7 +17,7 @@
 pub mod plan;
 pub mod prefill;
 pub mod queue;
-pub mod reservations;
+pub mod return_times;
 mod source;
 pub mod store;
 pub mod weights;
--- a/src/scheduler/plan.rs
+++ b/src/scheduler/plan.rs
@@ -267,12 +267,10 @@
         let competition = self.queue.competition(&request.service);
         let must_wait = competition.has_ahead_of(request.priority) || !has_cache_state;
         competition.record_submitted(request.priority, now);
-        competition.expire_reservations(now);
-        let has_returned = competition.claim(&request);
         let prefill_tokens = competition.expected_prefill_tokens(&request);
         let estimator = self.estimators.get(&request.service).copied().unwrap_or_default();
         let service_time = estimator.mean_service_time(prefill_tokens);
-        let queued = QueuedPrompt { waiter, request, since: now, service_time, has_returned };
+        let queued = QueuedPrompt { waiter, request, since: now, service_time };
         if !must_wait && let PlacementAttempt::Done(outcome) = self.try_place(&queued, now) {
             let competition = self.queue.competition(&queued.request.service);
             competition.record_admitted(queued.request.priority, now);
@@ -458,10 +456,9 @@
     }
 }
 
-/// A part of `within` that differs by waiter.
-fn retry_spread(waiter: WaiterId, within: Duration) -> Duration {
-    let spread = (waiter.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 54) as f64 / 1_024.0;
-    within.mul_f64(spread)
+/// A fraction that differs by waiter.
+fn retry_spread(waiter: WaiterId) -> f64 {
+    (waiter.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 54) as f64 / 1_024.0
 }
 
 fn millis(duration: Duration) -> f64 {
--- a/src/scheduler/plan/refusals.rs
+++ b/src/scheduler/plan/refusals.rs
@@ -7,6 +7,7 @@
 use crate::clock::BootTime;
 use crate::scheduler::placement_rate::Supply;
 use crate::scheduler::queue::{QueuedPrompt, WaiterId};
+use crate::scheduler::return_times::ReturnWindow;
 
 /// An expected wait is taken for this many times as long, since a wait in vain costs the caller all
 /// of its patience and a needless refusal only a retry.
@@ -61,8 +62,6 @@
     pub waits: BTreeMap<u8, (u64, Duration)>,
     /// Waiting prompts by urgency.
     pub waiting: BTreeMap<u8, usize>,
-    /// Reservations for callers that are to return.
-    pub reserved: usize,
     /// Seconds in which engines got no prompt while prompts waited, summed over them, by reason.
     pub passed_over_s: BTreeMap<PassedOverReason, u64>,
 }
@@ -119,7 +118,7 @@
     ) -> Option<PlacementResult> {
         let service = &queued.request.service;
         let is_expired = queued.expires_at() <= now;
-        if !is_expired && (queued.has_returned || queued.request.software.is_some()) {
+        if !is_expired && queued.request.software.is_some() {
             return None;
         }
         let supply = self.supply(service, now);
@@ -148,7 +147,6 @@
             return;
         }
         competition.reviewed_at = now;
-        competition.expire_reservations(now);
         let Some(supply) = self.supply(service, now) else { return };
         for waiter in self.queue.hopeless(service, &supply, WAITING_PROMPT_MARGIN, now) {
             let Some(queued) = self.queue.remove(waiter) else { continue };
@@ -158,7 +156,7 @@
         }
     }
 
-    /// Refuses a prompt, and reserves capacity for its return.
+    /// Refuses a prompt, and tells its caller when to return.
     pub(super) fn refuse(
         &mut self,
         queued: &QueuedPrompt,
@@ -173,8 +171,11 @@
         let retry_after = match &supply {
             None => retry_after(queued.waiter),
             Some(supply) => {
+                let earliest = now + MIN_RETRY_AFTER;
                 let latest = now + (left / TIME_LEFT_DIVISOR).max(MIN_RETRY_AFTER);
-                competition.reserve(request, supply, now + MIN_RETRY_AFTER, latest, now) - now
+                let window = ReturnWindow { now, earliest, latest };
+                let random = retry_spread(queued.waiter);
+                competition.return_time(request.priority, supply, window, random) - now
             }
         };
         *self.refusals.entry((reason, request.priority)).or_default() += 1;
@@ -205,16 +206,10 @@
             refusals: std::mem::take(&mut self.refusals),
             waits: std::mem::take(&mut self.waits),
             waiting: self.queue.lengths(),
-            reserved: self.reserved(),
             passed_over_s: std::mem::take(&mut self.passed_over),
         }
     }
 
-    /// Number of reservations for callers that were refused and have not returned.
-    pub fn reserved(&self) -> usize {
-        self.queue.reserved()
-    }
-
     /// Rate at which waiting prompts of a service are placed; `None` if it is not known.
     pub fn placements_per_s(&self, service: &str, now: BootTime) -> Option<f64> {
         self.supply(service, now).map(|supply| supply.per_s())
@@ -238,5 +233,5 @@
 
 /// Retry delay for a refused caller, spread by waiter id to avoid synchronized retries.
 fn retry_after(waiter: WaiterId) -> Duration {
-    RETRY_AFTER.0 + retry_spread(waiter, RETRY_AFTER.1 - RETRY_AFTER.0)
+    RETRY_AFTER.0 + (RETRY_AFTER.1 - RETRY_AFTER.0).mul_f64(retry_spread(waiter))
 }
--- a/src/scheduler/queue.rs
+++ b/src/scheduler/queue.rs
@@ -36,8 +36,6 @@
     pub since: BootTime,
     /// Expected time from its placement to the first token.
     pub service_time: Duration,
-    /// Whether its caller was refused before and has returned.
-    pub has_returned: bool,
 }
 
 impl QueuedPrompt {
@@ -160,11 +158,6 @@
         competition.hopeless(&self.waiting, supply, margin, now)
     }
 
-    /// Number of reservations for returning callers.
-    pub fn reserved(&self) -> usize {
-        self.services.values().map(Competition::reserved).sum()
-    }
-
     /// Number of waiting prompts by urgency.
     pub fn lengths(&self) -> BTreeMap<u8, usize> {
         let mut lengths = BTreeMap::new();
--- a/src/telemetry/deployment_metrics.rs
+++ b/src/telemetry/deployment_metrics.rs
@@ -86,8 +86,6 @@
     pub waited_prompts: Counter<u64>,
     /// Time for which these waited, by urgency.
     pub prompt_wait_ms: Counter<u64>,
-    /// Reservations for refused callers that are to return.
-    pub reserved_returns: Gauge<u64>,
     /// Seconds in which engines got no prompt while prompts waited, by reason.
     pub engines_passed_over_s: Counter<u64>,
     /// Requests of operators, by status.
@@ -182,7 +180,6 @@
             self.waited_prompts.add(*count, &[urgency(priority)]);
             self.prompt_wait_ms.add(time.as_millis() as u64, &[urgency(priority)]);
         }
-        self.reserved_returns.record(report.reserved as u64, &[]);
         for (reason, seconds) in &report.passed_over_s {
             self.engines_passed_over_s.add(*seconds, &[label("reason", reason.name())]);
         }
@@ -208,7 +205,6 @@
             refused_prompts: meter.u64_counter("kumquatpost_prompts_refused").build(),
             waited_prompts: meter.u64_counter("kumquatpost_prompts_waited").build(),
             prompt_wait_ms: meter.u64_counter("kumquatpost_prompt_wait_ms").build(),
-            reserved_returns: meter.u64_gauge("kumquatpost_reserved_returns").build(),
             engines_passed_over_s: meter.u64_counter("kumquatpost_engines_passed_over_s").build(),
             operator_requests: meter.u64_counter("kumquatpost_operator_calls").build(),
             malformed_entries: meter.u64_counter("kumquatpost_target_entries_unreadable").build(),
