--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -105,7 +105,7 @@
     }
 
     /// Whether requests wait for descriptors, which new connections would take from them.
-    pub fn are_awaited(&self) -> bool {
+    pub fn descriptors_are_awaited(&self) -> bool {
         self.waiting.get() > 0
     }
 
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -53,7 +53,7 @@
     let mut queue = AcceptQueue::default();
     let mut rejections = RejectionLog::default();
     loop {
-        while connections.are_awaited() {
+        while connections.descriptors_are_awaited() {
             tokio::time::sleep(AWAITED_CHECK_INTERVAL).await;
         }
         let accepted = match listener.accept().now_or_never() {
