Soak: no engine with room is idle while callers ask for more than all can run

Half of the entries are paused while their streams fill the engines, and callers at the others ask for twice what these run at once. An engine that could run prompts and runs none for 2 s is a violation.

--- a/tests/platform_stand_in/target.rs
+++ b/tests/platform_stand_in/target.rs
@@ -188,6 +188,14 @@
         !self.cold_left().is_zero()
     }
 
+    /// Whether it could run requests and runs none.
+    #[allow(dead_code, reason = "not used by the tests of a deployment")]
+    pub fn is_idle(&self) -> bool {
+        let is_offered = self.is_listed && self.leaves_from.is_none();
+        let is_sound = self.fault == Fault::None && self.loading.is_none() && !self.is_cold();
+        is_offered && is_sound && self.running == 0
+    }
+
     /// The number of slots that it names.
     pub(super) fn slots(&self) -> u32 {
         self.max_running.unwrap_or(DEFAULT_SLOTS)
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -177,11 +177,13 @@
 }
 
 pub async fn connect(harness: &Harness, random: &mut SmallRng) -> Option<KeptConnection> {
-    let (entry, address) = {
-        let system = harness.system();
-        let entry = random.random_range(0..system.entries());
-        (entry, system.caller_address(entry))
-    };
+    let entry = random.random_range(0..harness.entries);
+    connect_to(harness, entry).await
+}
+
+/// Opens a connection to an entry.
+pub async fn connect_to(harness: &Harness, entry: usize) -> Option<KeptConnection> {
+    let address = harness.system().caller_address(entry);
     Some(KeptConnection { entry, sender: open_connection(address).await? })
 }
 
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -15,6 +15,7 @@
 mod entry_cuts;
 mod evacuation;
 mod faults;
+mod idle_engines;
 mod limits;
 mod list_faults;
 mod operator;
@@ -358,6 +359,7 @@
     while let Some(ended) = tasks.join_next().await {
         ended.expect("the task does not panic");
     }
+    idle_engines::check(&harness).await;
     tokio::time::sleep(ABANDONED_RUN_TIMEOUT).await;
     harness.run_deferred_checks();
     harness.check_platform_account();
