--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -562,6 +562,10 @@
 
 def run_case(folder, case, new_system=System):
     """Runs a case, writes record.txt into its folder, and exits with 0 (held), 1 (broken) or 2 (could not run)."""
+    def interrupted(*_):
+        raise CannotRun("interrupted")
+
+    signal.signal(signal.SIGTERM, interrupted)
     record = Record()
     record.add(f"trouble: {TROUBLE}")
     system = None
@@ -569,9 +573,9 @@
         system = new_system()
         broken = case(system, record)
         code = 1 if broken else 0
-    except CannotRun as error:
-        record.add(f"could not run: {error}")
-        broken, code = f"could not run: {error}", 2
+    except Exception as error:  # Nothing that goes wrong in the script itself may look like a broken rule.
+        record.add(f"could not run: {error!r}")
+        broken, code = f"could not run: {error!r}", 2
     finally:
         if system is not None:
             system.stop()
